--- /dev/null
+++ b/src/turmericward/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters: the log, the instance list, targets, stewards, over the network."""
--- /dev/null
+++ b/src/turmericward/adapters/_address.py
@@ -0,0 +1,7 @@
+"""Addresses of the form `ip:port`."""
+
+
+def split(address: str) -> tuple[str, int]:
+    """Returns the IP number and the port of `ip:port`."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/src/turmericward/adapters/_request.py
@@ -0,0 +1,135 @@
+"""One HTTP request to a target, sent at most once, on a connection of its own."""
+
+import contextlib
+import http.client
+import socket
+import time
+
+import attrs
+
+from turmericward.adapters import _address, errors
+
+CONNECT_TIMEOUT_S = 1.0
+REQUEST_ID = "X-Request-Id"
+
+
+@attrs.frozen(kw_only=True)
+class Request:
+    """What to send; `headers` as pairs, in order."""
+
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+
+def connect(address: str, timeout_s: float) -> http.client.HTTPConnection:
+    """Opens a connection that never reconnects by itself.
+
+    Raises:
+        NotSentError: no connection came about.
+    """
+    host, port = _address.split(address)
+    wait_s = min(timeout_s, CONNECT_TIMEOUT_S)
+    conn = http.client.HTTPConnection(host, port, timeout=wait_s)
+    conn.auto_open = 0
+    try:
+        conn.connect()
+    except OSError as exc:
+        raise errors.NotSentError(f"{address}: {exc!r}") from exc
+    conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    conn.sock.settimeout(timeout_s)
+    return conn
+
+
+def put_head(conn: http.client.HTTPConnection, req: Request) -> None:
+    """Buffers the request line and the headers; sends nothing yet."""
+    conn.putrequest(req.method, req.path, skip_accept_encoding=True)
+    for name, value in req.headers:
+        conn.putheader(name, value)
+    if req.body or req.method in ("POST", "PUT", "PATCH"):
+        conn.putheader("Content-Length", str(len(req.body)))
+
+
+def send(conn: http.client.HTTPConnection, address: str, req: Request) -> None:
+    """Sends the whole request once.
+
+    Raises:
+        NotSentError: the request can't be put on the wire as it is.
+        AnswerLostError: the connection failed when bytes may have left.
+    """
+    try:
+        put_head(conn, req)
+    except ValueError as exc:
+        raise errors.NotSentError(f"{address}: {exc}") from exc
+    try:
+        conn.endheaders(req.body or None)
+    except OSError as exc:
+        raise errors.AnswerLostError(f"{address}: {exc!r}") from exc
+
+
+def answer_head(
+    conn: http.client.HTTPConnection, address: str
+) -> http.client.HTTPResponse:
+    """Waits for the status line and the headers.
+
+    Raises:
+        AnswerLostError: they didn't come whole.
+    """
+    try:
+        return conn.getresponse()
+    except (OSError, http.client.HTTPException) as exc:
+        raise errors.AnswerLostError(f"{address}: {exc!r}") from exc
+
+
+def read_whole(
+    conn: http.client.HTTPConnection,
+    resp: http.client.HTTPResponse,
+    address: str,
+    until: float,
+) -> bytes:
+    """Reads the body to its declared end, by `until` in monotonic seconds.
+
+    Raises:
+        AnswerLostError: the body ended early or late.
+    """
+    parts = []
+    try:
+        while True:
+            left_s = until - time.monotonic()
+            if left_s <= 0:
+                raise TimeoutError("deadline reached")
+            if conn.sock is not None:
+                conn.sock.settimeout(left_s)
+            part = resp.read1(65536)
+            if not part:
+                break
+            parts.append(part)
+        if resp.length:
+            raise http.client.IncompleteRead(b"", resp.length)
+    except (OSError, http.client.HTTPException, ValueError) as exc:
+        raise errors.AnswerLostError(f"{address}: {exc!r}") from exc
+    return b"".join(parts)
+
+
+def check_id(
+    resp: http.client.HTTPResponse, request_id: str, *, required: bool = True
+) -> None:
+    """Makes sure that the answer belongs to the request.
+
+    Raises:
+        ForeignAnswerError: it names another request, or none where required.
+    """
+    found = resp.getheader(REQUEST_ID)
+    if found == request_id or (found is None and not required):
+        return
+    raise errors.ForeignAnswerError(f"answer to {found!r} came for {request_id!r}")
+
+
+@contextlib.contextmanager
+def closing(conn: http.client.HTTPConnection):
+    """Closes the connection at the end, whatever came."""
+    try:
+        yield conn
+    finally:
+        conn.close()
--- /dev/null
+++ b/src/turmericward/adapters/engine.py
@@ -0,0 +1,290 @@
+"""Client of a model engine: completions, streams, load, state and orders."""
+
+import http.client
+import json
+import socket
+import time
+from collections.abc import Iterator
+
+import attrs
+
+from turmericward.adapters import _json_http, _request, errors
+from turmericward.authority import Authority, EngineState, Spec
+
+READ_BYTES = 65536
+NOT_STARTED = frozenset({429, 503})
+TCP_USER_TIMEOUT = getattr(socket, "TCP_USER_TIMEOUT", 18)
+
+
+@attrs.frozen(kw_only=True)
+class Event:
+    """One event of a stream; `seq` counts from 1, `data` is the JSON text."""
+
+    seq: int
+    data: bytes
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """A whole answer that is no stream."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@attrs.frozen(kw_only=True)
+class LoadReport:
+    """Load as an engine last reported it."""
+
+    role: str
+    running: int
+    queued: int
+
+
+def _post(path: str, body: bytes, request_id: str, after: int) -> _request.Request:
+    headers = [
+        ("Content-Type", "application/json"),
+        (_request.REQUEST_ID, request_id),
+    ]
+    if after:
+        headers.append(("Last-Event-ID", str(after)))
+    return _request.Request(method="POST", path=path, headers=tuple(headers), body=body)
+
+
+class Stream:
+    """An open stream of an engine. Closing it cancels the work there."""
+
+    def __init__(self, conn, resp, address: str) -> None:
+        """Takes over a connection whose answer's head has been read."""
+        self._conn = conn
+        self._resp = resp
+        self._address = address
+        self._rest = b""
+
+    def events(self) -> Iterator[list[Event]]:
+        """Yields events in the order received, as many as came together.
+
+        Raises:
+            AnswerLostError: the stream broke off before its `[DONE]`.
+        """
+        while True:
+            events, done = self._split(self._read())
+            if events:
+                yield events
+            if done:
+                return
+
+    def _read(self) -> bytes:
+        try:
+            part = self._resp.read1(READ_BYTES)
+        except (OSError, http.client.HTTPException, ValueError) as exc:
+            raise errors.AnswerLostError(f"{self._address}: {exc!r}") from exc
+        if not part:
+            raise errors.AnswerLostError(f"{self._address}: stream broke off")
+        return part
+
+    def _split(self, part: bytes) -> tuple[list[Event], bool]:
+        *whole, self._rest = (self._rest + part).split(b"\n\n")
+        events = []
+        for block in whole:
+            event = self._parse(block)
+            if event.data == b"[DONE]":
+                return events, True
+            if event.data:
+                events.append(event)
+        return events, False
+
+    def _parse(self, block: bytes) -> Event:
+        seq = 0
+        data = b""
+        for line in block.split(b"\n"):
+            name, _, value = line.partition(b":")
+            value = value.strip()
+            if name == b"data":
+                data = value
+            elif name == b"id" and value.isdigit():
+                seq = int(value)
+        return Event(seq=seq, data=data)
+
+    def close(self) -> None:
+        """Closes the connection, by which the engine cancels the request."""
+        self._resp.close()
+        self._conn.close()
+
+
+class EngineClient:
+    """Requests to one engine, each on a connection of its own."""
+
+    def __init__(self, address: str) -> None:
+        """Creates the client for `ip:port`."""
+        self._address = address
+
+    def stream(
+        self,
+        path: str,
+        body: bytes,
+        request_id: str,
+        *,
+        first_s: float,
+        idle_s: float,
+        after: int = 0,
+    ) -> Stream | Answer:
+        """Starts a stream, or takes it up after the event number `after`.
+
+        Args:
+            path: path of the engine's interface.
+            body: JSON text of the request.
+            request_id: the engine repeats it in its answer.
+            first_s: longest wait for the answer's head.
+            idle_s: longest wait between two events.
+            after: last event that the caller has, 0 for none.
+
+        Returns:
+            The stream, or the engine's answer if it is no success.
+
+        Raises:
+            NotSentError: no connection came about.
+            AnswerLostError: the head of the answer didn't come.
+            ForeignAnswerError: the answer is another request's.
+        """
+        conn = _request.connect(self._address, first_s)
+        try:
+            req = _post(path, body, request_id, after)
+            _request.send(conn, self._address, req)
+            resp = _request.answer_head(conn, self._address)
+            _request.check_id(resp, request_id)
+            if resp.status != 200:
+                return self._whole(conn, resp, time.monotonic() + idle_s)
+            sock = conn.sock
+            if sock is not None:
+                sock.settimeout(idle_s)
+            return Stream(conn, resp, self._address)
+        except BaseException:
+            conn.close()
+            raise
+
+    def complete(
+        self, path: str, body: bytes, request_id: str, timeout_s: float
+    ) -> Answer:
+        """Sends a request and reads the whole answer.
+
+        Raises:
+            NotSentError, AnswerLostError, ForeignAnswerError: as for `stream`.
+        """
+        until = time.monotonic() + timeout_s
+        conn = _request.connect(self._address, timeout_s)
+        with _request.closing(conn):
+            req = _post(path, body, request_id, 0)
+            _request.send(conn, self._address, req)
+            resp = _request.answer_head(conn, self._address)
+            _request.check_id(resp, request_id)
+            return self._whole(conn, resp, until)
+
+    def _whole(self, conn, resp, until: float) -> Answer:
+        body = _request.read_whole(conn, resp, self._address, until)
+        return Answer(
+            status=resp.status,
+            content_type=resp.getheader("Content-Type", "application/json"),
+            body=body,
+        )
+
+
+class EngineControl:
+    """Load, state and orders of one engine; for use by the steward."""
+
+    def __init__(self, address: str, timeout_s: float) -> None:
+        """Creates the client for `ip:port`."""
+        self._address = address
+        self._timeout_s = timeout_s
+
+    def load(self) -> LoadReport:
+        """Returns the engine's latest load report.
+
+        Raises:
+            AnswerLostError: none came.
+        """
+        raw = self._get("/load")
+        return LoadReport(
+            role=raw["role"],
+            running=raw["running"],
+            queued=raw["queued"],
+        )
+
+    def state(self) -> EngineState:
+        """Returns what the engine is doing now, not from a report.
+
+        Raises:
+            AnswerLostError: no answer came.
+        """
+        raw = self._get("/state")
+        return EngineState(
+            spec=Spec(role=raw["role"], loads=tuple(raw["loads"])),
+            changing=raw["changing"],
+            running=raw["running"] + raw["queued"],
+            order_id=raw["order_id"],
+            order_token=raw["order_token"],
+        )
+
+    def _get(self, path: str) -> dict:
+        client = _json_http.JsonClient(self._address, self._timeout_s)
+        try:
+            answer = client.request("GET", path)
+        except _json_http.ERRORS as exc:
+            raise errors.AnswerLostError(f"{self._address}: {exc!r}") from exc
+        finally:
+            client.close()
+        if answer.status != 200 or not isinstance(answer.body, dict):
+            raise errors.AnswerLostError(f"{self._address}: {answer.status}")
+        return answer.body
+
+    def order(
+        self, order_id: str, spec: Spec, authority: Authority, clock=time.monotonic
+    ) -> bool:
+        """Orders the engine into a state, unless the authority ends before.
+
+        The last byte is held back until just after the check of the term, and
+        the kernel drops what it can't deliver within the rest of the term.
+
+        Returns:
+            True when the engine took the order, False when it refused.
+
+        Raises:
+            AuthorityLapsedError: the order was not sent whole.
+            NotSentError: no connection came about.
+            AnswerLostError: the order may or may not have been taken.
+        """
+        body = json.dumps(
+            {
+                "order_id": order_id,
+                "token": authority.token,
+                "role": spec.role,
+                "loads": list(spec.loads),
+            }
+        ).encode()
+        req = _request.Request(
+            method="POST",
+            path="/orders",
+            headers=(("Content-Type", "application/json"),),
+            body=body,
+        )
+        conn = _request.connect(self._address, self._timeout_s)
+        with _request.closing(conn):
+            self._send_within_term(conn, req, authority, clock)
+            resp = _request.answer_head(conn, self._address)
+            until = time.monotonic() + self._timeout_s
+            _request.read_whole(conn, resp, self._address, until)
+            return resp.status == 200
+
+    def _send_within_term(self, conn, req, authority, clock) -> None:
+        try:
+            _request.put_head(conn, req)
+            conn.endheaders(req.body[:-1])
+            left_s = authority.until - clock()
+            if not authority.allows(clock(), self._timeout_s):
+                raise errors.AuthorityLapsedError(f"{left_s:.3f} s of the term left")
+            user_timeout_ms = max(1, int(left_s * 1000))
+            conn.sock.setsockopt(socket.IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms)
+            conn.send(req.body[-1:])
+        except OSError as exc:
+            raise errors.AnswerLostError(f"{self._address}: {exc!r}") from exc
--- /dev/null
+++ b/src/turmericward/adapters/log.py
@@ -0,0 +1,91 @@
+"""Client of the platform's append-only log service."""
+
+import attrs
+
+from turmericward.adapters import _json_http, errors
+
+READ_LIMIT = 500
+
+
+@attrs.frozen(kw_only=True)
+class Record:
+    """One record of a stream, as decoded JSON."""
+
+    offset: int
+    value: object
+
+
+@attrs.frozen(kw_only=True)
+class Page:
+    """Records of a stream in order; `following` is the next offset to read.
+
+    `first` is the oldest offset that the log still holds.
+    """
+
+    records: list[Record]
+    following: int
+    first: int
+
+
+class LogClient:
+    """Appends to and reads from the streams of the log."""
+
+    def __init__(self, address: str, timeout_s: float) -> None:
+        """Creates a client for one thread."""
+        self._client = _json_http.JsonClient(address, timeout_s)
+
+    def append(self, stream: str, values: list[object]) -> int:
+        """Appends records as one batch, whole or not at all.
+
+        Returns:
+            The offset of the batch's first record.
+
+        Raises:
+            LogUnavailableError: no good answer came; the batch may have been
+                appended all the same.
+
+        .. versionadded:: 0.1.0
+        """
+        path = f"/streams/{stream}/records"
+        answer = self._request("POST", path, {"records": values})
+        if answer.status != 200 or not isinstance(answer.body, dict):
+            raise errors.LogUnavailableError(f"append answered {answer.status}")
+        return answer.body["first"]
+
+    def read(self, stream: str, start: int, wait_s: float = 0.0) -> Page:
+        """Reads records from offset `start`, waiting for one if there is none.
+
+        Raises:
+            OffsetExpiredError: the log no longer holds `start`.
+            LogUnavailableError: no good answer came.
+
+        .. versionadded:: 0.1.0
+        """
+        query = f"from={start}&limit={READ_LIMIT}&wait={wait_s:.3f}"
+        path = f"/streams/{stream}/records?{query}"
+        answer = self._request("GET", path, extra_s=wait_s)
+        if answer.status == 410:
+            raise errors.OffsetExpiredError(answer.body["first"])
+        if answer.status != 200:
+            raise errors.LogUnavailableError(f"read answered {answer.status}")
+        return self._page(answer.body)
+
+    def _page(self, body: dict) -> Page:
+        try:
+            records = [
+                Record(offset=row["offset"], value=row["value"])
+                for row in body["records"]
+            ]
+            return Page(records=records, following=body["next"], first=body["first"])
+        except (KeyError, TypeError) as exc:
+            raise errors.LogUnavailableError(f"read answered {exc!r}") from exc
+
+    def _request(self, method, path, body=None, extra_s=0.0):
+        try:
+            return self._client.request(method, path, body, extra_s)
+        except _json_http.ERRORS as exc:
+            raise errors.LogUnavailableError(f"log: {exc!r}") from exc
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._client.close()
--- /dev/null
+++ b/src/turmericward/adapters/steward.py
@@ -0,0 +1,161 @@
+"""Thrift client and server of the steward's interface."""
+
+import contextlib
+import functools
+import socket
+import threading
+from collections.abc import Iterator
+from concurrent import futures
+
+from absl import logging
+from thrift import Thrift
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TSocket, TTransport
+
+from turmericward.adapters import _address, errors
+from turmericward.wire import Steward
+
+CONNECT_TIMEOUT_S = 1.0
+ACCEPT_POLL_S = 0.2
+IDLE_TIMEOUT_S = 120.0
+MAX_CONNECTIONS = 256
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+_ERRORS = (OSError, Thrift.TException, EOFError)
+
+
+class StewardClient:
+    """One connection to a steward; not for use by several threads.
+
+    After a call that raised, `was_sent` tells whether it may have arrived.
+    """
+
+    def __init__(self, address: str, timeout_s: float) -> None:
+        """Creates the client; `timeout_s` bounds the wait for one answer."""
+        self.address = address
+        self._timeout_s = timeout_s
+        self.was_sent = False
+        self._transport: TTransport.TBufferedTransport | None = None
+        self._client: Steward.Client | None = None
+
+    def __getattr__(self, name: str):
+        """Returns the method of the interface with this name.
+
+        It raises StewardUnavailableError when no answer came; the connection
+        is closed then, since a late answer could be taken for the next one's.
+        """
+        if name.startswith("_"):
+            raise AttributeError(name)
+        return functools.partial(self._call, name)
+
+    def _call(self, name: str, *args):
+        self.was_sent = False
+        try:
+            client = self._connect()
+            self.was_sent = True
+            return getattr(client, name)(*args)
+        except _ERRORS as exc:
+            self.close()
+            msg = f"steward {self.address}: {name}: {exc!r}"
+            raise errors.StewardUnavailableError(msg) from exc
+
+    def _connect(self) -> Steward.Client:
+        if self._client is None:
+            sock = TSocket.TSocket(*_address.split(self.address))
+            sock.setTimeout(CONNECT_TIMEOUT_S * 1000)
+            transport = TTransport.TBufferedTransport(sock)
+            transport.open()
+            sock.setTimeout(self._timeout_s * 1000)
+            sock.handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            protocol = TCompactProtocol.TCompactProtocol(transport)
+            self._transport = transport
+            self._client = Steward.Client(protocol)
+        return self._client
+
+    def close(self) -> None:
+        """Closes the connection, if one is open."""
+        if self._transport is not None:
+            self._transport.close()
+        self._transport = None
+        self._client = None
+
+
+@contextlib.contextmanager
+def connected(address: str, timeout_s: float) -> Iterator[StewardClient]:
+    """Yields a client and closes it afterwards."""
+    client = StewardClient(address, timeout_s)
+    try:
+        yield client
+    finally:
+        client.close()
+
+
+class StewardServer:
+    """Serves the interface, one thread of an executor for each connection."""
+
+    def __init__(self, address: str, handler) -> None:
+        """Binds the listening socket.
+
+        Args:
+            address: `ip:port` to listen on.
+            handler: object with the interface's methods.
+        """
+        self._processor = Steward.Processor(handler)
+        self._stopping = threading.Event()
+        self._conns: set[socket.socket] = set()
+        self._conns_lock = threading.Lock()
+        self._executor = futures.ThreadPoolExecutor(
+            max_workers=MAX_CONNECTIONS, thread_name_prefix="steward-conn"
+        )
+        self._listener = socket.create_server(
+            _address.split(address), backlog=128, reuse_port=False
+        )
+        self._listener.settimeout(ACCEPT_POLL_S)
+
+    def run(self) -> None:
+        """Accepts connections until `stop`."""
+        while not self._stopping.is_set():
+            try:
+                conn, _ = self._listener.accept()
+            except TimeoutError:
+                continue
+            self._executor.submit(self._serve, conn)
+        self._listener.close()
+        self._close_connections()
+        self._executor.shutdown(wait=False)
+
+    def stop(self) -> None:
+        """Ends `run` and closes every connection."""
+        self._stopping.set()
+
+    def _close_connections(self) -> None:
+        with self._conns_lock:
+            conns = list(self._conns)
+        for conn in conns:
+            with contextlib.suppress(OSError):
+                conn.shutdown(socket.SHUT_RDWR)
+
+    def _serve(self, conn: socket.socket) -> None:
+        with self._conns_lock:
+            self._conns.add(conn)
+        try:
+            self._answer_all(conn)
+        except _ERRORS as exc:
+            logging.debug("steward connection ended: %r", exc)
+        except Exception:
+            logging.exception("steward connection failed")
+        finally:
+            with self._conns_lock:
+                self._conns.discard(conn)
+            conn.close()
+
+    def _answer_all(self, conn: socket.socket) -> None:
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock = TSocket.TSocket()
+        sock.setHandle(conn)
+        sock.setTimeout(IDLE_TIMEOUT_S * 1000)
+        transport = TTransport.TBufferedTransport(sock)
+        protocol = TCompactProtocol.TCompactProtocol(
+            transport, string_length_limit=MAX_MESSAGE_BYTES
+        )
+        while not self._stopping.is_set():
+            self._processor.process(protocol, protocol)
--- /dev/null
+++ b/src/turmericward/authority/_contender.py
@@ -0,0 +1,142 @@
+"""Competes for a domain's lease; knows when it may and may not act as holder."""
+
+import attrs
+
+from turmericward.authority import _lease, _records
+
+
+@attrs.frozen(kw_only=True)
+class Timing:
+    """Times of the lease protocol in seconds.
+
+    `margin_s` covers clock drift between instances over one term. A new holder
+    sends no order for `settle_s`, in which the last holder's orders arrive.
+    """
+
+    term_s: float
+    renew_s: float
+    margin_s: float
+    settle_s: float
+
+
+@attrs.frozen(kw_only=True)
+class Authority:
+    """The right to send orders from `not_before` until `until`, in local time."""
+
+    token: int
+    not_before: float
+    until: float
+
+    def allows(self, now: float, need_s: float = 0.0) -> bool:
+        """Tells whether an order that takes `need_s` may be sent at `now`."""
+        return self.not_before <= now and now + need_s < self.until
+
+
+class Contender:
+    """Lease protocol of one process, free of clocks and sockets.
+
+    The holder counts its term from before it sent a renewal; a candidate
+    counts the term plus a margin from when it read the latest renewal. A
+    candidate therefore acts only after the holder has stopped.
+    """
+
+    def __init__(self, holder: str, timing: Timing, now: float, new_id) -> None:
+        """Starts as a follower.
+
+        Args:
+            holder: unique for each run of a process.
+            timing: times of the protocol.
+            now: local monotonic time in seconds.
+            new_id: callable that returns a fresh record id.
+        """
+        self._holder = holder
+        self._timing = timing
+        self._new_id = new_id
+        self._fold = _lease.LeaseFold()
+        self._sent: dict[str, float] = {}
+        self._last_read = now
+        self._last_sent = float("-inf")
+        self._until = float("-inf")
+        self._not_before = float("inf")
+
+    @property
+    def lease(self) -> _lease.Lease:
+        """The lease as last read from the log."""
+        return self._fold.lease
+
+    def authority(self, now: float) -> Authority | None:
+        """Returns the right to send orders, or None when there is none at `now`."""
+        if self._fold.lease.holder != self._holder or now >= self._until:
+            return None
+        return Authority(
+            token=self._fold.lease.token,
+            not_before=self._not_before,
+            until=self._until,
+        )
+
+    def read(self, now: float, offset: int, record: _records.Record) -> bool:
+        """Folds a record that was read at `now`; tells whether it was accepted."""
+        accepted = self._fold.apply(offset, record)
+        if not accepted:
+            return False
+        self._last_read = now
+        sent_at = self._sent.pop(record.id, None)
+        if sent_at is not None and not isinstance(record, _records.Release):
+            self._extend(sent_at, record)
+        return True
+
+    def _extend(self, sent_at: float, record: _records.Record) -> None:
+        term_s = self._fold.lease.term_s
+        if isinstance(record, _records.Acquire):
+            self._until = float("-inf")
+            self._not_before = sent_at + self._timing.settle_s
+        self._until = max(self._until, sent_at + term_s)
+
+    def tick(self, now: float) -> list[_records.Record]:
+        """Returns the records to append at `now`."""
+        if now - self._last_sent < self._timing.renew_s:
+            return []
+        lease = self._fold.lease
+        if lease.holder == self._holder and now < self._until:
+            record = _records.Renew(
+                id=self._new_id(), holder=self._holder, token=lease.token
+            )
+        elif self._may_acquire(now):
+            record = _records.Acquire(
+                id=self._new_id(),
+                holder=self._holder,
+                expected=lease.last,
+                term_s=self._timing.term_s,
+            )
+        else:
+            return []
+        return [self._send(now, record)]
+
+    def _may_acquire(self, now: float) -> bool:
+        lease = self._fold.lease
+        if not lease.holder:
+            return True
+        wait_s = lease.term_s + self._timing.margin_s
+        return now - self._last_read >= wait_s
+
+    def _send(self, now: float, record: _records.Record) -> _records.Record:
+        self._forget_sent(now)
+        self._sent[record.id] = now
+        self._last_sent = now
+        return record
+
+    def _forget_sent(self, now: float) -> None:
+        limit = now - self._timing.term_s
+        self._sent = {i: at for i, at in self._sent.items() if at > limit}
+
+    def resign(self, now: float) -> list[_records.Record]:
+        """Gives up authority at once; returns the release to append, if any."""
+        if self.authority(now) is None:
+            return []
+        self._until = float("-inf")
+        self._last_sent = float("inf")
+        lease = self._fold.lease
+        release = _records.Release(
+            id=self._new_id(), holder=self._holder, token=lease.token
+        )
+        return [release]
--- /dev/null
+++ b/src/turmericward/authority/_lease.py
@@ -0,0 +1,63 @@
+"""The fold of lease records: who holds a domain's lease, under which token."""
+
+import attrs
+
+from turmericward.authority import _records
+
+
+@attrs.frozen(kw_only=True)
+class Lease:
+    """The lease as the log shows it; `holder` is empty when it is free.
+
+    `last` is the offset plus one of the last accepted lease record.
+    """
+
+    holder: str = ""
+    token: int = 0
+    term_s: float = 0.0
+    last: int = 0
+
+
+class LeaseFold:
+    """Accepts or rejects lease records in offset order, alike for every reader."""
+
+    def __init__(self) -> None:
+        """Creates the state of an empty stream."""
+        self.lease = Lease()
+
+    def apply(self, offset: int, record: _records.Record) -> bool:
+        """Folds one record and tells whether it was accepted."""
+        if isinstance(record, _records.Acquire):
+            return self._acquire(offset, record)
+        if isinstance(record, _records.Renew):
+            return self._renew(offset, record)
+        if isinstance(record, _records.Release):
+            return self._release(offset, record)
+        return False
+
+    def _acquire(self, offset: int, record: _records.Acquire) -> bool:
+        if record.expected != self.lease.last:
+            return False
+        self.lease = Lease(
+            holder=record.holder,
+            token=offset + 1,
+            term_s=record.term_s,
+            last=offset + 1,
+        )
+        return True
+
+    def _owns(self, record: _records.Renew | _records.Release) -> bool:
+        lease = self.lease
+        return record.token == lease.token and record.holder == lease.holder
+
+    def _renew(self, offset: int, record: _records.Renew) -> bool:
+        if not self._owns(record):
+            return False
+        self.lease = attrs.evolve(self.lease, last=offset + 1)
+        return True
+
+    def _release(self, offset: int, record: _records.Release) -> bool:
+        if not self._owns(record):
+            return False
+        self.lease = Lease(token=self.lease.token, last=offset + 1)
+        return True
--- /dev/null
+++ b/src/turmericward/authority/_orders.py
@@ -0,0 +1,105 @@
+"""Orders of a domain: at most one outstanding for an engine, none conflicting."""
+
+import enum
+
+import attrs
+
+from turmericward.authority import _records
+
+
+class OrderPhase(enum.Enum):
+    """How far an order has come, as the log shows it."""
+
+    INTENDED = "intended"
+    DONE = "done"
+    VOID = "void"
+
+
+@attrs.frozen(kw_only=True)
+class Spec:
+    """The state that an engine is ordered into.
+
+    `loads` names what it has loaded: `model@version`, or an adapter's name.
+    """
+
+    role: str
+    loads: tuple[str, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class Order:
+    """An order that the log holds an intent for."""
+
+    id: str
+    token: int
+    engine: str
+    spec: Spec
+    phase: OrderPhase
+
+
+@attrs.frozen(kw_only=True)
+class EngineState:
+    """What an engine says about itself; `order_id` is the last order it took."""
+
+    spec: Spec
+    changing: bool
+    running: int
+    order_id: str
+    order_token: int
+
+
+class OrderBook:
+    """Fold of intents and outcomes, and the next step for each engine."""
+
+    def __init__(self) -> None:
+        """Creates the state of an empty stream."""
+        self._last: dict[str, Order] = {}
+
+    def apply(self, record: _records.Record, lease_token: int) -> bool:
+        """Folds one record; rejects those under another token than the lease's."""
+        if isinstance(record, _records.Intent):
+            return self._intend(record, lease_token)
+        if isinstance(record, _records.OrderOutcome):
+            return self._end(record, lease_token)
+        return False
+
+    def _intend(self, record: _records.Intent, lease_token: int) -> bool:
+        if record.token != lease_token or self.outstanding(record.engine):
+            return False
+        self._last[record.engine] = Order(
+            id=record.id,
+            token=record.token,
+            engine=record.engine,
+            spec=Spec(role=record.role, loads=tuple(record.loads)),
+            phase=OrderPhase.INTENDED,
+        )
+        return True
+
+    def _end(self, record: _records.OrderOutcome, lease_token: int) -> bool:
+        order = self.outstanding(record.engine)
+        if record.token != lease_token or order is None or order.id != record.id:
+            return False
+        phase = OrderPhase(record.outcome)
+        self._last[record.engine] = attrs.evolve(order, phase=phase)
+        return True
+
+    def outstanding(self, engine: str) -> Order | None:
+        """Returns the engine's order that has no outcome yet, or None."""
+        order = self._last.get(engine)
+        if order is None or order.phase is not OrderPhase.INTENDED:
+            return None
+        return order
+
+    def settle(self, engine: str, state: EngineState) -> OrderPhase | None:
+        """Decides an outstanding order from the engine's own state.
+
+        Returns:
+            DONE when the engine has carried the order out, VOID when it never
+            took it, None while it is still changing or nothing is outstanding.
+        """
+        order = self.outstanding(engine)
+        if order is None or state.changing:
+            return None
+        if state.order_id == order.id and state.spec == order.spec:
+            return OrderPhase.DONE
+        return OrderPhase.VOID
--- /dev/null
+++ b/src/turmericward/calls/__init__.py
@@ -0,0 +1,18 @@
+"""Calls aggregate: keyed calls run at most once, by claims in log order."""
+
+from turmericward.calls._errors import CallsError, MalformedRecordError
+from turmericward.calls._ledger import Call, ClaimLedger, Standing
+from turmericward.calls._records import Answer, Claim, Settle, decode, encode
+
+__all__ = [
+    "Answer",
+    "Call",
+    "CallsError",
+    "Claim",
+    "ClaimLedger",
+    "MalformedRecordError",
+    "Settle",
+    "Standing",
+    "decode",
+    "encode",
+]
--- /dev/null
+++ b/src/turmericward/configuration/__init__.py
@@ -0,0 +1,42 @@
+"""Configuration aggregate: resources as a deterministic fold of the log."""
+
+from turmericward.configuration._errors import (
+    ConfigurationError,
+    InvalidResourceError,
+    MalformedRecordError,
+)
+from turmericward.configuration._kinds import (
+    Adapter,
+    Engine,
+    Model,
+    Service,
+    Tenant,
+    Version,
+    kinds,
+    parse,
+)
+from turmericward.configuration._ledger import Ledger, Resource, Verdict
+from turmericward.configuration._records import Change, Snapshot, decode, encode
+from turmericward.configuration._replay import Replay
+
+__all__ = [
+    "Adapter",
+    "Change",
+    "ConfigurationError",
+    "Engine",
+    "InvalidResourceError",
+    "Ledger",
+    "MalformedRecordError",
+    "Model",
+    "Replay",
+    "Resource",
+    "Service",
+    "Snapshot",
+    "Tenant",
+    "Verdict",
+    "Version",
+    "decode",
+    "encode",
+    "kinds",
+    "parse",
+]
--- /dev/null
+++ b/src/turmericward/configuration/_errors.py
@@ -0,0 +1,13 @@
+"""Errors of the configuration aggregate."""
+
+
+class ConfigurationError(Exception):
+    """Base of this package's errors; never raised itself."""
+
+
+class InvalidResourceError(ConfigurationError):
+    """Raised when a resource's kind is unknown or its value breaks the schema."""
+
+
+class MalformedRecordError(ConfigurationError):
+    """Raised when a log record can't be decoded as a configuration record."""
--- /dev/null
+++ b/src/turmericward/configuration/_ledger.py
@@ -0,0 +1,156 @@
+"""The fold of configuration records: accepts or rejects each one."""
+
+import collections
+import enum
+
+import attrs
+
+from turmericward.configuration import _errors, _kinds, _records
+
+HISTORY_EVENTS = 4096
+TOMBSTONE_OFFSETS = 100_000
+
+
+class Verdict(enum.Enum):
+    """What the fold made of a record."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    INVALID = "invalid"
+    IGNORED = "ignored"
+
+
+@attrs.frozen(kw_only=True)
+class Resource:
+    """A resource at the version that the offset of its last change gives.
+
+    `value` is None for a deleted resource, whose version is kept so that a
+    delayed append can't create it again.
+    """
+
+    kind: str
+    name: str
+    version: int
+    value: dict | None
+
+
+class Ledger:
+    """State of all resources after folding the log up to `applied`.
+
+    Versions are offsets plus one, so that 0 can stand for "no version".
+    """
+
+    def __init__(self) -> None:
+        """Creates the state of an empty log."""
+        self._resources: dict[tuple[str, str], Resource] = {}
+        self._history: collections.deque[Resource] = collections.deque(
+            maxlen=HISTORY_EVENTS
+        )
+        self._history_floor = 0
+        self.applied = 0
+
+    def get(self, kind: str, name: str) -> Resource | None:
+        """Returns the resource, also a deleted one, or None."""
+        return self._resources.get((kind, name))
+
+    def live(self) -> list[Resource]:
+        """Returns all resources that exist, in the order of kind and name."""
+        keys = sorted(self._resources)
+        found = [self._resources[k] for k in keys]
+        return [r for r in found if r.value is not None]
+
+    def expected_for(self, kind: str, name: str) -> int:
+        """Returns the version that a change of the resource has to name."""
+        current = self.get(kind, name)
+        return current.version if current else 0
+
+    def apply(self, offset: int, raw: object) -> Verdict:
+        """Folds one record of the log.
+
+        Args:
+            offset: the record's offset; lower than `applied` is ignored.
+            raw: the record as decoded JSON.
+
+        Returns:
+            The verdict, the same for every reader of the log.
+        """
+        if offset < self.applied:
+            return Verdict.IGNORED
+        self.applied = offset + 1
+        self._forget_tombstones()
+        try:
+            record = _records.decode(raw)
+        except _errors.MalformedRecordError:
+            return Verdict.INVALID
+        if isinstance(record, _records.Snapshot):
+            return Verdict.IGNORED
+        return self._apply_change(offset, record)
+
+    def _apply_change(self, offset: int, change: _records.Change) -> Verdict:
+        if change.expected != self.expected_for(change.kind, change.name):
+            return Verdict.CONFLICT
+        if change.value is not None:
+            try:
+                _kinds.parse(change.kind, change.value)
+            except _errors.InvalidResourceError:
+                return Verdict.INVALID
+        resource = Resource(
+            kind=change.kind,
+            name=change.name,
+            version=offset + 1,
+            value=change.value,
+        )
+        self._store(resource)
+        return Verdict.ACCEPTED
+
+    def _store(self, resource: Resource) -> None:
+        if len(self._history) == HISTORY_EVENTS:
+            self._history_floor = self._history[0].version
+        self._resources[resource.kind, resource.name] = resource
+        self._history.append(resource)
+
+    def _forget_tombstones(self) -> None:
+        if self.applied % TOMBSTONE_OFFSETS:
+            return
+        limit = self.applied - TOMBSTONE_OFFSETS
+        old = [
+            key
+            for key, res in self._resources.items()
+            if res.value is None and res.version <= limit
+        ]
+        for key in old:
+            del self._resources[key]
+
+    def since(self, version: int) -> list[Resource] | None:
+        """Returns the changes after `version` in order, each exactly once.
+
+        Returns:
+            The changes, or None when `version` is older than the history.
+        """
+        if version < self._history_floor:
+            return None
+        return [r for r in self._history if r.version > version]
+
+    def snapshot(self) -> dict:
+        """Returns the whole state as a JSON object."""
+        rows = [[r.kind, r.name, r.version, r.value] for r in self._resources.values()]
+        return {"applied": self.applied, "resources": rows}
+
+    @classmethod
+    def restore(cls, state: dict) -> "Ledger":
+        """Builds the ledger that `snapshot` described.
+
+        Raises:
+            MalformedRecordError: the state has another form.
+        """
+        ledger = cls()
+        try:
+            for kind, name, version, value in state["resources"]:
+                ledger._resources[kind, name] = Resource(
+                    kind=kind, name=name, version=version, value=value
+                )
+            ledger.applied = state["applied"]
+        except (KeyError, TypeError, ValueError) as exc:
+            raise _errors.MalformedRecordError(f"snapshot: {exc}") from exc
+        ledger._history_floor = ledger.applied
+        return ledger
--- /dev/null
+++ b/src/turmericward/entry/_app.py
@@ -0,0 +1,194 @@
+"""WSGI application: turns WSGI calls into requests and sends them to handlers."""
+
+import re
+import time
+from collections.abc import Callable
+
+import attrs
+from absl import logging
+
+from turmericward import runtime, telemetry
+from turmericward.entry import _errors, _http, _models, _resources, _services
+
+ID_FORM = re.compile(r"[A-Za-z0-9._-]{1,64}")
+SEED = 1
+PROBES = frozenset({"/healthz", "/readyz", "/metrics"})
+
+
+@attrs.frozen(kw_only=True)
+class RequestLog:
+    """Fields of the log line at the end of a request."""
+
+    request_id: str
+    method: str
+    path: str
+    status: int
+    ms: int
+
+
+@attrs.frozen(kw_only=True)
+class _Route:
+    methods: tuple[str, ...]
+    path: str
+    prefix: bool
+    handler: Callable[[_http.Request], _http.Response]
+    error: Callable[[_errors.RequestFaultError], _http.Response]
+
+    def matches(self, path: str) -> bool:
+        return path.startswith(self.path) if self.prefix else path == self.path
+
+
+class App:
+    """The WSGI callable of one entry process."""
+
+    def __init__(self, ctx) -> None:
+        """Creates the application and its table of routes."""
+        self._ctx = ctx
+        self._routes: list[_Route] = []
+        models = _models.Models(ctx)
+        services = _services.Services(ctx, SEED)
+        resources = _resources.Resources(ctx)
+        post = ("POST",)
+        get = ("GET", "HEAD")
+        openai = _http.openai_error
+        self._route(post, "/v1/chat/completions", models.complete, openai)
+        self._route(post, "/v1/completions", models.complete, openai)
+        self._route(get, "/v1/models", models.list_models, openai)
+        self._route((), _services.PREFIX, services.call, _http.problem)
+        self._route((), _resources.PREFIX, resources.handle, _http.problem)
+        self._route(get, "/healthz", self._healthz, _http.problem)
+        self._route(get, "/readyz", self._readyz, _http.problem)
+        self._route(get, "/metrics", self._metrics, _http.problem)
+
+    def _route(self, methods, path: str, handler, error) -> None:
+        self._routes.append(
+            _Route(
+                methods=methods,
+                path=path,
+                prefix=path.endswith("/"),
+                handler=handler,
+                error=error,
+            )
+        )
+
+    def __call__(self, environ, start_response):
+        """Answers one WSGI request."""
+        started = time.monotonic()
+        self._ctx.seats.enter()
+        req = _request(environ)
+        try:
+            resp = self._respond(req)
+        except BaseException:
+            self._ctx.seats.leave()
+            raise
+        headers = [("Content-Type", resp.content_type), ("X-Request-Id", req.id)]
+        headers += resp.headers
+        if isinstance(resp.body, bytes):
+            headers.append(("Content-Length", str(len(resp.body))))
+        start_response(resp.status_line(), headers)
+        return _Body(resp, lambda: self._end(req, resp, started))
+
+    def _respond(self, req: _http.Request) -> _http.Response:
+        error = _http.openai_error if req.path.startswith("/v1/") else _http.problem
+        try:
+            return self._find(req).handler(req)
+        except _errors.RequestFaultError as exc:
+            self._ctx.metrics.count(f"refused.{exc.code}")
+            return error(exc)
+        except Exception:
+            logging.exception("request %s failed", req.id)
+            fault = _errors.RequestFaultError(
+                500,
+                "internal",
+                "entry failed to handle the request",
+                outcome=_errors.RanState.UNKNOWN,
+            )
+            return error(fault)
+
+    def _find(self, req: _http.Request) -> _Route:
+        for route in self._routes:
+            if not route.matches(req.path):
+                continue
+            if route.methods and req.method not in route.methods:
+                raise _errors.RequestFaultError(
+                    405, "method_not_allowed", f"{req.method} is not allowed here"
+                )
+            return route
+        raise _errors.RequestFaultError(
+            404, "not_found", f"{req.path!r} does not exist"
+        )
+
+    def _end(self, req: _http.Request, resp: _http.Response, started: float) -> None:
+        self._ctx.seats.leave()
+        self._ctx.metrics.count(f"requests.{resp.status}")
+        if req.path in PROBES:
+            return
+        telemetry.log_request(
+            RequestLog(
+                request_id=req.id,
+                method=req.method,
+                path=req.path,
+                status=resp.status,
+                ms=int((time.monotonic() - started) * 1000),
+            )
+        )
+
+    def _healthz(self, req: _http.Request) -> _http.Response:
+        return _http.Response(status=200, content_type="text/plain", body=b"ok\n")
+
+    def _readyz(self, req: _http.Request) -> _http.Response:
+        ready = self._ctx.router.view is not None and not self._ctx.draining.is_set()
+        status = 200 if ready else 503
+        body = b"ready\n" if ready else b"not ready\n"
+        return _http.Response(status=status, content_type="text/plain", body=body)
+
+    def _metrics(self, req: _http.Request) -> _http.Response:
+        body = self._ctx.metrics.page().encode()
+        return _http.Response(status=200, content_type="text/plain", body=body)
+
+
+class _Body:
+    """Iterates over an answer's body and ends the request exactly once."""
+
+    def __init__(self, resp: _http.Response, on_end: Callable[[], None]) -> None:
+        self._parts = resp.body
+        if isinstance(resp.body, bytes):
+            self._parts = iter((resp.body,))
+        self._on_end = on_end
+
+    def __iter__(self):
+        return iter(self._parts)
+
+    def close(self) -> None:
+        try:
+            if hasattr(self._parts, "close"):
+                self._parts.close()
+        finally:
+            self._on_end()
+
+
+def _headers(environ) -> dict[str, str]:
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    return headers
+
+
+def _request(environ) -> _http.Request:
+    headers = _headers(environ)
+    given = headers.get("x-request-id", "")
+    raw_query = environ.get("QUERY_STRING", "")
+    return _http.Request(
+        id=given if ID_FORM.fullmatch(given) else runtime.new_id(),
+        method=environ["REQUEST_METHOD"],
+        path=environ.get("PATH_INFO", "/"),
+        query=_http.parse_query(raw_query),
+        raw_query=raw_query,
+        headers=headers,
+        body=environ["wsgi.input"].read(),
+        disconnected=environ.get("waitress.client_disconnected", lambda: False),
+    )
--- /dev/null
+++ b/src/turmericward/entry/_assembly.py
@@ -0,0 +1,62 @@
+"""Puts an entry's tasks together and runs them."""
+
+import threading
+from concurrent import futures
+
+from absl import logging
+
+from turmericward import runtime, telemetry
+from turmericward.adapters import _address
+from turmericward.entry import (
+    _app,
+    _context,
+    _follow_loop,
+    _mirror,
+    _router_task,
+    _server,
+)
+
+STOP_TIMEOUT_S = 5.0
+
+
+class EntryProcess:
+    """One entry process: number `index` of its instance."""
+
+    def __init__(self, cfg, index: int) -> None:
+        """Creates all tasks and binds the listening socket."""
+        name = f"{cfg.instance.name}-{index}"
+        mirror = _mirror.Mirror()
+        router = _router_task.RouterTask(cfg, seed=index)
+        follow = _follow_loop.FollowLoop(cfg, name, mirror, router)
+        statsd = None
+        prefix = ""
+        if cfg.statsd is not None:
+            statsd = _address.split(cfg.statsd.address)
+            prefix = f"{cfg.statsd.prefix}.{name}"
+        self._ctx = _context.Context(
+            cfg=cfg,
+            name=name,
+            mirror=mirror,
+            router=router,
+            follow=follow,
+            metrics=telemetry.Metrics(statsd, prefix),
+            seats=_context.ThreadSeats(cfg.entry.threads, cfg.entry.urgent_reserve),
+        )
+        self._group = runtime.Group([router, follow], "entry")
+        address = (cfg.instance.address, cfg.entry.ports[index])
+        self._server = _server.Server(_app.App(self._ctx), address, cfg.entry)
+
+    def run(self, stop: threading.Event) -> None:
+        """Serves until `stop` is set and the drain that follows has ended."""
+        self._group.start()
+        with futures.ThreadPoolExecutor(max_workers=1) as executor:
+            drained = executor.submit(self._drain, stop)
+            self._server.run()
+        drained.result()
+        self._group.stop(STOP_TIMEOUT_S)
+
+    def _drain(self, stop: threading.Event) -> None:
+        stop.wait()
+        logging.info("entry %s drains", self._ctx.name)
+        self._ctx.draining.set()
+        self._server.drain()
--- /dev/null
+++ b/src/turmericward/entry/_http.py
@@ -0,0 +1,103 @@
+"""Requests and answers of the entry, apart from WSGI, and its error bodies."""
+
+import http
+import json
+import math
+import urllib.parse
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from turmericward.entry import _errors
+
+JSON = "application/json"
+PROBLEM_JSON = "application/problem+json"
+MAX_CONTENT_LENGTH_DIGITS = 12
+
+
+@attrs.frozen(kw_only=True)
+class Request:
+    """A caller's request; header names are in lower case."""
+
+    id: str
+    method: str
+    path: str
+    query: dict[str, str]
+    raw_query: str
+    headers: dict[str, str]
+    body: bytes
+    disconnected: Callable[[], bool] = lambda: False
+
+    def json(self) -> object:
+        """Decodes the body.
+
+        Raises:
+            RequestFaultError: the body isn't JSON.
+        """
+        try:
+            return json.loads(self.body)
+        except (ValueError, RecursionError) as exc:
+            msg = f"body is not JSON: {exc}"
+            raise _errors.RequestFaultError(400, "invalid_json", msg) from exc
+
+
+@attrs.define(kw_only=True)
+class Response:
+    """An answer; `body` may be a generator, then its length is unknown."""
+
+    status: int
+    content_type: str = JSON
+    headers: list[tuple[str, str]] = attrs.field(factory=list)
+    body: bytes | Iterable[bytes] = b""
+
+    def status_line(self) -> str:
+        """Returns the status with its phrase."""
+        try:
+            phrase = http.HTTPStatus(self.status).phrase
+        except ValueError:
+            phrase = "Status"
+        return f"{self.status} {phrase}"
+
+
+def json_response(status: int, value: object, headers=()) -> Response:
+    """Returns an answer with a JSON body."""
+    body = json.dumps(value).encode() + b"\n"
+    return Response(status=status, headers=list(headers), body=body)
+
+
+def _retry_headers(exc: _errors.RequestFaultError) -> list[tuple[str, str]]:
+    if exc.retry_after_s is None:
+        return []
+    return [("Retry-After", str(max(1, math.ceil(exc.retry_after_s))))]
+
+
+def openai_error(exc: _errors.RequestFaultError) -> Response:
+    """Returns the error object that clients of the OpenAI interface expect."""
+    kind = "invalid_request_error" if exc.status < 429 else "server_error"
+    error = {
+        "message": exc.detail,
+        "type": kind,
+        "param": None,
+        "code": exc.code,
+        "outcome": exc.outcome.value,
+    }
+    return json_response(exc.status, {"error": error}, _retry_headers(exc))
+
+
+def problem(exc: _errors.RequestFaultError) -> Response:
+    """Returns problem details after RFC 9457."""
+    value = {
+        "type": f"urn:turmericward:problem:{exc.code}",
+        "title": exc.code.replace("_", " "),
+        "status": exc.status,
+        "detail": exc.detail,
+        "outcome": exc.outcome.value,
+    }
+    resp = json_response(exc.status, value, _retry_headers(exc))
+    resp.content_type = PROBLEM_JSON
+    return resp
+
+
+def parse_query(raw: str) -> dict[str, str]:
+    """Returns the query's parameters, the last one of each name."""
+    return dict(urllib.parse.parse_qsl(raw, keep_blank_values=True))
--- /dev/null
+++ b/src/turmericward/entry/_services.py
@@ -0,0 +1,267 @@
+"""Callers' interface to plain services."""
+
+import hashlib
+import json
+import random
+import time
+
+from absl import logging
+
+from turmericward import fleet, runtime
+from turmericward.adapters import errors, service, steward
+from turmericward.entry import _errors, _http
+from turmericward.wire import ttypes
+
+PREFIX = "/services/"
+MAX_IDEMPOTENT_ATTEMPTS = 3
+MAX_RECORDED_BYTES = 16 * 1024
+MAX_KEY_CHARS = 255
+CLAIM_SLACK_S = 2.0
+RETRY_S = 1.0
+SETTLE_ATTEMPTS = 3
+_DROPPED = frozenset({"host", "authorization", "connection", "expect"})
+
+
+class Services:
+    """Handlers of `/services/<name>/<path>`."""
+
+    def __init__(self, ctx, seed: int) -> None:
+        """Creates the handlers for an entry's context."""
+        self._ctx = ctx
+        self._random = random.Random(seed)
+        self._health = fleet.Health()
+
+    def call(self, req: _http.Request) -> _http.Response:
+        """Answers a call of any method."""
+        caller = self._ctx.caller(req)
+        name, _, rest = req.path.removeprefix(PREFIX).partition("/")
+        found = self._ctx.view().services.get(name)
+        if found is None:
+            msg = f"service {name!r} does not exist"
+            raise _errors.RequestFaultError(404, "service_not_found", msg)
+        path = f"/{rest}"
+        self._ctx.enter_tenant(caller.tenant)
+        try:
+            if found.is_idempotent(req.method, path):
+                return self._repeatable(found, req, path)
+            key = req.headers.get("idempotency-key")
+            if key is None:
+                return self._once(found, req, path)
+            return self._keyed(found, req, path, f"{caller.tenant}/{name}", key)
+        finally:
+            self._ctx.leave_tenant(caller.tenant)
+
+    def _targets(self, found) -> list:
+        leaving = self._ctx.view().leaving
+        now = time.monotonic()
+        here = self._ctx.cfg.instance.domain
+        live = [t for t in found.targets if t.name not in leaving]
+        usable = [t for t in live if self._health.usable(t.name, now)]
+        usable = usable or live
+        self._random.shuffle(usable)
+        return sorted(usable, key=lambda t: t.domain != here)
+
+    def _send(self, found, target, req: _http.Request, path: str) -> service.Answer:
+        query = f"?{req.raw_query}" if req.raw_query else ""
+        headers = [(n, v) for n, v in req.headers.items() if n not in _DROPPED]
+        headers = list(service.end_to_end(headers))
+        headers += [("X-Request-Id", req.id)]
+        out = service.Request(
+            method=req.method,
+            path=path + query,
+            headers=tuple(headers),
+            body=req.body,
+        )
+        self._health.started(target.name)
+        try:
+            answer = service.call(target.address, out, req.id, found.timeout_s)
+        except errors.AdapterError as exc:
+            logging.warning("request %s at %s: %s", req.id, target.name, exc)
+            self._health.failed(target.name, time.monotonic())
+            raise
+        self._health.succeeded(target.name)
+        return answer
+
+    def _repeatable(self, found, req, path: str) -> _http.Response:
+        sent = False
+        for target in self._targets(found)[:MAX_IDEMPOTENT_ATTEMPTS]:
+            try:
+                return _response(self._send(found, target, req, path))
+            except errors.NotSentError:
+                continue
+            except errors.AdapterError:
+                sent = True
+        raise _no_answer(sent)
+
+    def _once(self, found, req, path: str) -> _http.Response:
+        """Sends the call to one target, unless no byte could reach it."""
+        for target in self._targets(found):
+            try:
+                return _response(self._send(found, target, req, path))
+            except errors.NotSentError:
+                continue
+            except errors.AdapterError as exc:
+                raise _no_answer(sent=True) from exc
+        raise _no_answer(sent=False)
+
+    def _keyed(self, found, req, path: str, scope: str, key: str) -> _http.Response:
+        if not 0 < len(key) <= MAX_KEY_CHARS:
+            msg = f"Idempotency-Key has no 1 to {MAX_KEY_CHARS} characters"
+            raise _errors.RequestFaultError(400, "invalid_key", msg)
+        claim = ttypes.ClaimRequest(
+            scope=scope,
+            key=key,
+            fingerprint=_fingerprint(req, path),
+            attempt=runtime.new_id(),
+        )
+        answer = self._claim(claim)
+        if answer.state != ttypes.ClaimState.GRANTED:
+            return _not_granted(answer)
+        return self._run_claimed(found, req, path, claim)
+
+    def _claim(self, claim: ttypes.ClaimRequest) -> ttypes.ClaimAnswer:
+        timeout_s = self._ctx.cfg.steward.claim_timeout_s + CLAIM_SLACK_S
+        for address in self._ctx.follow.stewards():
+            client = steward.StewardClient(address, timeout_s)
+            try:
+                return client.claim(claim)
+            except errors.StewardUnavailableError as exc:
+                logging.warning("claim: %s", exc)
+                if client.was_sent:
+                    # The claim may come to stand, but will never be run.
+                    self._settle(claim, ran=False, answer=None)
+                    break
+            finally:
+                client.close()
+        return ttypes.ClaimAnswer(state=ttypes.ClaimState.UNAVAILABLE)
+
+    def _run_claimed(self, found, req, path: str, claim) -> _http.Response:
+        try:
+            resp = self._once(found, req, path)
+        except _errors.RequestFaultError as exc:
+            ran = exc.outcome is not _errors.RanState.NOT_RUN
+            self._settle(claim, ran=ran, answer=None)
+            raise
+        self._settle(claim, ran=True, answer=_recorded(resp))
+        return resp
+
+    def _settle(self, claim, *, ran: bool, answer) -> None:
+        settle = ttypes.SettleRequest(
+            scope=claim.scope,
+            key=claim.key,
+            attempt=claim.attempt,
+            ran=ran,
+            answer=answer,
+        )
+        for address in self._ctx.follow.stewards()[:SETTLE_ATTEMPTS]:
+            try:
+                with steward.connected(address, CLAIM_SLACK_S) as client:
+                    client.settle(settle)
+                return
+            except errors.StewardUnavailableError as exc:
+                logging.warning("settle: %s", exc)
+
+
+def _fingerprint(req: _http.Request, path: str) -> str:
+    parts = [req.method, path, req.raw_query, hashlib.sha256(req.body).hexdigest()]
+    return runtime.sha256_hex(json.dumps(parts))
+
+
+def _recorded(resp: _http.Response) -> ttypes.RecordedAnswer:
+    truncated = len(resp.body) > MAX_RECORDED_BYTES
+    return ttypes.RecordedAnswer(
+        status=resp.status,
+        content_type=resp.content_type,
+        body=b"" if truncated else resp.body,
+        truncated=truncated,
+    )
+
+
+def _response(answer: service.Answer) -> _http.Response:
+    headers = [(n, v) for n, v in answer.headers if n.lower() != "content-type"]
+    types = [v for n, v in answer.headers if n.lower() == "content-type"]
+    return _http.Response(
+        status=answer.status,
+        content_type=types[0] if types else "application/octet-stream",
+        headers=headers,
+        body=answer.body,
+    )
+
+
+def _no_answer(sent: bool) -> _errors.RequestFaultError:
+    if sent:
+        return _errors.RequestFaultError(
+            502,
+            "answer_lost",
+            "the service was called and gave no whole answer",
+            outcome=_errors.RanState.UNKNOWN,
+        )
+    return _errors.RequestFaultError(
+        503,
+        "service_unavailable",
+        "no target of the service could be reached",
+        retry_after_s=RETRY_S,
+    )
+
+
+def _not_granted(answer: ttypes.ClaimAnswer) -> _http.Response:
+    if answer.state == ttypes.ClaimState.DONE and answer.answer is not None:
+        return _replayed(answer.answer)
+    raise _CLAIM_FAULTS[answer.state]()
+
+
+def _replayed(answer: ttypes.RecordedAnswer) -> _http.Response:
+    headers = [("Idempotency-Replayed", "true")]
+    if answer.truncated:
+        headers.append(("Idempotency-Body-Omitted", "true"))
+    return _http.Response(
+        status=answer.status,
+        content_type=answer.content_type,
+        headers=headers,
+        body=answer.body,
+    )
+
+
+def _mismatch() -> _errors.RequestFaultError:
+    return _errors.RequestFaultError(
+        422, "key_reused", "Idempotency-Key was used for another request"
+    )
+
+
+def _in_progress() -> _errors.RequestFaultError:
+    return _errors.RequestFaultError(
+        409,
+        "call_in_progress",
+        "an earlier attempt under this key has no known end",
+        outcome=_errors.RanState.UNKNOWN,
+        retry_after_s=RETRY_S,
+    )
+
+
+def _ended_unknown() -> _errors.RequestFaultError:
+    return _errors.RequestFaultError(
+        502,
+        "answer_lost",
+        "an earlier attempt under this key was sent and its answer was lost",
+        outcome=_errors.RanState.UNKNOWN,
+    )
+
+
+def _unavailable() -> _errors.RequestFaultError:
+    # This attempt was not run; an earlier one elsewhere may have been.
+    return _errors.RequestFaultError(
+        503,
+        "claim_unavailable",
+        "the key can't be claimed now; this attempt was not run",
+        outcome=_errors.RanState.UNKNOWN,
+        retry_after_s=RETRY_S,
+    )
+
+
+_CLAIM_FAULTS = {
+    ttypes.ClaimState.MISMATCH: _mismatch,
+    ttypes.ClaimState.IN_PROGRESS: _in_progress,
+    ttypes.ClaimState.DONE: _ended_unknown,
+    ttypes.ClaimState.UNKNOWN: _unavailable,
+    ttypes.ClaimState.UNAVAILABLE: _unavailable,
+}
--- /dev/null
+++ b/src/turmericward/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The programs of the product."""
--- /dev/null
+++ b/src/turmericward/programs/entry.py
@@ -0,0 +1,22 @@
+"""turmericward-entry: takes callers' and operators' requests."""
+
+import click
+
+from turmericward import entry
+from turmericward.programs import _common
+
+
+@click.command()
+@click.option("--settings", "path", required=True, help="Settings file (JSON).")
+@click.option("--index", default=0, help="Number of this entry of the instance.")
+def main(path: str, index: int) -> None:
+    """Serves requests until SIGTERM, then ends without cutting any."""
+    cfg = _common.load_settings(path)
+    if not 0 <= index < len(cfg.entry.ports):
+        raise click.BadParameter(f"entry.ports has no item {index}")
+    stop = _common.prepare("turmericward-entry", cfg)
+    entry.EntryProcess(cfg, index).run(stop)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/turmericward/programs/steward.py
@@ -0,0 +1,23 @@
+"""turmericward-steward: follows the log and acts for its instance and domain."""
+
+import os
+
+import click
+
+from turmericward import steward
+from turmericward.programs import _common
+
+
+@click.command()
+@click.option("--settings", "path", required=True, help="Settings file (JSON).")
+def main(path: str) -> None:
+    """Runs until SIGTERM, then gives up its lease."""
+    cfg = _common.load_settings(path)
+    stop = _common.prepare("turmericward-steward", cfg)
+    steward.StewardProcess(cfg).run(stop)
+    # Connection threads may still wait for peers; nothing is left to save.
+    os._exit(0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/turmericward/runtime/__init__.py
@@ -0,0 +1,18 @@
+"""Tasks that own their state and talk by messages, and what runs them."""
+
+from turmericward.runtime._errors import RuntimeFaultError, TaskStoppedError
+from turmericward.runtime._group import Group
+from turmericward.runtime._ids import new_id, sha256_hex
+from turmericward.runtime._task import Loop, Task
+from turmericward.runtime._waiters import Waiters
+
+__all__ = [
+    "Group",
+    "Loop",
+    "RuntimeFaultError",
+    "Task",
+    "TaskStoppedError",
+    "Waiters",
+    "new_id",
+    "sha256_hex",
+]
--- /dev/null
+++ b/src/turmericward/schema/_structure.py
@@ -0,0 +1,68 @@
+"""Structures decoded JSON into attrs classes without converting types."""
+
+import cattrs
+
+from turmericward.schema import _errors
+
+
+def _exact(kind: type):
+    def convert(value, _):
+        if kind is float and type(value) is int:
+            return float(value)
+        if type(value) is not kind:
+            found = type(value).__name__
+            raise ValueError(f"is a {found} where a {kind.__name__} belongs")
+        return value
+
+    return convert
+
+
+def _converter() -> cattrs.Converter:
+    conv = cattrs.Converter(forbid_extra_keys=True)
+    for kind in (str, int, float, bool):
+        conv.register_structure_hook(kind, _exact(kind))
+    return conv
+
+
+_CONVERTER = _converter()
+
+
+def _describe(exc: BaseException, _type: type | None = None) -> str:
+    if isinstance(exc, KeyError):
+        return "is missing"
+    if isinstance(exc, cattrs.errors.ForbiddenExtraKeysError):
+        names = ", ".join(sorted(exc.extra_fields))
+        return f"has no field named {names}"
+    if isinstance(exc, (TypeError, AttributeError)):
+        return "has the wrong type"
+    return str(exc)
+
+
+def _sentences(exc: BaseException, root: str) -> list[str]:
+    sentences = []
+    for text in cattrs.transform_error(exc, path="", format_exception=_describe):
+        what, _, path = text.rpartition(" @ ")
+        path = path.removeprefix(".") or root
+        sentences.append(f"{path}: {what}")
+    return sentences
+
+
+def structure(value: object, cls: type, root: str):
+    """Structures `value` into the attrs class `cls`.
+
+    Args:
+        value: decoded JSON.
+        cls: an attrs class; unknown names and other types are refused.
+        root: what a fault in the value as a whole is reported under.
+
+    Raises:
+        SchemaError: the value breaks the schema.
+
+    .. versionadded:: 0.1.0
+    """
+    if not isinstance(value, dict):
+        raise _errors.SchemaError(f"{root}: is not a JSON object")
+    try:
+        return _CONVERTER.structure(value, cls)
+    except (cattrs.BaseValidationError, ValueError, TypeError) as exc:
+        raise _errors.SchemaError(*_sentences(exc, root)) from exc
--- /dev/null
+++ b/src/turmericward/schema/validators.py
@@ -0,0 +1,70 @@
+"""Validators for attrs fields: plain callables in the form that attrs calls."""
+
+import ipaddress
+import re
+
+import attrs
+
+_NAME = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?")
+_SHA256 = re.compile(r"[0-9a-f]{64}")
+MAX_PORT = 65535
+
+
+@attrs.frozen
+class _Between:
+    low: float
+    high: float
+
+    def __call__(self, instance, attribute, value) -> None:
+        if not self.low <= value <= self.high:
+            msg = f"{value!r} is not between {self.low:g} and {self.high:g}"
+            raise ValueError(msg)
+
+
+def between(low: float, high: float):
+    """Returns a validator that accepts numbers from `low` to `high` inclusive."""
+    return _Between(low, high)
+
+
+def name(instance, attribute, value) -> None:
+    """Accepts a resource name: lower case, digits, dots and dashes.
+
+    Raises:
+        ValueError: the value has another form.
+    """
+    if not _NAME.fullmatch(value):
+        raise ValueError(f"{value!r} is not a lower-case name of up to 63 characters")
+
+
+def ip_number(instance, attribute, value) -> None:
+    """Accepts an IPv4 or IPv6 number.
+
+    Raises:
+        ValueError: the value is a host name or malformed.
+    """
+    try:
+        ipaddress.ip_address(value)
+    except ValueError:
+        raise ValueError(f"{value!r} is not an IP number") from None
+
+
+def ip_port(instance, attribute, value) -> None:
+    """Accepts `ip:port` with an IP number.
+
+    Raises:
+        ValueError: the address is no IP number or the port is out of range.
+    """
+    host, _, port = value.rpartition(":")
+    ip_number(instance, attribute, host.strip("[]"))
+    if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"{value!r} has no port between 1 and {MAX_PORT}")
+
+
+def sha256_hex(instance, attribute, value) -> None:
+    """Accepts 64 lower-case hexadecimal digits.
+
+    Raises:
+        ValueError: the value has another form.
+    """
+    if not _SHA256.fullmatch(value):
+        raise ValueError("is not a SHA-256 digest in lower-case hexadecimal")
--- /dev/null
+++ b/src/turmericward/settings/_errors.py
@@ -0,0 +1,7 @@
+"""Errors of the settings layer."""
+
+from turmericward import schema
+
+
+class SettingsError(schema.SchemaError):
+    """Raised when a settings file can't be read or breaks the schema."""
--- /dev/null
+++ b/src/turmericward/settings/_load.py
@@ -0,0 +1,74 @@
+"""Reads a settings file into the schema and names the path of each fault."""
+
+import json
+import pathlib
+import typing
+
+import attrs
+
+from turmericward import schema
+from turmericward.settings import _errors, _schema
+
+
+def loads(text: str) -> _schema.Settings:
+    """Parses settings from JSON text.
+
+    Args:
+        text: one JSON object after the schema of `Settings`.
+
+    Raises:
+        SettingsError: the text isn't JSON or breaks the schema; one argument
+            for each fault, beginning with the path to the setting.
+
+    .. versionadded:: 0.1.0
+    """
+    try:
+        raw = json.loads(text)
+    except json.JSONDecodeError as exc:
+        raise _errors.SettingsError(f"settings: is not JSON: {exc}") from exc
+    try:
+        return schema.structure(raw, _schema.Settings, "settings")
+    except schema.SchemaError as exc:
+        raise _errors.SettingsError(*exc.args) from exc
+
+
+def load(path: str) -> _schema.Settings:
+    """Reads the settings file at `path`.
+
+    Raises:
+        SettingsError: the file can't be read, or as for `loads`.
+
+    .. versionadded:: 0.1.0
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise _errors.SettingsError(f"settings: can't be read: {exc}") from exc
+    return loads(text)
+
+
+def _nested(kind) -> type | None:
+    for candidate in (kind, *typing.get_args(kind)):
+        if attrs.has(candidate):
+            return candidate
+    return None
+
+
+def schema_lines(kind: type = _schema.Settings, prefix: str = "") -> list[str]:
+    """Returns one line a setting, `path: type = default`, in schema order."""
+    lines = []
+    for field in attrs.fields(attrs.resolve_types(kind)):
+        path = f"{prefix}{field.name}"
+        nested = _nested(field.type)
+        type_name = getattr(field.type, "__name__", str(field.type))
+        if typing.get_origin(field.type) is list and nested:
+            lines += schema_lines(nested, f"{path}[].")
+        elif typing.get_origin(field.type) is dict and nested:
+            lines += schema_lines(nested, f"{path}.<name>.")
+        elif nested:
+            lines += schema_lines(nested, f"{path}.")
+        elif field.default is attrs.NOTHING:
+            lines.append(f"{path}: {type_name}, required")
+        else:
+            lines.append(f"{path}: {type_name} = {field.default}")
+    return lines
--- /dev/null
+++ b/src/turmericward/steward/_calls_task.py
@@ -0,0 +1,147 @@
+"""Task that claims keyed calls on the log."""
+
+import base64
+import functools
+import time
+
+from absl import logging
+
+from turmericward import calls, runtime
+from turmericward.adapters import log
+from turmericward.steward import _messages
+from turmericward.wire import ttypes
+
+CALLS_STREAM = "calls"
+SETTLE_APPEND_S = 3600.0
+
+_STATES = {
+    calls.Standing.OWNER: ttypes.ClaimState.GRANTED,
+    calls.Standing.IN_PROGRESS: ttypes.ClaimState.IN_PROGRESS,
+    calls.Standing.DONE: ttypes.ClaimState.DONE,
+    calls.Standing.MISMATCH: ttypes.ClaimState.MISMATCH,
+    calls.Standing.ENDED: ttypes.ClaimState.UNKNOWN,
+    calls.Standing.ABSENT: ttypes.ClaimState.UNKNOWN,
+}
+
+
+class CallsTask(runtime.Task):
+    """Owns the fold of the calls stream and the claims that wait for it."""
+
+    tick_s = 0.05
+
+    def __init__(self, cfg, appender) -> None:
+        """Creates the task before anything has been read."""
+        super().__init__()
+        self._cfg = cfg
+        self._appender = appender
+        self._ledger = calls.ClaimLedger()
+        self._claims = runtime.Waiters()
+        self._pending: dict[str, _messages.MakeClaim] = {}
+        self._first = 0
+        self._caught_up = False
+        self._log_reachable = False
+
+    @functools.singledispatchmethod
+    def handle(self, message: object) -> object:
+        """Acts on one message."""
+        return super().handle(message)
+
+    @handle.register
+    def _(self, message: _messages.LogRead) -> None:
+        self._log_reachable = True
+        for record in message.records:
+            self._fold(record.offset, record.value)
+        self._caught_up = self._caught_up or len(message.records) < log.READ_LIMIT
+        self._first = max(self._first, message.first)
+        self._ledger.forget_below(self._first)
+
+    @handle.register
+    def _(self, message: _messages.LogLost) -> None:
+        self._log_reachable = False
+
+    @handle.register
+    def _(self, message: _messages.LogExpired) -> None:
+        # What was missed may have held claims: a whole read decides anew.
+        self._caught_up = False
+        self._first = message.first
+        self._ledger = calls.ClaimLedger()
+
+    def _fold(self, offset: int, value: object) -> None:
+        try:
+            record = calls.decode(value)
+        except calls.MalformedRecordError as exc:
+            logging.warning("calls stream, offset %d: %s", offset, exc)
+            return
+        self._ledger.apply(offset, record)
+        if isinstance(record, calls.Claim):
+            self._resolve(record.id)
+
+    def _resolve(self, attempt: str) -> None:
+        message = self._pending.pop(attempt, None)
+        if message is not None:
+            self._claims.resolve(attempt, self._answer(message))
+
+    def _answer(self, message: _messages.MakeClaim) -> ttypes.ClaimAnswer:
+        standing = self._ledger.standing(
+            message.scope, message.key, message.attempt, message.fingerprint
+        )
+        call = self._ledger.get(message.scope, message.key)
+        answer = call.answer if call is not None else None
+        return ttypes.ClaimAnswer(state=_STATES[standing], answer=_wire_answer(answer))
+
+    @handle.register
+    def _(self, message: _messages.MakeClaim):
+        if not (self._caught_up and self._log_reachable):
+            return ttypes.ClaimAnswer(state=ttypes.ClaimState.UNAVAILABLE)
+        call = self._ledger.get(message.scope, message.key)
+        if call is not None:
+            return self._answer(message)
+        return self._append_claim(message)
+
+    def _append_claim(self, message: _messages.MakeClaim):
+        until = time.monotonic() + self._cfg.steward.claim_timeout_s
+        claim = calls.Claim(
+            id=message.attempt,
+            scope=message.scope,
+            key=message.key,
+            fingerprint=message.fingerprint,
+            floor=self._first,
+        )
+        self._append(calls.encode(claim), until)
+        self._pending[message.attempt] = message
+        lost = ttypes.ClaimAnswer(state=ttypes.ClaimState.UNKNOWN)
+        return self._claims.add(message.attempt, until, lost)
+
+    @handle.register
+    def _(self, message: _messages.EndClaim) -> None:
+        until = time.monotonic() + SETTLE_APPEND_S
+        self._append(calls.encode(message.settle), until)
+
+    def _append(self, value: dict, until: float) -> None:
+        self._appender.post(
+            _messages.Append(stream=CALLS_STREAM, value=value, until=until)
+        )
+
+    def tick(self) -> None:
+        """Gives up claims that were not read back in time.
+
+        The claim may stand on the log; the attempt will never run, so it is
+        settled as not run, which frees the key for the caller's next attempt.
+        """
+        for attempt in self._claims.expire(time.monotonic()):
+            message = self._pending.pop(attempt)
+            settle = calls.Settle(
+                id=attempt, scope=message.scope, key=message.key, ran=False
+            )
+            self.handle(_messages.EndClaim(settle=settle))
+
+
+def _wire_answer(answer: calls.Answer | None) -> ttypes.RecordedAnswer | None:
+    if answer is None:
+        return None
+    return ttypes.RecordedAnswer(
+        status=answer.status,
+        content_type=answer.content_type,
+        body=base64.b64decode(answer.body),
+        truncated=answer.truncated,
+    )
--- /dev/null
+++ b/src/turmericward/steward/_change_loop.py
@@ -0,0 +1,172 @@
+"""Loop in which the holder carries out changes of engines, one at a time."""
+
+import time
+from concurrent import futures
+
+from absl import logging
+
+from turmericward import authority, runtime
+from turmericward.adapters import engine, errors, steward
+from turmericward.steward import _messages
+from turmericward.wire import ttypes
+
+IDLE_S = 0.2
+SETTLE_S = 0.05
+HOLD_CALL_S = 2.0
+DRAIN_LIMIT_S = 900.0
+ASK_S = 10.0
+HOLD_THREADS = 8
+
+
+class ChangeLoop(runtime.Loop):
+    """Drains an engine, orders it into its state and settles the outcome.
+
+    Each step is taken only while the lease is held; an engine whose order has
+    no outcome yet is observed before anything else is ordered.
+    """
+
+    def __init__(self, cfg, authority_task: runtime.Task) -> None:
+        """Creates the loop."""
+        super().__init__()
+        self._cfg = cfg
+        self._authority = authority_task
+        self._next = 0
+        self._executor = futures.ThreadPoolExecutor(
+            max_workers=HOLD_THREADS, thread_name_prefix="hold"
+        )
+
+    def step(self) -> None:
+        """Looks after one engine of the domain, if this process holds the lease."""
+        plan = self._plan()
+        if plan.held is None or not plan.held.allows(time.monotonic()):
+            self.pause(IDLE_S)
+            return
+        for name, order in plan.outstanding.items():
+            self._hold(name, runtime.new_id())
+            self._settle(plan.engines[name], order)
+        free = [e for n, e in plan.engines.items() if n not in plan.outstanding]
+        if free:
+            self._next = (self._next + 1) % len(free)
+            self._change(free[self._next])
+        self.pause(IDLE_S)
+
+    def _plan(self) -> _messages.Plan:
+        return self._authority.ask(_messages.GetPlan()).result(ASK_S)
+
+    def _control(self, desired: _messages.DesiredEngine) -> engine.EngineControl:
+        return engine.EngineControl(desired.address, self._cfg.steward.order_timeout_s)
+
+    def _observe(self, desired) -> authority.EngineState | None:
+        try:
+            return self._control(desired).state()
+        except errors.AdapterError as exc:
+            logging.debug("engine %s: %s", desired.name, exc)
+            return None
+
+    def _settle(self, desired, order: authority.Order) -> None:
+        state = self._observe(desired)
+        if state is None or state.changing:
+            return
+        phase = authority.OrderPhase.VOID
+        if state.order_id == order.id and state.spec == order.spec:
+            phase = authority.OrderPhase.DONE
+        conclude = _messages.Conclude(order=order, phase=phase)
+        if self._authority.ask(conclude).result(ASK_S):
+            logging.info("order %s of %s: %s", order.id, order.engine, phase.value)
+
+    def _change(self, desired) -> None:
+        state = self._observe(desired)
+        if state is None or state.changing or state.spec == desired.spec:
+            return
+        hold_ids: list[str] = []
+        try:
+            self._drain_and_order(desired, hold_ids)
+            self._await_change(desired)
+        finally:
+            self._release(hold_ids)
+
+    def _drain_and_order(self, desired, hold_ids: list[str]) -> None:
+        give_up = time.monotonic() + DRAIN_LIMIT_S
+        while time.monotonic() < give_up and not self.stopping:
+            plan = self._plan()
+            if plan.held is None or plan.engines.get(desired.name) != desired:
+                return
+            held_until = time.monotonic() + self._cfg.steward.hold_ttl_s
+            # Each round is a new hold: a confirmation of an older one says nothing
+            # about an entry that was paused until after the older one had ended.
+            hold_ids.append(runtime.new_id())
+            if self._hold(desired.name, hold_ids[-1]) and self._idle(desired):
+                self._order(desired, held_until)
+                return
+            self.pause(IDLE_S)
+
+    def _await_change(self, desired) -> None:
+        until = time.monotonic() + self._cfg.steward.hold_ttl_s
+        while time.monotonic() < until and not self.stopping:
+            plan = self._plan()
+            order = plan.outstanding.get(desired.name)
+            if plan.held is None or order is None:
+                return
+            self._settle(desired, order)
+            self.pause(SETTLE_S)
+
+    def _idle(self, desired) -> bool:
+        state = self._observe(desired)
+        return state is not None and not state.changing and state.running == 0
+
+    def _order(self, desired, held_until: float) -> None:
+        intend = _messages.Intend(engine=desired.name, spec=desired.spec)
+        if not self._authority.ask(intend).result(ASK_S):
+            return
+        plan = self._plan()
+        order = plan.outstanding.get(desired.name)
+        need_s = self._cfg.steward.order_timeout_s
+        if order is None or plan.held is None or order.token != plan.held.token:
+            return
+        if time.monotonic() + need_s > held_until:
+            logging.warning("hold on %s ends too early for an order", desired.name)
+            return
+        try:
+            taken = self._control(desired).order(order.id, desired.spec, plan.held)
+            logging.info("order %s to %s taken: %s", order.id, desired.name, taken)
+        except errors.AdapterError as exc:
+            logging.warning("order %s to %s: %s", order.id, desired.name, exc)
+
+    def _hold(self, name: str, hold_id: str) -> bool:
+        members = self._plan().members
+        if not members:
+            return False
+        ttl_ms = int(self._cfg.steward.hold_ttl_s * 1000)
+        hold = ttypes.Hold(engine=name, hold_id=hold_id, ttl_ms=ttl_ms)
+        futs = [self._executor.submit(self._hold_at, m, hold) for m in members]
+        confirmed = [fut.result() for fut in futs]
+        return all(confirmed)
+
+    def _release(self, hold_ids: list[str]) -> None:
+        for member in self._plan().members:
+            self._executor.submit(self._release_at, member, hold_ids)
+
+    def _release_at(self, member, hold_ids: list[str]) -> None:
+        try:
+            with steward.connected(self._address(member), HOLD_CALL_S) as client:
+                client.release(hold_ids)
+        except errors.StewardUnavailableError as exc:
+            logging.info("holds end by their time: %s", exc)
+
+    def _address(self, member) -> str:
+        return f"{member.address}:{self._cfg.steward.port}"
+
+    def _hold_at(self, member, hold: ttypes.Hold) -> bool:
+        try:
+            with steward.connected(self._address(member), HOLD_CALL_S) as client:
+                answer = client.hold(hold)
+        except errors.StewardUnavailableError as exc:
+            logging.info("hold on %s postponed: %s", hold.engine, exc)
+            return False
+        if not answer.confirmed:
+            logging.debug("hold on %s waits for %s", hold.engine, answer.missing)
+        return answer.confirmed
+
+    def closed(self) -> None:
+        """Ends the executor's threads."""
+        self._executor.shutdown(wait=False)
--- /dev/null
+++ b/src/turmericward/steward/_configuration_task.py
@@ -0,0 +1,352 @@
+"""Task that folds the configuration stream and answers the entries' polls."""
+
+import functools
+import json
+import time
+import zlib
+
+from absl import logging
+
+from turmericward import authority, configuration, membership, runtime
+from turmericward.adapters import log
+from turmericward.steward import _messages
+from turmericward.wire import ttypes
+
+CONFIG_STREAM = "config"
+PROPOSE_TIMEOUT_S = 5.0
+SNAPSHOT_APPEND_S = 30.0
+
+
+class ConfigurationTask(runtime.Task):
+    """Owns the state of all resources, the fleet's state and the holds."""
+
+    tick_s = 0.05
+
+    def __init__(self, cfg, appender, authority_task, fleet_loop) -> None:
+        """Creates the task before anything has been read.
+
+        Args:
+            cfg: settings of the instance.
+            appender: takes Append messages.
+            authority_task: takes Desired messages.
+            fleet_loop: is told which engines to poll.
+        """
+        super().__init__()
+        self._cfg = cfg
+        self._appender = appender
+        self._authority = authority_task
+        self._fleet = fleet_loop
+        self._replay = configuration.Replay(0)
+        self._proposals = runtime.Waiters()
+        self._polls = runtime.Waiters()
+        self._confirmations = runtime.Waiters()
+        self._parked: dict[str, _messages.Follow] = {}
+        self._holds = membership.HoldTable(cfg.entry_names())
+        self._instances: list = []
+        self._loads: dict = {}
+        self._fleet_version = 0
+        self._entries: dict[str, int] = {}
+        self._log_reachable = False
+        self._caught_up = False
+        self._since_snapshot = 0
+        self._snapshot_due = self._draw_snapshot_due()
+
+    @property
+    def _ledger(self) -> configuration.Ledger | None:
+        return self._replay.ledger
+
+    def _draw_snapshot_due(self) -> int:
+        # Spreads the instances, so that most see another's snapshot first.
+        name = self._cfg.instance.name.encode()
+        spread = zlib.crc32(name) % self._cfg.log.snapshot_every
+        return self._cfg.log.snapshot_every + spread
+
+    @functools.singledispatchmethod
+    def handle(self, message: object) -> object:
+        """Acts on one message."""
+        return super().handle(message)
+
+    @handle.register
+    def _(self, message: _messages.LogRead) -> None:
+        self._log_reachable = True
+        for record in message.records:
+            self._fold(record.offset, record.value)
+        if len(message.records) < log.READ_LIMIT:
+            self._caught_up = True
+        if message.records:
+            self._changed()
+            self._snapshot_if_due()
+
+    def _changed(self) -> None:
+        if self._ready():
+            engines = _desired(self._ledger, self._cfg.instance.domain)
+            self._authority.post(_messages.Desired(engines=engines))
+            self._fleet.watch(_engine_addresses(self._ledger))
+        self._wake()
+
+    @handle.register
+    def _(self, message: _messages.LogLost) -> None:
+        self._log_reachable = False
+
+    @handle.register
+    def _(self, message: _messages.LogExpired) -> None:
+        if self._ledger is not None and self._ledger.applied >= message.first:
+            return
+        logging.warning("configuration is read anew from offset %d", message.first)
+        self._caught_up = False
+        self._replay = configuration.Replay(message.first)
+
+    def _fold(self, offset: int, value: object) -> None:
+        verdict = self._replay.feed(offset, value)
+        self._since_snapshot += 1
+        if isinstance(value, dict) and value.get("type") == "config.snapshot":
+            self._since_snapshot = 0
+        if isinstance(value, dict) and value.get("id") in self._proposals:
+            accepted = verdict is configuration.Verdict.ACCEPTED
+            answer = ttypes.ProposeAnswer(
+                outcome=ttypes.Outcome.ACCEPTED
+                if accepted
+                else ttypes.Outcome.CONFLICT,
+                version=offset + 1 if accepted else 0,
+            )
+            self._proposals.resolve(value["id"], answer)
+
+    def _snapshot_if_due(self) -> None:
+        if self._ledger is None or self._since_snapshot < self._snapshot_due:
+            return
+        self._since_snapshot = 0
+        snapshot = configuration.Snapshot(
+            covers=self._ledger.applied, state=self._ledger.snapshot()
+        )
+        self._append(configuration.encode(snapshot), SNAPSHOT_APPEND_S)
+
+    def _append(self, value: dict, seconds: float) -> None:
+        until = time.monotonic() + seconds
+        self._appender.post(
+            _messages.Append(stream=CONFIG_STREAM, value=value, until=until)
+        )
+
+    @handle.register
+    def _(self, message: _messages.Propose):
+        if not (self._ready() and self._log_reachable):
+            return ttypes.ProposeAnswer(outcome=ttypes.Outcome.UNAVAILABLE, version=0)
+        expected = self._expected(message)
+        if expected is None:
+            return ttypes.ProposeAnswer(outcome=ttypes.Outcome.CONFLICT, version=0)
+        change = configuration.Change(
+            id=runtime.new_id(),
+            producer=message.producer,
+            kind=message.kind,
+            name=message.name,
+            expected=expected,
+            value=message.value,
+        )
+        self._append(configuration.encode(change), PROPOSE_TIMEOUT_S)
+        unknown = ttypes.ProposeAnswer(outcome=ttypes.Outcome.UNKNOWN, version=0)
+        until = time.monotonic() + PROPOSE_TIMEOUT_S
+        return self._proposals.add(change.id, until, unknown)
+
+    def _expected(self, message: _messages.Propose) -> int | None:
+        current = self._ledger.get(message.kind, message.name)
+        version = current.version if current else 0
+        if message.expected == _messages.ANY_VERSION:
+            return version
+        if message.expected == _messages.NO_VERSION:
+            exists = current is not None and current.value is not None
+            return None if exists else version
+        return message.expected
+
+    @handle.register
+    def _(self, message: _messages.FleetRead) -> None:
+        self._instances = message.instances
+        self._loads = message.loads
+        self._fleet_version += 1
+        self._wake()
+
+    @handle.register
+    def _(self, message: _messages.PlaceHold):
+        hold_id = message.hold.hold_id
+        self._holds.place(message.hold)
+        self._fleet_version += 1
+        self._wake()
+        missing = self._holds.missing(hold_id)
+        if not missing:
+            return missing
+        return self._confirmations.add(hold_id, message.until, missing)
+
+    @handle.register
+    def _(self, message: _messages.ReleaseHolds) -> None:
+        self._holds.release(message.hold_ids)
+        self._fleet_version += 1
+        self._wake()
+
+    @handle.register
+    def _(self, message: _messages.Restore) -> None:
+        if self._replay.offer(configuration.Ledger.restore(message.state)):
+            self._caught_up = True
+            self._changed()
+
+    @handle.register
+    def _(self, message: _messages.GetState) -> ttypes.StateAnswer:
+        if self._ledger is None:
+            return ttypes.StateAnswer(ready=False, applied=0, snapshot_json="")
+        return ttypes.StateAnswer(
+            ready=self._ready(),
+            applied=self._ledger.applied,
+            snapshot_json=json.dumps(self._ledger.snapshot()),
+        )
+
+    @handle.register
+    def _(self, message: _messages.GetStatus) -> ttypes.DomainStatus:
+        return ttypes.DomainStatus(
+            instance=self._cfg.instance.name,
+            domain=self._cfg.instance.domain,
+            applied=self._ledger.applied if self._ledger else 0,
+            log_reachable=self._log_reachable,
+            entries=dict(self._entries),
+        )
+
+    @handle.register
+    def _(self, message: _messages.Follow):
+        self._entries[message.entry] = message.applied
+        self._confirm(message)
+        if self._has_news(message):
+            return self._answer(message)
+        key = runtime.new_id()
+        self._parked[key] = message
+        return self._polls.add(key, message.until, None)
+
+    def _confirm(self, message: _messages.Follow) -> None:
+        self._holds.confirm(message.entry, message.drained)
+        for hold_id in message.drained:
+            if not self._holds.missing(hold_id):
+                self._confirmations.resolve(hold_id, frozenset())
+
+    def _ready(self) -> bool:
+        return self._ledger is not None and self._caught_up
+
+    def _has_news(self, message: _messages.Follow) -> bool:
+        if not self._ready():
+            return False
+        if message.applied < self._ledger.applied:
+            return True
+        return message.fleet_version != self._fleet_version
+
+    def _answer(self, message: _messages.Follow) -> ttypes.FollowAnswer:
+        now = time.monotonic()
+        changes = None
+        if message.applied <= self._ledger.applied:
+            changes = self._ledger.since(message.applied)
+        whole = changes is None
+        resources = self._ledger.live() if whole else changes
+        return ttypes.FollowAnswer(
+            applied=self._ledger.applied,
+            whole=whole,
+            resources=[_wire_resource(r) for r in resources],
+            fleet_version=self._fleet_version,
+            instances=[_wire_instance(i) for i in self._instances],
+            loads=[_wire_load(n, load, now) for n, load in self._loads.items()],
+            holds=[_wire_hold(h, now) for h in self._holds.active(now)],
+            ready=True,
+            released=self._holds.released(now),
+        )
+
+    def _wake(self) -> None:
+        if not self._ready():
+            return
+        for key, message in list(self._parked.items()):
+            if self._has_news(message):
+                del self._parked[key]
+                self._polls.resolve(key, self._answer(message))
+
+    def tick(self) -> None:
+        """Ends polls and proposals whose time is up."""
+        now = time.monotonic()
+        self._proposals.expire(now)
+        self._confirmations.expire(now)
+        for key, message in list(self._parked.items()):
+            if message.until <= now:
+                del self._parked[key]
+                self._polls.resolve(key, self._idle_answer(message))
+
+    def _idle_answer(self, message: _messages.Follow) -> ttypes.FollowAnswer:
+        if self._ready():
+            return self._answer(message)
+        return ttypes.FollowAnswer(
+            applied=message.applied,
+            whole=False,
+            resources=[],
+            fleet_version=message.fleet_version,
+            instances=[],
+            loads=[],
+            holds=[],
+            ready=False,
+            released=[],
+        )
+
+
+def _desired(
+    ledger: configuration.Ledger, domain: str
+) -> dict[str, _messages.DesiredEngine]:
+    values = [
+        (res.kind, res.name, configuration.parse(res.kind, res.value))
+        for res in ledger.live()
+    ]
+    versions = {name: value.version for kind, name, value in values if kind == "model"}
+    adapters = {name: value.model for kind, name, value in values if kind == "adapter"}
+    desired = {}
+    for kind, name, engine in values:
+        if kind != "engine" or engine.domain != domain:
+            continue
+        loads = [f"{m}@{versions[m]}" for m in engine.models if m in versions]
+        loads += [a for a, model in adapters.items() if model in engine.models]
+        spec = authority.Spec(role=engine.role, loads=tuple(sorted(loads)))
+        desired[name] = _messages.DesiredEngine(
+            name=name, address=engine.address, spec=spec
+        )
+    return desired
+
+
+def _engine_addresses(ledger: configuration.Ledger) -> dict[str, str]:
+    return {
+        res.name: res.value["address"] for res in ledger.live() if res.kind == "engine"
+    }
+
+
+def _wire_resource(res: configuration.Resource) -> ttypes.Resource:
+    deleted = res.value is None
+    return ttypes.Resource(
+        kind=res.kind,
+        name=res.name,
+        version=res.version,
+        value_json="" if deleted else json.dumps(res.value),
+        deleted=deleted,
+    )
+
+
+def _wire_instance(row) -> ttypes.Instance:
+    return ttypes.Instance(
+        name=row.name,
+        domain=row.domain,
+        address=row.address,
+        leaving=row.leaving,
+        kind=row.kind,
+    )
+
+
+def _wire_load(name: str, load, now: float) -> ttypes.Load:
+    return ttypes.Load(
+        engine=name,
+        role=load.role,
+        running=load.running,
+        queued=load.queued,
+        age_ms=int((now - load.at) * 1000),
+    )
+
+
+def _wire_hold(hold: membership.Hold, now: float) -> ttypes.Hold:
+    return ttypes.Hold(
+        engine=hold.engine,
+        hold_id=hold.hold_id,
+        ttl_ms=max(1, int((hold.until - now) * 1000)),
+    )
--- /dev/null
+++ b/src/turmericward/steward/_fleet_task.py
@@ -0,0 +1,90 @@
+"""Loops that read the instance list and the engines' load reports."""
+
+import time
+from concurrent import futures
+
+import attrs
+from absl import logging
+
+from turmericward import fleet, runtime
+from turmericward.adapters import engine, errors, instances
+from turmericward.steward import _messages
+
+LOAD_THREADS = 8
+REPORT_LIFETIME_S = 10.0
+
+
+class FleetLoop(runtime.Loop):
+    """Polls the instance list and loads, and posts both when they were read.
+
+    While the list can't be read the last one stays in force.
+    """
+
+    def __init__(self, cfg) -> None:
+        """Creates the loop; `sinks` are to be set before it starts."""
+        super().__init__()
+        self._cfg = cfg
+        self.sinks: list[runtime.Task] = []
+        self._list = instances.InstanceList(
+            cfg.instance_list.address, cfg.instance_list.timeout_s
+        )
+        self._rows: list[instances.Instance] = []
+        self._loads: dict[str, fleet.LoadView] = {}
+        self._engines: dict[str, str] = {}
+        self._executor = futures.ThreadPoolExecutor(
+            max_workers=LOAD_THREADS, thread_name_prefix="load"
+        )
+
+    def watch(self, engines: dict[str, str]) -> None:
+        """Sets the engines to poll: address by name."""
+        self._engines = engines
+
+    def step(self) -> None:
+        """Reads everything once and posts what changed."""
+        started = time.monotonic()
+        before = (self._rows, self._loads)
+        self._read_list()
+        self._read_loads()
+        if before != (self._rows, self._loads):
+            message = _messages.FleetRead(instances=self._rows, loads=self._loads)
+            for sink in self.sinks:
+                sink.post(message)
+        spent_s = time.monotonic() - started
+        self.pause(max(0.0, self._cfg.instance_list.poll_s - spent_s))
+
+    def _read_list(self) -> None:
+        try:
+            self._rows = self._list.read()
+        except errors.InstanceListUnavailableError as exc:
+            logging.debug("instance list: %s", exc)
+
+    def _read_loads(self) -> None:
+        timeout_s = self._cfg.instance_list.timeout_s
+        reports = {
+            name: self._executor.submit(engine.EngineControl(addr, timeout_s).load)
+            for name, addr in self._engines.items()
+        }
+        loads = {}
+        for name, fut in reports.items():
+            load = self._load(name, fut)
+            if load is not None:
+                loads[name] = load
+        self._loads = loads
+
+    def _load(self, name: str, fut: futures.Future) -> fleet.LoadView | None:
+        try:
+            report = fut.result()
+        except errors.AdapterError:
+            return self._old_load(name)
+        return fleet.LoadView(**attrs.asdict(report), at=time.monotonic())
+
+    def _old_load(self, name: str) -> fleet.LoadView | None:
+        old = self._loads.get(name)
+        if old is None or time.monotonic() - old.at > REPORT_LIFETIME_S:
+            return None
+        return old
+
+    def closed(self) -> None:
+        """Closes the connection to the list."""
+        self._list.close()
+        self._executor.shutdown(wait=False)
--- /dev/null
+++ b/src/turmericward/steward/_log_tasks.py
@@ -0,0 +1,138 @@
+"""Loops that own the connections to the log: followers and the appender."""
+
+import collections
+import queue
+import time
+
+from absl import logging
+
+from turmericward import runtime
+from turmericward.adapters import errors, log
+from turmericward.steward import _messages
+
+RETRY_S = 0.2
+MAX_BATCH = 200
+
+
+class Follower(runtime.Loop):
+    """Reads one stream and posts what it read to the task that folds it."""
+
+    def __init__(self, cfg, stream: str, sink: runtime.Task, start: int = 0) -> None:
+        """Creates a follower that reads from the offset `start`.
+
+        Args:
+            cfg: settings of the log.
+            stream: name of the stream.
+            sink: gets LogRead, LogLost and LogExpired.
+            start: first offset to read.
+        """
+        super().__init__()
+        self._cfg = cfg
+        self._stream = stream
+        self._sink = sink
+        self._following = start
+        self._client = log.LogClient(cfg.address, cfg.timeout_s)
+
+    def step(self) -> None:
+        """Waits for records and posts them."""
+        try:
+            page = self._client.read(
+                self._stream, self._following, self._cfg.poll_wait_s
+            )
+        except errors.OffsetExpiredError as exc:
+            self._following = exc.first
+            self._sink.post(_messages.LogExpired(stream=self._stream, first=exc.first))
+            return
+        except errors.LogUnavailableError as exc:
+            logging.debug("log stream %s: %s", self._stream, exc)
+            self._sink.post(_messages.LogLost(stream=self._stream))
+            self.pause(RETRY_S)
+            return
+        self._following = page.following
+        self._sink.post(
+            _messages.LogRead(
+                stream=self._stream,
+                records=page.records,
+                following=page.following,
+                first=page.first,
+                at=time.monotonic(),
+            )
+        )
+
+    def closed(self) -> None:
+        """Closes the connection."""
+        self._client.close()
+
+
+class Appender(runtime.Loop):
+    """Appends records in batches, a bounded number of times a second.
+
+    An append whose answer is lost is repeated: every record is written so that
+    folding it twice has no further effect. Whether a record was accepted is
+    learnt by reading it back, never from the answer.
+    """
+
+    def __init__(self, cfg) -> None:
+        """Creates the appender for the settings of the log."""
+        super().__init__()
+        self._cfg = cfg
+        self._inbox: queue.SimpleQueue = queue.SimpleQueue()
+        self._waiting: collections.deque[_messages.Append] = collections.deque()
+        self._client = log.LogClient(cfg.address, cfg.timeout_s)
+        self.appends = 0
+
+    def post(self, message: _messages.Append) -> None:
+        """Queues a record."""
+        self._inbox.put(message)
+
+    def step(self) -> None:
+        """Appends the oldest records of one stream."""
+        self._collect()
+        batch = self._next_batch()
+        if not batch:
+            return
+        values = [message.value for message in batch]
+        try:
+            self._client.append(batch[0].stream, values)
+            self.appends += 1
+        except errors.LogUnavailableError as exc:
+            logging.warning("append to %s: %s", batch[0].stream, exc)
+            self._waiting.extendleft(reversed(batch))
+            self.pause(RETRY_S)
+            return
+        self.pause(self._cfg.append_interval_s)
+
+    def _collect(self) -> None:
+        try:
+            if not self._waiting:
+                self._waiting.append(self._inbox.get(timeout=RETRY_S))
+            while True:
+                self._waiting.append(self._inbox.get_nowait())
+        except queue.Empty:
+            pass
+        now = time.monotonic()
+        kept = (message for message in self._waiting if message.until > now)
+        self._waiting = collections.deque(kept)
+
+    def _next_batch(self) -> list[_messages.Append]:
+        if not self._waiting:
+            return []
+        stream = self._waiting[0].stream
+        batch = []
+        rest = collections.deque()
+        for message in self._waiting:
+            same = message.stream == stream and len(batch) < MAX_BATCH
+            (batch if same else rest).append(message)
+        self._waiting = rest
+        return batch
+
+    def closed(self) -> None:
+        """Appends what is still queued, once, and closes the connection."""
+        self._collect()
+        while batch := self._next_batch():
+            try:
+                self._client.append(batch[0].stream, [m.value for m in batch])
+            except errors.LogUnavailableError as exc:
+                logging.warning("last append to %s: %s", batch[0].stream, exc)
+                break
+        self._client.close()
--- /dev/null
+++ b/src/turmericward/telemetry/_metrics.py
@@ -0,0 +1,120 @@
+"""Histograms per class and tenant, counters, statsd and a plain text page."""
+
+import collections
+import threading
+
+import attrs
+import statsd
+from hdrh import histogram
+
+LOWEST_MS = 1
+HIGHEST_MS = 3_600_000
+DIGITS = 2
+MAX_TENANTS = 32
+PERCENTILES = (50.0, 95.0, 99.0)
+MEASURES = ("first_token", "between_tokens", "total")
+
+
+@attrs.frozen(kw_only=True)
+class RequestTimes:
+    """Times of one request in milliseconds."""
+
+    traffic_class: str
+    tenant: str
+    first_token_ms: float | None
+    between_tokens_ms: list[int]
+    total_ms: float
+
+
+def _histogram() -> histogram.HdrHistogram:
+    return histogram.HdrHistogram(LOWEST_MS, HIGHEST_MS, DIGITS)
+
+
+def _clamped(value_ms: float) -> int:
+    return max(LOWEST_MS, min(HIGHEST_MS, round(value_ms)))
+
+
+class Metrics:
+    """Collects figures from several threads.
+
+    Histograms are kept for each class, and for the `MAX_TENANTS` tenants that
+    were seen last, so that memory stays bounded.
+    """
+
+    def __init__(self, address: tuple[str, int] | None, prefix: str) -> None:
+        """Creates empty histograms.
+
+        Args:
+            address: where statsd listens, or None.
+            prefix: first part of every statsd name.
+        """
+        self._lock = threading.Lock()
+        self._counters: collections.Counter[str] = collections.Counter()
+        self._classes: dict[tuple[str, str], histogram.HdrHistogram] = {}
+        self._tenants: collections.OrderedDict[str, histogram.HdrHistogram]
+        self._tenants = collections.OrderedDict()
+        self._statsd = None
+        if address is not None:
+            self._statsd = statsd.StatsClient(*address, prefix=prefix)
+
+    def count(self, name: str) -> None:
+        """Adds one to a counter."""
+        with self._lock:
+            self._counters[name] += 1
+        if self._statsd is not None:
+            self._statsd.incr(name)
+
+    def record(self, times: RequestTimes) -> None:
+        """Adds the times of one request."""
+        with self._lock:
+            self._record_class(times)
+            self._tenant(times.tenant).record_value(_clamped(times.total_ms))
+        if self._statsd is not None:
+            name = f"total.{times.traffic_class}.{times.tenant}"
+            self._statsd.timing(name, times.total_ms)
+            if times.first_token_ms is not None:
+                name = f"first_token.{times.traffic_class}.{times.tenant}"
+                self._statsd.timing(name, times.first_token_ms)
+
+    def _record_class(self, times: RequestTimes) -> None:
+        if times.first_token_ms is not None:
+            hist = self._class(times.traffic_class, "first_token")
+            hist.record_value(_clamped(times.first_token_ms))
+        gaps = self._class(times.traffic_class, "between_tokens")
+        for gap_ms in times.between_tokens_ms:
+            gaps.record_value(_clamped(gap_ms))
+        total = self._class(times.traffic_class, "total")
+        total.record_value(_clamped(times.total_ms))
+
+    def _class(self, traffic_class: str, measure: str) -> histogram.HdrHistogram:
+        key = (traffic_class, measure)
+        if key not in self._classes:
+            self._classes[key] = _histogram()
+        return self._classes[key]
+
+    def _tenant(self, tenant: str) -> histogram.HdrHistogram:
+        if tenant not in self._tenants:
+            if len(self._tenants) >= MAX_TENANTS:
+                self._tenants.popitem(last=False)
+            self._tenants[tenant] = _histogram()
+        self._tenants.move_to_end(tenant)
+        return self._tenants[tenant]
+
+    def page(self) -> str:
+        """Returns all figures as text, one a line."""
+        with self._lock:
+            lines = [f"{n} {v}" for n, v in sorted(self._counters.items())]
+            for (traffic_class, measure), hist in sorted(self._classes.items()):
+                labels = f'class="{traffic_class}"'
+                lines += _lines(f"{measure}_ms", labels, hist)
+            for tenant, hist in sorted(self._tenants.items()):
+                lines += _lines("tenant_total_ms", f'tenant="{tenant}"', hist)
+        return "\n".join(lines) + "\n"
+
+
+def _lines(name: str, labels: str, hist: histogram.HdrHistogram) -> list[str]:
+    lines = [f"{name}_count{{{labels}}} {hist.get_total_count()}"]
+    for percentile in PERCENTILES:
+        value = hist.get_value_at_percentile(percentile)
+        lines.append(f'{name}{{{labels},quantile="{percentile / 100:g}"}} {value}')
+    return lines
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around the product; for tests and demos."""
--- /dev/null
+++ b/standins/_http.py
@@ -0,0 +1,73 @@
+"""Shared HTTP server of the stand-ins."""
+
+import http.server
+import json
+import signal
+import sys
+import threading
+import urllib.parse
+
+import click
+
+STOP_EXIT = 0
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """Dispatches to `do`, which a stand-in implements."""
+
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    wbufsize = 0
+
+    def log_message(self, *args) -> None:
+        """Prints nothing for each request."""
+
+    def _dispatch(self) -> None:
+        self.url = urllib.parse.urlsplit(self.path)
+        self.query = dict(urllib.parse.parse_qsl(self.url.query))
+        length = int(self.headers.get("Content-Length", 0))
+        self.body = self.rfile.read(length)
+        self.server.app.do(self)
+
+    do_GET = do_POST = do_PUT = do_DELETE = do_PATCH = _dispatch  # noqa: N815
+
+    def json(self) -> object:
+        """Decodes the request's body."""
+        return json.loads(self.body or b"null")
+
+    def answer(self, status: int, value: object, headers=()) -> None:
+        """Sends a JSON answer."""
+        data = json.dumps(value).encode()
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(data)))
+        for name, text in headers:
+            self.send_header(name, text)
+        self.end_headers()
+        self.wfile.write(data)
+
+
+class Server(http.server.ThreadingHTTPServer):
+    """A threading server with a deep backlog and the stand-in as `app`."""
+
+    daemon_threads = True
+    request_queue_size = 1024
+
+    def __init__(self, address: str, app) -> None:
+        """Binds `ip:port`."""
+        host, _, port = address.rpartition(":")
+        super().__init__((host, int(port)), Handler)
+        self.app = app
+
+    def handle_error(self, request, client_address) -> None:
+        """Ignores peers that went away."""
+
+
+def serve(address: str, app) -> None:
+    """Serves until SIGTERM."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(STOP_EXIT))
+    threading.stack_size(256 * 1024)
+    Server(address, app).serve_forever(poll_interval=0.1)
+
+
+listen_option = click.option("--listen", required=True, help="ip:port")
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,67 @@
+"""Demo: starts a small deployment, configures it, sends two requests, stops it."""
+
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+import click
+
+from standins import launch
+
+
+def _apply(cluster: launch.Cluster, address: str) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "resources.json"
+        path.write_text(json.dumps(cluster.configuration()))
+        command = [sys.executable, "-m", "turmericward.programs.cli"]
+        command += ["--server", address, "--key", launch.OPERATOR_KEY]
+        subprocess.run([*command, "apply", "-f", str(path)], check=True)
+
+
+def _wait_configured(address: str, headers: dict) -> None:
+    def listed() -> bool:
+        status, _, body = launch.request(address, "GET", "/v1/models", None, headers)
+        return status == 200 and bool(json.loads(body)["data"])
+
+    launch.wait_until(listed, what="model in force")
+
+
+def _show(title: str, status: int, body: bytes) -> None:
+    click.echo(f"--- {title}: status {status}")
+    click.echo(body.decode().rstrip())
+    if status != 200:
+        raise SystemExit(f"{title} failed")
+
+
+def main() -> None:
+    """Runs the demo."""
+    with launch.Cluster() as cluster:
+        node_a, node_b = cluster.nodes.values()
+        click.echo("--- processes: " + ", ".join(cluster.processes))
+        _apply(cluster, node_a.entries[0])
+        headers = {"Authorization": f"Bearer {launch.TENANT_KEY}"}
+        entry = node_b.entries[0]
+        _wait_configured(entry, headers)
+        chat = {
+            "model": "small",
+            "stream": True,
+            "max_tokens": 5,
+            "messages": [{"role": "user", "content": "Which fan is off?"}],
+        }
+        status, _, body = launch.request(
+            entry, "POST", "/v1/chat/completions", chat, headers
+        )
+        _show("streamed chat completion", status, body)
+        keyed = headers | {"Idempotency-Key": "demo-1"}
+        status, _, body = launch.request(
+            entry, "POST", "/services/alarm/dispatch", {"shed": 7}, keyed
+        )
+        _show("non-repeatable call", status, body)
+        cluster.stop()
+        click.echo("--- all processes ended with status 0")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/launch.py
@@ -0,0 +1,321 @@
+"""Starts the stand-ins and the product's programs as processes on loopback."""
+
+import contextlib
+import hashlib
+import http.client
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import attrs
+
+OPERATOR_KEY = "operator-key"
+TENANT_KEY = "tenant-key"
+STEWARD_PORT = 7100
+LOG = "127.0.0.1"
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+
+
+def digest(key: str) -> str:
+    """Returns the SHA-256 digest of a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
+    """Returns ports that nobody listens on now."""
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in socks:
+            sock.bind((host, 0))
+        return [sock.getsockname()[1] for sock in socks]
+
+
+def request(address: str, method: str, path: str, body=None, headers=None, wait=10.0):
+    """Sends one JSON request; returns the status, the headers and the body."""
+    host, _, port = address.rpartition(":")
+    conn = http.client.HTTPConnection(host, int(port), timeout=wait)
+    data = None if body is None else json.dumps(body).encode()
+    try:
+        conn.request(method, path, data, headers or {})
+        resp = conn.getresponse()
+        return resp.status, dict(resp.getheaders()), resp.read()
+    finally:
+        conn.close()
+
+
+def wait_until(check, timeout_s: float = START_TIMEOUT_S, what: str = "condition"):
+    """Waits until `check` returns something true, and returns it.
+
+    Raises:
+        TimeoutError: it didn't within `timeout_s` seconds.
+    """
+    until = time.monotonic() + timeout_s
+    while time.monotonic() < until:
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            found = check()
+            if found:
+                return found
+        time.sleep(0.02)
+    raise TimeoutError(f"{what} did not come about in {timeout_s:g} s")
+
+
+@attrs.define
+class Node:
+    """An instance: its settings file and the addresses of its programs."""
+
+    name: str
+    domain: str
+    address: str
+    entries: list[str]
+    settings: pathlib.Path
+
+
+@attrs.define(slots=False)
+class Cluster:
+    """A deployment of processes; to be used as a context manager.
+
+    `domains` are names of failure domains, each with `per_domain` instances of
+    `entries` entry processes, one engine and one replica of a service.
+    """
+
+    domains: tuple[str, ...] = ("a", "b")
+    entries: int = 1
+    per_domain: int = 1
+    overrides: dict = attrs.field(factory=dict)
+    engine_args: tuple[str, ...] = ()
+    processes: dict[str, subprocess.Popen] = attrs.field(factory=dict)
+    commands: dict[str, list[str]] = attrs.field(factory=dict)
+    nodes: dict[str, Node] = attrs.field(factory=dict)
+    engines: dict[str, str] = attrs.field(factory=dict)
+    services: dict[str, str] = attrs.field(factory=dict)
+
+    def __enter__(self):
+        """Starts everything and waits until every entry is ready."""
+        self._dir = tempfile.TemporaryDirectory()
+        try:
+            self._start_platform()
+            self._start_targets()
+            self._write_settings()
+            self.publish_instances()
+            for node in self.nodes.values():
+                self.start_node(node)
+            for node in self.nodes.values():
+                for address in node.entries:
+                    self.wait_ready(address)
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def __exit__(self, *exc) -> None:
+        """Stops every process."""
+        for proc in self.processes.values():
+            with contextlib.suppress(ProcessLookupError):
+                proc.send_signal(signal.SIGCONT)
+                proc.kill()
+        for proc in self.processes.values():
+            proc.wait()
+        self._dir.cleanup()
+
+    def start(self, name: str, command: list[str] | None = None) -> None:
+        """Starts a process, or starts a known one again."""
+        command = command or self.commands[name]
+        self.commands[name] = command
+        path = pathlib.Path(self._dir.name) / f"{name}.log"
+        with path.open("ab") as out:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", *command], stdout=out, stderr=out
+            )
+
+    def log_of(self, name: str) -> str:
+        """Returns what a process has printed."""
+        return (pathlib.Path(self._dir.name) / f"{name}.log").read_text()
+
+    def _start_platform(self) -> None:
+        log, rows = free_ports(2)
+        self.log = f"127.0.0.1:{log}"
+        self.instance_list = f"127.0.0.1:{rows}"
+        self.start("log", ["standins.log", "--listen", self.log])
+        self.start("instances", ["standins.instances", "--listen", self.instance_list])
+        wait_until(lambda: request(self.log, "POST", "/_faults", {}), what="log")
+        wait_until(
+            lambda: request(self.instance_list, "GET", "/instances"), what="list"
+        )
+
+    def _start_targets(self) -> None:
+        ports = free_ports(2 * len(self.domains))
+        for n, domain in enumerate(self.domains):
+            engine, service = f"engine-{domain}", f"alarm-{domain}"
+            self.engines[engine] = f"127.0.0.1:{ports[2 * n]}"
+            self.services[service] = f"127.0.0.1:{ports[2 * n + 1]}"
+            listen = ["--listen", self.engines[engine], "--name", engine]
+            self.start(engine, ["standins.engine", *listen, *self.engine_args])
+            listen = ["--listen", self.services[service], "--name", service]
+            self.start(service, ["standins.service", *listen])
+
+    def _write_settings(self) -> None:
+        names = [(d, n) for d in self.domains for n in range(self.per_domain)]
+        steward_port = free_ports(1)[0]
+        hosts = {f"{d}{n}": f"127.0.0.{11 + i}" for i, (d, n) in enumerate(names)}
+        seeds = [f"{host}:{steward_port}" for host in hosts.values()]
+        for domain, number in names:
+            name = f"{domain}{number}"
+            ports = free_ports(self.entries)
+            host = hosts[name]
+            value = self._settings(name, domain, host, ports, steward_port, seeds)
+            path = pathlib.Path(self._dir.name) / f"{name}.json"
+            path.write_text(json.dumps(value))
+            self.nodes[name] = Node(
+                name, domain, host, [f"{host}:{p}" for p in ports], path
+            )
+
+    def _settings(self, name, domain, host, ports, steward_port, seeds) -> dict:
+        value = {
+            "instance": {"name": name, "domain": domain, "address": host},
+            "log": {"address": self.log},
+            "instance_list": {"address": self.instance_list},
+            "entry": {"ports": ports, "balancer_lag_s": 0.3},
+            "steward": {
+                "port": steward_port,
+                "term_s": 2.0,
+                "renew_s": 0.5,
+                "margin_s": 0.3,
+                "order_timeout_s": 0.5,
+                "hold_ttl_s": 3.0,
+                "seeds": [s for s in seeds if not s.startswith(f"{host}:")],
+            },
+            "operators": [{"name": "ops", "key_sha256": digest(OPERATOR_KEY)}],
+        }
+        for path, setting in self.overrides.items():
+            section, _, field = path.partition(".")
+            value[section][field] = setting
+        return value
+
+    def rows(self) -> list[dict]:
+        """Returns the rows of the instance list with nothing leaving."""
+        rows = [
+            {
+                "kind": "entry",
+                "name": node.name,
+                "domain": node.domain,
+                "address": node.address,
+                "leaving": False,
+            }
+            for node in self.nodes.values()
+        ]
+        for name, address in (self.engines | self.services).items():
+            rows.append(
+                {
+                    "kind": "target",
+                    "name": name,
+                    "domain": name.rpartition("-")[2],
+                    "address": address.rpartition(":")[0],
+                    "leaving": False,
+                }
+            )
+        return rows
+
+    def publish_instances(self, leaving: frozenset[str] = frozenset()) -> None:
+        """Replaces the instance list; the named rows are leaving."""
+        rows = [row | {"leaving": row["name"] in leaving} for row in self.rows()]
+        request(self.instance_list, "POST", "/instances", {"instances": rows})
+
+    def start_node(self, node: Node) -> None:
+        """Starts the programs of an instance."""
+        path = str(node.settings)
+        self.start(
+            f"steward-{node.name}",
+            ["turmericward.programs.steward", "--settings", path],
+        )
+        for index in range(len(node.entries)):
+            self.start(
+                f"entry-{node.name}-{index}",
+                [
+                    "turmericward.programs.entry",
+                    *("--settings", path, "--index", str(index)),
+                ],
+            )
+
+    def wait_ready(self, address: str) -> None:
+        """Waits until an entry says that it is ready."""
+        wait_until(lambda: request(address, "GET", "/readyz")[0] == 200, what=address)
+
+    def configuration(self) -> list[dict]:
+        """Returns the resources that describe this deployment."""
+        engines = [
+            {
+                "kind": "engine",
+                "name": name,
+                "value": {
+                    "domain": name.rpartition("-")[2],
+                    "address": address,
+                    "models": ["small"],
+                },
+            }
+            for name, address in self.engines.items()
+        ]
+        targets = [
+            {"name": name, "domain": name.rpartition("-")[2], "address": address}
+            for name, address in self.services.items()
+        ]
+        service = {"targets": targets, "idempotent": ["GET *"], "timeout_s": 5}
+        tenant = {"key_sha256": [digest(TENANT_KEY)], "default_class": "urgent"}
+        return [
+            {"kind": "model", "name": "small", "value": {"version": "v1"}},
+            {
+                "kind": "version",
+                "name": "v1",
+                "value": {"model": "small", "weights": "s1"},
+            },
+            *engines,
+            {"kind": "service", "name": "alarm", "value": service},
+            {"kind": "tenant", "name": "coop", "value": tenant},
+        ]
+
+    def apply(self, documents: list[dict], node: Node | None = None) -> None:
+        """Puts resources through an entry's API.
+
+        Raises:
+            RuntimeError: one was refused.
+        """
+        address = (node or next(iter(self.nodes.values()))).entries[0]
+        headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+        for doc in documents:
+            path = f"/apis/v1/{doc['kind']}/{doc['name']}"
+            status, _, body = request(address, "PUT", path, doc["value"], headers)
+            if status != 200:
+                raise RuntimeError(f"{path}: {status} {body!r}")
+
+    def stop(self) -> None:
+        """Stops the product's programs by SIGTERM, then the stand-ins.
+
+        Raises:
+            RuntimeError: a process ended with another status than 0.
+        """
+        product = [n for n in self.processes if n.startswith(("entry-", "steward-"))]
+        standins = [n for n in self.processes if n not in product]
+        for names in (product, standins):
+            for name in names:
+                self.signal(name, signal.SIGTERM)
+            for name in names:
+                if self.processes[name].wait(STOP_TIMEOUT_S):
+                    raise RuntimeError(f"{name} ended badly: {self.log_of(name)}")
+
+    def kill(self, name: str) -> None:
+        """Kills a process at once."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def signal(self, name: str, number: int) -> None:
+        """Sends a signal to a process."""
+        self.processes[name].send_signal(number)
+
+    def faults(self, address: str, **faults) -> None:
+        """Sets faults of a stand-in."""
+        request(address, "POST", "/_faults", faults)
--- /dev/null
+++ b/tests/fixtures.py
@@ -0,0 +1,88 @@
+"""Fixtures and assertions that the tests share."""
+
+import contextlib
+import json
+import unittest
+
+from standins import launch
+
+check = unittest.TestCase()
+check.maxDiff = None
+
+HEADERS = {"Authorization": f"Bearer {launch.TENANT_KEY}"}
+OPERATOR = {"Authorization": f"Bearer {launch.OPERATOR_KEY}"}
+
+
+@contextlib.contextmanager
+def cluster(**options):
+    """A configured deployment of processes, in force on every entry."""
+    with launch.Cluster(**options) as found:
+        found.apply(found.configuration())
+        for node in found.nodes.values():
+            for entry in node.entries:
+                wait_for_model(entry)
+        try:
+            wait_for_engines(found)
+            yield found
+        except BaseException:
+            for name in found.processes:
+                print(f"--- {name}\n{found.log_of(name)[-3000:]}")
+            raise
+
+
+def wait_for_model(entry: str, model: str = "small") -> None:
+    def listed() -> bool:
+        status, _, body = launch.request(entry, "GET", "/v1/models", None, HEADERS)
+        return status == 200 and model in body.decode()
+
+    launch.wait_until(listed, what=f"model {model} on {entry}")
+
+
+def state_of(cluster, engine: str) -> dict:
+    return json.loads(launch.request(cluster.engines[engine], "GET", "/state")[2])
+
+
+def wait_for_engines(cluster, loads=("small@v1",)) -> None:
+    """Waits until every engine has been ordered to load and takes work."""
+
+    def settled() -> bool:
+        states = [state_of(cluster, name) for name in cluster.engines]
+        return all(s["loads"] == list(loads) and not s["changing"] for s in states)
+
+    launch.wait_until(settled, what="engines loaded")
+    for node in cluster.nodes.values():
+        for entry in node.entries:
+            launch.wait_until(lambda e=entry: _serves(e), what=f"answer by {entry}")
+
+
+def _serves(entry: str) -> bool:
+    body = chat(tokens=1)
+    return (
+        launch.request(entry, "POST", "/v1/chat/completions", body, HEADERS)[0] == 200
+    )
+
+
+def chat(stream: bool = True, tokens: int = 5, text: str = "hello") -> dict:
+    return {
+        "model": "small",
+        "stream": stream,
+        "max_tokens": tokens,
+        "messages": [{"role": "user", "content": text}],
+    }
+
+
+def stream_words(body: bytes) -> list[str]:
+    """Returns the words of a streamed chat answer; checks that it is whole."""
+    events = [e for e in body.decode().split("\n\n") if e]
+    check.assertEqual(events[-1], "data: [DONE]")
+    chunks = [json.loads(e.removeprefix("data: ")) for e in events[:-1]]
+    return [c["choices"][0]["delta"]["content"] for c in chunks]
+
+
+def ran(cluster) -> list[str]:
+    """Returns the bodies of all calls that the service's replicas ran."""
+    found = []
+    for address in cluster.services.values():
+        _, _, body = launch.request(address, "GET", "/_ran")
+        found += json.loads(body)["ran"]
+    return found
