Return an entry to its own steward after failover

Ruled out: a slow engine, a lost order (no order was sent). Change: a poll of a peer ends after 1 s in favour of the own steward.

--- a/src/turmericward/entry/_follow_loop.py
+++ b/src/turmericward/entry/_follow_loop.py
@@ -14,6 +14,7 @@
 HOLD_WAIT_S = 0.1
 CALL_S = 4.0
 RETRY_S = 0.1
+RETURN_S = 1.0
 ASK_S = 10.0
 
 
@@ -41,6 +42,7 @@
         self._holding = False
         self._peers: list[str] = list(cfg.steward.seeds)
         self._attempt = 0
+        self._return_at = 0.0
 
     def stewards(self) -> list[str]:
         """Returns the addresses of stewards, the instance's own first."""
@@ -48,6 +50,7 @@
 
     def step(self) -> None:
         """Polls once and passes on what is new."""
+        self._return_to_own()
         wait_s = HOLD_WAIT_S if self._holding else WAIT_S
         req = ttypes.FollowRequest(
             entry=self._name,
@@ -69,13 +72,22 @@
     def _fail_over(self, exc: Exception) -> None:
         logging.warning("poll failed: %s", exc)
         addresses = self.stewards()
-        self._attempt += 1
-        # The own steward is tried every other time, so that the entry returns.
-        index = 0 if self._attempt % 2 else (self._attempt // 2) % len(addresses)
+        self._attempt = (self._attempt + 1) % len(addresses)
+        self._connect(addresses[self._attempt])
+        self.pause(RETRY_S)
+
+    def _return_to_own(self) -> None:
+        # Holds are confirmed only through the own steward.
+        if self._client.address == self._own or time.monotonic() < self._return_at:
+            return
+        self._attempt = 0
+        self._connect(self._own)
+
+    def _connect(self, address: str) -> None:
         self._client.close()
-        self._client = steward.StewardClient(addresses[index], CALL_S)
+        self._client = steward.StewardClient(address, CALL_S)
         self._fleet_version = -1
-        self.pause(RETRY_S)
+        self._return_at = time.monotonic() + RETURN_S
 
     def _take(self, answer: ttypes.FollowAnswer) -> None:
         resources = [_resource(r) for r in answer.resources]
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -242,6 +242,11 @@
                 ],
             )
 
+    def steward_address(self, node: Node) -> str:
+        """Returns the address of an instance's steward."""
+        settings = json.loads(node.settings.read_text())
+        return f"{node.address}:{settings['steward']['port']}"
+
     def wait_ready(self, address: str) -> None:
         """Waits until an entry says that it is ready."""
         wait_until(lambda: request(address, "GET", "/readyz")[0] == 200, what=address)
