Prove the folds of leases, claims and configuration under a virtual clock

Ruled out: real processes for interleavings (too few, not repeatable). Change: seeded worlds with pauses, cuts, clock drift, late, lost and repeated appends; validators name the field at fault.

--- a/src/turmericward/schema/_structure.py
+++ b/src/turmericward/schema/_structure.py
@@ -2,7 +2,9 @@
 
 import cattrs
 
-from turmericward.schema import _errors
+from turmericward.schema import _errors, validators
+
+_FIELD_END = "\x1f"
 
 
 def _exact(kind: type):
@@ -35,6 +37,8 @@
         return f"has no field named {names}"
     if isinstance(exc, (TypeError, AttributeError)):
         return "has the wrong type"
+    if isinstance(exc, validators.InvalidFieldError):
+        return f"{exc.field}{_FIELD_END}{exc}"
     return str(exc)
 
 
@@ -42,6 +46,9 @@
     sentences = []
     for text in cattrs.transform_error(exc, path="", format_exception=_describe):
         what, _, path = text.rpartition(" @ ")
+        field, end, rest = what.partition(_FIELD_END)
+        if end:
+            path, what = f"{path}.{field}", rest
         path = path.removeprefix(".") or root
         sentences.append(f"{path}: {what}")
     return sentences
--- a/src/turmericward/schema/validators.py
+++ b/src/turmericward/schema/validators.py
@@ -10,6 +10,15 @@
 MAX_PORT = 65535
 
 
+class InvalidFieldError(ValueError):
+    """Raised by a validator; `field` is the name of the attribute at fault."""
+
+    def __init__(self, field: str, text: str) -> None:
+        """Creates the error for one attribute."""
+        super().__init__(text)
+        self.field = field
+
+
 @attrs.frozen
 class _Between:
     low: float
@@ -18,7 +27,7 @@
     def __call__(self, instance, attribute, value) -> None:
         if not self.low <= value <= self.high:
             msg = f"{value!r} is not between {self.low:g} and {self.high:g}"
-            raise ValueError(msg)
+            raise InvalidFieldError(attribute.name, msg)
 
 
 def between(low: float, high: float):
@@ -30,41 +39,45 @@
     """Accepts a resource name: lower case, digits, dots and dashes.
 
     Raises:
-        ValueError: the value has another form.
+        InvalidFieldError: the value has another form.
     """
     if not _NAME.fullmatch(value):
-        raise ValueError(f"{value!r} is not a lower-case name of up to 63 characters")
+        msg = f"{value!r} is not a lower-case name of up to 63 characters"
+        raise InvalidFieldError(attribute.name, msg)
 
 
 def ip_number(instance, attribute, value) -> None:
     """Accepts an IPv4 or IPv6 number.
 
     Raises:
-        ValueError: the value is a host name or malformed.
+        InvalidFieldError: the value is a host name or malformed.
     """
     try:
         ipaddress.ip_address(value)
     except ValueError:
-        raise ValueError(f"{value!r} is not an IP number") from None
+        msg = f"{value!r} is not an IP number"
+        raise InvalidFieldError(attribute.name, msg) from None
 
 
 def ip_port(instance, attribute, value) -> None:
     """Accepts `ip:port` with an IP number.
 
     Raises:
-        ValueError: the address is no IP number or the port is out of range.
+        InvalidFieldError: the address is no IP number or the port is out of range.
     """
     host, _, port = value.rpartition(":")
     ip_number(instance, attribute, host.strip("[]"))
     if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
-        raise ValueError(f"{value!r} has no port between 1 and {MAX_PORT}")
+        msg = f"{value!r} has no port between 1 and {MAX_PORT}"
+        raise InvalidFieldError(attribute.name, msg)
 
 
 def sha256_hex(instance, attribute, value) -> None:
     """Accepts 64 lower-case hexadecimal digits.
 
     Raises:
-        ValueError: the value has another form.
+        InvalidFieldError: the value has another form.
     """
     if not _SHA256.fullmatch(value):
-        raise ValueError("is not a SHA-256 digest in lower-case hexadecimal")
+        msg = "is not a SHA-256 digest in lower-case hexadecimal"
+        raise InvalidFieldError(attribute.name, msg)
--- /dev/null
+++ b/tests/test_authority.py
@@ -0,0 +1,194 @@
+"""Lease protocol and order book, under a virtual clock."""
+
+import itertools
+import random
+
+import attrs
+
+from tests import fixtures
+from turmericward import authority
+
+check = fixtures.check
+
+TIMING = authority.Timing(term_s=5.0, renew_s=1.5, margin_s=1.0, settle_s=0.5)
+MAX_DRIFT = 0.05
+SEEDS = 400
+STEPS = 600
+STEP_S = 0.1
+
+
+@attrs.define
+class _Process:
+    """A contender with a clock of its own, which may be paused or cut off."""
+
+    contender: authority.Contender
+    rate: float
+    offset: float
+    read_to: int = 0
+    paused_until: float = 0.0
+    cut_until: float = 0.0
+
+    def clock(self, now: float) -> float:
+        return self.offset + now * self.rate
+
+
+@attrs.define
+class _World:
+    """Contenders on one stream; appends arrive late, twice or never."""
+
+    rng: random.Random
+    processes: list[_Process]
+    stream: list = attrs.field(factory=list)
+    on_the_way: list = attrs.field(factory=list)
+
+    def step(self, now: float) -> None:
+        arrived = [r for at, r in self.on_the_way if at <= now]
+        self.on_the_way = [(at, r) for at, r in self.on_the_way if at > now]
+        self.stream += arrived
+        for process in self.processes:
+            if process.paused_until <= now:
+                self._run(process, now)
+            self._disturb(process, now)
+
+    def _run(self, process: _Process, now: float) -> None:
+        clock = process.clock(now)
+        if process.cut_until <= now:
+            upto = self.rng.randint(process.read_to, len(self.stream))
+            for offset in range(process.read_to, upto):
+                process.contender.read(clock, offset, self.stream[offset])
+            process.read_to = upto
+        for record in process.contender.tick(clock):
+            self._append(record, now)
+
+    def _append(self, record, now: float) -> None:
+        for _ in range(self.rng.choice((0, 1, 1, 1, 2))):
+            delay_s = self.rng.choice((0.0, 0.05, 0.3, 2.0, 8.0))
+            self.on_the_way.append((now + delay_s, record))
+
+    def _disturb(self, process: _Process, now: float) -> None:
+        if self.rng.random() < 0.01:
+            process.paused_until = now + self.rng.uniform(0, 15)
+        if self.rng.random() < 0.01:
+            process.cut_until = now + self.rng.uniform(0, 15)
+
+
+def _world(seed: int, contender_class=authority.Contender) -> _World:
+    rng = random.Random(seed)
+    ids = (f"id{n}" for n in itertools.count())
+    processes = []
+    for number in range(3):
+        rate = rng.uniform(1 - MAX_DRIFT, 1 + MAX_DRIFT)
+        offset = rng.uniform(0, 1000)
+        contender = contender_class(f"p{number}", TIMING, offset, lambda: next(ids))
+        processes.append(_Process(contender, rate, offset))
+    return _World(rng, processes)
+
+
+def _holders(world: _World, now: float) -> list[authority.Authority]:
+    found = [p.contender.authority(p.clock(now)) for p in world.processes]
+    return [held for held in found if held is not None]
+
+
+def _most_holders_at_once(contender_class=authority.Contender) -> tuple[int, int]:
+    most = 0
+    held_steps = 0
+    for seed in range(SEEDS):
+        world = _world(seed, contender_class)
+        for number in range(STEPS):
+            now = number * STEP_S
+            world.step(now)
+            holders = _holders(world, now)
+            most = max(most, len(holders))
+            held_steps += bool(holders)
+    return most, held_steps
+
+
+def test_never_two_holders_under_pauses_cuts_and_late_appends():
+    most, held_steps = _most_holders_at_once()
+    check.assertEqual(most, 1)
+    check.assertGreater(held_steps, SEEDS * STEPS * 0.2)
+
+
+def test_a_term_counted_from_the_answer_would_give_two_holders():
+    class FromAnswer(authority.Contender):
+        """Counts the term from the read, not from before the append."""
+
+        def read(self, now, offset, record):
+            if record.id in self._sent:
+                self._sent[record.id] = now
+            return super().read(now, offset, record)
+
+    most, _ = _most_holders_at_once(FromAnswer)
+    check.assertGreater(most, 1)
+
+
+def _contender(now: float = 0.0) -> authority.Contender:
+    ids = (f"c{n}" for n in itertools.count())
+    return authority.Contender("me", TIMING, now, lambda: next(ids))
+
+
+def test_holder_renews_and_ends_by_its_own_clock():
+    contender = _contender()
+    (acquire,) = contender.tick(0.0)
+    check.assertIsNone(contender.authority(0.0))
+    check.assertTrue(contender.read(0.2, 0, acquire))
+    check.assertEqual(contender.authority(0.2).token, 1)
+    check.assertFalse(contender.authority(0.2).allows(0.2))
+    check.assertTrue(contender.authority(0.6).allows(0.6))
+    (renew,) = contender.tick(1.5)
+    check.assertIsInstance(renew, authority.Renew)
+    check.assertIsNotNone(contender.authority(4.9))
+    check.assertIsNone(contender.authority(5.0))
+    contender.read(3.0, 1, renew)
+    check.assertIsNotNone(contender.authority(6.4))
+
+
+def test_release_frees_the_lease_at_once():
+    first, second = _contender(), _contender()
+    (acquire,) = first.tick(0.0)
+    first.read(0.1, 0, acquire)
+    second.read(0.1, 0, acquire)
+    check.assertEqual(second.tick(3.0), [])
+    (release,) = first.resign(3.0)
+    check.assertIsNone(first.authority(3.0))
+    second.read(3.1, 1, release)
+    (taken,) = second.tick(3.1)
+    check.assertEqual(taken.expected, 2)
+
+
+def _intent(token: int, order_id: str = "o1", role: str = "decode"):
+    return authority.Intent(id=order_id, token=token, engine="e", role=role, loads=[])
+
+
+def test_order_book_takes_one_order_at_a_time_and_only_of_the_holder():
+    book = authority.OrderBook()
+    check.assertFalse(book.apply(_intent(3), lease_token=4))
+    check.assertTrue(book.apply(_intent(4), lease_token=4))
+    check.assertFalse(book.apply(_intent(4, "o2", "prefill"), lease_token=4))
+    done = authority.OrderOutcome(id="o1", token=5, engine="e", outcome="done")
+    check.assertFalse(book.apply(done, lease_token=4))
+    check.assertTrue(book.apply(done, lease_token=5))
+    check.assertIsNone(book.outstanding("e"))
+
+
+def _state(order_id: str, role: str, changing: bool = False):
+    return authority.EngineState(
+        spec=authority.Spec(role=role),
+        changing=changing,
+        running=0,
+        order_id=order_id,
+        order_token=1,
+    )
+
+
+def test_an_unknown_outcome_is_settled_from_the_engine():
+    cases = [
+        ("taken and done", _state("o1", "decode"), authority.OrderPhase.DONE),
+        ("never taken", _state("o0", "mixed"), authority.OrderPhase.VOID),
+        ("crashed in the change", _state("", "mixed"), authority.OrderPhase.VOID),
+        ("still changing", _state("o1", "decode", True), None),
+    ]
+    for name, state, expected in cases:
+        book = authority.OrderBook()
+        book.apply(_intent(1), lease_token=1)
+        check.assertEqual(book.settle("e", state), expected, name)
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,129 @@
+"""Fold of the configuration stream: order, conflicts, expiry, schema."""
+
+import random
+
+from tests import fixtures
+from turmericward import configuration
+
+check = fixtures.check
+ACCEPTED = configuration.Verdict.ACCEPTED
+CONFLICT = configuration.Verdict.CONFLICT
+INVALID = configuration.Verdict.INVALID
+
+
+def _change(expected: int, value, name: str = "m", kind: str = "model") -> dict:
+    change = configuration.Change(
+        id=f"{name}-{expected}-{value}",
+        producer="test",
+        kind=kind,
+        name=name,
+        expected=expected,
+        value=value,
+    )
+    return configuration.encode(change)
+
+
+def _model(version: str) -> dict:
+    return {"version": version}
+
+
+def test_the_first_of_two_racing_changes_wins():
+    ledger = configuration.Ledger()
+    check.assertIs(ledger.apply(0, _change(0, _model("a"))), ACCEPTED)
+    check.assertIs(ledger.apply(1, _change(1, _model("b"))), ACCEPTED)
+    check.assertIs(ledger.apply(2, _change(1, _model("c"))), CONFLICT)
+    check.assertEqual(ledger.get("model", "m").value, _model("b"))
+
+
+def test_a_late_duplicate_neither_reverts_nor_creates_again():
+    ledger = configuration.Ledger()
+    create = _change(0, _model("a"))
+    ledger.apply(0, create)
+    ledger.apply(1, _change(1, _model("b")))
+    check.assertIs(ledger.apply(2, create), CONFLICT)
+    ledger.apply(3, _change(2, None))
+    check.assertIs(ledger.apply(4, create), CONFLICT)
+    check.assertIsNone(ledger.get("model", "m").value)
+
+
+def test_malformed_records_are_rejected_and_folding_goes_on():
+    ledger = configuration.Ledger()
+    broken = [None, 7, {}, {"type": "config.change"}, [], "x"]
+    broken += [_change(0, {"version": 3}), _change(0, {}, kind="absent")]
+    broken += [_change(0, {"unknown": 1}), _change(0, [])]
+    for offset, raw in enumerate(broken):
+        check.assertIs(ledger.apply(offset, raw), INVALID, raw)
+    check.assertIs(ledger.apply(99, _change(0, _model("a"))), ACCEPTED)
+
+
+def test_since_returns_each_change_once_and_none_when_too_old():
+    ledger = configuration.Ledger()
+    for offset in range(5000):
+        ledger.apply(offset, _change(offset, _model(str(offset))))
+    check.assertIsNone(ledger.since(0))
+    found = [r.version for r in ledger.since(4000)]
+    check.assertEqual(found, list(range(4001, 5001)))
+
+
+def _random_stream(rng: random.Random, length: int) -> list[dict]:
+    """Returns changes of which some conflict, and snapshots now and then."""
+    ledger = configuration.Ledger()
+    stream = []
+    lag_state = (0, ledger.snapshot())
+    for offset in range(length):
+        name = rng.choice("abcd")
+        if rng.random() < 0.1:
+            covers, state = lag_state
+            raw = configuration.encode(
+                configuration.Snapshot(covers=covers, state=state)
+            )
+        else:
+            expected = ledger.expected_for("model", name)
+            expected = rng.choice((expected, expected, expected, 0, 1))
+            value = rng.choice((_model(str(offset)), _model("x"), None))
+            raw = _change(expected, value, name)
+        stream.append(raw)
+        ledger.apply(offset, raw)
+        if rng.random() < 0.3:
+            lag_state = (ledger.applied, ledger.snapshot())
+    return stream
+
+
+def test_every_reader_ends_with_the_same_state_wherever_it_starts():
+    for seed in range(200):
+        rng = random.Random(seed)
+        stream = _random_stream(rng, 120)
+        whole = configuration.Ledger()
+        for offset, raw in enumerate(stream):
+            whole.apply(offset, raw)
+        first = rng.randint(0, 60)
+        replay = configuration.Replay(first)
+        for offset in range(first, len(stream)):
+            replay.feed(offset, stream[offset])
+        if replay.ledger is not None:
+            check.assertEqual(
+                sorted(replay.ledger.snapshot()["resources"], key=str),
+                sorted(whole.snapshot()["resources"], key=str),
+            )
+
+
+def test_a_snapshot_with_a_gap_behind_it_is_not_used():
+    snapshot = configuration.Snapshot(covers=3, state=configuration.Ledger().snapshot())
+    replay = configuration.Replay(5)
+    replay.feed(5, configuration.encode(snapshot))
+    check.assertIsNone(replay.ledger)
+
+
+def test_schema_faults_name_their_path():
+    cases = [
+        ("engine", {"domain": "a", "address": "host:1", "models": []}, "address"),
+        ("engine", {"domain": "a", "address": "1.2.3.4:1"}, "models"),
+        ("service", {"targets": [{"name": "x"}]}, "targets[0].domain"),
+        ("tenant", {"key_sha256": ["short"]}, "SHA-256"),
+        ("model", {"versoin": "v1"}, "versoin"),
+        ("absent", {}, "absent"),
+    ]
+    for kind, value, expected in cases:
+        with check.assertRaises(configuration.InvalidResourceError) as caught:
+            configuration.parse(kind, value)
+        check.assertIn(expected, str(caught.exception))
