--- a/src/turmericward/adapters/_request.py
+++ b/src/turmericward/adapters/_request.py
@@ -2,14 +2,17 @@
 
 import contextlib
 import http.client
+import select
 import socket
 import time
+from collections.abc import Callable
 
 import attrs
 
 from turmericward.adapters import _address, errors
 
 CONNECT_TIMEOUT_S = 1.0
+CANCEL_POLL_S = 0.25
 REQUEST_ID = "X-Request-Id"
 
 
@@ -82,6 +85,37 @@
         raise errors.AnswerLostError(f"{address}: {exc!r}") from exc
 
 
+def _poll(sock: socket.socket, wait_s: float) -> bool:
+    # Unlike select, poll takes descriptors of any number.
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(wait_s * 1000))
+
+
+def await_answer(
+    conn: http.client.HTTPConnection,
+    address: str,
+    until: float,
+    cancelled: Callable[[], bool],
+) -> None:
+    """Waits for the first byte of the answer.
+
+    Raises:
+        AnswerLostError: none came by `until`, in monotonic seconds.
+        CancelledError: the caller went away in the meantime.
+    """
+    while True:
+        left_s = until - time.monotonic()
+        if left_s <= 0:
+            raise errors.AnswerLostError(f"{address}: no answer in time")
+        wait_s = min(left_s, CANCEL_POLL_S)
+        readable = _poll(conn.sock, wait_s)
+        if readable:
+            return
+        if cancelled():
+            raise errors.CancelledError(f"{address}: caller went away")
+
+
 def read_whole(
     conn: http.client.HTTPConnection,
     resp: http.client.HTTPResponse,
--- a/src/turmericward/adapters/engine.py
+++ b/src/turmericward/adapters/engine.py
@@ -4,7 +4,7 @@
 import json
 import socket
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -42,14 +42,32 @@
     queued: int
 
 
-def _post(path: str, body: bytes, request_id: str, after: int) -> _request.Request:
+@attrs.frozen(kw_only=True)
+class Job:
+    """A caller's request as an engine gets it.
+
+    The engine repeats `request_id` in its answer and takes lower numbers of
+    `priority` first. `cancelled` tells whether the caller went away.
+    """
+
+    path: str
+    body: bytes
+    request_id: str
+    priority: int = 0
+    cancelled: Callable[[], bool] = lambda: False
+
+
+def _post(job: Job, after: int) -> _request.Request:
     headers = [
         ("Content-Type", "application/json"),
-        (_request.REQUEST_ID, request_id),
+        (_request.REQUEST_ID, job.request_id),
+        ("X-Priority", str(job.priority)),
     ]
     if after:
         headers.append(("Last-Event-ID", str(after)))
-    return _request.Request(method="POST", path=path, headers=tuple(headers), body=body)
+    return _request.Request(
+        method="POST", path=job.path, headers=tuple(headers), body=job.body
+    )
 
 
 class Stream:
@@ -121,21 +139,12 @@
         self._address = address
 
     def stream(
-        self,
-        path: str,
-        body: bytes,
-        request_id: str,
-        *,
-        first_s: float,
-        idle_s: float,
-        after: int = 0,
+        self, job: Job, *, first_s: float, idle_s: float, after: int = 0
     ) -> Stream | Answer:
         """Starts a stream, or takes it up after the event number `after`.
 
         Args:
-            path: path of the engine's interface.
-            body: JSON text of the request.
-            request_id: the engine repeats it in its answer.
+            job: the request.
             first_s: longest wait for the answer's head.
             idle_s: longest wait between two events.
             after: last event that the caller has, 0 for none.
@@ -147,40 +156,39 @@
             NotSentError: no connection came about.
             AnswerLostError: the head of the answer didn't come.
             ForeignAnswerError: the answer is another request's.
+            CancelledError: the caller went away.
         """
         conn = _request.connect(self._address, first_s)
         try:
-            req = _post(path, body, request_id, after)
-            _request.send(conn, self._address, req)
-            resp = _request.answer_head(conn, self._address)
-            _request.check_id(resp, request_id)
+            resp = self._head(conn, job, after, time.monotonic() + first_s)
             if resp.status != 200:
                 return self._whole(conn, resp, time.monotonic() + idle_s)
-            sock = conn.sock
-            if sock is not None:
-                sock.settimeout(idle_s)
+            if conn.sock is not None:
+                conn.sock.settimeout(idle_s)
             return Stream(conn, resp, self._address)
         except BaseException:
             conn.close()
             raise
 
-    def complete(
-        self, path: str, body: bytes, request_id: str, timeout_s: float
-    ) -> Answer:
+    def complete(self, job: Job, timeout_s: float) -> Answer:
         """Sends a request and reads the whole answer.
 
         Raises:
-            NotSentError, AnswerLostError, ForeignAnswerError: as for `stream`.
+            AdapterError: as for `stream`.
         """
         until = time.monotonic() + timeout_s
         conn = _request.connect(self._address, timeout_s)
         with _request.closing(conn):
-            req = _post(path, body, request_id, 0)
-            _request.send(conn, self._address, req)
-            resp = _request.answer_head(conn, self._address)
-            _request.check_id(resp, request_id)
+            resp = self._head(conn, job, 0, until)
             return self._whole(conn, resp, until)
 
+    def _head(self, conn, job: Job, after: int, until: float):
+        _request.send(conn, self._address, _post(job, after))
+        _request.await_answer(conn, self._address, until, job.cancelled)
+        resp = _request.answer_head(conn, self._address)
+        _request.check_id(resp, job.request_id)
+        return resp
+
     def _whole(self, conn, resp, until: float) -> Answer:
         body = _request.read_whole(conn, resp, self._address, until)
         return Answer(
--- a/src/turmericward/adapters/errors.py
+++ b/src/turmericward/adapters/errors.py
@@ -40,3 +40,7 @@
 
 class AuthorityLapsedError(AdapterError):
     """Raised when the right to order ended before the request was complete."""
+
+
+class CancelledError(AdapterError):
+    """Raised when the caller went away before the answer came."""
--- a/src/turmericward/entry/_app.py
+++ b/src/turmericward/entry/_app.py
@@ -1,6 +1,5 @@
 """WSGI application: turns WSGI calls into requests and sends them to handlers."""
 
-import re
 import time
 from collections.abc import Callable
 
@@ -10,8 +9,6 @@
 from turmericward import runtime, telemetry
 from turmericward.entry import _errors, _http, _models, _resources, _services
 
-ID_FORM = re.compile(r"[A-Za-z0-9._-]{1,64}")
-SEED = 1
 PROBES = frozenset({"/healthz", "/readyz", "/metrics"})
 
 
@@ -46,7 +43,7 @@
         self._ctx = ctx
         self._routes: list[_Route] = []
         models = _models.Models(ctx)
-        services = _services.Services(ctx, SEED)
+        services = _services.Services(ctx)
         resources = _resources.Resources(ctx)
         post = ("POST",)
         get = ("GET", "HEAD")
@@ -179,16 +176,15 @@
 
 
 def _request(environ) -> _http.Request:
-    headers = _headers(environ)
-    given = headers.get("x-request-id", "")
     raw_query = environ.get("QUERY_STRING", "")
     return _http.Request(
-        id=given if ID_FORM.fullmatch(given) else runtime.new_id(),
+        # An id that a caller chose could be the same as another caller's.
+        id=runtime.new_id(),
         method=environ["REQUEST_METHOD"],
         path=environ.get("PATH_INFO", "/"),
         query=_http.parse_query(raw_query),
         raw_query=raw_query,
-        headers=headers,
+        headers=_headers(environ),
         body=environ["wsgi.input"].read(),
         disconnected=environ.get("waitress.client_disconnected", lambda: False),
     )
--- a/src/turmericward/entry/_models.py
+++ b/src/turmericward/entry/_models.py
@@ -72,7 +72,7 @@
         self._check_fields(req.path, body)
         demand = self._resolve(demand)
         self._ctx.enter_tenant(caller.tenant)
-        relay = _relay.Relay(self._ctx, demand, req.path, req.body, req.id)
+        relay = _relay.Relay(self._ctx, demand, req)
         try:
             if body.get("stream", False):
                 return self._stream(relay, demand)
--- a/src/turmericward/entry/_relay.py
+++ b/src/turmericward/entry/_relay.py
@@ -2,13 +2,17 @@
 
 import time
 from collections.abc import Iterator
+from typing import NoReturn
 
 from absl import logging
 
 from turmericward.adapters import engine, errors
-from turmericward.entry import _errors, _router_task
+from turmericward.entry import _errors, _http, _router_task
 
 MAX_ATTEMPTS = 4
+CLIENT_CLOSED_REQUEST = 499
+PRIORITIES = {"urgent": 0, "standard": 1, "patient": 2}
+LOWEST_PRIORITY = 3
 DONE_EVENT = b"data: [DONE]\n\n"
 _STATUS = {"no_engine": 503, "overloaded": 429, "retry_budget": 503}
 
@@ -16,21 +20,24 @@
 class Relay:
     """One completion of a caller, over as many engines as it takes."""
 
-    def __init__(self, ctx, demand, path: str, body: bytes, request_id: str) -> None:
+    def __init__(self, ctx, demand, req: _http.Request) -> None:
         """Creates the relay; nothing is sent yet.
 
         Args:
             ctx: the entry's context.
             demand: what the request asks for.
-            path: path of the engine's interface.
-            body: JSON text of the request.
-            request_id: repeated by the engine in its answer.
+            req: the caller's request.
         """
         self._ctx = ctx
         self._demand = demand
-        self._path = path
-        self._body = body
-        self._request_id = request_id
+        self._request_id = req.id
+        self._job = engine.Job(
+            path=req.path,
+            body=req.body,
+            request_id=req.id,
+            priority=PRIORITIES.get(demand.traffic_class, LOWEST_PRIORITY),
+            cancelled=req.disconnected,
+        )
         self._bounds = ctx.cfg.entry.classes[demand.traffic_class]
         self._until = time.monotonic() + self._bounds.deadline_s
         self._excluded: frozenset[str] = frozenset()
@@ -50,9 +57,9 @@
             client = self._next_engine()
             left_s = self._left_s()
             try:
-                answer = client.complete(
-                    self._path, self._body, self._request_id, left_s
-                )
+                answer = client.complete(self._job, left_s)
+            except errors.CancelledError as exc:
+                self._cancelled(exc)
             except errors.AdapterError as exc:
                 self._failed(exc)
                 continue
@@ -72,13 +79,13 @@
             client = self._next_engine()
             try:
                 opened = client.stream(
-                    self._path,
-                    self._body,
-                    self._request_id,
-                    first_s=min(self._left_s(), self._bounds.idle_s),
+                    self._job,
+                    first_s=self._left_s(),
                     idle_s=self._bounds.idle_s,
                     after=self._last_seq,
                 )
+            except errors.CancelledError as exc:
+                self._cancelled(exc)
             except errors.AdapterError as exc:
                 self._failed(exc)
                 continue
@@ -155,6 +162,9 @@
         self._excluded |= {engine_name}
         return False
 
+    def _cancelled(self, exc: Exception) -> NoReturn:
+        self._fail(CLIENT_CLOSED_REQUEST, "cancelled", str(exc), None)
+
     def _failed(self, exc: Exception) -> None:
         logging.warning("request %s at %s: %s", self._request_id, self.engine, exc)
         self._excluded |= {self._assignment.engine}
@@ -189,7 +199,7 @@
 
     def _fail(
         self, status: int, code: str, detail: str, retry_after_s: float | None = 1.0
-    ) -> None:
+    ) -> NoReturn:
         self._finish(failed=False)
         # Only an engine that accepted the request can have run any of it.
         ran = self._last_seq or self._attempts
--- a/src/turmericward/entry/_router_task.py
+++ b/src/turmericward/entry/_router_task.py
@@ -2,12 +2,13 @@
 
 import collections
 import functools
+import random
 import time
 
 import attrs
 import result
 
-from turmericward import fleet, membership, requests, runtime
+from turmericward import configuration, fleet, membership, requests, runtime
 
 
 @attrs.frozen(kw_only=True)
@@ -44,6 +45,21 @@
     failed: bool
 
 
+@attrs.frozen(kw_only=True)
+class RankTargets:
+    """Asks for a service's live targets in the order of preference."""
+
+    targets: list[configuration.ServiceTarget]
+
+
+@attrs.frozen(kw_only=True)
+class TargetEnded:
+    """A call of a service's target has ended; `failed` without whole answer."""
+
+    target: str
+    failed: bool
+
+
 @attrs.frozen(kw_only=True)
 class Enter:
     """A tenant's request begins; answered with whether it may."""
@@ -70,6 +86,9 @@
         }
         self._router = requests.Router(seed, cfg.instance.domain, classes)
         self._budget = requests.RetryBudget()
+        self._domain = cfg.instance.domain
+        self._random = random.Random(seed)
+        self._services = fleet.Health()
         self._holds = membership.EntryHolds()
         self._engines_in_use: collections.Counter[str] = collections.Counter()
         self._tenants: collections.Counter[str] = collections.Counter()
@@ -121,6 +140,21 @@
         now = time.monotonic()
         self._router.finished(message.assignment, message.failed, now)
 
+    @handle.register
+    def _(self, message: RankTargets) -> list[configuration.ServiceTarget]:
+        now = time.monotonic()
+        live = [t for t in message.targets if t.name not in self.view.leaving]
+        usable = [t for t in live if self._services.usable(t.name, now)] or live
+        self._random.shuffle(usable)
+        return sorted(usable, key=lambda t: t.domain != self._domain)
+
+    @handle.register
+    def _(self, message: TargetEnded) -> None:
+        if message.failed:
+            self._services.failed(message.target, time.monotonic())
+        else:
+            self._services.succeeded(message.target)
+
     @handle.register
     def _(self, message: Enter) -> bool:
         tenant = self.view.tenants.get(message.tenant)
--- a/src/turmericward/entry/_services.py
+++ b/src/turmericward/entry/_services.py
@@ -2,14 +2,12 @@
 
 import hashlib
 import json
-import random
-import time
 
 from absl import logging
 
-from turmericward import fleet, runtime
+from turmericward import runtime
 from turmericward.adapters import errors, service, steward
-from turmericward.entry import _errors, _http
+from turmericward.entry import _errors, _http, _router_task
 from turmericward.wire import ttypes
 
 PREFIX = "/services/"
@@ -19,17 +17,15 @@
 CLAIM_SLACK_S = 2.0
 RETRY_S = 1.0
 SETTLE_ATTEMPTS = 3
-_DROPPED = frozenset({"host", "authorization", "connection", "expect"})
+_DROPPED = frozenset({"host", "authorization", "connection", "expect", "x-request-id"})
 
 
 class Services:
     """Handlers of `/services/<name>/<path>`."""
 
-    def __init__(self, ctx, seed: int) -> None:
+    def __init__(self, ctx) -> None:
         """Creates the handlers for an entry's context."""
         self._ctx = ctx
-        self._random = random.Random(seed)
-        self._health = fleet.Health()
 
     def call(self, req: _http.Request) -> _http.Response:
         """Answers a call of any method."""
@@ -52,14 +48,7 @@
             self._ctx.leave_tenant(caller.tenant)
 
     def _targets(self, found) -> list:
-        leaving = self._ctx.view().leaving
-        now = time.monotonic()
-        here = self._ctx.cfg.instance.domain
-        live = [t for t in found.targets if t.name not in leaving]
-        usable = [t for t in live if self._health.usable(t.name, now)]
-        usable = usable or live
-        self._random.shuffle(usable)
-        return sorted(usable, key=lambda t: t.domain != here)
+        return self._ctx.ask_router(_router_task.RankTargets(targets=found.targets))
 
     def _send(self, found, target, req: _http.Request, path: str) -> service.Answer:
         query = f"?{req.raw_query}" if req.raw_query else ""
@@ -72,15 +61,17 @@
             headers=tuple(headers),
             body=req.body,
         )
-        self._health.started(target.name)
+        failed = True
         try:
             answer = service.call(target.address, out, req.id, found.timeout_s)
+            failed = False
+            return answer
         except errors.AdapterError as exc:
             logging.warning("request %s at %s: %s", req.id, target.name, exc)
-            self._health.failed(target.name, time.monotonic())
             raise
-        self._health.succeeded(target.name)
-        return answer
+        finally:
+            ended = _router_task.TargetEnded(target=target.name, failed=failed)
+            self._ctx.router.post(ended)
 
     def _repeatable(self, found, req, path: str) -> _http.Response:
         sent = False
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -45,6 +45,18 @@
     return [f"{digest[n % 60 : n % 60 + 4]}{n} " for n in range(count)]
 
 
+def _gone(conn: socket.socket) -> bool:
+    """Tells whether the peer closed the connection, which cancels its work."""
+    try:
+        return conn.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+    except BlockingIOError:
+        return False
+
+
+def _envelope(body: dict, request_id: str) -> dict:
+    return {"id": request_id, "created": 0, "model": body["model"]}
+
+
 class Engine:
     """One engine; `token_s` is the time between two tokens."""
 
@@ -153,30 +165,29 @@
 
     def _generate(self, req, body: dict, request_id: str, epoch: int) -> None:
         prompt = json.dumps(body.get("messages", body.get("prompt")))
+        prompt += " of another" if request_id == "foreign" else ""
         count = body.get("max_tokens") or body.get("max_completion_tokens") or 16
         words = words_of(prompt, count)
         chat = "messages" in body
         if body.get("stream"):
             self._stream(req, body, request_id, epoch, words, chat)
             return
-        time.sleep(self._token_s * count)
-        if epoch != self._epoch:
-            req.connection.close()
-            return
+        for _ in range(count):
+            time.sleep(self._token_s)
+            if epoch != self._epoch or _gone(req.connection):
+                req.close_connection = True
+                return
         text = "".join(words)
         message = {"role": "assistant", "content": text}
         choice = {"message": message} if chat else {"text": text}
         choice |= {"index": 0, "finish_reason": "stop"}
-        value = self._envelope(body, request_id, "" if chat else "text_")
+        value = _envelope(body, request_id)
         usage = {"prompt_tokens": len(prompt) // 4, "completion_tokens": count}
         value["usage"] = usage | {"total_tokens": sum(usage.values())}
         value["object"] = "chat.completion" if chat else "text_completion"
         value["choices"] = [choice]
         req.answer(200, value, [("X-Request-Id", request_id)])
 
-    def _envelope(self, body: dict, request_id: str, _prefix: str) -> dict:
-        return {"id": request_id, "created": 0, "model": body["model"]}
-
     def _stream(self, req, body, request_id, epoch, words, chat: bool) -> None:
         req.send_response(200)
         req.send_header("Content-Type", "text/event-stream")
@@ -186,13 +197,13 @@
         after = int(req.headers.get("Last-Event-ID", 0))
         for number, word in enumerate(words[after:], start=after + 1):
             time.sleep(self._token_s)
-            if epoch != self._epoch or not self._go_on(req, number):
+            if epoch != self._epoch or not self._go_on(number):
                 req.close_connection = True
                 req.connection.shutdown(socket.SHUT_RDWR)
                 return
             delta = {"delta": {"content": word}} if chat else {"text": word}
             done = "stop" if number == len(words) else None
-            value = self._envelope(body, request_id, "")
+            value = _envelope(body, request_id)
             value["object"] = "chat.completion.chunk" if chat else "text_completion"
             value["choices"] = [{"index": 0, "finish_reason": done} | delta]
             event = f"id: {number}\ndata: {json.dumps(value)}\n\n".encode()
@@ -200,7 +211,7 @@
         self._chunk(req, b"data: [DONE]\n\n")
         self._chunk(req, b"")
 
-    def _go_on(self, req, number: int) -> bool:
+    def _go_on(self, number: int) -> bool:
         if self._faults.die_after and number > self._faults.die_after:
             os._exit(1)
         limit = self._faults.break_after
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -9,6 +9,7 @@
 import pathlib
 import shlex
 import signal
+import threading
 import time
 from concurrent import futures
 
@@ -71,6 +72,8 @@
     cluster: launch.Cluster | None = None
     answers: dict[str, Answer] = attrs.field(factory=dict)
     running: list[futures.Future] = attrs.field(factory=list)
+    loading: threading.Event = attrs.field(factory=threading.Event)
+    load: list[futures.Future] = attrs.field(factory=list)
 
     def entry(self, node: str) -> str:
         name, _, index = node.partition("-")
@@ -105,6 +108,7 @@
             try:
                 _take(world, step)
             except BaseException as exc:
+                world.loading.clear()
                 exc.add_note(f"{path.name}:{number}: {line}")
                 raise
 
@@ -162,6 +166,35 @@
     world.answers[name] = Answer(status, headers, data, 0, took_s)
 
 
+@verb("load")
+def _load(world, at, workers="8", tokens="10") -> None:
+    """Starts callers that send one stream after the other until `unload`."""
+    nodes = at.split(",")
+    world.loading.set()
+    for number in range(int(workers)):
+        node = nodes[number % len(nodes)]
+        fut = world.executor.submit(_stream_on, world, node, number, int(tokens))
+        world.load.append(fut)
+
+
+def _stream_on(world, node: str, worker: int, tokens: int) -> int:
+    count = 0
+    while world.loading.is_set():
+        name = f"load-{worker}-{count}"
+        _stream(world, name, node, str(tokens))
+        _expect_whole(world, tokens, name)
+        count += 1
+    return count
+
+
+@verb("unload")
+def _unload(world, least="1") -> None:
+    """Ends the load; every stream was whole, `least` of them at least."""
+    world.loading.clear()
+    counts = [fut.result(CALL_WAIT_S) for fut in world.load]
+    check.assertGreaterEqual(sum(counts), int(least))
+
+
 @verb("join")
 def _join(world) -> None:
     for fut in world.running:
@@ -338,10 +371,18 @@
     check.assertEqual(tokens, sorted(tokens))
 
 
+def _since_start_s(world, engine: str) -> float:
+    address = world.cluster.engines[engine]
+    starts = json.loads(launch.request(address, "GET", "/_requests")[2])["starts"]
+    return time.time() - max((s["at"] for s in starts), default=0.0)
+
+
 @verb("expect_last_start")
 def _expect_last_start(world, engine, before) -> None:
     """No work began at the engine in the last `before` seconds."""
-    address = world.cluster.engines[engine]
-    starts = json.loads(launch.request(address, "GET", "/_requests")[2])["starts"]
-    last = max((s["at"] for s in starts), default=0.0)
-    check.assertGreater(time.time() - last, float(before))
+    check.assertGreater(_since_start_s(world, engine), float(before))
+
+
+@verb("wait_start")
+def _wait_start(world, engine) -> None:
+    launch.wait_until(lambda: _since_start_s(world, engine) < 1, what="new work")
