Build views from changes and route over a subset of the engines

Change: a builder that keeps parsed resources and ranked engines; a subset of 32 engines for each model and node, own domain first, by rendezvous hashing; stewards poll and tell entries about the subset only.

--- a/src/turmericward/configuration/_replay.py
+++ b/src/turmericward/configuration/_replay.py
@@ -49,6 +49,5 @@
             record = _records.decode(raw)
         except _errors.MalformedRecordError:
             return
-        if not isinstance(record, _records.Snapshot) or record.covers < self._first:
-            return
-        self.offer(_ledger.Ledger.restore(record.state))
+        if isinstance(record, _records.Snapshot):
+            self.offer(_ledger.Ledger.restore(record.state))
--- a/src/turmericward/entry/_follow_loop.py
+++ b/src/turmericward/entry/_follow_loop.py
@@ -35,6 +35,9 @@
         self._name = name
         self._mirror = mirror
         self._router = router
+        self._views = fleet.ViewBuilder(
+            cfg.instance.name, cfg.instance.domain, cfg.entry.engines_per_model
+        )
         self._own = f"{cfg.instance.address}:{cfg.steward.port}"
         self._client = steward.StewardClient(self._own, CALL_S)
         self._fleet_version = -1
@@ -92,13 +95,14 @@
     def _take(self, answer: ttypes.FollowAnswer) -> None:
         resources = [_resource(r) for r in answer.resources]
         taken = self._mirror.update(answer.applied, resources, whole=answer.whole)
-        if not taken:
+        if taken:
+            self._views.update(resources, whole=answer.whole)
+        else:
             # A steward that restarted has yet to read what this entry has.
             self.pause(RETRY_S)
         now = time.monotonic()
         holds = [_hold(h, now) for h in answer.holds]
-        view = fleet.build_view(
-            self._mirror.live(),
+        view = self._views.view(
             frozenset(i.name for i in answer.instances if i.leaving),
             {load.engine: _load(load, now) for load in answer.loads},
         )
--- a/src/turmericward/entry/_router_task.py
+++ b/src/turmericward/entry/_router_task.py
@@ -123,9 +123,10 @@
         if not message.retry:
             self._budget.earn()
         now = time.monotonic()
-        engines = self.view.engines_by_model.get(message.demand.model, ())
-        excluded = message.excluded | self._holds.held(now)
-        chosen = self._router.choose(message.demand, engines, excluded, now)
+        view = self.view
+        engines = view.engines_by_model.get(message.demand.model, ())
+        excluded = message.excluded | self._holds.held(now) | view.leaving
+        chosen = self._router.choose(message.demand, engines, view.loads, excluded, now)
         if chosen.is_ok():
             self._engines_in_use[chosen.unwrap().engine] += 1
         return chosen
--- a/src/turmericward/fleet/__init__.py
+++ b/src/turmericward/fleet/__init__.py
@@ -1,7 +1,21 @@
 """Fleet aggregate: what an entry or a steward knows of targets."""
 
-from turmericward.fleet._errors import FleetError
 from turmericward.fleet._health import Health
-from turmericward.fleet._view import EngineView, LoadView, View, build_view
+from turmericward.fleet._view import (
+    EngineSpec,
+    EngineView,
+    LoadView,
+    Subset,
+    View,
+    ViewBuilder,
+)
 
-__all__ = ["EngineView", "FleetError", "Health", "LoadView", "View", "build_view"]
+__all__ = [
+    "EngineSpec",
+    "EngineView",
+    "Health",
+    "LoadView",
+    "Subset",
+    "View",
+    "ViewBuilder",
+]
--- a/src/turmericward/fleet/_view.py
+++ b/src/turmericward/fleet/_view.py
@@ -1,6 +1,9 @@
 """An immutable picture of the configuration and of targets, for routing."""
 
-import collections
+import hashlib
+import heapq
+import operator
+from collections.abc import Mapping
 
 import attrs
 
@@ -19,79 +22,201 @@
 
 @attrs.frozen(kw_only=True)
 class EngineView:
-    """An engine that may get work, with its latest load report, if any."""
+    """An engine that may get work."""
 
     name: str
     domain: str
     address: str
     role: str
     priority: int
-    load: LoadView | None = None
 
 
 @attrs.frozen(kw_only=True)
 class View:
-    """What an entry routes by. Built anew from each change, never altered."""
+    """What an entry routes by; a change makes a new one of the changed parts."""
 
-    engines_by_model: dict[str, tuple[EngineView, ...]]
-    adapters: dict[str, str]
-    services: dict[str, configuration.Service]
-    tenants_by_key: dict[str, str]
-    tenants: dict[str, configuration.Tenant]
+    engines_by_model: Mapping[str, tuple[EngineView, ...]]
+    adapters: Mapping[str, str]
+    services: Mapping[str, configuration.Service]
+    tenants_by_key: Mapping[str, str]
+    tenants: Mapping[str, configuration.Tenant]
     leaving: frozenset[str]
+    loads: Mapping[str, LoadView]
 
     def models(self) -> list[str]:
         """Returns the names that callers may ask for."""
         return sorted({*self.engines_by_model, *self.adapters})
 
 
-def _parsed(resources, kind: str) -> dict[str, object]:
-    return {
-        res.name: configuration.parse(kind, res.value)
-        for res in resources
-        if res.kind == kind
-    }
-
+@attrs.frozen(kw_only=True)
+class EngineSpec:
+    """What the configuration asks of an engine: role, and what it loads.
 
-def _engine_view(name: str, engine, load: LoadView | None) -> EngineView:
-    return EngineView(
-        name=name,
-        domain=engine.domain,
-        address=engine.address,
-        role=load.role if load else engine.role,
-        priority=engine.priority,
-        load=load,
-    )
+    `loads` holds `model@version` for each model, and names of adapters.
+    """
 
+    address: str
+    role: str
+    loads: tuple[str, ...]
 
-def build_view(
-    resources: list[configuration.Resource],
-    leaving: frozenset[str],
-    loads: dict[str, LoadView],
-) -> View:
-    """Builds the picture from resources, the instance list and load reports.
 
-    Args:
-        resources: all resources that exist.
-        leaving: names of targets that the instance list shows as leaving.
-        loads: latest report by engine name.
+class Subset:
+    """The engines of one model that a node uses, those of its own domain first.
 
-    .. versionadded:: 0.1.0
+    Rendezvous hashing spreads the nodes over the engines, and a change of one
+    engine changes at most one place of a node's subset.
     """
-    by_model = collections.defaultdict(list)
-    declared = _parsed(resources, "model")
-    for name, engine in _parsed(resources, "engine").items():
-        if engine.drain or name in leaving:
-            continue
+
+    def __init__(self, node: str, domain: str, size: int) -> None:
+        """Creates an empty subset.
+
+        Args:
+            node: name of the node.
+            domain: the node's failure domain.
+            size: how many engines the node uses at most.
+        """
+        self._node = node
+        self._domain = domain
+        self._size = size
+        self._ranked: dict[str, tuple[tuple[bool, bytes], EngineView]] = {}
+
+    def put(self, engine: EngineView) -> None:
+        """Adds an engine, or replaces the one with its name."""
+        text = f"{self._node}/{engine.name}".encode()
+        distance = hashlib.blake2b(text, digest_size=8).digest()
+        rank = (engine.domain != self._domain, distance)
+        self._ranked[engine.name] = (rank, engine)
+
+    def discard(self, name: str) -> None:
+        """Removes an engine, if it is there."""
+        self._ranked.pop(name, None)
+
+    def chosen(self) -> tuple[EngineView, ...]:
+        """Returns the engines in use, nearest first."""
+        ranked = self._ranked.values()
+        nearest = heapq.nsmallest(self._size, ranked, key=operator.itemgetter(0))
+        return tuple(engine for _, engine in nearest)
+
+
+class ViewBuilder:
+    """Keeps parsed resources and rebuilds only what a change concerns."""
+
+    def __init__(self, node: str, domain: str, engines_per_model: int) -> None:
+        """Creates the builder of an empty view.
+
+        Args:
+            node: name of the instance, which decides its subset of engines.
+            domain: the instance's failure domain.
+            engines_per_model: largest size of the subset.
+        """
+        self._node = node
+        self._domain = domain
+        self._size = engines_per_model
+        self._parsed: dict[str, dict[str, object]] = {}
+        self._subsets: dict[str, Subset] = {}
+        self._reset()
+
+    def _reset(self) -> None:
+        self._parsed = {kind: {} for kind in configuration.kinds()}
+        self._subsets = {}
+        self._view = View(
+            engines_by_model={},
+            adapters={},
+            services={},
+            tenants_by_key={},
+            tenants={},
+            leaving=frozenset(),
+            loads={},
+        )
+
+    def update(self, resources: list[configuration.Resource], *, whole: bool) -> None:
+        """Takes changes in order, or all resources."""
+        if whole:
+            self._reset()
+        touched = set()
+        for res in resources:
+            self._take(res)
+            touched.add(res.kind)
+        for kind in touched:
+            _REBUILD.get(kind, _nothing)(self)
+
+    def _take(self, res: configuration.Resource) -> None:
+        value = None
+        if res.value is not None:
+            value = configuration.parse(res.kind, res.value)
+        if res.kind == "engine":
+            self._replace_engine(res.name, value)
+        if value is None:
+            self._parsed[res.kind].pop(res.name, None)
+        else:
+            self._parsed[res.kind][res.name] = value
+
+    def _replace_engine(self, name: str, engine: configuration.Engine | None) -> None:
+        old = self._parsed["engine"].get(name)
+        for model in old.models if old is not None else ():
+            self._subset(model).discard(name)
+        if engine is None or engine.drain:
+            return
+        found = EngineView(
+            name=name,
+            domain=engine.domain,
+            address=engine.address,
+            role=engine.role,
+            priority=engine.priority,
+        )
         for model in engine.models:
-            by_model[model].append(_engine_view(name, engine, loads.get(name)))
-    tenants = _parsed(resources, "tenant")
-    by_key = {key: n for n, t in tenants.items() for key in t.key_sha256}
-    return View(
-        engines_by_model={m: tuple(by_model[m]) for m in declared},
-        adapters={n: a.model for n, a in _parsed(resources, "adapter").items()},
-        services=_parsed(resources, "service"),
-        tenants_by_key=by_key,
-        tenants=tenants,
-        leaving=leaving,
-    )
+            self._subset(model).put(found)
+
+    def _subset(self, model: str) -> Subset:
+        if model not in self._subsets:
+            self._subsets[model] = Subset(self._node, self._domain, self._size)
+        return self._subsets[model]
+
+    def view(self, leaving: frozenset[str], loads: Mapping[str, LoadView]) -> View:
+        """Returns the view with the given state of the fleet."""
+        self._view = attrs.evolve(self._view, leaving=leaving, loads=loads)
+        return self._view
+
+    def specs(self) -> dict[str, EngineSpec]:
+        """Returns what is asked of each engine of the own domain, by name."""
+        engines = self._parsed["engine"].items()
+        return {n: self._spec(e) for n, e in engines if e.domain == self._domain}
+
+    def _spec(self, engine: configuration.Engine) -> EngineSpec:
+        models = self._parsed["model"]
+        adapters = self._parsed["adapter"].items()
+        loads = [f"{m}@{models[m].version}" for m in engine.models if m in models]
+        loads += [name for name, a in adapters if a.model in engine.models]
+        return EngineSpec(
+            address=engine.address, role=engine.role, loads=tuple(sorted(loads))
+        )
+
+    def _engines(self) -> None:
+        chosen = {m: self._subset(m).chosen() for m in self._parsed["model"]}
+        self._view = attrs.evolve(self._view, engines_by_model=chosen)
+
+    def _adapters(self) -> None:
+        adapters = {n: a.model for n, a in self._parsed["adapter"].items()}
+        self._view = attrs.evolve(self._view, adapters=adapters)
+
+    def _services(self) -> None:
+        services = dict(self._parsed["service"])
+        self._view = attrs.evolve(self._view, services=services)
+
+    def _tenants(self) -> None:
+        tenants = dict(self._parsed["tenant"])
+        by_key = {key: n for n, t in tenants.items() for key in t.key_sha256}
+        self._view = attrs.evolve(self._view, tenants=tenants, tenants_by_key=by_key)
+
+
+def _nothing(builder: ViewBuilder) -> None:
+    """Rebuilds nothing: the kind doesn't concern routing."""
+
+
+_REBUILD = {
+    "model": ViewBuilder._engines,
+    "engine": ViewBuilder._engines,
+    "adapter": ViewBuilder._adapters,
+    "service": ViewBuilder._services,
+    "tenant": ViewBuilder._tenants,
+}
--- a/src/turmericward/requests/_router.py
+++ b/src/turmericward/requests/_router.py
@@ -3,6 +3,7 @@
 import collections
 import hashlib
 import random
+from collections.abc import Mapping
 
 import attrs
 import result
@@ -95,6 +96,7 @@
         self,
         demand: _demand.Demand,
         engines: tuple[fleet.EngineView, ...],
+        reports: Mapping[str, fleet.LoadView],
         excluded: frozenset[str],
         now: float,
     ) -> result.Result[Assignment, Refusal]:
@@ -103,7 +105,8 @@
         Args:
             demand: what the request asks for.
             engines: engines that serve the model.
-            excluded: engines that are held or have failed this request.
+            reports: latest load report by engine name.
+            excluded: engines that are held, leave or have failed this request.
             now: monotonic seconds.
         """
         usable = [
@@ -115,7 +118,7 @@
             return result.Err(
                 Refusal(reason="no_engine", retry_after_s=NO_ENGINE_RETRY_S)
             )
-        loads = {e.name: self._load(e, now) for e in usable}
+        loads = {e.name: self._load(e.name, reports.get(e.name)) for e in usable}
         engine = self._pick(demand, usable, loads)
         wait_s = self._first_token_s(engine.name, loads[engine.name], demand)
         bound_s = self._classes[demand.traffic_class].first_token_s
@@ -124,16 +127,15 @@
             return result.Err(Refusal(reason="overloaded", retry_after_s=retry_s))
         return result.Ok(self._assign(engine, units_of(demand), now))
 
-    def _load(self, engine: fleet.EngineView, now: float) -> float:
-        own = self._own[engine.name]
-        report = engine.load
+    def _load(self, engine: str, report: fleet.LoadView | None) -> float:
+        own = self._own[engine]
         if report is None:
-            self._since.pop(engine.name, None)
+            self._since.pop(engine, None)
             return own
         reported = (report.running + report.queued) * REPORTED_REQUEST_UNITS
-        sent = self._since.get(engine.name, [])
+        sent = self._since.get(engine, [])
         sent = [(at, units) for at, units in sent if at > report.at]
-        self._since[engine.name] = sent
+        self._since[engine] = sent
         return max(own, reported + sum(units for _, units in sent))
 
     def _pick(self, demand, usable, loads) -> fleet.EngineView:
--- a/src/turmericward/settings/_schema.py
+++ b/src/turmericward/settings/_schema.py
@@ -78,6 +78,9 @@
     max_body_bytes: int = attrs.field(
         default=8 * 1024 * 1024, validator=validators.between(1024, 1 << 30)
     )
+    engines_per_model: int = attrs.field(
+        default=32, validator=validators.between(1, 1024)
+    )
     classes: dict[str, ClassBounds] = attrs.field(factory=_default_classes)
 
     def __attrs_post_init__(self) -> None:
--- a/src/turmericward/steward/_configuration_task.py
+++ b/src/turmericward/steward/_configuration_task.py
@@ -7,8 +7,8 @@
 
 from absl import logging
 
-from turmericward import authority, configuration, membership, runtime
-from turmericward.adapters import log
+from turmericward import authority, configuration, fleet, membership, runtime
+from turmericward.adapters import instances, log
 from turmericward.steward import _messages
 from turmericward.wire import ttypes
 
@@ -37,6 +37,10 @@
         self._authority = authority_task
         self._fleet = fleet_loop
         self._replay = configuration.Replay(0)
+        self._views = fleet.ViewBuilder(
+            cfg.instance.name, cfg.instance.domain, cfg.entry.engines_per_model
+        )
+        self._viewed = -1
         self._proposals = runtime.Waiters()
         self._polls = runtime.Waiters()
         self._confirmations = runtime.Waiters()
@@ -79,9 +83,18 @@
 
     def _changed(self) -> None:
         if self._ready():
-            engines = _desired(self._ledger, self._cfg.instance.domain)
+            self._update_views()
+            specs = self._views.specs()
+            engines = {
+                name: _messages.DesiredEngine(
+                    name=name,
+                    address=found.address,
+                    spec=authority.Spec(role=found.role, loads=found.loads),
+                )
+                for name, found in specs.items()
+            }
             self._authority.post(_messages.Desired(engines=engines))
-            self._fleet.watch(_engine_addresses(self._ledger))
+            self._fleet.watch(self._polled_engines())
         self._wake()
 
     @handle.register
@@ -96,6 +109,18 @@
         self._caught_up = False
         self._replay = configuration.Replay(message.first)
 
+    def _update_views(self) -> None:
+        changes = self._ledger.since(self._viewed)
+        whole = changes is None
+        self._views.update(self._ledger.live() if whole else changes, whole=whole)
+        self._viewed = self._ledger.applied
+
+    def _polled_engines(self) -> dict[str, str]:
+        """Returns name and address of the engines that this instance uses."""
+        view = self._views.view(frozenset(), {})
+        used = [e for engines in view.engines_by_model.values() for e in engines]
+        return {e.name: e.address for e in used}
+
     def _fold(self, offset: int, value: object) -> None:
         verdict = self._replay.feed(offset, value)
         self._since_snapshot += 1
@@ -244,13 +269,18 @@
             whole=whole,
             resources=[_wire_resource(r) for r in resources],
             fleet_version=self._fleet_version,
-            instances=[_wire_instance(i) for i in self._instances],
+            instances=[_wire_instance(i) for i in self._instances if self._tells(i)],
             loads=[_wire_load(n, load, now) for n, load in self._loads.items()],
             holds=[_wire_hold(h, now) for h in self._holds.active(now)],
             ready=True,
             released=self._holds.released(now),
         )
 
+    def _tells(self, row: instances.Instance) -> bool:
+        """Tells whether an entry needs the row: peers, and what leaves."""
+        near = row.domain == self._cfg.instance.domain
+        return row.leaving or (row.kind == instances.ENTRY and near)
+
     def _wake(self) -> None:
         if not self._ready():
             return
@@ -285,34 +315,6 @@
         )
 
 
-def _desired(
-    ledger: configuration.Ledger, domain: str
-) -> dict[str, _messages.DesiredEngine]:
-    values = [
-        (res.kind, res.name, configuration.parse(res.kind, res.value))
-        for res in ledger.live()
-    ]
-    versions = {name: value.version for kind, name, value in values if kind == "model"}
-    adapters = {name: value.model for kind, name, value in values if kind == "adapter"}
-    desired = {}
-    for kind, name, engine in values:
-        if kind != "engine" or engine.domain != domain:
-            continue
-        loads = [f"{m}@{versions[m]}" for m in engine.models if m in versions]
-        loads += [a for a, model in adapters.items() if model in engine.models]
-        spec = authority.Spec(role=engine.role, loads=tuple(sorted(loads)))
-        desired[name] = _messages.DesiredEngine(
-            name=name, address=engine.address, spec=spec
-        )
-    return desired
-
-
-def _engine_addresses(ledger: configuration.Ledger) -> dict[str, str]:
-    return {
-        res.name: res.value["address"] for res in ledger.live() if res.kind == "engine"
-    }
-
-
 def _wire_resource(res: configuration.Resource) -> ttypes.Resource:
     deleted = res.value is None
     return ttypes.Resource(
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -12,7 +12,7 @@
 }
 
 
-def _engines(count: int, load: fleet.LoadView | None = None):
+def _engines(count: int):
     return tuple(
         fleet.EngineView(
             name=f"e{n}",
@@ -20,7 +20,6 @@
             address="127.0.0.1:1",
             role="mixed",
             priority=0,
-            load=load,
         )
         for n in range(count)
     )
@@ -35,8 +34,10 @@
     return requests.Router(1, "a", CLASSES)
 
 
-def _choose(router, text: str, engines, excluded=frozenset(), now: float = 0.0):
-    return router.choose(_demand(text), engines, excluded, now)
+def _choose(
+    router, text: str, engines, excluded=frozenset(), now: float = 0.0, reports=None
+):
+    return router.choose(_demand(text), engines, reports or {}, excluded, now)
 
 
 def test_equal_prefixes_go_to_one_engine_until_it_is_overfull():
@@ -54,9 +55,10 @@
 
 def test_own_requests_correct_a_stale_report():
     idle = fleet.LoadView(running=0, queued=0, role="mixed", at=0.0)
+    reports = {f"e{n}": idle for n in range(4)}
     router = _router()
     chosen = collections.Counter(
-        _choose(router, str(n), _engines(4, idle), now=1.0).unwrap().engine
+        _choose(router, str(n), _engines(4), now=1.0, reports=reports).unwrap().engine
         for n in range(200)
     )
     check.assertLess(max(chosen.values()), 80)
@@ -82,7 +84,7 @@
     router = _router()
     engines = _engines(1)
     answers = [
-        router.choose(_demand("x", "urgent"), engines, frozenset(), 0.0)
+        router.choose(_demand("x", "urgent"), engines, {}, frozenset(), 0.0)
         for _ in range(100)
     ]
     refused = [a.unwrap_err() for a in answers if a.is_err()]
--- a/tests/test_router_task.py
+++ b/tests/test_router_task.py
@@ -25,7 +25,9 @@
     resources = [
         configuration.Resource(kind=k, name=n, version=1, value=v) for k, n, v in rows
     ]
-    return fleet.build_view(resources, frozenset(), {})
+    builder = fleet.ViewBuilder("a0", "a", 32)
+    builder.update(resources, whole=True)
+    return builder.view(frozenset(), {})
 
 
 def _task() -> _router_task.RouterTask:
