Run 1,000 streams over random faults and 50 role changes under load

Cause: streams and changes were proved for single faults and changes only. Ruled out: a fake engine in the test's own process (the product's processes are what has to hold).

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -115,9 +115,14 @@
     return _cpu_ms(change, 20)
 
 
-def _report_ms(size: int) -> float:
+def _builder(size: int) -> fleet.ViewBuilder:
     builder = fleet.ViewBuilder("node", "d1", ENGINES_PER_MODEL)
     builder.update(_ledger(size).live(), whole=True)
+    return builder
+
+
+def _report_ms(size: int) -> float:
+    builder = _builder(size)
     return _cpu_ms(lambda _: builder.view(frozenset(), {}))
 
 
@@ -227,10 +232,12 @@
 def _measure() -> list[Slope]:
     kb = [_memory_kb(lambda s=s: _ledger(s)) for s in SIZES]
     claims_kb = [_memory_kb(lambda s=s: _claims(s)) for s in SIZES]
+    views_kb = [_memory_kb(lambda s=s: _builder(s)) for s in SIZES]
     snapshots = [len(json.dumps(_ledger(s).snapshot())) / 1024 for s in SIZES]
     answers = [_wire_bytes(_fleet_answer(n)) / 1024 for n in ENGINE_SIZES]
     return [
         _fit("ledger memory / resource", "KB", SIZES, kb),
+        _fit("view memory / resource", "KB", SIZES, views_kb),
         _fit("snapshot size / resource", "KB", SIZES, snapshots),
         _fit("fold of a change / resource", "ms", SIZES, [_fold_ms(s) for s in SIZES]),
         _fit(
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -4,12 +4,14 @@
 can be checked. A role change cuts whatever still runs and lasts `--change-s`.
 `GET /_orders` returns every order taken, `GET /_requests` every start of work.
 Faults by `POST /_faults`: `die_after` (events), `break_after`, `duplicate`,
-`foreign`, `refuse`.
+`foreign`, `refuse`; `random_share` of requests get one of them, drawn by
+`random_seed`: broken off, an event twice or left out, another's id, not begun.
 """
 
 import hashlib
 import json
 import os
+import random
 import socket
 import threading
 import time
@@ -29,6 +31,8 @@
     duplicate: bool = False
     foreign: int = 0
     refuse: bool = False
+    random_share: float = 0.0
+    random_seed: int = 0
 
 
 @attrs.define
@@ -96,6 +100,7 @@
         self._starts: list[dict] = []
         self._report = (0.0, {})
         self._faults = _Faults()
+        self._random = random.Random(0)
 
     def do(self, req: _http.Handler) -> None:
         """Answers one request."""
@@ -103,6 +108,7 @@
         if path == "/_faults":
             for name, value in req.json().items():
                 setattr(self._faults, name, value)
+            self._random = random.Random(self._faults.random_seed)
             req.answer(200, {})
         elif path == "/_orders":
             req.answer(200, {"orders": [attrs.asdict(o) for o in self._orders]})
@@ -159,8 +165,11 @@
         if self._faults.foreign:
             self._faults.foreign -= 1
             request_id = "foreign"
+        drawn = self._draw()
+        if drawn == "foreign":
+            request_id = "foreign"
         headers = [("X-Request-Id", request_id)]
-        if self._changing() or self._faults.refuse:
+        if self._changing() or self._faults.refuse or drawn == "refuse":
             req.answer(503, {"error": {"message": "not started"}}, headers)
             return
         body = req.json()
@@ -173,20 +182,22 @@
             self._queued -= 1
             self._running += 1
         try:
-            self._generate(req, body, request_id, epoch)
+            self._generate(req, body, request_id, epoch, drawn)
         finally:
             with self._lock:
                 self._running -= 1
                 self._lock.notify()
 
-    def _generate(self, req, body: dict, request_id: str, epoch: int) -> None:
+    def _generate(
+        self, req, body: dict, request_id: str, epoch: int, drawn: str
+    ) -> None:
         prompt = json.dumps(body.get("messages", body.get("prompt")))
         prompt += " of another" if request_id == "foreign" else ""
         count = body.get("max_tokens") or body.get("max_completion_tokens") or 16
         words = words_of(prompt, count)
         chat = "messages" in body
         if body.get("stream"):
-            self._stream(req, body, request_id, epoch, words, chat)
+            self._stream(req, body, request_id, epoch, words, chat, drawn)
             return
         for _ in range(count):
             time.sleep(self._token_s)
@@ -204,16 +215,20 @@
         value["choices"] = [choice]
         req.answer(200, value, [("X-Request-Id", request_id)])
 
-    def _stream(self, req, body, request_id, epoch, words, chat: bool) -> None:
+    def _stream(
+        self, req, body, request_id, epoch, words, chat: bool, drawn: str
+    ) -> None:
         req.send_response(200)
         req.send_header("Content-Type", "text/event-stream")
         req.send_header("X-Request-Id", request_id)
         req.send_header("Transfer-Encoding", "chunked")
         req.end_headers()
         after = int(req.headers.get("Last-Event-ID", 0))
+        bad = self._random.randint(1, len(words)) if drawn else 0
         for number, word in enumerate(words[after:], start=after + 1):
             time.sleep(self._token_s)
-            if epoch != self._epoch or not self._go_on(number):
+            broken = drawn == "break" and number == bad
+            if broken or epoch != self._epoch or not self._go_on(number):
                 req.close_connection = True
                 req.connection.shutdown(socket.SHUT_RDWR)
                 return
@@ -225,10 +240,20 @@
             value["object"] = "chat.completion.chunk" if chat else "text_completion"
             value["choices"] = [{"index": 0, "finish_reason": done} | delta]
             event = f"id: {number}\ndata: {json.dumps(value)}\n\n".encode()
-            self._chunk(req, event * (2 if self._faults.duplicate else 1))
+            self._chunk(req, event * self._times(drawn, number == bad))
         self._chunk(req, b"data: [DONE]\n\n")
         self._chunk(req, b"")
 
+    def _draw(self) -> str:
+        if self._random.random() >= self._faults.random_share:
+            return ""
+        return self._random.choice(("break", "twice", "omit", "foreign", "refuse"))
+
+    def _times(self, drawn: str, bad: bool) -> int:
+        if bad and drawn == "omit":
+            return 0
+        return 2 if self._faults.duplicate or (bad and drawn == "twice") else 1
+
     def _go_on(self, number: int) -> bool:
         if self._faults.die_after and number > self._faults.die_after:
             os._exit(1)
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from standins import launch
+from standins import engine, launch
 from tests import fixtures
 
 check = fixtures.check
@@ -199,6 +199,51 @@
     check.assertGreaterEqual(sum(counts), int(least))
 
 
+@verb("streams")
+def _streams(world, at, count, workers, whole, tokens="30") -> None:
+    """Sends streams; each is whole and its own, or ends in a true error.
+
+    `whole` is the least number of streams that have to be whole.
+    """
+    nodes = at.split(",")
+
+    def send(number: int) -> bool:
+        name = f"s{number}"
+        _stream(world, name, nodes[number % len(nodes)], tokens)
+        return _whole_or_true_error(world.answers[name], name, int(tokens))
+
+    with futures.ThreadPoolExecutor(int(workers)) as executor:
+        found = list(executor.map(send, range(int(count))))
+    check.assertGreaterEqual(sum(found), int(whole))
+
+
+def _whole_or_true_error(answer: Answer, name: str, tokens: int) -> bool:
+    prompt = json.dumps([{"role": "user", "content": name}])
+    expected = engine.words_of(prompt, tokens)
+    if answer.status != 200:
+        check.assertIn(answer.outcome, ("not_run", "unknown"), answer)
+        return False
+    if answer.body.endswith(b"data: [DONE]\n\n"):
+        check.assertEqual(fixtures.stream_words(answer.body), expected, name)
+        return True
+    *events, last, _ = answer.body.decode().split("\n\n")
+    check.assertIn('"error"', last)
+    chunks = [json.loads(e.removeprefix("data: ")) for e in events]
+    words = [c["choices"][0]["delta"]["content"] for c in chunks]
+    check.assertEqual(words, expected[: len(words)], name)
+    return False
+
+
+@verb("changes")
+def _changes(world, engine, roles, count) -> None:
+    """Changes an engine's role again and again, waiting for each."""
+    names = roles.split(",")
+    for number in range(int(count)):
+        role = names[number % len(names)]
+        _patch(world, "engine", engine, json.dumps({"role": role}))
+        _wait_role(world, engine, role, "30")
+
+
 @verb("join")
 def _join(world) -> None:
     for fut in world.running:
@@ -366,8 +411,6 @@
 @verb("expect_whole")
 def _expect_whole(world, tokens, *names) -> None:
     """The streams were answered whole, each with its own text."""
-    from standins import engine
-
     for name in names:
         answer = world.answers[name]
         check.assertEqual(answer.status, 200, (name, answer))
