--- a/src/turmericward/entry/_follow_loop.py
+++ b/src/turmericward/entry/_follow_loop.py
@@ -43,13 +43,14 @@
         self._fleet_version = -1
         self._drained: list[str] = []
         self._holding = False
-        self._peers: list[str] = list(cfg.steward.seeds)
+        self._peers: list[str] = []
         self._attempt = 0
         self._return_at = 0.0
 
     def stewards(self) -> list[str]:
         """Returns the addresses of stewards, the instance's own first."""
-        return [self._own, *self._peers]
+        seeds = self._cfg.steward.seeds
+        return list(dict.fromkeys([self._own, *self._peers, *seeds]))
 
     def step(self) -> None:
         """Polls once and passes on what is new."""
@@ -118,7 +119,7 @@
         far = [i for i in entries if i.domain != self._cfg.instance.domain]
         addresses = [f"{i.address}:{self._cfg.steward.port}" for i in near + far]
         if addresses:
-            self._peers = [a for a in addresses if a != self._own]
+            self._peers = addresses
 
     def closed(self) -> None:
         """Closes the connection."""
--- a/src/turmericward/entry/_relay.py
+++ b/src/turmericward/entry/_relay.py
@@ -11,8 +11,6 @@
 
 MAX_ATTEMPTS = 4
 CLIENT_CLOSED_REQUEST = 499
-PRIORITIES = {"urgent": 0, "standard": 1, "patient": 2}
-LOWEST_PRIORITY = 3
 DONE_EVENT = b"data: [DONE]\n\n"
 _STATUS = {"no_engine": 503, "overloaded": 429, "retry_budget": 503}
 
@@ -35,7 +33,7 @@
             path=req.path,
             body=req.body,
             request_id=req.id,
-            priority=PRIORITIES.get(demand.traffic_class, LOWEST_PRIORITY),
+            priority=demand.priority,
             cancelled=req.disconnected,
         )
         self._bounds = ctx.cfg.entry.classes[demand.traffic_class]
--- a/src/turmericward/requests/_demand.py
+++ b/src/turmericward/requests/_demand.py
@@ -9,6 +9,8 @@
 CHARS_PER_TOKEN = 4
 PIECE_TOKENS = 2000
 DEFAULT_OUTPUT_TOKENS = 256
+PRIORITIES = {"urgent": 0, "standard": 1, "patient": 2}
+LOWEST_PRIORITY = 3
 
 
 @attrs.frozen(kw_only=True)
@@ -21,6 +23,12 @@
     prompt_tokens: int
     output_tokens: int
     prefix: str
+    prefix_tokens: int
+
+    @property
+    def priority(self) -> int:
+        """Priority that engines get; lower numbers go first."""
+        return PRIORITIES.get(self.traffic_class, LOWEST_PRIORITY)
 
 
 def _prompt_text(body: dict) -> str:
@@ -96,6 +104,7 @@
         tenant=tenant,
         prompt_tokens=len(text) // CHARS_PER_TOKEN + 1,
         output_tokens=_output_tokens(body),
+        prefix_tokens=min(PIECE_TOKENS, len(text) // CHARS_PER_TOKEN),
         prefix=hashlib.blake2b(head.encode(), digest_size=8).hexdigest(),
     )
 
--- a/src/turmericward/requests/_router.py
+++ b/src/turmericward/requests/_router.py
@@ -9,15 +9,12 @@
 import result
 
 from turmericward import fleet
-from turmericward.requests import _demand
-
-PREFILL_TOKENS_PER_UNIT = 2000
-DECODE_TOKENS_PER_UNIT = 100
-LOAD_BOUND = 1.25
-SLACK_UNITS = 2.0
-LEARNING_RATE = 0.1
-FIRST_SECONDS_PER_UNIT = 0.02
-REPORTED_REQUEST_UNITS = 2.0
+from turmericward.requests import _book, _demand, _prefixes
+
+FIRST_SECONDS_PER_TOKEN = 1 / 10_000
+LEARNING_RATE = 0.05
+SECONDS_PER_OPEN_REQUEST = 0.02
+RANDOM_CANDIDATES = 2
 NO_ENGINE_RETRY_S = 2.0
 MIN_RETRY_S = 1.0
 
@@ -31,12 +28,12 @@
 
 @attrs.frozen(kw_only=True)
 class Assignment:
-    """The engine that a request goes to, and what it is counted as there."""
+    """The engine that a request goes to, and the prefill it finds before it."""
 
     id: int
     engine: str
     address: str
-    units: float
+    tokens: float
 
 
 @attrs.frozen(kw_only=True)
@@ -47,27 +44,25 @@
     retry_after_s: float
 
 
-@attrs.define
-class _Learned:
-    seconds_per_unit: float = FIRST_SECONDS_PER_UNIT
+@attrs.frozen(kw_only=True)
+class _Candidate:
+    """An engine with the work before a request there and its expected times."""
+
+    engine: fleet.EngineView
+    tokens: float
+    first_token_s: float
+    score_s: float
 
 
 def _affinity(prefix: str, engine: str) -> bytes:
     return hashlib.blake2b(f"{prefix}/{engine}".encode(), digest_size=8).digest()
 
 
-def units_of(demand: _demand.Demand) -> float:
-    """Returns the work of a request: prefill and decode in one measure."""
-    prefill = demand.prompt_tokens / PREFILL_TOKENS_PER_UNIT
-    decode = demand.output_tokens / DECODE_TOKENS_PER_UNIT
-    return prefill + decode
-
-
 class Router:
-    """Routes by prefix affinity under a load bound, else by two random choices.
+    """Takes the best of the prefix's own engine and two random ones.
 
-    Load reports lag, so an engine's load is its last report or the requests
-    this process has there, whichever is more, plus what it sent since.
+    An engine's work is estimated from the requests that this process has there
+    and the last report, since a report alone is always stale.
     """
 
     def __init__(self, seed: int, domain: str, classes: dict[str, Bounds]) -> None:
@@ -75,15 +70,19 @@
 
         Args:
             seed: seed of the random choices.
-            domain: failure domain whose engines go first when loads are equal.
+            domain: failure domain whose engines go first when scores are equal.
             classes: bounds by class name.
         """
         self._random = random.Random(seed)
         self._domain = domain
         self._classes = classes
-        self._own: dict[str, float] = collections.defaultdict(float)
-        self._since: dict[str, list[tuple[float, float]]] = {}
-        self._learned: dict[str, _Learned] = collections.defaultdict(_Learned)
+        self._books: dict[str, _book.EngineBook] = collections.defaultdict(
+            _book.EngineBook
+        )
+        self._seconds_per_token: dict[str, float] = collections.defaultdict(
+            lambda: FIRST_SECONDS_PER_TOKEN
+        )
+        self._prefixes = _prefixes.PrefixMemory()
         self._open: dict[int, Assignment] = {}
         self._last_id = 0
         self.health = fleet.Health()
@@ -118,64 +117,67 @@
             return result.Err(
                 Refusal(reason="no_engine", retry_after_s=NO_ENGINE_RETRY_S)
             )
-        loads = {e.name: self._load(e.name, reports.get(e.name)) for e in usable}
-        engine = self._pick(demand, usable, loads)
-        wait_s = self._first_token_s(engine.name, loads[engine.name], demand)
+        best = self._best(demand, usable, reports)
         bound_s = self._classes[demand.traffic_class].first_token_s
-        if wait_s > bound_s:
-            retry_s = max(MIN_RETRY_S, wait_s - bound_s)
+        if best.first_token_s > bound_s:
+            retry_s = max(MIN_RETRY_S, best.first_token_s - bound_s)
             return result.Err(Refusal(reason="overloaded", retry_after_s=retry_s))
-        return result.Ok(self._assign(engine, units_of(demand), now))
-
-    def _load(self, engine: str, report: fleet.LoadView | None) -> float:
-        own = self._own[engine]
-        if report is None:
-            self._since.pop(engine, None)
-            return own
-        reported = (report.running + report.queued) * REPORTED_REQUEST_UNITS
-        sent = self._since.get(engine, [])
-        sent = [(at, units) for at, units in sent if at > report.at]
-        self._since[engine] = sent
-        return max(own, reported + sum(units for _, units in sent))
-
-    def _pick(self, demand, usable, loads) -> fleet.EngineView:
-        mean = sum(loads.values()) / len(loads)
-        limit = mean * LOAD_BOUND + SLACK_UNITS
-        ranked = sorted(usable, key=lambda e: _affinity(demand.prefix, e.name))
-        preferred = ranked[0]
-        if loads[preferred.name] <= limit:
-            return preferred
-        pair = self._random.sample(usable, min(2, len(usable)))
-        return min(pair, key=lambda e: (loads[e.name], e.domain != self._domain))
-
-    def _first_token_s(self, engine: str, load: float, demand) -> float:
-        prefill = demand.prompt_tokens / PREFILL_TOKENS_PER_UNIT
-        return (load + prefill) * self._learned[engine].seconds_per_unit
-
-    def _assign(self, engine, units: float, now: float) -> Assignment:
+        return result.Ok(self._assign(demand, best, now))
+
+    def _best(self, demand, usable, reports) -> _Candidate:
+        preferred = min(usable, key=lambda e: _affinity(demand.prefix, e.name))
+        count = min(RANDOM_CANDIDATES, len(usable))
+        chosen = [preferred, *self._random.sample(usable, count)]
+        candidates = [self._candidate(demand, e, reports.get(e.name)) for e in chosen]
+        return min(
+            candidates, key=lambda c: (c.score_s, c.engine.domain != self._domain)
+        )
+
+    def _candidate(self, demand, engine, report) -> _Candidate:
+        book = self._books[engine.name]
+        cached = self._prefixes.cached(engine.name, demand.prefix)
+        own = max(1, demand.prompt_tokens - cached)
+        tokens = book.tokens_ahead(demand.priority, report) + own
+        first_token_s = tokens * self._seconds_per_token[engine.name]
+        crowd_s = book.open_requests(report) * SECONDS_PER_OPEN_REQUEST
+        return _Candidate(
+            engine=engine,
+            tokens=tokens,
+            first_token_s=first_token_s,
+            score_s=first_token_s + crowd_s,
+        )
+
+    def _assign(self, demand, best: _Candidate, now: float) -> Assignment:
         self._last_id += 1
+        name = best.engine.name
         assignment = Assignment(
-            id=self._last_id, engine=engine.name, address=engine.address, units=units
+            id=self._last_id,
+            engine=name,
+            address=best.engine.address,
+            tokens=best.tokens,
         )
+        cached = self._prefixes.cached(name, demand.prefix)
+        entrant = _book.entrant_of(demand, cached, now)
         self._open[assignment.id] = assignment
-        self._own[engine.name] += units
-        self._since.setdefault(engine.name, []).append((now, units))
-        self.health.started(engine.name)
+        self._books[name].add(assignment.id, entrant)
+        self._prefixes.note(name, demand.prefix, demand.prefix_tokens)
+        self.health.started(name)
         return assignment
 
     def first_token(self, assignment: Assignment, took_s: float) -> None:
         """Learns an engine's speed from the time to a first token."""
-        load = max(1.0, self._own[assignment.engine])
-        learned = self._learned[assignment.engine]
-        seen = took_s / load
-        learned.seconds_per_unit += LEARNING_RATE * (seen - learned.seconds_per_unit)
+        self._books[assignment.engine].began(assignment.id)
+        known = self._seconds_per_token[assignment.engine]
+        seen = took_s / assignment.tokens
+        self._seconds_per_token[assignment.engine] += LEARNING_RATE * (seen - known)
 
     def finished(self, assignment: Assignment, failed: bool, now: float) -> None:
         """Ends the assignment; repeated calls have no effect."""
         if self._open.pop(assignment.id, None) is None:
             return
-        self._own[assignment.engine] -= assignment.units
+        self._books[assignment.engine].end(assignment.id)
         if failed:
             self.health.failed(assignment.engine, now)
+            self._prefixes.forget_engine(assignment.engine)
         else:
             self.health.succeeded(assignment.engine)
--- a/src/turmericward/steward/_configuration_task.py
+++ b/src/turmericward/steward/_configuration_task.py
@@ -1,6 +1,7 @@
 """Task that folds the configuration stream and answers the entries' polls."""
 
 import functools
+import heapq
 import json
 import time
 import zlib
@@ -15,6 +16,7 @@
 CONFIG_STREAM = "config"
 PROPOSE_TIMEOUT_S = 5.0
 SNAPSHOT_APPEND_S = 30.0
+FAR_STEWARDS = 4
 
 
 class ConfigurationTask(runtime.Task):
@@ -275,17 +277,29 @@
             whole=whole,
             resources=[_wire_resource(r) for r in resources],
             fleet_version=self._fleet_version,
-            instances=[_wire_instance(i) for i in self._instances if self._tells(i)],
+            instances=[_wire_instance(i) for i in self._told_instances()],
             loads=[_wire_load(n, load, now) for n, load in self._loads.items()],
             holds=[_wire_hold(h, now) for h in self._holds.active(now)],
             ready=True,
             released=self._holds.released(now),
         )
 
-    def _tells(self, row: instances.Instance) -> bool:
-        """Tells whether an entry needs the row: peers, and what leaves."""
-        near = row.domain == self._cfg.instance.domain
-        return row.leaving or (row.kind == instances.ENTRY and near)
+    def _told_instances(self) -> list[instances.Instance]:
+        """Returns the rows that entries need: what leaves, and stewards.
+
+        These are the stewards of the own domain, and a few others for when
+        the own domain's are all away.
+        """
+        domain = self._cfg.instance.domain
+        stewards = [i for i in self._instances if i.kind == instances.ENTRY]
+        far = [i for i in stewards if i.domain != domain]
+        far = heapq.nsmallest(FAR_STEWARDS, far, key=self._distance)
+        told = [i for i in stewards if i.domain == domain] + far
+        leaving = [i for i in self._instances if i.leaving and i not in told]
+        return told + leaving
+
+    def _distance(self, row: instances.Instance) -> int:
+        return zlib.crc32(f"{self._cfg.instance.name}/{row.name}".encode())
 
     def _wake(self) -> None:
         if not self._ready():
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -42,12 +42,15 @@
 
 def test_equal_prefixes_go_to_one_engine_until_it_is_overfull():
     router = _router()
-    chosen = collections.Counter(
-        _choose(router, "same", _engines(4)).unwrap().engine for _ in range(3)
-    )
-    check.assertEqual(len(chosen), 1)
+    text = "same " * 3000
+    chosen = []
+    for _ in range(3):
+        found = _choose(router, text, _engines(4)).unwrap()
+        router.first_token(found, 0.1)
+        chosen.append(found.engine)
+    check.assertEqual(len(set(chosen)), 1)
     more = collections.Counter(
-        _choose(router, "same", _engines(4)).unwrap().engine for _ in range(200)
+        _choose(router, text, _engines(4)).unwrap().engine for _ in range(200)
     )
     check.assertEqual(len(more), 4)
     check.assertLess(max(more.values()), 100)
@@ -84,13 +87,42 @@
     router = _router()
     engines = _engines(1)
     answers = [
-        router.choose(_demand("x", "urgent"), engines, {}, frozenset(), 0.0)
-        for _ in range(100)
+        router.choose(
+            _demand(f"{n}" + "x" * 1600, "urgent"), engines, {}, frozenset(), 0.0
+        )
+        for n in range(100)
     ]
     refused = [a.unwrap_err() for a in answers if a.is_err()]
     check.assertGreater(len(refused), 0)
     check.assertGreaterEqual(refused[0].retry_after_s, 1.0)
     check.assertTrue(_choose(router, "x", engines).is_ok())
+    taken = next(a.unwrap() for a in answers if a.is_ok())
+    for answer in answers:
+        if answer.is_ok():
+            router.finished(answer.unwrap(), False, 1.0)
+    check.assertTrue(
+        router.choose(_demand("x", "urgent"), engines, {}, frozenset(), 1.0).is_ok()
+    )
+    check.assertEqual(taken.engine, "e0")
+
+
+def test_urgent_work_does_not_wait_for_patient_work():
+    router = _router()
+    engines = _engines(1)
+    for _ in range(20):
+        check.assertTrue(_choose(router, "p" * 8000, engines).is_ok())
+    urgent = router.choose(_demand("x", "urgent"), engines, {}, frozenset(), 0.0)
+    check.assertTrue(urgent.is_ok())
+    check.assertLess(urgent.unwrap().tokens, 10)
+
+
+def test_work_seen_only_in_a_report_counts_as_the_entrys_own():
+    busy = fleet.LoadView(running=8, queued=24, role="mixed", at=1.0)
+    router = _router()
+    text = "x" * 4000
+    alone = _choose(router, text, _engines(1)).unwrap().tokens
+    among = _choose(router, text, _engines(1), now=2.0, reports={"e0": busy})
+    check.assertGreater(among.unwrap().tokens, 5 * alone)
 
 
 def test_finishing_twice_counts_once():
@@ -99,7 +131,7 @@
     router.finished(found, False, 0.0)
     router.finished(found, False, 0.0)
     check.assertEqual(router.in_flight(), 0)
-    check.assertEqual(router._own["e0"], 0.0)
+    check.assertEqual(router._books["e0"].open_requests(None), 0.0)
 
 
 def test_retries_are_bounded_to_a_share():
