--- a/src/turmericward/authority/__init__.py
+++ b/src/turmericward/authority/__init__.py
@@ -13,10 +13,12 @@
 from turmericward.authority._records import (
     Acquire,
     Intent,
+    LeaseState,
     OrderOutcome,
     Record,
     Release,
     Renew,
+    Snapshot,
     decode,
     encode,
 )
@@ -30,6 +32,7 @@
     "Intent",
     "Lease",
     "LeaseFold",
+    "LeaseState",
     "MalformedRecordError",
     "Order",
     "OrderBook",
@@ -38,6 +41,7 @@
     "Record",
     "Release",
     "Renew",
+    "Snapshot",
     "Spec",
     "Timing",
     "decode",
--- a/src/turmericward/authority/_contender.py
+++ b/src/turmericward/authority/_contender.py
@@ -58,6 +58,33 @@
         self._last_sent = float("-inf")
         self._until = float("-inf")
         self._not_before = float("inf")
+        self._floor = 0
+        self._known = True
+
+    @property
+    def known(self) -> bool:
+        """Whether the lease's state is known; it is not after an expiry."""
+        return self._known
+
+    def expired(self, first: int, now: float) -> None:
+        """Notes that records below `first` are gone that were not read."""
+        self._fold = _lease.LeaseFold()
+        self._until = float("-inf")
+        self._floor = first
+        self._known = False
+        self._last_read = now
+
+    def restore(self, lease: _lease.Lease, covers: int, now: float) -> None:
+        """Takes the state after every offset below `covers`."""
+        self._fold.lease = lease
+        self._known = True
+        self._last_read = now
+
+    def empty_from(self, first: int, now: float) -> None:
+        """Notes that the log holds nothing from `first` on: the lease is free."""
+        self._floor = first
+        self._known = True
+        self._last_read = now
 
     @property
     def lease(self) -> _lease.Lease:
@@ -76,8 +103,7 @@
 
     def read(self, now: float, offset: int, record: _records.Record) -> bool:
         """Folds a record that was read at `now`; tells whether it was accepted."""
-        accepted = self._fold.apply(offset, record)
-        if not accepted:
+        if not self._known or not self._fold.apply(offset, record):
             return False
         self._last_read = now
         sent_at = self._sent.pop(record.id, None)
@@ -94,7 +120,7 @@
 
     def tick(self, now: float) -> list[_records.Record]:
         """Returns the records to append at `now`."""
-        if now - self._last_sent < self._timing.renew_s:
+        if not self._known or now - self._last_sent < self._timing.renew_s:
             return []
         lease = self._fold.lease
         if lease.holder == self._holder and now < self._until:
@@ -107,6 +133,7 @@
                 holder=self._holder,
                 expected=lease.last,
                 term_s=self._timing.term_s,
+                floor=self._floor,
             )
         else:
             return []
--- a/src/turmericward/authority/_lease.py
+++ b/src/turmericward/authority/_lease.py
@@ -36,7 +36,10 @@
         return False
 
     def _acquire(self, offset: int, record: _records.Acquire) -> bool:
-        if record.expected != self.lease.last:
+        last = self.lease.last
+        if last <= record.floor:
+            last = 0
+        if record.expected != last:
             return False
         self.lease = Lease(
             holder=record.holder,
--- a/src/turmericward/authority/_orders.py
+++ b/src/turmericward/authority/_orders.py
@@ -90,6 +90,16 @@
             return None
         return order
 
+    def all_outstanding(self) -> list[Order]:
+        """Returns every order that has no outcome yet."""
+        return [o for o in self._last.values() if o.phase is OrderPhase.INTENDED]
+
+    def restore(self, intents: list[_records.Intent]) -> None:
+        """Takes the outstanding orders of a snapshot in place of its own."""
+        self._last.clear()
+        for intent in intents:
+            self._intend(intent, intent.token)
+
     def settle(self, engine: str, state: EngineState) -> OrderPhase | None:
         """Decides an outstanding order from the engine's own state.
 
--- a/src/turmericward/authority/_records.py
+++ b/src/turmericward/authority/_records.py
@@ -22,14 +22,16 @@
 class Acquire:
     """Takes the lease if the last accepted lease record is `expected`.
 
-    `expected` is that record's offset plus one, 0 on an empty stream. The
-    offset of an accepted acquire plus one is the fencing token.
+    `expected` is that record's offset plus one, 0 when there is none. Records
+    below the offset `floor` have expired from the log, long after any term.
+    The offset of an accepted acquire plus one is the fencing token.
     """
 
     id: str
     holder: str
     expected: int
     term_s: float
+    floor: int = 0
 
 
 @_record("lease.renew")
@@ -75,7 +77,28 @@
     outcome: str
 
 
-Record = Acquire | Renew | Release | Intent | OrderOutcome
+@attrs.frozen(kw_only=True)
+class LeaseState:
+    """The lease in a snapshot; the fields are those of `Lease`."""
+
+    holder: str
+    token: int
+    term_s: float
+    last: int
+
+
+@_record("authority.snapshot")
+@attrs.frozen(kw_only=True, slots=False)
+class Snapshot:
+    """Lease and outstanding orders after folding every offset below `covers`."""
+
+    id: str
+    covers: int
+    lease: LeaseState
+    orders: list[Intent]
+
+
+Record = Acquire | Renew | Release | Intent | OrderOutcome | Snapshot
 
 
 def encode(record: Record) -> dict:
--- a/src/turmericward/steward/_authority_task.py
+++ b/src/turmericward/steward/_authority_task.py
@@ -2,7 +2,9 @@
 
 import functools
 import time
+import zlib
 
+import attrs
 from absl import logging
 
 from turmericward import authority, runtime
@@ -10,6 +12,7 @@
 from turmericward.steward import _messages
 
 READ_BACK_S = 3.0
+SNAPSHOT_RECORDS = 50
 
 
 def stream_of(domain: str) -> str:
@@ -44,6 +47,11 @@
         self._engines: dict[str, _messages.DesiredEngine] = {}
         self._members: list[instances.Instance] = []
         self._folded = 0
+        self._first = 0
+        self._kept: list[tuple[int, authority.Record]] = []
+        self._since_snapshot = 0
+        spread = zlib.crc32(holder.encode()) % SNAPSHOT_RECORDS
+        self._snapshot_due = SNAPSHOT_RECORDS + spread
         self._caught_up = False
 
     @functools.singledispatchmethod
@@ -53,9 +61,12 @@
 
     @handle.register
     def _(self, message: _messages.LogRead) -> None:
+        if not self._contender.known and message.first == message.following:
+            self._contender.empty_from(message.first, message.at)
         for record in message.records:
-            self._fold(message.at, record.offset, record.value)
+            self._read(message.at, record.offset, record.value)
         self._caught_up = True
+        self._snapshot_if_due()
 
     @handle.register
     def _(self, message: _messages.LogLost) -> None:
@@ -63,17 +74,43 @@
 
     @handle.register
     def _(self, message: _messages.LogExpired) -> None:
+        if self._folded >= message.first and self._contender.known:
+            return
         logging.warning("authority is read anew from offset %d", message.first)
+        self._contender.expired(message.first, time.monotonic())
+        self._first = message.first
+        self._kept.clear()
 
-    def _fold(self, at: float, offset: int, value: object) -> None:
-        if offset < self._folded:
-            return
-        self._folded = offset + 1
+    def _read(self, at: float, offset: int, value: object) -> None:
         try:
             record = authority.decode(value)
         except authority.MalformedRecordError as exc:
             logging.warning("authority stream, offset %d: %s", offset, exc)
             return
+        if isinstance(record, authority.Snapshot):
+            self._since_snapshot = 0
+            self._try_snapshot(at, record)
+        elif self._contender.known:
+            self._fold(at, offset, record)
+        else:
+            self._kept.append((offset, record))
+
+    def _try_snapshot(self, at: float, snapshot: authority.Snapshot) -> None:
+        if self._contender.known or snapshot.covers < self._first:
+            return
+        lease = authority.Lease(**attrs.asdict(snapshot.lease))
+        self._contender.restore(lease, snapshot.covers, at)
+        self._book.restore(snapshot.orders)
+        self._folded = snapshot.covers
+        for offset, record in self._kept:
+            self._fold(at, offset, record)
+        self._kept.clear()
+
+    def _fold(self, at: float, offset: int, record: authority.Record) -> None:
+        if offset < self._folded:
+            return
+        self._folded = offset + 1
+        self._since_snapshot += 1
         accepted = self._contender.read(at, offset, record)
         token = self._contender.lease.token
         accepted = self._book.apply(record, token) or accepted
@@ -81,6 +118,19 @@
             logging.info("lease is held by %s, token %d", record.holder, token)
         self._accepted.resolve(record.id, accepted)
 
+    def _snapshot_if_due(self) -> None:
+        if not self._contender.known or self._since_snapshot < self._snapshot_due:
+            return
+        self._since_snapshot = 0
+        orders = [_intent_of(order) for order in self._book.all_outstanding()]
+        snapshot = authority.Snapshot(
+            id=runtime.new_id(),
+            covers=self._folded,
+            lease=authority.LeaseState(**attrs.asdict(self._contender.lease)),
+            orders=orders,
+        )
+        self._append(snapshot)
+
     def _append(self, record: authority.Record) -> None:
         until = time.monotonic() + self._term_s
         self._appender.post(
@@ -155,3 +205,13 @@
             return
         for record in self._contender.tick(now):
             self._append(record)
+
+
+def _intent_of(order: authority.Order) -> authority.Intent:
+    return authority.Intent(
+        id=order.id,
+        token=order.token,
+        engine=order.engine,
+        role=order.spec.role,
+        loads=list(order.spec.loads),
+    )
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -322,6 +322,27 @@
     launch.wait_until(accepted, what=f"change of {kind} {name}")
 
 
+@verb("patch_many")
+def _patch_many(world, kind, name, count) -> None:
+    """Changes a resource's description to 0, 1, 2 and so on."""
+    for number in range(int(count)):
+        _patch(world, kind, name, json.dumps({"description": str(number)}))
+
+
+@verb("expect_value")
+def _expect_value(world, kind, name, value, at) -> None:
+    path = f"/apis/v1/{kind}/{name}"
+    _, _, body = launch.request(world.entry(at), "GET", path, None, fixtures.OPERATOR)
+    check.assertEqual(json.loads(body)["value"], json.loads(value))
+
+
+@verb("wait_changing")
+def _wait_changing(world, name) -> None:
+    launch.wait_until(
+        lambda: fixtures.state_of(world.cluster, name)["changing"], what="change"
+    )
+
+
 @verb("wait_role")
 def _wait_role(world, engine, role, seconds="20") -> None:
     def there() -> bool:
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -192,3 +192,43 @@
         book = authority.OrderBook()
         book.apply(_intent(1), lease_token=1)
         check.assertEqual(book.settle("e", state), expected, name)
+
+
+def _history(contender, stream: list, seconds: float) -> None:
+    """Lets a contender hold the lease and renew it for a while."""
+    now = 0.0
+    while now < seconds:
+        for record in contender.tick(now):
+            stream.append(record)
+            contender.read(now, len(stream) - 1, record)
+        now += 0.5
+
+
+def test_a_reader_whose_start_has_expired_takes_no_lease_that_is_held():
+    stream: list = []
+    holder = _contender()
+    _history(holder, stream, 20.0)
+    late = authority.Contender("late", TIMING, 0.0, lambda: "late-1")
+    late.expired(5, 0.0)
+    for offset in range(5, len(stream)):
+        late.read(0.0, offset, stream[offset])
+    check.assertEqual(late.tick(1.0), [])
+    covers = len(stream)
+    late.restore(holder.lease, covers, 1.0)
+    check.assertEqual(late.lease, holder.lease)
+    check.assertEqual(late.tick(2.0), [])
+    (taken,) = late.tick(1.0 + TIMING.term_s + TIMING.margin_s)
+    check.assertEqual(taken.expected, holder.lease.last)
+
+
+def test_after_all_records_expired_every_reader_accepts_the_same_acquire():
+    stream: list = []
+    living = _contender()
+    _history(living, stream, 5.0)
+    new = authority.Contender("new", TIMING, 100.0, lambda: "new-1")
+    new.expired(len(stream), 100.0)
+    new.empty_from(len(stream), 100.0)
+    (acquire,) = new.tick(100.0)
+    check.assertTrue(new.read(100.1, len(stream), acquire))
+    check.assertTrue(living.read(100.1, len(stream), acquire))
+    check.assertEqual(living.lease, new.lease)
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -3,9 +3,9 @@
 import time
 
 from tests import fixtures, test_router_task
-from turmericward import configuration, settings
+from turmericward import authority, configuration, settings
 from turmericward.adapters import log
-from turmericward.steward import _configuration_task, _messages
+from turmericward.steward import _authority_task, _configuration_task, _messages
 
 check = fixtures.check
 
@@ -95,3 +95,63 @@
     check.assertFalse(fut.done())
     task.handle(_read(2, 3))
     check.assertEqual([r.version for r in fut.result().resources], [3])
+
+
+def _authority_of() -> tuple[_authority_task.AuthorityTask, _Sink]:
+    cfg = settings.loads(fixtures.json.dumps(test_router_task.DOCUMENT))
+    sink = _Sink()
+    return _authority_task.AuthorityTask(cfg, sink), sink
+
+
+def _deliver(task, stream: list, start: int, first: int = 0) -> None:
+    records = [log.Record(offset=n, value=stream[n]) for n in range(start, len(stream))]
+    task.handle(
+        _messages.LogRead(
+            stream="authority.a",
+            records=records,
+            following=len(stream),
+            first=first,
+            at=time.monotonic(),
+        )
+    )
+
+
+def _renewals(holder: str, count: int) -> list[dict]:
+    acquire = authority.Acquire(id="a", holder=holder, expected=0, term_s=5.0)
+    renewals = [
+        authority.Renew(id=f"r{n}", holder=holder, token=1) for n in range(count)
+    ]
+    return [authority.encode(record) for record in (acquire, *renewals)]
+
+
+def test_a_steward_that_starts_after_an_expiry_waits_for_a_snapshot():
+    stream = _renewals("other", 120)
+    living, sink = _authority_of()
+    _deliver(living, stream, 0)
+    (snapshot,) = [m.value for m in sink.messages if "covers" in m.value]
+    late, appended = _authority_of()
+    late.handle(_messages.LogExpired(stream="authority.a", first=60))
+    _deliver(late, stream, 60, first=60)
+    late.tick()
+    check.assertEqual(appended.messages, [])
+    check.assertFalse(late._contender.known)
+    stream.append(snapshot)
+    stream.append(authority.encode(authority.Renew(id="x", holder="other", token=1)))
+    _deliver(late, stream, 121, first=60)
+    check.assertTrue(late._contender.known)
+    check.assertEqual(late._contender.lease.holder, "other")
+    check.assertEqual(late._contender.lease.last, len(stream))
+    late.tick()
+    check.assertEqual(appended.messages, [])
+
+
+def test_a_steward_that_finds_nothing_left_takes_the_lease():
+    task, appended = _authority_of()
+    task.handle(_messages.LogExpired(stream="authority.a", first=60))
+    message = _messages.LogRead(
+        stream="authority.a", records=[], following=60, first=60, at=time.monotonic()
+    )
+    task.handle(message)
+    task.tick()
+    (acquire,) = appended.messages
+    check.assertEqual((acquire.value["expected"], acquire.value["floor"]), (0, 60))
