Refuse holds that would leave a model without an engine, or wait in vain

Cause: holders of two domains changed their engines at the same time and left a model of one engine a domain without any; an engine stayed held for up to 900 s while an entry was silent; a change longer than a hold lost it. Ruled out: a slot for changes on the log (it outlives a domain that is lost). Change: every steward refuses a hold beside others on the last engine that reports; since all have to confirm, two holders can't both succeed.

--- a/idl/turmericward.thrift
+++ b/idl/turmericward.thrift
@@ -117,9 +117,11 @@
   5: RecordedAnswer answer
 }
 
+/** `refused` says why the hold was not placed; it is empty when it was. */
 struct HoldAnswer {
   1: bool confirmed
   2: list<string> missing
+  3: string refused
 }
 
 struct StateAnswer {
--- a/src/turmericward/steward/_configuration_task.py
+++ b/src/turmericward/steward/_configuration_task.py
@@ -10,7 +10,7 @@
 
 from turmericward import authority, configuration, fleet, membership, runtime
 from turmericward.adapters import instances, log
-from turmericward.steward import _messages
+from turmericward.steward import _hold_rules, _messages
 from turmericward.wire import ttypes
 
 CONFIG_STREAM = "config"
@@ -52,6 +52,7 @@
         self._loads: dict = {}
         self._fleet_version = 0
         self._entries: dict[str, int] = {}
+        self._polled_at: dict[str, float] = {}
         self._log_reachable = False
         self._log_lost = False
         self._caught_up = False
@@ -195,14 +196,29 @@
 
     @handle.register
     def _(self, message: _messages.PlaceHold):
+        refused = self._refusal(message.hold.engine)
+        if refused:
+            return _messages.HoldStanding(refused=refused)
         hold_id = message.hold.hold_id
         self._holds.place(message.hold)
         self._fleet_version += 1
         self._wake()
-        missing = self._holds.missing(hold_id)
-        if not missing:
-            return missing
-        return self._confirmations.add(hold_id, message.until, missing)
+        standing = _messages.HoldStanding(missing=self._holds.missing(hold_id))
+        if not standing.missing:
+            return standing
+        return self._confirmations.add(hold_id, message.until, standing)
+
+    def _refusal(self, engine: str) -> str:
+        now = time.monotonic()
+        entries = self._cfg.entry_names()
+        silent = _hold_rules.silent_entry(entries, self._polled_at, now)
+        if silent:
+            return f"entry {silent} is silent"
+        leaving = frozenset(i.name for i in self._instances if i.leaving)
+        view = self._views.view(leaving, self._loads)
+        held = frozenset(h.engine for h in self._holds.active(now)) - {engine}
+        model = _hold_rules.starved_model(engine, view, held, now)
+        return f"model {model} would have no engine" if model else ""
 
     @handle.register
     def _(self, message: _messages.ReleaseHolds) -> None:
@@ -242,6 +258,7 @@
     @handle.register
     def _(self, message: _messages.Follow):
         self._entries[message.entry] = message.applied
+        self._polled_at[message.entry] = time.monotonic()
         self._confirm(message)
         if self._has_news(message):
             return self._answer(message)
@@ -253,7 +270,7 @@
         self._holds.confirm(message.entry, message.drained)
         for hold_id in message.drained:
             if not self._holds.missing(hold_id):
-                self._confirmations.resolve(hold_id, frozenset())
+                self._confirmations.resolve(hold_id, _messages.HoldStanding())
 
     def _ready(self) -> bool:
         return self._ledger is not None and self._caught_up
--- a/src/turmericward/steward/_handler.py
+++ b/src/turmericward/steward/_handler.py
@@ -76,8 +76,12 @@
             until=now + hold.ttl_ms / 1000,
         )
         message = _messages.PlaceHold(hold=placed, until=now + HOLD_WAIT_S)
-        missing = self._configuration.ask(message).result(ANSWER_S)
-        return ttypes.HoldAnswer(confirmed=not missing, missing=sorted(missing))
+        standing = self._configuration.ask(message).result(ANSWER_S)
+        return ttypes.HoldAnswer(
+            confirmed=not standing.missing and not standing.refused,
+            missing=sorted(standing.missing),
+            refused=standing.refused,
+        )
 
     def release(self, hold_ids: list[str]) -> None:
         """Ends holds before their time."""
--- a/src/turmericward/steward/_messages.py
+++ b/src/turmericward/steward/_messages.py
@@ -72,7 +72,7 @@
 
 @attrs.frozen(kw_only=True)
 class PlaceHold:
-    """Places or extends a hold; answered with the entries yet to confirm it.
+    """Places a hold; answered with a HoldStanding.
 
     The answer comes when all have confirmed, at the latest at `until`.
     """
@@ -81,6 +81,14 @@
     until: float
 
 
+@attrs.frozen(kw_only=True)
+class HoldStanding:
+    """The entries that have yet to confirm a hold, or why it was not placed."""
+
+    missing: frozenset[str] = frozenset()
+    refused: str = ""
+
+
 @attrs.frozen(kw_only=True)
 class ReleaseHolds:
     """Ends holds before their time."""
--- a/src/turmericward/wire/ttypes.py
+++ b/src/turmericward/wire/ttypes.py
@@ -1469,21 +1469,26 @@
 
 class HoldAnswer(object):
     """
+    `refused` says why the hold was not placed; it is empty when it was.
+
     Attributes:
      - confirmed
      - missing
+     - refused
 
     """
 
     __slots__ = (
         'confirmed',
         'missing',
+        'refused',
     )
 
 
-    def __init__(self, confirmed=None, missing=None,):
+    def __init__(self, confirmed=None, missing=None, refused=None,):
         self.confirmed = confirmed
         self.missing = missing
+        self.refused = refused
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1509,6 +1514,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.refused = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1530,6 +1540,10 @@
                 oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.STRING, 3)
+            oprot.writeString(self.refused.encode('utf-8') if sys.version_info[0] == 2 else self.refused)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1903,6 +1917,7 @@
     None,  # 0
     (1, TType.BOOL, 'confirmed', None, None, ),  # 1
     (2, TType.LIST, 'missing', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.STRING, 'refused', 'UTF8', None, ),  # 3
 )
 all_structs.append(StateAnswer)
 StateAnswer.thrift_spec = (
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -3,7 +3,7 @@
 import time
 
 from tests import fixtures, test_router_task
-from turmericward import authority, configuration, settings
+from turmericward import authority, configuration, fleet, membership, settings
 from turmericward.adapters import log
 from turmericward.steward import _authority_task, _configuration_task, _messages
 
@@ -155,3 +155,66 @@
     task.tick()
     (acquire,) = appended.messages
     check.assertEqual((acquire.value["expected"], acquire.value["floor"]), (0, 60))
+
+
+def _holding_task(engines: tuple[str, ...]) -> _configuration_task.ConfigurationTask:
+    """Returns a task that knows a model, its engines and a polling entry."""
+    task = _task()
+    task.handle(_read(0, 1))
+    value = {"domain": "a", "address": "127.0.0.1:1", "models": ["m"]}
+    changes = [
+        configuration.Change(
+            id=name, producer="t", kind="engine", name=name, expected=0, value=value
+        )
+        for name in engines
+    ]
+    records = [
+        log.Record(offset=n, value=configuration.encode(c))
+        for n, c in enumerate(changes, start=1)
+    ]
+    task.handle(
+        _messages.LogRead(
+            stream="config",
+            records=records,
+            following=len(records) + 1,
+            first=0,
+            at=0.0,
+        )
+    )
+    load = fleet.LoadView(running=0, queued=0, role="mixed", at=time.monotonic())
+    loads = dict.fromkeys(engines, load)
+    task.handle(_messages.FleetRead(instances=[], loads=loads))
+    _follow(task, 0)
+    return task
+
+
+def _refusal(task, engine: str, hold_id: str) -> str:
+    now = time.monotonic()
+    hold = membership.Hold(engine=engine, hold_id=hold_id, until=now + 60)
+    answer = task.handle(_messages.PlaceHold(hold=hold, until=now + 60))
+    return answer.refused if isinstance(answer, _messages.HoldStanding) else ""
+
+
+def test_a_hold_that_would_leave_a_model_without_engine_is_refused():
+    task = _holding_task(("e0", "e1"))
+    check.assertEqual(_refusal(task, "e0", "h0"), "")
+    check.assertIn("model m", _refusal(task, "e1", "h1"))
+    check.assertEqual(_refusal(task, "e0", "h2"), "")
+    task.handle(_messages.ReleaseHolds(hold_ids=["h0", "h2"]))
+    check.assertEqual(_refusal(task, "e1", "h3"), "")
+
+
+def test_the_only_engine_of_a_model_may_be_held():
+    check.assertEqual(_refusal(_holding_task(("e0",)), "e0", "h0"), "")
+
+
+def test_a_hold_is_refused_while_the_other_engine_gives_no_report():
+    task = _holding_task(("e0", "e1"))
+    task.handle(_messages.FleetRead(instances=[], loads={}))
+    check.assertIn("model m", _refusal(task, "e0", "h0"))
+
+
+def test_a_hold_is_refused_while_an_entry_is_silent():
+    task = _holding_task(("e0",))
+    task._polled_at["a0-0"] -= 60
+    check.assertIn("silent", _refusal(task, "e0", "h0"))
