Count only entries that follow now; log tenant and engine; test the product

Cause: a steward counted an entry for ever that had once failed over to it, so that status never showed a change in force everywhere in its domain; request lines lacked the tenant. Ruled out: a lost change (the entry had it through its own steward). Conclusion: mended.

--- a/src/turmericward/entry/_app.py
+++ b/src/turmericward/entry/_app.py
@@ -21,6 +21,9 @@
     path: str
     status: int
     ms: int
+    tenant: str
+    traffic_class: str
+    engine: str
 
 
 @attrs.frozen(kw_only=True)
@@ -127,6 +130,9 @@
                 path=req.path,
                 status=resp.status,
                 ms=int((time.monotonic() - started) * 1000),
+                tenant=req.trace.tenant,
+                traffic_class=req.trace.traffic_class,
+                engine=req.trace.engine,
             )
         )
 
--- a/src/turmericward/entry/_context.py
+++ b/src/turmericward/entry/_context.py
@@ -91,11 +91,13 @@
             raise _errors.RequestFaultError(
                 401, "invalid_api_key", "API key is missing or unknown"
             )
+        req.trace.tenant = tenant
         default = view.tenants[tenant].default_class
         traffic_class = req.headers.get(CLASS_HEADER, default)
         if traffic_class not in self.cfg.entry.classes:
             msg = f"traffic class {traffic_class!r} does not exist"
             raise _errors.RequestFaultError(400, "invalid_class", msg)
+        req.trace.traffic_class = traffic_class
         if traffic_class != "urgent" and not self.seats.spare():
             raise _errors.RequestFaultError(
                 503,
--- a/src/turmericward/entry/_http.py
+++ b/src/turmericward/entry/_http.py
@@ -15,6 +15,15 @@
 MAX_CONTENT_LENGTH_DIGITS = 12
 
 
+@attrs.define
+class Trace:
+    """What becomes known of a request while it is handled, for its log line."""
+
+    tenant: str = ""
+    traffic_class: str = ""
+    engine: str = ""
+
+
 @attrs.frozen(kw_only=True)
 class Request:
     """A caller's request; header names are in lower case."""
@@ -27,6 +36,7 @@
     headers: dict[str, str]
     body: bytes
     disconnected: Callable[[], bool] = lambda: False
+    trace: Trace = attrs.field(factory=Trace)
 
     def json(self) -> object:
         """Decodes the body.
--- a/src/turmericward/entry/_relay.py
+++ b/src/turmericward/entry/_relay.py
@@ -29,6 +29,7 @@
         self._ctx = ctx
         self._demand = demand
         self._request_id = req.id
+        self._trace = req.trace
         self._job = engine.Job(
             path=req.path,
             body=req.body,
@@ -43,7 +44,6 @@
         self._assignment = None
         self._stream: engine.Stream | None = None
         self._last_seq = 0
-        self.engine = ""
 
     def complete(self) -> engine.Answer:
         """Returns an engine's whole answer.
@@ -147,7 +147,7 @@
             self._fail(status, refusal.reason, "request refused", refusal.retry_after_s)
         self._attempts += 1
         self._assignment = chosen.unwrap()
-        self.engine = self._assignment.engine
+        self._trace.engine = self._assignment.engine
         return engine.EngineClient(self._assignment.address)
 
     def _is_final(self, answer: engine.Answer) -> bool:
@@ -164,7 +164,9 @@
         self._fail(CLIENT_CLOSED_REQUEST, "cancelled", str(exc), None)
 
     def _failed(self, exc: Exception) -> None:
-        logging.warning("request %s at %s: %s", self._request_id, self.engine, exc)
+        logging.warning(
+            "request %s at %s: %s", self._request_id, self._trace.engine, exc
+        )
         self._excluded |= {self._assignment.engine}
         self._finish(failed=True)
 
--- a/src/turmericward/steward/_configuration_task.py
+++ b/src/turmericward/steward/_configuration_task.py
@@ -252,9 +252,17 @@
             domain=self._cfg.instance.domain,
             applied=self._ledger.applied if self._ledger else 0,
             log_reachable=self._log_reachable,
-            entries=dict(self._entries),
+            entries=self._following(),
         )
 
+    def _following(self) -> dict[str, int]:
+        """Returns what the entries that poll here have applied, by name.
+
+        One that came over while its own steward was away has gone back.
+        """
+        limit = time.monotonic() - _hold_rules.SILENT_S
+        return {e: v for e, v in self._entries.items() if self._polled_at[e] > limit}
+
     @handle.register
     def _(self, message: _messages.Follow):
         self._entries[message.entry] = message.applied
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -176,3 +176,32 @@
         numbers = [str(n) for n in range(1, total + 1)]
         for events in seen.values():
             check.assertEqual([e["value"]["version"] for e in events], numbers)
+
+
+IN_FORCE_S = 7.0
+
+
+def _in_force_after_s(cluster, version: int, started: float) -> float:
+    """Returns when the last entry showed the version, from `started`."""
+
+    def shows(entry: str) -> bool:
+        _, _, body = launch.request(entry, "GET", MODEL, None, OPERATOR)
+        return json.loads(body).get("resourceVersion", 0) >= version
+
+    for node in cluster.nodes.values():
+        launch.wait_until(lambda n=node: shows(n.entries[0]), what=node.name)
+    return time.monotonic() - started
+
+
+def test_a_change_is_in_force_everywhere_in_its_bound_also_without_a_steward():
+    with fixtures.cluster(domains=("a", "b", "c")) as cluster:
+        entry = cluster.nodes["a0"].entries[0]
+        delays = []
+        for number in range(20):
+            if number == 10:
+                cluster.kill("steward-b0")
+            started = time.monotonic()
+            status, body = _put(entry, MODEL, {"version": str(number)})
+            check.assertEqual(status, 200, body)
+            delays.append(_in_force_after_s(cluster, body["resourceVersion"], started))
+        check.assertLess(max(delays), IN_FORCE_S)
