Share the codec of records; structure lists and dicts strictly

Cause: three aggregates decoded tagged records alike; a string passed as a list of strings and an empty list as an object (seen by the test of malformed records when the codec was shared). Ruled out: checks in each class. Change: one registry of records in schema, wire conversions in a module of their own, containers are checked before they are structured. Conclusion: mended.

--- a/src/turmericward/authority/_records.py
+++ b/src/turmericward/authority/_records.py
@@ -5,20 +5,11 @@
 from turmericward import schema
 from turmericward.authority import _errors
 
-_TYPES: dict[str, type] = {}
+KINDS = schema.RecordKinds(_errors.MalformedRecordError)
 
 
-def _record(tag: str):
-    def register(cls: type) -> type:
-        _TYPES[tag] = cls
-        cls.TAG = tag
-        return cls
-
-    return register
-
-
-@_record("lease.acquire")
-@attrs.frozen(kw_only=True, slots=False)
+@KINDS.register("lease.acquire")
+@attrs.frozen(kw_only=True)
 class Acquire:
     """Takes the lease if the last accepted lease record is `expected`.
 
@@ -34,8 +25,8 @@
     floor: int = 0
 
 
-@_record("lease.renew")
-@attrs.frozen(kw_only=True, slots=False)
+@KINDS.register("lease.renew")
+@attrs.frozen(kw_only=True)
 class Renew:
     """Starts the term of the lease with this token anew."""
 
@@ -44,8 +35,8 @@
     token: int
 
 
-@_record("lease.release")
-@attrs.frozen(kw_only=True, slots=False)
+@KINDS.register("lease.release")
+@attrs.frozen(kw_only=True)
 class Release:
     """Gives the lease with this token up before its term ends."""
 
@@ -54,8 +45,8 @@
     token: int
 
 
-@_record("order.intent")
-@attrs.frozen(kw_only=True, slots=False)
+@KINDS.register("order.intent")
+@attrs.frozen(kw_only=True)
 class Intent:
     """States that the holder is about to order `engine` into a state."""
 
@@ -66,8 +57,8 @@
     loads: list[str]
 
 
-@_record("order.outcome")
-@attrs.frozen(kw_only=True, slots=False)
+@KINDS.register("order.outcome")
+@attrs.frozen(kw_only=True)
 class OrderOutcome:
     """States how the order `id` ended: `done` or `void`."""
 
@@ -87,8 +78,8 @@
     last: int
 
 
-@_record("authority.snapshot")
-@attrs.frozen(kw_only=True, slots=False)
+@KINDS.register("authority.snapshot")
+@attrs.frozen(kw_only=True)
 class Snapshot:
     """Lease and outstanding orders after folding every offset below `covers`."""
 
@@ -101,22 +92,5 @@
 Record = Acquire | Renew | Release | Intent | OrderOutcome | Snapshot
 
 
-def encode(record: Record) -> dict:
-    """Returns the record as a JSON object."""
-    return {"type": record.TAG} | attrs.asdict(record)
-
-
-def decode(raw: object) -> Record:
-    """Decodes a JSON object from an authority stream.
-
-    Raises:
-        MalformedRecordError: the object has another form.
-    """
-    cls = _TYPES.get(raw.get("type")) if isinstance(raw, dict) else None
-    if cls is None:
-        raise _errors.MalformedRecordError("record has no known type")
-    fields = {k: v for k, v in raw.items() if k != "type"}
-    try:
-        return schema.structure(fields, cls, "record")
-    except schema.SchemaError as exc:
-        raise _errors.MalformedRecordError(str(exc)) from exc
+encode = KINDS.encode
+decode = KINDS.decode
--- a/src/turmericward/calls/_records.py
+++ b/src/turmericward/calls/_records.py
@@ -5,6 +5,8 @@
 from turmericward import schema
 from turmericward.calls import _errors
 
+KINDS = schema.RecordKinds(_errors.MalformedRecordError)
+
 
 @attrs.frozen(kw_only=True)
 class Answer:
@@ -16,6 +18,7 @@
     truncated: bool
 
 
+@KINDS.register("call.claim")
 @attrs.frozen(kw_only=True)
 class Claim:
     """Claims a key for one attempt.
@@ -31,6 +34,7 @@
     floor: int
 
 
+@KINDS.register("call.settle")
 @attrs.frozen(kw_only=True)
 class Settle:
     """Ends the attempt `id`; `ran` is false only when it surely never ran."""
@@ -42,26 +46,5 @@
     answer: Answer | None = None
 
 
-_TYPES = {"call.claim": Claim, "call.settle": Settle}
-_TAGS = {cls: tag for tag, cls in _TYPES.items()}
-
-
-def encode(record: Claim | Settle) -> dict:
-    """Returns the record as a JSON object."""
-    return {"type": _TAGS[type(record)]} | attrs.asdict(record)
-
-
-def decode(raw: object) -> Claim | Settle:
-    """Decodes a JSON object from the calls stream.
-
-    Raises:
-        MalformedRecordError: the object has another form.
-    """
-    cls = _TYPES.get(raw.get("type")) if isinstance(raw, dict) else None
-    if cls is None:
-        raise _errors.MalformedRecordError("record has no known type")
-    fields = {k: v for k, v in raw.items() if k != "type"}
-    try:
-        return schema.structure(fields, cls, "record")
-    except schema.SchemaError as exc:
-        raise _errors.MalformedRecordError(str(exc)) from exc
+encode = KINDS.encode
+decode = KINDS.decode
--- a/src/turmericward/schema/_structure.py
+++ b/src/turmericward/schema/_structure.py
@@ -1,6 +1,9 @@
 """Structures decoded JSON into attrs classes without converting types."""
 
+import typing
+
 import cattrs
+from cattrs import cols
 
 from turmericward.schema import _errors, validators
 
@@ -19,10 +22,33 @@
     return convert
 
 
+def _exact_container(kind: type, convert):
+    """Returns a hook that takes only `kind`: a string is no list of strings."""
+    check = _exact(kind)
+
+    def convert_exact(value, type_):
+        return convert(check(value, type_), type_)
+
+    return convert_exact
+
+
+def _list_hook(type_, conv: cattrs.Converter):
+    return _exact_container(list, cols.list_structure_factory(type_, conv))
+
+
+def _dict_hook(type_, conv: cattrs.Converter):
+    return _exact_container(dict, conv.gen_structure_mapping(type_))
+
+
 def _converter() -> cattrs.Converter:
     conv = cattrs.Converter(forbid_extra_keys=True)
     for kind in (str, int, float, bool):
         conv.register_structure_hook(kind, _exact(kind))
+    conv.register_structure_hook_func(lambda type_: type_ is dict, _exact(dict))
+    for kind, hook in ((list, _list_hook), (dict, _dict_hook)):
+        conv.register_structure_hook_factory(
+            lambda type_, kind=kind: typing.get_origin(type_) is kind, hook
+        )
     return conv
 
 
--- a/src/turmericward/steward/_calls_task.py
+++ b/src/turmericward/steward/_calls_task.py
@@ -1,6 +1,5 @@
 """Task that claims keyed calls on the log."""
 
-import base64
 import functools
 import time
 
@@ -8,7 +7,7 @@
 
 from turmericward import calls, runtime
 from turmericward.adapters import log
-from turmericward.steward import _messages
+from turmericward.steward import _messages, _wire
 from turmericward.wire import ttypes
 
 CALLS_STREAM = "calls"
@@ -87,7 +86,9 @@
         )
         call = self._ledger.get(message.scope, message.key)
         answer = call.answer if call is not None else None
-        return ttypes.ClaimAnswer(state=_STATES[standing], answer=_wire_answer(answer))
+        return ttypes.ClaimAnswer(
+            state=_STATES[standing], answer=_wire.recorded(answer)
+        )
 
     @handle.register
     def _(self, message: _messages.MakeClaim):
@@ -134,14 +135,3 @@
                 id=attempt, scope=message.scope, key=message.key, ran=False
             )
             self.handle(_messages.EndClaim(settle=settle))
-
-
-def _wire_answer(answer: calls.Answer | None) -> ttypes.RecordedAnswer | None:
-    if answer is None:
-        return None
-    return ttypes.RecordedAnswer(
-        status=answer.status,
-        content_type=answer.content_type,
-        body=base64.b64decode(answer.body),
-        truncated=answer.truncated,
-    )
--- a/src/turmericward/steward/_configuration_task.py
+++ b/src/turmericward/steward/_configuration_task.py
@@ -10,7 +10,7 @@
 
 from turmericward import authority, configuration, fleet, membership, runtime
 from turmericward.adapters import instances, log
-from turmericward.steward import _hold_rules, _messages
+from turmericward.steward import _hold_rules, _messages, _wire
 from turmericward.wire import ttypes
 
 CONFIG_STREAM = "config"
@@ -300,11 +300,11 @@
         return ttypes.FollowAnswer(
             applied=self._ledger.applied,
             whole=whole,
-            resources=[_wire_resource(r) for r in resources],
+            resources=[_wire.resource(r) for r in resources],
             fleet_version=self._fleet_version,
-            instances=[_wire_instance(i) for i in self._told_instances()],
-            loads=[_wire_load(n, load, now) for n, load in self._loads.items()],
-            holds=[_wire_hold(h, now) for h in self._holds.active(now)],
+            instances=[_wire.instance(i) for i in self._told_instances()],
+            loads=[_wire.load(n, load, now) for n, load in self._loads.items()],
+            holds=[_wire.hold(h, now) for h in self._holds.active(now)],
             ready=True,
             released=self._holds.released(now),
         )
@@ -358,42 +358,3 @@
             ready=False,
             released=[],
         )
-
-
-def _wire_resource(res: configuration.Resource) -> ttypes.Resource:
-    deleted = res.value is None
-    return ttypes.Resource(
-        kind=res.kind,
-        name=res.name,
-        version=res.version,
-        value_json="" if deleted else json.dumps(res.value),
-        deleted=deleted,
-    )
-
-
-def _wire_instance(row) -> ttypes.Instance:
-    return ttypes.Instance(
-        name=row.name,
-        domain=row.domain,
-        address=row.address,
-        leaving=row.leaving,
-        kind=row.kind,
-    )
-
-
-def _wire_load(name: str, load, now: float) -> ttypes.Load:
-    return ttypes.Load(
-        engine=name,
-        role=load.role,
-        running=load.running,
-        queued=load.queued,
-        age_ms=int((now - load.at) * 1000),
-    )
-
-
-def _wire_hold(hold: membership.Hold, now: float) -> ttypes.Hold:
-    return ttypes.Hold(
-        engine=hold.engine,
-        hold_id=hold.hold_id,
-        ttl_ms=max(1, int((hold.until - now) * 1000)),
-    )
--- a/src/turmericward/steward/_handler.py
+++ b/src/turmericward/steward/_handler.py
@@ -1,11 +1,10 @@
 """The steward's thrift interface: turns calls into messages to its tasks."""
 
-import base64
 import json
 import time
 
 from turmericward import calls, membership
-from turmericward.steward import _messages
+from turmericward.steward import _messages, _wire
 from turmericward.wire import ttypes
 
 MAX_WAIT_S = 30.0
@@ -63,7 +62,7 @@
             scope=req.scope,
             key=req.key,
             ran=req.ran,
-            answer=_answer(req.answer),
+            answer=_wire.answer_of(req.answer),
         )
         self._calls.post(_messages.EndClaim(settle=settle))
 
@@ -98,14 +97,3 @@
         answer.holder = held is not None
         answer.token = held.token if held else 0
         return answer
-
-
-def _answer(answer: ttypes.RecordedAnswer | None) -> calls.Answer | None:
-    if answer is None:
-        return None
-    return calls.Answer(
-        status=answer.status,
-        content_type=answer.content_type,
-        body=base64.b64encode(answer.body).decode(),
-        truncated=answer.truncated,
-    )
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -122,6 +122,11 @@
         ("tenant", {"key_sha256": ["short"]}, "SHA-256"),
         ("model", {"versoin": "v1"}, "versoin"),
         ("absent", {}, "absent"),
+        ("engine", {"domain": "a", "address": "1.2.3.4:1", "models": "m"}, "models"),
+        ("service", {"targets": {}}, "targets"),
+        ("service", {"targets": ["x"]}, "targets[0]"),
+        ("tenant", {"key_sha256": "ab" * 32}, "key_sha256"),
+        ("model", [], "model"),
     ]
     for kind, value, expected in cases:
         with check.assertRaises(configuration.InvalidResourceError) as caught:
