--- a/src/turmericward/entry/_resources.py
+++ b/src/turmericward/entry/_resources.py
@@ -1,5 +1,6 @@
 """Operators' resource API with optimistic concurrency, watches and status."""
 
+import functools
 import json
 import time
 from collections.abc import Iterator
@@ -304,32 +305,26 @@
     )
 
 
-def _conflict() -> _errors.RequestFaultError:
-    return _errors.RequestFaultError(
-        412, "version_conflict", "the resource has another version"
-    )
-
-
-def _unknown() -> _errors.RequestFaultError:
-    return _errors.RequestFaultError(
+_conflict = functools.partial(
+    _errors.RequestFaultError,
+    412,
+    "version_conflict",
+    "the resource has another version",
+)
+_PROPOSE_FAULTS = {
+    ttypes.Outcome.CONFLICT: _conflict,
+    ttypes.Outcome.UNKNOWN: functools.partial(
+        _errors.RequestFaultError,
         504,
         "outcome_unknown",
         "the change was sent to the log and has not been read back",
         outcome=_errors.RanState.UNKNOWN,
-    )
-
-
-def _unavailable() -> _errors.RequestFaultError:
-    return _errors.RequestFaultError(
+    ),
+    ttypes.Outcome.UNAVAILABLE: functools.partial(
+        _errors.RequestFaultError,
         503,
         "log_unavailable",
         "no steward can reach the log",
         retry_after_s=RETRY_S,
-    )
-
-
-_PROPOSE_FAULTS = {
-    ttypes.Outcome.CONFLICT: _conflict,
-    ttypes.Outcome.UNKNOWN: _unknown,
-    ttypes.Outcome.UNAVAILABLE: _unavailable,
+    ),
 }
--- a/src/turmericward/entry/_services.py
+++ b/src/turmericward/entry/_services.py
@@ -1,5 +1,6 @@
 """Callers' interface to plain services."""
 
+import functools
 import hashlib
 import json
 
@@ -213,46 +214,37 @@
     )
 
 
-def _mismatch() -> _errors.RequestFaultError:
-    return _errors.RequestFaultError(
-        422, "key_reused", "Idempotency-Key was used for another request"
-    )
-
-
-def _in_progress() -> _errors.RequestFaultError:
-    return _errors.RequestFaultError(
+_UNAVAILABLE = functools.partial(
+    _errors.RequestFaultError,
+    503,
+    "claim_unavailable",
+    "the key can't be claimed now; this attempt was not run",
+    # An earlier attempt elsewhere may have run.
+    outcome=_errors.RanState.UNKNOWN,
+    retry_after_s=RETRY_S,
+)
+_CLAIM_FAULTS = {
+    ttypes.ClaimState.MISMATCH: functools.partial(
+        _errors.RequestFaultError,
+        422,
+        "key_reused",
+        "Idempotency-Key was used for another request",
+    ),
+    ttypes.ClaimState.IN_PROGRESS: functools.partial(
+        _errors.RequestFaultError,
         409,
         "call_in_progress",
         "an earlier attempt under this key has no known end",
         outcome=_errors.RanState.UNKNOWN,
         retry_after_s=RETRY_S,
-    )
-
-
-def _ended_unknown() -> _errors.RequestFaultError:
-    return _errors.RequestFaultError(
+    ),
+    ttypes.ClaimState.DONE: functools.partial(
+        _errors.RequestFaultError,
         502,
         "answer_lost",
         "an earlier attempt under this key was sent and its answer was lost",
         outcome=_errors.RanState.UNKNOWN,
-    )
-
-
-def _unavailable() -> _errors.RequestFaultError:
-    # This attempt was not run; an earlier one elsewhere may have been.
-    return _errors.RequestFaultError(
-        503,
-        "claim_unavailable",
-        "the key can't be claimed now; this attempt was not run",
-        outcome=_errors.RanState.UNKNOWN,
-        retry_after_s=RETRY_S,
-    )
-
-
-_CLAIM_FAULTS = {
-    ttypes.ClaimState.MISMATCH: _mismatch,
-    ttypes.ClaimState.IN_PROGRESS: _in_progress,
-    ttypes.ClaimState.DONE: _ended_unknown,
-    ttypes.ClaimState.UNKNOWN: _unavailable,
-    ttypes.ClaimState.UNAVAILABLE: _unavailable,
+    ),
+    ttypes.ClaimState.UNKNOWN: _UNAVAILABLE,
+    ttypes.ClaimState.UNAVAILABLE: _UNAVAILABLE,
 }
