Keep threads free to refuse: no request waits unseen for a thread

Cause: with every thread busy, requests waited in the server's queue, unseen by admission: an urgent request got its answer after 14 s, behind streams of 7 s. Ruled out: a time limit in the queue (the refusal would come late). Change: two threads are kept for refusing; a request beyond the others is refused at once as not run, with Retry-After.

--- a/src/turmericward/entry/_context.py
+++ b/src/turmericward/entry/_context.py
@@ -11,6 +11,8 @@
 NOT_READY_RETRY_S = 2.0
 ASK_S = 10.0
 CLASS_HEADER = "x-traffic-class"
+URGENT = "urgent"
+REFUSING_THREADS = 2
 
 
 @attrs.frozen(kw_only=True)
@@ -22,13 +24,18 @@
 
 
 class ThreadSeats:
-    """Counts the server's busy threads and keeps some for urgent requests."""
+    """Counts the server's busy threads.
 
-    def __init__(self, threads: int, reserve: int) -> None:
+    Some are kept for urgent requests, and a few for refusing: a request that
+    waits for a thread can't be told to come back.
+    """
+
+    def __init__(self, threads: int, urgent_reserve: int) -> None:
         """Creates the count with every thread free."""
         self._lock = threading.Lock()
         self._busy = 0
-        self._limit = threads - reserve
+        self._urgent_limit = threads - REFUSING_THREADS
+        self._other_limit = self._urgent_limit - urgent_reserve
 
     def enter(self) -> None:
         """Notes that a thread took up a request."""
@@ -40,10 +47,10 @@
         with self._lock:
             self._busy -= 1
 
-    def spare(self) -> bool:
-        """Tells whether threads are free beyond the reserve."""
+    def allow(self, *, urgent: bool) -> bool:
+        """Tells whether the request of the calling thread may be served."""
         with self._lock:
-            return self._busy <= self._limit
+            return self._busy <= (self._urgent_limit if urgent else self._other_limit)
 
 
 @attrs.frozen(kw_only=True)
@@ -98,11 +105,11 @@
             msg = f"traffic class {traffic_class!r} does not exist"
             raise _errors.RequestFaultError(400, "invalid_class", msg)
         req.trace.traffic_class = traffic_class
-        if traffic_class != "urgent" and not self.seats.spare():
+        if not self.seats.allow(urgent=traffic_class == URGENT):
             raise _errors.RequestFaultError(
                 503,
                 "overloaded",
-                "all threads but the urgent reserve are busy",
+                f"no thread is free for {traffic_class} requests",
                 retry_after_s=TENANT_BUSY_RETRY_S,
             )
         return Caller(tenant=tenant, traffic_class=traffic_class)
--- a/src/turmericward/entry/_resources.py
+++ b/src/turmericward/entry/_resources.py
@@ -188,7 +188,7 @@
             raise _errors.RequestFaultError(
                 410, "version_expired", f"resourceVersion {version} is too old"
             )
-        if self._watches >= MAX_WATCHES or not self._ctx.seats.spare():
+        if self._watches >= MAX_WATCHES or not self._ctx.seats.allow(urgent=False):
             raise _errors.RequestFaultError(
                 503, "too_many_watches", "no thread is free", retry_after_s=RETRY_S
             )
--- a/src/turmericward/settings/_schema.py
+++ b/src/turmericward/settings/_schema.py
@@ -6,6 +6,7 @@
 
 _SECONDS = validators.between(0.01, 86400)
 _COUNT = validators.between(1, 100000)
+MIN_OTHER_THREADS = 4
 _PORT = validators.between(1, validators.MAX_PORT)
 
 
@@ -70,7 +71,7 @@
             attrs.validators.deep_iterable(_PORT),
         ]
     )
-    threads: int = attrs.field(default=64, validator=validators.between(4, 2000))
+    threads: int = attrs.field(default=64, validator=validators.between(5, 2000))
     urgent_reserve: int = attrs.field(default=8, validator=validators.between(1, 1000))
     balancer_lag_s: float = attrs.field(
         default=2.0, validator=validators.between(0, 300)
@@ -87,10 +88,11 @@
         """Checks the rules that concern several settings.
 
         Raises:
-            ValueError: the reserve leaves no thread for other classes.
+            ValueError: the reserve leaves too few threads for others.
         """
-        if self.urgent_reserve >= self.threads:
-            raise ValueError("urgent_reserve is not below threads")
+        if self.urgent_reserve + MIN_OTHER_THREADS > self.threads:
+            msg = f"urgent_reserve leaves fewer than {MIN_OTHER_THREADS} threads"
+            raise ValueError(msg)
 
 
 @attrs.frozen(kw_only=True)
