Don't settle an order as void while it may still arrive

Cause: an order whose answer was lost was settled as void at once when the engine showed no sign of it; it could still arrive and cross the next order (found by reading). Ruled out: trusting one look at the engine (the order may be on its way). Change: an order that was sent is void only after the term in which the kernel may deliver it; a new holder has waited for that already.

--- a/src/turmericward/steward/_change_loop.py
+++ b/src/turmericward/steward/_change_loop.py
@@ -43,6 +43,7 @@
         self._cfg = cfg
         self._authority = authority_task
         self._next = 0
+        self._deliverable_until: dict[str, float] = {}
         self._random = random.Random(cfg.instance.name)
         self._executor = futures.ThreadPoolExecutor(
             max_workers=HOLD_THREADS, thread_name_prefix="hold"
@@ -87,8 +88,12 @@
         phase = authority.OrderPhase.VOID
         if state.order_id == order.id and state.spec == order.spec:
             phase = authority.OrderPhase.DONE
+        elif time.monotonic() < self._deliverable_until.get(order.id, 0.0):
+            # The kernel may still deliver it: another order could cross it.
+            return True
         conclude = _messages.Conclude(order=order, phase=phase)
         if self._authority.ask(conclude).result(ASK_S):
+            self._deliverable_until.pop(order.id, None)
             logging.info("order %s of %s: %s", order.id, order.engine, phase.value)
         return True
 
@@ -154,6 +159,7 @@
         if time.monotonic() + need_s > held_until:
             logging.warning("hold on %s ends too early for an order", desired.name)
             return True
+        self._deliverable_until[order.id] = plan.held.until
         try:
             taken = self._control(desired).order(order.id, desired.spec, plan.held)
             logging.info("order %s to %s taken: %s", order.id, desired.name, taken)
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -124,7 +124,7 @@
         service.call(address, broken, "mine", 1.0)
 
 
-def _engine(fencing: bool) -> engine.Engine:
+def idle_engine(fencing: bool) -> engine.Engine:
     return engine.Engine(
         token_s=0.001, change_s=0.0, lag_s=0.0, fencing=fencing, slots=4, clock=False
     )
@@ -137,7 +137,7 @@
 
 
 def test_an_order_whose_term_ends_while_it_is_sent_has_no_effect():
-    app = _engine(fencing=False)
+    app = idle_engine(fencing=False)
     with served(app) as address:
         now = time.monotonic()
         check.assertTrue(_order(address, 1, now + 60))
@@ -152,7 +152,7 @@
 
 
 def test_an_engine_that_checks_refuses_an_older_token():
-    with served(_engine(fencing=True)) as address:
+    with served(idle_engine(fencing=True)) as address:
         until = time.monotonic() + 60
         check.assertTrue(_order(address, 5, until))
         check.assertFalse(_order(address, 4, until))
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -1,11 +1,17 @@
 """Tasks of the steward, by messages and without sockets."""
 
 import time
+from concurrent import futures
 
-from tests import fixtures, test_router_task
+from tests import fixtures, test_adapters, test_router_task
 from turmericward import authority, configuration, fleet, membership, settings
 from turmericward.adapters import log
-from turmericward.steward import _authority_task, _configuration_task, _messages
+from turmericward.steward import (
+    _authority_task,
+    _change_loop,
+    _configuration_task,
+    _messages,
+)
 
 check = fixtures.check
 
@@ -218,3 +224,38 @@
     task = _holding_task(("e0",))
     task._polled_at["a0-0"] -= 60
     check.assertIn("silent", _refusal(task, "e0", "h0"))
+
+
+class _Authority:
+    """Answers the change loop's questions and notes them."""
+
+    def __init__(self) -> None:
+        self.asked = []
+
+    def ask(self, message) -> futures.Future:
+        self.asked.append(message)
+        fut: futures.Future = futures.Future()
+        fut.set_result(True)
+        return fut
+
+
+def test_an_order_that_may_still_arrive_is_not_settled_as_void():
+    cfg = settings.loads(fixtures.json.dumps(test_router_task.DOCUMENT))
+    order = authority.Order(
+        id="o1",
+        token=1,
+        engine="e",
+        spec=authority.Spec(role="decode"),
+        phase=authority.OrderPhase.INTENDED,
+    )
+    with test_adapters.served(test_adapters.idle_engine(fencing=False)) as address:
+        desired = _messages.DesiredEngine(name="e", address=address, spec=order.spec)
+        fake = _Authority()
+        loop = _change_loop.ChangeLoop(cfg, fake)
+        loop._deliverable_until["o1"] = time.monotonic() + 60
+        check.assertTrue(loop._settle(desired, order))
+        check.assertEqual(fake.asked, [])
+        loop._deliverable_until["o1"] = time.monotonic() - 1
+        check.assertTrue(loop._settle(desired, order))
+        check.assertEqual(fake.asked[0].phase, authority.OrderPhase.VOID)
+        loop.closed()
