--- a/src/turmericward/authority/__init__.py
+++ b/src/turmericward/authority/__init__.py
@@ -9,6 +9,7 @@
     OrderBook,
     OrderPhase,
     Spec,
+    phase_of,
 )
 from turmericward.authority._records import (
     Acquire,
@@ -46,4 +47,5 @@
     "Timing",
     "decode",
     "encode",
+    "phase_of",
 ]
--- a/src/turmericward/authority/_orders.py
+++ b/src/turmericward/authority/_orders.py
@@ -100,16 +100,16 @@
         for intent in intents:
             self._intend(intent, intent.token)
 
-    def settle(self, engine: str, state: EngineState) -> OrderPhase | None:
-        """Decides an outstanding order from the engine's own state.
-
-        Returns:
-            DONE when the engine has carried the order out, VOID when it never
-            took it, None while it is still changing or nothing is outstanding.
-        """
-        order = self.outstanding(engine)
-        if order is None or state.changing:
-            return None
-        if state.order_id == order.id and state.spec == order.spec:
-            return OrderPhase.DONE
-        return OrderPhase.VOID
+
+def phase_of(order: Order, state: EngineState) -> OrderPhase | None:
+    """Decides an outstanding order from the engine's own state.
+
+    Returns:
+        DONE when the engine has carried the order out, VOID when it shows no
+        sign of it, None while it is still changing.
+    """
+    if state.changing:
+        return None
+    if state.order_id == order.id and state.spec == order.spec:
+        return OrderPhase.DONE
+    return OrderPhase.VOID
--- a/src/turmericward/runtime/_waiters.py
+++ b/src/turmericward/runtime/_waiters.py
@@ -37,11 +37,6 @@
         waiter.fut.set_result(value)
         return True
 
-    def resolve_all(self, value: object) -> None:
-        """Sets the result of every future."""
-        for key in list(self._waiters):
-            self.resolve(key, value)
-
     def expire(self, now: float) -> list[str]:
         """Ends the futures whose time is up; returns their keys."""
         late = [k for k, waiter in self._waiters.items() if waiter.until <= now]
--- a/src/turmericward/steward/_change_loop.py
+++ b/src/turmericward/steward/_change_loop.py
@@ -83,13 +83,10 @@
     def _settle(self, desired, order: authority.Order) -> bool:
         """Concludes an order from the engine's state; tells whether it has one."""
         state = self._observe(desired)
-        if state is None or state.changing:
-            return state is not None
-        phase = authority.OrderPhase.VOID
-        if state.order_id == order.id and state.spec == order.spec:
-            phase = authority.OrderPhase.DONE
-        elif time.monotonic() < self._deliverable_until.get(order.id, 0.0):
-            # The kernel may still deliver it: another order could cross it.
+        if state is None:
+            return False
+        phase = authority.phase_of(order, state)
+        if phase is None or self._may_still_arrive(order, phase):
             return True
         conclude = _messages.Conclude(order=order, phase=phase)
         if self._authority.ask(conclude).result(ASK_S):
@@ -97,6 +94,11 @@
             logging.info("order %s of %s: %s", order.id, order.engine, phase.value)
         return True
 
+    def _may_still_arrive(self, order, phase: authority.OrderPhase) -> bool:
+        """Tells whether the kernel may yet deliver it: another could cross it."""
+        until = self._deliverable_until.get(order.id, 0.0)
+        return phase is authority.OrderPhase.VOID and time.monotonic() < until
+
     def _change(self, desired) -> None:
         state = self._observe(desired)
         if state is None or state.changing or state.spec == desired.spec:
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -191,7 +191,8 @@
     for name, state, expected in cases:
         book = authority.OrderBook()
         book.apply(_intent(1), lease_token=1)
-        check.assertEqual(book.settle("e", state), expected, name)
+        found = authority.phase_of(book.outstanding("e"), state)
+        check.assertEqual(found, expected, name)
 
 
 def _history(contender, stream: list, seconds: float) -> None:
