Append renewals and orders before waiting claims

Cause: one queue for all streams: a renewal waited behind claims, and a slow log could cost a holder its term (found by reading). Ruled out: a connection for each stream (the rate is bounded for them together). Change: records of authority are urgent.

--- a/src/turmericward/steward/_authority_task.py
+++ b/src/turmericward/steward/_authority_task.py
@@ -135,7 +135,10 @@
         until = time.monotonic() + self._term_s
         self._appender.post(
             _messages.Append(
-                stream=self._stream, value=authority.encode(record), until=until
+                stream=self._stream,
+                value=authority.encode(record),
+                until=until,
+                urgent=True,
             )
         )
 
--- a/src/turmericward/steward/_log_tasks.py
+++ b/src/turmericward/steward/_log_tasks.py
@@ -117,7 +117,8 @@
     def _next_batch(self) -> list[_messages.Append]:
         if not self._waiting:
             return []
-        stream = self._waiting[0].stream
+        urgent = (message for message in self._waiting if message.urgent)
+        stream = next(urgent, self._waiting[0]).stream
         batch = []
         rest = collections.deque()
         for message in self._waiting:
--- a/src/turmericward/steward/_messages.py
+++ b/src/turmericward/steward/_messages.py
@@ -37,11 +37,15 @@
 
 @attrs.frozen(kw_only=True)
 class Append:
-    """Appends `value` to a stream, again and again until `until` (monotonic)."""
+    """Appends `value` to a stream, again and again until `until` (monotonic).
+
+    Urgent records go before those that wait.
+    """
 
     stream: str
     value: dict
     until: float
+    urgent: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -10,6 +10,7 @@
     _authority_task,
     _change_loop,
     _configuration_task,
+    _log_tasks,
     _messages,
 )
 
@@ -259,3 +260,31 @@
         check.assertTrue(loop._settle(desired, order))
         check.assertEqual(fake.asked[0].phase, authority.OrderPhase.VOID)
         loop.closed()
+
+
+class _Log:
+    """Notes the streams that are appended to."""
+
+    def __init__(self) -> None:
+        self.streams = []
+
+    def append(self, stream: str, values: list) -> int:
+        self.streams.append((stream, len(values)))
+        return 0
+
+    def close(self) -> None:
+        pass
+
+
+def test_renewals_are_appended_before_waiting_claims():
+    cfg = settings.loads(fixtures.json.dumps(test_router_task.DOCUMENT))
+    appender = _log_tasks.Appender(cfg.log)
+    appender._client = _Log()
+    until = time.monotonic() + 60
+    for stream, urgent in (("calls", False), ("calls", False), ("authority.a", True)):
+        appender.post(
+            _messages.Append(stream=stream, value={}, until=until, urgent=urgent)
+        )
+    appender.step()
+    appender.step()
+    check.assertEqual(appender._client.streams, [("authority.a", 1), ("calls", 2)])
