Deliver what came before a gap in the same read

Cause: events that came together with a gap after them were counted as delivered and dropped with it: the caller's stream lacked them (found by reading; the random faults left events out one at a time). Ruled out: the resumption (it went on after the last number counted).

--- a/src/turmericward/entry/_relay.py
+++ b/src/turmericward/entry/_relay.py
@@ -102,9 +102,11 @@
         while True:
             try:
                 for batch in self._stream.events():
-                    fresh = self._in_order(batch)
+                    fresh, gap = self._in_order(batch)
                     if fresh:
                         yield fresh
+                    if gap:
+                        self._report_gap(gap)
                     self._left_s()
             except errors.AdapterError as exc:
                 self._failed(exc)
@@ -113,17 +115,20 @@
             self._finish(failed=False)
             return
 
-    def _in_order(self, batch: list[engine.Event]) -> list[engine.Event]:
+    def _in_order(self, batch: list[engine.Event]) -> tuple[list[engine.Event], int]:
+        """Returns the events to deliver, and the number before which some lack."""
         fresh = []
         for event in batch:
             if event.seq and event.seq <= self._last_seq:
                 continue
             if event.seq > self._last_seq + 1:
-                msg = f"event {event.seq} follows {self._last_seq}"
-                raise errors.AnswerLostError(msg)
+                return fresh, event.seq
             self._last_seq = event.seq
             fresh.append(event)
-        return fresh
+        return fresh, 0
+
+    def _report_gap(self, number: int) -> NoReturn:
+        raise errors.AnswerLostError(f"event {number} follows {self._last_seq}")
 
     def _resume(self, exc: Exception) -> None:
         if not self._last_seq:
