Ask stewards through one function; say on the wire what versions mean

Cause: read as a whole, the first version asked stewards in turn in two places, held two constants on both sides of the wire, looked a cached prefix up twice for each request, decoded and encoded an error again, and had dead names. Ruled out: one function for settlements too (they may be repeated, a claim or a change may not). Change: adapters.steward.call_first with an error of its own for a request that may have arrived, in place of a flag to be read after a failure; constants in the interface file; a candidate carries what the router books. Behaviour is the same.

--- a/idl/turmericward.thrift
+++ b/idl/turmericward.thrift
@@ -64,8 +64,11 @@
   UNAVAILABLE = 4
 }
 
-/** A change of one resource; `expected` is the version it replaces, 0 to create
- *  only, -1 to replace whichever is present. */
+const i64 ANY_VERSION = -1
+const i64 NO_VERSION = 0
+
+/** A change of one resource; `expected` is the version it replaces, NO_VERSION to
+ *  create only, ANY_VERSION to replace whichever is present. */
 struct ProposeRequest {
   1: string kind
   2: string name
--- a/src/turmericward/adapters/errors.py
+++ b/src/turmericward/adapters/errors.py
@@ -23,7 +23,11 @@
 
 
 class StewardUnavailableError(AdapterError):
-    """Raised when a steward gave no answer; it may have acted all the same."""
+    """Raised when a steward gave no answer."""
+
+
+class StewardSilentError(StewardUnavailableError):
+    """Raised when a steward got the request, as far as known, and gave no answer."""
 
 
 class NotSentError(AdapterError):
--- a/src/turmericward/adapters/steward.py
+++ b/src/turmericward/adapters/steward.py
@@ -24,39 +24,36 @@
 
 
 class StewardClient:
-    """One connection to a steward; not for use by several threads.
-
-    After a call that raised, `was_sent` tells whether it may have arrived.
-    """
+    """One connection to a steward; not for use by several threads."""
 
     def __init__(self, address: str, timeout_s: float) -> None:
         """Creates the client; `timeout_s` bounds the wait for one answer."""
         self.address = address
         self._timeout_s = timeout_s
-        self.was_sent = False
         self._transport: TTransport.TBufferedTransport | None = None
         self._client: Steward.Client | None = None
 
     def __getattr__(self, name: str):
         """Returns the method of the interface with this name.
 
-        It raises StewardUnavailableError when no answer came; the connection
-        is closed then, since a late answer could be taken for the next one's.
+        It raises StewardUnavailableError when no connection came about, and
+        StewardSilentError when no answer came; the connection is closed then,
+        since a late answer could be taken for the next one's.
         """
         if name.startswith("_"):
             raise AttributeError(name)
         return functools.partial(self._call, name)
 
     def _call(self, name: str, *args):
-        self.was_sent = False
+        failure = errors.StewardUnavailableError
         try:
             client = self._connect()
-            self.was_sent = True
+            failure = errors.StewardSilentError
             return getattr(client, name)(*args)
         except _ERRORS as exc:
             self.close()
             msg = f"steward {self.address}: {name}: {exc!r}"
-            raise errors.StewardUnavailableError(msg) from exc
+            raise failure(msg) from exc
 
     def _connect(self) -> Steward.Client:
         if self._client is None:
@@ -89,6 +86,26 @@
         client.close()
 
 
+def call_first(addresses: list[str], timeout_s: float, name: str, req):
+    """Calls a method at the first of several stewards that can be reached.
+
+    A request that may have arrived is not sent to another steward.
+
+    Raises:
+        StewardSilentError: one may have got it, and gave no answer.
+        StewardUnavailableError: none could be reached.
+    """
+    for address in addresses:
+        try:
+            with connected(address, timeout_s) as client:
+                return getattr(client, name)(req)
+        except errors.StewardSilentError:
+            raise
+        except errors.StewardUnavailableError as exc:
+            logging.warning("%s", exc)
+    raise errors.StewardUnavailableError(f"{name}: no steward could be reached")
+
+
 class StewardServer:
     """Serves the interface, one thread of an executor for each connection."""
 
--- a/src/turmericward/authority/_contender.py
+++ b/src/turmericward/authority/_contender.py
@@ -74,8 +74,8 @@
         self._known = False
         self._last_read = now
 
-    def restore(self, lease: _lease.Lease, covers: int, now: float) -> None:
-        """Takes the state after every offset below `covers`."""
+    def restore(self, lease: _lease.Lease, now: float) -> None:
+        """Takes the lease of a snapshot."""
         self._fold.lease = lease
         self._known = True
         self._last_read = now
--- a/src/turmericward/entry/_http.py
+++ b/src/turmericward/entry/_http.py
@@ -12,7 +12,6 @@
 
 JSON = "application/json"
 PROBLEM_JSON = "application/problem+json"
-MAX_CONTENT_LENGTH_DIGITS = 12
 
 
 @attrs.define
--- a/src/turmericward/entry/_models.py
+++ b/src/turmericward/entry/_models.py
@@ -1,6 +1,5 @@
 """Callers' interface to models, compatible with OpenAI's."""
 
-import json
 import time
 from collections.abc import Iterator
 
@@ -148,7 +147,7 @@
         except _errors.RequestFaultError as exc:
             # The caller learns from the missing [DONE] that this isn't the end.
             self._watch.lost = True
-            yield _sse(_error_data(exc))
+            yield _sse(_http.openai_error(exc).body.rstrip())
 
     def close(self) -> None:
         self._on_end()
@@ -156,8 +155,3 @@
 
 def _sse(data: bytes) -> bytes:
     return b"data: " + data + b"\n\n"
-
-
-def _error_data(exc: _errors.RequestFaultError) -> bytes:
-    body = json.loads(_http.openai_error(exc).body)
-    return json.dumps(body).encode()
--- a/src/turmericward/entry/_resources.py
+++ b/src/turmericward/entry/_resources.py
@@ -11,7 +11,7 @@
 from turmericward import configuration
 from turmericward.adapters import errors, steward
 from turmericward.entry import _context, _errors, _http
-from turmericward.wire import ttypes
+from turmericward.wire import constants, ttypes
 
 PREFIX = "/apis/v1/"
 PROPOSE_CALL_S = 8.0
@@ -21,8 +21,6 @@
 BOOKMARK_S = 1.0
 RETRY_S = 1.0
 MAX_WATCHES = 16
-ANY_VERSION = -1
-NO_VERSION = 0
 JSON_LINES = "application/jsonl"
 
 
@@ -117,7 +115,7 @@
         for _ in range(RETRIES_ON_CONFLICT):
             current = self._existing(kind, name)
             expected = _expected(req)
-            given = expected != ANY_VERSION
+            given = expected != constants.ANY_VERSION
             change = Change(
                 kind=kind,
                 name=name,
@@ -160,7 +158,7 @@
             deleted=change.value is None,
             producer=change.producer,
         )
-        any_version = change.expected == ANY_VERSION
+        any_version = change.expected == constants.ANY_VERSION
         for _ in range(RETRIES_ON_CONFLICT):
             answer = self._ask_steward(req)
             if answer.outcome == ttypes.Outcome.ACCEPTED:
@@ -170,17 +168,16 @@
         raise _PROPOSE_FAULTS[answer.outcome]()
 
     def _ask_steward(self, req: ttypes.ProposeRequest) -> ttypes.ProposeAnswer:
-        for address in self._ctx.follow.stewards():
-            client = steward.StewardClient(address, PROPOSE_CALL_S)
-            try:
-                return client.propose(req)
-            except errors.StewardUnavailableError as exc:
-                logging.warning("propose: %s", exc)
-                if client.was_sent:
-                    return ttypes.ProposeAnswer(outcome=ttypes.Outcome.UNKNOWN)
-            finally:
-                client.close()
-        return ttypes.ProposeAnswer(outcome=ttypes.Outcome.UNAVAILABLE)
+        try:
+            return steward.call_first(
+                self._ctx.follow.stewards(), PROPOSE_CALL_S, "propose", req
+            )
+        except errors.StewardSilentError as exc:
+            logging.warning("propose: %s", exc)
+            return ttypes.ProposeAnswer(outcome=ttypes.Outcome.UNKNOWN)
+        except errors.StewardUnavailableError as exc:
+            logging.warning("propose: %s", exc)
+            return ttypes.ProposeAnswer(outcome=ttypes.Outcome.UNAVAILABLE)
 
     def _watch(self, req: _http.Request, kind: str) -> _http.Response:
         version = _version(req.query.get("resourceVersion", "0"))
@@ -271,8 +268,8 @@
     if match is not None and match.strip() != "*":
         return _version(match.strip().strip('"'))
     if req.headers.get("if-none-match", "").strip() == "*":
-        return NO_VERSION
-    return ANY_VERSION
+        return constants.NO_VERSION
+    return constants.ANY_VERSION
 
 
 def _document(res: configuration.Resource) -> dict:
--- a/src/turmericward/entry/_services.py
+++ b/src/turmericward/entry/_services.py
@@ -113,18 +113,16 @@
 
     def _claim(self, claim: ttypes.ClaimRequest) -> ttypes.ClaimAnswer:
         timeout_s = self._ctx.cfg.steward.claim_timeout_s + CLAIM_SLACK_S
-        for address in self._ctx.follow.stewards():
-            client = steward.StewardClient(address, timeout_s)
-            try:
-                return client.claim(claim)
-            except errors.StewardUnavailableError as exc:
-                logging.warning("claim: %s", exc)
-                if client.was_sent:
-                    # The claim may come to stand, but will never be run.
-                    self._settle(claim, ran=False, answer=None)
-                    break
-            finally:
-                client.close()
+        try:
+            return steward.call_first(
+                self._ctx.follow.stewards(), timeout_s, "claim", claim
+            )
+        except errors.StewardSilentError as exc:
+            logging.warning("claim: %s", exc)
+            # The claim may come to stand, but will never be run.
+            self._settle(claim, ran=False, answer=None)
+        except errors.StewardUnavailableError as exc:
+            logging.warning("claim: %s", exc)
         return ttypes.ClaimAnswer(state=ttypes.ClaimState.UNAVAILABLE)
 
     def _run_claimed(self, found, req, path: str, claim) -> _http.Response:
--- a/src/turmericward/requests/_router.py
+++ b/src/turmericward/requests/_router.py
@@ -49,6 +49,7 @@
     """An engine with the work before a request there and its expected times."""
 
     engine: fleet.EngineView
+    entrant: _book.Entrant
     tokens: float
     first_token_s: float
     score_s: float
@@ -117,37 +118,41 @@
             return result.Err(
                 Refusal(reason="no_engine", retry_after_s=NO_ENGINE_RETRY_S)
             )
-        best = self._best(demand, usable, reports)
+        best = self._best(demand, usable, reports, now)
         bound_s = self._classes[demand.traffic_class].first_token_s
         if best.first_token_s > bound_s:
             retry_s = max(MIN_RETRY_S, best.first_token_s - bound_s)
             return result.Err(Refusal(reason="overloaded", retry_after_s=retry_s))
-        return result.Ok(self._assign(demand, best, now))
+        return result.Ok(self._assign(demand, best))
 
-    def _best(self, demand, usable, reports) -> _Candidate:
+    def _best(self, demand, usable, reports, now: float) -> _Candidate:
         preferred = min(usable, key=lambda e: _affinity(demand.prefix, e.name))
         count = min(RANDOM_CANDIDATES, len(usable))
         chosen = [preferred, *self._random.sample(usable, count)]
-        candidates = [self._candidate(demand, e, reports.get(e.name)) for e in chosen]
+        candidates = [
+            self._candidate(demand, e, reports.get(e.name), now) for e in chosen
+        ]
         return min(
             candidates, key=lambda c: (c.score_s, c.engine.domain != self._domain)
         )
 
-    def _candidate(self, demand, engine, report) -> _Candidate:
+    def _candidate(self, demand, engine, report, now: float) -> _Candidate:
         book = self._books[engine.name]
         cached = self._prefixes.cached(engine.name, demand.prefix)
-        own = max(1, demand.prompt_tokens - cached)
-        tokens = book.tokens_ahead(demand.priority, report) + own
+        entrant = _book.entrant_of(demand, cached, now)
+        ahead = book.tokens_ahead(demand.priority, report)
+        tokens = ahead + entrant.prefill_tokens
         first_token_s = tokens * self._seconds_per_token[engine.name]
         crowd_s = book.open_requests(report) * SECONDS_PER_OPEN_REQUEST
         return _Candidate(
             engine=engine,
+            entrant=entrant,
             tokens=tokens,
             first_token_s=first_token_s,
             score_s=first_token_s + crowd_s,
         )
 
-    def _assign(self, demand, best: _Candidate, now: float) -> Assignment:
+    def _assign(self, demand, best: _Candidate) -> Assignment:
         self._last_id += 1
         name = best.engine.name
         assignment = Assignment(
@@ -156,10 +161,8 @@
             address=best.engine.address,
             tokens=best.tokens,
         )
-        cached = self._prefixes.cached(name, demand.prefix)
-        entrant = _book.entrant_of(demand, cached, now)
         self._open[assignment.id] = assignment
-        self._books[name].add(assignment.id, entrant)
+        self._books[name].add(assignment.id, best.entrant)
         self._prefixes.note(name, demand.prefix, demand.prefix_tokens)
         self.health.started(name)
         return assignment
--- a/src/turmericward/steward/_authority_task.py
+++ b/src/turmericward/steward/_authority_task.py
@@ -99,7 +99,7 @@
         if self._contender.known or snapshot.covers < self._first:
             return
         lease = authority.Lease(**attrs.asdict(snapshot.lease))
-        self._contender.restore(lease, snapshot.covers, at)
+        self._contender.restore(lease, at)
         self._book.restore(snapshot.orders)
         self._folded = snapshot.covers
         for offset, record in self._kept:
--- a/src/turmericward/steward/_configuration_task.py
+++ b/src/turmericward/steward/_configuration_task.py
@@ -11,7 +11,7 @@
 from turmericward import authority, configuration, fleet, membership, runtime
 from turmericward.adapters import instances, log
 from turmericward.steward import _hold_rules, _messages, _wire
-from turmericward.wire import ttypes
+from turmericward.wire import constants, ttypes
 
 CONFIG_STREAM = "config"
 PROPOSE_TIMEOUT_S = 5.0
@@ -180,9 +180,9 @@
     def _expected(self, message: _messages.Propose) -> int | None:
         current = self._ledger.get(message.kind, message.name)
         version = current.version if current else 0
-        if message.expected == _messages.ANY_VERSION:
+        if message.expected == constants.ANY_VERSION:
             return version
-        if message.expected == _messages.NO_VERSION:
+        if message.expected == constants.NO_VERSION:
             exists = current is not None and current.value is not None
             return None if exists else version
         return message.expected
--- a/src/turmericward/steward/_messages.py
+++ b/src/turmericward/steward/_messages.py
@@ -5,9 +5,6 @@
 from turmericward import authority, calls, fleet, membership
 from turmericward.adapters import instances, log
 
-ANY_VERSION = -1
-NO_VERSION = 0
-
 
 @attrs.frozen(kw_only=True)
 class LogRead:
--- a/src/turmericward/telemetry/_metrics.py
+++ b/src/turmericward/telemetry/_metrics.py
@@ -12,7 +12,6 @@
 DIGITS = 2
 MAX_TENANTS = 32
 PERCENTILES = (50.0, 95.0, 99.0)
-MEASURES = ("first_token", "between_tokens", "total")
 
 
 @attrs.frozen(kw_only=True)
--- a/src/turmericward/wire/constants.py
+++ b/src/turmericward/wire/constants.py
@@ -12,3 +12,5 @@
 
 import sys
 from .ttypes import *
+ANY_VERSION = -1
+NO_VERSION = 0
--- a/src/turmericward/wire/ttypes.py
+++ b/src/turmericward/wire/ttypes.py
@@ -850,8 +850,8 @@
 
 class ProposeRequest(object):
     """
-    A change of one resource; `expected` is the version it replaces, 0 to create
-    only, -1 to replace whichever is present.
+    A change of one resource; `expected` is the version it replaces, NO_VERSION to
+    create only, ANY_VERSION to replace whichever is present.
 
     Attributes:
      - kind
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -214,8 +214,7 @@
     for offset in range(5, len(stream)):
         late.read(0.0, offset, stream[offset])
     check.assertEqual(late.tick(1.0), [])
-    covers = len(stream)
-    late.restore(holder.lease, covers, 1.0)
+    late.restore(holder.lease, 1.0)
     check.assertEqual(late.lease, holder.lease)
     check.assertEqual(late.tick(2.0), [])
     (taken,) = late.tick(1.0 + TIMING.term_s + TIMING.margin_s)
