Hand the client's deadline on to targets, not the patience for a first byte

Ruled out: targets breaking off by themselves (each run ended as 'deadline'). Change: the deadline handed on is what the client and the route have left.

--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -94,7 +94,7 @@
 
 
 def _outgoing(target, call, dispatch) -> _request.Request:
-    left_ms = max(1, int(min(call.left_s(), dispatch.timeout_s) * 1000))
+    left_ms = max(1, int(call.left_s() * 1000))
     headers = list(call.headers)
     headers.append((_headers.DEADLINE_MS, str(left_ms)))
     headers.append((_headers.EXPECTED_TARGET, target.name))
