Fronts tell each other their load; prompts go where the first token comes first

Cause: each front saw its own sixth of the work; prefill engines got 12 prompts in 2 s by collision (took 1.4 s, expected 0.2 s) while decode engines idled, and 1.1 M tokens of shared parts were read again. Ruled out: fetching by the preferred engine alone (39 of 114 prompts fetched and the wait was the same). Change: datagrams with load and kept prompts; speeds learnt from first tokens; an LRU model of each engine's memory; prompts that are late already go behind.

--- /dev/null
+++ b/idl/peers.thrift
@@ -0,0 +1,32 @@
+// Datagrams between fronts. Regenerate with scripts/generate.
+namespace py turmericward.wire.peers
+
+/** One front's own work at a target; `target` is the CRC-32 of its name. */
+struct TargetLoad {
+  1: i32 target
+  /** Prompt tokens sent and not yet read, of calls that should be on time. */
+  2: i32 urgent_tokens
+  /** The same of calls that are late already. */
+  3: i32 deferred_tokens
+  4: i32 open_calls
+}
+
+/** Shared prompt parts at a target; `prompt` is a hash of their ids. */
+struct KeptPrompt {
+  1: i32 target
+  2: i64 prompt
+  3: i32 shared_tokens
+  4: i32 own_tokens
+  /** False while the target has still to read them. */
+  5: bool ready
+}
+
+/** A front's whole load, and the prompts read since its last datagrams. */
+struct FrontState {
+  1: string front
+  /** Random for each start of a front. */
+  2: i64 boot
+  3: i32 sequence
+  4: list<TargetLoad> loads
+  5: list<KeptPrompt> kept
+}
--- a/src/turmericward/delivery/_calls.py
+++ b/src/turmericward/delivery/_calls.py
@@ -32,8 +32,9 @@
     """Where the calls of one host and path prefix go, and their bounds.
 
     `objective_s` bounds the first byte or event, `gap_s` the pause between two
-    events; `max_attempts` counts the targets on which one call may run; lower
-    numbers of `priority` go first.
+    events; clients leave after `abandon_s` without an event; `max_attempts`
+    counts the targets on which one call may run; lower numbers of `priority` go
+    first.
     """
 
     name: str
@@ -43,6 +44,7 @@
     timeout_s: float
     objective_s: float
     gap_s: float
+    abandon_s: float
     priority: int
     max_attempts: int
     resumable: bool
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -18,6 +18,8 @@
 MIN_PATIENCE_S = 0.3
 RETRY_AFTER_S = 0.5
 CLIENT_GONE = 499
+# Added to a route's priority for calls that are late already.
+DEFERRED_PRIORITY = 5
 
 
 class Transport(Protocol):
@@ -172,17 +174,36 @@
     def _take(self, placement: requests.Placement) -> None:
         self._placement = placement
         self._sent_at = time.monotonic()
+        prompt = self._call.prompt
+        telemetry.log_event(
+            "placed",
+            request_id=self._call.id,
+            target=placement.target.name,
+            role=str(placement.target.role and placement.target.role.value),
+            prefill_only=placement.prefill_only,
+            fetch_from=placement.fetch_from,
+            prompt_tokens=prompt.tokens if prompt else 0,
+            work_tokens=round(placement.work_tokens),
+            ahead_tokens=round(placement.ahead_tokens),
+            deferred=placement.deferred,
+            expected_s=round(placement.expected_s, 3),
+            after_s=round(self._sent_at - self._call.received, 3),
+        )
 
     def _dispatch(self, source: str = "", *, prefill_only=False) -> _calls.Dispatch:
         return _calls.Dispatch(
             timeout_s=self._patience_s(),
-            priority=self._call.route.priority,
+            priority=self._priority(),
             resume_after=self._call.resume_after,
             source=source,
             fetch_from=self._placement.fetch_from,
             prefill_only=prefill_only,
         )
 
+    def _priority(self) -> int:
+        priority = self._call.route.priority
+        return priority + DEFERRED_PRIORITY * self._placement.deferred
+
     def _patience_s(self) -> float:
         """Returns how long a target may take to begin its answer."""
         left_s = self._call.left_s()
@@ -328,6 +349,12 @@
 
     def _began(self) -> None:
         now = time.monotonic()
+        telemetry.log_event(
+            "began",
+            request_id=self._call.id,
+            target=self._placement.target.name,
+            took_s=round(now - self._sent_at, 3),
+        )
         message = _dispatch_task.Began(
             placement=self._placement,
             prompt=self._call.prompt,
@@ -343,7 +370,9 @@
 
     def end_placement(self, placement: requests.Placement, *, failed: bool) -> None:
         """Tells the dispatcher that a placement has ended."""
-        message = _dispatch_task.Ended(placement=placement, failed=failed)
+        message = _dispatch_task.Ended(
+            placement=placement, prompt=self._call.prompt, failed=failed
+        )
         self._ctx.dispatch.post(message)
 
     def _log_attempt(self, outcome: str, detail: str) -> None:
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -2,14 +2,13 @@
 
 import collections
 import functools
-import random
 import time
 
 import attrs
 import result
 from absl import logging
 
-from turmericward import fleet, requests, runtime
+from turmericward import fleet, peers, requests, runtime
 from turmericward.delivery import _calls, _routes
 
 NO_TARGET_RETRY_S = 0.5
@@ -75,6 +74,7 @@
     """A placement has ended; `failed` when the target was at fault."""
 
     placement: requests.Placement
+    prompt: requests.Prompt | None
     failed: bool
 
 
@@ -82,14 +82,22 @@
     """Chooses targets; `table` may be read by any thread."""
 
     def __init__(
-        self, *, domain: str, seed: int, grace_s: float, budget_factory
+        self, *, domain: str, seed: int, grace_s: float, budget_factory, tell
     ) -> None:
-        """Creates the task without configuration and targets."""
+        """Creates the task without configuration and targets.
+
+        Args:
+            domain: failure domain of this front.
+            seed: seed of the random choices.
+            grace_s: how long a target may be missing after an outage.
+            budget_factory: returns a new retry budget, one for each service.
+            tell: called with the own loads and notes when peers should know.
+        """
         super().__init__()
         self._directory = fleet.Directory(grace_s)
         self._placer = requests.Placer(seed, domain)
         self._budgets = collections.defaultdict(budget_factory)
-        self._random = random.Random(seed)
+        self._tell = tell
         self.table: _routes.RoutingTable | None = None
 
     @functools.singledispatchmethod
@@ -102,6 +110,9 @@
         if self.table is not None and message.table.version <= self.table.version:
             return False
         self.table = message.table
+        for service in message.table.services.values():
+            if service.kv_capacity_tokens:
+                self._placer.set_capacity(service.name, service.kv_capacity_tokens)
         logging.info("configuration %d is in force", message.table.version)
         return True
 
@@ -140,10 +151,24 @@
         self._directory.source_returned(time.monotonic())
 
     def tick(self) -> None:
-        """Drops targets whose grace has ended."""
-        for name in self._directory.expire(time.monotonic()):
+        """Drops targets whose grace has ended, and peers that are silent."""
+        now = time.monotonic()
+        for name in self._directory.expire(now):
             logging.info("target %s is gone", name)
             self._placer.forget(name)
+        for peer in self._placer.peers.expire(now):
+            logging.info("peer %s is silent", peer)
+
+    @handle.register
+    def _(self, message: peers.PeerState) -> None:
+        self._placer.peers.take(message.front, message.loads, time.monotonic())
+        for note in message.kept:
+            self._placer.note_kept(note)
+
+    def _tell_peers(self, prompt: requests.Prompt | None) -> None:
+        """Tells the peers of changes that move much; heartbeats carry the rest."""
+        if prompt is not None and prompt.tokens >= requests.SHORT_PROMPT_TOKENS:
+            self._tell(self._placer.own_loads(), self._placer.take_notes())
 
     @handle.register
     def _(self, message: Place):
@@ -158,28 +183,38 @@
             for t in self._directory.usable(message.service)
             if t.name not in message.excluded
         ]
-        placement = self._choose(message, usable, now)
-        if placement is None:
+        chosen = self._choose(message, usable, now)
+        if chosen is None:
             return _refused("no_target")
-        return result.Ok(placement)
+        self._tell_peers(message.call.prompt)
+        return chosen
 
     def _choose(self, message: Place, usable, now: float):
         call = message.call
-        priority = call.route.priority
         if call.prompt is None:
-            return self._placer.choose_replica(usable, priority, now)
+            return _placed(self._placer.choose_replica(usable, now))
         if message.read:
-            return self._placer.choose_answerer(call.prompt, usable, priority, now)
-        return self._placer.choose_engine(call.prompt, usable, priority, now)
+            return _placed(self._placer.choose_answerer(usable, now))
+        patience = requests.Patience(
+            on_time_s=call.received + call.route.objective_s - now,
+            given_up_s=min(call.received + call.route.abandon_s, call.until) - now,
+        )
+        return self._placer.choose_engine(call.prompt, usable, patience, now)
 
     @handle.register
     def _(self, message: Began) -> None:
         self._placer.began(message.placement, message.prompt, message.took_s)
+        self._tell_peers(message.prompt)
 
     @handle.register
     def _(self, message: Ended) -> None:
         now = time.monotonic()
         self._placer.ended(message.placement, failed=message.failed, now=now)
+        self._tell_peers(message.prompt)
+
+
+def _placed(placement: requests.Placement | None):
+    return None if placement is None else result.Ok(placement)
 
 
 def _refused(reason: str):
--- a/src/turmericward/delivery/_routes.py
+++ b/src/turmericward/delivery/_routes.py
@@ -10,10 +10,13 @@
 
 @attrs.frozen(kw_only=True)
 class ServiceTraits:
-    """What the configuration says of one service."""
+    """What the configuration says of one service.
+
+    `kv_capacity_tokens` is what one of its engines keeps, 0 for plain services.
+    """
 
     name: str
-    health_path: str = ""
+    kv_capacity_tokens: float = 0.0
 
 
 class RoutingTable:
--- /dev/null
+++ b/src/turmericward/peers/_codec.py
@@ -0,0 +1,88 @@
+"""Datagrams between fronts: thrift's compact protocol."""
+
+import attrs
+from thrift import TSerialization
+from thrift.protocol import TCompactProtocol
+
+from turmericward import requests
+from turmericward.wire.peers import ttypes
+
+_FACTORY = TCompactProtocol.TCompactProtocolFactory()
+
+
+class MalformedStateError(Exception):
+    """Raised when a datagram can't be decoded."""
+
+
+@attrs.frozen(kw_only=True)
+class PeerState:
+    """What a front tells: its loads by target, and prompts that targets keep.
+
+    `sequence` orders the states of one `boot`, a number drawn at each start.
+    """
+
+    front: str
+    boot: int
+    sequence: int
+    loads: dict[int, requests.TargetLoad]
+    kept: tuple[requests.KeptNote, ...] = ()
+
+
+def encode(state: PeerState) -> bytes:
+    """Returns the datagram of a state."""
+    loads = [
+        ttypes.TargetLoad(
+            target=target,
+            urgent_tokens=int(load.urgent_tokens),
+            deferred_tokens=int(load.deferred_tokens),
+            open_calls=load.open_calls,
+        )
+        for target, load in state.loads.items()
+    ]
+    kept = [ttypes.KeptPrompt(**attrs.asdict(note)) for note in state.kept]
+    message = ttypes.FrontState(
+        front=state.front,
+        boot=state.boot,
+        sequence=state.sequence,
+        loads=loads,
+        kept=kept,
+    )
+    return TSerialization.serialize(message, _FACTORY)
+
+
+def decode(data: bytes) -> PeerState:
+    """Decodes a datagram.
+
+    Raises:
+        MalformedStateError: it is cut or of another form.
+    """
+    try:
+        message = TSerialization.deserialize(ttypes.FrontState(), data, _FACTORY)
+        return PeerState(
+            front=message.front,
+            boot=message.boot,
+            sequence=message.sequence,
+            loads={row.target: _load(row) for row in message.loads},
+            kept=tuple(_note(row) for row in message.kept),
+        )
+    # The library raises many kinds for bytes that aren't a message.
+    except Exception as exc:
+        raise MalformedStateError(repr(exc)) from exc
+
+
+def _load(row: ttypes.TargetLoad) -> requests.TargetLoad:
+    return requests.TargetLoad(
+        urgent_tokens=row.urgent_tokens,
+        deferred_tokens=row.deferred_tokens,
+        open_calls=row.open_calls,
+    )
+
+
+def _note(row: ttypes.KeptPrompt) -> requests.KeptNote:
+    return requests.KeptNote(
+        target=row.target,
+        prompt=row.prompt,
+        shared_tokens=row.shared_tokens,
+        own_tokens=row.own_tokens,
+        ready=row.ready,
+    )
--- a/src/turmericward/platform/_follow.py
+++ b/src/turmericward/platform/_follow.py
@@ -4,7 +4,7 @@
 
 from absl import logging
 
-from turmericward import delivery, runtime
+from turmericward import delivery, peers, runtime
 from turmericward.adapters import errors
 from turmericward.platform import _records, _store
 
@@ -12,6 +12,9 @@
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
 TARGETS_TOPIC = "keyed.servers"
+FRONTS_TOPIC = "keyed.fronts"
+FRONTS_WAIT_S = 10.0
+ANNOUNCE_S = 10.0
 MAX_BAD_RECORDS_LOGGED = 1000
 
 
@@ -163,3 +166,50 @@
     def returned(self) -> None:
         """Tells the dispatcher that announcements may have expired meanwhile."""
         self._dispatch.post(delivery.SourceReturned())
+
+
+class FrontsSink:
+    """Passes on the fronts that announced themselves."""
+
+    def __init__(self, tell: peers.PeerTask) -> None:
+        """Creates the sink of the task that tells peers."""
+        self._tell = tell
+
+    def listed(self, records: tuple[_store.KeyedRecord, ...]) -> None:
+        """Takes a listing."""
+        self.changed(list(records))
+
+    def changed(self, records: list[_store.KeyedRecord]) -> None:
+        """Takes announcements: a front's name and its IP number."""
+        for record in records:
+            if record.value is not None:
+                host = record.value.decode("ascii", "replace")
+                self._tell.post(peers.Announced(front=record.key, host=host))
+
+    def returned(self) -> None:
+        """Needs no action."""
+
+
+class AnnounceLoop(runtime.Loop):
+    """Announces this front in the store, again and again."""
+
+    def __init__(self, client: _store.StoreClient, front: str, host: str) -> None:
+        """Creates the loop; the client is its own from now on."""
+        super().__init__()
+        self._client = client
+        self._front = front
+        self._host = host
+
+    def step(self) -> None:
+        """Announces the front once."""
+        pause_s = ANNOUNCE_S
+        try:
+            self._client.put(FRONTS_TOPIC, self._front, self._host.encode())
+        except errors.LogUnavailableError as exc:
+            logging.info("front isn't announced: %s", exc)
+            pause_s = 1.0
+        self.pause(pause_s)
+
+    def closed(self) -> None:
+        """Closes the connection to the store."""
+        self._client.close()
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -10,7 +10,7 @@
 import click
 from absl import logging
 
-from turmericward import delivery, httpd, requests, runtime, telemetry
+from turmericward import delivery, httpd, peers, requests, runtime, telemetry
 from turmericward.adapters import _address
 from turmericward.platform import (
     _follow,
@@ -37,19 +37,32 @@
         self._cfg = cfg
         self._draining = threading.Event()
         seed = zlib.crc32(cfg.instance.name.encode())
+        sock = peers.open_socket(cfg.instance.address, cfg.listen.peers)
+        tell = peers.PeerTask(cfg.instance.name, cfg.listen.peers, sock)
         self._dispatch = delivery.DispatchTask(
             domain=cfg.instance.domain,
             seed=seed,
             grace_s=2.5,
             budget_factory=self._budget,
+            tell=tell.tell,
         )
         loops = [
+            peers.ReceiveLoop(sock, tell, self._dispatch.post),
+            _follow.AnnounceLoop(
+                self._store(), cfg.instance.name, cfg.instance.address
+            ),
+            _follow.FollowLoop(
+                self._store(),
+                _follow.FRONTS_TOPIC,
+                _follow.FRONTS_WAIT_S,
+                _follow.FrontsSink(tell),
+            ),
             self._follow(
                 _follow.CONFIGURATION_TOPIC, _follow.ConfigurationSink(self._dispatch)
             ),
             self._follow(_follow.TARGETS_TOPIC, _follow.TargetsSink(self._dispatch)),
         ]
-        self._group = runtime.Group([self._dispatch, *loops], "front")
+        self._group = runtime.Group([tell, self._dispatch, *loops], "front")
         ctx = delivery.Context(
             dispatch=self._dispatch,
             transport=_transport.ReplicaTransport(),
@@ -72,9 +85,12 @@
         )
 
     def _follow(self, topic: str, sink: _follow.Sink) -> _follow.FollowLoop:
+        wait_s = self._cfg.store.wait_s
+        return _follow.FollowLoop(self._store(), topic, wait_s, sink)
+
+    def _store(self) -> _store.StoreClient:
         store = self._cfg.store
-        client = _store.StoreClient(store.address, store.timeout_s)
-        return _follow.FollowLoop(client, topic, store.wait_s, sink)
+        return _store.StoreClient(store.address, store.timeout_s)
 
     def run(self, stop: threading.Event) -> None:
         """Serves until `stop` is set and the drain that follows has ended."""
--- a/src/turmericward/platform/_records.py
+++ b/src/turmericward/platform/_records.py
@@ -6,6 +6,10 @@
 
 from turmericward import delivery, fleet, schema
 
+# Clients of streams leave after the longest of these without an event.
+MIN_ABANDON_S = 2.0
+ABANDON_OBJECTIVES = 4
+ABANDON_GAPS = 8
 _KINDS = {
     "idempotent": delivery.CallKind.IDEMPOTENT,
     "non_idempotent": delivery.CallKind.ONCE,
@@ -45,9 +49,15 @@
     split: list[_Split] = attrs.field(factory=list)
 
 
+@attrs.frozen(kw_only=True)
+class _Engine:
+    kv_capacity_tokens: float = 0.0
+
+
 @attrs.frozen(kw_only=True)
 class _Service:
     name: str
+    engine: _Engine = attrs.field(factory=_Engine)
 
 
 @attrs.frozen(kw_only=True)
@@ -90,14 +100,19 @@
 
 def _route(route: _Route) -> delivery.Route:
     timeout_s = route.timeout_ms / 1000
+    objective_s = route.objective_ms / 1000 or timeout_s
+    gap_s = route.gap_ms / 1000
     return delivery.Route(
         name=route.name,
         host=route.host.lower(),
         path_prefix=route.path_prefix,
         kind=_KINDS[route.kind],
         timeout_s=timeout_s,
-        objective_s=route.objective_ms / 1000 or timeout_s,
-        gap_s=route.gap_ms / 1000,
+        objective_s=objective_s,
+        gap_s=gap_s,
+        abandon_s=max(
+            MIN_ABANDON_S, ABANDON_OBJECTIVES * objective_s, ABANDON_GAPS * gap_s
+        ),
         priority=route.priority,
         max_attempts=max(1, route.max_attempts),
         resumable=route.resumable,
@@ -112,7 +127,12 @@
         RecordError: a field is missing or has the wrong type.
     """
     found = _structure(raw, _Manifest, "configuration")
-    services = [delivery.ServiceTraits(name=s.name) for s in found.services]
+    services = [
+        delivery.ServiceTraits(
+            name=s.name, kv_capacity_tokens=s.engine.kv_capacity_tokens
+        )
+        for s in found.services
+    ]
     routes = [_route(route) for route in found.routes]
     return delivery.RoutingTable(found.version, routes, services)
 
--- a/src/turmericward/platform/_settings.py
+++ b/src/turmericward/platform/_settings.py
@@ -25,10 +25,11 @@
 
 @attrs.frozen(kw_only=True)
 class ListenSettings:
-    """Where clients and the balancer's readiness checks come in."""
+    """Where clients, readiness checks and, by datagram, other fronts come in."""
 
     front: str = attrs.field(validator=schema.validators.ip_port)
     ready: str = attrs.field(validator=schema.validators.ip_port)
+    peers: int = attrs.field(validator=schema.validators.between(1, 65535))
 
 
 @attrs.frozen(kw_only=True)
--- a/src/turmericward/platform/_store.py
+++ b/src/turmericward/platform/_store.py
@@ -130,10 +130,30 @@
         except ValueError as exc:
             raise errors.LogUnavailableError(f"listing: {exc!r}") from exc
 
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Appends the newest record of a key.
+
+        Raises:
+            LogUnavailableError: no good answer came; the record may stand.
+        """
+        name = key.encode()
+        data = bytes([len(name)]) + name + value
+        query = {"Topic": topic, "part": 0}
+        status, _ = self._send(
+            "POST", "/api/log-append", query, 0.0, _LENGTH.pack(len(data)) + data
+        )
+        if status != 200:
+            raise errors.LogUnavailableError(f"append answered {status}")
+
     def _get(self, path: str, query: dict, wait_s: float) -> tuple[int, bytes]:
+        return self._send("GET", path, query, wait_s, None)
+
+    def _send(
+        self, method: str, path: str, query: dict, wait_s: float, body: bytes | None
+    ) -> tuple[int, bytes]:
         try:
             conn = self._connect(wait_s + self._timeout_s)
-            conn.request("GET", f"{path}?{urllib.parse.urlencode(query)}")
+            conn.request(method, f"{path}?{urllib.parse.urlencode(query)}", body)
             resp = conn.getresponse()
             raw = resp.read()
         except _ERRORS as exc:
--- a/src/turmericward/requests/__init__.py
+++ b/src/turmericward/requests/__init__.py
@@ -3,7 +3,14 @@
 from turmericward.requests._budget import RetryBudget
 from turmericward.requests._demand import Demand, demand_of, with_model
 from turmericward.requests._errors import InvalidRequestError, RequestsError
-from turmericward.requests._placement import Placement, Placer
+from turmericward.requests._loads import TargetLoad
+from turmericward.requests._placement import (
+    SHORT_PROMPT_TOKENS,
+    KeptNote,
+    Patience,
+    Placement,
+    Placer,
+)
 from turmericward.requests._prompts import Prompt, PromptPart
 from turmericward.requests._router import (
     MIN_RETRY_S,
@@ -15,10 +22,13 @@
 
 __all__ = [
     "MIN_RETRY_S",
+    "SHORT_PROMPT_TOKENS",
     "Assignment",
     "Bounds",
     "Demand",
     "InvalidRequestError",
+    "KeptNote",
+    "Patience",
     "Placement",
     "Placer",
     "Prompt",
@@ -27,6 +37,7 @@
     "RequestsError",
     "RetryBudget",
     "Router",
+    "TargetLoad",
     "demand_of",
     "with_model",
 ]
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -3,72 +3,97 @@
 Load patterns that it answers: prompts that come in bursts while answers fall
 off, and the other way round, so that now the prefill engines are full and now
 the decode engines; shared prompt parts that together fit the memory of all
-engines but not of a few.
+engines but not of a few; more prompts than can be read in time, where those
+that are late already must not make the others late too.
 """
 
 import collections
-import hashlib
-import math
 import random
+import zlib
 
 import attrs
+import result
 
 from turmericward import fleet
-from turmericward.requests import _book, _prefixes, _prompts
-
-# Until measured: a decode engine reads prompts between the tokens it makes.
-FIRST_SECONDS_PER_TOKEN = {
-    fleet.EngineRole.PREFILL: 1 / 60_000,
-    fleet.EngineRole.DECODE: 1 / 30_000,
-}
-LEARNING_RATE = 0.1
-# Share of a prompt's shared parts that its preferred engine is taken to keep.
-PREFERRED_HIT_SHARE = 0.6
+from turmericward.requests import _kept, _loads, _prompts, _router, _speed
+
+LATENCY_LEARNING_RATE = 0.1
+FIRST_LATENCY_S = 0.1
 # Prompts with fewer tokens are read where they are answered.
 SHORT_PROMPT_TOKENS = 2_048
-TRANSFER_S = 0.02
-FETCH_S = 0.05
-SECONDS_PER_OPEN_REQUEST = 0.003
-FIRST_LATENCY_S = 0.1
+HANDOVER_S = 0.05
+FETCH_S = 0.03
+SECONDS_PER_OPEN_CALL = 0.002
+MIN_RETRY_S = 0.2
+
+
+@attrs.frozen(kw_only=True)
+class Patience:
+    """What a call's client still waits for, in seconds from now.
+
+    A first token by `on_time_s` earns all; by `given_up_s` the client leaves.
+    """
+
+    on_time_s: float
+    given_up_s: float
 
 
 @attrs.frozen(kw_only=True)
 class Placement:
     """A call at a target; `fetch_from` is the address of KV cache or empty.
 
-    `work_tokens` is what had to be read before the first token, `prefill_only`
-    tells that another target makes the answer.
+    `work_tokens` has to be read before the first token, after `ahead_tokens` of
+    other calls (both effective); `deferred` calls go behind those that can
+    still be on time; `prefill_only` tells that another target answers.
     """
 
     id: int
     target: fleet.Target
     fetch_from: str = ""
     work_tokens: float = 0.0
+    ahead_tokens: float = 0.0
+    expected_s: float = 0.0
+    deferred: bool = False
     prefill_only: bool = False
 
 
 @attrs.frozen(kw_only=True)
-class _Candidate:
-    target: fleet.Target
-    fetch_from: str
-    entrant: _book.Entrant
-    work_tokens: float
-    score_s: float
-
+class KeptNote:
+    """A prompt that a target will read, or has read; for the other fronts."""
+
+    target: int
+    prompt: int
+    shared_tokens: int
+    own_tokens: int
+    ready: bool
+
+
+@attrs.define
+class _Own:
+    """Own calls at one target: placements by id, and which have no token yet."""
+
+    open: dict[int, Placement] = attrs.field(factory=dict)
+    waiting: dict[int, Placement] = attrs.field(factory=dict)
+
+    def load(self) -> _loads.TargetLoad:
+        urgent = deferred = 0.0
+        for placement in self.waiting.values():
+            if placement.deferred:
+                deferred += placement.work_tokens
+            else:
+                urgent += placement.work_tokens
+        return _loads.TargetLoad(
+            urgent_tokens=urgent, deferred_tokens=deferred, open_calls=len(self.open)
+        )
 
-def _rank(key: str, target: fleet.Target) -> float:
-    """Returns a weighted rendezvous rank; the lowest is preferred.
 
-    Prefill engines read twice as fast, so they get twice the prompts.
-    """
-    digest = hashlib.blake2b(f"{key}/{target.name}".encode(), digest_size=8).digest()
-    draw = (int.from_bytes(digest) + 1) / 2**64
-    weight = 2.0 if target.role is fleet.EngineRole.PREFILL else 1.0
-    return -math.log(draw) / weight
+def target_hash(name: str) -> int:
+    """Returns the number that stands for a target between fronts."""
+    return zlib.crc32(name.encode()) & 0x7FFFFFFF
 
 
 class Placer:
-    """Own calls in flight by target, and the choice of the next one's target."""
+    """Calls in flight by target, and the choice of the next one's target."""
 
     def __init__(self, seed: int, domain: str) -> None:
         """Creates a placer without calls in flight.
@@ -79,177 +104,214 @@
         """
         self._random = random.Random(seed)
         self._domain = domain
-        self._books: dict[str, _book.EngineBook] = collections.defaultdict(
-            _book.EngineBook
-        )
-        self._seconds_per_token: dict[str, float] = {}
+        self._own: dict[str, _Own] = collections.defaultdict(_Own)
+        self._kept: dict[int, _kept.KeptPrompts] = {}
+        self._capacity_tokens: dict[str, float] = {}
         self._latency_s: dict[str, float] = {}
-        self._prefixes = _prefixes.PrefixMemory()
-        self._open: dict[int, Placement] = {}
+        self._speed = _speed.ReadingSpeed()
         self._last_id = 0
+        self._notes: list[KeptNote] = []
+        self.peers = _loads.PeerLoads()
         self.health = fleet.Health()
 
-    def in_flight(self) -> int:
-        """Returns the number of calls that have a target."""
-        return len(self._open)
+    # What is known of targets.
+
+    def set_capacity(self, service: str, tokens: float) -> None:
+        """Sets how many tokens an engine of the service can keep."""
+        self._capacity_tokens[service] = tokens
 
     def forget(self, name: str) -> None:
         """Drops what was learnt of a target that is gone or began anew."""
-        self._seconds_per_token.pop(name, None)
         self._latency_s.pop(name, None)
-        self._prefixes.forget_engine(name)
+        self._speed.forget(name)
+        self._kept.pop(target_hash(name), None)
         self.health.succeeded(name)
 
+    def own_loads(self) -> dict[int, _loads.TargetLoad]:
+        """Returns the own work by target, without idle targets."""
+        return {
+            target_hash(name): own.load() for name, own in self._own.items() if own.open
+        }
+
+    def take_notes(self) -> list[KeptNote]:
+        """Returns what the other fronts haven't been told of kept prompts."""
+        notes, self._notes = self._notes, []
+        return notes
+
+    def note_kept(self, note: KeptNote) -> None:
+        """Takes what another front tells of a prompt."""
+        self._memory(note.target, _kept.DEFAULT_CAPACITY_TOKENS).note(
+            note.prompt, note.shared_tokens, note.own_tokens, ready=note.ready
+        )
+
+    def _memory(self, target: int, capacity_tokens: float) -> _kept.KeptPrompts:
+        if target not in self._kept:
+            self._kept[target] = _kept.KeptPrompts(capacity_tokens)
+        return self._kept[target]
+
+    def _note(self, target: fleet.Target, prompt, *, ready: bool) -> None:
+        note = KeptNote(
+            target=target_hash(target.name),
+            prompt=prompt.shared_hash,
+            shared_tokens=prompt.shared_tokens,
+            own_tokens=prompt.tokens - prompt.shared_tokens,
+            ready=ready,
+        )
+        capacity = self._capacity_tokens.get(
+            target.service, _kept.DEFAULT_CAPACITY_TOKENS
+        )
+        self._memory(note.target, capacity)
+        self.note_kept(note)
+        self._notes.append(note)
+
+    def _tokens_kept(self, target: fleet.Target, prompt, *, ready: bool) -> int:
+        memory = self._kept.get(target_hash(target.name))
+        return 0 if memory is None else memory.tokens(prompt.shared_hash, ready=ready)
+
+    def load(self, name: str) -> _loads.TargetLoad:
+        """Returns the work of all fronts at a target."""
+        own = self._own.get(name)
+        peers = self.peers.at(target_hash(name))
+        return peers if own is None else own.load() + peers
+
     def _healthy(self, targets, now: float) -> list[fleet.Target]:
         usable = [t for t in targets if self.health.usable(t.name, now)]
         # With every target ejected, failing ones are better than none.
         return usable or list(targets)
 
-    def choose_replica(self, targets, priority: int, now: float) -> Placement | None:
+    # Replicas of plain services.
+
+    def choose_replica(self, targets, now: float) -> Placement | None:
         """Chooses a replica of a plain service by its latency and open calls."""
         usable = self._healthy(targets, now)
         if not usable:
             return None
         self._random.shuffle(usable)
         best = min(usable, key=self._replica_score)
-        entrant = _book.Entrant(at=now, priority=priority, prefill_tokens=0.0)
-        return self._assign(
-            _Candidate(
-                target=best, fetch_from="", entrant=entrant, work_tokens=0.0, score_s=0
-            )
-        )
+        return self._assign(Placement(id=0, target=best))
 
     def _replica_score(self, target: fleet.Target) -> tuple[float, bool]:
         latency_s = self._latency_s.get(target.name, FIRST_LATENCY_S)
-        busy = self._books[target.name].open_requests(None)
+        busy = self.load(target.name).open_calls
         slots = max(1, target.slots)
-        return (latency_s * (1 + busy / slots) + latency_s * (busy >= slots),
-                target.domain != self._domain)  # fmt: skip
+        queued = max(0, busy + 1 - slots) / slots
+        score_s = latency_s * (1 + 0.1 * busy / slots + queued)
+        return (score_s, target.domain != self._domain)
+
+    # Engines.
 
     def choose_engine(
-        self, prompt: _prompts.Prompt, targets, priority: int, now: float
-    ) -> Placement | None:
+        self, prompt: _prompts.Prompt, targets, patience: Patience, now: float
+    ) -> result.Result[Placement, _router.Refusal] | None:
         """Chooses where a prompt is read, at the place of its answer or before it."""
         usable = self._healthy(targets, now)
-        preferred = self._preferred(prompt, usable)
         if prompt.tokens < SHORT_PROMPT_TOKENS:
             usable = [t for t in usable if t.role is not fleet.EngineRole.PREFILL]
-        candidates = [
-            self._candidate(prompt, t, preferred, priority, now) for t in usable
-        ]
-        if not candidates:
-            return None
-        return self._assign(min(candidates, key=self._order))
-
-    def choose_answerer(
-        self, prompt: _prompts.Prompt, targets, priority: int, now: float
-    ) -> Placement | None:
-        """Chooses where a prompt that was read elsewhere is answered."""
-        able = [t for t in targets if t.role is not fleet.EngineRole.PREFILL]
-        usable = self._healthy(able, now)
         if not usable:
             return None
-        preferred = self._preferred(prompt, usable)
-        candidates = []
-        for target in usable:
-            entrant = _book.Entrant(at=now, priority=priority, prefill_tokens=1.0)
-            score_s = self._wait_s(target, priority)
-            if preferred is not target:
-                score_s += FETCH_S
-            candidates.append(
-                _Candidate(
-                    target=target,
-                    fetch_from="",
-                    entrant=entrant,
-                    work_tokens=0.0,
-                    score_s=score_s,
-                )
+        best = self._soonest(prompt, usable, deferred=False)
+        if best.expected_s > patience.on_time_s:
+            best = self._soonest(prompt, usable, deferred=True)
+        if best.expected_s > patience.given_up_s:
+            retry_s = max(MIN_RETRY_S, best.expected_s - patience.given_up_s)
+            return result.Err(
+                _router.Refusal(reason="overloaded", retry_after_s=retry_s)
             )
-        return self._assign(min(candidates, key=self._order))
+        placement = self._assign(best)
+        if prompt.tokens >= SHORT_PROMPT_TOKENS:
+            self._note(placement.target, prompt, ready=False)
+        return result.Ok(placement)
 
-    def _order(self, candidate: _Candidate) -> tuple[float, bool]:
-        return (candidate.score_s, candidate.target.domain != self._domain)
+    def _soonest(self, prompt, targets, *, deferred: bool) -> Placement:
+        source = None
+        if prompt.tokens >= SHORT_PROMPT_TOKENS:
+            source = max(targets, key=lambda t: self._source_rank(prompt, t))
+        candidates = [self._candidate(prompt, t, source, deferred) for t in targets]
+        return min(candidates, key=self._order)
 
-    def _preferred(self, prompt, targets) -> fleet.Target | None:
-        if prompt.tokens < SHORT_PROMPT_TOKENS or not targets:
-            return None
-        return min(targets, key=lambda t: _rank(prompt.shared_key, t))
-
-    def _wait_s(self, target: fleet.Target, priority: int) -> float:
-        book = self._books[target.name]
-        ahead = book.tokens_ahead(priority, None)
-        open_s = book.open_requests(None) * SECONDS_PER_OPEN_REQUEST
-        return ahead * self._speed(target) + open_s
-
-    def _speed(self, target: fleet.Target) -> float:
-        first = FIRST_SECONDS_PER_TOKEN[target.role or fleet.EngineRole.DECODE]
-        return self._seconds_per_token.get(target.name, first)
-
-    def _kept(self, prompt, target: fleet.Target, preferred) -> float:
-        """Returns how many tokens of the prompt the target should keep."""
-        known = self._prefixes.cached(target.name, prompt.shared_key)
-        if target is preferred:
-            return max(known, PREFERRED_HIT_SHARE * prompt.shared_tokens)
-        return float(known)
-
-    def _candidate(self, prompt, target, preferred, priority, now) -> _Candidate:
-        kept = self._kept(prompt, target, preferred)
+    def _source_rank(self, prompt, target: fleet.Target) -> tuple[int, bool]:
+        kept = self._tokens_kept(target, prompt, ready=True)
+        return (kept, target.domain == self._domain)
+
+    def _order(self, placement: Placement) -> tuple[float, bool]:
+        return (placement.expected_s, placement.target.domain != self._domain)
+
+    def _candidate(self, prompt, target, source, deferred: bool) -> Placement:
+        kept = self._tokens_kept(target, prompt, ready=False)
         fetch_from = ""
-        score_s = 0.0
-        if preferred is not None and preferred is not target:
-            there = self._kept(prompt, preferred, preferred)
+        extra_s = 0.0
+        if source is not None and source is not target:
+            there = self._tokens_kept(source, prompt, ready=True)
             if there > kept:
                 kept = there
-                fetch_from = preferred.address
-                score_s += FETCH_S
+                fetch_from = source.address
+                extra_s += FETCH_S
         if target.role is fleet.EngineRole.PREFILL:
-            score_s += TRANSFER_S
-        work = max(1.0, prompt.tokens - kept)
-        entrant = _book.Entrant(at=now, priority=priority, prefill_tokens=work)
-        score_s += self._wait_s(target, priority) + work * self._speed(target)
-        return _Candidate(
+            extra_s += HANDOVER_S
+        load = self.load(target.name)
+        extra_s += load.open_calls * SECONDS_PER_OPEN_CALL
+        work = _speed.effective_tokens(max(1.0, prompt.tokens - kept), kept)
+        ahead = load.tokens_ahead(deferred=deferred)
+        return Placement(
+            id=0,
             target=target,
             fetch_from=fetch_from,
-            entrant=entrant,
             work_tokens=work,
-            score_s=score_s,
+            ahead_tokens=ahead,
+            expected_s=extra_s + self._speed.expected_s(target, ahead + work),
+            deferred=deferred,
+            prefill_only=target.role is fleet.EngineRole.PREFILL,
         )
 
-    def _assign(self, best: _Candidate) -> Placement:
+    def choose_answerer(self, targets, now: float) -> Placement | None:
+        """Chooses where a prompt that was read elsewhere is answered."""
+        able = [t for t in targets if t.role is not fleet.EngineRole.PREFILL]
+        usable = self._healthy(able, now)
+        if not usable:
+            return None
+        return self._assign(min(map(self._answering, usable), key=self._order))
+
+    def _answering(self, target: fleet.Target) -> Placement:
+        load = self.load(target.name)
+        expected_s = load.open_calls * SECONDS_PER_OPEN_CALL
+        expected_s += load.urgent_tokens * self._speed.per_token(target)
+        return Placement(id=0, target=target, expected_s=expected_s)
+
+    # Calls in flight.
+
+    def _assign(self, chosen: Placement) -> Placement:
         self._last_id += 1
-        placement = Placement(
-            id=self._last_id,
-            target=best.target,
-            fetch_from=best.fetch_from,
-            work_tokens=best.work_tokens,
-            prefill_only=best.target.role is fleet.EngineRole.PREFILL,
-        )
-        self._open[placement.id] = placement
-        self._books[best.target.name].add(placement.id, best.entrant)
-        self.health.started(best.target.name)
+        placement = attrs.evolve(chosen, id=self._last_id)
+        own = self._own[placement.target.name]
+        own.open[placement.id] = placement
+        own.waiting[placement.id] = placement
+        self.health.started(placement.target.name)
         return placement
 
     def began(self, placement: Placement, prompt, took_s: float) -> None:
         """Notes the first token, or the end of a prefill, after `took_s`."""
-        if placement.id not in self._open:
-            return
         name = placement.target.name
-        self._books[name].began(placement.id)
+        if self._own[name].waiting.pop(placement.id, None) is None:
+            return
         if prompt is None:
             known = self._latency_s.get(name, FIRST_LATENCY_S)
-            self._latency_s[name] = known + LEARNING_RATE * (took_s - known)
+            change = LATENCY_LEARNING_RATE * (took_s - known)
+            self._latency_s[name] = known + change
             return
+        if placement.work_tokens:
+            tokens = placement.ahead_tokens + placement.work_tokens
+            self._speed.learn(placement.target, tokens, took_s)
         if prompt.tokens >= SHORT_PROMPT_TOKENS:
-            self._prefixes.note(name, prompt.shared_key, prompt.shared_tokens)
+            self._note(placement.target, prompt, ready=True)
 
     def ended(self, placement: Placement, *, failed: bool, now: float) -> None:
         """Ends a placement; repeated calls have no effect."""
-        if self._open.pop(placement.id, None) is None:
-            return
         name = placement.target.name
-        self._books[name].end(placement.id)
+        own = self._own[name]
+        own.waiting.pop(placement.id, None)
+        if own.open.pop(placement.id, None) is None:
+            return
         if failed:
             self.health.failed(name, now)
-            self._prefixes.forget_engine(name)
         else:
             self.health.succeeded(name)
--- a/src/turmericward/requests/_prompts.py
+++ b/src/turmericward/requests/_prompts.py
@@ -1,6 +1,7 @@
 """A prompt as a chain of parts that requests may share."""
 
 import functools
+import hashlib
 
 import attrs
 
@@ -32,6 +33,8 @@
         return sum(part.tokens for part in self.parts[:-1])
 
     @functools.cached_property
-    def shared_key(self) -> str:
-        """Identifies the shared parts in their order and the model."""
-        return "/".join((self.model, *(part.id for part in self.parts[:-1])))
+    def shared_hash(self) -> int:
+        """Identifies the shared parts in their order, with the model."""
+        text = "/".join((self.model, *(part.id for part in self.parts[:-1])))
+        digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+        return int.from_bytes(digest, signed=True)
--- /dev/null
+++ b/src/turmericward/requests/_speed.py
@@ -0,0 +1,56 @@
+"""How long an engine takes to read prompts, learnt from first tokens."""
+
+from turmericward import fleet
+
+# Until measured. A decode engine reads between the tokens that it makes.
+FIRST_SECONDS_PER_TOKEN = {
+    fleet.EngineRole.PREFILL: 1 / 50_000,
+    fleet.EngineRole.DECODE: 1 / 25_000,
+}
+FIRST_OVERHEAD_S = 0.1
+LEARNING_RATE = 0.05
+# Bounds of what one engine may be taken to be slower or faster than at first.
+MAX_FACTOR = 8.0
+# Tokens of context at which attention costs as much again as the rest.
+ATTENTION_TOKENS = 30_000.0
+MIN_SAMPLE_TOKENS = 1_000.0
+
+
+def effective_tokens(work: float, kept: float) -> float:
+    """Returns the cost of reading `work` tokens after `kept` ones."""
+    return work * (1 + (kept + work / 2) / ATTENTION_TOKENS)
+
+
+class ReadingSpeed:
+    """Overhead of a first token, and seconds for each effective token before it."""
+
+    def __init__(self) -> None:
+        """Creates the estimate without samples."""
+        self._seconds_per_token: dict[str, float] = {}
+        self._overhead_s = FIRST_OVERHEAD_S
+
+    def forget(self, name: str) -> None:
+        """Drops what was learnt of an engine."""
+        self._seconds_per_token.pop(name, None)
+
+    def per_token(self, target: fleet.Target) -> float:
+        """Returns the seconds that the engine takes for an effective token."""
+        first = FIRST_SECONDS_PER_TOKEN[target.role or fleet.EngineRole.DECODE]
+        return self._seconds_per_token.get(target.name, first)
+
+    def expected_s(self, target: fleet.Target, tokens: float) -> float:
+        """Returns the time to a first token behind this many effective tokens."""
+        return self._overhead_s + tokens * self.per_token(target)
+
+    def learn(self, target: fleet.Target, tokens: float, took_s: float) -> None:
+        """Takes a sample: a first token after `tokens` effective tokens."""
+        if tokens < MIN_SAMPLE_TOKENS:
+            if target.role is fleet.EngineRole.DECODE:
+                sample = min(took_s, MAX_FACTOR * FIRST_OVERHEAD_S)
+                self._overhead_s += LEARNING_RATE * (sample - self._overhead_s)
+            return
+        first = FIRST_SECONDS_PER_TOKEN[target.role or fleet.EngineRole.DECODE]
+        sample = max(0.0, took_s - self._overhead_s) / tokens
+        sample = min(first * MAX_FACTOR, max(first / MAX_FACTOR, sample))
+        known = self.per_token(target)
+        self._seconds_per_token[target.name] = known + LEARNING_RATE * (sample - known)
