Bound logs, share the retry slack by the fronts heard, know returning calls

Cause: log lines were written by the request's thread; the slack of the retry budget was a fixed twelfth, too much at 69 fronts; a call that came back after a refusal was taken for new; a request framed twice left its channel open (the pipelined one after it ran: test failed first); steady time stood still in a suspend. Ruled out: rejecting doubly framed requests (proper ones may come so). Change: queued and counted log lines on standard output; slack by the most peers ever heard; a client's first attempt estimated from its deadline; such channels end; CLOCK_BOOTTIME; stand-ins of store and replica, tests of the front's process.

--- a/src/turmericward/adapters/_response.py
+++ b/src/turmericward/adapters/_response.py
@@ -3,9 +3,9 @@
 import http.client
 import io
 import select
-import time
 from collections.abc import Callable
 
+from turmericward import runtime
 from turmericward.adapters import errors
 
 CANCEL_POLL_S = 0.2
@@ -79,7 +79,7 @@
         poll = select.poll()
         poll.register(fileno, select.POLLIN)
         while True:
-            left_s = self.until - time.monotonic()
+            left_s = self.until - runtime.now()
             if left_s <= 0:
                 raise TimeoutError("no bytes in time")
             if poll.poll(min(left_s, CANCEL_POLL_S) * 1000):
--- a/src/turmericward/delivery/__init__.py
+++ b/src/turmericward/delivery/__init__.py
@@ -14,6 +14,7 @@
     DispatchTask,
     PutTargets,
     ReplaceTargets,
+    RetryBounds,
     SetTable,
     SourceReturned,
 )
@@ -40,6 +41,7 @@
     "PutTargets",
     "ReplaceTargets",
     "Reply",
+    "RetryBounds",
     "Route",
     "RoutingTable",
     "ServiceTraits",
--- a/src/turmericward/delivery/_calls.py
+++ b/src/turmericward/delivery/_calls.py
@@ -1,12 +1,11 @@
 """What a front hands to the delivery engine, and what it gets back."""
 
 import enum
-import time
 from collections.abc import Callable, Iterator
 
 import attrs
 
-from turmericward import requests
+from turmericward import requests, runtime
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -61,7 +60,8 @@
     """One call of a client.
 
     `target` is the path with its query as the client sent it; `until` ends the
-    client's patience in monotonic seconds; `resume_after` is the last event id
+    client's patience in steady seconds, `deadline_s` is what the client had of it
+    when it sent the call; `resume_after` is the last event id
     that the client has, empty for none.
     """
 
@@ -72,6 +72,7 @@
     body: bytes
     route: Route
     received: float
+    deadline_s: float
     until: float
     prompt: requests.Prompt | None = None
     resume_after: str = ""
@@ -79,7 +80,7 @@
 
     def left_s(self) -> float:
         """Returns the seconds until the client or the route gives up."""
-        return self.until - time.monotonic()
+        return self.until - runtime.now()
 
 
 @attrs.frozen(kw_only=True)
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -1,12 +1,11 @@
 """Carries one call through placement, attempts and relay to its reply."""
 
-import time
 from collections.abc import Iterator
 from typing import Protocol
 
 import attrs
 
-from turmericward import fleet, requests, telemetry
+from turmericward import fleet, requests, runtime, telemetry
 from turmericward.adapters import errors
 from turmericward.delivery import _calls, _dispatch_task, _errors, _events
 
@@ -173,7 +172,7 @@
 
     def _take(self, placement: requests.Placement) -> None:
         self._placement = placement
-        self._sent_at = time.monotonic()
+        self._sent_at = runtime.now()
         prompt = self._call.prompt
         telemetry.log_event(
             "placed",
@@ -348,7 +347,7 @@
     # Bookkeeping.
 
     def _began(self) -> None:
-        now = time.monotonic()
+        now = runtime.now()
         telemetry.log_event(
             "began",
             request_id=self._call.id,
@@ -382,7 +381,7 @@
             target=self._placement.target.name,
             outcome=outcome,
             detail=detail,
-            after_s=round(time.monotonic() - self._call.received, 3),
+            after_s=round(runtime.now() - self._call.received, 3),
             left_s=round(self._call.left_s(), 3),
         )
 
@@ -396,7 +395,7 @@
             status=status,
             reason=self._progress.reason,
             attempts=self._progress.arrived,
-            took_s=round(time.monotonic() - self._call.received, 3),
+            took_s=round(runtime.now() - self._call.received, 3),
         )
 
     # What a running stream needs.
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -2,7 +2,6 @@
 
 import collections
 import functools
-import time
 
 import attrs
 import result
@@ -12,6 +11,10 @@
 from turmericward.delivery import _calls, _routes
 
 NO_TARGET_RETRY_S = 0.5
+# Taken for the number of fronts until peers are heard.
+UNKNOWN_FLEET_SIZE = 16
+# Part of the bounds on retries that is used: windows slide, fronts restart.
+RETRY_MARGIN = 0.7
 
 
 @attrs.frozen(kw_only=True)
@@ -78,11 +81,22 @@
     failed: bool
 
 
+@attrs.frozen(kw_only=True)
+class RetryBounds:
+    """What all fronts together may send beyond the first arrival of each call.
+
+    In any window: `share` of the calls, and `slack` calls more.
+    """
+
+    share: float
+    slack: float
+
+
 class DispatchTask(runtime.Task):
     """Chooses targets; `table` may be read by any thread."""
 
     def __init__(
-        self, *, domain: str, seed: int, grace_s: float, budget_factory, tell
+        self, *, domain: str, seed: int, grace_s: float, retries: RetryBounds, tell
     ) -> None:
         """Creates the task without configuration and targets.
 
@@ -90,13 +104,19 @@
             domain: failure domain of this front.
             seed: seed of the random choices.
             grace_s: how long a target may be missing after an outage.
-            budget_factory: returns a new retry budget, one for each service.
+            retries: bounds that all fronts keep together.
             tell: called with the own loads and notes when peers should know.
         """
         super().__init__()
         self._directory = fleet.Directory(grace_s)
         self._placer = requests.Placer(seed, domain)
-        self._budgets = collections.defaultdict(budget_factory)
+        self._retries = retries
+        self._budgets: dict[str, requests.RetryBudget] = collections.defaultdict(
+            self._new_budget
+        )
+        self._fleet_size = UNKNOWN_FLEET_SIZE
+        self._most_peers = 0
+        self._longest_s: dict[str, float] = collections.defaultdict(float)
         self._tell = tell
         self.table: _routes.RoutingTable | None = None
 
@@ -118,7 +138,7 @@
 
     @handle.register
     def _(self, message: PutTargets) -> None:
-        now = time.monotonic()
+        now = runtime.now()
         for target in message.targets:
             self._put(target)
         for name in message.gone:
@@ -144,27 +164,49 @@
         for target in message.targets:
             self._put(target)
         names = {t.name for t in message.targets} | message.kept
-        self._directory.keep_only(names, time.monotonic())
+        self._directory.keep_only(names, runtime.now())
 
     @handle.register
     def _(self, message: SourceReturned) -> None:
-        self._directory.source_returned(time.monotonic())
+        self._directory.source_returned(runtime.now())
 
     def tick(self) -> None:
         """Drops targets whose grace has ended, and peers that are silent."""
-        now = time.monotonic()
+        now = runtime.now()
         for name in self._directory.expire(now):
             logging.info("target %s is gone", name)
             self._placer.forget(name)
         for peer in self._placer.peers.expire(now):
             logging.info("peer %s is silent", peer)
+        self._count_fleet()
 
     @handle.register
     def _(self, message: peers.PeerState) -> None:
-        self._placer.peers.take(message.front, message.loads, time.monotonic())
+        self._placer.peers.take(message.front, message.loads, runtime.now())
         for note in message.kept:
             self._placer.note_kept(note)
 
+    def _new_budget(self) -> requests.RetryBudget:
+        return requests.RetryBudget(
+            share=RETRY_MARGIN * self._retries.share, most=self._saved_retries()
+        )
+
+    def _saved_retries(self) -> float:
+        return RETRY_MARGIN * self._retries.slack / self._fleet_size
+
+    def _count_fleet(self) -> None:
+        """Shares the slack among as many fronts as were ever heard at a time.
+
+        A front that is cut off from the others mustn't take their shares.
+        """
+        live = self._placer.peers.live()
+        if live <= self._most_peers:
+            return
+        self._most_peers = live
+        self._fleet_size = live + 1
+        for budget in self._budgets.values():
+            budget.set_most(self._saved_retries())
+
     def _tell_peers(self, prompt: requests.Prompt | None) -> None:
         """Tells the peers of changes that move much; heartbeats carry the rest."""
         if prompt is not None and prompt.tokens >= requests.SHORT_PROMPT_TOKENS:
@@ -177,7 +219,7 @@
             return _refused("retry_budget")
         if not message.retry and not message.read:
             budget.earn()
-        now = time.monotonic()
+        now = runtime.now()
         usable = [
             t
             for t in self._directory.usable(message.service)
@@ -194,9 +236,14 @@
         if call.prompt is None:
             return _placed(self._placer.choose_replica(usable, now))
         if message.read:
-            return _placed(self._placer.choose_answerer(usable, now))
+            return _placed(self._placer.choose_answerer(call.prompt, usable, now))
+        route = call.route
+        longest_s = max(self._longest_s[route.name], call.deadline_s)
+        self._longest_s[route.name] = longest_s
+        # A client that was refused comes back with less time than it had.
+        first_asked = call.received - (longest_s - call.deadline_s)
         patience = requests.Patience(
-            on_time_s=call.received + call.route.objective_s - now,
+            on_time_s=first_asked + route.objective_s - now,
             given_up_s=min(call.received + call.route.abandon_s, call.until) - now,
         )
         return self._placer.choose_engine(call.prompt, usable, patience, now)
@@ -208,7 +255,7 @@
 
     @handle.register
     def _(self, message: Ended) -> None:
-        now = time.monotonic()
+        now = runtime.now()
         self._placer.ended(message.placement, failed=message.failed, now=now)
         self._tell_peers(message.prompt)
 
--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -8,6 +8,8 @@
 from absl import logging
 from waitress import channel, parser, task, wasyncore
 
+from turmericward import runtime
+
 DRAIN_POLL_S = 0.05
 CONNECTION_LIMIT = 4000
 CHANNEL_TIMEOUT_S = 3600
@@ -18,14 +20,20 @@
 
 
 class _Parser(parser.HTTPRequestParser):
-    """Notes when a request was read whole, in monotonic seconds."""
+    """Notes when a request was read whole; ends channels with unclear framing."""
 
     received_at = 0.0
 
+    def parse_header(self, header_plus):
+        super().parse_header(header_plus)
+        if self.chunked and "CONTENT_LENGTH" in self.headers:
+            # What follows such a body may be part of it for another reader.
+            self.headers["CONNECTION"] = "close"
+
     def received(self, data):
         consumed = super().received(data)
         if self.completed and not self.received_at:
-            self.received_at = time.monotonic()
+            self.received_at = runtime.now()
         return consumed
 
 
--- a/src/turmericward/peers/_tasks.py
+++ b/src/turmericward/peers/_tasks.py
@@ -3,7 +3,6 @@
 import functools
 import secrets
 import socket
-import time
 from collections.abc import Callable
 
 import attrs
@@ -82,7 +81,7 @@
             return
         if message.front not in self._peers:
             logging.info("peer %s at %s is known", message.front, message.host)
-        self._peers[message.front] = (message.host, time.monotonic())
+        self._peers[message.front] = (message.host, runtime.now())
 
     @handle.register
     def _(self, message: Tell) -> None:
@@ -91,7 +90,7 @@
 
     def tick(self) -> None:
         """Repeats the state if nothing changed for a while."""
-        now = time.monotonic()
+        now = runtime.now()
         for front, (_, at) in list(self._peers.items()):
             if now - at > PEER_FORGOTTEN_S:
                 del self._peers[front]
@@ -104,7 +103,7 @@
         self._send(Tell(loads={}, kept=()))
 
     def _send(self, message: Tell) -> None:
-        self._told_at = time.monotonic()
+        self._told_at = runtime.now()
         self._sequence += 1
         state = _codec.PeerState(
             front=self._front,
--- a/src/turmericward/platform/_ingress.py
+++ b/src/turmericward/platform/_ingress.py
@@ -2,11 +2,10 @@
 
 import http
 import random
-import time
 
 from absl import logging
 
-from turmericward import delivery, httpd, requests, telemetry
+from turmericward import delivery, httpd, requests, runtime, telemetry
 from turmericward.adapters import service
 from turmericward.platform import _headers
 
@@ -100,7 +99,7 @@
 def _call(environ, target: str, route: delivery.Route) -> delivery.Call:
     headers = _header_pairs(environ)
     values = {name.lower(): value for name, value in headers}
-    received = environ.get(httpd.RECEIVED) or time.monotonic()
+    received = environ.get(httpd.RECEIVED) or runtime.now()
     deadline_s = _deadline_s(environ)
     resume_after = values.get(_headers.LAST_EVENT_ID.lower(), "")
     kept = [(n, v) for n, v in headers if n.lower() != _headers.LAST_EVENT_ID.lower()]
@@ -112,6 +111,7 @@
         body=environ["wsgi.input"].read(),
         route=route,
         received=received,
+        deadline_s=deadline_s,
         until=received + min(deadline_s, route.timeout_s),
         prompt=_prompt(values),
         resume_after=resume_after,
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -10,7 +10,7 @@
 import click
 from absl import logging
 
-from turmericward import delivery, httpd, peers, requests, runtime, telemetry
+from turmericward import delivery, httpd, peers, runtime, telemetry
 from turmericward.adapters import _address
 from turmericward.platform import (
     _follow,
@@ -25,8 +25,6 @@
 BALANCER_LAG_S = 3.0
 STOP_TIMEOUT_S = 1.0
 MAX_BODY_BYTES = 16 * 1024 * 1024
-# Share of the fleet's retry slack that one front takes.
-SLACK_SHARE = 1 / 12
 
 
 class Front:
@@ -43,7 +41,9 @@
             domain=cfg.instance.domain,
             seed=seed,
             grace_s=2.5,
-            budget_factory=self._budget,
+            retries=delivery.RetryBounds(
+                share=cfg.bounds.retry_share, slack=cfg.bounds.retry_slack
+            ),
             tell=tell.tell,
         )
         loops = [
@@ -78,12 +78,6 @@
         readiness = _ingress.Readiness(self._dispatch, self._draining)
         self._server.add_probe(readiness, _address.split(cfg.listen.ready))
 
-    def _budget(self) -> requests.RetryBudget:
-        bounds = self._cfg.bounds
-        return requests.RetryBudget(
-            share=bounds.retry_share * 0.75, most=bounds.retry_slack * SLACK_SHARE
-        )
-
     def _follow(self, topic: str, sink: _follow.Sink) -> _follow.FollowLoop:
         wait_s = self._cfg.store.wait_s
         return _follow.FollowLoop(self._store(), topic, wait_s, sink)
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -3,12 +3,11 @@
 import functools
 import http.client
 import json
-import time
 from collections.abc import Iterator
 
 from absl import logging
 
-from turmericward import delivery, fleet
+from turmericward import delivery, fleet, runtime
 from turmericward.adapters import _request, _response, errors, service
 from turmericward.platform import _headers
 
@@ -41,9 +40,7 @@
         dispatch: delivery.Dispatch,
     ) -> delivery.Answer:
         """Sends a call; see `delivery.Transport`."""
-        guard = _response.Guard(
-            time.monotonic() + dispatch.timeout_s, call.disconnected
-        )
+        guard = _response.Guard(runtime.now() + dispatch.timeout_s, call.disconnected)
         conn = _request.connect(
             target.address,
             dispatch.timeout_s,
--- a/src/turmericward/requests/_budget.py
+++ b/src/turmericward/requests/_budget.py
@@ -24,6 +24,11 @@
         """Notes a first attempt."""
         self._saved = min(self._most, self._saved + self._share)
 
+    def set_most(self, most: float) -> None:
+        """Changes how many retries can be saved."""
+        self._most = most
+        self._saved = min(self._saved, most)
+
     def spend(self) -> bool:
         """Takes one retry from the budget; tells whether there was one."""
         if self._saved < 1.0:
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -25,6 +25,8 @@
 FETCH_S = 0.03
 SECONDS_PER_OPEN_CALL = 0.002
 MIN_RETRY_S = 0.2
+# What a further copy of shared parts costs: it takes the memory of others.
+COPY_COST_S = 0.4
 # What a long prompt's reading at a decode engine costs the calls beside it.
 HARM_SECONDS_PER_TOKEN = 1 / 3_000
 
@@ -45,8 +47,9 @@
     """A call at a target; `fetch_from` is the address of KV cache or empty.
 
     `work_tokens` has to be read before the first token, after `ahead_tokens` of
-    other calls (both effective); `deferred` calls go behind those that can
-    still be on time; `prefill_only` tells that another target answers.
+    other calls (both effective). The first token is expected after `expected_s`;
+    `cost_s` adds what the call costs others. `deferred` calls go behind those
+    that can still be on time; `prefill_only` tells that another target answers.
     """
 
     id: int
@@ -55,6 +58,7 @@
     work_tokens: float = 0.0
     ahead_tokens: float = 0.0
     expected_s: float = 0.0
+    cost_s: float = 0.0
     deferred: bool = False
     prefill_only: bool = False
 
@@ -211,11 +215,9 @@
             usable = [t for t in usable if t.role is not fleet.EngineRole.PREFILL]
         if not usable:
             return None
-        best = self._soonest(prompt, usable, deferred=False)
-        if best.expected_s > patience.on_time_s:
-            best = self._soonest(prompt, usable, deferred=True)
-        if best.expected_s > patience.given_up_s:
-            retry_s = max(MIN_RETRY_S, best.expected_s - patience.given_up_s)
+        best = self._best(prompt, usable, patience)
+        if best.cost_s > patience.given_up_s:
+            retry_s = max(MIN_RETRY_S, best.cost_s - patience.given_up_s)
             return result.Err(
                 _router.Refusal(reason="overloaded", retry_after_s=retry_s)
             )
@@ -224,62 +226,79 @@
             self._note(placement.target, prompt, ready=False)
         return result.Ok(placement)
 
-    def _soonest(self, prompt, targets, *, deferred: bool) -> Placement:
+    def _best(self, prompt, targets, patience: Patience) -> Placement:
+        """Returns the cheapest target that is on time, else one that is soon enough."""
+        for deferred, bound_s in (
+            (False, patience.on_time_s),
+            (True, patience.given_up_s),
+        ):
+            found = self._candidates(prompt, targets, deferred=deferred)
+            best = min(found, key=self._order)
+            if best.cost_s <= bound_s:
+                return best
+        return best
+
+    def _candidates(self, prompt, targets, *, deferred: bool) -> list[Placement]:
         source = None
         if prompt.tokens >= SHORT_PROMPT_TOKENS:
             source = max(targets, key=lambda t: self._source_rank(prompt, t))
-        candidates = [self._candidate(prompt, t, source, deferred) for t in targets]
-        return min(candidates, key=self._order)
+        return [self._candidate(prompt, t, source, deferred) for t in targets]
 
     def _source_rank(self, prompt, target: fleet.Target) -> tuple[int, bool]:
         kept = self._tokens_kept(target, prompt, ready=True)
         return (kept, target.domain == self._domain)
 
     def _order(self, placement: Placement) -> tuple[float, bool]:
-        return (placement.expected_s, placement.target.domain != self._domain)
+        return (placement.cost_s, placement.target.domain != self._domain)
 
     def _candidate(self, prompt, target, source, deferred: bool) -> Placement:
         kept = self._tokens_kept(target, prompt, ready=False)
         fetch_from = ""
-        extra_s = 0.0
+        extra_s = harm_s = 0.0
         if source is not None and source is not target:
             there = self._tokens_kept(source, prompt, ready=True)
             if there > kept:
                 kept = there
                 fetch_from = source.address
                 extra_s += FETCH_S
+                harm_s += COPY_COST_S
         if target.role is fleet.EngineRole.PREFILL:
             extra_s += HANDOVER_S
         elif prompt.tokens >= SHORT_PROMPT_TOKENS:
-            extra_s += (prompt.tokens - kept) * HARM_SECONDS_PER_TOKEN
+            harm_s += (prompt.tokens - kept) * HARM_SECONDS_PER_TOKEN
         load = self.load(target.name)
         extra_s += load.open_calls * SECONDS_PER_OPEN_CALL
         work = _speed.effective_tokens(max(1.0, prompt.tokens - kept), kept)
         ahead = load.tokens_ahead(deferred=deferred)
+        expected_s = extra_s + self._speed.expected_s(target, ahead + work)
         return Placement(
             id=0,
             target=target,
             fetch_from=fetch_from,
             work_tokens=work,
             ahead_tokens=ahead,
-            expected_s=extra_s + self._speed.expected_s(target, ahead + work),
+            expected_s=expected_s,
+            cost_s=expected_s + harm_s,
             deferred=deferred,
             prefill_only=target.role is fleet.EngineRole.PREFILL,
         )
 
-    def choose_answerer(self, targets, now: float) -> Placement | None:
+    def choose_answerer(
+        self, prompt: _prompts.Prompt, targets, now: float
+    ) -> Placement | None:
         """Chooses where a prompt that was read elsewhere is answered."""
         able = [t for t in targets if t.role is not fleet.EngineRole.PREFILL]
         usable = self._healthy(able, now)
         if not usable:
             return None
-        return self._assign(min(map(self._answering, usable), key=self._order))
+        candidates = [self._answering(prompt, t) for t in usable]
+        return self._assign(min(candidates, key=self._order))
 
-    def _answering(self, target: fleet.Target) -> Placement:
+    def _answering(self, prompt: _prompts.Prompt, target: fleet.Target) -> Placement:
         load = self.load(target.name)
         expected_s = load.open_calls * SECONDS_PER_OPEN_CALL
         expected_s += load.urgent_tokens * self._speed.per_token(target)
-        return Placement(id=0, target=target, expected_s=expected_s)
+        return Placement(id=0, target=target, expected_s=expected_s, cost_s=expected_s)
 
     # Calls in flight.
 
--- a/src/turmericward/runtime/__init__.py
+++ b/src/turmericward/runtime/__init__.py
@@ -1,5 +1,6 @@
 """Tasks that own their state and talk by messages, and what runs them."""
 
+from turmericward.runtime._clock import now
 from turmericward.runtime._errors import RuntimeFaultError, TaskStoppedError
 from turmericward.runtime._group import Group
 from turmericward.runtime._ids import new_id, sha256_hex
@@ -14,5 +15,6 @@
     "TaskStoppedError",
     "Waiters",
     "new_id",
+    "now",
     "sha256_hex",
 ]
--- a/src/turmericward/runtime/_group.py
+++ b/src/turmericward/runtime/_group.py
@@ -6,6 +6,7 @@
 
 from absl import logging
 
+from turmericward import telemetry
 from turmericward.runtime import _task
 
 THREAD_STACK_BYTES = 256 * 1024
@@ -47,4 +48,5 @@
             return
         logging.error("task failed, process exits: %r", exc, exc_info=exc)
         logging.flush()
+        telemetry.flush_logs()
         os._exit(EXIT_TASK_FAILED)
--- a/src/turmericward/telemetry/__init__.py
+++ b/src/turmericward/telemetry/__init__.py
@@ -1,6 +1,18 @@
 """Logs, metrics and histograms."""
 
-from turmericward.telemetry._logs import configure_logs, log_event, log_request
+from turmericward.telemetry._logs import (
+    configure_logs,
+    flush_logs,
+    log_event,
+    log_request,
+)
 from turmericward.telemetry._metrics import Metrics, RequestTimes
 
-__all__ = ["Metrics", "RequestTimes", "configure_logs", "log_event", "log_request"]
+__all__ = [
+    "Metrics",
+    "RequestTimes",
+    "configure_logs",
+    "flush_logs",
+    "log_event",
+    "log_request",
+]
--- /dev/null
+++ b/tests/platform_fixtures.py
@@ -0,0 +1,215 @@
+"""A front process before stand-ins of the users' platform, on loopback."""
+
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+
+import attrs
+
+from standins import _http, launch, platform_replica, platform_store
+
+HOST = "api.example"
+STOP_TIMEOUT_S = 15.0
+PROMPT = {
+    "Turmericward-Model-Id": "m",
+    "Turmericward-Token-Count": "300,8",
+    "Turmericward-Prompt-Prefix": "aa:100,bb:200",
+}
+
+
+def route(name: str, kind: str, service: str, **changes) -> dict:
+    """Returns a route of the manifest, under a prefix of its name."""
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 3000,
+        "objective_ms": 400,
+        "gap_ms": 250,
+        "priority": 0,
+        "max_attempts": 2,
+        "service": service,
+    } | changes
+
+
+def manifest(version: int, *extra: dict) -> dict:
+    """Returns a manifest with a route of each kind."""
+    return {
+        "version": version,
+        "routes": [
+            route("read", "idempotent", "plain"),
+            route("write", "non_idempotent", "plain", max_attempts=1),
+            route("ask", "streaming", "model", resumable=True),
+            route("once", "streaming", "model", max_attempts=1),
+            *extra,
+        ],
+        "services": [{"name": "plain"}, {"name": "model"}],
+    }
+
+
+@attrs.define
+class Platform:
+    """The stand-ins and the front's addresses."""
+
+    store: platform_store.Store
+    replicas: dict[str, platform_replica.Replica]
+    addresses: dict[str, str]
+    front: str
+    ready: str
+    settings: pathlib.Path
+    process: subprocess.Popen | None = None
+    log: pathlib.Path | None = None
+
+    def configure(self, value: dict) -> None:
+        """Writes the operators' manifest."""
+        self.store.put("keyed.op", "config", json.dumps(value).encode())
+
+    def announce(self, name: str, **changes) -> None:
+        """Writes a replica's entry."""
+        plain = name.startswith("p")
+        entry = {
+            "service": "plain" if plain else "model",
+            "address": self.addresses[name],
+            "domain": "a",
+            "slots": 8,
+            "state": "in_service",
+            "born": 1000,
+        }
+        if not plain:
+            entry["stage"] = "decode"
+        entry |= changes
+        self.store.put("keyed.servers", name, json.dumps(entry).encode())
+
+    def start(self) -> None:
+        """Starts the front; returns at once."""
+        environ = os.environ | {"TURMERICWARD_NODE_FILE": str(self.settings)}
+        with self.log.open("wb") as out:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "turmericward.platform"],
+                env=environ,
+                stdout=out,
+                stderr=out,
+            )
+
+    def is_ready(self) -> bool:
+        """Tells what the front answers the balancer."""
+        return launch.request(self.ready, "GET", "/api/readiness")[0] == 200
+
+    def wait_ready(self) -> None:
+        """Waits until the front takes calls and knows every replica."""
+        launch.wait_until(self.is_ready, what="front ready")
+        for name in self.replicas:
+            launch.wait_until(
+                lambda n=name: f"target {n} of" in self.log.read_text(),
+                what=f"replica {name} known",
+            )
+
+    def call(self, method: str, path: str, call_id: str, headers=None, body=None):
+        """Sends one call; returns status, headers and body."""
+        conn = self.connect()
+        try:
+            self.send(conn, method, path, call_id, headers, body)
+            resp = conn.getresponse()
+            return resp.status, dict(resp.getheaders()), resp.read()
+        finally:
+            conn.close()
+
+    def connect(self) -> http.client.HTTPConnection:
+        """Opens a connection to the front."""
+        host, _, port = self.front.rpartition(":")
+        return http.client.HTTPConnection(host, int(port), timeout=10)
+
+    def send(self, conn, method, path, call_id, headers=None, body=None) -> None:
+        """Sends a call on a connection of the caller's."""
+        fields = {
+            "Host": HOST,
+            "Turmericward-Attempt-Id": call_id,
+            "Turmericward-Deadline-Ms": "3000",
+        }
+        conn.request(method, path, body, fields | (headers or {}))
+
+    def stop(self) -> int:
+        """Sends SIGTERM and waits for the end; returns the exit status."""
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(STOP_TIMEOUT_S)
+
+
+def _serve(stack, app) -> str:
+    (port,) = launch.free_ports(1)
+    address = f"127.0.0.1:{port}"
+    server = _http.Server(address, app)
+    thread = threading.Thread(target=server.serve_forever, args=(0.05,), daemon=True)
+    thread.start()
+    stack.callback(server.shutdown)
+    return address
+
+
+def _settings(directory, front: str, ready: str, store: str, peers: int):
+    path = directory / "settings.json"
+    value = {
+        "instance": {"name": "front-1", "domain": "a", "address": "127.0.0.1"},
+        "listen": {"front": front, "ready": ready, "peers": peers},
+        "store": {"address": store, "wait_s": 0.5, "timeout_s": 0.5},
+        "limits": {"file_descriptors": 4096, "memory_mb": 300},
+        "bounds": {
+            "drain_s": 8,
+            "retry_share": 0.2,
+            "retry_slack": 500,
+            "retry_window_s": 10,
+        },
+    }
+    path.write_text(json.dumps(value))
+    return path
+
+
+@contextlib.contextmanager
+def platform(names=("p1", "p2", "m1", "m2"), *, started: bool = True):
+    """Stand-ins with a configured front before them."""
+    with contextlib.ExitStack() as stack:
+        directory = pathlib.Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        store = platform_store.Store()
+        store_address = _serve(stack, store)
+        replicas = {name: platform_replica.Replica(name) for name in names}
+        addresses = {name: _serve(stack, r) for name, r in replicas.items()}
+        front, ready, peers = launch.free_ports(3)
+        found = Platform(
+            store=store,
+            replicas=replicas,
+            addresses=addresses,
+            front=f"127.0.0.1:{front}",
+            ready=f"127.0.0.1:{ready}",
+            settings=_settings(
+                directory,
+                f"127.0.0.1:{front}",
+                f"127.0.0.1:{ready}",
+                store_address,
+                peers,
+            ),
+            log=directory / "log",
+        )
+        for name in names:
+            found.announce(name)
+        found.configure(manifest(3))
+        found.start()
+        stack.callback(_end, found)
+        try:
+            if started:
+                found.wait_ready()
+            yield found
+        except BaseException:
+            print(found.log.read_text()[-4000:])
+            raise
+
+
+def _end(found: Platform) -> None:
+    if found.process.poll() is None:
+        found.process.kill()
+        found.process.wait()
