--- /dev/null
+++ b/benchmarks/prompt_model.py
@@ -0,0 +1,265 @@
+"""A model of prefill and decode engines for placement decisions, in virtual time.
+
+Engines read prompts one after the other; decode engines do so at half the speed
+and also make answers. Each engine keeps shared parts, least recently used first
+out, and fetches them from another if told so. Several fronts place calls by
+`requests.Placer` and tell each other their load with a delay.
+
+    python -m benchmarks.prompt_model --load swing --seeds 3
+"""
+
+import collections
+import heapq
+import itertools
+import random
+
+import attrs
+import click
+
+from turmericward import fleet, requests
+
+READ_TOKENS_PER_S = 60_000.0
+FIRST_TOKEN_S = 0.12
+TOKEN_S = 0.012
+FETCH_S = 0.01
+TELL_DELAY_S = 0.002
+PATIENCE_S = {"long": 3.2, "short": 2.0}
+OBJECTIVE_S = {"long": 0.8, "short": 0.4}
+SHARED_TOKENS = 13_000
+OWN_TOKENS = 3_700
+SHORT_TOKENS = 300
+OUTPUT_TOKENS = {"long": 100, "short": 40}
+ATTENTION_TOKENS = 30_000.0
+
+
+@attrs.frozen(kw_only=True)
+class Load:
+    """Arrivals a second of long and short prompts, in phases of `phase_s`.
+
+    `shares` multiplies long and short arrivals in each phase, cyclically;
+    `subjects` is the number of different shared parts.
+    """
+
+    long_per_s: float
+    short_per_s: float
+    shares: tuple[tuple[float, float], ...] = ((1.0, 1.0),)
+    phase_s: float = 2.8
+    subjects: int = 137
+    length_s: float = 30.0
+
+
+LOADS = {
+    "steady": Load(long_per_s=8.0, short_per_s=40.0),
+    "swing": Load(long_per_s=10.0, short_per_s=55.0, shares=((1.6, 0.6), (0.6, 1.6))),
+    "overload": Load(long_per_s=25.0, short_per_s=40.0, length_s=15.0),
+}
+
+
+@attrs.define
+class Result:
+    """Calls by kind, how many were on time, and shared tokens read again."""
+
+    asked: collections.Counter = attrs.field(factory=collections.Counter)
+    on_time: collections.Counter = attrs.field(factory=collections.Counter)
+    refused: collections.Counter = attrs.field(factory=collections.Counter)
+    read_again: int = 0
+
+    def share(self, kind: str) -> float:
+        """Returns the share of the calls of a kind that were on time."""
+        return self.on_time[kind] / max(1, self.asked[kind])
+
+
+class _Engine:
+    """One engine: a first-in-first-out reader with a memory of shared parts."""
+
+    def __init__(self, target: fleet.Target, capacity_tokens: int) -> None:
+        self.target = target
+        self._capacity = capacity_tokens
+        self._kept: collections.OrderedDict[str, int] = collections.OrderedDict()
+        self._free_at = 0.0
+        prefill = target.role is fleet.EngineRole.PREFILL
+        self._tokens_per_s = READ_TOKENS_PER_S * (1.0 if prefill else 0.5)
+
+    def keeps(self, subject: str) -> bool:
+        return subject in self._kept
+
+    def read(self, now: float, subject: str, own: int, fetched: bool) -> tuple:
+        """Returns when the prompt is read, and the shared tokens read for it."""
+        kept = SHARED_TOKENS if subject and (self.keeps(subject) or fetched) else 0
+        shared = SHARED_TOKENS - kept if subject else 0
+        work = own + shared
+        work *= 1 + (kept + work / 2) / ATTENTION_TOKENS
+        start = max(now, self._free_at) + (FETCH_S if fetched else 0.0)
+        self._free_at = start + work / self._tokens_per_s
+        if subject:
+            self.keep(subject, own)
+        return self._free_at, shared
+
+    def keep(self, subject: str, own: int) -> None:
+        """Keeps the shared part and, as a part of its own, the rest."""
+        self._kept[subject] = SHARED_TOKENS
+        self._kept.move_to_end(subject)
+        self._kept[f"own-{len(self._kept)}-{self._free_at}"] = own
+        while sum(self._kept.values()) > self._capacity:
+            self._kept.popitem(last=False)
+
+
+def targets(prefill: int, decode: int) -> list[fleet.Target]:
+    """Returns engines of one service in three domains."""
+    roles = [fleet.EngineRole.PREFILL] * prefill + [fleet.EngineRole.DECODE] * decode
+    return [
+        fleet.Target(
+            name=f"e{n}",
+            service="model",
+            address=f"10.0.0.{n}:1",
+            domain="abc"[n % 3],
+            slots=64,
+            role=role,
+        )
+        for n, role in enumerate(roles)
+    ]
+
+
+class Model:
+    """Fronts and engines under one virtual clock."""
+
+    def __init__(
+        self,
+        load: Load,
+        seed: int,
+        *,
+        fronts: int = 6,
+        prefill: int = 3,
+        decode: int = 3,
+        capacity_tokens: int = 500_000,
+        telling: bool = True,
+    ) -> None:
+        """Creates the model; `telling` lets fronts tell each other their load."""
+        self._load = load
+        self._random = random.Random(seed)
+        self._telling = telling
+        self._targets = targets(prefill, decode)
+        self._engines = {t.name: _Engine(t, capacity_tokens) for t in self._targets}
+        self._by_address = {e.target.address: e for e in self._engines.values()}
+        self._placers = [requests.Placer(n, "abc"[n % 3]) for n in range(fronts)]
+        for placer in self._placers:
+            placer.set_capacity("model", capacity_tokens)
+        self._events: list = []
+        self._order = itertools.count()
+        self._now = 0.0
+        self._seen: set[str] = set()
+        self.result = Result()
+
+    def run(self) -> Result:
+        """Plays the load to its end."""
+        for kind in ("long", "short"):
+            self._at(0.0, self._arrive, kind)
+        while self._events:
+            self._now, _, action, args = heapq.heappop(self._events)
+            action(*args)
+        return self.result
+
+    def _at(self, at: float, action, *args) -> None:
+        heapq.heappush(self._events, (at, next(self._order), action, args))
+
+    def _arrive(self, kind: str) -> None:
+        phase = int(self._now / self._load.phase_s) % len(self._load.shares)
+        long_share, short_share = self._load.shares[phase]
+        rate = self._load.long_per_s * long_share
+        if kind == "short":
+            rate = self._load.short_per_s * short_share
+        next_at = self._now + self._random.expovariate(rate)
+        if next_at < self._load.length_s:
+            self._at(next_at, self._arrive, kind)
+        self._place(kind, self._random.choice(self._placers))
+
+    def _prompt(self, kind: str) -> requests.Prompt:
+        own = f"own{next(self._order)}"
+        if kind == "short":
+            parts = (requests.PromptPart(id=own, tokens=SHORT_TOKENS),)
+        else:
+            subject = f"s{self._random.randrange(self._load.subjects)}"
+            parts = (
+                requests.PromptPart(id=subject, tokens=SHARED_TOKENS),
+                requests.PromptPart(id=own, tokens=OWN_TOKENS),
+            )
+        return requests.Prompt(model="m", parts=parts, output_tokens=100)
+
+    def _place(self, kind: str, placer: requests.Placer) -> None:
+        prompt = self._prompt(kind)
+        self.result.asked[kind] += 1
+        patience = requests.Patience(
+            on_time_s=OBJECTIVE_S[kind], given_up_s=PATIENCE_S[kind]
+        )
+        chosen = placer.choose_engine(prompt, self._targets, patience, self._now)
+        if chosen.is_err():
+            self.result.refused[kind] += 1
+            return
+        placement = chosen.unwrap()
+        self._tell(placer, prompt)
+        engine = self._engines[placement.target.name]
+        subject = prompt.parts[0].id if kind == "long" else ""
+        source = self._by_address.get(placement.fetch_from)
+        fetched = source is not None and source.keeps(subject)
+        own = prompt.parts[-1].tokens
+        read_at, shared = engine.read(self._now, subject, own, fetched)
+        if shared and subject in self._seen:
+            self.result.read_again += shared
+        self._seen.add(subject)
+        args = (kind, placer, prompt, placement, self._now)
+        self._at(read_at + FIRST_TOKEN_S, self._began, *args)
+
+    def _began(self, kind, placer, prompt, placement, asked_at: float) -> None:
+        took_s = self._now - asked_at
+        placer.began(placement, prompt, took_s, self._now)
+        if placement.prefill_only:
+            placer.ended(placement, failed=False, now=self._now)
+            placement = placer.choose_answerer(prompt, self._targets, self._now)
+            self._engines[placement.target.name].keep(prompt.parts[0].id, OWN_TOKENS)
+            placer.began(placement, prompt, FETCH_S, self._now)
+            took_s += FETCH_S
+        if took_s <= OBJECTIVE_S[kind]:
+            self.result.on_time[kind] += 1
+        self._tell(placer, prompt)
+        done_at = self._now + OUTPUT_TOKENS[kind] * TOKEN_S
+        self._at(done_at, self._ended, placer, prompt, placement)
+
+    def _ended(self, placer, prompt, placement) -> None:
+        placer.ended(placement, failed=False, now=self._now)
+        self._tell(placer, prompt)
+
+    def _tell(self, placer: requests.Placer, prompt) -> None:
+        if not self._telling or prompt.tokens < requests.SHORT_PROMPT_TOKENS:
+            return
+        args = (placer, placer.own_loads(), placer.take_notes())
+        self._at(self._now + TELL_DELAY_S, self._hear, *args)
+
+    def _hear(self, teller: requests.Placer, loads, notes) -> None:
+        for placer in self._placers:
+            if placer is teller:
+                continue
+            placer.peers.take(str(id(teller)), loads, self._now)
+            for note in notes:
+                placer.note_kept(note)
+
+
+@click.command()
+@click.option("--load", "name", type=click.Choice(sorted(LOADS)), default="swing")
+@click.option("--seeds", default=3)
+def main(name: str, seeds: int) -> None:
+    """Prints shares on time with and without telling, over seeds."""
+    for telling in (False, True):
+        results = [Model(LOADS[name], s, telling=telling).run() for s in range(seeds)]
+        shares = {
+            kind: sum(r.share(kind) for r in results) / seeds
+            for kind in ("long", "short")
+        }
+        again = sum(r.read_again for r in results) / seeds
+        click.echo(
+            f"{name} telling={telling}: long {shares['long']:.2f} on time, "
+            f"short {shares['short']:.2f}, read again {again:,.0f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -92,6 +92,7 @@
         self._progress = _Progress()
         self._placement: requests.Placement | None = None
         self._sent_at = 0.0
+        self._first_s: float | None = None
 
     def run(self) -> _calls.Reply:
         """Returns the reply; a stream's body goes on while it is read."""
@@ -348,6 +349,8 @@
 
     def _began(self) -> None:
         now = runtime.now()
+        if not self._placement.prefill_only:
+            self._first_s = self._first_s or now - self._call.received
         telemetry.log_event(
             "began",
             request_id=self._call.id,
@@ -386,7 +389,17 @@
         )
 
     def _log(self, outcome: str, status: int) -> None:
+        took_s = runtime.now() - self._call.received
         self._ctx.metrics.count(f"delivery.{outcome}")
+        self._ctx.metrics.record(
+            telemetry.RequestTimes(
+                traffic_class=f"{self._service}.{self._call.route.kind.value}",
+                tenant="",
+                first_token_ms=None if self._first_s is None else self._first_s * 1000,
+                between_tokens_ms=[],
+                total_ms=took_s * 1000,
+            )
+        )
         telemetry.log_event(
             "reply",
             request_id=self._call.id,
@@ -395,7 +408,7 @@
             status=status,
             reason=self._progress.reason,
             attempts=self._progress.arrived,
-            took_s=round(runtime.now() - self._call.received, 3),
+            took_s=round(took_s, 3),
         )
 
     # What a running stream needs.
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -250,7 +250,9 @@
 
     @handle.register
     def _(self, message: Began) -> None:
-        self._placer.began(message.placement, message.prompt, message.took_s)
+        self._placer.began(
+            message.placement, message.prompt, message.took_s, runtime.now()
+        )
         self._tell_peers(message.prompt)
 
     @handle.register
--- a/src/turmericward/platform/_ingress.py
+++ b/src/turmericward/platform/_ingress.py
@@ -163,3 +163,18 @@
         status = "200 OK" if ready else "503 Service Unavailable"
         start_response(status, [("Content-Length", "0")])
         return [b""]
+
+
+class MetricsPage:
+    """Serves counters and histograms as text."""
+
+    def __init__(self, metrics: telemetry.Metrics) -> None:
+        """Creates the application."""
+        self._metrics = metrics
+
+    def __call__(self, environ, start_response):
+        """Answers one WSGI request."""
+        body = self._metrics.page().encode()
+        headers = [("Content-Type", "text/plain"), ("Content-Length", str(len(body)))]
+        start_response("200 OK", headers)
+        return [body]
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -63,10 +63,11 @@
             self._follow(_follow.TARGETS_TOPIC, _follow.TargetsSink(self._dispatch)),
         ]
         self._group = runtime.Group([tell, self._dispatch, *loops], "front")
+        metrics = telemetry.Metrics(None, "")
         ctx = delivery.Context(
             dispatch=self._dispatch,
             transport=_transport.ReplicaTransport(),
-            metrics=telemetry.Metrics(None, ""),
+            metrics=metrics,
         )
         limits = httpd.Limits(
             threads=THREADS,
@@ -77,6 +78,8 @@
         self._server = httpd.Server(_ingress.Ingress(ctx, seed), address, limits)
         readiness = _ingress.Readiness(self._dispatch, self._draining)
         self._server.add_probe(readiness, _address.split(cfg.listen.ready))
+        metrics_address = (cfg.instance.address, cfg.listen.metrics)
+        self._server.add_probe(_ingress.MetricsPage(metrics), metrics_address)
 
     def _follow(self, topic: str, sink: _follow.Sink) -> _follow.FollowLoop:
         wait_s = self._cfg.store.wait_s
--- a/src/turmericward/platform/_settings.py
+++ b/src/turmericward/platform/_settings.py
@@ -25,11 +25,12 @@
 
 @attrs.frozen(kw_only=True)
 class ListenSettings:
-    """Where clients, readiness checks and, by datagram, other fronts come in."""
+    """Where clients, readiness checks, metrics and other fronts' datagrams come in."""
 
     front: str = attrs.field(validator=schema.validators.ip_port)
     ready: str = attrs.field(validator=schema.validators.ip_port)
     peers: int = attrs.field(validator=schema.validators.between(1, 65535))
+    metrics: int = attrs.field(validator=schema.validators.between(1, 65535))
 
 
 @attrs.frozen(kw_only=True)
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -17,8 +17,8 @@
 from turmericward import fleet
 from turmericward.requests import _kept, _loads, _prompts, _router, _speed
 
-LATENCY_LEARNING_RATE = 0.1
-FIRST_LATENCY_S = 0.1
+# Replicas within this factor of the fastest one are taken to be as fast.
+TOLERATED_SLOWNESS = 1.5
 # Prompts with fewer tokens are read where they are answered.
 SHORT_PROMPT_TOKENS = 2_048
 HANDOVER_S = 0.05
@@ -113,7 +113,7 @@
         self._own: dict[str, _Own] = collections.defaultdict(_Own)
         self._kept: dict[int, _kept.KeptPrompts] = {}
         self._capacity_tokens: dict[str, float] = {}
-        self._latency_s: dict[str, float] = {}
+        self._latency = _speed.Latency()
         self._speed = _speed.ReadingSpeed()
         self._last_id = 0
         self._notes: list[KeptNote] = []
@@ -128,7 +128,7 @@
 
     def forget(self, name: str) -> None:
         """Drops what was learnt of a target that is gone or began anew."""
-        self._latency_s.pop(name, None)
+        self._latency.forget(name)
         self._speed.forget(name)
         self._kept.pop(target_hash(name), None)
         self.health.succeeded(name)
@@ -188,21 +188,22 @@
     # Replicas of plain services.
 
     def choose_replica(self, targets, now: float) -> Placement | None:
-        """Chooses a replica of a plain service by its latency and open calls."""
+        """Chooses a replica of a plain service by its open calls and its latency."""
         usable = self._healthy(targets, now)
         if not usable:
             return None
         self._random.shuffle(usable)
-        best = min(usable, key=self._replica_score)
+        fastest_s = min(self._latency.of(t.name, now) for t in usable)
+        best = min(usable, key=lambda t: self._replica_score(t, fastest_s, now))
         return self._assign(Placement(id=0, target=best))
 
-    def _replica_score(self, target: fleet.Target) -> tuple[float, bool]:
-        latency_s = self._latency_s.get(target.name, FIRST_LATENCY_S)
-        busy = self.load(target.name).open_calls
-        slots = max(1, target.slots)
-        queued = max(0, busy + 1 - slots) / slots
-        score_s = latency_s * (1 + 0.1 * busy / slots + queued)
-        return (score_s, target.domain != self._domain)
+    def _replica_score(
+        self, target: fleet.Target, fastest_s: float, now: float
+    ) -> tuple[float, bool]:
+        slowness = self._latency.of(target.name, now) / fastest_s
+        busy = self.load(target.name).open_calls + 1
+        score = busy / max(1, target.slots) * max(1.0, slowness / TOLERATED_SLOWNESS)
+        return (score, target.domain != self._domain)
 
     # Engines.
 
@@ -311,15 +312,13 @@
         self.health.started(placement.target.name)
         return placement
 
-    def began(self, placement: Placement, prompt, took_s: float) -> None:
-        """Notes the first token, or the end of a prefill, after `took_s`."""
+    def began(self, placement: Placement, prompt, took_s: float, now: float) -> None:
+        """Notes the first token, the end of a prefill or an answer, after `took_s`."""
         name = placement.target.name
         if self._own[name].waiting.pop(placement.id, None) is None:
             return
         if prompt is None:
-            known = self._latency_s.get(name, FIRST_LATENCY_S)
-            change = LATENCY_LEARNING_RATE * (took_s - known)
-            self._latency_s[name] = known + change
+            self._latency.learn(name, took_s, now)
             return
         if placement.work_tokens:
             tokens = placement.ahead_tokens + placement.work_tokens
--- a/src/turmericward/requests/_speed.py
+++ b/src/turmericward/requests/_speed.py
@@ -1,5 +1,7 @@
 """How long an engine takes to read prompts, learnt from first tokens."""
 
+import math
+
 from turmericward import fleet
 
 # Until measured. A decode engine reads between the tokens that it makes.
@@ -14,6 +16,10 @@
 # Tokens of context at which attention costs as much again as the rest.
 ATTENTION_TOKENS = 30_000.0
 MIN_SAMPLE_TOKENS = 1_000.0
+FIRST_LATENCY_S = 0.1
+MIN_LATENCY_S = 0.001
+LATENCY_LEARNING_RATE = 0.15
+LATENCY_MEMORY_S = 8.0
 
 
 def effective_tokens(work: float, kept: float) -> float:
@@ -54,3 +60,31 @@
         sample = min(first * MAX_FACTOR, max(first / MAX_FACTOR, sample))
         known = self.per_token(target)
         self._seconds_per_token[target.name] = known + LEARNING_RATE * (sample - known)
+
+
+class Latency:
+    """Time to an answer by replica; what is old counts less and less.
+
+    A replica that was slow gets calls again after a while, since nobody would
+    learn otherwise that it has recovered.
+    """
+
+    def __init__(self) -> None:
+        """Creates the estimate without samples."""
+        self._known: dict[str, tuple[float, float]] = {}
+
+    def forget(self, name: str) -> None:
+        """Drops what was learnt of a replica."""
+        self._known.pop(name, None)
+
+    def of(self, name: str, now: float) -> float:
+        """Returns the expected latency in seconds."""
+        latency_s, at = self._known.get(name, (FIRST_LATENCY_S, now))
+        weight = math.exp(-(now - at) / LATENCY_MEMORY_S)
+        return FIRST_LATENCY_S + weight * (latency_s - FIRST_LATENCY_S)
+
+    def learn(self, name: str, took_s: float, now: float) -> None:
+        """Takes a sample."""
+        known = self.of(name, now)
+        latency_s = known + LATENCY_LEARNING_RATE * (took_s - known)
+        self._known[name] = (max(MIN_LATENCY_S, latency_s), now)
--- a/src/turmericward/telemetry/_metrics.py
+++ b/src/turmericward/telemetry/_metrics.py
@@ -16,7 +16,7 @@
 
 @attrs.frozen(kw_only=True)
 class RequestTimes:
-    """Times of one request in milliseconds."""
+    """Times of one request in milliseconds; `tenant` is empty where there is none."""
 
     traffic_class: str
     tenant: str
@@ -67,13 +67,16 @@
         """Adds the times of one request."""
         with self._lock:
             self._record_class(times)
-            self._tenant(times.tenant).record_value(_clamped(times.total_ms))
+            if times.tenant:
+                self._tenant(times.tenant).record_value(_clamped(times.total_ms))
         if self._statsd is not None:
-            name = f"total.{times.traffic_class}.{times.tenant}"
-            self._statsd.timing(name, times.total_ms)
-            if times.first_token_ms is not None:
-                name = f"first_token.{times.traffic_class}.{times.tenant}"
-                self._statsd.timing(name, times.first_token_ms)
+            self._push(times)
+
+    def _push(self, times: RequestTimes) -> None:
+        label = ".".join(filter(None, (times.traffic_class, times.tenant)))
+        self._statsd.timing(f"total.{label}", times.total_ms)
+        if times.first_token_ms is not None:
+            self._statsd.timing(f"first_token.{label}", times.first_token_ms)
 
     def _record_class(self, times: RequestTimes) -> None:
         if times.first_token_ms is not None:
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -64,6 +64,7 @@
     addresses: dict[str, str]
     front: str
     ready: str
+    metrics: str
     settings: pathlib.Path
     process: subprocess.Popen | None = None
     log: pathlib.Path | None = None
@@ -152,11 +153,16 @@
     return address
 
 
-def _settings(directory, front: str, ready: str, store: str, peers: int):
+def _settings(directory, front: str, ready: str, store: str, ports: list[int]):
     path = directory / "settings.json"
     value = {
         "instance": {"name": "front-1", "domain": "a", "address": "127.0.0.1"},
-        "listen": {"front": front, "ready": ready, "peers": peers},
+        "listen": {
+            "front": front,
+            "ready": ready,
+            "peers": ports[0],
+            "metrics": ports[1],
+        },
         "store": {"address": store, "wait_s": 0.5, "timeout_s": 0.5},
         "limits": {"file_descriptors": 4096, "memory_mb": 300},
         "bounds": {
@@ -179,7 +185,7 @@
         store_address = _serve(stack, store)
         replicas = {name: platform_replica.Replica(name) for name in names}
         addresses = {name: _serve(stack, r) for name, r in replicas.items()}
-        front, ready, peers = launch.free_ports(3)
+        front, ready, *ports = launch.free_ports(4)
         found = Platform(
             store=store,
             replicas=replicas,
@@ -191,8 +197,9 @@
                 f"127.0.0.1:{front}",
                 f"127.0.0.1:{ready}",
                 store_address,
-                peers,
+                ports,
             ),
+            metrics=f"127.0.0.1:{ports[1]}",
             log=directory / "log",
         )
         for name in names:
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,172 @@
+"""Where prompts are read: load patterns replayed on the pure decisions."""
+
+from benchmarks import prompt_model
+from tests import fixtures
+from turmericward import fleet, requests
+
+check = fixtures.check
+SEEDS = range(3)
+ALL = requests.Patience(on_time_s=0.8, given_up_s=3.2)
+
+
+def _long(subject: str = "s", own: str = "o") -> requests.Prompt:
+    parts = (
+        requests.PromptPart(id=subject, tokens=13_000),
+        requests.PromptPart(id=own, tokens=4_000),
+    )
+    return requests.Prompt(model="m", parts=parts, output_tokens=100)
+
+
+def _short() -> requests.Prompt:
+    parts = (requests.PromptPart(id="q", tokens=300),)
+    return requests.Prompt(model="m", parts=parts, output_tokens=40)
+
+
+def _placer() -> requests.Placer:
+    placer = requests.Placer(1, "a")
+    placer.set_capacity("model", 500_000)
+    return placer
+
+
+def _read(placer, prompt, targets, now: float = 0.0) -> requests.Placement:
+    placement = placer.choose_engine(prompt, targets, ALL, now).unwrap()
+    placer.began(placement, prompt, 0.3, now)
+    placer.ended(placement, failed=False, now=now)
+    return placement
+
+
+def _played(load: str, **options) -> list[prompt_model.Result]:
+    found = prompt_model.LOADS[load]
+    return [prompt_model.Model(found, seed, **options).run() for seed in SEEDS]
+
+
+def _mean(results, kind: str) -> float:
+    return sum(result.share(kind) for result in results) / len(results)
+
+
+def test_short_prompts_are_read_where_they_are_answered():
+    targets = prompt_model.targets(2, 2)
+    placement = _placer().choose_engine(_short(), targets, ALL, 0.0).unwrap()
+    check.assertIs(placement.target.role, fleet.EngineRole.DECODE)
+
+
+def test_long_prompts_spread_over_the_prefill_engines():
+    placer = _placer()
+    targets = prompt_model.targets(3, 3)
+    names = [
+        placer.choose_engine(_long(f"s{n}"), targets, ALL, 0.0).unwrap().target.name
+        for n in range(3)
+    ]
+    check.assertEqual(len(set(names)), 3)
+
+
+def test_work_that_peers_tell_of_is_avoided():
+    targets = prompt_model.targets(2, 1)
+    placer, peer = _placer(), _placer()
+    taken = peer.choose_engine(_long("s1"), targets, ALL, 0.0).unwrap()
+    placer.peers.take("peer", peer.own_loads(), 0.0)
+    own = placer.choose_engine(_long("s2"), targets, ALL, 0.0).unwrap()
+    check.assertNotEqual(own.target, taken.target)
+    check.assertEqual(placer.peers.expire(10.0), ["peer"])
+
+
+def test_shared_parts_are_read_once_and_then_found():
+    placer = _placer()
+    targets = prompt_model.targets(2, 2)
+    first = _read(placer, _long(), targets)
+    again = _read(placer, _long(own="p"), targets)
+    check.assertEqual(again.target, first.target)
+    check.assertLess(again.work_tokens, first.work_tokens / 2)
+
+
+def test_a_busy_keeper_is_fetched_from():
+    placer = _placer()
+    targets = prompt_model.targets(2, 0)
+    keeper = _read(placer, _long(), targets).target
+    for n in range(20):
+        placement = placer.choose_engine(_long(own=f"p{n}"), targets, ALL, 0.0)
+        if placement.unwrap().target != keeper:
+            break
+    check.assertEqual(placement.unwrap().fetch_from, keeper.address)
+
+
+def test_prompts_that_are_late_already_go_behind():
+    placer = _placer()
+    targets = prompt_model.targets(1, 0)
+    placements = []
+    while True:
+        chosen = placer.choose_engine(_long(f"s{len(placements)}"), targets, ALL, 0.0)
+        if chosen.is_err():
+            break
+        placements.append(chosen.unwrap())
+    deferred = [p.deferred for p in placements]
+    check.assertEqual(deferred, sorted(deferred))
+    check.assertTrue(deferred[-1])
+    check.assertFalse(deferred[0])
+    check.assertGreater(chosen.unwrap_err().retry_after_s, 0)
+
+
+def test_a_call_that_came_back_doesnt_go_before_those_that_can_be_on_time():
+    returned = requests.Patience(on_time_s=-1.0, given_up_s=3.2)
+    targets = prompt_model.targets(2, 2)
+    placement = _placer().choose_engine(_long(), targets, returned, 0.0).unwrap()
+    check.assertTrue(placement.deferred)
+
+
+def test_telling_peers_keeps_swings_of_the_mix_in_time():
+    told = _played("swing")
+    untold = _played("swing", telling=False)
+    check.assertGreater(_mean(told, "long"), 2 * _mean(untold, "long"))
+    check.assertGreater(_mean(told, "short"), 0.95)
+    read_again = [sum(r.read_again for r in results) for results in (told, untold)]
+    check.assertLess(read_again[0], read_again[1])
+
+
+def test_a_steady_load_is_served_in_time():
+    results = _played("steady")
+    check.assertGreater(_mean(results, "long"), 0.85)
+    check.assertGreater(_mean(results, "short"), 0.99)
+
+
+def test_too_many_long_prompts_leave_short_ones_in_time():
+    check.assertGreater(_mean(_played("overload"), "short"), 0.85)
+
+
+def _played_replicas(seconds: range, slow_s: float, placer) -> dict[str, int]:
+    """Plays calls that overlap by half at two replicas; returns how many each got."""
+    replicas = [
+        fleet.Target(name=n, service="s", address="10.0.0.1:1", domain="a", slots=6)
+        for n in ("slow", "fast")
+    ]
+    counts = {"slow": 0, "fast": 0}
+    running = []
+    for tenth in range(10 * seconds.start, 10 * seconds.stop):
+        now = tenth / 10
+        placement = placer.choose_replica(replicas, now)
+        name = placement.target.name
+        counts[name] += 1
+        running.append((now + (slow_s if name == "slow" else 0.15), placement))
+        for done in [r for r in running if r[0] <= now]:
+            running.remove(done)
+            took_s = slow_s if done[1].target.name == "slow" else 0.15
+            placer.began(done[1], None, took_s, now)
+            placer.ended(done[1], failed=False, now=now)
+    return counts
+
+
+def test_a_replica_that_answers_slowly_gets_less_until_it_recovers():
+    placer = _placer()
+    slow = _played_replicas(range(20), 0.75, placer)
+    check.assertGreater(slow["fast"], 2 * slow["slow"])
+    check.assertGreater(slow["slow"], 0)
+    recovered = _played_replicas(range(30, 50), 0.15, placer)
+    check.assertGreater(recovered["slow"], 60)
+
+
+def test_a_target_that_began_anew_is_taken_to_keep_nothing():
+    placer = _placer()
+    targets = prompt_model.targets(1, 1)
+    first = _read(placer, _long(), targets)
+    placer.forget(first.target.name)
+    again = _read(placer, _long(own="p"), targets)
+    check.assertEqual(again.work_tokens, first.work_tokens)
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -249,3 +249,14 @@
         found.start()
         check.assertEqual(found.process.wait(10), 2)
         check.assertIn("listen.front", found.log.read_text())
+
+
+def test_metrics_count_replies_and_time_them():
+    with platform_fixtures.platform() as found:
+        found.call("GET", "/read/x", "m")
+        found.call("POST", "/ask/x", "n", PROMPT, b"q")
+        status, _, page = launch.request(found.metrics, "GET", "/metrics")
+        check.assertEqual(status, 200)
+        check.assertIn(b"delivery.answered 1", page)
+        check.assertIn(b"delivery.streamed 1", page)
+        check.assertIn(b'first_token_ms_count{class="model.stream"} 1', page)
--- /dev/null
+++ b/tests/test_platform_records.py
@@ -0,0 +1,95 @@
+"""Records of the platform's store: decoded strictly, spoiled ones refused."""
+
+import json
+
+from tests import fixtures, platform_fixtures
+from turmericward import delivery, fleet
+from turmericward.platform import _records
+
+check = fixtures.check
+ENTRY = {
+    "service": "model",
+    "address": "10.0.0.1:8080",
+    "domain": "a",
+    "slots": 64,
+    "state": "in_service",
+    "stage": "prefill",
+    "born": 1000,
+    "Sequence": 4,
+}
+SPOILED = [
+    ("service", 5),
+    ("service", None),
+    ("address", "host:1"),
+    ("address", "10.0.0.1"),
+    ("domain", ["a"]),
+    ("slots", "64"),
+    ("slots", 0),
+    ("slots", True),
+    ("state", "asleep"),
+    ("stage", "both"),
+    ("born", 1000.5),
+    ("born", "1000"),
+]
+
+
+def _decode(entry: object) -> fleet.Target:
+    return _records.target("i-1", json.dumps(entry).encode())
+
+
+def test_an_entry_becomes_a_target():
+    target = _decode(ENTRY)
+    check.assertEqual(target.role, fleet.EngineRole.PREFILL)
+    check.assertEqual((target.name, target.started_ms), ("i-1", 1000))
+    check.assertFalse(target.leaving)
+    check.assertTrue(_decode(ENTRY | {"state": "draining"}).leaving)
+
+
+def test_spoiled_entries_are_refused():
+    for field, value in SPOILED:
+        with check.assertRaises(_records.RecordError, msg=f"{field}={value!r}"):
+            _decode(ENTRY | {field: value})
+    for field in ("service", "address", "domain", "slots", "state", "born"):
+        entry = {k: v for k, v in ENTRY.items() if k != field}
+        with check.assertRaises(_records.RecordError, msg=f"no {field}"):
+            _decode(entry)
+    for raw in (b"", b"[]", b"null", b"\xff\xfe", b'{"service": '):
+        with check.assertRaises(_records.RecordError, msg=repr(raw)):
+            _records.target("i-1", raw)
+
+
+def test_the_longest_prefix_of_the_host_is_the_route():
+    nested = platform_fixtures.route("deep", "idempotent", "plain")
+    nested["path_prefix"] = "/read/deep/"
+    other = platform_fixtures.route("other", "idempotent", "plain", host="b.example")
+    value = platform_fixtures.manifest(3, nested, other)
+    table = _records.routing_table(json.dumps(value).encode())
+    host = platform_fixtures.HOST
+    check.assertEqual(table.find(host, "/read/x").name, "read")
+    check.assertEqual(table.find(host, "/read/deep/x").name, "deep")
+    check.assertEqual(table.find("b.example", "/other/").name, "other")
+    for where, path in ((host, "/reading"), (host, "/read"), ("c.example", "/read/x")):
+        with check.assertRaises(delivery.NoRouteError):
+            table.find(where, path)
+
+
+def test_a_manifest_with_a_spoiled_field_is_refused_whole():
+    for field, value in (("kind", "maybe"), ("timeout_ms", "3"), ("priority", None)):
+        manifest = platform_fixtures.manifest(3)
+        manifest["routes"][0][field] = value
+        with check.assertRaises(_records.RecordError, msg=field):
+            _records.routing_table(json.dumps(manifest).encode())
+    manifest = platform_fixtures.manifest(3)
+    del manifest["routes"][0]["service"]
+    with check.assertRaises(_records.RecordError):
+        _records.routing_table(json.dumps(manifest).encode())
+
+
+def test_a_route_that_is_split_names_its_destinations_with_weights():
+    split = [{"service": "plain", "weight": 90}, {"service": "model", "weight": 10}]
+    route = platform_fixtures.route("cut", "idempotent", "", split=split)
+    value = platform_fixtures.manifest(3, route)
+    table = _records.routing_table(json.dumps(value).encode())
+    found = table.find(platform_fixtures.HOST, "/cut/x").destinations
+    weights = {d.service: d.weight for d in found}
+    check.assertEqual(weights, {"plain": 90.0, "model": 10.0})
--- /dev/null
+++ b/tests/test_targets.py
@@ -0,0 +1,69 @@
+"""The directory of targets: late, old and missing announcements."""
+
+import attrs
+
+from tests import fixtures
+from turmericward import fleet
+
+check = fixtures.check
+TARGET = fleet.Target(
+    name="t", service="s", address="10.0.0.1:1", domain="a", slots=4, started_ms=100
+)
+
+
+def _directory() -> fleet.Directory:
+    found = fleet.Directory(grace_s=2.5)
+    found.put(TARGET)
+    return found
+
+
+def _names(directory) -> list[str]:
+    return [target.name for target in directory.usable("s")]
+
+
+def test_announcements_of_an_earlier_life_are_ignored():
+    directory = _directory()
+    older = attrs.evolve(TARGET, started_ms=50, address="10.0.0.9:1")
+    check.assertFalse(directory.put(older))
+    check.assertEqual(directory.get("t").address, "10.0.0.1:1")
+
+
+def test_a_target_that_leaves_goes_on_leaving_until_it_starts_anew():
+    directory = _directory()
+    directory.put(attrs.evolve(TARGET, leaving=True))
+    check.assertFalse(directory.put(TARGET))
+    check.assertEqual(_names(directory), [])
+    check.assertTrue(directory.put(attrs.evolve(TARGET, started_ms=200)))
+    check.assertEqual(_names(directory), ["t"])
+
+
+def test_a_missing_target_is_gone_at_once_while_the_source_is_sound():
+    directory = _directory()
+    directory.remove("t", 10.0)
+    check.assertEqual(len(directory), 0)
+
+
+def test_after_an_outage_a_missing_target_is_kept_for_the_grace_period():
+    directory = _directory()
+    directory.source_returned(10.0)
+    directory.keep_only(set(), 10.5)
+    check.assertEqual(_names(directory), ["t"])
+    check.assertEqual(directory.expire(12.0), [])
+    check.assertEqual(directory.expire(12.5), ["t"])
+    check.assertEqual(_names(directory), [])
+
+
+def test_a_target_that_is_announced_again_within_the_grace_period_stays():
+    directory = _directory()
+    directory.source_returned(10.0)
+    directory.remove("t", 10.5)
+    directory.put(TARGET)
+    check.assertEqual(directory.expire(20.0), [])
+
+
+def test_a_leaving_target_gets_no_grace():
+    directory = _directory()
+    directory.source_returned(10.0)
+    directory.put(attrs.evolve(TARGET, leaving=True))
+    directory.remove("t", 10.5)
+    check.assertEqual(len(directory), 0)
