Order roles under a lease; harm of long reads by the calls beside them

Ruled out: reading everything at decode engines (short prompts fall off). Change: a planner keeps the composition that operators began with; orders go out under a lease taken by compare-and-set, with the engine's sequence as condition, after peers were told to hold the engine; the harm of a long read grows with the calls that the engine has; a copy of shared parts costs 0.9 s.

--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -21,6 +21,12 @@
   5: bool ready
 }
 
+/** A target that gets no new calls until `ttl_ms` after receipt. */
+struct HeldTarget {
+  1: i32 target
+  2: i32 ttl_ms
+}
+
 /** A front's whole load, and the prompts read since its last datagrams. */
 struct FrontState {
   1: string front
@@ -29,4 +35,5 @@
   3: i32 sequence
   4: list<TargetLoad> loads
   5: list<KeptPrompt> kept
+  6: list<HeldTarget> held
 }
--- a/src/turmericward/adapters/_request.py
+++ b/src/turmericward/adapters/_request.py
@@ -4,14 +4,16 @@
 import http.client
 import select
 import socket
-import time
 from collections.abc import Callable
 
 import attrs
 
+from turmericward import runtime
 from turmericward.adapters import _address, _response, errors
+from turmericward.authority import Authority
 
 CONNECT_TIMEOUT_S = 1.0
+TCP_USER_TIMEOUT = getattr(socket, "TCP_USER_TIMEOUT", 18)
 CANCEL_POLL_S = 0.25
 MIN_TIMEOUT_S = 0.001
 REQUEST_ID = "X-Request-Id"
@@ -82,6 +84,35 @@
         raise errors.AnswerLostError(f"{address}: {exc!r}") from exc
 
 
+def send_within_term(
+    conn: http.client.HTTPConnection,
+    address: str,
+    req: Request,
+    authority: Authority,
+    need_s: float,
+    clock: Callable[[], float],
+) -> None:
+    """Sends an order whose last byte leaves only while the authority holds.
+
+    The kernel drops what it can't deliver within the rest of the term.
+
+    Raises:
+        AuthorityLapsedError: the order wasn't sent whole.
+        AnswerLostError: the connection failed when all bytes may have left.
+    """
+    try:
+        put_head(conn, req)
+        conn.endheaders(req.body[:-1])
+        left_s = authority.until - clock()
+        if not authority.allows(clock(), need_s):
+            raise errors.AuthorityLapsedError(f"{left_s:.3f} s of the term left")
+        user_timeout_ms = max(1, int(left_s * 1000))
+        conn.sock.setsockopt(socket.IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms)
+        conn.send(req.body[-1:])
+    except OSError as exc:
+        raise errors.AnswerLostError(f"{address}: {exc!r}") from exc
+
+
 def answer_head(
     conn: http.client.HTTPConnection, address: str
 ) -> http.client.HTTPResponse:
@@ -112,11 +143,11 @@
     """Waits for the first byte of the answer.
 
     Raises:
-        AnswerLostError: none came by `until`, in monotonic seconds.
+        AnswerLostError: none came by `until`, in seconds of `runtime.now`.
         CancelledError: the caller went away in the meantime.
     """
     while True:
-        left_s = until - time.monotonic()
+        left_s = until - runtime.now()
         if left_s <= 0:
             raise errors.AnswerLostError(f"{address}: no answer in time")
         wait_s = min(left_s, CANCEL_POLL_S)
@@ -133,7 +164,7 @@
     address: str,
     until: float,
 ) -> bytes:
-    """Reads the body to its declared end, by `until` in monotonic seconds.
+    """Reads the body to its declared end, by `until` in seconds of `runtime.now`.
 
     Raises:
         AnswerLostError: the body ended early or late.
@@ -141,7 +172,7 @@
     parts = []
     try:
         while True:
-            left_s = until - time.monotonic()
+            left_s = until - runtime.now()
             if left_s <= 0:
                 raise TimeoutError("deadline reached")
             if conn.sock is not None:
--- a/src/turmericward/adapters/engine.py
+++ b/src/turmericward/adapters/engine.py
@@ -2,18 +2,17 @@
 
 import http.client
 import json
-import socket
 import time
 from collections.abc import Callable, Iterator
 
 import attrs
 
+from turmericward import runtime
 from turmericward.adapters import _json_http, _request, errors
 from turmericward.authority import Authority, EngineState, Spec
 
 READ_BYTES = 65536
 NOT_STARTED = frozenset({429, 503})
-TCP_USER_TIMEOUT = getattr(socket, "TCP_USER_TIMEOUT", 18)
 
 
 @attrs.frozen(kw_only=True)
@@ -160,9 +159,9 @@
         """
         conn = _request.connect(self._address, first_s)
         try:
-            resp = self._head(conn, job, after, time.monotonic() + first_s)
+            resp = self._head(conn, job, after, runtime.now() + first_s)
             if resp.status != 200:
-                return self._whole(conn, resp, time.monotonic() + idle_s)
+                return self._whole(conn, resp, runtime.now() + idle_s)
             if conn.sock is not None:
                 conn.sock.settimeout(idle_s)
             return Stream(conn, resp, self._address)
@@ -176,7 +175,7 @@
         Raises:
             AdapterError: as for `stream`.
         """
-        until = time.monotonic() + timeout_s
+        until = runtime.now() + timeout_s
         conn = _request.connect(self._address, timeout_s)
         with _request.closing(conn):
             resp = self._head(conn, job, 0, until)
@@ -280,21 +279,10 @@
         )
         conn = _request.connect(self._address, self._timeout_s)
         with _request.closing(conn):
-            self._send_within_term(conn, req, authority, clock)
+            _request.send_within_term(
+                conn, self._address, req, authority, self._timeout_s, clock
+            )
             resp = _request.answer_head(conn, self._address)
-            until = time.monotonic() + self._timeout_s
+            until = runtime.now() + self._timeout_s
             _request.read_whole(conn, resp, self._address, until)
             return resp.status == 200
-
-    def _send_within_term(self, conn, req, authority, clock) -> None:
-        try:
-            _request.put_head(conn, req)
-            conn.endheaders(req.body[:-1])
-            left_s = authority.until - clock()
-            if not authority.allows(clock(), self._timeout_s):
-                raise errors.AuthorityLapsedError(f"{left_s:.3f} s of the term left")
-            user_timeout_ms = max(1, int(left_s * 1000))
-            conn.sock.setsockopt(socket.IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms)
-            conn.send(req.body[-1:])
-        except OSError as exc:
-            raise errors.AnswerLostError(f"{self._address}: {exc!r}") from exc
--- a/src/turmericward/adapters/service.py
+++ b/src/turmericward/adapters/service.py
@@ -1,9 +1,8 @@
 """Client of a plain service: one call, sent once."""
 
-import time
-
 import attrs
 
+from turmericward import runtime
 from turmericward.adapters import _request
 
 Request = _request.Request
@@ -46,7 +45,7 @@
 
     .. versionadded:: 0.1.0
     """
-    until = time.monotonic() + timeout_s
+    until = runtime.now() + timeout_s
     conn = _request.connect(address, timeout_s)
     with _request.closing(conn):
         _request.send(conn, address, req)
--- a/src/turmericward/authority/__init__.py
+++ b/src/turmericward/authority/__init__.py
@@ -1,5 +1,6 @@
 """Authority aggregate: one lease per failure domain, fencing tokens, orders."""
 
+from turmericward.authority._brief_lease import BriefLease, Claim
 from turmericward.authority._contender import Authority, Contender, Timing
 from turmericward.authority._errors import AuthorityError, MalformedRecordError
 from turmericward.authority._lease import Lease, LeaseFold
@@ -28,6 +29,8 @@
     "Acquire",
     "Authority",
     "AuthorityError",
+    "BriefLease",
+    "Claim",
     "Contender",
     "EngineState",
     "Intent",
--- /dev/null
+++ b/src/turmericward/authority/_brief_lease.py
@@ -0,0 +1,94 @@
+"""A lease for rare orders: taken when there is one to send, then given back."""
+
+import attrs
+
+from turmericward.authority import _contender, _records
+
+
+@attrs.frozen(kw_only=True)
+class Claim:
+    """A record to append if the log still ends at `end`."""
+
+    end: int
+    record: _records.Record
+
+
+class BriefLease:
+    """The protocol of one process, free of clocks and sockets.
+
+    The log takes an append only where it ends as the process last read it, so
+    one process at a time takes the lease. The holder counts its term from
+    before it sent the acquire; a candidate waits for term and margin from when
+    it first read that acquire. The token is the acquire's offset plus one.
+    """
+
+    def __init__(self, holder: str, timing: _contender.Timing, new_id) -> None:
+        """Starts without the lease.
+
+        Args:
+            holder: unique for each run of a process.
+            timing: times of the protocol; `renew_s` isn't used.
+            new_id: callable that returns a fresh record id.
+        """
+        self._holder = holder
+        self._timing = timing
+        self._new_id = new_id
+        self._end = 0
+        self._record: _records.Record | None = None
+        self._read_at: float | None = None
+        self._held: _contender.Authority | None = None
+
+    def read(self, now: float, end: int, record: _records.Record | None) -> None:
+        """Notes how the log ends, as it was read at `now`."""
+        if self._read_at is None or end != self._end:
+            self._end = end
+            self._record = record
+            self._read_at = now
+
+    def acquire(self, now: float) -> Claim | None:
+        """Returns the claim to append, or None while another may hold the lease."""
+        if self._read_at is None or not self._free(now):
+            return None
+        record = _records.Acquire(
+            id=self._new_id(),
+            holder=self._holder,
+            expected=self._end,
+            term_s=self._timing.term_s,
+        )
+        return Claim(end=self._end, record=record)
+
+    def _free(self, now: float) -> bool:
+        if not isinstance(self._record, _records.Acquire):
+            return True
+        wait_s = self._record.term_s + self._timing.margin_s
+        return now - self._read_at >= wait_s
+
+    def acquired(self, claim: Claim, sent_at: float, offset: int, now: float) -> None:
+        """Notes that the claim, sent at `sent_at`, stands at `offset`."""
+        self._held = _contender.Authority(
+            token=offset + 1,
+            not_before=sent_at,
+            until=sent_at + self._timing.term_s,
+        )
+        self.read(now, offset + 1, claim.record)
+
+    def authority(self, now: float) -> _contender.Authority | None:
+        """Returns the right to send orders, or None when there is none."""
+        if self._held is None or now >= self._held.until:
+            return None
+        return self._held
+
+    def release(self, now: float) -> Claim | None:
+        """Gives the lease up; returns the release to append, if it was held.
+
+        Call it no sooner than `settle_s` after the last order was sent, so that
+        the next holder's orders don't follow at once.
+        """
+        held = self.authority(now)
+        self._held = None
+        if held is None:
+            return None
+        record = _records.Release(
+            id=self._new_id(), holder=self._holder, token=held.token
+        )
+        return Claim(end=self._end, record=record)
--- a/src/turmericward/delivery/__init__.py
+++ b/src/turmericward/delivery/__init__.py
@@ -24,6 +24,7 @@
     NotConfiguredError,
     StreamBrokenError,
 )
+from turmericward.delivery._roles_loop import RolesLoop, RoleState
 from turmericward.delivery._routes import RoutingTable, ServiceTraits
 
 __all__ = [
@@ -43,6 +44,8 @@
     "Reply",
     "RetryBounds",
     "Route",
+    "RoleState",
+    "RolesLoop",
     "RoutingTable",
     "ServiceTraits",
     "SetTable",
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -48,6 +48,31 @@
     """Announcements are read again after an outage."""
 
 
+@attrs.frozen(kw_only=True)
+class GetEngines:
+    """Asks for the engines in use; answered with an `EnginesView`."""
+
+
+@attrs.frozen(kw_only=True)
+class EnginesView:
+    """Engines by service, open calls of all fronts by engine.
+
+    `first` tells whether this front goes before all that it hears.
+    """
+
+    engines: dict[str, list[fleet.Target]]
+    open_calls: dict[str, int]
+    first: bool
+
+
+@attrs.frozen(kw_only=True)
+class HoldTarget:
+    """A target gets no new calls from any front for `until_s` seconds."""
+
+    name: str
+    until_s: float
+
+
 @attrs.frozen(kw_only=True)
 class Place:
     """Asks for a target; answered with a Result of Placement or Refusal.
@@ -96,11 +121,19 @@
     """Chooses targets; `table` may be read by any thread."""
 
     def __init__(
-        self, *, domain: str, seed: int, grace_s: float, retries: RetryBounds, tell
+        self,
+        *,
+        name: str,
+        domain: str,
+        seed: int,
+        grace_s: float,
+        retries: RetryBounds,
+        tell,
     ) -> None:
         """Creates the task without configuration and targets.
 
         Args:
+            name: name of this front.
             domain: failure domain of this front.
             seed: seed of the random choices.
             grace_s: how long a target may be missing after an outage.
@@ -118,6 +151,8 @@
         self._most_peers = 0
         self._longest_s: dict[str, float] = collections.defaultdict(float)
         self._tell = tell
+        self._name = name
+        self._held: dict[int, float] = {}
         self.table: _routes.RoutingTable | None = None
 
     @functools.singledispatchmethod
@@ -148,6 +183,8 @@
         known = self._directory.get(target.name)
         if known is not None and known.started_ms != target.started_ms:
             self._placer.forget(target.name)
+        if known is not None and known.role is not target.role:
+            self._held.pop(requests.target_hash(target.name), None)
         if known is None or attrs.evolve(known, slots=target.slots) != target:
             logging.info(
                 "target %s of %s at %s: role %s, leaving %s",
@@ -185,6 +222,30 @@
         self._placer.peers.take(message.front, message.loads, runtime.now())
         for note in message.kept:
             self._placer.note_kept(note)
+        for target, ttl_s in message.held.items():
+            self._held[target] = runtime.now() + ttl_s
+
+    @handle.register
+    def _(self, message: GetEngines) -> EnginesView:
+        targets = [t for t in self._directory.all() if t.role and not t.leaving]
+        engines = collections.defaultdict(list)
+        for target in targets:
+            engines[target.service].append(target)
+        return EnginesView(
+            engines=dict(engines),
+            open_calls={t.name: self._placer.load(t.name).open_calls for t in targets},
+            first=all(self._name < peer for peer in self._placer.peers.names()),
+        )
+
+    @handle.register
+    def _(self, message: HoldTarget) -> None:
+        target = requests.target_hash(message.name)
+        self._held[target] = runtime.now() + message.until_s
+        held = {target: message.until_s}
+        self._tell(self._placer.own_loads(), self._placer.take_notes(), held)
+
+    def _is_held(self, target: fleet.Target, now: float) -> bool:
+        return self._held.get(requests.target_hash(target.name), now) > now
 
     def _new_budget(self) -> requests.RetryBudget:
         return requests.RetryBudget(
@@ -210,7 +271,7 @@
     def _tell_peers(self, prompt: requests.Prompt | None) -> None:
         """Tells the peers of changes that move much; heartbeats carry the rest."""
         if prompt is not None and prompt.tokens >= requests.SHORT_PROMPT_TOKENS:
-            self._tell(self._placer.own_loads(), self._placer.take_notes())
+            self._tell(self._placer.own_loads(), self._placer.take_notes(), {})
 
     @handle.register
     def _(self, message: Place):
@@ -223,7 +284,7 @@
         usable = [
             t
             for t in self._directory.usable(message.service)
-            if t.name not in message.excluded
+            if t.name not in message.excluded and not self._is_held(t, now)
         ]
         chosen = self._choose(message, usable, now)
         if chosen is None:
--- a/src/turmericward/fleet/__init__.py
+++ b/src/turmericward/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Fleet aggregate: what an entry or a steward knows of targets."""
 
 from turmericward.fleet._health import Health
+from turmericward.fleet._roles import RoleChange, RolePlanner
 from turmericward.fleet._targets import Directory, EngineRole, Target
 from turmericward.fleet._view import (
     EngineSpec,
@@ -18,6 +19,8 @@
     "EngineView",
     "Health",
     "LoadView",
+    "RoleChange",
+    "RolePlanner",
     "Subset",
     "Target",
     "View",
--- a/src/turmericward/fleet/_targets.py
+++ b/src/turmericward/fleet/_targets.py
@@ -98,6 +98,10 @@
             if target.service == service and not target.leaving
         ]
 
+    def all(self) -> list[Target]:
+        """Returns every target, leaving ones too."""
+        return list(self._targets.values())
+
     def get(self, name: str) -> Target | None:
         """Returns the target of this name."""
         return self._targets.get(name)
--- a/src/turmericward/peers/_codec.py
+++ b/src/turmericward/peers/_codec.py
@@ -18,6 +18,7 @@
 class PeerState:
     """What a front tells: its loads by target, and prompts that targets keep.
 
+    `held` are targets that should get no new calls for so many seconds.
     `sequence` orders the states of one `boot`, a number drawn at each start.
     """
 
@@ -26,6 +27,7 @@
     sequence: int
     loads: dict[int, requests.TargetLoad]
     kept: tuple[requests.KeptNote, ...] = ()
+    held: dict[int, float] = attrs.field(factory=dict)
 
 
 def encode(state: PeerState) -> bytes:
@@ -46,6 +48,10 @@
         sequence=state.sequence,
         loads=loads,
         kept=kept,
+        held=[
+            ttypes.HeldTarget(target=target, ttl_ms=int(ttl_s * 1000))
+            for target, ttl_s in state.held.items()
+        ],
     )
     return TSerialization.serialize(message, _FACTORY)
 
@@ -64,6 +70,7 @@
             sequence=message.sequence,
             loads={row.target: _load(row) for row in message.loads},
             kept=tuple(_note(row) for row in message.kept),
+            held={row.target: row.ttl_ms / 1000 for row in message.held},
         )
     # The library raises many kinds for bytes that aren't a message.
     except Exception as exc:
--- a/src/turmericward/peers/_tasks.py
+++ b/src/turmericward/peers/_tasks.py
@@ -32,7 +32,8 @@
     """The own state has changed."""
 
     loads: dict[int, requests.TargetLoad]
-    kept: tuple[requests.KeptNote, ...]
+    kept: tuple[requests.KeptNote, ...] = ()
+    held: dict[int, float] = attrs.field(factory=dict)
 
 
 def open_socket(host: str, port: int) -> socket.socket:
@@ -63,12 +64,12 @@
         self._boot = secrets.randbits(BOOT_BITS)
         self._sequence = 0
         self._peers: dict[str, tuple[str, float]] = {}
-        self._last = Tell(loads={}, kept=())
+        self._last = Tell(loads={})
         self._told_at = 0.0
 
-    def tell(self, loads, kept) -> None:
+    def tell(self, loads, kept, held) -> None:
         """Has the peers told; called by any thread."""
-        self.post(Tell(loads=loads, kept=tuple(kept)))
+        self.post(Tell(loads=loads, kept=tuple(kept), held=held))
 
     @functools.singledispatchmethod
     def handle(self, message: object) -> object:
@@ -96,11 +97,11 @@
                 del self._peers[front]
                 logging.info("peer %s is forgotten", front)
         if now - self._told_at >= HEARTBEAT_S / 2:
-            self._send(attrs.evolve(self._last, kept=()))
+            self._send(attrs.evolve(self._last, kept=(), held={}))
 
     def closed(self) -> None:
         """Tells the peers that nothing is left here."""
-        self._send(Tell(loads={}, kept=()))
+        self._send(Tell(loads={}))
 
     def _send(self, message: Tell) -> None:
         self._told_at = runtime.now()
@@ -111,6 +112,7 @@
             sequence=self._sequence,
             loads=message.loads,
             kept=message.kept,
+            held=message.held,
         )
         data = _codec.encode(state)
         for host, _ in self._peers.values():
--- /dev/null
+++ b/src/turmericward/platform/_orders.py
@@ -0,0 +1,105 @@
+"""Role orders to the platform's replicas, and the lease that they are sent under."""
+
+import json
+
+import attrs
+
+from turmericward import authority, delivery, fleet, runtime, schema
+from turmericward.adapters import _request, errors
+from turmericward.platform import _headers, _records, _store
+
+LEASE_TOPIC = "keyed.leases"
+LEASE_KEY = "roles"
+TIMEOUT_S = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class _Report:
+    stage: str = attrs.field(
+        validator=schema.validators.one_of(*_records.STAGES_OF_ENGINES)
+    )
+    # Whether an order is being carried out.
+    busy: bool
+    # Number of orders accepted since the start.
+    sequence: int
+
+
+class StoreLease:
+    """Keeps the lease as the newest record of a key."""
+
+    def __init__(self, client: _store.StoreClient) -> None:
+        """Creates the log; the client is its own from now on."""
+        self._client = client
+
+    def read(self) -> tuple[int, authority.Record | None]:
+        """Returns the topic's end and the lease; see `delivery.LeaseLog`."""
+        listing = self._client.newest(LEASE_TOPIC)
+        found = [r for r in listing.records if r.key == LEASE_KEY]
+        if not found:
+            return listing.end, None
+        try:
+            return listing.end, authority.decode(json.loads(found[0].value))
+        except (ValueError, authority.AuthorityError) as exc:
+            raise errors.LogUnavailableError(f"lease: {exc}") from exc
+
+    def append(self, claim: authority.Claim) -> int | None:
+        """Appends a claim; see `delivery.LeaseLog`."""
+        value = json.dumps(authority.encode(claim.record)).encode()
+        return self._client.put(LEASE_TOPIC, LEASE_KEY, value, at=claim.end)
+
+
+class ReplicaOrders:
+    """Sends role orders."""
+
+    def __init__(self, holder: str) -> None:
+        """Creates the sender for the front that holds the lease."""
+        self._holder = holder
+
+    def state(self, target: fleet.Target) -> delivery.RoleState:
+        """Asks a replica for its state; see `delivery.Orders`."""
+        status, raw = self._call(target, "GET", "/api/report", b"", None)
+        if status != 200:
+            raise errors.AnswerLostError(f"{target.name} reports {status}")
+        try:
+            found = schema.structure(json.loads(raw), _Report, "report", extra=True)
+        except ValueError as exc:
+            raise errors.AnswerLostError(f"{target.name}: {exc}") from exc
+        return delivery.RoleState(
+            role=fleet.EngineRole(found.stage),
+            busy=found.busy,
+            sequence=found.sequence,
+        )
+
+    def order(
+        self, change: fleet.RoleChange, sequence: int, held: authority.Authority
+    ) -> bool:
+        """Orders a change of role; see `delivery.Orders`."""
+        body = {
+            "opcode": "stage",
+            "stage": change.role.value,
+            "holder": self._holder,
+            "fencing_token": held.token,
+            "expected_sequence": sequence,
+        }
+        raw = json.dumps(body).encode()
+        status, _ = self._call(change.target, "POST", "/api/order", raw, held)
+        return status in (200, 202)
+
+    def _call(self, target, method: str, path: str, body: bytes, held):
+        headers = [(_headers.EXPECTED_TARGET, target.name)]
+        if body:
+            headers.append(("Content-Type", "application/json"))
+        req = _request.Request(
+            method=method, path=path, headers=tuple(headers), body=body
+        )
+        until = runtime.now() + TIMEOUT_S
+        conn = _request.connect(target.address, TIMEOUT_S)
+        with _request.closing(conn):
+            if held is None:
+                _request.send(conn, target.address, req)
+            else:
+                _request.send_within_term(
+                    conn, target.address, req, held, TIMEOUT_S, runtime.now
+                )
+            resp = _request.answer_head(conn, target.address)
+            return resp.status, _request.read_whole(conn, resp, target.address, until)
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -10,11 +10,12 @@
 import click
 from absl import logging
 
-from turmericward import delivery, httpd, peers, runtime, telemetry
+from turmericward import authority, delivery, httpd, peers, runtime, telemetry
 from turmericward.adapters import _address
 from turmericward.platform import (
     _follow,
     _ingress,
+    _orders,
     _settings,
     _store,
     _transport,
@@ -24,6 +25,9 @@
 THREADS = 120
 BALANCER_LAG_S = 3.0
 STOP_TIMEOUT_S = 1.0
+LEASE_TERM_S = 6.0
+# Bound on the drift between two fronts' clocks, and on a step's delay.
+CLOCK_MARGIN_S = 1.0
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
 
@@ -38,6 +42,7 @@
         sock = peers.open_socket(cfg.instance.address, cfg.listen.peers)
         tell = peers.PeerTask(cfg.instance.name, cfg.listen.peers, sock)
         self._dispatch = delivery.DispatchTask(
+            name=cfg.instance.name,
             domain=cfg.instance.domain,
             seed=seed,
             grace_s=2.5,
@@ -62,6 +67,7 @@
             ),
             self._follow(_follow.TARGETS_TOPIC, _follow.TargetsSink(self._dispatch)),
         ]
+        loops.append(self._roles())
         self._group = runtime.Group([tell, self._dispatch, *loops], "front")
         metrics = telemetry.Metrics(None, "")
         ctx = delivery.Context(
@@ -81,6 +87,23 @@
         metrics_address = (cfg.instance.address, cfg.listen.metrics)
         self._server.add_probe(_ingress.MetricsPage(metrics), metrics_address)
 
+    def _roles(self) -> delivery.RolesLoop:
+        gap_s = self._cfg.bounds.order_gap_ms / 1000
+        timing = authority.Timing(
+            term_s=LEASE_TERM_S,
+            renew_s=LEASE_TERM_S,
+            margin_s=gap_s + CLOCK_MARGIN_S,
+            settle_s=gap_s,
+        )
+        holder = f"{self._cfg.instance.name}/{runtime.new_id()}"
+        return delivery.RolesLoop(
+            self._dispatch,
+            authority.BriefLease(holder, timing, runtime.new_id),
+            _orders.StoreLease(self._store()),
+            _orders.ReplicaOrders(holder),
+            settle_s=gap_s + CLOCK_MARGIN_S,
+        )
+
     def _follow(self, topic: str, sink: _follow.Sink) -> _follow.FollowLoop:
         wait_s = self._cfg.store.wait_s
         return _follow.FollowLoop(self._store(), topic, wait_s, sink)
--- a/src/turmericward/platform/_records.py
+++ b/src/turmericward/platform/_records.py
@@ -21,6 +21,7 @@
     "prefill": fleet.EngineRole.PREFILL,
     "decode": fleet.EngineRole.DECODE,
 }
+STAGES_OF_ENGINES = tuple(stage for stage in _ROLES if stage)
 
 
 class RecordError(ValueError):
--- a/src/turmericward/platform/_settings.py
+++ b/src/turmericward/platform/_settings.py
@@ -54,12 +54,16 @@
 
 @attrs.frozen(kw_only=True)
 class BoundSettings:
-    """Bounds that all instances keep together."""
+    """Bounds that all instances keep together.
+
+    `order_gap_ms` is the least time between the orders of two holders.
+    """
 
     drain_s: float
     retry_share: float
     retry_slack: float
     retry_window_s: float
+    order_gap_ms: float
 
 
 @attrs.frozen(kw_only=True)
--- a/src/turmericward/platform/_store.py
+++ b/src/turmericward/platform/_store.py
@@ -124,14 +124,19 @@
 
     def _json(self, status: int, raw: bytes) -> dict:
         if status != 200:
-            raise errors.LogUnavailableError(f"listing answered {status}")
+            raise errors.LogUnavailableError(f"store answered {status}")
         try:
             return json.loads(raw)
         except ValueError as exc:
-            raise errors.LogUnavailableError(f"listing: {exc!r}") from exc
+            raise errors.LogUnavailableError(f"store: {exc!r}") from exc
+
+    def put(
+        self, topic: str, key: str, value: bytes, at: int | None = None
+    ) -> int | None:
+        """Appends the newest record of a key; returns its offset.
 
-    def put(self, topic: str, key: str, value: bytes) -> None:
-        """Appends the newest record of a key.
+        With `at`, the record is appended only where the topic ends there; None
+        tells that it ended elsewhere.
 
         Raises:
             LogUnavailableError: no good answer came; the record may stand.
@@ -139,11 +144,17 @@
         name = key.encode()
         data = bytes([len(name)]) + name + value
         query = {"Topic": topic, "part": 0}
-        status, _ = self._send(
+        if at is not None:
+            query["At"] = at
+        status, raw = self._send(
             "POST", "/api/log-append", query, 0.0, _LENGTH.pack(len(data)) + data
         )
-        if status != 200:
-            raise errors.LogUnavailableError(f"append answered {status}")
+        if status == 412:
+            return None
+        try:
+            return self._json(status, raw)["offset"]
+        except (KeyError, TypeError) as exc:
+            raise errors.LogUnavailableError(f"append: {exc!r}") from exc
 
     def _get(self, path: str, query: dict, wait_s: float) -> tuple[int, bytes]:
         return self._send("GET", path, query, wait_s, None)
--- a/src/turmericward/requests/__init__.py
+++ b/src/turmericward/requests/__init__.py
@@ -10,6 +10,7 @@
     Patience,
     Placement,
     Placer,
+    target_hash,
 )
 from turmericward.requests._prompts import Prompt, PromptPart
 from turmericward.requests._router import (
@@ -39,5 +40,6 @@
     "Router",
     "TargetLoad",
     "demand_of",
+    "target_hash",
     "with_model",
 ]
--- a/src/turmericward/requests/_loads.py
+++ b/src/turmericward/requests/_loads.py
@@ -59,6 +59,10 @@
         """Returns the number of peers that are heard."""
         return len(self._peers)
 
+    def names(self) -> list[str]:
+        """Returns the peers that are heard."""
+        return list(self._peers)
+
     def at(self, target: int) -> TargetLoad:
         """Returns the work of all peers at a target."""
         if self._sums is None:
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -26,7 +26,7 @@
 SECONDS_PER_OPEN_CALL = 0.002
 MIN_RETRY_S = 0.2
 # What a further copy of shared parts costs: it takes the memory of others.
-COPY_COST_S = 0.4
+COPY_COST_S = 0.9
 # What a long prompt's reading at a decode engine costs the calls beside it.
 HARM_SECONDS_PER_TOKEN = 1 / 3_000
 
@@ -266,7 +266,8 @@
         if target.role is fleet.EngineRole.PREFILL:
             extra_s += HANDOVER_S
         elif prompt.tokens >= SHORT_PROMPT_TOKENS:
-            harm_s += (prompt.tokens - kept) * HARM_SECONDS_PER_TOKEN
+            pressure = min(2.0, self.load(target.name).open_calls / 12)
+            harm_s += (prompt.tokens - kept) * HARM_SECONDS_PER_TOKEN * pressure
         load = self.load(target.name)
         extra_s += load.open_calls * SECONDS_PER_OPEN_CALL
         work = _speed.effective_tokens(max(1.0, prompt.tokens - kept), kept)
--- a/src/turmericward/wire/peers/ttypes.py
+++ b/src/turmericward/wire/peers/ttypes.py
@@ -240,6 +240,88 @@
         return not (self == other)
 
 
+class HeldTarget(object):
+    """
+    A target that gets no new calls until `ttl_ms` after receipt.
+
+    Attributes:
+     - target
+     - ttl_ms
+
+    """
+
+    __slots__ = (
+        'target',
+        'ttl_ms',
+    )
+
+
+    def __init__(self, target=None, ttl_ms=None,):
+        self.target = target
+        self.ttl_ms = ttl_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.target = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.ttl_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HeldTarget')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.I32, 1)
+            oprot.writeI32(self.target)
+            oprot.writeFieldEnd()
+        if self.ttl_ms is not None:
+            oprot.writeFieldBegin('ttl_ms', TType.I32, 2)
+            oprot.writeI32(self.ttl_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class FrontState(object):
     """
     A front's whole load, and the prompts read since its last datagrams.
@@ -250,6 +332,7 @@
      - sequence
      - loads
      - kept
+     - held
 
     """
 
@@ -259,15 +342,17 @@
         'sequence',
         'loads',
         'kept',
+        'held',
     )
 
 
-    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None,):
+    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None,):
         self.front = front
         self.boot = boot
         self.sequence = sequence
         self.loads = loads
         self.kept = kept
+        self.held = held
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -315,6 +400,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.held = []
+                    (_etype15, _size12) = iprot.readListBegin()
+                    for _i16 in range(_size12):
+                        _elem17 = HeldTarget()
+                        _elem17.read(iprot)
+                        self.held.append(_elem17)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -340,15 +436,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter12 in self.loads:
-                iter12.write(oprot)
+            for iter18 in self.loads:
+                iter18.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.kept is not None:
             oprot.writeFieldBegin('kept', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.kept))
-            for iter13 in self.kept:
-                iter13.write(oprot)
+            for iter19 in self.kept:
+                iter19.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.held))
+            for iter20 in self.held:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -391,6 +494,12 @@
     (4, TType.I32, 'own_tokens', None, None, ),  # 4
     (5, TType.BOOL, 'ready', None, None, ),  # 5
 )
+all_structs.append(HeldTarget)
+HeldTarget.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'target', None, None, ),  # 1
+    (2, TType.I32, 'ttl_ms', None, None, ),  # 2
+)
 all_structs.append(FrontState)
 FrontState.thrift_spec = (
     None,  # 0
@@ -399,6 +508,7 @@
     (3, TType.I32, 'sequence', None, None, ),  # 3
     (4, TType.LIST, 'loads', (TType.STRUCT, [TargetLoad, None], False), None, ),  # 4
     (5, TType.LIST, 'kept', (TType.STRUCT, [KeptPrompt, None], False), None, ),  # 5
+    (6, TType.LIST, 'held', (TType.STRUCT, [HeldTarget, None], False), None, ),  # 6
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -170,6 +170,7 @@
             "retry_share": 0.2,
             "retry_slack": 500,
             "retry_window_s": 10,
+            "order_gap_ms": 500,
         },
     }
     path.write_text(json.dumps(value))
