--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,131 @@
+"""The dispatcher: budgets by fleet size, returning calls, holds, versions."""
+
+import attrs
+
+from tests import fixtures
+from turmericward import delivery, fleet, peers, requests, runtime
+from turmericward.delivery import _dispatch_task
+
+check = fixtures.check
+ROUTE = delivery.Route(
+    name="ask",
+    host="h",
+    path_prefix="/",
+    kind=delivery.CallKind.STREAM,
+    timeout_s=8.0,
+    objective_s=0.8,
+    gap_s=0.25,
+    abandon_s=3.2,
+    priority=0,
+    max_attempts=2,
+    resumable=True,
+    destinations=(delivery.Destination(service="model"),),
+)
+PROMPT = requests.Prompt(
+    model="m",
+    parts=(
+        requests.PromptPart(id="s", tokens=9_000),
+        requests.PromptPart(id="o", tokens=1_000),
+    ),
+    output_tokens=10,
+)
+
+
+def _task(**changes) -> delivery.DispatchTask:
+    options = {
+        "name": "front-2",
+        "domain": "a",
+        "seed": 1,
+        "grace_s": 2.5,
+        "retries": delivery.RetryBounds(share=0.0, slack=60.0),
+        "tell": lambda loads, kept, held: None,
+    }
+    return delivery.DispatchTask(**(options | changes))
+
+
+def _target(name: str, role=fleet.EngineRole.DECODE) -> fleet.Target:
+    return fleet.Target(
+        name=name, service="model", address="10.0.0.1:1", domain="a", slots=8, role=role
+    )
+
+
+def _call(deadline_s: float) -> delivery.Call:
+    now = runtime.now()
+    return delivery.Call(
+        id="c",
+        method="POST",
+        target="/",
+        headers=(),
+        body=b"",
+        route=ROUTE,
+        received=now,
+        deadline_s=deadline_s,
+        until=now + deadline_s,
+        prompt=PROMPT,
+    )
+
+
+def _place(task, deadline_s: float = 8.0, **changes):
+    message = _dispatch_task.Place(
+        call=_call(deadline_s), service="model", excluded=frozenset()
+    )
+    return task.handle(attrs.evolve(message, **changes))
+
+
+def _hear(task, front: str, held=None) -> None:
+    state = peers.PeerState(front=front, boot=1, sequence=1, loads={}, held=held or {})
+    task.handle(state)
+
+
+def test_first_calls_with_spread_deadlines_are_not_taken_to_have_come_back():
+    task = _task()
+    task.handle(delivery.PutTargets(targets=(_target("a"), _target("b"))))
+    for deadline_s in (8.0, 6.9, 7.5):
+        placement = _place(task, deadline_s).unwrap()
+        check.assertFalse(placement.deferred, deadline_s)
+        task.handle(
+            _dispatch_task.Ended(placement=placement, prompt=PROMPT, failed=False)
+        )
+    check.assertTrue(_place(task, 4.0).unwrap().deferred)
+
+
+def test_the_slack_of_retries_is_shared_by_the_fronts_that_were_heard():
+    for count in (5, 11):
+        task = _task()
+        task.handle(delivery.PutTargets(targets=(_target("a"),)))
+        for n in range(count):
+            _hear(task, f"front-{n + 10}")
+        task.tick()
+        granted = sum(_place(task, retry=True).is_ok() for _ in range(60))
+        check.assertGreater(granted, 0)
+        check.assertLessEqual(granted * (count + 1), 60)
+
+
+def test_a_front_that_is_cut_off_does_not_take_the_others_share():
+    task = _task()
+    task.handle(delivery.PutTargets(targets=(_target("a"),)))
+    for n in range(5):
+        _hear(task, f"front-{n + 10}")
+    task.tick()
+    task._placer.peers.expire(runtime.now() + 60)
+    task.tick()
+    granted = sum(_place(task, retry=True).is_ok() for _ in range(60))
+    check.assertLessEqual(granted, 10)
+
+
+def test_a_held_target_gets_nothing_until_it_announces_another_role():
+    task = _task()
+    task.handle(delivery.PutTargets(targets=(_target("a"),)))
+    _hear(task, "front-1", held={requests.target_hash("a"): 8.0})
+    check.assertEqual(_place(task).unwrap_err().reason, "no_target")
+    changed = _target("a", fleet.EngineRole.PREFILL)
+    task.handle(delivery.PutTargets(targets=(changed,)))
+    check.assertTrue(_place(task).unwrap().prefill_only)
+
+
+def test_versions_only_go_up():
+    task = _task()
+    tables = {n: delivery.RoutingTable(n, [ROUTE]) for n in (3, 5)}
+    check.assertTrue(task.handle(delivery.SetTable(table=tables[5])))
+    check.assertFalse(task.handle(delivery.SetTable(table=tables[3])))
+    check.assertEqual(task.table.version, 5)
--- /dev/null
+++ b/tests/test_roles.py
@@ -0,0 +1,179 @@
+"""Role changes: when one is due, and that one front at a time may order it."""
+
+import random
+
+import attrs
+
+from benchmarks import prompt_model
+from tests import fixtures
+from turmericward import authority, fleet
+
+check = fixtures.check
+PREFILL, DECODE = fleet.EngineRole.PREFILL, fleet.EngineRole.DECODE
+GAP_S = 3.0
+TIMING = authority.Timing(term_s=6.0, renew_s=6.0, margin_s=GAP_S + 1.0, settle_s=GAP_S)
+CLOCK_DRIFT = 0.02
+SEEDS = range(150)
+STEPS = 300
+
+
+def _settled(targets) -> fleet.RolePlanner:
+    planner = fleet.RolePlanner()
+    for now in range(6):
+        planner.observe(targets, float(now))
+    return planner
+
+
+def _replaced(targets, name: str, role) -> list[fleet.Target]:
+    return [attrs.evolve(t, role=role) if t.name == name else t for t in targets]
+
+
+def _due(planner, targets, since: float, until: float, open_calls=None):
+    """Returns the first change that is due, and when."""
+    now = since
+    while now < until:
+        planner.observe(targets, now)
+        change = planner.plan(targets, open_calls or {}, now)
+        if change is not None:
+            return change, now
+        now += 0.5
+    return None, until
+
+
+def test_a_sound_composition_is_left_alone():
+    targets = prompt_model.targets(3, 3)
+    check.assertEqual(_due(_settled(targets), targets, 6.0, 60.0)[0], None)
+
+
+def test_a_prefill_engine_that_came_back_as_another_is_changed_after_a_while():
+    targets = prompt_model.targets(3, 3)
+    planner = _settled(targets)
+    changed = _replaced(targets, "e0", DECODE)
+    calls = {t.name: 5 for t in changed} | {"e4": 1}
+    change, at = _due(planner, changed, 10.0, 60.0, calls)
+    check.assertEqual((change.target.name, change.role), ("e4", PREFILL))
+    check.assertGreaterEqual(at, 12.5)
+
+
+def test_with_no_prefill_engine_left_the_change_is_due_at_once():
+    targets = prompt_model.targets(2, 4)
+    planner = _settled(targets)
+    changed = [attrs.evolve(t, role=DECODE) for t in targets]
+    change, at = _due(planner, changed, 10.0, 60.0)
+    check.assertEqual(change.role, PREFILL)
+    check.assertLess(at, 12.0)
+
+
+def test_with_no_decode_engine_left_one_is_changed_back():
+    targets = prompt_model.targets(2, 2)
+    planner = _settled(targets)
+    changed = [attrs.evolve(t, role=PREFILL) for t in targets]
+    check.assertEqual(_due(planner, changed, 10.0, 60.0)[0].role, DECODE)
+
+
+def test_one_change_at_a_time_also_when_its_order_was_not_answered():
+    targets = prompt_model.targets(3, 3)
+    planner = _settled(targets)
+    changed = _replaced(_replaced(targets, "e0", DECODE), "e1", DECODE)
+    change, at = _due(planner, changed, 10.0, 60.0)
+    planner.ordered(change, at)
+    check.assertEqual(_due(planner, changed, at, at + 14.0)[0], None)
+    done = _replaced(changed, change.target.name, PREFILL)
+    check.assertNotEqual(_due(planner, done, at + 1.0, at + 14.0)[0], None)
+
+
+def test_fewer_engines_need_fewer_that_read():
+    targets = prompt_model.targets(3, 3)
+    planner = _settled(targets)
+    left = [t for t in targets if t.name != "e0"]
+    check.assertEqual(_due(planner, left, 10.0, 60.0)[0], None)
+
+
+class _Log:
+    """The log with conditional appends; an answer may be lost."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self.records = []
+
+    def append(self, claim: authority.Claim) -> int | None:
+        if claim.end != len(self.records):
+            return None
+        self.records.append(claim.record)
+        return None if self._rng.random() < 0.2 else len(self.records) - 1
+
+    def read(self):
+        return len(self.records), self.records[-1] if self.records else None
+
+
+class _Front:
+    """A front that orders whenever it may, with a clock of its own."""
+
+    def __init__(self, number: int, rng: random.Random) -> None:
+        self._rate = 1 + CLOCK_DRIFT * (rng.random() - 0.5)
+        self._offset = rng.random() * 1000
+        self._lease = authority.BriefLease(f"f{number}", TIMING, lambda: "id")
+        self._ordered_at: float | None = None
+
+    def _clock(self, now: float) -> float:
+        return self._offset + now * self._rate
+
+    def step(self, now: float, log: _Log, rng: random.Random) -> int | None:
+        """Does one step; returns the token of an order that was sent."""
+        local = self._clock(now)
+        held = self._lease.authority(local)
+        if held is None:
+            self._lease.read(local, *log.read())
+            claim = self._lease.acquire(local)
+            offset = None if claim is None else log.append(claim)
+            if offset is not None:
+                self._lease.acquired(claim, local, offset, local)
+            return None
+        if self._ordered_at is not None and local - self._ordered_at > GAP_S + 0.5:
+            release = self._lease.release(local)
+            self._ordered_at = None
+            if release is not None:
+                log.append(release)
+            return None
+        if rng.random() < 0.5 and self._ordered_at is None:
+            self._ordered_at = local
+            return held.token
+        return None
+
+
+def test_orders_of_two_fronts_are_apart_and_their_tokens_grow():
+    orders_seen = 0
+    for seed in SEEDS:
+        rng = random.Random(seed)
+        log = _Log(rng)
+        fronts = [_Front(n, rng) for n in range(4)]
+        paused_until = [0.0] * len(fronts)
+        now = 0.0
+        last = None
+        for _ in range(STEPS):
+            now += rng.random() * 0.4
+            number = rng.randrange(len(fronts))
+            if now < paused_until[number]:
+                continue
+            if rng.random() < 0.02:
+                paused_until[number] = now + rng.random() * 12
+                continue
+            token = fronts[number].step(now, log, rng)
+            if token is None:
+                continue
+            orders_seen += 1
+            if last is not None and last[0] != number:
+                check.assertGreater(now - last[1], GAP_S, f"seed {seed}")
+                check.assertGreater(token, last[2], f"seed {seed}")
+            last = (number, now, token)
+    check.assertGreater(orders_seen, 2 * len(SEEDS))
+
+
+def test_a_claim_whose_answer_was_lost_gives_no_right():
+    lease = authority.BriefLease("f", TIMING, lambda: "id")
+    lease.read(0.0, 0, None)
+    claim = lease.acquire(0.0)
+    check.assertIsNone(lease.authority(0.1))
+    lease.read(0.2, 1, claim.record)
+    check.assertIsNone(lease.acquire(TIMING.term_s))
+    check.assertIsNotNone(lease.acquire(0.2 + TIMING.term_s + TIMING.margin_s))
