Read short prompts at idle prefill engines; avoid refusers; wait for queued work

Change: prefill engines are candidates for short prompts; patience follows the expected wait; refusers are avoided for 0.2 to 1.5 s; a target without connection is left out at once; a resumable stream that falls silent goes on elsewhere; bytes that came during a pause are taken.

--- a/benchmarks/prompt_model.py
+++ b/benchmarks/prompt_model.py
@@ -51,6 +51,7 @@
 LOADS = {
     "steady": Load(long_per_s=8.0, short_per_s=40.0),
     "swing": Load(long_per_s=10.0, short_per_s=55.0, shares=((1.6, 0.6), (0.6, 1.6))),
+    "short burst": Load(long_per_s=1.0, short_per_s=450.0, length_s=6.0),
     "overload": Load(long_per_s=25.0, short_per_s=40.0, length_s=15.0),
 }
 
@@ -213,9 +214,11 @@
         took_s = self._now - asked_at
         placer.began(placement, prompt, took_s, self._now)
         if placement.prefill_only:
-            placer.ended(placement, failed=False, now=self._now)
+            placer.ended(placement, requests.Ending.SOUND, self._now)
             placement = placer.choose_answerer(prompt, self._targets, self._now)
-            self._engines[placement.target.name].keep(prompt.parts[0].id, OWN_TOKENS)
+            if kind == "long":
+                engine = self._engines[placement.target.name]
+                engine.keep(prompt.parts[0].id, OWN_TOKENS)
             placer.began(placement, prompt, FETCH_S, self._now)
             took_s += FETCH_S
         if took_s <= OBJECTIVE_S[kind]:
@@ -225,7 +228,7 @@
         self._at(done_at, self._ended, placer, prompt, placement)
 
     def _ended(self, placer, prompt, placement) -> None:
-        placer.ended(placement, failed=False, now=self._now)
+        placer.ended(placement, requests.Ending.SOUND, self._now)
         self._tell(placer, prompt)
 
     def _tell(self, placer: requests.Placer, prompt) -> None:
--- a/src/turmericward/adapters/_response.py
+++ b/src/turmericward/adapters/_response.py
@@ -79,11 +79,12 @@
         poll = select.poll()
         poll.register(fileno, select.POLLIN)
         while True:
-            left_s = self.until - runtime.now()
-            if left_s <= 0:
-                raise TimeoutError("no bytes in time")
+            left_s = max(0.0, self.until - runtime.now())
+            # Bytes that came while the process was paused are taken all the same.
             if poll.poll(min(left_s, CANCEL_POLL_S) * 1000):
                 return
+            if not left_s:
+                raise TimeoutError("no bytes in time")
             if self._cancelled():
                 raise errors.CancelledError("caller went away")
 
--- a/src/turmericward/delivery/_calls.py
+++ b/src/turmericward/delivery/_calls.py
@@ -112,6 +112,7 @@
     headers: Headers
     chunks: Iterator[bytes]
     close: Callable[[], None]
+    wait_until: Callable[[float], None] = lambda until: None
     not_run: bool = False
     genuine: bool = True
     wrong_target: bool = False
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -14,7 +14,12 @@
 MAX_REFUSALS = 4
 # A target that owes the first byte for this many objectives is given up.
 PATIENCE_OBJECTIVES = 2.0
+# The same in times of the wait that was expected.
+PATIENCE_EXPECTED = 2.5
 MIN_PATIENCE_S = 0.3
+# Pauses between events after which a stream is resumed elsewhere.
+PATIENCE_GAPS = 4.0
+MIN_EVENT_PATIENCE_S = 1.0
 RETRY_AFTER_S = 0.5
 CLIENT_GONE = 499
 # Added to a route's priority for calls that are late already.
@@ -105,7 +110,7 @@
             return self._given_up()
         finally:
             # A stream that runs on has taken its placement over.
-            self._end(failed=False)
+            self._end(requests.Ending.SOUND)
 
     def _deliver(self) -> _calls.Reply:
         source = ""
@@ -168,7 +173,7 @@
                 self._failed(exc, may_have_run=False)
                 continue
             self._began()
-            self._end(failed=False)
+            self._end(requests.Ending.SOUND)
             return source
 
     def _take(self, placement: requests.Placement) -> None:
@@ -212,8 +217,14 @@
         may_go_on = route.repeatable and self._progress.ran + 1 < route.max_attempts
         if not may_go_on:
             return left_s
-        patience_s = max(MIN_PATIENCE_S, PATIENCE_OBJECTIVES * route.objective_s)
-        return min(left_s, max(patience_s, left_s / 2))
+        patience_s = max(
+            MIN_PATIENCE_S,
+            PATIENCE_OBJECTIVES * route.objective_s,
+            left_s / 2,
+            # Work that waits its turn would be lost with its place.
+            MIN_PATIENCE_S + PATIENCE_EXPECTED * self._placement.expected_s,
+        )
+        return min(left_s, patience_s)
 
     def _attempt(self, source: str) -> _calls.Answer | None:
         """Sends the call once; returns None if it is to be sent elsewhere."""
@@ -244,7 +255,7 @@
         self._log_attempt("not_reached", str(exc))
         self._progress.excluded |= {self._placement.target.name}
         self._progress.refusals += 1
-        self._end(failed=True)
+        self._end(requests.Ending.UNREACHED)
         self._check_refusals()
 
     def _refused(self, detail: str) -> None:
@@ -253,7 +264,7 @@
         self._progress.arrived += 1
         self._progress.refusals += 1
         self._progress.reason = "targets_refused"
-        self._end(failed=False)
+        self._end(requests.Ending.REFUSED)
         self._check_refusals()
 
     def _check_refusals(self) -> None:
@@ -265,7 +276,7 @@
         self._progress.excluded |= {self._placement.target.name}
         self._progress.arrived += 1
         self._progress.reason = "answer_lost"
-        self._end(failed=True)
+        self._end(requests.Ending.FAILED)
         if may_have_run:
             self._ran()
 
@@ -305,7 +316,7 @@
         failed = answer.status >= 500
         if not failed:
             self._log("answered", answer.status)
-            self._end(failed=False)
+            self._end(requests.Ending.SOUND)
             return reply
         self._progress.fallback = reply
         self._failed(
@@ -365,16 +376,18 @@
         )
         self._ctx.dispatch.post(message)
 
-    def _end(self, *, failed: bool) -> None:
+    def _end(self, ending: requests.Ending) -> None:
         if self._placement is None:
             return
-        self.end_placement(self._placement, failed=failed)
+        self.end_placement(self._placement, ending)
         self._placement = None
 
-    def end_placement(self, placement: requests.Placement, *, failed: bool) -> None:
+    def end_placement(
+        self, placement: requests.Placement, ending: requests.Ending
+    ) -> None:
         """Tells the dispatcher that a placement has ended."""
         message = _dispatch_task.Ended(
-            placement=placement, prompt=self._call.prompt, failed=failed
+            placement=placement, prompt=self._call.prompt, ending=ending
         )
         self._ctx.dispatch.post(message)
 
@@ -429,6 +442,14 @@
             answer.close()
             return None
 
+    def next_event_by(self) -> float:
+        """Returns when a running stream counts as broken without a further event."""
+        route = self._call.route
+        if not route.resumable or self._progress.ran + 1 >= route.max_attempts:
+            return self._call.until
+        patience_s = max(MIN_EVENT_PATIENCE_S, PATIENCE_GAPS * route.gap_s)
+        return min(self._call.until, runtime.now() + patience_s)
+
     def broken(self, exc: Exception, placement: requests.Placement) -> bool:
         """Notes that a stream broke off; tells whether it may be resumed."""
         self._placement = placement
@@ -482,11 +503,11 @@
         while True:
             try:
                 yield from self._events()
-                self._finish(failed=False)
+                self._finish()
                 self._delivery.stream_ended("streamed")
                 return
             except errors.CancelledError:
-                self._finish(failed=False)
+                self._finish()
                 self._delivery.stream_ended("client_gone")
                 return
             except errors.AdapterError as exc:
@@ -496,10 +517,12 @@
                     raise _errors.StreamBrokenError(str(exc)) from exc
 
     def _events(self) -> Iterator[bytes]:
+        self._answer.wait_until(self._delivery.next_event_by())
         for chunk in self._answer.chunks:
             data = self._whole_events(chunk)
             if data:
                 yield data
+                self._answer.wait_until(self._delivery.next_event_by())
         if self._cutter.rest:
             raise errors.AnswerLostError("stream ended within an event")
 
@@ -515,17 +538,17 @@
         self.placement = self._delivery.take_placement()
         return True
 
-    def _finish(self, *, failed: bool) -> None:
+    def _finish(self) -> None:
         self._answer.close()
         if self.placement is not None:
-            self._delivery.end_placement(self.placement, failed=failed)
+            self._delivery.end_placement(self.placement, requests.Ending.SOUND)
             self.placement = None
 
     def close(self) -> None:
         """Cancels the work at the target if the stream hasn't ended."""
         if self.placement is not None:
             self._delivery.stream_ended("client_gone")
-        self._finish(failed=False)
+        self._finish()
 
 
 class _StreamBody:
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -11,6 +11,7 @@
 from turmericward.delivery import _calls, _routes
 
 NO_TARGET_RETRY_S = 0.5
+TELL_INTERVAL_S = 0.05
 # Taken for the number of fronts until peers are heard.
 UNKNOWN_FLEET_SIZE = 16
 # Share of a route's longest deadline that clients' first calls have at least.
@@ -101,11 +102,11 @@
 
 @attrs.frozen(kw_only=True)
 class Ended:
-    """A placement has ended; `failed` when the target was at fault."""
+    """A placement has ended."""
 
     placement: requests.Placement
     prompt: requests.Prompt | None
-    failed: bool
+    ending: requests.Ending
 
 
 @attrs.frozen(kw_only=True)
@@ -151,6 +152,7 @@
         )
         self._fleet_size = UNKNOWN_FLEET_SIZE
         self._most_peers = 0
+        self._told_at = 0.0
         self._longest_s: dict[str, float] = collections.defaultdict(float)
         self._tell = tell
         self._name = name
@@ -271,8 +273,13 @@
             budget.set_most(self._saved_retries())
 
     def _tell_peers(self, prompt: requests.Prompt | None) -> None:
-        """Tells the peers of changes that move much; heartbeats carry the rest."""
-        if prompt is not None and prompt.tokens >= requests.SHORT_PROMPT_TOKENS:
+        """Tells the peers of each long prompt, and of short ones now and then."""
+        if prompt is None:
+            return
+        now = runtime.now()
+        long = prompt.tokens >= requests.SHORT_PROMPT_TOKENS
+        if long or now - self._told_at >= TELL_INTERVAL_S:
+            self._told_at = now
             self._tell(self._placer.own_loads(), self._placer.take_notes(), {})
 
     @handle.register
@@ -322,7 +329,7 @@
     @handle.register
     def _(self, message: Ended) -> None:
         now = runtime.now()
-        self._placer.ended(message.placement, failed=message.failed, now=now)
+        self._placer.ended(message.placement, message.ending, now)
         self._tell_peers(message.prompt)
 
 
--- a/src/turmericward/fleet/_health.py
+++ b/src/turmericward/fleet/_health.py
@@ -18,8 +18,22 @@
 class Health:
     """Failures of each target as this process saw them; times are monotonic."""
 
-    def __init__(self) -> None:
-        """Creates the state in which every target is in use."""
+    def __init__(
+        self,
+        failures_to_eject: int = FAILURES_TO_EJECT,
+        first_s: float = FIRST_EJECTION_S,
+        max_s: float = MAX_EJECTION_S,
+    ) -> None:
+        """Creates the state in which every target is in use.
+
+        Args:
+            failures_to_eject: failures in a row that eject a target.
+            first_s: how long the first ejection lasts.
+            max_s: longest ejection.
+        """
+        self._failures_to_eject = failures_to_eject
+        self._first_s = first_s
+        self._max_s = max_s
         self._states: dict[str, _State] = {}
 
     def usable(self, target: str, now: float) -> bool:
@@ -28,28 +42,29 @@
         After an ejection one request at a time probes the target.
         """
         state = self._states.get(target)
-        if state is None or state.failures < FAILURES_TO_EJECT:
+        if state is None or state.failures < self._failures_to_eject:
             return True
         return now >= state.until and not state.probing
 
     def started(self, target: str) -> None:
         """Notes that a request goes to the target."""
         state = self._states.get(target)
-        if state is not None and state.failures >= FAILURES_TO_EJECT:
+        if state is not None and state.failures >= self._failures_to_eject:
             state.probing = True
 
     def succeeded(self, target: str) -> None:
         """Notes an answer; one is enough to end an ejection."""
         self._states.pop(target, None)
 
-    def failed(self, target: str, now: float) -> None:
-        """Notes a failure; each further ejection lasts twice as long."""
+    def failed(self, target: str, now: float, *, weight: int = 1) -> None:
+        """Notes a failure; each further ejection lasts twice as long.
+
+        A failure of more `weight` counts as so many in a row.
+        """
         state = self._states.setdefault(target, _State())
-        state.failures += 1
+        state.failures += weight
         state.probing = False
-        if state.failures < FAILURES_TO_EJECT:
+        if state.failures < self._failures_to_eject:
             return
-        state.ejection_s = min(
-            MAX_EJECTION_S, max(FIRST_EJECTION_S, state.ejection_s * 2)
-        )
+        state.ejection_s = min(self._max_s, max(self._first_s, state.ejection_s * 2))
         state.until = now + state.ejection_s
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -56,7 +56,9 @@
         # From here on the client's deadline bounds the answer, not the patience
         # for its beginning.
         guard.until = call.until
-        return _answer(conn, resp, target, call)
+        answer = _answer(conn, resp, target, call)
+        answer.wait_until = functools.partial(setattr, guard, "until")
+        return answer
 
     def prefill(
         self,
--- a/src/turmericward/requests/__init__.py
+++ b/src/turmericward/requests/__init__.py
@@ -6,6 +6,7 @@
 from turmericward.requests._loads import TargetLoad
 from turmericward.requests._placement import (
     SHORT_PROMPT_TOKENS,
+    Ending,
     KeptNote,
     Patience,
     Placement,
@@ -27,6 +28,7 @@
     "Assignment",
     "Bounds",
     "Demand",
+    "Ending",
     "InvalidRequestError",
     "KeptNote",
     "Patience",
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -4,10 +4,12 @@
 off, and the other way round, so that now the prefill engines are full and now
 the decode engines; shared prompt parts that together fit the memory of all
 engines but not of a few; more prompts than can be read in time, where those
-that are late already must not make the others late too.
+that are late already must not make the others late too; bursts of short prompts
+that the decode engines can't read alone.
 """
 
 import collections
+import enum
 import random
 import zlib
 
@@ -17,9 +19,15 @@
 from turmericward import fleet
 from turmericward.requests import _kept, _loads, _prompts, _router, _speed
 
+# A target that refuses is avoided, since it looks idle.
+REFUSALS_TO_AVOID = 1
+FIRST_AVOIDANCE_S = 0.2
+MAX_AVOIDANCE_S = 1.5
+# No connection is as good a sign as several failures.
+UNREACHED_WEIGHT = 3
 # Replicas within this factor of the fastest one are taken to be as fast.
 TOLERATED_SLOWNESS = 1.5
-# Prompts with fewer tokens are read where they are answered.
+# Parts of prompts with fewer tokens are quicker read than looked for.
 SHORT_PROMPT_TOKENS = 2_048
 HANDOVER_S = 0.05
 FETCH_S = 0.03
@@ -31,6 +39,15 @@
 HARM_SECONDS_PER_TOKEN = 1 / 3_000
 
 
+class Ending(enum.Enum):
+    """How a placement ended, as far as the target is concerned."""
+
+    SOUND = "sound"
+    FAILED = "failed"
+    REFUSED = "refused"
+    UNREACHED = "unreached"
+
+
 @attrs.frozen(kw_only=True)
 class Patience:
     """What a call's client still waits for, in seconds from now.
@@ -119,6 +136,9 @@
         self._notes: list[KeptNote] = []
         self.peers = _loads.PeerLoads()
         self.health = fleet.Health()
+        self._refusals = fleet.Health(
+            REFUSALS_TO_AVOID, FIRST_AVOIDANCE_S, MAX_AVOIDANCE_S
+        )
 
     # What is known of targets.
 
@@ -132,6 +152,7 @@
         self._speed.forget(name)
         self._kept.pop(target_hash(name), None)
         self.health.succeeded(name)
+        self._refusals.succeeded(name)
 
     def own_loads(self) -> dict[int, _loads.TargetLoad]:
         """Returns the own work by target, without idle targets."""
@@ -181,9 +202,10 @@
         return peers if own is None else own.load() + peers
 
     def _healthy(self, targets, now: float) -> list[fleet.Target]:
-        usable = [t for t in targets if self.health.usable(t.name, now)]
+        healthy = [t for t in targets if self.health.usable(t.name, now)]
+        willing = [t for t in healthy if self._refusals.usable(t.name, now)]
         # With every target ejected, failing ones are better than none.
-        return usable or list(targets)
+        return willing or healthy or list(targets)
 
     # Replicas of plain services.
 
@@ -212,8 +234,6 @@
     ) -> result.Result[Placement, _router.Refusal] | None:
         """Chooses where a prompt is read, at the place of its answer or before it."""
         usable = self._healthy(targets, now)
-        if prompt.tokens < SHORT_PROMPT_TOKENS:
-            usable = [t for t in usable if t.role is not fleet.EngineRole.PREFILL]
         if not usable:
             return None
         best = self._best(prompt, usable, patience)
@@ -311,6 +331,7 @@
         own.open[placement.id] = placement
         own.waiting[placement.id] = placement
         self.health.started(placement.target.name)
+        self._refusals.started(placement.target.name)
         return placement
 
     def began(self, placement: Placement, prompt, took_s: float, now: float) -> None:
@@ -327,14 +348,19 @@
         if prompt.tokens >= SHORT_PROMPT_TOKENS:
             self._note(placement.target, prompt, ready=True)
 
-    def ended(self, placement: Placement, *, failed: bool, now: float) -> None:
+    def ended(self, placement: Placement, ending: Ending, now: float) -> None:
         """Ends a placement; repeated calls have no effect."""
         name = placement.target.name
         own = self._own[name]
         own.waiting.pop(placement.id, None)
         if own.open.pop(placement.id, None) is None:
             return
-        if failed:
-            self.health.failed(name, now)
-        else:
+        if ending is Ending.REFUSED:
+            self._refusals.failed(name, now)
+            return
+        self._refusals.succeeded(name)
+        if ending is Ending.SOUND:
             self.health.succeeded(name)
+        else:
+            weight = UNREACHED_WEIGHT if ending is Ending.UNREACHED else 1
+            self.health.failed(name, now, weight=weight)
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -123,6 +123,8 @@
                 req.close_connection = True
                 return
             data = event(call_id, number)
+            if self.fault == "hang" and number == EVENTS - 1:
+                time.sleep(SILENCE_S)
             if self.fault == "cut" and number == EVENTS - 1:
                 self._chunk(req, data[: len(data) // 2])
                 self._reset(req)
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -260,3 +260,15 @@
         check.assertIn(b"delivery.answered 1", page)
         check.assertIn(b"delivery.streamed 1", page)
         check.assertIn(b'first_token_ms_count{class="model.stream"} 1', page)
+
+
+def test_a_stream_that_falls_silent_goes_on_at_another_replica():
+    with platform_fixtures.platform() as found:
+        found.replicas["m1"].fault = "hang"
+        found.replicas["m2"].fault = ""
+        whole = b"".join(platform_replica.event("h", n + 1) for n in range(4))
+        for _ in range(3):
+            began = time.monotonic()
+            status, _, body = found.call("POST", "/ask/x", "h", PROMPT, b"q")
+            check.assertEqual((status, body), (200, whole))
+            check.assertLess(time.monotonic() - began, 2.0)
