--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -96,6 +96,7 @@
             recv_bytes=RECV_BYTES,
             channel_request_lookahead=1,
             asyncore_use_poll=True,
+            log_socket_errors=False,
             clear_untrusted_proxy_headers=True,
             ident=None,
         )
--- a/src/turmericward/platform/_ingress.py
+++ b/src/turmericward/platform/_ingress.py
@@ -78,7 +78,24 @@
     except ValueError:
         phrase = "Status"
     start_response(f"{reply.status} {phrase}", headers)
-    return [reply.body] if whole else reply.body
+    return [reply.body] if whole else _StreamedBody(reply.body)
+
+
+class _StreamedBody:
+    """A stream's body; when it breaks off, the server closes the connection."""
+
+    def __init__(self, parts) -> None:
+        self._parts = parts
+
+    def __iter__(self):
+        try:
+            yield from self._parts
+        except delivery.StreamBrokenError as exc:
+            # The server takes this for a lost connection and doesn't end the body.
+            raise ConnectionAbortedError(str(exc)) from exc
+
+    def close(self) -> None:
+        self._parts.close()
 
 
 def _header_pairs(environ) -> list[tuple[str, str]]:
--- a/src/turmericward/programs/cli.py
+++ b/src/turmericward/programs/cli.py
@@ -7,7 +7,7 @@
 import click
 
 from turmericward import settings
-from turmericward.programs import _api
+from turmericward.programs import _api, _explain
 
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
@@ -48,7 +48,7 @@
     Exit codes: 0 done, 1 refused, 2 wrong usage or settings, 3 version
     conflict, 4 server or log not reachable.
     """
-    if ctx.invoked_subcommand not in ("check-config", "completion"):
+    if ctx.invoked_subcommand not in ("check-config", "completion", "explain"):
         ctx.obj = _api.Api.create(server, key, key_file)
 
 
@@ -161,6 +161,20 @@
     click.echo(f"{path}: settings are valid")
 
 
+@main.command()
+@click.argument("request_id")
+@click.argument("files", nargs=-1, required=True, type=click.File())
+def explain(request_id: str, files) -> None:
+    """Prints every decision on a request that is found in log files."""
+    lines = [line for file in files for line in file]
+    sentences = _explain.explain(request_id, lines)
+    if not sentences:
+        click.echo(f"request {request_id} isn't in these files", err=True)
+        sys.exit(EXIT_REFUSED)
+    for sentence in sentences:
+        click.echo(sentence)
+
+
 @main.command()
 @click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
 def completion(shell: str) -> None:
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -95,6 +95,7 @@
         with check.assertRaises(http.client.IncompleteRead):
             found.call("POST", "/once/x", "s1", PROMPT, b"q")
         check.assertEqual(_runs(found, "s1"), 1)
+        check.assertNotIn("Traceback", found.log.read_text())
 
 
 def test_headers_that_the_system_sets_are_not_taken_from_clients():
