--- a/src/turmericward/delivery/__init__.py
+++ b/src/turmericward/delivery/__init__.py
@@ -6,29 +6,35 @@
     CallKind,
     Destination,
     Dispatch,
+    Failure,
     Reply,
     Route,
 )
-from turmericward.delivery._delivery import Context, Delivery, Transport
-from turmericward.delivery._dispatch_task import (
-    DispatchTask,
-    PutTargets,
-    ReplaceTargets,
-    RetryBounds,
-    SetTable,
-    SourceReturned,
-)
+from turmericward.delivery._context import Context, Dispatcher, Transport
+from turmericward.delivery._delivery import Delivery
+from turmericward.delivery._dispatch_task import DispatchTask, RetryBounds
 from turmericward.delivery._errors import (
     DeliveryError,
     NoRouteError,
     NotConfiguredError,
     StreamBrokenError,
 )
+from turmericward.delivery._events import Event, EventCutter
+from turmericward.delivery._messages import (
+    Began,
+    Ended,
+    Place,
+    PutTargets,
+    ReplaceTargets,
+    SetTable,
+    SourceReturned,
+)
 from turmericward.delivery._roles_loop import RolesLoop, RoleState
 from turmericward.delivery._routes import RoutingTable, ServiceTraits
 
 __all__ = [
     "Answer",
+    "Began",
     "Call",
     "CallKind",
     "Context",
@@ -36,9 +42,15 @@
     "DeliveryError",
     "Destination",
     "Dispatch",
+    "Dispatcher",
+    "Ended",
+    "Event",
+    "EventCutter",
+    "Failure",
     "DispatchTask",
     "NoRouteError",
     "NotConfiguredError",
+    "Place",
     "PutTargets",
     "ReplaceTargets",
     "Reply",
--- a/src/turmericward/delivery/_calls.py
+++ b/src/turmericward/delivery/_calls.py
@@ -1,7 +1,7 @@
 """What a front hands to the delivery engine, and what it gets back."""
 
 import enum
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 import attrs
 
@@ -77,6 +77,8 @@
     prompt: requests.Prompt | None = None
     resume_after: str = ""
     disconnected: Callable[[], bool] = lambda: False
+    traffic_class: str = ""
+    tenant: str = ""
 
     def left_s(self) -> float:
         """Returns the seconds until the client or the route gives up."""
@@ -115,13 +117,27 @@
     wait_until: Callable[[float], None] = lambda until: None
     not_run: bool = False
     genuine: bool = True
-    wrong_target: bool = False
+    numbered: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Failure:
+    """Why a call has no answer; `retry_after_s` only where it surely didn't run."""
+
+    status: int
+    reason: str
+    may_have_run: bool
+    retry_after_s: float | None = None
 
 
 @attrs.frozen(kw_only=True)
 class Reply:
-    """What the client gets; `body` is an iterator while a stream runs."""
+    """What the client gets: a target's answer, or a failure.
+
+    The body of a stream is iterable over batches of events; it has to be closed.
+    """
 
     status: int
     headers: Headers = ()
-    body: bytes | Iterator[bytes] = b""
+    body: bytes | Iterable = b""
+    failure: Failure | None = None
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -8,7 +8,7 @@
 from absl import logging
 
 from turmericward import fleet, peers, requests, runtime
-from turmericward.delivery import _calls, _routes
+from turmericward.delivery import _messages, _routes
 
 NO_TARGET_RETRY_S = 0.5
 TELL_INTERVAL_S = 0.05
@@ -20,95 +20,6 @@
 RETRY_MARGIN = 0.7
 
 
-@attrs.frozen(kw_only=True)
-class SetTable:
-    """A configuration version that has become known."""
-
-    table: _routes.RoutingTable
-
-
-@attrs.frozen(kw_only=True)
-class PutTargets:
-    """Targets that were announced, and names whose announcement went."""
-
-    targets: tuple[fleet.Target, ...] = ()
-    gone: tuple[str, ...] = ()
-
-
-@attrs.frozen(kw_only=True)
-class ReplaceTargets:
-    """The whole list of announced targets.
-
-    `kept` names targets whose announcement can't be decoded.
-    """
-
-    targets: tuple[fleet.Target, ...]
-    kept: frozenset[str] = frozenset()
-
-
-@attrs.frozen(kw_only=True)
-class SourceReturned:
-    """Announcements are read again after an outage."""
-
-
-@attrs.frozen(kw_only=True)
-class GetEngines:
-    """Asks for the engines in use; answered with an `EnginesView`."""
-
-
-@attrs.frozen(kw_only=True)
-class EnginesView:
-    """Engines by service, open calls of all fronts by engine.
-
-    `first` tells whether this front goes before all that it hears.
-    """
-
-    engines: dict[str, list[fleet.Target]]
-    open_calls: dict[str, int]
-    first: bool
-
-
-@attrs.frozen(kw_only=True)
-class HoldTarget:
-    """A target gets no new calls from any front for `until_s` seconds."""
-
-    name: str
-    until_s: float
-
-
-@attrs.frozen(kw_only=True)
-class Place:
-    """Asks for a target; answered with a Result of Placement or Refusal.
-
-    `read` tells that the prompt's KV cache lies ready elsewhere; `retry` that
-    an earlier attempt of the call has reached the service.
-    """
-
-    call: _calls.Call
-    service: str
-    excluded: frozenset[str]
-    retry: bool = False
-    read: bool = False
-
-
-@attrs.frozen(kw_only=True)
-class Began:
-    """The first token came, or a prefill ended, `took_s` after it was sent."""
-
-    placement: requests.Placement
-    prompt: requests.Prompt | None
-    took_s: float
-
-
-@attrs.frozen(kw_only=True)
-class Ended:
-    """A placement has ended."""
-
-    placement: requests.Placement
-    prompt: requests.Prompt | None
-    ending: requests.Ending
-
-
 @attrs.frozen(kw_only=True)
 class RetryBounds:
     """What all fronts together may send beyond the first arrival of each call.
@@ -165,7 +76,7 @@
         return super().handle(message)
 
     @handle.register
-    def _(self, message: SetTable) -> bool:
+    def _(self, message: _messages.SetTable) -> bool:
         if self.table is not None and message.table.version <= self.table.version:
             return False
         self.table = message.table
@@ -176,7 +87,7 @@
         return True
 
     @handle.register
-    def _(self, message: PutTargets) -> None:
+    def _(self, message: _messages.PutTargets) -> None:
         now = runtime.now()
         for target in message.targets:
             self._put(target)
@@ -201,14 +112,14 @@
         self._directory.put(target)
 
     @handle.register
-    def _(self, message: ReplaceTargets) -> None:
+    def _(self, message: _messages.ReplaceTargets) -> None:
         for target in message.targets:
             self._put(target)
         names = {t.name for t in message.targets} | message.kept
         self._directory.keep_only(names, runtime.now())
 
     @handle.register
-    def _(self, message: SourceReturned) -> None:
+    def _(self, message: _messages.SourceReturned) -> None:
         self._directory.source_returned(runtime.now())
 
     def tick(self) -> None:
@@ -230,19 +141,19 @@
             self._held[target] = runtime.now() + ttl_s
 
     @handle.register
-    def _(self, message: GetEngines) -> EnginesView:
+    def _(self, message: _messages.GetEngines) -> _messages.EnginesView:
         targets = [t for t in self._directory.all() if t.role and not t.leaving]
         engines = collections.defaultdict(list)
         for target in targets:
             engines[target.service].append(target)
-        return EnginesView(
+        return _messages.EnginesView(
             engines=dict(engines),
             open_calls={t.name: self._placer.load(t.name).open_calls for t in targets},
             first=all(self._name < peer for peer in self._placer.peers.names()),
         )
 
     @handle.register
-    def _(self, message: HoldTarget) -> None:
+    def _(self, message: _messages.HoldTarget) -> None:
         target = requests.target_hash(message.name)
         self._held[target] = runtime.now() + message.until_s
         held = {target: message.until_s}
@@ -283,7 +194,7 @@
             self._tell(self._placer.own_loads(), self._placer.take_notes(), {})
 
     @handle.register
-    def _(self, message: Place):
+    def _(self, message: _messages.Place):
         budget = self._budgets[message.service]
         if message.retry and not budget.spend():
             return _refused("retry_budget")
@@ -301,7 +212,7 @@
         self._tell_peers(message.call.prompt)
         return chosen
 
-    def _choose(self, message: Place, usable, now: float):
+    def _choose(self, message: _messages.Place, usable, now: float):
         call = message.call
         if call.prompt is None:
             return _placed(self._placer.choose_replica(usable, now))
@@ -320,14 +231,14 @@
         return self._placer.choose_engine(call.prompt, usable, patience, now)
 
     @handle.register
-    def _(self, message: Began) -> None:
+    def _(self, message: _messages.Began) -> None:
         self._placer.began(
             message.placement, message.prompt, message.took_s, runtime.now()
         )
         self._tell_peers(message.prompt)
 
     @handle.register
-    def _(self, message: Ended) -> None:
+    def _(self, message: _messages.Ended) -> None:
         now = runtime.now()
         self._placer.ended(message.placement, message.ending, now)
         self._tell_peers(message.prompt)
--- a/src/turmericward/delivery/_errors.py
+++ b/src/turmericward/delivery/_errors.py
@@ -15,3 +15,8 @@
 
 class StreamBrokenError(DeliveryError):
     """Raised in the middle of a reply that can't be completed."""
+
+    def __init__(self, failure) -> None:
+        """Creates the error with the `Failure` that the client may be told."""
+        super().__init__(f"{failure.status} {failure.reason}")
+        self.failure = failure
--- a/src/turmericward/delivery/_events.py
+++ b/src/turmericward/delivery/_events.py
@@ -12,13 +12,18 @@
     id: str
     raw: bytes
 
+    @property
+    def data(self) -> bytes:
+        """The event's data, of one line."""
+        return _field(self.raw, b"data")
+
 
-def _id_of(raw: bytes) -> str:
+def _field(raw: bytes, wanted: bytes) -> bytes:
     for line in raw.split(b"\n"):
         name, _, value = line.partition(b":")
-        if name == b"id":
-            return value.strip().decode("latin-1")
-    return ""
+        if name == wanted:
+            return value.strip()
+    return b""
 
 
 class EventCutter:
@@ -31,7 +36,10 @@
     def feed(self, data: bytes) -> list[Event]:
         """Takes bytes as they came; returns the events that they complete."""
         *whole, self._rest = (self._rest + data).split(EVENT_END)
-        return [Event(id=_id_of(raw), raw=raw + EVENT_END) for raw in whole]
+        return [
+            Event(id=_field(raw, b"id").decode("latin-1"), raw=raw + EVENT_END)
+            for raw in whole
+        ]
 
     @property
     def rest(self) -> bytes:
--- /dev/null
+++ b/src/turmericward/delivery/_messages.py
@@ -0,0 +1,95 @@
+"""Messages to the task that chooses targets."""
+
+import attrs
+
+from turmericward import fleet, requests
+from turmericward.delivery import _calls, _routes
+
+
+@attrs.frozen(kw_only=True)
+class SetTable:
+    """A configuration version that has become known."""
+
+    table: _routes.RoutingTable
+
+
+@attrs.frozen(kw_only=True)
+class PutTargets:
+    """Targets that were announced, and names whose announcement went."""
+
+    targets: tuple[fleet.Target, ...] = ()
+    gone: tuple[str, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class ReplaceTargets:
+    """The whole list of announced targets.
+
+    `kept` names targets whose announcement can't be decoded.
+    """
+
+    targets: tuple[fleet.Target, ...]
+    kept: frozenset[str] = frozenset()
+
+
+@attrs.frozen(kw_only=True)
+class SourceReturned:
+    """Announcements are read again after an outage."""
+
+
+@attrs.frozen(kw_only=True)
+class GetEngines:
+    """Asks for the engines in use; answered with an `EnginesView`."""
+
+
+@attrs.frozen(kw_only=True)
+class EnginesView:
+    """Engines by service, open calls of all fronts by engine.
+
+    `first` tells whether this front goes before all that it hears.
+    """
+
+    engines: dict[str, list[fleet.Target]]
+    open_calls: dict[str, int]
+    first: bool
+
+
+@attrs.frozen(kw_only=True)
+class HoldTarget:
+    """A target gets no new calls from any front for `until_s` seconds."""
+
+    name: str
+    until_s: float
+
+
+@attrs.frozen(kw_only=True)
+class Place:
+    """Asks for a target; answered with a Result of Placement or Refusal.
+
+    `read` tells that the prompt's KV cache lies ready elsewhere; `retry` that
+    an earlier attempt of the call has reached the service.
+    """
+
+    call: _calls.Call
+    service: str
+    excluded: frozenset[str]
+    retry: bool = False
+    read: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Began:
+    """The first token came, or a prefill ended, `took_s` after it was sent."""
+
+    placement: requests.Placement
+    prompt: requests.Prompt | None
+    took_s: float
+
+
+@attrs.frozen(kw_only=True)
+class Ended:
+    """A placement has ended."""
+
+    placement: requests.Placement
+    prompt: requests.Prompt | None
+    ending: requests.Ending
--- a/src/turmericward/delivery/_roles_loop.py
+++ b/src/turmericward/delivery/_roles_loop.py
@@ -9,7 +9,7 @@
 
 from turmericward import authority, fleet, runtime, telemetry
 from turmericward.adapters import errors
-from turmericward.delivery import _dispatch_task
+from turmericward.delivery import _dispatch_task, _messages
 
 STEP_S = 0.5
 ASK_S = 2.0
@@ -108,7 +108,7 @@
     def step(self) -> None:
         """Sends at most one order."""
         try:
-            view = self._dispatch.ask(_dispatch_task.GetEngines()).result(ASK_S)
+            view = self._dispatch.ask(_messages.GetEngines()).result(ASK_S)
         except futures.TimeoutError:
             logging.warning("dispatcher gives no view of engines")
             return
@@ -122,7 +122,7 @@
             logging.warning("role change is put off: %s", exc)
         self.pause(STEP_S)
 
-    def _due(self, view: _dispatch_task.EnginesView) -> fleet.RoleChange | None:
+    def _due(self, view: _messages.EnginesView) -> fleet.RoleChange | None:
         now = runtime.now()
         changes = []
         for service, targets in view.engines.items():
@@ -147,7 +147,7 @@
         if state.busy or state.role is change.role:
             return
         self._dispatch.post(
-            _dispatch_task.HoldTarget(name=change.target.name, until_s=HOLD_S)
+            _messages.HoldTarget(name=change.target.name, until_s=HOLD_S)
         )
         self.pause(TELL_S)
         self._send(change, state, held)
--- a/src/turmericward/platform/_ingress.py
+++ b/src/turmericward/platform/_ingress.py
@@ -65,7 +65,7 @@
 
 
 def _send(reply: delivery.Reply, start_response):
-    headers = [
+    headers = _failure_headers(reply.failure) + [
         (name, value)
         for name, value in reply.headers
         if name.lower() != "content-length"
@@ -81,6 +81,12 @@
     return [reply.body] if whole else _StreamedBody(reply.body)
 
 
+def _failure_headers(failure: delivery.Failure | None) -> list[tuple[str, str]]:
+    if failure is None or failure.retry_after_s is None:
+        return []
+    return [("Retry-After", f"{failure.retry_after_s:.2f}")]
+
+
 class _StreamedBody:
     """A stream's body; when it breaks off, the server closes the connection."""
 
@@ -89,7 +95,8 @@
 
     def __iter__(self):
         try:
-            yield from self._parts
+            for batch in self._parts:
+                yield b"".join(event.raw for event in batch)
         except delivery.StreamBrokenError as exc:
             # The server takes this for a lost connection and doesn't end the body.
             raise ConnectionAbortedError(str(exc)) from exc
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -113,7 +113,6 @@
 
 
 def _answer(conn, resp, target, call) -> delivery.Answer:
-    named = resp.getheader(_headers.TARGET, target.name)
     not_run = resp.status in PROMISES or resp.getheader(_headers.NOT_RUN) is not None
     return delivery.Answer(
         status=resp.status,
@@ -122,7 +121,6 @@
         close=functools.partial(_close, conn, resp),
         not_run=not_run,
         genuine=_genuine(resp, call),
-        wrong_target=resp.status == 421 and named != target.name,
     )
 
 
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -19,6 +19,8 @@
 from turmericward import fleet
 from turmericward.requests import _kept, _loads, _prompts, _router, _speed
 
+# A domain that was cut off is back in use this long after the cut at the latest.
+MAX_EJECTION_S = 4.0
 # A target that refuses is avoided, since it looks idle.
 REFUSALS_TO_AVOID = 1
 FIRST_AVOIDANCE_S = 0.2
@@ -135,7 +137,7 @@
         self._last_id = 0
         self._notes: list[KeptNote] = []
         self.peers = _loads.PeerLoads()
-        self.health = fleet.Health()
+        self.health = fleet.Health(max_s=MAX_EJECTION_S)
         self._refusals = fleet.Health(
             REFUSALS_TO_AVOID, FIRST_AVOIDANCE_S, MAX_AVOIDANCE_S
         )
@@ -234,7 +236,8 @@
     ) -> result.Result[Placement, _router.Refusal] | None:
         """Chooses where a prompt is read, at the place of its answer or before it."""
         usable = self._healthy(targets, now)
-        if not usable:
+        if all(t.role is fleet.EngineRole.PREFILL for t in usable):
+            # Nobody could answer what was read.
             return None
         best = self._best(prompt, usable, patience)
         if best.cost_s > patience.given_up_s:
