One relay for both fronts: completions go through the delivery engine

Cause: the OpenAI front relayed, resumed and retried by code of its own beside the delivery engine's: two copies to be mended. Ruled out: one router for both at once: the product's engines honour priorities when they read prompts, the platform's don't; it needs lanes by priority first.

--- a/src/turmericward/delivery/__init__.py
+++ b/src/turmericward/delivery/__init__.py
@@ -19,7 +19,7 @@
     NotConfiguredError,
     StreamBrokenError,
 )
-from turmericward.delivery._events import Event, EventCutter
+from turmericward.delivery._events import EVENT_END, Event, EventCutter
 from turmericward.delivery._messages import (
     Began,
     Ended,
@@ -33,6 +33,7 @@
 from turmericward.delivery._routes import RoutingTable, ServiceTraits
 
 __all__ = [
+    "EVENT_END",
     "Answer",
     "Began",
     "Call",
--- a/src/turmericward/delivery/_calls.py
+++ b/src/turmericward/delivery/_calls.py
@@ -74,7 +74,7 @@
     received: float
     deadline_s: float
     until: float
-    prompt: requests.Prompt | None = None
+    prompt: requests.Prompt | requests.Demand | None = None
     resume_after: str = ""
     disconnected: Callable[[], bool] = lambda: False
     traffic_class: str = ""
--- a/src/turmericward/entry/_models.py
+++ b/src/turmericward/entry/_models.py
@@ -1,46 +1,25 @@
 """Callers' interface to models, compatible with OpenAI's."""
 
-import time
+import functools
 from collections.abc import Iterator
 
-from turmericward import requests, telemetry
-from turmericward.entry import _errors, _http, _relay
+from turmericward import delivery, requests, runtime
+from turmericward.entry import _errors, _http, _transport
 
 SSE = "text/event-stream"
-
-
-class Stopwatch:
-    """Times of one stream, recorded once at its end."""
-
-    def __init__(self) -> None:
-        """Starts the watch."""
-        self._start = time.monotonic()
-        self._last: float | None = None
-        self._gaps_ms: list[int] = []
-        self.first_s: float | None = None
-        self.lost = False
-
-    def token(self, count: int) -> bool:
-        """Notes events that came together; tells whether they were the first."""
-        now = time.monotonic()
-        first = self._last is None
-        if first:
-            self.first_s = now - self._start
-        else:
-            self._gaps_ms.append(int((now - self._last) * 1000))
-            self._gaps_ms.extend([0] * (count - 1))
-        self._last = now
-        return first
-
-    def times(self, demand: requests.Demand) -> telemetry.RequestTimes:
-        """Returns the times up to now."""
-        return telemetry.RequestTimes(
-            traffic_class=demand.traffic_class,
-            tenant=demand.tenant,
-            first_token_ms=None if self.first_s is None else self.first_s * 1000,
-            between_tokens_ms=self._gaps_ms,
-            total_ms=(time.monotonic() - self._start) * 1000,
-        )
+MAX_ATTEMPTS = 4
+CLIENT_CLOSED_REQUEST = 499
+# Pauses of this share of a class's idle bound count as late.
+GAP_SHARE = 0.25
+# Status and code of a failure by the delivery engine's reason.
+_FAULTS = {
+    "overloaded": (429, "overloaded"),
+    "no_engine": (503, "no_engine"),
+    "retry_budget": (503, "retry_budget"),
+    "targets_refused": (503, "engines_failed"),
+    "deadline": (504, "deadline"),
+    "cancelled": (CLIENT_CLOSED_REQUEST, "cancelled"),
+}
 
 
 class Models:
@@ -49,6 +28,12 @@
     def __init__(self, ctx) -> None:
         """Creates the handlers for an entry's context."""
         self._ctx = ctx
+        classes = ctx.cfg.entry.classes
+        self._delivery = delivery.Context(
+            dispatch=ctx.router,
+            transport=_transport.EngineTransport(classes),
+            metrics=ctx.metrics,
+        )
 
     def list_models(self, req: _http.Request) -> _http.Response:
         """Answers `GET /v1/models`."""
@@ -71,13 +56,13 @@
         self._check_fields(req.path, body)
         demand = self._resolve(demand)
         self._ctx.enter_tenant(caller.tenant)
-        relay = _relay.Relay(self._ctx, demand, req)
+        leave = functools.partial(self._ctx.leave_tenant, caller.tenant)
         try:
-            if body.get("stream", False):
-                return self._stream(relay, demand)
-            return self._whole(relay, demand)
+            call = self._call(req, demand, streamed=body.get("stream", False))
+            reply = delivery.Delivery(self._delivery, call, demand.model).run()
+            return self._response(reply, leave)
         except BaseException:
-            self._end(relay, demand)
+            leave()
             raise
 
     def _check_fields(self, path: str, body: dict) -> None:
@@ -95,63 +80,95 @@
             raise _errors.RequestFaultError(404, "model_not_found", msg)
         return requests.with_model(demand, base)
 
-    def _whole(self, relay: _relay.Relay, demand) -> _http.Response:
-        watch = Stopwatch()
-        answer = relay.complete()
-        self._ctx.metrics.record(watch.times(demand))
-        self._end(relay, demand)
-        return _http.Response(
-            status=answer.status, content_type=answer.content_type, body=answer.body
+    def _call(self, req: _http.Request, demand, *, streamed: bool) -> delivery.Call:
+        bounds = self._ctx.cfg.entry.classes[demand.traffic_class]
+        kind = delivery.CallKind.STREAM if streamed else delivery.CallKind.IDEMPOTENT
+        route = delivery.Route(
+            name=demand.traffic_class,
+            host="",
+            path_prefix=req.path,
+            kind=kind,
+            timeout_s=bounds.deadline_s,
+            objective_s=bounds.first_token_s,
+            gap_s=GAP_SHARE * bounds.idle_s,
+            abandon_s=bounds.deadline_s,
+            priority=demand.priority,
+            max_attempts=MAX_ATTEMPTS,
+            resumable=streamed,
+            destinations=(delivery.Destination(service=demand.model),),
+        )
+        now = runtime.now()
+        return delivery.Call(
+            id=req.id,
+            method=req.method,
+            target=req.path,
+            headers=(),
+            body=req.body,
+            route=route,
+            received=now,
+            deadline_s=bounds.deadline_s,
+            until=now + bounds.deadline_s,
+            prompt=demand,
+            disconnected=req.disconnected,
+            traffic_class=demand.traffic_class,
+            tenant=demand.tenant,
         )
 
-    def _stream(self, relay: _relay.Relay, demand) -> _http.Response:
-        watch = Stopwatch()
-        answer = relay.open()
-        if answer is not None:
-            self._end(relay, demand)
+    def _response(self, reply: delivery.Reply, leave) -> _http.Response:
+        if reply.failure is not None:
+            raise _fault(reply.failure)
+        headers = dict(reply.headers)
+        if isinstance(reply.body, bytes):
+            leave()
             return _http.Response(
-                status=answer.status,
-                content_type=answer.content_type,
-                body=answer.body,
+                status=reply.status,
+                content_type=headers.get("Content-Type", _http.JSON),
+                body=reply.body,
             )
-        headers = [("Cache-Control", "no-cache")]
-        body = _EventBody(relay, watch, lambda: self._end_stream(relay, watch, demand))
-        return _http.Response(status=200, content_type=SSE, headers=headers, body=body)
-
-    def _end_stream(self, relay, watch: Stopwatch, demand) -> None:
-        if watch.lost:
-            self._ctx.metrics.count("streams_lost")
-        self._ctx.metrics.record(watch.times(demand))
-        self._end(relay, demand)
-
-    def _end(self, relay: _relay.Relay, demand: requests.Demand) -> None:
-        relay.close()
-        self._ctx.leave_tenant(demand.tenant)
+        body = _EventBody(reply.body, self._ctx.metrics, leave)
+        return _http.Response(
+            status=200,
+            content_type=SSE,
+            headers=[("Cache-Control", "no-cache")],
+            body=body,
+        )
 
 
 class _EventBody:
     """The body of a stream; its end is noted also if it was never begun."""
 
-    def __init__(self, relay: _relay.Relay, watch: Stopwatch, on_end) -> None:
-        self._relay = relay
-        self._watch = watch
+    def __init__(self, batches, metrics, on_end) -> None:
+        self._batches = batches
+        self._metrics = metrics
         self._on_end = on_end
 
     def __iter__(self) -> Iterator[bytes]:
         try:
-            for batch in self._relay.events():
-                if self._watch.token(len(batch)):
-                    self._relay.first_token(self._watch.first_s)
+            for batch in self._batches:
                 yield b"".join(_sse(event.data) for event in batch)
-            yield _relay.DONE_EVENT
-        except _errors.RequestFaultError as exc:
+            yield _sse(_transport.DONE)
+        except delivery.StreamBrokenError as exc:
             # The caller learns from the missing [DONE] that this isn't the end.
-            self._watch.lost = True
-            yield _sse(_http.openai_error(exc).body.rstrip())
+            self._metrics.count("streams_lost")
+            fault = _fault(exc.failure)
+            yield _sse(_http.openai_error(fault).body.rstrip())
 
     def close(self) -> None:
+        self._batches.close()
         self._on_end()
 
 
 def _sse(data: bytes) -> bytes:
-    return b"data: " + data + b"\n\n"
+    return b"data: " + data + delivery.EVENT_END
+
+
+def _fault(failure: delivery.Failure) -> _errors.RequestFaultError:
+    status, code = _FAULTS.get(failure.reason, (failure.status, "stream_lost"))
+    ran = failure.may_have_run
+    return _errors.RequestFaultError(
+        status,
+        code,
+        f"no engine gave a whole answer: {failure.reason}",
+        outcome=_errors.RanState.UNKNOWN if ran else _errors.RanState.NOT_RUN,
+        retry_after_s=failure.retry_after_s,
+    )
--- a/src/turmericward/entry/_router_task.py
+++ b/src/turmericward/entry/_router_task.py
@@ -8,7 +8,7 @@
 import attrs
 import result
 
-from turmericward import configuration, fleet, membership, requests, runtime
+from turmericward import configuration, delivery, fleet, membership, requests, runtime
 
 
 @attrs.frozen(kw_only=True)
@@ -20,31 +20,6 @@
     released: list[str]
 
 
-@attrs.frozen(kw_only=True)
-class Choose:
-    """Asks for an engine; answered with a Result of Assignment or Refusal."""
-
-    demand: requests.Demand
-    excluded: frozenset[str]
-    retry: bool
-
-
-@attrs.frozen(kw_only=True)
-class FirstToken:
-    """The first token of an assignment took `took_s`."""
-
-    assignment: requests.Assignment
-    took_s: float
-
-
-@attrs.frozen(kw_only=True)
-class Finished:
-    """An assignment has ended; `failed` when the engine was at fault."""
-
-    assignment: requests.Assignment
-    failed: bool
-
-
 @attrs.frozen(kw_only=True)
 class RankTargets:
     """Asks for a service's live targets in the order of preference."""
@@ -90,6 +65,7 @@
         self._random = random.Random(seed)
         self._services = fleet.Health()
         self._holds = membership.EntryHolds()
+        self._assigned: dict[int, requests.Assignment] = {}
         self._engines_in_use: collections.Counter[str] = collections.Counter()
         self._tenants: collections.Counter[str] = collections.Counter()
         self.view: fleet.View | None = None
@@ -114,7 +90,8 @@
         ]
 
     @handle.register
-    def _(self, message: Choose):
+    def _(self, message: delivery.Place):
+        """Answers with a Result of Placement or Refusal."""
         if message.retry and not self._budget.spend():
             refusal = requests.Refusal(
                 reason="retry_budget", retry_after_s=requests.MIN_RETRY_S
@@ -124,22 +101,43 @@
             self._budget.earn()
         now = time.monotonic()
         view = self.view
-        engines = view.engines_by_model.get(message.demand.model, ())
+        demand = message.call.prompt
+        engines = view.engines_by_model.get(demand.model, ())
         excluded = message.excluded | self._holds.held(now) | view.leaving
-        chosen = self._router.choose(message.demand, engines, view.loads, excluded, now)
-        if chosen.is_ok():
-            self._engines_in_use[chosen.unwrap().engine] += 1
-        return chosen
+        chosen = self._router.choose(demand, engines, view.loads, excluded, now)
+        return chosen.map(self._placed)
+
+    def _placed(self, assignment: requests.Assignment) -> requests.Placement:
+        self._engines_in_use[assignment.engine] += 1
+        self._assigned[assignment.id] = assignment
+        target = fleet.Target(
+            name=assignment.engine,
+            service="",
+            address=assignment.address,
+            domain="",
+            slots=0,
+        )
+        return requests.Placement(
+            id=assignment.id, target=target, work_tokens=assignment.tokens
+        )
 
     @handle.register
-    def _(self, message: FirstToken) -> None:
-        self._router.first_token(message.assignment, message.took_s)
+    def _(self, message: delivery.Began) -> None:
+        assignment = self._assigned.get(message.placement.id)
+        if assignment is not None:
+            self._router.first_token(assignment, message.took_s)
 
     @handle.register
-    def _(self, message: Finished) -> None:
-        self._engines_in_use[message.assignment.engine] -= 1
-        now = time.monotonic()
-        self._router.finished(message.assignment, message.failed, now)
+    def _(self, message: delivery.Ended) -> None:
+        assignment = self._assigned.pop(message.placement.id, None)
+        if assignment is None:
+            return
+        self._engines_in_use[assignment.engine] -= 1
+        failed = message.ending in (
+            requests.Ending.FAILED,
+            requests.Ending.UNREACHED,
+        )
+        self._router.finished(assignment, failed, time.monotonic())
 
     @handle.register
     def _(self, message: RankTargets) -> list[configuration.ServiceTarget]:
--- a/src/turmericward/requests/_demand.py
+++ b/src/turmericward/requests/_demand.py
@@ -25,6 +25,11 @@
     prefix: str
     prefix_tokens: int
 
+    @property
+    def tokens(self) -> int:
+        """Length of the prompt in tokens."""
+        return self.prompt_tokens
+
     @property
     def priority(self) -> int:
         """Priority that engines get; lower numbers go first."""
--- a/tests/test_router_task.py
+++ b/tests/test_router_task.py
@@ -1,11 +1,12 @@
 """The entry's router: no new work for a held engine, none left when drained."""
 
 import time
+import types
 
 import attrs
 
 from tests import fixtures
-from turmericward import configuration, fleet, membership, requests, settings
+from turmericward import configuration, delivery, fleet, membership, requests, settings
 from turmericward.entry import _router_task
 
 check = fixtures.check
@@ -38,10 +39,16 @@
 def _choose(task, text: str):
     body = {"model": "m", "prompt": text}
     demand = requests.demand_of(body, "t", "patient")
-    message = _router_task.Choose(demand=demand, excluded=frozenset(), retry=False)
+    call = types.SimpleNamespace(prompt=demand)
+    message = delivery.Place(call=call, service="m", excluded=frozenset())
     return task.handle(message).unwrap()
 
 
+def _finish(task, placement) -> None:
+    sound = requests.Ending.SOUND
+    task.handle(delivery.Ended(placement=placement, prompt=None, ending=sound))
+
+
 def _set_view(task, holds) -> list[str]:
     message = _router_task.SetView(view=_view(), holds=holds, released=[])
     return task.handle(message)
@@ -51,16 +58,16 @@
     task = _task()
     _set_view(task, [])
     before = [_choose(task, str(n)) for n in range(40)]
-    check.assertEqual({a.engine for a in before}, {"e0", "e1"})
+    check.assertEqual({a.target.name for a in before}, {"e0", "e1"})
     hold = membership.Hold(engine="e0", hold_id="h", until=time.monotonic() + 60)
     check.assertEqual(_set_view(task, [hold]), [])
     held = [_choose(task, str(n)) for n in range(40)]
-    check.assertEqual({a.engine for a in held}, {"e1"})
-    at_e0 = [a for a in before if a.engine == "e0"]
+    check.assertEqual({a.target.name for a in held}, {"e1"})
+    at_e0 = [a for a in before if a.target.name == "e0"]
     for assignment in at_e0[1:]:
-        task.handle(_router_task.Finished(assignment=assignment, failed=False))
+        _finish(task, assignment)
     check.assertEqual(_set_view(task, []), [])
-    task.handle(_router_task.Finished(assignment=at_e0[0], failed=False))
+    _finish(task, at_e0[0])
     check.assertEqual(_set_view(task, []), ["h"])
 
 
