Many fronts tell each other by one relay a domain

Cause: each front told every other one: at 69 fronts 1,600 datagrams a second each, more than their links and processors bear. Ruled out: longer intervals alone (a view of over a second of age at 69). Change: up to 11 peers directly; beyond, a front tells its domain's relay, relays tell each other their domain's sum and their members the fleet's; a silent relay is passed over after 1.5 s.

--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -36,4 +36,8 @@
   4: list<TargetLoad> loads
   5: list<KeptPrompt> kept
   6: list<HeldTarget> held
+  /** Failure domain of the front. */
+  7: string domain
+  /** Fronts whose load is summed here; 1 for a front's own. */
+  8: i32 fronts
 }
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -134,7 +134,9 @@
 
     @handle.register
     def _(self, message: peers.PeerState) -> None:
-        self._placer.peers.take(message.front, message.loads, runtime.now())
+        self._placer.peers.take(
+            message.front, message.loads, runtime.now(), message.fronts
+        )
         for note in message.kept:
             self._placer.note_kept(note)
         for target, ttl_s in message.held.items():
--- /dev/null
+++ b/src/turmericward/peers/_circle.py
@@ -0,0 +1,147 @@
+"""Which fronts a front tells, and what: all of them, or by one relay a domain.
+
+Few fronts tell each other directly. Of many, each tells the relay of its domain
+only; a relay tells the other relays its domain's sum, and its members the sum of
+the whole fleet. Datagrams thus grow with the number of fronts, not its square.
+"""
+
+import enum
+
+import attrs
+
+# Up to this many peers, each front tells every other one.
+MAX_DIRECT_PEERS = 11
+# A front that was neither announced nor heard for this long is forgotten.
+FORGOTTEN_S = 40.0
+# A relay that is silent for this long is taken to be gone.
+RELAY_LEASE_S = 1.5
+# How long a silent relay is passed over.
+SUSPECTED_S = 10.0
+# A front that told its state counts as a member for this long.
+MEMBER_LEASE_S = 1.5
+
+
+class Content(enum.Enum):
+    """What a peer is told: own load, the domain's sum, or the fleet's."""
+
+    OWN = "own"
+    DOMAIN = "domain"
+    FLEET = "fleet"
+
+
+@attrs.frozen(kw_only=True)
+class Recipient:
+    """A peer to tell."""
+
+    front: str
+    host: str
+    content: Content
+
+
+@attrs.define(kw_only=True)
+class _Peer:
+    host: str
+    domain: str
+    seen_at: float
+    heard_at: float = float("-inf")
+    expected_since: float | None = None
+    suspected_until: float = float("-inf")
+
+
+class Circle:
+    """The fronts that one front knows; times are steady seconds."""
+
+    def __init__(self, front: str, domain: str) -> None:
+        """Creates the circle of a front without peers."""
+        self._front = front
+        self._domain = domain
+        self._peers: dict[str, _Peer] = {}
+
+    def announced(self, front: str, host: str, domain: str, now: float) -> bool:
+        """Notes a front; tells whether it is new."""
+        if front == self._front:
+            return False
+        peer = self._peers.get(front)
+        if peer is None:
+            self._peers[front] = _Peer(host=host, domain=domain, seen_at=now)
+            return True
+        peer.host, peer.domain, peer.seen_at = host, domain, now
+        return False
+
+    def heard(self, front: str, host: str, domain: str, now: float) -> bool:
+        """Notes a datagram of a front; tells whether the front is new."""
+        new = self.announced(front, host, domain, now)
+        if front in self._peers:
+            peer = self._peers[front]
+            peer.heard_at = now
+            peer.suspected_until = float("-inf")
+        return new
+
+    def forget(self, now: float) -> list[str]:
+        """Drops fronts that were not announced or heard for long."""
+        gone = [f for f, p in self._peers.items() if now - p.seen_at > FORGOTTEN_S]
+        for front in gone:
+            del self._peers[front]
+        return gone
+
+    @property
+    def direct(self) -> bool:
+        """Whether every front tells every other one."""
+        return len(self._peers) <= MAX_DIRECT_PEERS
+
+    def relay_of(self, domain: str, now: float) -> str | None:
+        """Returns the first front of a domain that isn't suspected to be gone."""
+        fronts = [
+            f
+            for f, p in self._peers.items()
+            if p.domain == domain and p.suspected_until <= now
+        ]
+        if domain == self._domain:
+            fronts.append(self._front)
+        return min(fronts, default=None)
+
+    def members(self, now: float) -> list[str]:
+        """Returns the fronts of the own domain that told their state lately."""
+        return [
+            f
+            for f, p in self._peers.items()
+            if p.domain == self._domain and now - p.heard_at <= MEMBER_LEASE_S
+        ]
+
+    def is_relay(self, now: float) -> bool:
+        """Tells whether this front sums up its domain."""
+        return not self.direct and self.relay_of(self._domain, now) == self._front
+
+    def recipients(self, now: float) -> list[Recipient]:
+        """Returns whom to tell now, and what."""
+        if self.direct:
+            return [self._recipient(f, Content.OWN) for f in self._peers]
+        self._suspect(now)
+        relay = self.relay_of(self._domain, now)
+        if relay != self._front:
+            return [self._recipient(relay, Content.OWN)]
+        others = {p.domain for p in self._peers.values()} - {self._domain}
+        relays = [self.relay_of(domain, now) for domain in sorted(others)]
+        return [
+            *(self._recipient(f, Content.DOMAIN) for f in relays if f),
+            *(self._recipient(f, Content.FLEET) for f in self.members(now)),
+        ]
+
+    def _recipient(self, front: str, content: Content) -> Recipient:
+        host = self._peers[front].host
+        return Recipient(front=front, host=host, content=content)
+
+    def _suspect(self, now: float) -> None:
+        """Passes over relays that should have been heard and weren't."""
+        for domain in {p.domain for p in self._peers.values()}:
+            relay = self.relay_of(domain, now)
+            if relay is None or relay == self._front:
+                continue
+            if domain != self._domain and not self.is_relay(now):
+                continue
+            peer = self._peers[relay]
+            if peer.expected_since is None:
+                peer.expected_since = now
+            if now - max(peer.heard_at, peer.expected_since) > RELAY_LEASE_S:
+                peer.suspected_until = now + SUSPECTED_S
+                peer.expected_since = None
--- a/src/turmericward/peers/_codec.py
+++ b/src/turmericward/peers/_codec.py
@@ -18,6 +18,7 @@
 class PeerState:
     """What a front tells: its loads by target, and prompts that targets keep.
 
+    With `fronts` above 1 it is the sum of so many fronts' loads.
     `held` are targets that should get no new calls for so many seconds.
     `sequence` orders the states of one `boot`, a number drawn at each start.
     """
@@ -28,6 +29,8 @@
     loads: dict[int, requests.TargetLoad]
     kept: tuple[requests.KeptNote, ...] = ()
     held: dict[int, float] = attrs.field(factory=dict)
+    domain: str = ""
+    fronts: int = 1
 
 
 def encode(state: PeerState) -> bytes:
@@ -48,6 +51,8 @@
         sequence=state.sequence,
         loads=loads,
         kept=kept,
+        domain=state.domain,
+        fronts=state.fronts,
         held=[
             ttypes.HeldTarget(target=target, ttl_ms=int(ttl_s * 1000))
             for target, ttl_s in state.held.items()
@@ -71,6 +76,8 @@
             loads={row.target: _load(row) for row in message.loads},
             kept=tuple(_note(row) for row in message.kept),
             held={row.target: row.ttl_ms / 1000 for row in message.held},
+            domain=message.domain,
+            fronts=message.fronts,
         )
     # The library raises many kinds for bytes that aren't a message.
     except Exception as exc:
--- a/src/turmericward/peers/_tasks.py
+++ b/src/turmericward/peers/_tasks.py
@@ -3,28 +3,40 @@
 import functools
 import secrets
 import socket
-from collections.abc import Callable
 
 import attrs
 from absl import logging
 
 from turmericward import requests, runtime
-from turmericward.peers import _codec
+from turmericward.peers import _circle, _codec
 
 HEARTBEAT_S = 0.5
-# A peer that was neither announced nor heard for this long is told nothing.
-PEER_FORGOTTEN_S = 40.0
+# Least time between two states of a relay.
+RELAY_INTERVAL_S = 0.1
 MAX_DATAGRAM_BYTES = 60_000
+# Notes of kept prompts that wait to be passed on; older ones are dropped.
+MAX_WAITING_NOTES = 200
 RECEIVE_TIMEOUT_S = 0.5
 BOOT_BITS = 62
+# A state that wasn't renewed for this long doesn't count in a sum.
+STATE_LEASE_S = 1.5
 
 
 @attrs.frozen(kw_only=True)
 class Announced:
-    """A front that was announced or heard, with its IP number."""
+    """A front that announced itself, with its IP number and failure domain."""
 
     front: str
     host: str
+    domain: str
+
+
+@attrs.frozen(kw_only=True)
+class Heard:
+    """A state that came from `host`."""
+
+    state: _codec.PeerState
+    host: str
 
 
 @attrs.frozen(kw_only=True)
@@ -44,27 +56,44 @@
     return sock
 
 
+def _sum(states) -> dict[int, requests.TargetLoad]:
+    total: dict[int, requests.TargetLoad] = {}
+    for loads in states:
+        for target, load in loads.items():
+            total[target] = total[target] + load if target in total else load
+    return total
+
+
 class PeerTask(runtime.Task):
-    """Tells every known peer the own state: at each change, and as a heartbeat."""
+    """Tells peers the own state, and as a relay the sum of several fronts."""
 
-    tick_s = HEARTBEAT_S
+    tick_s = RELAY_INTERVAL_S
 
-    def __init__(self, front: str, port: int, sock: socket.socket) -> None:
+    def __init__(
+        self, front: str, domain: str, port: int, sock: socket.socket, deliver
+    ) -> None:
         """Creates the task without peers.
 
         Args:
             front: name of this front.
+            domain: its failure domain.
             port: port that all fronts receive on.
             sock: bound socket, shared with the receive loop.
+            deliver: called with each state that tells of others' load.
         """
         super().__init__()
         self._front = front
+        self._domain = domain
         self._port = port
         self._sock = sock
+        self._deliver = deliver
         self._boot = secrets.randbits(BOOT_BITS)
         self._sequence = 0
-        self._peers: dict[str, tuple[str, float]] = {}
-        self._last = Tell(loads={})
+        self._circle = _circle.Circle(front, domain)
+        self._own = Tell(loads={})
+        self._heard: dict[str, tuple[float, _codec.PeerState]] = {}
+        self._notes: list[requests.KeptNote] = []
+        self._held: dict[int, float] = {}
         self._told_at = 0.0
 
     def tell(self, loads, kept, held) -> None:
@@ -78,65 +107,113 @@
 
     @handle.register
     def _(self, message: Announced) -> None:
-        if message.front == self._front:
-            return
-        if message.front not in self._peers:
+        now = runtime.now()
+        if self._circle.announced(message.front, message.host, message.domain, now):
             logging.info("peer %s at %s is known", message.front, message.host)
-        self._peers[message.front] = (message.host, runtime.now())
+
+    @handle.register
+    def _(self, message: Heard) -> None:
+        state = message.state
+        now = runtime.now()
+        if self._circle.heard(state.front, message.host, state.domain, now):
+            logging.info("peer %s at %s is known", state.front, message.host)
+        if state.front == self._front:
+            return
+        self._heard[state.front] = (now, state)
+        if not self._circle.direct:
+            self._note(state.kept, state.held)
+        self._deliver(self._without_own(state))
+
+    def _without_own(self, state: _codec.PeerState) -> _codec.PeerState:
+        """Takes the own load out of a sum that a relay told."""
+        if state.fronts == 1 or state.domain != self._domain:
+            return state
+        own = self._own.loads
+        loads = {
+            target: load.without(own[target]) if target in own else load
+            for target, load in state.loads.items()
+        }
+        return attrs.evolve(state, loads=loads)
 
     @handle.register
     def _(self, message: Tell) -> None:
-        self._last = message
-        self._send(message)
+        self._own = message
+        self._note(message.kept, message.held)
+        now = runtime.now()
+        if not self._circle.is_relay(now) or now - self._told_at >= RELAY_INTERVAL_S:
+            self._send(now)
+
+    def _note(self, kept, held) -> None:
+        self._notes = [*self._notes, *kept][-MAX_WAITING_NOTES:]
+        self._held |= held
 
     def tick(self) -> None:
         """Repeats the state if nothing changed for a while."""
         now = runtime.now()
-        for front, (_, at) in list(self._peers.items()):
-            if now - at > PEER_FORGOTTEN_S:
-                del self._peers[front]
-                logging.info("peer %s is forgotten", front)
-        if now - self._told_at >= HEARTBEAT_S / 2:
-            self._send(attrs.evolve(self._last, kept=(), held={}))
+        for front in self._circle.forget(now):
+            logging.info("peer %s is forgotten", front)
+        interval_s = HEARTBEAT_S / 2
+        if self._circle.is_relay(now):
+            interval_s = RELAY_INTERVAL_S
+        if now - self._told_at >= interval_s:
+            self._send(now)
 
     def closed(self) -> None:
         """Tells the peers that nothing is left here."""
-        self._send(Tell(loads={}))
+        self._own = Tell(loads={})
+        self._send(runtime.now())
+
+    def _send(self, now: float) -> None:
+        self._told_at = now
+        encoded: dict[_circle.Content, bytes] = {}
+        for recipient in self._circle.recipients(now):
+            content = recipient.content
+            if content not in encoded:
+                encoded[content] = _codec.encode(self._state(content, now))
+            try:
+                self._sock.sendto(encoded[content], (recipient.host, self._port))
+            except OSError as exc:
+                # Datagrams may be lost anyway; the next one repeats the state.
+                logging.debug("peer at %s isn't told: %s", recipient.host, exc)
+        self._notes = []
+        self._held = {}
 
-    def _send(self, message: Tell) -> None:
-        self._told_at = runtime.now()
+    def _state(self, content: _circle.Content, now: float) -> _codec.PeerState:
         self._sequence += 1
-        state = _codec.PeerState(
+        summed = [] if content is _circle.Content.OWN else self._summed(content, now)
+        return _codec.PeerState(
             front=self._front,
             boot=self._boot,
             sequence=self._sequence,
-            loads=message.loads,
-            kept=message.kept,
-            held=message.held,
+            loads=_sum([self._own.loads, *(state.loads for state in summed)]),
+            kept=tuple(self._notes),
+            held=self._held,
+            domain=self._domain,
+            fronts=1 + sum(state.fronts for state in summed),
         )
-        data = _codec.encode(state)
-        for host, _ in self._peers.values():
-            try:
-                self._sock.sendto(data, (host, self._port))
-            except OSError as exc:
-                # Datagrams may be lost anyway; the next one repeats the state.
-                logging.debug("peer at %s isn't told: %s", host, exc)
+
+    def _summed(self, content, now: float) -> list[_codec.PeerState]:
+        """Returns the states of others that a relay sums up."""
+        members = set(self._circle.members(now))
+        return [
+            state
+            for front, (at, state) in self._heard.items()
+            if now - at <= STATE_LEASE_S
+            and (
+                (front in members and state.fronts == 1)
+                or (content is _circle.Content.FLEET and state.domain != self._domain)
+            )
+        ]
 
 
 class ReceiveLoop(runtime.Loop):
     """Hears peers and passes their states on, the latest of each boot only."""
 
-    def __init__(
-        self,
-        sock: socket.socket,
-        tell: PeerTask,
-        deliver: Callable[[_codec.PeerState], None],
-    ) -> None:
+    def __init__(self, sock: socket.socket, tell: PeerTask) -> None:
         """Creates the loop."""
         super().__init__()
         self._sock = sock
         self._tell = tell
-        self._deliver = deliver
         self._latest: dict[str, tuple[int, int]] = {}
 
     def step(self) -> None:
@@ -154,9 +231,8 @@
         except _codec.MalformedStateError as exc:
             logging.warning("datagram of %s is ignored: %s", host, exc)
             return
-        self._tell.post(Announced(front=state.front, host=host))
         boot, sequence = self._latest.get(state.front, (0, 0))
         if state.boot == boot and state.sequence <= sequence:
             return
         self._latest[state.front] = (state.boot, state.sequence)
-        self._deliver(state)
+        self._tell.post(Heard(state=state, host=host))
--- a/src/turmericward/platform/_follow.py
+++ b/src/turmericward/platform/_follow.py
@@ -180,11 +180,12 @@
         self.changed(list(records))
 
     def changed(self, records: list[_store.KeyedRecord]) -> None:
-        """Takes announcements: a front's name and its IP number."""
+        """Takes announcements: a front's name, its IP number and domain."""
         for record in records:
             if record.value is not None:
-                host = record.value.decode("ascii", "replace")
-                self._tell.post(peers.Announced(front=record.key, host=host))
+                host, _, domain = record.value.decode("utf-8", "replace").partition(" ")
+                message = peers.Announced(front=record.key, host=host, domain=domain)
+                self._tell.post(message)
 
     def returned(self) -> None:
         """Needs no action."""
@@ -193,18 +194,20 @@
 class AnnounceLoop(runtime.Loop):
     """Announces this front in the store, again and again."""
 
-    def __init__(self, client: _store.StoreClient, front: str, host: str) -> None:
+    def __init__(
+        self, client: _store.StoreClient, front: str, host: str, domain: str
+    ) -> None:
         """Creates the loop; the client is its own from now on."""
         super().__init__()
         self._client = client
         self._front = front
-        self._host = host
+        self._value = f"{host} {domain}".encode()
 
     def step(self) -> None:
         """Announces the front once."""
         pause_s = ANNOUNCE_S
         try:
-            self._client.put(FRONTS_TOPIC, self._front, self._host.encode())
+            self._client.put(FRONTS_TOPIC, self._front, self._value)
         except errors.LogUnavailableError as exc:
             logging.info("front isn't announced: %s", exc)
             pause_s = 1.0
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -40,7 +40,13 @@
         self._draining = threading.Event()
         seed = zlib.crc32(cfg.instance.name.encode())
         sock = peers.open_socket(cfg.instance.address, cfg.listen.peers)
-        tell = peers.PeerTask(cfg.instance.name, cfg.listen.peers, sock)
+        tell = peers.PeerTask(
+            cfg.instance.name,
+            cfg.instance.domain,
+            cfg.listen.peers,
+            sock,
+            deliver=lambda state: self._dispatch.post(state),
+        )
         self._dispatch = delivery.DispatchTask(
             name=cfg.instance.name,
             domain=cfg.instance.domain,
@@ -52,9 +58,12 @@
             tell=tell.tell,
         )
         loops = [
-            peers.ReceiveLoop(sock, tell, self._dispatch.post),
+            peers.ReceiveLoop(sock, tell),
             _follow.AnnounceLoop(
-                self._store(), cfg.instance.name, cfg.instance.address
+                self._store(),
+                cfg.instance.name,
+                cfg.instance.address,
+                cfg.instance.domain,
             ),
             _follow.FollowLoop(
                 self._store(),
--- a/src/turmericward/requests/_loads.py
+++ b/src/turmericward/requests/_loads.py
@@ -26,6 +26,14 @@
             open_calls=self.open_calls + other.open_calls,
         )
 
+    def without(self, other: "TargetLoad") -> "TargetLoad":
+        """Returns the work that isn't the other's."""
+        return TargetLoad(
+            urgent_tokens=max(0.0, self.urgent_tokens - other.urgent_tokens),
+            deferred_tokens=max(0.0, self.deferred_tokens - other.deferred_tokens),
+            open_calls=max(0, self.open_calls - other.open_calls),
+        )
+
     def tokens_ahead(self, *, deferred: bool) -> float:
         """Returns the tokens that are read before a new call's."""
         return self.urgent_tokens + (self.deferred_tokens if deferred else 0.0)
@@ -40,11 +48,15 @@
     def __init__(self) -> None:
         """Creates the state without peers."""
         self._peers: dict[str, tuple[float, dict[int, TargetLoad]]] = {}
+        self._fronts: dict[str, int] = {}
         self._sums: dict[int, TargetLoad] | None = None
 
-    def take(self, peer: str, loads: dict[int, TargetLoad], now: float) -> None:
-        """Replaces what one peer told."""
+    def take(
+        self, peer: str, loads: dict[int, TargetLoad], now: float, fronts: int = 1
+    ) -> None:
+        """Replaces what one peer told, of itself or of several fronts."""
         self._peers[peer] = (now, loads)
+        self._fronts[peer] = fronts
         self._sums = None
 
     def expire(self, now: float) -> list[str]:
@@ -52,12 +64,14 @@
         gone = [p for p, (at, _) in self._peers.items() if at + PEER_LEASE_S < now]
         for peer in gone:
             del self._peers[peer]
+            del self._fronts[peer]
             self._sums = None
         return gone
 
     def live(self) -> int:
-        """Returns the number of peers that are heard."""
-        return len(self._peers)
+        """Returns the number of other fronts whose load is known."""
+        # A relay's sum counts this front too.
+        return sum(n - (n > 1) for n in self._fronts.values())
 
     def names(self) -> list[str]:
         """Returns the peers that are heard."""
--- a/src/turmericward/wire/peers/ttypes.py
+++ b/src/turmericward/wire/peers/ttypes.py
@@ -333,6 +333,8 @@
      - loads
      - kept
      - held
+     - domain: Failure domain of the front.
+     - fronts: Fronts whose load is summed here; 1 for a front's own.
 
     """
 
@@ -343,16 +345,20 @@
         'loads',
         'kept',
         'held',
+        'domain',
+        'fronts',
     )
 
 
-    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None,):
+    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None, domain=None, fronts=None,):
         self.front = front
         self.boot = boot
         self.sequence = sequence
         self.loads = loads
         self.kept = kept
         self.held = held
+        self.domain = domain
+        self.fronts = fronts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -411,6 +417,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.fronts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -454,6 +470,14 @@
                 iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.domain is not None:
+            oprot.writeFieldBegin('domain', TType.STRING, 7)
+            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
+            oprot.writeFieldEnd()
+        if self.fronts is not None:
+            oprot.writeFieldBegin('fronts', TType.I32, 8)
+            oprot.writeI32(self.fronts)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -509,6 +533,8 @@
     (4, TType.LIST, 'loads', (TType.STRUCT, [TargetLoad, None], False), None, ),  # 4
     (5, TType.LIST, 'kept', (TType.STRUCT, [KeptPrompt, None], False), None, ),  # 5
     (6, TType.LIST, 'held', (TType.STRUCT, [HeldTarget, None], False), None, ),  # 6
+    (7, TType.STRING, 'domain', 'UTF8', None, ),  # 7
+    (8, TType.I32, 'fronts', None, None, ),  # 8
 )
 fix_spec(all_structs)
 del all_structs
