Mend the front's start: the peer task's callback hid the task's own method

Change: another name; the reply names the target for the request log, whose field had become empty (test_product failed).

--- a/src/turmericward/delivery/_calls.py
+++ b/src/turmericward/delivery/_calls.py
@@ -134,10 +134,12 @@
 class Reply:
     """What the client gets: a target's answer, or a failure.
 
-    The body of a stream is iterable over batches of events; it has to be closed.
+    `target` names the target that answers, or was asked last. The body of a stream
+    is iterable over batches of events; it has to be closed.
     """
 
     status: int
+    target: str = ""
     headers: Headers = ()
     body: bytes | Iterable = b""
     failure: Failure | None = None
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -42,12 +42,16 @@
         self._progress = _progress.Progress(route=call.route)
         self._record = _record.CallRecord(ctx.metrics, call, service)
         self._placement: requests.Placement | None = None
+        self._target = ""
         self._sent_at = 0.0
         # Names KV cache of the prompt that no target has taken yet.
         self._source = ""
 
     def run(self) -> _calls.Reply:
         """Returns the reply; a stream's body goes on while it is read."""
+        return attrs.evolve(self._replied(), target=self._target)
+
+    def _replied(self) -> _calls.Reply:
         try:
             return self._deliver()
         except _ClientGoneError:
@@ -85,6 +89,7 @@
             refusal = chosen.unwrap_err()
             self._progress.given_up(refusal.reason, refusal.retry_after_s)
         self._placement = chosen.unwrap()
+        self._target = self._placement.target.name
         self._sent_at = runtime.now()
         self._record.placed(self._placement)
 
--- a/src/turmericward/entry/_models.py
+++ b/src/turmericward/entry/_models.py
@@ -60,6 +60,7 @@
         try:
             call = self._call(req, demand, streamed=body.get("stream", False))
             reply = delivery.Delivery(self._delivery, call, demand.model).run()
+            req.trace.engine = reply.target
             return self._response(reply, leave)
         except BaseException:
             leave()
--- a/src/turmericward/peers/_tasks.py
+++ b/src/turmericward/peers/_tasks.py
@@ -86,7 +86,7 @@
         self._domain = domain
         self._port = port
         self._sock = sock
-        self._deliver = deliver
+        self._pass_on = deliver
         self._boot = secrets.randbits(BOOT_BITS)
         self._sequence = 0
         self._circle = _circle.Circle(front, domain)
@@ -122,7 +122,7 @@
         self._heard[state.front] = (now, state)
         if not self._circle.direct:
             self._note(state.kept, state.held)
-        self._deliver(self._without_own(state))
+        self._pass_on(self._without_own(state))
 
     def _without_own(self, state: _codec.PeerState) -> _codec.PeerState:
         """Takes the own load out of a sum that a relay told."""
