--- a/src/turmericward/fleet/_roles.py
+++ b/src/turmericward/fleet/_roles.py
@@ -4,6 +4,7 @@
 answering only, so that after a while nobody reads long prompts apart.
 """
 
+import collections
 from collections.abc import Mapping
 
 import attrs
@@ -90,5 +91,14 @@
         others = [t for t in targets if t.role is not role]
         if not others:
             return None
+        others = self._spared(others) or others
         idlest = min(others, key=lambda t: (open_calls.get(t.name, 0), t.name))
         return RoleChange(target=idlest, role=role)
+
+    def _spared(self, others) -> list[_targets.Target]:
+        """Returns engines whose domain keeps another one of their role.
+
+        A domain that is cut off later should still be able to answer.
+        """
+        counts = collections.Counter(t.domain for t in others)
+        return [t for t in others if counts[t.domain] > 1]
