Start nothing for a client that left during the prefill; read announcements in batches

Ruled out: the wait of the long polls (it is ended by the first record). Change: a client that left is noticed before each placement; 0.4 s between two reads that brought records (a leaving target may get work for 2 s).

--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -75,6 +75,8 @@
     # Attempts.
 
     def _place(self, *, read: bool) -> None:
+        if self._call.disconnected():
+            raise _ClientGoneError
         if self._call.left_s() <= 0:
             self._progress.given_up("deadline")
         message = _messages.Place(
--- a/src/turmericward/platform/_follow.py
+++ b/src/turmericward/platform/_follow.py
@@ -12,6 +12,8 @@
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
 TARGETS_TOPIC = "keyed.servers"
+# Each replica writes about once a second; a leaving one may get work for 2 s.
+TARGETS_BATCH_S = 0.4
 FRONTS_TOPIC = "keyed.fronts"
 FRONTS_WAIT_S = 10.0
 ANNOUNCE_S = 10.0
@@ -35,10 +37,24 @@
     """Follows one keyed topic: a listing, then long polls from its end."""
 
     def __init__(
-        self, client: _store.StoreClient, topic: str, wait_s: float, sink: Sink
+        self,
+        client: _store.StoreClient,
+        topic: str,
+        wait_s: float,
+        sink: Sink,
+        batch_s: float = 0.0,
     ) -> None:
-        """Creates the loop; the client is its own from now on."""
+        """Creates the loop.
+
+        Args:
+            client: its own from now on.
+            topic: what to follow.
+            wait_s: how long a read waits for a record.
+            sink: takes what is read.
+            batch_s: pause after records came, so that many come in one read.
+        """
         super().__init__()
+        self._batch_s = batch_s
         self._client = client
         self._topic = topic
         self._wait_s = wait_s
@@ -88,6 +104,7 @@
         if records:
             self._sink.changed(records)
             self._advance(self._following + len(records))
+            self.pause(self._batch_s)
 
     def _advance(self, following: int) -> None:
         self._following = following
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -74,7 +74,11 @@
             self._follow(
                 _follow.CONFIGURATION_TOPIC, _follow.ConfigurationSink(self._dispatch)
             ),
-            self._follow(_follow.TARGETS_TOPIC, _follow.TargetsSink(self._dispatch)),
+            self._follow(
+                _follow.TARGETS_TOPIC,
+                _follow.TargetsSink(self._dispatch),
+                _follow.TARGETS_BATCH_S,
+            ),
         ]
         loops.append(self._roles())
         self._group = runtime.Group([tell, self._dispatch, *loops], "front")
@@ -113,9 +117,11 @@
             settle_s=gap_s + CLOCK_MARGIN_S,
         )
 
-    def _follow(self, topic: str, sink: _follow.Sink) -> _follow.FollowLoop:
+    def _follow(
+        self, topic: str, sink: _follow.Sink, batch_s: float = 0.0
+    ) -> _follow.FollowLoop:
         wait_s = self._cfg.store.wait_s
-        return _follow.FollowLoop(self._store(), topic, wait_s, sink)
+        return _follow.FollowLoop(self._store(), topic, wait_s, sink, batch_s)
 
     def _store(self) -> _store.StoreClient:
         store = self._cfg.store
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -86,7 +86,13 @@
     ]
 
 
-def _run(transport: _Transport, targets=None, slack: float = 60.0, **changes):
+def _run(
+    transport: _Transport,
+    targets=None,
+    slack: float = 60.0,
+    disconnected=lambda: False,
+    **changes,
+):
     """Delivers one call; returns the reply and the dispatcher."""
     retries = delivery.RetryBounds(share=0.0, slack=slack)
     task = test_dispatch._task(retries=retries)
@@ -99,7 +105,8 @@
         metrics=telemetry.Metrics(None, ""),
     )
     call = test_dispatch._call(8.0)
-    call = attrs.evolve(call, route=attrs.evolve(call.route, **changes))
+    route = attrs.evolve(call.route, **changes)
+    call = attrs.evolve(call, route=route, disconnected=disconnected)
     return delivery.Delivery(ctx, call, "model").run(), dispatcher
 
 
@@ -159,6 +166,14 @@
         check.assertEqual(transport.released, [f"{transport.read[0]}/kv1"], fault)
 
 
+def test_a_client_that_left_while_its_prompt_was_read_starts_nothing_more():
+    transport = _Transport()
+    reply, _ = _run(transport, disconnected=lambda: bool(transport.read))
+    check.assertEqual(reply.status, 499)
+    check.assertEqual(transport.sent, [])
+    check.assertEqual(transport.released, [f"{transport.read[0]}/kv1"])
+
+
 def test_what_a_client_is_told_of_a_call_is_true():
     cases = [
         (["lost"], 1, False, 502, True),
