--- a/src/turmericward/adapters/_response.py
+++ b/src/turmericward/adapters/_response.py
@@ -35,6 +35,8 @@
     for the end of a body without a declared length.
     """
 
+    unframed_allowed = False
+
     def begin(self) -> None:
         """Reads the head.
 
