Test the spread of datagrams under a virtual clock

Change: the peer task takes its clock as an argument; the test moves it. The bounds are the same and each front now tells twice a round.

--- a/src/turmericward/peers/_tasks.py
+++ b/src/turmericward/peers/_tasks.py
@@ -70,7 +70,13 @@
     tick_s = RELAY_INTERVAL_S
 
     def __init__(
-        self, front: str, domain: str, port: int, sock: socket.socket, deliver
+        self,
+        front: str,
+        domain: str,
+        port: int,
+        sock: socket.socket,
+        deliver,
+        clock=runtime.now,
     ) -> None:
         """Creates the task without peers.
 
@@ -80,6 +86,7 @@
             port: port that all fronts receive on.
             sock: bound socket, shared with the receive loop.
             deliver: called with each state that tells of others' load.
+            clock: returns steady seconds.
         """
         super().__init__()
         self._front = front
@@ -87,6 +94,7 @@
         self._port = port
         self._sock = sock
         self._pass_on = deliver
+        self._clock = clock
         self._boot = secrets.randbits(BOOT_BITS)
         self._sequence = 0
         self._circle = _circle.Circle(front, domain)
@@ -107,14 +115,14 @@
 
     @handle.register
     def _(self, message: Announced) -> None:
-        now = runtime.now()
+        now = self._clock()
         if self._circle.announced(message.front, message.host, message.domain, now):
             logging.info("peer %s at %s is known", message.front, message.host)
 
     @handle.register
     def _(self, message: Heard) -> None:
         state = message.state
-        now = runtime.now()
+        now = self._clock()
         if self._circle.heard(state.front, message.host, state.domain, now):
             logging.info("peer %s at %s is known", state.front, message.host)
         if state.front == self._front:
@@ -139,7 +147,7 @@
     def _(self, message: Tell) -> None:
         self._own = message
         self._note(message.kept, message.held)
-        now = runtime.now()
+        now = self._clock()
         if not self._circle.is_relay(now) or now - self._told_at >= RELAY_INTERVAL_S:
             self._send(now)
 
@@ -149,7 +157,7 @@
 
     def tick(self) -> None:
         """Repeats the state if nothing changed for a while."""
-        now = runtime.now()
+        now = self._clock()
         for front in self._circle.forget(now):
             logging.info("peer %s is forgotten", front)
         interval_s = HEARTBEAT_S / 2
@@ -161,7 +169,7 @@
     def closed(self) -> None:
         """Tells the peers that nothing is left here."""
         self._own = Tell(loads={})
-        self._send(runtime.now())
+        self._send(self._clock())
 
     def _send(self, now: float) -> None:
         self._told_at = now
--- a/tests/test_circle.py
+++ b/tests/test_circle.py
@@ -31,6 +31,7 @@
         self.sent = collections.Counter()
         self.bytes = collections.Counter()
         self.down: set[str] = set()
+        self.now = 0.0
         self.known = {}
         self.tasks = {}
         for domain in domains:
@@ -52,15 +53,17 @@
             deliver=lambda state, name=name: self.known[name].update(
                 {state.front: state}
             ),
+            clock=lambda: self.now,
         )
 
     def round(self) -> None:
-        """Every front tells its load, and what was sent arrives."""
+        """Every front tells its load twice, and what was sent arrives."""
+        self.now += 0.3
         for name, task in self.tasks.items():
             if name in self.down:
                 continue
             task.handle(peers.Tell(loads={1: LOAD}))
-            task._told_at = 0.0
+            task.handle(peers.Tell(loads={1: LOAD}))
             task.tick()
         mail, self.mail = self.mail, []
         for host, sender, data in mail:
