Make one piece serve where the move had written a second

Cause: read as a whole, the change had twins: a kept HTTP connection beside the JSON client's, a wait for bytes beside the adapters', the run-and-drain of both programs, reading settings and signals, summing loads, Retry-After in two places, five constants for one lease; state that follows from other state (fleet size, the name of the placement, the settle time given twice); a target's load computed twice for each candidate, a parameter that nothing read, bare numbers. Ruled out: merging the two routers or the list and read of the other sinks here.

--- a/benchmarks/prompt_model.py
+++ b/benchmarks/prompt_model.py
@@ -215,7 +215,7 @@
         placer.began(placement, prompt, took_s, self._now)
         if placement.prefill_only:
             placer.ended(placement, requests.Ending.SOUND, self._now)
-            placement = placer.choose_answerer(prompt, self._targets, self._now)
+            placement = placer.choose_answerer(self._targets, self._now)
             if kind == "long":
                 engine = self._engines[placement.target.name]
                 engine.keep(prompt.parts[0].id, OWN_TOKENS)
--- a/src/turmericward/adapters/_json_http.py
+++ b/src/turmericward/adapters/_json_http.py
@@ -1,11 +1,12 @@
 """JSON requests over one `http.client` connection."""
 
-import http.client
 import json
 
 import attrs
 
-from turmericward.adapters import _address
+from turmericward.adapters import _kept_connection
+
+ERRORS = _kept_connection.ERRORS
 
 
 @attrs.frozen(kw_only=True)
@@ -17,16 +18,11 @@
 
 
 class JsonClient:
-    """Sends JSON requests to one address; not for use by several threads.
-
-    A connection on which anything failed is closed, never used again.
-    """
+    """Sends JSON requests to one address; not for use by several threads."""
 
     def __init__(self, address: str, timeout_s: float) -> None:
         """Creates the client, not yet connected."""
-        self._address = address
-        self._timeout_s = timeout_s
-        self._conn: http.client.HTTPConnection | None = None
+        self._conn = _kept_connection.KeptConnection(address, timeout_s)
 
     def request(
         self, method: str, path: str, body: object = None, extra_s: float = 0.0
@@ -44,37 +40,15 @@
             http.client.HTTPException: the answer isn't HTTP.
             ValueError: the answer isn't JSON.
         """
-        conn = self._connect(self._timeout_s + extra_s)
         data = None if body is None else json.dumps(body).encode()
-        headers = {"Content-Type": "application/json"} if data else {}
+        headers = (("Content-Type", "application/json"),) if data else ()
+        status, raw = self._conn.exchange(method, path, data, headers, extra_s)
         try:
-            conn.request(method, path, body=data, headers=headers)
-            resp = conn.getresponse()
-            raw = resp.read()
-            answer = JsonAnswer(status=resp.status, body=json.loads(raw or b"null"))
-        except BaseException:
+            return JsonAnswer(status=status, body=json.loads(raw or b"null"))
+        except ValueError:
             self.close()
             raise
-        if resp.will_close:
-            self.close()
-        return answer
-
-    def _connect(self, timeout_s: float) -> http.client.HTTPConnection:
-        if self._conn is None:
-            host, port = _address.split(self._address)
-            conn = http.client.HTTPConnection(host, port, timeout=timeout_s)
-            # A reconnect on the library's own account could repeat a request.
-            conn.auto_open = 0
-            conn.connect()
-            self._conn = conn
-        self._conn.sock.settimeout(timeout_s)
-        return self._conn
 
     def close(self) -> None:
         """Closes the connection, if one is open."""
-        if self._conn is not None:
-            self._conn.close()
-            self._conn = None
-
-
-ERRORS = (OSError, http.client.HTTPException, ValueError)
+        self._conn.close()
--- /dev/null
+++ b/src/turmericward/adapters/_kept_connection.py
@@ -0,0 +1,76 @@
+"""One HTTP connection that is kept between requests."""
+
+import http.client
+
+from turmericward.adapters import _address
+
+ERRORS = (OSError, http.client.HTTPException, ValueError)
+
+
+class KeptConnection:
+    """Sends requests to one address; not for use by several threads.
+
+    A connection on which anything failed is closed, never used again.
+    """
+
+    def __init__(
+        self, address: str, timeout_s: float, connect_s: float | None = None
+    ) -> None:
+        """Creates the connection, not yet open.
+
+        Args:
+            address: `ip:port`.
+            timeout_s: how long an answer may take.
+            connect_s: how long a connection may take, None for as long as its
+                first answer.
+        """
+        self._address = address
+        self._timeout_s = timeout_s
+        self._connect_s = connect_s
+        self._conn: http.client.HTTPConnection | None = None
+
+    def exchange(
+        self, method: str, path: str, body=None, headers=(), extra_s: float = 0.0
+    ) -> tuple[int, bytes]:
+        """Sends one request; returns the status and the whole body.
+
+        Args:
+            method: HTTP method.
+            path: path with query.
+            body: bytes to send, or None.
+            headers: header fields as pairs.
+            extra_s: seconds by which the answer may come later than usual.
+
+        Raises:
+            OSError: the connection failed.
+            http.client.HTTPException: the answer isn't HTTP.
+        """
+        conn = self._open(self._timeout_s + extra_s)
+        try:
+            conn.request(method, path, body, dict(headers))
+            resp = conn.getresponse()
+            raw = resp.read()
+        except BaseException:
+            self.close()
+            raise
+        if resp.will_close:
+            self.close()
+        return resp.status, raw
+
+    def _open(self, timeout_s: float) -> http.client.HTTPConnection:
+        if self._conn is None:
+            host, port = _address.split(self._address)
+            wait_s = timeout_s if self._connect_s is None else self._connect_s
+            conn = http.client.HTTPConnection(host, port, timeout=wait_s)
+            # A reconnect on the library's own account could repeat a request.
+            conn.auto_open = 0
+            conn.connect()
+            self._conn = conn
+        self._conn.sock.settimeout(timeout_s)
+        return self._conn
+
+    def close(self) -> None:
+        """Closes the connection, if one is open."""
+        if self._conn is not None:
+            self._conn.close()
+            self._conn = None
--- a/src/turmericward/adapters/_request.py
+++ b/src/turmericward/adapters/_request.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import http.client
-import select
 import socket
 from collections.abc import Callable
 
@@ -14,7 +13,6 @@
 
 CONNECT_TIMEOUT_S = 1.0
 TCP_USER_TIMEOUT = getattr(socket, "TCP_USER_TIMEOUT", 18)
-CANCEL_POLL_S = 0.25
 MIN_TIMEOUT_S = 0.001
 REQUEST_ID = "X-Request-Id"
 
@@ -127,13 +125,6 @@
         raise errors.AnswerLostError(f"{address}: {exc!r}") from exc
 
 
-def _poll(sock: socket.socket, wait_s: float) -> bool:
-    # Unlike select, poll takes descriptors of any number.
-    poll = select.poll()
-    poll.register(sock, select.POLLIN)
-    return bool(poll.poll(wait_s * 1000))
-
-
 def await_answer(
     conn: http.client.HTTPConnection,
     address: str,
@@ -146,16 +137,10 @@
         AnswerLostError: none came by `until`, in seconds of `runtime.now`.
         CancelledError: the caller went away in the meantime.
     """
-    while True:
-        left_s = until - runtime.now()
-        if left_s <= 0:
-            raise errors.AnswerLostError(f"{address}: no answer in time")
-        wait_s = min(left_s, CANCEL_POLL_S)
-        readable = _poll(conn.sock, wait_s)
-        if readable:
-            return
-        if cancelled():
-            raise errors.CancelledError(f"{address}: caller went away")
+    try:
+        _response.Guard(until, cancelled).wait(conn.sock.fileno())
+    except TimeoutError as exc:
+        raise errors.AnswerLostError(f"{address}: no answer in time") from exc
 
 
 def read_whole(
--- a/src/turmericward/authority/_brief_lease.py
+++ b/src/turmericward/authority/_brief_lease.py
@@ -38,6 +38,11 @@
         self._read_at: float | None = None
         self._held: _contender.Authority | None = None
 
+    @property
+    def settle_s(self) -> float:
+        """Least time between the last order and the release of the lease."""
+        return self._timing.settle_s
+
     def read(self, now: float, end: int, record: _records.Record | None) -> None:
         """Notes how the log ends, as it was read at `now`."""
         if self._read_at is None or end != self._end:
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -42,6 +42,7 @@
         self._progress = _progress.Progress(route=call.route)
         self._record = _record.CallRecord(ctx.metrics, call, service)
         self._placement: requests.Placement | None = None
+        # Name of the target that was placed last.
         self._target = ""
         self._sent_at = 0.0
         # Names KV cache of the prompt that no target has taken yet.
@@ -114,9 +115,8 @@
             except (errors.NotExecutedError, errors.NotSentError) as exc:
                 self._not_taken(exc)
             except errors.AdapterError as exc:
-                name = self._placement_name()
                 self._end_failed(exc)
-                self._progress.prefill_failed(name)
+                self._progress.prefill_failed(self._target)
             else:
                 self._progress.prefills += 1
                 self._began()
@@ -183,21 +183,19 @@
 
     def _not_taken(self, exc: errors.AdapterError) -> None:
         """Notes a target that the call didn't reach, or that refused it."""
-        name = self._placement_name()
         if isinstance(exc, errors.NotExecutedError):
             self._record.attempt(self._placement, "refused", str(exc))
             self._end(requests.Ending.REFUSED)
-            self._progress.refused(name)
+            self._progress.refused(self._target)
         else:
             self._record.attempt(self._placement, "not_reached", str(exc))
             self._end(requests.Ending.UNREACHED)
-            self._progress.not_reached(name)
+            self._progress.not_reached(self._target)
 
     def _failed(self, exc: Exception) -> None:
         """Notes a target where the call may have run, without a good answer."""
-        name = self._placement_name()
         self._end_failed(exc)
-        self._progress.failed(name)
+        self._progress.failed(self._target)
 
     def _end_failed(self, exc: Exception) -> None:
         self._record.attempt(self._placement, "failed", repr(exc))
@@ -270,9 +268,6 @@
 
     # Bookkeeping.
 
-    def _placement_name(self) -> str:
-        return self._placement.target.name if self._placement else ""
-
     def _began(self) -> None:
         took_s = runtime.now() - self._sent_at
         self._record.began(self._placement, took_s)
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -61,7 +61,6 @@
         self._budgets: dict[str, requests.RetryBudget] = collections.defaultdict(
             self._new_budget
         )
-        self._fleet_size = UNKNOWN_FLEET_SIZE
         self._most_peers = 0
         self._told_at = 0.0
         self._longest_s: dict[str, float] = collections.defaultdict(float)
@@ -170,7 +169,8 @@
         )
 
     def _saved_retries(self) -> float:
-        return RETRY_MARGIN * self._retries.slack / self._fleet_size
+        fronts = self._most_peers + 1 if self._most_peers else UNKNOWN_FLEET_SIZE
+        return RETRY_MARGIN * self._retries.slack / fronts
 
     def _count_fleet(self) -> None:
         """Shares the slack among as many fronts as were ever heard at a time.
@@ -181,7 +181,6 @@
         if live <= self._most_peers:
             return
         self._most_peers = live
-        self._fleet_size = live + 1
         for budget in self._budgets.values():
             budget.set_most(self._saved_retries())
 
@@ -219,7 +218,7 @@
         if call.prompt is None:
             return _placed(self._placer.choose_replica(usable, now))
         if message.read:
-            return _placed(self._placer.choose_answerer(call.prompt, usable, now))
+            return _placed(self._placer.choose_answerer(usable, now))
         route = call.route
         longest_s = max(self._longest_s[route.name], call.deadline_s)
         self._longest_s[route.name] = longest_s
--- a/src/turmericward/delivery/_roles_loop.py
+++ b/src/turmericward/delivery/_roles_loop.py
@@ -82,7 +82,6 @@
         lease: authority.BriefLease,
         log: LeaseLog,
         orders: Orders,
-        settle_s: float,
     ) -> None:
         """Creates the loop.
 
@@ -91,14 +90,12 @@
             lease: the protocol of this process.
             log: where the lease is kept; used by this loop alone.
             orders: sends orders.
-            settle_s: time between the last order and the lease's release.
         """
         super().__init__()
         self._dispatch = dispatch
         self._lease = lease
         self._log = log
         self._orders = orders
-        self._settle_s = settle_s
         self._planners: dict[str, fleet.RolePlanner] = collections.defaultdict(
             fleet.RolePlanner
         )
@@ -192,7 +189,7 @@
         now = runtime.now()
         if self._lease.authority(now) is None:
             return
-        if now - self._ordered_at < self._settle_s:
+        if now - self._ordered_at < self._lease.settle_s:
             return
         claim = self._lease.release(now)
         if claim is not None:
--- a/src/turmericward/entry/_assembly.py
+++ b/src/turmericward/entry/_assembly.py
@@ -1,7 +1,6 @@
 """Puts an entry's tasks together and runs them."""
 
 import threading
-from concurrent import futures
 
 from absl import logging
 
@@ -53,14 +52,9 @@
     def run(self, stop: threading.Event) -> None:
         """Serves until `stop` is set and the drain that follows has ended."""
         self._group.start()
-        with futures.ThreadPoolExecutor(max_workers=1) as executor:
-            drained = executor.submit(self._drain, stop)
-            self._server.run()
-        drained.result()
+        self._server.run(stop, self._stopping)
         self._group.stop(STOP_TIMEOUT_S)
 
-    def _drain(self, stop: threading.Event) -> None:
-        stop.wait()
+    def _stopping(self) -> None:
         logging.info("entry %s drains", self._ctx.name)
         self._ctx.draining.set()
-        self._server.drain()
--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -2,6 +2,8 @@
 
 import threading
 import time
+from collections.abc import Callable
+from concurrent import futures
 
 import attrs
 import waitress.server
@@ -111,15 +113,25 @@
         """
         self._listen(app, address, PROBE_THREADS)
 
-    def run(self) -> None:
-        """Serves until the drain has ended; called by the main thread."""
-        self._server.run()
+    def run(self, stop: threading.Event, on_stop: Callable[[], None]) -> None:
+        """Serves until `stop` is set and the drain that follows has ended.
 
-    def drain(self) -> None:
-        """Lets the balancer notice, takes no more work, ends when all is done.
-
-        Called by a thread of its own, after readiness has been withdrawn.
+        Args:
+            stop: begins the drain.
+            on_stop: called first then; withdraws readiness.
         """
+        with futures.ThreadPoolExecutor(max_workers=1) as executor:
+            drained = executor.submit(self._drain_after, stop, on_stop)
+            self._server.run()
+        drained.result()
+
+    def _drain_after(self, stop: threading.Event, on_stop) -> None:
+        stop.wait()
+        on_stop()
+        self._drain()
+
+    def _drain(self) -> None:
+        """Lets the balancer notice, takes no more work, ends when all is done."""
         self._server.draining = True
         time.sleep(self._limits.balancer_lag_s)
         closed = threading.Event()
--- a/src/turmericward/peers/_circle.py
+++ b/src/turmericward/peers/_circle.py
@@ -9,16 +9,14 @@
 
 import attrs
 
+from turmericward import requests
+
 # Up to this many peers, each front tells every other one.
 MAX_DIRECT_PEERS = 11
 # A front that was neither announced nor heard for this long is forgotten.
 FORGOTTEN_S = 40.0
-# A relay that is silent for this long is taken to be gone.
-RELAY_LEASE_S = 1.5
 # How long a silent relay is passed over.
 SUSPECTED_S = 10.0
-# A front that told its state counts as a member for this long.
-MEMBER_LEASE_S = 1.5
 
 
 class Content(enum.Enum):
@@ -105,7 +103,7 @@
         return [
             f
             for f, p in self._peers.items()
-            if p.domain == self._domain and now - p.heard_at <= MEMBER_LEASE_S
+            if p.domain == self._domain and now - p.heard_at <= requests.PEER_LEASE_S
         ]
 
     def is_relay(self, now: float) -> bool:
@@ -142,6 +140,6 @@
             peer = self._peers[relay]
             if peer.expected_since is None:
                 peer.expected_since = now
-            if now - max(peer.heard_at, peer.expected_since) > RELAY_LEASE_S:
+            if now - max(peer.heard_at, peer.expected_since) > requests.PEER_LEASE_S:
                 peer.suspected_until = now + SUSPECTED_S
                 peer.expected_since = None
--- a/src/turmericward/peers/_tasks.py
+++ b/src/turmericward/peers/_tasks.py
@@ -18,8 +18,6 @@
 MAX_WAITING_NOTES = 200
 RECEIVE_TIMEOUT_S = 0.5
 BOOT_BITS = 62
-# A state that wasn't renewed for this long doesn't count in a sum.
-STATE_LEASE_S = 1.5
 
 
 @attrs.frozen(kw_only=True)
@@ -56,14 +54,6 @@
     return sock
 
 
-def _sum(states) -> dict[int, requests.TargetLoad]:
-    total: dict[int, requests.TargetLoad] = {}
-    for loads in states:
-        for target, load in loads.items():
-            total[target] = total[target] + load if target in total else load
-    return total
-
-
 class PeerTask(runtime.Task):
     """Tells peers the own state, and as a relay the sum of several fronts."""
 
@@ -193,7 +183,7 @@
             front=self._front,
             boot=self._boot,
             sequence=self._sequence,
-            loads=_sum([self._own.loads, *(state.loads for state in summed)]),
+            loads=requests.sum_loads([self._own.loads, *(s.loads for s in summed)]),
             kept=tuple(self._notes),
             held=self._held,
             domain=self._domain,
@@ -206,7 +196,7 @@
         return [
             state
             for front, (at, state) in self._heard.items()
-            if now - at <= STATE_LEASE_S
+            if now - at <= requests.PEER_LEASE_S
             and (
                 (front in members and state.fronts == 1)
                 or (content is _circle.Content.FLEET and state.domain != self._domain)
--- a/src/turmericward/platform/_ingress.py
+++ b/src/turmericward/platform/_ingress.py
@@ -11,7 +11,12 @@
 
 DEFAULT_DEADLINE_S = 10.0
 NOT_READY_RETRY_S = 1.0
-_DROPPED = _headers.SYSTEM_HEADERS | {"expect", "content-length"}
+# Not passed on as they came: set anew for each target, or of one connection.
+_DROPPED = _headers.SYSTEM_HEADERS | {
+    _headers.LAST_EVENT_ID.lower(),
+    "expect",
+    "content-length",
+}
 
 
 class BadRequestError(ValueError):
@@ -55,13 +60,19 @@
         return self._random.choices(route.destinations, weights)[0].service
 
 
-def _refusal(status: int, detail: str, retry_after_s: float = 0.0) -> delivery.Reply:
+def _refusal(
+    status: int, detail: str, retry_after_s: float | None = None
+) -> delivery.Reply:
     telemetry.log_event("refusal", status=status, detail=detail)
-    headers = [("Content-Type", "text/plain")]
-    if retry_after_s:
-        headers.append(("Retry-After", f"{retry_after_s:.2f}"))
+    failure = delivery.Failure(
+        status=status,
+        reason=detail,
+        may_have_run=False,
+        retry_after_s=retry_after_s,
+    )
+    headers = (("Content-Type", "text/plain"),)
     body = f"{detail}\n".encode()
-    return delivery.Reply(status=status, headers=tuple(headers), body=body)
+    return delivery.Reply(status=status, headers=headers, body=body, failure=failure)
 
 
 def _send(reply: delivery.Reply, start_response):
@@ -113,39 +124,33 @@
     ]
     if environ.get("CONTENT_TYPE"):
         pairs.append(("Content-Type", environ["CONTENT_TYPE"]))
-    return [
-        (name, value)
-        for name, value in service.end_to_end(pairs)
-        if name.lower() not in _DROPPED
-    ]
+    return pairs
 
 
 def _call(environ, target: str, route: delivery.Route) -> delivery.Call:
-    headers = _header_pairs(environ)
-    values = {name.lower(): value for name, value in headers}
+    pairs = _header_pairs(environ)
+    values = {name.lower(): value for name, value in pairs}
     received = environ.get(httpd.RECEIVED) or runtime.now()
-    deadline_s = _deadline_s(environ)
-    resume_after = values.get(_headers.LAST_EVENT_ID.lower(), "")
-    kept = [(n, v) for n, v in headers if n.lower() != _headers.LAST_EVENT_ID.lower()]
+    deadline_s = _deadline_s(values)
+    passed_on = service.end_to_end(pairs)
     return delivery.Call(
         id=values.get(_headers.CALL_ID.lower(), ""),
         method=environ["REQUEST_METHOD"],
         target=target,
-        headers=tuple(kept),
+        headers=tuple((n, v) for n, v in passed_on if n.lower() not in _DROPPED),
         body=environ["wsgi.input"].read(),
         route=route,
         received=received,
         deadline_s=deadline_s,
         until=received + min(deadline_s, route.timeout_s),
         prompt=_prompt(values),
-        resume_after=resume_after,
+        resume_after=values.get(_headers.LAST_EVENT_ID.lower(), ""),
         disconnected=environ.get("waitress.client_disconnected", lambda: False),
     )
 
 
-def _deadline_s(environ) -> float:
-    name = "HTTP_" + _headers.DEADLINE_MS.upper().replace("-", "_")
-    raw = environ.get(name, "")
+def _deadline_s(values: dict[str, str]) -> float:
+    raw = values.get(_headers.DEADLINE_MS.lower(), "")
     try:
         return float(raw) / 1000 if raw else DEFAULT_DEADLINE_S
     except ValueError:
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -2,10 +2,8 @@
 
 import os
 import signal
-import sys
 import threading
 import zlib
-from concurrent import futures
 
 import click
 from absl import logging
@@ -20,11 +18,13 @@
     _store,
     _transport,
 )
+from turmericward.programs import _common
 
-EXIT_SETTINGS = 2
 THREADS = 120
 BALANCER_LAG_S = 3.0
 STOP_TIMEOUT_S = 1.0
+# Announcements that expired with the store away are back within two seconds.
+MISSING_GRACE_S = 2.5
 LEASE_TERM_S = 6.0
 # Bound on the drift between two fronts' clocks, and on a step's delay.
 CLOCK_MARGIN_S = 1.0
@@ -51,7 +51,7 @@
             name=cfg.instance.name,
             domain=cfg.instance.domain,
             seed=seed,
-            grace_s=2.5,
+            grace_s=MISSING_GRACE_S,
             retries=delivery.RetryBounds(
                 share=cfg.bounds.retry_share, slack=cfg.bounds.retry_slack
             ),
@@ -79,8 +79,8 @@
                 _follow.TargetsSink(self._dispatch),
                 _follow.TARGETS_BATCH_S,
             ),
+            self._roles(),
         ]
-        loops.append(self._roles())
         self._group = runtime.Group([tell, self._dispatch, *loops], "front")
         metrics = telemetry.Metrics(None, "")
         ctx = delivery.Context(
@@ -106,7 +106,7 @@
             term_s=LEASE_TERM_S,
             renew_s=LEASE_TERM_S,
             margin_s=gap_s + CLOCK_MARGIN_S,
-            settle_s=gap_s,
+            settle_s=gap_s + CLOCK_MARGIN_S,
         )
         holder = f"{self._cfg.instance.name}/{runtime.new_id()}"
         return delivery.RolesLoop(
@@ -114,7 +114,6 @@
             authority.BriefLease(holder, timing, runtime.new_id),
             _orders.StoreLease(self._store()),
             _orders.ReplicaOrders(holder),
-            settle_s=gap_s + CLOCK_MARGIN_S,
         )
 
     def _follow(
@@ -130,35 +129,21 @@
     def run(self, stop: threading.Event) -> None:
         """Serves until `stop` is set and the drain that follows has ended."""
         self._group.start()
-        with futures.ThreadPoolExecutor(max_workers=1) as executor:
-            drained = executor.submit(self._drain, stop)
-            self._server.run()
-        drained.result()
+        self._server.run(stop, self._stopping)
         self._group.stop(STOP_TIMEOUT_S)
 
-    def _drain(self, stop: threading.Event) -> None:
-        stop.wait()
+    def _stopping(self) -> None:
         logging.info("front drains")
         self._draining.set()
-        self._server.drain()
-
-
-def _load() -> _settings.Settings:
-    try:
-        return _settings.load(os.environ.get(_settings.PATH_VARIABLE, ""))
-    except _settings.PlatformSettingsError as exc:
-        click.echo("; ".join(exc.args), err=True)
-        sys.exit(EXIT_SETTINGS)
 
 
 @click.command()
 def main() -> None:
     """Serves clients' calls until SIGTERM, then ends without cutting any."""
-    cfg = _load()
+    path = os.environ.get(_settings.PATH_VARIABLE, "")
+    cfg = _common.load_settings(path, _settings.Settings)
     telemetry.configure_logs("turmericward-front", cfg.instance.name, "info")
-    stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
+    stop = _common.stop_event()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     logging.info("front starts in %s", cfg.instance.domain)
     Front(cfg).run(stop)
--- a/src/turmericward/platform/_settings.py
+++ b/src/turmericward/platform/_settings.py
@@ -1,8 +1,5 @@
 """Settings of a front, as `deploy/settings.json` lays them out."""
 
-import json
-import pathlib
-
 import attrs
 
 from turmericward import schema
@@ -10,10 +7,6 @@
 PATH_VARIABLE = "TURMERICWARD_NODE_FILE"
 
 
-class PlatformSettingsError(Exception):
-    """Raised when the settings file can't be used; one argument for each fault."""
-
-
 @attrs.frozen(kw_only=True)
 class InstanceSettings:
     """The machine that the process runs on."""
@@ -75,19 +68,3 @@
     store: StoreSettings
     limits: LimitSettings
     bounds: BoundSettings
-
-
-def load(path: str) -> Settings:
-    """Reads and checks the settings file.
-
-    Raises:
-        PlatformSettingsError: it can't be read or breaks the schema.
-    """
-    try:
-        raw = json.loads(pathlib.Path(path).read_text(encoding="utf-8"))
-    except (OSError, ValueError) as exc:
-        raise PlatformSettingsError(f"settings: can't be read: {exc}") from exc
-    try:
-        return schema.structure(raw, Settings, "settings")
-    except schema.SchemaError as exc:
-        raise PlatformSettingsError(*exc.args) from exc
--- a/src/turmericward/platform/_store.py
+++ b/src/turmericward/platform/_store.py
@@ -1,18 +1,18 @@
 """Client of the platform's store: records of keyed topics."""
 
 import base64
-import http.client
 import json
 import struct
 import urllib.parse
 
 import attrs
 
-from turmericward.adapters import _address, errors
+from turmericward.adapters import _kept_connection, errors
 
 _HEAD = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
-_ERRORS = (OSError, http.client.HTTPException, ValueError, KeyError, struct.error)
+# What an answer of another form raises when it is taken apart.
+_MALFORMED = (ValueError, KeyError, struct.error)
 
 
 @attrs.frozen(kw_only=True)
@@ -40,16 +40,13 @@
 
 
 class StoreClient:
-    """Reads keyed topics over one connection; for use by one thread.
-
-    A connection on which anything failed is closed, never used again.
-    """
+    """Reads and appends to keyed topics; for use by one thread."""
 
     def __init__(self, address: str, timeout_s: float) -> None:
         """Creates the client, not yet connected."""
-        self._address = address
-        self._timeout_s = timeout_s
-        self._conn: http.client.HTTPConnection | None = None
+        self._conn = _kept_connection.KeptConnection(
+            address, timeout_s, connect_s=timeout_s
+        )
 
     def newest(self, topic: str) -> Listing:
         """Returns the newest record of each key.
@@ -70,7 +67,7 @@
                 if not page["more"] or not page["items"]:
                     return Listing(records=tuple(records), end=end)
                 query["after"] = page["items"][-1]["key"]
-            except _ERRORS as exc:
+            except _MALFORMED as exc:
                 raise errors.LogUnavailableError(f"listing: {exc!r}") from exc
 
     def _listed(self, row: dict) -> KeyedRecord:
@@ -97,13 +94,13 @@
             raise errors.LogUnavailableError(f"read answered {status}")
         try:
             return self._records(raw, start)
-        except _ERRORS as exc:
+        except _MALFORMED as exc:
             raise errors.LogUnavailableError(f"read: {exc!r}") from exc
 
     def _first(self, raw: bytes) -> int:
         try:
             return json.loads(raw)["first"]
-        except _ERRORS as exc:
+        except _MALFORMED as exc:
             raise errors.LogUnavailableError(f"read: {exc!r}") from exc
 
     def _records(self, raw: bytes, start: int) -> list[KeyedRecord]:
@@ -162,31 +159,15 @@
     def _send(
         self, method: str, path: str, query: dict, wait_s: float, body: bytes | None
     ) -> tuple[int, bytes]:
+        url = f"{path}?{urllib.parse.urlencode(query)}"
         try:
-            conn = self._connect(wait_s + self._timeout_s)
-            conn.request(method, f"{path}?{urllib.parse.urlencode(query)}", body)
-            resp = conn.getresponse()
-            raw = resp.read()
-        except _ERRORS as exc:
-            self.close()
+            status, raw = self._conn.exchange(method, url, body, extra_s=wait_s)
+        except _kept_connection.ERRORS as exc:
             raise errors.LogUnavailableError(f"store: {exc!r}") from exc
-        if resp.will_close or resp.status >= 500:
+        if status >= 500:
             self.close()
-        return resp.status, raw
-
-    def _connect(self, timeout_s: float) -> http.client.HTTPConnection:
-        if self._conn is None:
-            host, port = _address.split(self._address)
-            conn = http.client.HTTPConnection(host, port, timeout=self._timeout_s)
-            # A reconnect on the library's own account would hide a loss.
-            conn.auto_open = 0
-            conn.connect()
-            self._conn = conn
-        self._conn.sock.settimeout(timeout_s)
-        return self._conn
+        return status, raw
 
     def close(self) -> None:
         """Closes the connection, if one is open."""
-        if self._conn is not None:
-            self._conn.close()
-            self._conn = None
+        self._conn.close()
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -82,8 +82,6 @@
 
     def release(self, source: str) -> None:
         """Frees KV cache; see `delivery.Transport`."""
-        if not source:
-            return
         address, _, handle = source.partition("/")
         req = _request.Request(method="DELETE", path=KV_PATH + handle)
         try:
--- a/src/turmericward/requests/__init__.py
+++ b/src/turmericward/requests/__init__.py
@@ -3,7 +3,7 @@
 from turmericward.requests._budget import RetryBudget
 from turmericward.requests._demand import Demand, demand_of, with_model
 from turmericward.requests._errors import InvalidRequestError, RequestsError
-from turmericward.requests._loads import TargetLoad
+from turmericward.requests._loads import PEER_LEASE_S, TargetLoad, sum_loads
 from turmericward.requests._placement import (
     SHORT_PROMPT_TOKENS,
     Ending,
@@ -24,6 +24,7 @@
 
 __all__ = [
     "MIN_RETRY_S",
+    "PEER_LEASE_S",
     "SHORT_PROMPT_TOKENS",
     "Assignment",
     "Bounds",
@@ -42,6 +43,7 @@
     "Router",
     "TargetLoad",
     "demand_of",
+    "sum_loads",
     "target_hash",
     "with_model",
 ]
--- a/src/turmericward/requests/_loads.py
+++ b/src/turmericward/requests/_loads.py
@@ -1,5 +1,7 @@
 """Work at targets: own, and what the other fronts tell of theirs."""
 
+from collections.abc import Iterable, Mapping
+
 import attrs
 
 # A front that hasn't been heard for this long is taken to have no work.
@@ -42,36 +44,51 @@
 NO_LOAD = TargetLoad()
 
 
+def sum_loads(states: Iterable[Mapping[int, TargetLoad]]) -> dict[int, TargetLoad]:
+    """Returns the work of several fronts by target."""
+    total: dict[int, TargetLoad] = {}
+    for loads in states:
+        for target, load in loads.items():
+            total[target] = total[target] + load if target in total else load
+    return total
+
+
+@attrs.frozen(kw_only=True)
+class _Told:
+    """What a peer told at `at`, of itself or of several fronts."""
+
+    at: float
+    loads: Mapping[int, TargetLoad]
+    fronts: int
+
+
 class PeerLoads:
     """Latest loads told by each peer; times are monotonic seconds."""
 
     def __init__(self) -> None:
         """Creates the state without peers."""
-        self._peers: dict[str, tuple[float, dict[int, TargetLoad]]] = {}
-        self._fronts: dict[str, int] = {}
+        self._peers: dict[str, _Told] = {}
         self._sums: dict[int, TargetLoad] | None = None
 
     def take(
         self, peer: str, loads: dict[int, TargetLoad], now: float, fronts: int = 1
     ) -> None:
         """Replaces what one peer told, of itself or of several fronts."""
-        self._peers[peer] = (now, loads)
-        self._fronts[peer] = fronts
+        self._peers[peer] = _Told(at=now, loads=loads, fronts=fronts)
         self._sums = None
 
     def expire(self, now: float) -> list[str]:
         """Forgets silent peers; returns their names."""
-        gone = [p for p, (at, _) in self._peers.items() if at + PEER_LEASE_S < now]
+        gone = [p for p, t in self._peers.items() if t.at + PEER_LEASE_S < now]
         for peer in gone:
             del self._peers[peer]
-            del self._fronts[peer]
             self._sums = None
         return gone
 
     def live(self) -> int:
         """Returns the number of other fronts whose load is known."""
         # A relay's sum counts this front too.
-        return sum(n - (n > 1) for n in self._fronts.values())
+        return sum(told.fronts - (told.fronts > 1) for told in self._peers.values())
 
     def names(self) -> list[str]:
         """Returns the peers that are heard."""
@@ -80,8 +97,5 @@
     def at(self, target: int) -> TargetLoad:
         """Returns the work of all peers at a target."""
         if self._sums is None:
-            self._sums = {}
-            for _, loads in self._peers.values():
-                for key, load in loads.items():
-                    self._sums[key] = self._sums.get(key, NO_LOAD) + load
+            self._sums = sum_loads(told.loads for told in self._peers.values())
         return self._sums.get(target, NO_LOAD)
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -39,6 +39,9 @@
 COPY_COST_S = 0.9
 # What a long prompt's reading at a decode engine costs the calls beside it.
 HARM_SECONDS_PER_TOKEN = 1 / 3_000
+# Open calls at which that cost counts in full, and how far it grows with more.
+HARM_OPEN_CALLS = 12
+MAX_HARM_FACTOR = 2.0
 
 
 class Ending(enum.Enum):
@@ -278,7 +281,9 @@
     def _candidate(self, prompt, target, source, deferred: bool) -> Placement:
         kept = self._tokens_kept(target, prompt, ready=False)
         fetch_from = ""
-        extra_s = harm_s = 0.0
+        load = self.load(target.name)
+        extra_s = load.open_calls * SECONDS_PER_OPEN_CALL
+        harm_s = 0.0
         if source is not None and source is not target:
             there = self._tokens_kept(source, prompt, ready=True)
             if there > kept:
@@ -289,10 +294,8 @@
         if target.role is fleet.EngineRole.PREFILL:
             extra_s += HANDOVER_S
         elif prompt.tokens >= SHORT_PROMPT_TOKENS:
-            pressure = min(2.0, self.load(target.name).open_calls / 12)
-            harm_s += (prompt.tokens - kept) * HARM_SECONDS_PER_TOKEN * pressure
-        load = self.load(target.name)
-        extra_s += load.open_calls * SECONDS_PER_OPEN_CALL
+            factor = min(MAX_HARM_FACTOR, load.open_calls / HARM_OPEN_CALLS)
+            harm_s += (prompt.tokens - kept) * HARM_SECONDS_PER_TOKEN * factor
         work = _speed.effective_tokens(max(1.0, prompt.tokens - kept), kept)
         ahead = load.tokens_ahead(deferred=deferred)
         expected_s = extra_s + self._speed.expected_s(target, ahead + work)
@@ -308,18 +311,15 @@
             prefill_only=target.role is fleet.EngineRole.PREFILL,
         )
 
-    def choose_answerer(
-        self, prompt: _prompts.Prompt, targets, now: float
-    ) -> Placement | None:
+    def choose_answerer(self, targets, now: float) -> Placement | None:
         """Chooses where a prompt that was read elsewhere is answered."""
         able = [t for t in targets if t.role is not fleet.EngineRole.PREFILL]
         usable = self._healthy(able, now)
         if not usable:
             return None
-        candidates = [self._answering(prompt, t) for t in usable]
-        return self._assign(min(candidates, key=self._order))
+        return self._assign(min(map(self._answering, usable), key=self._order))
 
-    def _answering(self, prompt: _prompts.Prompt, target: fleet.Target) -> Placement:
+    def _answering(self, target: fleet.Target) -> Placement:
         load = self.load(target.name)
         expected_s = load.open_calls * SECONDS_PER_OPEN_CALL
         expected_s += load.urgent_tokens * self._speed.per_token(target)
--- a/src/turmericward/settings/_load.py
+++ b/src/turmericward/settings/_load.py
@@ -10,11 +10,12 @@
 from turmericward.settings import _errors, _schema
 
 
-def loads(text: str) -> _schema.Settings:
+def loads(text: str, cls: type = _schema.Settings):
     """Parses settings from JSON text.
 
     Args:
-        text: one JSON object after the schema of `Settings`.
+        text: one JSON object.
+        cls: the attrs class that it is structured into.
 
     Raises:
         SettingsError: the text isn't JSON or breaks the schema; one argument
@@ -27,13 +28,13 @@
     except json.JSONDecodeError as exc:
         raise _errors.SettingsError(f"settings: is not JSON: {exc}") from exc
     try:
-        return schema.structure(raw, _schema.Settings, "settings")
+        return schema.structure(raw, cls, "settings")
     except schema.SchemaError as exc:
         raise _errors.SettingsError(*exc.args) from exc
 
 
-def load(path: str) -> _schema.Settings:
-    """Reads the settings file at `path`.
+def load(path: str, cls: type = _schema.Settings):
+    """Reads the settings file at `path`, of the schema `cls`.
 
     Raises:
         SettingsError: the file can't be read, or as for `loads`.
@@ -44,7 +45,7 @@
         text = pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as exc:
         raise _errors.SettingsError(f"settings: can't be read: {exc}") from exc
-    return loads(text)
+    return loads(text, cls)
 
 
 def _nested(kind) -> type | None:
--- a/src/turmericward/telemetry/_logs.py
+++ b/src/turmericward/telemetry/_logs.py
@@ -123,23 +123,17 @@
         root.removeHandler(old)
     root.addHandler(handler)
     handlers.QueueListener(lines, writer).start()
-    atexit.register(flush_logs, lines)
+    atexit.register(flush_logs)
 
 
-def flush_logs(lines: queue.Queue | None = None) -> None:
+def flush_logs() -> None:
     """Waits until queued lines are written, for `FLUSH_S` at most."""
-    if lines is None:
-        lines = next(
-            (
-                handler.queue
-                for handler in std_logging.getLogger().handlers
-                if isinstance(handler, BoundedQueueHandler)
-            ),
-            None,
-        )
     until = time.monotonic() + FLUSH_S
-    while lines is not None and not lines.empty() and time.monotonic() < until:
-        time.sleep(FLUSH_POLL_S)
+    for handler in std_logging.getLogger().handlers:
+        if not isinstance(handler, BoundedQueueHandler):
+            continue
+        while not handler.queue.empty() and time.monotonic() < until:
+            time.sleep(FLUSH_POLL_S)
 
 
 def log_request(fields: object) -> None:
