Give each failure domain an engine that answers

The planner only spared answering engines; it never restored one. Ruled out: reach of other engines (attempts end after 0.3 s without a connection and the engines are ejected, as they should be). Change: when a domain's engines all only read, one is changed to answering, if the fleet has a surplus of readers or an engine elsewhere can take the reader's place; the planner then restores the composition from such a domain. Test: fails before (no change is planned).

--- a/src/turmericward/fleet/_roles.py
+++ b/src/turmericward/fleet/_roles.py
@@ -1,7 +1,8 @@
 """Decides when an engine should change its role.
 
-Load pattern that it answers: engines that are replaced or added come back
-answering only, so that after a while nobody reads long prompts apart.
+Load patterns that it answers: engines that are replaced or added come back
+answering only, so that after a while nobody reads long prompts apart; a failure
+domain that is cut off with engines that only read, and so refuses everything.
 """
 
 import collections
@@ -77,9 +78,12 @@
         if now - self._since < patience_s:
             return None
         if prefill < wanted:
-            return self._change(targets, _targets.EngineRole.PREFILL, open_calls)
+            return self._to_prefill(targets, open_calls)
+        unanswered = _where_none_answers(targets)
         if prefill > wanted + SURPLUS or prefill == count:
-            return self._change(targets, _targets.EngineRole.DECODE, open_calls)
+            return self._to_decode(unanswered or targets, open_calls)
+        if prefill > wanted or _spared(targets):
+            return self._to_decode(unanswered, open_calls)
         return None
 
     def _forget_orders(self, now: float) -> None:
@@ -87,18 +91,37 @@
             if now - at > UNKNOWN_ORDER_S:
                 del self._ordered[name]
 
-    def _change(self, targets, role, open_calls) -> RoleChange | None:
-        others = [t for t in targets if t.role is not role]
-        if not others:
-            return None
-        others = self._spared(others) or others
-        idlest = min(others, key=lambda t: (open_calls.get(t.name, 0), t.name))
-        return RoleChange(target=idlest, role=role)
+    def _to_prefill(self, targets, open_calls) -> RoleChange | None:
+        able = _spared(targets) or [t for t in targets if _answers(t)]
+        return _idlest(able, _targets.EngineRole.PREFILL, open_calls)
+
+    def _to_decode(self, targets, open_calls) -> RoleChange | None:
+        able = [t for t in targets if not _answers(t)]
+        return _idlest(able, _targets.EngineRole.DECODE, open_calls)
+
+
+def _answers(target: _targets.Target) -> bool:
+    return target.role is not _targets.EngineRole.PREFILL
+
 
-    def _spared(self, others) -> list[_targets.Target]:
-        """Returns engines whose domain keeps another one of their role.
+def _spared(targets) -> list[_targets.Target]:
+    """Returns answering engines whose domain keeps another one that answers.
 
-        A domain that is cut off later should still be able to answer.
-        """
-        counts = collections.Counter(t.domain for t in others)
-        return [t for t in others if counts[t.domain] > 1]
+    A domain that is cut off later should still be able to answer.
+    """
+    answering = [t for t in targets if _answers(t)]
+    counts = collections.Counter(t.domain for t in answering)
+    return [t for t in answering if counts[t.domain] > 1]
+
+
+def _where_none_answers(targets) -> list[_targets.Target]:
+    """Returns the engines of domains that have none that answers."""
+    answering = {t.domain for t in targets if _answers(t)}
+    return [t for t in targets if t.domain not in answering]
+
+
+def _idlest(engines, role, open_calls) -> RoleChange | None:
+    if not engines:
+        return None
+    idlest = min(engines, key=lambda t: (open_calls.get(t.name, 0), t.name))
+    return RoleChange(target=idlest, role=role)
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -97,6 +97,41 @@
     check.assertNotEqual(_due(planner, done, at + 1.0, at + 14.0)[0], None)
 
 
+def _in_domains(*rows: tuple[str, fleet.EngineRole]) -> list[fleet.Target]:
+    blank = prompt_model.targets(0, len(rows))
+    pairs = zip(blank, rows, strict=True)
+    return [attrs.evolve(t, domain=domain, role=role) for t, (domain, role) in pairs]
+
+
+def _carried_out(planner, targets, since: float, until: float):
+    """Carries out each change that is due; returns the engines and the changes."""
+    changes = []
+    while since < until:
+        change, since = _due(planner, targets, since, until)
+        if change is not None:
+            changes.append(change)
+            targets = _replaced(targets, change.target.name, change.role)
+    return targets, changes
+
+
+def test_a_domain_left_with_engines_that_only_read_gets_one_that_answers():
+    whole = _in_domains(
+        ("a", PREFILL), ("a", PREFILL), ("a", DECODE), ("b", DECODE), ("b", DECODE)
+    )
+    planner = _settled(whole)
+    left = [t for t in whole if t.name != "e2"]
+    targets, changes = _carried_out(planner, left, 10.0, 120.0)
+    check.assertEqual(len(changes), 2)
+    for domain in "ab":
+        roles = {t.role for t in targets if t.domain == domain}
+        check.assertEqual(roles, {PREFILL, DECODE}, domain)
+
+
+def test_a_domain_stays_with_a_reader_alone_if_none_elsewhere_takes_its_place():
+    targets = _in_domains(("a", PREFILL), ("b", DECODE), ("c", DECODE))
+    check.assertEqual(_due(_settled(targets), targets, 6.0, 60.0)[0], None)
+
+
 def test_fewer_engines_need_fewer_that_read():
     targets = prompt_model.targets(3, 3)
     planner = _settled(targets)
