Forget what a target kept when it goes at once; size memories by the manifest

Cause, found on reading: a target dropped outside the grace period wasn't forgotten by the placer, so that one returning under its name was believed to keep what it had lost; an announcement of an earlier life that the directory ignores made the placer forget the living target; a memory first noted by a peer stayed at the default capacity. Change: the directory says what it dropped and whether it took an announcement; the placer learns each target's service and resizes its memory. Tests: three, each failing before.

--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -91,12 +91,20 @@
         for target in message.targets:
             self._put(target)
         for name in message.gone:
-            self._directory.remove(name, now)
+            if self._directory.remove(name, now):
+                self._gone(name)
+
+    def _gone(self, name: str) -> None:
+        logging.info("target %s is gone", name)
+        self._placer.forget(name)
 
     def _put(self, target: fleet.Target) -> None:
         known = self._directory.get(target.name)
+        if not self._directory.put(target):
+            return
         if known is not None and known.started_ms != target.started_ms:
             self._placer.forget(target.name)
+        self._placer.announced(target)
         if known is not None and known.role is not target.role:
             self._held.pop(requests.target_hash(target.name), None)
         if known is None or attrs.evolve(known, slots=target.slots) != target:
@@ -108,14 +116,14 @@
                 target.role,
                 target.leaving,
             )
-        self._directory.put(target)
 
     @handle.register
     def _(self, message: _messages.ReplaceTargets) -> None:
         for target in message.targets:
             self._put(target)
         names = {t.name for t in message.targets} | message.kept
-        self._directory.keep_only(names, runtime.now())
+        for name in self._directory.keep_only(names, runtime.now()):
+            self._gone(name)
 
     @handle.register
     def _(self, message: _messages.SourceReturned) -> None:
@@ -125,8 +133,7 @@
         """Drops targets whose grace has ended, and peers that are silent."""
         now = runtime.now()
         for name in self._directory.expire(now):
-            logging.info("target %s is gone", name)
-            self._placer.forget(name)
+            self._gone(name)
         for peer in self._placer.peers.expire(now):
             logging.info("peer %s is silent", peer)
         self._count_fleet()
--- a/src/turmericward/fleet/_targets.py
+++ b/src/turmericward/fleet/_targets.py
@@ -65,19 +65,23 @@
         self._missing.pop(target.name, None)
         return True
 
-    def remove(self, name: str, now: float) -> None:
-        """Takes a target out, within the grace period only at its end."""
+    def remove(self, name: str, now: float) -> bool:
+        """Takes a target out, within the grace period only at its end.
+
+        Tells whether it is out now.
+        """
         if name not in self._targets:
-            return
-        if now >= self._grace_until or self._targets[name].leaving:
-            self._drop(name)
-        else:
+            return False
+        if now < self._grace_until and not self._targets[name].leaving:
             self._missing.setdefault(name, self._grace_until)
+            return False
+        self._drop(name)
+        return True
 
-    def keep_only(self, names: Collection[str], now: float) -> None:
-        """Takes out every target that a whole list doesn't name."""
-        for name in [n for n in self._targets if n not in names]:
-            self.remove(name, now)
+    def keep_only(self, names: Collection[str], now: float) -> list[str]:
+        """Takes out what a whole list doesn't name; returns the names of those out."""
+        unnamed = [name for name in self._targets if name not in names]
+        return [name for name in unnamed if self.remove(name, now)]
 
     def expire(self, now: float) -> list[str]:
         """Drops the missing targets whose grace has ended; returns their names."""
--- a/src/turmericward/requests/_kept.py
+++ b/src/turmericward/requests/_kept.py
@@ -28,6 +28,14 @@
         self._put(key, shared, ready or (known is not None and known[1]))
         if ready:
             self._put(object(), own, True)
+        self._evict()
+
+    def resize(self, capacity_tokens: float) -> None:
+        """Sets how many tokens the engine can keep."""
+        self._limit = KEPT_SHARE * capacity_tokens
+        self._evict()
+
+    def _evict(self) -> None:
         while self._used > self._limit and self._entries:
             _, (tokens, _) = self._entries.popitem(last=False)
             self._used -= tokens
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -134,6 +134,7 @@
         self._domain = domain
         self._own: dict[str, _Own] = collections.defaultdict(_Own)
         self._kept: dict[int, _kept.KeptPrompts] = {}
+        self._services: dict[int, str] = {}
         self._capacity_tokens: dict[str, float] = {}
         self._latency = _speed.Latency()
         self._speed = _speed.ReadingSpeed()
@@ -150,12 +151,29 @@
     def set_capacity(self, service: str, tokens: float) -> None:
         """Sets how many tokens an engine of the service can keep."""
         self._capacity_tokens[service] = tokens
+        for target, its_service in self._services.items():
+            if its_service == service and target in self._kept:
+                self._kept[target].resize(tokens)
+
+    def announced(self, target: fleet.Target) -> None:
+        """Notes which service a target belongs to, and so how much it can keep."""
+        number = target_hash(target.name)
+        self._services[number] = target.service
+        if number in self._kept:
+            self._kept[number].resize(self._capacity(number))
+
+    def _capacity(self, target: int) -> float:
+        service = self._services.get(target, "")
+        return self._capacity_tokens.get(service, _kept.DEFAULT_CAPACITY_TOKENS)
 
     def forget(self, name: str) -> None:
         """Drops what was learnt of a target that is gone or began anew."""
         self._latency.forget(name)
         self._speed.forget(name)
         self._kept.pop(target_hash(name), None)
+        self._services.pop(target_hash(name), None)
+        if name in self._own and not self._own[name].open:
+            del self._own[name]
         self.health.succeeded(name)
         self._refusals.succeeded(name)
 
@@ -172,15 +190,13 @@
 
     def note_kept(self, note: KeptNote) -> None:
         """Takes what another front tells of a prompt."""
-        self._memory(note.target, _kept.DEFAULT_CAPACITY_TOKENS).note(
+        if note.target not in self._kept:
+            capacity_tokens = self._capacity(note.target)
+            self._kept[note.target] = _kept.KeptPrompts(capacity_tokens)
+        self._kept[note.target].note(
             note.prompt, note.shared_tokens, note.own_tokens, ready=note.ready
         )
 
-    def _memory(self, target: int, capacity_tokens: float) -> _kept.KeptPrompts:
-        if target not in self._kept:
-            self._kept[target] = _kept.KeptPrompts(capacity_tokens)
-        return self._kept[target]
-
     def _note(self, target: fleet.Target, prompt, *, ready: bool) -> None:
         note = KeptNote(
             target=target_hash(target.name),
@@ -189,10 +205,6 @@
             own_tokens=prompt.tokens - prompt.shared_tokens,
             ready=ready,
         )
-        capacity = self._capacity_tokens.get(
-            target.service, _kept.DEFAULT_CAPACITY_TOKENS
-        )
-        self._memory(note.target, capacity)
         self.note_kept(note)
         self._notes.append(note)
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -124,6 +124,42 @@
     check.assertEqual(_place(task).unwrap().target.name, "a")
 
 
+def _work_left(task) -> float:
+    """Reads the prompt's shared part again; returns the tokens that were missing."""
+    placement = _place(task).unwrap()
+    took_s = 0.3
+    task.handle(delivery.Began(placement=placement, prompt=PROMPT, took_s=took_s))
+    ended = delivery.Ended(
+        placement=placement, prompt=PROMPT, ending=requests.Ending.SOUND
+    )
+    task.handle(ended)
+    return placement.work_tokens
+
+
+def test_a_target_that_went_and_returns_is_taken_to_keep_nothing():
+    for gone in (
+        delivery.PutTargets(gone=("a",)),
+        delivery.ReplaceTargets(targets=()),
+    ):
+        task = _task()
+        task.handle(delivery.PutTargets(targets=(_target("a"),)))
+        first = _work_left(task)
+        check.assertLess(_work_left(task), first)
+        task.handle(gone)
+        task.handle(delivery.PutTargets(targets=(_target("a"),)))
+        check.assertEqual(_work_left(task), first)
+
+
+def test_an_announcement_of_an_earlier_life_changes_no_belief():
+    task = _task()
+    alive = attrs.evolve(_target("a"), started_ms=2_000)
+    task.handle(delivery.PutTargets(targets=(alive,)))
+    first = _work_left(task)
+    stale = attrs.evolve(alive, started_ms=1_000)
+    task.handle(delivery.PutTargets(targets=(stale,)))
+    check.assertLess(_work_left(task), first)
+
+
 def test_versions_only_go_up():
     task = _task()
     tables = {n: delivery.RoutingTable(n, [ROUTE]) for n in (3, 5)}
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -188,6 +188,27 @@
     check.assertEqual(again.work_tokens, first.work_tokens)
 
 
+def test_an_engine_keeps_no_more_than_its_memory_whoever_told_of_it_first():
+    (engine,) = prompt_model.targets(0, 1)
+    notes = [
+        requests.KeptNote(
+            target=requests.target_hash(engine.name),
+            prompt=_long(subject).shared_hash,
+            shared_tokens=13_000,
+            own_tokens=4_000,
+            ready=True,
+        )
+        for subject in ("first", "second", "third")
+    ]
+    placer = requests.Placer(1, "a")
+    for note in notes:
+        placer.note_kept(note)
+    placer.set_capacity("model", 40_000)
+    placer.announced(engine)
+    first = placer.choose_engine(_long("first"), [engine], ALL, 0.0).unwrap()
+    check.assertGreater(first.work_tokens, 17_000)
+
+
 def test_an_idle_engine_that_refuses_is_avoided_for_a_while():
     placer = _placer()
     targets = prompt_model.targets(0, 3)
