Take the manifest's limits on clients and changed settings while running

Cause: the manifest's limits were decoded by nobody (bodies bound to 16 MiB, idle connections for an hour, 4,000 connections where 3,900 descriptors may be used), and SIGHUP and changed settings files were ignored. Change: httpd takes header, body, header-time and idle limits while it runs. A connection is closed after two looks in a row at which it was silent too long, on the steady clock: a jump of the date closes none, nor does a pause of the process with bytes still unread. Connections are bound by the settings' descriptors. A loop reads the settings at SIGHUP and every 5 s: the store's address and the retry bounds are taken, the rest is told to need a restart, a spoiled file changes nothing. Tests: test_httpd, test_reload (one on the real program), test_platform_records.

--- a/src/turmericward/adapters/_kept_connection.py
+++ b/src/turmericward/adapters/_kept_connection.py
@@ -29,6 +29,11 @@
         self._connect_s = connect_s
         self._conn: http.client.HTTPConnection | None = None
 
+    def move(self, address: str, timeout_s: float) -> None:
+        """Sets where the next connection goes; called by any thread."""
+        self._address = address
+        self._timeout_s = timeout_s
+
     def exchange(
         self, method: str, path: str, body=None, headers=(), extra_s: float = 0.0
     ) -> tuple[int, bytes]:
--- a/src/turmericward/delivery/__init__.py
+++ b/src/turmericward/delivery/__init__.py
@@ -12,7 +12,7 @@
 )
 from turmericward.delivery._context import Context, Dispatcher, Transport
 from turmericward.delivery._delivery import Delivery
-from turmericward.delivery._dispatch_task import DispatchTask, RetryBounds
+from turmericward.delivery._dispatch_task import DispatchTask
 from turmericward.delivery._errors import (
     DeliveryError,
     NoRouteError,
@@ -26,6 +26,7 @@
     Place,
     PutTargets,
     ReplaceTargets,
+    RetryBounds,
     SetTable,
     SourceReturned,
 )
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -20,17 +20,6 @@
 RETRY_MARGIN = 0.7
 
 
-@attrs.frozen(kw_only=True)
-class RetryBounds:
-    """What all fronts together may send beyond the first arrival of each call.
-
-    In any window: `share` of the calls, and `slack` calls more.
-    """
-
-    share: float
-    slack: float
-
-
 class DispatchTask(runtime.Task):
     """Chooses targets; `table` may be read by any thread."""
 
@@ -41,8 +30,9 @@
         domain: str,
         seed: int,
         grace_s: float,
-        retries: RetryBounds,
+        retries: _messages.RetryBounds,
         tell,
+        configured=lambda table: None,
     ) -> None:
         """Creates the task without configuration and targets.
 
@@ -53,6 +43,7 @@
             grace_s: how long a target may be missing after an outage.
             retries: bounds that all fronts keep together.
             tell: called with the own loads and notes when peers should know.
+            configured: called with each table that comes into force.
         """
         super().__init__()
         self._directory = fleet.Directory(grace_s)
@@ -65,6 +56,7 @@
         self._told_at = 0.0
         self._longest_s: dict[str, float] = collections.defaultdict(float)
         self._tell = tell
+        self._configured = configured
         self._name = name
         self._held: dict[int, float] = {}
         self.table: _routes.RoutingTable | None = None
@@ -83,6 +75,7 @@
             if service.kv_capacity_tokens:
                 self._placer.set_capacity(service.name, service.kv_capacity_tokens)
         logging.info("configuration %d is in force", message.table.version)
+        self._configured(message.table)
         return True
 
     @handle.register
@@ -188,8 +181,16 @@
         if live <= self._most_peers:
             return
         self._most_peers = live
+        self._share_retries()
+
+    def _share_retries(self) -> None:
         for budget in self._budgets.values():
-            budget.set_most(self._saved_retries())
+            budget.set_bounds(RETRY_MARGIN * self._retries.share, self._saved_retries())
+
+    @handle.register
+    def _(self, message: _messages.RetryBounds) -> None:
+        self._retries = message
+        self._share_retries()
 
     def _tell_peers(self, prompt: requests.Prompt | None) -> None:
         """Tells the peers of each long prompt, and of short ones now and then."""
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -13,6 +13,18 @@
     table: _routes.RoutingTable
 
 
+@attrs.frozen(kw_only=True)
+class RetryBounds:
+    """What all fronts together may send beyond the first arrival of each call.
+
+    In any window: `share` of the calls, and `slack` calls more. As a message, the
+    bounds from now on.
+    """
+
+    share: float
+    slack: float
+
+
 @attrs.frozen(kw_only=True)
 class PutTargets:
     """Targets that were announced, and names whose announcement went."""
--- a/src/turmericward/delivery/_routes.py
+++ b/src/turmericward/delivery/_routes.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from turmericward import httpd
 from turmericward.delivery import _calls, _errors
 
 
@@ -27,9 +28,11 @@
         version: int,
         routes: Iterable[_calls.Route],
         services: Iterable[ServiceTraits] = (),
+        client_limits: httpd.ClientLimits | None = None,
     ) -> None:
-        """Creates the table of one version."""
+        """Creates the table of one version, with what clients may do if it says."""
         self.version = version
+        self.client_limits = client_limits
         self.services = {service.name: service for service in services}
         self._by_host: dict[str, list[_calls.Route]] = collections.defaultdict(list)
         for route in routes:
--- a/src/turmericward/httpd/__init__.py
+++ b/src/turmericward/httpd/__init__.py
@@ -1,5 +1,5 @@
 """HTTP servers that end without cutting a request."""
 
-from turmericward.httpd._server import RECEIVED, Limits, Server
+from turmericward.httpd._server import RECEIVED, ClientLimits, Limits, Server
 
-__all__ = ["RECEIVED", "Limits", "Server"]
+__all__ = ["RECEIVED", "ClientLimits", "Limits", "Server"]
--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -1,5 +1,6 @@
 """HTTP server that ends without cutting a request."""
 
+import functools
 import threading
 import time
 from collections.abc import Callable
@@ -11,10 +12,13 @@
 from waitress import channel, parser, task, wasyncore
 
 from turmericward import runtime
+from turmericward.httpd import _idle
 
 DRAIN_POLL_S = 0.05
 CONNECTION_LIMIT = 4000
-CHANNEL_TIMEOUT_S = 3600
+IDLE_TIMEOUT_S = 3600.0
+HEADER_TIMEOUT_S = 60.0
+MAX_HEADER_BYTES = 256 * 1024
 RECV_BYTES = 65536
 LISTEN_BACKLOG = 1024
 PROBE_THREADS = 1
@@ -26,6 +30,10 @@
 
     received_at = 0.0
 
+    def __init__(self, adj):
+        super().__init__(adj)
+        self.begun_at = runtime.now()
+
     def parse_header(self, header_plus):
         super().parse_header(header_plus)
         if self.chunked and "CONTENT_LENGTH" in self.headers:
@@ -54,8 +62,30 @@
 
 
 class _Channel(channel.HTTPChannel):
+    """A connection; its last activity is told in steady seconds, not by date."""
+
     task_class = _Task
     parser_class = _Parser
+    _active_at = 0.0
+
+    @property
+    def last_activity(self):
+        return self._active_at
+
+    @last_activity.setter
+    def last_activity(self, _):
+        self._active_at = runtime.now()
+
+    def silence(self) -> _idle.Silence | None:
+        """Returns how long nothing came or went; None with a call in work."""
+        if self.requests or self.total_outbufs_len:
+            return None
+        begun_at = None
+        if self.request is not None and not self.request.headers_finished:
+            begun_at = self.request.begun_at
+        return _idle.Silence(
+            connection=self, active_at=self._active_at, begun_at=begun_at
+        )
 
 
 @attrs.frozen(kw_only=True)
@@ -68,6 +98,16 @@
     connections: int = CONNECTION_LIMIT
 
 
+@attrs.frozen(kw_only=True)
+class ClientLimits:
+    """What a client may send, and how long it may take for it or stay idle."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
 class Server:
     """A waitress server whose planned stop waits for every request."""
 
@@ -81,6 +121,12 @@
         """
         self._limits = limits
         self._map: dict = {}
+        self._client_limits = ClientLimits(
+            max_header_bytes=MAX_HEADER_BYTES,
+            max_body_bytes=limits.max_body_bytes,
+            header_timeout_s=HEADER_TIMEOUT_S,
+            idle_timeout_s=IDLE_TIMEOUT_S,
+        )
         self._server = self._listen(app, address, limits.threads)
 
     def _listen(self, app, address: tuple[str, int], threads: int):
@@ -93,8 +139,8 @@
             threads=threads,
             backlog=LISTEN_BACKLOG,
             connection_limit=self._limits.connections,
-            channel_timeout=CHANNEL_TIMEOUT_S,
-            max_request_body_size=self._limits.max_body_bytes,
+            max_request_header_size=self._client_limits.max_header_bytes,
+            max_request_body_size=self._client_limits.max_body_bytes,
             recv_bytes=RECV_BYTES,
             channel_request_lookahead=1,
             asyncore_use_poll=True,
@@ -104,8 +150,31 @@
         )
         server.channel_class = _Channel
         server.draining = False
+        watch = _idle.IdleWatch()
+        server.maintenance = functools.partial(self._close_silent, server, watch)
         return server
 
+    def set_client_limits(self, limits: ClientLimits) -> None:
+        """Sets what clients may do from now on; called by any thread."""
+        self._client_limits = limits
+        # Read for each request that begins; the library refuses these sizes too.
+        self._server.adj.max_request_header_size = limits.max_header_bytes + 1
+        self._server.adj.max_request_body_size = limits.max_body_bytes + 1
+
+    def _close_silent(self, server, watch: _idle.IdleWatch, _) -> None:
+        # Called at each turn of the loop, whatever the time of day.
+        server.next_channel_cleanup = 0
+        now = runtime.now()
+        if not watch.is_due(now):
+            return
+        found = [c.silence() for c in server.active_channels.values()]
+        limits = self._client_limits
+        silences = [silence for silence in found if silence is not None]
+        for conn in watch.look(
+            silences, limits.idle_timeout_s, limits.header_timeout_s, now
+        ):
+            conn.will_close = True
+
     def add_probe(self, app, address: tuple[str, int]) -> None:
         """Serves short answers on another address, with a thread of their own.
 
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -14,6 +14,7 @@
     _follow,
     _ingress,
     _orders,
+    _reload,
     _settings,
     _store,
     _transport,
@@ -28,15 +29,25 @@
 LEASE_TERM_S = 6.0
 # Bound on the drift between two fronts' clocks, and on a step's delay.
 CLOCK_MARGIN_S = 1.0
+# Until a configuration says it.
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# Not for clients' connections: files, connections to targets, listeners, peers.
+RESERVED_DESCRIPTORS = 400
 
 
 class Front:
     """One front process."""
 
-    def __init__(self, cfg: _settings.Settings) -> None:
-        """Creates all tasks and binds the listening sockets."""
+    def __init__(self, cfg: _settings.Settings, path: str) -> None:
+        """Creates all tasks and binds the listening sockets.
+
+        Args:
+            cfg: the settings.
+            path: their file, read again while the process runs.
+        """
         self._cfg = cfg
+        self._clients: list[_store.StoreClient] = []
+        self.reload = _reload.ReloadLoop(path, cfg, self._reconfigure)
         self._draining = threading.Event()
         seed = zlib.crc32(cfg.instance.name.encode())
         sock = peers.open_socket(cfg.instance.address, cfg.listen.peers)
@@ -52,10 +63,9 @@
             domain=cfg.instance.domain,
             seed=seed,
             grace_s=MISSING_GRACE_S,
-            retries=delivery.RetryBounds(
-                share=cfg.bounds.retry_share, slack=cfg.bounds.retry_slack
-            ),
+            retries=_retry_bounds(cfg),
             tell=tell.tell,
+            configured=self._apply,
         )
         loops = [
             peers.ReceiveLoop(sock, tell),
@@ -80,6 +90,7 @@
                 _follow.TARGETS_BATCH_S,
             ),
             self._roles(),
+            self.reload,
         ]
         self._group = runtime.Group([tell, self._dispatch, *loops], "front")
         metrics = telemetry.Metrics(None, "")
@@ -92,6 +103,7 @@
             threads=THREADS,
             max_body_bytes=MAX_BODY_BYTES,
             balancer_lag_s=BALANCER_LAG_S,
+            connections=cfg.limits.file_descriptors - RESERVED_DESCRIPTORS,
         )
         address = _address.split(cfg.listen.front)
         self._server = httpd.Server(_ingress.Ingress(ctx, seed), address, limits)
@@ -100,6 +112,10 @@
         metrics_address = (cfg.instance.address, cfg.listen.metrics)
         self._server.add_probe(_ingress.MetricsPage(metrics), metrics_address)
 
+    def _apply(self, table: delivery.RoutingTable) -> None:
+        if table.client_limits is not None:
+            self._server.set_client_limits(table.client_limits)
+
     def _roles(self) -> delivery.RolesLoop:
         gap_s = self._cfg.bounds.order_gap_ms / 1000
         timing = authority.Timing(
@@ -124,7 +140,14 @@
 
     def _store(self) -> _store.StoreClient:
         store = self._cfg.store
-        return _store.StoreClient(store.address, store.timeout_s)
+        client = _store.StoreClient(store.address, store.timeout_s)
+        self._clients.append(client)
+        return client
+
+    def _reconfigure(self, cfg: _settings.Settings) -> None:
+        for client in self._clients:
+            client.move(cfg.store.address, cfg.store.timeout_s)
+        self._dispatch.post(_retry_bounds(cfg))
 
     def run(self, stop: threading.Event) -> None:
         """Serves until `stop` is set and the drain that follows has ended."""
@@ -137,6 +160,12 @@
         self._draining.set()
 
 
+def _retry_bounds(cfg: _settings.Settings) -> delivery.RetryBounds:
+    return delivery.RetryBounds(
+        share=cfg.bounds.retry_share, slack=cfg.bounds.retry_slack
+    )
+
+
 @click.command()
 def main() -> None:
     """Serves clients' calls until SIGTERM, then ends without cutting any."""
@@ -144,6 +173,9 @@
     cfg = _common.load_settings(path, _settings.Settings)
     telemetry.configure_logs("turmericward-front", cfg.instance.name, "info")
     stop = _common.stop_event()
+    # A signal that comes before the front can take it must not end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     logging.info("front starts in %s", cfg.instance.domain)
-    Front(cfg).run(stop)
+    front = Front(cfg, path)
+    signal.signal(signal.SIGHUP, lambda *_: front.reload.ask())
+    front.run(stop)
--- a/src/turmericward/platform/_records.py
+++ b/src/turmericward/platform/_records.py
@@ -4,12 +4,14 @@
 
 import attrs
 
-from turmericward import delivery, fleet, schema
+from turmericward import delivery, fleet, httpd, schema
 
 # Clients of streams leave after the longest of these without an event.
 MIN_ABANDON_S = 2.0
 ABANDON_OBJECTIVES = 4
 ABANDON_GAPS = 8
+# Clients begin a call until shortly before the limit, and by an older one for a while.
+IDLE_SLACK = 2.0
 _KINDS = {
     "idempotent": delivery.CallKind.IDEMPOTENT,
     "non_idempotent": delivery.CallKind.ONCE,
@@ -61,11 +63,20 @@
     engine: _Engine = attrs.field(factory=_Engine)
 
 
+@attrs.frozen(kw_only=True)
+class _ClientLimits:
+    max_header_bytes: int = attrs.field(validator=schema.validators.between(1, 2**31))
+    max_body_bytes: int = attrs.field(validator=schema.validators.between(1, 2**31))
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
 @attrs.frozen(kw_only=True)
 class _Manifest:
     version: int
     routes: list[_Route]
     services: list[_Service]
+    client_limits: _ClientLimits | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -121,6 +132,15 @@
     )
 
 
+def _client_limits(limits: _ClientLimits) -> httpd.ClientLimits:
+    return httpd.ClientLimits(
+        max_header_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        header_timeout_s=limits.header_timeout_ms / 1000,
+        idle_timeout_s=IDLE_SLACK * limits.idle_timeout_ms / 1000,
+    )
+
+
 def routing_table(raw: bytes) -> delivery.RoutingTable:
     """Decodes the operators' configuration.
 
@@ -135,7 +155,8 @@
         for s in found.services
     ]
     routes = [_route(route) for route in found.routes]
-    return delivery.RoutingTable(found.version, routes, services)
+    limits = found.client_limits and _client_limits(found.client_limits)
+    return delivery.RoutingTable(found.version, routes, services, limits)
 
 
 def target(name: str, raw: bytes) -> fleet.Target:
--- a/src/turmericward/platform/_settings.py
+++ b/src/turmericward/platform/_settings.py
@@ -40,7 +40,7 @@
     """What the process may use."""
 
     file_descriptors: int = attrs.field(
-        validator=schema.validators.between(256, 10_000_000)
+        validator=schema.validators.between(512, 10_000_000)
     )
     memory_mb: int = attrs.field(validator=schema.validators.between(32, 1_000_000))
 
--- a/src/turmericward/platform/_store.py
+++ b/src/turmericward/platform/_store.py
@@ -48,6 +48,10 @@
             address, timeout_s, connect_s=timeout_s
         )
 
+    def move(self, address: str, timeout_s: float) -> None:
+        """Sets where the store is from the next connection on; for any thread."""
+        self._conn.move(address, timeout_s)
+
     def newest(self, topic: str) -> Listing:
         """Returns the newest record of each key.
 
--- a/src/turmericward/requests/_budget.py
+++ b/src/turmericward/requests/_budget.py
@@ -24,8 +24,9 @@
         """Notes a first attempt."""
         self._saved = min(self._most, self._saved + self._share)
 
-    def set_most(self, most: float) -> None:
-        """Changes how many retries can be saved."""
+    def set_bounds(self, share: float, most: float) -> None:
+        """Changes what a request earns, and how many retries can be saved."""
+        self._share = share
         self._most = most
         self._saved = min(self._saved, most)
 
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -73,6 +73,21 @@
             table.find(where, path)
 
 
+def test_a_manifest_may_bound_what_clients_send():
+    value = platform_fixtures.manifest(3)
+    check.assertIsNone(_records.routing_table(json.dumps(value).encode()).client_limits)
+    value["client_limits"] = {
+        "max_header_bytes": 16_384,
+        "max_body_bytes": 4_194_304,
+        "header_timeout_ms": 3_000,
+        "idle_timeout_ms": 15_000,
+    }
+    limits = _records.routing_table(json.dumps(value).encode()).client_limits
+    check.assertEqual(limits.max_body_bytes, 4_194_304)
+    check.assertEqual(limits.header_timeout_s, 3.0)
+    check.assertGreaterEqual(limits.idle_timeout_s, 15.0)
+
+
 def test_a_manifest_with_a_spoiled_field_is_refused_whole():
     for field, value in (("kind", "maybe"), ("timeout_ms", "3"), ("priority", None)):
         manifest = platform_fixtures.manifest(3)
