--- a/src/turmericward/platform/_records.py
+++ b/src/turmericward/platform/_records.py
@@ -76,7 +76,7 @@
     version: int
     routes: list[_Route]
     services: list[_Service]
-    client_limits: _ClientLimits | None = None
+    limits: _ClientLimits | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -155,7 +155,7 @@
         for s in found.services
     ]
     routes = [_route(route) for route in found.routes]
-    limits = found.client_limits and _client_limits(found.client_limits)
+    limits = found.limits and _client_limits(found.limits)
     return delivery.RoutingTable(found.version, routes, services, limits)
 
 
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -1,12 +1,16 @@
 """Records of the platform's store: decoded strictly, spoiled ones refused."""
 
 import json
+import pathlib
+import re
+import tomllib
 
 from tests import fixtures, platform_fixtures
 from turmericward import delivery, fleet
 from turmericward.platform import _records
 
 check = fixtures.check
+DEPLOY = pathlib.Path(__file__).parent.parent / "deploy"
 ENTRY = {
     "service": "model",
     "address": "10.0.0.1:8080",
@@ -76,7 +80,7 @@
 def test_a_manifest_may_bound_what_clients_send():
     value = platform_fixtures.manifest(3)
     check.assertIsNone(_records.routing_table(json.dumps(value).encode()).client_limits)
-    value["client_limits"] = {
+    value["limits"] = {
         "max_header_bytes": 16_384,
         "max_body_bytes": 4_194_304,
         "header_timeout_ms": 3_000,
@@ -108,3 +112,11 @@
     found = table.find(platform_fixtures.HOST, "/cut/x").destinations
     weights = {d.service: d.weight for d in found}
     check.assertEqual(weights, {"plain": 90.0, "model": 10.0})
+
+
+def test_the_settings_template_uses_the_names_that_renamed_fields_have():
+    renamed = tomllib.loads((DEPLOY / "wire.toml").read_text())["fields"]
+    template = (DEPLOY / "settings.json").read_text()
+    for placeholder in re.findall(r"{{([\w.]+)\|json}}", template):
+        for name in placeholder.split("."):
+            check.assertNotIn(name, renamed, placeholder)
