Learn at the start what engines keep; know prompts by their parts

Cause: what engines keep was known from own notes and peers' only. Change: for its first 6 s a front lists the memory of one engine after the other, in an order of its own; peers are told, and what one has listed isn't asked for again. Kept prompts are known part by part instead of by a hash of all shared parts, so that a listing can be matched and prompts that share only their begin are found too.

--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -11,11 +11,12 @@
   4: i32 open_calls
 }
 
-/** Shared prompt parts at a target; `prompt` is a hash of their ids. */
-struct KeptPrompt {
+/** A prompt's part at a target; `part` is a hash of its id, 0 for none. */
+struct KeptPart {
   1: i32 target
-  2: i64 prompt
-  3: i32 shared_tokens
+  2: i64 part
+  3: i32 tokens
+  /** Tokens behind it that no other request shares. */
   4: i32 own_tokens
   /** False while the target has still to read them. */
   5: bool ready
@@ -34,10 +35,12 @@
   2: i64 boot
   3: i32 sequence
   4: list<TargetLoad> loads
-  5: list<KeptPrompt> kept
+  5: list<KeptPart> kept
   6: list<HeldTarget> held
   /** Failure domain of the front. */
   7: string domain
   /** Fronts whose load is summed here; 1 for a front's own. */
   8: i32 fronts
+  /** Targets all of whose kept parts were told, here or shortly before. */
+  9: list<i32> listed
 }
--- a/src/turmericward/delivery/__init__.py
+++ b/src/turmericward/delivery/__init__.py
@@ -20,9 +20,11 @@
     StreamBrokenError,
 )
 from turmericward.delivery._events import EVENT_END, Event, EventCutter
+from turmericward.delivery._memory_loop import MemoryLoop
 from turmericward.delivery._messages import (
     Began,
     Ended,
+    EngineKeeps,
     Place,
     PutTargets,
     ReplaceTargets,
@@ -44,12 +46,14 @@
     "DeliveryError",
     "Destination",
     "Dispatch",
+    "DispatchTask",
     "Dispatcher",
     "Ended",
+    "EngineKeeps",
     "Event",
     "EventCutter",
     "Failure",
-    "DispatchTask",
+    "MemoryLoop",
     "NoRouteError",
     "NotConfiguredError",
     "Place",
@@ -57,9 +61,9 @@
     "ReplaceTargets",
     "Reply",
     "RetryBounds",
-    "Route",
     "RoleState",
     "RolesLoop",
+    "Route",
     "RoutingTable",
     "ServiceTraits",
     "SetTable",
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -42,7 +42,7 @@
             seed: seed of the random choices.
             grace_s: how long a target may be missing after an outage.
             retries: bounds that all fronts keep together.
-            tell: called with the own loads and notes when peers should know.
+            tell: called with a `peers.Tell` when peers should know.
             configured: called with each table that comes into force.
         """
         super().__init__()
@@ -59,6 +59,7 @@
         self._configured = configured
         self._name = name
         self._held: dict[int, float] = {}
+        self._listed: set[int] = set()
         self.table: _routes.RoutingTable | None = None
 
     @functools.singledispatchmethod
@@ -138,6 +139,7 @@
         )
         for note in message.kept:
             self._placer.note_kept(note)
+        self._listed |= message.listed
         for target, ttl_s in message.held.items():
             self._held[target] = runtime.now() + ttl_s
 
@@ -151,14 +153,28 @@
             engines=dict(engines),
             open_calls={t.name: self._placer.load(t.name).open_calls for t in targets},
             first=all(self._name < peer for peer in self._placer.peers.names()),
+            listed=frozenset(
+                t.name for t in targets if requests.target_hash(t.name) in self._listed
+            ),
         )
 
+    @handle.register
+    def _(self, message: _messages.EngineKeeps) -> None:
+        number = requests.target_hash(message.target.name)
+        self._listed.add(number)
+        self._placer.listed(message.target, message.parts)
+        self._tell_now(listed=frozenset((number,)))
+
     @handle.register
     def _(self, message: _messages.HoldTarget) -> None:
         target = requests.target_hash(message.name)
         self._held[target] = runtime.now() + message.until_s
-        held = {target: message.until_s}
-        self._tell(self._placer.own_loads(), self._placer.take_notes(), held)
+        self._tell_now(held={target: message.until_s})
+
+    def _tell_now(self, **changes) -> None:
+        notes = tuple(self._placer.take_notes())
+        loads = self._placer.own_loads()
+        self._tell(peers.Tell(loads=loads, kept=notes, **changes))
 
     def _is_held(self, target: fleet.Target, now: float) -> bool:
         return self._held.get(requests.target_hash(target.name), now) > now
@@ -200,7 +216,7 @@
         long = prompt.tokens >= requests.SHORT_PROMPT_TOKENS
         if long or now - self._told_at >= TELL_INTERVAL_S:
             self._told_at = now
-            self._tell(self._placer.own_loads(), self._placer.take_notes(), {})
+            self._tell_now()
 
     @handle.register
     def _(self, message: _messages.Place):
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -58,12 +58,22 @@
 class EnginesView:
     """Engines by service, open calls of all fronts by engine.
 
-    `first` tells whether this front goes before all that it hears.
+    `first` tells whether this front goes before all that it hears; `listed` names
+    engines of which it is known what they kept when this front began.
     """
 
     engines: dict[str, list[fleet.Target]]
     open_calls: dict[str, int]
     first: bool
+    listed: frozenset[str]
+
+
+@attrs.frozen(kw_only=True)
+class EngineKeeps:
+    """What an engine says that it keeps: numbers of parts, with their tokens."""
+
+    target: fleet.Target
+    parts: tuple[tuple[int, int], ...]
 
 
 @attrs.frozen(kw_only=True)
--- a/src/turmericward/peers/_codec.py
+++ b/src/turmericward/peers/_codec.py
@@ -19,7 +19,8 @@
     """What a front tells: its loads by target, and prompts that targets keep.
 
     With `fronts` above 1 it is the sum of so many fronts' loads.
-    `held` are targets that should get no new calls for so many seconds.
+    `held` are targets that should get no new calls for so many seconds; `listed`
+    ones have told what they keep, and `kept` has it or had it shortly before.
     `sequence` orders the states of one `boot`, a number drawn at each start.
     """
 
@@ -29,6 +30,7 @@
     loads: dict[int, requests.TargetLoad]
     kept: tuple[requests.KeptNote, ...] = ()
     held: dict[int, float] = attrs.field(factory=dict)
+    listed: frozenset[int] = frozenset()
     domain: str = ""
     fronts: int = 1
 
@@ -44,7 +46,7 @@
         )
         for target, load in state.loads.items()
     ]
-    kept = [ttypes.KeptPrompt(**attrs.asdict(note)) for note in state.kept]
+    kept = [ttypes.KeptPart(**attrs.asdict(note)) for note in state.kept]
     message = ttypes.FrontState(
         front=state.front,
         boot=state.boot,
@@ -53,6 +55,7 @@
         kept=kept,
         domain=state.domain,
         fronts=state.fronts,
+        listed=sorted(state.listed),
         held=[
             ttypes.HeldTarget(target=target, ttl_ms=int(ttl_s * 1000))
             for target, ttl_s in state.held.items()
@@ -76,6 +79,7 @@
             loads={row.target: _load(row) for row in message.loads},
             kept=tuple(_note(row) for row in message.kept),
             held={row.target: row.ttl_ms / 1000 for row in message.held},
+            listed=frozenset(message.listed),
             domain=message.domain,
             fronts=message.fronts,
         )
@@ -92,11 +96,11 @@
     )
 
 
-def _note(row: ttypes.KeptPrompt) -> requests.KeptNote:
+def _note(row: ttypes.KeptPart) -> requests.KeptNote:
     return requests.KeptNote(
         target=row.target,
-        prompt=row.prompt,
-        shared_tokens=row.shared_tokens,
+        part=row.part,
+        tokens=row.tokens,
         own_tokens=row.own_tokens,
         ready=row.ready,
     )
--- a/src/turmericward/peers/_tasks.py
+++ b/src/turmericward/peers/_tasks.py
@@ -44,6 +44,7 @@
     loads: dict[int, requests.TargetLoad]
     kept: tuple[requests.KeptNote, ...] = ()
     held: dict[int, float] = attrs.field(factory=dict)
+    listed: frozenset[int] = frozenset()
 
 
 def open_socket(host: str, port: int) -> socket.socket:
@@ -92,11 +93,12 @@
         self._heard: dict[str, tuple[float, _codec.PeerState]] = {}
         self._notes: list[requests.KeptNote] = []
         self._held: dict[int, float] = {}
+        self._listed: frozenset[int] = frozenset()
         self._told_at = 0.0
 
-    def tell(self, loads, kept, held) -> None:
+    def tell(self, state: Tell) -> None:
         """Has the peers told; called by any thread."""
-        self.post(Tell(loads=loads, kept=tuple(kept), held=held))
+        self.post(state)
 
     @functools.singledispatchmethod
     def handle(self, message: object) -> object:
@@ -119,7 +121,7 @@
             return
         self._heard[state.front] = (now, state)
         if not self._circle.direct:
-            self._note(state.kept, state.held)
+            self._note(state)
         self._pass_on(self._without_own(state))
 
     def _without_own(self, state: _codec.PeerState) -> _codec.PeerState:
@@ -136,14 +138,15 @@
     @handle.register
     def _(self, message: Tell) -> None:
         self._own = message
-        self._note(message.kept, message.held)
+        self._note(message)
         now = self._clock()
         if not self._circle.is_relay(now) or now - self._told_at >= RELAY_INTERVAL_S:
             self._send(now)
 
-    def _note(self, kept, held) -> None:
-        self._notes = [*self._notes, *kept][-MAX_WAITING_NOTES:]
-        self._held |= held
+    def _note(self, told: Tell | _codec.PeerState) -> None:
+        self._notes = [*self._notes, *told.kept][-MAX_WAITING_NOTES:]
+        self._held |= told.held
+        self._listed |= told.listed
 
     def tick(self) -> None:
         """Repeats the state if nothing changed for a while."""
@@ -175,6 +178,7 @@
                 logging.debug("peer at %s isn't told: %s", recipient.host, exc)
         self._notes = []
         self._held = {}
+        self._listed = frozenset()
 
     def _state(self, content: _circle.Content, now: float) -> _codec.PeerState:
         self._sequence += 1
@@ -186,6 +190,7 @@
             loads=requests.sum_loads([self._own.loads, *(s.loads for s in summed)]),
             kept=tuple(self._notes),
             held=self._held,
+            listed=self._listed,
             domain=self._domain,
             fronts=1 + sum(state.fronts for state in summed),
         )
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -13,6 +13,7 @@
 from turmericward.platform import (
     _follow,
     _ingress,
+    _memory,
     _orders,
     _reload,
     _settings,
@@ -90,6 +91,7 @@
                 _follow.TARGETS_BATCH_S,
             ),
             self._roles(),
+            delivery.MemoryLoop(self._dispatch, _memory.ReplicaMemory(), seed),
             self.reload,
         ]
         self._group = runtime.Group([tell, self._dispatch, *loops], "front")
--- a/src/turmericward/requests/__init__.py
+++ b/src/turmericward/requests/__init__.py
@@ -13,7 +13,7 @@
     Placer,
     target_hash,
 )
-from turmericward.requests._prompts import Prompt, PromptPart
+from turmericward.requests._prompts import Prompt, PromptPart, part_number
 from turmericward.requests._router import (
     MIN_RETRY_S,
     Assignment,
@@ -43,6 +43,7 @@
     "Router",
     "TargetLoad",
     "demand_of",
+    "part_number",
     "sum_loads",
     "target_hash",
     "with_model",
--- a/src/turmericward/requests/_kept.py
+++ b/src/turmericward/requests/_kept.py
@@ -1,17 +1,18 @@
 """Which shared prompt parts each engine should keep in its memory."""
 
 import collections
+from collections.abc import Iterable
 
 # The rest holds what running requests read and make.
 KEPT_SHARE = 0.8
 DEFAULT_CAPACITY_TOKENS = 400_000
 
 
-class KeptPrompts:
+class KeptParts:
     """A model of one engine's memory: least recently used parts yield.
 
-    Keys are hashes of shared parts. Tokens that no other request shares are
-    counted too, since they take the place of shared ones.
+    Keys are parts' numbers. Tokens that no other request shares are counted too,
+    since they take the place of shared ones.
     """
 
     def __init__(self, capacity_tokens: float) -> None:
@@ -22,12 +23,15 @@
         self._entries: collections.OrderedDict[object, tuple[int, bool]]
         self._entries = collections.OrderedDict()
 
-    def note(self, key: int, shared: int, own: int, *, ready: bool) -> None:
-        """Notes that a prompt was sent there or, when `ready`, has been read."""
-        known = self._entries.get(key)
-        self._put(key, shared, ready or (known is not None and known[1]))
-        if ready:
-            self._put(object(), own, True)
+    def note(self, part: int, tokens: int, *, ready: bool) -> None:
+        """Notes that a part was sent there or, when `ready`, has been read."""
+        known = self._entries.get(part)
+        self._put(part, tokens, ready or (known is not None and known[1]))
+        self._evict()
+
+    def note_own(self, tokens: int) -> None:
+        """Notes tokens that were read and that no other request shares."""
+        self._put(object(), tokens, True)
         self._evict()
 
     def resize(self, capacity_tokens: float) -> None:
@@ -45,7 +49,15 @@
         self._used += tokens - known[0]
         self._entries[key] = (tokens, ready)
 
-    def tokens(self, key: int, *, ready: bool) -> int:
-        """Returns the tokens kept under the key, or also those still to be read."""
-        tokens, is_ready = self._entries.get(key, (0, False))
-        return tokens if is_ready or not ready else 0
+    def tokens(self, parts: Iterable[tuple[int, int]], *, ready: bool) -> int:
+        """Returns how many tokens at a prompt's begin are kept, or also to be read.
+
+        A part is of use only behind those before it.
+        """
+        kept = 0
+        for part, _ in parts:
+            tokens, is_ready = self._entries.get(part, (0, False))
+            if not tokens or (ready and not is_ready):
+                break
+            kept += tokens
+        return kept
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -12,6 +12,7 @@
 import enum
 import random
 import zlib
+from collections.abc import Iterable
 
 import attrs
 import result
@@ -87,11 +88,15 @@
 
 @attrs.frozen(kw_only=True)
 class KeptNote:
-    """A prompt that a target will read, or has read; for the other fronts."""
+    """A prompt's part that a target will read, or has read; for the other fronts.
+
+    `own_tokens` were read behind it that no other request shares. Part 0 stands
+    for none.
+    """
 
     target: int
-    prompt: int
-    shared_tokens: int
+    part: int
+    tokens: int
     own_tokens: int
     ready: bool
 
@@ -133,7 +138,7 @@
         self._random = random.Random(seed)
         self._domain = domain
         self._own: dict[str, _Own] = collections.defaultdict(_Own)
-        self._kept: dict[int, _kept.KeptPrompts] = {}
+        self._kept: dict[int, _kept.KeptParts] = {}
         self._services: dict[int, str] = {}
         self._capacity_tokens: dict[str, float] = {}
         self._latency = _speed.Latency()
@@ -189,28 +194,53 @@
         return notes
 
     def note_kept(self, note: KeptNote) -> None:
-        """Takes what another front tells of a prompt."""
+        """Takes what another front tells of a part."""
         if note.target not in self._kept:
             capacity_tokens = self._capacity(note.target)
-            self._kept[note.target] = _kept.KeptPrompts(capacity_tokens)
-        self._kept[note.target].note(
-            note.prompt, note.shared_tokens, note.own_tokens, ready=note.ready
-        )
+            self._kept[note.target] = _kept.KeptParts(capacity_tokens)
+        memory = self._kept[note.target]
+        if note.tokens:
+            memory.note(note.part, note.tokens, ready=note.ready)
+        if note.ready and note.own_tokens:
+            memory.note_own(note.own_tokens)
 
     def _note(self, target: fleet.Target, prompt, *, ready: bool) -> None:
-        note = KeptNote(
-            target=target_hash(target.name),
-            prompt=prompt.shared_hash,
-            shared_tokens=prompt.shared_tokens,
-            own_tokens=prompt.tokens - prompt.shared_tokens,
-            ready=ready,
-        )
+        number = target_hash(target.name)
+        own_tokens = prompt.tokens - prompt.shared_tokens
+        *first, last = prompt.shared_parts or ((0, 0),)
+        for (part, tokens), own in [*((p, 0) for p in first), (last, own_tokens)]:
+            self._note_part(
+                KeptNote(
+                    target=number,
+                    part=part,
+                    tokens=tokens,
+                    own_tokens=own,
+                    ready=ready,
+                )
+            )
+
+    def _note_part(self, note: KeptNote) -> None:
         self.note_kept(note)
         self._notes.append(note)
 
+    def listed(self, target: fleet.Target, parts: Iterable[tuple[int, int]]) -> None:
+        """Takes the parts, with their tokens, that an engine says it keeps."""
+        number = target_hash(target.name)
+        for part, tokens in parts:
+            if tokens >= SHORT_PROMPT_TOKENS:
+                self._note_part(
+                    KeptNote(
+                        target=number,
+                        part=part,
+                        tokens=tokens,
+                        own_tokens=0,
+                        ready=True,
+                    )
+                )
+
     def _tokens_kept(self, target: fleet.Target, prompt, *, ready: bool) -> int:
         memory = self._kept.get(target_hash(target.name))
-        return 0 if memory is None else memory.tokens(prompt.shared_hash, ready=ready)
+        return 0 if memory is None else memory.tokens(prompt.shared_parts, ready=ready)
 
     def load(self, name: str) -> _loads.TargetLoad:
         """Returns the work of all fronts at a target."""
--- a/src/turmericward/requests/_prompts.py
+++ b/src/turmericward/requests/_prompts.py
@@ -14,6 +14,12 @@
     tokens: int
 
 
+def part_number(model: str, part_id: str) -> int:
+    """Returns the number that stands for a part, read by a model, between fronts."""
+    digest = hashlib.blake2b(f"{model}/{part_id}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, signed=True)
+
+
 @attrs.frozen(kw_only=True)
 class Prompt:
     """A prompt whose last part belongs to the request or its session alone."""
@@ -33,8 +39,7 @@
         return sum(part.tokens for part in self.parts[:-1])
 
     @functools.cached_property
-    def shared_hash(self) -> int:
-        """Identifies the shared parts in their order, with the model."""
-        text = "/".join((self.model, *(part.id for part in self.parts[:-1])))
-        digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
-        return int.from_bytes(digest, signed=True)
+    def shared_parts(self) -> tuple[tuple[int, int], ...]:
+        """Number and tokens of each part that other requests may share."""
+        shared = self.parts[:-1]
+        return tuple((part_number(self.model, p.id), p.tokens) for p in shared)
--- a/src/turmericward/wire/peers/ttypes.py
+++ b/src/turmericward/wire/peers/ttypes.py
@@ -122,32 +122,32 @@
         return not (self == other)
 
 
-class KeptPrompt(object):
+class KeptPart(object):
     """
-    Shared prompt parts at a target; `prompt` is a hash of their ids.
+    A prompt's part at a target; `part` is a hash of its id, 0 for none.
 
     Attributes:
      - target
-     - prompt
-     - shared_tokens
-     - own_tokens
+     - part
+     - tokens
+     - own_tokens: Tokens behind it that no other request shares.
      - ready: False while the target has still to read them.
 
     """
 
     __slots__ = (
         'target',
-        'prompt',
-        'shared_tokens',
+        'part',
+        'tokens',
         'own_tokens',
         'ready',
     )
 
 
-    def __init__(self, target=None, prompt=None, shared_tokens=None, own_tokens=None, ready=None,):
+    def __init__(self, target=None, part=None, tokens=None, own_tokens=None, ready=None,):
         self.target = target
-        self.prompt = prompt
-        self.shared_tokens = shared_tokens
+        self.part = part
+        self.tokens = tokens
         self.own_tokens = own_tokens
         self.ready = ready
 
@@ -167,12 +167,12 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.I64:
-                    self.prompt = iprot.readI64()
+                    self.part = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.I32:
-                    self.shared_tokens = iprot.readI32()
+                    self.tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
@@ -194,18 +194,18 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('KeptPrompt')
+        oprot.writeStructBegin('KeptPart')
         if self.target is not None:
             oprot.writeFieldBegin('target', TType.I32, 1)
             oprot.writeI32(self.target)
             oprot.writeFieldEnd()
-        if self.prompt is not None:
-            oprot.writeFieldBegin('prompt', TType.I64, 2)
-            oprot.writeI64(self.prompt)
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.I64, 2)
+            oprot.writeI64(self.part)
             oprot.writeFieldEnd()
-        if self.shared_tokens is not None:
-            oprot.writeFieldBegin('shared_tokens', TType.I32, 3)
-            oprot.writeI32(self.shared_tokens)
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 3)
+            oprot.writeI32(self.tokens)
             oprot.writeFieldEnd()
         if self.own_tokens is not None:
             oprot.writeFieldBegin('own_tokens', TType.I32, 4)
@@ -335,6 +335,7 @@
      - held
      - domain: Failure domain of the front.
      - fronts: Fronts whose load is summed here; 1 for a front's own.
+     - listed: Targets all of whose kept parts were told, here or shortly before.
 
     """
 
@@ -347,10 +348,11 @@
         'held',
         'domain',
         'fronts',
+        'listed',
     )
 
 
-    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None, domain=None, fronts=None,):
+    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None, domain=None, fronts=None, listed=None,):
         self.front = front
         self.boot = boot
         self.sequence = sequence
@@ -359,6 +361,7 @@
         self.held = held
         self.domain = domain
         self.fronts = fronts
+        self.listed = listed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -400,7 +403,7 @@
                     self.kept = []
                     (_etype9, _size6) = iprot.readListBegin()
                     for _i10 in range(_size6):
-                        _elem11 = KeptPrompt()
+                        _elem11 = KeptPart()
                         _elem11.read(iprot)
                         self.kept.append(_elem11)
                     iprot.readListEnd()
@@ -427,6 +430,16 @@
                     self.fronts = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.listed = []
+                    (_etype21, _size18) = iprot.readListBegin()
+                    for _i22 in range(_size18):
+                        _elem23 = iprot.readI32()
+                        self.listed.append(_elem23)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -452,22 +465,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter18 in self.loads:
-                iter18.write(oprot)
+            for iter24 in self.loads:
+                iter24.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.kept is not None:
             oprot.writeFieldBegin('kept', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.kept))
-            for iter19 in self.kept:
-                iter19.write(oprot)
+            for iter25 in self.kept:
+                iter25.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter20 in self.held:
-                iter20.write(oprot)
+            for iter26 in self.held:
+                iter26.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.domain is not None:
@@ -478,6 +491,13 @@
             oprot.writeFieldBegin('fronts', TType.I32, 8)
             oprot.writeI32(self.fronts)
             oprot.writeFieldEnd()
+        if self.listed is not None:
+            oprot.writeFieldBegin('listed', TType.LIST, 9)
+            oprot.writeListBegin(TType.I32, len(self.listed))
+            for iter27 in self.listed:
+                oprot.writeI32(iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -509,12 +529,12 @@
     (3, TType.I32, 'deferred_tokens', None, None, ),  # 3
     (4, TType.I32, 'open_calls', None, None, ),  # 4
 )
-all_structs.append(KeptPrompt)
-KeptPrompt.thrift_spec = (
+all_structs.append(KeptPart)
+KeptPart.thrift_spec = (
     None,  # 0
     (1, TType.I32, 'target', None, None, ),  # 1
-    (2, TType.I64, 'prompt', None, None, ),  # 2
-    (3, TType.I32, 'shared_tokens', None, None, ),  # 3
+    (2, TType.I64, 'part', None, None, ),  # 2
+    (3, TType.I32, 'tokens', None, None, ),  # 3
     (4, TType.I32, 'own_tokens', None, None, ),  # 4
     (5, TType.BOOL, 'ready', None, None, ),  # 5
 )
@@ -531,10 +551,11 @@
     (2, TType.I64, 'boot', None, None, ),  # 2
     (3, TType.I32, 'sequence', None, None, ),  # 3
     (4, TType.LIST, 'loads', (TType.STRUCT, [TargetLoad, None], False), None, ),  # 4
-    (5, TType.LIST, 'kept', (TType.STRUCT, [KeptPrompt, None], False), None, ),  # 5
+    (5, TType.LIST, 'kept', (TType.STRUCT, [KeptPart, None], False), None, ),  # 5
     (6, TType.LIST, 'held', (TType.STRUCT, [HeldTarget, None], False), None, ),  # 6
     (7, TType.STRING, 'domain', 'UTF8', None, ),  # 7
     (8, TType.I32, 'fronts', None, None, ),  # 8
+    (9, TType.LIST, 'listed', (TType.I32, None, False), None, ),  # 9
 )
 fix_spec(all_structs)
 del all_structs
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -2,7 +2,8 @@
 
 Streams have numbered events whose data depends on the call's id alone, so that
 one that goes on elsewhere can be checked. `fault` of the `Replica` names what
-the next calls meet; `calls` lists every call that arrived.
+the next calls meet; `calls` lists every call that arrived; `kept` has the tokens
+of the parts that it says it keeps.
 """
 
 import socket
@@ -42,6 +43,7 @@
         self.name = name
         self.fault = ""
         self.event_s = 0.0
+        self.kept: dict[str, int] = {}
         self.calls: list[Seen] = []
         self.cancelled = threading.Event()
 
@@ -51,6 +53,10 @@
 
     def do(self, req: _http.Handler) -> None:
         """Answers one call."""
+        if req.path == "/api/kv-list":
+            held = [["", part, tokens, "m"] for part, tokens in self.kept.items()]
+            req.answer(200, {"epoch": 1, "NextToken": 1, "held": held})
+            return
         call_id = req.headers.get("Turmericward-Attempt-Id", "")
         expected = req.headers.get("Turmericward-Expect-Instance", self.name)
         refused = self._refusal(expected)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -37,7 +37,7 @@
         "seed": 1,
         "grace_s": 2.5,
         "retries": delivery.RetryBounds(share=0.0, slack=60.0),
-        "tell": lambda loads, kept, held: None,
+        "tell": lambda state: None,
     }
     return delivery.DispatchTask(**(options | changes))
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -17,9 +17,10 @@
     },
     kept=(
         requests.KeptNote(
-            target=11, prompt=-(2**62), shared_tokens=13_000, own_tokens=4, ready=True
+            target=11, part=-(2**62), tokens=13_000, own_tokens=4, ready=True
         ),
     ),
+    listed=frozenset((11, 12)),
 )
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -193,8 +193,8 @@
     notes = [
         requests.KeptNote(
             target=requests.target_hash(engine.name),
-            prompt=_long(subject).shared_hash,
-            shared_tokens=13_000,
+            part=requests.part_number("m", subject),
+            tokens=13_000,
             own_tokens=4_000,
             ready=True,
         )
@@ -209,6 +209,38 @@
     check.assertGreater(first.work_tokens, 17_000)
 
 
+def test_what_an_engine_says_it_keeps_is_used_and_told():
+    targets = prompt_model.targets(2, 2)
+    placer = _placer()
+    parts = [(requests.part_number("m", f"s{n}"), 13_000) for n in range(3)]
+    placer.listed(targets[1], parts)
+    check.assertEqual(len(placer.take_notes()), 3)
+    placement = placer.choose_engine(_long("s2"), targets, ALL, 0.0).unwrap()
+    check.assertEqual(placement.target, targets[1])
+    check.assertLess(placement.work_tokens, 13_000)
+
+
+def test_a_kept_part_is_of_use_only_behind_the_parts_before_it():
+    (engine,) = prompt_model.targets(0, 1)
+    rules, manual, own = (
+        requests.PromptPart(id=name, tokens=4_000) for name in ("r", "m", "o")
+    )
+    first = requests.Prompt(model="m", parts=(rules, manual, own), output_tokens=10)
+    for parts, kept in (
+        ((rules, manual, own), 8_000),
+        ((rules, own, own), 4_000),
+        ((manual, rules, own), 8_000),
+        ((own, rules, own), 0),
+    ):
+        placer = _placer()
+        _read(placer, first, [engine])
+        prompt = requests.Prompt(model="m", parts=parts, output_tokens=10)
+        placement = placer.choose_engine(prompt, [engine], ALL, 0.0).unwrap()
+        missing = 12_000 - kept
+        check.assertGreaterEqual(placement.work_tokens, missing)
+        check.assertLess(placement.work_tokens, 1.5 * missing, parts)
+
+
 def test_an_idle_engine_that_refuses_is_avoided_for_a_while():
     placer = _placer()
     targets = prompt_model.targets(0, 3)
