Read short work first, reckon with what is being read, answer near kept parts

Change: up to 15,000 deferred tokens count as ahead of an on-time call; calls go by rank of their work (two steps) on top of the route's priority; an answer costs 4 us for each shared token that isn't kept there. What is believed of engines' memories has a module of its own. `turmericward front-status` and `/status` show what a front believes.

--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -23,8 +23,6 @@
 PATIENCE_GAPS = 4.0
 MIN_EVENT_PATIENCE_S = 1.0
 CLIENT_CLOSED_REQUEST = 499
-# Added to a route's priority for calls that are late already.
-DEFERRED_PRIORITY = 5
 
 
 class _ClientGoneError(Exception):
@@ -157,10 +155,9 @@
 
     def _dispatch(self, *, prefill_only=False) -> _calls.Dispatch:
         placement = self._placement
-        priority = self._call.route.priority
         return _calls.Dispatch(
             timeout_s=self._patience_s(),
-            priority=priority + DEFERRED_PRIORITY * placement.deferred,
+            priority=self._call.route.priority + placement.rank,
             resume_after=self._call.resume_after,
             source=self._source,
             fetch_from=placement.fetch_from,
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -58,6 +58,7 @@
         self._tell = tell
         self._configured = configured
         self._name = name
+        self._domain = domain
         self._held: dict[int, float] = {}
         self._listed: set[int] = set()
         self.table: _routes.RoutingTable | None = None
@@ -74,7 +75,9 @@
         self.table = message.table
         for service in message.table.services.values():
             if service.kv_capacity_tokens:
-                self._placer.set_capacity(service.name, service.kv_capacity_tokens)
+                self._placer.memories.set_capacity(
+                    service.name, service.kv_capacity_tokens
+                )
         logging.info("configuration %d is in force", message.table.version)
         self._configured(message.table)
         return True
@@ -98,7 +101,7 @@
             return
         if known is not None and known.started_ms != target.started_ms:
             self._placer.forget(target.name)
-        self._placer.announced(target)
+        self._placer.memories.announced(target)
         if known is not None and known.role is not target.role:
             self._held.pop(requests.target_hash(target.name), None)
         if known is None or attrs.evolve(known, slots=target.slots) != target:
@@ -138,7 +141,7 @@
             message.front, message.loads, runtime.now(), message.fronts
         )
         for note in message.kept:
-            self._placer.note_kept(note)
+            self._placer.memories.take(note)
         self._listed |= message.listed
         for target, ttl_s in message.held.items():
             self._held[target] = runtime.now() + ttl_s
@@ -158,11 +161,39 @@
             ),
         )
 
+    @handle.register
+    def _(self, message: _messages.GetStatus) -> _messages.Status:
+        now = runtime.now()
+        return _messages.Status(
+            front=self._name,
+            domain=self._domain,
+            version=None if self.table is None else self.table.version,
+            targets=tuple(self._target_status(t, now) for t in self._directory.all()),
+            peer_ages_s=self._placer.peers.ages(now),
+            retries_left={name: b.saved for name, b in self._budgets.items()},
+        )
+
+    def _target_status(self, target: fleet.Target, now: float):
+        load = self._placer.load(target.name)
+        return _messages.TargetStatus(
+            name=target.name,
+            service=target.service,
+            address=target.address,
+            domain=target.domain,
+            role=target.role.value if target.role else "",
+            leaving=target.leaving,
+            held=self._is_held(target, now),
+            usable=self._placer.health.usable(target.name, now),
+            urgent_tokens=int(load.urgent_tokens),
+            deferred_tokens=int(load.deferred_tokens),
+            open_calls=load.open_calls,
+        )
+
     @handle.register
     def _(self, message: _messages.EngineKeeps) -> None:
         number = requests.target_hash(message.target.name)
         self._listed.add(number)
-        self._placer.listed(message.target, message.parts)
+        self._placer.memories.listed(message.target, message.parts)
         self._tell_now(listed=frozenset((number,)))
 
     @handle.register
@@ -172,7 +203,7 @@
         self._tell_now(held={target: message.until_s})
 
     def _tell_now(self, **changes) -> None:
-        notes = tuple(self._placer.take_notes())
+        notes = tuple(self._placer.memories.take_notes())
         loads = self._placer.own_loads()
         self._tell(peers.Tell(loads=loads, kept=notes, **changes))
 
@@ -242,7 +273,7 @@
         if call.prompt is None:
             return _placed(self._placer.choose_replica(usable, now))
         if message.read:
-            return _placed(self._placer.choose_answerer(usable, now))
+            return _placed(self._placer.choose_answerer(call.prompt, usable, now))
         route = call.route
         longest_s = max(self._longest_s[route.name], call.deadline_s)
         self._longest_s[route.name] = longest_s
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -68,6 +68,44 @@
     listed: frozenset[str]
 
 
+@attrs.frozen(kw_only=True)
+class GetStatus:
+    """Asks for what the dispatcher believes; answered with a `Status`."""
+
+
+@attrs.frozen(kw_only=True)
+class TargetStatus:
+    """A target, and the work of all fronts there."""
+
+    name: str
+    service: str
+    address: str
+    domain: str
+    role: str
+    leaving: bool
+    held: bool
+    usable: bool
+    urgent_tokens: int
+    deferred_tokens: int
+    open_calls: int
+
+
+@attrs.frozen(kw_only=True)
+class Status:
+    """What a front believes; `version` is None before the first configuration.
+
+    `peer_ages_s` tells for each front that is heard how long ago that was,
+    `retries_left` for each service what this front may still send again.
+    """
+
+    front: str
+    domain: str
+    version: int | None
+    targets: tuple[TargetStatus, ...]
+    peer_ages_s: dict[str, float]
+    retries_left: dict[str, float]
+
+
 @attrs.frozen(kw_only=True)
 class EngineKeeps:
     """What an engine says that it keeps: numbers of parts, with their tokens."""
--- a/src/turmericward/platform/_ingress.py
+++ b/src/turmericward/platform/_ingress.py
@@ -1,8 +1,11 @@
 """WSGI applications: clients' calls and the balancer's readiness checks."""
 
 import http
+import json
 import random
+from concurrent import futures
 
+import attrs
 from absl import logging
 
 from turmericward import delivery, httpd, requests, runtime, telemetry
@@ -11,6 +14,7 @@
 
 DEFAULT_DEADLINE_S = 10.0
 NOT_READY_RETRY_S = 1.0
+STATUS_S = 1.0
 # Not passed on as they came: set anew for each target, or of one connection.
 _DROPPED = _headers.SYSTEM_HEADERS | {
     _headers.LAST_EVENT_ID.lower(),
@@ -194,16 +198,30 @@
         return [b""]
 
 
-class MetricsPage:
-    """Serves counters and histograms as text."""
+class OperatorPages:
+    """Serves counters and histograms as text, and at `/status` the front's view."""
 
-    def __init__(self, metrics: telemetry.Metrics) -> None:
+    def __init__(
+        self, metrics: telemetry.Metrics, dispatch: delivery.DispatchTask
+    ) -> None:
         """Creates the application."""
         self._metrics = metrics
+        self._dispatch = dispatch
 
     def __call__(self, environ, start_response):
         """Answers one WSGI request."""
-        body = self._metrics.page().encode()
-        headers = [("Content-Type", "text/plain"), ("Content-Length", str(len(body)))]
-        start_response("200 OK", headers)
+        status, kind = "200 OK", "text/plain"
+        if environ["PATH_INFO"] != "/status":
+            body = self._metrics.page().encode()
+        else:
+            try:
+                found = self._dispatch.ask(delivery.GetStatus()).result(STATUS_S)
+                body, kind = (
+                    json.dumps(attrs.asdict(found)).encode(),
+                    "application/json",
+                )
+            except futures.TimeoutError:
+                status, body = "503 Service Unavailable", b"dispatcher doesn't answer\n"
+        headers = [("Content-Type", kind), ("Content-Length", str(len(body)))]
+        start_response(status, headers)
         return [body]
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -112,7 +112,8 @@
         readiness = _ingress.Readiness(self._dispatch, self._draining)
         self._server.add_probe(readiness, _address.split(cfg.listen.ready))
         metrics_address = (cfg.instance.address, cfg.listen.metrics)
-        self._server.add_probe(_ingress.MetricsPage(metrics), metrics_address)
+        pages = _ingress.OperatorPages(metrics, self._dispatch)
+        self._server.add_probe(pages, metrics_address)
 
     def _apply(self, table: delivery.RoutingTable) -> None:
         if table.client_limits is not None:
--- /dev/null
+++ b/src/turmericward/programs/_front_status.py
@@ -0,0 +1,53 @@
+"""Prints what a front believes, as its `/status` page tells it."""
+
+import http.client
+import json
+
+from turmericward.adapters import _address
+
+TIMEOUT_S = 3.0
+
+
+def fetch(address: str) -> dict:
+    """Returns the status of the front with this metrics address.
+
+    Raises:
+        OSError: the front isn't reached.
+        ValueError: what came is no status.
+    """
+    host, port = _address.split(address)
+    conn = http.client.HTTPConnection(host, port, timeout=TIMEOUT_S)
+    try:
+        conn.request("GET", "/status")
+        resp = conn.getresponse()
+        raw = resp.read()
+    except http.client.HTTPException as exc:
+        raise OSError(f"{address}: {exc!r}") from exc
+    finally:
+        conn.close()
+    if resp.status != 200:
+        raise ValueError(f"{address} answers {resp.status}")
+    return json.loads(raw)
+
+
+def lines(status: dict) -> list[str]:
+    """Returns the status as lines of text."""
+    found = [
+        f"front {status['front']} in {status['domain']}, "
+        f"configuration {status['version']}"
+    ]
+    for peer, age_s in sorted(status["peer_ages_s"].items()):
+        found.append(f"peer {peer}: heard {age_s:.1f} s ago")
+    for service, left in sorted(status["retries_left"].items()):
+        found.append(f"service {service}: {left:.1f} retries left")
+    for target in sorted(status["targets"], key=lambda t: (t["service"], t["name"])):
+        states = [name for name in ("leaving", "held") if target[name]]
+        states += [] if target["usable"] else ["ejected"]
+        found.append(
+            f"target {target['name']} of {target['service']} {target['role']} "
+            f"at {target['address']} in {target['domain']}: "
+            f"{target['open_calls']} open calls, {target['urgent_tokens']} tokens "
+            f"to read, {target['deferred_tokens']} deferred"
+            + (f" ({', '.join(states)})" if states else "")
+        )
+    return found
--- a/src/turmericward/programs/cli.py
+++ b/src/turmericward/programs/cli.py
@@ -7,7 +7,7 @@
 import click
 
 from turmericward import settings
-from turmericward.programs import _api, _explain
+from turmericward.programs import _api, _explain, _front_status
 
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
@@ -48,7 +48,12 @@
     Exit codes: 0 done, 1 refused, 2 wrong usage or settings, 3 version
     conflict, 4 server or log not reachable.
     """
-    if ctx.invoked_subcommand not in ("check-config", "completion", "explain"):
+    if ctx.invoked_subcommand not in (
+        "check-config",
+        "completion",
+        "explain",
+        "front-status",
+    ):
         ctx.obj = _api.Api.create(server, key, key_file)
 
 
@@ -161,6 +166,14 @@
     click.echo(f"{path}: settings are valid")
 
 
+@main.command("front-status")
+@click.argument("address")
+def front_status(address: str) -> None:
+    """Prints what a front believes: ADDRESS is ip:port of its metrics page."""
+    for line in _front_status.lines(_front_status.fetch(address)):
+        click.echo(line)
+
+
 @main.command()
 @click.argument("request_id")
 @click.argument("files", nargs=-1, required=True, type=click.File())
--- a/src/turmericward/requests/__init__.py
+++ b/src/turmericward/requests/__init__.py
@@ -4,15 +4,12 @@
 from turmericward.requests._demand import Demand, demand_of, with_model
 from turmericward.requests._errors import InvalidRequestError, RequestsError
 from turmericward.requests._loads import PEER_LEASE_S, TargetLoad, sum_loads
-from turmericward.requests._placement import (
+from turmericward.requests._memories import (
     SHORT_PROMPT_TOKENS,
-    Ending,
     KeptNote,
-    Patience,
-    Placement,
-    Placer,
     target_hash,
 )
+from turmericward.requests._placement import Ending, Patience, Placement, Placer
 from turmericward.requests._prompts import Prompt, PromptPart, part_number
 from turmericward.requests._router import (
     MIN_RETRY_S,
--- a/src/turmericward/requests/_budget.py
+++ b/src/turmericward/requests/_budget.py
@@ -30,6 +30,11 @@
         self._most = most
         self._saved = min(self._saved, most)
 
+    @property
+    def saved(self) -> float:
+        """Retries that may be sent now."""
+        return self._saved
+
     def spend(self) -> bool:
         """Takes one retry from the budget; tells whether there was one."""
         if self._saved < 1.0:
--- a/src/turmericward/requests/_loads.py
+++ b/src/turmericward/requests/_loads.py
@@ -6,6 +6,8 @@
 
 # A front that hasn't been heard for this long is taken to have no work.
 PEER_LEASE_S = 1.5
+# What is left, at most, of a deferred call that is being read: it isn't interrupted.
+BEING_READ_TOKENS = 15_000.0
 
 
 @attrs.frozen(kw_only=True)
@@ -38,7 +40,9 @@
 
     def tokens_ahead(self, *, deferred: bool) -> float:
         """Returns the tokens that are read before a new call's."""
-        return self.urgent_tokens + (self.deferred_tokens if deferred else 0.0)
+        if deferred:
+            return self.urgent_tokens + self.deferred_tokens
+        return self.urgent_tokens + min(self.deferred_tokens, BEING_READ_TOKENS)
 
 
 NO_LOAD = TargetLoad()
@@ -94,6 +98,10 @@
         """Returns the peers that are heard."""
         return list(self._peers)
 
+    def ages(self, now: float) -> dict[str, float]:
+        """Returns by peer for how long it hasn't been heard."""
+        return {peer: now - told.at for peer, told in self._peers.items()}
+
     def at(self, target: int) -> TargetLoad:
         """Returns the work of all peers at a target."""
         if self._sums is None:
--- /dev/null
+++ b/src/turmericward/requests/_memories.py
@@ -0,0 +1,121 @@
+"""What each engine is believed to keep, by own notes and those of other fronts."""
+
+import zlib
+from collections.abc import Iterable
+
+import attrs
+
+from turmericward import fleet
+from turmericward.requests import _kept, _prompts
+
+# Parts of prompts with fewer tokens are quicker read than looked for.
+SHORT_PROMPT_TOKENS = 2_048
+
+
+@attrs.frozen(kw_only=True)
+class KeptNote:
+    """A prompt's part that a target will read, or has read; for the other fronts.
+
+    `own_tokens` were read behind it that no other request shares. Part 0 stands
+    for none.
+    """
+
+    target: int
+    part: int
+    tokens: int
+    own_tokens: int
+    ready: bool
+
+
+def target_hash(name: str) -> int:
+    """Returns the number that stands for a target between fronts."""
+    return zlib.crc32(name.encode()) & 0x7FFFFFFF
+
+
+class EngineMemories:
+    """Models of the engines' memories, and notes that the peers should have."""
+
+    def __init__(self) -> None:
+        """Creates the beliefs of a front that knows of no engine."""
+        self._kept: dict[int, _kept.KeptParts] = {}
+        self._services: dict[int, str] = {}
+        self._capacity_tokens: dict[str, float] = {}
+        self._notes: list[KeptNote] = []
+
+    def set_capacity(self, service: str, tokens: float) -> None:
+        """Sets how many tokens an engine of the service can keep."""
+        self._capacity_tokens[service] = tokens
+        for target, its_service in self._services.items():
+            if its_service == service and target in self._kept:
+                self._kept[target].resize(tokens)
+
+    def announced(self, target: fleet.Target) -> None:
+        """Notes which service a target belongs to, and so how much it can keep."""
+        number = target_hash(target.name)
+        self._services[number] = target.service
+        if number in self._kept:
+            self._kept[number].resize(self._capacity(number))
+
+    def forget(self, name: str) -> None:
+        """Drops what is believed of an engine that is gone or began anew."""
+        self._kept.pop(target_hash(name), None)
+        self._services.pop(target_hash(name), None)
+
+    def _capacity(self, target: int) -> float:
+        service = self._services.get(target, "")
+        return self._capacity_tokens.get(service, _kept.DEFAULT_CAPACITY_TOKENS)
+
+    def take_notes(self) -> list[KeptNote]:
+        """Returns what the other fronts haven't been told of."""
+        notes, self._notes = self._notes, []
+        return notes
+
+    def take(self, note: KeptNote) -> None:
+        """Takes what another front tells of a part."""
+        if note.target not in self._kept:
+            capacity_tokens = self._capacity(note.target)
+            self._kept[note.target] = _kept.KeptParts(capacity_tokens)
+        memory = self._kept[note.target]
+        if note.tokens:
+            memory.note(note.part, note.tokens, ready=note.ready)
+        if note.ready and note.own_tokens:
+            memory.note_own(note.own_tokens)
+
+    def note_prompt(
+        self, target: fleet.Target, prompt: _prompts.Prompt, *, ready: bool
+    ) -> None:
+        """Notes that a prompt goes to an engine or, when `ready`, has been read."""
+        number = target_hash(target.name)
+        parts = prompt.shared_parts or ((0, 0),)
+        for index, (part, tokens) in enumerate(parts, 1):
+            own_tokens = prompt.tokens - prompt.shared_tokens
+            self._note(
+                KeptNote(
+                    target=number,
+                    part=part,
+                    tokens=tokens,
+                    own_tokens=own_tokens if index == len(parts) else 0,
+                    ready=ready,
+                )
+            )
+
+    def listed(self, target: fleet.Target, parts: Iterable[tuple[int, int]]) -> None:
+        """Takes the parts, with their tokens, that an engine says it keeps."""
+        number = target_hash(target.name)
+        for part, tokens in parts:
+            if tokens >= SHORT_PROMPT_TOKENS:
+                note = KeptNote(
+                    target=number, part=part, tokens=tokens, own_tokens=0, ready=True
+                )
+                self._note(note)
+
+    def _note(self, note: KeptNote) -> None:
+        self.take(note)
+        self._notes.append(note)
+
+    def tokens_kept(
+        self, target: fleet.Target, prompt: _prompts.Prompt, *, ready: bool
+    ) -> int:
+        """Returns the prompt's tokens that an engine keeps, or is still to read."""
+        memory = self._kept.get(target_hash(target.name))
+        return 0 if memory is None else memory.tokens(prompt.shared_parts, ready=ready)
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -11,14 +11,12 @@
 import collections
 import enum
 import random
-import zlib
-from collections.abc import Iterable
 
 import attrs
 import result
 
 from turmericward import fleet
-from turmericward.requests import _kept, _loads, _prompts, _router, _speed
+from turmericward.requests import _loads, _memories, _prompts, _router, _speed
 
 # A domain that was cut off is back in use this long after the cut at the latest.
 MAX_EJECTION_S = 4.0
@@ -30,8 +28,6 @@
 UNREACHED_WEIGHT = 3
 # Replicas within this factor of the fastest one are taken to be as fast.
 TOLERATED_SLOWNESS = 1.5
-# Parts of prompts with fewer tokens are quicker read than looked for.
-SHORT_PROMPT_TOKENS = 2_048
 HANDOVER_S = 0.05
 FETCH_S = 0.03
 SECONDS_PER_OPEN_CALL = 0.002
@@ -43,6 +39,14 @@
 # Open calls at which that cost counts in full, and how far it grows with more.
 HARM_OPEN_CALLS = 12
 MAX_HARM_FACTOR = 2.0
+# What an answer costs where a shared part isn't kept: it is copied there, and takes
+# the memory of others.
+ANSWER_COPY_SECONDS_PER_TOKEN = 4e-6
+# Effective tokens beyond which work goes behind shorter work: the longest prompts
+# hold an engine for as long as a dozen others.
+WORK_STEPS = (4_000.0, 16_000.0)
+# Steps by which calls that are late already go behind the others.
+DEFERRED_STEPS = 5
 
 
 class Ending(enum.Enum):
@@ -85,20 +89,11 @@
     deferred: bool = False
     prefill_only: bool = False
 
-
-@attrs.frozen(kw_only=True)
-class KeptNote:
-    """A prompt's part that a target will read, or has read; for the other fronts.
-
-    `own_tokens` were read behind it that no other request shares. Part 0 stands
-    for none.
-    """
-
-    target: int
-    part: int
-    tokens: int
-    own_tokens: int
-    ready: bool
+    @property
+    def rank(self) -> int:
+        """Steps by which the call goes behind the most urgent of its kind."""
+        longer = sum(self.work_tokens > step for step in WORK_STEPS)
+        return longer + DEFERRED_STEPS * self.deferred
 
 
 @attrs.define
@@ -120,11 +115,6 @@
         )
 
 
-def target_hash(name: str) -> int:
-    """Returns the number that stands for a target between fronts."""
-    return zlib.crc32(name.encode()) & 0x7FFFFFFF
-
-
 class Placer:
     """Calls in flight by target, and the choice of the next one's target."""
 
@@ -138,13 +128,10 @@
         self._random = random.Random(seed)
         self._domain = domain
         self._own: dict[str, _Own] = collections.defaultdict(_Own)
-        self._kept: dict[int, _kept.KeptParts] = {}
-        self._services: dict[int, str] = {}
-        self._capacity_tokens: dict[str, float] = {}
         self._latency = _speed.Latency()
         self._speed = _speed.ReadingSpeed()
         self._last_id = 0
-        self._notes: list[KeptNote] = []
+        self.memories = _memories.EngineMemories()
         self.peers = _loads.PeerLoads()
         self.health = fleet.Health(max_s=MAX_EJECTION_S)
         self._refusals = fleet.Health(
@@ -153,30 +140,11 @@
 
     # What is known of targets.
 
-    def set_capacity(self, service: str, tokens: float) -> None:
-        """Sets how many tokens an engine of the service can keep."""
-        self._capacity_tokens[service] = tokens
-        for target, its_service in self._services.items():
-            if its_service == service and target in self._kept:
-                self._kept[target].resize(tokens)
-
-    def announced(self, target: fleet.Target) -> None:
-        """Notes which service a target belongs to, and so how much it can keep."""
-        number = target_hash(target.name)
-        self._services[number] = target.service
-        if number in self._kept:
-            self._kept[number].resize(self._capacity(number))
-
-    def _capacity(self, target: int) -> float:
-        service = self._services.get(target, "")
-        return self._capacity_tokens.get(service, _kept.DEFAULT_CAPACITY_TOKENS)
-
     def forget(self, name: str) -> None:
         """Drops what was learnt of a target that is gone or began anew."""
         self._latency.forget(name)
         self._speed.forget(name)
-        self._kept.pop(target_hash(name), None)
-        self._services.pop(target_hash(name), None)
+        self.memories.forget(name)
         if name in self._own and not self._own[name].open:
             del self._own[name]
         self.health.succeeded(name)
@@ -185,67 +153,15 @@
     def own_loads(self) -> dict[int, _loads.TargetLoad]:
         """Returns the own work by target, without idle targets."""
         return {
-            target_hash(name): own.load() for name, own in self._own.items() if own.open
+            _memories.target_hash(name): own.load()
+            for name, own in self._own.items()
+            if own.open
         }
 
-    def take_notes(self) -> list[KeptNote]:
-        """Returns what the other fronts haven't been told of kept prompts."""
-        notes, self._notes = self._notes, []
-        return notes
-
-    def note_kept(self, note: KeptNote) -> None:
-        """Takes what another front tells of a part."""
-        if note.target not in self._kept:
-            capacity_tokens = self._capacity(note.target)
-            self._kept[note.target] = _kept.KeptParts(capacity_tokens)
-        memory = self._kept[note.target]
-        if note.tokens:
-            memory.note(note.part, note.tokens, ready=note.ready)
-        if note.ready and note.own_tokens:
-            memory.note_own(note.own_tokens)
-
-    def _note(self, target: fleet.Target, prompt, *, ready: bool) -> None:
-        number = target_hash(target.name)
-        own_tokens = prompt.tokens - prompt.shared_tokens
-        *first, last = prompt.shared_parts or ((0, 0),)
-        for (part, tokens), own in [*((p, 0) for p in first), (last, own_tokens)]:
-            self._note_part(
-                KeptNote(
-                    target=number,
-                    part=part,
-                    tokens=tokens,
-                    own_tokens=own,
-                    ready=ready,
-                )
-            )
-
-    def _note_part(self, note: KeptNote) -> None:
-        self.note_kept(note)
-        self._notes.append(note)
-
-    def listed(self, target: fleet.Target, parts: Iterable[tuple[int, int]]) -> None:
-        """Takes the parts, with their tokens, that an engine says it keeps."""
-        number = target_hash(target.name)
-        for part, tokens in parts:
-            if tokens >= SHORT_PROMPT_TOKENS:
-                self._note_part(
-                    KeptNote(
-                        target=number,
-                        part=part,
-                        tokens=tokens,
-                        own_tokens=0,
-                        ready=True,
-                    )
-                )
-
-    def _tokens_kept(self, target: fleet.Target, prompt, *, ready: bool) -> int:
-        memory = self._kept.get(target_hash(target.name))
-        return 0 if memory is None else memory.tokens(prompt.shared_parts, ready=ready)
-
     def load(self, name: str) -> _loads.TargetLoad:
         """Returns the work of all fronts at a target."""
         own = self._own.get(name)
-        peers = self.peers.at(target_hash(name))
+        peers = self.peers.at(_memories.target_hash(name))
         return peers if own is None else own.load() + peers
 
     def _healthy(self, targets, now: float) -> list[fleet.Target]:
@@ -291,8 +207,8 @@
                 _router.Refusal(reason="overloaded", retry_after_s=retry_s)
             )
         placement = self._assign(best)
-        if prompt.tokens >= SHORT_PROMPT_TOKENS:
-            self._note(placement.target, prompt, ready=False)
+        if prompt.tokens >= _memories.SHORT_PROMPT_TOKENS:
+            self.memories.note_prompt(placement.target, prompt, ready=False)
         return result.Ok(placement)
 
     def _best(self, prompt, targets, patience: Patience) -> Placement:
@@ -309,25 +225,25 @@
 
     def _candidates(self, prompt, targets, *, deferred: bool) -> list[Placement]:
         source = None
-        if prompt.tokens >= SHORT_PROMPT_TOKENS:
+        if prompt.tokens >= _memories.SHORT_PROMPT_TOKENS:
             source = max(targets, key=lambda t: self._source_rank(prompt, t))
         return [self._candidate(prompt, t, source, deferred) for t in targets]
 
     def _source_rank(self, prompt, target: fleet.Target) -> tuple[int, bool]:
-        kept = self._tokens_kept(target, prompt, ready=True)
+        kept = self.memories.tokens_kept(target, prompt, ready=True)
         return (kept, target.domain == self._domain)
 
     def _order(self, placement: Placement) -> tuple[float, bool]:
         return (placement.cost_s, placement.target.domain != self._domain)
 
     def _candidate(self, prompt, target, source, deferred: bool) -> Placement:
-        kept = self._tokens_kept(target, prompt, ready=False)
+        kept = self.memories.tokens_kept(target, prompt, ready=False)
         fetch_from = ""
         load = self.load(target.name)
         extra_s = load.open_calls * SECONDS_PER_OPEN_CALL
         harm_s = 0.0
         if source is not None and source is not target:
-            there = self._tokens_kept(source, prompt, ready=True)
+            there = self.memories.tokens_kept(source, prompt, ready=True)
             if there > kept:
                 kept = there
                 fetch_from = source.address
@@ -335,7 +251,7 @@
                 harm_s += COPY_COST_S
         if target.role is fleet.EngineRole.PREFILL:
             extra_s += HANDOVER_S
-        elif prompt.tokens >= SHORT_PROMPT_TOKENS:
+        elif prompt.tokens >= _memories.SHORT_PROMPT_TOKENS:
             factor = min(MAX_HARM_FACTOR, load.open_calls / HARM_OPEN_CALLS)
             harm_s += (prompt.tokens - kept) * HARM_SECONDS_PER_TOKEN * factor
         work = _speed.effective_tokens(max(1.0, prompt.tokens - kept), kept)
@@ -353,19 +269,27 @@
             prefill_only=target.role is fleet.EngineRole.PREFILL,
         )
 
-    def choose_answerer(self, targets, now: float) -> Placement | None:
+    def choose_answerer(
+        self, prompt: _prompts.Prompt, targets, now: float
+    ) -> Placement | None:
         """Chooses where a prompt that was read elsewhere is answered."""
         able = [t for t in targets if t.role is not fleet.EngineRole.PREFILL]
         usable = self._healthy(able, now)
         if not usable:
             return None
-        return self._assign(min(map(self._answering, usable), key=self._order))
+        found = [self._answering(prompt, target) for target in usable]
+        return self._assign(min(found, key=self._order))
 
-    def _answering(self, target: fleet.Target) -> Placement:
+    def _answering(self, prompt, target: fleet.Target) -> Placement:
         load = self.load(target.name)
         expected_s = load.open_calls * SECONDS_PER_OPEN_CALL
-        expected_s += load.urgent_tokens * self._speed.per_token(target)
-        return Placement(id=0, target=target, expected_s=expected_s, cost_s=expected_s)
+        ahead = load.tokens_ahead(deferred=False)
+        expected_s += ahead * self._speed.per_token(target)
+        copied = prompt.shared_tokens - self.memories.tokens_kept(
+            target, prompt, ready=False
+        )
+        cost_s = expected_s + ANSWER_COPY_SECONDS_PER_TOKEN * max(0, copied)
+        return Placement(id=0, target=target, expected_s=expected_s, cost_s=cost_s)
 
     # Calls in flight.
 
@@ -390,8 +314,8 @@
         if placement.work_tokens:
             tokens = placement.ahead_tokens + placement.work_tokens
             self._speed.learn(placement.target, tokens, took_s)
-        if prompt.tokens >= SHORT_PROMPT_TOKENS:
-            self._note(placement.target, prompt, ready=True)
+        if prompt.tokens >= _memories.SHORT_PROMPT_TOKENS:
+            self.memories.note_prompt(placement.target, prompt, ready=True)
 
     def ended(self, placement: Placement, ending: Ending, now: float) -> None:
         """Ends a placement; repeated calls have no effect."""
