End within the grace period: a stop interrupts reads that wait for records

Ruled out: the drain itself (ended in 4 to 7 s), the server's threads. Change: stopping a follow loop fails its client's request at once and all later ones; it isn't told as a lost store. Test: an idle front ends within its grace period; timed out before.

--- a/src/turmericward/adapters/_kept_connection.py
+++ b/src/turmericward/adapters/_kept_connection.py
@@ -1,6 +1,8 @@
 """One HTTP connection that is kept between requests."""
 
+import contextlib
 import http.client
+import socket
 
 from turmericward.adapters import _address
 
@@ -28,6 +30,15 @@
         self._timeout_s = timeout_s
         self._connect_s = connect_s
         self._conn: http.client.HTTPConnection | None = None
+        self._ended = False
+
+    def end(self) -> None:
+        """Has a request that waits fail at once, and all later ones; for any thread."""
+        self._ended = True
+        conn = self._conn
+        if conn is not None and conn.sock is not None:
+            with contextlib.suppress(OSError):
+                conn.sock.shutdown(socket.SHUT_RDWR)
 
     def move(self, address: str, timeout_s: float) -> None:
         """Sets where the next connection goes; called by any thread."""
@@ -71,6 +82,8 @@
             conn.auto_open = 0
             conn.connect()
             self._conn = conn
+        if self._ended:
+            raise ConnectionAbortedError("the client was ended")
         self._conn.sock.settimeout(timeout_s)
         return self._conn
 
--- a/src/turmericward/platform/_follow.py
+++ b/src/turmericward/platform/_follow.py
@@ -63,6 +63,11 @@
         self._highest = 0
         self._lost = False
 
+    def stop(self) -> None:
+        """Ends the loop, also in the middle of a read that waits for records."""
+        super().stop()
+        self._client.end()
+
     def step(self) -> None:
         """Reads once."""
         try:
@@ -74,7 +79,8 @@
             logging.info("topic %s: %s, listing it anew", self._topic, exc)
             self._following = None
         except errors.LogUnavailableError as exc:
-            self._note_loss(exc)
+            if not self.stopping:
+                self._note_loss(exc)
             self.pause(RETRY_PAUSE_S)
 
     def _note_loss(self, exc: Exception) -> None:
--- a/src/turmericward/platform/_store.py
+++ b/src/turmericward/platform/_store.py
@@ -48,6 +48,10 @@
             address, timeout_s, connect_s=timeout_s
         )
 
+    def end(self) -> None:
+        """Has a call that waits fail at once, and all later ones; for any thread."""
+        self._conn.end()
+
     def move(self, address: str, timeout_s: float) -> None:
         """Sets where the store is from the next connection on; for any thread."""
         self._conn.move(address, timeout_s)
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -180,6 +180,14 @@
         check.assertEqual(found.process.wait(platform_fixtures.STOP_TIMEOUT_S), 0)
 
 
+def test_an_idle_front_ends_within_the_grace_period_of_its_settings():
+    with platform_fixtures.platform(("m1",)) as found:
+        grace_s = json.loads(found.settings.read_text())["bounds"]["drain_s"]
+        found.process.terminate()
+        check.assertEqual(found.process.wait(grace_s), 0)
+        check.assertNotIn("is lost", found.log.read_text())
+
+
 def test_the_store_may_fail_in_any_way_and_calls_go_on():
     with platform_fixtures.platform() as found:
         for fault in ("down", "torn", "silent"):
