Keep KV cache in its failure domain where that costs little

Cause: answers were placed, and sources of fetches chosen, without regard to the domain in which a prompt's KV cache lies; a copy into another domain takes twice as long, and the call's body crosses too. Change: an answer in another domain than the one where its prompt was read costs 30 ms; for each domain the source of a fetch is one in it, if one there keeps as much. Tests: two on the decisions.

--- a/benchmarks/prompt_model.py
+++ b/benchmarks/prompt_model.py
@@ -290,7 +290,10 @@
         placer.began(placement, prompt, took_s, self._now)
         if placement.prefill_only:
             placer.ended(placement, requests.Ending.SOUND, self._now)
-            placement = placer.choose_answerer(prompt, self._targets, self._now)
+            read_in = placement.target.domain
+            placement = placer.choose_answerer(
+                prompt, read_in, self._targets, self._now
+            )
             if job.kind == "long":
                 engine = self._engines[placement.target.name]
                 engine.keep(_subject(prompt), prompt.parts[-1].tokens)
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -45,6 +45,7 @@
         self._sent_at = 0.0
         # Names KV cache of the prompt that no target has taken yet.
         self._source = ""
+        self._read_in = ""
 
     def run(self) -> _calls.Reply:
         """Returns the reply; a stream's body goes on while it is read."""
@@ -84,6 +85,7 @@
             excluded=self._progress.excluded,
             retry=self._progress.is_retry(read=read),
             read=read,
+            read_in=self._read_in,
         )
         chosen = self._ctx.dispatch.ask(message).result(ASK_S)
         if chosen.is_err():
@@ -116,6 +118,7 @@
                 self._end_failed(exc)
                 self._progress.prefill_failed(self._target)
             else:
+                self._read_in = self._placement.target.domain
                 self._progress.prefills += 1
                 self._began()
                 self._end(requests.Ending.SOUND)
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -273,7 +273,9 @@
         if call.prompt is None:
             return _placed(self._placer.choose_replica(usable, now))
         if message.read:
-            return _placed(self._placer.choose_answerer(call.prompt, usable, now))
+            return _placed(
+                self._placer.choose_answerer(call.prompt, message.read_in, usable, now)
+            )
         route = call.route
         longest_s = max(self._longest_s[route.name], call.deadline_s)
         self._longest_s[route.name] = longest_s
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -126,8 +126,9 @@
 class Place:
     """Asks for a target; answered with a Result of Placement or Refusal.
 
-    `read` tells that the prompt's KV cache lies ready elsewhere; `retry` that
-    an earlier attempt of the call has reached the service.
+    `read` tells that the prompt's KV cache lies ready elsewhere, in the failure
+    domain `read_in` if that is known; `retry` that an earlier attempt of the call
+    has reached the service.
     """
 
     call: _calls.Call
@@ -135,6 +136,7 @@
     excluded: frozenset[str]
     retry: bool = False
     read: bool = False
+    read_in: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -39,6 +39,8 @@
 # Open calls at which that cost counts in full, and how far it grows with more.
 HARM_OPEN_CALLS = 12
 MAX_HARM_FACTOR = 2.0
+# What moving KV cache into another domain costs: it takes twice as long there.
+CROSSING_COST_S = 0.03
 # What an answer costs where a shared part isn't kept: it is copied there, and takes
 # the memory of others.
 ANSWER_COPY_SECONDS_PER_TOKEN = 4e-6
@@ -224,14 +226,22 @@
         return best
 
     def _candidates(self, prompt, targets, *, deferred: bool) -> list[Placement]:
-        source = None
+        sources = {}
         if prompt.tokens >= _memories.SHORT_PROMPT_TOKENS:
-            source = max(targets, key=lambda t: self._source_rank(prompt, t))
-        return [self._candidate(prompt, t, source, deferred) for t in targets]
-
-    def _source_rank(self, prompt, target: fleet.Target) -> tuple[int, bool]:
-        kept = self.memories.tokens_kept(target, prompt, ready=True)
-        return (kept, target.domain == self._domain)
+            sources = self._sources(prompt, targets)
+        return [
+            self._candidate(prompt, t, sources.get(t.domain), deferred) for t in targets
+        ]
+
+    def _sources(self, prompt, targets) -> dict[str, fleet.Target]:
+        """Returns for each domain the engine that keeps most, a near one if equal."""
+        kept = {
+            t.name: self.memories.tokens_kept(t, prompt, ready=True) for t in targets
+        }
+        return {
+            domain: max(targets, key=lambda t: (kept[t.name], t.domain == domain))
+            for domain in {t.domain for t in targets}
+        }
 
     def _order(self, placement: Placement) -> tuple[float, bool]:
         return (placement.cost_s, placement.target.domain != self._domain)
@@ -270,17 +280,17 @@
         )
 
     def choose_answerer(
-        self, prompt: _prompts.Prompt, targets, now: float
+        self, prompt: _prompts.Prompt, read_in: str, targets, now: float
     ) -> Placement | None:
-        """Chooses where a prompt that was read elsewhere is answered."""
+        """Chooses where a prompt that was read in a domain is answered."""
         able = [t for t in targets if t.role is not fleet.EngineRole.PREFILL]
         usable = self._healthy(able, now)
         if not usable:
             return None
-        found = [self._answering(prompt, target) for target in usable]
+        found = [self._answering(prompt, read_in, target) for target in usable]
         return self._assign(min(found, key=self._order))
 
-    def _answering(self, prompt, target: fleet.Target) -> Placement:
+    def _answering(self, prompt, read_in: str, target: fleet.Target) -> Placement:
         load = self.load(target.name)
         expected_s = load.open_calls * SECONDS_PER_OPEN_CALL
         ahead = load.tokens_ahead(deferred=False)
@@ -289,6 +299,8 @@
             target, prompt, ready=False
         )
         cost_s = expected_s + ANSWER_COPY_SECONDS_PER_TOKEN * max(0, copied)
+        if read_in not in ("", target.domain):
+            cost_s += CROSSING_COST_S
         return Placement(id=0, target=target, expected_s=expected_s, cost_s=cost_s)
 
     # Calls in flight.
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -162,11 +162,31 @@
     placer = _placer()
     keeper = targets[2]
     placer.memories.listed(keeper, _long().shared_parts)
-    chosen = [placer.choose_answerer(_long(), targets, 0.0) for _ in range(60)]
+    chosen = [placer.choose_answerer(_long(), "", targets, 0.0) for _ in range(60)]
     check.assertTrue(all(p.target == keeper for p in chosen[:20]))
     check.assertTrue(any(p.target != keeper for p in chosen[20:]))
 
 
+def test_kv_cache_stays_in_its_domain_unless_that_is_busy():
+    targets = prompt_model.targets(1, 5)
+    placer = _placer()
+    for domain in "abc":
+        first = placer.choose_answerer(_long(), domain, targets, 0.0)
+        check.assertEqual(first.target.domain, domain)
+    chosen = [placer.choose_answerer(_long(), "b", targets, 0.0) for _ in range(60)]
+    check.assertEqual({p.target.domain for p in chosen}, {"a", "b", "c"})
+
+
+def test_a_part_is_fetched_from_the_own_domain_if_an_engine_there_keeps_it():
+    engines = prompt_model.targets(6, 0)
+    reader = engines[4]
+    placer = _placer()
+    for keeper in engines[:4]:
+        placer.memories.listed(keeper, _long().shared_parts)
+    sources = placer._sources(_long(), engines)
+    check.assertEqual(sources[reader.domain].domain, reader.domain)
+
+
 def test_a_steady_load_is_served_in_time():
     results = _played("steady")
     check.assertGreater(_mean(results, "long"), 0.85)
