Heed what replicas say of themselves: leaving, and for how long they rest

A replica that leaves says so in all its answers, and one that refuses may say for how long it wants nothing; neither was read. Change: every answer's head is looked at in the adapter, also of prefills and of memory listings. Leaving holds for the life in which it was said, whatever announcement of that life comes later or comes back after it went; peers are told for two seconds. A target that rests is out of the choice altogether; where only resting ones are left, the call is refused with the time of the first that is back. Spoiled, negative and endless values change nothing or are bounded. Found on the way: a replica without samples counted as 0.1 s, so beside replicas that answer in 5 ms a new one got no call at all; it now counts as the fastest.

--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -28,6 +28,33 @@
   2: i32 ttl_ms
 }
 
+/** A target that said that it leaves, in the life that began at `started_ms`. */
+struct LeavingTarget {
+  1: i32 target
+  2: i64 started_ms
+}
+
+/** A record of a topic; an empty value ends its key. */
+struct Record {
+  1: i64 offset
+  2: string key
+  3: binary value
+}
+
+/** Everything that a topic of the store gained between two offsets. */
+struct TopicNews {
+  /** 1 is the operators' configuration, 2 the targets. */
+  1: i32 topic
+  /** Of the first record that these news cover. */
+  2: i64 start
+  /** Behind the last record that they cover. */
+  3: i64 end
+  /** Time since the store was asked whether there is more. */
+  4: i32 age_ms
+  /** The covered records, without those that change nothing. */
+  5: list<Record> records
+}
+
 /** A front's whole load, and the prompts read since its last datagrams. */
 struct FrontState {
   1: string front
@@ -43,4 +70,8 @@
   8: i32 fronts
   /** Targets all of whose kept parts were told, here or shortly before. */
   9: list<i32> listed
+  10: list<LeavingTarget> leaving
+  /** What the front's instance can carry: link Mbit/s times cores. */
+  11: i32 capacity
+  12: list<TopicNews> news
 }
--- a/src/turmericward/delivery/__init__.py
+++ b/src/turmericward/delivery/__init__.py
@@ -32,6 +32,7 @@
     RetryBounds,
     SetTable,
     SourceReturned,
+    TargetNotice,
 )
 from turmericward.delivery._roles_loop import RolesLoop, RoleState
 from turmericward.delivery._routes import RoutingTable, ServiceTraits
@@ -61,6 +62,7 @@
     "Place",
     "PutTargets",
     "ReplaceTargets",
+    "TargetNotice",
     "Reply",
     "RetryBounds",
     "RoleState",
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -7,7 +7,7 @@
 import result
 from absl import logging
 
-from turmericward import fleet, peers, requests, runtime
+from turmericward import fleet, peers, requests, runtime, telemetry
 from turmericward.delivery import _messages, _routes
 
 NO_TARGET_RETRY_S = 0.5
@@ -47,6 +47,7 @@
         """
         super().__init__()
         self._directory = fleet.Directory(grace_s)
+        self._rests = fleet.Rests()
         self._placer = requests.Placer(seed, domain)
         self._retries = retries
         self._budgets: dict[str, requests.RetryBudget] = collections.defaultdict(
@@ -93,14 +94,18 @@
 
     def _gone(self, name: str) -> None:
         logging.info("target %s is gone", name)
+        self._forget(name)
+
+    def _forget(self, name: str) -> None:
         self._placer.forget(name)
+        self._rests.forget(name)
 
     def _put(self, target: fleet.Target) -> None:
         known = self._directory.get(target.name)
         if not self._directory.put(target):
             return
         if known is not None and known.started_ms != target.started_ms:
-            self._placer.forget(target.name)
+            self._forget(target.name)
         self._placer.memories.announced(target)
         if known is not None and known.role is not target.role:
             self._held.pop(requests.target_hash(target.name), None)
@@ -122,6 +127,33 @@
         for name in self._directory.keep_only(names, runtime.now()):
             self._gone(name)
 
+    @handle.register
+    def _(self, message: _messages.TargetNotice) -> None:
+        name, started_ms = message.target.name, message.target.started_ms
+        if message.leaving and self._directory.leave(name, started_ms):
+            telemetry.log_event("target_leaves", target=name, started_ms=started_ms)
+            left = peers.LeavingTarget(
+                target=requests.target_hash(name), started_ms=started_ms
+            )
+            self._tell_now(leaving=frozenset((left,)))
+        now = runtime.now()
+        if self._rests.note(name, message.rest_s, now):
+            rest_s = self._rests.left_s(name, now)
+            telemetry.log_event("target_rests", target=name, rest_s=rest_s)
+
+    def _take_leaving(self, leaving: frozenset[peers.LeavingTarget]) -> None:
+        if not leaving:
+            return
+        for target in self._directory.all():
+            number = requests.target_hash(target.name)
+            life = peers.LeavingTarget(target=number, started_ms=target.started_ms)
+            if life in leaving and self._directory.leave(
+                target.name, target.started_ms
+            ):
+                telemetry.log_event(
+                    "target_leaves", target=target.name, started_ms=target.started_ms
+                )
+
     @handle.register
     def _(self, message: _messages.SourceReturned) -> None:
         self._directory.source_returned(runtime.now())
@@ -143,6 +175,7 @@
         for note in message.kept:
             self._placer.memories.take(note)
         self._listed |= message.listed
+        self._take_leaving(message.leaving)
         for target, ttl_s in message.held.items():
             self._held[target] = runtime.now() + ttl_s
 
@@ -257,12 +290,16 @@
         if not message.retry and not message.read:
             budget.earn()
         now = runtime.now()
-        usable = [
+        able = [
             t
             for t in self._directory.usable(message.service)
             if t.name not in message.excluded and not self._is_held(t, now)
         ]
+        usable = [t for t in able if not self._rests.left_s(t.name, now)]
         chosen = self._choose(message, usable, now)
+        if chosen is None and len(usable) < len(able):
+            rest_s = min(self._rests.left_s(t.name, now) for t in able)
+            return _refused("targets_rest", max(NO_TARGET_RETRY_S, rest_s))
         if chosen is None:
             return _refused("no_target")
         self._tell_peers(message.call.prompt)
@@ -306,5 +343,5 @@
     return None if placement is None else result.Ok(placement)
 
 
-def _refused(reason: str):
-    return result.Err(requests.Refusal(reason=reason, retry_after_s=NO_TARGET_RETRY_S))
+def _refused(reason: str, retry_after_s: float = NO_TARGET_RETRY_S):
+    return result.Err(requests.Refusal(reason=reason, retry_after_s=retry_after_s))
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -44,6 +44,19 @@
     kept: frozenset[str] = frozenset()
 
 
+@attrs.frozen(kw_only=True)
+class TargetNotice:
+    """What a target said of itself in an answer.
+
+    `leaving` holds for the life in which it answered; for `rest_s` seconds it wants
+    no calls of this front.
+    """
+
+    target: fleet.Target
+    leaving: bool = False
+    rest_s: float = 0.0
+
+
 @attrs.frozen(kw_only=True)
 class SourceReturned:
     """Announcements are read again after an outage."""
--- a/src/turmericward/fleet/__init__.py
+++ b/src/turmericward/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Fleet aggregate: what an entry or a steward knows of targets."""
 
 from turmericward.fleet._health import Health
+from turmericward.fleet._rests import Rests
 from turmericward.fleet._roles import RoleChange, RolePlanner
 from turmericward.fleet._targets import Directory, EngineRole, Target
 from turmericward.fleet._view import (
@@ -19,6 +20,7 @@
     "EngineView",
     "Health",
     "LoadView",
+    "Rests",
     "RoleChange",
     "RolePlanner",
     "Subset",
--- a/src/turmericward/fleet/_targets.py
+++ b/src/turmericward/fleet/_targets.py
@@ -1,10 +1,14 @@
 """Targets as they announce themselves, and when an absent one counts as gone."""
 
+import collections
 import enum
 from collections.abc import Collection
 
 import attrs
 
+# Lives that are remembered as leaving after their announcement went.
+MAX_LEFT_LIVES = 10_000
+
 
 class EngineRole(enum.Enum):
     """What a model engine does: read prompts only, or answer requests."""
@@ -43,6 +47,9 @@
         self._targets: dict[str, Target] = {}
         self._missing: dict[str, float] = {}
         self._grace_until = 0.0
+        # Name and start of lives that leave, oldest first.
+        self._left: collections.OrderedDict[tuple[str, int], None]
+        self._left = collections.OrderedDict()
 
     def source_returned(self, now: float) -> None:
         """Notes that announcements are read again after an outage."""
@@ -58,13 +65,32 @@
         known = self._targets.get(target.name)
         if known is not None and target.started_ms < known.started_ms:
             return False
-        same_life = known is not None and target.started_ms == known.started_ms
-        if same_life and known.leaving and not target.leaving:
+        if target.leaving:
+            self._note_left(target)
+        elif (target.name, target.started_ms) in self._left:
             return False
         self._targets[target.name] = target
         self._missing.pop(target.name, None)
         return True
 
+    def leave(self, name: str, started_ms: int) -> bool:
+        """Notes that a target leaves in the life that began at `started_ms`.
+
+        Tells whether it was in use. An announcement of that life that comes later
+        doesn't bring it back.
+        """
+        known = self._targets.get(name)
+        if known is None or known.started_ms != started_ms or known.leaving:
+            return False
+        self._targets[name] = attrs.evolve(known, leaving=True)
+        self._note_left(known)
+        return True
+
+    def _note_left(self, target: Target) -> None:
+        self._left[target.name, target.started_ms] = None
+        while len(self._left) > MAX_LEFT_LIVES:
+            self._left.popitem(last=False)
+
     def remove(self, name: str, now: float) -> bool:
         """Takes a target out, within the grace period only at its end.
 
--- a/src/turmericward/peers/__init__.py
+++ b/src/turmericward/peers/__init__.py
@@ -1,7 +1,13 @@
 """Fronts tell each other their load in datagrams, so that none chooses blindly."""
 
 from turmericward.peers._circle import Circle, Content, Recipient
-from turmericward.peers._codec import MalformedStateError, PeerState, decode, encode
+from turmericward.peers._codec import (
+    LeavingTarget,
+    MalformedStateError,
+    PeerState,
+    decode,
+    encode,
+)
 from turmericward.peers._tasks import (
     Announced,
     Heard,
@@ -16,6 +22,7 @@
     "Circle",
     "Content",
     "Heard",
+    "LeavingTarget",
     "MalformedStateError",
     "PeerState",
     "PeerTask",
--- a/src/turmericward/peers/_codec.py
+++ b/src/turmericward/peers/_codec.py
@@ -19,6 +19,14 @@
     """Raised when a datagram can't be decoded."""
 
 
+@attrs.frozen(kw_only=True)
+class LeavingTarget:
+    """A target's life, by the number of its name and its start, that leaves."""
+
+    target: int
+    started_ms: int
+
+
 @attrs.frozen(kw_only=True)
 class PeerState:
     """What a front tells: its loads by target, and prompts that targets keep.
@@ -26,6 +34,7 @@
     With `fronts` above 1 it is the sum of so many fronts' loads.
     `held` are targets that should get no new calls for so many seconds; `listed`
     ones have told what they keep, and `kept` has it or had it shortly before.
+    `leaving` are lives of targets that said that they leave.
     `sequence` orders the states of one `boot`, a number drawn at each start.
     """
 
@@ -36,6 +45,7 @@
     kept: tuple[requests.KeptNote, ...] = ()
     held: dict[int, float] = attrs.field(factory=dict)
     listed: frozenset[int] = frozenset()
+    leaving: frozenset[LeavingTarget] = frozenset()
     domain: str = ""
     fronts: int = 1
 
@@ -70,6 +80,10 @@
         domain=state.domain,
         fronts=state.fronts,
         listed=sorted(state.listed),
+        leaving=[
+            ttypes.LeavingTarget(target=life.target, started_ms=life.started_ms)
+            for life in state.leaving
+        ],
         held=[
             ttypes.HeldTarget(target=target, ttl_ms=int(ttl_s * 1000))
             for target, ttl_s in state.held.items()
@@ -94,6 +108,10 @@
             kept=tuple(_note(row) for row in message.kept),
             held={row.target: row.ttl_ms / 1000 for row in message.held},
             listed=frozenset(message.listed),
+            leaving=frozenset(
+                LeavingTarget(target=row.target, started_ms=row.started_ms)
+                for row in message.leaving or ()
+            ),
             domain=message.domain,
             fronts=message.fronts,
         )
--- a/src/turmericward/peers/_tasks.py
+++ b/src/turmericward/peers/_tasks.py
@@ -17,6 +17,8 @@
 # Notes of kept prompts that wait to be passed on; older ones are dropped.
 MAX_WAITING_NOTES = 200
 RECEIVE_TIMEOUT_S = 0.5
+# A target that leaves is told again and again for so long: datagrams get lost.
+LEAVING_TOLD_S = 2.0
 BOOT_BITS = 62
 
 
@@ -45,6 +47,7 @@
     kept: tuple[requests.KeptNote, ...] = ()
     held: dict[int, float] = attrs.field(factory=dict)
     listed: frozenset[int] = frozenset()
+    leaving: frozenset[_codec.LeavingTarget] = frozenset()
 
 
 def open_socket(host: str, port: int) -> socket.socket:
@@ -94,6 +97,8 @@
         self._notes: list[requests.KeptNote] = []
         self._held: dict[int, float] = {}
         self._listed: frozenset[int] = frozenset()
+        # Since when lives of targets that leave are known.
+        self._leaving: dict[_codec.LeavingTarget, float] = {}
         self._told_at = 0.0
 
     def tell(self, state: Tell) -> None:
@@ -147,10 +152,14 @@
         self._notes = [*self._notes, *told.kept][-MAX_WAITING_NOTES:]
         self._held |= told.held
         self._listed |= told.listed
+        now = self._clock()
+        for life in told.leaving:
+            self._leaving.setdefault(life, now)
 
     def tick(self) -> None:
         """Repeats the state if nothing changed for a while."""
         now = self._clock()
+        self._forget_leaving(now)
         for front in self._circle.forget(now):
             logging.info("peer %s is forgotten", front)
         interval_s = HEARTBEAT_S / 2
@@ -159,6 +168,13 @@
         if now - self._told_at >= interval_s:
             self._send(now)
 
+    def _forget_leaving(self, now: float) -> None:
+        # Remembered for longer than told, so that two relays don't repeat for ever
+        # what each hears from the other.
+        for life, since in list(self._leaving.items()):
+            if now - since > 2 * LEAVING_TOLD_S:
+                del self._leaving[life]
+
     def closed(self) -> None:
         """Tells the peers that nothing is left here."""
         self._own = Tell(loads={})
@@ -191,6 +207,11 @@
             kept=tuple(self._notes),
             held=self._held,
             listed=self._listed,
+            leaving=frozenset(
+                life
+                for life, since in self._leaving.items()
+                if now - since <= LEAVING_TOLD_S
+            ),
             domain=self._domain,
             fronts=1 + sum(state.fronts for state in summed),
         )
--- a/src/turmericward/platform/_memory.py
+++ b/src/turmericward/platform/_memory.py
@@ -1,12 +1,13 @@
 """Asks the platform's replicas which parts of prompts they keep."""
 
 import json
+from collections.abc import Callable
 
 import attrs
 
-from turmericward import fleet, requests, runtime, schema
+from turmericward import delivery, fleet, requests, runtime, schema
 from turmericward.adapters import _request, errors
-from turmericward.platform import _headers
+from turmericward.platform import _headers, _notices
 
 TIMEOUT_S = 1.0
 
@@ -20,6 +21,14 @@
 class ReplicaMemory:
     """Lists replicas' memory; see `delivery.EngineMemory`."""
 
+    def __init__(self, notice: Callable[[delivery.TargetNotice], None]) -> None:
+        """Creates the lister.
+
+        Args:
+            notice: takes what replicas say of themselves.
+        """
+        self._notice = notice
+
     def kept(self, target: fleet.Target) -> tuple[tuple[int, int], ...]:
         """Returns the numbers of the parts that a replica keeps, with their tokens."""
         headers = ((_headers.EXPECTED_TARGET, target.name),)
@@ -29,6 +38,9 @@
         with _request.closing(conn):
             _request.send(conn, target.address, req)
             resp = _request.answer_head(conn, target.address)
+            found = _notices.found_in(resp, target)
+            if found is not None:
+                self._notice(found)
             raw = _request.read_whole(conn, resp, target.address, until)
         if resp.status != 200:
             raise errors.AnswerLostError(f"{target.name} lists {resp.status}")
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -91,14 +91,16 @@
                 _follow.TARGETS_BATCH_S,
             ),
             self._roles(),
-            delivery.MemoryLoop(self._dispatch, _memory.ReplicaMemory(), seed),
+            delivery.MemoryLoop(
+                self._dispatch, _memory.ReplicaMemory(self._dispatch.post), seed
+            ),
             self.reload,
         ]
         self._group = runtime.Group([tell, self._dispatch, *loops], "front")
         metrics = telemetry.Metrics(None, "")
         ctx = delivery.Context(
             dispatch=self._dispatch,
-            transport=_transport.ReplicaTransport(),
+            transport=_transport.ReplicaTransport(self._dispatch.post),
             metrics=metrics,
         )
         limits = httpd.Limits(
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -3,13 +3,13 @@
 import functools
 import http.client
 import json
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from absl import logging
 
 from turmericward import delivery, fleet, runtime
 from turmericward.adapters import _request, _response, errors, service
-from turmericward.platform import _headers
+from turmericward.platform import _headers, _notices
 
 CONNECT_TIMEOUT_S = 0.3
 READ_BYTES = 65536
@@ -33,6 +33,14 @@
 class ReplicaTransport:
     """Implements the delivery engine's transport with one connection a call."""
 
+    def __init__(self, notice: Callable[[delivery.TargetNotice], None]) -> None:
+        """Creates the transport.
+
+        Args:
+            notice: takes what replicas say of themselves.
+        """
+        self._notice = notice
+
     def send(
         self,
         target: fleet.Target,
@@ -50,6 +58,9 @@
         try:
             _request.send(conn, target.address, _outgoing(target, call, dispatch))
             resp = _request.answer_head(conn, target.address)
+            found = _notices.found_in(resp, target)
+            if found is not None:
+                self._notice(found)
         except BaseException:
             conn.close()
             raise
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -180,14 +180,14 @@
         if not usable:
             return None
         self._random.shuffle(usable)
-        fastest_s = min(self._latency.of(t.name, now) for t in usable)
+        fastest_s = self._latency.fastest((t.name for t in usable), now)
         best = min(usable, key=lambda t: self._replica_score(t, fastest_s, now))
         return self._assign(Placement(id=0, target=best))
 
     def _replica_score(
         self, target: fleet.Target, fastest_s: float, now: float
     ) -> tuple[float, bool]:
-        slowness = self._latency.of(target.name, now) / fastest_s
+        slowness = self._latency.slowness(target.name, fastest_s, now)
         busy = self.load(target.name).open_calls + 1
         score = busy / max(1, target.slots) * max(1.0, slowness / TOLERATED_SLOWNESS)
         return (score, target.domain != self._domain)
--- a/src/turmericward/requests/_speed.py
+++ b/src/turmericward/requests/_speed.py
@@ -1,6 +1,7 @@
 """How long an engine takes to read prompts, learnt from first tokens."""
 
 import math
+from collections.abc import Iterable
 
 from turmericward import fleet
 
@@ -77,6 +78,17 @@
         """Drops what was learnt of a replica."""
         self._known.pop(name, None)
 
+    def fastest(self, names: Iterable[str], now: float) -> float:
+        """Returns the least latency of the replicas that gave samples."""
+        known = [self.of(name, now) for name in names if name in self._known]
+        return min(known, default=FIRST_LATENCY_S)
+
+    def slowness(self, name: str, fastest_s: float, now: float) -> float:
+        """Returns a replica's latency over the fastest one's; 1 without samples."""
+        if name not in self._known:
+            return 1.0
+        return self.of(name, now) / fastest_s
+
     def of(self, name: str, now: float) -> float:
         """Returns the expected latency in seconds."""
         latency_s, at = self._known.get(name, (FIRST_LATENCY_S, now))
--- a/src/turmericward/wire/peers/ttypes.py
+++ b/src/turmericward/wire/peers/ttypes.py
@@ -322,6 +322,309 @@
         return not (self == other)
 
 
+class LeavingTarget(object):
+    """
+    A target that said that it leaves, in the life that began at `started_ms`.
+
+    Attributes:
+     - target
+     - started_ms
+
+    """
+
+    __slots__ = (
+        'target',
+        'started_ms',
+    )
+
+
+    def __init__(self, target=None, started_ms=None,):
+        self.target = target
+        self.started_ms = started_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.target = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeavingTarget')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.I32, 1)
+            oprot.writeI32(self.target)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 2)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Record(object):
+    """
+    A record of a topic; an empty value ends its key.
+
+    Attributes:
+     - offset
+     - key
+     - value
+
+    """
+
+    __slots__ = (
+        'offset',
+        'key',
+        'value',
+    )
+
+
+    def __init__(self, offset=None, key=None, value=None,):
+        self.offset = offset
+        self.key = key
+        self.value = value
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Record')
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 1)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 2)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 3)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TopicNews(object):
+    """
+    Everything that a topic of the store gained between two offsets.
+
+    Attributes:
+     - topic: 1 is the operators' configuration, 2 the targets.
+     - start: Of the first record that these news cover.
+     - end: Behind the last record that they cover.
+     - age_ms: Time since the store was asked whether there is more.
+     - records: The covered records, without those that change nothing.
+
+    """
+
+    __slots__ = (
+        'topic',
+        'start',
+        'end',
+        'age_ms',
+        'records',
+    )
+
+
+    def __init__(self, topic=None, start=None, end=None, age_ms=None, records=None,):
+        self.topic = topic
+        self.start = start
+        self.end = end
+        self.age_ms = age_ms
+        self.records = records
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.topic = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.start = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.end = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.records = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = Record()
+                        _elem5.read(iprot)
+                        self.records.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TopicNews')
+        if self.topic is not None:
+            oprot.writeFieldBegin('topic', TType.I32, 1)
+            oprot.writeI32(self.topic)
+            oprot.writeFieldEnd()
+        if self.start is not None:
+            oprot.writeFieldBegin('start', TType.I64, 2)
+            oprot.writeI64(self.start)
+            oprot.writeFieldEnd()
+        if self.end is not None:
+            oprot.writeFieldBegin('end', TType.I64, 3)
+            oprot.writeI64(self.end)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.records is not None:
+            oprot.writeFieldBegin('records', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.records))
+            for iter6 in self.records:
+                iter6.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class FrontState(object):
     """
     A front's whole load, and the prompts read since its last datagrams.
@@ -336,6 +639,9 @@
      - domain: Failure domain of the front.
      - fronts: Fronts whose load is summed here; 1 for a front's own.
      - listed: Targets all of whose kept parts were told, here or shortly before.
+     - leaving
+     - capacity: What the front's instance can carry: link Mbit/s times cores.
+     - news
 
     """
 
@@ -349,10 +655,13 @@
         'domain',
         'fronts',
         'listed',
+        'leaving',
+        'capacity',
+        'news',
     )
 
 
-    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None, domain=None, fronts=None, listed=None,):
+    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None, domain=None, fronts=None, listed=None, leaving=None, capacity=None, news=None,):
         self.front = front
         self.boot = boot
         self.sequence = sequence
@@ -362,6 +671,9 @@
         self.domain = domain
         self.fronts = fronts
         self.listed = listed
+        self.leaving = leaving
+        self.capacity = capacity
+        self.news = news
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -390,33 +702,33 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = TargetLoad()
-                        _elem5.read(iprot)
-                        self.loads.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = TargetLoad()
+                        _elem12.read(iprot)
+                        self.loads.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.kept = []
-                    (_etype9, _size6) = iprot.readListBegin()
-                    for _i10 in range(_size6):
-                        _elem11 = KeptPart()
-                        _elem11.read(iprot)
-                        self.kept.append(_elem11)
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = KeptPart()
+                        _elem18.read(iprot)
+                        self.kept.append(_elem18)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype15, _size12) = iprot.readListBegin()
-                    for _i16 in range(_size12):
-                        _elem17 = HeldTarget()
-                        _elem17.read(iprot)
-                        self.held.append(_elem17)
+                    (_etype22, _size19) = iprot.readListBegin()
+                    for _i23 in range(_size19):
+                        _elem24 = HeldTarget()
+                        _elem24.read(iprot)
+                        self.held.append(_elem24)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -433,10 +745,37 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.listed = []
-                    (_etype21, _size18) = iprot.readListBegin()
-                    for _i22 in range(_size18):
-                        _elem23 = iprot.readI32()
-                        self.listed.append(_elem23)
+                    (_etype28, _size25) = iprot.readListBegin()
+                    for _i29 in range(_size25):
+                        _elem30 = iprot.readI32()
+                        self.listed.append(_elem30)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype34, _size31) = iprot.readListBegin()
+                    for _i35 in range(_size31):
+                        _elem36 = LeavingTarget()
+                        _elem36.read(iprot)
+                        self.leaving.append(_elem36)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.capacity = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.news = []
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = TopicNews()
+                        _elem42.read(iprot)
+                        self.news.append(_elem42)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -465,22 +804,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter24 in self.loads:
-                iter24.write(oprot)
+            for iter43 in self.loads:
+                iter43.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.kept is not None:
             oprot.writeFieldBegin('kept', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.kept))
-            for iter25 in self.kept:
-                iter25.write(oprot)
+            for iter44 in self.kept:
+                iter44.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter26 in self.held:
-                iter26.write(oprot)
+            for iter45 in self.held:
+                iter45.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.domain is not None:
@@ -494,8 +833,26 @@
         if self.listed is not None:
             oprot.writeFieldBegin('listed', TType.LIST, 9)
             oprot.writeListBegin(TType.I32, len(self.listed))
-            for iter27 in self.listed:
-                oprot.writeI32(iter27)
+            for iter46 in self.listed:
+                oprot.writeI32(iter46)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving))
+            for iter47 in self.leaving:
+                iter47.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.capacity is not None:
+            oprot.writeFieldBegin('capacity', TType.I32, 11)
+            oprot.writeI32(self.capacity)
+            oprot.writeFieldEnd()
+        if self.news is not None:
+            oprot.writeFieldBegin('news', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.news))
+            for iter48 in self.news:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -544,6 +901,28 @@
     (1, TType.I32, 'target', None, None, ),  # 1
     (2, TType.I32, 'ttl_ms', None, None, ),  # 2
 )
+all_structs.append(LeavingTarget)
+LeavingTarget.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'target', None, None, ),  # 1
+    (2, TType.I64, 'started_ms', None, None, ),  # 2
+)
+all_structs.append(Record)
+Record.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'offset', None, None, ),  # 1
+    (2, TType.STRING, 'key', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
+)
+all_structs.append(TopicNews)
+TopicNews.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'topic', None, None, ),  # 1
+    (2, TType.I64, 'start', None, None, ),  # 2
+    (3, TType.I64, 'end', None, None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
+    (5, TType.LIST, 'records', (TType.STRUCT, [Record, None], False), None, ),  # 5
+)
 all_structs.append(FrontState)
 FrontState.thrift_spec = (
     None,  # 0
@@ -556,6 +935,9 @@
     (7, TType.STRING, 'domain', 'UTF8', None, ),  # 7
     (8, TType.I32, 'fronts', None, None, ),  # 8
     (9, TType.LIST, 'listed', (TType.I32, None, False), None, ),  # 9
+    (10, TType.LIST, 'leaving', (TType.STRUCT, [LeavingTarget, None], False), None, ),  # 10
+    (11, TType.I32, 'capacity', None, None, ),  # 11
+    (12, TType.LIST, 'news', (TType.STRUCT, [TopicNews, None], False), None, ),  # 12
 )
 fix_spec(all_structs)
 del all_structs
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -44,6 +44,8 @@
         self.fault = ""
         self.event_s = 0.0
         self.kept: dict[str, int] = {}
+        # Sent with every answer.
+        self.headers: tuple[tuple[str, str], ...] = ()
         self.calls: list[Seen] = []
         self.cancelled = threading.Event()
 
@@ -72,6 +74,7 @@
         if refused is not None:
             headers = [("Turmericward-Not-Executed", "1")]
             headers.append(("Turmericward-Instance-Id", self.name))
+            headers += self.headers
             req.answer(refused, {}, headers)
         elif self.fault == "silent":
             time.sleep(SILENCE_S)
@@ -93,6 +96,8 @@
         if self.fault == "foreign":
             call_id = "another"
         req.send_header("Turmericward-Attempt-Id", call_id)
+        for name, value in self.headers:
+            req.send_header(name, value)
         if self.fault != "unsigned":
             req.send_header("Turmericward-Server-Stamp", SIGNATURE)
         if self.fault == "encoded":
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -166,3 +166,47 @@
     check.assertTrue(task.handle(delivery.SetTable(table=tables[5])))
     check.assertFalse(task.handle(delivery.SetTable(table=tables[3])))
     check.assertEqual(task.table.version, 5)
+
+
+def _notice(task, name: str, **changes) -> None:
+    task.handle(delivery.TargetNotice(target=_target(name), **changes))
+
+
+def test_a_target_that_says_that_it_leaves_gets_nothing_and_peers_are_told():
+    told = []
+    task = _task(tell=told.append)
+    task.handle(delivery.PutTargets(targets=(_target("e1"), _target("e2"))))
+    _notice(task, "e1", leaving=True)
+    _notice(task, "e1", leaving=True)
+    lives = [life for state in told for life in state.leaving]
+    number = requests.target_hash("e1")
+    check.assertEqual(lives, [peers.LeavingTarget(target=number, started_ms=0)])
+    names = {_place(task).unwrap().target.name for _ in range(6)}
+    check.assertEqual(names, {"e2"})
+
+
+def test_a_peer_that_saw_a_target_leave_is_believed_for_that_life_only():
+    task = _task()
+    task.handle(delivery.PutTargets(targets=(_target("e1"), _target("e2"))))
+    number = requests.target_hash("e1")
+    for started_ms, names in ((5, {"e1", "e2"}), (0, {"e2"})):
+        life = peers.LeavingTarget(target=number, started_ms=started_ms)
+        state = peers.PeerState(
+            front="f", boot=1, sequence=1, loads={}, leaving=frozenset((life,))
+        )
+        task.handle(state)
+        found = {_place(task).unwrap().target.name for _ in range(12)}
+        check.assertEqual(found, names)
+
+
+def test_a_target_that_rests_gets_nothing_and_calls_are_told_when_it_is_back():
+    task = _task()
+    task.handle(delivery.PutTargets(targets=(_target("e1"), _target("e2"))))
+    _notice(task, "e1", rest_s=30.0)
+    names = {_place(task).unwrap().target.name for _ in range(6)}
+    check.assertEqual(names, {"e2"})
+    _notice(task, "e2", rest_s=4.0)
+    refusal = _place(task).unwrap_err()
+    check.assertEqual(refusal.reason, "targets_rest")
+    check.assertGreater(refusal.retry_after_s, 3.0)
+    check.assertLessEqual(refusal.retry_after_s, 4.0)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -317,3 +317,23 @@
         for _ in range(10)
     }
     check.assertNotIn(lost.target.name, names)
+
+
+def test_a_new_replica_of_a_quick_service_gets_its_share():
+    placer = _placer()
+    old = fleet.Target(
+        name="old", service="s", address="10.0.0.1:1", domain="a", slots=4
+    )
+    new = fleet.Target(
+        name="new", service="s", address="10.0.0.2:1", domain="a", slots=4
+    )
+    for n in range(200):
+        placement = placer.choose_replica([old], 0.1 * n)
+        placer.began(placement, None, 0.005, 0.1 * n)
+        placer.ended(placement, requests.Ending.SOUND, 0.1 * n)
+    chosen = []
+    for _ in range(20):
+        placement = placer.choose_replica([old, new], 20.0)
+        placer.ended(placement, requests.Ending.SOUND, 20.0)
+        chosen.append(placement.target.name)
+    check.assertIn("new", chosen)
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -281,3 +281,49 @@
             status, _, body = found.call("POST", "/ask/x", "h", PROMPT, b"q")
             check.assertEqual((status, body), (200, whole))
             check.assertLess(time.monotonic() - began, 2.0)
+
+
+# Headers of replica p1's answers, its fault, most calls it gets afterwards.
+NOTICES = [
+    ((("Server-Leaving", "1"),), "", 0),
+    ((("Server-Leaving", "1"),), "full", 0),
+    ((("Server-Leaving", "1"),), "error", 0),
+    ((("Retry-After", "20"),), "full", 2),
+    ((("Server-Leaving", "0"),), "", 40),
+    ((("Server-Leaving", ""),), "", 40),
+    ((("Server-Leaving", "x" * 3000),), "", 40),
+    ((("Retry-After", "20"),), "", 40),
+    ((("Retry-After", "-5"),), "full", 40),
+    ((("Retry-After", "nan"),), "full", 40),
+    ((("Retry-After", "Fri, 04 Dec 2026 10:00:00 GMT"),), "full", 40),
+]
+
+
+def test_what_replicas_say_of_themselves_is_heeded_and_spoiled_values_are_not():
+    for headers, fault, most in NOTICES:
+        case = f"{headers} {fault}"
+        with platform_fixtures.platform(("p1", "p2")) as found:
+            replica = found.replicas["p1"]
+            replica.headers, replica.fault = headers, fault
+            launch.wait_until(
+                lambda r=replica: r.calls or not found.call("GET", "/read/x", "first"),
+                what=f"a call at p1: {case}",
+            )
+            replica.calls.clear()
+            replica.headers, replica.fault = (), ""
+            time.sleep(1.0)
+            statuses = {found.call("GET", "/read/x", f"n{n}")[0] for n in range(20)}
+            check.assertEqual(statuses, {200}, case)
+            check.assertLessEqual(len(replica.calls), most, case)
+            if most > 2:
+                check.assertGreater(len(replica.calls), 0, case)
+
+
+def test_with_every_replica_at_rest_a_call_is_told_when_to_come_back():
+    with platform_fixtures.platform(("p1", "p2")) as found:
+        for replica in found.replicas.values():
+            replica.headers, replica.fault = (("Retry-After", "20"),), "full"
+        found.call("GET", "/read/x", "first")
+        status, headers, _ = found.call("GET", "/read/x", "second")
+        check.assertEqual(status, 503)
+        check.assertGreater(float(headers["Retry-After"]), 15)
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -67,3 +67,23 @@
     directory.put(attrs.evolve(TARGET, leaving=True))
     directory.remove("t", 10.5)
     check.assertEqual(len(directory), 0)
+
+
+def test_a_life_that_said_that_it_leaves_is_not_used_again():
+    directory = _directory()
+    check.assertTrue(directory.leave("t", 100))
+    check.assertFalse(directory.leave("t", 100))
+    check.assertEqual(_names(directory), [])
+    check.assertFalse(directory.put(TARGET))
+    directory.remove("t", 10.0)
+    check.assertFalse(directory.put(TARGET))
+    check.assertEqual(_names(directory), [])
+    check.assertTrue(directory.put(attrs.evolve(TARGET, started_ms=200)))
+    check.assertEqual(_names(directory), ["t"])
+
+
+def test_leaving_told_of_another_life_changes_nothing():
+    directory = _directory()
+    check.assertFalse(directory.leave("t", 50))
+    check.assertFalse(directory.leave("other", 100))
+    check.assertEqual(_names(directory), ["t"])
