One reader of the store a domain; news by datagram; relays by capacity

Two relays also repeated to each other the notes that each had heard from the other. Ruled out: longer polls (a replica writes each second, so every read returns); the whole state each time (a listing of all replicas a front a second). Change: a domain's ablest front (link times cores, announced) reads the configuration and the targets and passes on the records that change something, with their offsets and how old its read is. Other fronts read for themselves only on a gap or when news are older than 0.6 of the time in which a change has to be in force; what is known never goes back, whichever way it came. A relay's time between two states grows with its recipients; other domains get the domain's sum three times a second and no note twice. Of many fronts only relays plan roles and list engines' memories. A relay that drains hands over.

--- a/src/turmericward/delivery/_memory_loop.py
+++ b/src/turmericward/delivery/_memory_loop.py
@@ -1,6 +1,7 @@
 """Loop that learns what engines kept before this front began."""
 
 import random
+from collections.abc import Callable
 from concurrent import futures
 from typing import Protocol
 
@@ -15,6 +16,7 @@
 # Between two listings, for peers to tell of theirs.
 PAUSE_S = 0.1
 REST_S = 60.0
+IDLE_S = 1.0
 ASK_S = 2.0
 MAX_TRIES = 3
 
@@ -38,7 +40,11 @@
     """
 
     def __init__(
-        self, dispatch: _dispatch_task.DispatchTask, memory: EngineMemory, seed: int
+        self,
+        dispatch: _dispatch_task.DispatchTask,
+        memory: EngineMemory,
+        seed: int,
+        asks: Callable[[], bool] = lambda: True,
     ) -> None:
         """Creates the loop.
 
@@ -46,10 +52,12 @@
             dispatch: knows the engines and takes what they keep.
             memory: asks them.
             seed: seed of the order.
+            asks: tells whether this front asks engines, instead of being told.
         """
         super().__init__()
         self._dispatch = dispatch
         self._memory = memory
+        self._asks = asks
         self._random = random.Random(seed)
         self._tries: dict[str, int] = {}
         self._until: float | None = None
@@ -60,6 +68,9 @@
         if self._until is not None and now >= self._until:
             self.pause(REST_S)
             return
+        if not self._asks():
+            self.pause(IDLE_S)
+            return
         target = self._next()
         if target is not None:
             if self._until is None:
--- a/src/turmericward/delivery/_roles_loop.py
+++ b/src/turmericward/delivery/_roles_loop.py
@@ -1,6 +1,7 @@
 """Loop that has engines change their role, as the one holder of a lease."""
 
 import collections
+from collections.abc import Callable
 from concurrent import futures
 from typing import Protocol
 
@@ -12,6 +13,7 @@
 from turmericward.delivery import _dispatch_task, _messages
 
 STEP_S = 0.5
+IDLE_S = 2.0
 ASK_S = 2.0
 # How much longer the other fronts wait than the first one.
 FOLLOWER_DELAY_S = 4.0
@@ -82,6 +84,7 @@
         lease: authority.BriefLease,
         log: LeaseLog,
         orders: Orders,
+        asks: Callable[[], bool] = lambda: True,
     ) -> None:
         """Creates the loop.
 
@@ -90,12 +93,14 @@
             lease: the protocol of this process.
             log: where the lease is kept; used by this loop alone.
             orders: sends orders.
+            asks: tells whether this front takes part; of many only few do.
         """
         super().__init__()
         self._dispatch = dispatch
         self._lease = lease
         self._log = log
         self._orders = orders
+        self._asks = asks
         self._planners: dict[str, fleet.RolePlanner] = collections.defaultdict(
             fleet.RolePlanner
         )
@@ -104,6 +109,10 @@
 
     def step(self) -> None:
         """Sends at most one order."""
+        if not self._asks():
+            self._due_since = None
+            self.pause(IDLE_S)
+            return
         try:
             view = self._dispatch.ask(_messages.GetEngines()).result(ASK_S)
         except futures.TimeoutError:
--- a/src/turmericward/peers/_codec.py
+++ b/src/turmericward/peers/_codec.py
@@ -1,10 +1,13 @@
 """Datagrams between fronts: thrift's compact protocol."""
 
+import math
+from collections.abc import Mapping
+
 import attrs
 from thrift import TSerialization
 from thrift.protocol import TCompactProtocol
 
-from turmericward import requests
+from turmericward import feeds, requests
 from turmericward.wire.peers import ttypes
 
 # Bounds on what a datagram may claim to hold; a longer claim is malformed.
@@ -34,7 +37,8 @@
     With `fronts` above 1 it is the sum of so many fronts' loads.
     `held` are targets that should get no new calls for so many seconds; `listed`
     ones have told what they keep, and `kept` has it or had it shortly before.
-    `leaving` are lives of targets that said that they leave.
+    `leaving` are lives of targets that said that they leave. `capacity` is what the
+    front's instance can carry; `news` are what it read of the store's topics.
     `sequence` orders the states of one `boot`, a number drawn at each start.
     """
 
@@ -48,6 +52,16 @@
     leaving: frozenset[LeavingTarget] = frozenset()
     domain: str = ""
     fronts: int = 1
+    capacity: int = 0
+    news: tuple[feeds.News, ...] = ()
+
+    def without(self, loads: Mapping[int, requests.TargetLoad]) -> "PeerState":
+        """Returns a sum without one front's part."""
+        rest = {
+            target: load.without(loads[target]) if target in loads else load
+            for target, load in self.loads.items()
+        }
+        return attrs.evolve(self, loads=rest)
 
 
 def encode(state: PeerState) -> bytes:
@@ -84,6 +98,8 @@
             ttypes.LeavingTarget(target=life.target, started_ms=life.started_ms)
             for life in state.leaving
         ],
+        capacity=state.capacity,
+        news=[_topic_news(news) for news in state.news],
         held=[
             ttypes.HeldTarget(target=target, ttl_ms=int(ttl_s * 1000))
             for target, ttl_s in state.held.items()
@@ -112,6 +128,8 @@
                 LeavingTarget(target=row.target, started_ms=row.started_ms)
                 for row in message.leaving or ()
             ),
+            capacity=message.capacity or 0,
+            news=tuple(_news(row) for row in message.news or ()),
             domain=message.domain,
             fronts=message.fronts,
         )
@@ -120,6 +138,34 @@
         raise MalformedStateError(repr(exc)) from exc
 
 
+def _topic_news(news: feeds.News) -> ttypes.TopicNews:
+    records = [
+        ttypes.Record(offset=r.offset, key=r.key, value=r.value or b"")
+        for r in news.records
+    ]
+    return ttypes.TopicNews(
+        topic=news.topic.value,
+        start=news.start,
+        end=news.end,
+        age_ms=math.ceil(news.age_s * 1000),
+        records=records,
+    )
+
+
+def _news(row: ttypes.TopicNews) -> feeds.News:
+    records = tuple(
+        feeds.Record(offset=r.offset, key=r.key, value=r.value or None)
+        for r in row.records
+    )
+    return feeds.News(
+        topic=feeds.Topic(row.topic),
+        start=row.start,
+        end=row.end,
+        age_s=row.age_ms / 1000,
+        records=records,
+    )
+
+
 def _load(row: ttypes.TargetLoad) -> requests.TargetLoad:
     return requests.TargetLoad(
         urgent_tokens=row.urgent_tokens,
--- /dev/null
+++ b/src/turmericward/peers/_peer_task.py
@@ -0,0 +1,279 @@
+"""The task that tells peers what this front does and knows."""
+
+import functools
+import secrets
+import socket
+from collections.abc import Callable, Mapping
+
+from absl import logging
+
+from turmericward import feeds, requests, runtime
+from turmericward.peers import _circle, _codec, _messages, _outbox
+
+BOOT_BITS = 62
+TICK_S = 0.1
+# Longest time between two states of a front that tells every other one.
+DIRECT_HEARTBEAT_S = 0.25
+# Least and longest time between two states of a member.
+MEMBER_INTERVAL_S = 0.1
+MEMBER_HEARTBEAT_S = 0.5
+# A relay's time between two states grows with its recipients, so that what it sends
+# stays within its link.
+RELAY_INTERVAL_PER_RECIPIENT_S = 0.01
+MIN_RELAY_INTERVAL_S = 0.1
+MAX_RELAY_INTERVAL_S = 0.5
+# The same towards other domains, where bytes are dear.
+MIN_CROSSING_INTERVAL_S = 0.3
+NO_CAPACITY = -1
+
+
+class PeerTask(runtime.Task):
+    """Tells peers the own state, and as a relay the sum of several fronts."""
+
+    tick_s = TICK_S
+
+    def __init__(
+        self,
+        front: str,
+        domain: str,
+        port: int,
+        sock: socket.socket,
+        deliver: Callable[[_codec.PeerState], None],
+        *,
+        capacity: int = 0,
+        fresh_s: Mapping[feeds.Topic, float] | None = None,
+        clock: Callable[[], float] = runtime.now,
+    ) -> None:
+        """Creates the task without peers.
+
+        Args:
+            front: name of this front.
+            domain: its failure domain.
+            port: port that all fronts receive on.
+            sock: bound socket, shared with the receive loop.
+            deliver: called with each state that tells of others' load.
+            capacity: what its instance can carry; the ablest is the relay.
+            fresh_s: topics that fronts tell each other of, and how old news may be.
+            clock: returns steady seconds.
+        """
+        super().__init__()
+        self._front = front
+        self._domain = domain
+        self._port = port
+        self._sock = sock
+        self._pass_on = deliver
+        self._clock = clock
+        self._boot = secrets.randbits(BOOT_BITS)
+        self._sequence = 0
+        self._circle = _circle.Circle(front, domain, capacity)
+        self._own = _messages.Tell(loads={})
+        self._heard: dict[str, tuple[float, _codec.PeerState]] = {}
+        self._fresh_s = dict(fresh_s or {})
+        self._histories = {topic: feeds.History(topic) for topic in self._fresh_s}
+        self._followers: dict[feeds.Topic, Callable[[feeds.News], None]] = {}
+        # Of the own domain and of the others, by what is told there.
+        self._near = _outbox.Outbox()
+        self._far = _outbox.Outbox()
+        self._told_at = float("-inf")
+        self._told_far_at = float("-inf")
+        self._changed = False
+        # Any thread may read these. Whether others rely on what this front reads of
+        # the store, and whether it asks targets itself or is told by its relay.
+        self.reads = True
+        self.asks = True
+
+    def tell(self, state: _messages.Tell) -> None:
+        """Has the peers told; called by any thread."""
+        self.post(state)
+
+    def followed(self, stretch: feeds.Followed) -> None:
+        """Takes what was read of a topic, for the peers; called by any thread."""
+        self.post(stretch)
+
+    def follow(self, topic: feeds.Topic, hear: Callable[[feeds.News], None]) -> None:
+        """Has peers' news of a topic handed to `hear`; called before the start."""
+        self._followers[topic] = hear
+
+    @functools.singledispatchmethod
+    def handle(self, message: object) -> object:
+        """Acts on one message."""
+        return super().handle(message)
+
+    @handle.register
+    def _(self, message: _messages.Announced) -> None:
+        new = self._circle.announced(
+            message.front, message.host, message.domain, self._clock(), message.capacity
+        )
+        if new:
+            logging.info("peer %s at %s is known", message.front, message.host)
+
+    @handle.register
+    def _(self, message: _messages.Heard) -> None:
+        state = message.state
+        now = self._clock()
+        if state.front == self._front:
+            return
+        if self._circle.heard(
+            state.front, message.host, state.domain, now, state.capacity
+        ):
+            logging.info("peer %s at %s is known", state.front, message.host)
+        self._heard[state.front] = (now, state)
+        if not self._circle.direct:
+            self._note(state, now)
+        self._take_news(state)
+        self._pass_on(self._without_own(state))
+
+    def _note(self, state: _codec.PeerState, now: float) -> None:
+        self._near.add(state, now)
+        # Another domain's relay has told the other domains itself.
+        if state.domain == self._domain:
+            self._far.add(state, now)
+
+    def _take_news(self, state: _codec.PeerState) -> None:
+        if state.domain != self._domain:
+            return
+        for news in state.news:
+            if news.topic in self._followers:
+                self._followers[news.topic](news)
+
+    def _without_own(self, state: _codec.PeerState) -> _codec.PeerState:
+        """Takes the own load out of a sum that a relay told."""
+        if state.fronts == 1 or state.domain != self._domain:
+            return state
+        return state.without(self._own.loads)
+
+    @handle.register
+    def _(self, message: feeds.Followed) -> None:
+        now = self._clock()
+        if self._histories[message.topic].take(message, now) and self.reads:
+            self._changed = True
+            self._tell_due(now)
+
+    @handle.register
+    def _(self, message: _messages.Tell) -> None:
+        now = self._clock()
+        self._own = message
+        self._near.add(message, now)
+        self._far.add(message, now)
+        self._changed = True
+        self._tell_due(now)
+
+    @handle.register
+    def _(self, message: _messages.Drain) -> None:
+        self._circle.capacity = NO_CAPACITY
+        self._send(self._clock())
+
+    def tick(self) -> None:
+        """Tells what waits, and repeats the state if nothing changed for a while."""
+        now = self._clock()
+        for front in self._circle.forget(now):
+            self._heard.pop(front, None)
+            logging.info("peer %s is forgotten", front)
+        self._note_role(now)
+        self._tell_due(now)
+
+    def _note_role(self, now: float) -> None:
+        reads = self._circle.is_reader(now)
+        if reads != self.reads:
+            logging.info("this front %s for its domain", "reads" if reads else "rests")
+        self.reads = reads
+        self.asks = reads or self._circle.direct
+
+    def closed(self) -> None:
+        """Tells the peers that nothing is left here."""
+        self._own = _messages.Tell(loads={})
+        self._send(self._clock())
+
+    # Sending.
+
+    def _tell_due(self, now: float) -> None:
+        least_s, longest_s = self._intervals(now)
+        silent_s = now - self._told_at
+        if silent_s >= longest_s or (self._changed and silent_s >= least_s):
+            self._send(now)
+
+    def _intervals(self, now: float) -> tuple[float, float]:
+        """Returns the least and the longest time between two states."""
+        if self._circle.direct:
+            return 0.0, DIRECT_HEARTBEAT_S
+        if not self._circle.is_relay(now):
+            return MEMBER_INTERVAL_S, MEMBER_HEARTBEAT_S
+        interval_s = RELAY_INTERVAL_PER_RECIPIENT_S * len(self._circle.members(now))
+        interval_s = max(MIN_RELAY_INTERVAL_S, min(MAX_RELAY_INTERVAL_S, interval_s))
+        return interval_s, interval_s
+
+    def _send(self, now: float) -> None:
+        self._told_at = now
+        self._changed = False
+        recipients = self._circle.recipients(now)
+        crosses = now - self._told_far_at >= MIN_CROSSING_INTERVAL_S
+        if not crosses:
+            recipients = [r for r in recipients if r.content is not _DOMAIN]
+        elif any(r.content is _DOMAIN for r in recipients):
+            self._told_far_at = now
+        encoded: dict[tuple[_circle.Content, bool], bytes] = {}
+        events: dict[_outbox.Outbox, _outbox.Events] = {}
+        for recipient in recipients:
+            key = (recipient.content, recipient.news)
+            if key not in encoded:
+                outbox = self._far if recipient.content is _DOMAIN else self._near
+                if outbox not in events:
+                    events[outbox] = outbox.take(now)
+                encoded[key] = _codec.encode(
+                    self._state(recipient, events[outbox], now)
+                )
+            self._send_to(recipient.host, encoded[key])
+        if not self._circle.is_relay(now):
+            # Nobody is told what only a relay tells.
+            self._far.take(now)
+
+    def _send_to(self, host: str, data: bytes) -> None:
+        try:
+            self._sock.sendto(data, (host, self._port))
+        except OSError as exc:
+            # Datagrams may be lost anyway; the next one repeats the state.
+            logging.debug("peer at %s isn't told: %s", host, exc)
+
+    def _state(
+        self, recipient: _circle.Recipient, events: _outbox.Events, now: float
+    ) -> _codec.PeerState:
+        self._sequence += 1
+        content = recipient.content
+        summed = [] if content is _circle.Content.OWN else self._summed(content, now)
+        return _codec.PeerState(
+            front=self._front,
+            boot=self._boot,
+            sequence=self._sequence,
+            loads=requests.sum_loads([self._own.loads, *(s.loads for s in summed)]),
+            kept=events.kept,
+            held=events.held,
+            listed=events.listed,
+            leaving=events.leaving,
+            domain=self._domain,
+            fronts=1 + sum(state.fronts for state in summed),
+            capacity=self._circle.capacity,
+            news=self._news(now) if recipient.news else (),
+        )
+
+    def _news(self, now: float) -> tuple[feeds.News, ...]:
+        found = [
+            history.news(now, self._fresh_s[topic])
+            for topic, history in self._histories.items()
+        ]
+        return tuple(news for news in found if news is not None)
+
+    def _summed(self, content, now: float) -> list[_codec.PeerState]:
+        """Returns the states of others that a relay sums up."""
+        members = set(self._circle.members(now))
+        return [
+            state
+            for front, (at, state) in self._heard.items()
+            if now - at <= requests.PEER_LEASE_S
+            and (
+                (front in members and state.fronts == 1)
+                or (content is _circle.Content.FLEET and state.domain != self._domain)
+            )
+        ]
+
+
+_DOMAIN = _circle.Content.DOMAIN
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -8,7 +8,7 @@
 import click
 from absl import logging
 
-from turmericward import authority, delivery, httpd, peers, runtime, telemetry
+from turmericward import authority, delivery, feeds, httpd, peers, runtime, telemetry
 from turmericward.adapters import _address
 from turmericward.platform import (
     _follow,
@@ -58,7 +58,13 @@
             cfg.listen.peers,
             sock,
             deliver=lambda state: self._dispatch.post(state),
+            capacity=_capacity(cfg.limits),
+            fresh_s={
+                feeds.Topic.CONFIGURATION: self._configuration_pacing().fresh_s,
+                feeds.Topic.TARGETS: self._targets_pacing().fresh_s,
+            },
         )
+        self._peers = tell
         self._dispatch = delivery.DispatchTask(
             name=cfg.instance.name,
             domain=cfg.instance.domain,
@@ -70,29 +76,25 @@
         )
         loops = [
             peers.ReceiveLoop(sock, tell),
-            _follow.AnnounceLoop(
-                self._store(),
-                cfg.instance.name,
-                cfg.instance.address,
-                cfg.instance.domain,
-            ),
-            _follow.FollowLoop(
-                self._store(),
-                _follow.FRONTS_TOPIC,
-                _follow.FRONTS_WAIT_S,
-                _follow.FrontsSink(tell),
-            ),
+            self._announce(),
             self._follow(
-                _follow.CONFIGURATION_TOPIC, _follow.ConfigurationSink(self._dispatch)
+                _follow.CONFIGURATION_TOPIC,
+                feeds.Topic.CONFIGURATION,
+                self._configuration_pacing(),
+                _follow.ConfigurationSink(self._dispatch),
             ),
             self._follow(
                 _follow.TARGETS_TOPIC,
+                feeds.Topic.TARGETS,
+                self._targets_pacing(),
                 _follow.TargetsSink(self._dispatch),
-                _follow.TARGETS_BATCH_S,
             ),
             self._roles(),
             delivery.MemoryLoop(
-                self._dispatch, _memory.ReplicaMemory(self._dispatch.post), seed
+                self._dispatch,
+                _memory.ReplicaMemory(self._dispatch.post),
+                seed,
+                lambda: tell.asks,
             ),
             self.reload,
         ]
@@ -135,13 +137,53 @@
             authority.BriefLease(holder, timing, runtime.new_id),
             _orders.StoreLease(self._store()),
             _orders.ReplicaOrders(holder),
+            lambda: self._peers.asks,
         )
 
+    def _configuration_pacing(self) -> feeds.Pacing:
+        bound_s = self._cfg.bounds.configuration_ms / 1000
+        return _follow.configuration_pacing(bound_s, self._cfg.store.wait_s)
+
+    def _targets_pacing(self) -> feeds.Pacing:
+        bound_s = self._cfg.bounds.leaving_ms / 1000
+        return _follow.targets_pacing(bound_s, self._cfg.store.wait_s)
+
     def _follow(
-        self, topic: str, sink: _follow.Sink, batch_s: float = 0.0
-    ) -> _follow.FollowLoop:
-        wait_s = self._cfg.store.wait_s
-        return _follow.FollowLoop(self._store(), topic, wait_s, sink, batch_s)
+        self, name: str, topic: feeds.Topic, pacing: feeds.Pacing, sink: feeds.Sink
+    ) -> feeds.FollowLoop:
+        tell = self._peers
+        loop = feeds.FollowLoop(
+            self._store(),
+            name,
+            topic,
+            pacing,
+            sink,
+            tell.followed,
+            lambda: tell.reads,
+        )
+        tell.follow(topic, loop.hear)
+        return loop
+
+    def _announce(self) -> peers.AnnounceLoop:
+        instance = self._cfg.instance
+        own = peers.Announcement(
+            host=instance.address,
+            domain=instance.domain,
+            capacity=_capacity(self._cfg.limits),
+        )
+        return peers.AnnounceLoop(
+            self._store(), _follow.FRONTS_TOPIC, instance.name, own, self._announced
+        )
+
+    def _announced(self, front: str, found: peers.Announcement) -> None:
+        self._peers.post(
+            peers.Announced(
+                front=front,
+                host=found.host,
+                domain=found.domain,
+                capacity=found.capacity,
+            )
+        )
 
     def _store(self) -> _store.StoreClient:
         store = self._cfg.store
@@ -162,9 +204,15 @@
 
     def _stopping(self) -> None:
         logging.info("front drains")
+        self._peers.post(peers.Drain())
         self._draining.set()
 
 
+def _capacity(limits: _settings.LimitSettings) -> int:
+    """Returns what an instance can carry: link Mbit/s times cores."""
+    return int(limits.link_mbps * limits.cores * limits.core_share)
+
+
 def _retry_bounds(cfg: _settings.Settings) -> delivery.RetryBounds:
     return delivery.RetryBounds(
         share=cfg.bounds.retry_share, slack=cfg.bounds.retry_slack
--- a/src/turmericward/platform/_settings.py
+++ b/src/turmericward/platform/_settings.py
@@ -43,13 +43,24 @@
         validator=schema.validators.between(512, 10_000_000)
     )
     memory_mb: int = attrs.field(validator=schema.validators.between(32, 1_000_000))
+    link_mbps: float = attrs.field(
+        default=0.0, validator=schema.validators.between(0, 10_000_000)
+    )
+    cores: float = attrs.field(
+        default=1.0, validator=schema.validators.between(0, 10_000)
+    )
+    core_share: float = attrs.field(
+        default=1.0, validator=schema.validators.between(0, 10_000)
+    )
 
 
 @attrs.frozen(kw_only=True)
 class BoundSettings:
     """Bounds that all instances keep together.
 
-    `order_gap_ms` is the least time between the orders of two holders.
+    `order_gap_ms` is the least time between the orders of two holders. Within
+    `leaving_ms` a target that leaves gets no new work, within `configuration_ms` a
+    configuration is in force.
     """
 
     drain_s: float
@@ -57,6 +68,12 @@
     retry_slack: float
     retry_window_s: float
     order_gap_ms: float
+    leaving_ms: float = attrs.field(
+        default=2000.0, validator=schema.validators.between(100, 600_000)
+    )
+    configuration_ms: float = attrs.field(
+        default=2000.0, validator=schema.validators.between(100, 600_000)
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/src/turmericward/platform/_store.py
+++ b/src/turmericward/platform/_store.py
@@ -5,8 +5,7 @@
 import struct
 import urllib.parse
 
-import attrs
-
+from turmericward import feeds
 from turmericward.adapters import _kept_connection, errors
 
 _HEAD = struct.Struct(">QQ")
@@ -15,28 +14,11 @@
 _MALFORMED = (ValueError, KeyError, struct.error)
 
 
-@attrs.frozen(kw_only=True)
-class KeyedRecord:
-    """A record of a keyed topic; a value of None ends its key."""
-
-    offset: int
-    key: str
-    value: bytes | None
-
-
-@attrs.frozen(kw_only=True)
-class Listing:
-    """The newest record of each key, and the topic's end when it was read."""
-
-    records: tuple[KeyedRecord, ...]
-    end: int
-
-
-def _keyed(offset: int, raw: bytes) -> KeyedRecord:
+def _keyed(offset: int, raw: bytes) -> feeds.Record:
     length = raw[0]
     key = raw[1 : 1 + length].decode("utf-8", "replace")
     value = raw[1 + length :]
-    return KeyedRecord(offset=offset, key=key, value=value or None)
+    return feeds.Record(offset=offset, key=key, value=value or None)
 
 
 class StoreClient:
@@ -56,13 +38,13 @@
         """Sets where the store is from the next connection on; for any thread."""
         self._conn.move(address, timeout_s)
 
-    def newest(self, topic: str) -> Listing:
+    def newest(self, topic: str) -> feeds.Listing:
         """Returns the newest record of each key.
 
         Raises:
             LogUnavailableError: no good answer came.
         """
-        records: list[KeyedRecord] = []
+        records: list[feeds.Record] = []
         end = None
         query = {"Topic": topic, "part": 0}
         while True:
@@ -73,16 +55,16 @@
                 # Later records than the first page knows of are read afterwards.
                 end = page["end"] if end is None else end
                 if not page["more"] or not page["items"]:
-                    return Listing(records=tuple(records), end=end)
+                    return feeds.Listing(records=tuple(records), end=end)
                 query["after"] = page["items"][-1]["key"]
             except _MALFORMED as exc:
                 raise errors.LogUnavailableError(f"listing: {exc!r}") from exc
 
-    def _listed(self, row: dict) -> KeyedRecord:
+    def _listed(self, row: dict) -> feeds.Record:
         value = base64.b64decode(row["value"])
-        return KeyedRecord(offset=row["offset"], key=row["key"], value=value)
+        return feeds.Record(offset=row["offset"], key=row["key"], value=value)
 
-    def read(self, topic: str, start: int, wait_s: float) -> list[KeyedRecord]:
+    def read(self, topic: str, start: int, wait_s: float) -> list[feeds.Record]:
         """Returns the records from offset `start` on, waiting for the first.
 
         Raises:
@@ -111,7 +93,7 @@
         except _MALFORMED as exc:
             raise errors.LogUnavailableError(f"read: {exc!r}") from exc
 
-    def _records(self, raw: bytes, start: int) -> list[KeyedRecord]:
+    def _records(self, raw: bytes, start: int) -> list[feeds.Record]:
         _, first = _HEAD.unpack_from(raw)
         if first > start:
             raise errors.OffsetExpiredError(first)
--- a/src/turmericward/requests/_memories.py
+++ b/src/turmericward/requests/_memories.py
@@ -1,5 +1,6 @@
 """What each engine is believed to keep, by own notes and those of other fronts."""
 
+import functools
 import zlib
 from collections.abc import Iterable
 
@@ -27,6 +28,7 @@
     ready: bool
 
 
+@functools.lru_cache(maxsize=20_000)
 def target_hash(name: str) -> int:
     """Returns the number that stands for a target between fronts."""
     return zlib.crc32(name.encode()) & 0x7FFFFFFF
