Tell loads as deltas ten times a second, and each note once

Members noted what their relay told and told it back, so notes went round and round, and the newest 200 drove out what nobody knew yet. Change: only relays pass on notes, each once, oldest first, with a queue; loads go out as the rows that changed, whole once a second; a front takes out of its relay's sum what it had told itself.

--- a/benchmarks/prompt_model.py
+++ b/benchmarks/prompt_model.py
@@ -56,6 +56,14 @@
     "swing": Load(long_per_s=10.0, short_per_s=55.0, shares=((1.6, 0.6), (0.6, 1.6))),
     "short burst": Load(long_per_s=1.0, short_per_s=450.0, length_s=6.0),
     "overload": Load(long_per_s=25.0, short_per_s=40.0, length_s=15.0),
+    "many fronts": Load(
+        long_per_s=54.0,
+        short_per_s=260.0,
+        shares=((1.0, 1.0), (1.6, 0.7), (0.7, 1.6)),
+        subjects=920,
+        length_s=12.0,
+        own_spread=1.1,
+    ),
     "mixed sizes": Load(
         long_per_s=22.0, short_per_s=30.0, length_s=12.0, own_spread=1.1
     ),
@@ -172,6 +180,7 @@
         decode: int = 3,
         capacity_tokens: int = 500_000,
         telling: bool = True,
+        interval_s: float = 0.0,
     ) -> None:
         """Creates the model.
 
@@ -183,10 +192,15 @@
             decode: number of engines that answer.
             capacity_tokens: what an engine keeps.
             telling: whether fronts tell each other their load.
+            interval_s: least time between two states that a front tells.
         """
         self._load = load
         self._random = random.Random(seed)
         self._telling = telling
+        self._interval_s = interval_s
+        # When each placer may tell again, and those that have something to tell.
+        self._tells_at: dict[requests.Placer, float] = {}
+        self._waiting: set[requests.Placer] = set()
         self._targets = targets(prefill, decode)
         self._engines = {t.name: _Engine(t, capacity_tokens) for t in self._targets}
         self._by_address = {e.target.address: e for e in self._engines.values()}
@@ -310,8 +324,21 @@
         self._tell(placer, prompt)
 
     def _tell(self, placer: requests.Placer, prompt) -> None:
-        if not self._telling or prompt.tokens < requests.SHORT_PROMPT_TOKENS:
+        if not self._telling:
+            return
+        if not self._interval_s and prompt.tokens < requests.SHORT_PROMPT_TOKENS:
+            return
+        if placer in self._waiting:
             return
+        # Fronts don't tell in step.
+        first = self._random.uniform(0, self._interval_s)
+        tells_at = max(self._now, self._tells_at.get(placer, self._now + first))
+        self._tells_at[placer] = tells_at + self._interval_s
+        self._waiting.add(placer)
+        self._at(tells_at, self._send, placer)
+
+    def _send(self, placer: requests.Placer) -> None:
+        self._waiting.discard(placer)
         args = (placer, placer.own_loads(), placer.memories.take_notes())
         self._at(self._now + TELL_DELAY_S, self._hear, *args)
 
--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -74,4 +74,6 @@
   /** What the front's instance can carry: link Mbit/s times cores. */
   11: i32 capacity
   12: list<TopicNews> news
+  /** Whether targets that aren't named here are as they were told before. */
+  13: bool partial
 }
--- a/src/turmericward/peers/_codec.py
+++ b/src/turmericward/peers/_codec.py
@@ -38,7 +38,8 @@
     `held` are targets that should get no new calls for so many seconds; `listed`
     ones have told what they keep, and `kept` has it or had it shortly before.
     `leaving` are lives of targets that said that they leave. `capacity` is what the
-    front's instance can carry; `news` are what it read of the store's topics.
+    front's instance can carry; `news` are what it read of the store's topics. Of a
+    `partial` state the loads of targets that aren't named are as told before.
     `sequence` orders the states of one `boot`, a number drawn at each start.
     """
 
@@ -54,6 +55,7 @@
     fronts: int = 1
     capacity: int = 0
     news: tuple[feeds.News, ...] = ()
+    partial: bool = False
 
     def without(self, loads: Mapping[int, requests.TargetLoad]) -> "PeerState":
         """Returns a sum without one front's part."""
@@ -100,6 +102,7 @@
         ],
         capacity=state.capacity,
         news=[_topic_news(news) for news in state.news],
+        partial=state.partial,
         held=[
             ttypes.HeldTarget(target=target, ttl_ms=int(ttl_s * 1000))
             for target, ttl_s in state.held.items()
@@ -130,6 +133,7 @@
             ),
             capacity=message.capacity or 0,
             news=tuple(_news(row) for row in message.news or ()),
+            partial=bool(message.partial),
             domain=message.domain,
             fronts=message.fronts,
         )
--- a/src/turmericward/peers/_peer_task.py
+++ b/src/turmericward/peers/_peer_task.py
@@ -5,25 +5,19 @@
 import socket
 from collections.abc import Callable, Mapping
 
+import attrs
 from absl import logging
 
 from turmericward import feeds, requests, runtime
-from turmericward.peers import _circle, _codec, _messages, _outbox
+from turmericward.peers import _circle, _codec, _deltas, _messages, _outbox
 
 BOOT_BITS = 62
 TICK_S = 0.1
 # Longest time between two states of a front that tells every other one.
 DIRECT_HEARTBEAT_S = 0.25
-# Least and longest time between two states of a member.
-MEMBER_INTERVAL_S = 0.1
-MEMBER_HEARTBEAT_S = 0.5
-# A relay's time between two states grows with its recipients, so that what it sends
-# stays within its link.
-RELAY_INTERVAL_PER_RECIPIENT_S = 0.01
-MIN_RELAY_INTERVAL_S = 0.1
-MAX_RELAY_INTERVAL_S = 0.5
-# The same towards other domains, where bytes are dear.
-MIN_CROSSING_INTERVAL_S = 0.3
+# Least and longest time between two states where a relay passes them on.
+RELAYED_INTERVAL_S = 0.1
+RELAYED_HEARTBEAT_S = 0.5
 NO_CAPACITY = -1
 
 
@@ -74,8 +68,10 @@
         # Of the own domain and of the others, by what is told there.
         self._near = _outbox.Outbox()
         self._far = _outbox.Outbox()
+        self._deltas = {content: _deltas.Deltas() for content in _circle.Content}
+        self._told_loads: _deltas.Loads = {}
+        self._told_to: frozenset[str] = frozenset()
         self._told_at = float("-inf")
-        self._told_far_at = float("-inf")
         self._changed = False
         # Any thread may read these. Whether others rely on what this front reads of
         # the store, and whether it asks targets itself or is told by its relay.
@@ -117,12 +113,22 @@
             state.front, message.host, state.domain, now, state.capacity
         ):
             logging.info("peer %s at %s is known", state.front, message.host)
+        state = self._whole(state)
         self._heard[state.front] = (now, state)
-        if not self._circle.direct:
+        if self._circle.is_relay(now):
             self._note(state, now)
+            self._changed = True
         self._take_news(state)
         self._pass_on(self._without_own(state))
 
+    def _whole(self, state: _codec.PeerState) -> _codec.PeerState:
+        """Returns a state with the loads that it doesn't repeat."""
+        if not state.partial:
+            return state
+        _, known = self._heard.get(state.front, (0.0, state))
+        base = known.loads if known.boot == state.boot else {}
+        return attrs.evolve(state, loads=_deltas.merged(base, state.loads))
+
     def _note(self, state: _codec.PeerState, now: float) -> None:
         self._near.add(state, now)
         # Another domain's relay has told the other domains itself.
@@ -140,7 +146,7 @@
         """Takes the own load out of a sum that a relay told."""
         if state.fronts == 1 or state.domain != self._domain:
             return state
-        return state.without(self._own.loads)
+        return state.without(self._told_loads)
 
     @handle.register
     def _(self, message: feeds.Followed) -> None:
@@ -187,46 +193,48 @@
     # Sending.
 
     def _tell_due(self, now: float) -> None:
-        least_s, longest_s = self._intervals(now)
+        least_s, longest_s = self._intervals()
         silent_s = now - self._told_at
         if silent_s >= longest_s or (self._changed and silent_s >= least_s):
             self._send(now)
 
-    def _intervals(self, now: float) -> tuple[float, float]:
+    def _intervals(self) -> tuple[float, float]:
         """Returns the least and the longest time between two states."""
         if self._circle.direct:
             return 0.0, DIRECT_HEARTBEAT_S
-        if not self._circle.is_relay(now):
-            return MEMBER_INTERVAL_S, MEMBER_HEARTBEAT_S
-        interval_s = RELAY_INTERVAL_PER_RECIPIENT_S * len(self._circle.members(now))
-        interval_s = max(MIN_RELAY_INTERVAL_S, min(MAX_RELAY_INTERVAL_S, interval_s))
-        return interval_s, interval_s
+        return RELAYED_INTERVAL_S, RELAYED_HEARTBEAT_S
 
     def _send(self, now: float) -> None:
         self._told_at = now
         self._changed = False
         recipients = self._circle.recipients(now)
-        crosses = now - self._told_far_at >= MIN_CROSSING_INTERVAL_S
-        if not crosses:
-            recipients = [r for r in recipients if r.content is not _DOMAIN]
-        elif any(r.content is _DOMAIN for r in recipients):
-            self._told_far_at = now
-        encoded: dict[tuple[_circle.Content, bool], bytes] = {}
-        events: dict[_outbox.Outbox, _outbox.Events] = {}
-        for recipient in recipients:
-            key = (recipient.content, recipient.news)
-            if key not in encoded:
-                outbox = self._far if recipient.content is _DOMAIN else self._near
-                if outbox not in events:
-                    events[outbox] = outbox.take(now)
-                encoded[key] = _codec.encode(
-                    self._state(recipient, events[outbox], now)
-                )
-            self._send_to(recipient.host, encoded[key])
+        self._note_recipients(recipients)
+        for content in _circle.Content:
+            group = [r for r in recipients if r.content is content]
+            if group:
+                self._send_content(content, group, now)
+        self._told_loads = self._own.loads
         if not self._circle.is_relay(now):
             # Nobody is told what only a relay tells.
             self._far.take(now)
 
+    def _note_recipients(self, recipients: list[_circle.Recipient]) -> None:
+        told_to = frozenset(r.front for r in recipients)
+        if told_to - self._told_to:
+            for deltas in self._deltas.values():
+                deltas.reset()
+        self._told_to = told_to
+
+    def _send_content(self, content, group: list[_circle.Recipient], now) -> None:
+        far = content is _circle.Content.DOMAIN
+        state = self._state(content, self._far if far else self._near, now)
+        encoded: dict[bool, bytes] = {}
+        for recipient in group:
+            if recipient.news not in encoded:
+                news = self._news(now) if recipient.news else ()
+                encoded[recipient.news] = _codec.encode(attrs.evolve(state, news=news))
+            self._send_to(recipient.host, encoded[recipient.news])
+
     def _send_to(self, host: str, data: bytes) -> None:
         try:
             self._sock.sendto(data, (host, self._port))
@@ -234,17 +242,21 @@
             # Datagrams may be lost anyway; the next one repeats the state.
             logging.debug("peer at %s isn't told: %s", host, exc)
 
-    def _state(
-        self, recipient: _circle.Recipient, events: _outbox.Events, now: float
-    ) -> _codec.PeerState:
+    def _state(self, content, outbox: _outbox.Outbox, now: float) -> _codec.PeerState:
         self._sequence += 1
-        content = recipient.content
         summed = [] if content is _circle.Content.OWN else self._summed(content, now)
+        loads = requests.sum_loads([self._own.loads, *(s.loads for s in summed)])
+        if self._circle.direct:
+            update = _deltas.Update(rows=loads, partial=False)
+        else:
+            update = self._deltas[content].next(loads, now)
+        events = outbox.take(now)
         return _codec.PeerState(
             front=self._front,
             boot=self._boot,
             sequence=self._sequence,
-            loads=requests.sum_loads([self._own.loads, *(s.loads for s in summed)]),
+            loads=update.rows,
+            partial=update.partial,
             kept=events.kept,
             held=events.held,
             listed=events.listed,
@@ -252,7 +264,6 @@
             domain=self._domain,
             fronts=1 + sum(state.fronts for state in summed),
             capacity=self._circle.capacity,
-            news=self._news(now) if recipient.news else (),
         )
 
     def _news(self, now: float) -> tuple[feeds.News, ...]:
@@ -274,6 +285,3 @@
                 or (content is _circle.Content.FLEET and state.domain != self._domain)
             )
         ]
-
-
-_DOMAIN = _circle.Content.DOMAIN
--- a/src/turmericward/requests/__init__.py
+++ b/src/turmericward/requests/__init__.py
@@ -3,7 +3,12 @@
 from turmericward.requests._budget import RetryBudget
 from turmericward.requests._demand import Demand, demand_of, with_model
 from turmericward.requests._errors import InvalidRequestError, RequestsError
-from turmericward.requests._loads import PEER_LEASE_S, TargetLoad, sum_loads
+from turmericward.requests._loads import (
+    NO_LOAD,
+    PEER_LEASE_S,
+    TargetLoad,
+    sum_loads,
+)
 from turmericward.requests._memories import (
     SHORT_PROMPT_TOKENS,
     KeptNote,
@@ -21,6 +26,7 @@
 
 __all__ = [
     "MIN_RETRY_S",
+    "NO_LOAD",
     "PEER_LEASE_S",
     "SHORT_PROMPT_TOKENS",
     "Assignment",
--- a/src/turmericward/wire/peers/ttypes.py
+++ b/src/turmericward/wire/peers/ttypes.py
@@ -642,6 +642,7 @@
      - leaving
      - capacity: What the front's instance can carry: link Mbit/s times cores.
      - news
+     - partial: Whether targets that aren't named here are as they were told before.
 
     """
 
@@ -658,10 +659,11 @@
         'leaving',
         'capacity',
         'news',
+        'partial',
     )
 
 
-    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None, domain=None, fronts=None, listed=None, leaving=None, capacity=None, news=None,):
+    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None, domain=None, fronts=None, listed=None, leaving=None, capacity=None, news=None, partial=None,):
         self.front = front
         self.boot = boot
         self.sequence = sequence
@@ -674,6 +676,7 @@
         self.leaving = leaving
         self.capacity = capacity
         self.news = news
+        self.partial = partial
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -779,6 +782,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.BOOL:
+                    self.partial = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -855,6 +863,10 @@
                 iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.partial is not None:
+            oprot.writeFieldBegin('partial', TType.BOOL, 13)
+            oprot.writeBool(self.partial)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -938,6 +950,7 @@
     (10, TType.LIST, 'leaving', (TType.STRUCT, [LeavingTarget, None], False), None, ),  # 10
     (11, TType.I32, 'capacity', None, None, ),  # 11
     (12, TType.LIST, 'news', (TType.STRUCT, [TopicNews, None], False), None, ),  # 12
+    (13, TType.BOOL, 'partial', None, None, ),  # 13
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/test_circle.py
+++ b/tests/test_circle.py
@@ -3,7 +3,7 @@
 import collections
 
 from tests import fixtures
-from turmericward import peers, requests
+from turmericward import feeds, peers, requests
 
 check = fixtures.check
 LOAD = requests.TargetLoad(urgent_tokens=10.0, deferred_tokens=1.0, open_calls=2)
@@ -53,6 +53,7 @@
             deliver=lambda state, name=name: self.known[name].update(
                 {state.front: state}
             ),
+            fresh_s={feeds.Topic.TARGETS: 5.0},
             clock=lambda: self.now,
         )
 
@@ -129,3 +130,93 @@
         now += 0.1
         circle.recipients(now)
     check.assertTrue(circle.is_relay(now))
+
+
+def _circle_of_two_domains(front: str, capacity: int = 0) -> peers.Circle:
+    circle = peers.Circle(front, front[0], capacity)
+    for domain in "ab":
+        for n in range(10):
+            circle.announced(f"{domain}{n:02}", f"{domain}{n:02}", domain, 0.0, n)
+    return circle
+
+
+def test_the_ablest_front_is_the_relay_and_reader():
+    circle = _circle_of_two_domains("b05", capacity=5)
+    check.assertEqual([r.front for r in circle.recipients(0.0)], ["b09"])
+    able = _circle_of_two_domains("b05", capacity=50)
+    check.assertTrue(able.is_relay(0.0))
+    check.assertTrue(able.is_reader(0.0))
+
+
+def test_a_relay_that_drains_hands_over_before_it_ends():
+    circle = _circle_of_two_domains("b05", capacity=5)
+    circle.heard("b09", "b09", "b", 0.1, 9)
+    check.assertEqual(circle.relay_of("b", 0.1), "b09")
+    circle.heard("b09", "b09", "b", 0.2, -1)
+    check.assertEqual(circle.relay_of("b", 0.2), "b08")
+    check.assertFalse(circle.announced("b09", "b09", "b", 0.3, 9))
+    check.assertEqual(circle.relay_of("b", 0.3), "b08")
+
+
+def test_a_relay_makes_itself_known_to_members_that_it_does_not_hear():
+    circle = _circle_of_two_domains("b05", capacity=50)
+    for front in ("b01", "b02"):
+        circle.heard(front, front, "b", 0.0)
+    first = [
+        r.front for r in circle.recipients(0.1) if r.content is peers.Content.FLEET
+    ]
+    check.assertEqual(len(first), 10 - 1)
+    soon = [r.front for r in circle.recipients(0.2) if r.content is peers.Content.FLEET]
+    check.assertEqual(soon, ["b01", "b02"])
+
+
+def test_few_fronts_have_a_reader_in_each_domain_that_is_replaced_when_silent():
+    circle = peers.Circle("b05", "b", 1)
+    circle.announced("b01", "b01", "b", 0.0, 5)
+    circle.announced("a01", "a01", "a", 0.0, 9)
+    check.assertFalse(circle.is_reader(0.0))
+    for n in range(20):
+        circle.recipients(0.1 * n)
+    check.assertTrue(circle.is_reader(2.0))
+    news = {r.front: r.news for r in circle.recipients(2.0)}
+    check.assertEqual(news, {"a01": False, "b01": True})
+
+
+def test_news_of_the_reader_reach_every_member_and_no_other_domain():
+    network = _Network("ab", 8)
+    heard = {name: [] for name in network.tasks}
+    for name, task in network.tasks.items():
+        task.follow(feeds.Topic.TARGETS, heard[name].append)
+    for _ in range(3):
+        network.round()
+    (reader,) = [n for n, t in network.tasks.items() if t.reads and n[0] == "a"]
+    record = feeds.Record(offset=3, key="t", value=b"v")
+    stretch = feeds.Followed(
+        topic=feeds.Topic.TARGETS,
+        start=3,
+        end=5,
+        as_of=network.now,
+        records=(record,),
+    )
+    network.tasks[reader].handle(stretch)
+    for _ in range(2):
+        network.round()
+    for name in network.tasks:
+        found = [news.records for news in heard[name] if news.records]
+        expected = name[0] == "a" and name != reader
+        check.assertEqual(bool(found), expected, name)
+
+
+def test_a_note_crosses_between_two_domains_once():
+    network = _Network("ab", 8)
+    for _ in range(3):
+        network.round()
+    note = requests.KeptNote(target=1, part=7, tokens=9_000, own_tokens=0, ready=True)
+    network.tasks["a05"].handle(peers.Tell(loads={}, kept=(note,)))
+    got = collections.Counter()
+    for name, task in network.tasks.items():
+        task._pass_on = lambda state, name=name: got.update([name] * len(state.kept))
+    for _ in range(8):
+        network.round()
+    # The relays hear it from their peers, the others from their relay.
+    check.assertEqual({got[n] for n in network.tasks if n not in ("a05",)}, {1})
