--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -12,6 +12,7 @@
 
 NO_TARGET_RETRY_S = 0.5
 TELL_INTERVAL_S = 0.05
+TICK_S = 0.5
 # Taken for the number of fronts until peers are heard.
 UNKNOWN_FLEET_SIZE = 16
 # Share of a route's longest deadline that clients' first calls have at least.
@@ -23,6 +24,8 @@
 class DispatchTask(runtime.Task):
     """Chooses targets; `table` may be read by any thread."""
 
+    tick_s = TICK_S
+
     def __init__(
         self,
         *,
--- a/src/turmericward/peers/_deltas.py
+++ b/src/turmericward/peers/_deltas.py
@@ -9,6 +9,9 @@
 Loads = Mapping[int, requests.TargetLoad]
 # A datagram that was lost is made good after this at the latest.
 FULL_S = 1.0
+# Less changes no choice; it is told with the next whole load.
+NOTED_TOKENS = 1_000.0
+NOTED_CALLS = 2
 
 
 @attrs.frozen(kw_only=True)
@@ -20,7 +23,11 @@
 
 
 class Deltas:
-    """What a group of recipients was told of one load; times are steady seconds."""
+    """What a group of recipients was told of one load; times are steady seconds.
+
+    Load pattern that it answers: hundreds of short prompts a second, each of which
+    changes a little at some target, beside some long prompts that others must know.
+    """
 
     def __init__(self) -> None:
         """Creates the state of recipients that were told nothing."""
@@ -33,13 +40,28 @@
 
     def next(self, loads: Loads, now: float) -> Update:
         """Returns what to tell now."""
-        told, self._told = self._told, dict(loads)
         if now - self._full_at >= FULL_S:
             self._full_at = now
+            self._told = dict(loads)
             return Update(rows=dict(loads), partial=False)
-        rows = {t: load for t, load in loads.items() if told.get(t) != load}
-        ended = {t: requests.NO_LOAD for t in told if t not in loads}
-        return Update(rows=rows | ended, partial=True)
+        rows = {
+            target: load
+            for target, load in loads.items()
+            if _is_noted(self._told.get(target, requests.NO_LOAD), load)
+        }
+        for target in self._told:
+            if target not in loads:
+                rows[target] = requests.NO_LOAD
+        self._told = merged(self._told, rows)
+        return Update(rows=rows, partial=True)
+
+
+def _is_noted(told: requests.TargetLoad, load: requests.TargetLoad) -> bool:
+    """Tells whether others should know of a change before the next whole load."""
+    urgent = abs(load.urgent_tokens - told.urgent_tokens)
+    deferred = abs(load.deferred_tokens - told.deferred_tokens)
+    calls = abs(load.open_calls - told.open_calls)
+    return max(urgent, deferred) >= NOTED_TOKENS or calls >= NOTED_CALLS
 
 
 def merged(known: Loads, rows: Loads) -> dict[int, requests.TargetLoad]:
--- a/src/turmericward/peers/_peer_task.py
+++ b/src/turmericward/peers/_peer_task.py
@@ -12,19 +12,21 @@
 from turmericward.peers import _circle, _codec, _deltas, _messages, _outbox
 
 BOOT_BITS = 62
-TICK_S = 0.1
+IDLE_TICK_S = 0.25
 # Longest time between two states of a front that tells every other one.
 DIRECT_HEARTBEAT_S = 0.25
 # Least and longest time between two states where a relay passes them on.
 RELAYED_INTERVAL_S = 0.1
 RELAYED_HEARTBEAT_S = 0.5
+# How often a reader says that nothing else was changed.
+NEWS_HEARTBEAT_S = 0.4
 NO_CAPACITY = -1
 
 
 class PeerTask(runtime.Task):
     """Tells peers the own state, and as a relay the sum of several fronts."""
 
-    tick_s = TICK_S
+    tick_s = IDLE_TICK_S
 
     def __init__(
         self,
@@ -72,6 +74,8 @@
         self._told_loads: _deltas.Loads = {}
         self._told_to: frozenset[str] = frozenset()
         self._told_at = float("-inf")
+        self._news_at = float("-inf")
+        self._news_due = False
         self._changed = False
         # Any thread may read these. Whether others rely on what this front reads of
         # the store, and whether it asks targets itself or is told by its relay.
@@ -118,6 +122,7 @@
         if self._circle.is_relay(now):
             self._note(state, now)
             self._changed = True
+            self._tell_due(now)
         self._take_news(state)
         self._pass_on(self._without_own(state))
 
@@ -152,7 +157,7 @@
     def _(self, message: feeds.Followed) -> None:
         now = self._clock()
         if self._histories[message.topic].take(message, now) and self.reads:
-            self._changed = True
+            self._changed = self._news_due = True
             self._tell_due(now)
 
     @handle.register
@@ -197,6 +202,7 @@
         silent_s = now - self._told_at
         if silent_s >= longest_s or (self._changed and silent_s >= least_s):
             self._send(now)
+        self.tick_s = least_s if self._changed else IDLE_TICK_S
 
     def _intervals(self) -> tuple[float, float]:
         """Returns the least and the longest time between two states."""
@@ -209,10 +215,11 @@
         self._changed = False
         recipients = self._circle.recipients(now)
         self._note_recipients(recipients)
+        news = self._news(now)
         for content in _circle.Content:
             group = [r for r in recipients if r.content is content]
             if group:
-                self._send_content(content, group, now)
+                self._send_content(content, group, news, now)
         self._told_loads = self._own.loads
         if not self._circle.is_relay(now):
             # Nobody is told what only a relay tells.
@@ -225,14 +232,20 @@
                 deltas.reset()
         self._told_to = told_to
 
-    def _send_content(self, content, group: list[_circle.Recipient], now) -> None:
+    def _send_content(
+        self,
+        content: _circle.Content,
+        group: list[_circle.Recipient],
+        news: tuple[feeds.News, ...],
+        now: float,
+    ) -> None:
         far = content is _circle.Content.DOMAIN
         state = self._state(content, self._far if far else self._near, now)
         encoded: dict[bool, bytes] = {}
         for recipient in group:
             if recipient.news not in encoded:
-                news = self._news(now) if recipient.news else ()
-                encoded[recipient.news] = _codec.encode(attrs.evolve(state, news=news))
+                told = news if recipient.news else ()
+                encoded[recipient.news] = _codec.encode(attrs.evolve(state, news=told))
             self._send_to(recipient.host, encoded[recipient.news])
 
     def _send_to(self, host: str, data: bytes) -> None:
@@ -267,6 +280,10 @@
         )
 
     def _news(self, now: float) -> tuple[feeds.News, ...]:
+        if not self._news_due and now - self._news_at < NEWS_HEARTBEAT_S:
+            return ()
+        self._news_at = now
+        self._news_due = False
         found = [
             history.news(now, self._fresh_s[topic])
             for topic, history in self._histories.items()
--- a/src/turmericward/runtime/_task.py
+++ b/src/turmericward/runtime/_task.py
@@ -36,7 +36,8 @@
     """Owns state that only its own thread touches; others send it messages.
 
     Subclasses override `handle`, commonly by `functools.singledispatchmethod`,
-    and `tick`, which is called about every `tick_s` seconds.
+    and `tick`, which is called about every `tick_s` seconds; a message may lower
+    that for what has become due sooner.
     """
 
     tick_s = DEFAULT_TICK_S
@@ -76,6 +77,7 @@
                 break
             if envelope is not None:
                 self._deliver(envelope)
+                next_tick = min(next_tick, time.monotonic() + self.tick_s)
             if time.monotonic() >= next_tick:
                 self.tick()
                 next_tick = time.monotonic() + self.tick_s
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -41,6 +41,11 @@
         name = key.encode()
         self._append(topic, [bytes([len(name)]) + name + value])
 
+    def end(self, topic: str) -> int:
+        """Returns the offset behind a topic's last record."""
+        with self._lock:
+            return len(self._topics.get(topic, ()))
+
     def compact(self, topic: str) -> None:
         """Forgets the history: only the newest of each key can be listed."""
         with self._lock:
