Tell configurations compressed, so that fronts without the store get them

Change: values from 400 bytes on are compressed in datagrams, up to 64 KB as they stand in the store; what unpacks without end is refused. States of the version before are still understood.

--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -39,6 +39,8 @@
   1: i64 offset
   2: string key
   3: binary value
+  /** Whether the value is compressed by zlib. */
+  4: bool compressed
 }
 
 /** Everything that a topic of the store gained between two offsets. */
--- a/src/turmericward/feeds/_history.py
+++ b/src/turmericward/feeds/_history.py
@@ -7,7 +7,7 @@
 # How long a record is told again and again: datagrams get lost.
 TOLD_S = 3.0
 # Larger records, and older ones beyond this sum, are left for others to read.
-MAX_TOLD_BYTES = 6_000
+MAX_TOLD_BYTES = 64_000
 
 
 class History:
--- a/src/turmericward/peers/_codec.py
+++ b/src/turmericward/peers/_codec.py
@@ -1,6 +1,7 @@
 """Datagrams between fronts: thrift's compact protocol."""
 
 import math
+import zlib
 from collections.abc import Mapping
 
 import attrs
@@ -13,6 +14,9 @@
 # Bounds on what a datagram may claim to hold; a longer claim is malformed.
 MAX_STRING_BYTES = 64_000
 MAX_ITEMS = 20_000
+# Values of records from this length on are compressed, up to the other one.
+MIN_COMPRESSED_BYTES = 400
+MAX_VALUE_BYTES = 1_000_000
 _FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(
     string_length_limit=MAX_STRING_BYTES, container_length_limit=MAX_ITEMS
 )
@@ -143,10 +147,7 @@
 
 
 def _topic_news(news: feeds.News) -> ttypes.TopicNews:
-    records = [
-        ttypes.Record(offset=r.offset, key=r.key, value=r.value or b"")
-        for r in news.records
-    ]
+    records = [_record(record) for record in news.records]
     return ttypes.TopicNews(
         topic=news.topic.value,
         start=news.start,
@@ -156,10 +157,29 @@
     )
 
 
+def _record(record: feeds.Record) -> ttypes.Record:
+    value = record.value or b""
+    compressed = len(value) >= MIN_COMPRESSED_BYTES
+    if compressed:
+        value = zlib.compress(value)
+    return ttypes.Record(
+        offset=record.offset, key=record.key, value=value, compressed=compressed
+    )
+
+
+def _value(row: ttypes.Record) -> bytes | None:
+    if not row.compressed:
+        return row.value or None
+    unpacker = zlib.decompressobj()
+    value = unpacker.decompress(row.value, MAX_VALUE_BYTES)
+    if not unpacker.eof:
+        raise MalformedStateError(f"record {row.offset} doesn't end")
+    return value or None
+
+
 def _news(row: ttypes.TopicNews) -> feeds.News:
     records = tuple(
-        feeds.Record(offset=r.offset, key=r.key, value=r.value or None)
-        for r in row.records
+        feeds.Record(offset=r.offset, key=r.key, value=_value(r)) for r in row.records
     )
     return feeds.News(
         topic=feeds.Topic(row.topic),
--- a/src/turmericward/wire/peers/ttypes.py
+++ b/src/turmericward/wire/peers/ttypes.py
@@ -412,6 +412,7 @@
      - offset
      - key
      - value
+     - compressed: Whether the value is compressed by zlib.
 
     """
 
@@ -419,13 +420,15 @@
         'offset',
         'key',
         'value',
+        'compressed',
     )
 
 
-    def __init__(self, offset=None, key=None, value=None,):
+    def __init__(self, offset=None, key=None, value=None, compressed=None,):
         self.offset = offset
         self.key = key
         self.value = value
+        self.compressed = compressed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -451,6 +454,11 @@
                     self.value = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.compressed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -473,6 +481,10 @@
             oprot.writeFieldBegin('value', TType.STRING, 3)
             oprot.writeBinary(self.value)
             oprot.writeFieldEnd()
+        if self.compressed is not None:
+            oprot.writeFieldBegin('compressed', TType.BOOL, 4)
+            oprot.writeBool(self.compressed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -925,6 +937,7 @@
     (1, TType.I64, 'offset', None, None, ),  # 1
     (2, TType.STRING, 'key', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
+    (4, TType.BOOL, 'compressed', None, None, ),  # 4
 )
 all_structs.append(TopicNews)
 TopicNews.thrift_spec = (
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -119,7 +119,9 @@
 def test_a_record_too_large_to_tell_leaves_a_gap_to_read():
     history = feeds.History(TOPIC)
     history.take(_followed(10, 10, 0.0), 0.0)
-    history.take(_followed(10, 12, 0.1, (_record(10), _record(11, b"x" * 90_000))), 0.1)
+    history.take(
+        _followed(10, 12, 0.1, (_record(10), _record(11, b"x" * 900_000))), 0.1
+    )
     news = history.news(0.2, FRESH_S)
     check.assertEqual((news.start, news.end, news.records), (12, 12, ()))
     feed = _listed_feed()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,8 +2,13 @@
 
 import random
 
+import attrs
+from thrift import TSerialization
+
 from tests import fixtures
-from turmericward import peers, requests
+from turmericward import feeds, peers, requests
+from turmericward.peers import _codec
+from turmericward.wire.peers import ttypes
 
 check = fixtures.check
 STATE = peers.PeerState(
@@ -48,3 +53,38 @@
         peers.PeerState(front="front-1", boot=1, sequence=1, loads=loads)
     )
     check.assertLess(len(data), 1_400)
+
+
+def _with_news(value: bytes | None) -> peers.PeerState:
+    record = feeds.Record(offset=4, key="config", value=value)
+    news = feeds.News(
+        topic=feeds.Topic.CONFIGURATION, start=3, end=6, age_s=0.25, records=(record,)
+    )
+    return attrs.evolve(STATE, news=(news,), partial=True, capacity=-1)
+
+
+def test_news_are_decoded_as_they_were_encoded():
+    for value in (None, b"x", b"{}" * 20_000, bytes(range(256)) * 4):
+        state = _with_news(value)
+        check.assertEqual(peers.decode(peers.encode(state)), state)
+
+
+def test_a_configuration_is_told_in_few_bytes():
+    route = b'{"name": "r", "host": "h.example", "path_prefix": "/r/", "kind": "once"},'
+    check.assertLess(len(peers.encode(_with_news(route * 400))), 2_000)
+
+
+def test_values_that_unpack_without_end_are_refused():
+    data = peers.encode(_with_news(b"x" * 20_000_000))
+    with check.assertRaises(peers.MalformedStateError):
+        peers.decode(data)
+
+
+def test_a_state_of_an_earlier_version_is_understood():
+    # Its last field is the list of targets that told what they keep.
+    message = ttypes.FrontState(
+        front="front-1", boot=7, sequence=3, loads=[], kept=[], held=[], listed=[]
+    )
+    message.domain, message.fronts = "a", 1
+    state = peers.decode(TSerialization.serialize(message, _codec._FACTORY))
+    check.assertEqual((state.front, state.news, state.partial), ("front-1", (), False))
