Choose by chance among nearly equal engines; copy shared parts where there is room

Change: from 12 fronts on, one of the placements within 0.1 s of the best (0.01 s for short work); a copy costs what must yield to it at that engine. Also: one line for a listing of fronts in place of one for each pair of fronts.

--- a/benchmarks/prompt_model.py
+++ b/benchmarks/prompt_model.py
@@ -196,6 +196,8 @@
         """
         self._load = load
         self._random = random.Random(seed)
+        # Of its own, so that all policies meet the same arrivals.
+        self._telling_random = random.Random(seed)
         self._telling = telling
         self._interval_s = interval_s
         # When each placer may tell again, and those that have something to tell.
@@ -331,7 +333,7 @@
         if placer in self._waiting:
             return
         # Fronts don't tell in step.
-        first = self._random.uniform(0, self._interval_s)
+        first = self._telling_random.uniform(0, self._interval_s)
         tells_at = max(self._now, self._tells_at.get(placer, self._now + first))
         self._tells_at[placer] = tells_at + self._interval_s
         self._waiting.add(placer)
--- a/src/turmericward/peers/_announce_loop.py
+++ b/src/turmericward/peers/_announce_loop.py
@@ -92,22 +92,24 @@
             self.pause(RETRY_S)
             return
         self._first = False
-        for record in listing.records:
-            self._take(record)
+        found = sum(self._take(record) for record in listing.records)
+        logging.info("front is announced, %d others are", found)
         spread = self._random.uniform(1 - SPREAD, 1 + SPREAD)
         self.pause(ANNOUNCE_S * spread)
 
-    def _take(self, record: feeds.Record) -> None:
+    def _take(self, record: feeds.Record) -> bool:
+        """Passes on an announcement; tells whether it is another front's."""
         if not record.value or record.key == self._front:
-            return
+            return False
         try:
             found = schema.structure(
                 json.loads(record.value), Announcement, record.key, extra=True
             )
         except ValueError as exc:
             logging.warning("front %s isn't known: %s", record.key, exc)
-            return
+            return False
         self._announced(record.key, found)
+        return True
 
     def closed(self) -> None:
         """Ends the announcement and closes the connection to the store."""
--- a/src/turmericward/peers/_peer_task.py
+++ b/src/turmericward/peers/_peer_task.py
@@ -101,11 +101,9 @@
 
     @handle.register
     def _(self, message: _messages.Announced) -> None:
-        new = self._circle.announced(
+        self._circle.announced(
             message.front, message.host, message.domain, self._clock(), message.capacity
         )
-        if new:
-            logging.info("peer %s at %s is known", message.front, message.host)
 
     @handle.register
     def _(self, message: _messages.Heard) -> None:
--- a/src/turmericward/requests/_kept.py
+++ b/src/turmericward/requests/_kept.py
@@ -66,6 +66,11 @@
         self._used += tokens - known[0]
         self._entries[key] = (tokens, ready)
 
+    def yielding_share(self, tokens: int) -> float:
+        """Returns the share of `tokens` more for which other parts must yield."""
+        over = self._used + tokens - self._limit
+        return min(1.0, max(0.0, over) / max(1, tokens))
+
     def tokens(self, parts: Iterable[tuple[int, int]], *, ready: bool) -> int:
         """Returns how many tokens at a prompt's begin are kept, or also to be read.
 
--- a/src/turmericward/requests/_memories.py
+++ b/src/turmericward/requests/_memories.py
@@ -143,6 +143,11 @@
         self.take(note)
         self._notes.append(note)
 
+    def yielding_share(self, target: fleet.Target, tokens: int) -> float:
+        """Returns the share of `tokens` more for which an engine drops others."""
+        memory = self._kept.get(target_hash(target.name))
+        return 0.0 if memory is None else memory.yielding_share(tokens)
+
     def tokens_kept(
         self, target: fleet.Target, prompt: _prompts.Prompt, *, ready: bool
     ) -> int:
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -39,7 +39,7 @@
 FETCH_S = 0.03
 SECONDS_PER_OPEN_CALL = 0.002
 MIN_RETRY_S = 0.2
-# What a further copy of shared parts costs: it takes the memory of others.
+# What a further copy of shared parts costs where all others must yield to it.
 COPY_COST_S = 0.9
 # What a long prompt's reading at a decode engine costs the calls beside it.
 HARM_SECONDS_PER_TOKEN = 1 / 3_000
@@ -54,6 +54,13 @@
 # Effective tokens beyond which work goes behind shorter work: the longest prompts
 # hold an engine for as long as a dozen others.
 WORK_STEPS = (4_000.0, 16_000.0)
+# From this many fronts on a front's view of the others' work is old.
+MANY_FRONTS = 12
+# Costs that differ by less are taken to be equal among many fronts, for calls with
+# much to read and with little.
+LONG_SPREAD_S = 0.1
+SHORT_SPREAD_S = 0.01
+LONG_WORK_TOKENS = 1_000.0
 # Steps by which calls that are late already go behind the others.
 DEFERRED_STEPS = 5
 
@@ -263,9 +270,22 @@
             found = self._candidates(prompt, targets, deferred=deferred)
             best = min(found, key=self._order)
             if best.cost_s <= bound_s:
-                return best
+                return self._spread(found, best, bound_s)
         return best
 
+    def _spread(self, found, best: Placement, bound_s: float) -> Placement:
+        """Returns one of the placements that are nearly as good as the best.
+
+        Each of many fronts knows late what the others place: without chance all
+        of them would send their calls to the same idle engine.
+        """
+        if self.peers.live() < MANY_FRONTS:
+            return best
+        long = best.work_tokens >= LONG_WORK_TOKENS
+        spread_s = LONG_SPREAD_S if long else SHORT_SPREAD_S
+        most_s = min(bound_s, best.cost_s + spread_s)
+        return self._random.choice([p for p in found if p.cost_s <= most_s])
+
     def _candidates(self, prompt, targets, *, deferred: bool) -> list[Placement]:
         sources = {}
         if prompt.tokens >= _memories.SHORT_PROMPT_TOKENS:
@@ -299,10 +319,11 @@
         if source is not None and source is not target:
             there = self.memories.tokens_kept(source, prompt, ready=True)
             if there > kept:
+                yielding = self.memories.yielding_share(target, there - kept)
                 kept = there
                 fetch_from = source.address
                 extra_s += FETCH_S
-                harm_s += COPY_COST_S
+                harm_s += COPY_COST_S * yielding
         if target.role is fleet.EngineRole.PREFILL:
             extra_s += HANDOVER_S
         elif prompt.tokens >= _memories.SHORT_PROMPT_TOKENS:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,5 +1,6 @@
 """Where prompts are read: load patterns replayed on the pure decisions."""
 
+import collections
 from unittest import mock
 
 from benchmarks import prompt_model
@@ -337,3 +338,63 @@
         placer.ended(placement, requests.Ending.SOUND, 20.0)
         chosen.append(placement.target.name)
     check.assertIn("new", chosen)
+
+
+def _first_choices(fronts: int, told: int) -> collections.Counter:
+    """Returns where fronts that see idle engines send a long prompt each."""
+    targets = prompt_model.targets(10, 10)
+    counts = collections.Counter()
+    for seed in range(fronts):
+        placer = requests.Placer(seed, "a")
+        placer.peers.take("relay", {}, 0.0, told)
+        prompt = _long(subject=f"s{seed}")
+        counts[
+            placer.choose_engine(prompt, targets, ALL, 0.0).unwrap().target.name
+        ] += 1
+    return counts
+
+
+def test_many_fronts_with_the_same_view_do_not_all_choose_the_same_engine():
+    # Nine fronts sent a prompt each to one engine within 160 ms, as all saw it idle.
+    counts = _first_choices(fronts=40, told=69)
+    check.assertLess(max(counts.values()), 15)
+    check.assertGreaterEqual(len(counts), 5)
+
+
+def test_few_fronts_take_the_best_engine():
+    check.assertEqual(len(_first_choices(fronts=10, told=6)), 1)
+
+
+def _copying(capacity_tokens: int) -> requests.Placement:
+    """Places a prompt whose shared part lies at a busy engine."""
+    targets = prompt_model.targets(2, 1)
+    placer = requests.Placer(1, "a")
+    placer.memories.set_capacity("model", capacity_tokens)
+    for target in targets:
+        placer.memories.announced(target)
+    keeper, *others = targets
+    part = _long().shared_parts[0][0]
+    for target, number in ((keeper, part), *((t, 99) for t in others)):
+        note = requests.KeptNote(
+            target=requests.target_hash(target.name),
+            part=number,
+            tokens=13_000,
+            own_tokens=0,
+            ready=True,
+        )
+        placer.memories.take(note)
+    busy = requests.TargetLoad(urgent_tokens=28_000.0, open_calls=3)
+    placer.peers.take("peer", {requests.target_hash(keeper.name): busy}, 0.0)
+    return placer.choose_engine(_long(), targets, ALL, 0.0).unwrap()
+
+
+def test_a_shared_part_is_copied_where_there_is_room():
+    placement = _copying(capacity_tokens=500_000)
+    check.assertEqual(placement.target.name, "e1")
+    check.assertTrue(placement.fetch_from)
+    check.assertLess(placement.work_tokens, 13_000)
+
+
+def test_a_shared_part_is_not_copied_where_others_must_yield():
+    placement = _copying(capacity_tokens=18_000)
+    check.assertEqual((placement.target.name, placement.fetch_from), ("e0", ""))
--- a/tests/test_shortlist.py
+++ b/tests/test_shortlist.py
@@ -5,7 +5,7 @@
 
 from tests import fixtures
 from turmericward import fleet, requests
-from turmericward.requests import _shortlist
+from turmericward.requests import _placement, _shortlist
 
 check = fixtures.check
 PATIENCE = requests.Patience(on_time_s=0.8, given_up_s=3.2)
@@ -64,6 +64,8 @@
     return placement.cost_s
 
 
+# Both take the best, neither one that is nearly as good by chance.
+@mock.patch.object(_placement, "MANY_FRONTS", 1_000)
 def test_a_choice_among_few_costs_no_more_than_one_among_all():
     engines = _engines(200)
     worse_s = []
