--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -8,17 +8,13 @@
 from absl import logging
 
 from turmericward import fleet, peers, requests, runtime, telemetry
-from turmericward.delivery import _messages, _routes
+from turmericward.delivery import _messages, _retry_shares, _routes
 
 NO_TARGET_RETRY_S = 0.5
 TELL_INTERVAL_S = 0.05
 TICK_S = 0.5
-# Taken for the number of fronts until peers are heard.
-UNKNOWN_FLEET_SIZE = 16
 # Share of a route's longest deadline that clients' first calls have at least.
 DEADLINE_SPREAD = 0.8
-# Part of the bounds on retries that is used: windows slide, fronts restart.
-RETRY_MARGIN = 0.7
 
 
 class DispatchTask(runtime.Task):
@@ -52,11 +48,7 @@
         self._directory = fleet.Directory(grace_s)
         self._rests = fleet.Rests()
         self._placer = requests.Placer(seed, domain)
-        self._retries = retries
-        self._budgets: dict[str, requests.RetryBudget] = collections.defaultdict(
-            self._new_budget
-        )
-        self._most_peers = 0
+        self._retries = _retry_shares.RetryShares(retries)
         self._told_at = 0.0
         self._longest_s: dict[str, float] = collections.defaultdict(float)
         self._tell = tell
@@ -169,7 +161,7 @@
         self._held = {t: until for t, until in self._held.items() if until > now}
         for peer in self._placer.peers.expire(now):
             logging.info("peer %s is silent", peer)
-        self._count_fleet()
+        self._retries.count_peers(self._placer.peers.live())
 
     @handle.register
     def _(self, message: peers.PeerState) -> None:
@@ -207,7 +199,7 @@
             version=None if self.table is None else self.table.version,
             targets=tuple(self._target_status(t, now) for t in self._directory.all()),
             peer_ages_s=self._placer.peers.ages(now),
-            retries_left={name: b.saved for name, b in self._budgets.items()},
+            retries_left=self._retries.left(),
         )
 
     def _target_status(self, target: fleet.Target, now: float):
@@ -247,34 +239,9 @@
     def _is_held(self, target: fleet.Target, now: float) -> bool:
         return self._held.get(requests.target_hash(target.name), now) > now
 
-    def _new_budget(self) -> requests.RetryBudget:
-        return requests.RetryBudget(
-            share=RETRY_MARGIN * self._retries.share, most=self._saved_retries()
-        )
-
-    def _saved_retries(self) -> float:
-        fronts = self._most_peers + 1 if self._most_peers else UNKNOWN_FLEET_SIZE
-        return RETRY_MARGIN * self._retries.slack / fronts
-
-    def _count_fleet(self) -> None:
-        """Shares the slack among as many fronts as were ever heard at a time.
-
-        A front that is cut off from the others mustn't take their shares.
-        """
-        live = self._placer.peers.live()
-        if live <= self._most_peers:
-            return
-        self._most_peers = live
-        self._share_retries()
-
-    def _share_retries(self) -> None:
-        for budget in self._budgets.values():
-            budget.set_bounds(RETRY_MARGIN * self._retries.share, self._saved_retries())
-
     @handle.register
     def _(self, message: _messages.RetryBounds) -> None:
-        self._retries = message
-        self._share_retries()
+        self._retries.set_bounds(message)
 
     def _tell_peers(self, prompt: requests.Prompt | None) -> None:
         """Tells the peers of each long prompt, and of short ones now and then."""
@@ -288,7 +255,7 @@
 
     @handle.register
     def _(self, message: _messages.Place):
-        budget = self._budgets[message.service]
+        budget = self._retries.of(message.service)
         if message.retry and not budget.spend():
             return _refused("retry_budget")
         if not message.retry and not message.read:
--- a/src/turmericward/requests/__init__.py
+++ b/src/turmericward/requests/__init__.py
@@ -3,6 +3,7 @@
 from turmericward.requests._budget import RetryBudget
 from turmericward.requests._demand import Demand, demand_of, with_model
 from turmericward.requests._errors import InvalidRequestError, RequestsError
+from turmericward.requests._in_flight import Ending, Patience, Placement
 from turmericward.requests._loads import (
     NO_LOAD,
     PEER_LEASE_S,
@@ -14,7 +15,7 @@
     KeptNote,
     target_hash,
 )
-from turmericward.requests._placement import Ending, Patience, Placement, Placer
+from turmericward.requests._placement import Placer
 from turmericward.requests._prompts import Prompt, PromptPart, part_number
 from turmericward.requests._router import (
     MIN_RETRY_S,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,7 +6,7 @@
 from benchmarks import prompt_model
 from tests import fixtures
 from turmericward import fleet, requests
-from turmericward.requests import _loads, _placement
+from turmericward.requests import _in_flight, _loads
 
 check = fixtures.check
 SEEDS = range(3)
@@ -144,7 +144,7 @@
 
 def test_short_work_goes_first_when_prompts_of_all_sizes_are_too_many():
     by_work = _played("mixed sizes")
-    with mock.patch.object(_placement, "WORK_STEPS", ()):
+    with mock.patch.object(_in_flight, "WORK_STEPS", ()):
         in_order = _played("mixed sizes")
     check.assertGreater(_mean(by_work, "long"), _mean(in_order, "long"))
     check.assertGreater(_mean(by_work, "short"), 0.99)
@@ -184,7 +184,7 @@
     placer = _placer()
     for keeper in engines[:4]:
         placer.memories.listed(keeper, _long().shared_parts)
-    sources = placer._sources(_long(), engines)
+    sources = placer._costs._sources(_long(), engines)
     check.assertEqual(sources[reader.domain].domain, reader.domain)
 
 
@@ -398,3 +398,31 @@
 def test_a_shared_part_is_not_copied_where_others_must_yield():
     placement = _copying(capacity_tokens=18_000)
     check.assertEqual((placement.target.name, placement.fetch_from), ("e0", ""))
+
+
+def _eject(placer, targets) -> None:
+    for target in targets:
+        for _ in range(3):
+            placer.health.failed(target.name, 0.0)
+
+
+def test_nothing_is_read_while_every_engine_that_answers_is_ejected():
+    for prefill, decode in ((2, 2), (20, 20)):
+        targets = tuple(prompt_model.targets(prefill, decode))
+        placer = _placer()
+        _eject(placer, targets[prefill:])
+        check.assertIsNone(placer.choose_engine(_long(), targets, ALL, 0.1))
+
+
+def test_what_was_read_is_answered_by_an_ejected_engine_if_there_is_no_other():
+    for prefill, decode in ((2, 2), (20, 20)):
+        targets = tuple(prompt_model.targets(prefill, decode))
+        placer = _placer()
+        _eject(placer, targets[prefill:])
+        placement = placer.choose_answerer(_long(), "a", targets, 0.1)
+        check.assertIs(placement.target.role, fleet.EngineRole.DECODE)
+
+
+def test_without_engines_there_is_no_choice():
+    check.assertIsNone(_placer().choose_engine(_long(), (), ALL, 0.0))
+    check.assertIsNone(_placer().choose_answerer(_long(), "a", (), 0.0))
--- a/tests/test_shortlist.py
+++ b/tests/test_shortlist.py
@@ -86,8 +86,9 @@
         engines = _engines(count)
         placer = _placer(engines, 1)
         _cost(placer, _prompt(0, 300), engines)
+        costs = placer._costs
         with mock.patch.object(
-            placer, "_candidate", side_effect=placer._candidate
+            costs, "_reading_at", side_effect=costs._reading_at
         ) as candidate:
             for n in range(1, 6):
                 _cost(placer, _prompt(n, 300), engines)
