A front that starts while the store is away learns all of its topics from a peer

Cause: after a kill or a planned restart in an outage a front stayed not ready until the store was back, though its peers knew the configuration and the targets. Ruled out: addresses of peers in the settings; the relay of a domain makes itself known to members that it doesn't hear, so a front that starts anew hears of it. Change: a front that has not read the topics says so in what it tells; its relay, or the next able front, answers with the newest record of every key, the offset and the age. The front goes on from that offset by news or own reads; a front that has listed a topic itself ignores it. Answers go out every 0.2 s at most, and none that a datagram doesn't hold. Tests: a real front with the store down and one real peer task serves a call, and takes what changed once the store is back; without a peer it refuses (503); noise from peers changes nothing.

--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -55,6 +55,8 @@
   4: i32 age_ms
   /** The covered records, without those that change nothing. */
   5: list<Record> records
+  /** Whether they are the newest of every key, and `start` is 0. */
+  6: bool whole
 }
 
 /** A front's whole load, and the prompts read since its last datagrams. */
@@ -78,4 +80,6 @@
   12: list<TopicNews> news
   /** Whether targets that aren't named here are as they were told before. */
   13: bool partial
+  /** Whether the front could not read the topics yet and asks for them whole. */
+  14: bool asks
 }
--- a/src/turmericward/feeds/_follow_loop.py
+++ b/src/turmericward/feeds/_follow_loop.py
@@ -167,11 +167,32 @@
     def _take_news(self, news: _messages.News | None) -> None:
         if news is None:
             return
-        records = self._feed.heard(news, runtime.now())
-        if self._lost and self._feed.is_fresh(runtime.now()):
+        if news.whole:
+            self._take_whole(news)
+            return
+        start = self._feed.following
+        now = runtime.now()
+        records = self._feed.heard(news, now)
+        if self._lost and self._feed.is_fresh(now):
             self._note_answer("told by a peer")
         if records:
             self._sink.changed(records)
+        if start is not None and self._feed.following > start:
+            as_of = now - news.age_s
+            self._tell_of(start, self._feed.following, as_of, records)
+
+    def _take_whole(self, news: _messages.News) -> None:
+        """Takes a peer's knowledge in place of a listing that the store refuses."""
+        if self._feed.following is not None:
+            return
+        as_of = runtime.now() - news.age_s
+        self._feed.listed(news.end, as_of)
+        self._list_due = False
+        logging.info(
+            "topic %s is known from a peer, %.1f s old", self._name, news.age_s
+        )
+        self._sink.listed(news.records)
+        self._tell_of(news.end, news.end, as_of, news.records, whole=True)
 
     # Own reads.
 
@@ -185,7 +206,7 @@
         self._list_due = False
         self._note_answer("read")
         self._sink.listed(listing.records)
-        self._tell_of(listing.end, listing.end, asked_at, ())
+        self._tell_of(listing.end, listing.end, asked_at, listing.records, whole=True)
 
     def _read(self) -> None:
         start = self._feed.following
@@ -202,9 +223,22 @@
         if records and self._is_reader():
             self.pause(self._pacing.batch_s)
 
-    def _tell_of(self, start: int, end: int, as_of: float, records) -> None:
+    def _tell_of(
+        self,
+        start: int,
+        end: int,
+        as_of: float,
+        records: tuple[_messages.Record, ...],
+        *,
+        whole: bool = False,
+    ) -> None:
         followed = _messages.Followed(
-            topic=self._topic, start=start, end=end, as_of=as_of, records=records
+            topic=self._topic,
+            start=start,
+            end=end,
+            as_of=as_of,
+            records=records,
+            whole=whole,
         )
         self._tell(followed)
 
--- a/src/turmericward/feeds/_history.py
+++ b/src/turmericward/feeds/_history.py
@@ -1,4 +1,4 @@
-"""What a reader lately read of a topic, for fronts that missed its news."""
+"""What a front knows of a topic that others may need: its last stretch, or all."""
 
 import collections
 
@@ -11,7 +11,7 @@
 
 
 class History:
-    """The last stretch of a topic; times are steady seconds."""
+    """The last stretch of a topic and its newest records; times are steady seconds."""
 
     def __init__(self, topic: _messages.Topic) -> None:
         """Creates the history of a front that has read nothing."""
@@ -19,6 +19,7 @@
         self._start = 0
         self._end: int | None = None
         self._as_of = 0.0
+        self._newest: dict[str, _messages.Record] = {}
         # Time at which each record was read, and the record; oldest first.
         self._records: collections.deque[tuple[float, _messages.Record]]
         self._records = collections.deque()
@@ -27,15 +28,28 @@
 
     def take(self, followed: _messages.Followed, now: float) -> bool:
         """Adds a stretch; tells whether it holds records to tell of at once."""
-        if followed.start != self._end:
+        if followed.whole:
+            self._newest = {r.key: r for r in followed.records}
+            self._begin(followed.end)
+        elif followed.start != self._end:
             self._begin(followed.start)
         self._end = followed.end
         self._as_of = followed.as_of
-        self._records.extend((now, record) for record in followed.records)
         self._reads.append((now, followed.end))
+        if followed.whole:
+            return False
+        for record in followed.records:
+            self._records.append((now, record))
+            self._keep(record)
         self._shorten(now)
         return bool(followed.records)
 
+    def _keep(self, record: _messages.Record) -> None:
+        if record.value is None:
+            self._newest.pop(record.key, None)
+        else:
+            self._newest[record.key] = record
+
     def _begin(self, start: int) -> None:
         self._start = start
         self._records.clear()
@@ -58,6 +72,24 @@
     def _size(self, record: _messages.Record) -> int:
         return len(record.key) + len(record.value or b"")
 
+    @property
+    def known(self) -> bool:
+        """Whether anything is known of the topic."""
+        return self._end is not None
+
+    def whole(self, now: float) -> _messages.News | None:
+        """Returns all that is known, however old; None if that is nothing."""
+        if self._end is None:
+            return None
+        return _messages.News(
+            topic=self._topic,
+            start=0,
+            end=self._end,
+            age_s=max(0.0, now - self._as_of),
+            records=tuple(sorted(self._newest.values(), key=lambda r: r.offset)),
+            whole=True,
+        )
+
     def news(self, now: float, fresh_s: float) -> _messages.News | None:
         """Returns what to tell; None if the last read is too long ago."""
         if self._end is None or now - self._as_of > fresh_s:
--- a/src/turmericward/feeds/_messages.py
+++ b/src/turmericward/feeds/_messages.py
@@ -30,7 +30,8 @@
     """Everything that a topic gained from offset `start` up to `end`, exclusive.
 
     `records` are those that changed something, in order. `age_s` is how long ago
-    it was known that nothing else stands before `end`.
+    it was known that nothing else stands before `end`. `whole` news start at 0 and
+    hold the newest record of every key.
     """
 
     topic: Topic
@@ -38,6 +39,7 @@
     end: int
     age_s: float
     records: tuple[Record, ...] = ()
+    whole: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Checks the offsets.
@@ -54,9 +56,10 @@
 
 @attrs.frozen(kw_only=True)
 class Followed:
-    """A stretch of a topic that was read from the store itself.
+    """A stretch of a topic that was read, or told by a peer.
 
-    `as_of` is the steady time at which nothing stood behind `end` for sure.
+    `as_of` is the steady time at which nothing stood behind `end` for sure. Of a
+    `whole` stretch the records are the newest of every key.
     """
 
     topic: Topic
@@ -64,3 +67,4 @@
     end: int
     as_of: float
     records: tuple[Record, ...] = ()
+    whole: bool = False
--- a/src/turmericward/peers/_circle.py
+++ b/src/turmericward/peers/_circle.py
@@ -111,12 +111,18 @@
         """Whether every front tells every other one."""
         return len(self._peers) <= MAX_DIRECT_PEERS
 
-    def relay_of(self, domain: str, now: float) -> str | None:
-        """Returns the domain's ablest front that isn't suspected to be gone."""
+    def relay_of(self, domain: str, now: float, without: str = "") -> str | None:
+        """Returns the domain's ablest front that isn't suspected to be gone.
+
+        Args:
+            domain: a failure domain.
+            now: steady seconds.
+            without: a front that is left out.
+        """
         fronts = [
             (-p.capacity, f)
             for f, p in self._peers.items()
-            if p.domain == domain and p.suspected_until <= now
+            if p.domain == domain and p.suspected_until <= now and f != without
         ]
         if domain == self._domain:
             fronts.append((-self.capacity, self._front))
--- a/src/turmericward/peers/_codec.py
+++ b/src/turmericward/peers/_codec.py
@@ -43,7 +43,8 @@
     ones have told what they keep, and `kept` has it or had it shortly before.
     `leaving` are lives of targets that said that they leave. `capacity` is what the
     front's instance can carry; `news` are what it read of the store's topics. Of a
-    `partial` state the loads of targets that aren't named are as told before.
+    `partial` state the loads of targets that aren't named are as told before. A front
+    that `asks` could not read the topics and wants to be told all of them.
     `sequence` orders the states of one `boot`, a number drawn at each start.
     """
 
@@ -60,6 +61,7 @@
     capacity: int = 0
     news: tuple[feeds.News, ...] = ()
     partial: bool = False
+    asks: bool = False
 
     def without(self, loads: Mapping[int, requests.TargetLoad]) -> "PeerState":
         """Returns a sum without one front's part."""
@@ -107,6 +109,7 @@
         capacity=state.capacity,
         news=[_topic_news(news) for news in state.news],
         partial=state.partial,
+        asks=state.asks,
         held=[
             ttypes.HeldTarget(target=target, ttl_ms=int(ttl_s * 1000))
             for target, ttl_s in state.held.items()
@@ -138,6 +141,7 @@
             capacity=message.capacity or 0,
             news=tuple(_news(row) for row in message.news or ()),
             partial=bool(message.partial),
+            asks=bool(message.asks),
             domain=message.domain,
             fronts=message.fronts,
         )
@@ -154,6 +158,7 @@
         end=news.end,
         age_ms=math.ceil(news.age_s * 1000),
         records=records,
+        whole=news.whole,
     )
 
 
@@ -187,6 +192,7 @@
         end=row.end,
         age_s=row.age_ms / 1000,
         records=records,
+        whole=bool(row.whole),
     )
 
 
--- a/src/turmericward/peers/_peer_task.py
+++ b/src/turmericward/peers/_peer_task.py
@@ -21,6 +21,9 @@
 # How often a reader says that nothing else was changed.
 NEWS_HEARTBEAT_S = 0.4
 NO_CAPACITY = -1
+# Between two fronts that are told all that the store holds.
+ANSWER_INTERVAL_S = 0.2
+MAX_DATAGRAM_BYTES = 60_000
 
 
 class PeerTask(runtime.Task):
@@ -76,6 +79,7 @@
         self._told_at = float("-inf")
         self._news_at = float("-inf")
         self._news_due = False
+        self._answered_at = float("-inf")
         self._changed = False
         # Any thread may read these. Whether others rely on what this front reads of
         # the store, and whether it asks targets itself or is told by its relay.
@@ -122,6 +126,8 @@
             self._changed = True
             self._tell_due(now)
         self._take_news(state)
+        if state.asks and state.domain == self._domain:
+            self._answer(state.front, message.host, now)
         self._pass_on(self._without_own(state))
 
     def _whole(self, state: _codec.PeerState) -> _codec.PeerState:
@@ -145,6 +151,24 @@
             if news.topic in self._followers:
                 self._followers[news.topic](news)
 
+    def _answer(self, front: str, host: str, now: float) -> None:
+        """Tells a front that can't read the store all that this one knows."""
+        if self._circle.relay_of(self._domain, now, without=front) != self._front:
+            return
+        if now - self._answered_at < ANSWER_INTERVAL_S:
+            return
+        found = [history.whole(now) for history in self._histories.values()]
+        news = tuple(whole for whole in found if whole is not None)
+        if not news:
+            return
+        self._answered_at = now
+        data = _codec.encode(attrs.evolve(self._empty_state(), news=news))
+        if len(data) > MAX_DATAGRAM_BYTES:
+            logging.warning("%s asks for %d bytes, too much", front, len(data))
+            return
+        logging.info("%s is told what the store holds, %d bytes", front, len(data))
+        self._send_to(host, data)
+
     def _without_own(self, state: _codec.PeerState) -> _codec.PeerState:
         """Takes the own load out of a sum that a relay told."""
         if state.fronts == 1 or state.domain != self._domain:
@@ -253,8 +277,21 @@
             # Datagrams may be lost anyway; the next one repeats the state.
             logging.debug("peer at %s isn't told: %s", host, exc)
 
-    def _state(self, content, outbox: _outbox.Outbox, now: float) -> _codec.PeerState:
+    def _empty_state(self) -> _codec.PeerState:
+        """Returns a state that changes nothing of what was told before."""
         self._sequence += 1
+        return _codec.PeerState(
+            front=self._front,
+            boot=self._boot,
+            sequence=self._sequence,
+            loads={},
+            partial=True,
+            domain=self._domain,
+            capacity=self._circle.capacity,
+            asks=not all(history.known for history in self._histories.values()),
+        )
+
+    def _state(self, content, outbox: _outbox.Outbox, now: float) -> _codec.PeerState:
         summed = [] if content is _circle.Content.OWN else self._summed(content, now)
         loads = requests.sum_loads([self._own.loads, *(s.loads for s in summed)])
         if self._circle.direct:
@@ -262,19 +299,15 @@
         else:
             update = self._deltas[content].next(loads, now)
         events = outbox.take(now)
-        return _codec.PeerState(
-            front=self._front,
-            boot=self._boot,
-            sequence=self._sequence,
+        return attrs.evolve(
+            self._empty_state(),
             loads=update.rows,
             partial=update.partial,
             kept=events.kept,
             held=events.held,
             listed=events.listed,
             leaving=events.leaving,
-            domain=self._domain,
             fronts=1 + sum(state.fronts for state in summed),
-            capacity=self._circle.capacity,
         )
 
     def _news(self, now: float) -> tuple[feeds.News, ...]:
--- a/src/turmericward/peers/_receive_loop.py
+++ b/src/turmericward/peers/_receive_loop.py
@@ -7,7 +7,6 @@
 from turmericward import runtime
 from turmericward.peers import _codec, _messages, _peer_task
 
-MAX_DATAGRAM_BYTES = 60_000
 RECEIVE_TIMEOUT_S = 0.5
 
 
@@ -32,7 +31,7 @@
     def step(self) -> None:
         """Takes one datagram."""
         try:
-            data, (host, _) = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+            data, (host, _) = self._sock.recvfrom(_peer_task.MAX_DATAGRAM_BYTES)
         except TimeoutError:
             return
         except OSError as exc:
--- a/src/turmericward/wire/peers/ttypes.py
+++ b/src/turmericward/wire/peers/ttypes.py
@@ -520,6 +520,7 @@
      - end: Behind the last record that they cover.
      - age_ms: Time since the store was asked whether there is more.
      - records: The covered records, without those that change nothing.
+     - whole: Whether they are the newest of every key, and `start` is 0.
 
     """
 
@@ -529,15 +530,17 @@
         'end',
         'age_ms',
         'records',
+        'whole',
     )
 
 
-    def __init__(self, topic=None, start=None, end=None, age_ms=None, records=None,):
+    def __init__(self, topic=None, start=None, end=None, age_ms=None, records=None, whole=None,):
         self.topic = topic
         self.start = start
         self.end = end
         self.age_ms = age_ms
         self.records = records
+        self.whole = whole
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -579,6 +582,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -612,6 +620,10 @@
                 iter6.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.whole is not None:
+            oprot.writeFieldBegin('whole', TType.BOOL, 6)
+            oprot.writeBool(self.whole)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -655,6 +667,7 @@
      - capacity: What the front's instance can carry: link Mbit/s times cores.
      - news
      - partial: Whether targets that aren't named here are as they were told before.
+     - asks: Whether the front could not read the topics yet and asks for them whole.
 
     """
 
@@ -672,10 +685,11 @@
         'capacity',
         'news',
         'partial',
+        'asks',
     )
 
 
-    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None, domain=None, fronts=None, listed=None, leaving=None, capacity=None, news=None, partial=None,):
+    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None, domain=None, fronts=None, listed=None, leaving=None, capacity=None, news=None, partial=None, asks=None,):
         self.front = front
         self.boot = boot
         self.sequence = sequence
@@ -689,6 +703,7 @@
         self.capacity = capacity
         self.news = news
         self.partial = partial
+        self.asks = asks
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -799,6 +814,11 @@
                     self.partial = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.asks = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -879,6 +899,10 @@
             oprot.writeFieldBegin('partial', TType.BOOL, 13)
             oprot.writeBool(self.partial)
             oprot.writeFieldEnd()
+        if self.asks is not None:
+            oprot.writeFieldBegin('asks', TType.BOOL, 14)
+            oprot.writeBool(self.asks)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -947,6 +971,7 @@
     (3, TType.I64, 'end', None, None, ),  # 3
     (4, TType.I32, 'age_ms', None, None, ),  # 4
     (5, TType.LIST, 'records', (TType.STRUCT, [Record, None], False), None, ),  # 5
+    (6, TType.BOOL, 'whole', None, None, ),  # 6
 )
 all_structs.append(FrontState)
 FrontState.thrift_spec = (
@@ -964,6 +989,7 @@
     (11, TType.I32, 'capacity', None, None, ),  # 11
     (12, TType.LIST, 'news', (TType.STRUCT, [TopicNews, None], False), None, ),  # 12
     (13, TType.BOOL, 'partial', None, None, ),  # 13
+    (14, TType.BOOL, 'asks', None, None, ),  # 14
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/test_circle.py
+++ b/tests/test_circle.py
@@ -220,3 +220,46 @@
         network.round()
     # The relays hear it from their peers, the others from their relay.
     check.assertEqual({got[n] for n in network.tasks if n not in ("a05",)}, {1})
+
+
+def _known(end: int) -> feeds.Followed:
+    record = feeds.Record(offset=end - 1, key="t", value=b"v")
+    return feeds.Followed(
+        topic=feeds.Topic.TARGETS,
+        start=end,
+        end=end,
+        as_of=0.0,
+        records=(record,),
+        whole=True,
+    )
+
+
+def _start_anew(network, name: str) -> list:
+    """Starts a front again that knows nothing; returns what it is told."""
+    network.known.pop(name)
+    network._add(name, name[0])
+    heard = []
+    network.tasks[name].follow(feeds.Topic.TARGETS, heard.append)
+    return heard
+
+
+def test_a_front_that_starts_without_the_store_is_told_all_by_its_relay():
+    for each, again in ((8, "a05"), (8, "a00"), (2, "a01"), (2, "a00")):
+        network = _Network("ab", each)
+        for task in network.tasks.values():
+            task.handle(_known(5))
+        for _ in range(8):
+            network.round()
+        heard = _start_anew(network, again)
+        for _ in range(14):
+            network.round()
+        whole = [news for news in heard if news.whole]
+        check.assertTrue(whole, (each, again))
+        check.assertEqual([r.key for r in whole[0].records], ["t"])
+        # One front tells it, and only until it knows.
+        network.tasks[again].handle(_known(5))
+        network.round()
+        heard.clear()
+        for _ in range(8):
+            network.round()
+        check.assertFalse([news for news in heard if news.whole], (each, again))
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -384,3 +384,53 @@
     found.loop.stop()
     thread.join(5)
     check.assertFalse(thread.is_alive())
+
+
+def _whole(end: int, age_s: float = 0.0, records=()) -> feeds.News:
+    return feeds.News(
+        topic=TOPIC, start=0, end=end, age_s=age_s, records=records, whole=True
+    )
+
+
+def test_a_front_that_can_not_list_a_topic_learns_it_from_a_peer():
+    found = _Followed(reads=False)
+    found.store.down = True
+    found.loop.step()
+    found.loop.hear(_whole(7, records=(_record(3), _record(6))))
+    found.loop.step()
+    check.assertEqual(found.sink.got, ["listed"])
+    check.assertEqual([(t.end, t.whole) for t in found.told], [(7, True)])
+    found.loop.hear(_news(6, 9, records=(_record(6), _record(8))))
+    found.loop.step()
+    check.assertEqual(found.sink.got[-1], 8)
+    # Once the store is back it goes on where the peer's knowledge ended.
+    found.store.down = False
+    found.store.log.records += [_record(n) for n in range(11)]
+    started = runtime.now()
+    while found.sink.got[-1] != 10 and runtime.now() - started < 5:
+        found.loop.step()
+    check.assertEqual(found.sink.got, ["listed", "returned", 8, 9, 10])
+    check.assertNotIn("list", found.store.calls[1:])
+
+
+def test_a_front_that_has_listed_a_topic_ignores_what_peers_know_of_all_of_it():
+    found = _Followed(reads=False)
+    found.loop.step()
+    found.loop.hear(_whole(7, records=(_record(3),)))
+    found.loop.step()
+    check.assertEqual(found.sink.got, ["listed"])
+
+
+def test_a_history_knows_the_newest_record_of_every_key():
+    history = feeds.History(TOPIC)
+    check.assertIsNone(history.whole(0.0))
+    listing = attrs.evolve(
+        _followed(10, 10, 0.0, (_record(1), _record(2), _record(3))), whole=True
+    )
+    check.assertFalse(history.take(listing, 0.0))
+    history.take(_followed(10, 14, 1.0, (_record(11), _record(12, None))), 1.0)
+    whole = history.whole(9.0)
+    # Keys go by offsets modulo five: 11 replaces 1, and 12 ends 2.
+    check.assertEqual([r.offset for r in whole.records], [3, 11])
+    check.assertEqual((whole.start, whole.end, whole.age_s), (0, 14, 8.0))
+    check.assertEqual(history.news(1.1, FRESH_S).start, 10)
--- /dev/null
+++ b/tests/test_start_in_outage.py
@@ -0,0 +1,114 @@
+"""A front that starts while the store is away learns from a peer."""
+
+import json
+import socket
+import threading
+import time
+
+from standins import launch
+from tests import fixtures, platform_fixtures
+from turmericward import feeds, peers
+
+check = fixtures.check
+PEER_HOST = "127.0.0.2"
+ANNOUNCED = ("p1", "p2")
+
+
+def _stretch(found, name: str, topic: feeds.Topic) -> feeds.Followed:
+    """Returns all that the store holds of a topic, as a peer has read it."""
+    newest = found.store.newest(name)
+    records = [feeds.Record(offset=n, key=k, value=v) for k, (n, v) in newest.items()]
+    end = found.store.end(name)
+    return feeds.Followed(
+        topic=topic,
+        start=end,
+        end=end,
+        as_of=0.0,
+        records=tuple(sorted(records, key=lambda r: r.offset)),
+        whole=True,
+    )
+
+
+class _Peer:
+    """Another front of the domain, which knows what the store holds."""
+
+    def __init__(self, found) -> None:
+        port = json.loads(found.settings.read_text())["listen"]["peers"]
+        self._sock = peers.open_socket(PEER_HOST, port)
+        self.task = peers.PeerTask(
+            "front-0",
+            "a",
+            port,
+            self._sock,
+            deliver=lambda state: None,
+            fresh_s={feeds.Topic.CONFIGURATION: 1.2, feeds.Topic.TARGETS: 1.2},
+        )
+        self.task.handle(_stretch(found, "keyed.op", feeds.Topic.CONFIGURATION))
+        self.task.handle(_stretch(found, "keyed.servers", feeds.Topic.TARGETS))
+        # It was in touch with the front before that started again.
+        self.task.handle(
+            peers.Announced(front="front-1", host="127.0.0.1", domain="a", capacity=0)
+        )
+        self._loop = peers.ReceiveLoop(self._sock, self.task)
+        self._threads = [
+            threading.Thread(target=run, daemon=True)
+            for run in (self.task.run, self._loop.run)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        self._loop.stop()
+        self.task.stop()
+        for thread in self._threads:
+            thread.join(5)
+        self._sock.close()
+
+
+def test_a_front_that_starts_in_an_outage_serves_by_what_a_peer_knows():
+    with platform_fixtures.platform(ANNOUNCED, started=False) as found:
+        found.process.kill()
+        found.process.wait()
+        found.store.faults.down = True
+        peer = _Peer(found)
+        try:
+            found.start()
+            launch.wait_until(found.is_ready, what="front ready without the store")
+            launch.wait_until(
+                lambda: found.call("GET", "/read/x", "c")[0] == 200, what="a call"
+            )
+            # What changed meanwhile is taken once the store is back.
+            found.configure(platform_fixtures.manifest(4))
+            found.store.faults.down = False
+            launch.wait_until(
+                lambda: "configuration 4 is in force" in found.log.read_text(),
+                what="the later configuration",
+            )
+        finally:
+            peer.stop()
+
+
+def test_without_store_and_peers_a_front_is_not_ready_and_refuses():
+    with platform_fixtures.platform(ANNOUNCED, started=False) as found:
+        found.process.kill()
+        found.process.wait()
+        found.store.faults.down = True
+        found.start()
+        launch.wait_until(
+            lambda: launch.request(found.ready, "GET", "/api/readiness")[0] == 503,
+            what="an answer",
+        )
+        time.sleep(1.0)
+        check.assertFalse(found.is_ready())
+        check.assertEqual(found.call("GET", "/read/x", "c")[0], 503)
+
+
+def test_noise_from_peers_leaves_a_front_as_it_is():
+    with platform_fixtures.platform(ANNOUNCED) as found:
+        port = json.loads(found.settings.read_text())["listen"]["peers"]
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            for length in (0, 1, 7, 100, 1_400, 60_000):
+                sock.sendto(bytes(length), ("127.0.0.1", port))
+                sock.sendto(b"\xff" * length, ("127.0.0.1", port))
+        check.assertEqual(found.call("GET", "/read/x", "c")[0], 200)
+        check.assertIsNone(found.process.poll())
