Give up answers without end: bodies, events, trailers, interim heads

Cause: the users' list names servers that send bytes without end, in a head or a body, until the caller closes. A body was collected until the call's deadline whatever its size, and one without length ended as a success of hundreds of MB; an event without end was collected likewise; a trailer or interim heads without end were read until the deadline, and a trailer cut by the end of the connection counted as whole. An event id of 5,000 digits or of a superscript raised an error that no layer expects. Ruled out: status and header lines, chunk sizes and extensions, which the library bounds.

--- a/src/turmericward/adapters/_request.py
+++ b/src/turmericward/adapters/_request.py
@@ -14,6 +14,8 @@
 CONNECT_TIMEOUT_S = 1.0
 TCP_USER_TIMEOUT = getattr(socket, "TCP_USER_TIMEOUT", 18)
 MIN_TIMEOUT_S = 0.001
+# A target in trouble may send bytes without end.
+MAX_BODY_BYTES = 8 * 1024 * 1024
 REQUEST_ID = "X-Request-Id"
 
 
@@ -152,9 +154,9 @@
     """Reads the body to its declared end, by `until` in seconds of `runtime.now`.
 
     Raises:
-        AnswerLostError: the body ended early or late.
+        AnswerLostError: the body ended early or late, or goes on beyond what is taken.
     """
-    parts = []
+    parts, size = [], 0
     try:
         while True:
             left_s = until - runtime.now()
@@ -165,6 +167,9 @@
             part = resp.read1(65536)
             if not part:
                 break
+            size += len(part)
+            if size > MAX_BODY_BYTES:
+                raise ValueError(f"body is longer than {MAX_BODY_BYTES}")
             parts.append(part)
         if resp.length:
             raise http.client.IncompleteRead(b"", resp.length)
--- a/src/turmericward/adapters/_response.py
+++ b/src/turmericward/adapters/_response.py
@@ -11,6 +11,10 @@
 CANCEL_POLL_S = 0.2
 HEAD_ENDS = (b"\r\n", b"\n")
 BODILESS = frozenset({204, 304})
+# More heads before the answer's own, or more after its last chunk, have no end.
+MAX_INTERIM_HEADS = 8
+MAX_TRAILER_LINES = 100
+MAX_LINE_BYTES = 65_536
 
 
 class _LineReader:
@@ -36,6 +40,7 @@
     """
 
     unframed_allowed = False
+    _heads = 0
 
     def begin(self) -> None:
         """Reads the head.
@@ -55,6 +60,24 @@
         if not framed and not self.unframed_allowed:
             raise http.client.HTTPException("answer does not declare its length")
 
+    def _read_status(self):
+        # The library skips any number of interim heads.
+        self._heads += 1
+        if self._heads > MAX_INTERIM_HEADS:
+            raise http.client.HTTPException("interim answers without end")
+        return super()._read_status()
+
+    def _read_and_discard_trailer(self) -> None:
+        # The library skips any number of lines, and takes the end of the
+        # connection for theirs.
+        for _ in range(MAX_TRAILER_LINES):
+            line = self.fp.readline(MAX_LINE_BYTES + 1)
+            if line in HEAD_ENDS:
+                return
+            if not line.endswith(b"\n"):
+                break
+        raise http.client.IncompleteRead(b"")
+
     def _bodiless(self) -> bool:
         return self._method == "HEAD" or self.status in BODILESS
 
--- a/src/turmericward/delivery/_calls.py
+++ b/src/turmericward/delivery/_calls.py
@@ -6,6 +6,7 @@
 import attrs
 
 from turmericward import requests, runtime
+from turmericward.adapters import _request, errors
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -119,6 +120,22 @@
     genuine: bool = True
     numbered: bool = False
 
+    def read(self) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+            AnswerLostError: it breaks off, or goes on beyond what is taken.
+        """
+        parts, size = [], 0
+        for part in self.chunks:
+            size += len(part)
+            if size > _request.MAX_BODY_BYTES:
+                raise errors.AnswerLostError(
+                    f"answer is longer than {_request.MAX_BODY_BYTES}"
+                )
+            parts.append(part)
+        return b"".join(parts)
+
 
 @attrs.frozen(kw_only=True)
 class Failure:
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -216,7 +216,7 @@
 
     def _whole(self, answer: _calls.Answer) -> _calls.Reply | None:
         try:
-            body = b"".join(answer.chunks)
+            body = answer.read()
         except errors.CancelledError as exc:
             raise _ClientGoneError from exc
         except errors.AdapterError as exc:
--- a/src/turmericward/delivery/_stream.py
+++ b/src/turmericward/delivery/_stream.py
@@ -116,13 +116,13 @@
         """Returns the events to deliver, and the id before which some lack."""
         fresh = []
         for event in events:
-            if not event.id.isdigit():
+            if event.number is None:
                 fresh.append(event)
                 continue
-            last = int(self._last_id) if self._last_id.isdigit() else 0
-            if int(event.id) <= last:
+            last = _events.Event(id=self._last_id, raw=b"").number or 0
+            if event.number <= last:
                 continue
-            if self._leg.answer.numbered and int(event.id) > last + 1:
+            if self._leg.answer.numbered and event.number > last + 1:
                 return fresh, event.id
             self._last_id = event.id
             fresh.append(event)
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -84,7 +84,7 @@
                 raise errors.NotExecutedError(f"prefill answered {answer.status}")
             if answer.status != 200:
                 raise errors.AnswerLostError(f"prefill answered {answer.status}")
-            raw = json.loads(b"".join(answer.chunks))
+            raw = json.loads(answer.read())
             return f"{target.address}/{raw['handle']}"
         except (ValueError, KeyError, TypeError) as exc:
             raise errors.AnswerLostError(f"prefill answered {exc!r}") from exc
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -30,6 +30,24 @@
     ran: bool
 
 
+_OK = "HTTP/1.1 200 OK\r\nSIGNED"
+_CHUNKED = _OK + "Transfer-Encoding: chunked\r\n\r\n"
+_KB = b"x" * 1024
+MAX_ENDLESS_WRITES = 200_000
+# Part of an answer that doesn't end: what comes first, and what comes again and again.
+ENDLESS = {
+    "status line": ("HTTP/1.1 200 ", _KB),
+    "header line": ("HTTP/1.1 200 OK\r\nX: ", _KB),
+    "headers": ("HTTP/1.1 200 OK\r\n", b"X-Y: " + _KB + b"\r\n"),
+    "interim answers": ("", b"HTTP/1.1 100 Continue\r\nX: " + _KB + b"\r\n\r\n"),
+    "body": (_OK + "\r\n", _KB),
+    "chunks": (_CHUNKED, b"400\r\n" + _KB + b"\r\n"),
+    "chunk size": (_CHUNKED, b"0" * 1024),
+    "chunk extension": (_CHUNKED + "5;", _KB),
+    "trailer": (_CHUNKED + "0\r\n", b"X: " + _KB + b"\r\n"),
+}
+
+
 def event(call_id: str, number: int) -> bytes:
     """Returns one event of a stream."""
     return f"id: {number}\ndata: {call_id}-{number}\n\n".encode()
@@ -43,6 +61,8 @@
         self.name = name
         self.fault = ""
         self.event_s = 0.0
+        # Set when a caller has read far more than any answer holds.
+        self.unbounded = False
         self.kept: dict[str, int] = {}
         # Sent with every answer.
         self.headers: tuple[tuple[str, str], ...] = ()
@@ -76,6 +96,8 @@
             headers.append(("Turmericward-Instance-Id", self.name))
             headers += self.headers
             req.answer(refused, {}, headers)
+        elif self.fault.startswith("endless"):
+            self._endless(req, call_id)
         elif self.fault == "silent":
             time.sleep(SILENCE_S)
             req.close_connection = True
@@ -86,6 +108,21 @@
         else:
             self._whole(req, call_id)
 
+    def _endless(self, req, call_id: str) -> None:
+        """Sends bytes until the caller closes, in the part that the fault names."""
+        _, _, part = self.fault.partition(" ")
+        head, again = ENDLESS[part]
+        signed = f"Turmericward-Attempt-Id: {call_id}\r\n"
+        signed += f"Turmericward-Server-Stamp: {SIGNATURE}\r\n"
+        req.close_connection = True
+        try:
+            req.wfile.write(head.replace("SIGNED", signed).encode())
+            for _ in range(MAX_ENDLESS_WRITES):
+                req.wfile.write(again)
+        except OSError:
+            return
+        self.unbounded = True
+
     def _refusal(self, expected: str) -> int | None:
         if expected != self.name:
             return 421
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -2,11 +2,13 @@
 
 import http.client
 import json
+import pathlib
 import socket
 import time
 
 from standins import launch, platform_replica
 from tests import fixtures, platform_fixtures
+from turmericward import delivery
 
 check = fixtures.check
 PROMPT = platform_fixtures.PROMPT
@@ -283,6 +285,42 @@
             check.assertLess(time.monotonic() - began, 2.0)
 
 
+def _peak_mb(pid: int) -> float:
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def test_answers_without_end_are_given_up_with_little_memory():
+    with platform_fixtures.platform() as found:
+        before_mb = _peak_mb(found.process.pid)
+        for number, part in enumerate(platform_replica.ENDLESS):
+            _set_fault(found, f"endless {part}")
+            for method, path, headers in (
+                ("POST", "/write/x", None),
+                ("POST", "/once/x", PROMPT),
+            ):
+                call_id = f"e{number}{path}"
+                try:
+                    status, _, _ = found.call(method, path, call_id, headers, b"q")
+                except http.client.HTTPException:
+                    # A stream that began can only be cut.
+                    status = 502
+                check.assertIn(status, {502, 504}, part)
+                check.assertEqual(_runs(found, call_id), 1, part)
+        check.assertFalse([r.name for r in found.replicas.values() if r.unbounded])
+        check.assertLess(_peak_mb(found.process.pid) - before_mb, 64)
+        _set_fault(found, "")
+        check.assertEqual(found.call("GET", "/read/x", "after")[0], 200)
+
+
+def test_event_ids_that_are_no_numbers_break_nothing():
+    for spoiled in ("\xb2", "9" * 5_000, "-1", "", "1.5"):
+        event = delivery.Event(id=spoiled, raw=b"")
+        check.assertIsNone(event.number, spoiled[:5])
+
+
 # Headers of replica p1's answers, its fault, most calls it gets afterwards.
 NOTICES = [
     ((("Server-Leaving", "1"),), "", 0),
