Show how long a target rests; two tests that depended on the machine's load

Both were wrong, not the code. The table of what replicas say asked whether a replica got a call, which goes by how fast others happened to answer; it now asks what the front believes of each (the status page shows rests_s), and still bounds the calls to those that are heeded.

--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -212,6 +212,7 @@
             role=target.role.value if target.role else "",
             leaving=target.leaving,
             held=self._is_held(target, now),
+            rests_s=round(self._rests.left_s(target.name, now), 3),
             usable=self._placer.health.usable(target.name, now),
             urgent_tokens=int(load.urgent_tokens),
             deferred_tokens=int(load.deferred_tokens),
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -88,7 +88,10 @@
 
 @attrs.frozen(kw_only=True)
 class TargetStatus:
-    """A target, and the work of all fronts there."""
+    """A target, and the work of all fronts there.
+
+    For `rests_s` seconds it wants no calls of this front.
+    """
 
     name: str
     service: str
@@ -97,6 +100,7 @@
     role: str
     leaving: bool
     held: bool
+    rests_s: float
     usable: bool
     urgent_tokens: int
     deferred_tokens: int
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -354,15 +354,16 @@
             check.assertTrue(replica.calls, replica.name)
             replica.calls.clear()
             replica.headers, replica.fault = (), ""
-        # Refusals without a time are avoided for a moment.
-        time.sleep(2.0)
+        _, _, body = launch.request(found.metrics, "GET", "/status")
+        beliefs = {row["name"]: row for row in json.loads(body)["targets"]}
         statuses = {found.call("GET", "/read/x", f"n{n}")[0] for n in range(240)}
         check.assertEqual(statuses, {200})
         for replica, headers, fault, most in cases:
             case = f"{headers} {fault}"[:80]
+            belief = beliefs[replica.name]
+            heeded = belief["leaving"] or belief["rests_s"] > 0
+            check.assertEqual(heeded, most < 240, case)
             check.assertLessEqual(len(replica.calls), most, case)
-            if most > 2:
-                check.assertGreater(len(replica.calls), 0, case)
 
 
 def test_with_every_replica_at_rest_a_call_is_told_when_to_come_back():
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -52,6 +52,8 @@
 
 def test_tasks_one_after_the_other_need_no_further_worker():
     dispatcher = _workers.GrowingDispatcher(MOST)
+    # A worker counts as busy until its thread has begun to wait.
+    launch.wait_until(lambda: not dispatcher.active_count, what="workers idle")
     gate, done = threading.Event(), threading.Semaphore(0)
     gate.set()
     for _ in range(50):
