Tell a relay every change of a front's own load

Cause: at 84 fronts a front's change at one engine (a call, some hundred tokens) is below what a delta tells, so that the relay and all others knew of it a second later: tokens ahead of a short prompt, as a front believed, were 35 to 64 in the mean while answers paused for what was read beside them. Change: a front's own load is told with every change, as datagrams go out anyway; sums keep their thresholds.

--- a/src/turmericward/peers/_deltas.py
+++ b/src/turmericward/peers/_deltas.py
@@ -27,10 +27,17 @@
 
     Load pattern that it answers: hundreds of short prompts a second, each of which
     changes a little at some target, beside some long prompts that others must know.
+    Of one front's own load every change is told: many fronts' small changes at the
+    same target add up, and none of them knows.
     """
 
-    def __init__(self) -> None:
-        """Creates the state of recipients that were told nothing."""
+    def __init__(self, *, exact: bool = False) -> None:
+        """Creates the state of recipients that were told nothing.
+
+        Args:
+            exact: whether little changes are told too.
+        """
+        self._exact = exact
         self._told: Loads = {}
         self._full_at = float("-inf")
 
@@ -47,7 +54,7 @@
         rows = {
             target: load
             for target, load in loads.items()
-            if _is_noted(self._told.get(target, requests.NO_LOAD), load)
+            if self._is_due(self._told.get(target, requests.NO_LOAD), load)
         }
         for target in self._told:
             if target not in loads:
@@ -55,6 +62,9 @@
         self._told = merged(self._told, rows)
         return Update(rows=rows, partial=True)
 
+    def _is_due(self, told: requests.TargetLoad, load: requests.TargetLoad) -> bool:
+        return told != load if self._exact else _is_noted(told, load)
+
 
 def _is_noted(told: requests.TargetLoad, load: requests.TargetLoad) -> bool:
     """Tells whether others should know of a change before the next whole load."""
--- a/src/turmericward/peers/_peer_task.py
+++ b/src/turmericward/peers/_peer_task.py
@@ -73,7 +73,10 @@
         # Of the own domain and of the others, by what is told there.
         self._near = _outbox.Outbox()
         self._far = _outbox.Outbox()
-        self._deltas = {content: _deltas.Deltas() for content in _circle.Content}
+        self._deltas = {
+            content: _deltas.Deltas(exact=content is _circle.Content.OWN)
+            for content in _circle.Content
+        }
         self._told_loads: _deltas.Loads = {}
         self._told_to: frozenset[str] = frozenset()
         self._told_at = float("-inf")
--- a/tests/test_circle.py
+++ b/tests/test_circle.py
@@ -57,14 +57,14 @@
             clock=lambda: self.now,
         )
 
-    def round(self) -> None:
+    def round(self, load: requests.TargetLoad = LOAD) -> None:
         """Every front tells its load twice, and what was sent arrives."""
         self.now += 0.3
         for name, task in self.tasks.items():
             if name in self.down:
                 continue
-            task.handle(peers.Tell(loads={1: LOAD}))
-            task.handle(peers.Tell(loads={1: LOAD}))
+            task.handle(peers.Tell(loads={1: load}))
+            task.handle(peers.Tell(loads={1: load}))
             task.tick()
         mail, self.mail = self.mail, []
         for host, sender, data in mail:
@@ -92,6 +92,23 @@
         check.assertEqual(network.open_calls(name), 69 * LOAD.open_calls, name)
 
 
+def test_one_more_call_of_each_of_many_fronts_is_known_at_once():
+    # Each front's own change is small, but all of them choose the same engine.
+    network = _Network("abcd", 21)
+    for _ in range(6):
+        network.round()
+    more = requests.TargetLoad(urgent_tokens=410.0, deferred_tokens=1.0, open_calls=3)
+    for _ in range(2):
+        network.round(more)
+    for domain in "abcd":
+        members = [n for n in network.tasks if n[0] == domain]
+        heard = max(
+            sum(s.loads[1].open_calls for s in states.values() if s.fronts == 1)
+            for states in (network.known[name] for name in members)
+        )
+        check.assertEqual(heard, 20 * more.open_calls)
+
+
 def test_datagrams_grow_with_the_fronts_and_not_with_their_square():
     sent = {}
     for each in (14, 28):
--- a/tests/test_deltas.py
+++ b/tests/test_deltas.py
@@ -35,6 +35,13 @@
     check.assertEqual(deltas.next({1: tokens}, 1.2).rows, {1: tokens})
 
 
+def test_one_fronts_own_load_is_told_to_its_relay_with_every_change():
+    deltas = _deltas.Deltas(exact=True)
+    deltas.next({1: _load(1), 2: _load(1)}, 0.0)
+    check.assertEqual(deltas.next({1: _load(2), 2: _load(1)}, 0.1).rows, {1: _load(2)})
+    check.assertEqual(deltas.next({1: _load(2), 2: _load(1)}, 0.2).rows, {})
+
+
 def test_a_new_recipient_is_told_all():
     deltas = _deltas.Deltas()
     deltas.next({1: _load(1)}, 0.0)
