Avoid targets that lose a part of their calls, and engines without a free slot

Ruled out: retries (calls that may run once), a lower count for ejection (the engines are needed). Change: fronts tell how many calls ended and failed at each target; the recent share costs 2 s a call that runs once and 0.5 s one that may be repeated, outside the bound on time; silent targets count before their clients leave; a call waits for a slot behind the open ones.

--- /dev/null
+++ b/benchmarks/_variants.py
@@ -0,0 +1,71 @@
+"""Changes of policy that an experiment can be played with, by name.
+
+Each is a context manager that holds while a run is played, registered by its name.
+"""
+
+import contextlib
+import importlib
+import json
+from collections.abc import Callable, Iterator
+from unittest import mock
+
+from benchmarks import _emulator
+from turmericward.requests import _outcomes, _speed
+
+_Variant = Callable[[], contextlib.AbstractContextManager]
+VARIANTS: dict[str, _Variant] = {}
+
+
+def variant(name: str):
+    """Registers a variant."""
+
+    def register(body: Callable[[], Iterator[None]]) -> _Variant:
+        VARIANTS[name] = contextlib.contextmanager(body)
+        return VARIANTS[name]
+
+    return register
+
+
+@variant("as it is")
+def _as_it_is() -> Iterator[None]:
+    yield
+
+
+@variant("without failures")
+def _without_failures() -> Iterator[None]:
+    with mock.patch.object(_outcomes.Outcomes, "failure_share", lambda *_: 0.0):
+        yield
+
+
+@variant("without slots")
+def _without_slots() -> Iterator[None]:
+    with mock.patch.object(_speed.HoldTime, "wait_s", lambda *_: 0.0):
+        yield
+
+
+@variant("perfect view")
+def _perfect_view() -> Iterator[None]:
+    with (
+        mock.patch.object(_emulator, "SHORT_TELL_INTERVAL_S", 0.0),
+        mock.patch.object(_emulator, "TELL_S", 0.0),
+    ):
+        yield
+
+
+def named(name: str) -> contextlib.AbstractContextManager:
+    """Returns a variant by name, or by `MODULE.CONSTANT=JSON` of `requests`.
+
+    Raises:
+        KeyError: no variant has this name.
+    """
+    if name in VARIANTS:
+        return VARIANTS[name]()
+    place, found, value = name.partition("=")
+    if not found:
+        raise KeyError(name)
+    module_name, _, constant = place.rpartition(".")
+    module = importlib.import_module(f"turmericward.requests.{module_name}")
+    parsed = json.loads(value)
+    if isinstance(parsed, list):
+        parsed = tuple(parsed)
+    return mock.patch.object(module, constant, parsed)
--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -9,6 +9,9 @@
   /** The same of calls that are late already. */
   3: i32 deferred_tokens
   4: i32 open_calls
+  /** Since the front began: calls that ended, and those of them that failed. */
+  5: i32 ended_calls
+  6: i32 failed_calls
 }
 
 /** A prompt's part at a target; `part` is a hash of its id, 0 for none. */
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -60,7 +60,7 @@
             return self._given_up()
         finally:
             # A stream that runs on has taken its placement over.
-            self._end(requests.Ending.SOUND)
+            self._end(requests.Ending.LEFT)
             self._release()
 
     def _deliver(self) -> _calls.Reply:
@@ -231,6 +231,7 @@
             self._progress.fallback = reply
             self._failed(errors.AnswerLostError(f"status {answer.status}"))
             return None
+        self._end(requests.Ending.SOUND)
         self._ended("answered", answer.status)
         return reply
 
@@ -311,7 +312,14 @@
 
     def leg_ended(self, leg: _stream.Leg) -> None:
         """Ends a leg that did what it should."""
-        self._post_ended(leg.placement, requests.Ending.SOUND)
+        self._ctx.dispatch.post(
+            _messages.Ended(
+                placement=leg.placement,
+                prompt=self._call.prompt,
+                ending=requests.Ending.SOUND,
+                streamed=True,
+            )
+        )
 
     def stream_ended(self, outcome: str) -> None:
         """Notes how the whole stream ended."""
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -163,6 +163,7 @@
         for peer in self._placer.peers.expire(now):
             logging.info("peer %s is silent", peer)
         self._retries.count_peers(self._placer.peers.live())
+        self._placer.note_overdue(now)
 
     @handle.register
     def _(self, message: peers.PeerState) -> None:
@@ -286,21 +287,27 @@
         call = message.call
         if call.prompt is None:
             return _placed(self._placer.choose_replica(usable, now))
+        patience = self._patience(call, now)
         if message.read:
             return _placed(
-                self._placer.choose_answerer(call.prompt, message.read_in, usable, now)
+                self._placer.choose_answerer(
+                    call.prompt, message.read_in, usable, patience, now
+                )
             )
+        return self._placer.choose_engine(call.prompt, usable, patience, now)
+
+    def _patience(self, call, now: float) -> requests.Patience:
         route = call.route
         longest_s = max(self._longest_s[route.name], call.deadline_s)
         self._longest_s[route.name] = longest_s
         # A client that was refused comes back with less time than it had.
         waited_s = max(0.0, DEADLINE_SPREAD * longest_s - call.deadline_s)
         first_asked = call.received - waited_s
-        patience = requests.Patience(
+        return requests.Patience(
             on_time_s=first_asked + route.objective_s - now,
             given_up_s=min(call.received + call.route.abandon_s, call.until) - now,
+            once=not route.repeatable,
         )
-        return self._placer.choose_engine(call.prompt, usable, patience, now)
 
     @handle.register
     def _(self, message: _messages.Began) -> None:
@@ -312,6 +319,8 @@
     @handle.register
     def _(self, message: _messages.Ended) -> None:
         now = runtime.now()
+        if message.streamed:
+            self._placer.streamed(message.placement, now)
         self._placer.ended(message.placement, message.ending, now)
         self._tell_peers(message.prompt)
 
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -167,8 +167,9 @@
 
 @attrs.frozen(kw_only=True)
 class Ended:
-    """A placement has ended."""
+    """A placement has ended; `streamed` holds when its answer ended whole."""
 
     placement: requests.Placement
     prompt: requests.Prompt | None
     ending: requests.Ending
+    streamed: bool = False
--- a/src/turmericward/delivery/_record.py
+++ b/src/turmericward/delivery/_record.py
@@ -35,6 +35,7 @@
             deferred=placement.deferred,
             deadline_s=self._call.deadline_s,
             expected_s=round(placement.expected_s, 3),
+            cost_s=round(placement.cost_s, 3),
             after_s=self._after_s(),
         )
 
--- a/src/turmericward/fleet/_health.py
+++ b/src/turmericward/fleet/_health.py
@@ -56,6 +56,12 @@
         """Notes an answer; one is enough to end an ejection."""
         self._states.pop(target, None)
 
+    def released(self, target: str) -> None:
+        """Notes a request that ended without telling anything of the target."""
+        state = self._states.get(target)
+        if state is not None:
+            state.probing = False
+
     def failed(self, target: str, now: float, *, weight: int = 1) -> None:
         """Notes a failure; each further ejection lasts twice as long.
 
--- a/src/turmericward/peers/_codec.py
+++ b/src/turmericward/peers/_codec.py
@@ -80,6 +80,8 @@
             urgent_tokens=int(load.urgent_tokens),
             deferred_tokens=int(load.deferred_tokens),
             open_calls=load.open_calls,
+            ended_calls=load.ended_calls,
+            failed_calls=load.failed_calls,
         )
         for target, load in state.loads.items()
     ]
@@ -201,6 +203,8 @@
         urgent_tokens=row.urgent_tokens,
         deferred_tokens=row.deferred_tokens,
         open_calls=row.open_calls,
+        ended_calls=row.ended_calls or 0,
+        failed_calls=row.failed_calls or 0,
     )
 
 
--- a/src/turmericward/peers/_deltas.py
+++ b/src/turmericward/peers/_deltas.py
@@ -12,6 +12,7 @@
 # Less changes no choice; it is told with the next whole load.
 NOTED_TOKENS = 1_000.0
 NOTED_CALLS = 2
+NOTED_FAILURES = 1
 
 
 @attrs.frozen(kw_only=True)
@@ -71,7 +72,9 @@
     urgent = abs(load.urgent_tokens - told.urgent_tokens)
     deferred = abs(load.deferred_tokens - told.deferred_tokens)
     calls = abs(load.open_calls - told.open_calls)
-    return max(urgent, deferred) >= NOTED_TOKENS or calls >= NOTED_CALLS
+    if max(urgent, deferred) >= NOTED_TOKENS or calls >= NOTED_CALLS:
+        return True
+    return abs(load.failed_calls - told.failed_calls) >= NOTED_FAILURES
 
 
 def merged(known: Loads, rows: Loads) -> dict[int, requests.TargetLoad]:
--- a/src/turmericward/requests/_costs.py
+++ b/src/turmericward/requests/_costs.py
@@ -2,8 +2,17 @@
 
 from collections.abc import Callable
 
+import attrs
+
 from turmericward import fleet
-from turmericward.requests import _in_flight, _loads, _memories, _prompts, _speed
+from turmericward.requests import (
+    _in_flight,
+    _loads,
+    _memories,
+    _outcomes,
+    _prompts,
+    _speed,
+)
 
 HANDOVER_S = 0.05
 FETCH_S = 0.03
@@ -20,27 +29,45 @@
 # What an answer costs where a shared part isn't kept: it is copied there, and takes
 # the memory of others.
 ANSWER_COPY_SECONDS_PER_TOKEN = 4e-6
+# What a call costs that is lost with its target's answer, and one that is repeated.
+LOST_CALL_COST_S = 2.0
+REPEATED_CALL_COST_S = 0.5
+
+
+@attrs.frozen(kw_only=True)
+class Beliefs:
+    """What a front believes of engines.
+
+    `load` returns the work of all fronts at a target.
+    """
+
+    load: Callable[[str], _loads.TargetLoad]
+    memories: _memories.EngineMemories
+    speed: _speed.ReadingSpeed
+    hold: _speed.HoldTime
+    outcomes: _outcomes.Outcomes
+
+
+@attrs.frozen(kw_only=True)
+class Asked:
+    """A prompt that is to be placed at `now`; `deferred` behind urgent calls."""
+
+    prompt: _prompts.Prompt
+    patience: _in_flight.Patience
+    now: float
+    deferred: bool = False
 
 
 class EngineCosts:
     """Costs of a prompt at engines, by what a front believes of them."""
 
-    def __init__(
-        self,
-        load: Callable[[str], _loads.TargetLoad],
-        memories: _memories.EngineMemories,
-        speed: _speed.ReadingSpeed,
-    ) -> None:
-        """Creates the costs.
-
-        Args:
-            load: returns the work of all fronts at a target.
-            memories: what engines keep.
-            speed: how fast they read.
-        """
-        self._load = load
-        self._memories = memories
-        self._speed = speed
+    def __init__(self, beliefs: Beliefs) -> None:
+        """Creates the costs."""
+        self._load = beliefs.load
+        self._memories = beliefs.memories
+        self._speed = beliefs.speed
+        self._hold = beliefs.hold
+        self._outcomes = beliefs.outcomes
 
     def wait_s(self, target: fleet.Target) -> float:
         """Returns what any call waits for at an engine."""
@@ -50,23 +77,12 @@
             target
         )
 
-    def reading(
-        self, prompt: _prompts.Prompt, targets, *, deferred: bool
-    ) -> list[_in_flight.Placement]:
-        """Returns what it costs to read a prompt at each engine.
-
-        Args:
-            prompt: the prompt.
-            targets: engines.
-            deferred: whether it goes behind the calls that can still be on time.
-        """
+    def reading(self, asked: Asked, targets) -> list[_in_flight.Placement]:
+        """Returns what it costs to read a prompt at each engine."""
         sources = {}
-        if prompt.tokens >= _memories.SHORT_PROMPT_TOKENS:
-            sources = self._sources(prompt, targets)
-        return [
-            self._reading_at(prompt, t, sources.get(t.domain), deferred)
-            for t in targets
-        ]
+        if asked.prompt.tokens >= _memories.SHORT_PROMPT_TOKENS:
+            sources = self._sources(asked.prompt, targets)
+        return [self._reading_at(asked, t, sources.get(t.domain)) for t in targets]
 
     def _sources(self, prompt, targets) -> dict[str, fleet.Target]:
         """Returns for each domain the engine that keeps most, a near one if equal."""
@@ -81,9 +97,8 @@
             for domain in {t.domain for t in targets}
         }
 
-    def _reading_at(
-        self, prompt, target, source, deferred: bool
-    ) -> _in_flight.Placement:
+    def _reading_at(self, asked: Asked, target, source) -> _in_flight.Placement:
+        prompt = asked.prompt
         kept = self._memories.tokens_kept(target, prompt, ready=False)
         fetch_from = ""
         load = self._load(target.name)
@@ -103,8 +118,12 @@
             factor = min(MAX_HARM_FACTOR, load.open_calls / HARM_OPEN_CALLS)
             harm_s += (prompt.tokens - kept) * HARM_SECONDS_PER_TOKEN * factor
         work = _speed.effective_tokens(max(1.0, prompt.tokens - kept), kept)
-        ahead = load.tokens_ahead(deferred=deferred)
+        ahead = load.tokens_ahead(deferred=asked.deferred)
         expected_s = extra_s + self._speed.expected_s(target, ahead + work)
+        expected_s += self._hold.wait_s(target, load.open_calls)
+        read_apart = target.role is fleet.EngineRole.PREFILL
+        bound_s = expected_s + harm_s
+        once = asked.patience.once and not read_apart
         return _in_flight.Placement(
             id=0,
             target=target,
@@ -112,25 +131,33 @@
             work_tokens=work,
             ahead_tokens=ahead,
             expected_s=expected_s,
-            cost_s=expected_s + harm_s,
-            deferred=deferred,
-            prefill_only=target.role is fleet.EngineRole.PREFILL,
+            bound_s=bound_s,
+            cost_s=bound_s + self._failure_cost_s(target, once, asked.now),
+            deferred=asked.deferred,
+            prefill_only=read_apart,
         )
 
+    def _failure_cost_s(self, target, once: bool, now: float) -> float:
+        number = _memories.target_hash(target.name)
+        share = self._outcomes.failure_share(number, now)
+        return share * (LOST_CALL_COST_S if once else REPEATED_CALL_COST_S)
+
     def answering(
-        self, prompt: _prompts.Prompt, read_in: str, target: fleet.Target
+        self, asked: Asked, read_in: str, target: fleet.Target
     ) -> _in_flight.Placement:
         """Returns what it costs to answer a prompt that was read in a domain."""
         load = self._load(target.name)
         expected_s = load.open_calls * SECONDS_PER_OPEN_CALL
         ahead = load.tokens_ahead(deferred=False)
         expected_s += ahead * self._speed.per_token(target)
-        copied = prompt.shared_tokens - self._memories.tokens_kept(
-            target, prompt, ready=False
+        expected_s += self._hold.wait_s(target, load.open_calls)
+        copied = asked.prompt.shared_tokens - self._memories.tokens_kept(
+            target, asked.prompt, ready=False
         )
         cost_s = expected_s + ANSWER_COPY_SECONDS_PER_TOKEN * max(0, copied)
         if read_in not in ("", target.domain):
             cost_s += CROSSING_COST_S
+        cost_s += self._failure_cost_s(target, asked.patience.once, asked.now)
         return _in_flight.Placement(
             id=0, target=target, expected_s=expected_s, cost_s=cost_s
         )
--- a/src/turmericward/requests/_loads.py
+++ b/src/turmericward/requests/_loads.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from turmericward.requests import _outcomes
+
 # A front that hasn't been heard for this long is taken to have no work.
 PEER_LEASE_S = 1.5
 # What is left, at most, of a deferred call that is being read: it isn't interrupted.
@@ -15,12 +17,15 @@
     """Work of one front, or of several, at one target.
 
     Urgent tokens belong to calls that should be on time, deferred ones to calls
-    that are late already and go behind.
+    that are late already and go behind. Calls that ended and those of them
+    that failed are counted since the front began.
     """
 
     urgent_tokens: float = 0.0
     deferred_tokens: float = 0.0
     open_calls: int = 0
+    ended_calls: int = 0
+    failed_calls: int = 0
 
     def __add__(self, other: "TargetLoad") -> "TargetLoad":
         """Returns the work of both."""
@@ -28,6 +33,8 @@
             urgent_tokens=self.urgent_tokens + other.urgent_tokens,
             deferred_tokens=self.deferred_tokens + other.deferred_tokens,
             open_calls=self.open_calls + other.open_calls,
+            ended_calls=self.ended_calls + other.ended_calls,
+            failed_calls=self.failed_calls + other.failed_calls,
         )
 
     def without(self, other: "TargetLoad") -> "TargetLoad":
@@ -36,6 +43,8 @@
             urgent_tokens=max(0.0, self.urgent_tokens - other.urgent_tokens),
             deferred_tokens=max(0.0, self.deferred_tokens - other.deferred_tokens),
             open_calls=max(0, self.open_calls - other.open_calls),
+            ended_calls=max(0, self.ended_calls - other.ended_calls),
+            failed_calls=max(0, self.failed_calls - other.failed_calls),
         )
 
     def tokens_ahead(self, *, deferred: bool) -> float:
@@ -69,8 +78,13 @@
 class PeerLoads:
     """Latest loads told by each peer; times are monotonic seconds."""
 
-    def __init__(self) -> None:
-        """Creates the state without peers."""
+    def __init__(self, outcomes: _outcomes.Outcomes) -> None:
+        """Creates the state without peers.
+
+        Args:
+            outcomes: takes how the peers' calls ended.
+        """
+        self._outcomes = outcomes
         self._peers: dict[str, _Told] = {}
         self._sums: dict[int, TargetLoad] | None = None
 
@@ -78,9 +92,21 @@
         self, peer: str, loads: dict[int, TargetLoad], now: float, fronts: int = 1
     ) -> None:
         """Replaces what one peer told, of itself or of several fronts."""
+        known = self._peers.get(peer)
+        if known is not None:
+            self._note_growth(known.loads, loads, now)
         self._peers[peer] = _Told(at=now, loads=loads, fronts=fronts)
         self._sums = None
 
+    def _note_growth(self, before, loads, now: float) -> None:
+        for target, load in loads.items():
+            known = before.get(target, NO_LOAD)
+            # The counts of a front that began anew start at 0.
+            ended = load.ended_calls - known.ended_calls
+            failed = max(0, load.failed_calls - known.failed_calls)
+            if ended > 0:
+                self._outcomes.ended(target, ended, min(ended, failed), now)
+
     def expire(self, now: float) -> list[str]:
         """Forgets silent peers; returns their names."""
         gone = [p for p, t in self._peers.items() if t.at + PEER_LEASE_S < now]
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -20,6 +20,7 @@
     _in_flight,
     _loads,
     _memories,
+    _outcomes,
     _prompts,
     _router,
     _shortlist,
@@ -44,6 +45,8 @@
 LONG_SPREAD_S = 0.1
 SHORT_SPREAD_S = 0.01
 LONG_WORK_TOKENS = 1_000.0
+# How much a replica's recent failures weigh against its open calls.
+FAILURE_WEIGHT = 10.0
 
 
 class Placer:
@@ -66,8 +69,17 @@
         self._shortlist = _shortlist.Shortlist(domain)
         self._last_id = 0
         self.memories = _memories.EngineMemories()
-        self._costs = _costs.EngineCosts(self.load, self.memories, self._speed)
-        self.peers = _loads.PeerLoads()
+        self._outcomes = _outcomes.Outcomes()
+        self._hold = _speed.HoldTime()
+        beliefs = _costs.Beliefs(
+            load=self.load,
+            memories=self.memories,
+            speed=self._speed,
+            hold=self._hold,
+            outcomes=self._outcomes,
+        )
+        self._costs = _costs.EngineCosts(beliefs)
+        self.peers = _loads.PeerLoads(self._outcomes)
         self.health = fleet.Health(max_s=MAX_EJECTION_S)
         self._refusals = fleet.Health(
             REFUSALS_TO_AVOID, FIRST_AVOIDANCE_S, MAX_AVOIDANCE_S
@@ -80,19 +92,29 @@
         self._latency.forget(name)
         self._speed.forget(name)
         self.memories.forget(name)
+        self._outcomes.forget(_memories.target_hash(name))
         if name in self._own and not self._own[name].open:
             del self._own[name]
         self.health.succeeded(name)
         self._refusals.succeeded(name)
 
     def own_loads(self) -> dict[int, _loads.TargetLoad]:
-        """Returns the own work by target, without idle targets."""
+        """Returns the own work by target, without targets that were never used."""
         return {
             _memories.target_hash(name): own.load()
             for name, own in self._own.items()
-            if own.open
+            if own.open or own.ended_calls
         }
 
+    def note_overdue(self, now: float) -> None:
+        """Counts calls as failed that their targets should have begun long ago."""
+        for name, own in self._own.items():
+            for placement in own.waiting.values():
+                if placement.id in own.overdue or not placement.is_overdue(now):
+                    continue
+                own.overdue.add(placement.id)
+                self._count_end(name, now, failed=True)
+
     def load(self, name: str) -> _loads.TargetLoad:
         """Returns the work of all fronts at a target."""
         own = self._own.get(name)
@@ -123,7 +145,7 @@
         self._random.shuffle(usable)
         fastest_s = self._latency.fastest(t.name for t in usable)
         best = min(usable, key=lambda t: self._replica_score(t, fastest_s, now))
-        return self._assign(_in_flight.Placement(id=0, target=best))
+        return self._assign(_in_flight.Placement(id=0, target=best), now)
 
     def _replica_score(
         self, target: fleet.Target, fastest_s: float, now: float
@@ -131,6 +153,8 @@
         slowness = self._latency.slowness(target.name, fastest_s, now)
         busy = self.load(target.name).open_calls + 1
         score = busy / max(1, target.slots) * max(1.0, slowness / TOLERATED_SLOWNESS)
+        number = _memories.target_hash(target.name)
+        score *= 1 + FAILURE_WEIGHT * self._outcomes.failure_share(number, now)
         return (score, target.domain != self._domain)
 
     # Engines.
@@ -149,13 +173,14 @@
         if not _can_answer(usable):
             # Nobody could answer what was read.
             return None
-        best = self._best(prompt, usable, patience)
-        if best.cost_s > patience.given_up_s:
-            retry_s = max(MIN_RETRY_S, best.cost_s - patience.given_up_s)
+        asked = _costs.Asked(prompt=prompt, patience=patience, now=now)
+        best = self._best(asked, usable)
+        if best.bound_s > patience.given_up_s:
+            retry_s = max(MIN_RETRY_S, best.bound_s - patience.given_up_s)
             return result.Err(
                 _router.Refusal(reason="overloaded", retry_after_s=retry_s)
             )
-        placement = self._assign(best)
+        placement = self._assign(best, now)
         if prompt.tokens >= _memories.SHORT_PROMPT_TOKENS:
             self.memories.note_prompt(placement.target, prompt, ready=False)
         return result.Ok(placement)
@@ -175,23 +200,20 @@
         found = [*listed, *(t for t in keeping if t.name not in names)]
         return self._in_use(found, now) or self._healthy(able, now)
 
-    def _best(
-        self, prompt, targets, patience: _in_flight.Patience
-    ) -> _in_flight.Placement:
+    def _best(self, asked: _costs.Asked, targets) -> _in_flight.Placement:
         """Returns the cheapest target that is on time, else one that is soon enough."""
-        for deferred, bound_s in (
-            (False, patience.on_time_s),
-            (True, patience.given_up_s),
+        for deferred, most_s in (
+            (False, asked.patience.on_time_s),
+            (True, asked.patience.given_up_s),
         ):
-            found = self._costs.reading(prompt, targets, deferred=deferred)
-            best = min(found, key=self._order)
-            if best.cost_s <= bound_s:
-                return self._spread(found, best, bound_s)
-        return best
-
-    def _spread(
-        self, found, best: _in_flight.Placement, bound_s: float
-    ) -> _in_flight.Placement:
+            asked = attrs.evolve(asked, deferred=deferred)
+            found = self._costs.reading(asked, targets)
+            able = [p for p in found if p.bound_s <= most_s]
+            if able:
+                return self._spread(able, min(able, key=self._order))
+        return min(found, key=lambda p: p.bound_s)
+
+    def _spread(self, found, best: _in_flight.Placement) -> _in_flight.Placement:
         """Returns one of the placements that are nearly as good as the best.
 
         Each of many fronts knows late what the others place: without chance all
@@ -201,27 +223,33 @@
             return best
         long = best.work_tokens >= LONG_WORK_TOKENS
         spread_s = LONG_SPREAD_S if long else SHORT_SPREAD_S
-        most_s = min(bound_s, best.cost_s + spread_s)
+        most_s = best.cost_s + spread_s
         return self._random.choice([p for p in found if p.cost_s <= most_s])
 
     def _order(self, placement: _in_flight.Placement) -> tuple[float, bool]:
         return (placement.cost_s, placement.target.domain != self._domain)
 
     def choose_answerer(
-        self, prompt: _prompts.Prompt, read_in: str, targets, now: float
+        self,
+        prompt: _prompts.Prompt,
+        read_in: str,
+        targets,
+        patience: _in_flight.Patience,
+        now: float,
     ) -> _in_flight.Placement | None:
         """Chooses where a prompt that was read in a domain is answered."""
         usable = self._worth_a_look(prompt, targets, now, answering=True)
         if not usable:
             return None
-        found = [self._costs.answering(prompt, read_in, target) for target in usable]
-        return self._assign(min(found, key=self._order))
+        asked = _costs.Asked(prompt=prompt, patience=patience, now=now)
+        found = [self._costs.answering(asked, read_in, target) for target in usable]
+        return self._assign(min(found, key=self._order), now)
 
     # Calls in flight.
 
-    def _assign(self, chosen: _in_flight.Placement) -> _in_flight.Placement:
+    def _assign(self, chosen: _in_flight.Placement, now: float) -> _in_flight.Placement:
         self._last_id += 1
-        placement = attrs.evolve(chosen, id=self._last_id)
+        placement = attrs.evolve(chosen, id=self._last_id, placed_at=now)
         own = self._own[placement.target.name]
         own.open[placement.id] = placement
         own.waiting[placement.id] = placement
@@ -254,9 +282,17 @@
         own.waiting.pop(placement.id, None)
         if own.open.pop(placement.id, None) is None:
             return
+        if placement.id in own.overdue:
+            own.overdue.remove(placement.id)
+        elif ending in _COUNTED:
+            self._count_end(name, now, failed=ending in _FAILURES)
         if ending is _in_flight.Ending.REFUSED:
             self._refusals.failed(name, now)
             return
+        if ending is _in_flight.Ending.LEFT:
+            self._refusals.released(name)
+            self.health.released(name)
+            return
         self._refusals.succeeded(name)
         if ending is _in_flight.Ending.SOUND:
             self.health.succeeded(name)
@@ -264,6 +300,21 @@
             weight = UNREACHED_WEIGHT if ending is _in_flight.Ending.UNREACHED else 1
             self.health.failed(name, now, weight=weight)
 
+    def _count_end(self, name: str, now: float, *, failed: bool) -> None:
+        own = self._own[name]
+        own.ended_calls += 1
+        own.failed_calls += failed
+        self._outcomes.ended(_memories.target_hash(name), 1, int(failed), now)
+
+    def streamed(self, placement: _in_flight.Placement, now: float) -> None:
+        """Notes that an answer was streamed to its end."""
+        self._hold.learn(now - placement.placed_at)
+
+
+# Endings that tell whether a target answers what it takes.
+_FAILURES = frozenset({_in_flight.Ending.FAILED, _in_flight.Ending.UNREACHED})
+_COUNTED = _FAILURES | {_in_flight.Ending.SOUND}
+
 
 def _answering(targets) -> list[fleet.Target]:
     """Returns the engines that don't only read prompts."""
--- a/src/turmericward/requests/_speed.py
+++ b/src/turmericward/requests/_speed.py
@@ -17,6 +17,8 @@
 # Tokens of context at which attention costs as much again as the rest.
 ATTENTION_TOKENS = 30_000.0
 MIN_SAMPLE_TOKENS = 1_000.0
+FIRST_HOLD_S = 1.0
+MAX_HOLD_S = 10.0
 MIN_LATENCY_S = 0.001
 LATENCY_LEARNING_RATE = 0.15
 LATENCY_MEMORY_S = 8.0
@@ -62,6 +64,23 @@
         self._seconds_per_token[target.name] = known + LEARNING_RATE * (sample - known)
 
 
+class HoldTime:
+    """How long an answer takes its slot, learnt over all engines."""
+
+    def __init__(self) -> None:
+        """Creates the estimate without samples."""
+        self._hold_s = FIRST_HOLD_S
+
+    def learn(self, took_s: float) -> None:
+        """Takes the time from an answer's placement to its end."""
+        self._hold_s += LEARNING_RATE * (min(took_s, MAX_HOLD_S) - self._hold_s)
+
+    def wait_s(self, target: fleet.Target, open_calls: int) -> float:
+        """Returns how long a call waits for a slot behind the open ones."""
+        excess = open_calls + 1 - max(1, target.slots)
+        return max(0, excess) * self._hold_s / max(1, target.slots)
+
+
 class Latency:
     """Time to an answer by replica; what is old counts less and less.
 
--- a/src/turmericward/wire/peers/ttypes.py
+++ b/src/turmericward/wire/peers/ttypes.py
@@ -25,6 +25,8 @@
      - urgent_tokens: Prompt tokens sent and not yet read, of calls that should be on time.
      - deferred_tokens: The same of calls that are late already.
      - open_calls
+     - ended_calls: Since the front began: calls that ended, and those of them that failed.
+     - failed_calls
 
     """
 
@@ -33,14 +35,18 @@
         'urgent_tokens',
         'deferred_tokens',
         'open_calls',
+        'ended_calls',
+        'failed_calls',
     )
 
 
-    def __init__(self, target=None, urgent_tokens=None, deferred_tokens=None, open_calls=None,):
+    def __init__(self, target=None, urgent_tokens=None, deferred_tokens=None, open_calls=None, ended_calls=None, failed_calls=None,):
         self.target = target
         self.urgent_tokens = urgent_tokens
         self.deferred_tokens = deferred_tokens
         self.open_calls = open_calls
+        self.ended_calls = ended_calls
+        self.failed_calls = failed_calls
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -71,6 +77,16 @@
                     self.open_calls = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.ended_calls = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.failed_calls = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -97,6 +113,14 @@
             oprot.writeFieldBegin('open_calls', TType.I32, 4)
             oprot.writeI32(self.open_calls)
             oprot.writeFieldEnd()
+        if self.ended_calls is not None:
+            oprot.writeFieldBegin('ended_calls', TType.I32, 5)
+            oprot.writeI32(self.ended_calls)
+            oprot.writeFieldEnd()
+        if self.failed_calls is not None:
+            oprot.writeFieldBegin('failed_calls', TType.I32, 6)
+            oprot.writeI32(self.failed_calls)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -933,6 +957,8 @@
     (2, TType.I32, 'urgent_tokens', None, None, ),  # 2
     (3, TType.I32, 'deferred_tokens', None, None, ),  # 3
     (4, TType.I32, 'open_calls', None, None, ),  # 4
+    (5, TType.I32, 'ended_calls', None, None, ),  # 5
+    (6, TType.I32, 'failed_calls', None, None, ),  # 6
 )
 all_structs.append(KeptPart)
 KeptPart.thrift_spec = (
--- /dev/null
+++ b/tests/test_outcomes.py
@@ -0,0 +1,144 @@
+"""Targets that lose a part of their calls, and engines without a free slot."""
+
+import attrs
+
+from benchmarks import _emulator, _loads, _variants, prompt_model
+from tests import fixtures
+from turmericward import fleet, requests
+from turmericward.requests import _outcomes
+
+check = fixtures.check
+ONCE = requests.Patience(on_time_s=0.4, given_up_s=2.0, once=True)
+LOSING = _loads.Fault(
+    kind="losing", at=3.0, for_s=6.0, engines=3, x=0.3, role="decode", silent=False
+)
+
+
+def _prompt() -> requests.Prompt:
+    parts = (requests.PromptPart(id="q", tokens=300),)
+    return requests.Prompt(model="m", parts=parts, output_tokens=40)
+
+
+def _placer() -> requests.Placer:
+    return requests.Placer(1, "a")
+
+
+def _play(placer, targets, calls: range, failing: str = "") -> list[str]:
+    """Places a call each tenth of a second; returns where they went."""
+    names = []
+    for n in calls:
+        now = n / 10
+        placement = placer.choose_engine(_prompt(), targets, ONCE, now).unwrap()
+        name = placement.target.name
+        names.append(name)
+        # Now and then one is lost, never several in a row.
+        lost = name == failing and names.count(name) % 3 == 1
+        ending = requests.Ending.FAILED if lost else requests.Ending.SOUND
+        if not lost:
+            placer.began(placement, _prompt(), 0.05, now)
+        placer.ended(placement, ending, now)
+    return names
+
+
+def test_an_engine_that_loses_some_calls_gets_few_until_that_is_long_ago():
+    targets = prompt_model.targets(0, 3)
+    placer = _placer()
+    during = _play(placer, targets, range(200), failing="e0")
+    check.assertLess(during.count("e0"), 20)
+    check.assertGreater(during.count("e0"), 0)
+    later = _play(placer, targets, range(400, 600))
+    check.assertGreater(later.count("e0"), 20)
+
+
+def test_failures_that_peers_saw_count_like_own_ones():
+    targets = prompt_model.targets(0, 2)
+    placer, number = _placer(), requests.target_hash("e0")
+    for n in range(20):
+        load = requests.TargetLoad(ended_calls=3 * n, failed_calls=n)
+        placer.peers.take("peer", {number: load}, n / 10)
+    names = _play(placer, targets, range(20, 30))
+    check.assertEqual(set(names), {"e1"})
+
+
+def test_a_peer_that_began_anew_tells_no_failures():
+    placer, number = _placer(), requests.target_hash("e0")
+    for load in (
+        requests.TargetLoad(ended_calls=90, failed_calls=30),
+        requests.TargetLoad(ended_calls=1, failed_calls=0),
+    ):
+        placer.peers.take("peer", {number: load}, 0.0)
+    check.assertEqual(placer._outcomes.failure_share(number, 0.0), 0.0)
+
+
+def test_a_target_that_keeps_silent_counts_as_failed_before_clients_leave():
+    (target,) = prompt_model.targets(0, 1)
+    placer = _placer()
+    placement = placer.choose_engine(_prompt(), [target], ONCE, 0.0).unwrap()
+    number = requests.target_hash(target.name)
+    placer.note_overdue(0.5)
+    check.assertEqual(placer._outcomes.failure_share(number, 0.5), 0.0)
+    placer.note_overdue(1.5)
+    share = placer._outcomes.failure_share(number, 1.5)
+    check.assertGreater(share, 0.0)
+    placer.ended(placement, requests.Ending.LEFT, 1.6)
+    check.assertLessEqual(placer._outcomes.failure_share(number, 1.6), share)
+
+
+def test_a_client_that_leaves_a_target_on_probation_lets_another_call_probe_it():
+    health = fleet.Health(failures_to_eject=1, first_s=1.0)
+    health.failed("t", 0.0)
+    health.started("t")
+    check.assertFalse(health.usable("t", 2.0))
+    health.released("t")
+    check.assertTrue(health.usable("t", 2.0))
+
+
+def test_what_is_old_counts_little():
+    outcomes = _outcomes.Outcomes()
+    outcomes.ended(1, 10, 5, 0.0)
+    check.assertGreater(outcomes.failure_share(1, 0.0), 0.3)
+    check.assertLess(outcomes.failure_share(1, 4 * _outcomes.MEMORY_S), 0.03)
+    outcomes.forget(1)
+    check.assertEqual(outcomes.failure_share(1, 0.0), 0.0)
+
+
+def test_replicas_that_fail_some_calls_get_fewer():
+    replicas = [
+        fleet.Target(name=n, service="s", address="10.0.0.1:1", domain="a", slots=6)
+        for n in ("failing", "sound")
+    ]
+    placer, counts = _placer(), {"failing": 0, "sound": 0}
+    for n in range(100):
+        placement = placer.choose_replica(replicas, n / 10)
+        name = placement.target.name
+        counts[name] += 1
+        failed = name == "failing" and counts[name] % 2 == 0
+        ending = requests.Ending.FAILED if failed else requests.Ending.SOUND
+        placer.ended(placement, ending, n / 10)
+    check.assertLess(3 * counts["failing"], counts["sound"])
+    check.assertGreater(counts["failing"], 0)
+
+
+def _lost_once(variant: str, seed: int) -> int:
+    load = attrs.evolve(_loads.load("lending"), length_s=9.0, faults=(LOSING,))
+    with _variants.named(variant):
+        counts = _emulator.World(load, seed).run().counts
+    return counts["anomaly", "failed"]
+
+
+def test_fewer_calls_that_run_once_are_lost_where_engines_lose_answers():
+    avoided = sum(_lost_once("as it is", seed) for seed in range(2))
+    ignored = sum(_lost_once("without failures", seed) for seed in range(2))
+    check.assertGreater(ignored, 50)
+    check.assertLess(avoided, 0.75 * ignored)
+
+
+def test_an_engine_without_a_free_slot_is_left_to_others():
+    full, free = (attrs.evolve(t, slots=4) for t in prompt_model.targets(0, 2))
+    placer = _placer()
+    for _ in range(30):
+        placer.choose_engine(_prompt(), [full], ONCE, 0.0)
+    peers = requests.TargetLoad(urgent_tokens=8_000.0, open_calls=3)
+    placer.peers.take("p", {requests.target_hash(free.name): peers}, 0.0)
+    chosen = placer.choose_engine(_prompt(), [full, free], ONCE, 0.0).unwrap()
+    check.assertEqual(chosen.target, free)
