Learn slot times from whole answers only; show the share of failed calls

Cause, found on reading the diff: a client that left its stream counted as an answer that ended, so that waits for slots would be taken too short; nothing showed an operator why a target gets fewer calls. Change: a leg says whether it ended whole; front-status and /status give each target's recent share of failed calls.

--- a/benchmarks/_emulator.py
+++ b/benchmarks/_emulator.py
@@ -263,8 +263,6 @@
             front.placer.memories.set_capacity("model", load.engine.memory_tokens)
             for target in self._targets:
                 front.placer.memories.announced(target)
-        self._sizes = {}
-        self._dark: dict[str, float] = {}
         self._losing: dict[str, tuple[float, bool]] = {}
         self.outcome = Outcome()
 
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -310,14 +310,14 @@
         """Notes events that came together."""
         self._record.events(count)
 
-    def leg_ended(self, leg: _stream.Leg) -> None:
-        """Ends a leg that did what it should."""
+    def leg_ended(self, leg: _stream.Leg, *, whole: bool) -> None:
+        """Ends a leg that did what it should; `whole` unless the client left."""
         self._ctx.dispatch.post(
             _messages.Ended(
                 placement=leg.placement,
                 prompt=self._call.prompt,
                 ending=requests.Ending.SOUND,
-                streamed=True,
+                streamed=whole,
             )
         )
 
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -216,6 +216,7 @@
             held=self._is_held(target, now),
             rests_s=round(self._rests.left_s(target.name, now), 3),
             usable=self._placer.health.usable(target.name, now),
+            failure_share=round(self._placer.failure_share(target.name, now), 3),
             urgent_tokens=int(load.urgent_tokens),
             deferred_tokens=int(load.deferred_tokens),
             open_calls=load.open_calls,
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -90,7 +90,8 @@
 class TargetStatus:
     """A target, and the work of all fronts there.
 
-    For `rests_s` seconds it wants no calls of this front.
+    For `rests_s` seconds it wants no calls of this front; `failure_share` of the
+    calls that all fronts lately sent there failed.
     """
 
     name: str
@@ -102,6 +103,7 @@
     held: bool
     rests_s: float
     usable: bool
+    failure_share: float
     urgent_tokens: int
     deferred_tokens: int
     open_calls: int
--- a/src/turmericward/delivery/_stream.py
+++ b/src/turmericward/delivery/_stream.py
@@ -29,8 +29,8 @@
     def resume(self, leg: Leg, exc: Exception, last_id: str) -> Leg | None:
         """Ends a broken leg and opens the next one; None if there can be none."""
 
-    def leg_ended(self, leg: Leg) -> None:
-        """Ends a leg that did what it should."""
+    def leg_ended(self, leg: Leg, *, whole: bool) -> None:
+        """Ends a leg that did what it should; `whole` unless the client left."""
 
     def stream_ended(self, outcome: str) -> None:
         """Notes how the whole stream ended."""
@@ -83,7 +83,7 @@
         while True:
             try:
                 yield from self._rest()
-                self._end_leg()
+                self._end_leg(whole=True)
                 self._source.stream_ended("streamed")
                 return
             except errors.CancelledError:
@@ -138,11 +138,11 @@
         self._cutter = _events.EventCutter()
         self._fresh = self._fresh_batches()
 
-    def _end_leg(self) -> None:
+    def _end_leg(self, *, whole: bool = False) -> None:
         leg, self._leg = self._leg, None
         if leg is not None:
             leg.answer.close()
-            self._source.leg_ended(leg)
+            self._source.leg_ended(leg, whole=whole)
 
     def close(self) -> None:
         """Cancels the work at the target if the stream hasn't ended."""
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -121,6 +121,10 @@
         peers = self.peers.at(_memories.target_hash(name))
         return peers if own is None else own.load() + peers
 
+    def failure_share(self, name: str, now: float) -> float:
+        """Returns the share of all fronts' recent calls at a target that failed."""
+        return self._outcomes.failure_share(_memories.target_hash(name), now)
+
     def _in_use(self, targets, now: float) -> list[fleet.Target]:
         """Returns the targets that neither fail nor refuse at present."""
         return [
@@ -153,8 +157,7 @@
         slowness = self._latency.slowness(target.name, fastest_s, now)
         busy = self.load(target.name).open_calls + 1
         score = busy / max(1, target.slots) * max(1.0, slowness / TOLERATED_SLOWNESS)
-        number = _memories.target_hash(target.name)
-        score *= 1 + FAILURE_WEIGHT * self._outcomes.failure_share(number, now)
+        score *= 1 + FAILURE_WEIGHT * self.failure_share(target.name, now)
         return (score, target.domain != self._domain)
 
     # Engines.
