Let the mix of roles follow what calls wait for

The planner kept the mix that it began with. Ruled out: the choice of engines (constants of the cost are on a plateau). Change: when tokens wait at the engines that read and half of the slots would still do, one engine in 15 (one at least) that answers changes to reading, and back when slots run out; each domain keeps an engine that answers. Other fronts take a change of an engine's role over, unless the engine began anew.

--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -185,13 +185,20 @@
             engines[target.service].append(target)
         return _messages.EnginesView(
             engines=dict(engines),
-            open_calls={t.name: self._placer.load(t.name).open_calls for t in targets},
+            loads={t.name: self._engine_load(t.name) for t in targets},
             first=all(self._name < peer for peer in self._placer.peers.names()),
             listed=frozenset(
                 t.name for t in targets if requests.target_hash(t.name) in self._listed
             ),
         )
 
+    def _engine_load(self, name: str) -> fleet.EngineLoad:
+        load = self._placer.load(name)
+        return fleet.EngineLoad(
+            open_calls=load.open_calls,
+            waiting_tokens=load.urgent_tokens + load.deferred_tokens,
+        )
+
     @handle.register
     def _(self, message: _messages.GetStatus) -> _messages.Status:
         now = runtime.now()
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -69,14 +69,14 @@
 
 @attrs.frozen(kw_only=True)
 class EnginesView:
-    """Engines by service, open calls of all fronts by engine.
+    """Engines by service, and the work of all fronts by engine.
 
     `first` tells whether this front goes before all that it hears; `listed` names
     engines of which it is known what they kept when this front began.
     """
 
     engines: dict[str, list[fleet.Target]]
-    open_calls: dict[str, int]
+    loads: dict[str, fleet.EngineLoad]
     first: bool
     listed: frozenset[str]
 
--- a/src/turmericward/fleet/__init__.py
+++ b/src/turmericward/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Fleet aggregate: what an entry or a steward knows of targets."""
 
 from turmericward.fleet._health import Health
+from turmericward.fleet._mix import EngineLoad
 from turmericward.fleet._rests import Rests
 from turmericward.fleet._roles import RoleChange, RolePlanner
 from turmericward.fleet._targets import Directory, EngineRole, Target
@@ -15,6 +16,7 @@
 
 __all__ = [
     "Directory",
+    "EngineLoad",
     "EngineRole",
     "EngineSpec",
     "EngineView",
--- a/src/turmericward/fleet/_roles.py
+++ b/src/turmericward/fleet/_roles.py
@@ -2,7 +2,8 @@
 
 Load patterns that it answers: engines that are replaced or added come back
 answering only, so that after a while nobody reads long prompts apart; a failure
-domain that is cut off with engines that only read, and so refuses everything.
+domain that is cut off with engines that only read, and so refuses everything; and
+those of `_mix`.
 """
 
 import collections
@@ -10,7 +11,7 @@
 
 import attrs
 
-from turmericward.fleet import _targets
+from turmericward.fleet import _mix, _targets
 
 # A composition that stays for this long is taken to be what operators want.
 SETTLED_S = 3.0
@@ -23,6 +24,14 @@
 MIN_ENGINES = 2
 # An order without an answer may be carried out this late.
 UNKNOWN_ORDER_S = 15.0
+# How long a mix is borne that doesn't fit the load.
+MISFIT_S = 4.0
+# One engine of so many changes its role at a time.
+ENGINES_PER_CHANGE = 15
+
+
+_NO_LOADS: Mapping[str, _mix.EngineLoad] = {}
+_DECODE = _targets.EngineRole.DECODE
 
 
 @attrs.frozen(kw_only=True)
@@ -34,17 +43,27 @@
 
 
 class RolePlanner:
-    """Keeps one service's engines near the composition that it began with."""
+    """Keeps one service's engines near a composition.
+
+    That is the one it began with, until the load asks for another one. A change of
+    an engine's role that goes further was made by another front that saw so.
+    """
 
     def __init__(self) -> None:
         """Creates a planner that hasn't seen a composition."""
+        self._demand = _mix.MixDemand()
+        self._known: dict[str, _targets.Target] = {}
+        self._adapted_at = float("-inf")
         self._wanted_share: float | None = None
         self._composition: tuple[int, int] = (0, 0)
         self._since = 0.0
         self._ordered: dict[str, tuple[_targets.EngineRole, float]] = {}
 
-    def observe(self, targets, now: float) -> None:
-        """Takes the engines that may get work at `now`."""
+    def observe(
+        self, targets, now: float, loads: Mapping[str, _mix.EngineLoad] = _NO_LOADS
+    ) -> None:
+        """Takes the engines that may get work at `now`, and their load."""
+        self._demand.observe(targets, loads, now)
         prefill = sum(t.role is _targets.EngineRole.PREFILL for t in targets)
         composition = (prefill, len(targets))
         if composition != self._composition:
@@ -53,11 +72,28 @@
         settled = now - self._since >= SETTLED_S and len(targets) >= MIN_ENGINES
         if self._wanted_share is None and settled:
             self._wanted_share = prefill / len(targets) or DEFAULT_PREFILL_SHARE
+        self._note_changes(targets, prefill)
         for target in targets:
             role, _ = self._ordered.get(target.name, (None, 0.0))
             if role is target.role:
                 del self._ordered[target.name]
 
+    def _note_changes(self, targets, prefill: int) -> None:
+        """Takes over a mix that another front made."""
+        for target in targets:
+            known = self._known.get(target.name)
+            # An engine that began anew answers, whatever was wanted.
+            if known is None or not target.started_ms:
+                continue
+            if known.started_ms != target.started_ms:
+                continue
+            if known.role is target.role or self._wanted_share is None:
+                continue
+            share = prefill / len(targets)
+            bound = min if _mix.answers(target) else max
+            self._wanted_share = bound(self._wanted_share, share)
+        self._known = {t.name: t for t in targets}
+
     def ordered(self, change: RoleChange, now: float) -> None:
         """Notes that an order was sent, whether or not it was answered."""
         self._ordered[change.target.name] = (change.role, now)
@@ -69,9 +105,15 @@
         if self._wanted_share is None or len(targets) < MIN_ENGINES:
             return None
         self._forget_orders(now)
-        if self._ordered:
-            return None
         prefill, count = self._composition
+        step = max(1, count // ENGINES_PER_CHANGE)
+        if len(self._ordered) >= step:
+            return None
+        if not self._ordered:
+            self._adapt(targets, step, now)
+        to_prefill = sum(r is not _DECODE for r, _ in self._ordered.values())
+        prefill += to_prefill - (len(self._ordered) - to_prefill)
+        targets = [t for t in targets if t.name not in self._ordered]
         wanted = min(count - 1, max(1, round(self._wanted_share * count)))
         present = prefill and count - prefill
         patience_s = SHORTAGE_S if present else ABSENCE_S
@@ -86,37 +128,48 @@
             return self._to_decode(unanswered, open_calls)
         return None
 
+    def _adapt(self, targets, step: int, now: float) -> None:
+        """Changes what is wanted where the mix doesn't fit the load."""
+        if now - max(self._since, self._adapted_at) < MISFIT_S:
+            return
+        prefill, count = self._composition
+        wanted = None
+        if self._demand.more_reading(targets, step) and len(_spared(targets)) >= step:
+            wanted = prefill + step
+        elif self._demand.more_answering(targets) and prefill > step:
+            wanted = prefill - step - SURPLUS
+        if wanted is None:
+            return
+        self._adapted_at = now
+        self._wanted_share = wanted / count
+
     def _forget_orders(self, now: float) -> None:
         for name, (_, at) in list(self._ordered.items()):
             if now - at > UNKNOWN_ORDER_S:
                 del self._ordered[name]
 
     def _to_prefill(self, targets, open_calls) -> RoleChange | None:
-        able = _spared(targets) or [t for t in targets if _answers(t)]
+        able = _spared(targets) or [t for t in targets if _mix.answers(t)]
         return _idlest(able, _targets.EngineRole.PREFILL, open_calls)
 
     def _to_decode(self, targets, open_calls) -> RoleChange | None:
-        able = [t for t in targets if not _answers(t)]
+        able = [t for t in targets if not _mix.answers(t)]
         return _idlest(able, _targets.EngineRole.DECODE, open_calls)
 
 
-def _answers(target: _targets.Target) -> bool:
-    return target.role is not _targets.EngineRole.PREFILL
-
-
 def _spared(targets) -> list[_targets.Target]:
     """Returns answering engines whose domain keeps another one that answers.
 
     A domain that is cut off later should still be able to answer.
     """
-    answering = [t for t in targets if _answers(t)]
+    answering = [t for t in targets if _mix.answers(t)]
     counts = collections.Counter(t.domain for t in answering)
     return [t for t in answering if counts[t.domain] > 1]
 
 
 def _where_none_answers(targets) -> list[_targets.Target]:
     """Returns the engines of domains that have none that answers."""
-    answering = {t.domain for t in targets if _answers(t)}
+    answering = {t.domain for t in targets if _mix.answers(t)}
     return [t for t in targets if t.domain not in answering]
 
 
