One piece each for a target's role, its leaving, its notices and a body's parts

Cause, found on reading the whole diff once more: whether an engine only reads was tested in five places, the end of a leg built its message beside _post_ended, a target's leaving was logged and its life put together twice, two callers passed replicas' notices on by the same lines, a body was collected to its bound twice; the choice of an engine copied its question for each round; the role planner was given open calls beside the loads that hold them; the emulator wrote the engines of the prompt model again and kept state that nothing read. Change: Target.answers, Delivery._post_ended, DispatchTask._leave, _notices.pass_on, _request.joined; deferred is an argument of the costs; the planner takes loads. An unused constant is gone. No behaviour, bound or assertion changed; the error of a body that is too long is worded as the delivery engine's was.

--- a/benchmarks/_emulator.py
+++ b/benchmarks/_emulator.py
@@ -15,7 +15,7 @@
 import attrs
 import numpy
 
-from benchmarks import _loads
+from benchmarks import _loads, prompt_model
 from turmericward import fleet, requests
 
 CLIENT_S = 0.003
@@ -27,6 +27,7 @@
 GROUP = 3.0
 GROUP_S = 0.03
 NO_TARGET_RETRY_S = 0.5
+DOMAINS = "abcdefgh"
 TICK_S = 0.1
 ANSWERING_SPEED = 0.5
 ANSWERING_PIECE = 0.25
@@ -63,7 +64,6 @@
     context: float
     prefill_only: bool
     made: int = 0
-    order: tuple = ()
     ended: bool = False
 
     @property
@@ -89,11 +89,10 @@
 
     @property
     def _reads_apart(self) -> bool:
-        return self.target.role is fleet.EngineRole.PREFILL
+        return not self.target.answers
 
     def put(self, job: _Job, rank: int) -> None:
-        job.order = (rank, next(self._world.order))
-        heapq.heappush(self._queue, (job.order, job))
+        heapq.heappush(self._queue, ((rank, next(self._world.order)), job))
         self._kick()
 
     def _kick(self) -> None:
@@ -215,7 +214,6 @@
     owed: collections.Counter = attrs.field(factory=collections.Counter)
     asked: int = 0
     lost: int = 0
-    read_tokens: float = 0.0
 
     def share(self, part: str) -> float:
         """Returns the least share earned among the keys of a part."""
@@ -249,16 +247,13 @@
         self._events: list = []
         self.order = itertools.count()
         self.now = 0.0
-        domains = "abcdefgh"[: load.domains]
-        self._targets = _targets(load, domains)
+        self._domains = DOMAINS[: load.domains]
+        self._targets = prompt_model.targets(
+            load.prefill, load.decode, domains=self._domains, slots=load.engine.slots
+        )
         self._engines = {t.name: _Engine(t, load.engine, self) for t in self._targets}
         self._by_address = {e.target.address: e for e in self._engines.values()}
-        self.fronts = [
-            _Front(
-                requests.Placer(n, domains[n % len(domains)]), domains[n % len(domains)]
-            )
-            for n in range(load.fronts)
-        ]
+        self.fronts = [self._front(n) for n in range(load.fronts)]
         for front in self.fronts:
             front.placer.memories.set_capacity("model", load.engine.memory_tokens)
             for target in self._targets:
@@ -266,6 +261,10 @@
         self._losing: dict[str, tuple[float, bool]] = {}
         self.outcome = Outcome()
 
+    def _front(self, number: int) -> _Front:
+        domain = self._domains[number % len(self._domains)]
+        return _Front(requests.Placer(number, domain), domain)
+
     # Clock.
 
     def at(self, when: float, action, *args) -> None:
@@ -298,10 +297,10 @@
             self.at(self.now + TICK_S, self._tick, front)
 
     def _strike(self, fault: _loads.Fault, begins: bool) -> None:
-        decoding = [
+        able = [
             e for e in self._engines.values() if fault.role in ("", e.target.role.value)
         ]
-        for engine in decoding[: fault.engines]:
+        for engine in able[: fault.engines]:
             name = engine.target.name
             if fault.kind == "slow":
                 engine.slow = fault.x if begins else 1.0
@@ -319,11 +318,11 @@
             when += self._rng.exponential(1 / rate)
             if when >= self._load.length_s:
                 return
-            front_domain = self._load_domain()
+            domain = self._domains[self._rng.integers(len(self._domains))]
             for _ in range(self._rng.geometric(1 / GROUP)):
                 offset = self._rng.uniform(0, GROUP_S)
-                call = self._call(kind, when + offset, front_domain)
-                self.at(call.asked_at + CLIENT_S, self._arrive, call)
+                call = self._call(kind, when + offset, domain)
+                self.at(call.asked_at + CLIENT_S, self._ask, call, call.asked_at)
 
     def _factor(self, kind, when: float) -> float:
         factor = 1.0
@@ -332,9 +331,6 @@
                 factor *= burst.x
         return factor
 
-    def _load_domain(self) -> str:
-        return "abcdefgh"[self._rng.integers(self._load.domains)]
-
     def _call(self, kind, when: float, domain: str) -> _Call:
         fronts = [f for f in self.fronts if f.domain == domain]
         spread = kind.own_spread
@@ -364,9 +360,10 @@
             domain=domain,
         )
 
-    def _arrive(self, call: _Call) -> None:
-        call.sent_at = call.asked_at
-        self.at(call.asked_at + call.kind.abandon_s, self._abandon, call)
+    def _ask(self, call: _Call, sent_at: float) -> None:
+        """Places a call whose client sent it then, for the first time or again."""
+        call.sent_at = sent_at
+        self.at(sent_at + call.kind.abandon_s, self._abandon, call)
         self._place(call)
 
     def _abandon(self, call: _Call) -> None:
@@ -424,12 +421,8 @@
             self._settle(call, "refused")
             return
         call.returned = True
-        self.at(self.now + retry_s, self._return, call)
-
-    def _return(self, call: _Call) -> None:
-        call.sent_at = self.now
-        self.at(self.now + call.kind.abandon_s, self._abandon, call)
-        self._place(call)
+        returns_at = self.now + retry_s
+        self.at(returns_at, self._ask, call, returns_at)
 
     def _put(self, job: _Job) -> None:
         if job.gone:
@@ -446,7 +439,6 @@
         took_s = self.now - job.placement.placed_at
         placer.began(job.placement, call.prompt, took_s, self.now)
         placer.ended(job.placement, requests.Ending.SOUND, self.now)
-        self.outcome.read_tokens += call.prompt.tokens
         call.placement = placer.choose_answerer(
             call.prompt,
             job.placement.target.domain,
@@ -477,9 +469,7 @@
     def event(self, job: _Job, *, last: bool) -> None:
         """Takes an event of an answer."""
         call = job.call
-        if job.gone:
-            return
-        if call.lost:
+        if job.gone or call.lost:
             return
         if call.first_at is None and self._loses(call, job):
             return
@@ -564,46 +554,26 @@
                 for target, load in total.items()
             }
             front.notes = []
-            self.at(self.now + TELL_S, self._told, front, loads, notes)
+            told = (front, "relay", loads, notes, len(self.fronts))
+            self.at(self.now + TELL_S, self._hear, *told)
         for front in self.fronts:
             front.told = front.placer.own_loads()
             front.notes = front.placer.memories.take_notes()
         if self.now < self._load.length_s + 8.0:
             self.at(self.now + self._load.relay_interval_s, self._relay)
 
-    def _told(self, front: _Front, loads, notes) -> None:
-        front.placer.peers.take("relay", loads, self.now, len(self.fronts))
-        for note in notes:
-            front.placer.memories.take(note)
-
     def _send(self, front: _Front) -> None:
         front.told_at = self.now
         if self._load.relay_interval_s:
             return
         loads = front.placer.own_loads()
         notes = front.placer.memories.take_notes()
-        self.at(self.now + TELL_S, self._hear, front, loads, notes)
+        name = str(id(front))
+        for other in self.fronts:
+            if other is not front:
+                self.at(self.now + TELL_S, self._hear, other, name, loads, notes)
 
-    def _hear(self, teller: _Front, loads, notes) -> None:
-        for front in self.fronts:
-            if front is teller:
-                continue
-            front.placer.peers.take(str(id(teller)), loads, self.now)
-            for note in notes:
-                front.placer.memories.take(note)
-
-
-def _targets(load: _loads.Load, domains: str) -> list[fleet.Target]:
-    roles = [fleet.EngineRole.PREFILL] * load.prefill
-    roles += [fleet.EngineRole.DECODE] * load.decode
-    return [
-        fleet.Target(
-            name=f"e{n}",
-            service="model",
-            address=f"10.0.0.{n}:1",
-            domain=domains[n % len(domains)],
-            slots=load.engine.slots,
-            role=role,
-        )
-        for n, role in enumerate(roles)
-    ]
+    def _hear(self, front: _Front, teller: str, loads, notes, fronts: int = 1) -> None:
+        front.placer.peers.take(teller, loads, self.now, fronts)
+        for note in notes:
+            front.placer.memories.take(note)
--- a/benchmarks/prompt_model.py
+++ b/benchmarks/prompt_model.py
@@ -155,16 +155,18 @@
     return requests.Patience(on_time_s=OBJECTIVE_S[kind], given_up_s=PATIENCE_S[kind])
 
 
-def targets(prefill: int, decode: int) -> list[fleet.Target]:
-    """Returns engines of one service in three domains."""
+def targets(
+    prefill: int, decode: int, *, domains: str = "abc", slots: int = 64
+) -> list[fleet.Target]:
+    """Returns engines of one service; domains have one letter each."""
     roles = [fleet.EngineRole.PREFILL] * prefill + [fleet.EngineRole.DECODE] * decode
     return [
         fleet.Target(
             name=f"e{n}",
             service="model",
             address=f"10.0.0.{n}:1",
-            domain="abc"[n % 3],
-            slots=64,
+            domain=domains[n % len(domains)],
+            slots=slots,
             role=role,
         )
         for n, role in enumerate(roles)
--- a/src/turmericward/adapters/_request.py
+++ b/src/turmericward/adapters/_request.py
@@ -3,7 +3,7 @@
 import contextlib
 import http.client
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 
 import attrs
 
@@ -145,6 +145,25 @@
         raise errors.AnswerLostError(f"{address}: no answer in time") from exc
 
 
+def joined(parts: Iterable[bytes], name: str = "answer") -> bytes:
+    """Returns a body's parts as one.
+
+    Args:
+        parts: the body as it comes.
+        name: what errors call it.
+
+    Raises:
+        AnswerLostError: they go on beyond what is taken.
+    """
+    found, size = [], 0
+    for part in parts:
+        size += len(part)
+        if size > MAX_BODY_BYTES:
+            raise errors.AnswerLostError(f"{name} is longer than {MAX_BODY_BYTES}")
+        found.append(part)
+    return b"".join(found)
+
+
 def read_whole(
     conn: http.client.HTTPConnection,
     resp: http.client.HTTPResponse,
@@ -156,7 +175,10 @@
     Raises:
         AnswerLostError: the body ended early or late, or goes on beyond what is taken.
     """
-    parts, size = [], 0
+    return joined(_parts(conn, resp, address, until), f"{address}: answer")
+
+
+def _parts(conn, resp, address: str, until: float) -> Iterator[bytes]:
     try:
         while True:
             left_s = until - runtime.now()
@@ -167,15 +189,11 @@
             part = resp.read1(65536)
             if not part:
                 break
-            size += len(part)
-            if size > MAX_BODY_BYTES:
-                raise ValueError(f"body is longer than {MAX_BODY_BYTES}")
-            parts.append(part)
+            yield part
         if resp.length:
             raise http.client.IncompleteRead(b"", resp.length)
     except (OSError, http.client.HTTPException, ValueError) as exc:
         raise errors.AnswerLostError(f"{address}: {exc!r}") from exc
-    return b"".join(parts)
 
 
 def check_id(
--- a/src/turmericward/delivery/_calls.py
+++ b/src/turmericward/delivery/_calls.py
@@ -6,7 +6,7 @@
 import attrs
 
 from turmericward import requests, runtime
-from turmericward.adapters import _request, errors
+from turmericward.adapters import _request
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -126,15 +126,7 @@
         Raises:
             AnswerLostError: it breaks off, or goes on beyond what is taken.
         """
-        parts, size = [], 0
-        for part in self.chunks:
-            size += len(part)
-            if size > _request.MAX_BODY_BYTES:
-                raise errors.AnswerLostError(
-                    f"answer is longer than {_request.MAX_BODY_BYTES}"
-                )
-            parts.append(part)
-        return b"".join(parts)
+        return _request.joined(self.chunks)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -284,10 +284,15 @@
         if placement is not None:
             self._post_ended(placement, ending)
 
-    def _post_ended(self, placement, ending: requests.Ending) -> None:
+    def _post_ended(
+        self, placement, ending: requests.Ending, *, streamed: bool = False
+    ) -> None:
         self._ctx.dispatch.post(
             _messages.Ended(
-                placement=placement, prompt=self._call.prompt, ending=ending
+                placement=placement,
+                prompt=self._call.prompt,
+                ending=ending,
+                streamed=streamed,
             )
         )
 
@@ -312,14 +317,7 @@
 
     def leg_ended(self, leg: _stream.Leg, *, whole: bool) -> None:
         """Ends a leg that did what it should; `whole` unless the client left."""
-        self._ctx.dispatch.post(
-            _messages.Ended(
-                placement=leg.placement,
-                prompt=self._call.prompt,
-                ending=requests.Ending.SOUND,
-                streamed=whole,
-            )
-        )
+        self._post_ended(leg.placement, requests.Ending.SOUND, streamed=whole)
 
     def stream_ended(self, outcome: str) -> None:
         """Notes how the whole stream ended."""
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -125,13 +125,9 @@
 
     @handle.register
     def _(self, message: _messages.TargetNotice) -> None:
-        name, started_ms = message.target.name, message.target.started_ms
-        if message.leaving and self._directory.leave(name, started_ms):
-            telemetry.log_event("target_leaves", target=name, started_ms=started_ms)
-            left = peers.LeavingTarget(
-                target=requests.target_hash(name), started_ms=started_ms
-            )
-            self._tell_now(leaving=frozenset((left,)))
+        name = message.target.name
+        if message.leaving and self._leave(message.target):
+            self._tell_now(leaving=frozenset((_life(message.target),)))
         now = runtime.now()
         if self._rests.note(name, message.rest_s, now):
             rest_s = self._rests.left_s(name, now)
@@ -141,14 +137,16 @@
         if not leaving:
             return
         for target in self._directory.all():
-            number = requests.target_hash(target.name)
-            life = peers.LeavingTarget(target=number, started_ms=target.started_ms)
-            if life in leaving and self._directory.leave(
-                target.name, target.started_ms
-            ):
-                telemetry.log_event(
-                    "target_leaves", target=target.name, started_ms=target.started_ms
-                )
+            if _life(target) in leaving:
+                self._leave(target)
+
+    def _leave(self, target: fleet.Target) -> bool:
+        """Notes that a target leaves in this life; tells whether that is news."""
+        name, started_ms = target.name, target.started_ms
+        if not self._directory.leave(name, started_ms):
+            return False
+        telemetry.log_event("target_leaves", target=name, started_ms=started_ms)
+        return True
 
     @handle.register
     def _(self, message: _messages.SourceReturned) -> None:
@@ -333,6 +331,12 @@
         self._tell_peers(message.prompt)
 
 
+def _life(target: fleet.Target) -> peers.LeavingTarget:
+    return peers.LeavingTarget(
+        target=requests.target_hash(target.name), started_ms=target.started_ms
+    )
+
+
 def _placed(placement: requests.Placement | None):
     return None if placement is None else result.Ok(placement)
 
--- a/src/turmericward/delivery/_roles_loop.py
+++ b/src/turmericward/delivery/_roles_loop.py
@@ -131,11 +131,10 @@
     def _due(self, view: _messages.EnginesView) -> fleet.RoleChange | None:
         now = runtime.now()
         changes = []
-        open_calls = {name: load.open_calls for name, load in view.loads.items()}
         for service, targets in view.engines.items():
             planner = self._planners[service]
             planner.observe(targets, now, view.loads)
-            changes.append(planner.plan(targets, open_calls, now))
+            changes.append(planner.plan(targets, view.loads, now))
         due = [change for change in changes if change is not None]
         if not due:
             self._due_since = None
--- a/src/turmericward/fleet/_mix.py
+++ b/src/turmericward/fleet/_mix.py
@@ -10,8 +10,6 @@
 
 import attrs
 
-from turmericward.fleet import _targets
-
 # Bursts that are shorter than this don't change the mix.
 MEMORY_S = 5.0
 # Tokens that wait at an engine that reads, in the mean, from which there are too few
@@ -43,8 +41,8 @@
 
     def observe(self, targets, loads: Mapping[str, EngineLoad], now: float) -> None:
         """Takes the load of the engines that may get work."""
-        reading = [t for t in targets if not answers(t)]
-        found = [loads.get(t.name, EngineLoad()) for t in targets if answers(t)]
+        reading = [t for t in targets if not t.answers]
+        found = [loads.get(t.name, EngineLoad()) for t in targets if t.answers]
         waiting = sum(loads.get(t.name, EngineLoad()).waiting_tokens for t in reading)
         weight = 1.0
         if self._at is not None:
@@ -57,7 +55,7 @@
 
     def more_reading(self, targets, step: int) -> bool:
         """Tells whether `step` engines that answer should read instead."""
-        left = [t for t in targets if answers(t)][step:]
+        left = [t for t in targets if t.answers][step:]
         slots = sum(t.slots for t in left)
         if not slots or self._waiting_tokens < PRESSED_TOKENS:
             return False
@@ -65,12 +63,7 @@
 
     def more_answering(self, targets) -> bool:
         """Tells whether engines that read should answer instead."""
-        slots = sum(t.slots for t in targets if answers(t))
+        slots = sum(t.slots for t in targets if t.answers)
         if self._waiting_tokens > CALM_TOKENS:
             return False
         return self._open_calls > CROWDED_OCCUPANCY * slots
-
-
-def answers(target: _targets.Target) -> bool:
-    """Tells whether an engine doesn't only read prompts."""
-    return target.role is not _targets.EngineRole.PREFILL
--- a/src/turmericward/fleet/_roles.py
+++ b/src/turmericward/fleet/_roles.py
@@ -31,7 +31,6 @@
 
 
 _NO_LOADS: Mapping[str, _mix.EngineLoad] = {}
-_DECODE = _targets.EngineRole.DECODE
 
 
 @attrs.frozen(kw_only=True)
@@ -64,7 +63,7 @@
     ) -> None:
         """Takes the engines that may get work at `now`, and their load."""
         self._demand.observe(targets, loads, now)
-        prefill = sum(t.role is _targets.EngineRole.PREFILL for t in targets)
+        prefill = sum(not t.answers for t in targets)
         composition = (prefill, len(targets))
         if composition != self._composition:
             self._composition = composition
@@ -90,7 +89,7 @@
             if known.role is target.role or self._wanted_share is None:
                 continue
             share = prefill / len(targets)
-            bound = min if _mix.answers(target) else max
+            bound = min if target.answers else max
             self._wanted_share = bound(self._wanted_share, share)
         self._known = {t.name: t for t in targets}
 
@@ -99,7 +98,7 @@
         self._ordered[change.target.name] = (change.role, now)
 
     def plan(
-        self, targets, open_calls: Mapping[str, int], now: float
+        self, targets, loads: Mapping[str, _mix.EngineLoad], now: float
     ) -> RoleChange | None:
         """Returns the change that is due, if any."""
         if self._wanted_share is None or len(targets) < MIN_ENGINES:
@@ -111,8 +110,7 @@
             return None
         if not self._ordered:
             self._adapt(targets, step, now)
-        to_prefill = sum(r is not _DECODE for r, _ in self._ordered.values())
-        prefill += to_prefill - (len(self._ordered) - to_prefill)
+        prefill += self._outstanding()
         targets = [t for t in targets if t.name not in self._ordered]
         wanted = min(count - 1, max(1, round(self._wanted_share * count)))
         present = prefill and count - prefill
@@ -120,14 +118,21 @@
         if now - self._since < patience_s:
             return None
         if prefill < wanted:
-            return self._to_prefill(targets, open_calls)
+            return self._to_prefill(targets, loads)
         unanswered = _where_none_answers(targets)
         if prefill > wanted + SURPLUS or prefill == count:
-            return self._to_decode(unanswered or targets, open_calls)
+            return self._to_decode(unanswered or targets, loads)
         if prefill > wanted or _spared(targets):
-            return self._to_decode(unanswered, open_calls)
+            return self._to_decode(unanswered, loads)
         return None
 
+    def _outstanding(self) -> int:
+        """Returns how many more engines read once all orders are carried out."""
+        return sum(
+            1 if role is _targets.EngineRole.PREFILL else -1
+            for role, _ in self._ordered.values()
+        )
+
     def _adapt(self, targets, step: int, now: float) -> None:
         """Changes what is wanted where the mix doesn't fit the load."""
         if now - max(self._since, self._adapted_at) < MISFIT_S:
@@ -148,13 +153,13 @@
             if now - at > UNKNOWN_ORDER_S:
                 del self._ordered[name]
 
-    def _to_prefill(self, targets, open_calls) -> RoleChange | None:
-        able = _spared(targets) or [t for t in targets if _mix.answers(t)]
-        return _idlest(able, _targets.EngineRole.PREFILL, open_calls)
+    def _to_prefill(self, targets, loads) -> RoleChange | None:
+        able = _spared(targets) or [t for t in targets if t.answers]
+        return _idlest(able, _targets.EngineRole.PREFILL, loads)
 
-    def _to_decode(self, targets, open_calls) -> RoleChange | None:
-        able = [t for t in targets if not _mix.answers(t)]
-        return _idlest(able, _targets.EngineRole.DECODE, open_calls)
+    def _to_decode(self, targets, loads) -> RoleChange | None:
+        able = [t for t in targets if not t.answers]
+        return _idlest(able, _targets.EngineRole.DECODE, loads)
 
 
 def _spared(targets) -> list[_targets.Target]:
@@ -162,19 +167,24 @@
 
     A domain that is cut off later should still be able to answer.
     """
-    answering = [t for t in targets if _mix.answers(t)]
+    answering = [t for t in targets if t.answers]
     counts = collections.Counter(t.domain for t in answering)
     return [t for t in answering if counts[t.domain] > 1]
 
 
 def _where_none_answers(targets) -> list[_targets.Target]:
     """Returns the engines of domains that have none that answers."""
-    answering = {t.domain for t in targets if _mix.answers(t)}
+    answering = {t.domain for t in targets if t.answers}
     return [t for t in targets if t.domain not in answering]
 
 
-def _idlest(engines, role, open_calls) -> RoleChange | None:
+def _idlest(engines, role, loads) -> RoleChange | None:
     if not engines:
         return None
-    idlest = min(engines, key=lambda t: (open_calls.get(t.name, 0), t.name))
+    idlest = min(engines, key=lambda t: (_open_calls(t, loads), t.name))
     return RoleChange(target=idlest, role=role)
+
+
+def _open_calls(target: _targets.Target, loads: Mapping[str, _mix.EngineLoad]) -> int:
+    load = loads.get(target.name)
+    return 0 if load is None else load.open_calls
--- a/src/turmericward/fleet/_targets.py
+++ b/src/turmericward/fleet/_targets.py
@@ -33,6 +33,11 @@
     leaving: bool = False
     started_ms: int = 0
 
+    @property
+    def answers(self) -> bool:
+        """Whether it does more than read prompts for others."""
+        return self.role is not EngineRole.PREFILL
+
 
 class Directory:
     """The targets of all services, by name; times are monotonic seconds.
--- a/src/turmericward/platform/_memory.py
+++ b/src/turmericward/platform/_memory.py
@@ -38,9 +38,7 @@
         with _request.closing(conn):
             _request.send(conn, target.address, req)
             resp = _request.answer_head(conn, target.address)
-            found = _notices.found_in(resp, target)
-            if found is not None:
-                self._notice(found)
+            _notices.pass_on(resp, target, self._notice)
             raw = _request.read_whole(conn, resp, target.address, until)
         if resp.status != 200:
             raise errors.AnswerLostError(f"{target.name} lists {resp.status}")
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -58,9 +58,7 @@
         try:
             _request.send(conn, target.address, _outgoing(target, call, dispatch))
             resp = _request.answer_head(conn, target.address)
-            found = _notices.found_in(resp, target)
-            if found is not None:
-                self._notice(found)
+            _notices.pass_on(resp, target, self._notice)
         except BaseException:
             conn.close()
             raise
--- a/src/turmericward/programs/_trails.py
+++ b/src/turmericward/programs/_trails.py
@@ -20,7 +20,6 @@
     CUT = "log ends"
 
 
-LOST = frozenset({Outcome.REFUSED, Outcome.FAILED, Outcome.LEFT, Outcome.CUT})
 _ENDINGS = {
     "refused": Outcome.REFUSED,
     "outcome_unknown": Outcome.FAILED,
--- a/src/turmericward/requests/_costs.py
+++ b/src/turmericward/requests/_costs.py
@@ -50,12 +50,11 @@
 
 @attrs.frozen(kw_only=True)
 class Asked:
-    """A prompt that is to be placed at `now`; `deferred` behind urgent calls."""
+    """A prompt that is to be placed at `now`."""
 
     prompt: _prompts.Prompt
     patience: _in_flight.Patience
     now: float
-    deferred: bool = False
 
 
 class EngineCosts:
@@ -77,12 +76,22 @@
             target
         )
 
-    def reading(self, asked: Asked, targets) -> list[_in_flight.Placement]:
-        """Returns what it costs to read a prompt at each engine."""
+    def reading(
+        self, asked: Asked, targets, *, deferred: bool
+    ) -> list[_in_flight.Placement]:
+        """Returns what it costs to read a prompt at each engine.
+
+        Args:
+            asked: the prompt.
+            targets: engines.
+            deferred: whether it goes behind the calls that can still be on time.
+        """
         sources = {}
         if asked.prompt.tokens >= _memories.SHORT_PROMPT_TOKENS:
             sources = self._sources(asked.prompt, targets)
-        return [self._reading_at(asked, t, sources.get(t.domain)) for t in targets]
+        return [
+            self._reading_at(asked, t, sources.get(t.domain), deferred) for t in targets
+        ]
 
     def _sources(self, prompt, targets) -> dict[str, fleet.Target]:
         """Returns for each domain the engine that keeps most, a near one if equal."""
@@ -97,7 +106,9 @@
             for domain in {t.domain for t in targets}
         }
 
-    def _reading_at(self, asked: Asked, target, source) -> _in_flight.Placement:
+    def _reading_at(
+        self, asked: Asked, target, source, deferred: bool
+    ) -> _in_flight.Placement:
         prompt = asked.prompt
         kept = self._memories.tokens_kept(target, prompt, ready=False)
         fetch_from = ""
@@ -112,16 +123,16 @@
                 fetch_from = source.address
                 extra_s += FETCH_S
                 harm_s += COPY_COST_S * yielding
-        if target.role is fleet.EngineRole.PREFILL:
+        read_apart = not target.answers
+        if read_apart:
             extra_s += HANDOVER_S
         elif prompt.tokens >= _memories.SHORT_PROMPT_TOKENS:
             factor = min(MAX_HARM_FACTOR, load.open_calls / HARM_OPEN_CALLS)
             harm_s += (prompt.tokens - kept) * HARM_SECONDS_PER_TOKEN * factor
         work = _speed.effective_tokens(max(1.0, prompt.tokens - kept), kept)
-        ahead = load.tokens_ahead(deferred=asked.deferred)
+        ahead = load.tokens_ahead(deferred=deferred)
         expected_s = extra_s + self._speed.expected_s(target, ahead + work)
         expected_s += self._hold.wait_s(target, load.open_calls)
-        read_apart = target.role is fleet.EngineRole.PREFILL
         bound_s = expected_s + harm_s
         once = asked.patience.once and not read_apart
         return _in_flight.Placement(
@@ -133,7 +144,7 @@
             expected_s=expected_s,
             bound_s=bound_s,
             cost_s=bound_s + self._failure_cost_s(target, once, asked.now),
-            deferred=asked.deferred,
+            deferred=deferred,
             prefill_only=read_apart,
         )
 
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -209,8 +209,7 @@
             (False, asked.patience.on_time_s),
             (True, asked.patience.given_up_s),
         ):
-            asked = attrs.evolve(asked, deferred=deferred)
-            found = self._costs.reading(asked, targets)
+            found = self._costs.reading(asked, targets, deferred=deferred)
             able = [p for p in found if p.bound_s <= most_s]
             if able:
                 return self._spread(able, min(able, key=self._order))
@@ -321,8 +320,8 @@
 
 def _answering(targets) -> list[fleet.Target]:
     """Returns the engines that don't only read prompts."""
-    return [t for t in targets if t.role is not fleet.EngineRole.PREFILL]
+    return [t for t in targets if t.answers]
 
 
 def _can_answer(targets) -> bool:
-    return any(t.role is not fleet.EngineRole.PREFILL for t in targets)
+    return any(t.answers for t in targets)
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -3,26 +3,18 @@
 import attrs
 
 from benchmarks import _emulator, _loads, _variants, prompt_model
-from tests import fixtures
+from tests import fixtures, test_placement
 from turmericward import fleet, requests
 from turmericward.requests import _outcomes
 
 check = fixtures.check
 ONCE = requests.Patience(on_time_s=0.4, given_up_s=2.0, once=True)
+_prompt, _placer = test_placement._short, test_placement._placer
 LOSING = _loads.Fault(
     kind="losing", at=3.0, for_s=6.0, engines=3, x=0.3, role="decode", silent=False
 )
 
 
-def _prompt() -> requests.Prompt:
-    parts = (requests.PromptPart(id="q", tokens=300),)
-    return requests.Prompt(model="m", parts=parts, output_tokens=40)
-
-
-def _placer() -> requests.Placer:
-    return requests.Placer(1, "a")
-
-
 def _play(placer, targets, calls: range, failing: str = "") -> list[str]:
     """Places a call each tenth of a second; returns where they went."""
     names = []
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -33,7 +33,11 @@
     now = since
     while now < until:
         planner.observe(targets, now)
-        change = planner.plan(targets, open_calls or {}, now)
+        loads = {
+            name: fleet.EngineLoad(open_calls=calls)
+            for name, calls in (open_calls or {}).items()
+        }
+        change = planner.plan(targets, loads, now)
         if change is not None:
             return change, now
         now += 0.5
