Log and show the rate that a target names in its answers

Answers, listings and reports are now read for it; the dispatcher keeps the latest one by incarnation and time of the answer, logs each change as target_limit and shows it on the status page. Malformed values are logged at a bounded rate and ignored; only an answer to the call itself lifts a limit, so that an extra answer, a refusal or another replica at a reused address doesn't.

Placement is unchanged.

--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -48,6 +48,7 @@
         super().__init__()
         self._directory = fleet.Directory(grace_s)
         self._backoffs = fleet.Backoffs()
+        self._limits = fleet.RateLimits()
         self._placer = requests.Placer(seed, domain)
         self._budgets = _retry_budgets.RetryBudgets(retries)
         self._published_at = 0.0
@@ -59,6 +60,8 @@
         self._held_until: dict[int, float] = {}
         self._listed_engines: set[int] = set()
         self.table: _routes.RoutingTable | None = None
+        # Names of the targets with a limit; replaced, so that any thread may read it.
+        self.limited_targets: frozenset[str] = frozenset()
 
     @functools.singledispatchmethod
     def handle(self, message: object) -> object:
@@ -95,6 +98,8 @@
     def _forget(self, name: str) -> None:
         self._placer.forget(name)
         self._backoffs.forget(name)
+        self._limits.forget(name)
+        self.limited_targets = self._limits.limited()
 
     def _put(self, target: fleet.Target) -> None:
         previous = self._directory.get(target.name)
@@ -133,6 +138,22 @@
         if self._backoffs.record(name, message.backoff_s, now):
             backoff_s = self._backoffs.remaining_s(name, now)
             telemetry.log_event("target_rests", target=name, rest_s=backoff_s)
+        if message.limit is not None:
+            self._record_limit(message.target, message.limit)
+
+    def _record_limit(self, target: fleet.Target, limit: fleet.RateLimit) -> None:
+        known = self._directory.get(target.name)
+        if known is None or known.started_ms != target.started_ms:
+            return
+        if not self._limits.record(target, limit):
+            return
+        self.limited_targets = self._limits.limited()
+        telemetry.log_event(
+            "target_limit",
+            target=target.name,
+            started_ms=target.started_ms,
+            limit_per_s=limit.per_s,
+        )
 
     def _apply_leaving(self, leaving: frozenset[peers.LeavingTarget]) -> None:
         if not leaving:
@@ -227,6 +248,7 @@
             leaving=target.leaving,
             held=self._is_held(target, now),
             rests_s=round(self._backoffs.remaining_s(target.name, now), 3),
+            limit_per_s=self._limits.per_s(target.name),
             usable=self._placer.health.usable(target.name, now),
             failure_share=round(self._placer.failure_share(target.name, now), 3),
             urgent_tokens=int(load.urgent_tokens),
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -50,12 +50,14 @@
     """State that a target reported in the headers of an answer.
 
     `leaving` applies to the incarnation that answered. During a backoff, given in
-    seconds, the target accepts no calls of this front.
+    seconds, the target accepts no calls of this front. `limit` is None if the answer
+    doesn't tell whether the target has a limit.
     """
 
     target: fleet.Target
     leaving: bool = False
     backoff_s: float = 0.0
+    limit: fleet.RateLimit | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -91,8 +93,9 @@
 class TargetStatus:
     """A target and its load from all fronts.
 
-    `rests_s` is the remaining backoff for this front, in seconds; `failure_share` the
-    share of failures among the recent calls of all fronts.
+    `rests_s` is the remaining backoff for this front, in seconds; `limit_per_s` the
+    requests a second that the target takes from all fronts, None without a limit;
+    `failure_share` the share of failures among the recent calls of all fronts.
     """
 
     name: str
@@ -103,6 +106,7 @@
     leaving: bool
     held: bool
     rests_s: float
+    limit_per_s: float | None
     usable: bool
     failure_share: float
     urgent_tokens: int
--- a/src/turmericward/fleet/__init__.py
+++ b/src/turmericward/fleet/__init__.py
@@ -2,6 +2,7 @@
 
 from turmericward.fleet._backoffs import Backoffs
 from turmericward.fleet._health import Health
+from turmericward.fleet._rate_limits import RateLimit, RateLimits
 from turmericward.fleet._role_mix import EngineLoad
 from turmericward.fleet._roles import RoleChange, RolePlanner
 from turmericward.fleet._targets import Directory, EngineRole, Target
@@ -23,6 +24,8 @@
     "Health",
     "LoadView",
     "Backoffs",
+    "RateLimit",
+    "RateLimits",
     "RoleChange",
     "RolePlanner",
     "Subset",
--- a/src/turmericward/platform/_cache_listing.py
+++ b/src/turmericward/platform/_cache_listing.py
@@ -1,11 +1,10 @@
 """Lists the prefix segments that the platform's replicas have cached."""
 
 import json
-from collections.abc import Callable
 
 import attrs
 
-from turmericward import delivery, fleet, requests, runtime, schema
+from turmericward import fleet, requests, runtime, schema
 from turmericward.adapters import _request, errors
 from turmericward.platform import _headers, _notices
 
@@ -21,13 +20,13 @@
 class ReplicaCacheLister:
     """Lists the KV cache of replicas; see `delivery.EngineCacheLister`."""
 
-    def __init__(self, on_notice: Callable[[delivery.TargetNotice], None]) -> None:
+    def __init__(self, notices: _notices.NoticeReader) -> None:
         """Creates the client.
 
         Args:
-            on_notice: called with notices found in replicas' response headers.
+            notices: reads the headers of replicas' responses.
         """
-        self._on_notice = on_notice
+        self._notices = notices
 
     def cached_segments(self, target: fleet.Target) -> tuple[tuple[int, int], ...]:
         """Returns the numbers of a replica's cached segments, with their tokens."""
@@ -38,7 +37,7 @@
         with _request.closing(conn):
             _request.send(conn, target.address, req)
             resp = _request.read_response_head(conn, target.address)
-            _notices.forward(resp, target, self._on_notice)
+            self._notices.read(resp, target)
             raw = _request.read_whole(conn, resp, target.address, deadline)
         if resp.status != 200:
             raise errors.AnswerLostError(
--- a/src/turmericward/platform/_headers.py
+++ b/src/turmericward/platform/_headers.py
@@ -15,6 +15,8 @@
 STAGE = "Turmericward-Serving-Stage"
 LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
+# Requests a second that the replica takes from all fronts together.
+RATE_LIMIT = "Server-Limit"
 KV_SOURCE = "Turmericward-Kv-Source"
 KV_FETCH = "Kv-Fetch"
 LAST_EVENT_ID = "Last-Event-Id"
--- a/src/turmericward/platform/_notices.py
+++ b/src/turmericward/platform/_notices.py
@@ -1,26 +1,92 @@
-"""Notices that replicas attach to response headers: leaving, and backoff."""
+"""Notices in the headers of replicas' responses: leaving, backoff and rate limit."""
 
 import http.client
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Collection
 
-from turmericward import delivery, fleet
+from absl import logging
+
+from turmericward import delivery, fleet, runtime
 from turmericward.platform import _headers
 
+WARNING_INTERVAL_S = 10.0
+
+
+class NoticeReader:
+    """Reads the notices in responses and passes them on."""
+
+    def __init__(
+        self,
+        on_notice: Callable[[delivery.TargetNotice], None],
+        limited_targets: Callable[[], Collection[str]],
+    ) -> None:
+        """Creates the reader.
+
+        Args:
+            on_notice: called with each notice.
+            limited_targets: returns the names of the targets known to have a limit.
+        """
+        self._on_notice = on_notice
+        self._limited_targets = limited_targets
+
+    def read(
+        self,
+        resp: http.client.HTTPResponse,
+        target: fleet.Target,
+        *,
+        from_target: bool = True,
+        lifts_limit: bool = False,
+    ) -> None:
+        """Passes on the notice in the headers of a response, if there is any.
 
-def forward(
-    resp: http.client.HTTPResponse,
-    target: fleet.Target,
-    on_notice: Callable[[delivery.TargetNotice], None],
-) -> None:
-    """Calls `on_notice` if the response's headers hold a notice of its replica."""
-    leaving = (resp.getheader(_headers.LEAVING) or "").strip() == "1"
-    backoff_s = _seconds(resp.getheader(_headers.RETRY_AFTER))
-    if resp.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
-        backoff_s = 0.0
-    if leaving or backoff_s:
-        on_notice(
-            delivery.TargetNotice(target=target, leaving=leaving, backoff_s=backoff_s)
-        )
+        Args:
+            resp: the response.
+            target: the replica that the request was sent to.
+            from_target: whether that replica sent the response, as far as known.
+            lifts_limit: whether the replica has no limit if the response names none.
+        """
+        leaving = (resp.getheader(_headers.LEAVING) or "").strip() == "1"
+        backoff_s = _seconds(resp.getheader(_headers.RETRY_AFTER))
+        if resp.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+            backoff_s = 0.0
+        limit = None
+        if from_target and resp.status != http.HTTPStatus.MISDIRECTED_REQUEST:
+            limit = self._limit(resp, target, lifts_limit=lifts_limit)
+        if leaving or backoff_s or limit is not None:
+            self._on_notice(
+                delivery.TargetNotice(
+                    target=target, leaving=leaving, backoff_s=backoff_s, limit=limit
+                )
+            )
+
+    def _limit(
+        self, resp, target: fleet.Target, *, lifts_limit: bool
+    ) -> fleet.RateLimit | None:
+        text = resp.getheader(_headers.RATE_LIMIT)
+        if text is None:
+            if lifts_limit and target.name in self._limited_targets():
+                return fleet.RateLimit(per_s=None, observed_at=runtime.now())
+            return None
+        per_s = _rate(text)
+        if per_s is None:
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "target %s names an invalid limit, which is ignored: %.40r",
+                WARNING_INTERVAL_S,
+                target.name,
+                text,
+            )
+            return None
+        return fleet.RateLimit(per_s=per_s, observed_at=runtime.now())
+
+
+def _rate(text: str) -> float | None:
+    """Returns a rate of at least 0, None if the text isn't one."""
+    try:
+        per_s = float(text)
+    except ValueError:
+        return None
+    return per_s if math.isfinite(per_s) and per_s >= 0 else None
 
 
 def _seconds(text: str | None) -> float:
--- a/src/turmericward/platform/_orders.py
+++ b/src/turmericward/platform/_orders.py
@@ -6,7 +6,7 @@
 
 from turmericward import authority, delivery, fleet, runtime, schema
 from turmericward.adapters import _request, errors
-from turmericward.platform import _headers, _records, _store
+from turmericward.platform import _headers, _notices, _records, _store
 
 LEASE_TOPIC = "keyed.leases"
 LEASE_KEY = "roles"
@@ -51,9 +51,15 @@
 class ReplicaOrders:
     """Sends role orders to replicas over HTTP."""
 
-    def __init__(self, holder: str) -> None:
-        """Creates the sender; `holder` names the front that holds the lease."""
+    def __init__(self, holder: str, notices: _notices.NoticeReader) -> None:
+        """Creates the sender.
+
+        Args:
+            holder: names the front that holds the lease.
+            notices: reads the headers of replicas' responses.
+        """
         self._holder = holder
+        self._notices = notices
 
     def state(self, target: fleet.Target) -> delivery.RoleState:
         """Queries a replica's role state; see `delivery.Orders`."""
@@ -102,6 +108,7 @@
                     conn, target.address, req, held, TIMEOUT_S, runtime.now
                 )
             resp = _request.read_response_head(conn, target.address)
+            self._notices.read(resp, target)
             return resp.status, _request.read_whole(
                 conn, resp, target.address, deadline
             )
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -14,6 +14,7 @@
     _cache_listing,
     _follow,
     _ingress,
+    _notices,
     _orders,
     _reload,
     _settings,
@@ -75,6 +76,9 @@
             publish=peer_task.publish_state,
             on_configured=self._apply_table,
         )
+        notices = _notices.NoticeReader(
+            self._dispatch.post, lambda: self._dispatch.limited_targets
+        )
         loops = [
             peers.ReceiveLoop(sock, peer_task),
             self._announce_loop(),
@@ -90,10 +94,10 @@
                 self._targets_pacing(),
                 _follow.TargetsSink(self._dispatch),
             ),
-            self._roles_loop(),
+            self._roles_loop(notices),
             delivery.CacheListingLoop(
                 self._dispatch,
-                _cache_listing.ReplicaCacheLister(self._dispatch.post),
+                _cache_listing.ReplicaCacheLister(notices),
                 seed,
                 lambda: peer_task.polls_targets,
             ),
@@ -103,7 +107,7 @@
         metrics = telemetry.Metrics(None, "")
         ctx = delivery.Context(
             dispatch=self._dispatch,
-            transport=_transport.ReplicaTransport(self._dispatch.post),
+            transport=_transport.ReplicaTransport(notices),
             metrics=metrics,
         )
         limits = httpd.Limits(
@@ -124,7 +128,7 @@
         if table.client_limits is not None:
             self._server.set_client_limits(table.client_limits)
 
-    def _roles_loop(self) -> delivery.RolesLoop:
+    def _roles_loop(self, notices: _notices.NoticeReader) -> delivery.RolesLoop:
         order_gap_s = self._cfg.bounds.order_gap_ms / 1000
         timing = authority.Timing(
             term_s=LEASE_TERM_S,
@@ -137,7 +141,7 @@
             self._dispatch,
             authority.OnDemandLease(holder, timing, runtime.new_id),
             _orders.StoreLease(self._store_client()),
-            _orders.ReplicaOrders(holder),
+            _orders.ReplicaOrders(holder, notices),
             lambda: self._peer_task.polls_targets,
         )
 
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -3,7 +3,7 @@
 import functools
 import http.client
 import json
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 from absl import logging
 
@@ -33,13 +33,13 @@
 class ReplicaTransport:
     """Implements `delivery.Transport` with one connection per call."""
 
-    def __init__(self, on_notice: Callable[[delivery.TargetNotice], None]) -> None:
+    def __init__(self, notices: _notices.NoticeReader) -> None:
         """Creates the transport.
 
         Args:
-            on_notice: called with notices found in replicas' response headers.
+            notices: reads the headers of replicas' responses.
         """
-        self._on_notice = on_notice
+        self._notices = notices
 
     def send(
         self,
@@ -58,7 +58,7 @@
         try:
             _request.send(conn, target.address, _outgoing(target, call, dispatch))
             resp = _request.read_response_head(conn, target.address)
-            _notices.forward(resp, target, self._on_notice)
+            self._read_notices(resp, target, call)
         except BaseException:
             conn.close()
             raise
@@ -69,6 +69,15 @@
         answer.wait_until = functools.partial(setattr, guard, "until")
         return answer
 
+    def _read_notices(self, resp, target: fleet.Target, call: delivery.Call) -> None:
+        answers_call = _answers_call(resp, call)
+        self._notices.read(
+            resp,
+            target,
+            from_target=answers_call,
+            lifts_limit=answers_call and resp.status < http.HTTPStatus.MULTIPLE_CHOICES,
+        )
+
     def prefill(
         self,
         target: fleet.Target,
@@ -135,9 +144,14 @@
     )
 
 
+def _answers_call(resp: http.client.HTTPResponse, call: delivery.Call) -> bool:
+    """Returns whether the response doesn't belong to another call."""
+    return resp.getheader(_headers.CALL_ID, call.id) == call.id
+
+
 def _genuine(resp: http.client.HTTPResponse, call: delivery.Call) -> bool:
     """Returns whether the response comes unmodified from the replica, for this call."""
-    if resp.getheader(_headers.CALL_ID, call.id) != call.id:
+    if not _answers_call(resp, call):
         return False
     if resp.getheader("Content-Encoding") is not None:
         return False
--- a/src/turmericward/programs/_front_status.py
+++ b/src/turmericward/programs/_front_status.py
@@ -43,6 +43,8 @@
     for target in sorted(status["targets"], key=lambda t: (t["service"], t["name"])):
         states = [name for name in ("leaving", "held") if target[name]]
         states += [] if target["usable"] else ["ejected"]
+        if target["limit_per_s"] is not None:
+            states.append(f"limit {target['limit_per_s']:g} requests/s")
         if target["failure_share"]:
             states.append(f"{target['failure_share']:.0%} of calls failed")
         output.append(
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -379,3 +379,56 @@
         status, headers, _ = platform.call("GET", "/read/x", "second")
         check.assertEqual(status, 503)
         check.assertGreater(float(headers["Retry-After"]), 15)
+
+
+# Values of a replica's rate limit, and the limit that the front's status shows.
+LIMITS = [
+    ("4.5", 4.5),
+    (" 7 ", 7.0),
+    ("0", 0.0),
+    ("1e300", 1e300),
+    ("", None),
+    ("-1", None),
+    ("nan", None),
+    ("inf", None),
+    ("4,5", None),
+    ("x" * 3000, None),
+]
+
+
+def _limits_shown(platform) -> dict[str, float | None]:
+    page = launch.request(platform.metrics, "GET", "/status")[2]
+    return {t["name"]: t["limit_per_s"] for t in json.loads(page)["targets"]}
+
+
+def test_limits_that_replicas_name_are_shown_and_malformed_ones_ignored():
+    names = [f"p{n}" for n in range(len(LIMITS))]
+    with platform_fixtures.platform(names) as platform:
+        for name, (text, _) in zip(names, LIMITS, strict=True):
+            platform.replicas[name].headers = (("Server-Limit", text),)
+        for n in range(300):
+            if all(replica.calls for replica in platform.replicas.values()):
+                break
+            platform.call("GET", "/read/x", f"limit-{n}")
+        shown = _limits_shown(platform)
+        for name, (text, per_s) in zip(names, LIMITS, strict=True):
+            check.assertEqual(shown[name], per_s, text[:20])
+        check.assertIn('"message": "target_limit"', platform.log.read_text())
+
+
+def test_an_answer_without_limit_lifts_it_unless_the_target_did_not_serve_it():
+    with platform_fixtures.platform(("p1",)) as platform:
+        replica = platform.replicas["p1"]
+        replica.headers = (("Server-Limit", "1000"),)
+        platform.call("GET", "/read/x", "named")
+        check.assertEqual(_limits_shown(platform), {"p1": 1000.0})
+        replica.headers = ()
+        for fault in ("foreign", "full"):
+            replica.fault = fault
+            platform.call("GET", "/read/x", f"kept-{fault}")
+            check.assertEqual(_limits_shown(platform), {"p1": 1000.0}, fault)
+        replica.fault = ""
+        launch.wait_until(
+            lambda: platform.call("GET", "/read/x", "lifted")[0] == 200, what="answer"
+        )
+        check.assertEqual(_limits_shown(platform), {"p1": None})
