Failing tests: fronts together exceed the rate that a target names

Windows are checked as the rule has it: 4 s, from 3 s after the first naming, 1.5 times the limit and 5 requests, fronts told half a second before.

--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -21,13 +21,17 @@
 
 @attrs.frozen(kw_only=True)
 class ReceivedCall:
-    """One call as received; `ran` is whether its execution began."""
+    """One call as received; `ran` is whether its execution began.
+
+    `at` is when it was received, in monotonic seconds.
+    """
 
     path: str
     call_id: str
     headers: dict[str, str]
     body: bytes
     ran: bool
+    at: float = attrs.field(factory=time.monotonic)
 
 
 _OK = "HTTP/1.1 200 OK\r\nSIGNED"
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -7,7 +7,7 @@
 import time
 
 from standins import launch, platform_replica
-from tests import fixtures, platform_fixtures
+from tests import fixtures, limited_fleet, platform_fixtures
 from turmericward import delivery
 
 check = fixtures.check
@@ -432,3 +432,23 @@
             lambda: platform.call("GET", "/read/x", "lifted")[0] == 200, what="answer"
         )
         check.assertEqual(_limits_shown(platform), {"p1": None})
+
+
+def test_a_front_exceeded_the_rate_that_a_replica_named():
+    per_s = 3.0
+    with platform_fixtures.platform(("p1", "p2")) as platform:
+        limited = platform.replicas["p1"]
+        limited.headers = (("Server-Limit", str(per_s)),)
+        statuses = set()
+        end = time.monotonic() + limited_fleet.SETTLING_S + 2 * limited_fleet.WINDOW_S
+        while time.monotonic() < end:
+            statuses.add(platform.call("GET", "/read/x", "again")[0])
+            time.sleep(0.04)
+        check.assertEqual(statuses, {200})
+        times = [call.at for call in limited.calls]
+        check.assertGreater(len(times), per_s)
+        settled = [at for at in times if at >= times[0] + limited_fleet.SETTLING_S]
+        allowed = limited_fleet.FACTOR * per_s * limited_fleet.WINDOW_S
+        for start in settled:
+            window = [at for at in settled if 0 <= at - start <= limited_fleet.WINDOW_S]
+            check.assertLessEqual(len(window), allowed + limited_fleet.SLACK)
