One aggregate says which targets may get a call: fleet.Admission

Whether a target may get a call now stood in four places of the dispatcher. Directory, leaving, backoffs and holds move into fleet.Admission, which returns the candidates of a call, and why and how long the others are barred. The hash that names a target between fronts moves from requests to fleet, where the directory resolves it; leaving marks no longer scan all targets.

No decision changes but one: the wait of a refusal is that of the targets that are barred, also where others are left that can't take the call.

--- a/benchmarks/front_cost.py
+++ b/benchmarks/front_cost.py
@@ -19,7 +19,7 @@
 
 from benchmarks import _processes, _tables
 from tests import platform_fixtures
-from turmericward import feeds, peers, requests
+from turmericward import feeds, fleet, peers, requests
 
 DOMAINS = 5
 # As in the users' deployments.
@@ -140,7 +140,7 @@
     def _loads(self) -> dict[int, requests.TargetLoad]:
         names = self._random.sample(self._targets, min(2, len(self._targets)))
         return {
-            requests.target_hash(name): requests.TargetLoad(
+            fleet.target_hash(name): requests.TargetLoad(
                 urgent_tokens=self._random.randrange(20_000), open_calls=2
             )
             for name in names
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -46,8 +46,8 @@
             on_configured: called with each routing table that takes effect.
         """
         super().__init__()
-        self._directory = fleet.Directory(grace_s)
-        self._backoffs = fleet.Backoffs()
+        self._admission = fleet.Admission(grace_s)
+        self._directory = self._admission.directory
         self._limits = fleet.RateLimits()
         self._placer = requests.Placer(seed, domain)
         self._budgets = _retry_budgets.RetryBudgets(retries)
@@ -57,7 +57,6 @@
         self._on_configured = on_configured
         self._name = name
         self._domain = domain
-        self._held_until: dict[int, float] = {}
         self._listed_engines: set[int] = set()
         self.table: _routes.RoutingTable | None = None
         # Names of the targets with a limit; replaced, so that any thread may read it.
@@ -97,7 +96,7 @@
 
     def _forget(self, name: str) -> None:
         self._placer.forget(name)
-        self._backoffs.forget(name)
+        self._admission.forget(name)
         self._limits.forget(name)
         self.limited_targets = self._limits.limited()
 
@@ -109,7 +108,7 @@
             self._forget(target.name)
         self._placer.cache_index.set_service(target)
         if previous is not None and previous.role is not target.role:
-            self._held_until.pop(requests.target_hash(target.name), None)
+            self._admission.release(target.name)
         if previous is None or attrs.evolve(previous, slots=target.slots) != target:
             telemetry.log_event(
                 "target_changed",
@@ -135,8 +134,9 @@
         if message.leaving and self._mark_leaving(message.target):
             self._publish_state(leaving=frozenset((_incarnation(message.target),)))
         now = runtime.now()
-        if self._backoffs.record(name, message.backoff_s, now):
-            backoff_s = self._backoffs.remaining_s(name, now)
+        backoffs = self._admission.backoffs
+        if backoffs.record(name, message.backoff_s, now):
+            backoff_s = backoffs.remaining_s(name, now)
             telemetry.log_event("target_rests", target=name, rest_s=backoff_s)
         if message.limit is not None:
             self._record_limit(message.target, message.limit)
@@ -156,10 +156,9 @@
         )
 
     def _apply_leaving(self, leaving: frozenset[peers.LeavingTarget]) -> None:
-        if not leaving:
-            return
-        for target in self._directory.all():
-            if _incarnation(target) in leaving:
+        for incarnation in leaving:
+            target = self._directory.find(incarnation.target, incarnation.started_ms)
+            if target is not None:
                 self._mark_leaving(target)
 
     def _mark_leaving(self, target: fleet.Target) -> bool:
@@ -177,11 +176,8 @@
     def run_periodic(self) -> None:
         """Expires targets, holds and peers; updates budgets, counts overdue calls."""
         now = runtime.now()
-        for name in self._directory.expire(now):
+        for name in self._admission.expire(now):
             self._on_removed(name)
-        self._held_until = {
-            t: until for t, until in self._held_until.items() if until > now
-        }
         for peer in self._placer.peers.expire(now):
             logging.info("peer %s is silent", peer)
         self._budgets.update_peer_count(self._placer.peers.live())
@@ -197,7 +193,7 @@
         self._listed_engines |= message.listed
         self._apply_leaving(message.leaving)
         for target, ttl_s in message.held.items():
-            self._held_until[target] = runtime.now() + ttl_s
+            self._admission.hold(target, runtime.now() + ttl_s)
 
     @handle.register
     def _(self, message: _messages.GetEngines) -> _messages.EnginesView:
@@ -214,7 +210,7 @@
             listed=frozenset(
                 t.name
                 for t in targets
-                if requests.target_hash(t.name) in self._listed_engines
+                if fleet.target_hash(t.name) in self._listed_engines
             ),
         )
 
@@ -246,8 +242,8 @@
             domain=target.domain,
             role=target.role.value if target.role else "",
             leaving=target.leaving,
-            held=self._is_held(target, now),
-            rests_s=round(self._backoffs.remaining_s(target.name, now), 3),
+            held=self._admission.is_held(target.name, now),
+            rests_s=round(self._admission.backoffs.remaining_s(target.name, now), 3),
             limit_per_s=self._limits.per_s(target.name),
             usable=self._placer.health.usable(target.name, now),
             failure_share=round(self._placer.failure_share(target.name, now), 3),
@@ -258,15 +254,15 @@
 
     @handle.register
     def _(self, message: _messages.EngineCacheListing) -> None:
-        target_id = requests.target_hash(message.target.name)
+        target_id = fleet.target_hash(message.target.name)
         self._listed_engines.add(target_id)
         self._placer.cache_index.record_listing(message.target, message.segments)
         self._publish_state(listed=frozenset((target_id,)))
 
     @handle.register
     def _(self, message: _messages.HoldTarget) -> None:
-        target = requests.target_hash(message.name)
-        self._held_until[target] = runtime.now() + message.duration_s
+        target = fleet.target_hash(message.name)
+        self._admission.hold(target, runtime.now() + message.duration_s)
         self._publish_state(held={target: message.duration_s})
 
     def _publish_state(self, **changes) -> None:
@@ -274,9 +270,6 @@
         loads = self._placer.local_loads()
         self._publish(peers.LocalState(loads=loads, cache_entries=entries, **changes))
 
-    def _is_held(self, target: fleet.Target, now: float) -> bool:
-        return self._held_until.get(requests.target_hash(target.name), now) > now
-
     @handle.register
     def _(self, message: _messages.RetryBounds) -> None:
         self._budgets.set_bounds(message)
@@ -299,24 +292,11 @@
         if not message.retry and not message.prefilled:
             budget.earn()
         now = runtime.now()
-        candidates = self._directory.usable(message.service)
-        if message.excluded or self._held_until:
-            candidates = [
-                t
-                for t in candidates
-                if t.name not in message.excluded and not self._is_held(t, now)
-            ]
-        accepting = candidates
-        if self._backoffs:
-            accepting = [
-                t for t in candidates if not self._backoffs.remaining_s(t.name, now)
-            ]
-        chosen = self._choose(message, accepting, now)
-        if chosen is None and len(accepting) < len(candidates):
-            backoff_s = min(self._backoffs.remaining_s(t.name, now) for t in candidates)
-            return _refusal("targets_rest", max(NO_TARGET_RETRY_S, backoff_s))
+        candidates = self._admission.candidates(message.service, message.excluded, now)
+        chosen = self._choose(message, candidates.targets, now)
         if chosen is None:
-            return _refusal("no_target")
+            wait_s = max(NO_TARGET_RETRY_S, candidates.wait_s)
+            return _refusal(candidates.reason, wait_s)
         self._publish_prompt(message.call.prompt)
         return chosen
 
@@ -367,7 +347,7 @@
 
 def _incarnation(target: fleet.Target) -> peers.LeavingTarget:
     return peers.LeavingTarget(
-        target=requests.target_hash(target.name), started_ms=target.started_ms
+        target=fleet.target_hash(target.name), started_ms=target.started_ms
     )
 
 
--- a/src/turmericward/fleet/_targets.py
+++ b/src/turmericward/fleet/_targets.py
@@ -2,6 +2,8 @@
 
 import collections
 import enum
+import functools
+import zlib
 from collections.abc import Collection
 
 import attrs
@@ -11,6 +13,12 @@
 MAX_LEAVING_INCARNATIONS = 10_000
 
 
+@functools.lru_cache(maxsize=20_000)
+def target_hash(name: str) -> int:
+    """Returns the number that identifies a target between fronts."""
+    return zlib.crc32(name.encode()) & 0x7FFFFFFF
+
+
 class EngineRole(enum.Enum):
     """Whether an engine only prefills prompts, or decodes (and may prefill) too."""
 
@@ -55,6 +63,7 @@
         """
         self._grace_s = grace_s
         self._targets: dict[str, Target] = {}
+        self._names_by_hash: dict[int, str] = {}
         self._missing: dict[str, float] = {}
         self._grace_until = 0.0
         # Cache by service, cleared when a target changes.
@@ -82,6 +91,7 @@
         elif (target.name, target.started_ms) in self._leaving:
             return False
         self._targets[target.name] = target
+        self._names_by_hash[target_hash(target.name)] = target.name
         self._usable.clear()
         self._missing.pop(target.name, None)
         return True
@@ -132,6 +142,7 @@
 
     def _drop(self, name: str) -> None:
         self._targets.pop(name, None)
+        self._names_by_hash.pop(target_hash(name), None)
         self._usable.clear()
         self._missing.pop(name, None)
 
@@ -156,6 +167,11 @@
         """Returns the target with this name, if any."""
         return self._targets.get(name)
 
+    def find(self, target: int, started_ms: int) -> Target | None:
+        """Returns an incarnation of a target, given by the hash of its name."""
+        known = self._targets.get(self._names_by_hash.get(target, ""))
+        return known if known and known.started_ms == started_ms else None
+
     def __len__(self) -> int:
         """Returns the number of targets."""
         return len(self._targets)
--- a/src/turmericward/requests/__init__.py
+++ b/src/turmericward/requests/__init__.py
@@ -4,7 +4,6 @@
 from turmericward.requests._cache_index import (
     SHORT_PROMPT_TOKENS,
     CacheEntry,
-    target_hash,
 )
 from turmericward.requests._demand import Demand, demand_of, with_model
 from turmericward.requests._errors import InvalidRequestError, RequestsError
@@ -49,6 +48,5 @@
     "demand_of",
     "segment_number",
     "sum_loads",
-    "target_hash",
     "with_model",
 ]
--- a/src/turmericward/requests/_cache_index.py
+++ b/src/turmericward/requests/_cache_index.py
@@ -2,7 +2,6 @@
 
 import collections
 import functools
-import zlib
 from collections.abc import Iterable
 
 import attrs
@@ -30,12 +29,6 @@
     ready: bool
 
 
-@functools.lru_cache(maxsize=20_000)
-def target_hash(name: str) -> int:
-    """Returns the number that identifies a target between fronts."""
-    return zlib.crc32(name.encode()) & 0x7FFFFFFF
-
-
 class CacheIndex:
     """Models of the engines' KV caches, and entries not yet sent to the peers."""
 
@@ -56,17 +49,17 @@
 
     def set_service(self, target: fleet.Target) -> None:
         """Records the service of a target, which determines its capacity."""
-        target_id = target_hash(target.name)
+        target_id = fleet.target_hash(target.name)
         self._services[target_id] = target.service
         if target_id in self._caches:
             self._caches[target_id].resize(self._capacity(target_id))
 
     def forget(self, name: str) -> None:
         """Drops the state of an engine that was removed or has restarted."""
-        cache = self._caches.pop(target_hash(name), None)
+        cache = self._caches.pop(fleet.target_hash(name), None)
         if cache is not None:
             cache.clear()
-        self._services.pop(target_hash(name), None)
+        self._services.pop(fleet.target_hash(name), None)
 
     def _capacity(self, target: int) -> float:
         service = self._services.get(target, "")
@@ -109,13 +102,13 @@
         engines = self._engines_by_segment.get(largest[0])
         if not engines:
             return []
-        return [t for t in targets if target_hash(t.name) in engines]
+        return [t for t in targets if fleet.target_hash(t.name) in engines]
 
     def record_prompt(
         self, target: fleet.Target, prompt: _prompts.Prompt, *, ready: bool
     ) -> None:
         """Records that a prompt goes to an engine or, if `ready`, was prefilled."""
-        target_id = target_hash(target.name)
+        target_id = fleet.target_hash(target.name)
         segments = prompt.shared_segments or ((0, 0),)
         for index, (segment, tokens) in enumerate(segments, 1):
             own_tokens = prompt.tokens - prompt.shared_tokens
@@ -133,7 +126,7 @@
         self, target: fleet.Target, segments: Iterable[tuple[int, int]]
     ) -> None:
         """Records the segments, with their tokens, that an engine reports as cached."""
-        target_id = target_hash(target.name)
+        target_id = fleet.target_hash(target.name)
         for segment, tokens in segments:
             if tokens >= SHORT_PROMPT_TOKENS:
                 entry = CacheEntry(
@@ -151,7 +144,7 @@
 
     def eviction_share(self, target: fleet.Target, tokens: int) -> float:
         """Returns the share of `tokens` new ones for which others must be evicted."""
-        cache = self._caches.get(target_hash(target.name))
+        cache = self._caches.get(fleet.target_hash(target.name))
         return 0.0 if cache is None else cache.eviction_share(tokens)
 
     def cached_tokens(
@@ -161,7 +154,7 @@
 
         Unless `ready`, includes segments that it is still to prefill.
         """
-        cache = self._caches.get(target_hash(target.name))
+        cache = self._caches.get(fleet.target_hash(target.name))
         return (
             0
             if cache is None
--- a/src/turmericward/requests/_costs.py
+++ b/src/turmericward/requests/_costs.py
@@ -158,7 +158,7 @@
         )
 
     def _failure_cost_s(self, target, at_most_once: bool, now: float) -> float:
-        target_id = _cache_index.target_hash(target.name)
+        target_id = fleet.target_hash(target.name)
         share = self._outcomes.failure_share(target_id, now)
         return share * (LOST_CALL_COST_S if at_most_once else RETRIED_CALL_COST_S)
 
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -93,7 +93,7 @@
         self._latency.forget(name)
         self._speed.forget(name)
         self.cache_index.forget(name)
-        self._outcomes.forget(_cache_index.target_hash(name))
+        self._outcomes.forget(fleet.target_hash(name))
         if name in self._local and not self._local[name].open:
             del self._local[name]
         self.health.succeeded(name)
@@ -102,7 +102,7 @@
     def local_loads(self) -> dict[int, _loads.TargetLoad]:
         """Returns the local load by target, without targets that were never used."""
         return {
-            _cache_index.target_hash(name): calls.load()
+            fleet.target_hash(name): calls.load()
             for name, calls in self._local.items()
             if calls.open or calls.ended_calls
         }
@@ -119,12 +119,12 @@
     def load(self, name: str) -> _loads.TargetLoad:
         """Returns the load of all fronts at a target."""
         calls = self._local.get(name)
-        peers = self.peers.load_at(_cache_index.target_hash(name))
+        peers = self.peers.load_at(fleet.target_hash(name))
         return peers if calls is None else calls.load() + peers
 
     def failure_share(self, name: str, now: float) -> float:
         """Returns the share of all fronts' recent calls at a target that failed."""
-        return self._outcomes.failure_share(_cache_index.target_hash(name), now)
+        return self._outcomes.failure_share(fleet.target_hash(name), now)
 
     def _accepting(self, targets, now: float) -> list[fleet.Target]:
         """Returns the targets that are neither ejected nor in refusal backoff."""
@@ -335,7 +335,7 @@
         calls = self._local[name]
         calls.ended_calls += 1
         calls.failed_calls += failed
-        self._outcomes.ended(_cache_index.target_hash(name), 1, int(failed), now)
+        self._outcomes.ended(fleet.target_hash(name), 1, int(failed), now)
 
     def streamed(self, placement: _in_flight.Placement, now: float) -> None:
         """Records that a response was streamed to its end."""
--- a/tests/test_cache_listing_loop.py
+++ b/tests/test_cache_listing_loop.py
@@ -5,7 +5,7 @@
 
 from standins import platform_replica
 from tests import fixtures, platform_fixtures
-from turmericward import delivery, fleet, peers, requests
+from turmericward import delivery, fleet, peers
 from turmericward.adapters import errors
 from turmericward.platform import _cache_listing
 
@@ -22,7 +22,7 @@
     )
     for n in range(3)
 )
-TARGET_IDS = frozenset(requests.target_hash(t.name) for t in ENGINES)
+TARGET_IDS = frozenset(fleet.target_hash(t.name) for t in ENGINES)
 
 
 class _Lister:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -117,7 +117,7 @@
 def test_held_target_gets_no_calls_until_its_role_changes():
     task = _task()
     task.handle(delivery.PutTargets(targets=(_target("a"),)))
-    _receive_peer_state(task, "front-1", held={requests.target_hash("a"): 8.0})
+    _receive_peer_state(task, "front-1", held={fleet.target_hash("a"): 8.0})
     check.assertEqual(_place(task).unwrap_err().reason, "no_target")
     changed = _target("a", fleet.EngineRole.PREFILL)
     task.handle(delivery.PutTargets(targets=(changed, _target("b"))))
@@ -179,7 +179,7 @@
     _notice(task, "e1", leaving=True)
     _notice(task, "e1", leaving=True)
     incarnations = [incarnation for state in published for incarnation in state.leaving]
-    target_id = requests.target_hash("e1")
+    target_id = fleet.target_hash("e1")
     check.assertEqual(
         incarnations, [peers.LeavingTarget(target=target_id, started_ms=0)]
     )
@@ -191,7 +191,7 @@
     task = _task()
     engines = (attrs.evolve(_target(name), slots=64) for name in ("e1", "e2"))
     task.handle(delivery.PutTargets(targets=tuple(engines)))
-    target_id = requests.target_hash("e1")
+    target_id = fleet.target_hash("e1")
     for started_ms, names in ((5, {"e1", "e2"}), (0, {"e2"})):
         incarnation = peers.LeavingTarget(target=target_id, started_ms=started_ms)
         state = peers.PeerState(
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -46,7 +46,7 @@
 
 def test_failures_reported_by_peers_count_like_local_ones():
     targets = prompt_model.targets(0, 2)
-    placer, number = _placer(), requests.target_hash("e0")
+    placer, number = _placer(), fleet.target_hash("e0")
     for n in range(20):
         load = requests.TargetLoad(ended_calls=3 * n, failed_calls=n)
         placer.peers.replace("peer", {number: load}, n / 10)
@@ -55,7 +55,7 @@
 
 
 def test_a_restarted_peer_reports_no_failures():
-    placer, number = _placer(), requests.target_hash("e0")
+    placer, number = _placer(), fleet.target_hash("e0")
     for load in (
         requests.TargetLoad(ended_calls=90, failed_calls=30),
         requests.TargetLoad(ended_calls=1, failed_calls=0),
@@ -68,7 +68,7 @@
     (target,) = prompt_model.targets(0, 1)
     placer = _placer()
     placement = placer.choose_engine(_prompt(), [target], AT_MOST_ONCE, 0.0).unwrap()
-    number = requests.target_hash(target.name)
+    number = fleet.target_hash(target.name)
     placer.count_overdue(0.5)
     check.assertEqual(placer._outcomes.failure_share(number, 0.5), 0.0)
     placer.count_overdue(1.5)
@@ -133,6 +133,6 @@
     for _ in range(30):
         placer.choose_engine(_prompt(), [full], AT_MOST_ONCE, 0.0)
     peers = requests.TargetLoad(urgent_tokens=8_000.0, open_calls=3)
-    placer.peers.replace("p", {requests.target_hash(free.name): peers}, 0.0)
+    placer.peers.replace("p", {fleet.target_hash(free.name): peers}, 0.0)
     chosen = placer.choose_engine(_prompt(), [full, free], AT_MOST_ONCE, 0.0).unwrap()
     check.assertEqual(chosen.target, free)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -254,7 +254,7 @@
     (engine,) = prompt_model.targets(0, 1)
     entries = [
         requests.CacheEntry(
-            target=requests.target_hash(engine.name),
+            target=fleet.target_hash(engine.name),
             segment=requests.segment_number("m", subject),
             tokens=13_000,
             own_tokens=4_000,
@@ -391,7 +391,7 @@
     segment = _long().shared_segments[0][0]
     for target, number in ((source, segment), *((t, 99) for t in others)):
         entry = requests.CacheEntry(
-            target=requests.target_hash(target.name),
+            target=fleet.target_hash(target.name),
             segment=number,
             tokens=13_000,
             own_tokens=0,
@@ -399,7 +399,7 @@
         )
         placer.cache_index.apply(entry)
     busy = requests.TargetLoad(urgent_tokens=28_000.0, open_calls=3)
-    placer.peers.replace("peer", {requests.target_hash(source.name): busy}, 0.0)
+    placer.peers.replace("peer", {fleet.target_hash(source.name): busy}, 0.0)
     return placer.choose_engine(_long(), targets, DEADLINES, 0.0).unwrap()
 
 
--- a/tests/test_shortlist.py
+++ b/tests/test_shortlist.py
@@ -42,7 +42,7 @@
     loads = {}
     for engine in engines:
         placer.cache_index.set_service(engine)
-        number = requests.target_hash(engine.name)
+        number = fleet.target_hash(engine.name)
         loads[number] = requests.TargetLoad(
             urgent_tokens=rng.choice((0.0, 20_000.0)) * rng.random(),
             open_calls=rng.randrange(12),
@@ -108,7 +108,7 @@
     engines = _engines(200)
     placer = _placer(engines, 1)
     engine = engines[77]
-    number = requests.target_hash(engine.name)
+    number = fleet.target_hash(engine.name)
     segment = requests.segment_number("m", "rare")
     entry = requests.CacheEntry(
         target=number, segment=segment, tokens=13_000, own_tokens=0, ready=True
@@ -128,7 +128,7 @@
     engines = _engines(30)
     placer = _placer(engines, 1)
     segment = requests.segment_number("m", "rare")
-    number = requests.target_hash(engines[3].name)
+    number = fleet.target_hash(engines[3].name)
     placer.cache_index.apply(
         requests.CacheEntry(
             target=number, segment=segment, tokens=13_000, own_tokens=0, ready=True
