Publish loads anew when those that peers were told are outdated

The dispatcher now publishes at most half a second later if its loads differ from those it sent. An idle front sends nothing more. The test failed before (1 != 0).

--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -14,6 +14,9 @@
 URGENT_PRIORITY = 0
 SHORT_PROMPT_PUBLISH_INTERVAL_S = 0.05
 PERIOD_S = 0.1
+# Loads that differ from the published ones are published after this time at the
+# latest; calls without prompt cause no publication themselves.
+MAX_PUBLISH_INTERVAL_S = 0.5
 # A call with less than this share of its route's longest deadline is treated as
 # repeated by a client that was refused before.
 MIN_FIRST_CALL_DEADLINE_SHARE = 0.8
@@ -52,6 +55,7 @@
         self._placer = requests.Placer(seed, domain)
         self._budgets = _retry_budgets.RetryBudgets(retries)
         self._published_at = 0.0
+        self._published_loads: dict[int, requests.TargetLoad] = {}
         self._max_deadline_s: dict[str, float] = collections.defaultdict(float)
         self._publish = publish
         self._on_configured = on_configured
@@ -220,10 +224,14 @@
         self._budgets.update_peer_count(live_peers)
         if self._admission.limits.members.set_min_count(live_peers + 1):
             self._admission.limits.update_shares(now)
-        if self._limits_changed:
-            self._limits_changed = False
-            self._publish_state()
         self._placer.count_overdue(now)
+        if self._limits_changed or self._are_published_loads_outdated(now):
+            self._publish_state()
+
+    def _are_published_loads_outdated(self, now: float) -> bool:
+        if now - self._published_at < MAX_PUBLISH_INTERVAL_S:
+            return False
+        return self._placer.local_loads() != self._published_loads
 
     @handle.register
     def _(self, message: peers.PeerState) -> None:
@@ -320,6 +328,9 @@
     def _publish_state(self, **changes) -> None:
         entries = tuple(self._placer.cache_index.pop_unsent())
         loads = self._placer.local_loads()
+        self._published_loads = loads
+        self._published_at = runtime.now()
+        self._limits_changed = False
         self._publish(
             peers.LocalState(
                 loads=loads,
@@ -340,7 +351,6 @@
         now = runtime.now()
         long = prompt.tokens >= requests.SHORT_PROMPT_TOKENS
         if long or now - self._published_at >= SHORT_PROMPT_PUBLISH_INTERVAL_S:
-            self._published_at = now
             self._publish_state()
 
     @handle.register
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,9 +1,12 @@
 """Dispatcher: retry budgets, repeated calls, holds, backoffs and versions."""
 
+from unittest import mock
+
 import attrs
 
 from tests import fixtures
 from turmericward import delivery, fleet, peers, requests, runtime
+from turmericward.delivery import _messages
 
 check = fixtures.check
 ROUTE = delivery.Route(
@@ -213,3 +216,26 @@
     check.assertEqual(refusal.reason, "targets_rest")
     check.assertGreater(refusal.retry_after_s, 3.0)
     check.assertLessEqual(refusal.retry_after_s, 4.0)
+
+
+def test_a_load_that_peers_were_told_does_not_outlast_its_calls():
+    published = []
+    task = _task(publish=published.append)
+    task.handle(delivery.PutTargets(targets=(_target("p", role=None),)))
+    call = attrs.evolve(_call(8.0), prompt=None)
+    placement = _place(task, call=call).unwrap()
+    task.handle(_messages.HoldTarget(name="p", duration_s=1.0))
+    target_id = fleet.target_hash("p")
+    check.assertEqual(published[-1].loads[target_id].open_calls, 1)
+    task.handle(
+        delivery.PlacementEnded(
+            placement=placement, prompt=None, ending=requests.Ending.SUCCEEDED
+        )
+    )
+    later = runtime.now() + 1.0
+    with mock.patch.object(runtime, "now", lambda: later):
+        task.run_periodic()
+        sent = len(published)
+        task.run_periodic()
+    check.assertEqual(published[-1].loads[target_id].open_calls, 0)
+    check.assertEqual(len(published), sent)
