A call waits for its turn at a limited target while it would still be on time

With all targets of a service limited, a front refused calls for which the next token of its share was a few tenths of a second away; and the part of the burst kept for urgent calls was kept also where none came. Now a limited target counts as that much slower: placements add the wait to the expected time, plain calls prefer a free replica, and a front holds a call back until its turn, checking for its client. Waits go up to the soft deadline, since longer ones make all calls late under overload; decodes of prefilled prompts wait up to the hard one. The reserve holds for 5 s after an urgent call.

--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -1,5 +1,7 @@
 """Delivers one call: placement, attempts at targets, and the reply."""
 
+import time
+
 import attrs
 
 from turmericward import requests, runtime
@@ -23,6 +25,8 @@
 # resumed at another target.
 EVENT_TIMEOUT_PER_GAP = 4.0
 MIN_EVENT_TIMEOUT_S = 1.0
+# How often a call that waits for its turn at a target checks for its client.
+DISCONNECT_POLL_S = 0.1
 CLIENT_CLOSED_REQUEST = 499
 
 
@@ -100,8 +104,16 @@
             self._progress.abandon(refusal.reason, refusal.retry_after_s)
         self._placement = chosen.unwrap()
         self._target = self._placement.target.name
-        self._sent_at = runtime.now()
         self._record.log_placement(self._placement)
+        self._await_start(runtime.now() + self._placement.start_after_s)
+        self._sent_at = runtime.now()
+
+    def _await_start(self, start: float) -> None:
+        """Waits until the target's rate limit allows the call."""
+        while (remaining_s := start - runtime.now()) > 0:
+            if self._call.disconnected():
+                raise _ClientDisconnectedError
+            time.sleep(min(remaining_s, DISCONNECT_POLL_S))
 
     def _prefill(self) -> None:
         """Runs a separate prefill if the placement asks for one; stores its handle."""
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -368,10 +368,15 @@
         if not message.retry and not message.prefilled:
             budget.earn()
         now = runtime.now()
+        deadlines = self._deadlines(message.call, now)
         candidates = self._admission.candidates(
-            message.service, message.excluded, now, urgent=_is_urgent(message)
+            message.service,
+            message.excluded,
+            now,
+            urgent=_is_urgent(message),
+            max_wait_s=_max_wait_s(message, deadlines),
         )
-        chosen = self._choose(message, candidates.targets, now)
+        chosen = self._choose(message, candidates, deadlines, now)
         if chosen is None:
             retry_after_s = self._admission.return_after_s(candidates, now)
             return _refusal(candidates.reason, retry_after_s)
@@ -380,18 +385,25 @@
         self._publish_prompt(message.call.prompt)
         return chosen
 
-    def _choose(self, message: _messages.Place, targets, now: float):
-        call = message.call
-        if call.prompt is None:
-            return _as_result(self._placer.choose_replica(targets, now))
-        deadlines = self._deadlines(call, now)
+    def _choose(
+        self,
+        message: _messages.Place,
+        candidates: fleet.Candidates,
+        deadlines: requests.Deadlines,
+        now: float,
+    ):
+        prompt = message.call.prompt
+        targets, waits_s = candidates.targets, candidates.waits_s
+        if prompt is None:
+            return _as_result(self._placer.choose_replica(targets, now, waits_s))
         if message.prefilled:
+            domain = message.prefill_domain
             return _as_result(
                 self._placer.choose_decode_engine(
-                    call.prompt, message.prefill_domain, targets, deadlines, now
+                    prompt, domain, targets, deadlines, now, waits_s
                 )
             )
-        return self._placer.choose_engine(call.prompt, targets, deadlines, now)
+        return self._placer.choose_engine(prompt, targets, deadlines, now, waits_s)
 
     def _deadlines(self, call, now: float) -> requests.Deadlines:
         route = call.route
@@ -447,5 +459,16 @@
     )
 
 
+def _max_wait_s(message: _messages.Place, deadlines: requests.Deadlines) -> float:
+    """Returns how long a call may wait for its turn at a target with a rate limit.
+
+    Longer waits would make all calls late as soon as more come than the target takes;
+    a prompt that is prefilled already is worth more.
+    """
+    if message.prefilled:
+        return deadlines.hard_deadline_s
+    return deadlines.soft_deadline_s
+
+
 def _refusal(reason: str, retry_after_s: float):
     return result.Err(requests.Refusal(reason=reason, retry_after_s=retry_after_s))
--- a/src/turmericward/delivery/_record.py
+++ b/src/turmericward/delivery/_record.py
@@ -33,6 +33,7 @@
             work_tokens=round(placement.uncached_tokens),
             ahead_tokens=round(placement.queued_tokens),
             deferred=placement.deferred,
+            start_after_s=round(placement.start_after_s, 3),
             deadline_s=self._call.deadline_s,
             expected_s=round(placement.expected_s, 3),
             cost_s=round(placement.cost_s, 3),
--- a/src/turmericward/fleet/_admission.py
+++ b/src/turmericward/fleet/_admission.py
@@ -1,7 +1,7 @@
 """Which targets may get a call of this front now, and when the others may."""
 
 import math
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence, Set
 
 import attrs
 
@@ -12,6 +12,8 @@
 LIMITED = "targets_limited"
 # Shortest wait of a refused call.
 MIN_RETURN_S = 0.5
+# How long after an urgent call others leave a part of the limits to further ones.
+URGENT_MEMORY_S = 5.0
 
 
 @attrs.frozen(kw_only=True)
@@ -24,16 +26,18 @@
 
 @attrs.frozen(kw_only=True)
 class Candidates:
-    """Targets of a service that may get a call now.
+    """Targets of a service that may get a call now, or soon.
 
-    `reason` is why a call is refused if none of them can take it; `wait_s` is the
-    time until a further target may get it, at least `MIN_RETURN_S`.
+    `waits_s` has the targets that take the call only after a time. `reason` is why a
+    call is refused if none of them can take it; `return_s` is the time until a
+    further target may get it, at least `MIN_RETURN_S`.
     """
 
     service: str
     targets: Sequence[_targets.Target]
+    waits_s: Mapping[str, float] = attrs.field(factory=dict)
     reason: str = NO_TARGET
-    wait_s: float = MIN_RETURN_S
+    return_s: float = MIN_RETURN_S
     barred: frozenset[str] = frozenset()
 
 
@@ -55,8 +59,10 @@
         self.limits = _rate_limits.RateLimits(front)
         self._return_times = _return_times.ReturnTimes()
         self._held_until: dict[int, float] = {}
+        # When each service last got an urgent call.
+        self._urgent_at: dict[str, float] = {}
         # The latest result of `_without` for each service, with its arguments.
-        self._filtered: dict[str, tuple[Sequence, frozenset, tuple]] = {}
+        self._filtered: dict[str, tuple[Sequence, Set, tuple]] = {}
 
     def forget(self, name: str) -> None:
         """Drops what a target asked for that was removed or has restarted."""
@@ -94,6 +100,7 @@
         now: float,
         *,
         urgent: bool = True,
+        max_wait_s: float = 0.0,
     ) -> Candidates:
         """Returns the targets of a service that may get a call.
 
@@ -102,7 +109,11 @@
             excluded: names of targets that this call must not go to.
             now: monotonic seconds.
             urgent: whether the call goes before others at targets with a rate limit.
+            max_wait_s: how long the call can wait for a target with a rate limit.
         """
+        if urgent:
+            self._urgent_at[service] = now
+        reserve = not urgent and self._gets_urgent_calls(service, now)
         allowed = self.directory.usable(service)
         if excluded or self._held_until:
             allowed = [
@@ -110,20 +121,33 @@
                 for t in allowed
                 if t.name not in excluded and not self.is_held(t.name, now)
             ]
-        bars = self._bars(now, urgent=urgent)
-        accepting = self._without(service, allowed, frozenset(bars))
+        bars = self._bars(now, reserve=reserve)
+        waits_s = {
+            name: bar.wait_s
+            for name, bar in bars.items()
+            if bar.reason == LIMITED and bar.wait_s <= max_wait_s
+        }
+        accepting = self._without(service, allowed, bars.keys() - waits_s.keys())
         if len(accepting) == len(allowed):
-            return Candidates(service=service, targets=allowed)
-        barred = {t.name: bars[t.name] for t in allowed if t.name in bars}
+            return Candidates(service=service, targets=allowed, waits_s=waits_s)
+        barred = {
+            t.name: bars[t.name]
+            for t in allowed
+            if t.name in bars and t.name not in waits_s
+        }
         return Candidates(
             service=service,
             targets=accepting,
+            waits_s=waits_s,
             reason=_reason(barred),
-            wait_s=_wait_s(barred),
+            return_s=_return_s(barred),
             barred=frozenset(barred),
         )
 
-    def _bars(self, now: float, *, urgent: bool) -> dict[str, _Bar]:
+    def _gets_urgent_calls(self, service: str, now: float) -> bool:
+        return now - self._urgent_at.get(service, -math.inf) < URGENT_MEMORY_S
+
+    def _bars(self, now: float, *, reserve: bool) -> dict[str, _Bar]:
         """Returns the targets in backoff and those whose limit is used up."""
         waits = {name: self.backoffs.remaining_s(name, now) for name in self.backoffs}
         bars = {
@@ -132,13 +156,13 @@
             if wait_s
         }
         for name in self.limits.limited():
-            wait_s = self.limits.wait_s(name, now, urgent=urgent)
+            wait_s = self.limits.wait_s(name, now, reserve=reserve)
             if wait_s and (name not in bars or wait_s > bars[name].wait_s):
                 bars[name] = _Bar(reason=LIMITED, wait_s=wait_s)
         return bars
 
     def _without(
-        self, service: str, targets: Sequence[_targets.Target], names: frozenset[str]
+        self, service: str, targets: Sequence[_targets.Target], names: Set[str]
     ) -> Sequence[_targets.Target]:
         """Returns the targets without the named ones, as the same object if possible.
 
@@ -160,11 +184,11 @@
     def return_after_s(self, candidates: Candidates, now: float) -> float:
         """Returns when a call that none of the candidates can take may return."""
         if candidates.reason != LIMITED:
-            return candidates.wait_s
+            return candidates.return_s
         shares = (self.limits.share(name) for name in candidates.barred)
         per_s = sum(share.per_s for share in shares if share is not None)
         return self._return_times.reserve_s(
-            candidates.service, candidates.wait_s, per_s, now
+            candidates.service, candidates.return_s, per_s, now
         )
 
 
@@ -173,6 +197,6 @@
     return LIMITED if LIMITED in reasons else IN_BACKOFF
 
 
-def _wait_s(bars: Mapping[str, _Bar]) -> float:
+def _return_s(bars: Mapping[str, _Bar]) -> float:
     known = (bar.wait_s for bar in bars.values() if math.isfinite(bar.wait_s))
     return max(MIN_RETURN_S, min(known, default=MIN_RETURN_S))
--- a/src/turmericward/fleet/_rate_limits.py
+++ b/src/turmericward/fleet/_rate_limits.py
@@ -109,20 +109,20 @@
 
     # Requests.
 
-    def wait_s(self, name: str, now: float, *, urgent: bool = True) -> float:
+    def wait_s(self, name: str, now: float, *, reserve: bool = False) -> float:
         """Returns when a call may go to a target: 0 now, infinite if not from here.
 
         Args:
             name: name of the target.
             now: monotonic seconds.
-            urgent: whether the call goes before others.
+            reserve: whether the call leaves a part of the burst to urgent ones.
         """
         bucket = self._bucket(name)
         if bucket is None:
             return 0.0
         bucket.refill(now)
         needed = 1.0
-        if not urgent:
+        if reserve:
             needed += URGENT_BURST_SHARE * max(0.0, bucket.share.burst - 1.0)
         missing = needed - bucket.tokens
         if missing <= EPSILON:
@@ -130,7 +130,7 @@
         return missing / bucket.share.per_s if bucket.share.per_s else math.inf
 
     def spend(self, name: str, now: float) -> None:
-        """Takes a token for a request, also if there is none."""
+        """Takes a token for a request, or the next one that will be added."""
         bucket = self._bucket(name)
         if bucket is not None:
             bucket.refill(now)
--- a/src/turmericward/requests/_costs.py
+++ b/src/turmericward/requests/_costs.py
@@ -1,6 +1,6 @@
 """Costs of placing a call at an engine, in seconds of its and other calls' delay."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -51,11 +51,15 @@
 
 @attrs.frozen(kw_only=True)
 class Query:
-    """A prompt to place at `now` (monotonic seconds)."""
+    """A prompt to place at `now` (monotonic seconds).
+
+    `waits_s` has the engines that take it only after a time.
+    """
 
     prompt: _prompts.Prompt
     deadlines: _in_flight.Deadlines
     now: float
+    waits_s: Mapping[str, float] = attrs.field(factory=dict)
 
 
 class EngineCosts:
@@ -140,7 +144,9 @@
             )
         uncached = _speed.effective_tokens(max(1.0, prompt.tokens - cached), cached)
         queued = load.queued_tokens(deferred=deferred)
-        expected_s = extra_s + self._speed.expected_s(target, queued + uncached)
+        start_after_s = query.waits_s.get(target.name, 0.0)
+        expected_s = start_after_s + extra_s
+        expected_s += self._speed.expected_s(target, queued + uncached)
         expected_s += self._hold_time.wait_s(target, load.open_calls)
         adjusted_s = expected_s + imposed_s
         at_most_once = query.deadlines.at_most_once and not prefill_only
@@ -153,6 +159,7 @@
             expected_s=expected_s,
             adjusted_s=adjusted_s,
             cost_s=adjusted_s + self._failure_cost_s(target, at_most_once, query.now),
+            start_after_s=start_after_s,
             deferred=deferred,
             prefill_only=prefill_only,
         )
@@ -173,7 +180,8 @@
             target: engine.
         """
         load = self._load(target.name)
-        expected_s = load.open_calls * SECONDS_PER_OPEN_CALL
+        start_after_s = query.waits_s.get(target.name, 0.0)
+        expected_s = start_after_s + load.open_calls * SECONDS_PER_OPEN_CALL
         queued = load.queued_tokens(deferred=False)
         expected_s += queued * self._speed.per_token(target)
         expected_s += self._hold_time.wait_s(target, load.open_calls)
@@ -185,5 +193,9 @@
             cost_s += CROSS_DOMAIN_COST_S
         cost_s += self._failure_cost_s(target, query.deadlines.at_most_once, query.now)
         return _in_flight.Placement(
-            id=0, target=target, expected_s=expected_s, cost_s=cost_s
+            id=0,
+            target=target,
+            expected_s=expected_s,
+            cost_s=cost_s,
+            start_after_s=start_after_s,
         )
--- a/src/turmericward/requests/_in_flight.py
+++ b/src/turmericward/requests/_in_flight.py
@@ -51,7 +51,8 @@
     in effective tokens). The first token is expected after `expected_s`;
     `adjusted_s` adds the delay imposed on other calls, and `cost_s` also the
     expected cost of failures of the target. The call was sent at `placed_at`
-    (monotonic seconds). `deferred` calls queue behind those that can still meet their
+    (monotonic seconds), or is to be sent `start_after_s` later since the target limits
+    its rate. `deferred` calls queue behind those that can still meet their
     soft deadline. With `prefill_only` another target decodes.
     """
 
@@ -64,6 +65,7 @@
     adjusted_s: float = 0.0
     cost_s: float = 0.0
     placed_at: float = 0.0
+    start_after_s: float = 0.0
     deferred: bool = False
     prefill_only: bool = False
 
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -10,6 +10,8 @@
 
 import collections
 import random
+import types
+from collections.abc import Mapping
 
 import attrs
 import result
@@ -48,6 +50,7 @@
 LONG_PREFILL_TOKENS = 1_000.0
 # Weight of a replica's recent failure share relative to its open calls.
 FAILURE_WEIGHT = 10.0
+NO_WAITS: Mapping[str, float] = types.MappingProxyType({})
 
 
 class Placer:
@@ -142,15 +145,29 @@
 
     # Replicas of plain services.
 
-    def choose_replica(self, targets, now: float) -> _in_flight.Placement | None:
-        """Chooses a replica of a plain service by its open calls and its latency."""
+    def choose_replica(
+        self, targets, now: float, waits_s: Mapping[str, float] = NO_WAITS
+    ) -> _in_flight.Placement | None:
+        """Chooses a replica of a plain service by its open calls and its latency.
+
+        Args:
+            targets: replicas of the service.
+            now: monotonic seconds.
+            waits_s: replicas that take the call only after a time, used if no other
+                is left.
+        """
         usable = self._usable(targets, now)
         if not usable:
             return None
         self._random.shuffle(usable)
+        min_wait_s = min(waits_s.get(t.name, 0.0) for t in usable)
+        usable = [t for t in usable if waits_s.get(t.name, 0.0) == min_wait_s]
         fastest_s = self._latency.fastest(t.name for t in usable)
         best = min(usable, key=lambda t: self._replica_score(t, fastest_s, now))
-        return self._assign(_in_flight.Placement(id=0, target=best), now)
+        placement = _in_flight.Placement(
+            id=0, target=best, expected_s=min_wait_s, start_after_s=min_wait_s
+        )
+        return self._assign(placement, now)
 
     def _replica_score(
         self, target: fleet.Target, fastest_s: float, now: float
@@ -169,17 +186,29 @@
         targets,
         deadlines: _in_flight.Deadlines,
         now: float,
+        waits_s: Mapping[str, float] = NO_WAITS,
     ) -> result.Result[_in_flight.Placement, _router.Refusal] | None:
         """Chooses the engine that prefills a prompt, and may decode it as well.
 
-        Returns None if no usable engine could decode afterwards.
+        Args:
+            prompt: the prompt.
+            targets: engines of the service.
+            deadlines: how long the client still waits.
+            now: monotonic seconds.
+            waits_s: engines that take the prompt only after a time.
+
+        Returns:
+            The placement or a refusal; None if no usable engine could decode
+            afterwards.
         """
         usable = self._candidates(prompt, targets, now)
         if not _any_can_decode(usable):
             usable = self._usable(targets, now)
         if not _any_can_decode(usable):
             return None
-        query = _costs.Query(prompt=prompt, deadlines=deadlines, now=now)
+        query = _costs.Query(
+            prompt=prompt, deadlines=deadlines, now=now, waits_s=waits_s
+        )
         best = self._best(query, usable)
         if best.adjusted_s > deadlines.hard_deadline_s:
             retry_s = max(
@@ -250,6 +279,7 @@
         targets,
         deadlines: _in_flight.Deadlines,
         now: float,
+        waits_s: Mapping[str, float] = NO_WAITS,
     ) -> _in_flight.Placement | None:
         """Chooses the engine that decodes after a separate prefill.
 
@@ -259,11 +289,14 @@
             targets: engines of the service.
             deadlines: how long the client still waits.
             now: monotonic seconds.
+            waits_s: engines that take the prompt only after a time.
         """
         usable = self._candidates(prompt, targets, now, decode=True)
         if not usable:
             return None
-        query = _costs.Query(prompt=prompt, deadlines=deadlines, now=now)
+        query = _costs.Query(
+            prompt=prompt, deadlines=deadlines, now=now, waits_s=waits_s
+        )
         placements = [
             self._costs.decode_placement(query, prefill_domain, target)
             for target in usable
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -77,9 +77,10 @@
 
     def windows_over_limit(self, *, told_only: bool = False) -> list[str]:
         """Returns a line for each window with more requests than allowed."""
-        if not self.limits:
+        named_at = [at for at, per_s in self.limits if per_s is not None]
+        if not named_at:
             return []
-        first_named_at = min(at for at, per_s in self.limits if per_s is not None)
+        first_named_at = min(named_at)
         counted = sorted(
             a.at for a in self.arrivals if not told_only or self._is_told(a)
         )
@@ -169,6 +170,8 @@
         """Creates fronts that know each other and all targets."""
         self.now = 0.0
         self.servers = {s.target.name: s for s in servers}
+        # Earlier incarnations of restarted targets.
+        self.retired: list[Server] = []
         self.calls: list[ClientCall] = []
         self.fronts: dict[str, Front] = {}
         self.cut_domains: set[str] = set()
@@ -250,6 +253,28 @@
         """Ends a front without notice."""
         self.fronts[name].up = False
 
+    def freeze_front(self, name: str, for_s: float) -> None:
+        """Suspends a front; what arrives meanwhile is handled afterwards."""
+        self.fronts[name].frozen_until = self.now + for_s
+
+    def restart_server(self, name: str) -> None:
+        """Replaces a target by its next incarnation, which names its limit anew."""
+        old = self.servers[name]
+        target = attrs.evolve(old.target, started_ms=old.target.started_ms + 1)
+        self.retired.append(old)
+        named = [(self.now, old.limit_at(self.now))]
+        self.servers[name] = Server(
+            target=target,
+            service_s=old.service_s,
+            limits=named + [row for row in old.limits if row[0] > self.now],
+        )
+        for front in self.fronts.values():
+            self.schedule(self.now + 0.2, self._announce, front, target)
+
+    def _announce(self, front: Front, target: fleet.Target) -> None:
+        if self._is_running(front):
+            front.dispatch.handle(delivery.PutTargets(targets=(target,)))
+
     def _is_running(self, front: Front) -> bool:
         return front.up and self.fronts[front.name] is front
 
@@ -350,8 +375,9 @@
         if placed.is_err():
             self._refuse(call, placed.unwrap_err())
             return
-        args = (front, call, placed.unwrap())
-        self.schedule(self.now + NETWORK_DELAY_S, self._reach, *args)
+        placement = placed.unwrap()
+        when = self.now + placement.start_after_s + NETWORK_DELAY_S
+        self.schedule(when, self._reach, front, call, placement)
 
     def _refuse(self, call: ClientCall, refusal: requests.Refusal) -> None:
         call.refused = True
@@ -410,7 +436,7 @@
         """Returns the windows of all targets with more requests than allowed."""
         return [
             line
-            for server in self.servers.values()
+            for server in (*self.servers.values(), *self.retired)
             for line in server.windows_over_limit(told_only=told_only)
         ]
 
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -6,7 +6,7 @@
 import attrs
 
 from tests import fixtures, test_dispatch
-from turmericward import delivery, fleet, requests, runtime, telemetry
+from turmericward import delivery, fleet, peers, requests, runtime, telemetry
 from turmericward.adapters import errors
 
 check = fixtures.check
@@ -315,3 +315,36 @@
         answered += delivery.Delivery(ctx, call, "model").run().status == 200
     check.assertEqual(answered, 600)
     check.assertEqual(dispatcher.granted["retry"], 75)
+
+
+def _run_at_limited_target(disconnected=lambda: False):
+    """Delivers a plain call whose only target takes it after 0.3 s."""
+    task = test_dispatch._task()
+    target = test_dispatch._target("p", role=None)
+    task.handle(delivery.PutTargets(targets=(target,)))
+    task.handle(peers.Members(names=frozenset(("front-2",))))
+    limit = fleet.RateLimit(per_s=1 / 0.3, observed_at=runtime.now())
+    task.handle(delivery.TargetNotice(target=target, limit=limit))
+    transport = _Transport()
+    ctx = delivery.Context(
+        dispatch=_Dispatcher(task),
+        transport=transport,
+        metrics=telemetry.Metrics(None, ""),
+    )
+    call = attrs.evolve(_plain_call(0), disconnected=disconnected)
+    started = runtime.now()
+    status = delivery.Delivery(ctx, call, "model").run().status
+    return status, len(transport.sent), runtime.now() - started
+
+
+def test_a_call_waits_for_its_turn_at_a_limited_target():
+    status, sent, took_s = _run_at_limited_target()
+    check.assertEqual((status, sent), (200, 1))
+    check.assertGreater(took_s, 0.25)
+
+
+def test_a_call_whose_client_leaves_before_its_turn_is_not_sent():
+    deadline = runtime.now() + 0.15
+    status, sent, took_s = _run_at_limited_target(lambda: runtime.now() > deadline)
+    check.assertEqual((status, sent), (499, 0))
+    check.assertLess(took_s, 0.3)
