A stream to resume waits longer at a limited target; losses name the limits

A resumed stream was measured against the deadline of its first token, which is past: with all engines limited it broke where a wait of a second would have saved it. It waits up to half of what its client waits for an event. losses tells calls refused by used-up limits and calls late by a wait for one.

--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -12,6 +12,8 @@
 
 RETRY_BUDGET_RETRY_S = 0.5
 URGENT_PRIORITY = 0
+# Part of the time that a client waits for an event in which a stream is resumed.
+RESUME_WAIT_SHARE = 0.5
 SHORT_PROMPT_PUBLISH_INTERVAL_S = 0.05
 PERIOD_S = 0.1
 # Loads that differ from the published ones are published after this time at the
@@ -462,9 +464,13 @@
 def _max_wait_s(message: _messages.Place, deadlines: requests.Deadlines) -> float:
     """Returns how long a call may wait for its turn at a target with a rate limit.
 
-    Longer waits would make all calls late as soon as more come than the target takes;
-    a prompt that is prefilled already is worth more.
+    Longer waits would make all calls late as soon as more come than the target takes.
+    A prompt that is prefilled is worth more, and so is a stream to resume, whose
+    client waits for the next event as long as it did for the first.
     """
+    call = message.call
+    if call.resume_after:
+        return RESUME_WAIT_SHARE * call.route.abandon_s
     if message.prefilled:
         return deadlines.hard_deadline_s
     return deadlines.soft_deadline_s
--- a/src/turmericward/programs/_losses.py
+++ b/src/turmericward/programs/_losses.py
@@ -54,6 +54,11 @@
     return trace.reply.get("reason") in ("no_target", "targets_rest")
 
 
+@_cause("limits used up")
+def _limits_used_up(trace: _traces.CallTrace) -> bool:
+    return trace.reply.get("reason") == "targets_limited"
+
+
 @_cause("expected wait")
 def _overloaded(trace: _traces.CallTrace) -> bool:
     return trace.reply.get("reason") == "overloaded"
@@ -74,6 +79,11 @@
     return any(line.get("deferred") for line in trace.events("placed"))
 
 
+@_cause("waited at a limited target")
+def _waited_at_limited_target(trace: _traces.CallTrace) -> bool:
+    return any(line.get("start_after_s") for line in trace.events("placed"))
+
+
 @_cause("hand-over waited")
 def _slow_hand_off(trace: _traces.CallTrace) -> bool:
     placed, began = trace.events("placed"), trace.events("began")
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -253,3 +253,17 @@
     task.handle(delivery.RequestSent(address="10.0.0.2:1"))
     after_s = task._admission.limits.wait_s("p", runtime.now())
     check.assertAlmostEqual(after_s - before_s, 1 / 4.0, places=2)
+
+
+def test_a_stream_to_resume_waits_for_its_turn_longer_than_a_new_call():
+    task = _task()
+    task.handle(delivery.PutTargets(targets=(_target("e"),)))
+    task.handle(peers.Members(names=frozenset(("front-2",))))
+    limit = fleet.RateLimit(per_s=1.0, observed_at=runtime.now())
+    task.handle(delivery.TargetNotice(target=_target("e"), limit=limit))
+    refusal = _place(task).unwrap_err()
+    check.assertEqual(refusal.reason, "targets_limited")
+    check.assertGreaterEqual(refusal.retry_after_s, 0.5)
+    resumed = attrs.evolve(_call(8.0), resume_after="3")
+    placement = _place(task, call=resumed, prefilled=True).unwrap()
+    check.assertGreater(placement.start_after_s, 0.8)
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -82,6 +82,14 @@
         _reply("f", "refused", reason="overloaded", **REFUSED)
     ],
     ("refused", "no target"): [_reply("g", "refused", reason="no_target", **REFUSED)],
+    ("refused", "limits used up"): [
+        _reply("l", "refused", reason="targets_limited", **REFUSED)
+    ],
+    ("late", "waited at a limited target"): [
+        _placed("m", start_after_s=0.2),
+        _began("m", 0.1),
+        _reply("m", first_s=0.3),
+    ],
     ("failed", "retry budget empty"): [
         _placed("h"),
         _failed("h"),
