--- a/benchmarks/front_cost.py
+++ b/benchmarks/front_cost.py
@@ -132,7 +132,12 @@
         """Returns the empty batches that a domain's reader sends without changes."""
         topics = (("op", feeds.Topic.CONFIGURATION), ("servers", feeds.Topic.TARGETS))
         return [
-            feeds.RecordBatch(topic=topic, start=0, end=end, age_s=0.0)
+            feeds.RecordBatch(
+                topic=topic,
+                start=feeds.Position(0, 0),
+                end=feeds.Position(0, end),
+                age_s=0.0,
+            )
             for name, topic in topics
             if (end := self._platform.store.end(f"keyed.{name}"))
         ]
--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -70,6 +70,8 @@
   5: list<Record> records
   /** Whether they are the newest of every key, and `start` is 0. */
   6: bool whole
+  /** Era of the store in which the offsets were given out; 0 if not set. */
+  7: i64 era
 }
 
 /** A front's whole load, and the prompts read since its last datagrams. */
--- a/src/turmericward/adapters/_json_http.py
+++ b/src/turmericward/adapters/_json_http.py
@@ -42,9 +42,11 @@
         """
         data = None if body is None else json.dumps(body).encode()
         headers = (("Content-Type", "application/json"),) if data else ()
-        status, raw = self._conn.exchange(method, path, data, headers, extra_timeout_s)
+        resp = self._conn.exchange(method, path, data, headers, extra_timeout_s)
         try:
-            return JsonResponse(status=status, body=json.loads(raw or b"null"))
+            return JsonResponse(
+                status=resp.status, body=json.loads(resp.body or b"null")
+            )
         except ValueError:
             self.close()
             raise
--- a/src/turmericward/adapters/_persistent_connection.py
+++ b/src/turmericward/adapters/_persistent_connection.py
@@ -4,11 +4,22 @@
 import http.client
 import socket
 
+import attrs
+
 from turmericward.adapters import _address
 
 ERRORS = (OSError, http.client.HTTPException, ValueError)
 
 
+@attrs.frozen(kw_only=True)
+class Response:
+    """A complete response."""
+
+    status: int
+    headers: http.client.HTTPMessage
+    body: bytes
+
+
 class PersistentConnection:
     """Sends requests to one address; not thread-safe.
 
@@ -51,8 +62,8 @@
         body=None,
         headers=(),
         extra_timeout_s: float = 0.0,
-    ) -> tuple[int, bytes]:
-        """Sends one request and returns the status and the complete body.
+    ) -> Response:
+        """Sends one request and returns the complete response.
 
         Args:
             method: HTTP method.
@@ -75,7 +86,7 @@
             raise
         if resp.will_close:
             self.close()
-        return resp.status, raw
+        return Response(status=resp.status, headers=resp.headers, body=raw)
 
     def _open(self, timeout_s: float) -> http.client.HTTPConnection:
         if self._conn is None:
--- a/src/turmericward/adapters/errors.py
+++ b/src/turmericward/adapters/errors.py
@@ -18,6 +18,10 @@
         self.first = first
 
 
+class EraEndedError(AdapterError):
+    """Raised if the log has returned from an older copy since a position was read."""
+
+
 class InstanceListUnavailableError(AdapterError):
     """Raised if the instance list service returned no usable response."""
 
--- a/src/turmericward/authority/__init__.py
+++ b/src/turmericward/authority/__init__.py
@@ -1,9 +1,13 @@
 """Authority aggregate: one lease per failure domain, fencing tokens, orders."""
 
 from turmericward.authority._contender import Authority, Contender, Timing
-from turmericward.authority._errors import AuthorityError, MalformedRecordError
+from turmericward.authority._errors import (
+    AuthorityError,
+    MalformedRecordError,
+    NoTokenError,
+)
 from turmericward.authority._lease import Lease, LeaseFold
-from turmericward.authority._on_demand_lease import Claim, OnDemandLease
+from turmericward.authority._on_demand_lease import Claim, OnDemandLease, fencing_token
 from turmericward.authority._orders import (
     EngineState,
     Order,
@@ -16,6 +20,8 @@
     Acquire,
     Intent,
     LeaseState,
+    OnDemandAcquire,
+    OnDemandRelease,
     OrderOutcome,
     Record,
     Release,
@@ -38,6 +44,9 @@
     "LeaseFold",
     "LeaseState",
     "MalformedRecordError",
+    "NoTokenError",
+    "OnDemandAcquire",
+    "OnDemandRelease",
     "Order",
     "OrderLedger",
     "OrderOutcome",
@@ -50,5 +59,6 @@
     "Timing",
     "decode",
     "encode",
+    "fencing_token",
     "observed_phase",
 ]
--- a/src/turmericward/authority/_on_demand_lease.py
+++ b/src/turmericward/authority/_on_demand_lease.py
@@ -2,25 +2,52 @@
 
 import attrs
 
-from turmericward.authority import _contender, _records
+from turmericward import feeds
+from turmericward.authority import _contender, _errors, _records
+
+# A token holds the era above this many bits of the offset. With `feeds.MAX_ERA` it is
+# below 2**53, so that JSON decoders that use floating point keep it exact.
+OFFSET_BITS = 40
 
 
 @attrs.frozen(kw_only=True)
 class Claim:
     """A record to append if the log still ends at `end`."""
 
-    end: int
+    end: feeds.Position
     record: _records.Record
 
 
+def fencing_token(position: feeds.Position) -> int:
+    """Returns the token of an acquire at a position; it rises with the position.
+
+    Raises:
+        NoTokenError: the position is too high for a token.
+    """
+    if position.era > feeds.MAX_ERA or position.offset + 1 >= 1 << OFFSET_BITS:
+        raise _errors.NoTokenError(f"no token for an acquire at {position}")
+    return (position.era << OFFSET_BITS) + position.offset + 1
+
+
+def _era(record: _records.Record | None) -> int:
+    """Returns the era in which a lease record was appended, 0 if it names none."""
+    named = (_records.OnDemandAcquire, _records.OnDemandRelease)
+    return record.era if isinstance(record, named) else 0
+
+
 class OnDemandLease:
     """Lease protocol of one process, without clocks and sockets.
 
     The log accepts an append only if its end is the one that the process last
     read, so one process at a time acquires the lease. The holder counts its term
     from before it sent the acquire; a candidate waits for the term plus a margin
-    from when it first read that acquire. The token is the acquire's offset plus
-    one.
+    from when it first read that acquire.
+
+    A log that returns from an older copy begins a new era and may have lost the
+    acquire of a holder that doesn't know yet. So a lease holds in its own era only,
+    and a candidate that finds no lease record of the new era waits for the term plus
+    a margin from when it first saw that era. The token is made of the acquire's era
+    and offset: it rises with both.
     """
 
     def __init__(self, holder: str, timing: _contender.Timing, new_id) -> None:
@@ -34,10 +61,12 @@
         self._holder = holder
         self._timing = timing
         self._new_id = new_id
-        self._end = 0
+        self._end = feeds.Position(0, 0)
+        self._era_since = float("-inf")
         self._record: _records.Record | None = None
         self._read_at: float | None = None
         self._held: _contender.Authority | None = None
+        self._held_era = 0
 
     @property
     def settle_s(self) -> float:
@@ -45,9 +74,21 @@
         return self._timing.settle_s
 
     def record_log_end(
-        self, now: float, end: int, record: _records.Record | None
+        self,
+        now: float,
+        end: feeds.Position,
+        record: _records.Record | None,
+        era_since: float = float("-inf"),
     ) -> None:
-        """Records the end and the last record of the log, as read at `now`."""
+        """Records the end and the last record of the log, as read at `now`.
+
+        Args:
+            now: monotonic seconds.
+            end: end of the log.
+            record: its newest record.
+            era_since: when this process first saw the era of `end`.
+        """
+        self._era_since = era_since
         if self._read_at is None or end != self._end:
             self._end = end
             self._record = record
@@ -57,46 +98,66 @@
         """Returns the claim to append, or None while another may hold the lease."""
         if self._read_at is None or not self._is_free(now):
             return None
-        record = _records.Acquire(
+        record = _records.OnDemandAcquire(
             id=self._new_id(),
             holder=self._holder,
-            expected=self._end,
+            era=self._end.era,
             term_s=self._timing.term_s,
         )
         return Claim(end=self._end, record=record)
 
     def _is_free(self, now: float) -> bool:
-        if not isinstance(self._record, _records.Acquire):
+        acquires = (_records.Acquire, _records.OnDemandAcquire)
+        if isinstance(self._record, acquires):
+            wait_s = self._record.term_s + self._timing.margin_s
+            if now - self._read_at < wait_s:
+                return False
+        if _era(self._record) == self._end.era:
             return True
-        wait_s = self._record.term_s + self._timing.margin_s
-        return now - self._read_at >= wait_s
-
-    def acquired(self, claim: Claim, sent_at: float, offset: int, now: float) -> None:
-        """Records that the claim, sent at `sent_at`, was appended at `offset`."""
-        self._held = _contender.Authority(
-            token=offset + 1,
-            not_before=sent_at,
-            until=sent_at + self._timing.term_s,
-        )
-        self.record_log_end(now, offset + 1, claim.record)
+        wait_s = self._timing.term_s + self._timing.margin_s
+        return now - self._era_since >= wait_s
+
+    def acquired(
+        self, claim: Claim, sent_at: float, position: feeds.Position, now: float
+    ) -> None:
+        """Records that the claim, sent at `sent_at`, was appended at `position`.
+
+        It grants nothing if the era changed in between.
+        """
+        if position.era == claim.end.era:
+            self._held_era = position.era
+            self._held = _contender.Authority(
+                token=fencing_token(position),
+                not_before=sent_at,
+                until=sent_at + self._timing.term_s,
+            )
+        self.record_log_end(now, position.plus(1), claim.record, self._era_since)
+
+    def authority(self, now: float, era: int = 0) -> _contender.Authority | None:
+        """Returns the right to send orders, or None when there is none.
 
-    def authority(self, now: float) -> _contender.Authority | None:
-        """Returns the right to send orders, or None when there is none."""
-        if self._held is None or now >= self._held.until:
+        Args:
+            now: monotonic seconds.
+            era: latest era of the log that this process knows.
+        """
+        if self._held is None or now >= self._held.until or era > self._held_era:
             return None
         return self._held
 
-    def release(self, now: float) -> Claim | None:
+    def release(self, now: float, era: int = 0) -> Claim | None:
         """Releases the lease; returns the record to append if it was held.
 
         Call it no sooner than `settle_s` after the last order was sent, so that
         the next holder's orders don't follow immediately.
         """
-        held = self.authority(now)
+        held = self.authority(now, era)
         self._held = None
         if held is None:
             return None
-        record = _records.Release(
-            id=self._new_id(), holder=self._holder, token=held.token
+        record = _records.OnDemandRelease(
+            id=self._new_id(),
+            holder=self._holder,
+            era=self._held_era,
+            token=held.token,
         )
         return Claim(end=self._end, record=record)
--- a/src/turmericward/authority/_records.py
+++ b/src/turmericward/authority/_records.py
@@ -45,6 +45,28 @@
     token: int
 
 
+@KINDS.register("lease.on_demand.acquire")
+@attrs.frozen(kw_only=True)
+class OnDemandAcquire:
+    """Acquires an on-demand lease, in an era of the log."""
+
+    id: str
+    holder: str
+    era: int
+    term_s: float
+
+
+@KINDS.register("lease.on_demand.release")
+@attrs.frozen(kw_only=True)
+class OnDemandRelease:
+    """Releases the on-demand lease with this token before its term ends."""
+
+    id: str
+    holder: str
+    era: int
+    token: int
+
+
 @KINDS.register("order.intent")
 @attrs.frozen(kw_only=True)
 class Intent:
@@ -89,7 +111,16 @@
     orders: list[Intent]
 
 
-Record = Acquire | Renew | Release | Intent | OrderOutcome | Snapshot
+Record = (
+    Acquire
+    | Renew
+    | Release
+    | OnDemandAcquire
+    | OnDemandRelease
+    | Intent
+    | OrderOutcome
+    | Snapshot
+)
 
 
 encode = KINDS.encode
--- a/src/turmericward/delivery/_roles_loop.py
+++ b/src/turmericward/delivery/_roles_loop.py
@@ -8,7 +8,7 @@
 import attrs
 from absl import logging
 
-from turmericward import authority, fleet, runtime, telemetry
+from turmericward import authority, feeds, fleet, runtime, telemetry
 from turmericward.adapters import errors
 from turmericward.delivery import _dispatch_task, _messages
 
@@ -37,15 +37,15 @@
 class LeaseLog(Protocol):
     """Log that stores the lease."""
 
-    def read(self) -> tuple[int, authority.Record | None]:
+    def read(self) -> tuple[feeds.Position, authority.Record | None]:
         """Returns the log's end and its newest record.
 
         Raises:
             LogUnavailableError: there is no valid answer.
         """
 
-    def append(self, claim: authority.Claim) -> int | None:
-        """Appends a claim; returns its offset, or None if the log has grown.
+    def append(self, claim: authority.Claim) -> feeds.Position | None:
+        """Appends a claim; returns its position, or None if the log has grown.
 
         Raises:
             LogUnavailableError: it isn't known whether the claim was appended.
@@ -85,6 +85,7 @@
         lease: authority.OnDemandLease,
         log: LeaseLog,
         orders: Orders,
+        eras: feeds.Eras,
         enabled: Callable[[], bool] = lambda: True,
     ) -> None:
         """Creates the loop.
@@ -94,6 +95,7 @@
             lease: lease protocol of this process.
             log: stores the lease; used by this loop only.
             orders: sends orders to engines.
+            eras: the known era of the log.
             enabled: returns whether this front takes part; in a large fleet only a
                 few do.
         """
@@ -102,6 +104,7 @@
         self._lease = lease
         self._log = log
         self._orders = orders
+        self._eras = eras
         self._enabled = enabled
         self._planners: dict[str, fleet.RolePlanner] = collections.defaultdict(
             fleet.RolePlanner
@@ -126,7 +129,7 @@
                 self._execute(change)
             else:
                 self._release()
-        except errors.AdapterError as exc:
+        except (errors.AdapterError, authority.AuthorityError) as exc:
             logging.warning("role change postponed: %s", exc)
         self.pause(POLL_INTERVAL_S)
 
@@ -148,7 +151,7 @@
         return due[0]
 
     def _execute(self, change: fleet.RoleChange) -> None:
-        held = self._lease.authority(runtime.now()) or self._acquire()
+        held = self._held() or self._acquire()
         if held is None:
             return
         state = self._orders.state(change.target)
@@ -160,9 +163,12 @@
         self.pause(HOLD_PROPAGATION_S)
         self._send_order(change, state, held)
 
+    def _held(self) -> authority.Authority | None:
+        return self._lease.authority(runtime.now(), self._eras.current)
+
     def _send_order(self, change, state: RoleState, held: authority.Authority) -> None:
         now = runtime.now()
-        if not held.allows(now, ORDER_DURATION_S):
+        if self._held() is None or not held.allows(now, ORDER_DURATION_S):
             return
         self._planners[change.target.service].ordered(change, now)
         self._ordered_at = now
@@ -182,27 +188,30 @@
 
     def _acquire(self) -> authority.Authority | None:
         end, record = self._log.read()
-        self._lease.record_log_end(runtime.now(), end, record)
+        self._lease.record_log_end(runtime.now(), end, record, self._eras.since)
         sent_at = runtime.now()
         claim = self._lease.acquire(sent_at)
         if claim is None:
             return None
-        offset = self._log.append(claim)
-        if offset is None:
+        position = self._log.append(claim)
+        if position is None:
             logging.info("lease was acquired by another front")
             return None
-        self._lease.acquired(claim, sent_at, offset, runtime.now())
-        held = self._lease.authority(runtime.now())
-        logging.info("lease acquired, token %d", offset + 1)
+        self._lease.acquired(claim, sent_at, position, runtime.now())
+        held = self._held()
+        if held is None:
+            logging.info("lease was acquired in an era that has ended")
+        else:
+            logging.info("lease acquired, token %d", held.token)
         return held
 
     def _release(self) -> None:
         now = runtime.now()
-        if self._lease.authority(now) is None:
+        if self._held() is None:
             return
         if now - self._ordered_at < self._lease.settle_s:
             return
-        claim = self._lease.release(now)
+        claim = self._lease.release(now, self._eras.current)
         if claim is not None:
             self._log.append(claim)
             logging.info("lease released")
--- a/src/turmericward/feeds/_cursor.py
+++ b/src/turmericward/feeds/_cursor.py
@@ -6,8 +6,9 @@
 class Cursor:
     """Position in a topic; times are monotonic seconds.
 
-    Each record is accepted once and in the order of offsets, whether it was read or
-    received from a peer, so state derived from the records never goes back.
+    Each record is accepted once and in the order of positions, whether it was read or
+    received from a peer. Within an era, state derived from the records never goes
+    back; a new era is entered by a listing only.
     """
 
     def __init__(self, fresh_s: float) -> None:
@@ -18,10 +19,10 @@
         """
         self._fresh_s = fresh_s
         self._as_of = float("-inf")
-        # Set when a batch starts after `next_offset`, or that record has expired.
+        # Set when a batch starts after `next`, or that record has expired.
         self._gap = False
-        # All records before this offset are known; None before the first listing.
-        self.next_offset: int | None = None
+        # All records before this position are known; None before the first listing.
+        self.next: _messages.Position | None = None
 
     def is_fresh(self, now: float) -> bool:
         """Returns whether all records up to `fresh_s` ago are known."""
@@ -30,16 +31,20 @@
     @property
     def fresh_until(self) -> float:
         """When the front has to read the store itself."""
-        if self.next_offset is None or self._gap:
+        if self.next is None or self._gap:
             return float("-inf")
         return self._as_of + self._fresh_s
 
-    def apply_listing(self, end: int, as_of: float) -> bool:
+    def is_before(self, era: int) -> bool:
+        """Returns whether the records are of an earlier era, or none are known."""
+        return self.next is None or self.next.era < era
+
+    def apply_listing(self, end: _messages.Position, as_of: float) -> bool:
         """Moves to the end of a listing; returns whether the listing is usable.
 
-        A listing that ends before `next_offset` is outdated.
+        A listing that ends before `next` is outdated.
         """
-        if self.next_offset is not None and end < self.next_offset:
+        if self.next is not None and end < self.next:
             return False
         self._advance(end, as_of)
         return True
@@ -49,26 +54,29 @@
         self._gap = True
         self._as_of = float("-inf")
 
-    def apply_read(self, end: int, as_of: float) -> None:
-        """Records a read of the store from `next_offset` up to `end`."""
-        self._advance(max(end, self.next_offset or 0), as_of)
+    def apply_read(self, end: _messages.Position, as_of: float) -> None:
+        """Records a read of the store from `next` up to `end`."""
+        self._advance(max(end, self.next or end), as_of)
 
     def apply_batch(
         self, batch: _messages.RecordBatch, now: float
     ) -> tuple[_messages.Record, ...]:
-        """Applies a peer's batch; returns the new records."""
-        if self.next_offset is None:
+        """Applies a peer's batch; returns the new records.
+
+        A batch of a later era leaves a gap, which a listing has to close.
+        """
+        if self.next is None:
             return ()
-        if batch.start > self.next_offset:
+        if batch.start > self.next:
             self._gap = True
             return ()
-        if batch.end < self.next_offset:
+        if batch.end < self.next:
             return ()
-        new = tuple(r for r in batch.records if r.offset >= self.next_offset)
+        new = tuple(r for r in batch.records if r.offset >= self.next.offset)
         self._advance(batch.end, now - batch.age_s)
         return new
 
-    def _advance(self, end: int, as_of: float) -> None:
-        self.next_offset = end
+    def _advance(self, end: _messages.Position, as_of: float) -> None:
+        self.next = end
         self._as_of = max(self._as_of, as_of)
         self._gap = False
--- a/src/turmericward/feeds/_follow_loop.py
+++ b/src/turmericward/feeds/_follow_loop.py
@@ -1,17 +1,21 @@
 """Loop that follows a topic, by reads of the store or by batches from peers."""
 
 import queue
+import random
 from collections.abc import Callable
 from typing import Protocol
 
 import attrs
 from absl import logging
 
-from turmericward import runtime
+from turmericward import runtime, telemetry
 from turmericward.adapters import errors
-from turmericward.feeds import _cursor, _messages
+from turmericward.feeds import _cursor, _eras, _messages
 
 RETRY_DELAY_S = 0.2
+# Fronts that aren't readers list a topic up to this much later in a new era, so that
+# hundreds of them don't call the store at the same time.
+MAX_NEW_ERA_DELAY_S = 0.5
 
 
 @attrs.frozen(kw_only=True)
@@ -19,7 +23,7 @@
     """The newest record of each key, and the topic's end when it was read."""
 
     records: tuple[_messages.Record, ...]
-    end: int
+    end: _messages.Position
 
 
 class Store(Protocol):
@@ -32,11 +36,14 @@
             LogUnavailableError: the store didn't answer or failed.
         """
 
-    def read(self, topic: str, start: int, wait_s: float) -> list[_messages.Record]:
-        """Returns the records from offset `start` on, waiting for the first.
+    def read(
+        self, topic: str, start: _messages.Position, wait_s: float
+    ) -> list[_messages.Record]:
+        """Returns the records from `start` on, waiting for the first.
 
         Raises:
-            OffsetExpiredError: the store no longer holds `start`.
+            OffsetExpiredError: the store doesn't hold `start`.
+            EraEndedError: the store is in a later era than that of `start`.
             LogUnavailableError: the store didn't answer or failed.
         """
 
@@ -50,8 +57,16 @@
 class Sink(Protocol):
     """Consumes the records of a topic."""
 
-    def on_listing(self, records: tuple[_messages.Record, ...]) -> None:
-        """Replaces all previous records by the newest record of every key."""
+    def on_listing(
+        self, records: tuple[_messages.Record, ...], *, reverted: bool
+    ) -> None:
+        """Replaces all previous records by the newest record of every key.
+
+        Args:
+            records: the records.
+            reverted: whether they are those of an older copy of the store, which may
+                lack later records.
+        """
 
     def on_changes(
         self, records: tuple[_messages.Record, ...]
@@ -88,6 +103,7 @@
         sink: Sink,
         publish: Callable[[_messages.TopicRange], None],
         is_reader: Callable[[], bool],
+        eras: _eras.Eras,
     ) -> None:
         """Creates the loop.
 
@@ -99,6 +115,7 @@
             sink: gets the listing and later records.
             publish: called with each range of records, for the peers.
             is_reader: returns whether peers rely on this front's reads.
+            eras: the known era of the store, which peers' batches also tell.
         """
         super().__init__()
         self._store = store
@@ -108,6 +125,8 @@
         self._sink = sink
         self._publish = publish
         self._is_reader = is_reader
+        self._eras = eras
+        self._random = random.Random()
         self._cursor = _cursor.Cursor(pacing.fresh_s)
         self._batches: queue.SimpleQueue[_messages.RecordBatch | None] = (
             queue.SimpleQueue()
@@ -138,19 +157,31 @@
             logging.info("topic %s: %s; listing it again", self._name, exc)
             self._cursor.mark_expired()
             self._listing_due = True
+        except errors.EraEndedError as exc:
+            # The next iteration lists the topic.
+            logging.info("topic %s: %s", self._name, exc)
         except errors.LogUnavailableError as exc:
             self._mark_unavailable(exc)
             self._await_batch(RETRY_DELAY_S)
 
     def _read_due(self, now: float) -> bool:
-        return self._listing_due or self._is_reader() or not self._cursor.is_fresh(now)
+        if self._listing_due or self._is_reader() or not self._cursor.is_fresh(now):
+            return True
+        return self._cursor.is_before(self._eras.current)
 
     def _read_once(self) -> None:
-        if self._listing_due:
+        if self._cursor.next is not None and self._cursor.is_before(self._eras.current):
+            self._list_new_era()
+        elif self._listing_due:
             self._list()
         else:
             self._read()
 
+    def _list_new_era(self) -> None:
+        if not self._is_reader():
+            self.pause(self._random.uniform(0.0, MAX_NEW_ERA_DELAY_S))
+        self._list()
+
     # Batches from peers.
 
     def _apply_queued_batches(self) -> None:
@@ -164,25 +195,36 @@
             return
 
     def _apply_batch(self, batch: _messages.RecordBatch | None) -> None:
-        if batch is None:
+        if batch is None or not self._observe_era(batch):
             return
         if batch.full:
             self._apply_full_batch(batch)
             return
-        start = self._cursor.next_offset
+        start = self._cursor.next
         now = runtime.now()
         records = self._cursor.apply_batch(batch, now)
         if self._unavailable and self._cursor.is_fresh(now):
             self._mark_available("told by a peer")
         if records:
             self._sink.on_changes(records)
-        if start is not None and self._cursor.next_offset > start:
+        if start is not None and self._cursor.next > start:
             as_of = now - batch.age_s
-            self._publish_range(start, self._cursor.next_offset, as_of, records)
+            self._publish_range(start, self._cursor.next, as_of, records)
+
+    def _observe_era(self, batch: _messages.RecordBatch) -> bool:
+        """Learns the era of a batch; returns whether the batch is of the latest."""
+        era = batch.end.era
+        try:
+            self._eras.observe(era, "a peer")
+        except _eras.InvalidEraError as exc:
+            logging.warning("batch of topic %s is ignored: %s", self._name, exc)
+            return False
+        return era == self._eras.current
 
     def _apply_full_batch(self, batch: _messages.RecordBatch) -> None:
-        """Uses a peer's full batch instead of a listing, before the first one."""
-        if self._cursor.next_offset is not None:
+        """Uses a peer's full batch instead of a listing, if one is needed."""
+        previous = self._cursor.next
+        if not self._cursor.is_before(batch.end.era):
             return
         as_of = runtime.now() - batch.age_s
         self._cursor.apply_listing(batch.end, as_of)
@@ -190,7 +232,7 @@
         logging.info(
             "topic %s is known from a peer, %.1f s old", self._name, batch.age_s
         )
-        self._sink.on_listing(batch.records)
+        self._apply_records(batch.records, previous, batch.end)
         self._publish_range(batch.end, batch.end, as_of, batch.records, full=True)
 
     # Reads of the store.
@@ -198,27 +240,52 @@
     def _list(self) -> None:
         sent_at = runtime.now()
         listing = self._store.newest(self._name)
+        previous = self._cursor.next
         if not self._cursor.apply_listing(listing.end, sent_at):
             raise errors.LogUnavailableError(
-                f"listing ends at offset {listing.end}, "
-                f"before the next one, {self._cursor.next_offset}"
+                f"listing ends at {listing.end}, before the next, {previous}"
             )
         self._listing_due = False
         self._mark_available("read")
-        self._sink.on_listing(listing.records)
+        self._apply_records(listing.records, previous, listing.end)
         self._publish_range(
             listing.end, listing.end, sent_at, listing.records, full=True
         )
 
+    def _apply_records(
+        self,
+        records: tuple[_messages.Record, ...],
+        previous: _messages.Position | None,
+        end: _messages.Position,
+    ) -> None:
+        """Passes the newest record of every key to the sink."""
+        reverted = previous is not None and previous.era < end.era
+        if reverted:
+            self._log_revert(previous, end)
+        self._sink.on_listing(records, reverted=reverted)
+
+    def _log_revert(
+        self, previous: _messages.Position, end: _messages.Position
+    ) -> None:
+        telemetry.log_event(
+            "topic_reverted",
+            topic=self._name,
+            era=end.era,
+            previous_era=previous.era,
+            offset=end.offset,
+            previous_offset=previous.offset,
+            records_gone=max(0, previous.offset - end.offset),
+        )
+
     def _read(self) -> None:
-        start = self._cursor.next_offset
+        start = self._cursor.next
         wait_s = self._pacing.wait_s if self._is_reader() else 0.0
         sent_at = runtime.now()
         records = tuple(self._store.read(self._name, start, wait_s))
         self._mark_available("read")
         # An empty answer is sent after the wait: no record was appended until then.
         as_of = sent_at if records else min(runtime.now(), sent_at + wait_s)
-        end = start + len(records)
+        end = start.plus(len(records))
         self._cursor.apply_read(end, as_of)
         changes = self._sink.on_changes(records) if records else ()
         self._publish_range(start, end, as_of, changes)
@@ -227,8 +294,8 @@
 
     def _publish_range(
         self,
-        start: int,
-        end: int,
+        start: _messages.Position,
+        end: _messages.Position,
         as_of: float,
         records: tuple[_messages.Record, ...],
         *,
--- a/src/turmericward/feeds/_history.py
+++ b/src/turmericward/feeds/_history.py
@@ -2,6 +2,8 @@
 
 import collections
 
+import attrs
+
 from turmericward.feeds import _messages
 
 # How long a record is repeated in each batch, as datagrams may be lost.
@@ -20,15 +22,16 @@
     def __init__(self, topic: _messages.Topic) -> None:
         """Creates the history of a front that has no records of the topic."""
         self._topic = topic
-        self._start = 0
-        self._end: int | None = None
+        self._start = _messages.Position(0, 0)
+        self._end: _messages.Position | None = None
         self._as_of = 0.0
         self._newest: dict[str, _messages.Record] = {}
         # Each record with the time at which it was added; oldest first.
         self._records: collections.deque[tuple[float, _messages.Record]]
         self._records = collections.deque()
         # Time at which each range was added, and its end; oldest first.
-        self._range_ends: collections.deque[tuple[float, int]] = collections.deque()
+        self._range_ends: collections.deque[tuple[float, _messages.Position]]
+        self._range_ends = collections.deque()
 
     def add(self, topic_range: _messages.TopicRange, now: float) -> bool:
         """Adds a range; returns whether it has records to forward at once."""
@@ -54,7 +57,7 @@
         else:
             self._newest[record.key] = record
 
-    def _restart(self, start: int) -> None:
+    def _restart(self, start: _messages.Position) -> None:
         self._start = start
         self._records.clear()
         self._range_ends.clear()
@@ -68,20 +71,19 @@
         while size > MAX_BATCH_BYTES:
             record = self._records[0][1]
             size -= self._size(record)
-            self._drop_before(record.offset + 1)
+            self._drop_before(attrs.evolve(self._start, offset=record.offset + 1))
 
-    def _drop_before(self, start: int) -> None:
+    def _drop_before(self, start: _messages.Position) -> None:
         self._start = max(self._start, start)
-        while self._records and self._records[0][1].offset < self._start:
+        while self._records and self._records[0][1].offset < self._start.offset:
             self._records.popleft()
 
     def _size(self, record: _messages.Record) -> int:
         return len(record.key) + len(record.value or b"")
 
-    @property
-    def has_data(self) -> bool:
-        """Whether a range was added."""
-        return self._end is not None
+    def has_data_of(self, era: int) -> bool:
+        """Returns whether the data are of this era of the store or a later one."""
+        return self._end is not None and self._end.era >= era
 
     def full_batch(self, now: float) -> _messages.RecordBatch | None:
         """Returns the newest record of every key, of any age; None if empty."""
@@ -89,7 +91,7 @@
             return None
         return _messages.RecordBatch(
             topic=self._topic,
-            start=0,
+            start=attrs.evolve(self._end, offset=0),
             end=self._end,
             age_s=max(0.0, now - self._as_of),
             records=tuple(sorted(self._newest.values(), key=lambda r: r.offset)),
--- a/src/turmericward/feeds/_messages.py
+++ b/src/turmericward/feeds/_messages.py
@@ -16,9 +16,24 @@
     TARGETS = 2
 
 
+@attrs.frozen(order=True)
+class Position:
+    """A position in a topic; each era of the store gives out the offsets anew."""
+
+    era: int
+    offset: int
+
+    def plus(self, records: int) -> "Position":
+        """Returns the position this many records later, in the same era."""
+        return attrs.evolve(self, offset=self.offset + records)
+
+
 @attrs.frozen(kw_only=True)
 class Record:
-    """A record of a keyed topic; a value of None deletes its key."""
+    """A record of a keyed topic; a value of None deletes its key.
+
+    The era of `offset` is that of the listing, batch or range with the record.
+    """
 
     offset: int
     key: str
@@ -27,28 +42,31 @@
 
 @attrs.frozen(kw_only=True)
 class RecordBatch:
-    """Changes of a topic from offset `start` up to `end`, exclusive.
+    """Changes of a topic from `start` up to `end`, exclusive, of the same era.
 
     `records` are those that changed a value, in order. `age_s` is the time since the
-    topic was known to end at `end`. A `full` batch starts at 0 and holds the newest
-    record of every key.
+    topic was known to end at `end`. A `full` batch starts at offset 0 and holds the
+    newest record of every key.
     """
 
     topic: Topic
-    start: int
-    end: int
+    start: Position
+    end: Position
     age_s: float
     records: tuple[Record, ...] = ()
     full: bool = False
 
     def __attrs_post_init__(self) -> None:
-        """Checks the offsets.
+        """Checks the positions.
 
         Raises:
-            MalformedBatchError: they aren't in order, or the age is negative.
+            MalformedBatchError: they are of two eras or aren't in order, or the age
+                is negative.
         """
-        offsets = [self.start - 1, *(r.offset for r in self.records), self.end]
-        if self.start < 0 or self.start > self.end or self.age_s < 0:
+        start, end = self.start.offset, self.end.offset
+        offsets = [start - 1, *(r.offset for r in self.records), end]
+        one_era = self.start.era == self.end.era >= 0
+        if not one_era or start < 0 or start > end or self.age_s < 0:
             raise MalformedBatchError(
                 f"batch from {self.start} to {self.end}, {self.age_s} s old"
             )
@@ -65,8 +83,8 @@
     """
 
     topic: Topic
-    start: int
-    end: int
+    start: Position
+    end: Position
     as_of: float
     records: tuple[Record, ...] = ()
     full: bool = False
--- a/src/turmericward/peers/_announce_loop.py
+++ b/src/turmericward/peers/_announce_loop.py
@@ -19,6 +19,10 @@
 # started together don't call the store at the same time.
 INTERVAL_JITTER = 0.3
 RETRY_DELAY_S = 1.0
+# In a new era of the store, announcements may be gone. Fronts look for theirs at
+# different times.
+ERA_POLL_INTERVAL_S = 1.0
+MAX_NEW_ERA_DELAY_S = 3.0
 
 
 @attrs.frozen(kw_only=True)
@@ -33,7 +37,7 @@
 class AnnouncementTable(Protocol):
     """The table of fronts' announcements in the store."""
 
-    def put(self, topic: str, key: str, value: bytes) -> int | None:
+    def put(self, topic: str, key: str, value: bytes) -> feeds.Position | None:
         """Sets a front's announcement; an empty value removes it.
 
         Raises:
@@ -62,6 +66,7 @@
         announcement: Announcement,
         on_announcement: Callable[[str, Announcement], None],
         on_listed: Callable[[], None],
+        eras: feeds.Eras,
     ) -> None:
         """Creates the loop.
 
@@ -72,6 +77,7 @@
             announcement: published for this front.
             on_announcement: called with the name and announcement of each peer.
             on_listed: called when all peers of a listing have been reported.
+            eras: the known era of the store.
         """
         super().__init__()
         self._table = table
@@ -80,16 +86,19 @@
         self._value = json.dumps(attrs.asdict(announcement)).encode()
         self._on_announcement = on_announcement
         self._on_listed = on_listed
+        self._eras = eras
         self._random = random.Random(front)
         self._first_run = True
 
     def run_once(self) -> None:
-        """Announces the front once and lists its peers."""
+        """Announces this front unless the store lists it, and lists its peers."""
         try:
-            self._table.put(self._topic, self._front, self._value)
             if self._first_run:
+                self._table.put(self._topic, self._front, self._value)
                 self.pause(FIRST_LISTING_DELAY_S)
             listing = self._table.newest(self._topic)
+            if not self._is_announced(listing):
+                self._table.put(self._topic, self._front, self._value)
         except errors.LogUnavailableError as exc:
             logging.info("front isn't announced: %s", exc)
             self.pause(RETRY_DELAY_S)
@@ -99,7 +108,26 @@
         self._on_listed()
         logging.info("front is announced, %d others are", count)
         factor = self._random.uniform(1 - INTERVAL_JITTER, 1 + INTERVAL_JITTER)
-        self.pause(ANNOUNCE_INTERVAL_S * factor)
+        self._await_next_run(ANNOUNCE_INTERVAL_S * factor, listing.end.era)
+
+    def _is_announced(self, listing: feeds.Listing) -> bool:
+        """Returns whether the store has this front's announcement.
+
+        A store that returned from an older copy may have lost it.
+        """
+        return any(
+            record.key == self._front and record.value == self._value
+            for record in listing.records
+        )
+
+    def _await_next_run(self, interval_s: float, era: int) -> None:
+        """Pauses until the interval ends, or for a while after a new era began."""
+        deadline = runtime.now() + interval_s
+        while not self.stopping and runtime.now() < deadline:
+            if self._eras.current > era:
+                self.pause(self._random.uniform(0.0, MAX_NEW_ERA_DELAY_S))
+                return
+            self.pause(min(ERA_POLL_INTERVAL_S, deadline - runtime.now()))
 
     def _report(self, record: feeds.Record) -> bool:
         """Reports a peer's announcement; returns whether the record holds one."""
--- a/src/turmericward/peers/_codec.py
+++ b/src/turmericward/peers/_codec.py
@@ -197,8 +197,9 @@
     records = [_encode_record(record) for record in batch.records]
     return ttypes.TopicNews(
         topic=batch.topic.value,
-        start=batch.start,
-        end=batch.end,
+        start=batch.start.offset,
+        end=batch.end.offset,
+        era=batch.end.era,
         age_ms=math.ceil(batch.age_s * 1000),
         records=records,
         whole=batch.full,
@@ -232,10 +233,12 @@
         feeds.Record(offset=r.offset, key=r.key, value=_decode_value(r))
         for r in row.records
     )
+    # Builds that don't know eras send none: their batches are of the oldest.
+    era = row.era or 0
     return feeds.RecordBatch(
         topic=feeds.Topic(row.topic),
-        start=row.start,
-        end=row.end,
+        start=feeds.Position(era, row.start),
+        end=feeds.Position(era, row.end),
         age_s=row.age_ms / 1000,
         records=records,
         full=bool(row.whole),
--- a/src/turmericward/peers/_peer_task.py
+++ b/src/turmericward/peers/_peer_task.py
@@ -84,6 +84,8 @@
         self._listed_at: float | None = None
         self._received: dict[str, tuple[float, _codec.PeerState]] = {}
         self._fresh_s = dict(fresh_s or {})
+        # Latest era of the store in the peers' batches.
+        self._latest_era = 0
         self._histories = {topic: feeds.History(topic) for topic in self._fresh_s}
         self._subscribers: dict[feeds.Topic, Callable[[feeds.RecordBatch], None]] = {}
         # Events for the peers of this domain and for those of other domains.
@@ -182,6 +184,7 @@
         if state.domain != self._domain:
             return
         for batch in state.record_batches:
+            self._latest_era = max(self._latest_era, batch.end.era)
             if batch.topic in self._subscribers:
                 self._subscribers[batch.topic](batch)
 
@@ -341,7 +344,8 @@
             domain=self._domain,
             capacity=self._peers.capacity,
             needs_full_batches=not all(
-                history.has_data for history in self._histories.values()
+                history.has_data_of(self._latest_era)
+                for history in self._histories.values()
             ),
         )
 
--- a/src/turmericward/platform/_follow.py
+++ b/src/turmericward/platform/_follow.py
@@ -17,6 +17,7 @@
 TARGETS_BATCH_SHARE = 0.2
 CONFIGURATION_BATCH_S = 0.05
 MAX_LOGGED_KEYS = 1000
+MAX_REMOVED_KEYS = 10_000
 
 
 def targets_pacing(bound_s: float, wait_s: float) -> feeds.Pacing:
@@ -51,8 +52,12 @@
         """Creates the sink; new configurations are posted to `dispatch`."""
         self._dispatch = dispatch
 
-    def on_listing(self, records: tuple[feeds.Record, ...]) -> None:
-        """Applies the configuration found in a listing."""
+    def on_listing(self, records: tuple[feeds.Record, ...], *, reverted: bool) -> None:
+        """Applies the configuration found in a listing.
+
+        In an older copy of the store that is an older version, which the dispatcher
+        ignores.
+        """
         self.on_changes(records)
 
     def on_changes(self, records: tuple[feeds.Record, ...]) -> tuple[feeds.Record, ...]:
@@ -84,11 +89,20 @@
         self._logged: set[str] = set()
         # Target last posted for each key; None for keys that were removed.
         self._posted: dict[str, fleet.Target | None] = {}
+        # Incarnations of the removed targets, by key.
+        self._removed: dict[str, int] = {}
+
+    def on_listing(self, records: tuple[feeds.Record, ...], *, reverted: bool) -> None:
+        """Replaces all targets by those of a listing.
 
-    def on_listing(self, records: tuple[feeds.Record, ...]) -> None:
-        """Replaces all targets by those of a listing."""
+        An older copy of the store may lack announcements, which will be written again;
+        and it may hold those of targets that were removed since, which won't.
+        """
         decoded = [self._decode(record) for record in records]
         targets = tuple(t for t in decoded if t is not None)
+        if reverted:
+            self._dispatch.post(delivery.StoreRecovered())
+            targets = tuple(t for t in targets if not self._was_removed(t))
         self._posted = {t.name: t for t in targets}
         # A record that can't be decoded doesn't remove its target.
         malformed = {r.key for r in records} - {t.name for t in targets}
@@ -109,6 +123,7 @@
                 return False
         if record.key in self._posted and self._posted[record.key] == target:
             return False
+        self._record_removal(record.key, target)
         self._posted[record.key] = target
         if target is None:
             self._dispatch.post(delivery.PutTargets(removed=(record.key,)))
@@ -116,6 +131,19 @@
             self._dispatch.post(delivery.PutTargets(targets=(target,)))
         return True
 
+    def _record_removal(self, key: str, target: fleet.Target | None) -> None:
+        previous = self._posted.get(key)
+        if target is not None:
+            self._removed.pop(key, None)
+        elif previous is not None:
+            self._removed[key] = previous.started_ms
+        while len(self._removed) > MAX_REMOVED_KEYS:
+            self._removed.pop(next(iter(self._removed)))
+
+    def _was_removed(self, target: fleet.Target) -> bool:
+        started_ms = self._removed.get(target.name)
+        return started_ms is not None and target.started_ms <= started_ms
+
     def _decode(self, record: feeds.Record) -> fleet.Target | None:
         try:
             return _records.target(record.key, record.value)
--- a/src/turmericward/platform/_headers.py
+++ b/src/turmericward/platform/_headers.py
@@ -17,6 +17,8 @@
 RETRY_AFTER = "Retry-After"
 # Requests a second that the replica takes from all fronts together.
 RATE_LIMIT = "Server-Limit"
+# Number of times that the store has returned from an older copy of itself.
+STORE_ERA = "Store-Era"
 KV_SOURCE = "Turmericward-Kv-Source"
 KV_FETCH = "Kv-Fetch"
 LAST_EVENT_ID = "Last-Event-Id"
--- a/src/turmericward/platform/_orders.py
+++ b/src/turmericward/platform/_orders.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from turmericward import authority, delivery, fleet, runtime, schema
+from turmericward import authority, delivery, feeds, fleet, runtime, schema
 from turmericward.adapters import _request, errors
 from turmericward.platform import _headers, _notices, _records, _store
 
@@ -31,8 +31,8 @@
         """Takes ownership of `client`, which serves a single thread."""
         self._client = client
 
-    def read(self) -> tuple[int, authority.Record | None]:
-        """Returns the topic's end offset and the lease; see `delivery.LeaseLog`."""
+    def read(self) -> tuple[feeds.Position, authority.Record | None]:
+        """Returns the topic's end and the lease; see `delivery.LeaseLog`."""
         listing = self._client.newest(LEASE_TOPIC)
         leases = [r for r in listing.records if r.key == LEASE_KEY]
         if not leases:
@@ -42,10 +42,12 @@
         except (ValueError, authority.AuthorityError) as exc:
             raise errors.LogUnavailableError(f"lease: {exc}") from exc
 
-    def append(self, claim: authority.Claim) -> int | None:
+    def append(self, claim: authority.Claim) -> feeds.Position | None:
         """Appends a claim; see `delivery.LeaseLog`."""
         value = json.dumps(authority.encode(claim.record)).encode()
-        return self._client.put(LEASE_TOPIC, LEASE_KEY, value, expected_end=claim.end)
+        return self._client.put(
+            LEASE_TOPIC, LEASE_KEY, value, expected_end=claim.end.offset
+        )
 
 
 class ReplicaOrders:
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -50,6 +50,8 @@
         """
         self._cfg = cfg
         self._clients: list[_store.StoreClient] = []
+        metrics = telemetry.Metrics(None, "")
+        self._eras = feeds.Eras(lambda: metrics.count("store.new_eras"))
         self.reload = _reload.ReloadLoop(path, cfg, self._reconfigure)
         self._draining = threading.Event()
         seed = zlib.crc32(cfg.instance.name.encode())
@@ -104,7 +106,6 @@
             self.reload,
         ]
         self._group = runtime.Group([peer_task, self._dispatch, *loops], "front")
-        metrics = telemetry.Metrics(None, "")
         ctx = delivery.Context(
             dispatch=self._dispatch,
             transport=_transport.ReplicaTransport(notices),
@@ -142,6 +143,7 @@
             authority.OnDemandLease(holder, timing, runtime.new_id),
             _orders.StoreLease(self._store_client()),
             _orders.ReplicaOrders(holder, notices),
+            self._eras,
             lambda: self._peer_task.polls_targets,
         )
 
@@ -165,6 +167,7 @@
             sink,
             peer_task.publish_range,
             lambda: peer_task.reads_store,
+            self._eras,
         )
         peer_task.subscribe(topic, loop.put_batch)
         return loop
@@ -183,6 +186,7 @@
             announcement,
             self._on_announced,
             lambda: self._peer_task.post(peers.FrontsListed()),
+            self._eras,
         )
 
     def _on_announced(self, front: str, announcement: peers.Announcement) -> None:
@@ -197,7 +201,7 @@
 
     def _store_client(self) -> _store.StoreClient:
         store = self._cfg.store
-        client = _store.StoreClient(store.address, store.timeout_s)
+        client = _store.StoreClient(store.address, store.timeout_s, self._eras)
         self._clients.append(client)
         return client
 
--- a/src/turmericward/platform/_store.py
+++ b/src/turmericward/platform/_store.py
@@ -1,12 +1,14 @@
 """Client of the platform's store, which keeps records in keyed topics."""
 
 import base64
+import http.client
 import json
 import struct
 import urllib.parse
 
 from turmericward import feeds
 from turmericward.adapters import _persistent_connection, errors
+from turmericward.platform import _headers
 
 _READ_HEADER = struct.Struct(">QQ")
 _RECORD_LENGTH = struct.Struct(">I")
@@ -24,8 +26,15 @@
 class StoreClient:
     """Reads and appends to keyed topics; not thread-safe unless stated otherwise."""
 
-    def __init__(self, address: str, timeout_s: float) -> None:
-        """Creates the client; it connects at the first request."""
+    def __init__(self, address: str, timeout_s: float, eras: feeds.Eras) -> None:
+        """Creates the client; it connects at the first request.
+
+        Args:
+            address: `ip:port` of the store.
+            timeout_s: timeout of each response.
+            eras: learns the era of each response.
+        """
+        self._eras = eras
         self._conn = _persistent_connection.PersistentConnection(
             address, timeout_s, connect_timeout_s=timeout_s
         )
@@ -42,20 +51,29 @@
         """Returns the latest record of each key.
 
         Raises:
-            LogUnavailableError: there was no valid response.
+            LogUnavailableError: there was no valid response, or the store returned
+                from an older copy between two pages.
         """
         records: list[feeds.Record] = []
         end = None
+        first_era = None
         query = {"Topic": topic, "part": 0}
         while True:
-            status, raw = self._get("/api/log-newest", query, 0.0)
+            status, raw, era = self._get("/api/log-newest", query, 0.0)
             page = self._decode_json(status, raw)
+            first_era = era if first_era is None else first_era
+            if era != first_era:
+                raise errors.LogUnavailableError(
+                    f"listing began in era {first_era} and goes on in era {era}"
+                )
             try:
                 records += [self._decode_row(row) for row in page["items"]]
                 # Records appended after the first page was read come with later reads.
                 end = page["end"] if end is None else end
                 if not page["more"] or not page["items"]:
-                    return feeds.Listing(records=tuple(records), end=end)
+                    return feeds.Listing(
+                        records=tuple(records), end=feeds.Position(era, end)
+                    )
                 query["after"] = page["items"][-1]["key"]
             except _MALFORMED as exc:
                 raise errors.LogUnavailableError(f"listing: {exc!r}") from exc
@@ -64,26 +82,31 @@
         value = base64.b64decode(row["value"])
         return feeds.Record(offset=row["offset"], key=row["key"], value=value)
 
-    def read(self, topic: str, start: int, wait_s: float) -> list[feeds.Record]:
-        """Returns the records from offset `start` on, waiting for the first.
+    def read(
+        self, topic: str, start: feeds.Position, wait_s: float
+    ) -> list[feeds.Record]:
+        """Returns the records from `start` on, waiting for the first.
 
         Raises:
-            OffsetExpiredError: the store no longer holds `start`.
+            OffsetExpiredError: the store doesn't hold `start`.
+            EraEndedError: the store is in a later era than that of `start`.
             LogUnavailableError: there was no valid response.
         """
         query = {
             "Topic": topic,
             "part": 0,
-            "From": start,
+            "From": start.offset,
             "WaitMs": int(wait_s * 1000),
         }
-        status, raw = self._get("/api/log-read", query, wait_s)
+        status, raw, era = self._get("/api/log-read", query, wait_s)
+        if era > start.era:
+            raise errors.EraEndedError(f"the log is in era {era}, not {start.era}")
         if status == 410:
             raise errors.OffsetExpiredError(self._first_offset(raw))
         if status != 200:
             raise errors.LogUnavailableError(f"read has status {status}")
         try:
-            return self._decode_records(raw, start)
+            return self._decode_records(raw, start.offset)
         except _MALFORMED as exc:
             raise errors.LogUnavailableError(f"read: {exc!r}") from exc
 
@@ -119,11 +142,11 @@
 
     def put(
         self, topic: str, key: str, value: bytes, expected_end: int | None = None
-    ) -> int | None:
-        """Appends a record, the latest of its key; returns its offset.
+    ) -> feeds.Position | None:
+        """Appends a record, the latest of its key; returns its position.
 
         With `expected_end`, the record is appended only if the topic ends at that
-        offset; otherwise None is returned.
+        offset, in whichever era; otherwise None is returned.
 
         Raises:
             LogUnavailableError: there was no valid response; the record may have been
@@ -134,30 +157,55 @@
         query = {"Topic": topic, "part": 0}
         if expected_end is not None:
             query["At"] = expected_end
-        status, raw = self._send(
+        status, raw, era = self._send(
             "POST", "/api/log-append", query, 0.0, _RECORD_LENGTH.pack(len(data)) + data
         )
         if status == 412:
             return None
         try:
-            return self._decode_json(status, raw)["offset"]
+            return feeds.Position(era, self._decode_json(status, raw)["offset"])
         except (KeyError, TypeError) as exc:
             raise errors.LogUnavailableError(f"append: {exc!r}") from exc
 
-    def _get(self, path: str, query: dict, wait_s: float) -> tuple[int, bytes]:
+    def _get(self, path: str, query: dict, wait_s: float) -> tuple[int, bytes, int]:
         return self._send("GET", path, query, wait_s, None)
 
     def _send(
         self, method: str, path: str, query: dict, wait_s: float, body: bytes | None
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, bytes, int]:
+        """Returns status, body and era of a response."""
         url = f"{path}?{urllib.parse.urlencode(query)}"
         try:
-            status, raw = self._conn.exchange(method, url, body, extra_timeout_s=wait_s)
+            resp = self._conn.exchange(method, url, body, extra_timeout_s=wait_s)
         except _persistent_connection.ERRORS as exc:
             raise errors.LogUnavailableError(f"store: {exc!r}") from exc
-        if status >= 500:
+        if resp.status >= 500:
             self.close()
-        return status, raw
+        return resp.status, resp.body, self._observe_era(resp.headers)
+
+    def _observe_era(self, headers: http.client.HTTPMessage) -> int:
+        """Returns the era of a response.
+
+        Raises:
+            LogUnavailableError: it is invalid, missing though the store has named one
+                before, or lower than the latest, as in a response that was delayed.
+        """
+        text = headers.get(_headers.STORE_ERA)
+        known = self._eras.current
+        if text is None and not known:
+            return 0
+        if text is None or not (text.isascii() and text.isdigit()):
+            raise errors.LogUnavailableError(f"store names era {text!r}")
+        try:
+            era = int(text)
+            self._eras.observe(era, "the store")
+        except ValueError as exc:
+            raise errors.LogUnavailableError(f"store: {exc}") from exc
+        if era < known:
+            raise errors.LogUnavailableError(
+                f"store names era {era}, though era {known} has begun"
+            )
+        return era
 
     def close(self) -> None:
         """Closes the connection, if one is open."""
--- a/src/turmericward/wire/peers/ttypes.py
+++ b/src/turmericward/wire/peers/ttypes.py
@@ -651,6 +651,7 @@
      - age_ms: Time since the store was asked whether there is more.
      - records: The covered records, without those that change nothing.
      - whole: Whether they are the newest of every key, and `start` is 0.
+     - era: Era of the store in which the offsets were given out; 0 if not set.
 
     """
 
@@ -661,16 +662,18 @@
         'age_ms',
         'records',
         'whole',
+        'era',
     )
 
 
-    def __init__(self, topic=None, start=None, end=None, age_ms=None, records=None, whole=None,):
+    def __init__(self, topic=None, start=None, end=None, age_ms=None, records=None, whole=None, era=None,):
         self.topic = topic
         self.start = start
         self.end = end
         self.age_ms = age_ms
         self.records = records
         self.whole = whole
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -717,6 +720,11 @@
                     self.whole = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -754,6 +762,10 @@
             oprot.writeFieldBegin('whole', TType.BOOL, 6)
             oprot.writeBool(self.whole)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 7)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1133,6 +1145,7 @@
     (4, TType.I32, 'age_ms', None, None, ),  # 4
     (5, TType.LIST, 'records', (TType.STRUCT, [Record, None], False), None, ),  # 5
     (6, TType.BOOL, 'whole', None, None, ),  # 6
+    (7, TType.I64, 'era', None, None, ),  # 7
 )
 all_structs.append(FrontState)
 FrontState.thrift_spec = (
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -20,21 +20,37 @@
     return feeds.Record(offset=offset, key=f"k{offset % 5}", value=value)
 
 
-def _batch(start: int, end: int, age_s: float = 0.0, records=()) -> feeds.RecordBatch:
+def _at(offset: int, era: int = 0) -> feeds.Position:
+    return feeds.Position(era, offset)
+
+
+def _batch(
+    start: int, end: int, age_s: float = 0.0, records=(), era: int = 0
+) -> feeds.RecordBatch:
     return feeds.RecordBatch(
-        topic=TOPIC, start=start, end=end, age_s=age_s, records=records
+        topic=TOPIC,
+        start=_at(start, era),
+        end=_at(end, era),
+        age_s=age_s,
+        records=records,
     )
 
 
-def _range(start: int, end: int, as_of: float, records=()) -> feeds.TopicRange:
+def _range(
+    start: int, end: int, as_of: float, records=(), era: int = 0
+) -> feeds.TopicRange:
     return feeds.TopicRange(
-        topic=TOPIC, start=start, end=end, as_of=as_of, records=records
+        topic=TOPIC,
+        start=_at(start, era),
+        end=_at(end, era),
+        as_of=as_of,
+        records=records,
     )
 
 
 def _listed_cursor(end: int = 10, as_of: float = 0.0) -> feeds.Cursor:
     cursor = feeds.Cursor(FRESH_S)
-    cursor.apply_listing(end, as_of)
+    cursor.apply_listing(_at(end), as_of)
     return cursor
 
 
@@ -49,7 +65,7 @@
     batch = _batch(8, 13, records=(_record(9), _record(11)))
     check.assertEqual([r.offset for r in cursor.apply_batch(batch, 1.0)], [11])
     check.assertEqual(cursor.apply_batch(batch, 1.1), ())
-    check.assertEqual(cursor.next_offset, 13)
+    check.assertEqual(cursor.next, _at(13))
 
 
 def test_a_gap_before_a_batch_requires_a_read():
@@ -58,14 +74,14 @@
         cursor.apply_batch(_batch(11, 14, records=(_record(12),)), 0.1), ()
     )
     check.assertFalse(cursor.is_fresh(0.1))
-    cursor.apply_read(14, 0.2)
+    cursor.apply_read(_at(14), 0.2)
     check.assertTrue(cursor.is_fresh(0.3))
 
 
 def test_outdated_batches_are_ignored():
     cursor = _listed_cursor(end=10, as_of=5.0)
     check.assertEqual(cursor.apply_batch(_batch(2, 8, records=(_record(7),)), 5.1), ())
-    check.assertEqual((cursor.next_offset, cursor.fresh_until), (10, 5.0 + FRESH_S))
+    check.assertEqual((cursor.next, cursor.fresh_until), (_at(10), 5.0 + FRESH_S))
 
 
 def test_freshness_accounts_for_the_age_of_a_batch():
@@ -78,8 +94,8 @@
 def test_an_outdated_listing_is_ignored():
     cursor = _listed_cursor()
     cursor.apply_batch(_batch(10, 15), 1.0)
-    check.assertFalse(cursor.apply_listing(12, 1.1))
-    check.assertTrue(cursor.apply_listing(15, 1.1))
+    check.assertFalse(cursor.apply_listing(_at(12), 1.1))
+    check.assertTrue(cursor.apply_listing(_at(15), 1.1))
 
 
 def test_inconsistent_batches_are_rejected():
@@ -103,7 +119,7 @@
     check.assertTrue(history.add(_range(10, 14, 0.5, (_record(12),)), 0.5))
     check.assertFalse(history.add(_range(14, 15, 0.9), 0.9))
     batch = history.recent_batch(1.0, FRESH_S)
-    check.assertEqual((batch.start, batch.end), (10, 15))
+    check.assertEqual((batch.start, batch.end), (_at(10), _at(15)))
     check.assertEqual([r.offset for r in batch.records], [12])
     check.assertAlmostEqual(batch.age_s, 0.1)
     check.assertIsNone(history.recent_batch(0.9 + FRESH_S + 0.1, FRESH_S))
@@ -115,9 +131,9 @@
         now = 0.1 * n
         history.add(_range(n, n + 1, now, (_record(n),)), now)
     batch = history.recent_batch(9.9, FRESH_S)
-    check.assertEqual(batch.end, 100)
+    check.assertEqual(batch.end, _at(100))
     check.assertLess(len(batch.records), 35)
-    check.assertEqual(batch.start, batch.records[0].offset)
+    check.assertEqual(batch.start.offset, batch.records[0].offset)
 
 
 def test_a_record_too_large_for_a_batch_leaves_a_gap():
@@ -125,7 +141,7 @@
     history.add(_range(10, 10, 0.0), 0.0)
     history.add(_range(10, 12, 0.1, (_record(10), _record(11, b"x" * 900_000))), 0.1)
     batch = history.recent_batch(0.2, FRESH_S)
-    check.assertEqual((batch.start, batch.end, batch.records), (12, 12, ()))
+    check.assertEqual((batch.start, batch.end, batch.records), (_at(12), _at(12), ()))
     cursor = _listed_cursor()
     cursor.apply_batch(batch, 0.3)
     check.assertFalse(cursor.is_fresh(0.3))
@@ -136,7 +152,7 @@
     history.add(_range(10, 12, 0.0, (_record(11),)), 0.0)
     history.add(_range(20, 20, 0.5), 0.5)
     batch = history.recent_batch(0.6, FRESH_S)
-    check.assertEqual((batch.start, batch.end, batch.records), (20, 20, ()))
+    check.assertEqual((batch.start, batch.end, batch.records), (_at(20), _at(20), ()))
 
 
 @attrs.define
@@ -170,13 +186,13 @@
         self.applied: dict = {}
 
     def apply_listing(self, log: _Log, now: float) -> None:
-        if self.cursor.apply_listing(len(log.records), now):
+        if self.cursor.apply_listing(_at(len(log.records)), now):
             self.applied = dict(log.state)
 
     def apply_read(self, log: _Log, now: float) -> None:
-        start = self.cursor.next_offset
+        start = self.cursor.next.offset
         self.apply(log.records[start:])
-        self.cursor.apply_read(len(log.records), now)
+        self.cursor.apply_read(_at(len(log.records)), now)
 
     def apply_batch(self, batch: feeds.RecordBatch, now: float) -> None:
         self.apply(self.cursor.apply_batch(batch, now))
@@ -210,9 +226,9 @@
             log.append(rng)
         states.append((dict(log.state), now))
         if rng.random() < 0.5:
-            start = reader.cursor.next_offset
+            start = reader.cursor.next.offset
             changes = log.changes(start, reader.applied)
-            reader.cursor.apply_read(len(log.records), now)
+            reader.cursor.apply_read(_at(len(log.records)), now)
             history.add(_range(start, len(log.records), now, changes), now)
         if rng.random() < 0.02:
             # Another front, which has just listed the topic, becomes the reader.
@@ -235,7 +251,7 @@
                 member.apply_read(log, now)
             # The state of a member is the one of the topic at its offset.
             expected = _Log()
-            for record in log.records[: member.cursor.next_offset]:
+            for record in log.records[: member.cursor.next.offset]:
                 expected.state[record.key] = record.value
             check.assertTrue(_equal(member.applied, expected.state), (seed, now))
             recent = [s for s, at in states if at >= now - FRESH_S - 0.06]
@@ -252,11 +268,13 @@
 class _Store:
     """A store that records its calls and may fail."""
 
-    def __init__(self) -> None:
+    def __init__(self, eras: feeds.Eras) -> None:
+        self.eras = eras
         self.log = _Log()
         self.calls: list[str] = []
         self.down = False
         self.first = 0
+        self.era = 0
 
     def newest(self, topic: str) -> feeds.Listing:
         self._record_call("list")
@@ -265,18 +283,23 @@
             for n, (k, v) in enumerate(self.log.state.items())
             if v
         )
-        return feeds.Listing(records=records, end=len(self.log.records))
+        return feeds.Listing(records=records, end=_at(len(self.log.records), self.era))
 
-    def read(self, topic: str, start: int, wait_s: float) -> list[feeds.Record]:
+    def read(
+        self, topic: str, start: feeds.Position, wait_s: float
+    ) -> list[feeds.Record]:
         self._record_call("read")
-        if start < self.first:
+        if start.era < self.era:
+            raise errors.EraEndedError("a later era has begun")
+        if start.offset < self.first:
             raise errors.OffsetExpiredError(self.first)
-        return self.log.records[start:]
+        return self.log.records[start.offset :]
 
     def _record_call(self, name: str) -> None:
         self.calls.append(name)
         if self.down:
             raise errors.LogUnavailableError("down")
+        self.eras.observe(self.era, "the store")
 
     def abort(self) -> None:
         """Does nothing: no call waits."""
@@ -291,8 +314,8 @@
     def __init__(self) -> None:
         self.events: list = []
 
-    def on_listing(self, records) -> None:
-        self.events.append("listed")
+    def on_listing(self, records, *, reverted: bool) -> None:
+        self.events.append("reverted" if reverted else "listed")
 
     def on_changes(self, records):
         self.events += [r.offset for r in records]
@@ -306,7 +329,9 @@
     """A loop whose steps the test calls, with the ranges it published."""
 
     def __init__(self, *, reads: bool) -> None:
-        self.store, self.sink, self.published, self.reads = _Store(), _Sink(), [], reads
+        self.eras = feeds.Eras()
+        self.store, self.sink = _Store(self.eras), _Sink()
+        self.published, self.reads = [], reads
         self.loop = feeds.FollowLoop(
             self.store,
             "topic",
@@ -315,6 +340,7 @@
             self.sink,
             self.published.append,
             lambda: self.reads,
+            self.eras,
         )
 
 
@@ -326,7 +352,8 @@
     case.loop.run_once()
     check.assertEqual(case.store.calls, ["list", "read", "read"])
     check.assertEqual(
-        [(t.start, t.end) for t in case.published], [(0, 0), (0, 1), (1, 1)]
+        [(t.start.offset, t.end.offset) for t in case.published],
+        [(0, 0), (0, 1), (1, 1)],
     )
     check.assertEqual(case.sink.events, ["listed", 0])
 
@@ -392,10 +419,8 @@
     check.assertFalse(thread.is_alive())
 
 
-def _full_batch(end: int, age_s: float = 0.0, records=()) -> feeds.RecordBatch:
-    return feeds.RecordBatch(
-        topic=TOPIC, start=0, end=end, age_s=age_s, records=records, full=True
-    )
+def _full_batch(end: int, records=(), era: int = 0) -> feeds.RecordBatch:
+    return attrs.evolve(_batch(0, end, records=records, era=era), full=True)
 
 
 def test_a_full_batch_replaces_a_listing_that_fails():
@@ -405,7 +430,7 @@
     case.loop.put_batch(_full_batch(7, records=(_record(3), _record(6))))
     case.loop.run_once()
     check.assertEqual(case.sink.events, ["listed"])
-    check.assertEqual([(t.end, t.full) for t in case.published], [(7, True)])
+    check.assertEqual([(t.end.offset, t.full) for t in case.published], [(7, True)])
     case.loop.put_batch(_batch(6, 9, records=(_record(6), _record(8))))
     case.loop.run_once()
     check.assertEqual(case.sink.events[-1], 8)
@@ -438,8 +463,8 @@
     full = history.full_batch(9.0)
     # Keys are the offsets modulo five: 11 replaces 1, and 12 deletes the key of 2.
     check.assertEqual([r.offset for r in full.records], [3, 11])
-    check.assertEqual((full.start, full.end, full.age_s), (0, 14, 8.0))
-    check.assertEqual(history.recent_batch(1.1, FRESH_S).start, 10)
+    check.assertEqual((full.start, full.end, full.age_s), (_at(0), _at(14), 8.0))
+    check.assertEqual(history.recent_batch(1.1, FRESH_S).start, _at(10))
 
 
 def test_recovery_of_the_store_is_detected_quickly():
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -58,7 +58,11 @@
 def _with_batch(value: bytes | None) -> peers.PeerState:
     record = feeds.Record(offset=4, key="config", value=value)
     batch = feeds.RecordBatch(
-        topic=feeds.Topic.CONFIGURATION, start=3, end=6, age_s=0.25, records=(record,)
+        topic=feeds.Topic.CONFIGURATION,
+        start=feeds.Position(4, 3),
+        end=feeds.Position(4, 6),
+        age_s=0.25,
+        records=(record,),
     )
     return attrs.evolve(STATE, record_batches=(batch,), partial=True, capacity=-1)
 
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -6,7 +6,7 @@
 
 from benchmarks import prompt_model
 from tests import fixtures
-from turmericward import authority, fleet
+from turmericward import authority, feeds, fleet
 
 check = fixtures.check
 PREFILL, DECODE = fleet.EngineRole.PREFILL, fleet.EngineRole.DECODE
@@ -149,15 +149,23 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self.records = []
+        self.era = 0
 
-    def append(self, claim: authority.Claim) -> int | None:
-        if claim.end != len(self.records):
+    def append(self, claim: authority.Claim) -> feeds.Position | None:
+        if claim.end.offset != len(self.records):
             return None
         self.records.append(claim.record)
-        return None if self._rng.random() < 0.2 else len(self.records) - 1
+        position = feeds.Position(self.era, len(self.records) - 1)
+        return None if self._rng.random() < 0.2 else position
+
+    def return_from_copy(self) -> None:
+        """Loses some of the last records, and begins a new era."""
+        self.era += 1
+        del self.records[len(self.records) - self._rng.randrange(4) :]
 
     def read(self):
-        return len(self.records), self.records[-1] if self.records else None
+        end = feeds.Position(self.era, len(self.records))
+        return end, self.records[-1] if self.records else None
 
 
 class _Front:
@@ -168,23 +176,27 @@
         self._offset = rng.random() * 1000
         self._lease = authority.OnDemandLease(f"f{number}", TIMING, lambda: "id")
         self._ordered_at: float | None = None
+        self._eras = feeds.Eras(clock=lambda: self._now)
+        self._now = 0.0
 
     def _clock(self, now: float) -> float:
         return self._offset + now * self._rate
 
     def step(self, now: float, log: _Log, rng: random.Random) -> int | None:
         """Runs once; returns the fencing token of an order that was sent, if any."""
-        local = self._clock(now)
-        held = self._lease.authority(local)
+        local = self._now = self._clock(now)
+        held = self._lease.authority(local, self._eras.current)
         if held is None:
-            self._lease.record_log_end(local, *log.read())
+            end, record = log.read()
+            self._eras.observe(end.era, "the log")
+            self._lease.record_log_end(local, end, record, self._eras.since)
             claim = self._lease.acquire(local)
-            offset = None if claim is None else log.append(claim)
-            if offset is not None:
-                self._lease.acquired(claim, local, offset, local)
+            position = None if claim is None else log.append(claim)
+            if position is not None:
+                self._lease.acquired(claim, local, position, local)
             return None
         if self._ordered_at is not None and local - self._ordered_at > GAP_S + 0.5:
-            release = self._lease.release(local)
+            release = self._lease.release(local, self._eras.current)
             self._ordered_at = None
             if release is not None:
                 log.append(release)
@@ -196,6 +208,15 @@
 
 
 def test_orders_of_two_fronts_are_spaced_and_their_tokens_increase():
+    check.assertGreater(_count_orders(return_rate=0.0), 2 * len(SEEDS))
+
+
+def test_a_log_that_returns_from_an_older_copy_gives_no_token_twice():
+    check.assertGreater(_count_orders(return_rate=0.01), len(SEEDS))
+
+
+def _count_orders(return_rate: float) -> int:
+    """Checks the orders of four fronts over all seeds; returns their number."""
     orders_seen = 0
     for seed in SEEDS:
         rng = random.Random(seed)
@@ -209,6 +230,8 @@
             number = rng.randrange(len(fronts))
             if now < paused_until[number]:
                 continue
+            if rng.random() < return_rate:
+                log.return_from_copy()
             if rng.random() < 0.02:
                 paused_until[number] = now + rng.random() * 12
                 continue
@@ -216,18 +239,20 @@
             if token is None:
                 continue
             orders_seen += 1
+            if last is not None:
+                check.assertGreaterEqual(token, last[2], f"seed {seed}")
             if last is not None and last[0] != number:
                 check.assertGreater(now - last[1], GAP_S, f"seed {seed}")
                 check.assertGreater(token, last[2], f"seed {seed}")
             last = (number, now, token)
-    check.assertGreater(orders_seen, 2 * len(SEEDS))
+    return orders_seen
 
 
 def test_a_claim_without_response_grants_no_lease():
     lease = authority.OnDemandLease("f", TIMING, lambda: "id")
-    lease.record_log_end(0.0, 0, None)
+    lease.record_log_end(0.0, feeds.Position(0, 0), None)
     claim = lease.acquire(0.0)
     check.assertIsNone(lease.authority(0.1))
-    lease.record_log_end(0.2, 1, claim.record)
+    lease.record_log_end(0.2, feeds.Position(0, 1), claim.record)
     check.assertIsNone(lease.acquire(TIMING.term_s))
     check.assertIsNotNone(lease.acquire(0.2 + TIMING.term_s + TIMING.margin_s))
--- a/tests/test_start_in_outage.py
+++ b/tests/test_start_in_outage.py
@@ -21,8 +21,8 @@
     end = platform.store.end(name)
     return feeds.TopicRange(
         topic=topic,
-        start=end,
-        end=end,
+        start=feeds.Position(platform.store.era, end),
+        end=feeds.Position(platform.store.era, end),
         as_of=0.0,
         records=tuple(sorted(records, key=lambda r: r.offset)),
         full=True,
