--- a/src/turmericward/feeds/_eras.py
+++ b/src/turmericward/feeds/_eras.py
@@ -39,6 +39,7 @@
         self._on_new = on_new
         self._clock = clock
         self._lock = threading.Lock()
+        self._seen = False
         self._current = 0
         self._since = float("-inf")
 
@@ -49,7 +50,10 @@
 
     @property
     def since(self) -> float:
-        """When this front first saw the latest era, in monotonic seconds."""
+        """When this front first saw the latest era, in monotonic seconds.
+
+        It was always in era 0, before which there is none.
+        """
         return self._since
 
     def observe(self, era: int, source: str) -> None:
@@ -63,14 +67,14 @@
             InvalidEraError: it can't follow the known one.
         """
         with self._lock:
-            known = self._current
+            known, seen, self._seen = self._current, self._seen, True
             if era <= known:
                 return
-            if era > MAX_ERA or (known and era - known > MAX_RISE):
+            if era > MAX_ERA or (seen and era - known > MAX_RISE):
                 raise InvalidEraError(f"{source} names era {era} after {known}")
             # Readers of `current` without the lock see the time at least as early.
             self._since = self._clock()
             self._current = era
         telemetry.log_event("store_era", era=era, previous=known, source=source)
-        if known:
+        if seen:
             self._on_new()
--- a/src/turmericward/platform/_store.py
+++ b/src/turmericward/platform/_store.py
@@ -193,7 +193,7 @@
         text = headers.get(_headers.STORE_ERA)
         known = self._eras.current
         if text is None and not known:
-            return 0
+            text = "0"
         if text is None or not (text.isascii() and text.isdigit()):
             raise errors.LogUnavailableError(f"store names era {text!r}")
         try:
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -110,6 +110,11 @@
     check.assertEqual((eras.current, eras.since, counted), (7, 5.0, []))
     eras.observe(8, "a peer")
     check.assertEqual((eras.current, counted), (8, [1]))
+    first = feeds.Eras(lambda: counted.append(2), clock=lambda: 5.0)
+    first.observe(0, "the store")
+    check.assertEqual(first.since, float("-inf"))
+    first.observe(1, "the store")
+    check.assertEqual(counted, [1, 2])
     for era in (8 + 101, 5_000):
         with check.assertRaises(feeds.InvalidEraError):
             eras.observe(era, "a peer")
