Smaller dispatcher and peer task; a limit outlasts a missing announcement

A target whose announcement lapsed and returned lost its limit, so that each front could send it a burst until told again. The limit now stays 10 s beyond the announcement of the same incarnation; a restart still drops it. Both new tests failed before (frozenset() != {'e'}; the other guards the bound).

--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -8,12 +8,16 @@
 from absl import logging
 
 from turmericward import fleet, peers, requests, runtime, telemetry
-from turmericward.delivery import _messages, _retry_budgets, _routes
+from turmericward.delivery import (
+    _limit_exchange,
+    _messages,
+    _retry_budgets,
+    _routes,
+    _status,
+    _waits,
+)
 
 RETRY_BUDGET_RETRY_S = 0.5
-URGENT_PRIORITY = 0
-# Part of the time that a client waits for an event in which a stream is resumed.
-RESUME_WAIT_SHARE = 0.5
 SHORT_PROMPT_PUBLISH_INTERVAL_S = 0.05
 PERIOD_S = 0.1
 # Loads that differ from the published ones are published after this time at the
@@ -54,6 +58,9 @@
         super().__init__()
         self._admission = fleet.Admission(name, grace_s)
         self._directory = self._admission.directory
+        self._limits = _limit_exchange.LimitExchange(
+            self._directory, self._admission.limits
+        )
         self._placer = requests.Placer(seed, domain)
         self._budgets = _retry_budgets.RetryBudgets(retries)
         self._published_at = 0.0
@@ -99,19 +106,17 @@
 
     def _on_removed(self, name: str) -> None:
         logging.info("target %s is gone", name)
-        self._forget(name)
-
-    def _forget(self, name: str) -> None:
         self._placer.forget(name)
-        self._admission.forget(name)
-        self.limited_targets = self._admission.limits.limited()
+        self._admission.removed(name)
 
     def _put(self, target: fleet.Target) -> None:
         previous = self._directory.get(target.name)
         if not self._directory.put(target):
             return
         if previous is not None and previous.started_ms != target.started_ms:
-            self._forget(target.name)
+            self._placer.forget(target.name)
+            self._admission.forget(target.name)
+            self._update_limited_targets()
         self._placer.cache_index.set_service(target)
         if previous is not None and previous.role is not target.role:
             self._admission.release(target.name)
@@ -144,64 +149,20 @@
         if backoffs.record(name, message.backoff_s, now):
             backoff_s = backoffs.remaining_s(name, now)
             telemetry.log_event("target_rests", target=name, rest_s=backoff_s)
-        if message.limit is not None and self._record_limit(
-            message.target, message.limit, "answer"
-        ):
+        limit = message.limit
+        if limit is not None and self._limits.record(message.target, limit, "answer"):
+            self._update_limited_targets()
             self._publish_state()
 
-    def _record_limit(
-        self, target: fleet.Target, limit: fleet.RateLimit, source: str
-    ) -> bool:
-        """Records what a target said of its limit; returns whether it changed."""
-        known = self._directory.get(target.name)
-        if known is None or known.started_ms != target.started_ms:
-            return False
-        now = runtime.now()
-        limits = self._admission.limits
-        if not limits.record(target, limit, now):
-            return False
-        self.limited_targets = limits.limited()
-        share = limits.share(target.name)
-        telemetry.log_event(
-            "target_limit",
-            target=target.name,
-            started_ms=target.started_ms,
-            limit_per_s=limit.per_s,
-            share_per_s=None if share is None else round(share.per_s, 3),
-            burst=None if share is None else round(share.burst, 2),
-            fronts=limits.members.count,
-            source=source,
-            age_s=round(now - limit.observed_at, 3),
-        )
-        return True
-
-    def _apply_peer_limits(self, rows: tuple[peers.TargetLimit, ...]) -> None:
-        now = runtime.now()
-        for row in rows:
-            target = self._directory.find(row.target, row.started_ms)
-            if target is None:
-                continue
-            limit = fleet.RateLimit(per_s=row.per_s, observed_at=now - row.age_s)
-            if self._record_limit(target, limit, "peer"):
-                self._limits_changed = True
-
-    def _limit_reports(self) -> tuple[peers.TargetLimit, ...]:
-        now = runtime.now()
-        return tuple(
-            peers.TargetLimit(
-                target=fleet.target_hash(name),
-                started_ms=started_ms,
-                per_s=limit.per_s,
-                age_s=now - limit.observed_at,
-            )
-            for name, started_ms, limit in self._admission.limits.reports()
-        )
+    def _update_limited_targets(self) -> None:
+        self.limited_targets = self._admission.limits.limited()
 
     @handle.register
     def _(self, message: _messages.RequestSent) -> None:
         now = runtime.now()
         for name in self.limited_targets:
-            if self._directory.get(name).address == message.address:
+            target = self._directory.get(name)
+            if target is not None and target.address == message.address:
                 self._admission.sent(name, now)
 
     def _apply_leaving(self, leaving: frozenset[peers.LeavingTarget]) -> None:
@@ -227,6 +188,7 @@
         now = runtime.now()
         for name in self._admission.expire(now):
             self._on_removed(name)
+        self._update_limited_targets()
         for peer in self._placer.peers.expire(now):
             logging.info("peer %s is silent", peer)
         live_peers = self._placer.peers.live()
@@ -251,7 +213,9 @@
             self._placer.cache_index.apply(entry)
         self._listed_engines |= message.listed
         self._apply_leaving(message.leaving)
-        self._apply_peer_limits(message.limits)
+        if self._limits.apply(message.limits):
+            self._update_limited_targets()
+            self._limits_changed = True
         for target, ttl_s in message.held.items():
             self._admission.hold(target, runtime.now() + ttl_s)
 
@@ -295,32 +259,14 @@
             front=self._name,
             domain=self._domain,
             version=None if self.table is None else self.table.version,
-            targets=tuple(self._target_status(t, now) for t in self._directory.all()),
+            targets=tuple(
+                _status.target_status(t, self._admission, self._placer, now)
+                for t in self._directory.all()
+            ),
             peer_ages_s=self._placer.peers.ages(now),
             retries_left=self._budgets.available(),
         )
 
-    def _target_status(self, target: fleet.Target, now: float):
-        load = self._placer.load(target.name)
-        share = self._admission.limits.share(target.name)
-        return _messages.TargetStatus(
-            name=target.name,
-            service=target.service,
-            address=target.address,
-            domain=target.domain,
-            role=target.role.value if target.role else "",
-            leaving=target.leaving,
-            held=self._admission.is_held(target.name, now),
-            rests_s=round(self._admission.backoffs.remaining_s(target.name, now), 3),
-            limit_per_s=self._admission.limits.per_s(target.name),
-            limit_share_per_s=share.per_s if share is not None else None,
-            usable=self._placer.health.usable(target.name, now),
-            failure_share=round(self._placer.failure_share(target.name, now), 3),
-            urgent_tokens=int(load.urgent_tokens),
-            deferred_tokens=int(load.deferred_tokens),
-            open_calls=load.open_calls,
-        )
-
     @handle.register
     def _(self, message: _messages.EngineCacheListing) -> None:
         target_id = fleet.target_hash(message.target.name)
@@ -344,7 +290,7 @@
             peers.LocalState(
                 loads=loads,
                 cache_entries=entries,
-                limits=self._limit_reports(),
+                limits=self._limits.reports(),
                 **changes,
             )
         )
@@ -375,8 +321,8 @@
             message.service,
             message.excluded,
             now,
-            urgent=_is_urgent(message),
-            max_wait_s=_max_wait_s(message, deadlines),
+            urgent=_waits.is_urgent(message),
+            max_wait_s=_waits.max_wait_s(message, deadlines),
         )
         chosen = self._choose(message, candidates, deadlines, now)
         if chosen is None:
@@ -449,32 +395,5 @@
     return None if placement is None else result.Ok(placement)
 
 
-def _is_urgent(message: _messages.Place) -> bool:
-    """Returns whether a call goes before others at targets with a rate limit.
-
-    That is one of the highest priority, one that can't be repeated, or one whose
-    prefill would be lost.
-    """
-    route = message.call.route
-    return (
-        route.priority <= URGENT_PRIORITY or not route.repeatable or message.prefilled
-    )
-
-
-def _max_wait_s(message: _messages.Place, deadlines: requests.Deadlines) -> float:
-    """Returns how long a call may wait for its turn at a target with a rate limit.
-
-    Longer waits would make all calls late as soon as more come than the target takes.
-    A prompt that is prefilled is worth more, and so is a stream to resume, whose
-    client waits for the next event as long as it did for the first.
-    """
-    call = message.call
-    if call.resume_after:
-        return RESUME_WAIT_SHARE * call.route.abandon_s
-    if message.prefilled:
-        return deadlines.hard_deadline_s
-    return deadlines.soft_deadline_s
-
-
 def _refusal(reason: str, retry_after_s: float):
     return result.Err(requests.Refusal(reason=reason, retry_after_s=retry_after_s))
--- a/src/turmericward/fleet/_admission.py
+++ b/src/turmericward/fleet/_admission.py
@@ -65,10 +65,18 @@
         self._filtered: dict[str, tuple[Sequence, Set, tuple]] = {}
 
     def forget(self, name: str) -> None:
-        """Drops what a target asked for that was removed or has restarted."""
+        """Drops what a target asked for that has restarted."""
         self.backoffs.forget(name)
         self.limits.forget(name)
 
+    def removed(self, name: str) -> None:
+        """Drops the backoff of a target that was removed.
+
+        Its rate limit is kept for a while, as the announcement of a target that still
+        runs may return.
+        """
+        self.backoffs.forget(name)
+
     # Holds.
 
     def hold(self, target: int, until: float) -> None:
@@ -88,7 +96,7 @@
         self._held_until = {
             target: until for target, until in self._held_until.items() if until > now
         }
-        self.limits.expire(now)
+        self.limits.expire(now, self.directory.contains)
         return self.directory.expire(now)
 
     # Calls.
--- a/src/turmericward/fleet/_rate_limits.py
+++ b/src/turmericward/fleet/_rate_limits.py
@@ -1,7 +1,7 @@
 """Rates of requests that targets name, and what this front may send under them."""
 
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -9,8 +9,9 @@
 
 # Share of what may be sent at once, beyond one request, that is left to urgent calls.
 URGENT_BURST_SHARE = 0.5
-# How long the end of a limit is remembered, so that late reports don't bring it back.
-LIFTED_RETENTION_S = 10.0
+# How long the end of a limit is remembered, so that late reports don't bring it back,
+# and the limit of a target whose announcement is gone.
+RETENTION_S = 10.0
 # Tolerance for the rounding of sums.
 EPSILON = 1e-9
 
@@ -161,13 +162,18 @@
         for name, entry in self._entries.items():
             yield name, entry.started_ms, entry.limit
 
-    def expire(self, now: float) -> None:
-        """Drops limits that ended a while ago."""
+    def expire(self, now: float, is_known: Callable[[str], bool]) -> None:
+        """Drops limits that ended a while ago, and those of removed targets.
+
+        Args:
+            now: monotonic seconds.
+            is_known: returns whether a target is known.
+        """
         expired = [
             name
             for name, entry in self._entries.items()
-            if entry.bucket is None
-            and now - entry.limit.observed_at > LIFTED_RETENTION_S
+            if (entry.bucket is None or not is_known(name))
+            and now - entry.limit.observed_at > RETENTION_S
         ]
         for name in expired:
             self.forget(name)
--- a/src/turmericward/fleet/_targets.py
+++ b/src/turmericward/fleet/_targets.py
@@ -167,6 +167,10 @@
         """Returns the target with this name, if any."""
         return self._targets.get(name)
 
+    def contains(self, name: str) -> bool:
+        """Returns whether a target with this name is known."""
+        return name in self._targets
+
     def find(self, target: int, started_ms: int) -> Target | None:
         """Returns an incarnation of a target, given by the hash of its name."""
         known = self._targets.get(self._names_by_hash.get(target, ""))
--- a/src/turmericward/peers/_peer_task.py
+++ b/src/turmericward/peers/_peer_task.py
@@ -13,6 +13,7 @@
     _codec,
     _deltas,
     _limits,
+    _members,
     _messages,
     _outbox,
     _peer_group,
@@ -32,8 +33,6 @@
 # Shortest time between two datagrams with full batches.
 FULL_BATCH_INTERVAL_S = 0.2
 MAX_DATAGRAM_BYTES = 60_000
-# How long after a listing of the fronts a silent one may be dropped.
-LISTING_VALIDITY_S = 150.0
 
 
 class PeerTask(runtime.Task):
@@ -79,9 +78,7 @@
         self._peers = _peer_group.PeerGroup(front, domain, capacity)
         self._local = _messages.LocalState(loads={})
         self._limits = _limits.LimitReports()
-        # Known fronts as last delivered; None before the first listing of the store.
-        self._members: frozenset[str] | None = None
-        self._listed_at: float | None = None
+        self._known_fronts = _members.KnownFronts()
         self._received: dict[str, tuple[float, _codec.PeerState]] = {}
         self._fresh_s = dict(fresh_s or {})
         # Latest era of the store in the peers' batches.
@@ -134,14 +131,13 @@
 
     @handle.register
     def _(self, message: _messages.FrontsListed) -> None:
-        self._listed_at = self._clock()
-        self._deliver_members()
+        self._known_fronts.record_listing(self._clock())
+        self._forward_members()
 
-    def _deliver_members(self) -> None:
-        """Delivers the names of the known fronts if they have changed."""
+    def _forward_members(self) -> None:
+        """Passes the names of the known fronts on if they have changed."""
         names = self._peers.names() | {self._front}
-        if self._listed_at is not None and names != self._members:
-            self._members = names
+        if self._known_fronts.changed(names):
             self._forward(_messages.Members(names=names))
 
     @handle.register
@@ -154,7 +150,7 @@
             state.front, message.host, state.domain, now, state.capacity
         ):
             logging.info("peer %s at %s is known", state.front, message.host)
-            self._deliver_members()
+            self._forward_members()
         state = self._with_unchanged_loads(state)
         self._received[state.front] = (now, state)
         if self._peers.is_relay(now):
@@ -242,13 +238,12 @@
         self._send_if_due(now)
 
     def _expire_peers(self, now: float) -> None:
-        # Without a listing, a silent front may just as well be out of reach.
-        if self._listed_at is None or now - self._listed_at > LISTING_VALIDITY_S:
+        if not self._known_fronts.may_drop(now):
             return
         for front in self._peers.expire(now):
             self._received.pop(front, None)
             logging.info("peer %s expired", front)
-        self._deliver_members()
+        self._forward_members()
 
     def _update_role(self, now: float) -> None:
         is_reader = self._peers.is_reader(now)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -267,3 +267,29 @@
     resumed = attrs.evolve(_call(8.0), resume_after="3")
     placement = _place(task, call=resumed, prefilled=True).unwrap()
     check.assertGreater(placement.start_after_s, 0.8)
+
+
+def test_a_limit_outlasts_a_missing_announcement_but_not_a_restart():
+    task = _task()
+    target = attrs.evolve(_target("e"), started_ms=1)
+    task.handle(delivery.PutTargets(targets=(target,)))
+    limit = fleet.RateLimit(per_s=4.0, observed_at=runtime.now())
+    task.handle(delivery.TargetNotice(target=target, limit=limit))
+    task.handle(delivery.PutTargets(removed=("e",)))
+    task.handle(delivery.PutTargets(targets=(target,)))
+    check.assertEqual(task.limited_targets, {"e"})
+    restarted = attrs.evolve(target, started_ms=2)
+    task.handle(delivery.PutTargets(targets=(restarted,)))
+    check.assertEqual(task.limited_targets, frozenset())
+
+
+def test_the_limit_of_a_target_that_is_gone_is_dropped():
+    task = _task()
+    task.handle(delivery.PutTargets(targets=(_target("e"),)))
+    limit = fleet.RateLimit(per_s=4.0, observed_at=runtime.now())
+    task.handle(delivery.TargetNotice(target=_target("e"), limit=limit))
+    task.handle(delivery.PutTargets(removed=("e",)))
+    later = runtime.now() + 11.0
+    with mock.patch.object(runtime, "now", lambda: later):
+        task.run_periodic()
+    check.assertEqual(task.limited_targets, frozenset())
