--- a/benchmarks/_emulator.py
+++ b/benchmarks/_emulator.py
@@ -1,23 +1,16 @@
 """Emulator of fronts, engines and clients under one virtual clock.
 
-Engines work in steps: a step decodes one token of every running call and prefills
-one chunk of the waiting prompts, one after the other by rank. An engine that also
-decodes prefills chunks a quarter as long at half the speed. Events bundle tokens,
-so chunked prefill lengthens the interval between events. Fronts place calls by the
-product's `Placer` and publish their loads to each other as real ones do. Clients
-disconnect when no event comes in time.
+Fronts place calls by the product's `Placer` and publish their loads to each other as
+real ones do. Clients disconnect when no event comes in time.
 """
 
-import collections
 import heapq
 import itertools
-import math
 
-import attrs
 import numpy
 
-from benchmarks import _loads, prompt_model
-from turmericward import fleet, requests
+from benchmarks import _calls, _engines, _loads, _outcome, prompt_model
+from turmericward import requests
 
 CLIENT_DELAY_S = 0.003
 NETWORK_DELAY_S = 0.001
@@ -26,225 +19,9 @@
 PUBLISH_DELAY_S = 0.002
 SHORT_PROMPT_PUBLISH_INTERVAL_S = 0.05
 HEARTBEAT_S = 0.25
-# Calls arrive in groups from clients of one domain, spread over the window.
-MEAN_GROUP_SIZE = 3.0
-GROUP_WINDOW_S = 0.03
 NO_TARGET_RETRY_S = 0.5
 DOMAINS = "abcdefgh"
 CHECK_INTERVAL_S = 0.1
-DECODE_ENGINE_PREFILL_SPEED = 0.5
-DECODE_ENGINE_CHUNK_SHARE = 0.25
-
-
-@attrs.define(kw_only=True, eq=False)
-class _Call:
-    """One call, its current placement, and what its client received."""
-
-    kind: _loads.CallClass
-    front: "_Front"
-    prompt: requests.Prompt
-    tokens_out: int
-    requested_at: float
-    domain: str
-    placement: requests.Placement | None = None
-    first_token_at: float | None = None
-    last_event_at: float = 0.0
-    max_interval_s: float = 0.0
-    state: str = "open"
-    failures: int = 0
-    hanging: bool = False
-    retried: bool = False
-    sent_at: float = 0.0
-
-
-@attrs.define(kw_only=True, eq=False)
-class _Job:
-    """A call's prefill or decode at one engine."""
-
-    call: _Call
-    placement: requests.Placement
-    remaining_tokens: float
-    context_tokens: float
-    prefill_only: bool
-    generated: int = 0
-    ended: bool = False
-
-    @property
-    def stale(self) -> bool:
-        """Whether the job ended or its call has another placement or none."""
-        return self.ended or self.call.placement is not self.placement
-
-
-class _Engine:
-    """One engine; reports prefills, events and stream ends to the simulation."""
-
-    def __init__(
-        self, target: fleet.Target, cfg: _loads.EngineTraits, simulation
-    ) -> None:
-        self.target = target
-        self._cfg = cfg
-        self._simulation = simulation
-        self._queue: list[tuple[tuple, _Job]] = []
-        self._prefilling: collections.deque[_Job] = collections.deque()
-        self._running: list[_Job] = []
-        self._busy = False
-        self._cached: collections.OrderedDict[object, int] = collections.OrderedDict()
-        self._total_cached_tokens = 0
-        self.slowdown = 1.0
-
-    @property
-    def _only_prefills(self) -> bool:
-        return not self.target.can_decode
-
-    def submit(self, job: _Job, rank: int) -> None:
-        heapq.heappush(self._queue, ((rank, next(self._simulation.order)), job))
-        self._start_if_idle()
-
-    def _start_if_idle(self) -> None:
-        if not self._busy and (self._queue or self._prefilling or self._running):
-            self._busy = True
-            self._begin_step()
-
-    def _admit(self) -> None:
-        while self._queue:
-            if len(self._prefilling) + len(self._running) >= self._cfg.slots:
-                return
-            # One prompt is prefilled at a time; the next one is chosen by rank.
-            if self._prefilling and self._queue[0][1].remaining_tokens > 0:
-                return
-            _, job = heapq.heappop(self._queue)
-            if job.stale:
-                continue
-            if job.remaining_tokens > 0:
-                job.remaining_tokens = self._uncached_tokens(job)
-                self._prefilling.append(job)
-            else:
-                self._running.append(job)
-
-    def _uncached_tokens(self, job: _Job) -> float:
-        """Returns the prompt tokens neither cached here nor at the KV source."""
-        prompt = job.call.prompt
-        cached = self._simulation.reusable_tokens(
-            self, prompt, job.placement.fetch_from
-        )
-        job.context_tokens = cached
-        return max(1.0, prompt.tokens - cached)
-
-    def _begin_step(self) -> None:
-        self._admit()
-        budget = self._cfg.piece_tokens
-        speed = self._cfg.tokens_per_ms
-        if not self._only_prefills:
-            budget *= DECODE_ENGINE_CHUNK_SHARE
-            speed *= DECODE_ENGINE_PREFILL_SPEED
-        took_ms, prefilled = 0.0, []
-        while self._prefilling and budget > 0:
-            job = self._prefilling[0]
-            if job.stale:
-                self._prefilling.popleft()
-                self._admit()
-                continue
-            chunk = min(budget, job.remaining_tokens)
-            pairs = chunk * (job.context_tokens + chunk / 2) / 1e6
-            took_ms += chunk / speed + pairs * self._cfg.pairs_ms_per_million
-            job.remaining_tokens -= chunk
-            job.context_tokens += chunk
-            budget -= chunk
-            if job.remaining_tokens <= 0:
-                self._prefilling.popleft()
-                prefilled.append(job)
-                self._admit()
-        running = list(self._running)
-        if running or not self._only_prefills:
-            took_ms += self._cfg.step_ms
-            took_ms += self._cfg.step_ms_per_answer * len(running)
-        took_s = self.slowdown * (took_ms + self._cfg.first_ms * bool(prefilled)) / 1000
-        self._simulation.schedule(
-            self._simulation.now + took_s, self._end_step, running, prefilled
-        )
-
-    def _end_step(self, running: list[_Job], prefilled: list[_Job]) -> None:
-        for job in running:
-            if job.stale:
-                continue
-            job.generated += 1
-            if job.generated >= job.call.tokens_out:
-                self._simulation.receive_event(job, last=True)
-                job.ended = True
-            elif job.generated % self._cfg.tokens_per_event == 1:
-                self._simulation.receive_event(job, last=False)
-        self._running = [job for job in self._running if not job.stale]
-        for job in prefilled:
-            if job.stale:
-                continue
-            self.cache(job.call.prompt)
-            if job.prefill_only:
-                self._simulation.end_prefill(job)
-            else:
-                self._running.append(job)
-        self._busy = False
-        self._start_if_idle()
-
-    def cache(self, prompt: requests.Prompt) -> None:
-        for key, tokens in (
-            *prompt.shared_segments,
-            (object(), prompt.tokens - prompt.shared_tokens),
-        ):
-            self._total_cached_tokens += tokens - self._cached.pop(key, 0)
-            self._cached[key] = tokens
-        while self._total_cached_tokens > self._cfg.memory_tokens and self._cached:
-            _, tokens = self._cached.popitem(last=False)
-            self._total_cached_tokens -= tokens
-
-    def cached_tokens(self, prompt: requests.Prompt) -> int:
-        total = 0
-        for segment, tokens in prompt.shared_segments:
-            if segment not in self._cached:
-                break
-            total += tokens
-        return total
-
-
-@attrs.define(eq=False)
-class _Front:
-    placer: requests.Placer
-    domain: str
-    published_at: float = -1.0
-    published_loads: dict = attrs.field(factory=dict)
-    cache_entries: list = attrs.field(factory=list)
-
-
-@attrs.define
-class Outcome:
-    """Calls by class and result, and the worth earned of the worth possible."""
-
-    counts: collections.Counter = attrs.field(factory=collections.Counter)
-    earned: collections.Counter = attrs.field(factory=collections.Counter)
-    possible: collections.Counter = attrs.field(factory=collections.Counter)
-    calls: int = 0
-    unanswered: int = 0
-
-    def min_share(self, group: str) -> float:
-        """Returns the smallest share of worth earned among the keys of a group."""
-        return min(
-            self.earned[key] / possible
-            for key, possible in self.possible.items()
-            if key[0] == group
-        )
-
-    def worth(self, weights: _loads.Weights) -> float:
-        """Returns the weighted sum of the shares by group and the nines of success."""
-        windows = sorted(
-            self.earned[k] / o for k, o in self.possible.items() if k[0] == "window"
-        )
-        nines = -math.log10(max(0.001, self.unanswered / max(1, self.calls))) / 3
-        return (
-            weights.day * self.min_share("day")
-            + weights.windows * sum(windows[:2]) / max(1, len(windows[:2]))
-            + weights.kind * self.min_share("class")
-            + weights.domain * self.min_share("domain")
-            + weights.nines * nines
-        )
 
 
 class Simulation:
@@ -262,19 +39,23 @@
         self._targets = prompt_model.targets(
             load.prefill, load.decode, domains=self._domains, slots=load.engine.slots
         )
-        self._engines = {t.name: _Engine(t, load.engine, self) for t in self._targets}
+        self._engines = {
+            target.name: _engines.Engine(target, load.engine, self)
+            for target in self._targets
+        }
         self._by_address = {e.target.address: e for e in self._engines.values()}
         self.fronts = [self._front(n) for n in range(load.fronts)]
         for front in self.fronts:
             front.placer.cache_index.set_capacity("model", load.engine.memory_tokens)
             for target in self._targets:
                 front.placer.cache_index.set_service(target)
+        self._arrivals = _calls.Arrivals(load, self._rng, self.fronts, self.order)
         self._answer_losses: dict[str, tuple[float, bool]] = {}
-        self.outcome = Outcome()
+        self.outcome = _outcome.Outcome()
 
-    def _front(self, number: int) -> _Front:
+    def _front(self, number: int) -> _calls.Front:
         domain = self._domains[number % len(self._domains)]
-        return _Front(requests.Placer(number, domain), domain)
+        return _calls.Front(requests.Placer(number, domain), domain)
 
     # Clock.
 
@@ -282,10 +63,12 @@
         """Schedules a call of `action` for a virtual time."""
         heapq.heappush(self._events, (when, next(self.order), action, args))
 
-    def run(self) -> Outcome:
+    def run(self) -> _outcome.Outcome:
         """Runs the load to its end and returns the outcome of its calls."""
         for kind in self._load.classes:
-            self._schedule_arrivals(kind)
+            for call in self._arrivals.of_class(kind):
+                arrives_at = call.requested_at + CLIENT_DELAY_S
+                self.schedule(arrives_at, self._request, call, call.requested_at)
         for fault in self._load.faults:
             self.schedule(fault.at, self._apply_fault, fault, True)
             self.schedule(fault.at + fault.for_s, self._apply_fault, fault, False)
@@ -300,7 +83,7 @@
             action(*args)
         return self.outcome
 
-    def _check_periodically(self, front: _Front) -> None:
+    def _check_periodically(self, front: _calls.Front) -> None:
         front.placer.count_overdue(self.now)
         if self.now - front.published_at >= HEARTBEAT_S:
             self._publish(front)
@@ -322,69 +105,13 @@
 
     # Clients.
 
-    def _schedule_arrivals(self, kind: _loads.CallClass) -> None:
-        when = 0.0
-        while True:
-            rate = kind.per_s * self._rate_factor(kind, when) / MEAN_GROUP_SIZE
-            when += self._rng.exponential(1 / rate)
-            if when >= self._load.length_s:
-                return
-            domain = self._domains[self._rng.integers(len(self._domains))]
-            for _ in range(self._rng.geometric(1 / MEAN_GROUP_SIZE)):
-                offset = self._rng.uniform(0, GROUP_WINDOW_S)
-                call = self._new_call(kind, when + offset, domain)
-                self.schedule(
-                    call.requested_at + CLIENT_DELAY_S,
-                    self._request,
-                    call,
-                    call.requested_at,
-                )
-
-    def _rate_factor(self, kind, when: float) -> float:
-        factor = 1.0
-        for burst in self._load.bursts:
-            if burst.name == kind.name and burst.at <= when < burst.at + burst.for_s:
-                factor *= burst.x
-        return factor
-
-    def _new_call(self, kind, when: float, domain: str) -> _Call:
-        fronts = [f for f in self.fronts if f.domain == domain]
-        sigma = kind.own_spread
-        own_tokens = kind.own_tokens * self._rng.lognormal(-(sigma**2) / 2, sigma)
-        segments = []
-        for index, shared in enumerate(kind.shared):
-            segment = self._rng.integers(shared.kinds)
-            segments.append(
-                requests.PromptSegment(
-                    id=f"{kind.name}{index}-{segment}", tokens=shared.tokens
-                )
-            )
-        own_tokens = int(max(1, min(kind.own_most, own_tokens)))
-        segments.append(
-            requests.PromptSegment(id=f"o{next(self.order)}", tokens=own_tokens)
-        )
-        events = kind.events * self._rng.lognormal(
-            -(kind.events_spread**2) / 2, kind.events_spread
-        )
-        tokens_out = max(1, int(events * self._load.engine.tokens_per_event))
-        return _Call(
-            kind=kind,
-            front=fronts[self._rng.integers(len(fronts))],
-            prompt=requests.Prompt(
-                model="m", segments=tuple(segments), output_tokens=tokens_out
-            ),
-            tokens_out=tokens_out,
-            requested_at=when,
-            domain=domain,
-        )
-
-    def _request(self, call: _Call, sent_at: float) -> None:
+    def _request(self, call: _calls.Call, sent_at: float) -> None:
         """Places a call that its client sent, or repeated, at `sent_at`."""
         call.sent_at = sent_at
         self.schedule(sent_at + call.kind.abandon_s, self._abandon, call)
         self._place(call)
 
-    def _abandon(self, call: _Call) -> None:
+    def _abandon(self, call: _calls.Call) -> None:
         if call.state != "open" or call.first_token_at is not None:
             return
         if self.now < call.sent_at + call.kind.abandon_s - 1e-9:
@@ -392,7 +119,7 @@
         self._settle(call, "left")
         self._end_placement(call, requests.Ending.DISCONNECTED)
 
-    def _end_placement(self, call: _Call, ending) -> None:
+    def _end_placement(self, call: _calls.Call, ending) -> None:
         placement, call.placement = call.placement, None
         if placement is not None:
             call.front.placer.ended(placement, ending, self.now)
@@ -400,7 +127,7 @@
 
     # Fronts.
 
-    def _deadlines(self, call: _Call) -> requests.Deadlines:
+    def _deadlines(self, call: _calls.Call) -> requests.Deadlines:
         kind = call.kind
         return requests.Deadlines(
             soft_deadline_s=call.requested_at
@@ -411,7 +138,7 @@
             at_most_once=kind.once,
         )
 
-    def _place(self, call: _Call) -> None:
+    def _place(self, call: _calls.Call) -> None:
         if call.state != "open":
             return
         placer = call.front.placer
@@ -423,7 +150,7 @@
             return
         call.placement = chosen.unwrap()
         self._publish_if_due(call)
-        job = _Job(
+        job = _engines.Job(
             call=call,
             placement=call.placement,
             remaining_tokens=float(call.prompt.tokens),
@@ -432,7 +159,7 @@
         )
         self.schedule(self.now + NETWORK_DELAY_S, self._submit, job)
 
-    def _retry_or_refuse(self, call: _Call, refusal) -> None:
+    def _retry_or_refuse(self, call: _calls.Call, refusal) -> None:
         """Repeats a call once if the delay is at most a third of its time left."""
         retry_s = NO_TARGET_RETRY_S
         if refusal is not None:
@@ -445,13 +172,13 @@
         retry_at = self.now + retry_s
         self.schedule(retry_at, self._request, call, retry_at)
 
-    def _submit(self, job: _Job) -> None:
+    def _submit(self, job: _engines.Job) -> None:
         if job.stale:
             return
         rank = job.call.kind.priority + job.placement.rank
         self._engines[job.placement.target.name].submit(job, rank)
 
-    def end_prefill(self, job: _Job) -> None:
+    def end_prefill(self, job: _engines.Job) -> None:
         """Places the decode of a call whose prompt a prefill engine has finished."""
         call = job.call
         if job.stale:
@@ -472,7 +199,7 @@
         uncached = call.prompt.tokens - engine.cached_tokens(call.prompt)
         engine.cache(call.prompt)
         fetch_s = uncached / self._load.engine.fetch_tokens_per_ms / 1000
-        decode_job = _Job(
+        decode_job = _engines.Job(
             call=call,
             placement=call.placement,
             remaining_tokens=0.0,
@@ -483,7 +210,7 @@
             self.now + 2 * NETWORK_DELAY_S + fetch_s, self._submit, decode_job
         )
 
-    def reusable_tokens(self, engine: _Engine, prompt, fetch_from: str) -> int:
+    def reusable_tokens(self, engine: _engines.Engine, prompt, fetch_from: str) -> int:
         """Returns the tokens of a prompt that an engine has cached or can fetch."""
         cached = engine.cached_tokens(prompt)
         source = self._by_address.get(fetch_from)
@@ -491,7 +218,7 @@
             max(cached, source.cached_tokens(prompt)) if source is not None else cached
         )
 
-    def receive_event(self, job: _Job, *, last: bool) -> None:
+    def receive_event(self, job: _engines.Job, *, last: bool) -> None:
         """Delivers an event of an answer to the client; the first one may be lost."""
         call = job.call
         if job.stale or call.hanging:
@@ -513,7 +240,7 @@
         if last:
             self._complete(call)
 
-    def _loses_answer(self, call: _Call, job: _Job) -> bool:
+    def _loses_answer(self, call: _calls.Call, job: _engines.Job) -> bool:
         share, silent = self._answer_losses.get(job.placement.target.name, (0.0, False))
         if not share or self._fault_rng.random() >= share:
             return False
@@ -529,7 +256,7 @@
             self._place(call)
         return True
 
-    def _complete(self, call: _Call) -> None:
+    def _complete(self, call: _calls.Call) -> None:
         placer, placement = call.front.placer, call.placement
         placer.streamed(placement, self.now)
         placer.ended(placement, requests.Ending.SUCCEEDED, self.now)
@@ -540,32 +267,13 @@
         result = "late" if late else "paused" if paused else "on time"
         self._settle(call, result)
 
-    def _settle(self, call: _Call, result: str) -> None:
+    def _settle(self, call: _calls.Call, result: str) -> None:
         call.state = result
-        kind, outcome = call.kind, self.outcome
-        outcome.calls += 1
-        outcome.counts[kind.name, result] += 1
-        outcome.unanswered += result in ("left", "refused", "failed")
-        worth_by_result = {
-            "on time": kind.worth,
-            "late": kind.late_worth,
-            "paused": kind.late_worth,
-        }
-        size = 0.3 + 0.7 * min(
-            4.0, call.prompt.tokens / (kind.own_tokens + kind.shared_tokens)
-        )
-        for key in (
-            ("day", ""),
-            ("class", kind.name),
-            ("domain", call.domain),
-            ("window", int(call.requested_at / 2)),
-        ):
-            outcome.possible[key] += size * kind.worth
-            outcome.earned[key] += size * worth_by_result.get(result, 0.0)
+        self.outcome.record(call, result)
 
     # Publishing of loads.
 
-    def _publish_if_due(self, call: _Call) -> None:
+    def _publish_if_due(self, call: _calls.Call) -> None:
         front = call.front
         long = call.prompt.tokens >= requests.SHORT_PROMPT_TOKENS
         if long or self.now - front.published_at >= SHORT_PROMPT_PUBLISH_INTERVAL_S:
@@ -591,7 +299,7 @@
         if self.now < self._load.length_s + 8.0:
             self.schedule(self.now + self._load.relay_interval_s, self._relay)
 
-    def _publish(self, front: _Front) -> None:
+    def _publish(self, front: _calls.Front) -> None:
         front.published_at = self.now
         if self._load.relay_interval_s:
             return
@@ -610,7 +318,7 @@
                 )
 
     def _receive(
-        self, front: _Front, sender: str, loads, entries, fronts: int = 1
+        self, front: _calls.Front, sender: str, loads, entries, fronts: int = 1
     ) -> None:
         front.placer.peers.replace(sender, loads, self.now, fronts)
         for entry in entries:
