--- a/benchmarks/_calls.py
+++ b/benchmarks/_calls.py
@@ -7,7 +7,7 @@
 import numpy
 
 from benchmarks import _loads
-from turmericward import requests
+from turmericward import fleet, requests
 
 # Calls arrive in groups from clients of one domain, spread over the window.
 MEAN_GROUP_SIZE = 3.0
@@ -16,9 +16,10 @@
 
 @attrs.define(eq=False)
 class Front:
-    """A front: its placer, and what it publishes to its peers."""
+    """A front: its decisions, and what it publishes to its peers."""
 
     placer: requests.Placer
+    admission: fleet.Admission
     domain: str
     published_at: float = -1.0
     published_loads: dict = attrs.field(factory=dict)
--- a/benchmarks/_emulator.py
+++ b/benchmarks/_emulator.py
@@ -9,8 +9,15 @@
 
 import numpy
 
-from benchmarks import _calls, _engines, _loads, _outcome, prompt_model
-from turmericward import requests
+from benchmarks import (
+    _calls,
+    _engines,
+    _limits,
+    _loads,
+    _outcome,
+    prompt_model,
+)
+from turmericward import fleet, requests
 
 CLIENT_DELAY_S = 0.003
 NETWORK_DELAY_S = 0.001
@@ -19,7 +26,6 @@
 PUBLISH_DELAY_S = 0.002
 SHORT_PROMPT_PUBLISH_INTERVAL_S = 0.05
 HEARTBEAT_S = 0.25
-NO_TARGET_RETRY_S = 0.5
 DOMAINS = "abcdefgh"
 CHECK_INTERVAL_S = 0.1
 
@@ -36,26 +42,33 @@
         self.order = itertools.count()
         self.now = 0.0
         self._domains = DOMAINS[: load.domains]
-        self._targets = prompt_model.targets(
+        self.targets = prompt_model.targets(
             load.prefill, load.decode, domains=self._domains, slots=load.engine.slots
         )
         self._engines = {
             target.name: _engines.Engine(target, load.engine, self)
-            for target in self._targets
+            for target in self.targets
         }
         self._by_address = {e.target.address: e for e in self._engines.values()}
         self.fronts = [self._front(n) for n in range(load.fronts)]
         for front in self.fronts:
             front.placer.cache_index.set_capacity("model", load.engine.memory_tokens)
-            for target in self._targets:
+            for target in self.targets:
                 front.placer.cache_index.set_service(target)
         self._arrivals = _calls.Arrivals(load, self._rng, self.fronts, self.order)
+        publish_delay_s = load.relay_interval_s or PUBLISH_DELAY_S
+        self.limits = _limits.EngineLimits(self.fronts, publish_delay_s, self.schedule)
         self._answer_losses: dict[str, tuple[float, bool]] = {}
         self.outcome = _outcome.Outcome()
 
     def _front(self, number: int) -> _calls.Front:
         domain = self._domains[number % len(self._domains)]
-        return _calls.Front(requests.Placer(number, domain), domain)
+        admission = fleet.Admission(f"front-{number}", grace_s=0.0)
+        names = (f"front-{n}" for n in range(self._load.fronts))
+        admission.limits.members.set_names(frozenset(names))
+        for target in self.targets:
+            admission.directory.put(target)
+        return _calls.Front(requests.Placer(number, domain), admission, domain)
 
     # Clock.
 
@@ -98,6 +111,8 @@
             name = engine.target.name
             if fault.kind == "slow":
                 engine.slowdown = fault.x if active else 1.0
+            elif fault.kind == "limited":
+                self.limits.set(name, fault.x if active else None)
             elif active:
                 self._answer_losses[name] = (fault.x, fault.silent)
             else:
@@ -141,15 +156,20 @@
     def _place(self, call: _calls.Call) -> None:
         if call.state != "open":
             return
-        placer = call.front.placer
-        chosen = placer.choose_engine(
-            call.prompt, self._targets, self._deadlines(call), self.now
+        deadlines = self._deadlines(call)
+        candidates = self._candidates(call, deadlines.soft_deadline_s, urgent=False)
+        chosen = call.front.placer.choose_engine(
+            call.prompt, candidates.targets, deadlines, self.now, candidates.waits_s
         )
-        if chosen is None or chosen.is_err():
-            self._retry_or_refuse(call, chosen)
+        if chosen is None:
+            admission = call.front.admission
+            retry_s = admission.return_after_s(candidates, self.now)
+            self._retry_or_refuse(call, retry_s)
             return
-        call.placement = chosen.unwrap()
-        self._publish_if_due(call)
+        if chosen.is_err():
+            self._retry_or_refuse(call, chosen.unwrap_err().retry_after_s)
+            return
+        self._assign(call, chosen.unwrap())
         job = _engines.Job(
             call=call,
             placement=call.placement,
@@ -157,13 +177,28 @@
             context_tokens=0.0,
             prefill_only=call.placement.prefill_only,
         )
-        self.schedule(self.now + NETWORK_DELAY_S, self._submit, job)
+        starts_at = self.now + call.placement.start_after_s
+        self.schedule(starts_at + NETWORK_DELAY_S, self._submit, job)
 
-    def _retry_or_refuse(self, call: _calls.Call, refusal) -> None:
+    def _candidates(
+        self, call: _calls.Call, max_wait_s: float, *, urgent: bool
+    ) -> fleet.Candidates:
+        kind = call.kind
+        return call.front.admission.candidates(
+            "model",
+            (),
+            self.now,
+            urgent=urgent or kind.once or kind.priority == 0,
+            max_wait_s=max_wait_s,
+        )
+
+    def _assign(self, call: _calls.Call, placement: requests.Placement) -> None:
+        call.placement = placement
+        call.front.admission.sent(placement.target.name, self.now)
+        self._publish_if_due(call)
+
+    def _retry_or_refuse(self, call: _calls.Call, retry_s: float) -> None:
         """Repeats a call once if the delay is at most a third of its time left."""
-        retry_s = NO_TARGET_RETRY_S
-        if refusal is not None:
-            retry_s = refusal.unwrap_err().retry_after_s
         remaining_s = call.requested_at + call.kind.deadline_s - self.now
         if call.retried or retry_s > remaining_s / 3:
             self._settle(call, "refused")
@@ -175,6 +210,7 @@
     def _submit(self, job: _engines.Job) -> None:
         if job.stale:
             return
+        self.limits.record_arrival(job.placement.target.name, self.now)
         rank = job.call.kind.priority + job.placement.rank
         self._engines[job.placement.target.name].submit(job, rank)
 
@@ -184,17 +220,26 @@
         if job.stale:
             return
         placer = call.front.placer
+        self.limits.answer(job, self.now)
         took_s = self.now - job.placement.placed_at
         placer.record_first_output(job.placement, call.prompt, took_s, self.now)
         placer.ended(job.placement, requests.Ending.SUCCEEDED, self.now)
-        call.placement = placer.choose_decode_engine(
+        deadlines = self._deadlines(call)
+        candidates = self._candidates(call, deadlines.hard_deadline_s, urgent=True)
+        placement = placer.choose_decode_engine(
             call.prompt,
             job.placement.target.domain,
-            self._targets,
-            self._deadlines(call),
+            candidates.targets,
+            deadlines,
             self.now,
+            candidates.waits_s,
         )
-        self._publish_if_due(call)
+        if placement is None:
+            call.placement = None
+            admission = call.front.admission
+            self._retry_or_refuse(call, admission.return_after_s(candidates, self.now))
+            return
+        self._assign(call, placement)
         engine = self._engines[call.placement.target.name]
         uncached = call.prompt.tokens - engine.cached_tokens(call.prompt)
         engine.cache(call.prompt)
@@ -206,8 +251,9 @@
             context_tokens=float(call.prompt.tokens),
             prefill_only=False,
         )
+        starts_at = self.now + call.placement.start_after_s
         self.schedule(
-            self.now + 2 * NETWORK_DELAY_S + fetch_s, self._submit, decode_job
+            starts_at + 2 * NETWORK_DELAY_S + fetch_s, self._submit, decode_job
         )
 
     def reusable_tokens(self, engine: _engines.Engine, prompt, fetch_from: str) -> int:
@@ -227,6 +273,7 @@
             return
         seen_at = self.now + NETWORK_DELAY_S
         if call.first_token_at is None:
+            self.limits.answer(job, self.now)
             call.first_token_at = seen_at + CLIENT_DELAY_S
             took_s = seen_at - job.placement.placed_at
             call.front.placer.record_first_output(
--- a/benchmarks/_loads.py
+++ b/benchmarks/_loads.py
@@ -72,9 +72,11 @@
 
 @attrs.frozen(kw_only=True)
 class Fault:
-    """Engines `slow` by the factor `x` or `losing` that share of their answers.
+    """Engines that are in trouble for a time.
 
-    With `silent`, a call whose answer is lost hangs instead of failing.
+    They are `slow` by the factor `x`, `losing` that share of their answers, or
+    `limited` to as many requests a second of all fronts together. With `silent`, a
+    call whose answer is lost hangs instead of failing.
     """
 
     kind: str
@@ -118,6 +120,17 @@
     weights: Weights = Weights()
 
 
+def fault(text: str) -> Fault:
+    """Returns the fault that a JSON object describes.
+
+    Raises:
+        ValueError: it isn't JSON.
+        cattrs.BaseValidationError: fields are missing or unknown.
+    """
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    return converter.structure(json.loads(text), Fault)
+
+
 def load(name: str) -> Load:
     """Returns the load of the file `NAME.json`.
 
--- a/benchmarks/_variants.py
+++ b/benchmarks/_variants.py
@@ -10,6 +10,7 @@
 from unittest import mock
 
 from benchmarks import _emulator
+from turmericward import fleet
 from turmericward.requests import _outcomes, _speed
 
 _Variant = Callable[[], contextlib.AbstractContextManager]
@@ -43,6 +44,23 @@
         yield
 
 
+@variant("without waits for limits")
+def _without_waits() -> Iterator[None]:
+    candidates = fleet.Admission.candidates
+
+    def at_once(self, *args, max_wait_s: float = 0.0, **kwargs):
+        return candidates(self, *args, **kwargs)
+
+    with mock.patch.object(fleet.Admission, "candidates", at_once):
+        yield
+
+
+@variant("limits not kept")
+def _limits_not_kept() -> Iterator[None]:
+    with mock.patch.object(fleet.RateLimits, "limited", lambda _: frozenset()):
+        yield
+
+
 @variant("perfect view")
 def _perfect_view() -> Iterator[None]:
     with (
--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -25,9 +25,10 @@
     counts: dict[tuple[str, str], int]
 
 
-def run_load(load_name: str, variant: str, seed: int) -> Run:
-    """Runs a load once under a variant."""
+def run_load(load_name: str, variant: str, seed: int, faults: tuple = ()) -> Run:
+    """Runs a load, with further faults, once under a variant."""
     load = _loads.load(load_name)
+    load = attrs.evolve(load, faults=load.faults + faults)
     with _variants.named(variant):
         outcome = _emulator.Simulation(load, seed).run()
     return Run(worth=outcome.worth(load.weights), counts=dict(outcome.counts))
@@ -58,14 +59,15 @@
 @click.option("-v", "--variant", "names", multiple=True)
 @click.option("--seeds", default=4)
 @click.option("--processes", default=4)
-def main(loads, names, seeds: int, processes: int) -> None:
+@click.option("--fault", "faults", multiple=True, help="a further fault, as JSON")
+def main(loads, names, seeds: int, processes: int, faults) -> None:
     """Prints each variant's worth and its difference from the unchanged policy."""
     names = [BASELINE, *names]
     with concurrent.futures.ProcessPoolExecutor(processes) as pool:
         tasks = list(itertools.product(loads, names, range(seeds)))
-        runs = dict(
-            zip(tasks, pool.map(run_load, *zip(*tasks, strict=True)), strict=True)
-        )
+        further = tuple(_loads.fault(text) for text in faults)
+        arguments = (*zip(*tasks, strict=True), itertools.repeat(further))
+        runs = dict(zip(tasks, pool.map(run_load, *arguments), strict=True))
     for load_name, name in itertools.product(loads, names):
         own_runs = [runs[load_name, name, seed] for seed in range(seeds)]
         worth = statistics.mean(run.worth for run in own_runs)
--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from benchmarks import _emulator, _loads, _variants
 from tests import fixtures, limited_fleet
 from turmericward import delivery, fleet, requests
 
@@ -227,3 +228,21 @@
     seeds = int(os.environ.get("LIMIT_SEEDS", "8"))
     broken = {seed: _run_random_troubles(seed) for seed in range(seeds)}
     check.assertEqual({s: lines[:2] for s, lines in broken.items() if lines}, {})
+
+
+def test_waiting_for_a_turn_serves_more_with_all_engines_limited():
+    limited = _loads.Fault(
+        kind="limited", at=3.0, for_s=9.0, engines=5, x=20.0, role="decode"
+    )
+    load = attrs.evolve(_loads.load("lending"), length_s=12.0, faults=(limited,))
+    worth = {}
+    for variant in ("as it is", "without waits for limits"):
+        with _variants.named(variant):
+            simulation = _emulator.Simulation(load, 0)
+            worth[variant] = simulation.run().worth(load.weights)
+        for target in simulation.targets:
+            rate = simulation.limits.max_rate(target.name)
+            allowed = limited_fleet.FACTOR * limited.x
+            allowed += limited_fleet.SLACK / limited_fleet.WINDOW_S
+            check.assertLessEqual(rate, allowed, (variant, target.name))
+    check.assertGreater(worth["as it is"], worth["without waits for limits"])
