--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -6,9 +6,9 @@
 
 from standins import launch, platform_store
 from tests import fixtures, platform_fixtures, test_adapters, test_feeds
-from turmericward import delivery, feeds, fleet, peers
+from turmericward import authority, delivery, feeds, fleet, peers
 from turmericward.adapters import errors
-from turmericward.platform import _follow, _store
+from turmericward.platform import _follow, _orders, _store
 
 check = fixtures.check
 CATCH_UP_S = 3.0
@@ -397,3 +397,139 @@
 def test_every_picture_is_that_of_the_log_after_random_returns():
     for seed in SEEDS:
         _run_returns(seed)
+
+
+TIMING = authority.Timing(term_s=0.4, renew_s=0.4, margin_s=0.2, settle_s=0.1)
+
+
+class _Candidate:
+    """A front's lease protocol over the store."""
+
+    def __init__(self, address: str, name: str) -> None:
+        self.eras = feeds.Eras()
+        self.log = _orders.StoreLease(_store.StoreClient(address, 1.0, self.eras))
+        self.lease = authority.OnDemandLease(name, TIMING, lambda: "id")
+
+    def acquire(self) -> int | None:
+        """Tries once; returns the token if the lease is held then."""
+        end, record = self.log.read()
+        self.lease.record_log_end(time.monotonic(), end, record, self.eras.since)
+        sent_at = time.monotonic()
+        claim = self.lease.acquire(sent_at)
+        if claim is None:
+            return None
+        self.lease.acquired(claim, sent_at, self.log.append(claim), time.monotonic())
+        return self.token()
+
+    def token(self) -> int | None:
+        held = self.lease.authority(time.monotonic(), self.eras.current)
+        return None if held is None else held.token
+
+    def await_lease(self) -> int:
+        return launch.wait_until(self.acquire, what="lease")
+
+
+def test_a_lease_that_the_store_lost_ends_and_its_token_is_not_given_again():
+    store = platform_store.Store()
+    with test_adapters.serve_app(store) as address:
+        first, second = (_Candidate(address, name) for name in ("f1", "f2"))
+        token = first.await_lease()
+        check.assertIsNone(second.acquire())
+        returned_at = time.monotonic()
+        store.return_from_copy(60.0)
+        next_token = second.await_lease()
+        # The first holder could believe in its lease until the end of its term.
+        check.assertGreaterEqual(time.monotonic() - returned_at, TIMING.term_s)
+        check.assertGreater(next_token, token)
+        store.return_from_copy(60.0)
+        check.assertIsNone(first.acquire())
+        check.assertIsNotNone(second.token())
+        check.assertIsNone(second.acquire())
+        check.assertIsNone(second.token())
+
+
+def test_a_claim_that_crosses_a_return_grants_no_lease():
+    store = platform_store.Store()
+    with test_adapters.serve_app(store) as address:
+        candidate = _Candidate(address, "f1")
+        candidate.await_lease()
+        time.sleep(TIMING.term_s + TIMING.margin_s)
+        end, record = candidate.log.read()
+        candidate.lease.record_log_end(time.monotonic(), end, record)
+        claim = candidate.lease.acquire(time.monotonic())
+        lost = store.return_from_copy(60.0)
+        # The copy has grown to the same end meanwhile.
+        store.write_again("keyed.leases", lost["keyed.leases"])
+        position = candidate.log.append(claim)
+        now = time.monotonic()
+        candidate.lease.acquired(claim, now, position, now)
+        check.assertEqual(position.era, 2)
+        check.assertIsNone(candidate.lease.authority(now, candidate.eras.current))
+
+
+class _Table:
+    """The fronts' announcements; counts the writes of each front."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, bytes] = {}
+        self.writes: list[str] = []
+
+    def put(self, topic: str, key: str, value: bytes) -> feeds.Position:
+        self.writes.append(key)
+        self.values[key] = value
+        return feeds.Position(0, len(self.writes))
+
+    def newest(self, topic: str) -> feeds.Listing:
+        records = tuple(
+            feeds.Record(offset=n, key=key, value=value)
+            for n, (key, value) in enumerate(self.values.items())
+        )
+        return feeds.Listing(records=records, end=feeds.Position(0, len(records)))
+
+    def close(self) -> None:
+        """Does nothing: there is no connection."""
+
+
+def test_only_fronts_whose_announcement_is_gone_write_it_again():
+    table = _Table()
+    loops = [
+        peers.AnnounceLoop(
+            table,
+            "fronts",
+            name,
+            peers.Announcement(host="10.0.0.1", domain="a"),
+            lambda front, announcement: None,
+            lambda: None,
+            feeds.Eras(),
+        )
+        for name in ("f1", "f2", "f3")
+    ]
+    for loop in loops:
+        loop.pause = lambda seconds: None
+        loop._await_next_run = lambda interval_s, era: None
+        loop.run_once()
+    check.assertEqual(table.writes, ["f1", "f2", "f3"])
+    del table.values["f2"]
+    table.writes.clear()
+    for loop in loops:
+        loop.run_once()
+        loop.run_once()
+    check.assertEqual(table.writes, ["f2"])
+
+
+def test_fronts_look_for_their_announcement_soon_after_a_new_era():
+    eras = feeds.Eras()
+    loop = peers.AnnounceLoop(
+        _Table(),
+        "fronts",
+        "f1",
+        peers.Announcement(host="10.0.0.1", domain="a"),
+        lambda front, announcement: None,
+        lambda: None,
+        eras,
+    )
+    waited = []
+    loop.pause = waited.append
+    eras.observe(2, "the store")
+    loop._await_next_run(60.0, era=1)
+    check.assertLessEqual(sum(waited), CATCH_UP_S)
