The end of a limit reaches fronts that send nothing; late answers don't end it

Found by reading, each with a test that failed: - An answer without limit counted as of when it was read. One given before the target named a limit and read after it, by a frozen front or over a slow link, ended the limit at all fronts until the next answer. It counts as of when its call was sent. - Then fronts without a share could miss the end: reports of it must be newer than any naming they have. Answers of targets that were limited until recently go on being recorded for 10 s. - All chosen fronts filled their buckets at the same moment, so that a target that names 1 a second saw five requests and then none for 5 s, and its end was noticed as late. Each front starts with another part of a request. - Before the store has listed the fronts, 16 were assumed: hundreds that start together would have taken 12 times a limit of 8.2 and more. 460 are assumed.

Replaced in test_a_limit_that_is_halved...: the rate after the end over 4 s, above 15 of 20 by chance only, by no limit at any front 1 s after the end and the rate over 18 s, same bound.

--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -73,8 +73,9 @@
         self._listed_engines: set[int] = set()
         self.table: _routes.RoutingTable | None = None
         self._limits_changed = False
-        # Names of the targets with a limit; replaced, so that any thread may read it.
-        self.limited_targets: frozenset[str] = frozenset()
+        # Names of the targets that have a limit or had one recently; replaced, so that
+        # any thread may read it.
+        self.recently_limited: frozenset[str] = frozenset()
 
     @functools.singledispatchmethod
     def handle(self, message: object) -> object:
@@ -116,7 +117,7 @@
         if previous is not None and previous.started_ms != target.started_ms:
             self._placer.forget(target.name)
             self._admission.forget(target.name)
-            self._update_limited_targets()
+            self._update_recently_limited()
         self._placer.cache_index.set_service(target)
         if previous is not None and previous.role is not target.role:
             self._admission.release(target.name)
@@ -151,16 +152,16 @@
             telemetry.log_event("target_rests", target=name, rest_s=backoff_s)
         limit = message.limit
         if limit is not None and self._limits.record(message.target, limit, "answer"):
-            self._update_limited_targets()
+            self._update_recently_limited()
             self._publish_state()
 
-    def _update_limited_targets(self) -> None:
-        self.limited_targets = self._admission.limits.limited()
+    def _update_recently_limited(self) -> None:
+        self.recently_limited = self._admission.limits.recently_limited()
 
     @handle.register
     def _(self, message: _messages.RequestSent) -> None:
         now = runtime.now()
-        for name in self.limited_targets:
+        for name in self.recently_limited:
             target = self._directory.get(name)
             if target is not None and target.address == message.address:
                 self._admission.sent(name, now)
@@ -188,7 +189,7 @@
         now = runtime.now()
         for name in self._admission.expire(now):
             self._on_removed(name)
-        self._update_limited_targets()
+        self._update_recently_limited()
         for peer in self._placer.peers.expire(now):
             logging.info("peer %s is silent", peer)
         live_peers = self._placer.peers.live()
@@ -214,7 +215,7 @@
         self._listed_engines |= message.listed
         self._apply_leaving(message.leaving)
         if self._limits.apply(message.limits):
-            self._update_limited_targets()
+            self._update_recently_limited()
             self._limits_changed = True
         for target, ttl_s in message.held.items():
             self._admission.hold(target, runtime.now() + ttl_s)
--- a/src/turmericward/delivery/_retry_budgets.py
+++ b/src/turmericward/delivery/_retry_budgets.py
@@ -2,9 +2,11 @@
 
 import collections
 
-from turmericward import fleet, requests
+from turmericward import requests
 from turmericward.delivery import _messages
 
+# Assumed number of fronts until a report of a peer has been received.
+ASSUMED_FLEET_SIZE = 16
 # Fraction of the retry bounds that is used, since windows slide and restarted
 # fronts begin with full budgets.
 RETRY_SAFETY_FACTOR = 0.7
@@ -58,8 +60,6 @@
 
     def _max_saved(self) -> float:
         fronts = (
-            self._max_live_peers + 1
-            if self._max_live_peers
-            else fleet.ASSUMED_FLEET_SIZE
+            self._max_live_peers + 1 if self._max_live_peers else ASSUMED_FLEET_SIZE
         )
         return RETRY_SAFETY_FACTOR * self._bounds.slack / fronts
--- a/src/turmericward/fleet/__init__.py
+++ b/src/turmericward/fleet/__init__.py
@@ -6,7 +6,7 @@
 from turmericward.fleet._rate_limits import RateLimit, RateLimits
 from turmericward.fleet._role_mix import EngineLoad
 from turmericward.fleet._roles import RoleChange, RolePlanner
-from turmericward.fleet._shares import ASSUMED_FLEET_SIZE, Members, Share
+from turmericward.fleet._shares import Members, Share
 from turmericward.fleet._targets import Directory, EngineRole, Target, target_hash
 from turmericward.fleet._view import (
     EngineSpec,
@@ -18,7 +18,6 @@
 )
 
 __all__ = [
-    "ASSUMED_FLEET_SIZE",
     "Admission",
     "Candidates",
     "Directory",
--- a/src/turmericward/fleet/_rate_limits.py
+++ b/src/turmericward/fleet/_rate_limits.py
@@ -20,8 +20,9 @@
 class RateLimit:
     """The rate of requests that a target names in an answer.
 
-    `per_s` counts requests a second from all fronts together, None without a limit;
-    `observed_at` is when the answer was received, in monotonic seconds.
+    `per_s` counts requests a second from all fronts together. At `observed_at`, in
+    monotonic seconds, the answer was received; without a limit, where `per_s` is None,
+    its call was sent: an answer may be read long after it was given.
     """
 
     per_s: float | None
@@ -30,11 +31,11 @@
 
 @attrs.define
 class _TokenBucket:
-    """Requests that may be sent now; starts empty."""
+    """Requests that may be sent now; starts with less than one."""
 
     share: _shares.Share
     at: float
-    tokens: float = 0.0
+    tokens: float
 
     def refill(self, now: float) -> None:
         added = max(0.0, now - self.at) * self.share.per_s
@@ -52,8 +53,15 @@
 class _Entry:
     started_ms: int
     limit: RateLimit
+    # When the limit was last set or ended.
+    changed_at: float = -math.inf
     bucket: _TokenBucket | None = None
 
+    @property
+    def last_limited_at(self) -> float:
+        """When the limit was last named, or ended."""
+        return self.changed_at if self.bucket is None else self.limit.observed_at
+
 
 class RateLimits:
     """The latest limit of each target, and a token bucket for this front's share.
@@ -90,6 +98,7 @@
         changed = limit.per_s != known.limit.per_s
         known.limit = limit
         if changed:
+            known.changed_at = now
             self._update_bucket(target.name, known, now)
         return changed
 
@@ -99,7 +108,7 @@
             return
         share = self.members.share(name, entry.limit.per_s)
         if entry.bucket is None:
-            entry.bucket = _TokenBucket(share, now)
+            entry.bucket = _TokenBucket(share, now, tokens=share.phase)
         else:
             entry.bucket.set_share(share, now)
 
@@ -157,6 +166,14 @@
         """Returns the names of the targets that have a limit."""
         return frozenset(name for name, e in self._entries.items() if e.bucket)
 
+    def recently_limited(self) -> frozenset[str]:
+        """Returns the names of the targets that have a limit or had one recently.
+
+        Their answers are recorded also without a limit: fronts that don't send to a
+        target learn of its end from reports, which have to be newer than any other.
+        """
+        return frozenset(self._entries)
+
     def reports(self) -> Iterator[tuple[str, int, RateLimit]]:
         """Yields name, start and limit of each target, also of ended limits."""
         for name, entry in self._entries.items():
@@ -173,7 +190,7 @@
             name
             for name, entry in self._entries.items()
             if (entry.bucket is None or not is_known(name))
-            and now - entry.limit.observed_at > RETENTION_S
+            and now - entry.last_limited_at > RETENTION_S
         ]
         for name in expired:
             self.forget(name)
--- a/src/turmericward/fleet/_shares.py
+++ b/src/turmericward/fleet/_shares.py
@@ -18,16 +18,22 @@
 # Rate of all fronts together below which no limit goes, so that an answer can show
 # that the limit has ended.
 MIN_RATE_PER_S = 0.2
-# Number of fronts assumed before any is known.
-ASSUMED_FLEET_SIZE = 16
+# Number of fronts assumed before the store has listed them: that of a large fleet,
+# all of whose fronts may start at the same time.
+ASSUMED_FLEET_SIZE = 460
 
 
 @attrs.frozen(kw_only=True)
 class Share:
-    """One front's share of a limit: requests a second, and at once."""
+    """One front's share of a limit: requests a second, and at once.
+
+    `phase`, from 0 to 1, differs between the fronts that share a limit, so that
+    they take turns.
+    """
 
     per_s: float
     burst: float
+    phase: float = 0.0
 
 
 NO_SHARE = Share(per_s=0.0, burst=0.0)
@@ -85,9 +91,12 @@
         burst = BURST_S * per_s + BASE_BURST
         chosen = min(self.count, int(burst))
         chosen_of_known = chosen * len(self._names) // self.count
-        if chosen < self.count and self._rank(target) >= chosen_of_known:
+        rank = self._rank(target)
+        if chosen < self.count and rank >= chosen_of_known:
             return NO_SHARE
-        return Share(per_s=per_s / chosen, burst=burst / chosen)
+        return Share(
+            per_s=per_s / chosen, burst=burst / chosen, phase=rank % chosen / chosen
+        )
 
     def _rank(self, target: str) -> int:
         """Returns how many fronts are chosen for the target before this one."""
--- a/src/turmericward/platform/_notices.py
+++ b/src/turmericward/platform/_notices.py
@@ -18,16 +18,17 @@
     def __init__(
         self,
         post: Callable[[delivery.TargetNotice | delivery.RequestSent], None],
-        limited_targets: Callable[[], Collection[str]],
+        recently_limited: Callable[[], Collection[str]],
     ) -> None:
         """Creates the reader.
 
         Args:
             post: called with each notice, and each request that isn't a call.
-            limited_targets: returns the names of the targets known to have a limit.
+            recently_limited: returns the names of the targets that are known to have
+                a limit, or had one recently.
         """
         self._post = post
-        self._limited_targets = limited_targets
+        self._recently_limited = recently_limited
 
     def read(
         self,
@@ -35,7 +36,7 @@
         target: fleet.Target,
         *,
         from_target: bool = True,
-        lifts_limit: bool = False,
+        served_after: float | None = None,
     ) -> None:
         """Passes on the notice in the headers of a response, if there is any.
 
@@ -43,7 +44,9 @@
             resp: the response.
             target: the replica that the request was sent to.
             from_target: whether that replica sent the response, as far as known.
-            lifts_limit: whether the replica has no limit if the response names none.
+            served_after: time before which the replica didn't begin to serve the
+                call, in monotonic seconds; None if it didn't serve one. Only a served
+                call that was sent since shows that a limit has ended.
         """
         leaving = (resp.getheader(_headers.LEAVING) or "").strip() == "1"
         backoff_s = _seconds(resp.getheader(_headers.RETRY_AFTER))
@@ -51,7 +54,7 @@
             backoff_s = 0.0
         limit = None
         if from_target and resp.status != http.HTTPStatus.MISDIRECTED_REQUEST:
-            limit = self._limit(resp, target, lifts_limit=lifts_limit)
+            limit = self._limit(resp, target, served_after)
         if leaving or backoff_s or limit is not None:
             self._post(
                 delivery.TargetNotice(
@@ -61,17 +64,17 @@
 
     def count_request(self, address: str) -> None:
         """Counts a request other than a call against the limit of its replica."""
-        if self._limited_targets():
+        if self._recently_limited():
             self._post(delivery.RequestSent(address=address))
 
     def _limit(
-        self, resp, target: fleet.Target, *, lifts_limit: bool
+        self, resp, target: fleet.Target, served_after: float | None
     ) -> fleet.RateLimit | None:
         text = resp.getheader(_headers.RATE_LIMIT)
         if text is None:
-            if lifts_limit and target.name in self._limited_targets():
-                return fleet.RateLimit(per_s=None, observed_at=runtime.now())
-            return None
+            if served_after is None or target.name not in self._recently_limited():
+                return None
+            return fleet.RateLimit(per_s=None, observed_at=served_after)
         per_s = _rate(text)
         if per_s is None:
             logging.log_every_n_seconds(
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -79,7 +79,7 @@
             on_configured=self._apply_table,
         )
         notices = _notices.NoticeReader(
-            self._dispatch.post, lambda: self._dispatch.limited_targets
+            self._dispatch.post, lambda: self._dispatch.recently_limited
         )
         loops = [
             peers.ReceiveLoop(sock, peer_task),
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -56,9 +56,10 @@
             response_class=functools.partial(_response.GuardedResponse, guard=guard),
         )
         try:
+            sent_at = runtime.now()
             _request.send(conn, target.address, _outgoing(target, call, dispatch))
             resp = _request.read_response_head(conn, target.address)
-            self._read_notices(resp, target, call)
+            self._read_notices(resp, target, call, sent_at)
         except BaseException:
             conn.close()
             raise
@@ -69,13 +70,16 @@
         answer.wait_until = functools.partial(setattr, guard, "until")
         return answer
 
-    def _read_notices(self, resp, target: fleet.Target, call: delivery.Call) -> None:
+    def _read_notices(
+        self, resp, target: fleet.Target, call: delivery.Call, sent_at: float
+    ) -> None:
         answers_call = _answers_call(resp, call)
+        served = answers_call and resp.status < http.HTTPStatus.MULTIPLE_CHOICES
         self._notices.read(
             resp,
             target,
             from_target=answers_call,
-            lifts_limit=answers_call and resp.status < http.HTTPStatus.MULTIPLE_CHOICES,
+            served_after=sent_at if served else None,
         )
 
     def prefill(
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -402,7 +402,7 @@
             args = (server, front, call, placement, reached_at)
             self.schedule(front.frozen_until, self._answer, *args)
             return
-        self._notify(server, front)
+        self._notify(server, front, reached_at)
         dispatch = front.dispatch
         took_s = self.now - reached_at
         dispatch.handle(
@@ -420,14 +420,15 @@
         else:
             call.answered_at = self.now
 
-    def _notify(self, server: Server, front: Front) -> None:
+    def _notify(self, server: Server, front: Front, sent_at: float) -> None:
         per_s = server.limit_at(self.now)
         target = server.target
         if per_s is not None:
             server.told.setdefault((front.name, front.boot), self.now)
-        elif target.name not in front.dispatch.limited_targets:
+        elif target.name not in front.dispatch.recently_limited:
             return
-        limit = fleet.RateLimit(per_s=per_s, observed_at=self.now)
+        observed_at = sent_at if per_s is None else self.now
+        limit = fleet.RateLimit(per_s=per_s, observed_at=observed_at)
         front.dispatch.handle(delivery.TargetNotice(target=target, limit=limit))
 
     # Results.
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -277,10 +277,10 @@
     task.handle(delivery.TargetNotice(target=target, limit=limit))
     task.handle(delivery.PutTargets(removed=("e",)))
     task.handle(delivery.PutTargets(targets=(target,)))
-    check.assertEqual(task.limited_targets, {"e"})
+    check.assertEqual(task._admission.limits.limited(), {"e"})
     restarted = attrs.evolve(target, started_ms=2)
     task.handle(delivery.PutTargets(targets=(restarted,)))
-    check.assertEqual(task.limited_targets, frozenset())
+    check.assertEqual(task.recently_limited, frozenset())
 
 
 def test_the_limit_of_a_target_that_is_gone_is_dropped():
@@ -292,4 +292,4 @@
     later = runtime.now() + 11.0
     with mock.patch.object(runtime, "now", lambda: later):
         task.run_periodic()
-    check.assertEqual(task.limited_targets, frozenset())
+    check.assertEqual(task.recently_limited, frozenset())
--- a/tests/test_platform_notices.py
+++ b/tests/test_platform_notices.py
@@ -43,3 +43,38 @@
     check.assertEqual(posted, [delivery.RequestSent(address=address)] * 3)
     posted, _ = _requests_counted(set())
     check.assertEqual(posted, [])
+
+
+class _Response:
+    """The head of a response."""
+
+    def __init__(self, *headers: tuple[str, str], status: int = 200) -> None:
+        self.status = status
+        self._headers = dict(headers)
+
+    def getheader(self, name: str, default=None):
+        return self._headers.get(name, default)
+
+
+def test_an_answer_that_is_read_late_does_not_end_a_limit_named_since():
+    posted = []
+    notices = _notices.NoticeReader(posted.append, lambda: {"m1"})
+    target = _target("10.0.0.1:1")
+    notices.read(_Response(("Server-Limit", "3")), target)
+    named = posted[-1].limit
+    limits = fleet.RateLimits("front-1")
+    check.assertTrue(limits.record(target, named, named.observed_at))
+    notices.read(_Response(), target, served_after=named.observed_at - 2.0)
+    check.assertFalse(limits.record(target, posted[-1].limit, named.observed_at))
+    notices.read(_Response(), target, served_after=named.observed_at + 0.1)
+    check.assertTrue(limits.record(target, posted[-1].limit, named.observed_at))
+
+
+def test_refusals_and_other_requests_do_not_end_a_limit():
+    posted = []
+    notices = _notices.NoticeReader(posted.append, lambda: {"m1"})
+    target = _target("10.0.0.1:1")
+    notices.read(_Response(status=503), target)
+    notices.read(_Response(("Server-Limit", "3")), target, from_target=False)
+    notices.read(_Response(("Server-Limit", "3"), status=421), target)
+    check.assertEqual(posted, [])
--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -71,13 +71,30 @@
     changes = [(2.0, 12.0), (8.0, 6.0), (14.0, 24.0), (20.0, None)]
     servers = _servers(3, changes)
     with limited_fleet.World("abc", 2, servers, calls_per_s=60.0) as world:
-        world.run(26.0)
+        world.run(21.0)
+        for front in world.fronts.values():
+            limited = front.dispatch._admission.limits.limited()
+            check.assertEqual(limited, frozenset(), front.name)
+        world.run(40.0)
     check.assertEqual(world.windows_over_limit(), [])
     for since, until, per_s in ((4.0, 8.0, 12.0), (10.0, 14.0, 6.0)):
         rate = world.rate("t0", since, until)
         check.assertGreater(rate, 0.7 * per_s)
         check.assertLess(rate, 1.1 * per_s)
-    check.assertGreater(world.rate("t0", 22.0, 26.0), 15.0)
+    check.assertGreater(world.rate("t0", 22.0, 40.0), 15.0)
+
+
+def test_fronts_that_get_no_share_learn_that_a_limit_has_ended():
+    for seed in range(4):
+        servers = _servers(8, [(2.0, 1.0), (8.0, None)])
+        world = limited_fleet.World("abc", 13, servers, calls_per_s=150.0, seed=seed)
+        with world:
+            world.run(7.0)
+            limits = [f.dispatch._admission.limits for f in world.fronts.values()]
+            check.assertGreater(sum(not x.share("t0").per_s for x in limits), 30)
+            world.run(12.0)
+            limited = [x.limited() for x in limits if x.limited()]
+            check.assertEqual(limited, [], seed)
 
 
 def test_a_restarted_target_begins_without_limit():
@@ -85,12 +102,12 @@
     with limited_fleet.World("abc", 2, servers, calls_per_s=40.0) as world:
         world.run(7.99)
         for front in world.fronts.values():
-            check.assertEqual(front.dispatch.limited_targets, {"t0"})
+            check.assertEqual(front.dispatch._admission.limits.limited(), {"t0"})
         world.run(8.0)
         world.restart_server("t0")
         world.run(8.5)
         for front in world.fronts.values():
-            check.assertEqual(front.dispatch.limited_targets, frozenset())
+            check.assertEqual(front.dispatch._admission.limits.limited(), frozenset())
         world.run(12.0)
     check.assertGreater(world.rate("t0", 9.0, 12.0), 8.0)
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -51,8 +51,10 @@
 
 def test_a_front_that_knows_no_other_takes_no_share_of_a_low_limit():
     members = fleet.Members("front-0")
-    check.assertEqual(members.share("t", 4.7).per_s, 0.0)
-    check.assertAlmostEqual(members.share("t", 160.0).per_s, 10.0)
+    for per_s in (4.7, 12.0, 160.0):
+        check.assertEqual(members.share("t", per_s).per_s, 0.0, per_s)
+    # Hundreds of fronts that start together take no more than the limit.
+    check.assertLessEqual(460 * members.share("t", 4_600.0).per_s, 4_600.0)
 
 
 def test_each_target_is_left_to_other_fronts():
