--- a/benchmarks/front_cost.py
+++ b/benchmarks/front_cost.py
@@ -130,12 +130,13 @@
 
     def _record_batches(self) -> list[feeds.RecordBatch]:
         """Returns the empty batches that a domain's reader sends without changes."""
+        era = self._platform.store.era
         topics = (("op", feeds.Topic.CONFIGURATION), ("servers", feeds.Topic.TARGETS))
         return [
             feeds.RecordBatch(
                 topic=topic,
-                start=feeds.Position(0, 0),
-                end=feeds.Position(0, end),
+                start=feeds.Position(era, 0),
+                end=feeds.Position(era, end),
                 age_s=0.0,
             )
             for name, topic in topics
