--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -6,6 +6,7 @@
 """
 
 import bisect
+import functools
 import heapq
 import itertools
 import random
@@ -142,6 +143,10 @@
     answered_at: float | None = None
 
 
+# A relay sends the same bytes to all its members.
+_decode = functools.lru_cache(maxsize=256)(peers.decode)
+
+
 class _Socket:
     """Sends datagrams into the simulated network."""
 
@@ -320,7 +325,7 @@
             args = (sender, receiver, data)
             self.schedule(front.frozen_until, self._receive_datagram, *args)
             return
-        message = peers.StateReceived(state=peers.decode(data), host=sender)
+        message = peers.StateReceived(state=_decode(data), host=sender)
         front.peer_task.handle(message)
 
     # Clients.
