A removed target in an older copy is not counted as malformed

Found on the last reading: the names of records that can't be decoded were taken after the removed targets had been left out, so these were kept like malformed ones where the directory still had them in a grace period. The new test failed before ({'gone', 'malformed'} != {'malformed'}).

--- a/src/turmericward/platform/_follow.py
+++ b/src/turmericward/platform/_follow.py
@@ -100,12 +100,12 @@
         """
         decoded = [self._decode(record) for record in records]
         targets = tuple(t for t in decoded if t is not None)
+        # A record that can't be decoded doesn't remove its target.
+        malformed = {r.key for r in records} - {t.name for t in targets}
         if reverted:
             self._dispatch.post(delivery.StoreRecovered())
             targets = tuple(t for t in targets if not self._was_removed(t))
         self._posted = {t.name: t for t in targets}
-        # A record that can't be decoded doesn't remove its target.
-        malformed = {r.key for r in records} - {t.name for t in targets}
         message = delivery.ReplaceTargets(
             targets=targets, undecodable=frozenset(malformed)
         )
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -455,7 +455,9 @@
         candidate.await_lease()
         time.sleep(TIMING.term_s + TIMING.margin_s)
         end, record = candidate.log.read()
-        candidate.lease.record_log_end(time.monotonic(), end, record)
+        candidate.lease.record_log_end(
+            time.monotonic(), end, record, candidate.eras.since
+        )
         claim = candidate.lease.acquire(time.monotonic())
         lost = store.return_from_copy(60.0)
         # The copy has grown to the same end meanwhile.
@@ -533,3 +535,20 @@
     eras.observe(2, "the store")
     loop._await_next_run(60.0, era=1)
     check.assertLessEqual(sum(waited), CATCH_UP_S)
+
+
+def test_a_removed_target_in_an_older_copy_is_not_taken_for_a_malformed_one():
+    posted = []
+    dispatcher = _Dispatcher()
+    dispatcher.post = posted.append
+    sink = _follow.TargetsSink(dispatcher)
+    sink.on_listing((), reverted=False)
+    _put(sink, 0, "gone", _announcement("gone", 1))
+    _put(sink, 1, "gone", None)
+    older = (
+        feeds.Record(offset=0, key="gone", value=_announcement("gone", 1)),
+        feeds.Record(offset=1, key="malformed", value=b"{"),
+    )
+    sink.on_listing(older, reverted=True)
+    check.assertEqual(posted[-1].targets, ())
+    check.assertEqual(posted[-1].undecodable, {"malformed"})
