Tell a crashed engine from a failed call, and log what its calls had in common

Ruled out: reading it from the announcements alone; an engine's lapses 1.2 s to 3 s after its end, and one that is cut off lapses as well. Change: a connection that the target closed is told from a timeout (ConnectionLostError); the front then asks whether anything still listens there, and ends the placement as CRASHED. Such an engine is ejected at once, like one that can't be reached. The line of a failed attempt has the shared segments, whether the answer had begun, and whether the target had ended.

--- a/src/turmericward/adapters/_request.py
+++ b/src/turmericward/adapters/_request.py
@@ -30,6 +30,25 @@
     body: bytes = b""
 
 
+def answer_lost(address: str, exc: Exception) -> errors.AnswerLostError:
+    """Returns the error for an exception raised after the request was sent."""
+    closed = isinstance(exc, ConnectionError | http.client.IncompleteRead)
+    error = errors.ConnectionLostError if closed else errors.AnswerLostError
+    return error(f"{address}: {exc!r}")
+
+
+def refuses_connections(address: str, timeout_s: float) -> bool:
+    """Returns whether nothing listens at an address any more."""
+    host, port = _address.split(address)
+    try:
+        socket.create_connection((host, port), timeout_s).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 def connect(
     address: str,
     timeout_s: float,
@@ -85,7 +104,7 @@
     try:
         conn.endheaders(req.body or None)
     except OSError as exc:
-        raise errors.AnswerLostError(f"{address}: {exc!r}") from exc
+        raise answer_lost(address, exc) from exc
 
 
 def send_within_term(
@@ -137,7 +156,7 @@
     try:
         return conn.getresponse()
     except (OSError, http.client.HTTPException) as exc:
-        raise errors.AnswerLostError(f"{address}: {exc!r}") from exc
+        raise answer_lost(address, exc) from exc
 
 
 def wait_for_response(
--- a/src/turmericward/adapters/engine.py
+++ b/src/turmericward/adapters/engine.py
@@ -96,9 +96,11 @@
         try:
             chunk = self._resp.read1(READ_BYTES)
         except (OSError, http.client.HTTPException, ValueError) as exc:
-            raise errors.AnswerLostError(f"{self._address}: {exc!r}") from exc
+            raise _request.answer_lost(self._address, exc) from exc
         if not chunk:
-            raise errors.AnswerLostError(f"{self._address}: stream ended before [DONE]")
+            raise errors.ConnectionLostError(
+                f"{self._address}: stream ended before [DONE]"
+            )
         return chunk
 
     def _split(self, chunk: bytes) -> tuple[list[Event], bool]:
@@ -204,6 +206,11 @@
         )
 
 
+def has_ended(address: str) -> bool:
+    """Returns whether the engine's process at `ip:port` has ended."""
+    return _request.refuses_connections(address, _request.CONNECT_TIMEOUT_S)
+
+
 class EngineControl:
     """Load, state and role orders of one engine; not thread-safe."""
 
--- a/src/turmericward/adapters/errors.py
+++ b/src/turmericward/adapters/errors.py
@@ -46,6 +46,10 @@
     """Raised if the request was sent, but no complete response was received."""
 
 
+class ConnectionLostError(AnswerLostError):
+    """Raised if the target closed the connection before its response was complete."""
+
+
 class ForeignAnswerError(AdapterError):
     """Raised if a response belongs to another request."""
 
--- a/src/turmericward/delivery/_context.py
+++ b/src/turmericward/delivery/_context.py
@@ -41,6 +41,9 @@
             AdapterError: there is no valid answer.
         """
 
+    def has_ended(self, target: fleet.Target) -> bool:
+        """Returns whether the target's process has ended, as far as can be told."""
+
     def release(self, source: str) -> None:
         """Frees KV cache that no target will fetch."""
 
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -220,8 +220,21 @@
         self._progress.record_failure(self._target)
 
     def _end_failed_attempt(self, exc: Exception) -> None:
-        self._record.log_failed_attempt(self._placement, "failed", repr(exc))
-        self._end_placement(requests.Ending.FAILED)
+        crashed = self._has_target_crashed(exc)
+        self._record.log_failed_attempt(
+            self._placement, "failed", repr(exc), target_ended=crashed
+        )
+        self._end_placement(
+            requests.Ending.CRASHED if crashed else requests.Ending.FAILED
+        )
+
+    def _has_target_crashed(self, exc: Exception) -> bool:
+        """Returns whether the attempt failed since the engine's process ended."""
+        if self._call.prompt is None or self._placement is None:
+            return False
+        if not isinstance(exc, errors.ConnectionLostError):
+            return False
+        return self._ctx.transport.has_ended(self._placement.target)
 
     # Replies.
 
--- a/src/turmericward/delivery/_record.py
+++ b/src/turmericward/delivery/_record.py
@@ -3,6 +3,9 @@
 from turmericward import requests, runtime, telemetry
 from turmericward.delivery import _calls
 
+# Bounds the length of a log line.
+MAX_LOGGED_SEGMENTS = 8
+
 
 class CallRecord:
     """Logs the decisions on a call and measures its token latencies."""
@@ -51,14 +54,19 @@
             took_s=round(took_s, 3),
         )
 
-    def log_failed_attempt(self, placement, outcome: str, detail: str) -> None:
-        """Logs a failed or refused attempt."""
+    def log_failed_attempt(
+        self, placement, outcome: str, detail: str, *, target_ended: bool = False
+    ) -> None:
+        """Logs a failed or refused attempt; `target_ended` if its process ended."""
         telemetry.log_event(
             "attempt",
             request_id=self._call.id,
             target=placement.target.name,
             outcome=outcome,
             detail=detail,
+            target_ended=target_ended,
+            began=self._first_event_at is not None,
+            segments=_shared_segment_ids(self._call.prompt),
             after_s=self._elapsed_s(),
             left_s=round(self._call.remaining_s(), 3),
         )
@@ -126,3 +134,10 @@
 
     def _elapsed_s(self) -> float:
         return round(runtime.now() - self._call.received, 3)
+
+
+def _shared_segment_ids(prompt: requests.Prompt | requests.Demand | None) -> list[str]:
+    """Returns the ids of the segments that a prompt shares with others."""
+    if not isinstance(prompt, requests.Prompt):
+        return []
+    return [s.id for s in prompt.segments[:-1][:MAX_LOGGED_SEGMENTS]]
--- a/src/turmericward/delivery/_stream.py
+++ b/src/turmericward/delivery/_stream.py
@@ -73,7 +73,7 @@
             self._first_batch = next(self._batches)
         except StopIteration:
             msg = "stream ended before its first event"
-            raise errors.AnswerLostError(msg) from None
+            raise errors.ConnectionLostError(msg) from None
 
     def __iter__(self) -> Iterator[Batch]:
         """Yields batches until the stream is complete.
@@ -106,7 +106,7 @@
             yield batch
             answer.wait_until(self._owner.next_event_deadline())
         if self._parser.incomplete:
-            raise errors.AnswerLostError("stream ended in the middle of an event")
+            raise errors.ConnectionLostError("stream ended in the middle of an event")
 
     def _new_batches(self) -> Iterator[Batch]:
         """Yields the events of the current attempt that the client doesn't have."""
--- a/src/turmericward/entry/_router_task.py
+++ b/src/turmericward/entry/_router_task.py
@@ -134,10 +134,7 @@
         if assignment is None:
             return
         self._in_flight_by_engine[assignment.engine] -= 1
-        failed = message.ending in (
-            requests.Ending.FAILED,
-            requests.Ending.UNREACHED,
-        )
+        failed = message.ending.target_failed
         self._router.finished(assignment, failed, time.monotonic())
 
     @handle.register
--- a/src/turmericward/entry/_transport.py
+++ b/src/turmericward/entry/_transport.py
@@ -52,6 +52,10 @@
         """Not supported: the entry's router selects no prefill-only engines."""
         raise NotImplementedError("separate prefill is not supported")
 
+    def has_ended(self, target: fleet.Target) -> bool:
+        """Returns whether the engine has ended; see `delivery.Transport`."""
+        return engine.has_ended(target.address)
+
     def release(self, source: str) -> None:
         """Does nothing: without separate prefill no KV cache is held."""
 
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -104,6 +104,10 @@
         finally:
             answer.close()
 
+    def has_ended(self, target: fleet.Target) -> bool:
+        """Returns whether the replica has ended; see `delivery.Transport`."""
+        return _request.refuses_connections(target.address, CONNECT_TIMEOUT_S)
+
     def release(self, source: str) -> None:
         """Releases the KV cache `source`; see `delivery.Transport`."""
         address, _, handle = source.partition("/")
@@ -171,9 +175,9 @@
                 break
             yield chunk
     except (OSError, http.client.HTTPException, ValueError) as exc:
-        raise errors.AnswerLostError(f"{address}: {exc!r}") from exc
+        raise _request.answer_lost(address, exc) from exc
     if resp.length:
-        raise errors.AnswerLostError(f"{address}: {resp.length} bytes are missing")
+        raise errors.ConnectionLostError(f"{address}: {resp.length} bytes are missing")
 
 
 def _close(conn, resp) -> None:
--- a/src/turmericward/requests/_in_flight.py
+++ b/src/turmericward/requests/_in_flight.py
@@ -25,9 +25,21 @@
     # The client disconnected; whether the target would have succeeded is unknown.
     DISCONNECTED = "left"
     FAILED = "failed"
+    # The target's process has ended.
+    CRASHED = "crashed"
     REFUSED = "refused"
     UNREACHED = "unreached"
 
+    @property
+    def target_failed(self) -> bool:
+        """Whether the target lost the call or couldn't be reached."""
+        return self in (Ending.FAILED, Ending.CRASHED, Ending.UNREACHED)
+
+    @property
+    def target_ended(self) -> bool:
+        """Whether nothing seems to listen at the target's address any more."""
+        return self in (Ending.CRASHED, Ending.UNREACHED)
+
 
 @attrs.frozen(kw_only=True)
 class Deadlines:
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -346,8 +346,8 @@
             return
         if placement.id in calls.overdue:
             calls.overdue.remove(placement.id)
-        elif ending in _CONCLUSIVE:
-            self._count_end(name, now, failed=ending in _FAILURES)
+        elif ending.target_failed or ending is _in_flight.Ending.SUCCEEDED:
+            self._count_end(name, now, failed=ending.target_failed)
         if ending is _in_flight.Ending.REFUSED:
             self._refusals.failed(name, now)
             return
@@ -359,9 +359,7 @@
         if ending is _in_flight.Ending.SUCCEEDED:
             self.health.succeeded(name)
         else:
-            weight = (
-                CONNECT_FAILURE_WEIGHT if ending is _in_flight.Ending.UNREACHED else 1
-            )
+            weight = CONNECT_FAILURE_WEIGHT if ending.target_ended else 1
             self.health.failed(name, now, weight=weight)
 
     def _count_end(self, name: str, now: float, *, failed: bool) -> None:
@@ -375,11 +373,6 @@
         self._hold_time.learn(now - placement.placed_at)
 
 
-# Endings that show whether a target completes the calls it accepts.
-_FAILURES = frozenset({_in_flight.Ending.FAILED, _in_flight.Ending.UNREACHED})
-_CONCLUSIVE = _FAILURES | {_in_flight.Ending.SUCCEEDED}
-
-
 def _decode_capable(targets) -> list[fleet.Target]:
     return [t for t in targets if t.can_decode]
 
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -2,6 +2,7 @@
 
 import collections
 from concurrent import futures
+from unittest import mock
 
 import attrs
 
@@ -14,6 +15,7 @@
 FAULTS = {
     "not sent": errors.NotSentError("no connection"),
     "lost": errors.AnswerLostError("reset"),
+    "closed": errors.ConnectionLostError("closed by the target"),
     "cancelled": errors.CancelledError("client left"),
 }
 
@@ -24,6 +26,7 @@
     def __init__(self, task: delivery.DispatchTask) -> None:
         self._task = task
         self.granted = collections.Counter()
+        self.posted: list[object] = []
 
     def ask(self, message) -> futures.Future:
         fut = futures.Future()
@@ -34,13 +37,15 @@
         return fut
 
     def post(self, message) -> None:
+        self.posted.append(message)
         self._task.handle(message)
 
 
 class _Transport:
     """Answers with the scripted fault of the n-th send or prefill."""
 
-    def __init__(self, sends=(), prefills=(), streams=()) -> None:
+    def __init__(self, sends=(), prefills=(), streams=(), ended=()) -> None:
+        self._ended = ended
         self._sends = iter(sends)
         self._prefills = iter(prefills)
         self._streams = iter(streams)
@@ -73,6 +78,9 @@
             numbered=True,
         )
 
+    def has_ended(self, target) -> bool:
+        return target.name in self._ended
+
     def release(self, source: str) -> None:
         self.released.append(source)
 
@@ -348,3 +356,32 @@
     status, sent, took_s = _run_at_limited_target(lambda: runtime.now() > deadline)
     check.assertEqual((status, sent), (499, 0))
     check.assertLess(took_s, 0.3)
+
+
+def _endings(dispatcher: _Dispatcher) -> list[requests.Ending]:
+    ended = (m for m in dispatcher.posted if isinstance(m, delivery.PlacementEnded))
+    return [message.ending for message in ended]
+
+
+def test_a_lost_connection_counts_as_a_crash_if_the_target_has_ended():
+    targets = [test_dispatch._target("e1")]
+    for fault, ended, ending in (
+        ("closed", ("e1",), requests.Ending.CRASHED),
+        ("closed", (), requests.Ending.FAILED),
+        ("lost", ("e1",), requests.Ending.FAILED),
+    ):
+        transport = _Transport(sends=[fault], ended=ended)
+        _, dispatcher = _run(transport, targets, max_attempts=1, resumable=False)
+        check.assertEqual(_endings(dispatcher), [ending], (fault, ended))
+
+
+def test_a_failed_attempt_is_logged_with_the_shared_segments_of_its_prompt():
+    transport = _Transport(sends=["closed"], ended=("e1",))
+    targets = [test_dispatch._target("e1")]
+    with mock.patch.object(telemetry, "log_event") as log_event:
+        _run(transport, targets, max_attempts=1, resumable=False)
+    (line,) = [c.kwargs for c in log_event.call_args_list if c.args == ("attempt",)]
+    shared = [s.id for s in test_dispatch._call(8.0).prompt.segments[:-1]]
+    check.assertTrue(shared)
+    check.assertEqual(line["segments"], shared)
+    check.assertEqual((line["target_ended"], line["began"]), (True, False))
