--- a/standins/_http.py
+++ b/standins/_http.py
@@ -1,8 +1,10 @@
 """HTTP server that the stand-ins share."""
 
+import contextlib
 import http.server
 import json
 import signal
+import socket
 import sys
 import threading
 import urllib.parse
@@ -58,6 +60,27 @@
         host, _, port = address.rpartition(":")
         super().__init__((host, int(port)), Handler)
         self.app = app
+        self._open: set[socket.socket] = set()
+
+    def get_request(self):
+        """Accepts a connection."""
+        conn, address = super().get_request()
+        self._open.add(conn)
+        return conn, address
+
+    def shutdown_request(self, request) -> None:
+        """Closes a connection."""
+        self._open.discard(request)
+        super().shutdown_request(request)
+
+    def crash(self) -> None:
+        """Ends the server and all its connections at once."""
+        self.socket.shutdown(socket.SHUT_RDWR)
+        for conn in tuple(self._open):
+            with contextlib.suppress(OSError):
+                conn.shutdown(socket.SHUT_RDWR)
+        self.shutdown()
+        self.server_close()
 
     def handle_error(self, request, client_address) -> None:
         """Ignores errors of connections that the peer closed."""
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -9,6 +9,7 @@
 import socket
 import threading
 import time
+from collections.abc import Callable
 
 import attrs
 
@@ -52,6 +53,12 @@
 }
 
 
+def shared_segments(headers) -> frozenset[str]:
+    """Returns the ids of the prompt segments that a call shares with others."""
+    prefix = headers.get("Turmericward-Prompt-Prefix", "")
+    return frozenset(part.partition(":")[0] for part in prefix.split(",")[:-1])
+
+
 def event(call_id: str, number: int) -> bytes:
     """Returns one event of a stream."""
     return f"id: {number}\ndata: {call_id}-{number}\n\n".encode()
@@ -70,6 +77,9 @@
         self.cached_segments: dict[str, int] = {}
         # Extra headers of every response.
         self.headers: tuple[tuple[str, str], ...] = ()
+        # Prompt segments on which the replica crashes instead of writing an answer.
+        self.deadly_segments: frozenset[str] = frozenset()
+        self.crash: Callable[[], None] = lambda: None
         self.calls: list[ReceivedCall] = []
         self.cancelled = threading.Event()
 
@@ -109,6 +119,8 @@
             req.close_connection = True
         elif req.headers.get("Turmericward-Serving-Stage") == "prefill":
             req.answer(200, {"handle": "h1", "tokens": 1, "version": 1})
+        elif self.deadly_segments & shared_segments(req.headers):
+            self.crash()
         elif "Turmericward-Prompt-Prefix" in req.headers:
             self._stream(req, call_id)
         else:
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -1,6 +1,7 @@
 """A front process in front of stand-ins of the users' platform, on loopback."""
 
 import contextlib
+import functools
 import http.client
 import json
 import os
@@ -10,6 +11,7 @@
 import sys
 import tempfile
 import threading
+import time
 
 import attrs
 
@@ -62,6 +64,8 @@
     store: platform_store.Store
     replicas: dict[str, platform_replica.Replica]
     addresses: dict[str, str]
+    # Running servers of the replicas.
+    servers: dict[str, _http.Server]
     front: str
     ready: str
     metrics: str
@@ -152,11 +156,55 @@
 def _start_server(stack, app) -> str:
     (port,) = launch.free_ports(1)
     address = f"127.0.0.1:{port}"
+    _serve(stack, address, app)
+    return address
+
+
+def _serve(stack, address: str, app) -> _http.Server:
     server = _http.Server(address, app)
     thread = threading.Thread(target=server.serve_forever, args=(0.05,), daemon=True)
     thread.start()
     stack.callback(server.shutdown)
-    return address
+    return server
+
+
+class CrashingReplicas:
+    """Ends replicas on deadly prompt segments and starts them again."""
+
+    def __init__(self, stack, platform: "Platform", restart_s: float) -> None:
+        """Prepares all engines of a deployment.
+
+        Args:
+            stack: ends the servers.
+            platform: the deployment.
+            restart_s: time from a crash to the next start.
+        """
+        self._stack = stack
+        self._platform = platform
+        self._restart_s = restart_s
+        self._lock = threading.Lock()
+        self.crashed_at: list[float] = []
+
+    def arm(self, names: tuple[str, ...], segments: frozenset[str]) -> None:
+        """Lets replicas crash on these prompt segments."""
+        for name in names:
+            replica = self._platform.replicas[name]
+            replica.deadly_segments = segments
+            replica.crash = functools.partial(self._crash, name)
+
+    def _crash(self, name: str) -> None:
+        with self._lock:
+            server = self._platform.servers.pop(name, None)
+        if server is None:
+            return
+        self.crashed_at.append(time.monotonic())
+        server.crash()
+        self._platform.store.put("keyed.servers", name, b"")
+        time.sleep(self._restart_s)
+        replica = self._platform.replicas[name]
+        address = self._platform.addresses[name]
+        self._platform.servers[name] = _serve(self._stack, address, replica)
+        self._platform.announce(name, born=1000 + len(self.crashed_at))
 
 
 def _settings(directory, front: str, ready: str, store: str, ports: list[int]):
@@ -191,12 +239,17 @@
         store = platform_store.Store()
         store_address = _start_server(stack, store)
         replicas = {name: platform_replica.Replica(name) for name in names}
-        addresses = {name: _start_server(stack, r) for name, r in replicas.items()}
+        addresses, servers = {}, {}
+        for name, replica in replicas.items():
+            (port,) = launch.free_ports(1)
+            addresses[name] = f"127.0.0.1:{port}"
+            servers[name] = _serve(stack, addresses[name], replica)
         front, ready, *ports = launch.free_ports(4)
         deployment = Platform(
             store=store,
             replicas=replicas,
             addresses=addresses,
+            servers=servers,
             front=f"127.0.0.1:{front}",
             ready=f"127.0.0.1:{ready}",
             settings=_settings(
