Prompts with a segment that crashes engines are kept away from all engines

Callers saw: all answers that ran beside a prompt of one kind were lost, again and again, and in between no engine was there (701 of 1,154 calls refused in 16 s). Cause: nothing connected the end of an engine with what it was beginning to answer; each front placed the next prompt with the same segment as if nothing had happened. Class: an input that ends its server is handed to the next one. Ruled out: a limit on retries alone (the incident went on without any retry); counting at each front alone (no front sees more than a few of the crashes). Change: requests.Quarantine. A crash makes the shared segments of prompts suspect that the engine was just beginning to answer; a complete answer clears a segment in all fronts; three crashes without one bar it, and crashes that a barred segment explains don't count against others. Fronts tell each other suspects and their clearing with ages, merged in any order. Bars end with one trial of one front, each crash doubles them. The reports of limits became reports of any rows; deadlines left the dispatcher; thrift code regenerated by the compiler.

--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -47,6 +47,16 @@
   4: i32 age_ms
 }
 
+/** What became of a prompt with a segment: an engine crashed, or answered it. */
+struct SegmentOutcome {
+  1: i64 segment
+  2: bool answered
+  /** The engine that ended, in the life that began at `started_ms`; 0 if answered. */
+  3: i32 target
+  4: i64 started_ms
+  5: i32 age_ms
+}
+
 /** A record of a topic; an empty value ends its key. */
 struct Record {
   1: i64 offset
@@ -99,4 +109,5 @@
   14: bool asks
   /** Limits of targets; those that aren't named here are as they were told before. */
   15: list<TargetLimit> limits
+  16: list<SegmentOutcome> outcomes
 }
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -1,5 +1,6 @@
 """Delivers one call: placement, attempts at targets, and the reply."""
 
+import http
 import time
 
 import attrs
@@ -54,6 +55,8 @@
         # Name of the target of the latest placement.
         self._target = ""
         self._sent_at = 0.0
+        # When the current attempt had its first output of the answer.
+        self._writing_since: float | None = None
         # Handle of the prompt's KV cache until a decode target accepts it.
         self._kv_source = ""
         self._prefill_domain = ""
@@ -107,6 +110,7 @@
         self._record.log_placement(self._placement)
         self._await_start(runtime.now() + self._placement.start_after_s)
         self._sent_at = runtime.now()
+        self._writing_since = None
 
     def _await_start(self, start: float) -> None:
         """Waits until the target's rate limit allows the call."""
@@ -267,7 +271,8 @@
             self._progress.fallback = reply
             self._record_failure(errors.AnswerLostError(f"status {answer.status}"))
             return None
-        self._end_placement(requests.Ending.SUCCEEDED)
+        answered = answer.status == http.HTTPStatus.OK
+        self._end_placement(requests.Ending.SUCCEEDED, answered=answered)
         self._record_reply("answered", answer.status)
         return reply
 
@@ -307,6 +312,8 @@
     # Bookkeeping.
 
     def _record_first_output(self) -> None:
+        if not self._placement.prefill_only:
+            self._writing_since = runtime.now()
         took_s = runtime.now() - self._sent_at
         self._record.log_first_output(self._placement, took_s)
         self._ctx.dispatch.post(
@@ -315,20 +322,22 @@
             )
         )
 
-    def _end_placement(self, ending: requests.Ending) -> None:
+    def _end_placement(
+        self, ending: requests.Ending, *, answered: bool = False
+    ) -> None:
         placement, self._placement = self._placement, None
         if placement is not None:
-            self._post_ended(placement, ending)
+            self._post_ended(placement, ending, answered=answered)
 
-    def _post_ended(
-        self, placement, ending: requests.Ending, *, streamed: bool = False
-    ) -> None:
+    def _post_ended(self, placement, ending: requests.Ending, **details) -> None:
+        since = self._writing_since
         self._ctx.dispatch.post(
             _messages.PlacementEnded(
                 placement=placement,
                 prompt=self._call.prompt,
                 ending=ending,
-                streamed=streamed,
+                writing_s=0.0 if since is None else runtime.now() - since,
+                **details,
             )
         )
 
@@ -351,12 +360,17 @@
 
     def events_received(self, count: int) -> None:
         """Records the arrival of a batch of events."""
+        if self._writing_since is None:
+            self._writing_since = runtime.now()
         self._record.record_events(count)
 
     def attempt_ended(self, attempt: _stream.StreamAttempt, *, completed: bool) -> None:
         """Ends a successful attempt; not `completed` if the client disconnected."""
         self._post_ended(
-            attempt.placement, requests.Ending.SUCCEEDED, streamed=completed
+            attempt.placement,
+            requests.Ending.SUCCEEDED,
+            streamed=completed,
+            answered=completed,
         )
 
     def stream_ended(self, outcome: str) -> None:
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -9,6 +9,8 @@
 
 from turmericward import fleet, peers, requests, runtime, telemetry
 from turmericward.delivery import (
+    _crash_exchange,
+    _deadlines,
     _limit_exchange,
     _messages,
     _retry_budgets,
@@ -23,9 +25,6 @@
 # Loads that differ from the published ones are published after this time at the
 # latest; calls without prompt cause no publication themselves.
 MAX_PUBLISH_INTERVAL_S = 0.5
-# A call with less than this share of its route's longest deadline is treated as
-# repeated by a client that was refused before.
-MIN_FIRST_CALL_DEADLINE_SHARE = 0.8
 
 
 class DispatchTask(runtime.Task):
@@ -61,18 +60,22 @@
         self._limits = _limit_exchange.LimitExchange(
             self._directory, self._admission.limits
         )
+        self._crashes = _crash_exchange.CrashExchange(
+            self._directory, self._admission.limits.members
+        )
         self._placer = requests.Placer(seed, domain)
         self._budgets = _retry_budgets.RetryBudgets(retries)
         self._published_at = 0.0
         self._published_loads: dict[int, requests.TargetLoad] = {}
-        self._max_deadline_s: dict[str, float] = collections.defaultdict(float)
+        self._deadlines = _deadlines.DeadlineEstimates()
         self._publish = publish
         self._on_configured = on_configured
         self._name = name
         self._domain = domain
         self._listed_engines: set[int] = set()
         self.table: _routes.RoutingTable | None = None
-        self._limits_changed = False
+        # Whether peers should be told what this front knows of targets and prompts.
+        self._reports_changed = False
         # Names of the targets that have a limit or had one recently; replaced, so that
         # any thread may read it.
         self.recently_limited: frozenset[str] = frozenset()
@@ -197,7 +200,8 @@
         if self._admission.limits.members.set_min_count(live_peers + 1):
             self._admission.limits.update_shares(now)
         self._placer.count_overdue(now)
-        if self._limits_changed or self._are_published_loads_outdated(now):
+        self._crashes.quarantine.expire(now)
+        if self._reports_changed or self._are_published_loads_outdated(now):
             self._publish_state()
 
     def _are_published_loads_outdated(self, now: float) -> bool:
@@ -216,7 +220,8 @@
         self._apply_leaving(message.leaving)
         if self._limits.apply(message.limits):
             self._update_recently_limited()
-            self._limits_changed = True
+            self._reports_changed = True
+        self._reports_changed |= self._crashes.apply(message.outcomes)
         for target, ttl_s in message.held.items():
             self._admission.hold(target, runtime.now() + ttl_s)
 
@@ -286,12 +291,13 @@
         loads = self._placer.local_loads()
         self._published_loads = loads
         self._published_at = runtime.now()
-        self._limits_changed = False
+        self._reports_changed = False
         self._publish(
             peers.LocalState(
                 loads=loads,
                 cache_entries=entries,
                 limits=self._limits.reports(),
+                outcomes=self._crashes.outcomes(),
                 **changes,
             )
         )
@@ -311,13 +317,16 @@
 
     @handle.register
     def _(self, message: _messages.Place):
+        refusal = self._crashes.refusal(message)
+        if refusal is not None:
+            return result.Err(refusal)
         budget = self._budgets.for_service(message.service)
         if message.retry and not budget.spend():
             return _refusal("retry_budget", RETRY_BUDGET_RETRY_S)
         if not message.retry and not message.prefilled:
             budget.earn()
         now = runtime.now()
-        deadlines = self._deadlines(message.call, now)
+        deadlines = self._deadlines.deadlines(message.call, now)
         candidates = self._admission.candidates(
             message.service,
             message.excluded,
@@ -354,22 +363,6 @@
             )
         return self._placer.choose_engine(prompt, targets, deadlines, now, waits_s)
 
-    def _deadlines(self, call, now: float) -> requests.Deadlines:
-        route = call.route
-        max_deadline_s = max(self._max_deadline_s[route.name], call.deadline_s)
-        self._max_deadline_s[route.name] = max_deadline_s
-        # A client that retries after a refusal has less time left than at first.
-        waited_s = max(
-            0.0, MIN_FIRST_CALL_DEADLINE_SHARE * max_deadline_s - call.deadline_s
-        )
-        first_sent_at = call.received - waited_s
-        return requests.Deadlines(
-            soft_deadline_s=first_sent_at + route.objective_s - now,
-            hard_deadline_s=min(call.received + call.route.abandon_s, call.deadline)
-            - now,
-            at_most_once=not route.repeatable,
-        )
-
     @handle.register
     def _(self, message: _messages.FirstOutput) -> None:
         self._placer.record_first_output(
@@ -383,6 +376,9 @@
         if message.streamed:
             self._placer.streamed(message.placement, now)
         self._placer.ended(message.placement, message.ending, now)
+        if self._crashes.placement_ended(message):
+            self._publish_state()
+            return
         self._publish_prompt(message.prompt)
 
 
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -183,9 +183,16 @@
 
 @attrs.frozen(kw_only=True)
 class PlacementEnded:
-    """The end of a placement; `streamed` holds if its stream was completed."""
+    """The end of a placement.
+
+    `streamed` holds if its stream was completed, `answered` if the call got its whole
+    answer, streamed or not. `writing_s` is the time since the target's first output
+    of the answer, 0 without one.
+    """
 
     placement: requests.Placement
     prompt: requests.Prompt | None
     ending: requests.Ending
     streamed: bool = False
+    answered: bool = False
+    writing_s: float = 0.0
--- a/src/turmericward/fleet/_shares.py
+++ b/src/turmericward/fleet/_shares.py
@@ -98,11 +98,14 @@
             per_s=per_s / chosen, burst=burst / chosen, phase=rank % chosen / chosen
         )
 
+    def rank(self, key: str) -> int:
+        """Returns how many fronts are chosen for a key before this one."""
+        own = _weight(key, self._front)
+        return sum(_weight(key, f) < own for f in self._names)
+
     def _rank(self, target: str) -> int:
-        """Returns how many fronts are chosen for the target before this one."""
         if target not in self._ranks:
-            own = _weight(target, self._front)
-            self._ranks[target] = sum(_weight(target, f) < own for f in self._names)
+            self._ranks[target] = self.rank(target)
         return self._ranks[target]
 
     def forget(self, target: str) -> None:
--- a/src/turmericward/peers/_codec.py
+++ b/src/turmericward/peers/_codec.py
@@ -59,7 +59,8 @@
     `held` are targets that should get no new calls for that many seconds; `listed`
     ones have reported their cache, whose entries are in `cache_entries` of this state
     or of a recent one. `leaving` are incarnations of targets that announced that they
-    leave, `limits` the rates that others named. `capacity` is that of the front's
+    leave, `limits` the rates that others named, `outcomes` what became of prompts that
+    may crash engines. `capacity` is that of the front's
     instance; `record_batches` holds records of the store's topics. In a `partial`
     state, targets without a row keep the loads sent before; limits that aren't in a
     state are unchanged. A front that `needs_full_batches` could not read the topics.
@@ -75,6 +76,7 @@
     listed: frozenset[int] = frozenset()
     leaving: frozenset[LeavingTarget] = frozenset()
     limits: tuple[TargetLimit, ...] = ()
+    outcomes: tuple[requests.SegmentOutcome, ...] = ()
     domain: str = ""
     fronts: int = 1
     capacity: int = 0
@@ -128,6 +130,7 @@
             for leaving in state.leaving
         ],
         limits=[_encode_limit(limit) for limit in state.limits],
+        outcomes=[_encode_outcome(outcome) for outcome in state.outcomes],
         capacity=state.capacity,
         news=[_encode_batch(batch) for batch in state.record_batches],
         partial=state.partial,
@@ -161,6 +164,7 @@
                 for row in message.leaving or ()
             ),
             limits=tuple(_decode_limit(row) for row in message.limits or ()),
+            outcomes=tuple(_decode_outcome(row) for row in message.outcomes or ()),
             capacity=message.capacity or 0,
             record_batches=tuple(_decode_batch(row) for row in message.news or ()),
             partial=bool(message.partial),
@@ -193,6 +197,26 @@
     )
 
 
+def _encode_outcome(outcome: requests.SegmentOutcome) -> ttypes.SegmentOutcome:
+    crashed = outcome.crashed
+    return ttypes.SegmentOutcome(
+        segment=outcome.segment,
+        answered=crashed is None,
+        target=0 if crashed is None else crashed.target,
+        started_ms=0 if crashed is None else crashed.started_ms,
+        age_ms=math.ceil(outcome.age_s * 1000),
+    )
+
+
+def _decode_outcome(row: ttypes.SegmentOutcome) -> requests.SegmentOutcome:
+    crashed = None
+    if not row.answered:
+        crashed = requests.Incarnation(row.target, row.started_ms)
+    return requests.SegmentOutcome(
+        segment=row.segment, crashed=crashed, age_s=max(0, row.age_ms) / 1000
+    )
+
+
 def _encode_batch(batch: feeds.RecordBatch) -> ttypes.TopicNews:
     records = [_encode_record(record) for record in batch.records]
     return ttypes.TopicNews(
--- a/src/turmericward/peers/_messages.py
+++ b/src/turmericward/peers/_messages.py
@@ -33,7 +33,7 @@
 class LocalState:
     """The local state has changed; fields as in `PeerState`.
 
-    `limits` holds all that are known.
+    `limits` holds all that are known, `outcomes` all that peers should know.
     """
 
     loads: dict[int, requests.TargetLoad]
@@ -42,6 +42,7 @@
     listed: frozenset[int] = frozenset()
     leaving: frozenset[_codec.LeavingTarget] = frozenset()
     limits: tuple[_codec.TargetLimit, ...] = ()
+    outcomes: tuple[requests.SegmentOutcome, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/src/turmericward/peers/_peer_task.py
+++ b/src/turmericward/peers/_peer_task.py
@@ -12,11 +12,11 @@
 from turmericward.peers import (
     _codec,
     _deltas,
-    _limits,
     _members,
     _messages,
     _outbox,
     _peer_group,
+    _reports,
 )
 
 BOOT_ID_BITS = 62
@@ -77,7 +77,7 @@
         self._sequence = 0
         self._peers = _peer_group.PeerGroup(front, domain, capacity)
         self._local = _messages.LocalState(loads={})
-        self._limits = _limits.LimitReports()
+        self._reports = _reports.StateReports()
         self._known_fronts = _members.KnownFronts()
         self._received: dict[str, tuple[float, _codec.PeerState]] = {}
         self._fresh_s = dict(fresh_s or {})
@@ -219,7 +219,7 @@
     def _(self, message: _messages.LocalState) -> None:
         now = self._clock()
         self._local = message
-        self._limits.replace(message.limits, now)
+        self._reports.replace(message, now)
         self._local_outbox.add(message, now)
         self._remote_outbox.add(message, now)
         self._changed = True
@@ -281,12 +281,12 @@
         self._changed = False
         recipients = self._peers.recipients(now)
         self._track_recipients(recipients)
+        reports = self._reports.pop_due(now)
         batches = self._due_batches(now)
-        limits = self._limits.pop_due(now)
         for scope in _peer_group.LoadScope:
             group = [r for r in recipients if r.scope is scope]
             if group:
-                self._send_scope(scope, group, batches, limits, now)
+                self._send_scope(scope, group, batches, reports, now)
         self._sent_loads = self._local.loads
         if not self._peers.is_relay(now):
             # Only a relay sends to other domains: discard their events.
@@ -305,14 +305,14 @@
         scope: _peer_group.LoadScope,
         group: list[_peer_group.Recipient],
         batches: tuple[feeds.RecordBatch, ...],
-        limits: tuple[_codec.TargetLimit, ...],
+        reports: _reports.DueReports,
         now: float,
     ) -> None:
         remote = scope is _peer_group.LoadScope.DOMAIN
         state = self._build_state(
             scope, self._remote_outbox if remote else self._local_outbox, now
         )
-        state = attrs.evolve(state, limits=limits)
+        state = attrs.evolve(state, limits=reports.limits, outcomes=reports.outcomes)
         encoded: dict[bool, bytes] = {}
         for recipient in group:
             if recipient.gets_records not in encoded:
--- a/src/turmericward/requests/__init__.py
+++ b/src/turmericward/requests/__init__.py
@@ -16,6 +16,11 @@
 )
 from turmericward.requests._placement import Placer
 from turmericward.requests._prompts import Prompt, PromptSegment, segment_number
+from turmericward.requests._quarantine import (
+    Quarantine,
+    SegmentChange,
+    SegmentState,
+)
 from turmericward.requests._router import (
     MIN_RETRY_AFTER_S,
     Assignment,
@@ -23,6 +28,7 @@
     Refusal,
     Router,
 )
+from turmericward.requests._suspects import Incarnation, SegmentOutcome
 
 __all__ = [
     "MIN_RETRY_AFTER_S",
@@ -33,6 +39,7 @@
     "Bounds",
     "Demand",
     "Ending",
+    "Incarnation",
     "InvalidRequestError",
     "CacheEntry",
     "Deadlines",
@@ -40,10 +47,14 @@
     "Placer",
     "Prompt",
     "PromptSegment",
+    "Quarantine",
     "Refusal",
     "RequestsError",
     "RetryBudget",
     "Router",
+    "SegmentChange",
+    "SegmentOutcome",
+    "SegmentState",
     "TargetLoad",
     "demand_of",
     "segment_number",
--- /dev/null
+++ b/src/turmericward/requests/_quarantine.py
@@ -0,0 +1,273 @@
+"""Keeps prompts with a segment that crashes engines away from all engines.
+
+Load pattern handled: prompts with one segment, no two of them alike, end each engine
+that begins to answer them, together with all its other calls. They reach any front,
+so that no front sees more than a few of the crashes.
+
+A crash makes the segments of all prompts suspect that the engine was just beginning
+to answer. An answer to any prompt with a segment clears it: what always crashes is
+never answered. A segment that is left after several crashes is barred, and these
+crashes count no longer against the other segments. Pure logic without clock and
+sockets; times are monotonic seconds.
+"""
+
+import collections
+import enum
+import math
+from collections.abc import Callable, Iterable, Iterator, Sequence
+
+import attrs
+
+from turmericward.requests import _router, _suspects
+
+# Crashes of different engines, without an answer, after which a segment is barred.
+CRASHES_TO_BAR = 3
+# From this many on, prompts with the segment that lost an engine aren't sent again.
+CRASHES_TO_STOP_RETRIES = 2
+# How long a suspect, or its clearing, is told to the peers if nothing changes.
+TELL_S = 3.0
+# Estimates of the same time by different fronts differ by less.
+AGE_TOLERANCE_S = 0.25
+# After a bar has ended, one front after the other may try a prompt, at this interval.
+TRIAL_INTERVAL_S = 15.0
+TRIAL_TIMEOUT_S = 10.0
+MAX_SUSPECTS = 500
+MAX_ANSWERED_SEGMENTS = 4_000
+MAX_TOLD_OUTCOMES = 200
+
+BARRED = "quarantined"
+SUSPECTED = "suspected"
+
+
+class SegmentState(enum.Enum):
+    """What is believed of a segment."""
+
+    SUSPECT = "suspect"
+    BARRED = "barred"
+    TRIED = "tried"
+    CLEARED = "cleared"
+
+
+@attrs.frozen(kw_only=True)
+class SegmentChange:
+    """A change of what is believed of a segment, and the crashes that led to it."""
+
+    segment: int
+    state: SegmentState
+    crashes: int
+    until: float = 0.0
+
+
+class Quarantine:
+    """Suspect and barred segments, as all fronts together have seen them."""
+
+    def __init__(self) -> None:
+        """Starts without suspects."""
+        self._suspects: dict[int, _suspects.Suspect] = {}
+        # When each segment was last answered, the oldest ones first.
+        self._answered: collections.OrderedDict[int, float] = collections.OrderedDict()
+        self._changes: list[SegmentChange] = []
+
+    def pop_changes(self) -> list[SegmentChange]:
+        """Returns what has changed since the last call."""
+        changes, self._changes = self._changes, []
+        return changes
+
+    # Evidence.
+
+    def record_crash(
+        self, segments: Iterable[int], incarnation: _suspects.Incarnation, now: float
+    ) -> None:
+        """Records that an engine ended as it began to answer a prompt.
+
+        Args:
+            segments: segments that the prompt shares with others.
+            incarnation: the engine.
+            now: monotonic seconds.
+        """
+        for segment in segments:
+            if now > self._answered_at(segment) + _suspects.RECENT_ANSWER_S:
+                self._add_crash(segment, incarnation, now, now)
+        self._update_bars()
+
+    def record_answer(self, segments: Iterable[int], now: float) -> None:
+        """Records that a prompt with these segments was answered to its end."""
+        for segment in segments:
+            self._add_answer(segment, now, now)
+
+    def apply(self, outcomes: Iterable[_suspects.SegmentOutcome], now: float) -> None:
+        """Records outcomes that a peer reports, in any order, also repeatedly."""
+        for outcome in outcomes:
+            at = now - outcome.age_s
+            if outcome.crashed is not None:
+                self._add_crash(outcome.segment, outcome.crashed, at, now)
+            elif at > self._answered_at(outcome.segment) + AGE_TOLERANCE_S:
+                self._add_answer(outcome.segment, at, now)
+        self._update_bars()
+
+    def _answered_at(self, segment: int) -> float:
+        return self._answered.get(segment, -math.inf)
+
+    def _add_crash(
+        self, segment: int, incarnation: _suspects.Incarnation, at: float, now: float
+    ) -> None:
+        suspect = self._suspects.get(segment)
+        if suspect is None:
+            suspect = _suspects.Suspect(answered_at=self._answered_at(segment))
+            self._suspects[segment] = suspect
+            self._evict()
+        if not suspect.add_crash(incarnation, at, now):
+            if not suspect.crashes:
+                # The peer that reports the crash doesn't know of the answer.
+                suspect.changed_at = now
+        elif suspect.bar is not None:
+            self._bar(segment, suspect)
+        else:
+            self._note(segment, SegmentState.SUSPECT)
+
+    def _add_answer(self, segment: int, at: float, now: float) -> None:
+        self._answered[segment] = at
+        self._answered.move_to_end(segment)
+        if len(self._answered) > MAX_ANSWERED_SEGMENTS:
+            self._answered.popitem(last=False)
+        suspect = self._suspects.get(segment)
+        if suspect is not None and suspect.add_answer(at, now) and not suspect.crashes:
+            self._note(segment, SegmentState.CLEARED)
+
+    def _evict(self) -> None:
+        """Drops a suspect if there are too many, the one with the least evidence."""
+        if len(self._suspects) <= MAX_SUSPECTS:
+            return
+        *_, newest = self._suspects
+        others = (segment for segment in self._suspects if segment != newest)
+        del self._suspects[min(others, key=self._evidence)]
+
+    def _evidence(self, segment: int) -> tuple[bool, int, float]:
+        suspect = self._suspects[segment]
+        return (suspect.bar is not None, len(suspect.crashes), suspect.changed_at)
+
+    # Bars.
+
+    def _update_bars(self) -> None:
+        """Bars the segment that explains most crashes, as long as there is one."""
+        while True:
+            counts = {
+                segment: len(self._unexplained(segment))
+                for segment, suspect in self._suspects.items()
+                if suspect.bar is None and len(suspect.crashes) >= CRASHES_TO_BAR
+            }
+            worst = max(counts, key=lambda s: self._badness(s, counts[s]), default=None)
+            if worst is None or counts[worst] < CRASHES_TO_BAR:
+                return
+            self._bar(worst, self._suspects[worst])
+
+    def _badness(self, segment: int, crashes: int) -> tuple[int, float]:
+        # Of two that were there at all crashes, the one that was answered longer ago,
+        # or never.
+        return (crashes, -self._suspects[segment].answered_at)
+
+    def _unexplained(self, segment: int) -> set[_suspects.Incarnation]:
+        """Returns the crashes under a segment without those of barred ones."""
+        crashes = set(self._suspects[segment].crashes)
+        for suspect in self._suspects.values():
+            if suspect.bar is not None and suspect is not self._suspects[segment]:
+                crashes -= suspect.crashes.keys()
+        return crashes
+
+    def _bar(self, segment: int, suspect: _suspects.Suspect) -> None:
+        suspect.extend_bar(CRASHES_TO_BAR)
+        self._note(segment, SegmentState.BARRED)
+
+    def _note(self, segment: int, state: SegmentState) -> None:
+        suspect = self._suspects[segment]
+        self._changes.append(
+            SegmentChange(
+                segment=segment,
+                state=state,
+                crashes=len(suspect.crashes),
+                until=suspect.bar.until if suspect.bar is not None else 0.0,
+            )
+        )
+
+    def expire(self, now: float) -> None:
+        """Drops evidence that is too old."""
+        expired = [s for s, x in self._suspects.items() if x.has_expired(now)]
+        for segment in expired:
+            del self._suspects[segment]
+
+    # Prompts.
+
+    def refusal(
+        self,
+        segments: Sequence[int],
+        now: float,
+        *,
+        retry: bool,
+        trial_rank: Callable[[int], int],
+    ) -> _router.Refusal | None:
+        """Returns why a prompt must not go to an engine, None if it may.
+
+        Args:
+            segments: segments that the prompt shares with others.
+            now: monotonic seconds.
+            retry: whether the call has been sent before.
+            trial_rank: returns how many fronts go before this one in the trial of a
+                segment whose bar has ended.
+        """
+        known = [(s, self._suspects[s]) for s in segments if s in self._suspects]
+        if not known:
+            return None
+        waits_s = [
+            self._trial_wait_s(suspect.bar, segment, now, trial_rank)
+            for segment, suspect in known
+            if suspect.bar is not None
+        ]
+        wait_s = max(waits_s, default=0.0)
+        if wait_s > 0:
+            return _router.Refusal(reason=BARRED, retry_after_s=wait_s)
+        if retry and any(
+            len(self._unexplained(s)) >= CRASHES_TO_STOP_RETRIES for s, _ in known
+        ):
+            return _router.Refusal(reason=SUSPECTED, retry_after_s=TRIAL_TIMEOUT_S)
+        for segment, suspect in known:
+            if suspect.bar is not None:
+                suspect.bar.trial_until = now + TRIAL_TIMEOUT_S
+                self._note(segment, SegmentState.TRIED)
+        return None
+
+    def _trial_wait_s(self, bar: _suspects.Bar, segment: int, now: float, trial_rank):
+        """Returns when this front may try a prompt with a barred segment."""
+        if now < bar.until:
+            return bar.until - now
+        turn = bar.until + TRIAL_INTERVAL_S * trial_rank(segment)
+        return max(turn, bar.trial_until) - now
+
+    # Reports.
+
+    def outcomes(self, now: float) -> tuple[_suspects.SegmentOutcome, ...]:
+        """Returns what is to be told to the peers, the strongest evidence first."""
+        told = sorted(self._suspects, key=self._evidence, reverse=True)
+        rows = (row for segment in told for row in self._outcomes_of(segment, now))
+        return tuple(
+            row for row, _ in zip(rows, range(MAX_TOLD_OUTCOMES), strict=False)
+        )
+
+    def _outcomes_of(
+        self, segment: int, now: float
+    ) -> Iterator[_suspects.SegmentOutcome]:
+        suspect = self._suspects[segment]
+        lasting = len(suspect.crashes) >= CRASHES_TO_STOP_RETRIES
+        if not lasting and now - suspect.changed_at > TELL_S:
+            return
+        if not suspect.crashes:
+            yield _suspects.SegmentOutcome(
+                segment=segment, crashed=None, age_s=now - suspect.answered_at
+            )
+        for incarnation, at in suspect.crashes.items():
+            yield _suspects.SegmentOutcome(
+                segment=segment, crashed=incarnation, age_s=now - at
+            )
+
+    def barred(self) -> dict[int, _suspects.Suspect]:
+        """Returns the barred segments with their evidence."""
+        return {s: x for s, x in self._suspects.items() if x.bar is not None}
--- /dev/null
+++ b/src/turmericward/requests/_suspects.py
@@ -0,0 +1,105 @@
+"""Evidence on prompt segments under which engines have crashed."""
+
+import math
+
+import attrs
+
+# A crash so soon after an answer to the same segment doesn't count against it.
+RECENT_ANSWER_S = 2.0
+# How long crashes count if the segment is neither answered nor barred.
+EVIDENCE_S = 300.0
+# Crashes that are kept of one segment; the oldest ones are dropped.
+MAX_CRASHES = 12
+# Duration of a bar from the last crash on, doubled by each crash above the threshold.
+FIRST_BAR_S = 60.0
+MAX_BAR_S = 600.0
+# How long a bar that has run out is remembered, if no trial decides about it.
+BAR_MEMORY_S = 600.0
+
+
+@attrs.frozen
+class Incarnation:
+    """An engine from a start to its end: hash of its name, and its start time."""
+
+    target: int
+    started_ms: int
+
+
+@attrs.frozen(kw_only=True)
+class SegmentOutcome:
+    """What became of a prompt with a segment `age_s` ago, as fronts tell each other.
+
+    `crashed` is the engine that ended under it, None if it was answered.
+    """
+
+    segment: int
+    crashed: Incarnation | None
+    age_s: float
+
+
+@attrs.define
+class Bar:
+    """No prompts with a segment go to engines before `until`, in monotonic seconds.
+
+    After that one may be tried; until `trial_until` this front waits for its outcome.
+    """
+
+    until: float
+    trial_until: float = -math.inf
+
+
+@attrs.define
+class Suspect:
+    """A segment under which engines crashed; times are monotonic seconds."""
+
+    crashes: dict[Incarnation, float] = attrs.field(factory=dict)
+    answered_at: float = -math.inf
+    # When the evidence changed last.
+    changed_at: float = -math.inf
+    bar: Bar | None = None
+
+    def add_crash(self, incarnation: Incarnation, at: float, now: float) -> bool:
+        """Adds a crash unless an answer speaks against it; returns if it is new."""
+        known_at = self.crashes.get(incarnation)
+        if at <= self.answered_at + RECENT_ANSWER_S:
+            return False
+        if known_at is not None:
+            # The earliest estimate is the one that was delayed least.
+            self.crashes[incarnation] = min(known_at, at)
+            return False
+        self.crashes[incarnation] = at
+        while len(self.crashes) > MAX_CRASHES:
+            del self.crashes[min(self.crashes, key=self.crashes.__getitem__)]
+        self.changed_at = now
+        return True
+
+    def add_answer(self, at: float, now: float) -> bool:
+        """Adds an answer; returns whether it refutes a crash or lifts a bar."""
+        self.answered_at = max(self.answered_at, at)
+        refuted = [
+            incarnation
+            for incarnation, crashed_at in self.crashes.items()
+            if crashed_at <= self.answered_at + RECENT_ANSWER_S
+        ]
+        for incarnation in refuted:
+            del self.crashes[incarnation]
+        if self.crashes or not (refuted or self.bar):
+            return bool(refuted)
+        self.bar = None
+        self.changed_at = now
+        return True
+
+    def extend_bar(self, crashes_to_bar: int) -> None:
+        """Sets the end of the bar by the number and the time of the crashes."""
+        repeated = max(0, len(self.crashes) - crashes_to_bar)
+        duration_s = min(MAX_BAR_S, FIRST_BAR_S * 2**repeated)
+        until = max(self.crashes.values()) + duration_s
+        if self.bar is None:
+            self.bar = Bar(until)
+        self.bar.until = max(self.bar.until, until)
+
+    def has_expired(self, now: float) -> bool:
+        """Returns whether the evidence is too old to count."""
+        if self.bar is not None:
+            return now > self.bar.until + BAR_MEMORY_S
+        return now - self.changed_at > EVIDENCE_S
--- a/src/turmericward/wire/peers/ttypes.py
+++ b/src/turmericward/wire/peers/ttypes.py
@@ -534,6 +534,124 @@
         return not (self == other)
 
 
+class SegmentOutcome(object):
+    """
+    What became of a prompt with a segment: an engine crashed, or answered it.
+
+    Attributes:
+     - segment
+     - answered
+     - target: The engine that ended, in the life that began at `started_ms`; 0 if answered.
+     - started_ms
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'segment',
+        'answered',
+        'target',
+        'started_ms',
+        'age_ms',
+    )
+
+
+    def __init__(self, segment=None, answered=None, target=None, started_ms=None, age_ms=None,):
+        self.segment = segment
+        self.answered = answered
+        self.target = target
+        self.started_ms = started_ms
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.segment = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.answered = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.target = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SegmentOutcome')
+        if self.segment is not None:
+            oprot.writeFieldBegin('segment', TType.I64, 1)
+            oprot.writeI64(self.segment)
+            oprot.writeFieldEnd()
+        if self.answered is not None:
+            oprot.writeFieldBegin('answered', TType.BOOL, 2)
+            oprot.writeBool(self.answered)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.I32, 3)
+            oprot.writeI32(self.target)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 4)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 5)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Record(object):
     """
     A record of a topic; an empty value ends its key.
@@ -811,6 +929,7 @@
      - partial: Whether targets that aren't named here are as they were told before.
      - asks: Whether the front could not read the topics yet and asks for them whole.
      - limits: Limits of targets; those that aren't named here are as they were told before.
+     - outcomes
 
     """
 
@@ -830,10 +949,11 @@
         'partial',
         'asks',
         'limits',
+        'outcomes',
     )
 
 
-    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None, domain=None, fronts=None, listed=None, leaving=None, capacity=None, news=None, partial=None, asks=None, limits=None,):
+    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None, domain=None, fronts=None, listed=None, leaving=None, capacity=None, news=None, partial=None, asks=None, limits=None, outcomes=None,):
         self.front = front
         self.boot = boot
         self.sequence = sequence
@@ -849,6 +969,7 @@
         self.partial = partial
         self.asks = asks
         self.limits = limits
+        self.outcomes = outcomes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -975,6 +1096,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.outcomes = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = SegmentOutcome()
+                        _elem54.read(iprot)
+                        self.outcomes.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1000,22 +1132,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter49 in self.loads:
-                iter49.write(oprot)
+            for iter55 in self.loads:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.kept is not None:
             oprot.writeFieldBegin('kept', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.kept))
-            for iter50 in self.kept:
-                iter50.write(oprot)
+            for iter56 in self.kept:
+                iter56.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter51 in self.held:
-                iter51.write(oprot)
+            for iter57 in self.held:
+                iter57.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.domain is not None:
@@ -1029,15 +1161,15 @@
         if self.listed is not None:
             oprot.writeFieldBegin('listed', TType.LIST, 9)
             oprot.writeListBegin(TType.I32, len(self.listed))
-            for iter52 in self.listed:
-                oprot.writeI32(iter52)
+            for iter58 in self.listed:
+                oprot.writeI32(iter58)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter53 in self.leaving:
-                iter53.write(oprot)
+            for iter59 in self.leaving:
+                iter59.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.capacity is not None:
@@ -1047,8 +1179,8 @@
         if self.news is not None:
             oprot.writeFieldBegin('news', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.news))
-            for iter54 in self.news:
-                iter54.write(oprot)
+            for iter60 in self.news:
+                iter60.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.partial is not None:
@@ -1062,8 +1194,15 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter55 in self.limits:
-                iter55.write(oprot)
+            for iter61 in self.limits:
+                iter61.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.outcomes is not None:
+            oprot.writeFieldBegin('outcomes', TType.LIST, 16)
+            oprot.writeListBegin(TType.STRUCT, len(self.outcomes))
+            for iter62 in self.outcomes:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1128,6 +1267,15 @@
     (3, TType.DOUBLE, 'per_s', None, None, ),  # 3
     (4, TType.I32, 'age_ms', None, None, ),  # 4
 )
+all_structs.append(SegmentOutcome)
+SegmentOutcome.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'segment', None, None, ),  # 1
+    (2, TType.BOOL, 'answered', None, None, ),  # 2
+    (3, TType.I32, 'target', None, None, ),  # 3
+    (4, TType.I64, 'started_ms', None, None, ),  # 4
+    (5, TType.I32, 'age_ms', None, None, ),  # 5
+)
 all_structs.append(Record)
 Record.thrift_spec = (
     None,  # 0
@@ -1165,6 +1313,7 @@
     (13, TType.BOOL, 'partial', None, None, ),  # 13
     (14, TType.BOOL, 'asks', None, None, ),  # 14
     (15, TType.LIST, 'limits', (TType.STRUCT, [TargetLimit, None], False), None, ),  # 15
+    (16, TType.LIST, 'outcomes', (TType.STRUCT, [SegmentOutcome, None], False), None, ),  # 16
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -98,7 +98,7 @@
         *,
         calls_per_s: float = 60.0,
         deadly_per_s: float = 4.0,
-        deadly_from: float = 5.0,
+        deadly_from: float = 3.0,
         seed: int = 1,
     ) -> None:
         """Creates the fleet in three domains; calls draw one of the prompts."""
@@ -221,11 +221,14 @@
         front, call, placement = engine.open.pop(visit)
         call.answered_at = self.now
         if self._is_running(front):
-            self._end(front, call, placement, requests.Ending.SUCCEEDED)
+            ending = requests.Ending.SUCCEEDED
+            self._end(front, call, placement, ending, answered=True)
 
-    def _end(self, front, call: Call, placement, ending: requests.Ending) -> None:
+    def _end(
+        self, front, call: Call, placement, ending: requests.Ending, **details
+    ) -> None:
         message = delivery.PlacementEnded(
-            placement=placement, prompt=call.prompt, ending=ending
+            placement=placement, prompt=call.prompt, ending=ending, **details
         )
         front.dispatch.handle(message)
 
@@ -287,3 +290,20 @@
         """Returns when the bound on sound calls begins to hold."""
         counted = self.crashed_at[:CRASHES_COUNTED]
         return counted[-1] + 2 * SETTLING_S
+
+    def barred(self) -> set[tuple[str, str]]:
+        """Returns model and id of the segments that running fronts bar."""
+        names = {
+            requests.segment_number(call.prompt.model, segment.id): (
+                call.prompt.model,
+                segment.id,
+            )
+            for call in self.calls
+            for segment in call.prompt.segments
+        }
+        return {
+            names[segment]
+            for front in self.fronts.values()
+            if self._is_running(front)
+            for segment in front.dispatch._crashes.quarantine.barred()
+        }
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -16,29 +16,65 @@
 RESTART_S = 0.3
 PLAY_S = 9.0
 STEADY_S = 3.0
-SOUND = [
-    crashing_fleet.prompt("system", f"document{n}", own=f"s{n}") for n in range(40)
-]
-DEADLY = [
-    crashing_fleet.prompt("system", "deadly", f"document{n}", own=f"d{n}")
-    for n in range(40)
+DOCUMENTS = [f"document{n}" for n in range(40)]
+SOUND = [crashing_fleet.prompt("system", d, own=f"s{d}") for d in DOCUMENTS]
+DEADLY = [crashing_fleet.prompt("system", "deadly", d, own=f"d{d}") for d in DOCUMENTS]
+DEADLY_FIRST = [crashing_fleet.prompt("deadly", d, own=f"d{d}") for d in DOCUMENTS]
+DEADLY_LAST_SHARED = [
+    crashing_fleet.prompt("system", d, "deadly", own=f"d{d}") for d in DOCUMENTS
 ]
 
 
-def _play(fronts_each: int, until: float = 40.0, **options) -> crashing_fleet.World:
-    servers = crashing_fleet.engines(3, 3)
-    world = crashing_fleet.World(fronts_each, servers, SOUND, DEADLY, **options)
+def _play(
+    fronts_each: int,
+    *,
+    count: tuple[int, int] = (3, 3),
+    sound=SOUND,
+    deadly=DEADLY,
+    until: float = 26.0,
+    **options,
+) -> crashing_fleet.World:
+    servers = crashing_fleet.engines(*count)
+    world = crashing_fleet.World(fronts_each, servers, sound, deadly, **options)
     with world:
         world.run(until)
     return world
 
 
+def _check_bounds(world: crashing_fleet.World, case: object = "") -> None:
+    """Checks that few engines ended and that sound calls went on."""
+    check.assertLessEqual(world.late_arrivals(), crashing_fleet.MAX_LATE_ARRIVALS, case)
+    usual = world.begun_share(0.5, 3.0)
+    begun = world.begun_share(world.settled_at(), world.now - 1.0)
+    check.assertGreaterEqual(begun, crashing_fleet.MIN_BEGUN_SHARE * usual, case)
+
+
 def test_prompts_with_one_segment_crashed_one_engine_after_the_other():
-    world = _play(2)
-    check.assertLessEqual(world.late_arrivals(), crashing_fleet.MAX_LATE_ARRIVALS)
-    usual = world.begun_share(1.0, 5.0)
-    begun = world.begun_share(world.settled_at(), 38.0)
-    check.assertGreaterEqual(begun, crashing_fleet.MIN_BEGUN_SHARE * usual)
+    _check_bounds(_play(2))
+
+
+def test_the_segment_is_found_wherever_it_stands_in_the_prompt():
+    for deadly in (DEADLY, DEADLY_FIRST, DEADLY_LAST_SHARED):
+        world = _play(2, deadly=deadly, until=20.0)
+        _check_bounds(world, deadly[0])
+        check.assertEqual(world.barred(), {("m", "deadly")})
+
+
+def test_the_segment_is_found_by_any_number_of_fronts():
+    for fronts_each, count, calls_per_s, until in (
+        (1, (3, 3), 60.0, 20.0),
+        (23, (10, 20), 150.0, 13.0),
+        (65, (15, 35), 150.0, 13.0),
+    ):
+        world = _play(
+            fronts_each,
+            count=count,
+            until=until,
+            calls_per_s=calls_per_s,
+            deadly_per_s=8.0,
+        )
+        _check_bounds(world, 3 * fronts_each)
+        check.assertEqual(world.barred(), {("m", "deadly")})
 
 
 def _fields(*segments: str) -> dict[str, str]:
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,140 @@
+"""Evidence on segments under which engines crash, and what is kept back for it."""
+
+import itertools
+import random
+
+from tests import fixtures
+from turmericward import requests
+
+check = fixtures.check
+
+
+def _engine(number: int) -> requests.Incarnation:
+    return requests.Incarnation(number, 1)
+
+
+def _refused(quarantine, segments, now: float, *, retry=False, rank=0) -> str:
+    refusal = quarantine.refusal(
+        segments, now, retry=retry, trial_rank=lambda segment: rank
+    )
+    return "" if refusal is None else refusal.reason
+
+
+def _barred(quarantine: requests.Quarantine) -> set[int]:
+    return set(quarantine.barred())
+
+
+def test_a_segment_is_barred_after_three_crashes_without_an_answer():
+    quarantine = requests.Quarantine()
+    for number in range(3):
+        check.assertEqual(_refused(quarantine, [1, 2], number), "")
+        quarantine.record_answer([1], number - 0.5)
+        quarantine.record_crash([1, 2], _engine(number), number)
+    check.assertEqual(_refused(quarantine, [1, 2], 3.0), "quarantined")
+    check.assertEqual(_refused(quarantine, [1], 3.0, retry=True), "")
+
+
+def test_crashes_of_one_engine_count_once():
+    quarantine = requests.Quarantine()
+    for _ in range(6):
+        quarantine.record_crash([2], _engine(1), 5.0)
+    check.assertEqual(_barred(quarantine), set())
+
+
+def test_an_answer_clears_a_segment_also_a_barred_one():
+    for crashes in (2, 3, 5):
+        quarantine = requests.Quarantine()
+        for number in range(crashes):
+            quarantine.record_crash([2], _engine(number), 5.0 + number)
+        quarantine.record_answer([2], 11.0)
+        quarantine.record_crash([2], _engine(9), 11.5)
+        check.assertEqual(_refused(quarantine, [2], 12.0, retry=True), "", crashes)
+
+
+def test_a_prompt_that_is_suspect_is_not_sent_again_after_two_crashes():
+    quarantine = requests.Quarantine()
+    quarantine.record_crash([2], _engine(1), 5.0)
+    check.assertEqual(_refused(quarantine, [2], 5.1, retry=True), "")
+    quarantine.record_crash([2], _engine(2), 5.2)
+    check.assertEqual(_refused(quarantine, [2], 5.3, retry=True), "suspected")
+    check.assertEqual(_refused(quarantine, [2], 5.3), "")
+
+
+def test_crashes_that_a_barred_segment_explains_do_not_count_against_others():
+    quarantine = requests.Quarantine()
+    quarantine.record_answer([3], 1.0)
+    for number in range(3):
+        quarantine.record_crash([3, 2], _engine(number), 5.0 + number / 10)
+    check.assertEqual(_barred(quarantine), {2})
+    check.assertEqual(_refused(quarantine, [3], 6.0, retry=True), "")
+    for number in range(3, 6):
+        quarantine.record_crash([3], _engine(number), 20.0 + number)
+    check.assertEqual(_barred(quarantine), {2, 3})
+
+
+def test_a_bar_ends_with_one_trial_and_each_crash_doubles_it():
+    quarantine = requests.Quarantine()
+    for number in range(3):
+        quarantine.record_crash([2], _engine(number), 0.0)
+    now = 0.0
+    for number, bar_s in ((3, 60.0), (4, 120.0), (5, 240.0), (6, 480.0), (7, 600.0)):
+        check.assertEqual(_refused(quarantine, [2], now + bar_s - 0.1), "quarantined")
+        now += bar_s + 0.1
+        check.assertEqual(_refused(quarantine, [2], now, rank=1), "quarantined")
+        check.assertEqual(_refused(quarantine, [2], now), "")
+        check.assertEqual(_refused(quarantine, [2], now + 1.0), "quarantined")
+        quarantine.record_crash([2], _engine(number), now)
+    now += 600.1
+    check.assertEqual(_refused(quarantine, [2], now), "")
+    quarantine.record_answer([2], now + 0.5)
+    check.assertEqual(_refused(quarantine, [2], now + 0.6), "")
+
+
+def test_reports_in_any_order_lost_or_repeated_lead_to_the_same_bars():
+    for seed in range(60):
+        source = random.Random(seed)
+        fronts = [requests.Quarantine() for _ in range(4)]
+        for number in range(3):
+            now = 10.0 + number
+            fronts[0].record_answer([1], now - 1.0)
+            source.choice(fronts).record_crash(
+                [1, 2, 30 + number], _engine(number), now
+            )
+            fronts[1].record_answer([1], now + 0.2)
+            _exchange(fronts, source, now + 0.5, rounds=30)
+        _exchange(fronts, source, 12.9, rounds=200)
+        check.assertEqual([_barred(f) for f in fronts], [{2}] * 4, seed)
+
+
+def _exchange(fronts, source: random.Random, now: float, *, rounds: int) -> None:
+    for number in range(rounds):
+        sender, receiver = source.sample(fronts, 2)
+        outcomes = list(sender.outcomes(now))
+        source.shuffle(outcomes)
+        if source.random() < 0.7:
+            receiver.apply(outcomes[: source.randint(0, len(outcomes))], now)
+        now += number % 2 * 0.001
+
+
+def test_suspects_are_bounded_and_barred_ones_are_kept():
+    quarantine = requests.Quarantine()
+    for number in range(3):
+        quarantine.record_crash([1], _engine(number), 1.0)
+    segments = itertools.count(10)
+    for number in range(2_000):
+        quarantine.record_crash([next(segments)], _engine(number), 2.0)
+    check.assertEqual(_barred(quarantine), {1})
+    check.assertLessEqual(len(quarantine._suspects), 500)
+    check.assertLessEqual(len(quarantine.outcomes(2.0)), 200)
+    for number in range(20_000):
+        quarantine.record_answer([number + 10_000], 3.0)
+    check.assertLessEqual(len(quarantine._answered), 4_000)
+
+
+def test_old_evidence_is_forgotten():
+    quarantine = requests.Quarantine()
+    for number in range(2):
+        quarantine.record_crash([1], _engine(number), 1.0)
+    quarantine.expire(400.0)
+    quarantine.record_crash([1], _engine(5), 401.0)
+    check.assertEqual(_barred(quarantine), set())
