A response to another request is not believed, whatever it says

On kept connections (store, load reports, log) bytes that came after a response were taken for the next one. Ruled out: an earlier refusal on the connection of a call: each call has its own. A kept connection with unread bytes is closed before the next request.

--- a/src/turmericward/adapters/_persistent_connection.py
+++ b/src/turmericward/adapters/_persistent_connection.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import select
 import socket
 
 import attrs
@@ -76,6 +77,7 @@
             OSError: the connection failed.
             http.client.HTTPException: the response is not valid HTTP.
         """
+        self._close_if_readable()
         conn = self._open(self._timeout_s + extra_timeout_s)
         try:
             conn.request(method, path, body, dict(headers))
@@ -88,6 +90,18 @@
             self.close()
         return Response(status=resp.status, headers=resp.headers, body=raw)
 
+    def _close_if_readable(self) -> None:
+        """Closes a connection with bytes that no request has asked for, or at its end.
+
+        They would be taken for the next response.
+        """
+        if self._conn is None or self._conn.sock is None:
+            return
+        poll = select.poll()
+        poll.register(self._conn.sock, select.POLLIN)
+        if poll.poll(0):
+            self.close()
+
     def _open(self, timeout_s: float) -> http.client.HTTPConnection:
         if self._conn is None:
             host, port = _address.split(self._address)
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -60,13 +60,15 @@
             _request.send(conn, target.address, _outgoing(target, call, dispatch))
             resp = _request.read_response_head(conn, target.address)
             self._read_notices(resp, target, call, sent_at)
+            # Nothing that it says, such as a refusal, is about this call.
+            _check_call_id(resp, target, call)
         except BaseException:
             conn.close()
             raise
         # The timeout of the attempt bounds the response's head; its body is bounded
         # by the client's deadline.
         guard.until = call.deadline
-        answer = _answer(conn, resp, target, call)
+        answer = _answer(conn, resp, target)
         answer.wait_until = functools.partial(setattr, guard, "until")
         return answer
 
@@ -139,7 +141,7 @@
     )
 
 
-def _answer(conn, resp, target, call) -> delivery.Answer:
+def _answer(conn, resp, target) -> delivery.Answer:
     not_run = (
         resp.status in NOT_RUN_STATUSES or resp.getheader(_headers.NOT_RUN) is not None
     )
@@ -149,7 +151,7 @@
         chunks=_chunks(resp, target.address),
         close=functools.partial(_close, conn, resp),
         not_run=not_run,
-        genuine=_genuine(resp, call),
+        genuine=_genuine(resp),
     )
 
 
@@ -158,10 +160,16 @@
     return resp.getheader(_headers.CALL_ID, call.id) == call.id
 
 
-def _genuine(resp: http.client.HTTPResponse, call: delivery.Call) -> bool:
-    """Returns whether the response comes unmodified from the replica, for this call."""
+def _check_call_id(resp, target: fleet.Target, call: delivery.Call) -> None:
     if not _answers_call(resp, call):
-        return False
+        other_id = resp.getheader(_headers.CALL_ID)
+        raise errors.ForeignAnswerError(
+            f"{target.address}: response to {other_id!r} for {call.id!r}"
+        )
+
+
+def _genuine(resp: http.client.HTTPResponse) -> bool:
+    """Returns whether the response comes unmodified from the replica."""
     if resp.getheader("Content-Encoding") is not None:
         return False
     return resp.status >= 300 or resp.getheader(_headers.SIGNATURE) is not None
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -107,7 +107,11 @@
                 ran=refusal_status is None and self.fault != "silent",
             )
         )
-        if refusal_status is not None:
+        if self.fault == "foreign refusal":
+            headers = [("Turmericward-Not-Executed", "1")]
+            headers.append(("Turmericward-Attempt-Id", "another"))
+            req.answer(503, {}, headers)
+        elif refusal_status is not None:
             headers = [("Turmericward-Not-Executed", "1")]
             headers.append(("Turmericward-Instance-Id", self.name))
             headers += self.headers
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -23,6 +23,7 @@
     ("foreign", "GET", "/read/x", {502}, 2),
     ("unsigned", "GET", "/read/x", {502}, 2),
     ("encoded", "GET", "/read/x", {502}, 2),
+    ("foreign refusal", "GET", "/read/x", {502}, 2),
     ("full", "GET", "/read/x", {503}, 0),
     ("", "POST", "/write/x", {200}, 1),
     ("extra", "POST", "/write/x", {200}, 1),
@@ -32,6 +33,7 @@
     ("reset", "POST", "/write/x", {502}, 1),
     ("foreign", "POST", "/write/x", {502}, 1),
     ("unsigned", "POST", "/write/x", {502}, 1),
+    ("foreign refusal", "POST", "/write/x", {502}, 1),
     ("full", "POST", "/write/x", {503}, 0),
 ]
 
