Responses without length or chunks are whole, those framed twice are none

Callers saw (reports of other operators): a 200 with an empty or short body, framed as whole, after a replica had stopped in the middle of its head. Cause: http.client ends a head and a trailer with the connection and takes a malformed length for none. WholeResponse rejects cut heads, but kept connections (store, load reports, log) didn't use it, and of two lengths, of a length beside chunks and of unknown codings no reader took notice. Ruled out: cut heads at the readers of calls, prefills and services. Change: one response class for all readers. The body's end is declared once, by a valid length or by chunks, or not at all; then it ends with the connection, and a reset is not an end.

--- a/src/turmericward/adapters/_persistent_connection.py
+++ b/src/turmericward/adapters/_persistent_connection.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from turmericward.adapters import _address
+from turmericward.adapters import _address, _response
 
 ERRORS = (OSError, http.client.HTTPException, ValueError)
 
@@ -113,6 +113,7 @@
             conn = http.client.HTTPConnection(host, port, timeout=wait_s)
             # An automatic reconnect by http.client could send a request twice.
             conn.auto_open = 0
+            conn.response_class = _response.WholeResponse
             conn.connect()
             self._conn = conn
         if self._aborted:
--- a/src/turmericward/adapters/_response.py
+++ b/src/turmericward/adapters/_response.py
@@ -33,21 +33,21 @@
 
 
 class WholeResponse(http.client.HTTPResponse):
-    """Rejects a truncated head and a body without a declared end.
+    """Rejects a truncated head, and a body whose end is declared ambiguously.
 
-    http.client treats the end of the connection as the end of the head, and as the
-    end of a body without a declared length.
+    http.client treats the end of the connection as the end of the head, and a
+    malformed length as none. A body that declares neither a length nor chunks ends
+    with the connection.
     """
 
-    unframed_allowed = False
     _head_count = 0
 
     def begin(self) -> None:
         """Reads the status line and the headers.
 
         Raises:
-            http.client.HTTPException: the head is truncated, or the body has no
-                declared length and is not chunked.
+            http.client.HTTPException: the head is truncated, or it doesn't tell for
+                certain where the body ends.
         """
         file = self.fp
         self.fp = _LastLineReader(file)
@@ -56,9 +56,24 @@
         self.fp = file
         if not complete:
             raise http.client.IncompleteRead(b"")
-        framed = self.length is not None or self.chunked or self._has_no_body()
-        if not framed and not self.unframed_allowed:
-            raise http.client.HTTPException("response does not declare its length")
+        self._check_framing()
+
+    def _check_framing(self) -> None:
+        lengths = self.headers.get_all("Content-Length", [])
+        codings = self.headers.get_all("Transfer-Encoding", [])
+        if not lengths and not codings:
+            return
+        if len(lengths) + len(codings) > 1:
+            raise http.client.HTTPException("response declares its length twice")
+        if codings and not self.chunked:
+            raise http.client.HTTPException(f"unknown transfer coding {codings[0]!r}")
+        if lengths and not (lengths[0].isascii() and lengths[0].strip().isdigit()):
+            raise http.client.HTTPException(f"malformed length {lengths[0]!r}")
+
+    @property
+    def unframed(self) -> bool:
+        """Whether the body ends with the connection."""
+        return self.length is None and not self.chunked and not self._has_no_body()
 
     def _read_status(self):
         # http.client skips any number of interim responses.
@@ -134,12 +149,7 @@
 
 
 class GuardedResponse(WholeResponse):
-    """A response whose reads wait under a guard.
-
-    A body without a declared length ends with the connection.
-    """
-
-    unframed_allowed = True
+    """A response whose reads wait under a guard."""
 
     def __init__(self, *args, guard: Guard, **kwargs) -> None:
         """Creates the response on the socket of a connection."""
