An answer that isn't the stream neither enters a resumed stream nor ends it

Callers saw (reports of other operators): the text of an error in the middle of their stream, or a stream that ended as if it were complete. Cause: a resumed stream took events without id from any answer of 200; an answer of another status gave the stream up though attempts were left, and its placement ended as a success; the end of the connection counted as the end of an unframed stream also when its target had ended. Ruled out: heads in the stream: a response is parsed alone, on its own connection. Change: a stream goes on only with a genuine answer of 200 that is an event stream, whose events all have ids; any other is a failed attempt, after which the next target is tried. An unframed stream that may be resumed is, if nothing listens at its target any more; a complete one then has no further events. The timeouts of calls that may be repeated got a module of their own.

--- a/src/turmericward/delivery/_calls.py
+++ b/src/turmericward/delivery/_calls.py
@@ -111,7 +111,8 @@
     transports ignore it.
     `not_run` holds if the target reports that it didn't run the call and never will;
     `genuine` if the target itself sent the answer, to this call; `numbered` if the ids
-    of its events are consecutive numbers.
+    of its events are consecutive numbers; `unframed` if its body ends with the
+    connection, so that its end doesn't show whether it is whole.
     """
 
     status: int
@@ -122,6 +123,7 @@
     not_run: bool = False
     genuine: bool = True
     numbered: bool = False
+    unframed: bool = False
 
     def read(self) -> bytes:
         """Returns the complete body.
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -14,18 +14,10 @@
     _progress,
     _record,
     _stream,
+    _timeouts,
 )
 
 DISPATCH_TIMEOUT_S = 5.0
-# Timeout of the first byte, as a multiple of the route's latency objective.
-FIRST_BYTE_TIMEOUT_PER_OBJECTIVE = 2.0
-# The same, as a multiple of the expected time to the first token.
-FIRST_BYTE_TIMEOUT_PER_EXPECTED = 2.5
-MIN_FIRST_BYTE_TIMEOUT_S = 0.3
-# A stream without an event for this multiple of the route's event interval is
-# resumed at another target.
-EVENT_TIMEOUT_PER_GAP = 4.0
-MIN_EVENT_TIMEOUT_S = 1.0
 # How often a call that waits for its turn at a target checks for its client.
 DISCONNECT_POLL_S = 0.1
 CLIENT_CLOSED_REQUEST = 499
@@ -193,19 +185,9 @@
         )
 
     def _first_byte_timeout_s(self) -> float:
-        """Returns the timeout for the first byte of an answer."""
-        remaining_s = self._call.remaining_s()
         if not self._progress.may_repeat():
-            return remaining_s
-        timeout_s = max(
-            MIN_FIRST_BYTE_TIMEOUT_S,
-            FIRST_BYTE_TIMEOUT_PER_OBJECTIVE * self._call.route.objective_s,
-            remaining_s / 2,
-            # Abandoning a queued call would lose its place in the queue.
-            MIN_FIRST_BYTE_TIMEOUT_S
-            + FIRST_BYTE_TIMEOUT_PER_EXPECTED * self._placement.expected_s,
-        )
-        return min(remaining_s, timeout_s)
+            return self._call.remaining_s()
+        return _timeouts.first_byte_timeout_s(self._call, self._placement.expected_s)
 
     def _record_not_executed(self, exc: errors.AdapterError) -> None:
         """Records an attempt that was refused or couldn't be sent."""
@@ -353,9 +335,7 @@
         """Returns the time by which the next event has to arrive."""
         if not self._progress.may_repeat():
             return self._call.deadline
-        timeout_s = max(
-            MIN_EVENT_TIMEOUT_S, EVENT_TIMEOUT_PER_GAP * self._call.route.gap_s
-        )
+        timeout_s = _timeouts.event_timeout_s(self._call.route)
         return min(self._call.deadline, runtime.now() + timeout_s)
 
     def events_received(self, count: int) -> None:
@@ -377,6 +357,16 @@
         """Records the outcome of the stream."""
         self._record_reply(outcome, 200)
 
+    def is_cut_off(self, attempt: _stream.StreamAttempt) -> bool:
+        """Returns whether an attempt that seems complete ended with its target.
+
+        The end of an unframed stream looks the same. If it was complete, a resumed
+        stream has no further events.
+        """
+        if not attempt.answer.unframed or not self._progress.may_repeat():
+            return False
+        return self._ctx.transport.has_ended(attempt.placement.target)
+
     def failure(self) -> _calls.Failure:
         """Returns the failure to report if no further attempt is made."""
         return self._progress.failure(deadline_passed=self._call.remaining_s() <= 0)
@@ -393,7 +383,7 @@
         except (_progress.CallAbandonedError, _ClientDisconnectedError):
             return None
         finally:
-            self._end_placement(requests.Ending.SUCCEEDED)
+            self._end_placement(requests.Ending.DISCONNECTED)
 
     def _next_stream_attempt(self) -> _stream.StreamAttempt | None:
         if not self._call.route.resumable:
@@ -402,8 +392,11 @@
             answer = self._attempt()
             if answer is None:
                 continue
-            if not answer.genuine or answer.status != 200:
+            if not _stream.continues_stream(answer):
                 answer.close()
-                return None
+                self._record_failure(
+                    errors.AnswerLostError(f"status {answer.status}, no stream")
+                )
+                continue
             placement, self._placement = self._placement, None
             return _stream.StreamAttempt(answer=answer, placement=placement)
--- a/src/turmericward/delivery/_stream.py
+++ b/src/turmericward/delivery/_stream.py
@@ -1,5 +1,6 @@
 """Relays a stream of events and resumes it after the last relayed event."""
 
+import http
 from collections.abc import Iterator
 from typing import Protocol
 
@@ -9,9 +10,20 @@
 from turmericward.adapters import errors
 from turmericward.delivery import _calls, _errors, _events
 
+EVENT_STREAM = "text/event-stream"
 Batch = list[_events.Event]
 
 
+def continues_stream(answer: _calls.Answer) -> bool:
+    """Returns whether an answer can go on with a stream that another target began."""
+    types = [value for name, value in answer.headers if name.lower() == "content-type"]
+    return (
+        answer.genuine
+        and answer.status == http.HTTPStatus.OK
+        and all(value.startswith(EVENT_STREAM) for value in types)
+    )
+
+
 @attrs.define(kw_only=True)
 class StreamAttempt:
     """An attempt of a stream: one target's answer and its placement."""
@@ -40,6 +52,9 @@
     def events_received(self, count: int) -> None:
         """Records the arrival of a batch of events."""
 
+    def is_cut_off(self, attempt: StreamAttempt) -> bool:
+        """Returns whether an attempt that seems complete ended with its target."""
+
     def failure(self) -> _calls.Failure:
         """Returns the failure to report if the stream can't be resumed."""
 
@@ -107,30 +122,34 @@
             answer.wait_until(self._owner.next_event_deadline())
         if self._parser.incomplete:
             raise errors.ConnectionLostError("stream ended in the middle of an event")
+        if self._owner.is_cut_off(self._attempt):
+            raise errors.ConnectionLostError("stream ended with its target")
 
     def _new_batches(self) -> Iterator[Batch]:
         """Yields the events of the current attempt that the client doesn't have."""
+        resumed = bool(self._last_id)
         for chunk in self._attempt.answer.chunks:
-            batch, missing_before = self._check_sequence(self._parser.feed(chunk))
+            batch, fault = self._check_sequence(self._parser.feed(chunk), resumed)
             if batch:
                 yield batch
-            if missing_before:
-                raise errors.AnswerLostError(
-                    f"missing events before {missing_before}, last is {self._last_id}"
-                )
+            if fault:
+                raise errors.AnswerLostError(f"{fault}, last is {self._last_id}")
 
-    def _check_sequence(self, events: Batch) -> tuple[Batch, str]:
-        """Returns the events to deliver, and the id after a gap, or "" without one."""
+    def _check_sequence(self, events: Batch, resumed: bool) -> tuple[Batch, str]:
+        """Returns the events to deliver, and what is wrong after them, or ""."""
         new_events = []
         for event in events:
             if event.number is None:
+                if resumed:
+                    # Only text that isn't the stream's has no place in its order.
+                    return new_events, "event without id in a resumed stream"
                 new_events.append(event)
                 continue
             last_number = _events.Event(id=self._last_id, raw=b"").number or 0
             if event.number <= last_number:
                 continue
             if self._attempt.answer.numbered and event.number > last_number + 1:
-                return new_events, event.id
+                return new_events, f"missing events before {event.id}"
             self._last_id = event.id
             new_events.append(event)
         return new_events, ""
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -151,6 +151,7 @@
         chunks=_chunks(resp, target.address),
         close=functools.partial(_close, conn, resp),
         not_run=not_run,
+        unframed=resp.unframed,
         genuine=_genuine(resp),
     )
 
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -46,6 +46,7 @@
 
     def __init__(self, sends=(), prefills=(), streams=(), ended=()) -> None:
         self._ended = ended
+        self._headers = {"text": (("Content-Type", "text/plain"),)}
         self._sends = iter(sends)
         self._prefills = iter(prefills)
         self._streams = iter(streams)
@@ -69,13 +70,14 @@
             raise FAULTS[fault]
         chunks = next(self._streams, None) or iter([b"id: 1\ndata: x\n\n"])
         return delivery.Answer(
-            status=503 if fault == "refused" else 200,
-            headers=(),
+            status={"refused": 503, "error": 500}.get(fault, 200),
+            headers=self._headers.get(fault, ()),
             chunks=chunks,
             close=lambda: None,
             not_run=fault == "refused",
             genuine=fault != "foreign",
             numbered=True,
+            unframed=fault == "unframed",
         )
 
     def has_ended(self, target) -> bool:
@@ -251,6 +253,53 @@
         check.assertEqual(_relay_streams(*streams), (all_ids, resume_points), name)
 
 
+class _Text:
+    """Yields text that is no event with an id."""
+
+    def __iter__(self):
+        yield b"data: out of memory\n\n"
+
+
+def _resume_after_break(*sends: str, second) -> tuple[list[int], list, list]:
+    """Relays a stream that breaks after two events; the next attempts go otherwise.
+
+    Returns the ids that the client gets, whatever else it gets, and how the attempts
+    ended.
+    """
+    streams = [_Stream([[1, 2]], False), second, _Stream([[3, 4]], True)]
+    transport = _Transport(sends=[NO_FAULT, *sends], streams=map(iter, streams))
+    targets = [test_dispatch._target(f"e{n}") for n in range(4)]
+    reply, dispatcher = _run(transport, targets, max_attempts=4)
+    events = [event for batch in reply.body for event in batch]
+    ids = [event.number for event in events if event.number is not None]
+    other = [event.raw for event in events if event.number is None]
+    return ids, other, _endings(dispatcher)
+
+
+def test_error_of_the_next_target_entered_a_resumed_stream_or_ended_it():
+    failed, succeeded = requests.Ending.FAILED, requests.Ending.SUCCEEDED
+    for fault, second in (
+        ("error", _Text()),
+        ("foreign", _Text()),
+        (NO_FAULT, _Text()),
+        ("text", _Stream([[3, 4]], True)),
+    ):
+        ids, other, endings = _resume_after_break(fault, second=second)
+        check.assertEqual((ids, other), ([1, 2, 3, 4], []), fault)
+        check.assertEqual(endings, [failed, failed, succeeded], fault)
+
+
+def test_an_unframed_stream_whose_target_has_ended_is_resumed():
+    for ended, ids in (((), [1, 2]), (("e0", "e1", "e2", "e3"), [1, 2, 3, 4])):
+        streams = [_Stream([[1, 2]], True), _Stream([[3, 4]], True)]
+        transport = _Transport(
+            sends=["unframed"], streams=map(iter, streams), ended=ended
+        )
+        targets = [test_dispatch._target(f"e{n}") for n in range(4)]
+        reply, _ = _run(transport, targets)
+        check.assertEqual(_ids(reply), ids, ended)
+
+
 def test_stream_broken_before_its_first_event_returns_502():
     transport = _Transport(streams=[iter(_Stream([], False))])
     reply, _ = _run(transport, max_attempts=1, resumable=False)
