A call under which two targets ended is not sent to a third

Cause: the attempts of a call were bounded by its route alone; what ended two targets would have been handed to the next where a route allows more attempts. Change: Progress counts the targets that ended under a call and stops at two (reason 'crashes'). Timeouts are computed in one place.

--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -130,8 +130,8 @@
             except (errors.NotExecutedError, errors.NotSentError) as exc:
                 self._record_not_executed(exc)
             except errors.AdapterError as exc:
-                self._end_failed_attempt(exc)
-                self._progress.record_prefill_failure(self._target)
+                crashed = self._end_failed_attempt(exc)
+                self._progress.record_prefill_failure(self._target, crashed=crashed)
             else:
                 self._prefill_domain = self._placement.target.domain
                 self._progress.prefills += 1
@@ -176,7 +176,9 @@
     def _new_dispatch(self, *, prefill_only=False) -> _calls.Dispatch:
         placement = self._placement
         return _calls.Dispatch(
-            timeout_s=self._first_byte_timeout_s(),
+            timeout_s=_timeouts.first_byte_timeout_s(
+                self._call, placement.expected_s, may_repeat=self._progress.may_repeat()
+            ),
             priority=self._call.route.priority + placement.rank,
             resume_after=self._call.resume_after,
             kv_source=self._kv_source,
@@ -184,11 +186,6 @@
             prefill_only=prefill_only,
         )
 
-    def _first_byte_timeout_s(self) -> float:
-        if not self._progress.may_repeat():
-            return self._call.remaining_s()
-        return _timeouts.first_byte_timeout_s(self._call, self._placement.expected_s)
-
     def _record_not_executed(self, exc: errors.AdapterError) -> None:
         """Records an attempt that was refused or couldn't be sent."""
         if isinstance(exc, errors.NotExecutedError):
@@ -202,10 +199,11 @@
 
     def _record_failure(self, exc: Exception) -> None:
         """Records a failed attempt in which the call may have run."""
-        self._end_failed_attempt(exc)
-        self._progress.record_failure(self._target)
+        crashed = self._end_failed_attempt(exc)
+        self._progress.record_failure(self._target, crashed=crashed)
 
-    def _end_failed_attempt(self, exc: Exception) -> None:
+    def _end_failed_attempt(self, exc: Exception) -> bool:
+        """Ends the placement; returns whether the target has ended."""
         crashed = self._has_target_crashed(exc)
         self._record.log_failed_attempt(
             self._placement, "failed", repr(exc), target_ended=crashed
@@ -213,6 +211,7 @@
         self._end_placement(
             requests.Ending.CRASHED if crashed else requests.Ending.FAILED
         )
+        return crashed
 
     def _has_target_crashed(self, exc: Exception) -> bool:
         """Returns whether the attempt failed since the engine's process ended."""
@@ -333,10 +332,9 @@
 
     def next_event_deadline(self) -> float:
         """Returns the time by which the next event has to arrive."""
-        if not self._progress.may_repeat():
-            return self._call.deadline
-        timeout_s = _timeouts.event_timeout_s(self._call.route)
-        return min(self._call.deadline, runtime.now() + timeout_s)
+        return _timeouts.next_event_deadline(
+            self._call, may_repeat=self._progress.may_repeat()
+        )
 
     def events_received(self, count: int) -> None:
         """Records the arrival of a batch of events."""
--- a/src/turmericward/delivery/_progress.py
+++ b/src/turmericward/delivery/_progress.py
@@ -6,6 +6,8 @@
 
 # Targets that may refuse a call or be unreachable before the client is refused.
 MAX_REFUSALS = 4
+# Targets that may end while they hold a call.
+MAX_CRASHES = 2
 RETRY_AFTER_S = 0.5
 
 
@@ -33,6 +35,7 @@
     retry_after_s: float = RETRY_AFTER_S
     fallback: _calls.Reply | None = None
     _refusals: int = 0
+    _crashes: int = 0
 
     def record_unreachable(self, target: str) -> None:
         """Records a target that couldn't be reached.
@@ -58,20 +61,34 @@
         if self._refusals >= MAX_REFUSALS:
             self._stop("refusals")
 
-    def record_prefill_failure(self, target: str) -> None:
-        """Records a target whose prefill failed."""
+    def record_prefill_failure(self, target: str, *, crashed: bool) -> None:
+        """Records a target whose prefill failed; `crashed` if it has ended.
+
+        Raises:
+            CallAbandonedError: too many targets have ended under the call.
+        """
+        self._record_lost(target)
+        self._count_crash(crashed)
+
+    def _record_lost(self, target: str) -> None:
         self.excluded |= {target}
         self.arrivals += 1
         self.reason = "answer_lost"
 
-    def record_failure(self, target: str) -> None:
+    def _count_crash(self, crashed: bool) -> None:
+        self._crashes += crashed
+        if self._crashes >= MAX_CRASHES:
+            self._stop("crashes")
+
+    def record_failure(self, target: str, *, crashed: bool = False) -> None:
         """Records a failed attempt in which the call may have run.
 
         Raises:
             CallAbandonedError: the call must not run again.
         """
-        self.record_prefill_failure(target)
+        self._record_lost(target)
         self.possible_runs += 1
+        self._count_crash(crashed)
         if not self.route.repeatable:
             self._stop("not_repeatable")
         if self.possible_runs >= self.route.max_attempts:
--- a/src/turmericward/delivery/_timeouts.py
+++ b/src/turmericward/delivery/_timeouts.py
@@ -1,9 +1,10 @@
-"""How long a call that may be repeated waits for its target.
+"""How long a call waits for its target: to its deadline, or until it is repeated.
 
 Load pattern handled: targets that stall or lose calls, beside queues in which a call
 has to wait its turn.
 """
 
+from turmericward import runtime
 from turmericward.delivery import _calls
 
 # Timeout of the first byte, as a multiple of the route's latency objective.
@@ -17,9 +18,19 @@
 MIN_EVENT_TIMEOUT_S = 1.0
 
 
-def first_byte_timeout_s(call: _calls.Call, expected_s: float) -> float:
-    """Returns the timeout for the first byte of an answer that is expected then."""
+def first_byte_timeout_s(
+    call: _calls.Call, expected_s: float, *, may_repeat: bool
+) -> float:
+    """Returns the timeout for the first byte of an answer.
+
+    Args:
+        call: the call.
+        expected_s: seconds until the byte is expected.
+        may_repeat: whether another attempt may follow.
+    """
     remaining_s = call.remaining_s()
+    if not may_repeat:
+        return remaining_s
     timeout_s = max(
         MIN_FIRST_BYTE_TIMEOUT_S,
         FIRST_BYTE_TIMEOUT_PER_OBJECTIVE * call.route.objective_s,
@@ -30,6 +41,9 @@
     return min(remaining_s, timeout_s)
 
 
-def event_timeout_s(route: _calls.Route) -> float:
-    """Returns the timeout between two events of a stream."""
-    return max(MIN_EVENT_TIMEOUT_S, EVENT_TIMEOUT_PER_GAP * route.gap_s)
+def next_event_deadline(call: _calls.Call, *, may_repeat: bool) -> float:
+    """Returns the time by which a stream's next event has to arrive."""
+    if not may_repeat:
+        return call.deadline
+    timeout_s = max(MIN_EVENT_TIMEOUT_S, EVENT_TIMEOUT_PER_GAP * call.route.gap_s)
+    return min(call.deadline, runtime.now() + timeout_s)
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -434,3 +434,11 @@
     check.assertTrue(shared)
     check.assertEqual(line["segments"], shared)
     check.assertEqual((line["target_ended"], line["began"]), (True, False))
+
+
+def test_a_call_under_which_two_targets_ended_is_not_sent_to_a_third():
+    targets = [test_dispatch._target(f"e{n}") for n in range(4)]
+    for ended, sent in (((), 4), (("e0", "e1", "e2", "e3"), 2)):
+        transport = _Transport(sends=["closed"] * 9, ended=ended)
+        reply, _ = _run(transport, targets, slack=600.0, max_attempts=4)
+        check.assertEqual((len(transport.sent), reply.status), (sent, 502), ended)
