--- a/src/turmericward/requests/_quarantine.py
+++ b/src/turmericward/requests/_quarantine.py
@@ -6,8 +6,9 @@
 
 A crash makes the segments of all prompts suspect that the engine was just beginning
 to answer. An answer to any prompt with a segment clears it: what always crashes is
-never answered. A segment that is left after several crashes is barred, and these
-crashes count no longer against the other segments. Pure logic without clock and
+never answered. A segment that is left after several crashes, and was there at most of
+them, is barred, and these crashes count no longer against the other segments. Pure
+logic without clock and
 sockets; times are monotonic seconds.
 """
 
@@ -20,8 +21,15 @@
 
 from turmericward.requests import _router, _suspects
 
-# Crashes of different engines, without an answer, after which a segment is barred.
-CRASHES_TO_BAR = 3
+# Moments with crashes, without an answer, after which a segment is barred if it was
+# there at this share of all of them since the first. Where many engines end for other
+# reasons, at once or in turn, some segments are there several times by chance.
+MOMENTS_TO_BAR = 3
+MIN_SHARE_TO_BAR = 0.5
+# Crashes closer to each other are of one moment.
+MOMENT_S = 0.05
+# Crashes of different engines after which a segment is barred in any case.
+CERTAIN_CRASHES = 5
 # From this many on, prompts with the segment that lost an engine aren't sent again.
 CRASHES_TO_STOP_RETRIES = 2
 # How long a suspect, or its clearing, is told to the peers if nothing changes.
@@ -31,8 +39,9 @@
 # After a bar has ended, one front after the other may try a prompt, at this interval.
 TRIAL_INTERVAL_S = 15.0
 TRIAL_TIMEOUT_S = 10.0
-MAX_SUSPECTS = 500
-MAX_ANSWERED_SEGMENTS = 4_000
+MAX_SUSPECTS = 300
+MAX_CRASHES = 500
+MAX_ANSWERED_SEGMENTS = 3_000
 MAX_TOLD_OUTCOMES = 200
 
 BARRED = "quarantined"
@@ -64,6 +73,8 @@
     def __init__(self) -> None:
         """Starts without suspects."""
         self._suspects: dict[int, _suspects.Suspect] = {}
+        # Engines that ended under prompts, with the times, the oldest reports first.
+        self._crashes: dict[_suspects.Incarnation, float] = {}
         # When each segment was last answered, the oldest ones first.
         self._answered: collections.OrderedDict[int, float] = collections.OrderedDict()
         self._changes: list[SegmentChange] = []
@@ -85,6 +96,7 @@
             incarnation: the engine.
             now: monotonic seconds.
         """
+        self._note_crash(incarnation, now)
         for segment in segments:
             if now > self._answered_at(segment) + _suspects.RECENT_ANSWER_S:
                 self._add_crash(segment, incarnation, now, now)
@@ -100,11 +112,17 @@
         for outcome in outcomes:
             at = now - outcome.age_s
             if outcome.crashed is not None:
+                self._note_crash(outcome.crashed, at)
                 self._add_crash(outcome.segment, outcome.crashed, at, now)
             elif at > self._answered_at(outcome.segment) + AGE_TOLERANCE_S:
                 self._add_answer(outcome.segment, at, now)
         self._update_bars()
 
+    def _note_crash(self, incarnation: _suspects.Incarnation, at: float) -> None:
+        self._crashes[incarnation] = min(at, self._crashes.get(incarnation, at))
+        if len(self._crashes) > MAX_CRASHES:
+            del self._crashes[next(iter(self._crashes))]
+
     def _answered_at(self, segment: int) -> float:
         return self._answered.get(segment, -math.inf)
 
@@ -151,31 +169,51 @@
     def _update_bars(self) -> None:
         """Bars the segment that explains most crashes, as long as there is one."""
         while True:
-            counts = {
-                segment: len(self._unexplained(segment))
+            bad = [
+                segment
                 for segment, suspect in self._suspects.items()
-                if suspect.bar is None and len(suspect.crashes) >= CRASHES_TO_BAR
-            }
-            worst = max(counts, key=lambda s: self._badness(s, counts[s]), default=None)
-            if worst is None or counts[worst] < CRASHES_TO_BAR:
+                if suspect.bar is None
+                and len(suspect.crashes) >= MOMENTS_TO_BAR
+                and self._is_bad(segment)
+            ]
+            if not bad:
                 return
+            worst = max(bad, key=self._badness)
             self._bar(worst, self._suspects[worst])
 
-    def _badness(self, segment: int, crashes: int) -> tuple[int, float]:
+    def _is_bad(self, segment: int) -> bool:
+        known = self._suspects[segment].crashes
+        crashes = self._unexplained(segment, known)
+        if len(crashes) >= CERTAIN_CRASHES:
+            return True
+        moments = _count_moments(known[i] for i in crashes)
+        if moments < MOMENTS_TO_BAR:
+            return False
+        first_at = min(known.values())
+        since = (i for i, at in self._crashes.items() if at >= first_at)
+        all_crashes = self._unexplained(segment, since)
+        all_moments = _count_moments(self._crashes[i] for i in all_crashes)
+        return moments >= MIN_SHARE_TO_BAR * all_moments
+
+    def _badness(self, segment: int) -> tuple[int, float]:
         # Of two that were there at all crashes, the one that was answered longer ago,
         # or never.
-        return (crashes, -self._suspects[segment].answered_at)
-
-    def _unexplained(self, segment: int) -> set[_suspects.Incarnation]:
-        """Returns the crashes under a segment without those of barred ones."""
-        crashes = set(self._suspects[segment].crashes)
+        suspect = self._suspects[segment]
+        crashes = self._unexplained(segment, suspect.crashes)
+        return (len(crashes), -suspect.answered_at)
+
+    def _unexplained(
+        self, segment: int, incarnations: Iterable[_suspects.Incarnation]
+    ) -> set[_suspects.Incarnation]:
+        """Returns the crashes that no barred segment but this one explains."""
+        crashes = set(incarnations)
         for suspect in self._suspects.values():
             if suspect.bar is not None and suspect is not self._suspects[segment]:
                 crashes -= suspect.crashes.keys()
         return crashes
 
     def _bar(self, segment: int, suspect: _suspects.Suspect) -> None:
-        suspect.extend_bar(CRASHES_TO_BAR)
+        suspect.extend_bar(MOMENTS_TO_BAR)
         self._note(segment, SegmentState.BARRED)
 
     def _note(self, segment: int, state: SegmentState) -> None:
@@ -194,6 +232,11 @@
         expired = [s for s, x in self._suspects.items() if x.has_expired(now)]
         for segment in expired:
             del self._suspects[segment]
+        self._crashes = {
+            incarnation: at
+            for incarnation, at in self._crashes.items()
+            if now - at <= _suspects.EVIDENCE_S
+        }
 
     # Prompts.
 
@@ -226,7 +269,8 @@
         if wait_s > 0:
             return _router.Refusal(reason=BARRED, retry_after_s=wait_s)
         if retry and any(
-            len(self._unexplained(s)) >= CRASHES_TO_STOP_RETRIES for s, _ in known
+            len(self._unexplained(s, x.crashes)) >= CRASHES_TO_STOP_RETRIES
+            for s, x in known
         ):
             return _router.Refusal(reason=SUSPECTED, retry_after_s=TRIAL_TIMEOUT_S)
         for segment, suspect in known:
@@ -271,3 +315,12 @@
     def barred(self) -> dict[int, _suspects.Suspect]:
         """Returns the barred segments with their evidence."""
         return {s: x for s, x in self._suspects.items() if x.bar is not None}
+
+
+def _count_moments(times: Iterable[float]) -> int:
+    moments = 0
+    last_at = -math.inf
+    for at in sorted(times):
+        moments += at - last_at > MOMENT_S
+        last_at = at
+    return moments
