The OpenAI front keeps deadly prompts back too; bars on the status page and as counters

Cause: the same fault by another path: the entry's router handed a prompt under which an engine had ended to the next one, and the next call with it as well. Change: delivery.CrashGuard serves both routers; the entry knows a prompt by the hash of its start, and tells crashes of an engine of one name apart by their time. front-status and /status show barred segments; counters delivery.stopped.<reason>; the log line 'segment' names each change. An engine that left as announced, or had been answering for over a second, speaks against no segment.

--- a/src/turmericward/delivery/__init__.py
+++ b/src/turmericward/delivery/__init__.py
@@ -12,6 +12,7 @@
     Route,
 )
 from turmericward.delivery._context import Context, Dispatcher, Transport
+from turmericward.delivery._crash_guard import CrashGuard
 from turmericward.delivery._delivery import Delivery
 from turmericward.delivery._dispatch_task import DispatchTask
 from turmericward.delivery._errors import (
@@ -45,6 +46,7 @@
     "Call",
     "CallKind",
     "Context",
+    "CrashGuard",
     "Delivery",
     "DeliveryError",
     "Destination",
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -9,7 +9,7 @@
 
 from turmericward import fleet, peers, requests, runtime, telemetry
 from turmericward.delivery import (
-    _crash_exchange,
+    _crash_guard,
     _deadlines,
     _limit_exchange,
     _messages,
@@ -60,8 +60,9 @@
         self._limits = _limit_exchange.LimitExchange(
             self._directory, self._admission.limits
         )
-        self._crashes = _crash_exchange.CrashExchange(
-            self._directory, self._admission.limits.members
+        self._crashes = _crash_guard.CrashGuard(
+            functools.partial(_crash_guard.crashed_incarnation, self._directory),
+            lambda segment: self._admission.limits.members.rank(str(segment)),
         )
         self._placer = requests.Placer(seed, domain)
         self._budgets = _retry_budgets.RetryBudgets(retries)
@@ -271,6 +272,7 @@
             ),
             peer_ages_s=self._placer.peers.ages(now),
             retries_left=self._budgets.available(),
+            barred_segments=self._crashes.status(),
         )
 
     @handle.register
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -5,6 +5,9 @@
 from turmericward import fleet, requests
 from turmericward.delivery import _calls, _routes
 
+# A target that has been answering a prompt for longer wasn't ended by it.
+BEGINNING_S = 1.0
+
 
 @attrs.frozen(kw_only=True)
 class SetTable:
@@ -123,6 +126,20 @@
     open_calls: int
 
 
+@attrs.frozen(kw_only=True)
+class SegmentStatus:
+    """A prompt segment that is kept away from engines for `barred_s` seconds.
+
+    `segment` is its number in hexadecimal digits, `id` its id in prompts, empty if this
+    front has seen none of the prompts; so many engines crashed under it.
+    """
+
+    segment: str
+    id: str
+    crashes: int
+    barred_s: float
+
+
 @attrs.frozen(kw_only=True)
 class Status:
     """A front's view; `version` is None before the first configuration.
@@ -137,6 +154,7 @@
     targets: tuple[TargetStatus, ...]
     peer_ages_s: dict[str, float]
     retries_left: dict[str, float]
+    barred_segments: tuple[SegmentStatus, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -196,3 +214,8 @@
     streamed: bool = False
     answered: bool = False
     writing_s: float = 0.0
+
+    @property
+    def target_ended_under_prompt(self) -> bool:
+        """Whether the target ended as it was just beginning to answer."""
+        return self.ending is requests.Ending.CRASHED and self.writing_s <= BEGINNING_S
--- a/src/turmericward/delivery/_record.py
+++ b/src/turmericward/delivery/_record.py
@@ -95,6 +95,8 @@
         """
         took_s = runtime.now() - self._call.received
         self._metrics.count(f"delivery.{outcome}")
+        if stop_reason:
+            self._metrics.count(f"delivery.stopped.{stop_reason}")
         self._metrics.record(
             telemetry.RequestLatencies(
                 traffic_class=self._traffic_class,
--- a/src/turmericward/entry/_models.py
+++ b/src/turmericward/entry/_models.py
@@ -17,6 +17,8 @@
     "no_engine": (503, "no_engine"),
     "retry_budget": (503, "retry_budget"),
     "targets_refused": (503, "engines_failed"),
+    "quarantined": (503, "prompt_quarantined"),
+    "suspected": (503, "prompt_quarantined"),
     "deadline": (504, "deadline"),
     "cancelled": (CLIENT_CLOSED_REQUEST, "cancelled"),
 }
--- a/src/turmericward/entry/_router_task.py
+++ b/src/turmericward/entry/_router_task.py
@@ -9,6 +9,7 @@
 import result
 
 from turmericward import configuration, delivery, fleet, membership, requests, runtime
+from turmericward.entry import _engine_crashes
 
 
 @attrs.frozen(kw_only=True)
@@ -64,6 +65,9 @@
         self._domain = cfg.instance.domain
         self._random = random.Random(seed)
         self._service_health = fleet.Health()
+        self._crashes = delivery.CrashGuard(
+            _engine_crashes.EngineCrashes().incarnation_of
+        )
         self._holds = membership.EntryHolds()
         self._assigned: dict[int, requests.Assignment] = {}
         self._in_flight_by_engine: collections.Counter[str] = collections.Counter()
@@ -93,6 +97,9 @@
     @handle.register
     def _(self, message: delivery.Place):
         """Returns a Result of Placement or Refusal."""
+        refusal = self._crashes.refusal(message)
+        if refusal is not None:
+            return result.Err(refusal)
         if message.retry and not self._retry_budget.spend():
             refusal = requests.Refusal(
                 reason="retry_budget", retry_after_s=requests.MIN_RETRY_AFTER_S
@@ -134,6 +141,7 @@
         if assignment is None:
             return
         self._in_flight_by_engine[assignment.engine] -= 1
+        self._crashes.placement_ended(message)
         failed = message.ending.target_failed
         self._router.finished(assignment, failed, time.monotonic())
 
--- a/src/turmericward/requests/_demand.py
+++ b/src/turmericward/requests/_demand.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from turmericward.requests import _errors
+from turmericward.requests import _errors, _prompts
 
 CHARS_PER_TOKEN = 4
 MAX_PREFIX_TOKENS = 2000
@@ -30,6 +30,11 @@
         """Length of the prompt in tokens."""
         return self.prompt_tokens
 
+    @property
+    def shared_ids(self) -> dict[int, str]:
+        """Number and id of the prompt's start, which other requests may share."""
+        return {_prompts.segment_number(self.model, self.prefix): self.prefix}
+
     @property
     def priority(self) -> int:
         """Priority sent to the engine; lower numbers go first."""
--- a/src/turmericward/requests/_prompts.py
+++ b/src/turmericward/requests/_prompts.py
@@ -43,3 +43,9 @@
         """Number and tokens of each segment that other requests may share."""
         shared = self.segments[:-1]
         return tuple((segment_number(self.model, p.id), p.tokens) for p in shared)
+
+    @functools.cached_property
+    def shared_ids(self) -> dict[int, str]:
+        """Number and id of each segment that other requests may share."""
+        numbers = (number for number, _ in self.shared_segments)
+        return {n: s.id for n, s in zip(numbers, self.segments[:-1], strict=True)}
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -9,8 +9,11 @@
 import time
 from concurrent import futures
 
-from standins import platform_replica
+from click import testing
+
+from standins import launch, platform_replica
 from tests import crashing_fleet, fixtures, platform_fixtures
+from turmericward.programs import cli
 
 check = fixtures.check
 # Play of the front as a process.
@@ -239,3 +242,10 @@
         served = [status == 200 for sent_at, status in clients.sound if sent_at > since]
         check.assertGreater(len(served), STEADY_S / CALL_INTERVAL_S / 2)
         check.assertGreater(sum(served) / len(served), 0.9)
+        output = (
+            testing.CliRunner().invoke(cli.main, ["front-status", platform.metrics])
+        ).output
+        check.assertIn("(dead): barred for", output)
+        page = launch.request(platform.metrics, "GET", "/metrics")[2].decode()
+        check.assertIn("delivery.stopped.quarantined", page)
+        check.assertIn('"id": "dead", "state": "barred"', platform.log.read_text())
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -293,3 +293,34 @@
     with mock.patch.object(runtime, "now", lambda: later):
         task.run_periodic()
     check.assertEqual(task.recently_limited, frozenset())
+
+
+def _crash(task, target: fleet.Target, **details) -> None:
+    placement = requests.Placement(id=1, target=target)
+    message = delivery.PlacementEnded(
+        placement=placement,
+        prompt=PROMPT,
+        ending=requests.Ending.CRASHED,
+        **details,
+    )
+    task.handle(message)
+
+
+def test_ends_of_engines_that_left_or_had_long_been_answering_are_no_crashes():
+    for leaving, started_ms, writing_s, refused in (
+        (False, 1, 0.0, True),
+        (True, 1, 0.0, False),
+        (False, 0, 0.0, False),
+        (False, 1, 5.0, False),
+    ):
+        task = _task()
+        now = runtime.now()
+        for number in range(3):
+            target = attrs.evolve(_target(f"e{number}"), started_ms=1, leaving=leaving)
+            task.handle(delivery.PutTargets(targets=(target,)))
+            ended = attrs.evolve(target, started_ms=started_ms)
+            with mock.patch.object(runtime, "now", lambda at=now + number: at):
+                _crash(task, ended, writing_s=writing_s)
+        task.handle(delivery.PutTargets(targets=(_target("e9"),)))
+        case = (leaving, started_ms, writing_s)
+        check.assertEqual(_place(task).is_err(), refused, case)
--- a/tests/test_router_task.py
+++ b/tests/test_router_task.py
@@ -2,11 +2,20 @@
 
 import time
 import types
+from unittest import mock
 
 import attrs
 
 from tests import fixtures
-from turmericward import configuration, delivery, fleet, membership, requests, settings
+from turmericward import (
+    configuration,
+    delivery,
+    fleet,
+    membership,
+    requests,
+    runtime,
+    settings,
+)
 from turmericward.entry import _router_task
 
 check = fixtures.check
@@ -36,12 +45,18 @@
     return _router_task.RouterTask(cfg, seed=1)
 
 
-def _choose(task, text: str):
-    body = {"model": "m", "prompt": text}
-    demand = requests.demand_of(body, "t", "patient")
-    call = types.SimpleNamespace(prompt=demand)
+def _demand(text: str) -> requests.Demand:
+    return requests.demand_of({"model": "m", "prompt": text}, "t", "patient")
+
+
+def _place(task, text: str):
+    call = types.SimpleNamespace(prompt=_demand(text), resume_after="")
     message = delivery.Place(call=call, service="m", excluded=frozenset())
-    return task.handle(message).unwrap()
+    return task.handle(message)
+
+
+def _choose(task, text: str):
+    return _place(task, text).unwrap()
 
 
 def _finish(task, placement) -> None:
@@ -82,3 +97,25 @@
     check.assertEqual([task.handle(admit) for _ in range(3)], [True, True, False])
     task.handle(_router_task.ReleaseRequest(tenant="t"))
     check.assertTrue(task.handle(admit))
+
+
+def test_a_prompt_under_which_engines_crashed_is_refused_others_are_not():
+    task = _task()
+    _set_view(task, [])
+    now = time.monotonic()
+    for _ in range(3):
+        # An engine that has started again has the same name.
+        now += 5.0
+        placement = _choose(task, "deadly")
+        for late_s in (0.0, 0.1):
+            message = delivery.PlacementEnded(
+                placement=placement,
+                prompt=_demand("deadly"),
+                ending=requests.Ending.CRASHED,
+            )
+            with mock.patch.object(runtime, "now", lambda at=now + late_s: at):
+                task.handle(message)
+        _finish(task, _choose(task, "sound"))
+    with mock.patch.object(runtime, "now", lambda: now + 1.0):
+        check.assertEqual(_place(task, "deadly").unwrap_err().reason, "quarantined")
+        check.assertTrue(_place(task, "sound").is_ok())
