Positions and eras of the store get a package of their own

Cause: authority imported feeds, which follows topics, for the era in its tokens. Change: positions.Position, Eras, MAX_ERA and InvalidEraError, moved without a change; feeds and authority import them.

--- a/benchmarks/front_cost.py
+++ b/benchmarks/front_cost.py
@@ -19,7 +19,7 @@
 
 from benchmarks import _processes, _tables
 from tests import platform_fixtures
-from turmericward import feeds, fleet, peers, requests
+from turmericward import feeds, fleet, peers, positions, requests
 
 DOMAINS = 5
 # As in the users' deployments.
@@ -135,8 +135,8 @@
         return [
             feeds.RecordBatch(
                 topic=topic,
-                start=feeds.Position(era, 0),
-                end=feeds.Position(era, end),
+                start=positions.Position(era, 0),
+                end=positions.Position(era, end),
                 age_s=0.0,
             )
             for name, topic in topics
--- a/src/turmericward/authority/_on_demand_lease.py
+++ b/src/turmericward/authority/_on_demand_lease.py
@@ -2,11 +2,11 @@
 
 import attrs
 
-from turmericward import feeds
+from turmericward import positions
 from turmericward.authority import _contender, _errors, _records
 
-# A token holds the era above this many bits of the offset. With `feeds.MAX_ERA` it is
-# below 2**53, so that JSON decoders that use floating point keep it exact.
+# A token holds the era above this many bits of the offset. With `positions.MAX_ERA`
+# it is below 2**53, so that JSON decoders that use floating point keep it exact.
 OFFSET_BITS = 40
 
 
@@ -14,17 +14,17 @@
 class Claim:
     """A record to append if the log still ends at `end`."""
 
-    end: feeds.Position
+    end: positions.Position
     record: _records.Record
 
 
-def fencing_token(position: feeds.Position) -> int:
+def fencing_token(position: positions.Position) -> int:
     """Returns the token of an acquire at a position; it rises with the position.
 
     Raises:
         NoTokenError: the position is too high for a token.
     """
-    if position.era > feeds.MAX_ERA or position.offset + 1 >= 1 << OFFSET_BITS:
+    if position.era > positions.MAX_ERA or position.offset + 1 >= 1 << OFFSET_BITS:
         raise _errors.NoTokenError(f"no token for an acquire at {position}")
     return (position.era << OFFSET_BITS) + position.offset + 1
 
@@ -61,7 +61,7 @@
         self._holder = holder
         self._timing = timing
         self._new_id = new_id
-        self._end = feeds.Position(0, 0)
+        self._end = positions.Position(0, 0)
         self._era_since = float("-inf")
         self._record: _records.Record | None = None
         self._read_at: float | None = None
@@ -76,7 +76,7 @@
     def record_log_end(
         self,
         now: float,
-        end: feeds.Position,
+        end: positions.Position,
         record: _records.Record | None,
         era_since: float,
     ) -> None:
@@ -118,7 +118,7 @@
         return now - self._era_since >= wait_s
 
     def acquired(
-        self, claim: Claim, sent_at: float, position: feeds.Position, now: float
+        self, claim: Claim, sent_at: float, position: positions.Position, now: float
     ) -> None:
         """Records that the claim, sent at `sent_at`, was appended at `position`.
 
--- a/src/turmericward/delivery/_roles_loop.py
+++ b/src/turmericward/delivery/_roles_loop.py
@@ -8,7 +8,7 @@
 import attrs
 from absl import logging
 
-from turmericward import authority, feeds, fleet, runtime, telemetry
+from turmericward import authority, fleet, positions, runtime, telemetry
 from turmericward.adapters import errors
 from turmericward.delivery import _dispatch_task, _messages
 
@@ -37,14 +37,14 @@
 class LeaseLog(Protocol):
     """Log that stores the lease."""
 
-    def read(self) -> tuple[feeds.Position, authority.Record | None]:
+    def read(self) -> tuple[positions.Position, authority.Record | None]:
         """Returns the log's end and its newest record.
 
         Raises:
             LogUnavailableError: there is no valid answer.
         """
 
-    def append(self, claim: authority.Claim) -> feeds.Position | None:
+    def append(self, claim: authority.Claim) -> positions.Position | None:
         """Appends a claim; returns its position, or None if the log has grown.
 
         Raises:
@@ -85,7 +85,7 @@
         lease: authority.OnDemandLease,
         log: LeaseLog,
         orders: Orders,
-        eras: feeds.Eras,
+        eras: positions.Eras,
         enabled: Callable[[], bool] = lambda: True,
     ) -> None:
         """Creates the loop.
--- a/src/turmericward/feeds/__init__.py
+++ b/src/turmericward/feeds/__init__.py
@@ -6,12 +6,10 @@
 """
 
 from turmericward.feeds._cursor import Cursor
-from turmericward.feeds._eras import MAX_ERA, Eras, InvalidEraError
 from turmericward.feeds._follow_loop import FollowLoop, Listing, Pacing, Sink, Store
 from turmericward.feeds._history import History
 from turmericward.feeds._messages import (
     MalformedBatchError,
-    Position,
     Record,
     RecordBatch,
     Topic,
@@ -19,17 +17,13 @@
 )
 
 __all__ = [
-    "MAX_ERA",
     "Cursor",
-    "Eras",
     "FollowLoop",
     "History",
-    "InvalidEraError",
     "Listing",
     "MalformedBatchError",
     "RecordBatch",
     "Pacing",
-    "Position",
     "Record",
     "Sink",
     "Store",
--- a/src/turmericward/feeds/_cursor.py
+++ b/src/turmericward/feeds/_cursor.py
@@ -1,5 +1,6 @@
 """Position up to which a front has a topic's records, and how fresh that is."""
 
+from turmericward import positions
 from turmericward.feeds import _messages
 
 
@@ -22,7 +23,7 @@
         # Set when a batch starts after `next`, or that record has expired.
         self._gap = False
         # All records before this position are known; None before the first listing.
-        self.next: _messages.Position | None = None
+        self.next: positions.Position | None = None
 
     def is_fresh(self, now: float) -> bool:
         """Returns whether all records up to `fresh_s` ago are known."""
@@ -39,7 +40,7 @@
         """Returns whether the records are of an earlier era, or none are known."""
         return self.next is None or self.next.era < era
 
-    def apply_listing(self, end: _messages.Position, as_of: float) -> bool:
+    def apply_listing(self, end: positions.Position, as_of: float) -> bool:
         """Moves to the end of a listing; returns whether the listing is usable.
 
         A listing that ends before `next` is outdated.
@@ -54,7 +55,7 @@
         self._gap = True
         self._as_of = float("-inf")
 
-    def apply_read(self, end: _messages.Position, as_of: float) -> None:
+    def apply_read(self, end: positions.Position, as_of: float) -> None:
         """Records a read of the store from `next` up to `end`."""
         self._advance(max(end, self.next or end), as_of)
 
@@ -76,7 +77,7 @@
         self._advance(batch.end, now - batch.age_s)
         return new
 
-    def _advance(self, end: _messages.Position, as_of: float) -> None:
+    def _advance(self, end: positions.Position, as_of: float) -> None:
         self.next = end
         self._as_of = max(self._as_of, as_of)
         self._gap = False
--- a/src/turmericward/feeds/_follow_loop.py
+++ b/src/turmericward/feeds/_follow_loop.py
@@ -8,9 +8,9 @@
 import attrs
 from absl import logging
 
-from turmericward import runtime, telemetry
+from turmericward import positions, runtime, telemetry
 from turmericward.adapters import errors
-from turmericward.feeds import _cursor, _eras, _messages
+from turmericward.feeds import _cursor, _messages
 
 RETRY_DELAY_S = 0.2
 # Fronts that aren't readers list a topic up to this much later in a new era, so that
@@ -23,7 +23,7 @@
     """The newest record of each key, and the topic's end when it was read."""
 
     records: tuple[_messages.Record, ...]
-    end: _messages.Position
+    end: positions.Position
 
 
 class Store(Protocol):
@@ -37,7 +37,7 @@
         """
 
     def read(
-        self, topic: str, start: _messages.Position, wait_s: float
+        self, topic: str, start: positions.Position, wait_s: float
     ) -> list[_messages.Record]:
         """Returns the records from `start` on, waiting for the first.
 
@@ -103,7 +103,7 @@
         sink: Sink,
         publish: Callable[[_messages.TopicRange], None],
         is_reader: Callable[[], bool],
-        eras: _eras.Eras,
+        eras: positions.Eras,
     ) -> None:
         """Creates the loop.
 
@@ -216,7 +216,7 @@
         era = batch.end.era
         try:
             self._eras.observe(era, "a peer")
-        except _eras.InvalidEraError as exc:
+        except positions.InvalidEraError as exc:
             logging.warning("batch of topic %s is ignored: %s", self._name, exc)
             return False
         return era == self._eras.current
@@ -255,8 +255,8 @@
     def _apply_records(
         self,
         records: tuple[_messages.Record, ...],
-        previous: _messages.Position | None,
-        end: _messages.Position,
+        previous: positions.Position | None,
+        end: positions.Position,
     ) -> None:
         """Passes the newest record of every key to the sink."""
         reverted = previous is not None and previous.era < end.era
@@ -265,7 +265,7 @@
         self._sink.on_listing(records, reverted=reverted)
 
     def _log_revert(
-        self, previous: _messages.Position, end: _messages.Position
+        self, previous: positions.Position, end: positions.Position
     ) -> None:
         telemetry.log_event(
             "topic_reverted",
@@ -294,8 +294,8 @@
 
     def _publish_range(
         self,
-        start: _messages.Position,
-        end: _messages.Position,
+        start: positions.Position,
+        end: positions.Position,
         as_of: float,
         records: tuple[_messages.Record, ...],
         *,
--- a/src/turmericward/feeds/_history.py
+++ b/src/turmericward/feeds/_history.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from turmericward import positions
 from turmericward.feeds import _messages
 
 # How long a record is repeated in each batch, as datagrams may be lost.
@@ -22,15 +23,15 @@
     def __init__(self, topic: _messages.Topic) -> None:
         """Creates the history of a front that has no records of the topic."""
         self._topic = topic
-        self._start = _messages.Position(0, 0)
-        self._end: _messages.Position | None = None
+        self._start = positions.Position(0, 0)
+        self._end: positions.Position | None = None
         self._as_of = 0.0
         self._newest: dict[str, _messages.Record] = {}
         # Each record with the time at which it was added; oldest first.
         self._records: collections.deque[tuple[float, _messages.Record]]
         self._records = collections.deque()
         # Time at which each range was added, and its end; oldest first.
-        self._range_ends: collections.deque[tuple[float, _messages.Position]]
+        self._range_ends: collections.deque[tuple[float, positions.Position]]
         self._range_ends = collections.deque()
 
     def add(self, topic_range: _messages.TopicRange, now: float) -> bool:
@@ -57,7 +58,7 @@
         else:
             self._newest[record.key] = record
 
-    def _restart(self, start: _messages.Position) -> None:
+    def _restart(self, start: positions.Position) -> None:
         self._start = start
         self._records.clear()
         self._range_ends.clear()
@@ -73,7 +74,7 @@
             size -= self._size(record)
             self._drop_before(attrs.evolve(self._start, offset=record.offset + 1))
 
-    def _drop_before(self, start: _messages.Position) -> None:
+    def _drop_before(self, start: positions.Position) -> None:
         self._start = max(self._start, start)
         while self._records and self._records[0][1].offset < self._start.offset:
             self._records.popleft()
--- a/src/turmericward/feeds/_messages.py
+++ b/src/turmericward/feeds/_messages.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from turmericward import positions
+
 
 class MalformedBatchError(ValueError):
     """Raised when the offsets or the age of a record batch are inconsistent."""
@@ -16,18 +18,6 @@
     TARGETS = 2
 
 
-@attrs.frozen(order=True)
-class Position:
-    """A position in a topic; each era of the store gives out the offsets anew."""
-
-    era: int
-    offset: int
-
-    def plus(self, records: int) -> "Position":
-        """Returns the position this many records later, in the same era."""
-        return attrs.evolve(self, offset=self.offset + records)
-
-
 @attrs.frozen(kw_only=True)
 class Record:
     """A record of a keyed topic; a value of None deletes its key.
@@ -50,8 +40,8 @@
     """
 
     topic: Topic
-    start: Position
-    end: Position
+    start: positions.Position
+    end: positions.Position
     age_s: float
     records: tuple[Record, ...] = ()
     full: bool = False
@@ -83,8 +73,8 @@
     """
 
     topic: Topic
-    start: Position
-    end: Position
+    start: positions.Position
+    end: positions.Position
     as_of: float
     records: tuple[Record, ...] = ()
     full: bool = False
--- a/src/turmericward/peers/_announce_loop.py
+++ b/src/turmericward/peers/_announce_loop.py
@@ -8,7 +8,7 @@
 import attrs
 from absl import logging
 
-from turmericward import feeds, runtime, schema
+from turmericward import feeds, positions, runtime, schema
 from turmericward.adapters import errors
 
 # Lets fronts that start at the same time announce themselves before the listing.
@@ -37,7 +37,7 @@
 class AnnouncementTable(Protocol):
     """The table of fronts' announcements in the store."""
 
-    def put(self, topic: str, key: str, value: bytes) -> feeds.Position | None:
+    def put(self, topic: str, key: str, value: bytes) -> positions.Position | None:
         """Sets a front's announcement; an empty value removes it.
 
         Raises:
@@ -66,7 +66,7 @@
         announcement: Announcement,
         on_announcement: Callable[[str, Announcement], None],
         on_listed: Callable[[], None],
-        eras: feeds.Eras,
+        eras: positions.Eras,
     ) -> None:
         """Creates the loop.
 
--- a/src/turmericward/peers/_codec.py
+++ b/src/turmericward/peers/_codec.py
@@ -8,7 +8,7 @@
 from thrift import TSerialization
 from thrift.protocol import TCompactProtocol
 
-from turmericward import feeds, requests
+from turmericward import feeds, positions, requests
 from turmericward.wire.peers import ttypes
 
 # Bounds on the lengths that a datagram may declare; a longer one is malformed.
@@ -261,8 +261,8 @@
     era = row.era or 0
     return feeds.RecordBatch(
         topic=feeds.Topic(row.topic),
-        start=feeds.Position(era, row.start),
-        end=feeds.Position(era, row.end),
+        start=positions.Position(era, row.start),
+        end=positions.Position(era, row.end),
         age_s=row.age_ms / 1000,
         records=records,
         full=bool(row.whole),
--- a/src/turmericward/platform/_orders.py
+++ b/src/turmericward/platform/_orders.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from turmericward import authority, delivery, feeds, fleet, runtime, schema
+from turmericward import authority, delivery, fleet, positions, runtime, schema
 from turmericward.adapters import _request, errors
 from turmericward.platform import _headers, _notices, _records, _store
 
@@ -31,7 +31,7 @@
         """Takes ownership of `client`, which serves a single thread."""
         self._client = client
 
-    def read(self) -> tuple[feeds.Position, authority.Record | None]:
+    def read(self) -> tuple[positions.Position, authority.Record | None]:
         """Returns the topic's end and the lease; see `delivery.LeaseLog`."""
         listing = self._client.newest(LEASE_TOPIC)
         leases = [r for r in listing.records if r.key == LEASE_KEY]
@@ -42,7 +42,7 @@
         except (ValueError, authority.AuthorityError) as exc:
             raise errors.LogUnavailableError(f"lease: {exc}") from exc
 
-    def append(self, claim: authority.Claim) -> feeds.Position | None:
+    def append(self, claim: authority.Claim) -> positions.Position | None:
         """Appends a claim; see `delivery.LeaseLog`."""
         value = json.dumps(authority.encode(claim.record)).encode()
         return self._client.put(
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -8,7 +8,16 @@
 import click
 from absl import logging
 
-from turmericward import authority, delivery, feeds, httpd, peers, runtime, telemetry
+from turmericward import (
+    authority,
+    delivery,
+    feeds,
+    httpd,
+    peers,
+    positions,
+    runtime,
+    telemetry,
+)
 from turmericward.adapters import _address
 from turmericward.platform import (
     _cache_listing,
@@ -51,7 +60,7 @@
         self._cfg = cfg
         self._clients: list[_store.StoreClient] = []
         metrics = telemetry.Metrics(None, "")
-        self._eras = feeds.Eras(lambda: metrics.count("store.new_eras"))
+        self._eras = positions.Eras(lambda: metrics.count("store.new_eras"))
         self.reload = _reload.ReloadLoop(path, cfg, self._reconfigure)
         self._draining = threading.Event()
         seed = zlib.crc32(cfg.instance.name.encode())
--- a/src/turmericward/platform/_store.py
+++ b/src/turmericward/platform/_store.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from turmericward import feeds
+from turmericward import feeds, positions
 from turmericward.adapters import _persistent_connection, errors
 from turmericward.platform import _headers
 
@@ -37,7 +37,7 @@
 class StoreClient:
     """Reads and appends to keyed topics; not thread-safe unless stated otherwise."""
 
-    def __init__(self, address: str, timeout_s: float, eras: feeds.Eras) -> None:
+    def __init__(self, address: str, timeout_s: float, eras: positions.Eras) -> None:
         """Creates the client; it connects at the first request.
 
         Args:
@@ -84,7 +84,7 @@
                 end = page["end"] if end is None else end
                 if not page["more"] or not page["items"]:
                     return feeds.Listing(
-                        records=tuple(records), end=feeds.Position(era, end)
+                        records=tuple(records), end=positions.Position(era, end)
                     )
                 query["after"] = page["items"][-1]["key"]
             except _MALFORMED as exc:
@@ -95,7 +95,7 @@
         return feeds.Record(offset=row["offset"], key=row["key"], value=value)
 
     def read(
-        self, topic: str, start: feeds.Position, wait_s: float
+        self, topic: str, start: positions.Position, wait_s: float
     ) -> list[feeds.Record]:
         """Returns the records from `start` on, waiting for the first.
 
@@ -154,7 +154,7 @@
 
     def put(
         self, topic: str, key: str, value: bytes, expected_end: int | None = None
-    ) -> feeds.Position | None:
+    ) -> positions.Position | None:
         """Appends a record, the latest of its key; returns its position.
 
         With `expected_end`, the record is appended only if the topic ends at that
@@ -175,7 +175,7 @@
         if resp.status == 412:
             return None
         try:
-            return feeds.Position(resp.era, self._decode_json(resp)["offset"])
+            return positions.Position(resp.era, self._decode_json(resp)["offset"])
         except (KeyError, TypeError) as exc:
             raise errors.LogUnavailableError(f"append: {exc!r}") from exc
 
--- a/tests/test_answer_readers.py
+++ b/tests/test_answer_readers.py
@@ -8,7 +8,7 @@
 import attrs
 
 from tests import fixtures, test_dispatch
-from turmericward import authority, delivery, feeds, fleet
+from turmericward import authority, delivery, fleet, positions
 from turmericward.adapters import engine, errors, log, service
 from turmericward.platform import (
     _cache_listing,
@@ -126,7 +126,7 @@
 
 
 def _read_store(address: str):
-    client = _store.StoreClient(address, 2.0, feeds.Eras())
+    client = _store.StoreClient(address, 2.0, positions.Eras())
     with contextlib.closing(client):
         return client.newest("keyed.op")
 
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -6,7 +6,7 @@
 import attrs
 
 from tests import fixtures
-from turmericward import delivery, feeds, runtime
+from turmericward import delivery, feeds, positions, runtime
 from turmericward.adapters import errors
 
 check = fixtures.check
@@ -20,8 +20,8 @@
     return feeds.Record(offset=offset, key=f"k{offset % 5}", value=value)
 
 
-def _at(offset: int, era: int = 0) -> feeds.Position:
-    return feeds.Position(era, offset)
+def _at(offset: int, era: int = 0) -> positions.Position:
+    return positions.Position(era, offset)
 
 
 def _batch(
@@ -268,7 +268,7 @@
 class _Store:
     """A store that records its calls and may fail."""
 
-    def __init__(self, eras: feeds.Eras) -> None:
+    def __init__(self, eras: positions.Eras) -> None:
         self.eras = eras
         self.log = _Log()
         self.calls: list[str] = []
@@ -286,7 +286,7 @@
         return feeds.Listing(records=records, end=_at(len(self.log.records), self.era))
 
     def read(
-        self, topic: str, start: feeds.Position, wait_s: float
+        self, topic: str, start: positions.Position, wait_s: float
     ) -> list[feeds.Record]:
         self._record_call("read")
         if start.era < self.era:
@@ -329,7 +329,7 @@
     """A loop whose steps the test calls, with the ranges it published."""
 
     def __init__(self, *, reads: bool) -> None:
-        self.eras = feeds.Eras()
+        self.eras = positions.Eras()
         self.store, self.sink = _Store(self.eras), _Sink()
         self.published, self.reads = [], reads
         self.loop = feeds.FollowLoop(
--- a/tests/test_peer_group.py
+++ b/tests/test_peer_group.py
@@ -3,7 +3,7 @@
 import collections
 
 from tests import fixtures
-from turmericward import feeds, peers, requests
+from turmericward import feeds, peers, positions, requests
 
 check = fixtures.check
 LOAD = requests.TargetLoad(urgent_tokens=10.0, deferred_tokens=1.0, open_calls=2)
@@ -212,8 +212,8 @@
     record = feeds.Record(offset=3, key="t", value=b"v")
     topic_range = feeds.TopicRange(
         topic=feeds.Topic.TARGETS,
-        start=feeds.Position(0, 3),
-        end=feeds.Position(0, 5),
+        start=positions.Position(0, 3),
+        end=positions.Position(0, 5),
         as_of=network.now,
         records=(record,),
     )
@@ -249,8 +249,8 @@
     record = feeds.Record(offset=end - 1, key="t", value=b"v")
     return feeds.TopicRange(
         topic=feeds.Topic.TARGETS,
-        start=feeds.Position(0, end),
-        end=feeds.Position(0, end),
+        start=positions.Position(0, end),
+        end=positions.Position(0, end),
         as_of=0.0,
         records=(record,),
         full=True,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,7 +6,7 @@
 from thrift import TSerialization
 
 from tests import fixtures
-from turmericward import feeds, peers, requests
+from turmericward import feeds, peers, positions, requests
 from turmericward.peers import _codec
 from turmericward.wire.peers import ttypes
 
@@ -59,8 +59,8 @@
     record = feeds.Record(offset=4, key="config", value=value)
     batch = feeds.RecordBatch(
         topic=feeds.Topic.CONFIGURATION,
-        start=feeds.Position(4, 3),
-        end=feeds.Position(4, 6),
+        start=positions.Position(4, 3),
+        end=positions.Position(4, 6),
         age_s=0.25,
         records=(record,),
     )
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -6,7 +6,7 @@
 
 from benchmarks import prompt_model
 from tests import fixtures
-from turmericward import authority, feeds, fleet
+from turmericward import authority, fleet, positions
 
 check = fixtures.check
 PREFILL, DECODE = fleet.EngineRole.PREFILL, fleet.EngineRole.DECODE
@@ -151,11 +151,11 @@
         self.records = []
         self.era = 0
 
-    def append(self, claim: authority.Claim) -> feeds.Position | None:
+    def append(self, claim: authority.Claim) -> positions.Position | None:
         if claim.end.offset != len(self.records):
             return None
         self.records.append(claim.record)
-        position = feeds.Position(self.era, len(self.records) - 1)
+        position = positions.Position(self.era, len(self.records) - 1)
         return None if self._rng.random() < 0.2 else position
 
     def return_from_copy(self) -> None:
@@ -164,7 +164,7 @@
         del self.records[len(self.records) - self._rng.randrange(4) :]
 
     def read(self):
-        end = feeds.Position(self.era, len(self.records))
+        end = positions.Position(self.era, len(self.records))
         return end, self.records[-1] if self.records else None
 
 
@@ -176,7 +176,7 @@
         self._offset = rng.random() * 1000
         self._lease = authority.OnDemandLease(f"f{number}", TIMING, lambda: "id")
         self._ordered_at: float | None = None
-        self._eras = feeds.Eras(clock=lambda: self._now)
+        self._eras = positions.Eras(clock=lambda: self._now)
         self._now = 0.0
 
     def _clock(self, now: float) -> float:
@@ -251,9 +251,9 @@
 
 def test_a_claim_without_response_grants_no_lease():
     lease = authority.OnDemandLease("f", TIMING, lambda: "id")
-    lease.record_log_end(0.0, feeds.Position(0, 0), None, float("-inf"))
+    lease.record_log_end(0.0, positions.Position(0, 0), None, float("-inf"))
     claim = lease.acquire(0.0)
     check.assertIsNone(lease.authority(0.1, 0))
-    lease.record_log_end(0.2, feeds.Position(0, 1), claim.record, float("-inf"))
+    lease.record_log_end(0.2, positions.Position(0, 1), claim.record, float("-inf"))
     check.assertIsNone(lease.acquire(TIMING.term_s))
     check.assertIsNotNone(lease.acquire(0.2 + TIMING.term_s + TIMING.margin_s))
--- a/tests/test_start_in_outage.py
+++ b/tests/test_start_in_outage.py
@@ -7,7 +7,7 @@
 
 from standins import launch
 from tests import fixtures, platform_fixtures
-from turmericward import feeds, peers
+from turmericward import feeds, peers, positions
 
 check = fixtures.check
 PEER_HOST = "127.0.0.2"
@@ -21,8 +21,8 @@
     end = platform.store.end(name)
     return feeds.TopicRange(
         topic=topic,
-        start=feeds.Position(platform.store.era, end),
-        end=feeds.Position(platform.store.era, end),
+        start=positions.Position(platform.store.era, end),
+        end=positions.Position(platform.store.era, end),
         as_of=0.0,
         records=tuple(sorted(records, key=lambda r: r.offset)),
         full=True,
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -6,7 +6,7 @@
 
 from standins import launch, platform_store
 from tests import fixtures, platform_fixtures, test_adapters, test_feeds
-from turmericward import authority, delivery, feeds, fleet, peers
+from turmericward import authority, delivery, feeds, fleet, peers, positions
 from turmericward.adapters import errors
 from turmericward.platform import _follow, _orders, _store
 
@@ -16,10 +16,10 @@
 
 
 def test_positions_are_ordered_by_era_and_offset():
-    later = feeds.Position(2, 5)
-    check.assertGreater(later, feeds.Position(1, 900))
-    check.assertGreater(later, feeds.Position(2, 4))
-    check.assertEqual(later.plus(3), feeds.Position(2, 8))
+    later = positions.Position(2, 5)
+    check.assertGreater(later, positions.Position(1, 900))
+    check.assertGreater(later, positions.Position(2, 4))
+    check.assertEqual(later.plus(3), positions.Position(2, 8))
 
 
 def test_a_listing_of_a_later_era_is_taken_though_it_ends_before():
@@ -58,7 +58,7 @@
         front="f", boot=1, sequence=1, loads={}, record_batches=(batch,)
     )
     (decoded,) = peers.decode(peers.encode(state)).record_batches
-    check.assertEqual(decoded.end, feeds.Position(0, 4))
+    check.assertEqual(decoded.end, positions.Position(0, 4))
 
 
 def test_a_loop_lists_the_topic_again_in_a_new_era():
@@ -74,7 +74,7 @@
             case.loop.run_once()
         check.assertEqual(case.sink.events, ["listed", "reverted"], grown)
         last = case.published[-1].end
-        check.assertEqual(last, feeds.Position(1, 15 + grown), grown)
+        check.assertEqual(last, positions.Position(1, 15 + grown), grown)
 
 
 def test_a_member_learns_of_a_new_era_from_a_peer():
@@ -99,24 +99,24 @@
     # One of an era that has ended changes nothing.
     case.loop.put_batch(test_feeds._full_batch(90, era=1))
     case.loop.run_once()
-    check.assertEqual(case.published[-1].end, feeds.Position(2, 7))
+    check.assertEqual(case.published[-1].end, positions.Position(2, 7))
 
 
 def test_eras_only_rise_and_jump_no_further_than_plausible():
     counted = []
-    eras = feeds.Eras(lambda: counted.append(1), clock=lambda: 5.0)
+    eras = positions.Eras(lambda: counted.append(1), clock=lambda: 5.0)
     eras.observe(7, "the store")
     eras.observe(3, "a peer")
     check.assertEqual((eras.current, eras.since, counted), (7, 5.0, []))
     eras.observe(8, "a peer")
     check.assertEqual((eras.current, counted), (8, [1]))
-    first = feeds.Eras(lambda: counted.append(2), clock=lambda: 5.0)
+    first = positions.Eras(lambda: counted.append(2), clock=lambda: 5.0)
     first.observe(0, "the store")
     check.assertEqual(first.since, float("-inf"))
     first.observe(1, "the store")
     check.assertEqual(counted, [1, 2])
     for era in (8 + 101, 5_000):
-        with check.assertRaises(feeds.InvalidEraError):
+        with check.assertRaises(positions.InvalidEraError):
             eras.observe(era, "a peer")
     check.assertEqual(eras.current, 8)
 
@@ -131,21 +131,21 @@
 def test_the_client_tells_a_position_of_an_ended_era_from_a_failure():
     store = platform_store.Store()
     with test_adapters.serve_app(store) as address:
-        client = _store.StoreClient(address, 1.0, feeds.Eras())
+        client = _store.StoreClient(address, 1.0, positions.Eras())
         for n in range(3):
             client.put("t", f"k{n}", b"v")
         end = client.newest("t").end
-        check.assertEqual(end, feeds.Position(1, 3))
+        check.assertEqual(end, positions.Position(1, 3))
         check.assertEqual(_read(store, client, end), 0)
         store.return_from_copy(60.0)
         check.assertEqual(_read(store, client, end), "EraEndedError")
-        check.assertEqual(client.put("t", "k", b"v"), feeds.Position(2, 0))
+        check.assertEqual(client.put("t", "k", b"v"), positions.Position(2, 0))
         for text in (None, "", "x", "-1", "1", "99999", "\u0662", "2.0"):
             store.era = text
-            name = _read(store, client, feeds.Position(2, 1))
+            name = _read(store, client, positions.Position(2, 1))
             check.assertEqual(name, "LogUnavailableError", text)
         store.era = 2
-        check.assertEqual(_read(store, client, feeds.Position(2, 1)), 0)
+        check.assertEqual(_read(store, client, positions.Position(2, 1)), 0)
         client.close()
 
 
@@ -153,9 +153,9 @@
     store = platform_store.Store()
     store.era = None
     with test_adapters.serve_app(store) as address:
-        client = _store.StoreClient(address, 1.0, feeds.Eras())
-        check.assertEqual(client.put("t", "k", b"v"), feeds.Position(0, 0))
-        check.assertEqual(client.newest("t").end, feeds.Position(0, 1))
+        client = _store.StoreClient(address, 1.0, positions.Eras())
+        check.assertEqual(client.put("t", "k", b"v"), positions.Position(0, 0))
+        check.assertEqual(client.newest("t").end, positions.Position(0, 1))
         client.close()
 
 
@@ -286,7 +286,7 @@
 class _ReturningStore(test_feeds._Store):
     """A store of a shared log that may be cut off from its front."""
 
-    def __init__(self, eras: feeds.Eras, shared: "_SharedLog") -> None:
+    def __init__(self, eras: positions.Eras, shared: "_SharedLog") -> None:
         super().__init__(eras)
         self._shared = shared
 
@@ -301,10 +301,10 @@
     def newest(self, topic: str) -> feeds.Listing:
         self._record_call("list")
         records = tuple(self._shared.newest().values())
-        end = feeds.Position(self.era, len(self._shared.records))
+        end = positions.Position(self.era, len(self._shared.records))
         return feeds.Listing(records=records, end=end)
 
-    def read(self, topic: str, start: feeds.Position, wait_s: float):
+    def read(self, topic: str, start: positions.Position, wait_s: float):
         self._record_call("read")
         if start.era < self.era:
             raise errors.EraEndedError("a later era has begun")
@@ -341,7 +341,7 @@
 
     def __init__(self, shared: _SharedLog, *, reads: bool) -> None:
         self.reads = reads
-        self.eras = feeds.Eras()
+        self.eras = positions.Eras()
         self.store = _ReturningStore(self.eras, shared)
         self.picture = _Picture()
         self.history = feeds.History(test_feeds.TOPIC)
@@ -406,7 +406,7 @@
     """A front's lease protocol over the store."""
 
     def __init__(self, address: str, name: str) -> None:
-        self.eras = feeds.Eras()
+        self.eras = positions.Eras()
         self.log = _orders.StoreLease(_store.StoreClient(address, 1.0, self.eras))
         self.lease = authority.OnDemandLease(name, TIMING, lambda: "id")
 
@@ -476,17 +476,17 @@
         self.values: dict[str, bytes] = {}
         self.writes: list[str] = []
 
-    def put(self, topic: str, key: str, value: bytes) -> feeds.Position:
+    def put(self, topic: str, key: str, value: bytes) -> positions.Position:
         self.writes.append(key)
         self.values[key] = value
-        return feeds.Position(0, len(self.writes))
+        return positions.Position(0, len(self.writes))
 
     def newest(self, topic: str) -> feeds.Listing:
         records = tuple(
             feeds.Record(offset=n, key=key, value=value)
             for n, (key, value) in enumerate(self.values.items())
         )
-        return feeds.Listing(records=records, end=feeds.Position(0, len(records)))
+        return feeds.Listing(records=records, end=positions.Position(0, len(records)))
 
     def close(self) -> None:
         """Does nothing: there is no connection."""
@@ -502,7 +502,7 @@
             peers.Announcement(host="10.0.0.1", domain="a"),
             lambda front, announcement: None,
             lambda: None,
-            feeds.Eras(),
+            positions.Eras(),
         )
         for name in ("f1", "f2", "f3")
     ]
@@ -520,7 +520,7 @@
 
 
 def test_fronts_look_for_their_announcement_soon_after_a_new_era():
-    eras = feeds.Eras()
+    eras = positions.Eras()
     loop = peers.AnnounceLoop(
         _Table(),
         "fronts",
