--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -1,6 +1,5 @@
 """Task that owns the routing table, the targets and the calls in flight."""
 
-import collections
 import functools
 
 import attrs
@@ -235,28 +234,8 @@
 
     @handle.register
     def _(self, message: _messages.GetEngines) -> _messages.EnginesView:
-        targets = [t for t in self._directory.all() if t.role and not t.leaving]
-        engines = collections.defaultdict(list)
-        for target in targets:
-            engines[target.service].append(target)
-        return _messages.EnginesView(
-            engines=dict(engines),
-            loads={t.name: self._engine_load(t.name) for t in targets},
-            has_lowest_name=all(
-                self._name < peer for peer in self._placer.peers.names()
-            ),
-            listed=frozenset(
-                t.name
-                for t in targets
-                if fleet.target_hash(t.name) in self._listed_engines
-            ),
-        )
-
-    def _engine_load(self, name: str) -> fleet.EngineLoad:
-        load = self._placer.load(name)
-        return fleet.EngineLoad(
-            open_calls=load.open_calls,
-            queued_tokens=load.urgent_tokens + load.deferred_tokens,
+        return _status.engines_view(
+            self._name, self._directory, self._placer, self._listed_engines
         )
 
     @handle.register
--- a/src/turmericward/delivery/_status.py
+++ b/src/turmericward/delivery/_status.py
@@ -1,4 +1,7 @@
-"""What the status page shows of a target."""
+"""What the status page and the role planner are told of the targets."""
+
+import collections
+from collections.abc import Set
 
 from turmericward import fleet, requests
 from turmericward.delivery import _messages
@@ -30,3 +33,38 @@
         deferred_tokens=int(load.deferred_tokens),
         open_calls=load.open_calls,
     )
+
+
+def engines_view(
+    front: str,
+    directory: fleet.Directory,
+    placer: requests.Placer,
+    listed_engines: Set[int],
+) -> _messages.EnginesView:
+    """Returns the engines in use.
+
+    Args:
+        front: name of this front.
+        directory: the known targets.
+        placer: knows the load of all fronts.
+        listed_engines: hashes of the engines whose cache contents were listed.
+    """
+    targets = [t for t in directory.all() if t.role and not t.leaving]
+    engines = collections.defaultdict(list)
+    for target in targets:
+        engines[target.service].append(target)
+    return _messages.EnginesView(
+        engines=dict(engines),
+        loads={t.name: _engine_load(placer.load(t.name)) for t in targets},
+        has_lowest_name=all(front < peer for peer in placer.peers.names()),
+        listed=frozenset(
+            t.name for t in targets if fleet.target_hash(t.name) in listed_engines
+        ),
+    )
+
+
+def _engine_load(load: requests.TargetLoad) -> fleet.EngineLoad:
+    return fleet.EngineLoad(
+        open_calls=load.open_calls,
+        queued_tokens=load.urgent_tokens + load.deferred_tokens,
+    )
--- a/src/turmericward/peers/_peer_task.py
+++ b/src/turmericward/peers/_peer_task.py
@@ -16,6 +16,7 @@
     _messages,
     _outbox,
     _peer_group,
+    _record_exchange,
     _reports,
 )
 
@@ -26,12 +27,8 @@
 # Shortest and longest time between two states of a front that uses or is a relay.
 RELAYED_INTERVAL_S = 0.1
 RELAYED_HEARTBEAT_S = 0.5
-# How often a reader confirms that a topic has no further changes.
-BATCH_HEARTBEAT_S = 0.4
 # Ranks a draining front below all others when a relay is chosen.
 DRAINING_CAPACITY = -1
-# Shortest time between two datagrams with full batches.
-FULL_BATCH_INTERVAL_S = 0.2
 MAX_DATAGRAM_BYTES = 60_000
 
 
@@ -80,11 +77,7 @@
         self._reports = _reports.StateReports()
         self._known_fronts = _members.KnownFronts()
         self._received: dict[str, tuple[float, _codec.PeerState]] = {}
-        self._fresh_s = dict(fresh_s or {})
-        # Latest era of the store in the peers' batches.
-        self._latest_era = 0
-        self._histories = {topic: feeds.History(topic) for topic in self._fresh_s}
-        self._subscribers: dict[feeds.Topic, Callable[[feeds.RecordBatch], None]] = {}
+        self._records = _record_exchange.RecordExchange(fresh_s or {})
         # Events for the peers of this domain and for those of other domains.
         self._local_outbox = _outbox.Outbox()
         self._remote_outbox = _outbox.Outbox()
@@ -95,9 +88,6 @@
         self._sent_loads: _deltas.Loads = {}
         self._last_recipients: frozenset[str] = frozenset()
         self._sent_at = float("-inf")
-        self._batches_sent_at = float("-inf")
-        self._batches_due = False
-        self._full_batches_sent_at = float("-inf")
         self._changed = False
         # Read by any thread: whether peers rely on what this front reads of the
         # store, and whether it queries targets itself or relies on its relay for that.
@@ -116,7 +106,7 @@
         self, topic: feeds.Topic, on_batch: Callable[[feeds.RecordBatch], None]
     ) -> None:
         """Passes peers' record batches of a topic to `on_batch`; call before start."""
-        self._subscribers[topic] = on_batch
+        self._records.subscribe(topic, on_batch)
 
     @functools.singledispatchmethod
     def handle(self, message: object) -> object:
@@ -157,9 +147,10 @@
             self._queue_events(state, now)
             self._changed = True
             self._send_if_due(now)
-        self._pass_on_batches(state)
-        if state.needs_full_batches and state.domain == self._domain:
-            self._send_full_batches(state.front, message.host, now)
+        if state.domain == self._domain:
+            self._records.receive(state)
+            if state.needs_full_batches:
+                self._send_full_batches(state.front, message.host, now)
         self._forward(self._without_local_load(state))
 
     def _with_unchanged_loads(self, state: _codec.PeerState) -> _codec.PeerState:
@@ -176,25 +167,13 @@
         if state.domain == self._domain:
             self._remote_outbox.add(state, now)
 
-    def _pass_on_batches(self, state: _codec.PeerState) -> None:
-        if state.domain != self._domain:
-            return
-        for batch in state.record_batches:
-            self._latest_era = max(self._latest_era, batch.end.era)
-            if batch.topic in self._subscribers:
-                self._subscribers[batch.topic](batch)
-
     def _send_full_batches(self, front: str, host: str, now: float) -> None:
         """Sends the newest record of every key to a front that can't read the store."""
         if self._peers.relay_of(self._domain, now, exclude=front) != self._front:
             return
-        if now - self._full_batches_sent_at < FULL_BATCH_INTERVAL_S:
-            return
-        full = [history.full_batch(now) for history in self._histories.values()]
-        batches = tuple(batch for batch in full if batch is not None)
+        batches = self._records.pop_full(now)
         if not batches:
             return
-        self._full_batches_sent_at = now
         data = _codec.encode(attrs.evolve(self._empty_state(), record_batches=batches))
         if len(data) > MAX_DATAGRAM_BYTES:
             logging.warning("%s asks for %d bytes, too much", front, len(data))
@@ -211,8 +190,9 @@
     @handle.register
     def _(self, message: feeds.TopicRange) -> None:
         now = self._clock()
-        if self._histories[message.topic].add(message, now) and self.reads_store:
-            self._changed = self._batches_due = True
+        if self._records.add(message, now) and self.reads_store:
+            self._records.set_due()
+            self._changed = True
             self._send_if_due(now)
 
     @handle.register
@@ -282,7 +262,7 @@
         recipients = self._peers.recipients(now)
         self._track_recipients(recipients)
         reports = self._reports.pop_due(now)
-        batches = self._due_batches(now)
+        batches = self._records.pop_due(now)
         for scope in _peer_group.LoadScope:
             group = [r for r in recipients if r.scope is scope]
             if group:
@@ -304,7 +284,7 @@
         self,
         scope: _peer_group.LoadScope,
         group: list[_peer_group.Recipient],
-        batches: tuple[feeds.RecordBatch, ...],
+        batches: _record_exchange.Batches,
         reports: _reports.DueReports,
         now: float,
     ) -> None:
@@ -340,10 +320,7 @@
             partial=True,
             domain=self._domain,
             capacity=self._peers.capacity,
-            needs_full_batches=not all(
-                history.has_data_of(self._latest_era)
-                for history in self._histories.values()
-            ),
+            needs_full_batches=self._records.needs_full_batches,
         )
 
     def _build_state(
@@ -371,17 +348,6 @@
             fronts=1 + sum(state.fronts for state in relayed),
         )
 
-    def _due_batches(self, now: float) -> tuple[feeds.RecordBatch, ...]:
-        if not self._batches_due and now - self._batches_sent_at < BATCH_HEARTBEAT_S:
-            return ()
-        self._batches_sent_at = now
-        self._batches_due = False
-        recent = [
-            history.recent_batch(now, self._fresh_s[topic])
-            for topic, history in self._histories.items()
-        ]
-        return tuple(batch for batch in recent if batch is not None)
-
     def _relayed_states(self, scope, now: float) -> list[_codec.PeerState]:
         """Returns the peers' states that a relay adds to its local state."""
         members = set(self._peers.live_members(now))
