The trial after a bar goes on to an answer after its prefill

Cause: the second placement of the call that is tried, after its separate prefill, was refused like any other, so that a trial decided nothing unless it was read where it was answered. Change: the call goes on while its trial lasts, but not a second time. Figures: test_quarantine: 'quarantined' before, allowed now; refused again if it lost an engine.

--- a/src/turmericward/delivery/_crash_guard.py
+++ b/src/turmericward/delivery/_crash_guard.py
@@ -51,6 +51,7 @@
             list(prompt.shared_ids),
             runtime.now(),
             retry=message.retry or bool(message.call.resume_after),
+            prefilled=message.prefilled,
             trial_rank=self._trial_rank,
         )
         self._log_changes()
--- a/src/turmericward/requests/_quarantine.py
+++ b/src/turmericward/requests/_quarantine.py
@@ -14,6 +14,7 @@
 
 import collections
 import enum
+import itertools
 import math
 from collections.abc import Callable, Iterable, Iterator, Sequence
 
@@ -246,6 +247,7 @@
         now: float,
         *,
         retry: bool,
+        prefilled: bool,
         trial_rank: Callable[[int], int],
     ) -> _router.Refusal | None:
         """Returns why a prompt must not go to an engine, None if it may.
@@ -254,17 +256,19 @@
             segments: segments that the prompt shares with others.
             now: monotonic seconds.
             retry: whether the call has been sent before.
+            prefilled: whether it goes on after a separate prefill.
             trial_rank: returns how many fronts go before this one in the trial of a
                 segment whose bar has ended.
         """
         known = [(s, self._suspects[s]) for s in segments if s in self._suspects]
         if not known:
             return None
-        waits_s = [
-            self._trial_wait_s(suspect.bar, segment, now, trial_rank)
-            for segment, suspect in known
-            if suspect.bar is not None
-        ]
+        barred = [(s, x.bar) for s, x in known if x.bar is not None]
+        in_trial = barred and all(bar.trial_until > now for _, bar in barred)
+        if in_trial and prefilled and not retry:
+            # The prompt that is tried goes on after its prefill.
+            return None
+        waits_s = (_trial_wait_s(bar, now, trial_rank(s)) for s, bar in barred)
         wait_s = max(waits_s, default=0.0)
         if wait_s > 0:
             return _router.Refusal(reason=BARRED, retry_after_s=wait_s)
@@ -273,28 +277,18 @@
             for s, x in known
         ):
             return _router.Refusal(reason=SUSPECTED, retry_after_s=TRIAL_TIMEOUT_S)
-        for segment, suspect in known:
-            if suspect.bar is not None:
-                suspect.bar.trial_until = now + TRIAL_TIMEOUT_S
-                self._note(segment, SegmentState.TRIED)
+        for segment, bar in barred:
+            bar.trial_until = now + TRIAL_TIMEOUT_S
+            self._note(segment, SegmentState.TRIED)
         return None
 
-    def _trial_wait_s(self, bar: _suspects.Bar, segment: int, now: float, trial_rank):
-        """Returns when this front may try a prompt with a barred segment."""
-        if now < bar.until:
-            return bar.until - now
-        turn = bar.until + TRIAL_INTERVAL_S * trial_rank(segment)
-        return max(turn, bar.trial_until) - now
-
     # Reports.
 
     def outcomes(self, now: float) -> tuple[_suspects.SegmentOutcome, ...]:
         """Returns what is to be told to the peers, the strongest evidence first."""
         told = sorted(self._suspects, key=self._evidence, reverse=True)
         rows = (row for segment in told for row in self._outcomes_of(segment, now))
-        return tuple(
-            row for row, _ in zip(rows, range(MAX_TOLD_OUTCOMES), strict=False)
-        )
+        return tuple(itertools.islice(rows, MAX_TOLD_OUTCOMES))
 
     def _outcomes_of(
         self, segment: int, now: float
@@ -317,6 +311,16 @@
         return {s: x for s, x in self._suspects.items() if x.bar is not None}
 
 
+def _trial_wait_s(bar: _suspects.Bar, now: float, rank: int) -> float:
+    """Returns when the front of a rank may try a prompt with a barred segment.
+
+    Until its bar has ended, callers are told the end of the bar.
+    """
+    if now < bar.until:
+        return bar.until - now
+    return max(bar.until + TRIAL_INTERVAL_S * rank, bar.trial_until) - now
+
+
 def _count_moments(times: Iterable[float]) -> int:
     moments = 0
     last_at = -math.inf
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -13,9 +13,10 @@
     return requests.Incarnation(number, 1)
 
 
-def _refused(quarantine, segments, now: float, *, retry=False, rank=0) -> str:
+def _refused(quarantine, segments, now: float, *, rank=0, **options) -> str:
+    options = {"retry": False, "prefilled": False} | options
     refusal = quarantine.refusal(
-        segments, now, retry=retry, trial_rank=lambda segment: rank
+        segments, now, trial_rank=lambda segment: rank, **options
     )
     return "" if refusal is None else refusal.reason
 
@@ -83,6 +84,9 @@
         check.assertEqual(_refused(quarantine, [2], now, rank=1), "quarantined")
         check.assertEqual(_refused(quarantine, [2], now), "")
         check.assertEqual(_refused(quarantine, [2], now + 1.0), "quarantined")
+        check.assertEqual(_refused(quarantine, [2], now + 1.0, prefilled=True), "")
+        lost = _refused(quarantine, [2], now + 1.0, prefilled=True, retry=True)
+        check.assertEqual(lost, "quarantined")
         quarantine.record_crash([2], _engine(number), now)
     now += 600.1
     check.assertEqual(_refused(quarantine, [2], now), "")
