Rank the fronts for a trial only when a bar has ended

Cause: each refusal of a barred prompt hashed the names of all fronts. Change: the rank is asked for after the end of the bar. No other behaviour changes.

--- a/src/turmericward/requests/_quarantine.py
+++ b/src/turmericward/requests/_quarantine.py
@@ -268,7 +268,7 @@
         if in_trial and prefilled and not retry:
             # The prompt that is tried goes on after its prefill.
             return None
-        waits_s = (_trial_wait_s(bar, now, trial_rank(s)) for s, bar in barred)
+        waits_s = (_trial_wait_s(s, bar, now, trial_rank) for s, bar in barred)
         wait_s = max(waits_s, default=0.0)
         if wait_s > 0:
             return _router.Refusal(reason=BARRED, retry_after_s=wait_s)
@@ -311,14 +311,17 @@
         return {s: x for s, x in self._suspects.items() if x.bar is not None}
 
 
-def _trial_wait_s(bar: _suspects.Bar, now: float, rank: int) -> float:
-    """Returns when the front of a rank may try a prompt with a barred segment.
+def _trial_wait_s(
+    segment: int, bar: _suspects.Bar, now: float, trial_rank: Callable[[int], int]
+) -> float:
+    """Returns when this front may try a prompt with a barred segment.
 
-    Until its bar has ended, callers are told the end of the bar.
+    Until the bar has ended, callers are told its end.
     """
     if now < bar.until:
         return bar.until - now
-    return max(bar.until + TRIAL_INTERVAL_S * rank, bar.trial_until) - now
+    turn = bar.until + TRIAL_INTERVAL_S * trial_rank(segment)
+    return max(turn, bar.trial_until) - now
 
 
 def _count_moments(times: Iterable[float]) -> int:
