--- a/src/turmericward/delivery/_stream.py
+++ b/src/turmericward/delivery/_stream.py
@@ -141,7 +141,7 @@
         for event in events:
             if event.number is None:
                 if resumed:
-                    # Only text that isn't the stream's has no place in its order.
+                    # A stream is resumed by the ids of its events: all have one.
                     return new_events, "event without id in a resumed stream"
                 new_events.append(event)
                 continue
