--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -19,8 +19,8 @@
 # Play of the front as a process.
 CALL_INTERVAL_S = 0.05
 RESTART_S = 0.3
-PLAY_S = 7.5
-STEADY_S = 2.0
+PLAY_S = 9.0
+STEADY_S = 3.0
 DOCUMENTS = [f"document{n}" for n in range(40)]
 SOUND = [crashing_fleet.prompt("system", d, own=f"s{d}") for d in DOCUMENTS]
 DEADLY = [crashing_fleet.prompt("system", "deadly", d, own=f"d{d}") for d in DOCUMENTS]
@@ -52,7 +52,7 @@
 
 
 def test_prompts_with_one_segment_crashed_one_engine_after_the_other():
-    _check_bounds(_play(2))
+    _check_bounds(_play(2, until=40.0, deadly_from=5.0))
 
 
 def test_the_segment_is_found_wherever_it_stands_in_the_prompt():
