Time bounds of a planned stop: one clock for server and deliveries

Nothing bounded a stop: bounds.drain_s is read nowhere. runtime.Drain says when a stop began, by when open calls have their final answers and when the process exits.

--- a/src/turmericward/delivery/_context.py
+++ b/src/turmericward/delivery/_context.py
@@ -1,11 +1,12 @@
 """Interfaces that a delivery needs from its process."""
 
+import math
 from concurrent import futures
 from typing import Protocol
 
 import attrs
 
-from turmericward import fleet, telemetry
+from turmericward import fleet, runtime, telemetry
 from turmericward.delivery import _calls
 
 
@@ -50,8 +51,12 @@
 
 @attrs.frozen(kw_only=True)
 class Context:
-    """Dependencies that all deliveries of a process share."""
+    """Dependencies that all deliveries of a process share.
+
+    `drain` has the time bounds of the process's planned stop.
+    """
 
     dispatch: Dispatcher
     transport: Transport
     metrics: telemetry.Metrics
+    drain: runtime.Drain = attrs.field(factory=lambda: runtime.Drain(math.inf))
--- a/src/turmericward/runtime/__init__.py
+++ b/src/turmericward/runtime/__init__.py
@@ -1,6 +1,7 @@
 """Tasks that own their state and exchange messages, and the threads running them."""
 
 from turmericward.runtime._clock import now
+from turmericward.runtime._drain import Drain
 from turmericward.runtime._errors import RuntimeFaultError, TaskStoppedError
 from turmericward.runtime._group import Group
 from turmericward.runtime._ids import new_id, sha256_hex
@@ -8,6 +9,7 @@
 from turmericward.runtime._waiters import Waiters
 
 __all__ = [
+    "Drain",
     "Group",
     "Loop",
     "RuntimeFaultError",
--- /dev/null
+++ b/src/turmericward/runtime/_drain.py
@@ -0,0 +1,71 @@
+"""Time bounds of a process's planned stop."""
+
+import math
+import threading
+from collections.abc import Callable
+
+from turmericward.runtime import _clock
+
+# Time between the last final answer and the end, and between the end and the moment
+# at which the process may be killed: a share of the length, up to a maximum.
+ANSWER_MARGIN_SHARE = 1 / 16
+MAX_ANSWER_MARGIN_S = 0.5
+EXIT_MARGIN_SHARE = 1 / 16
+MAX_EXIT_MARGIN_S = 0.5
+
+
+class Drain:
+    """When a planned stop began, and when it has to be over.
+
+    Times are on the clock of `now`. Every open call has its final answer by `deadline`;
+    the process exits by `end`. Both are infinite until the stop begins. A process that
+    was paused may find that they have passed. May be used from any thread.
+    """
+
+    def __init__(
+        self, length_s: float, clock: Callable[[], float] = _clock.now
+    ) -> None:
+        """Creates the bounds of a stop that has not begun.
+
+        Args:
+            length_s: time between the signal to stop and the kill.
+            clock: returns the current time.
+        """
+        self._lock = threading.Lock()
+        self._clock = clock
+        self._length_s = length_s
+        self._began_at: float | None = None
+
+    def set_length(self, length_s: float) -> None:
+        """Changes the length, also of a stop that has begun."""
+        self._length_s = length_s
+
+    def begin(self) -> None:
+        """Begins the stop; later calls change nothing."""
+        with self._lock:
+            if self._began_at is None:
+                self._began_at = self._clock()
+
+    @property
+    def began(self) -> bool:
+        """Whether the stop has begun."""
+        return self._began_at is not None
+
+    @property
+    def elapsed_s(self) -> float:
+        """Seconds since the stop began, 0 before."""
+        return 0.0 if self._began_at is None else self._clock() - self._began_at
+
+    @property
+    def deadline(self) -> float:
+        """Time by which every open call has its final answer."""
+        margin_s = min(MAX_ANSWER_MARGIN_S, ANSWER_MARGIN_SHARE * self._length_s)
+        return self.end - margin_s
+
+    @property
+    def end(self) -> float:
+        """Time by which the process exits."""
+        if self._began_at is None:
+            return math.inf
+        margin_s = min(MAX_EXIT_MARGIN_S, EXIT_MARGIN_SHARE * self._length_s)
+        return self._began_at + self._length_s - margin_s
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,51 @@
+"""Time bounds of a planned stop, under a virtual clock."""
+
+import math
+
+from tests import fixtures
+from turmericward import runtime
+
+check = fixtures.check
+START = 100.0
+
+
+class _Clock:
+    def __init__(self) -> None:
+        self.now = START
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def test_bounds_are_infinite_before_the_stop_begins():
+    drain = runtime.Drain(8.0, _Clock())
+    check.assertFalse(drain.began)
+    check.assertEqual((drain.deadline, drain.end), (math.inf, math.inf))
+    check.assertEqual(drain.elapsed_s, 0.0)
+
+
+def test_answers_end_before_the_process_and_that_before_the_kill():
+    for length_s in (1.0, 8.0, 600.0):
+        drain = runtime.Drain(length_s, _Clock())
+        drain.begin()
+        check.assertLess(START + length_s / 2, drain.deadline)
+        check.assertLess(drain.deadline, drain.end)
+        check.assertLess(drain.end, START + length_s)
+
+
+def test_second_signal_does_not_extend_the_stop():
+    clock = _Clock()
+    drain = runtime.Drain(8.0, clock)
+    drain.begin()
+    end = drain.end
+    clock.now += 5.0
+    drain.begin()
+    check.assertEqual(drain.end, end)
+    check.assertEqual(drain.elapsed_s, 5.0)
+
+
+def test_changed_length_applies_to_a_stop_that_has_begun():
+    drain = runtime.Drain(8.0, _Clock())
+    drain.begin()
+    drain.set_length(2.0)
+    check.assertLess(drain.end, START + 2.0)
