--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -11,6 +11,7 @@
     _calls,
     _context,
     _messages,
+    _open_placement,
     _progress,
     _record,
     _stream,
@@ -43,12 +44,11 @@
         self._service = service
         self._progress = _progress.Progress(route=call.route)
         self._record = _record.CallRecord(ctx.metrics, call, service)
-        self._placement: requests.Placement | None = None
+        self._open = _open_placement.OpenPlacement(
+            ctx.dispatch, self._record, call.prompt
+        )
         # Name of the target of the latest placement.
         self._target = ""
-        self._sent_at = 0.0
-        # When the current attempt had its first output of the answer.
-        self._writing_since: float | None = None
         # Handle of the prompt's KV cache until a decode target accepts it.
         self._kv_source = ""
         self._prefill_domain = ""
@@ -66,7 +66,7 @@
             return self._abandoned_reply()
         finally:
             # A running stream has taken over its placement and ends it itself.
-            self._end_placement(requests.Ending.DISCONNECTED)
+            self._open.end(requests.Ending.DISCONNECTED)
             self._release_kv_source()
 
     def _deliver(self) -> _calls.Reply:
@@ -97,12 +97,11 @@
         if chosen.is_err():
             refusal = chosen.unwrap_err()
             self._progress.abandon(refusal.reason, refusal.retry_after_s)
-        self._placement = chosen.unwrap()
-        self._target = self._placement.target.name
-        self._record.log_placement(self._placement)
-        self._await_start(runtime.now() + self._placement.start_after_s)
-        self._sent_at = runtime.now()
-        self._writing_since = None
+        placement = chosen.unwrap()
+        self._open.begin(placement)
+        self._target = placement.target.name
+        self._await_start(runtime.now() + placement.start_after_s)
+        self._open.mark_sent()
 
     def _await_start(self, start: float) -> None:
         """Waits until the target's rate limit allows the call."""
@@ -117,11 +116,12 @@
             return
         while True:
             self._place(prefilled=False)
-            if not self._placement.prefill_only:
+            placement = self._open.placement
+            if not placement.prefill_only:
                 return
             try:
                 self._kv_source = self._ctx.transport.prefill(
-                    self._placement.target,
+                    placement.target,
                     self._call,
                     self._new_dispatch(prefill_only=True),
                 )
@@ -133,20 +133,20 @@
                 crashed = self._end_failed_attempt(exc)
                 self._progress.record_prefill_failure(self._target, crashed=crashed)
             else:
-                self._prefill_domain = self._placement.target.domain
+                self._prefill_domain = placement.target.domain
                 self._progress.prefills += 1
-                self._record_first_output()
-                self._end_placement(requests.Ending.SUCCEEDED)
+                self._open.record_first_output()
+                self._open.end(requests.Ending.SUCCEEDED)
                 return
 
     def _attempt(self) -> _calls.Answer | None:
         """Sends the call once; returns None if it has to go to another target."""
-        if self._placement is None:
+        if self._open.placement is None:
             # A plain call, one with a separate prefill, or a stream to resume.
             self._place(prefilled=self._call.prompt is not None)
         try:
             answer = self._ctx.transport.send(
-                self._placement.target, self._call, self._new_dispatch()
+                self._open.placement.target, self._call, self._new_dispatch()
             )
         except errors.CancelledError as exc:
             raise _ClientDisconnectedError from exc
@@ -174,7 +174,7 @@
             self._ctx.transport.release(source)
 
     def _new_dispatch(self, *, prefill_only=False) -> _calls.Dispatch:
-        placement = self._placement
+        placement = self._open.placement
         return _calls.Dispatch(
             timeout_s=_timeouts.first_byte_timeout_s(
                 self._call, placement.expected_s, may_repeat=self._progress.may_repeat()
@@ -189,12 +189,14 @@
     def _record_not_executed(self, exc: errors.AdapterError) -> None:
         """Records an attempt that was refused or couldn't be sent."""
         if isinstance(exc, errors.NotExecutedError):
-            self._record.log_failed_attempt(self._placement, "refused", str(exc))
-            self._end_placement(requests.Ending.REFUSED)
+            self._record.log_failed_attempt(self._open.placement, "refused", str(exc))
+            self._open.end(requests.Ending.REFUSED)
             self._progress.record_refusal(self._target)
         else:
-            self._record.log_failed_attempt(self._placement, "not_reached", str(exc))
-            self._end_placement(requests.Ending.UNREACHED)
+            self._record.log_failed_attempt(
+                self._open.placement, "not_reached", str(exc)
+            )
+            self._open.end(requests.Ending.UNREACHED)
             self._progress.record_unreachable(self._target)
 
     def _record_failure(self, exc: Exception) -> None:
@@ -206,20 +208,18 @@
         """Ends the placement; returns whether the target has ended."""
         crashed = self._has_target_crashed(exc)
         self._record.log_failed_attempt(
-            self._placement, "failed", repr(exc), target_ended=crashed
-        )
-        self._end_placement(
-            requests.Ending.CRASHED if crashed else requests.Ending.FAILED
+            self._open.placement, "failed", repr(exc), target_ended=crashed
         )
+        self._open.end(requests.Ending.CRASHED if crashed else requests.Ending.FAILED)
         return crashed
 
     def _has_target_crashed(self, exc: Exception) -> bool:
         """Returns whether the attempt failed since the engine's process ended."""
-        if self._call.prompt is None or self._placement is None:
+        if self._call.prompt is None or self._open.placement is None:
             return False
         if not isinstance(exc, errors.ConnectionLostError):
             return False
-        return self._ctx.transport.has_ended(self._placement.target)
+        return self._ctx.transport.has_ended(self._open.placement.target)
 
     # Replies.
 
@@ -246,19 +246,19 @@
             return None
         finally:
             answer.close()
-        self._record_first_output()
+        self._open.record_first_output()
         reply = _calls.Reply(status=answer.status, headers=answer.headers, body=body)
         if answer.status >= 500:
             self._progress.fallback = reply
             self._record_failure(errors.AnswerLostError(f"status {answer.status}"))
             return None
         answered = answer.status == http.HTTPStatus.OK
-        self._end_placement(requests.Ending.SUCCEEDED, answered=answered)
+        self._open.end(requests.Ending.SUCCEEDED, answered=answered)
         self._record_reply("answered", answer.status)
         return reply
 
     def _streamed_reply(self, answer: _calls.Answer) -> _calls.Reply | None:
-        attempt = _stream.StreamAttempt(answer=answer, placement=self._placement)
+        attempt = _stream.StreamAttempt(answer=answer, placement=self._open.placement)
         body = _stream.Stream(self, attempt, self._call.resume_after)
         try:
             body.await_first()
@@ -269,8 +269,8 @@
             answer.close()
             self._record_failure(exc)
             return None
-        self._record_first_output()
-        self._placement = None
+        self._open.record_first_output()
+        self._open.hand_over()
         return _calls.Reply(status=answer.status, headers=answer.headers, body=body)
 
     def _disconnected_reply(self) -> _calls.Reply:
@@ -292,36 +292,6 @@
 
     # Bookkeeping.
 
-    def _record_first_output(self) -> None:
-        if not self._placement.prefill_only:
-            self._writing_since = runtime.now()
-        took_s = runtime.now() - self._sent_at
-        self._record.log_first_output(self._placement, took_s)
-        self._ctx.dispatch.post(
-            _messages.FirstOutput(
-                placement=self._placement, prompt=self._call.prompt, took_s=took_s
-            )
-        )
-
-    def _end_placement(
-        self, ending: requests.Ending, *, answered: bool = False
-    ) -> None:
-        placement, self._placement = self._placement, None
-        if placement is not None:
-            self._post_ended(placement, ending, answered=answered)
-
-    def _post_ended(self, placement, ending: requests.Ending, **details) -> None:
-        since = self._writing_since
-        self._ctx.dispatch.post(
-            _messages.PlacementEnded(
-                placement=placement,
-                prompt=self._call.prompt,
-                ending=ending,
-                writing_s=0.0 if since is None else runtime.now() - since,
-                **details,
-            )
-        )
-
     def _record_reply(self, outcome: str, status: int) -> None:
         progress = self._progress
         self._record.record_reply(
@@ -338,17 +308,14 @@
 
     def events_received(self, count: int) -> None:
         """Records the arrival of a batch of events."""
-        if self._writing_since is None:
-            self._writing_since = runtime.now()
+        self._open.record_output()
         self._record.record_events(count)
 
     def attempt_ended(self, attempt: _stream.StreamAttempt, *, completed: bool) -> None:
         """Ends a successful attempt; not `completed` if the client disconnected."""
-        self._post_ended(
-            attempt.placement,
-            requests.Ending.SUCCEEDED,
-            streamed=completed,
-            answered=completed,
+        self._open.resume(attempt.placement)
+        self._open.end(
+            requests.Ending.SUCCEEDED, streamed=completed, answered=completed
         )
 
     def stream_ended(self, outcome: str) -> None:
@@ -373,7 +340,7 @@
         self, attempt: _stream.StreamAttempt, exc: Exception, last_id: str
     ) -> _stream.StreamAttempt | None:
         """Ends a failed attempt and starts the next; None if none may follow."""
-        self._placement = attempt.placement
+        self._open.resume(attempt.placement)
         self._call = attrs.evolve(self._call, resume_after=last_id)
         try:
             self._record_failure(exc)
@@ -381,7 +348,7 @@
         except (_progress.CallAbandonedError, _ClientDisconnectedError):
             return None
         finally:
-            self._end_placement(requests.Ending.DISCONNECTED)
+            self._open.end(requests.Ending.DISCONNECTED)
 
     def _next_stream_attempt(self) -> _stream.StreamAttempt | None:
         if not self._call.route.resumable:
@@ -396,5 +363,6 @@
                     errors.AnswerLostError(f"status {answer.status}, no stream")
                 )
                 continue
-            placement, self._placement = self._placement, None
-            return _stream.StreamAttempt(answer=answer, placement=placement)
+            return _stream.StreamAttempt(
+                answer=answer, placement=self._open.hand_over()
+            )
