Open calls get a final answer before the process's stop ends

Callers saw: requests that a stopped front had passed on ended with a closed connection, without an answer. Cause: nothing in a delivery knew that the process would be killed at the end of the grace; calls went on until SIGKILL cut them. Now each wait of a call also ends at runtime.Drain.deadline: a call that was not passed on, or only prefilled, is refused (503, not run, time to return); one that was passed on gets 502 with nothing about 'not run'; a stream breaks off visibly, also one that never pauses; the target's connection is closed, its placement ends neutrally. A log line ended_by_stop (phase, passed on, age, time left) and a counter for each. Ruled out: ending calls by a shorter Call.deadline, as that is fixed when the call is read, before the signal.

Tests: test_delivery_stop (5).

--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -10,10 +10,12 @@
 from turmericward.delivery import (
     _calls,
     _context,
+    _early_end,
     _messages,
     _open_placement,
     _progress,
     _record,
+    _stop,
     _stream,
     _timeouts,
 )
@@ -24,10 +26,6 @@
 CLIENT_CLOSED_REQUEST = 499
 
 
-class _ClientDisconnectedError(Exception):
-    """Raised when the client has closed its connection."""
-
-
 class Delivery:
     """One call, with attempts bounded by its route and the retry budget."""
 
@@ -40,10 +38,17 @@
             service: name of the service that handles it.
         """
         self._ctx = ctx
-        self._call = call
         self._service = service
         self._progress = _progress.Progress(route=call.route)
         self._record = _record.CallRecord(ctx.metrics, call, service)
+        self._early_end = _early_end.EarlyEnd(
+            call.disconnected,
+            _stop.CallStop(drain=ctx.drain),
+            self._progress,
+            self._record,
+        )
+        # Polled while an attempt waits for its target.
+        self._call = attrs.evolve(call, disconnected=self._early_end.is_due)
         self._open = _open_placement.OpenPlacement(
             ctx.dispatch, self._record, call.prompt
         )
@@ -60,7 +65,7 @@
     def _final_reply(self) -> _calls.Reply:
         try:
             return self._deliver()
-        except _ClientDisconnectedError:
+        except _early_end.ClientDisconnectedError:
             return self._disconnected_reply()
         except _progress.CallAbandonedError:
             return self._abandoned_reply()
@@ -81,15 +86,13 @@
     # Placement and attempts.
 
     def _place(self, *, prefilled: bool) -> None:
-        if self._call.disconnected():
-            raise _ClientDisconnectedError
-        if self._call.remaining_s() <= 0:
-            self._progress.abandon("deadline")
+        retry = self._progress.is_retry(prefilled=prefilled)
+        self._early_end.check_attempt(self._call)
         message = _messages.Place(
             call=self._call,
             service=self._service,
             excluded=self._progress.excluded,
-            retry=self._progress.is_retry(prefilled=prefilled),
+            retry=retry,
             prefilled=prefilled,
             prefill_domain=self._prefill_domain,
         )
@@ -106,8 +109,8 @@
     def _await_start(self, start: float) -> None:
         """Waits until the target's rate limit allows the call."""
         while (remaining_s := start - runtime.now()) > 0:
-            if self._call.disconnected():
-                raise _ClientDisconnectedError
+            if self._early_end.is_due():
+                self._early_end.end_call(_stop.Phase.WAITING)
             time.sleep(min(remaining_s, DISCONNECT_POLL_S))
 
     def _prefill(self) -> None:
@@ -125,8 +128,8 @@
                     self._call,
                     self._new_dispatch(prefill_only=True),
                 )
-            except errors.CancelledError as exc:
-                raise _ClientDisconnectedError from exc
+            except errors.CancelledError:
+                self._early_end.end_call(_stop.Phase.PREFILL)
             except (errors.NotExecutedError, errors.NotSentError) as exc:
                 self._record_not_executed(exc)
             except errors.AdapterError as exc:
@@ -148,8 +151,8 @@
             answer = self._ctx.transport.send(
                 self._open.placement.target, self._call, self._new_dispatch()
             )
-        except errors.CancelledError as exc:
-            raise _ClientDisconnectedError from exc
+        except errors.CancelledError:
+            self._early_end.end_call(_stop.Phase.RUNNING)
         except errors.NotSentError as exc:
             # The KV cache wasn't fetched, so another target can still use it.
             self._record_not_executed(exc)
@@ -239,8 +242,8 @@
     def _buffered_reply(self, answer: _calls.Answer) -> _calls.Reply | None:
         try:
             body = answer.read()
-        except errors.CancelledError as exc:
-            raise _ClientDisconnectedError from exc
+        except errors.CancelledError:
+            self._early_end.end_call(_stop.Phase.RUNNING)
         except errors.AdapterError as exc:
             self._record_failure(exc)
             return None
@@ -262,9 +265,9 @@
         body = _stream.Stream(self, attempt, self._call.resume_after)
         try:
             body.await_first()
-        except errors.CancelledError as exc:
+        except errors.CancelledError:
             answer.close()
-            raise _ClientDisconnectedError from exc
+            self._early_end.end_call(_stop.Phase.RUNNING)
         except errors.AdapterError as exc:
             answer.close()
             self._record_failure(exc)
@@ -332,6 +335,21 @@
             return False
         return self._ctx.transport.has_ended(attempt.placement.target)
 
+    def interrupted(self) -> bool:
+        """Returns whether the stream has to end now."""
+        return self._early_end.is_due()
+
+    def record_interruption(self) -> bool:
+        """Records why a stream ends early; returns whether its client still waits."""
+        try:
+            self._early_end.end_call(_stop.Phase.STREAMING)
+        except _early_end.ClientDisconnectedError:
+            self.stream_ended("client_gone")
+            return False
+        except _progress.CallAbandonedError:
+            self.stream_ended("broken")
+            return True
+
     def failure(self) -> _calls.Failure:
         """Returns the failure to report if no further attempt is made."""
         return self._progress.failure(deadline_passed=self._call.remaining_s() <= 0)
@@ -345,7 +363,7 @@
         try:
             self._record_failure(exc)
             return self._next_stream_attempt()
-        except (_progress.CallAbandonedError, _ClientDisconnectedError):
+        except (_progress.CallAbandonedError, _early_end.ClientDisconnectedError):
             return None
         finally:
             self._open.end(requests.Ending.DISCONNECTED)
--- /dev/null
+++ b/src/turmericward/delivery/_early_end.py
@@ -0,0 +1,64 @@
+"""Ends a call without its answer: its client has left, or the process stops."""
+
+from collections.abc import Callable
+from typing import NoReturn
+
+from turmericward.delivery import _calls, _progress, _record, _stop
+
+
+class ClientDisconnectedError(Exception):
+    """Raised when the client has closed its connection."""
+
+
+class EarlyEnd:
+    """Decides whether a call goes on, before each attempt and while one waits."""
+
+    def __init__(
+        self,
+        client_disconnected: Callable[[], bool],
+        stop: _stop.CallStop,
+        progress: _progress.Progress,
+        record: _record.CallRecord,
+    ) -> None:
+        """Creates the decisions for one call.
+
+        Args:
+            client_disconnected: returns whether the call's client has left.
+            stop: the process's stop.
+            progress: the attempts of the call.
+            record: log lines of the call.
+        """
+        self._client_disconnected = client_disconnected
+        self._stop = stop
+        self._progress = progress
+        self._record = record
+
+    def is_due(self) -> bool:
+        """Returns whether the call has to end now."""
+        return self._client_disconnected() or self._stop.must_end()
+
+    def end_call(self, phase: _stop.Phase) -> NoReturn:
+        """Ends the call, whose `is_due` has interrupted an attempt.
+
+        Raises:
+            ClientDisconnectedError: the client has left.
+            CallAbandonedError: the process stops.
+        """
+        if self._client_disconnected() or not self._stop.must_end():
+            raise ClientDisconnectedError
+        self._record.log_ended_by_stop(phase)
+        if phase.may_run:
+            self._progress.record_interrupted_run()
+        self._progress.abandon(_stop.REASON, _stop.RETRY_AFTER_S)
+
+    def check_attempt(self, call: _calls.Call) -> None:
+        """Ends the call if a further attempt can't be of use to its client.
+
+        Raises:
+            ClientDisconnectedError: the client has left.
+            CallAbandonedError: the call's deadline or the end of the process is over.
+        """
+        if self.is_due():
+            self.end_call(_stop.Phase.WAITING)
+        if call.remaining_s() <= 0:
+            self._progress.abandon("deadline")
--- a/src/turmericward/delivery/_progress.py
+++ b/src/turmericward/delivery/_progress.py
@@ -94,6 +94,12 @@
         if self.possible_runs >= self.route.max_attempts:
             self._stop("max_attempts")
 
+    def record_interrupted_run(self) -> None:
+        """Records an attempt that ends with the process and may have run."""
+        self.arrivals += 1
+        self.possible_runs += 1
+        self.reason = "process_stopped"
+
     def is_retry(self, *, prefilled: bool) -> bool:
         """Returns whether the next attempt counts against the retry budget.
 
--- a/src/turmericward/delivery/_record.py
+++ b/src/turmericward/delivery/_record.py
@@ -1,7 +1,7 @@
 """Log lines and metrics of one call."""
 
 from turmericward import requests, runtime, telemetry
-from turmericward.delivery import _calls
+from turmericward.delivery import _calls, _stop
 
 # Bounds the length of a log line.
 MAX_LOGGED_SEGMENTS = 8
@@ -71,6 +71,18 @@
             left_s=round(self._call.remaining_s(), 3),
         )
 
+    def log_ended_by_stop(self, phase: _stop.Phase) -> None:
+        """Logs and counts a call that the process's stop ends."""
+        self._metrics.count(f"delivery.ended_by_stop.{phase.value}")
+        telemetry.log_event(
+            "ended_by_stop",
+            request_id=self._call.id,
+            phase=phase.value,
+            passed_on=phase.may_run,
+            after_s=self._elapsed_s(),
+            left_s=round(self._call.remaining_s(), 3),
+        )
+
     def record_events(self, count: int) -> None:
         """Records the arrival time of a batch of events."""
         now = runtime.now()
--- a/src/turmericward/delivery/_stream.py
+++ b/src/turmericward/delivery/_stream.py
@@ -55,6 +55,12 @@
     def is_cut_off(self, attempt: StreamAttempt) -> bool:
         """Returns whether an attempt that seems complete ended with its target."""
 
+    def interrupted(self) -> bool:
+        """Returns whether the stream has to end now."""
+
+    def record_interruption(self) -> bool:
+        """Records why a stream ends early; returns whether its client still waits."""
+
     def failure(self) -> _calls.Failure:
         """Returns the failure to report if the stream can't be resumed."""
 
@@ -106,9 +112,10 @@
                 self._end_attempt(completed=True)
                 self._owner.stream_ended("streamed")
                 return
-            except errors.CancelledError:
+            except errors.CancelledError as exc:
                 self._end_attempt()
-                self._owner.stream_ended("client_gone")
+                if self._owner.record_interruption():
+                    raise _errors.StreamBrokenError(self._owner.failure()) from exc
                 return
             except errors.AdapterError as exc:
                 self._resume(exc)
@@ -119,6 +126,8 @@
         for batch in self._batches:
             self._owner.events_received(len(batch))
             yield batch
+            if self._owner.interrupted():
+                raise errors.CancelledError("stream has to end")
             answer.wait_until(self._owner.next_event_deadline())
         if self._parser.incomplete:
             raise errors.ConnectionLostError("stream ended in the middle of an event")
--- a/src/turmericward/entry/_models.py
+++ b/src/turmericward/entry/_models.py
@@ -19,6 +19,7 @@
     "targets_refused": (503, "engines_failed"),
     "quarantined": (503, "prompt_quarantined"),
     "suspected": (503, "prompt_quarantined"),
+    "stopping": (503, "stopping"),
     "deadline": (504, "deadline"),
     "cancelled": (CLIENT_CLOSED_REQUEST, "cancelled"),
 }
--- a/src/turmericward/runtime/_drain.py
+++ b/src/turmericward/runtime/_drain.py
@@ -8,7 +8,7 @@
 
 # Time between the last final answer and the end, and between the end and the moment
 # at which the process may be killed: a share of the length, up to a maximum.
-ANSWER_MARGIN_SHARE = 1 / 16
+ANSWER_MARGIN_SHARE = 1 / 4
 MAX_ANSWER_MARGIN_S = 0.5
 EXIT_MARGIN_SHARE = 1 / 16
 MAX_EXIT_MARGIN_S = 0.5
@@ -62,6 +62,11 @@
         margin_s = min(MAX_ANSWER_MARGIN_S, ANSWER_MARGIN_SHARE * self._length_s)
         return self.end - margin_s
 
+    @property
+    def remaining_s(self) -> float:
+        """Seconds until `deadline`."""
+        return self.deadline - self._clock()
+
     @property
     def end(self) -> float:
         """Time by which the process exits."""
--- /dev/null
+++ b/tests/test_delivery_stop.py
@@ -0,0 +1,156 @@
+"""Deliveries while the process stops: late calls, and calls open at its end."""
+
+import time
+
+import attrs
+
+from tests import fixtures, test_delivery, test_dispatch
+from turmericward import delivery, requests, runtime, telemetry
+from turmericward.adapters import errors
+from turmericward.delivery import _stop
+
+check = fixtures.check
+STOP_S = 8.0
+CALL_S = 8.0
+INTERRUPT_WAIT_S = 5.0
+
+
+class _Clock:
+    """A clock that tests move forward."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class _Transport(test_delivery._Transport):
+    """Waits in one phase until the call is interrupted; moves the clock forward."""
+
+    def __init__(self, clock: _Clock, *, silent_in: str = "", **kwargs) -> None:
+        super().__init__(**kwargs)
+        self._clock = clock
+        self._silent_in = silent_in
+        # Time that passes on the clock of the stop during each prefill and send.
+        self.prefill_s = 0.0
+        self.send_s = 0.0
+
+    def prefill(self, target, call, dispatch) -> str:
+        source = super().prefill(target, call, dispatch)
+        self._clock.now += self.prefill_s
+        self._wait_if("prefill", call)
+        return source
+
+    def send(self, target, call, dispatch) -> delivery.Answer:
+        self._clock.now += self.send_s
+        answer = super().send(target, call, dispatch)
+        self._wait_if("send", call)
+        return attrs.evolve(answer, chunks=self._chunks(answer.chunks, call))
+
+    def _chunks(self, chunks, call):
+        yield from chunks
+        self._wait_if("stream", call)
+
+    def _wait_if(self, phase: str, call) -> None:
+        if phase != self._silent_in:
+            return
+        self._clock.now += STOP_S
+        until = time.monotonic() + INTERRUPT_WAIT_S
+        while not call.disconnected():
+            check.assertLess(time.monotonic(), until, "call was not interrupted")
+            time.sleep(0.01)
+        raise errors.CancelledError("interrupted")
+
+
+def _context(drain: runtime.Drain, transport):
+    task = test_dispatch._task()
+    task.handle(delivery.PutTargets(targets=tuple(test_delivery._targets())))
+    dispatcher = test_delivery._Dispatcher(task)
+    ctx = delivery.Context(
+        dispatch=dispatcher,
+        transport=transport,
+        metrics=telemetry.Metrics(None, ""),
+        drain=drain,
+    )
+    return ctx, dispatcher
+
+
+def _run(transport, clock: _Clock, *, left_s: float, **route_changes):
+    """Delivers a call when `left_s` remain; returns the reply and the dispatcher."""
+    drain = runtime.Drain(STOP_S, clock)
+    drain.begin()
+    clock.now = drain.deadline - left_s
+    call = test_dispatch._call(CALL_S)
+    route = attrs.evolve(call.route, **({"objective_s": 0.1} | route_changes))
+    call = attrs.evolve(call, route=route)
+    ctx, dispatcher = _context(drain, transport)
+    return delivery.Delivery(ctx, call, "model").run(), dispatcher
+
+
+def _check_refused(reply: delivery.Reply) -> None:
+    check.assertEqual((reply.status, reply.failure.reason), (503, "stopping"))
+    check.assertFalse(reply.failure.may_have_run)
+    check.assertEqual(reply.failure.retry_after_s, _stop.RETRY_AFTER_S)
+
+
+def test_calls_are_served_however_long_they_take_before_the_stop():
+    transport = _Transport(_Clock())
+    ctx, _ = _context(runtime.Drain(STOP_S), transport)
+    reply = delivery.Delivery(ctx, test_dispatch._call(CALL_S), "model").run()
+    check.assertEqual(test_delivery._ids(reply), [1])
+
+
+def test_open_calls_get_a_final_answer_at_the_end_of_the_stop():
+    cases = [("prefill", 503, False), ("send", 502, True)]
+    for phase, status, may_have_run in cases:
+        clock = _Clock()
+        transport = _Transport(clock, silent_in=phase)
+        reply, dispatcher = _run(transport, clock, left_s=5.0)
+        check.assertEqual(reply.status, status, phase)
+        check.assertEqual(reply.failure.may_have_run, may_have_run, phase)
+        endings = [m.ending for m in dispatcher.posted if hasattr(m, "ending")]
+        check.assertEqual(endings[-1], requests.Ending.DISCONNECTED, phase)
+
+
+def test_a_call_waiting_for_its_turn_is_refused_at_the_end_of_the_stop():
+    clock = _Clock()
+    transport = _Transport(clock)
+    drain = runtime.Drain(STOP_S, clock)
+    ctx, _ = _context(drain, transport)
+    waiting = delivery.Delivery(ctx, test_dispatch._call(CALL_S), "model")
+    drain.begin()
+    clock.now = drain.deadline
+    _check_refused(waiting.run())
+    check.assertEqual(transport.sent, [])
+
+
+def test_a_stream_open_at_the_end_of_the_stop_breaks_off_visibly():
+    clock = _Clock()
+    transport = _Transport(clock, silent_in="stream")
+    reply, dispatcher = _run(transport, clock, left_s=5.0)
+    received = []
+    with check.assertRaises(delivery.StreamBrokenError) as caught:
+        for batch in reply.body:
+            received += [event.id for event in batch]
+    check.assertEqual(received, ["1"])
+    check.assertTrue(caught.exception.failure.may_have_run)
+    (ended,) = [m for m in dispatcher.posted[-1:] if hasattr(m, "ending")]
+    check.assertEqual((ended.streamed, ended.answered), (False, False))
+
+
+def test_a_stream_whose_events_never_pause_ends_with_the_stop():
+    clock = _Clock()
+
+    def chunks():
+        for number in range(1, 10_000):
+            clock.now += 0.5
+            yield b"id: %d\ndata: x\n\n" % number
+
+    transport = _Transport(clock, streams=[chunks()])
+    reply, _ = _run(transport, clock, left_s=5.0)
+    received = []
+    with check.assertRaises(delivery.StreamBrokenError):
+        for batch in reply.body:
+            received += batch
+    check.assertLess(len(received), 20)
