Calls that can't end before the process does are refused before they are passed on

Callers saw: requests that came late in the grace of a planned stop were taken and passed on, and cut at its end with no answer, among them ones that may not be repeated. Cause: nothing compared what a call needs with what is left of the stop. What fits is served.

Tests: test_delivery_stop, six more: late calls, calls that fit, retries after a loss and a refusal, hand-over, slow calls of one route only.

--- a/src/turmericward/delivery/_context.py
+++ b/src/turmericward/delivery/_context.py
@@ -7,7 +7,7 @@
 import attrs
 
 from turmericward import fleet, runtime, telemetry
-from turmericward.delivery import _calls
+from turmericward.delivery import _calls, _stop
 
 
 class Dispatcher(Protocol):
@@ -53,10 +53,12 @@
 class Context:
     """Dependencies that all deliveries of a process share.
 
-    `drain` has the time bounds of the process's planned stop.
+    `drain` has the time bounds of the process's planned stop, `times` how long calls
+    take.
     """
 
     dispatch: Dispatcher
     transport: Transport
     metrics: telemetry.Metrics
     drain: runtime.Drain = attrs.field(factory=lambda: runtime.Drain(math.inf))
+    times: _stop.CallTimes = attrs.field(factory=_stop.CallTimes)
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -43,7 +43,7 @@
         self._record = _record.CallRecord(ctx.metrics, call, service)
         self._early_end = _early_end.EarlyEnd(
             call.disconnected,
-            _stop.CallStop(drain=ctx.drain),
+            _stop.CallStop(drain=ctx.drain, times=ctx.times),
             self._progress,
             self._record,
         )
@@ -87,7 +87,7 @@
 
     def _place(self, *, prefilled: bool) -> None:
         retry = self._progress.is_retry(prefilled=prefilled)
-        self._early_end.check_attempt(self._call)
+        self._early_end.check_attempt(self._call, retry=retry)
         message = _messages.Place(
             call=self._call,
             service=self._service,
@@ -255,6 +255,7 @@
             self._progress.fallback = reply
             self._record_failure(errors.AnswerLostError(f"status {answer.status}"))
             return None
+        self._early_end.record_answered(self._call)
         answered = answer.status == http.HTTPStatus.OK
         self._open.end(requests.Ending.SUCCEEDED, answered=answered)
         self._record_reply("answered", answer.status)
@@ -316,6 +317,8 @@
 
     def attempt_ended(self, attempt: _stream.StreamAttempt, *, completed: bool) -> None:
         """Ends a successful attempt; not `completed` if the client disconnected."""
+        if completed:
+            self._early_end.record_answered(self._call)
         self._open.resume(attempt.placement)
         self._open.end(
             requests.Ending.SUCCEEDED, streamed=completed, answered=completed
--- a/src/turmericward/delivery/_early_end.py
+++ b/src/turmericward/delivery/_early_end.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import NoReturn
 
+from turmericward import runtime
 from turmericward.delivery import _calls, _progress, _record, _stop
 
 
@@ -32,6 +33,8 @@
         self._stop = stop
         self._progress = progress
         self._record = record
+        # When the first attempt, or the first one after a failure, began.
+        self._began_at = runtime.now()
 
     def is_due(self) -> bool:
         """Returns whether the call has to end now."""
@@ -51,14 +54,23 @@
             self._progress.record_interrupted_run()
         self._progress.abandon(_stop.REASON, _stop.RETRY_AFTER_S)
 
-    def check_attempt(self, call: _calls.Call) -> None:
+    def check_attempt(self, call: _calls.Call, *, retry: bool) -> None:
         """Ends the call if a further attempt can't be of use to its client.
 
         Raises:
             ClientDisconnectedError: the client has left.
-            CallAbandonedError: the call's deadline or the end of the process is over.
+            CallAbandonedError: no answer is likely before the call's deadline or the
+                end of the process.
         """
         if self.is_due():
             self.end_call(_stop.Phase.WAITING)
         if call.remaining_s() <= 0:
             self._progress.abandon("deadline")
+        if retry:
+            self._began_at = runtime.now()
+        if not self._stop.admits(call, runtime.now() - self._began_at):
+            self._progress.abandon(_stop.REASON, _stop.RETRY_AFTER_S)
+
+    def record_answered(self, call: _calls.Call) -> None:
+        """Records how long the call took to the end of its answer."""
+        self._stop.times.record(call.route.name, runtime.now() - self._began_at)
--- a/tests/test_delivery_stop.py
+++ b/tests/test_delivery_stop.py
@@ -63,7 +63,7 @@
         raise errors.CancelledError("interrupted")
 
 
-def _context(drain: runtime.Drain, transport):
+def _context(drain: runtime.Drain, transport, times=None):
     task = test_dispatch._task()
     task.handle(delivery.PutTargets(targets=tuple(test_delivery._targets())))
     dispatcher = test_delivery._Dispatcher(task)
@@ -72,19 +72,26 @@
         transport=transport,
         metrics=telemetry.Metrics(None, ""),
         drain=drain,
+        times=times or _stop.CallTimes(),
     )
     return ctx, dispatcher
 
 
-def _run(transport, clock: _Clock, *, left_s: float, **route_changes):
-    """Delivers a call when `left_s` remain; returns the reply and the dispatcher."""
+def _run(transport, clock: _Clock, *, left_s: float, took_s=None, **route_changes):
+    """Delivers a call when `left_s` remain of the stop.
+
+    Returns the reply and the dispatcher; `took_s` is how long earlier calls took.
+    """
     drain = runtime.Drain(STOP_S, clock)
     drain.begin()
     clock.now = drain.deadline - left_s
     call = test_dispatch._call(CALL_S)
     route = attrs.evolve(call.route, **({"objective_s": 0.1} | route_changes))
     call = attrs.evolve(call, route=route)
-    ctx, dispatcher = _context(drain, transport)
+    times = _stop.CallTimes()
+    for _ in range(0 if took_s is None else 50):
+        times.record(route.name, took_s)
+    ctx, dispatcher = _context(drain, transport, times)
     return delivery.Delivery(ctx, call, "model").run(), dispatcher
 
 
@@ -94,6 +101,24 @@
     check.assertEqual(reply.failure.retry_after_s, _stop.RETRY_AFTER_S)
 
 
+def test_a_call_that_came_late_in_a_stop_was_passed_on_and_cut():
+    clock = _Clock()
+    cases = [(None, 7.0), (5.0, 4.0), (0.5, 0.3)]
+    for took_s, left_s in cases:
+        transport = _Transport(clock)
+        reply, _ = _run(transport, clock, left_s=left_s, took_s=took_s)
+        _check_refused(reply)
+        check.assertEqual((transport.prefilled, transport.sent), ([], []), took_s)
+
+
+def test_a_call_that_can_end_before_the_stop_is_served():
+    clock = _Clock()
+    for took_s, left_s in [(None, 8.1), (3.0, 4.0), (0.1, 0.3)]:
+        transport = _Transport(clock)
+        reply, _ = _run(transport, clock, left_s=left_s, took_s=took_s)
+        check.assertEqual(test_delivery._ids(reply), [1], took_s)
+
+
 def test_calls_are_served_however_long_they_take_before_the_stop():
     transport = _Transport(_Clock())
     ctx, _ = _context(runtime.Drain(STOP_S), transport)
@@ -101,12 +126,42 @@
     check.assertEqual(test_delivery._ids(reply), [1])
 
 
+def test_no_retry_that_cannot_end_before_the_stop():
+    clock = _Clock()
+    transport = _Transport(clock, sends=["lost", "none"])
+    transport.send_s = 3.0
+    reply, _ = _run(
+        transport, clock, left_s=4.0, took_s=2.0, max_attempts=4, resumable=True
+    )
+    check.assertEqual(len(transport.sent), 1)
+    check.assertEqual((reply.status, reply.failure.may_have_run), (502, True))
+
+
+def test_no_retry_after_a_refusal_that_cannot_end_before_the_stop():
+    clock = _Clock()
+    transport = _Transport(clock, sends=["refused", "none"])
+    transport.send_s = 3.0
+    reply, _ = _run(transport, clock, left_s=4.0, took_s=2.0)
+    check.assertEqual(len(transport.sent), 1)
+    check.assertEqual((reply.status, reply.failure.may_have_run), (503, False))
+
+
+def test_no_hand_over_after_a_prefill_that_took_the_rest_of_the_stop():
+    clock = _Clock()
+    transport = _Transport(clock)
+    transport.prefill_s = 3.95
+    reply, _ = _run(transport, clock, left_s=4.0, took_s=2.0)
+    check.assertEqual((len(transport.prefilled), transport.sent), (1, []))
+    _check_refused(reply)
+    check.assertEqual(transport.released, [f"{transport.prefilled[0]}/kv1"])
+
+
 def test_open_calls_get_a_final_answer_at_the_end_of_the_stop():
     cases = [("prefill", 503, False), ("send", 502, True)]
     for phase, status, may_have_run in cases:
         clock = _Clock()
         transport = _Transport(clock, silent_in=phase)
-        reply, dispatcher = _run(transport, clock, left_s=5.0)
+        reply, dispatcher = _run(transport, clock, left_s=5.0, took_s=1.0)
         check.assertEqual(reply.status, status, phase)
         check.assertEqual(reply.failure.may_have_run, may_have_run, phase)
         endings = [m.ending for m in dispatcher.posted if hasattr(m, "ending")]
@@ -128,7 +183,7 @@
 def test_a_stream_open_at_the_end_of_the_stop_breaks_off_visibly():
     clock = _Clock()
     transport = _Transport(clock, silent_in="stream")
-    reply, dispatcher = _run(transport, clock, left_s=5.0)
+    reply, dispatcher = _run(transport, clock, left_s=5.0, took_s=1.0)
     received = []
     with check.assertRaises(delivery.StreamBrokenError) as caught:
         for batch in reply.body:
@@ -148,9 +203,19 @@
             yield b"id: %d\ndata: x\n\n" % number
 
     transport = _Transport(clock, streams=[chunks()])
-    reply, _ = _run(transport, clock, left_s=5.0)
+    reply, _ = _run(transport, clock, left_s=5.0, took_s=1.0)
     received = []
     with check.assertRaises(delivery.StreamBrokenError):
         for batch in reply.body:
             received += batch
     check.assertLess(len(received), 20)
+
+
+def test_slow_calls_widen_the_expected_duration_of_their_route_only():
+    times = _stop.CallTimes()
+    check.assertIsNone(times.slow_call_s("a"))
+    for took_s in [0.1, 3.0] * 20:
+        times.record("a", took_s)
+    times.record("b", 0.1)
+    check.assertGreater(times.slow_call_s("a"), 3.0)
+    check.assertLess(times.slow_call_s("b"), 1.0)
