--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -8,7 +8,6 @@
 the decode engines.
 """
 
-import collections
 import random
 import types
 from collections.abc import Mapping
@@ -22,21 +21,13 @@
     _costs,
     _in_flight,
     _loads,
-    _outcomes,
     _prompts,
     _router,
     _shortlist,
     _speed,
+    _target_calls,
 )
 
-# Also bounds the time until a failure domain is used again after a network partition.
-MAX_EJECTION_S = 4.0
-# A target that refuses calls looks idle, so one refusal is enough to back off.
-REFUSALS_TO_BACK_OFF = 1
-FIRST_REFUSAL_BACKOFF_S = 0.2
-MAX_REFUSAL_BACKOFF_S = 1.5
-# A failed connection counts as this many failures in a row.
-CONNECT_FAILURE_WEIGHT = 3
 # Replicas whose latency is within this factor of the fastest count as equally fast.
 LATENCY_TOLERANCE = 1.5
 MIN_RETRY_AFTER_S = 0.2
@@ -65,29 +56,23 @@
         """
         self._random = random.Random(seed)
         self._domain = domain
-        self._local: dict[str, _in_flight.LocalCalls] = collections.defaultdict(
-            _in_flight.LocalCalls
-        )
+        self._calls = _target_calls.TargetCalls()
+        self.peers = self._calls.peers
+        self.health = self._calls.health
         self._latency = _speed.Latency()
         self._speed = _speed.PrefillSpeed()
         self._shortlist = _shortlist.Shortlist(domain)
         self._last_id = 0
         self.cache_index = _cache_index.CacheIndex()
-        self._outcomes = _outcomes.Outcomes()
         self._hold_time = _speed.HoldTime()
         estimates = _costs.EngineEstimates(
-            load=self.load,
+            load=self._calls.load,
             cache_index=self.cache_index,
             speed=self._speed,
             hold_time=self._hold_time,
-            outcomes=self._outcomes,
+            outcomes=self._calls.outcomes,
         )
         self._costs = _costs.EngineCosts(estimates)
-        self.peers = _loads.PeerLoads(self._outcomes)
-        self.health = fleet.Health(max_s=MAX_EJECTION_S)
-        self._refusals = fleet.Health(
-            REFUSALS_TO_BACK_OFF, FIRST_REFUSAL_BACKOFF_S, MAX_REFUSAL_BACKOFF_S
-        )
 
     # State of targets.
 
@@ -96,52 +81,23 @@
         self._latency.forget(name)
         self._speed.forget(name)
         self.cache_index.forget(name)
-        self._outcomes.forget(fleet.target_hash(name))
-        if name in self._local and not self._local[name].open:
-            del self._local[name]
-        self.health.succeeded(name)
-        self._refusals.succeeded(name)
+        self._calls.forget(name)
 
     def local_loads(self) -> dict[int, _loads.TargetLoad]:
         """Returns the local load by target, without targets that were never used."""
-        return {
-            fleet.target_hash(name): calls.load()
-            for name, calls in self._local.items()
-            if calls.open or calls.ended_calls
-        }
+        return self._calls.local_loads()
 
     def count_overdue(self, now: float) -> None:
         """Counts calls as failed whose first output is overdue."""
-        for name, calls in self._local.items():
-            for placement in calls.waiting.values():
-                if placement.id in calls.overdue or not placement.is_overdue(now):
-                    continue
-                calls.overdue.add(placement.id)
-                self._count_end(name, now, failed=True)
+        self._calls.count_overdue(now)
 
     def load(self, name: str) -> _loads.TargetLoad:
         """Returns the load of all fronts at a target."""
-        calls = self._local.get(name)
-        peers = self.peers.load_at(fleet.target_hash(name))
-        return peers if calls is None else calls.load() + peers
+        return self._calls.load(name)
 
     def failure_share(self, name: str, now: float) -> float:
         """Returns the share of all fronts' recent calls at a target that failed."""
-        return self._outcomes.failure_share(fleet.target_hash(name), now)
-
-    def _accepting(self, targets, now: float) -> list[fleet.Target]:
-        """Returns the targets that are neither ejected nor in refusal backoff."""
-        return [
-            t
-            for t in targets
-            if self.health.usable(t.name, now) and self._refusals.usable(t.name, now)
-        ]
-
-    def _usable(self, targets, now: float) -> list[fleet.Target]:
-        healthy = [t for t in targets if self.health.usable(t.name, now)]
-        accepting = self._accepting(healthy, now)
-        # If every target is ejected, failing ones are better than none.
-        return accepting or healthy or list(targets)
+        return self._calls.failure_share(name, now)
 
     # Replicas of plain services.
 
@@ -156,7 +112,7 @@
             waits_s: replicas that take the call only after a time, used if no other
                 is left.
         """
-        usable = self._usable(targets, now)
+        usable = self._calls.usable(targets, now)
         if not usable:
             return None
         self._random.shuffle(usable)
@@ -173,9 +129,9 @@
         self, target: fleet.Target, fastest_s: float, now: float
     ) -> tuple[float, bool]:
         slowness = self._latency.slowness(target.name, fastest_s, now)
-        busy = self.load(target.name).open_calls + 1
+        busy = self._calls.load(target.name).open_calls + 1
         score = busy / max(1, target.slots) * max(1.0, slowness / LATENCY_TOLERANCE)
-        score *= 1 + FAILURE_WEIGHT * self.failure_share(target.name, now)
+        score *= 1 + FAILURE_WEIGHT * self._calls.failure_share(target.name, now)
         return (score, target.domain != self._domain)
 
     # Engines.
@@ -203,7 +159,7 @@
         """
         usable = self._candidates(prompt, targets, now)
         if not _any_can_decode(usable):
-            usable = self._usable(targets, now)
+            usable = self._calls.usable(targets, now)
         if not _any_can_decode(usable):
             return None
         query = _costs.Query(
@@ -231,11 +187,13 @@
         )
         eligible = _decode_capable(targets) if decode else targets
         if shortlisted is targets:
-            return self._usable(eligible, now)
+            return self._calls.usable(eligible, now)
         names = {t.name for t in shortlisted}
         caching = self.cache_index.engines_caching(prompt, eligible)
         candidates = [*shortlisted, *(t for t in caching if t.name not in names)]
-        return self._accepting(candidates, now) or self._usable(eligible, now)
+        return self._calls.accepting(candidates, now) or self._calls.usable(
+            eligible, now
+        )
 
     def _best(self, query: _costs.Query, targets) -> _in_flight.Placement:
         """Returns the cheapest placement that meets the soft or else the hard deadline.
@@ -308,11 +266,7 @@
     def _assign(self, chosen: _in_flight.Placement, now: float) -> _in_flight.Placement:
         self._last_id += 1
         placement = attrs.evolve(chosen, id=self._last_id, placed_at=now)
-        calls = self._local[placement.target.name]
-        calls.open[placement.id] = placement
-        calls.waiting[placement.id] = placement
-        self.health.started(placement.target.name)
-        self._refusals.started(placement.target.name)
+        self._calls.begin(placement)
         return placement
 
     def record_first_output(
@@ -323,9 +277,9 @@
         That is the first token of a decode, the end of a separate prefill, or the
         reply of a plain service, for which `prompt` is None.
         """
-        name = placement.target.name
-        if self._local[name].waiting.pop(placement.id, None) is None:
+        if not self._calls.record_first_output(placement):
             return
+        name = placement.target.name
         if prompt is None:
             self._latency.learn(name, took_s, now)
             return
@@ -339,34 +293,7 @@
         self, placement: _in_flight.Placement, ending: _in_flight.Ending, now: float
     ) -> None:
         """Ends a placement; repeated calls have no effect."""
-        name = placement.target.name
-        calls = self._local[name]
-        calls.waiting.pop(placement.id, None)
-        if calls.open.pop(placement.id, None) is None:
-            return
-        if placement.id in calls.overdue:
-            calls.overdue.remove(placement.id)
-        elif ending.target_failed or ending is _in_flight.Ending.SUCCEEDED:
-            self._count_end(name, now, failed=ending.target_failed)
-        if ending is _in_flight.Ending.REFUSED:
-            self._refusals.failed(name, now)
-            return
-        if ending is _in_flight.Ending.DISCONNECTED:
-            self._refusals.released(name)
-            self.health.released(name)
-            return
-        self._refusals.succeeded(name)
-        if ending is _in_flight.Ending.SUCCEEDED:
-            self.health.succeeded(name)
-        else:
-            weight = CONNECT_FAILURE_WEIGHT if ending.target_ended else 1
-            self.health.failed(name, now, weight=weight)
-
-    def _count_end(self, name: str, now: float, *, failed: bool) -> None:
-        calls = self._local[name]
-        calls.ended_calls += 1
-        calls.failed_calls += failed
-        self._outcomes.ended(fleet.target_hash(name), 1, int(failed), now)
+        self._calls.ended(placement, ending, now)
 
     def streamed(self, placement: _in_flight.Placement, now: float) -> None:
         """Records that a response was streamed to its end."""
--- /dev/null
+++ b/src/turmericward/requests/_target_calls.py
@@ -0,0 +1,127 @@
+"""Calls in flight at each target, and which targets take further ones."""
+
+import collections
+
+from turmericward import fleet
+from turmericward.requests import _in_flight, _loads, _outcomes
+
+# Also bounds the time until a failure domain is used again after a network partition.
+MAX_EJECTION_S = 4.0
+# A target that refuses calls looks idle, so one refusal is enough to back off.
+REFUSALS_TO_BACK_OFF = 1
+FIRST_REFUSAL_BACKOFF_S = 0.2
+MAX_REFUSAL_BACKOFF_S = 1.5
+# A failed connection counts as this many failures in a row.
+CONNECT_FAILURE_WEIGHT = 3
+
+
+class TargetCalls:
+    """Calls of this front by target, those that peers report, and their outcomes."""
+
+    def __init__(self) -> None:
+        """Starts with no calls in flight."""
+        self._local: dict[str, _in_flight.LocalCalls] = collections.defaultdict(
+            _in_flight.LocalCalls
+        )
+        self.outcomes = _outcomes.Outcomes()
+        self.peers = _loads.PeerLoads(self.outcomes)
+        self.health = fleet.Health(max_s=MAX_EJECTION_S)
+        self._refusals = fleet.Health(
+            REFUSALS_TO_BACK_OFF, FIRST_REFUSAL_BACKOFF_S, MAX_REFUSAL_BACKOFF_S
+        )
+
+    def forget(self, name: str) -> None:
+        """Drops the state of a target that was removed or has restarted."""
+        self.outcomes.forget(fleet.target_hash(name))
+        if name in self._local and not self._local[name].open:
+            del self._local[name]
+        self.health.succeeded(name)
+        self._refusals.succeeded(name)
+
+    def local_loads(self) -> dict[int, _loads.TargetLoad]:
+        """Returns the local load by target, without targets that were never used."""
+        return {
+            fleet.target_hash(name): calls.load()
+            for name, calls in self._local.items()
+            if calls.open or calls.ended_calls
+        }
+
+    def count_overdue(self, now: float) -> None:
+        """Counts calls as failed whose first output is overdue."""
+        for name, calls in self._local.items():
+            for placement in calls.waiting.values():
+                if placement.id in calls.overdue or not placement.is_overdue(now):
+                    continue
+                calls.overdue.add(placement.id)
+                self._count_end(name, now, failed=True)
+
+    def load(self, name: str) -> _loads.TargetLoad:
+        """Returns the load of all fronts at a target."""
+        calls = self._local.get(name)
+        peers = self.peers.load_at(fleet.target_hash(name))
+        return peers if calls is None else calls.load() + peers
+
+    def failure_share(self, name: str, now: float) -> float:
+        """Returns the share of all fronts' recent calls at a target that failed."""
+        return self.outcomes.failure_share(fleet.target_hash(name), now)
+
+    def accepting(self, targets, now: float) -> list[fleet.Target]:
+        """Returns the targets that are neither ejected nor in refusal backoff."""
+        return [
+            t
+            for t in targets
+            if self.health.usable(t.name, now) and self._refusals.usable(t.name, now)
+        ]
+
+    def usable(self, targets, now: float) -> list[fleet.Target]:
+        healthy = [t for t in targets if self.health.usable(t.name, now)]
+        accepting = self.accepting(healthy, now)
+        # If every target is ejected, failing ones are better than none.
+        return accepting or healthy or list(targets)
+
+    def begin(self, placement: _in_flight.Placement) -> None:
+        """Records a placement."""
+        name = placement.target.name
+        calls = self._local[name]
+        calls.open[placement.id] = placement
+        calls.waiting[placement.id] = placement
+        self.health.started(name)
+        self._refusals.started(name)
+
+    def record_first_output(self, placement: _in_flight.Placement) -> bool:
+        """Returns whether the placement was still waiting for its first output."""
+        waiting = self._local[placement.target.name].waiting
+        return waiting.pop(placement.id, None) is not None
+
+    def ended(
+        self, placement: _in_flight.Placement, ending: _in_flight.Ending, now: float
+    ) -> None:
+        """Ends a placement; repeated calls have no effect."""
+        name = placement.target.name
+        calls = self._local[name]
+        calls.waiting.pop(placement.id, None)
+        if calls.open.pop(placement.id, None) is None:
+            return
+        if placement.id in calls.overdue:
+            calls.overdue.remove(placement.id)
+        elif ending.target_failed or ending is _in_flight.Ending.SUCCEEDED:
+            self._count_end(name, now, failed=ending.target_failed)
+        if ending is _in_flight.Ending.REFUSED:
+            self._refusals.failed(name, now)
+            return
+        if ending is _in_flight.Ending.DISCONNECTED:
+            self._refusals.released(name)
+            self.health.released(name)
+            return
+        self._refusals.succeeded(name)
+        if ending is _in_flight.Ending.SUCCEEDED:
+            self.health.succeeded(name)
+        else:
+            weight = CONNECT_FAILURE_WEIGHT if ending.target_ended else 1
+            self.health.failed(name, now, weight=weight)
+
+    def _count_end(self, name: str, now: float, *, failed: bool) -> None:
+        calls = self._local[name]
+        calls.ended_calls += 1
+        calls.failed_calls += failed
+        self.outcomes.ended(fleet.target_hash(name), 1, int(failed), now)
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -61,7 +61,7 @@
         requests.TargetLoad(ended_calls=1, failed_calls=0),
     ):
         placer.peers.replace("peer", {number: load}, 0.0)
-    check.assertEqual(placer._outcomes.failure_share(number, 0.0), 0.0)
+    check.assertEqual(placer._calls.outcomes.failure_share(number, 0.0), 0.0)
 
 
 def test_an_overdue_call_counts_as_failed_before_its_client_disconnects():
@@ -70,12 +70,12 @@
     placement = placer.choose_engine(_prompt(), [target], AT_MOST_ONCE, 0.0).unwrap()
     number = fleet.target_hash(target.name)
     placer.count_overdue(0.5)
-    check.assertEqual(placer._outcomes.failure_share(number, 0.5), 0.0)
+    check.assertEqual(placer._calls.outcomes.failure_share(number, 0.5), 0.0)
     placer.count_overdue(1.5)
-    share = placer._outcomes.failure_share(number, 1.5)
+    share = placer._calls.outcomes.failure_share(number, 1.5)
     check.assertGreater(share, 0.0)
     placer.ended(placement, requests.Ending.DISCONNECTED, 1.6)
-    check.assertLessEqual(placer._outcomes.failure_share(number, 1.6), share)
+    check.assertLessEqual(placer._calls.outcomes.failure_share(number, 1.6), share)
 
 
 def test_a_cancelled_probe_lets_another_call_probe_the_target():
