--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -4,6 +4,9 @@
 tests can check a stream resumed at another replica. `Replica.fault` names the fault
 of the next calls, `calls` lists all received calls, and `cached_segments` holds
 the prefix segments that the replica lists as cached, with their tokens.
+
+A call's query may set its work: `work_ms` before a plain answer, `events` and `gap_ms`
+between them for a stream.
 """
 
 import socket
@@ -64,6 +67,10 @@
     return f"id: {number}\ndata: {call_id}-{number}\n\n".encode()
 
 
+def _is_stream(req: _http.Handler) -> bool:
+    return "Turmericward-Prompt-Prefix" in req.headers
+
+
 class Replica:
     """Simulates one replica; `name` is its instance id."""
 
@@ -81,6 +88,8 @@
         self.deadly_segments: frozenset[str] = frozenset()
         self.crash: Callable[[], None] = lambda: None
         self.calls: list[ReceivedCall] = []
+        # Ids of the calls whose work ended, and when, in monotonic seconds.
+        self.ended: list[tuple[str, float]] = []
         self.cancelled = threading.Event()
 
     def executed_ids(self) -> list[str]:
@@ -125,10 +134,12 @@
             req.answer(200, {"handle": "h1", "tokens": 1, "version": 1})
         elif self.deadly_segments & shared_segments(req.headers):
             self.crash()
-        elif "Turmericward-Prompt-Prefix" in req.headers:
-            self._stream(req, call_id)
         else:
-            self._respond(req, call_id)
+            work = self._stream if _is_stream(req) else self._respond
+            try:
+                work(req, call_id)
+            finally:
+                self.ended.append((call_id, time.monotonic()))
 
     def _respond_endlessly(self, req, call_id: str) -> None:
         """Sends bytes without end, in the part of the response that the fault names."""
@@ -163,6 +174,7 @@
             req.send_header("Content-Encoding", "gzip")
 
     def _respond(self, req, call_id: str) -> None:
+        time.sleep(int(req.query.get("work_ms", 0)) / 1000)
         body = f"answer to {call_id}".encode()
         if self.fault == "reset":
             self._reset(req)
@@ -187,24 +199,26 @@
         req.send_header("Transfer-Encoding", "chunked")
         req.end_headers()
         after = int(req.headers.get("Last-Event-Id", 0))
-        for number in range(after + 1, EVENTS_PER_STREAM + 1):
-            if self._disconnected(req):
+        count = int(req.query.get("events", EVENTS_PER_STREAM))
+        gap_s = int(req.query.get("gap_ms", 1000 * self.event_interval_s)) / 1000
+        for number in range(after + 1, count + 1):
+            if self._disconnected(req, gap_s):
                 self.cancelled.set()
                 req.close_connection = True
                 return
             data = event(call_id, number)
-            if self.fault == "hang" and number == EVENTS_PER_STREAM - 1:
+            if self.fault == "hang" and number == count - 1:
                 time.sleep(HANG_S)
-            if self.fault == "cut" and number == EVENTS_PER_STREAM - 1:
+            if self.fault == "cut" and number == count - 1:
                 self._send_chunk(req, data[: len(data) // 2])
                 self._reset(req)
                 return
             self._send_chunk(req, data)
         self._send_chunk(req, b"")
 
-    def _disconnected(self, req) -> bool:
-        """Waits for the event interval; returns whether the caller disconnected."""
-        deadline = time.monotonic() + self.event_interval_s
+    def _disconnected(self, req, wait_s: float) -> bool:
+        """Waits; returns whether the caller disconnected."""
+        deadline = time.monotonic() + wait_s
         while True:
             try:
                 if req.connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b"":
