Log each phase of a planned stop; pass its time bounds to servers and deliveries

Cause: `Server._drain` logged only its end; `bounds.drain_s` was read nowhere. Change: `stop_phase` and `stop_ended` with the time since SIGTERM and the number of connections, requests read, queued ones and idle connections. `httpd.Server` takes a `runtime.Drain`, which the signal begins; the front makes it from `bounds.drain_s` (also at a reload), the entry from the new setting `entry.drain_s`; both pass the same object to their deliveries. The logic of the stop is as before.

--- a/src/turmericward/entry/_assembly.py
+++ b/src/turmericward/entry/_assembly.py
@@ -31,6 +31,7 @@
         if cfg.statsd is not None:
             statsd = _address.split(cfg.statsd.address)
             prefix = f"{cfg.statsd.prefix}.{name}"
+        drain = runtime.Drain(cfg.entry.drain_s)
         self._ctx = _context.Context(
             cfg=cfg,
             name=name,
@@ -41,6 +42,7 @@
             thread_limiter=_context.ThreadLimiter(
                 cfg.entry.threads, cfg.entry.urgent_reserve
             ),
+            drain=drain,
         )
         self._group = runtime.Group([router, follow], "entry")
         address = (cfg.instance.address, cfg.entry.ports[index])
@@ -49,7 +51,7 @@
             max_body_bytes=cfg.entry.max_body_bytes,
             balancer_lag_s=cfg.entry.balancer_lag_s,
         )
-        self._server = httpd.Server(_app.App(self._ctx), address, limits)
+        self._server = httpd.Server(_app.App(self._ctx), address, limits, drain)
 
     def run(self, stop: threading.Event) -> None:
         """Serves until `stop` is set, then drains and returns."""
--- a/src/turmericward/entry/_context.py
+++ b/src/turmericward/entry/_context.py
@@ -64,6 +64,7 @@
     follow: _follow_loop.FollowLoop
     metrics: telemetry.Metrics
     thread_limiter: ThreadLimiter
+    drain: runtime.Drain
     draining: threading.Event = attrs.field(factory=threading.Event)
 
     def ask_router(self, message: object) -> object:
--- a/src/turmericward/entry/_models.py
+++ b/src/turmericward/entry/_models.py
@@ -35,6 +35,7 @@
             dispatch=ctx.router,
             transport=_transport.EngineTransport(classes),
             metrics=ctx.metrics,
+            drain=ctx.drain,
         )
 
     def list_models(self, req: _http.Request) -> _http.Response:
--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -1,6 +1,7 @@
 """HTTP server whose shutdown lets requests in progress finish."""
 
 import functools
+import math
 import threading
 import time
 from collections.abc import Callable
@@ -8,10 +9,9 @@
 
 import attrs
 import waitress.server
-from absl import logging
 from waitress import channel, parser, task, wasyncore
 
-from turmericward import runtime
+from turmericward import runtime, telemetry
 from turmericward.httpd import _idle, _workers
 
 DRAIN_POLL_S = 0.05
@@ -118,15 +118,23 @@
 class Server:
     """A waitress server with graceful shutdown."""
 
-    def __init__(self, app, address: tuple[str, int], limits: Limits) -> None:
+    def __init__(
+        self,
+        app,
+        address: tuple[str, int],
+        limits: Limits,
+        drain: runtime.Drain | None = None,
+    ) -> None:
         """Binds the listening socket.
 
         Args:
             app: the WSGI callable.
             address: IP address and port.
             limits: limits of the server, and the delay at its shutdown.
+            drain: time bounds of the shutdown; unbounded if None.
         """
         self._limits = limits
+        self._drain_bounds = drain or runtime.Drain(math.inf)
         self._map: dict = {}
         self._client_limits = ClientLimits(
             max_header_bytes=MAX_HEADER_BYTES,
@@ -206,19 +214,22 @@
 
     def _drain_after(self, stop: threading.Event, on_stop) -> None:
         stop.wait()
+        self._drain_bounds.begin()
         on_stop()
         self._drain()
 
     def _drain(self) -> None:
         """Waits for the balancer, stops listening and waits for open requests."""
         self._server.draining = True
+        self._log_phase("stop_phase", phase="leaving")
         time.sleep(self._limits.balancer_lag_s)
         closed = threading.Event()
         self._run_in_loop(self._close_listener, closed)
         closed.wait()
+        self._log_phase("stop_phase", phase="finishing")
         while self._has_open_requests():
             time.sleep(DRAIN_POLL_S)
-        logging.info("drain has ended")
+        self._log_phase("stop_ended", how="complete")
         self._run_in_loop(self._stop)
 
     def _run_in_loop(self, action, done: threading.Event | None = None) -> None:
@@ -237,6 +248,18 @@
         channels = list(self._server.active_channels.values())
         return any(c.requests or c.request or c.total_outbufs_len for c in channels)
 
+    def _log_phase(self, event: str, **fields: str) -> None:
+        channels = list(self._server.active_channels.values())
+        telemetry.log_event(
+            event,
+            **fields,
+            elapsed_s=round(self._drain_bounds.elapsed_s, 3),
+            connections=len(channels),
+            requests=sum(len(c.requests) for c in channels),
+            queued=len(self._server.task_dispatcher.queue),
+            idle=sum(c.idle_state() is not None for c in channels),
+        )
+
     def _stop(self) -> None:
         self._server.task_dispatcher.shutdown()
         self._map.clear()
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -63,6 +63,7 @@
         self._eras = positions.Eras(lambda: metrics.count("store.new_eras"))
         self.reload = _reload.ReloadLoop(path, cfg, self._reconfigure)
         self._draining = threading.Event()
+        self._drain = runtime.Drain(cfg.bounds.drain_s)
         seed = zlib.crc32(cfg.instance.name.encode())
         sock = peers.open_socket(cfg.instance.address, cfg.listen.peers)
         peer_task = peers.PeerTask(
@@ -119,6 +120,7 @@
             dispatch=self._dispatch,
             transport=_transport.ReplicaTransport(notices),
             metrics=metrics,
+            drain=self._drain,
         )
         limits = httpd.Limits(
             threads=WORKER_THREADS,
@@ -127,7 +129,9 @@
             connections=cfg.limits.file_descriptors - RESERVED_DESCRIPTORS,
         )
         address = _address.split(cfg.listen.front)
-        self._server = httpd.Server(_ingress.Ingress(ctx, seed), address, limits)
+        self._server = httpd.Server(
+            _ingress.Ingress(ctx, seed), address, limits, self._drain
+        )
         readiness = _ingress.Readiness(self._dispatch, self._draining)
         self._server.add_probe(readiness, _address.split(cfg.listen.ready))
         metrics_address = (cfg.instance.address, cfg.listen.metrics)
@@ -218,6 +222,7 @@
         for client in self._clients:
             client.set_server(cfg.store.address, cfg.store.timeout_s)
         self._dispatch.post(_retry_bounds(cfg))
+        self._drain.set_length(cfg.bounds.drain_s)
 
     def run(self, stop: threading.Event) -> None:
         """Serves until `stop` is set, then drains and stops all tasks."""
--- a/src/turmericward/platform/_settings.py
+++ b/src/turmericward/platform/_settings.py
@@ -61,12 +61,13 @@
 class BoundSettings:
     """Bounds that hold for all instances together.
 
+    `drain_s` is the time between SIGTERM and the kill of a process.
     `order_gap_ms` is the minimum time between orders of two lease holders. After
     `leaving_ms` no front sends new calls to a leaving target, and after
     `configuration_ms` a new configuration is in force on all fronts.
     """
 
-    drain_s: float
+    drain_s: float = attrs.field(validator=schema.validators.between(0.5, 86_400))
     retry_share: float
     retry_slack: float
     retry_window_s: float
--- a/src/turmericward/settings/_schema.py
+++ b/src/turmericward/settings/_schema.py
@@ -63,7 +63,10 @@
 
 @attrs.frozen(kw_only=True)
 class Entry:
-    """The entry processes of this instance; process N listens on `ports[N]`."""
+    """The entry processes of this instance; process N listens on `ports[N]`.
+
+    `drain_s` is the time between SIGTERM and the kill of a process.
+    """
 
     ports: list[int] = attrs.field(
         validator=[
@@ -76,6 +79,9 @@
     balancer_lag_s: float = attrs.field(
         default=2.0, validator=validators.between(0, 300)
     )
+    drain_s: float = attrs.field(
+        default=930.0, validator=validators.between(0.5, 86400)
+    )
     max_body_bytes: int = attrs.field(
         default=8 * 1024 * 1024, validator=validators.between(1024, 1 << 30)
     )
