Lingering close of client connections

What callers saw: a refused upload (413) ends as a reset while the body is still being sent; the tail of a large last response is lost if the client has sent anything after its request. Cause: waitress closes the socket as soon as its own buffer is empty. Unread bytes, or bytes that come later, turn the close into a reset, which drops what the kernel hasn't sent and what the client hasn't read. Change: `Channel.handle_close` ends the sending side and hands the socket to `_linger.Lingering`, which reads and discards until the client closes, for 2 s without progress (bytes received, or bytes acknowledged), 30 s in all. Nothing that arrives after the close is parsed. Idle connections are closed in the step of the event loop that looks for unread bytes, and not if there are any. `_server.py` is split: `_channel.py` has connections and requests. Why it works: RFC 9112, 9.6; the socket has no unread bytes when it is closed, and the client has closed before.

--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -9,10 +9,10 @@
 
 import attrs
 import waitress.server
-from waitress import channel, parser, task, wasyncore
+from waitress import wasyncore
 
 from turmericward import runtime, telemetry
-from turmericward.httpd import _idle, _workers
+from turmericward.httpd import _channel, _idle, _workers
 
 DRAIN_POLL_S = 0.05
 CONNECTION_LIMIT = 4000
@@ -22,73 +22,6 @@
 RECV_BYTES = 65536
 LISTEN_BACKLOG = 1024
 PROBE_THREADS = 1
-RECEIVED_AT_KEY = "turmericward.received"
-
-
-class _Parser(parser.HTTPRequestParser):
-    """Records when a request was complete; closes connections with unclear framing."""
-
-    received_at = 0.0
-
-    def __init__(self, adj):
-        super().__init__(adj)
-        self.header_started_at = runtime.now()
-
-    def parse_header(self, header_plus):
-        super().parse_header(header_plus)
-        if self.chunked and "CONTENT_LENGTH" in self.headers:
-            # With both headers, a proxy may see a different end of the body, so that
-            # bytes after it must not be read as a request (request smuggling).
-            self.headers["CONNECTION"] = "close"
-
-    def received(self, data):
-        consumed = super().received(data)
-        if self.completed and not self.received_at:
-            self.received_at = runtime.now()
-        return consumed
-
-
-class _Task(task.WSGITask):
-    """Closes the connection after the response while the server drains."""
-
-    def get_environment(self):
-        environ = super().get_environment()
-        environ[RECEIVED_AT_KEY] = self.request.received_at
-        return environ
-
-    def build_response_header(self):
-        if self.channel.server.draining:
-            self.set_close_on_finish()
-        return super().build_response_header()
-
-
-class _Channel(channel.HTTPChannel):
-    """A connection whose last activity is in monotonic seconds, not wall-clock time."""
-
-    task_class = _Task
-    parser_class = _Parser
-    _last_active_at = 0.0
-
-    @property
-    def last_activity(self):
-        return self._last_active_at
-
-    @last_activity.setter
-    def last_activity(self, _):
-        self._last_active_at = runtime.now()
-
-    def idle_state(self) -> _idle.IdleState | None:
-        """Returns the idle state, or None while a request is in progress."""
-        if self.requests or self.total_outbufs_len:
-            return None
-        header_started_at = None
-        if self.request is not None and not self.request.headers_finished:
-            header_started_at = self.request.header_started_at
-        return _idle.IdleState(
-            connection=self,
-            last_active_at=self._last_active_at,
-            header_started_at=header_started_at,
-        )
 
 
 @attrs.frozen(kw_only=True)
@@ -164,8 +97,9 @@
             clear_untrusted_proxy_headers=True,
             ident=None,
         )
-        server.channel_class = _Channel
+        server.channel_class = _channel.Channel
         server.draining = False
+        server.lingering = set()
         monitor = _idle.IdleMonitor()
         server.maintenance = functools.partial(self._close_idle, server, monitor)
         return server
@@ -191,7 +125,9 @@
         for conn in monitor.find_expired(
             idle_states, limits.idle_timeout_s, limits.header_timeout_s, now
         ):
-            conn.will_close = True
+            conn.close_idle()
+        for lingering in list(server.lingering):
+            lingering.close_expired(now)
 
     def add_probe(self, app, address: tuple[str, int]) -> None:
         """Serves a probe application on another address with its own thread.
--- /dev/null
+++ b/tests/httpd_fixtures.py
@@ -0,0 +1,121 @@
+"""A server with a small application on real sockets."""
+
+import contextlib
+import http.client
+import socket
+import threading
+
+from tests import fixtures
+from turmericward import httpd, runtime
+from turmericward.httpd import _channel
+
+check = fixtures.check
+# Long enough for a busy machine; the tests end long before.
+STOP_S = 20.0
+JOIN_S = 30.0
+LAG_S = 0.2
+MAX_BODY_BYTES = 100_000
+
+
+class App:
+    """An application whose `/wait` requests block until `gate` is set."""
+
+    def __init__(self) -> None:
+        self.gate = threading.Event()
+        self.started = threading.Semaphore(0)
+        self.paths: list[str] = []
+        self.large = b"x" * 8_000_000
+
+    def __call__(self, environ, start_response):
+        path = environ["PATH_INFO"]
+        self.paths.append(path)
+        size = len(environ["wsgi.input"].read())
+        if path.startswith("/wait"):
+            self.started.release()
+            self.gate.wait(JOIN_S)
+        body = self.large if path == "/large" else f"{path} {size}".encode()
+        start_response("200 OK", [("Content-Length", str(len(body)))])
+        return [body]
+
+
+class Running:
+    """A server on a free port that is stopped by `begin`."""
+
+    def __init__(self, length_s: float, lag_s: float, threads: int, probes) -> None:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            self.address = probe.getsockname()
+        self.app = App()
+        self.not_ready = threading.Event()
+        self.drain = runtime.Drain(length_s)
+        limits = httpd.Limits(
+            threads=threads, max_body_bytes=MAX_BODY_BYTES, balancer_lag_s=lag_s
+        )
+        self.server = httpd.Server(self.app, self.address, limits, self.drain)
+        for app, address in probes:
+            self.server.add_probe(app, address)
+        self._stop = threading.Event()
+        self._thread = threading.Thread(
+            target=self.server.run, args=(self._stop, self.not_ready.set), daemon=True
+        )
+        self._thread.start()
+
+    def connect(self, receive_bytes: int = 0) -> socket.socket:
+        """Opens a connection, with a receive buffer of that size if it isn't 0."""
+        conn = socket.socket()
+        if receive_bytes:
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        conn.settimeout(10)
+        conn.connect(self.address)
+        return conn
+
+    def connect_idle(self) -> socket.socket:
+        """Opens a connection on which one request was answered."""
+        conn = self.connect()
+        check.assertEqual(call(conn, "/first")[0], 200)
+        return conn
+
+    def new_channel(self, sock: socket.socket) -> _channel.Channel:
+        """Returns a connection that the event loop doesn't serve."""
+        inner = self.server._server
+        return _channel.Channel(inner, sock, ("", 0), inner.adj, map={})
+
+    def begin(self) -> None:
+        """Begins the stop."""
+        self._stop.set()
+        check.assertTrue(self.not_ready.wait(5))
+
+    def is_over(self, timeout_s: float = 0.0) -> bool:
+        """Returns whether the server returned within the timeout."""
+        self._thread.join(timeout_s)
+        return not self._thread.is_alive()
+
+
+@contextlib.contextmanager
+def running(length_s: float = STOP_S, lag_s=LAG_S, threads: int = 4, probes=()):
+    """Runs a server; stops it at the end."""
+    server = Running(length_s, lag_s, threads, probes)
+    try:
+        yield server
+    finally:
+        server.app.gate.set()
+        server.begin()
+        server.is_over(JOIN_S)
+
+
+def head(path: str, size: int = 0) -> bytes:
+    """Returns the header of a request."""
+    return f"POST {path} HTTP/1.1\r\nHost: h\r\nContent-Length: {size}\r\n\r\n".encode()
+
+
+def read(conn: socket.socket) -> tuple[int, dict, bytes]:
+    """Reads one response: status, headers and body."""
+    resp = http.client.HTTPResponse(conn, method="POST")
+    resp.begin()
+    return resp.status, dict(resp.getheaders()), resp.read()
+
+
+def call(conn: socket.socket, path: str, body: bytes = b"") -> tuple[int, dict, bytes]:
+    """Sends a request and reads its response."""
+    conn.sendall(head(path, len(body)) + body)
+    return read(conn)
--- /dev/null
+++ b/tests/test_httpd_linger.py
@@ -0,0 +1,118 @@
+"""Lingering close: the client reads the last response, whatever it still sends."""
+
+import socket
+import time
+
+from tests import fixtures, httpd_fixtures
+from turmericward import runtime
+from turmericward.httpd import _linger
+
+check = fixtures.check
+# Small, so that a part of a large response stays in the server's send buffer.
+SMALL_BYTES = 65536
+TOO_LARGE = httpd_fixtures.MAX_BODY_BYTES * 100
+
+
+def _read_all(conn: socket.socket) -> bytes:
+    parts = []
+    while data := conn.recv(65536):
+        parts.append(data)
+    return b"".join(parts)
+
+
+def test_refused_body_is_read_on_so_that_the_client_gets_the_response():
+    with httpd_fixtures.running() as server, server.connect() as conn:
+        status, _, _ = httpd_fixtures.call(conn, "/x", b"x" * TOO_LARGE)
+        check.assertEqual(status, 413)
+        check.assertEqual(conn.recv(1), b"")
+        check.assertEqual(server.app.paths, [])
+
+
+def test_bytes_after_the_last_request_do_not_destroy_its_response():
+    with httpd_fixtures.running() as server, server.connect(SMALL_BYTES) as conn:
+        request = httpd_fixtures.head("/large")
+        conn.sendall(request.replace(b"Host: h", b"Host: h\r\nConnection: close"))
+        conn.recv(1, socket.MSG_PEEK)
+        for _ in range(3):
+            # The server may read the first of them while the response is made.
+            conn.sendall(httpd_fixtures.head("/next"))
+            time.sleep(0.1)
+        data = _read_all(conn)
+        check.assertTrue(data.endswith(server.app.large))
+        check.assertNotIn("/next", server.app.paths)
+
+
+def test_connection_with_unread_bytes_is_not_closed_as_idle():
+    with httpd_fixtures.running() as server:
+        near, far = socket.socketpair()
+        with far:
+            channel = server.new_channel(near)
+            far.sendall(httpd_fixtures.head("/late")[:9])
+            check.assertFalse(channel.close_idle())
+            check.assertTrue(channel.connected)
+            near.recv(9)
+            check.assertTrue(channel.close_idle())
+            check.assertEqual(far.recv(1), b"")
+
+
+class _Pair:
+    """A lingering socket and the client's socket."""
+
+    def __init__(self) -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.client = socket.create_connection(listener.getsockname(), 5)
+        self.near, _ = listener.accept()
+        listener.close()
+        self.map: dict = {}
+        self.registry: set = set()
+
+    def close(self) -> None:
+        _linger.close(self.near, self.map, self.registry)
+
+
+def test_socket_is_closed_when_the_client_closes():
+    pair = _Pair()
+    pair.close()
+    check.assertEqual(pair.client.recv(1), b"")
+    (lingering,) = pair.registry
+    pair.client.sendall(b"late")
+    pair.client.close()
+    lingering.handle_read()
+    check.assertEqual(len(pair.registry), 1)
+    lingering.handle_read()
+    check.assertEqual((pair.registry, pair.map), (set(), {}))
+
+
+def test_socket_is_closed_at_once_after_the_client():
+    pair = _Pair()
+    pair.client.close()
+    pair.close()
+    check.assertEqual((pair.registry, pair.map), (set(), {}))
+
+
+def test_socket_without_progress_is_closed_after_a_while():
+    pair = _Pair()
+    pair.close()
+    (lingering,) = pair.registry
+    now = runtime.now()
+    lingering.close_expired(now + _linger.LINGER_S / 2)
+    check.assertEqual(len(pair.registry), 1)
+    lingering.close_expired(now + _linger.LINGER_S + 1)
+    check.assertEqual(pair.registry, set())
+    pair.client.close()
+
+
+def test_slow_reader_keeps_its_socket_while_it_makes_progress():
+    pair = _Pair()
+    pair.near.setblocking(False)
+    sent = pair.near.send(b"x" * 10_000_000)
+    pair.close()
+    (lingering,) = pair.registry
+    now = runtime.now()
+    check.assertTrue(lingering.unacknowledged)
+    got = len(pair.client.recv(sent // 2, socket.MSG_WAITALL))
+    lingering.close_expired(now + _linger.LINGER_S + 1)
+    check.assertEqual(len(pair.registry), 1)
+    got += len(_read_all(pair.client))
+    check.assertEqual(got, sent)
+    pair.client.close()
--- a/tests/test_httpd_stop.py
+++ b/tests/test_httpd_stop.py
@@ -1,126 +1,26 @@
 """Planned stop of the HTTP server: real sockets, a small application."""
 
-import contextlib
-import http.client
-import socket
-import threading
 import time
 
-from tests import fixtures
-from turmericward import httpd, runtime
+from tests import fixtures, httpd_fixtures
 
 check = fixtures.check
-# Long enough for a busy machine; the tests end long before.
-STOP_S = 20.0
-JOIN_S = 30.0
-LAG_S = 0.2
-
-
-class App:
-    """An application whose `/wait` requests block until `gate` is set."""
-
-    def __init__(self) -> None:
-        self.gate = threading.Event()
-        self.started = threading.Semaphore(0)
-        self.paths: list[str] = []
-        self.large = b"x" * 8_000_000
-
-    def __call__(self, environ, start_response):
-        path = environ["PATH_INFO"]
-        self.paths.append(path)
-        size = len(environ["wsgi.input"].read())
-        if path.startswith("/wait"):
-            self.started.release()
-            self.gate.wait(JOIN_S)
-        body = self.large if path == "/large" else f"{path} {size}".encode()
-        start_response("200 OK", [("Content-Length", str(len(body)))])
-        return [body]
-
-
-class Running:
-    """A server on a free port that is stopped by `begin`."""
-
-    def __init__(self, length_s: float, lag_s: float, threads: int, probes) -> None:
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            self.address = probe.getsockname()
-        self.app = App()
-        self.not_ready = threading.Event()
-        self.drain = runtime.Drain(length_s)
-        limits = httpd.Limits(
-            threads=threads, max_body_bytes=100_000, balancer_lag_s=lag_s
-        )
-        self.server = httpd.Server(self.app, self.address, limits, self.drain)
-        for app, address in probes:
-            self.server.add_probe(app, address)
-        self._stop = threading.Event()
-        self._thread = threading.Thread(
-            target=self.server.run, args=(self._stop, self.not_ready.set), daemon=True
-        )
-        self._thread.start()
-
-    def connect(self) -> socket.socket:
-        """Opens a connection."""
-        return socket.create_connection(self.address, 10)
-
-    def connect_idle(self) -> socket.socket:
-        """Opens a connection on which one request was answered."""
-        conn = self.connect()
-        check.assertEqual(call(conn, "/first")[0], 200)
-        return conn
-
-    def begin(self) -> None:
-        """Begins the stop."""
-        self._stop.set()
-        check.assertTrue(self.not_ready.wait(5))
-
-    def is_over(self, timeout_s: float = 0.0) -> bool:
-        """Returns whether the server returned within the timeout."""
-        self._thread.join(timeout_s)
-        return not self._thread.is_alive()
-
-
-@contextlib.contextmanager
-def running(length_s: float = STOP_S, lag_s=LAG_S, threads: int = 4, probes=()):
-    """Runs a server; stops it at the end."""
-    server = Running(length_s, lag_s, threads, probes)
-    try:
-        yield server
-    finally:
-        server.app.gate.set()
-        server.begin()
-        server.is_over(JOIN_S)
-
-
-def head(path: str, size: int = 0) -> bytes:
-    return f"POST {path} HTTP/1.1\r\nHost: h\r\nContent-Length: {size}\r\n\r\n".encode()
-
-
-def read(conn: socket.socket) -> tuple[int, dict, bytes]:
-    """Reads one response: status, headers and body."""
-    resp = http.client.HTTPResponse(conn, method="POST")
-    resp.begin()
-    return resp.status, dict(resp.getheaders()), resp.read()
-
-
-def call(conn: socket.socket, path: str, body: bytes = b"") -> tuple[int, dict, bytes]:
-    conn.sendall(head(path, len(body)) + body)
-    return read(conn)
+LAG_S = httpd_fixtures.LAG_S
 
 
 def test_each_phase_of_a_stop_is_logged_with_what_is_open():
     with (
         check.assertLogs("absl", "INFO") as logs,
-        running() as server,
+        httpd_fixtures.running() as server,
         server.connect_idle(),
         server.connect() as conn,
     ):
-        conn.sendall(head("/wait"))
+        conn.sendall(httpd_fixtures.head("/wait"))
         check.assertTrue(server.app.started.acquire(timeout=5))
         server.begin()
         time.sleep(LAG_S * 3)
         server.app.gate.set()
-        check.assertEqual(read(conn)[0], 200)
+        check.assertEqual(httpd_fixtures.read(conn)[0], 200)
     records = {r.phase: r for r in logs.records if r.msg == "stop_phase"}
     check.assertEqual(records["leaving"].connections, 2)
     check.assertEqual(records["leaving"].idle, 1)
