Planned stop as a state machine in the event loop's thread, with an end

What callers saw: on kept connections that were idle at SIGTERM, requests sent 2.9 to 5 s after it were closed with no answer, or passed on and cut at the kill; new connections were refused 3 s after it while the process still ran. Causes: a second thread polled "no open request" and then ended the event loop, which read in between; kept connections were closed by the process's exit, unread requests and all; nothing bounded the stop (`bounds.drain_s` was not used), so that SIGKILL cut what was open; the accept queue was dropped with the listener; `ThreadedTaskDispatcher.shutdown` blocked the loop for up to 5 s and dropped queued requests; a response counted as given when it was in our buffer. Change: `_shutdown.Shutdown` has the phases (serving, leaving, finishing, closing, over) and the table of what a connection is given in each, without input or output. Idle connections and the listener are served, with `Connection: close`, until no connection is left after the lag, or the deadline of `runtime.Drain`; then the accept queue is emptied, the listener closed, idle connections close by lingering, half requests get 408, whole requests are awaited until the end. What is left then is cut and counted in `stop_ended`. The stop waits until clients have closed or acknowledged. After the end nothing is read. `Connection: close` is no longer sent beside `Keep-Alive` to HTTP/1.0 clients, and not before a pipelined request that was read already.

--- a/src/turmericward/httpd/_channel.py
+++ b/src/turmericward/httpd/_channel.py
@@ -1,9 +1,9 @@
 """Client connections of the HTTP server and the requests on them."""
 
-from waitress import channel, parser, task
+from waitress import channel, parser, task, utilities
 
 from turmericward import runtime
-from turmericward.httpd import _idle, _linger
+from turmericward.httpd import _idle, _linger, _shutdown
 
 RECEIVED_AT_KEY = "turmericward.received"
 
@@ -34,8 +34,15 @@
         return consumed
 
 
+class RequestTimeoutError(utilities.Error):
+    """Response to a request that isn't complete when the server stops."""
+
+    code = 408
+    reason = "Request Timeout"
+
+
 class Task(task.WSGITask):
-    """Closes the connection after the response while the server drains."""
+    """Closes the connection after the last response while the server stops."""
 
     def get_environment(self) -> dict:
         """Adds the time of the request's last byte."""
@@ -44,9 +51,9 @@
         return environ
 
     def build_response_header(self) -> bytes:
-        """Announces that the connection will be closed."""
-        if self.channel.server.draining:
-            self.set_close_on_finish()
+        """Announces the close if no further response follows."""
+        if self.channel.is_last_response():
+            self.request.headers["CONNECTION"] = "close"
         return super().build_response_header()
 
 
@@ -59,6 +66,9 @@
     task_class = Task
     parser_class = Parser
     _last_active_at = 0.0
+    _served = False
+    _serving = False
+    _discards = False
 
     @property
     def last_activity(self) -> float:
@@ -82,13 +92,84 @@
             header_started_at=header_started_at,
         )
 
+    def state(self) -> _shutdown.State:
+        """Returns the progress of the connection; for the event loop's thread."""
+        if self.requests:
+            running = self._serving
+            return _shutdown.State.RUNNING if running else _shutdown.State.WAITING
+        if self.total_outbufs_len or self.close_when_flushed:
+            return _shutdown.State.FLUSHING
+        if self.request is not None:
+            in_header = not self.request.headers_finished
+            return _shutdown.State.HEADER if in_header else _shutdown.State.BODY
+        return _shutdown.State.IDLE if self._served else _shutdown.State.NEW
+
+    def service(self) -> None:
+        """Answers the first request; called by a worker thread."""
+        self._served = self._serving = True
+        try:
+            super().service()
+        finally:
+            self._serving = False
+
+    def is_last_response(self) -> bool:
+        """Returns whether the connection is closed after the next response.
+
+        While the server stops, that is so unless another request was read already.
+        Bytes that come later are discarded.
+        """
+        phase = self.server.shutdown.phase
+        if phase is _shutdown.Phase.SERVING:
+            return False
+        with self.requests_lock:
+            closing = phase is _shutdown.Phase.CLOSING
+            partial = self.request is not None and not closing
+            if len(self.requests) > 1 or partial:
+                return False
+            self._discards = True
+            return True
+
+    def handle_read(self) -> None:
+        """Reads bytes, but none once the stop's time is used up."""
+        if not self.server.shutdown.ended:
+            super().handle_read()
+
+    def received(self, data: bytes) -> bool:
+        """Parses bytes unless the last response has been announced."""
+        return not self._discards and super().received(data)
+
+    def refuse(self) -> None:
+        """Answers an incomplete request; its remaining bytes are not parsed."""
+        with self.requests_lock:
+            request, self.request = self.request, None
+            request.error = RequestTimeoutError(
+                "The server stops; the incomplete request was not run."
+            )
+            request.completed = True
+            self._discards = True
+            self.requests.append(request)
+        self.server.add_task(self)
+
+    def has_unread(self) -> bool:
+        """Returns whether bytes of the client are waiting to be read."""
+        return self.socket is not None and _linger.has_unread(self.socket)
+
+    def cut(self) -> None:
+        """Closes the socket as it is."""
+        with self.outbuf_lock:
+            self.connected = False
+            sock, self.socket = self.socket, None
+        super().handle_close()
+        if sock is not None:
+            sock.close()
+
     def close_idle(self) -> bool:
         """Closes the connection unless bytes are unread; returns whether it did.
 
         Called in the event loop's thread, so that no bytes are read between the check
         and the end of the sending side.
         """
-        if self.socket is None or _linger.has_unread(self.socket):
+        if self.has_unread():
             return False
         self.handle_close()
         return True
--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -1,20 +1,17 @@
-"""HTTP server whose shutdown lets requests in progress finish."""
+"""HTTP server with limits on clients and a bounded, planned stop."""
 
-import functools
 import math
 import threading
-import time
 from collections.abc import Callable
 from concurrent import futures
 
 import attrs
 import waitress.server
-from waitress import wasyncore
+from waitress import trigger, wasyncore
 
-from turmericward import runtime, telemetry
-from turmericward.httpd import _channel, _idle, _workers
+from turmericward import runtime
+from turmericward.httpd import _channel, _idle, _shutdown, _stopping, _workers
 
-DRAIN_POLL_S = 0.05
 CONNECTION_LIMIT = 4000
 IDLE_TIMEOUT_S = 3600.0
 HEADER_TIMEOUT_S = 60.0
@@ -67,7 +64,7 @@
             drain: time bounds of the shutdown; unbounded if None.
         """
         self._limits = limits
-        self._drain_bounds = drain or runtime.Drain(math.inf)
+        self._drain = drain or runtime.Drain(math.inf)
         self._map: dict = {}
         self._client_limits = ClientLimits(
             max_header_bytes=MAX_HEADER_BYTES,
@@ -75,7 +72,12 @@
             header_timeout_s=HEADER_TIMEOUT_S,
             idle_timeout_s=IDLE_TIMEOUT_S,
         )
+        self._servers: list = []
+        self._monitor = _idle.IdleMonitor()
         self._server = self._listen(app, address, limits.threads)
+        self._stopper = _stopping.Stopper(
+            self._server, self._drain, limits.balancer_lag_s
+        )
 
     def _listen(self, app, address: tuple[str, int], threads: int):
         host, port = address
@@ -98,10 +100,12 @@
             ident=None,
         )
         server.channel_class = _channel.Channel
-        server.draining = False
         server.lingering = set()
-        monitor = _idle.IdleMonitor()
-        server.maintenance = functools.partial(self._close_idle, server, monitor)
+        # Never begins; replaced by the stopper of the main server.
+        server.shutdown = _shutdown.Shutdown(runtime.Drain(math.inf), 0.0)
+        # `_close_idle` does this by the monotonic clock.
+        server.maintenance = lambda now: None
+        self._servers.append(server)
         return server
 
     def set_client_limits(self, limits: ClientLimits) -> None:
@@ -112,90 +116,61 @@
         self._server.adj.max_request_header_size = limits.max_header_bytes + 1
         self._server.adj.max_request_body_size = limits.max_body_bytes + 1
 
-    def _close_idle(self, server, monitor: _idle.IdleMonitor, _) -> None:
-        # Makes waitress call this in every iteration of its event loop; otherwise it
-        # would schedule the calls by wall-clock time.
-        server.next_channel_cleanup = 0
+    def _close_idle(self) -> None:
         now = runtime.now()
-        if not monitor.is_due(now):
+        if not self._monitor.is_due(now):
             return
-        states = [c.idle_state() for c in server.active_channels.values()]
         limits = self._client_limits
-        idle_states = [idle_state for idle_state in states if idle_state is not None]
-        for conn in monitor.find_expired(
-            idle_states, limits.idle_timeout_s, limits.header_timeout_s, now
+        states = [
+            c.idle_state() for s in self._servers for c in s.active_channels.values()
+        ]
+        for conn in self._monitor.find_expired(
+            [idle_state for idle_state in states if idle_state is not None],
+            limits.idle_timeout_s,
+            limits.header_timeout_s,
+            now,
         ):
             conn.close_idle()
-        for lingering in list(server.lingering):
-            lingering.close_expired(now)
+        for server in self._servers:
+            for lingering in list(server.lingering):
+                lingering.close_expired(now)
 
     def add_probe(self, app, address: tuple[str, int]) -> None:
         """Serves a probe application on another address with its own thread.
 
-        It is not delayed by other requests and continues while the server drains.
+        It is not delayed by other requests and continues until the stop is over.
         """
         self._listen(app, address, PROBE_THREADS)
 
     def run(self, stop: threading.Event, on_stop: Callable[[], None]) -> None:
-        """Serves until `stop` is set, then drains and returns.
+        """Serves until `stop` is set and the stop is over.
 
         Args:
-            stop: starts the drain.
-            on_stop: called before the drain, to report the server as not ready.
+            stop: begins the stop.
+            on_stop: called at its begin, to report the server as not ready.
         """
         with futures.ThreadPoolExecutor(max_workers=1) as executor:
-            drained = executor.submit(self._drain_after, stop, on_stop)
-            self._server.run()
-        drained.result()
-
-    def _drain_after(self, stop: threading.Event, on_stop) -> None:
+            begun = executor.submit(self._begin_after, stop, on_stop)
+            while not self._stopper.step():
+                wasyncore.poll2(self._stopper.step_s, self._map)
+                self._close_idle()
+            self._release()
+        begun.result()
+
+    def _begin_after(self, stop: threading.Event, on_stop) -> None:
         stop.wait()
-        self._drain_bounds.begin()
-        on_stop()
-        self._drain()
-
-    def _drain(self) -> None:
-        """Waits for the balancer, stops listening and waits for open requests."""
-        self._server.draining = True
-        self._log_phase("stop_phase", phase="leaving")
-        time.sleep(self._limits.balancer_lag_s)
-        closed = threading.Event()
-        self._run_in_loop(self._close_listener, closed)
-        closed.wait()
-        self._log_phase("stop_phase", phase="finishing")
-        while self._has_open_requests():
-            time.sleep(DRAIN_POLL_S)
-        self._log_phase("stop_ended", how="complete")
-        self._run_in_loop(self._stop)
-
-    def _run_in_loop(self, action, done: threading.Event | None = None) -> None:
-        def run_action() -> None:
-            action()
-            if done is not None:
-                done.set()
-
-        self._server.trigger.pull_trigger(run_action)
-
-    def _close_listener(self) -> None:
-        # `self._server.close` would also close the pipe that wakes the event loop.
-        wasyncore.dispatcher.close(self._server)
-
-    def _has_open_requests(self) -> bool:
-        channels = list(self._server.active_channels.values())
-        return any(c.requests or c.request or c.total_outbufs_len for c in channels)
-
-    def _log_phase(self, event: str, **fields: str) -> None:
-        channels = list(self._server.active_channels.values())
-        telemetry.log_event(
-            event,
-            **fields,
-            elapsed_s=round(self._drain_bounds.elapsed_s, 3),
-            connections=len(channels),
-            requests=sum(len(c.requests) for c in channels),
-            queued=len(self._server.task_dispatcher.queue),
-            idle=sum(c.idle_state() is not None for c in channels),
-        )
-
-    def _stop(self) -> None:
-        self._server.task_dispatcher.shutdown()
+        self._drain.begin()
+        try:
+            on_stop()
+        finally:
+            self._server.pull_trigger()
+
+    def _release(self) -> None:
+        """Lets idle workers end and closes the probes."""
+        for server in self._servers:
+            server.task_dispatcher.set_thread_count(0)
+        for conn in list(self._map.values()):
+            # Leaves the pipes that wake the loop open: workers may still write to them.
+            if not isinstance(conn, trigger.trigger):
+                wasyncore.dispatcher.close(conn)
         self._map.clear()
--- a/src/turmericward/httpd/_workers.py
+++ b/src/turmericward/httpd/_workers.py
@@ -24,6 +24,11 @@
         self._start_failure_logged = False
         self.set_thread_count(min(INITIAL_WORKERS, max_workers))
 
+    @property
+    def busy_count(self) -> int:
+        """Number of workers that aren't waiting for a task."""
+        return self.active_count
+
     def add_task(self, task) -> None:
         """Queues a task; starts another worker first if none is idle."""
         with self.lock:
--- a/tests/httpd_fixtures.py
+++ b/tests/httpd_fixtures.py
@@ -15,6 +15,8 @@
 JOIN_S = 30.0
 LAG_S = 0.2
 MAX_BODY_BYTES = 100_000
+# Small, so that a part of a large response stays in the server's send buffer.
+SMALL_BYTES = 65536
 
 
 class App:
@@ -24,11 +26,13 @@
         self.gate = threading.Event()
         self.started = threading.Semaphore(0)
         self.paths: list[str] = []
+        self._lock = threading.Lock()
         self.large = b"x" * 8_000_000
 
     def __call__(self, environ, start_response):
         path = environ["PATH_INFO"]
-        self.paths.append(path)
+        with self._lock:
+            self.paths.append(path)
         size = len(environ["wsgi.input"].read())
         if path.startswith("/wait"):
             self.started.release()
@@ -41,20 +45,21 @@
 class Running:
     """A server on a free port that is stopped by `begin`."""
 
-    def __init__(self, length_s: float, lag_s: float, threads: int, probes) -> None:
+    def __init__(self, length_s: float, probes, begun: bool, **limits) -> None:
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             self.address = probe.getsockname()
         self.app = App()
         self.not_ready = threading.Event()
         self.drain = runtime.Drain(length_s)
-        limits = httpd.Limits(
-            threads=threads, max_body_bytes=MAX_BODY_BYTES, balancer_lag_s=lag_s
-        )
+        options = {"threads": 4, "balancer_lag_s": LAG_S} | limits
+        limits = httpd.Limits(max_body_bytes=MAX_BODY_BYTES, **options)
         self.server = httpd.Server(self.app, self.address, limits, self.drain)
         for app, address in probes:
             self.server.add_probe(app, address)
         self._stop = threading.Event()
+        if begun:
+            self._stop.set()
         self._thread = threading.Thread(
             target=self.server.run, args=(self._stop, self.not_ready.set), daemon=True
         )
@@ -92,9 +97,9 @@
 
 
 @contextlib.contextmanager
-def running(length_s: float = STOP_S, lag_s=LAG_S, threads: int = 4, probes=()):
+def running(length_s: float = STOP_S, probes=(), *, begun: bool = False, **limits):
     """Runs a server; stops it at the end."""
-    server = Running(length_s, lag_s, threads, probes)
+    server = Running(length_s, probes, begun, **limits)
     try:
         yield server
     finally:
--- a/tests/test_httpd_linger.py
+++ b/tests/test_httpd_linger.py
@@ -8,8 +8,6 @@
 from turmericward.httpd import _linger
 
 check = fixtures.check
-# Small, so that a part of a large response stays in the server's send buffer.
-SMALL_BYTES = 65536
 TOO_LARGE = httpd_fixtures.MAX_BODY_BYTES * 100
 
 
@@ -29,7 +27,10 @@
 
 
 def test_bytes_after_the_last_request_do_not_destroy_its_response():
-    with httpd_fixtures.running() as server, server.connect(SMALL_BYTES) as conn:
+    with (
+        httpd_fixtures.running() as server,
+        server.connect(httpd_fixtures.SMALL_BYTES) as conn,
+    ):
         request = httpd_fixtures.head("/large")
         conn.sendall(request.replace(b"Host: h", b"Host: h\r\nConnection: close"))
         conn.recv(1, socket.MSG_PEEK)
--- a/tests/test_httpd_stop.py
+++ b/tests/test_httpd_stop.py
@@ -1,8 +1,12 @@
 """Planned stop of the HTTP server: real sockets, a small application."""
 
+import contextlib
+import socket
 import time
 
+from standins import launch
 from tests import fixtures, httpd_fixtures
+from turmericward import runtime
 
 check = fixtures.check
 LAG_S = httpd_fixtures.LAG_S
@@ -28,3 +32,198 @@
     check.assertGreaterEqual(records["finishing"].elapsed_s, LAG_S)
     (ended,) = [r for r in logs.records if r.msg == "stop_ended"]
     check.assertEqual(ended.how, "complete")
+
+
+def test_idle_connection_is_answered_after_the_lag_and_then_closed():
+    with httpd_fixtures.running() as server, server.connect_idle() as conn:
+        server.begin()
+        time.sleep(LAG_S + 0.5)
+        status, headers, _ = httpd_fixtures.call(conn, "/late")
+        check.assertEqual((status, headers["Connection"]), (200, "close"))
+        check.assertEqual(conn.recv(1), b"")
+        conn.close()
+        check.assertTrue(server.is_over(2))
+
+
+def test_new_connection_is_answered_after_the_lag():
+    with httpd_fixtures.running() as server, server.connect_idle():
+        server.begin()
+        time.sleep(LAG_S + 0.3)
+        with server.connect() as conn:
+            status, headers, _ = httpd_fixtures.call(conn, "/new")
+        check.assertEqual((status, headers["Connection"]), (200, "close"))
+
+
+def test_stop_without_connections_is_over_after_the_lag():
+    with httpd_fixtures.running() as server:
+        server.begin()
+        check.assertTrue(server.is_over(5))
+        check.assertLess(server.drain.elapsed_s, httpd_fixtures.STOP_S / 2)
+
+
+def test_request_that_never_ends_is_cut_at_the_end():
+    with (
+        check.assertLogs("absl", "INFO") as logs,
+        httpd_fixtures.running(2.0) as server,
+        server.connect() as conn,
+    ):
+        conn.sendall(httpd_fixtures.head("/wait"))
+        check.assertTrue(server.app.started.acquire(timeout=5))
+        server.begin()
+        check.assertTrue(server.is_over(5))
+        check.assertLess(server.drain.elapsed_s, 2.0)
+        check.assertEqual(conn.recv(1), b"")
+    (ended,) = [r for r in logs.records if r.msg == "stop_ended"]
+    check.assertEqual((ended.how, ended.requests, ended.busy_workers), ("cut", 1, 1))
+
+
+def test_requests_that_wait_for_a_worker_are_answered():
+    with httpd_fixtures.running(2.0, threads=1) as server:
+        with contextlib.ExitStack() as stack:
+            conns = [stack.enter_context(server.connect()) for _ in range(5)]
+            for conn in conns:
+                conn.sendall(httpd_fixtures.head("/wait"))
+            check.assertTrue(server.app.started.acquire(timeout=5))
+            server.begin()
+            # Calls end at the deadline.
+            time.sleep(server.drain.deadline - runtime.now())
+            server.app.gate.set()
+            check.assertEqual([httpd_fixtures.read(c)[0] for c in conns], [200] * 5)
+        check.assertTrue(server.is_over(1))
+
+
+def test_incomplete_requests_are_refused_before_the_end():
+    with (
+        httpd_fixtures.running(2.0) as server,
+        server.connect() as header,
+        server.connect() as body,
+    ):
+        header.sendall(httpd_fixtures.head("/header")[:-2])
+        body.sendall(httpd_fixtures.head("/body", 100) + b"x")
+        server.begin()
+        for conn in (header, body):
+            status, headers, _ = httpd_fixtures.read(conn)
+            check.assertEqual((status, headers["Connection"]), (408, "close"))
+            check.assertEqual(conn.recv(1), b"")
+        check.assertGreaterEqual(runtime.now(), server.drain.deadline)
+        check.assertEqual(server.app.paths, [])
+
+
+def test_request_after_the_close_of_an_idle_connection_is_not_run():
+    with httpd_fixtures.running(2.0) as server, server.connect_idle() as conn:
+        server.begin()
+        check.assertEqual(conn.recv(1), b"")
+        check.assertGreaterEqual(runtime.now(), server.drain.deadline)
+        conn.sendall(httpd_fixtures.head("/late"))
+        check.assertTrue(server.is_over(5))
+        check.assertEqual(server.app.paths, ["/first"])
+
+
+def test_accept_queue_is_emptied_before_the_listener_closes():
+    with (
+        httpd_fixtures.running(2.0, connections=8) as server,
+        contextlib.ExitStack() as stack,
+    ):
+        conns = [stack.enter_context(server.connect()) for _ in range(20)]
+        for number, conn in enumerate(conns):
+            conn.sendall(httpd_fixtures.head(f"/{number}")[: 5 if number < 8 else None])
+        time.sleep(0.3)
+        check.assertEqual(server.app.paths, [])
+        server.begin()
+        check.assertEqual([httpd_fixtures.read(c)[0] for c in conns[8:]], [200] * 12)
+        check.assertEqual([httpd_fixtures.read(c)[0] for c in conns[:8]], [408] * 8)
+
+
+def test_slow_reader_gets_a_whole_response_during_the_stop():
+    with (
+        httpd_fixtures.running() as server,
+        server.connect(httpd_fixtures.SMALL_BYTES) as conn,
+    ):
+        conn.sendall(httpd_fixtures.head("/large"))
+        conn.recv(1, socket.MSG_PEEK)
+        server.begin()
+        time.sleep(LAG_S + 0.5)
+        check.assertFalse(server.is_over())
+        _, _, body = httpd_fixtures.read(conn)
+        check.assertEqual(len(body), len(server.app.large))
+        conn.close()
+        check.assertTrue(server.is_over(2))
+
+
+def test_stop_waits_until_the_last_response_is_acknowledged():
+    with (
+        check.assertLogs("absl", "INFO") as logs,
+        httpd_fixtures.running(2.0) as server,
+        server.connect(httpd_fixtures.SMALL_BYTES) as conn,
+    ):
+        # Fits into the server's send buffer but not into the client's.
+        server.app.large = b"x" * 500_000
+        conn.sendall(httpd_fixtures.head("/large"))
+        conn.recv(1, socket.MSG_PEEK)
+        server.begin()
+        check.assertTrue(server.is_over(5))
+        check.assertGreater(server.drain.elapsed_s, 1.5)
+    (ended,) = [r for r in logs.records if r.msg == "stop_ended"]
+    check.assertEqual((ended.how, ended.unsent), ("cut", 1))
+
+
+def test_pipelined_requests_that_were_read_are_answered():
+    with httpd_fixtures.running() as server, server.connect() as conn:
+        conn.sendall(httpd_fixtures.head("/wait") + httpd_fixtures.head("/second"))
+        check.assertTrue(server.app.started.acquire(timeout=5))
+        server.begin()
+        server.app.gate.set()
+        reader = conn.makefile("rb")
+        data = reader.read()
+        check.assertEqual(data.count(b"HTTP/1.1 200"), 2)
+        check.assertEqual(data.count(b"Connection: close"), 1)
+
+
+def test_response_to_an_old_client_announces_the_close():
+    with httpd_fixtures.running() as server, server.connect() as conn:
+        server.begin()
+        conn.sendall(b"GET /old HTTP/1.0\r\nConnection: keep-alive\r\n\r\n")
+        data = conn.makefile("rb").read().lower()
+        check.assertIn(b"connection: close", data)
+        check.assertNotIn(b"connection: keep-alive", data)
+
+
+def test_process_that_was_paused_beyond_the_end_ends_at_once():
+    with (
+        httpd_fixtures.running() as server,
+        server.connect() as conn,
+        server.connect_idle() as idle,
+    ):
+        conn.sendall(httpd_fixtures.head("/wait"))
+        check.assertTrue(server.app.started.acquire(timeout=5))
+        server.begin()
+        time.sleep(0.5)
+        # The same to the server as a pause: the end has passed.
+        server.drain.set_length(0.5)
+        idle.sendall(httpd_fixtures.head("/late"))
+        check.assertTrue(server.is_over(2))
+        check.assertNotIn("/late", server.app.paths)
+
+
+def test_stop_may_begin_before_the_server_runs():
+    with httpd_fixtures.running(begun=True) as server:
+        check.assertTrue(server.is_over(5))
+
+
+def test_probe_is_served_until_the_stop_is_over():
+    (port,) = launch.free_ports(1)
+    address = ("127.0.0.1", port)
+    probe = (httpd_fixtures.App(), address)
+    with (
+        httpd_fixtures.running(probes=[probe]) as server,
+        server.connect_idle() as idle,
+    ):
+        server.begin()
+        time.sleep(LAG_S + 0.3)
+        for _ in range(2):
+            with socket.create_connection(address, 5) as conn:
+                check.assertEqual(httpd_fixtures.call(conn, "/ready")[0], 200)
+        idle.close()
+        check.assertTrue(server.is_over(2))
+        with check.assertRaises(ConnectionRefusedError):
+            socket.create_connection(address, 5)
