Tests run in three worker processes; ports of stand-ins are not clients' ports

Each module, and each scenario, now runs in a process of its own, three at a time; results, known red tests and the totals line are as before.

--- a/standins/launch.py
+++ b/standins/launch.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -19,6 +20,7 @@
 STEWARD_PORT = 7100
 LOG = "127.0.0.1"
 START_TIMEOUT_S = 20.0
+LISTEN_PORTS = (10_000, 32_000)
 STOP_TIMEOUT_S = 15.0
 
 
@@ -28,12 +30,20 @@
 
 
 def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
-    """Returns ports that are currently free."""
+    """Returns ports that are currently free.
+
+    They are below those that the system gives to clients' connections, and random, so
+    that processes that ask at the same time rarely get the same ones.
+    """
     with contextlib.ExitStack() as stack:
-        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in socks:
-            sock.bind((host, 0))
-        return [sock.getsockname()[1] for sock in socks]
+        ports: list[int] = []
+        while len(ports) < count:
+            port = random.randint(*LISTEN_PORTS)
+            sock = stack.enter_context(socket.socket())
+            with contextlib.suppress(OSError):
+                sock.bind((host, port))
+                ports.append(port)
+        return ports
 
 
 def request(address: str, method: str, path: str, body=None, headers=None, wait=10.0):
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,62 +1,61 @@
-"""Runs the named tests, or all, and prints one line of totals."""
+"""Runs the named tests, or all, and prints one line of totals.
 
+All tests run in several worker processes, named ones in this process.
+"""
+
+import json
 import os
-import pathlib
+import subprocess
 import sys
-import unittest
+from concurrent import futures
 
-from tests import loading
+import attrs
 
-KNOWN_RED = pathlib.Path("KNOWN-RED.txt")
+from tests import loading, running
 
+WORKERS = 3
+WORKER_FLAG = "--worker"
 
-def _known_red() -> frozenset[str]:
-    if not KNOWN_RED.exists():
-        return frozenset()
-    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
-    return frozenset(line.split()[1] for line in lines if line.startswith("test: "))
 
+def _run_in_worker(unit: str) -> running.Totals:
+    """Runs a module, or one test, in a process of its own; prints its output."""
+    command = [sys.executable, "-m", "tests", WORKER_FLAG, unit]
+    done = subprocess.run(
+        command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
+    )
+    output, _, last_line = done.stdout.rstrip("\n").rpartition("\n")
+    try:
+        totals = running.Totals(**json.loads(last_line))
+    except (ValueError, TypeError):
+        output, totals = done.stdout, running.Totals(failed=1)
+    print(f"--- {unit}\n{output}", flush=True)
+    return attrs.evolve(totals, red=tuple(totals.red))
 
-class _Result(unittest.TextTestResult):
-    def __init__(self, *args, **kwargs) -> None:
-        super().__init__(*args, **kwargs)
-        self.known_red = _known_red()
-        self.red: list[str] = []
-        self.passed = 0
 
-    def addSuccess(self, test) -> None:  # noqa: N802
-        super().addSuccess(test)
-        self.passed += 1
+def _run_all() -> running.Totals:
+    with futures.ThreadPoolExecutor(WORKERS) as executor:
+        results = list(executor.map(_run_in_worker, loading.units()))
+    return sum(results, running.Totals())
 
-    def addFailure(self, test, err) -> None:  # noqa: N802
-        if test.id() in self.known_red:
-            self.red.append(test.id())
-        else:
-            super().addFailure(test, err)
 
-    def addError(self, test, err) -> None:  # noqa: N802
-        if test.id() in self.known_red:
-            self.red.append(test.id())
-        else:
-            super().addError(test, err)
+def _print_totals(totals: running.Totals) -> None:
+    for name in totals.red:
+        print(f"known red, passed over: {name}")
+    print(f"{totals.passed} passed, {totals.failed} failed, {totals.skipped} skipped")
 
 
-def main() -> int:
-    suite = loading.load(sys.argv[1:])
-    runner = unittest.TextTestRunner(
-        stream=sys.stdout, verbosity=2, resultclass=_Result
-    )
-    result = runner.run(suite)
-    for name in result.red:
-        print(f"known red, passed over: {name}")
-    failed = len(result.failures) + len(result.errors)
-    skipped = len(result.skipped)
-    print(f"{result.passed} passed, {failed} failed, {skipped} skipped")
-    return 1 if failed else 0
+def main(names: list[str]) -> int:
+    if names[:1] == [WORKER_FLAG]:
+        totals = running.run(names[1:])
+        print(json.dumps(attrs.asdict(totals)))
+    else:
+        totals = running.run(names) if names else _run_all()
+        _print_totals(totals)
+    return 1 if totals.failed else 0
 
 
 if __name__ == "__main__":
-    status = main()
+    status = main(sys.argv[1:])
     sys.stdout.flush()
     # Skips the join of non-daemon threads that a failed test left running.
     os._exit(status)
--- a/tests/loading.py
+++ b/tests/loading.py
@@ -3,10 +3,10 @@
 import importlib
 import inspect
 import pathlib
-import pkgutil
 import unittest
 
 ROOT = pathlib.Path(__file__).parent
+LONG_MODULES = ("tests.test_scenarios",)
 
 
 class FunctionTest(unittest.FunctionTestCase):
@@ -32,15 +32,38 @@
     return unittest.TestSuite(FunctionTest(f) for f in functions)
 
 
-def _all_modules() -> list[str]:
-    names = [m.name for m in pkgutil.iter_modules([str(ROOT)])]
-    return [f"tests.{name}" for name in sorted(names) if name.startswith("test_")]
+def _module_names() -> list[str]:
+    return [f"tests.{path.stem}" for path in sorted(ROOT.glob("test_*.py"))]
+
+
+def units() -> list[str]:
+    """Returns names that `load` takes and that together cover all tests.
+
+    Tests of a module with long ones are units of their own and come first.
+    """
+    single = [test.id() for test in load(list(LONG_MODULES))]
+    return single + [name for name in _module_names() if name not in LONG_MODULES]
+
+
+def _load(name: str) -> list[unittest.TestCase]:
+    module, _, function = name.partition(":")
+    if module not in _module_names():
+        module, _, _ = name.rpartition(".")
+        return [t for t in _tests_of(module) if t.id() == name]
+    return [t for t in _tests_of(module) if function in t.id()]
+
+
+def _tests_of(module: str) -> list[unittest.TestCase]:
+    return list(module_suite(importlib.import_module(module)))
 
 
 def load(names: list[str]) -> unittest.TestSuite:
+    """Returns the tests with these names, or all.
+
+    A name is that of a module, of one test, or MODULE:TEXT for the module's tests whose
+    names hold the text.
+    """
     suite = unittest.TestSuite()
-    for name in names or _all_modules():
-        module, _, function = name.partition(":")
-        tests = module_suite(importlib.import_module(module))
-        suite.addTests(t for t in tests if function in t.id())
+    for name in names or _module_names():
+        suite.addTests(_load(name))
     return suite
