Load reports are compared with the local requests that have ended since, too

Callers saw: 429 'overloaded' from an entry while the engine had 12 short streams in flight and the first token came in 12 ms. Cause: a report's count of requests is divided by the local requests that were sent before it, to estimate the requests of other entries. Only open ones were counted. With streams shorter than the report's age none is left, and the whole report, own requests included, counted as other entries' work: the queue was taken for 8 times (the maximum) what it was. Evidence: every refusal traced in test_change_many_under_load had 'before 0' local requests in a report of 6 to 12, two to five waiting ones of 3 tokens, and a queue of 24 tokens for each of them. Change: an entry remembers for 5 s when its ended requests were at an engine, and compares a report with what it had there at the report's time. Why it works: own requests are on both sides of the ratio again.

--- a/src/turmericward/requests/_engine_requests.py
+++ b/src/turmericward/requests/_engine_requests.py
@@ -1,5 +1,7 @@
 """One engine's load as an entry estimates it: local requests and the last report."""
 
+import collections
+
 import attrs
 
 from turmericward import fleet
@@ -9,6 +11,8 @@
 MAX_REPORT_SCALE = 8.0
 INITIAL_MEAN_TOKENS = 500.0
 LEARNING_RATE = 0.05
+# How long a request that has ended is compared with reports from before its end.
+ENDED_LIFETIME_S = 5.0
 
 
 @attrs.frozen(kw_only=True)
@@ -20,6 +24,14 @@
     prefill_tokens: float
 
 
+@attrs.frozen(kw_only=True)
+class _EndedRequest:
+    """A local request that was at the engine from `at` to `ended_at`."""
+
+    at: float
+    ended_at: float
+
+
 class EngineRequests:
     """Local requests at one engine, scaled up by the engine's load report.
 
@@ -31,6 +43,7 @@
         """Starts without requests."""
         self._open: dict[int, OpenRequest] = {}
         self._waiting: dict[int, OpenRequest] = {}
+        self._ended: collections.deque[_EndedRequest] = collections.deque()
         self._mean_tokens = INITIAL_MEAN_TOKENS
 
     def add(self, number: int, req: OpenRequest) -> None:
@@ -44,10 +57,15 @@
         """Records a request's first token: its prefill is done."""
         self._waiting.pop(number, None)
 
-    def end(self, number: int) -> None:
-        """Removes a request that has ended."""
-        self._open.pop(number, None)
+    def end(self, number: int, now: float) -> None:
+        """Removes a request that ends at `now` (monotonic seconds)."""
         self._waiting.pop(number, None)
+        req = self._open.pop(number, None)
+        if req is None:
+            return
+        self._ended.append(_EndedRequest(at=req.at, ended_at=now))
+        while now - self._ended[0].ended_at > ENDED_LIFETIME_S:
+            self._ended.popleft()
 
     def open_requests(self, report: fleet.LoadView | None) -> float:
         """Returns how many requests of all entries the engine has."""
@@ -65,13 +83,21 @@
             return local
         if not self._open:
             return report.queued * self._mean_tokens
-        return local * self._scale(report)
+        return local * self._scale(report) if local else 0.0
 
     def _scale(self, report: fleet.LoadView) -> float:
-        before = sum(r.at <= report.at for r in self._open.values())
-        scale = (report.running + report.queued) / max(1, before)
+        scale = (report.running + report.queued) / max(1, self._open_at(report.at))
         return min(MAX_REPORT_SCALE, max(1.0, scale))
 
+    def _open_at(self, at: float) -> int:
+        """Returns how many local requests the engine had at a time."""
+        count = sum(r.at <= at for r in self._open.values())
+        for req in reversed(self._ended):
+            if req.ended_at <= at:
+                break
+            count += req.at <= at
+        return count
+
 
 def open_request(demand: _demand.Demand, cached_tokens: int, at: float) -> OpenRequest:
     """Returns the record of a request that is sent at `at` (monotonic seconds)."""
--- a/src/turmericward/requests/_router.py
+++ b/src/turmericward/requests/_router.py
@@ -183,7 +183,7 @@
         """Ends the assignment; repeated calls have no effect."""
         if self._open.pop(assignment.id, None) is None:
             return
-        self._requests[assignment.engine].end(assignment.id)
+        self._requests[assignment.engine].end(assignment.id, now)
         if failed:
             self.health.failed(assignment.engine, now)
             self._prefixes.forget_engine(assignment.engine)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -125,6 +125,22 @@
     check.assertGreater(loaded.unwrap().tokens, 5 * unloaded)
 
 
+def test_requests_that_ended_since_a_report_count_as_local_ones_in_it():
+    router = _router()
+    engines = _engines(1)
+    reported = [_choose(router, f"a{n}", engines, now=0.9).unwrap() for n in range(6)]
+    report = fleet.LoadView(running=6, queued=0, role="mixed", at=1.0)
+    for assignment in reported:
+        router.first_token(assignment, 0.01)
+        router.finished(assignment, False, 1.1)
+    for number in range(6):
+        _choose(router, f"b{number}", engines, now=1.2, reports={"e0": report})
+    own = _demand("c", "urgent").prompt_tokens
+    local = 6 * own
+    chosen = _choose(router, "c", engines, now=1.2, reports={"e0": report}).unwrap()
+    check.assertEqual(chosen.tokens, local + own)
+
+
 def test_finishing_twice_has_no_effect():
     router = _router()
     assignment = _choose(router, "x", _engines(1)).unwrap()
