Short prompts no longer make an idle engine look overloaded

Cause: the seconds per token were learned as time to first token / tokens. For a prompt of 3 tokens nearly all of that time is connection, scheduling and the first step: 0.007 to 0.016 s per token were learned, for an engine that prefills 10,000 per second. 48 to 120 queued tokens then exceeded the bound of 0.77 s. Evidence: change_many_under_load, traced at each refusal. The verb `unload` now says it when calls really don't end. Change: 128 tokens are added to a prompt before its time is divided by its tokens, for the part of the time that doesn't depend on the prompt. Why it works: the estimate of a short prompt is no longer its fixed cost times the length of others. Slow prefills of long prompts still refuse (new test). The new test of a long prompt after short ones failed before (Err overloaded).

--- a/src/turmericward/requests/_router.py
+++ b/src/turmericward/requests/_router.py
@@ -13,6 +13,9 @@
 
 INITIAL_SECONDS_PER_TOKEN = 1 / 10_000
 LEARNING_RATE = 0.05
+# Part of the time to first token that doesn't depend on the prompt, as a number of
+# tokens. It is most of a short prompt's time, and says nothing about a long one's.
+FIXED_COST_TOKENS = 128
 SECONDS_PER_OPEN_REQUEST = 0.02
 RANDOM_CANDIDATES = 2
 NO_ENGINE_RETRY_AFTER_S = 2.0
@@ -174,7 +177,7 @@
         """Updates an engine's estimated speed with the time to a first token."""
         self._requests[assignment.engine].prefilled(assignment.id)
         estimate = self._seconds_per_token[assignment.engine]
-        sample = took_s / assignment.tokens
+        sample = took_s / (assignment.tokens + FIXED_COST_TOKENS)
         self._seconds_per_token[assignment.engine] += LEARNING_RATE * (
             sample - estimate
         )
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -197,7 +197,9 @@
 def _unload(world, least="1") -> None:
     """Ends the load; checks that at least `least` streams ran, all complete."""
     world.loading.clear()
-    counts = [fut.result(CALL_WAIT_S) for fut in world.load]
+    _, unended = futures.wait(world.load, CALL_WAIT_S)
+    check.assertEqual(len(unended), 0, f"calls that did not end in {CALL_WAIT_S:g} s")
+    counts = [fut.result() for fut in world.load]
     check.assertGreaterEqual(sum(counts), int(least))
 
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -125,6 +125,32 @@
     check.assertGreater(loaded.unwrap().tokens, 5 * unloaded)
 
 
+def _run_short_prompts(router, count: int, took_s: float) -> None:
+    for number in range(count):
+        chosen = _choose(router, f"s{number}", _engines(1)).unwrap()
+        router.first_token(chosen, took_s)
+        router.finished(chosen, False, 0.0)
+
+
+def test_short_prompts_do_not_make_an_idle_engine_refuse_a_long_one():
+    router = _router()
+    _run_short_prompts(router, 200, took_s=0.02)
+    long_prompt = _demand("x" * 4000, "urgent")
+    chosen = router.choose(long_prompt, _engines(1), {}, frozenset(), 0.0)
+    check.assertTrue(chosen.is_ok(), chosen)
+
+
+def test_slow_prefills_of_long_prompts_still_refuse_a_request():
+    router = _router()
+    for number in range(200):
+        chosen = _choose(router, f"{number}" + "x" * 4000, _engines(1)).unwrap()
+        router.first_token(chosen, 2.0)
+        router.finished(chosen, False, 0.0)
+    long_prompt = _demand("x" * 4000, "urgent")
+    refused = router.choose(long_prompt, _engines(1), {}, frozenset(), 0.0)
+    check.assertEqual(refused.unwrap_err().reason, "overloaded")
+
+
 def test_requests_that_ended_since_a_report_count_as_local_ones_in_it():
     router = _router()
     engines = _engines(1)
