No signal to stop is lost in front, entry and steward

Callers saw (trial, bursts of SIGTERM and SIGINT at a process that had just started): it didn't stop; the platform would kill it with its calls open. Cause: the handler set a threading.Event, whose lock isn't reentrant: a second signal within the handler blocked the main thread for good. And Python runs handlers on the main thread alone, not before a call that blocks returns: a signal that came just before `stop.wait()` blocked, or at another thread, had no effect. Change: the interpreter writes the signal's number to a socket at once (signal.set_wakeup_fd), a thread reads it and sets the event.

--- a/src/turmericward/programs/_common.py
+++ b/src/turmericward/programs/_common.py
@@ -1,6 +1,7 @@
 """Startup code shared by the long-running programs."""
 
 import signal
+import socket
 import sys
 import threading
 
@@ -9,6 +10,8 @@
 from turmericward import settings, telemetry
 
 EXIT_SETTINGS = 2
+STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
+MAX_SIGNALS_PER_READ = 64
 
 
 def load_settings(path: str, schema: type = settings.Settings):
@@ -33,8 +36,27 @@
 
 
 def stop_event() -> threading.Event:
-    """Returns an event that SIGTERM and SIGINT set."""
+    """Returns an event that SIGTERM and SIGINT set.
+
+    Python runs a signal's handler on the main thread, not before that leaves a call
+    that blocks, and possibly within another handler. The event, whose lock both may
+    hold, is set by a thread instead; the interpreter itself wakes it at the signal.
+    """
     stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
+    reader, writer = socket.socketpair()
+    writer.setblocking(False)
+    thread = threading.Thread(
+        target=_set_on_signal, args=(reader, stop), name="signals", daemon=True
+    )
+    thread.start()
+    # The file descriptor stays open for as long as the interpreter may write to it.
+    signal.set_wakeup_fd(writer.detach(), warn_on_full_buffer=False)
+    for number in STOP_SIGNALS:
+        signal.signal(number, lambda *_: None)
     return stop
+
+
+def _set_on_signal(reader: socket.socket, stop: threading.Event) -> None:
+    while numbers := reader.recv(MAX_SIGNALS_PER_READ):
+        if STOP_SIGNALS.intersection(numbers):
+            stop.set()
