SIGHUP no longer ends entries and stewards

Cause: nothing handled the signal; its default action ends the process. Why it works: there is nothing to reload, so nothing has to happen. The new test failed before (exit status -1).

--- a/src/turmericward/programs/_common.py
+++ b/src/turmericward/programs/_common.py
@@ -30,8 +30,12 @@
 
 
 def prepare(program: str, cfg: settings.Settings) -> threading.Event:
-    """Configures logging; returns an event that SIGTERM and SIGINT set."""
+    """Configures logging; returns an event that SIGTERM and SIGINT set.
+
+    SIGHUP, which by default ends a process at once, is ignored.
+    """
     telemetry.configure_logs(program, cfg.instance.name, cfg.log_level)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     return stop_event()
 
 
--- a/tests/test_process_stops.py
+++ b/tests/test_process_stops.py
@@ -1,15 +1,81 @@
 """Planned stops of real entries and stewards: no call is cut, none runs twice."""
 
+import contextlib
+import signal
 import subprocess
 import sys
+import threading
+import time
+from concurrent import futures
 
+from standins import launch
 from tests import fixtures
 
 check = fixtures.check
+HEADERS = fixtures.HEADERS
+OPERATOR = fixtures.OPERATOR
+DISPATCH = "/services/alarm/dispatch"
+MODEL = "/apis/v1/model/small"
+EXIT_TIMEOUT_S = 15.0
+WORKERS = 8
 # A signal to stop that has no effect for so long is lost.
 LOST_S = 4.0
 
 
+def _terminate(cluster, name: str) -> float:
+    """Sends SIGTERM, checks for a clean exit and returns how long it took."""
+    started = time.monotonic()
+    cluster.signal(name, signal.SIGTERM)
+    status = cluster.processes[name].wait(EXIT_TIMEOUT_S)
+    check.assertEqual(status, 0, cluster.log_of(name)[-2000:])
+    return time.monotonic() - started
+
+
+def _call_with_key(entry: str, key: str):
+    sent = HEADERS | {"Idempotency-Key": key}
+    return launch.request(entry, "POST", DISPATCH, key, sent, wait=30)
+
+
+def _call_repeatedly(entry: str, worker: int, running: threading.Event) -> dict:
+    """Sends calls with keys of their own until `running` is cleared."""
+    answers = {}
+    while running.is_set():
+        key = f"{worker}-{len(answers)}"
+        status, _, body = _call_with_key(entry, key)
+        answers[key] = (status, body)
+    return answers
+
+
+@contextlib.contextmanager
+def _keyed_calls(entry: str):
+    """Runs workers that send calls with keys; yields their answers, filled at exit."""
+    answers = {}
+    running = threading.Event()
+    running.set()
+    with futures.ThreadPoolExecutor(WORKERS) as executor:
+        futs = [
+            executor.submit(_call_repeatedly, entry, worker, running)
+            for worker in range(WORKERS)
+        ]
+        try:
+            yield answers
+        finally:
+            running.clear()
+        for fut in futs:
+            answers.update(fut.result())
+
+
+def test_a_hangup_does_not_end_entries_and_stewards():
+    with fixtures.cluster(domains=("a",)) as cluster:
+        for name in ("entry-a0-0", "steward-a0"):
+            cluster.signal(name, signal.SIGHUP)
+        time.sleep(0.3)
+        for name in ("entry-a0-0", "steward-a0"):
+            check.assertIsNone(cluster.processes[name].poll(), name)
+        status, _, _ = _call_with_key(cluster.nodes["a0"].entries[0], "after")
+        check.assertEqual(status, 200)
+
+
 # Each sends itself signals in the way named, and waits for the event to be set.
 SIGNAL_SCRIPTS = {
     "a signal within the handler of another": """
