Front and entry exit by the end of their stop

What was seen: with the store silent and a stop of 4 s a front took 5.04 s from SIGTERM to its exit, so that the platform would have killed it. Cause: after the server's stop the tasks are waited for (1 s, in the entry 5 s), and the interpreter joins the threads of every executor, which may be blocked in a read of the store or of a target. Change: `Group.stop` gets what is left until `Drain.end`; then the process flushes its log and exits, as the steward does.

--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -228,7 +228,7 @@
         """Serves until `stop` is set, then drains and stops all tasks."""
         self._group.start()
         self._server.run(stop, self._begin_drain)
-        self._group.stop(STOP_TIMEOUT_S)
+        self._group.stop(min(STOP_TIMEOUT_S, self._drain.left_s))
 
     def _begin_drain(self) -> None:
         logging.info("front drains")
@@ -260,3 +260,4 @@
     front = Front(cfg, path)
     signal.signal(signal.SIGHUP, lambda *_: front.reload.request_reload())
     front.run(stop)
+    _common.exit_process()
--- a/src/turmericward/programs/_common.py
+++ b/src/turmericward/programs/_common.py
@@ -1,8 +1,10 @@
-"""Startup code shared by the long-running programs."""
+"""Startup and exit of the long-running programs."""
 
+import os
 import signal
 import sys
 import threading
+from typing import NoReturn
 
 import click
 
@@ -38,3 +40,9 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop.set())
     return stop
+
+
+def exit_process() -> NoReturn:
+    """Exits without joining threads, which may be blocked on others."""
+    telemetry.flush_logs()
+    os._exit(0)
--- a/src/turmericward/programs/entry.py
+++ b/src/turmericward/programs/entry.py
@@ -16,6 +16,7 @@
         raise click.BadParameter(f"entry.ports has no item {index}")
     stop = _common.prepare("turmericward-entry", cfg)
     entry.EntryProcess(cfg, index).run(stop)
+    _common.exit_process()
 
 
 if __name__ == "__main__":
--- a/src/turmericward/runtime/_drain.py
+++ b/src/turmericward/runtime/_drain.py
@@ -56,6 +56,11 @@
         """Seconds since the stop began, 0 before."""
         return 0.0 if self._began_at is None else self._clock() - self._began_at
 
+    @property
+    def left_s(self) -> float:
+        """Seconds until `end`, 0 after it."""
+        return max(0.0, self.end - self._clock())
+
     @property
     def deadline(self) -> float:
         """Time by which every open call has its final answer."""
--- /dev/null
+++ b/tests/test_platform_stop.py
@@ -0,0 +1,146 @@
+"""Planned stops of a front's process."""
+
+import contextlib
+import http.client
+import json
+import signal
+import time
+
+from standins import launch
+from tests import fixtures, platform_fixtures
+
+check = fixtures.check
+PROMPT = platform_fixtures.PROMPT
+DRAIN_S = 4.0
+LAG_S = 3.0
+IDLE_CONNECTIONS = 20
+
+
+def _set_drain(platform, drain_s: float) -> None:
+    value = json.loads(platform.settings.read_text())
+    value["bounds"]["drain_s"] = drain_s
+    platform.settings.write_text(json.dumps(value))
+    before = platform.log.read_text().count("settings changed: bounds.drain_s")
+    platform.process.send_signal(signal.SIGHUP)
+    launch.wait_until(
+        lambda: (
+            platform.log.read_text().count("settings changed: bounds.drain_s") > before
+        ),
+        what="drain period changed",
+    )
+
+
+def _events(platform, message: str) -> list[dict]:
+    lines = [
+        json.loads(line)
+        for line in platform.log.read_text().splitlines()
+        if line.startswith("{")
+    ]
+    return [line for line in lines if line["message"] == message]
+
+
+def _idle_connection(platform, number: int) -> http.client.HTTPConnection:
+    conn = platform.connect()
+    platform.send(conn, "GET", "/read/x", f"first{number}")
+    resp = conn.getresponse()
+    resp.read()
+    check.assertEqual(resp.status, 200)
+    return conn
+
+
+def test_calls_on_idle_connections_are_answered_after_the_lag():
+    with platform_fixtures.platform(("p1",)) as platform:
+        conns = [_idle_connection(platform, n) for n in range(IDLE_CONNECTIONS)]
+        began = time.monotonic()
+        platform.process.terminate()
+        statuses = []
+        for number, conn in enumerate(conns):
+            due = began + LAG_S - 0.1 + 2.0 * number / len(conns)
+            time.sleep(max(0.0, due - time.monotonic()))
+            platform.send(conn, "GET", "/read/x", f"late{number}")
+            resp = conn.getresponse()
+            resp.read()
+            statuses.append(resp.status)
+            check.assertEqual(resp.headers["Connection"], "close")
+            conn.close()
+        check.assertEqual(statuses, [200] * len(conns))
+        check.assertEqual(platform.process.wait(3), 0)
+        (ended,) = _events(platform, "stop_ended")
+        check.assertEqual((ended["how"], ended["connections"]), ("complete", 0))
+
+
+def test_front_exits_in_time_though_a_call_does_not_end_and_the_store_hangs():
+    with platform_fixtures.platform(("m1",)) as platform:
+        endless = platform_fixtures.route(
+            "endless", "streaming", "model", max_attempts=1, timeout_ms=60_000
+        )
+        platform.configure(platform_fixtures.manifest(4, endless))
+        launch.wait_until(
+            lambda: platform.call("POST", "/endless/x", "e", PROMPT, b"q")[0] == 200,
+            what="route known",
+        )
+        platform.replicas["m1"].event_interval_s = 20.0
+        _set_drain(platform, DRAIN_S)
+        conn = platform.connect()
+        platform.send(
+            conn,
+            "POST",
+            "/endless/x",
+            "endless",
+            PROMPT | {"Turmericward-Deadline-Ms": "60000"},
+            b"q",
+        )
+        launch.wait_until(
+            lambda: "endless" in platform.replicas["m1"].executed_ids(),
+            what="call arrived",
+        )
+        platform.store.faults.silent = True
+        began = time.monotonic()
+        for _ in range(3):
+            platform.process.send_signal(signal.SIGTERM)
+            platform.process.send_signal(signal.SIGHUP)
+            time.sleep(0.2)
+        check.assertEqual(platform.process.wait(DRAIN_S + 5), 0)
+        check.assertLess(time.monotonic() - began, DRAIN_S)
+        with contextlib.suppress(http.client.HTTPException, OSError):
+            check.assertFalse(conn.getresponse().read().endswith(b"0\r\n\r\n"))
+
+
+def test_front_without_a_configuration_stops():
+    with platform_fixtures.platform(("p1",), started=False) as platform:
+        platform.store.faults.down = True
+        launch.wait_until(
+            lambda: "front starts" in platform.log.read_text(), what="front started"
+        )
+        check.assertEqual(platform.stop(), 0)
+
+
+def test_front_that_was_paused_beyond_the_end_reads_nothing_more():
+    with platform_fixtures.platform(("p1",)) as platform:
+        _set_drain(platform, DRAIN_S)
+        conn = _idle_connection(platform, 0)
+        platform.process.terminate()
+        time.sleep(0.5)
+        platform.process.send_signal(signal.SIGSTOP)
+        platform.send(conn, "GET", "/read/x", "paused")
+        time.sleep(DRAIN_S)
+        platform.process.send_signal(signal.SIGCONT)
+        resumed = time.monotonic()
+        with check.assertRaises(OSError):
+            conn.getresponse()
+        check.assertEqual(platform.process.wait(5), 0)
+        check.assertLess(time.monotonic() - resumed, 1.5)
+        check.assertNotIn("paused", platform.replicas["p1"].executed_ids())
+        (ended,) = _events(platform, "stop_ended")
+        check.assertEqual((ended["how"], ended["connections"]), ("cut", 1))
+
+
+def test_changed_drain_period_applies_to_a_stop_that_has_begun():
+    with platform_fixtures.platform(("p1",)) as platform:
+        conn = _idle_connection(platform, 0)
+        began = time.monotonic()
+        platform.process.terminate()
+        _set_drain(platform, 2.0)
+        check.assertEqual(platform.process.wait(DRAIN_S), 0)
+        check.assertLess(time.monotonic() - began, 3.0)
+        conn.close()
