A front that stops orders no role changes and releases their lease

Found on the way (what others take over at a stop): a stopping front went on ordering roles to its end, and an order whose outcome nobody reads, or a lease that nobody released, kept the next holder waiting for the term and its margin (10 s). The loop takes no part once the stop has begun, and releases the lease when its last order has settled.

--- a/src/turmericward/delivery/_roles_loop.py
+++ b/src/turmericward/delivery/_roles_loop.py
@@ -97,7 +97,8 @@
             orders: sends orders to engines.
             eras: the known era of the log.
             enabled: returns whether this front takes part; in a large fleet only a
-                few do.
+                few do, and none that is stopping. One that no longer does releases
+                the lease.
         """
         super().__init__()
         self._dispatch = dispatch
@@ -116,6 +117,7 @@
         """Sends at most one role order."""
         if not self._enabled():
             self._due_since = None
+            self._run_safely(self._release)
             self.pause(INACTIVE_POLL_INTERVAL_S)
             return
         try:
@@ -124,14 +126,17 @@
             logging.warning("dispatcher did not return the engines in time")
             return
         change = self._due_change(view)
+        if change is None:
+            self._run_safely(self._release)
+        else:
+            self._run_safely(lambda: self._execute(change))
+        self.pause(POLL_INTERVAL_S)
+
+    def _run_safely(self, step: Callable[[], None]) -> None:
         try:
-            if change is not None:
-                self._execute(change)
-            else:
-                self._release()
+            step()
         except (errors.AdapterError, authority.AuthorityError) as exc:
             logging.warning("role change postponed: %s", exc)
-        self.pause(POLL_INTERVAL_S)
 
     def _due_change(self, view: _messages.EnginesView) -> fleet.RoleChange | None:
         now = runtime.now()
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -157,7 +157,7 @@
             _orders.StoreLease(self._store_client()),
             _orders.ReplicaOrders(holder, notices),
             self._eras,
-            lambda: self._peer_task.polls_targets,
+            lambda: self._peer_task.polls_targets and not self._drain.began,
         )
 
     def _configuration_pacing(self) -> feeds.Pacing:
