--- /dev/null
+++ b/src/turmericward/httpd/_channel.py
@@ -0,0 +1,185 @@
+"""Client connections of the HTTP server and the requests on them."""
+
+from waitress import channel, parser, task, utilities
+
+from turmericward import runtime
+from turmericward.httpd import _idle, _linger, _shutdown
+
+RECEIVED_AT_KEY = "turmericward.received"
+
+
+class Parser(parser.HTTPRequestParser):
+    """Records when a request was complete; closes connections with unclear framing."""
+
+    received_at = 0.0
+
+    def __init__(self, adj) -> None:
+        """Creates the parser of the request whose first bytes have come."""
+        super().__init__(adj)
+        self.header_started_at = runtime.now()
+
+    def parse_header(self, header_plus: bytes) -> None:
+        """Parses the header."""
+        super().parse_header(header_plus)
+        if self.chunked and "CONTENT_LENGTH" in self.headers:
+            # With both headers, a proxy may see a different end of the body, so that
+            # bytes after it must not be read as a request (request smuggling).
+            self.headers["CONNECTION"] = "close"
+
+    def received(self, data: bytes) -> int:
+        """Parses bytes; returns how many belong to this request."""
+        consumed = super().received(data)
+        if self.completed and not self.received_at:
+            self.received_at = runtime.now()
+        return consumed
+
+
+class RequestTimeoutError(utilities.Error):
+    """Response to a request that isn't complete when the server stops."""
+
+    code = 408
+    reason = "Request Timeout"
+
+
+class Task(task.WSGITask):
+    """Closes the connection after the last response while the server stops."""
+
+    def get_environment(self) -> dict:
+        """Adds the time of the request's last byte."""
+        environ = super().get_environment()
+        environ[RECEIVED_AT_KEY] = self.request.received_at
+        return environ
+
+    def build_response_header(self) -> bytes:
+        """Announces the close if no further response follows."""
+        if self.channel.is_last_response():
+            self.request.headers["CONNECTION"] = "close"
+        return super().build_response_header()
+
+
+class Channel(channel.HTTPChannel):
+    """A connection that is closed only when the client has had time to read.
+
+    Its last activity is in monotonic seconds, not wall-clock time.
+    """
+
+    task_class = Task
+    parser_class = Parser
+    _last_active_at = 0.0
+    _served = False
+    _serving = False
+    _discards = False
+
+    @property
+    def last_activity(self) -> float:
+        """Time of the last byte sent or received."""
+        return self._last_active_at
+
+    @last_activity.setter
+    def last_activity(self, _) -> None:
+        self._last_active_at = runtime.now()
+
+    def idle_state(self) -> _idle.IdleState | None:
+        """Returns the idle state, or None while a request is in progress."""
+        if self.requests or self.total_outbufs_len:
+            return None
+        header_started_at = None
+        if self.request is not None and not self.request.headers_finished:
+            header_started_at = self.request.header_started_at
+        return _idle.IdleState(
+            connection=self,
+            last_active_at=self._last_active_at,
+            header_started_at=header_started_at,
+        )
+
+    def state(self) -> _shutdown.State:
+        """Returns the progress of the connection; for the event loop's thread."""
+        if self.requests:
+            running = self._serving
+            return _shutdown.State.RUNNING if running else _shutdown.State.WAITING
+        if self.total_outbufs_len or self.close_when_flushed:
+            return _shutdown.State.FLUSHING
+        if self.request is not None:
+            in_header = not self.request.headers_finished
+            return _shutdown.State.HEADER if in_header else _shutdown.State.BODY
+        return _shutdown.State.IDLE if self._served else _shutdown.State.NEW
+
+    def service(self) -> None:
+        """Answers the first request; called by a worker thread."""
+        self._served = self._serving = True
+        try:
+            super().service()
+        finally:
+            self._serving = False
+
+    def is_last_response(self) -> bool:
+        """Returns whether the connection is closed after the next response.
+
+        While the server stops, that is so unless another request was read already.
+        Bytes that come later are discarded.
+        """
+        phase = self.server.shutdown.phase
+        if phase is _shutdown.Phase.SERVING:
+            return False
+        with self.requests_lock:
+            closing = phase is _shutdown.Phase.CLOSING
+            partial = self.request is not None and not closing
+            if len(self.requests) > 1 or partial:
+                return False
+            self._discards = True
+            return True
+
+    def handle_read(self) -> None:
+        """Reads bytes, but none once the stop's time is used up."""
+        if not self.server.shutdown.ended:
+            super().handle_read()
+
+    def received(self, data: bytes) -> bool:
+        """Parses bytes unless the last response has been announced."""
+        return not self._discards and super().received(data)
+
+    def refuse(self) -> None:
+        """Answers an incomplete request; its remaining bytes are not parsed."""
+        with self.requests_lock:
+            request, self.request = self.request, None
+            request.error = RequestTimeoutError(
+                "The server stops; the incomplete request was not run."
+            )
+            request.completed = True
+            self._discards = True
+            self.requests.append(request)
+        self.server.add_task(self)
+
+    def has_unread(self) -> bool:
+        """Returns whether bytes of the client are waiting to be read."""
+        return self.socket is not None and _linger.has_unread(self.socket)
+
+    def cut(self) -> None:
+        """Closes the socket as it is."""
+        with self.outbuf_lock:
+            self.connected = False
+            sock, self.socket = self.socket, None
+        super().handle_close()
+        if sock is not None:
+            sock.close()
+
+    def close_idle(self) -> bool:
+        """Closes the connection unless bytes are unread; returns whether it did.
+
+        Called in the event loop's thread, so that no bytes are read between the check
+        and the end of the sending side.
+        """
+        if self.has_unread():
+            return False
+        self.handle_close()
+        return True
+
+    def handle_close(self) -> None:
+        """Ends the connection for requests and lets its socket linger."""
+        with self.outbuf_lock:
+            # Worker threads don't use the socket once it isn't connected.
+            self.connected = False
+            sock, self.socket = self.socket, None
+        super().handle_close()
+        if sock is not None:
+            _linger.close(sock, self._map, self.server.lingering)
