Repeatable calls are refused less readily while most of a stop is left

For a call that may be repeated a cut is little worse than a refusal, so while more than half of the stop is left it is admitted by two deviations, without history by half of its time; the moving mean follows the first calls faster. Calls that may not be repeated, and the second half of the stop, keep four deviations and the whole time.

--- a/src/turmericward/delivery/_stop.py
+++ b/src/turmericward/delivery/_stop.py
@@ -15,10 +15,16 @@
 REASON = "stopping"
 # Other instances take the call at once.
 RETRY_AFTER_S = 0.1
-# Gain of the moving mean and deviation, and deviations that a slow call may lie above
-# the mean.
-GAIN = 1 / 16
-SLOW_CALL_DEVIATIONS = 4.0
+# Lowest gain of the moving mean and deviation.
+MIN_GAIN = 1 / 16
+# Deviations above the mean that a call may take, and the share of its time that one
+# without earlier calls of its route may take.
+CAUTIOUS_DEVIATIONS = 4.0
+CAUTIOUS_SHARE = 1.0
+# The same for calls that may be repeated, while most of the stop is left: being cut is
+# little worse for their clients than a refusal.
+RELAXED_DEVIATIONS = 2.0
+RELAXED_SHARE = 0.5
 MAX_ROUTES = 10_000
 
 
@@ -42,10 +48,13 @@
 
     mean_s: float
     deviation_s: float
+    calls: int = 1
 
     def add(self, took_s: float) -> None:
-        self.deviation_s += GAIN * (abs(took_s - self.mean_s) - self.deviation_s)
-        self.mean_s += GAIN * (took_s - self.mean_s)
+        self.calls += 1
+        gain = max(MIN_GAIN, 1 / self.calls)
+        self.deviation_s += gain * (abs(took_s - self.mean_s) - self.deviation_s)
+        self.mean_s += gain * (took_s - self.mean_s)
 
 
 class CallTimes:
@@ -67,13 +76,13 @@
                 self._routes.pop(next(iter(self._routes)))
             self._routes[route] = _RouteTimes(mean_s=took_s, deviation_s=took_s / 2)
 
-    def slow_call_s(self, route: str) -> float | None:
-        """Returns the duration that few calls exceed, None without any call."""
+    def slow_call_s(self, route: str, deviations: float) -> float | None:
+        """Returns the mean plus so many deviations, None without any call."""
         with self._lock:
             times = self._routes.get(route)
             if times is None:
                 return None
-            return times.mean_s + SLOW_CALL_DEVIATIONS * times.deviation_s
+            return times.mean_s + deviations * times.deviation_s
 
 
 @attrs.frozen(kw_only=True)
@@ -97,8 +106,12 @@
         """
         if not self.drain.began:
             return True
-        need_s = call.remaining_s()
-        slow_s = self.times.slow_call_s(call.route.name)
-        if slow_s is not None:
-            need_s = min(need_s, max(call.route.objective_s, slow_s - elapsed_s))
-        return need_s <= self.drain.remaining_s
+        return self._need_s(call, elapsed_s) <= self.drain.remaining_s
+
+    def _need_s(self, call: _calls.Call, elapsed_s: float) -> float:
+        relaxed = call.route.repeatable and self.drain.is_mostly_left
+        deviations = RELAXED_DEVIATIONS if relaxed else CAUTIOUS_DEVIATIONS
+        slow_s = self.times.slow_call_s(call.route.name, deviations)
+        if slow_s is None:
+            return call.remaining_s() * (RELAXED_SHARE if relaxed else CAUTIOUS_SHARE)
+        return min(call.remaining_s(), max(call.route.objective_s, slow_s - elapsed_s))
--- a/src/turmericward/runtime/_drain.py
+++ b/src/turmericward/runtime/_drain.py
@@ -72,6 +72,11 @@
         """Seconds until `deadline`."""
         return self.deadline - self._clock()
 
+    @property
+    def is_mostly_left(self) -> bool:
+        """Whether more than half of the length is left until `deadline`."""
+        return self.remaining_s > self._length_s / 2
+
     @property
     def end(self) -> float:
         """Time by which the process exits."""
