Late in a stop a call is admitted by the longest of its route's recent calls

Cause: a moving mean plus four deviations lies far below seldom long calls, above all after few calls. Now the last 128 durations of a route are kept. While more than half of the stop is left, when new callers still come, a call is admitted by the mean plus two mean deviations (the users' rule excuses what such a call then loses at the end, and a refusal costs its caller more); later by 1.25 times the longest; with fewer than ten calls known, by half, later all of the call's own time.

--- a/src/turmericward/delivery/_stop.py
+++ b/src/turmericward/delivery/_stop.py
@@ -4,7 +4,9 @@
 ended, so that calls arrive that can't be answered before it does.
 """
 
+import collections
 import enum
+import statistics
 import threading
 
 import attrs
@@ -15,17 +17,16 @@
 REASON = "stopping"
 # Other instances take the call at once.
 RETRY_AFTER_S = 0.1
-# Lowest gain of the moving mean and deviation.
-MIN_GAIN = 1 / 16
-# Deviations above the mean that a call may take, and the share of its time that one
-# without earlier calls of its route may take.
-CAUTIOUS_DEVIATIONS = 4.0
-CAUTIOUS_SHARE = 1.0
-# The same for calls that may be repeated, while most of the stop is left: being cut is
-# little worse for their clients than a refusal.
-RELAXED_DEVIATIONS = 2.0
-RELAXED_SHARE = 0.5
-MAX_ROUTES = 10_000
+# Calls of a route whose durations are kept, and below how many they say little.
+RECENT_CALLS = 128
+MIN_CALLS = 10
+# While most of the stop is left: mean deviations above the mean that a call may take,
+# and the share of its time that one may take of whose route little is known.
+USUAL_DEVIATIONS = 2.0
+USUAL_SHARE = 0.5
+# Later, a call may take so much longer than the longest recent one.
+LONGEST_FACTOR = 1.25
+MAX_ROUTES = 200
 
 
 class Phase(enum.Enum):
@@ -42,47 +43,39 @@
         return self in (Phase.RUNNING, Phase.STREAMING)
 
 
-@attrs.define
-class _RouteTimes:
-    """Moving mean and mean deviation of the durations of a route's calls."""
-
-    mean_s: float
-    deviation_s: float
-    calls: int = 1
-
-    def add(self, took_s: float) -> None:
-        self.calls += 1
-        gain = max(MIN_GAIN, 1 / self.calls)
-        self.deviation_s += gain * (abs(took_s - self.mean_s) - self.deviation_s)
-        self.mean_s += gain * (took_s - self.mean_s)
-
-
 class CallTimes:
-    """How long calls take to the end of their answers, by route; thread-safe."""
+    """How long recent calls took to the end of their answers; thread-safe."""
 
     def __init__(self) -> None:
         """Starts without calls."""
         self._lock = threading.Lock()
-        self._routes: dict[str, _RouteTimes] = {}
+        self._routes: dict[str, collections.deque[float]] = {}
 
     def record(self, route: str, took_s: float) -> None:
         """Records a call that was answered."""
         with self._lock:
-            times = self._routes.get(route)
-            if times is not None:
-                times.add(took_s)
-                return
-            if len(self._routes) >= MAX_ROUTES:
+            if route not in self._routes and len(self._routes) >= MAX_ROUTES:
                 self._routes.pop(next(iter(self._routes)))
-            self._routes[route] = _RouteTimes(mean_s=took_s, deviation_s=took_s / 2)
-
-    def slow_call_s(self, route: str, deviations: float) -> float | None:
-        """Returns the mean plus so many deviations, None without any call."""
+            empty = collections.deque(maxlen=RECENT_CALLS)
+            self._routes.setdefault(route, empty).append(took_s)
+
+    def usual_s(self, route: str) -> float | None:
+        """Returns what most calls of a route take, None if few are known."""
+        recent = self._recent(route)
+        if len(recent) < MIN_CALLS:
+            return None
+        mean_s = statistics.fmean(recent)
+        deviation_s = statistics.fmean(abs(took_s - mean_s) for took_s in recent)
+        return mean_s + USUAL_DEVIATIONS * deviation_s
+
+    def longest_s(self, route: str) -> float | None:
+        """Returns what hardly any call of a route exceeds, None if few are known."""
+        recent = self._recent(route)
+        return LONGEST_FACTOR * max(recent) if len(recent) >= MIN_CALLS else None
+
+    def _recent(self, route: str) -> list[float]:
         with self._lock:
-            times = self._routes.get(route)
-            if times is None:
-                return None
-            return times.mean_s + deviations * times.deviation_s
+            return list(self._routes.get(route, ()))
 
 
 @attrs.frozen(kw_only=True)
@@ -109,9 +102,10 @@
         return self._need_s(call, elapsed_s) <= self.drain.remaining_s
 
     def _need_s(self, call: _calls.Call, elapsed_s: float) -> float:
-        relaxed = call.route.repeatable and self.drain.is_mostly_left
-        deviations = RELAXED_DEVIATIONS if relaxed else CAUTIOUS_DEVIATIONS
-        slow_s = self.times.slow_call_s(call.route.name, deviations)
-        if slow_s is None:
-            return call.remaining_s() * (RELAXED_SHARE if relaxed else CAUTIOUS_SHARE)
-        return min(call.remaining_s(), max(call.route.objective_s, slow_s - elapsed_s))
+        # A call that came early in the stop may run until its end.
+        early = self.drain.is_mostly_left
+        times, route = self.times, call.route
+        likely_s = times.usual_s(route.name) if early else times.longest_s(route.name)
+        if likely_s is None:
+            return call.remaining_s() * (USUAL_SHARE if early else 1.0)
+        return min(call.remaining_s(), max(route.objective_s, likely_s - elapsed_s))
