An unfinished response without length ends with a reset

What callers saw: a client of HTTP/1.0 gets a stream without chunks, whose end is the close. One that breaks off midway, or is cut at the end of a stop, was closed in the same way and looked complete. Change: the connection knows whether the close ends its response; if that isn't whole, in our buffer too, the socket is reset. An exception in the event loop now ends the process's tasks; it left the process waiting for SIGTERM. Evidence: both new tests of tests/test_httpd_linger.py fail before (an end is read, no reset) and pass now.

--- a/src/turmericward/entry/_assembly.py
+++ b/src/turmericward/entry/_assembly.py
@@ -56,8 +56,10 @@
     def run(self, stop: threading.Event) -> None:
         """Serves until `stop` is set, then drains and returns."""
         self._group.start()
-        self._server.run(stop, self._start_draining)
-        self._group.stop(min(STOP_TIMEOUT_S, self._ctx.drain.left_s))
+        try:
+            self._server.run(stop, self._start_draining)
+        finally:
+            self._group.stop(min(STOP_TIMEOUT_S, self._ctx.drain.left_s))
 
     def _start_draining(self) -> None:
         logging.info("entry %s is draining", self._ctx.name)
--- a/src/turmericward/httpd/_channel.py
+++ b/src/turmericward/httpd/_channel.py
@@ -1,5 +1,7 @@
 """Client connections of the HTTP server and the requests on them."""
 
+import socket
+
 from waitress import channel, parser, task, utilities
 
 from turmericward import runtime
@@ -54,7 +56,18 @@
         """Announces the close if no further response follows."""
         if self.channel.is_last_response():
             self.request.headers["CONNECTION"] = "close"
-        return super().build_response_header()
+        header = super().build_response_header()
+        has_length = any(n == "Content-Length" for n, _ in self.response_headers)
+        self.channel.response_is_whole = False
+        self.channel.close_ends_response = self.has_body and not (
+            self.chunked_response or has_length
+        )
+        return header
+
+    def finish(self) -> None:
+        """Completes the response."""
+        super().finish()
+        self.channel.response_is_whole = True
 
 
 class Channel(channel.HTTPChannel):
@@ -69,6 +82,9 @@
     _served = False
     _serving = False
     _discards = False
+    # Whether the client knows the end of the response by the close alone (HTTP/1.0).
+    close_ends_response = False
+    response_is_whole = False
 
     @property
     def last_activity(self) -> float:
@@ -156,10 +172,7 @@
 
     def cut(self) -> None:
         """Closes the socket as it is."""
-        with self.outbuf_lock:
-            self.connected = False
-            sock, self.socket = self.socket, None
-        super().handle_close()
+        sock = self._detach()
         if sock is not None:
             sock.close()
 
@@ -176,10 +189,19 @@
 
     def handle_close(self) -> None:
         """Ends the connection for requests and lets its socket linger."""
+        sock = self._detach()
+        if sock is not None:
+            _linger.close(sock, self._map, self.server.lingering)
+
+    def _detach(self) -> socket.socket | None:
+        """Ends the connection for requests; returns its socket, None if closed."""
         with self.outbuf_lock:
             # Worker threads don't use the socket once it isn't connected.
             self.connected = False
             sock, self.socket = self.socket, None
+            whole = self.response_is_whole and not self.total_outbufs_len
         super().handle_close()
-        if sock is not None:
-            _linger.close(sock, self._map, self.server.lingering)
+        if sock is not None and self.close_ends_response and not whole:
+            _linger.reset(sock)
+            return None
+        return sock
--- a/src/turmericward/httpd/_linger.py
+++ b/src/turmericward/httpd/_linger.py
@@ -33,6 +33,13 @@
     return struct.unpack("i", raw)[0]
 
 
+def reset(sock: socket.socket) -> None:
+    """Closes the socket so that the client sees an error, not an end."""
+    # A linger time of 0 s.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
 class Lingering(wasyncore.dispatcher):
     """The reading side of a connection on which nothing more is sent.
 
--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -151,10 +151,13 @@
         """
         with futures.ThreadPoolExecutor(max_workers=1) as executor:
             begun = executor.submit(self._begin_after, stop, on_stop)
-            while not self._stopper.step():
-                wasyncore.poll2(self._stopper.step_s, self._map)
-                self._close_idle()
-            self._release()
+            try:
+                while not self._stopper.step():
+                    wasyncore.poll2(self._stopper.step_s, self._map)
+                    self._close_idle()
+            finally:
+                stop.set()
+                self._release()
         begun.result()
 
     def _begin_after(self, stop: threading.Event, on_stop) -> None:
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -227,8 +227,10 @@
     def run(self, stop: threading.Event) -> None:
         """Serves until `stop` is set, then drains and stops all tasks."""
         self._group.start()
-        self._server.run(stop, self._begin_drain)
-        self._group.stop(min(STOP_TIMEOUT_S, self._drain.left_s))
+        try:
+            self._server.run(stop, self._begin_drain)
+        finally:
+            self._group.stop(min(STOP_TIMEOUT_S, self._drain.left_s))
 
     def _begin_drain(self) -> None:
         logging.info("front drains")
--- a/tests/httpd_fixtures.py
+++ b/tests/httpd_fixtures.py
@@ -19,6 +19,24 @@
 SMALL_BYTES = 65536
 
 
+def _parts(_):
+    yield b"part"
+    yield b"part"
+
+
+def _broken(_):
+    yield b"part"
+    raise ConnectionAbortedError("stream broke")
+
+
+def _large_parts(app):
+    yield app.large
+
+
+# Responses without a length.
+_STREAMS = {"/parts": _parts, "/broken": _broken, "/large-parts": _large_parts}
+
+
 class App:
     """An application whose `/wait` requests block until `gate` is set."""
 
@@ -37,6 +55,9 @@
         if path.startswith("/wait"):
             self.started.release()
             self.gate.wait(JOIN_S)
+        if path in _STREAMS:
+            start_response("200 OK", [])
+            return _STREAMS[path](self)
         body = self.large if path == "/large" else f"{path} {size}".encode()
         start_response("200 OK", [("Content-Length", str(len(body)))])
         return [body]
--- a/tests/test_httpd_linger.py
+++ b/tests/test_httpd_linger.py
@@ -117,3 +117,33 @@
     got += len(_read_all(pair.client))
     check.assertEqual(got, sent)
     pair.client.close()
+
+
+def _is_reset(conn: socket.socket) -> bool:
+    try:
+        _read_all(conn)
+    except ConnectionResetError:
+        return True
+    return False
+
+
+def test_broken_response_without_length_does_not_look_complete():
+    # A client of HTTP/1.0 knows the end of such a response by the close alone.
+    with httpd_fixtures.running() as server, server.connect() as conn:
+        conn.sendall(b"GET /broken HTTP/1.0\r\n\r\n")
+        check.assertTrue(_is_reset(conn))
+        with server.connect() as conn:
+            conn.sendall(b"GET /parts HTTP/1.0\r\n\r\n")
+            check.assertTrue(_read_all(conn).endswith(b"part" * 2))
+
+
+def test_response_without_length_that_is_cut_does_not_look_complete():
+    with (
+        httpd_fixtures.running(2.0) as server,
+        server.connect(httpd_fixtures.SMALL_BYTES) as conn,
+    ):
+        conn.sendall(b"GET /large-parts HTTP/1.0\r\n\r\n")
+        conn.recv(1, socket.MSG_PEEK)
+        server.begin()
+        check.assertTrue(server.is_over(5))
+        check.assertTrue(_is_reset(conn))
