A stop waits for a reader that pauses

What callers saw: a client that stops reading for 2 s while the last response lies in the kernel's buffer loses its rest where the process's network goes with it: the lingering socket was given up and the stop was over (2.3 s of 5 s). Change: a closed connection is kept for 30 s without progress while bytes are unacknowledged, 2 s once all are; a reader that makes progress is kept on. Bytes that the client sends are no progress after 30 s.

--- a/src/turmericward/httpd/_linger.py
+++ b/src/turmericward/httpd/_linger.py
@@ -9,8 +9,11 @@
 
 from turmericward import runtime
 
-# Time without progress, and in all, for which a closed connection is read on.
+# How long a closed connection is kept without progress once the client has
+# acknowledged everything, and before.
 LINGER_S = 2.0
+STALLED_S = 30.0
+# After this time, bytes that the client sends are no progress.
 MAX_LINGER_S = 30.0
 DISCARD_BYTES = 65536
 
@@ -74,10 +77,12 @@
             return
         except OSError:
             data = b""
-        if data:
-            self._progress_at = runtime.now()
-        else:
+        if not data:
             self.close()
+            return
+        now = runtime.now()
+        if now - self._started_at < MAX_LINGER_S:
+            self._progress_at = now
 
     def handle_expt(self) -> None:
         """Urgent bytes are ignored as well."""
@@ -97,8 +102,7 @@
         if left < self._unacknowledged:
             self._progress_at = now
         self._unacknowledged = left
-        idle_s, age_s = now - self._progress_at, now - self._started_at
-        if idle_s > LINGER_S or age_s > MAX_LINGER_S:
+        if now - self._progress_at > (STALLED_S if left else LINGER_S):
             self.close()
 
 
--- a/tests/httpd_fixtures.py
+++ b/tests/httpd_fixtures.py
@@ -81,11 +81,16 @@
         self._stop = threading.Event()
         if begun:
             self._stop.set()
-        self._thread = threading.Thread(
-            target=self.server.run, args=(self._stop, self.not_ready.set), daemon=True
-        )
+        self.errors: list[Exception] = []
+        self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
 
+    def _run(self) -> None:
+        try:
+            self.server.run(self._stop, self.not_ready.set)
+        except Exception as exc:
+            self.errors.append(exc)
+
     def connect(self, receive_bytes: int = 0) -> socket.socket:
         """Opens a connection, with a receive buffer of that size if it isn't 0."""
         conn = socket.socket()
@@ -134,6 +139,11 @@
     return f"POST {path} HTTP/1.1\r\nHost: h\r\nContent-Length: {size}\r\n\r\n".encode()
 
 
+def last_head(path: str) -> bytes:
+    """Returns the header of a request that is the last of its connection."""
+    return head(path).replace(b"Host: h", b"Host: h\r\nConnection: close")
+
+
 def read(conn: socket.socket) -> tuple[int, dict, bytes]:
     """Reads one response: status, headers and body."""
     resp = http.client.HTTPResponse(conn, method="POST")
--- a/tests/test_httpd_linger.py
+++ b/tests/test_httpd_linger.py
@@ -2,7 +2,9 @@
 
 import socket
 import time
+from unittest import mock
 
+from standins import launch
 from tests import fixtures, httpd_fixtures
 from turmericward import runtime
 from turmericward.httpd import _linger
@@ -31,8 +33,7 @@
         httpd_fixtures.running() as server,
         server.connect(httpd_fixtures.SMALL_BYTES) as conn,
     ):
-        request = httpd_fixtures.head("/large")
-        conn.sendall(request.replace(b"Host: h", b"Host: h\r\nConnection: close"))
+        conn.sendall(httpd_fixtures.last_head("/large"))
         conn.recv(1, socket.MSG_PEEK)
         for _ in range(3):
             # The server may read the first of them while the response is made.
@@ -95,14 +96,43 @@
     pair = _Pair()
     pair.close()
     (lingering,) = pair.registry
+    launch.wait_until(lambda: not lingering.unacknowledged, what="end acknowledged")
     now = runtime.now()
-    lingering.close_expired(now + _linger.LINGER_S / 2)
+    # The first look may find the acknowledgement, which is progress.
+    lingering.close_expired(now)
+    lingering.close_expired(now + _linger.LINGER_S - 0.1)
     check.assertEqual(len(pair.registry), 1)
-    lingering.close_expired(now + _linger.LINGER_S + 1)
+    lingering.close_expired(now + _linger.LINGER_S + 0.1)
     check.assertEqual(pair.registry, set())
     pair.client.close()
 
 
+def test_stalled_reader_does_not_keep_its_socket():
+    pair = _Pair()
+    pair.near.setblocking(False)
+    pair.near.send(b"x" * 10_000_000)
+    pair.close()
+    (lingering,) = pair.registry
+    lingering.close_expired(runtime.now() + _linger.STALLED_S + 1)
+    check.assertEqual(pair.registry, set())
+    pair.client.close()
+
+
+def test_client_that_sends_without_end_does_not_keep_its_socket():
+    pair = _Pair()
+    clock = [0.0]
+    with mock.patch.object(runtime, "now", lambda: clock[0]):
+        pair.close()
+        (lingering,) = pair.registry
+        while pair.registry:
+            clock[0] += 1.0
+            pair.client.sendall(b"x")
+            lingering.handle_read()
+            lingering.close_expired(clock[0])
+    check.assertLess(clock[0], _linger.MAX_LINGER_S + _linger.LINGER_S + 2)
+    pair.client.close()
+
+
 def test_slow_reader_keeps_its_socket_while_it_makes_progress():
     pair = _Pair()
     pair.near.setblocking(False)
@@ -111,8 +141,10 @@
     (lingering,) = pair.registry
     now = runtime.now()
     check.assertTrue(lingering.unacknowledged)
+    lingering.close_expired(now + _linger.STALLED_S - 1)
+    check.assertEqual(len(pair.registry), 1)
     got = len(pair.client.recv(sent // 2, socket.MSG_WAITALL))
-    lingering.close_expired(now + _linger.LINGER_S + 1)
+    lingering.close_expired(now + _linger.STALLED_S + 1)
     check.assertEqual(len(pair.registry), 1)
     got += len(_read_all(pair.client))
     check.assertEqual(got, sent)
