Log null, not infinity, as the time left of an unbounded stop

What was seen: by reading; a server without time bounds would log Infinity, which isn't JSON. Test: test_log_of_an_unbounded_stop_is_json (fails before: the field is inf).

--- a/src/turmericward/httpd/_stopping.py
+++ b/src/turmericward/httpd/_stopping.py
@@ -1,6 +1,7 @@
 """Carries out the planned stop of a server in its event loop's thread."""
 
 import collections
+import math
 import select
 
 from waitress import wasyncore
@@ -112,12 +113,14 @@
         for lingering in list(self._server.lingering):
             lingering.close()
 
-    def _counts(self) -> dict[str, float]:
+    def _counts(self) -> dict[str, float | None]:
         channels = list(self._server.active_channels.values())
         states = collections.Counter(c.state() for c in channels)
+        left_s = self._drain.end - runtime.now()
         return {
             "elapsed_s": round(self._drain.elapsed_s, 3),
-            "left_s": round(self._drain.end - runtime.now(), 3),
+            # JSON has no infinity.
+            "left_s": round(left_s, 3) if math.isfinite(left_s) else None,
             "connections": len(channels),
             "requests": sum(len(c.requests) for c in channels),
             "queued": states[State.WAITING],
