Idle connections alone hold up a stop for half of its time only

With stops 1 s apart up to five of six fronts were in their stop at once, and callers' retries met the next one. Now such connections are closed once nothing else is open and half of the stop (30 s at most) has passed without a byte on them; they are served as before as long as anything else is open.

--- a/src/turmericward/httpd/_shutdown.py
+++ b/src/turmericward/httpd/_shutdown.py
@@ -5,9 +5,10 @@
 
 from turmericward import runtime
 
-# How long a connection without a request may hold up a stop in which nothing else is
-# open. Clients reuse connections that have been idle for long.
-QUIET_S = 30.0
+# Without a byte for this share of the stop, or time, a connection without a request
+# holds it up no longer if nothing else is open.
+QUIET_SHARE = 0.5
+MAX_QUIET_S = 30.0
 # How long a connection that was accepted last may take to send its request.
 SETTLE_S = 0.2
 
@@ -56,12 +57,14 @@
     CUT = "cut"
 
 
+# States without a request in progress.
+IDLE_STATES = frozenset({State.NEW, State.IDLE})
 _BY_PHASE = {
     Phase.SERVING: dict.fromkeys(State, Action.KEEP),
     Phase.LEAVING: dict.fromkeys(State, Action.LAST),
     Phase.FINISHING: dict.fromkeys(State, Action.LAST),
     Phase.CLOSING: dict.fromkeys(State, Action.LAST)
-    | dict.fromkeys((State.NEW, State.IDLE), Action.CLOSE)
+    | dict.fromkeys(IDLE_STATES, Action.CLOSE)
     | dict.fromkeys((State.HEADER, State.BODY), Action.REFUSE),
 }
 ACTIONS = {
@@ -136,8 +139,17 @@
         lag_is_over = self._drain.elapsed_s >= self._lag_s
         return Phase.FINISHING if lag_is_over else Phase.LEAVING
 
+    @property
+    def _max_quiet_s(self) -> float:
+        return min(MAX_QUIET_S, QUIET_SHARE * self._drain.length_s)
+
     def action(
-        self, state: State, *, unread: bool = False, quiet_s: float = 0.0
+        self,
+        state: State,
+        *,
+        unread: bool = False,
+        quiet_s: float = 0.0,
+        only_idle: bool = False,
     ) -> Action:
         """Returns what a connection is given.
 
@@ -145,10 +157,12 @@
             state: its progress.
             unread: whether bytes of the client are waiting to be read.
             quiet_s: time of the stop without a byte in either direction.
+            only_idle: whether no connection has a request in progress.
         """
         action = ACTIONS[self.phase][state]
-        without_request = state in (State.NEW, State.IDLE)
-        if self.phase is Phase.FINISHING and without_request and quiet_s > QUIET_S:
+        without_request = state in IDLE_STATES
+        needless = without_request and only_idle and quiet_s >= self._max_quiet_s
+        if self.phase is Phase.FINISHING and needless:
             action = Action.CLOSE
         settling = self._clock() < self._settled_at
         if action is Action.CLOSE and (unread or (state is State.NEW and settling)):
--- a/src/turmericward/httpd/_stopping.py
+++ b/src/turmericward/httpd/_stopping.py
@@ -55,8 +55,9 @@
             self._enter(self._machine.phase)
         if self._machine.phase in (Phase.FINISHING, Phase.CLOSING):
             now = runtime.now()
+            only_idle = self._has_only_idle()
             for channel in list(server.active_channels.values()):
-                self._apply(channel, now)
+                self._apply(channel, now, only_idle=only_idle)
             for lingering in list(server.lingering):
                 lingering.close_expired(now)
         return self._machine.phase is Phase.OVER
@@ -67,6 +68,11 @@
             len(self._server.active_channels) + self._server.task_dispatcher.busy_count
         )
 
+    def _has_only_idle(self) -> bool:
+        channels = list(self._server.active_channels.values())
+        idle = all(c.state() in _shutdown.IDLE_STATES for c in channels)
+        return idle and not self._server.task_dispatcher.busy_count
+
     def _enter(self, phase: Phase) -> None:
         if phase is Phase.CLOSING:
             self._close_listener()
@@ -93,7 +99,7 @@
         # `server.close` would also close the pipe that wakes the event loop.
         wasyncore.dispatcher.close(server)
 
-    def _apply(self, channel: _channel.Channel, now: float) -> None:
+    def _apply(self, channel: _channel.Channel, now: float, *, only_idle: bool) -> None:
         state = channel.state()
         unread = (
             self._machine.phase is Phase.CLOSING
@@ -101,7 +107,9 @@
             and channel.has_unread()
         )
         quiet_s = min(now - channel.last_activity, self._drain.elapsed_s)
-        action = self._machine.action(state, unread=unread, quiet_s=quiet_s)
+        action = self._machine.action(
+            state, unread=unread, quiet_s=quiet_s, only_idle=only_idle
+        )
         if action is Action.CLOSE:
             channel.close_idle()
         elif action is Action.REFUSE:
--- a/src/turmericward/runtime/_drain.py
+++ b/src/turmericward/runtime/_drain.py
@@ -46,6 +46,11 @@
             if self._began_at is None:
                 self._began_at = self._clock()
 
+    @property
+    def length_s(self) -> float:
+        """Seconds between the signal to stop and the kill."""
+        return self._length_s
+
     @property
     def began(self) -> bool:
         """Whether the stop has begun."""
