--- /dev/null
+++ b/soak/_evidence.py
@@ -0,0 +1,114 @@
+"""What clients, replicas and the operator saw in a run; times are monotonic seconds."""
+
+import math
+import threading
+
+import attrs
+
+from standins import caller
+
+# How long a disruption still excuses what follows it.
+SETTLING_S = 2.0
+STORE = "store"
+# The soak itself, whose threads run late.
+SOAK = "soak"
+
+
+@attrs.frozen(kw_only=True)
+class Sent:
+    """A call, and the incarnation of the front that it was sent to."""
+
+    front: str
+    boot: int
+    outcome: caller.Outcome
+
+
+@attrs.define(kw_only=True)
+class Disruption:
+    """Unplanned trouble of a front, a replica or the store."""
+
+    kind: str
+    subject: str
+    began: float
+    ended: float = math.inf
+
+
+@attrs.frozen(kw_only=True)
+class Stop:
+    """A planned stop; `exit_status` is negative if the process was killed."""
+
+    front: str
+    boot: int
+    began: float
+    ended: float
+    exit_status: int
+
+
+@attrs.frozen(kw_only=True)
+class Leaving:
+    """The time from a replica's announcement that it leaves to its return."""
+
+    replica: str
+    began: float
+    ended: float
+
+
+@attrs.define(kw_only=True)
+class Evidence:
+    """Everything that was seen in one run; may be added to from any thread."""
+
+    grace_s: float
+    leaving_s: float
+    configuration_s: float
+    sent: list[Sent] = attrs.field(factory=list)
+    stops: list[Stop] = attrs.field(factory=list)
+    disruptions: list[Disruption] = attrs.field(factory=list)
+    # When each version of the configuration was written.
+    versions: dict[int, float] = attrs.field(factory=dict)
+    leaving: list[Leaving] = attrs.field(factory=list)
+    # Fronts that ended by themselves.
+    exits: list[str] = attrs.field(factory=list)
+    # Fault injected, and how often.
+    injected: dict[str, int] = attrs.field(factory=dict)
+    healed_at: float = math.inf
+    replicas: dict = attrs.field(factory=dict)
+    _lock: threading.Lock = attrs.field(factory=threading.Lock)
+
+    def count_fault(self, name: str) -> None:
+        """Counts a fault that took place."""
+        with self._lock:
+            self.injected[name] = self.injected.get(name, 0) + 1
+
+    def disrupt(self, kind: str, subject: str, now: float) -> Disruption:
+        """Records the beginning of unplanned trouble; its end is set by the caller."""
+        disruption = Disruption(kind=kind, subject=subject, began=now)
+        self.disruptions.append(disruption)
+        return disruption
+
+    def disrupted(self, subjects: set[str], began: float, ended: float) -> bool:
+        """Returns whether any subject was in, or just after, unplanned trouble."""
+        return any(
+            d.subject in subjects and d.began <= ended and d.ended + SETTLING_S >= began
+            for d in self.disruptions
+        )
+
+    def runs(self) -> dict[str, list[str]]:
+        """Returns the replicas that ran each call, once for each run."""
+        runs: dict[str, list[str]] = {}
+        for name, replica in self.replicas.items():
+            for call in replica.calls:
+                if call.ran and "Turmericward-Serving-Stage" not in call.headers:
+                    runs.setdefault(call.call_id, []).append(name)
+        return runs
+
+    def arrivals(self) -> dict[str, set[str]]:
+        """Returns the replicas that each call reached, whether or not it ran."""
+        reached: dict[str, set[str]] = {}
+        for name, replica in self.replicas.items():
+            for call in replica.calls:
+                reached.setdefault(call.call_id, set()).add(name)
+        return reached
+
+    def work_ended(self) -> dict[str, float]:
+        """Returns when the last work on each call ended."""
+        return {i: at for r in self.replicas.values() for i, at in r.ended}
--- /dev/null
+++ b/soak/_injections.py
@@ -0,0 +1,100 @@
+"""Faults in the product itself, which the soak has to find.
+
+Run as a module with the name of one, it starts a front that has this fault.
+"""
+
+import random
+import signal
+import sys
+import threading
+from unittest import mock
+
+import attrs
+
+from turmericward import delivery
+from turmericward.adapters import errors
+from turmericward.delivery import _progress
+from turmericward.platform import _program, _records, _transport
+
+SHARE = 0.05
+REGISTRY: dict[str, object] = {}
+
+
+def _injection(function):
+    REGISTRY[function.__name__] = function
+    return function
+
+
+def program(name: str) -> tuple[str, ...]:
+    """Returns the module and arguments that start a front with the fault.
+
+    Raises:
+        KeyError: there is no fault of this name.
+    """
+    return ("soak._injections", REGISTRY[name].__name__)
+
+
+@_injection
+def exits_at_once():
+    """A front that doesn't drain."""
+
+    def stop_event() -> threading.Event:
+        signal.signal(signal.SIGTERM, lambda *_: _exit())
+        return threading.Event()
+
+    return mock.patch.object(_program._common, "stop_event", stop_event)
+
+
+def _exit() -> None:
+    _program.os._exit(0)
+
+
+@_injection
+def runs_twice():
+    """A front that sends some calls to two targets."""
+    send = _transport.ReplicaTransport.send
+
+    def send_twice(self, target, call, dispatch):
+        if random.random() < SHARE:
+            send(self, target, call, dispatch).close()
+        return send(self, target, call, dispatch)
+
+    return mock.patch.object(_transport.ReplicaTransport, "send", send_twice)
+
+
+@_injection
+def refuses_what_ran():
+    """A front that says of some calls that they didn't run after they have."""
+    send = _transport.ReplicaTransport.send
+
+    def send_and_lose(self, target, call, dispatch):
+        answer = send(self, target, call, dispatch)
+        if random.random() >= SHARE:
+            return answer
+        answer.close()
+        raise errors.AnswerLostError("injected")
+
+    def failure(self, *, deadline_passed):
+        return delivery.Failure(
+            status=503, reason=self.reason, may_have_run=False, retry_after_s=1.0
+        )
+
+    patch = mock.patch.object(_transport.ReplicaTransport, "send", send_and_lose)
+    patch.start()
+    return mock.patch.object(_progress.Progress, "failure", failure)
+
+
+@_injection
+def ignores_leaving():
+    """A front that goes on sending calls to replicas that leave."""
+    target = _records.target
+    return mock.patch.object(
+        _records,
+        "target",
+        lambda name, raw: attrs.evolve(target(name, raw), leaving=False),
+    )
+
+
+if __name__ == "__main__":
+    REGISTRY[sys.argv.pop()]().start()
+    _program.main()
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -19,11 +19,8 @@
 # A call that was sent less than this before its connection closed may have crossed
 # the close, so that no front has read it.
 CROSSING_S = 0.2
-PROMPT = {
-    "Turmericward-Model-Id": "m",
-    "Turmericward-Token-Count": "300,8",
-    "Turmericward-Prompt-Prefix": "aa:100,bb:200",
-}
+# Rate of a stream's tokens, so that its length can be expected from its prompt.
+TOKENS_PER_S = 100
 
 
 @attrs.frozen(kw_only=True)
@@ -38,6 +35,7 @@
     work_s: float = 0.0
     events: int | None = None
     deadline_s: float = 20.0
+    method: str = "POST"
 
     @property
     def target(self) -> str:
@@ -47,11 +45,6 @@
             return f"/{self.route}/x?work_ms={work_ms}"
         return f"/{self.route}/x?events={self.events}&gap_ms={work_ms // self.events}"
 
-    @property
-    def method(self) -> str:
-        """The method; calls with a body may run once."""
-        return "GET" if self.route == "read" else "POST"
-
     def headers(self, host: str) -> dict[str, str]:
         """Returns the headers."""
         fields = {
@@ -59,7 +52,14 @@
             "Turmericward-Attempt-Id": self.id,
             "Turmericward-Deadline-Ms": str(int(1000 * self.deadline_s)),
         }
-        return fields if self.events is None else fields | PROMPT
+        if self.events is None:
+            return fields
+        tokens = max(1, int(TOKENS_PER_S * self.work_s))
+        return fields | {
+            "Turmericward-Model-Id": "m",
+            "Turmericward-Token-Count": f"300,{tokens}",
+            "Turmericward-Prompt-Prefix": f"shared:100,{self.id}:200",
+        }
 
     def answer(self) -> bytes:
         """Returns the body of the call's own whole answer."""
@@ -82,6 +82,7 @@
     ended_at: float
     status: int | None = None
     body: bytes = b""
+    signed: bool = False
     broken: str = ""
 
     @property
@@ -94,7 +95,7 @@
     def foreign(self) -> bool:
         """Whether a success is anything but the call's own whole answer."""
         success = self.status is not None and self.status < 300 and not self.broken
-        return success and self.body != self.call.answer()
+        return success and not (self.signed and self.body == self.call.answer())
 
 
 class Caller:
@@ -154,6 +155,7 @@
             ended_at=time.monotonic(),
             status=status,
             body=received,
+            signed=resp.getheader("Turmericward-Server-Stamp") is not None,
         )
 
     def close(self) -> None:
--- a/standins/link.py
+++ b/standins/link.py
@@ -28,15 +28,19 @@
 
     def handle_request(self, req: _http.Handler) -> None:
         """Sets the mode."""
+        self.set_mode(req.json().get("mode", self._mode))
+        req.answer(200, {"mode": self._mode})
+
+    def set_mode(self, mode: str) -> None:
+        """Sets the mode; may be called from any thread."""
         with self._changed:
-            self._mode = req.json().get("mode", self._mode)
+            self._mode = mode
             self._changed.notify_all()
-            if self._mode == "refuse":
+            if mode == "refuse":
                 self._shut_down_all()
-        req.answer(200, {"mode": self._mode})
 
     def _shut_down_all(self) -> None:
-        for sock in self._open:
+        for sock in tuple(self._open):
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -62,7 +62,8 @@
     conns = [caller.Caller(platform.front, host) for _ in delays]
     for number, conn in enumerate(conns):
         check.assertEqual(
-            conn.send(caller.Call(id=f"i{number}", route="read")).status, 200
+            conn.send(caller.Call(id=f"i{number}", route="read", method="GET")).status,
+            200,
         )
     with futures.ThreadPoolExecutor(len(conns)) as executor:
         began = time.monotonic()
@@ -140,5 +141,5 @@
         with platform_fixtures.platform(("p1", "p2", "m1")) as platform:
             _configure(platform)
             delays = [rng.uniform(3.0, 3.12) for _ in range(20)]
-            stop = _stop_with(platform, delays, route="read", work_s=0.1)
+            stop = _stop_with(platform, delays, route="read", method="GET", work_s=0.1)
             _check_stop(platform, stop)
