--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -125,6 +125,48 @@
     check.assertGreater(loaded.unwrap().tokens, 5 * unloaded)
 
 
+def _run_short_prompts(router, count: int, took_s: float) -> None:
+    for number in range(count):
+        chosen = _choose(router, f"s{number}", _engines(1)).unwrap()
+        router.first_token(chosen, took_s)
+        router.finished(chosen, False, 0.0)
+
+
+def test_short_prompts_do_not_make_an_idle_engine_refuse_a_long_one():
+    router = _router()
+    _run_short_prompts(router, 200, took_s=0.02)
+    long_prompt = _demand("x" * 4000, "urgent")
+    chosen = router.choose(long_prompt, _engines(1), {}, frozenset(), 0.0)
+    check.assertTrue(chosen.is_ok(), chosen)
+
+
+def test_slow_prefills_of_long_prompts_still_refuse_a_request():
+    router = _router()
+    for number in range(200):
+        chosen = _choose(router, f"{number}" + "x" * 4000, _engines(1)).unwrap()
+        router.first_token(chosen, 2.0)
+        router.finished(chosen, False, 0.0)
+    long_prompt = _demand("x" * 4000, "urgent")
+    refused = router.choose(long_prompt, _engines(1), {}, frozenset(), 0.0)
+    check.assertEqual(refused.unwrap_err().reason, "overloaded")
+
+
+def test_requests_that_ended_since_a_report_count_as_local_ones_in_it():
+    router = _router()
+    engines = _engines(1)
+    reported = [_choose(router, f"a{n}", engines, now=0.9).unwrap() for n in range(6)]
+    report = fleet.LoadView(running=6, queued=0, role="mixed", at=1.0)
+    for assignment in reported:
+        router.first_token(assignment, 0.01)
+        router.finished(assignment, False, 1.1)
+    for number in range(6):
+        _choose(router, f"b{number}", engines, now=1.2, reports={"e0": report})
+    own = _demand("c", "urgent").prompt_tokens
+    local = 6 * own
+    chosen = _choose(router, "c", engines, now=1.2, reports={"e0": report}).unwrap()
+    check.assertEqual(chosen.tokens, local + own)
+
+
 def test_finishing_twice_has_no_effect():
     router = _router()
     assignment = _choose(router, "x", _engines(1)).unwrap()
