--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -111,21 +111,35 @@
     check.assertEqual(stop.exit_status, 0)
 
 
+def _call_before(platform, calls: list[dict]) -> None:
+    """Lets the front observe how long calls take."""
+    with futures.ThreadPoolExecutor(len(calls)) as executor:
+        for number, work in enumerate(calls):
+            conn = caller.Caller(platform.front, platform_fixtures.HOST)
+            executor.submit(conn.send, caller.Call(id=f"w{number}", **work))
+
+
 def test_long_streams_sent_late_in_the_grace_are_not_cut_at_its_end():
     rng = random.Random(SEED)
     with platform_fixtures.platform(("p1", "m1", "m2")) as platform:
         _configure(platform)
         work = {"route": "long", "work_s": LONG_S, "events": 10}
-        with futures.ThreadPoolExecutor(4) as executor:
-            # Lets the front observe how long these calls take.
-            for number in range(4):
-                conn = caller.Caller(platform.front, platform_fixtures.HOST)
-                executor.submit(conn.send, caller.Call(id=f"w{number}", **work))
+        _call_before(platform, 4 * [work])
         # The first one can be served whole, and keeps the front from an early exit.
         delays = [1.0] + [rng.uniform(GRACE_S - LONG_S + 0.2, 5.0) for _ in range(30)]
         _check_stop(platform, _stop_with(platform, delays, **work))
 
 
+def test_seldom_long_streams_of_a_route_are_not_cut_at_the_end_of_the_grace():
+    rng = random.Random(SEED)
+    with platform_fixtures.platform(("p1", "m1", "m2")) as platform:
+        _configure(platform)
+        work = {"route": "long", "work_s": LONG_S, "events": 10}
+        _call_before(platform, 16 * [work | {"work_s": 0.2}] + 2 * [work])
+        delays = [1.0] + [rng.uniform(GRACE_S - LONG_S + 0.1, 4.0) for _ in range(20)]
+        _check_stop(platform, _stop_with(platform, delays, **work))
+
+
 def test_calls_sent_as_the_process_ends_are_answered_or_not_read():
     for seed in SEEDS:
         rng = random.Random(seed)
