--- a/src/turmericward/adapters/_json_http.py
+++ b/src/turmericward/adapters/_json_http.py
@@ -4,9 +4,11 @@
 
 import attrs
 
+from turmericward import schema
 from turmericward.adapters import _persistent_connection
 
 ERRORS = _persistent_connection.ERRORS
+MAX_BODY_BYTES = 256 * 1024 * 1024
 
 
 @attrs.frozen(kw_only=True)
@@ -45,9 +47,12 @@
         resp = self._conn.exchange(method, path, data, headers, extra_timeout_s)
         try:
             return JsonResponse(
-                status=resp.status, body=json.loads(resp.body or b"null")
+                status=resp.status,
+                body=schema.loads(
+                    resp.body or b"null", "response", max_bytes=MAX_BODY_BYTES
+                ),
             )
-        except ValueError:
+        except schema.SchemaError:
             self.close()
             raise
 
--- a/src/turmericward/adapters/_request.py
+++ b/src/turmericward/adapters/_request.py
@@ -61,14 +61,18 @@
     Raises:
         NotSentError: the connection could not be established.
     """
-    host, port = _address.split(address)
+    try:
+        host, port = _address.split(address)
+    except ValueError as exc:
+        raise errors.NotSentError(f"{address}: {exc}") from exc
     wait_s = max(MIN_CONNECT_TIMEOUT_S, min(timeout_s, connect_timeout_s))
     conn = http.client.HTTPConnection(host, port, timeout=wait_s)
     conn.auto_open = 0
     conn.response_class = response_class
     try:
         conn.connect()
-    except OSError as exc:
+    # Text that is no address raises errors of several types.
+    except Exception as exc:
         raise errors.NotSentError(f"{address}: {exc!r}") from exc
     conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     conn.sock.settimeout(timeout_s)
@@ -99,7 +103,7 @@
     """
     try:
         put_head(conn, req)
-    except ValueError as exc:
+    except (ValueError, http.client.HTTPException) as exc:
         raise errors.NotSentError(f"{address}: {exc}") from exc
     try:
         conn.endheaders(req.body or None)
--- a/src/turmericward/adapters/engine.py
+++ b/src/turmericward/adapters/engine.py
@@ -7,11 +7,12 @@
 
 import attrs
 
-from turmericward import runtime
+from turmericward import runtime, schema
 from turmericward.adapters import _json_http, _request, errors
 from turmericward.authority import Authority, EngineState, Spec
 
 READ_BYTES = 65536
+MAX_EVENT_NUMBER = 2**53
 NOT_STARTED_STATUSES = frozenset({429, 503})
 
 
@@ -32,13 +33,29 @@
     body: bytes
 
 
+_COUNT = schema.validators.between(0, schema.validators.MAX_INT32)
+
+
 @attrs.frozen(kw_only=True)
 class LoadReport:
     """Latest load reported by an engine."""
 
+    role: str = attrs.field(validator=schema.validators.label)
+    running: int = attrs.field(validator=_COUNT)
+    queued: int = attrs.field(validator=_COUNT)
+
+
+@attrs.frozen(kw_only=True)
+class _StateReport:
+    """An engine's state; `order_id` and `order_token` are of its last order."""
+
     role: str
-    running: int
-    queued: int
+    loads: list[str]
+    changing: bool
+    running: int = attrs.field(validator=_COUNT)
+    queued: int = attrs.field(validator=_COUNT)
+    order_id: str
+    order_token: int
 
 
 @attrs.frozen(kw_only=True)
@@ -122,8 +139,8 @@
             value = value.strip()
             if name == b"data":
                 data = value
-            elif name == b"id" and value.isdigit():
-                seq = int(value)
+            elif name == b"id":
+                seq = _event_number(value)
         return Event(seq=seq, data=data)
 
     def close(self) -> None:
@@ -132,6 +149,14 @@
         self._conn.close()
 
 
+def _event_number(text: bytes) -> int:
+    """Returns the number of an event, 0 if its id is none."""
+    try:
+        return schema.parse_int(text.decode("latin-1"), 0, MAX_EVENT_NUMBER)
+    except schema.SchemaError:
+        return 0
+
+
 class EngineClient:
     """Sends requests to one engine, each on its own connection."""
 
@@ -230,12 +255,7 @@
         Raises:
             AnswerLostError: no usable response was received.
         """
-        raw = self._get("/load")
-        return LoadReport(
-            role=raw["role"],
-            running=raw["running"],
-            queued=raw["queued"],
-        )
+        return self._get("/load", LoadReport)
 
     def state(self) -> EngineState:
         """Returns the current state of the engine, rather than its last report.
@@ -243,23 +263,26 @@
         Raises:
             AnswerLostError: no usable response was received.
         """
-        raw = self._get("/state")
+        report = self._get("/state", _StateReport)
         return EngineState(
-            spec=Spec(role=raw["role"], loads=tuple(raw["loads"])),
-            changing=raw["changing"],
-            running=raw["running"] + raw["queued"],
-            order_id=raw["order_id"],
-            order_token=raw["order_token"],
+            spec=Spec(role=report.role, loads=tuple(report.loads)),
+            changing=report.changing,
+            running=report.running + report.queued,
+            order_id=report.order_id,
+            order_token=report.order_token,
         )
 
-    def _get(self, path: str) -> dict:
+    def _get(self, path: str, cls: type):
         try:
             response = self._client.request("GET", path)
         except _json_http.ERRORS as exc:
             raise errors.AnswerLostError(f"{self._address}: {exc!r}") from exc
-        if response.status != 200 or not isinstance(response.body, dict):
+        if response.status != 200:
             raise errors.AnswerLostError(f"{self._address}: {response.status}")
-        return response.body
+        try:
+            return schema.structure(response.body, cls, path, extra=True)
+        except schema.SchemaError as exc:
+            raise errors.AnswerLostError(f"{self._address}: {exc}") from exc
 
     def order(
         self, order_id: str, spec: Spec, authority: Authority, clock=time.monotonic
--- a/src/turmericward/adapters/instances.py
+++ b/src/turmericward/adapters/instances.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from turmericward import schema, telemetry
 from turmericward.adapters import _json_http, errors
 
 ENTRY = "entry"
@@ -12,22 +13,28 @@
 class Instance:
     """One listed instance; `kind` is `entry` or `target`."""
 
-    kind: str
-    name: str
-    domain: str
-    address: str
+    kind: str = attrs.field(validator=schema.validators.label)
+    name: str = attrs.field(validator=schema.validators.label)
+    domain: str = attrs.field(validator=schema.validators.label)
+    address: str = attrs.field(validator=schema.validators.ip_literal)
     leaving: bool
 
 
+@attrs.frozen(kw_only=True)
+class _Listing:
+    instances: list[dict]
+
+
 class InstanceListClient:
     """Reads the instance list; not thread-safe."""
 
     def __init__(self, address: str, timeout_s: float) -> None:
         """Creates the client; it connects on the first read."""
         self._client = _json_http.JsonClient(address, timeout_s)
+        self._rejections = telemetry.Rejections()
 
     def read(self) -> list[Instance]:
-        """Returns all listed instances.
+        """Returns all listed instances whose row can be used.
 
         Raises:
             InstanceListUnavailableError: no usable response was received.
@@ -36,9 +43,19 @@
         """
         try:
             resp = self._client.request("GET", "/instances")
-            return [Instance(**row) for row in resp.body["instances"]]
-        except (*_json_http.ERRORS, TypeError, KeyError) as exc:
+            listing = schema.structure(resp.body, _Listing, "instance list", extra=True)
+        except _json_http.ERRORS as exc:
             raise errors.InstanceListUnavailableError(repr(exc)) from exc
+        rows = (self._decode(row) for row in listing.instances)
+        return [row for row in rows if row is not None]
+
+    def _decode(self, row: dict) -> Instance | None:
+        try:
+            return schema.structure(row, Instance, "instance", extra=True)
+        except schema.SchemaError as exc:
+            key = schema.printable(repr(row.get("name")))
+            self._rejections.add("instances", key, str(exc))
+            return None
 
     def close(self) -> None:
         """Closes the connection."""
--- a/src/turmericward/adapters/log.py
+++ b/src/turmericward/adapters/log.py
@@ -1,10 +1,32 @@
 """Client of the platform's append-only log service."""
 
+import typing
+
 import attrs
 
+from turmericward import schema
 from turmericward.adapters import _json_http, errors
 
 MAX_RECORDS_PER_READ = 500
+_OFFSET = schema.validators.between(0, 2**62)
+
+
+@attrs.frozen(kw_only=True)
+class _First:
+    first: int = attrs.field(validator=_OFFSET)
+
+
+@attrs.frozen(kw_only=True)
+class _Row:
+    offset: int = attrs.field(validator=_OFFSET)
+    value: typing.Any
+
+
+@attrs.frozen(kw_only=True)
+class _Page:
+    records: list[_Row]
+    next: int = attrs.field(validator=_OFFSET)
+    first: int = attrs.field(validator=_OFFSET)
 
 
 @attrs.frozen(kw_only=True)
@@ -48,9 +70,9 @@
         """
         path = f"/streams/{stream}/records"
         resp = self._request("POST", path, {"records": values})
-        if resp.status != 200 or not isinstance(resp.body, dict):
+        if resp.status != 200:
             raise errors.LogUnavailableError(f"append returned status {resp.status}")
-        return resp.body["first"]
+        return self._decode(resp.body, _First).first
 
     def read(self, stream: str, start: int, wait_s: float = 0.0) -> Page:
         """Reads records from offset `start`; waits up to `wait_s` if there are none.
@@ -65,22 +87,18 @@
         path = f"/streams/{stream}/records?{query}"
         resp = self._request("GET", path, extra_timeout_s=wait_s)
         if resp.status == 410:
-            raise errors.OffsetExpiredError(resp.body["first"])
+            raise errors.OffsetExpiredError(self._decode(resp.body, _First).first)
         if resp.status != 200:
             raise errors.LogUnavailableError(f"read returned status {resp.status}")
-        return self._page(resp.body)
+        page = self._decode(resp.body, _Page)
+        records = [Record(offset=row.offset, value=row.value) for row in page.records]
+        return Page(records=records, next_offset=page.next, first=page.first)
 
-    def _page(self, body: dict) -> Page:
+    def _decode(self, body: object, cls: type):
         try:
-            records = [
-                Record(offset=row["offset"], value=row["value"])
-                for row in body["records"]
-            ]
-            return Page(records=records, next_offset=body["next"], first=body["first"])
-        except (KeyError, TypeError) as exc:
-            raise errors.LogUnavailableError(
-                f"read returned a malformed page: {exc!r}"
-            ) from exc
+            return schema.structure(body, cls, "log", extra=True)
+        except schema.SchemaError as exc:
+            raise errors.LogUnavailableError(f"malformed response: {exc}") from exc
 
     def _request(self, method, path, body=None, extra_timeout_s=0.0):
         try:
--- a/src/turmericward/authority/_records.py
+++ b/src/turmericward/authority/_records.py
@@ -5,6 +5,10 @@
 from turmericward import schema
 from turmericward.authority import _errors
 
+# A longer term would keep the lease from all others.
+MAX_TERM_S = 600.0
+_TERM_S = schema.validators.between(0, MAX_TERM_S)
+
 KINDS = schema.RecordRegistry(_errors.MalformedRecordError)
 
 
@@ -21,7 +25,7 @@
     id: str
     holder: str
     expected: int
-    term_s: float
+    term_s: float = attrs.field(validator=_TERM_S)
     floor: int = 0
 
 
@@ -53,7 +57,7 @@
     id: str
     holder: str
     era: int
-    term_s: float
+    term_s: float = attrs.field(validator=_TERM_S)
 
 
 @KINDS.register("lease.on_demand.release")
--- a/src/turmericward/entry/_follow_loop.py
+++ b/src/turmericward/entry/_follow_loop.py
@@ -1,11 +1,10 @@
 """Loop that polls a steward and updates the mirror and the router's view."""
 
-import json
 import time
 
 from absl import logging
 
-from turmericward import configuration, fleet, membership, runtime
+from turmericward import configuration, fleet, membership, runtime, schema
 from turmericward.adapters import errors, instances, steward
 from turmericward.entry import _router_task
 from turmericward.wire import ttypes
@@ -134,7 +133,7 @@
 
 
 def _resource(res: ttypes.Resource) -> configuration.Resource:
-    value = None if res.deleted else json.loads(res.value_json)
+    value = None if res.deleted else schema.loads(res.value_json, "resource")
     return configuration.Resource(
         kind=res.kind, name=res.name, version=res.version, value=value
     )
--- a/src/turmericward/entry/_http.py
+++ b/src/turmericward/entry/_http.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from turmericward import schema
 from turmericward.entry import _errors
 
 JSON = "application/json"
@@ -44,9 +45,9 @@
             RequestError: the body is not valid JSON.
         """
         try:
-            return json.loads(self.body)
-        except (ValueError, RecursionError) as exc:
-            msg = f"body is not JSON: {exc}"
+            return schema.loads(self.body, "body")
+        except schema.SchemaError as exc:
+            msg = f"body is not JSON that can be used: {exc}"
             raise _errors.RequestError(400, "invalid_json", msg) from exc
 
 
--- a/src/turmericward/feeds/__init__.py
+++ b/src/turmericward/feeds/__init__.py
@@ -14,6 +14,7 @@
     RecordBatch,
     Topic,
     TopicRange,
+    blank_record,
 )
 
 __all__ = [
@@ -29,4 +30,5 @@
     "Store",
     "Topic",
     "TopicRange",
+    "blank_record",
 ]
--- a/src/turmericward/feeds/_follow_loop.py
+++ b/src/turmericward/feeds/_follow_loop.py
@@ -59,13 +59,16 @@
 
     def on_listing(
         self, records: tuple[_messages.Record, ...], *, reverted: bool
-    ) -> None:
+    ) -> tuple[_messages.Record, ...]:
         """Replaces all previous records by the newest record of every key.
 
         Args:
             records: the records.
             reverted: whether they are those of an older copy of the store, which may
                 lack later records.
+
+        Returns:
+            The records to forward to peers.
         """
 
     def on_changes(
@@ -232,8 +235,8 @@
         logging.info(
             "topic %s is known from a peer, %.1f s old", self._name, batch.age_s
         )
-        self._apply_records(batch.records, previous, batch.end)
-        self._publish_range(batch.end, batch.end, as_of, batch.records, full=True)
+        records = self._apply_records(batch.records, previous, batch.end)
+        self._publish_range(batch.end, batch.end, as_of, records, full=True)
 
     # Reads of the store.
 
@@ -247,22 +250,20 @@
             )
         self._listing_due = False
         self._mark_available("read")
-        self._apply_records(listing.records, previous, listing.end)
-        self._publish_range(
-            listing.end, listing.end, sent_at, listing.records, full=True
-        )
+        records = self._apply_records(listing.records, previous, listing.end)
+        self._publish_range(listing.end, listing.end, sent_at, records, full=True)
 
     def _apply_records(
         self,
         records: tuple[_messages.Record, ...],
         previous: positions.Position | None,
         end: positions.Position,
-    ) -> None:
-        """Passes the newest record of every key to the sink."""
+    ) -> tuple[_messages.Record, ...]:
+        """Passes the newest record of every key to the sink; returns its result."""
         reverted = previous is not None and previous.era < end.era
         if reverted:
             self._log_revert(previous, end)
-        self._sink.on_listing(records, reverted=reverted)
+        return self._sink.on_listing(records, reverted=reverted)
 
     def _log_revert(
         self, previous: positions.Position, end: positions.Position
--- a/src/turmericward/feeds/_messages.py
+++ b/src/turmericward/feeds/_messages.py
@@ -30,6 +30,15 @@
     value: bytes | None
 
 
+# Key of a record that can't be used; no usable record has it.
+BLANK_KEY = ""
+
+
+def blank_record(offset: int) -> Record:
+    """Returns a record that stands for one that can't be used."""
+    return Record(offset=offset, key=BLANK_KEY, value=None)
+
+
 @attrs.frozen(kw_only=True)
 class RecordBatch:
     """Changes of a topic from `start` up to `end`, exclusive, of the same era.
--- a/src/turmericward/peers/_announce_loop.py
+++ b/src/turmericward/peers/_announce_loop.py
@@ -8,7 +8,7 @@
 import attrs
 from absl import logging
 
-from turmericward import feeds, positions, runtime, schema
+from turmericward import feeds, positions, runtime, schema, telemetry
 from turmericward.adapters import errors
 
 # Lets fronts that start at the same time announce themselves before the listing.
@@ -23,6 +23,7 @@
 # different times.
 ERA_POLL_INTERVAL_S = 1.0
 MAX_NEW_ERA_DELAY_S = 3.0
+MAX_ANNOUNCEMENT_BYTES = 16 * 1024
 
 
 @attrs.frozen(kw_only=True)
@@ -30,8 +31,12 @@
     """The value that a front publishes under its name in the store."""
 
     host: str = attrs.field(validator=schema.validators.ip_literal)
-    domain: str
-    capacity: int = 0
+    domain: str = attrs.field(validator=schema.validators.label)
+    # Negative for a front that drains.
+    capacity: int = attrs.field(
+        default=0,
+        validator=schema.validators.between(-1, schema.validators.MAX_INT32),
+    )
 
 
 class AnnouncementTable(Protocol):
@@ -67,6 +72,7 @@
         on_announcement: Callable[[str, Announcement], None],
         on_listed: Callable[[], None],
         eras: positions.Eras,
+        rejections: telemetry.Rejections | None = None,
     ) -> None:
         """Creates the loop.
 
@@ -78,8 +84,10 @@
             on_announcement: called with the name and announcement of each peer.
             on_listed: called when all peers of a listing have been reported.
             eras: the known era of the store.
+            rejections: gets the announcements that can't be used.
         """
         super().__init__()
+        self._rejections = rejections or telemetry.Rejections()
         self._table = table
         self._topic = topic
         self._front = front
@@ -134,11 +142,15 @@
         if not record.value or record.key == self._front:
             return False
         try:
-            announcement = schema.structure(
-                json.loads(record.value), Announcement, record.key, extra=True
+            announcement = schema.decode(
+                record.value,
+                Announcement,
+                record.key,
+                extra=True,
+                max_bytes=MAX_ANNOUNCEMENT_BYTES,
             )
-        except ValueError as exc:
-            logging.warning("announcement of front %s is ignored: %s", record.key, exc)
+        except schema.SchemaError as exc:
+            self._rejections.add("fronts", record.key, str(exc))
             return False
         self._on_announcement(record.key, announcement)
         return True
--- a/src/turmericward/peers/_receive_loop.py
+++ b/src/turmericward/peers/_receive_loop.py
@@ -4,7 +4,7 @@
 
 from absl import logging
 
-from turmericward import runtime
+from turmericward import runtime, telemetry
 from turmericward.peers import _codec, _messages, _peer_task
 
 RECEIVE_TIMEOUT_S = 0.5
@@ -21,14 +21,21 @@
 class ReceiveLoop(runtime.Loop):
     """Receives peers' states; drops duplicates and outdated ones of the same boot."""
 
-    def __init__(self, sock: socket.socket, task: _peer_task.PeerTask) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        task: _peer_task.PeerTask,
+        rejections: telemetry.Rejections | None = None,
+    ) -> None:
         """Creates the loop.
 
         Args:
             sock: bound socket with a timeout, shared with the task.
             task: gets a message for each state.
+            rejections: gets the datagrams that can't be used.
         """
         super().__init__()
+        self._rejections = rejections or telemetry.Rejections()
         self._sock = sock
         self._task = task
         self._latest: dict[str, tuple[int, int]] = {}
@@ -46,7 +53,7 @@
         try:
             state = _codec.decode(data)
         except _codec.MalformedStateError as exc:
-            logging.warning("datagram of %s is ignored: %s", host, exc)
+            self._rejections.add("datagrams", host, str(exc))
             return
         boot, sequence = self._latest.get(state.front, (0, 0))
         if state.boot == boot and state.sequence <= sequence:
--- a/src/turmericward/platform/_cache_listing.py
+++ b/src/turmericward/platform/_cache_listing.py
@@ -1,7 +1,5 @@
 """Lists the prefix segments that the platform's replicas have cached."""
 
-import json
-
 import attrs
 
 from turmericward import fleet, requests, runtime, schema
@@ -9,6 +7,7 @@
 from turmericward.platform import _headers, _notices
 
 TIMEOUT_S = 1.0
+MAX_LISTING_BYTES = 4 * 1024 * 1024
 
 
 @attrs.frozen(kw_only=True)
@@ -54,11 +53,24 @@
         AnswerLostError: the body isn't a listing.
     """
     try:
-        listing = schema.structure(json.loads(raw), _Listing, "listing", extra=True)
-        return tuple(_segment(*row) for row in listing.held)
-    except (ValueError, TypeError) as exc:
+        return schema.decode(
+            raw,
+            _Listing,
+            "listing",
+            extra=True,
+            max_bytes=MAX_LISTING_BYTES,
+            convert=_segments,
+        )
+    except schema.SchemaError as exc:
         raise errors.AnswerLostError(f"{name}: {exc}") from exc
 
 
+def _segments(listing: _Listing) -> tuple[tuple[int, int], ...]:
+    return tuple(_segment(*row) for row in listing.held)
+
+
 def _segment(_: str, segment_id: str, tokens: int, model: str) -> tuple[int, int]:
-    return requests.segment_number(str(model), str(segment_id)), int(tokens)
+    tokens = int(tokens)
+    if not 0 <= tokens <= requests.MAX_TOKENS:
+        raise ValueError(f"segment {segment_id!r} has {tokens} tokens")
+    return requests.segment_number(str(model), str(segment_id)), tokens
--- a/src/turmericward/platform/_follow.py
+++ b/src/turmericward/platform/_follow.py
@@ -1,8 +1,8 @@
 """Decodes topics of the platform's store and forwards changes to the dispatcher."""
 
-from absl import logging
+import attrs
 
-from turmericward import delivery, feeds, fleet
+from turmericward import delivery, feeds, fleet, telemetry
 from turmericward.platform import _records
 
 CONFIGURATION_TOPIC = "keyed.op"
@@ -16,8 +16,10 @@
 WAIT_SHARE = 0.3
 TARGETS_BATCH_SHARE = 0.2
 CONFIGURATION_BATCH_S = 0.05
-MAX_LOGGED_KEYS = 1000
 MAX_REMOVED_KEYS = 10_000
+# Forwarded in place of an announcement that can't be used: peers keep its target
+# too, whatever the length of the original.
+UNUSABLE_VALUE = b"null"
 
 
 def targets_pacing(bound_s: float, wait_s: float) -> feeds.Pacing:
@@ -48,32 +50,47 @@
 class ConfigurationSink:
     """Forwards the operators' configuration to the dispatcher."""
 
-    def __init__(self, dispatch: delivery.DispatchTask) -> None:
-        """Creates the sink; new configurations are posted to `dispatch`."""
+    def __init__(
+        self,
+        dispatch: delivery.DispatchTask,
+        rejections: telemetry.Rejections | None = None,
+    ) -> None:
+        """Creates the sink.
+
+        Args:
+            dispatch: gets new configurations.
+            rejections: gets those that can't be used.
+        """
         self._dispatch = dispatch
+        self._rejections = rejections or telemetry.Rejections()
 
-    def on_listing(self, records: tuple[feeds.Record, ...], *, reverted: bool) -> None:
-        """Applies the configuration found in a listing.
+    def on_listing(
+        self, records: tuple[feeds.Record, ...], *, reverted: bool
+    ) -> tuple[feeds.Record, ...]:
+        """Applies the configuration found in a listing, as `on_changes` does.
 
         In an older copy of the store that is an older version, which the dispatcher
         ignores.
         """
-        self.on_changes(records)
+        return self.on_changes(records)
 
     def on_changes(self, records: tuple[feeds.Record, ...]) -> tuple[feeds.Record, ...]:
-        """Posts each valid configuration; returns all records of configurations."""
-        versions = tuple(r for r in records if r.key == CONFIGURATION_KEY and r.value)
-        for record in versions:
-            self._post(record)
-        return versions
+        """Posts each usable configuration; returns their records.
 
-    def _post(self, record: feeds.Record) -> None:
+        The one in force stays so if a later one can't be used.
+        """
+        versions = (r for r in records if r.key == CONFIGURATION_KEY and r.value)
+        return tuple(record for record in versions if self._post(record))
+
+    def _post(self, record: feeds.Record) -> bool:
         try:
             table = _records.routing_table(record.value)
         except _records.RecordError as exc:
-            logging.error("configuration at offset %d: %s", record.offset, exc)
-            return
+            key = f"configuration at offset {record.offset}"
+            self._rejections.add("configuration", key, str(exc))
+            return False
         self._dispatch.post(delivery.SetTable(table=table))
+        return True
 
     def on_recovery(self) -> None:
         """Does nothing: the dispatcher ignores older versions."""
@@ -82,21 +99,32 @@
 class TargetsSink:
     """Forwards the replicas' announcements to the dispatcher."""
 
-    def __init__(self, dispatch: delivery.DispatchTask) -> None:
-        """Creates the sink; changed targets are posted to `dispatch`."""
+    def __init__(
+        self,
+        dispatch: delivery.DispatchTask,
+        rejections: telemetry.Rejections | None = None,
+    ) -> None:
+        """Creates the sink.
+
+        Args:
+            dispatch: gets changed targets.
+            rejections: gets the announcements that can't be used.
+        """
         self._dispatch = dispatch
-        # Keys whose malformed record has been logged.
-        self._logged: set[str] = set()
+        self._rejections = rejections or telemetry.Rejections()
         # Target last posted for each key; None for keys that were removed.
         self._posted: dict[str, fleet.Target | None] = {}
         # Incarnations of the removed targets, by key.
         self._removed: dict[str, int] = {}
 
-    def on_listing(self, records: tuple[feeds.Record, ...], *, reverted: bool) -> None:
+    def on_listing(
+        self, records: tuple[feeds.Record, ...], *, reverted: bool
+    ) -> tuple[feeds.Record, ...]:
         """Replaces all targets by those of a listing.
 
         An older copy of the store may lack announcements, which will be written again;
-        and it may hold those of targets that were removed since, which won't.
+        and it may hold those of targets that were removed since, which won't. Returns
+        the records; a target whose announcement can't be used stays as it is.
         """
         decoded = [self._decode(record) for record in records]
         targets = tuple(t for t in decoded if t is not None)
@@ -110,6 +138,11 @@
             targets=targets, undecodable=frozenset(malformed)
         )
         self._dispatch.post(message)
+        return tuple(
+            attrs.evolve(r, value=UNUSABLE_VALUE) if r.key in malformed else r
+            for r in records
+            if _records.is_name(r.key)
+        )
 
     def on_changes(self, records: tuple[feeds.Record, ...]) -> tuple[feeds.Record, ...]:
         """Posts the changes in order; most records only renew an announcement."""
@@ -117,6 +150,8 @@
 
     def _post_change(self, record: feeds.Record) -> bool:
         target = None
+        if record.value is None and not _records.is_name(record.key):
+            return False
         if record.value is not None:
             target = self._decode(record)
             if target is None:
@@ -148,9 +183,7 @@
         try:
             return _records.target(record.key, record.value)
         except _records.RecordError as exc:
-            if record.key not in self._logged and len(self._logged) < MAX_LOGGED_KEYS:
-                self._logged.add(record.key)
-                logging.warning("malformed announcement of %s: %s", record.key, exc)
+            self._rejections.add("targets", record.key, str(exc))
             return None
 
     def on_recovery(self) -> None:
--- a/src/turmericward/platform/_ingress.py
+++ b/src/turmericward/platform/_ingress.py
@@ -8,13 +8,17 @@
 import attrs
 from absl import logging
 
-from turmericward import delivery, httpd, requests, runtime, telemetry
+from turmericward import delivery, httpd, requests, runtime, schema, telemetry
 from turmericward.adapters import service
 from turmericward.platform import _headers
 
 DEFAULT_DEADLINE_S = 10.0
 NOT_READY_RETRY_S = 1.0
 STATUS_TIMEOUT_S = 1.0
+MAX_DEADLINE_MS = 1e11
+# Longer deadlines count as this multiple of the route's timeout: the longest one of a
+# route tells which of its later calls are repeated.
+MAX_DEADLINE_PER_TIMEOUT = 2.0
 # Client headers that aren't forwarded: set per target, or hop-by-hop.
 _NOT_FORWARDED = _headers.SYSTEM_HEADERS | {
     _headers.LAST_EVENT_ID.lower(),
@@ -136,7 +140,10 @@
     pairs = _header_pairs(environ)
     values = {name.lower(): value for name, value in pairs}
     received = environ.get(httpd.RECEIVED_AT_KEY) or runtime.now()
-    deadline_s = _deadline_s(values)
+    deadline_s = min(
+        _deadline_s(values),
+        max(DEFAULT_DEADLINE_S, MAX_DEADLINE_PER_TIMEOUT * route.timeout_s),
+    )
     forwarded = service.end_to_end_headers(pairs)
     return delivery.Call(
         id=values.get(_headers.CALL_ID.lower(), ""),
@@ -156,10 +163,12 @@
 
 def _deadline_s(values: dict[str, str]) -> float:
     raw = values.get(_headers.DEADLINE_MS.lower(), "")
+    if not raw:
+        return DEFAULT_DEADLINE_S
     try:
-        return float(raw) / 1000 if raw else DEFAULT_DEADLINE_S
-    except ValueError:
-        logging.warning("deadline %r is not a number; using the default", raw)
+        return schema.parse_float(raw, -MAX_DEADLINE_MS, MAX_DEADLINE_MS) / 1000
+    except schema.SchemaError as exc:
+        logging.warning("invalid deadline, using the default: %s", exc)
         return DEFAULT_DEADLINE_S
 
 
@@ -171,7 +180,7 @@
         return None
     try:
         segments = tuple(_segment(text) for text in raw.split(","))
-        output_tokens = int(counts.split(",")[1])
+        output_tokens = _tokens(counts.split(",")[1])
     except (ValueError, IndexError) as exc:
         raise BadRequestError(f"prompt {raw!r} of {counts!r} tokens: {exc}") from exc
     model = values.get(_headers.MODEL.lower(), "")
@@ -180,7 +189,11 @@
 
 def _segment(text: str) -> requests.PromptSegment:
     segment_id, _, tokens = text.strip().partition(":")
-    return requests.PromptSegment(id=segment_id, tokens=int(tokens))
+    return requests.PromptSegment(id=segment_id, tokens=_tokens(tokens))
+
+
+def _tokens(text: str) -> int:
+    return schema.parse_int(text, 0, requests.MAX_TOKENS)
 
 
 class Readiness:
--- a/src/turmericward/platform/_notices.py
+++ b/src/turmericward/platform/_notices.py
@@ -1,15 +1,17 @@
 """Notices in the headers of replicas' responses: leaving, backoff and rate limit."""
 
 import http.client
-import math
 from collections.abc import Callable, Collection
 
 from absl import logging
 
-from turmericward import delivery, fleet, runtime
+from turmericward import delivery, fleet, runtime, schema
 from turmericward.platform import _headers
 
 WARNING_INTERVAL_S = 10.0
+# Larger numbers are malformed; sums and multiples of these are finite.
+MAX_RATE_PER_S = 1e300
+MAX_RETRY_AFTER_S = 1e300
 
 
 class NoticeReader:
@@ -91,15 +93,14 @@
 def _rate(text: str) -> float | None:
     """Returns a rate of at least 0, None if the text isn't one."""
     try:
-        per_s = float(text)
-    except ValueError:
+        return schema.parse_float(text, 0.0, MAX_RATE_PER_S)
+    except schema.SchemaError:
         return None
-    return per_s if math.isfinite(per_s) and per_s >= 0 else None
 
 
 def _seconds(text: str | None) -> float:
     try:
-        return float(text or 0)
-    except ValueError:
+        return schema.parse_float(text or "0", 0.0, MAX_RETRY_AFTER_S)
+    except schema.SchemaError:
         # An HTTP date or a malformed value is ignored.
         return 0.0
--- a/src/turmericward/platform/_orders.py
+++ b/src/turmericward/platform/_orders.py
@@ -4,13 +4,26 @@
 
 import attrs
 
-from turmericward import authority, delivery, fleet, positions, runtime, schema
+from turmericward import (
+    authority,
+    delivery,
+    feeds,
+    fleet,
+    positions,
+    runtime,
+    schema,
+    telemetry,
+)
 from turmericward.adapters import _request, errors
 from turmericward.platform import _headers, _notices, _records, _store
 
 LEASE_TOPIC = "keyed.leases"
 LEASE_KEY = "roles"
 TIMEOUT_S = 1.0
+# Term of an on-demand lease, the same on all fronts.
+TERM_S = 6.0
+MAX_LEASE_BYTES = 16 * 1024
+MAX_REPORT_BYTES = 1024 * 1024
 
 
 @attrs.frozen(kw_only=True)
@@ -27,9 +40,19 @@
 class StoreLease:
     """Stores the lease as the latest record of a key in the platform's store."""
 
-    def __init__(self, client: _store.StoreClient) -> None:
-        """Takes ownership of `client`, which serves a single thread."""
+    def __init__(
+        self,
+        client: _store.StoreClient,
+        rejections: telemetry.Rejections | None = None,
+    ) -> None:
+        """Creates the lease log.
+
+        Args:
+            client: the store, for this object and a single thread.
+            rejections: gets lease records that can't be used.
+        """
         self._client = client
+        self._rejections = rejections or telemetry.Rejections()
 
     def read(self) -> tuple[positions.Position, authority.Record | None]:
         """Returns the topic's end and the lease; see `delivery.LeaseLog`."""
@@ -37,10 +60,19 @@
         leases = [r for r in listing.records if r.key == LEASE_KEY]
         if not leases:
             return listing.end, None
+        return listing.end, self._decode(leases[0], listing.end.era)
+
+    def _decode(self, record: feeds.Record, era: int) -> authority.Record:
+        """Decodes the lease; one that can't be used counts as just acquired.
+
+        It may have replaced the record of a holder whose term hasn't ended.
+        """
         try:
-            return listing.end, authority.decode(json.loads(leases[0].value))
-        except (ValueError, authority.AuthorityError) as exc:
-            raise errors.LogUnavailableError(f"lease: {exc}") from exc
+            value = schema.loads(record.value, "lease", max_bytes=MAX_LEASE_BYTES)
+            return authority.decode(value)
+        except (schema.SchemaError, authority.AuthorityError) as exc:
+            self._rejections.add("leases", f"offset {record.offset}", str(exc))
+            return authority.OnDemandAcquire(id="", holder="", era=era, term_s=TERM_S)
 
     def append(self, claim: authority.Claim) -> positions.Position | None:
         """Appends a claim; see `delivery.LeaseLog`."""
@@ -69,8 +101,10 @@
         if status != 200:
             raise errors.AnswerLostError(f"{target.name}: report has status {status}")
         try:
-            report = schema.structure(json.loads(raw), _Report, "report", extra=True)
-        except ValueError as exc:
+            report = schema.decode(
+                raw, _Report, "report", extra=True, max_bytes=MAX_REPORT_BYTES
+            )
+        except schema.SchemaError as exc:
             raise errors.AnswerLostError(f"{target.name}: {exc}") from exc
         return delivery.RoleState(
             role=fleet.EngineRole(report.stage),
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import threading
+import traceback
 import zlib
 
 import click
@@ -16,6 +17,7 @@
     peers,
     positions,
     runtime,
+    schema,
     telemetry,
 )
 from turmericward.adapters import _address
@@ -33,11 +35,11 @@
 from turmericward.programs import _common
 
 WORKER_THREADS = 120
+MAX_TRACEBACK_CHARS = 2000
 BALANCER_LAG_S = 3.0
 STOP_TIMEOUT_S = 1.0
 # After a store outage, replicas renew expired announcements within 2 s.
 REANNOUNCE_GRACE_S = 2.5
-LEASE_TERM_S = 6.0
 # Bounds clock drift between two fronts plus the delay of one loop iteration.
 CLOCK_MARGIN_S = 1.0
 # Applies until a configuration sets client limits.
@@ -60,6 +62,7 @@
         self._cfg = cfg
         self._clients: list[_store.StoreClient] = []
         metrics = telemetry.Metrics(None, "")
+        self._rejections = telemetry.Rejections(metrics.count)
         self._eras = positions.Eras(lambda: metrics.count("store.new_eras"))
         self.reload = _reload.ReloadLoop(path, cfg, self._reconfigure)
         self._draining = threading.Event()
@@ -87,23 +90,25 @@
             publish=peer_task.publish_state,
             on_configured=self._apply_table,
         )
+        for task in (self._dispatch, peer_task):
+            task.on_rejected = self._on_message_rejected
         notices = _notices.NoticeReader(
             self._dispatch.post, lambda: self._dispatch.recently_limited
         )
         loops = [
-            peers.ReceiveLoop(sock, peer_task),
+            peers.ReceiveLoop(sock, peer_task, self._rejections),
             self._announce_loop(),
             self._follow_loop(
                 _follow.CONFIGURATION_TOPIC,
                 feeds.Topic.CONFIGURATION,
                 self._configuration_pacing(),
-                _follow.ConfigurationSink(self._dispatch),
+                _follow.ConfigurationSink(self._dispatch, self._rejections),
             ),
             self._follow_loop(
                 _follow.TARGETS_TOPIC,
                 feeds.Topic.TARGETS,
                 self._targets_pacing(),
-                _follow.TargetsSink(self._dispatch),
+                _follow.TargetsSink(self._dispatch, self._rejections),
             ),
             self._roles_loop(notices),
             delivery.CacheListingLoop(
@@ -141,8 +146,8 @@
     def _roles_loop(self, notices: _notices.NoticeReader) -> delivery.RolesLoop:
         order_gap_s = self._cfg.bounds.order_gap_ms / 1000
         timing = authority.Timing(
-            term_s=LEASE_TERM_S,
-            renew_s=LEASE_TERM_S,
+            term_s=_orders.TERM_S,
+            renew_s=_orders.TERM_S,
             margin_s=order_gap_s + CLOCK_MARGIN_S,
             settle_s=order_gap_s + CLOCK_MARGIN_S,
         )
@@ -150,7 +155,7 @@
         return delivery.RolesLoop(
             self._dispatch,
             authority.OnDemandLease(holder, timing, runtime.new_id),
-            _orders.StoreLease(self._store_client()),
+            _orders.StoreLease(self._store_client(), self._rejections),
             _orders.ReplicaOrders(holder, notices),
             self._eras,
             lambda: self._peer_task.polls_targets,
@@ -196,6 +201,7 @@
             self._on_announced,
             lambda: self._peer_task.post(peers.FrontsListed()),
             self._eras,
+            self._rejections,
         )
 
     def _on_announced(self, front: str, announcement: peers.Announcement) -> None:
@@ -208,9 +214,17 @@
             )
         )
 
+    def _on_message_rejected(self, message: object, exc: Exception) -> None:
+        """Reports a message whose handler failed, once for each kind of failure."""
+        key = f"{type(message).__name__}: {type(exc).__name__}"
+        details = "".join(traceback.format_exception(exc))[-MAX_TRACEBACK_CHARS:]
+        self._rejections.add("messages", key, f"{message!r:.300}: {details}")
+
     def _store_client(self) -> _store.StoreClient:
         store = self._cfg.store
-        client = _store.StoreClient(store.address, store.timeout_s, self._eras)
+        client = _store.StoreClient(
+            store.address, store.timeout_s, self._eras, self._rejections
+        )
         self._clients.append(client)
         return client
 
@@ -233,7 +247,8 @@
 
 def _capacity(limits: _settings.LimitSettings) -> int:
     """Returns an instance's relative capacity: link Mbit/s times usable cores."""
-    return int(limits.link_mbps * limits.cores * limits.core_share)
+    capacity = int(limits.link_mbps * limits.cores * limits.core_share)
+    return min(capacity, schema.validators.MAX_INT32)
 
 
 def _retry_bounds(cfg: _settings.Settings) -> delivery.RetryBounds:
--- a/src/turmericward/platform/_records.py
+++ b/src/turmericward/platform/_records.py
@@ -1,6 +1,8 @@
 """Decodes records of the platform's store into the product's types."""
 
-import json
+import functools
+import re
+from collections.abc import Callable
 
 import attrs
 
@@ -25,6 +27,21 @@
     "prefill": fleet.EngineRole.PREFILL,
     "decode": fleet.EngineRole.DECODE,
 }
+# Longest accepted records. Those of replicas are forwarded to peers in datagrams.
+MAX_MANIFEST_BYTES = 4 * 1024 * 1024
+MAX_REPLICA_BYTES = 16 * 1024
+# Far beyond any real value, and still within the range of timers and binary formats.
+MAX_DURATION_MS = 1e11
+MAX_WEIGHT = 1e9
+MAX_KV_TOKENS = 1e12
+# Later versions or incarnations than this would be the last ones.
+MAX_VERSION = 2**53
+MAX_STARTED_MS = 10**14
+_NAME_TEXT = re.compile(r"[!-~]{1,255}", re.ASCII)
+_DURATION_MS = schema.validators.between(0, MAX_DURATION_MS)
+_INT32 = schema.validators.between(
+    -schema.validators.MAX_INT32, schema.validators.MAX_INT32
+)
 ENGINE_STAGES = tuple(stage for stage in _ROLE_BY_STAGE if stage)
 
 
@@ -34,34 +51,36 @@
 
 @attrs.frozen(kw_only=True)
 class _Split:
-    service: str
-    weight: float
+    service: str = attrs.field(validator=schema.validators.label)
+    weight: float = attrs.field(validator=schema.validators.between(0, MAX_WEIGHT))
 
 
 @attrs.frozen(kw_only=True)
 class _Route:
-    name: str
-    host: str
+    name: str = attrs.field(validator=schema.validators.label)
+    host: str = attrs.field(validator=schema.validators.label)
     path_prefix: str
     kind: str = attrs.field(validator=schema.validators.one_of(*_KIND_BY_NAME))
-    timeout_ms: float
-    objective_ms: float = 0.0
-    gap_ms: float = 0.0
-    priority: int = 0
-    max_attempts: int = 1
+    timeout_ms: float = attrs.field(validator=_DURATION_MS)
+    objective_ms: float = attrs.field(default=0.0, validator=_DURATION_MS)
+    gap_ms: float = attrs.field(default=0.0, validator=_DURATION_MS)
+    priority: int = attrs.field(default=0, validator=_INT32)
+    max_attempts: int = attrs.field(default=1, validator=_INT32)
     resumable: bool = False
-    service: str = ""
+    service: str = attrs.field(default="", validator=schema.validators.label)
     split: list[_Split] = attrs.field(factory=list)
 
 
 @attrs.frozen(kw_only=True)
 class _Engine:
-    kv_capacity_tokens: float = 0.0
+    kv_capacity_tokens: float = attrs.field(
+        default=0.0, validator=schema.validators.between(0, MAX_KV_TOKENS)
+    )
 
 
 @attrs.frozen(kw_only=True)
 class _Service:
-    name: str
+    name: str = attrs.field(validator=schema.validators.label)
     engine: _Engine = attrs.field(factory=_Engine)
 
 
@@ -69,13 +88,13 @@
 class _ClientLimits:
     max_header_bytes: int = attrs.field(validator=schema.validators.between(1, 2**31))
     max_body_bytes: int = attrs.field(validator=schema.validators.between(1, 2**31))
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    header_timeout_ms: float = attrs.field(validator=_DURATION_MS)
+    idle_timeout_ms: float = attrs.field(validator=_DURATION_MS)
 
 
 @attrs.frozen(kw_only=True)
 class _Manifest:
-    version: int
+    version: int = attrs.field(validator=schema.validators.between(0, MAX_VERSION))
     routes: list[_Route]
     services: list[_Service]
     limits: _ClientLimits | None = None
@@ -84,10 +103,10 @@
 @attrs.frozen(kw_only=True)
 class _ReplicaRecord:
     # Unix time in milliseconds at which the replica started.
-    born: int
-    service: str
+    born: int = attrs.field(validator=schema.validators.between(0, MAX_STARTED_MS))
+    service: str = attrs.field(validator=schema.validators.label)
     address: str = attrs.field(validator=schema.validators.ip_port)
-    domain: str
+    domain: str = attrs.field(validator=schema.validators.label)
     slots: int = attrs.field(validator=schema.validators.between(1, 1_000_000))
     state: str = attrs.field(validator=schema.validators.one_of(*_LEAVING_BY_STATE))
     # Empty for replicas that aren't engines.
@@ -96,15 +115,19 @@
     )
 
 
-def _decode(raw: bytes, cls: type, root: str):
+def _decode(raw: bytes, cls: type, root: str, max_bytes: int, convert: Callable):
     try:
-        return schema.structure(json.loads(raw), cls, root, extra=True)
-    except ValueError as exc:
+        return schema.decode(
+            raw, cls, root, extra=True, max_bytes=max_bytes, convert=convert
+        )
+    except schema.SchemaError as exc:
         raise RecordError(str(exc)) from exc
 
 
 def _destinations(route: _Route) -> tuple[delivery.Destination, ...]:
     if route.split:
+        if not any(s.weight for s in route.split):
+            raise RecordError(f"route {route.name!r} has no weight above 0")
         return tuple(
             delivery.Destination(service=s.service, weight=s.weight)
             for s in route.split
@@ -151,9 +174,12 @@
     """Decodes the operators' configuration into a routing table.
 
     Raises:
-        RecordError: a field is missing or has the wrong type.
+        RecordError: the record can't be used; names the field and the reason.
     """
-    manifest = _decode(raw, _Manifest, "configuration")
+    return _decode(raw, _Manifest, "configuration", MAX_MANIFEST_BYTES, _table)
+
+
+def _table(manifest: _Manifest) -> delivery.RoutingTable:
     services = [
         delivery.ServiceTraits(
             name=s.name, kv_capacity_tokens=s.engine.kv_capacity_tokens
@@ -165,13 +191,24 @@
     return delivery.RoutingTable(manifest.version, routes, services, limits)
 
 
+def is_name(key: str) -> bool:
+    """Returns whether a key can name a replica, which it is sent to in a header."""
+    return _NAME_TEXT.fullmatch(key) is not None
+
+
 def target(name: str, raw: bytes) -> fleet.Target:
     """Decodes a replica's announcement into a target.
 
     Raises:
-        RecordError: a field is missing or has the wrong type.
+        RecordError: the record can't be used; names the field and the reason.
     """
-    record = _decode(raw, _ReplicaRecord, name)
+    if not is_name(name):
+        raise RecordError(schema.printable(f"{name[:40]!r} is no name of a replica"))
+    convert = functools.partial(_target, name)
+    return _decode(raw, _ReplicaRecord, name, MAX_REPLICA_BYTES, convert)
+
+
+def _target(name: str, record: _ReplicaRecord) -> fleet.Target:
     return fleet.Target(
         name=name,
         service=record.service,
--- a/src/turmericward/platform/_settings.py
+++ b/src/turmericward/platform/_settings.py
@@ -11,8 +11,10 @@
 class InstanceSettings:
     """Identity of the instance that the process runs on."""
 
-    name: str
-    domain: str
+    name: str = attrs.field(
+        validator=[schema.validators.not_empty, schema.validators.label]
+    )
+    domain: str = attrs.field(validator=schema.validators.label)
     address: str = attrs.field(validator=schema.validators.ip_literal)
 
 
@@ -66,11 +68,13 @@
     `configuration_ms` a new configuration is in force on all fronts.
     """
 
-    drain_s: float
-    retry_share: float
-    retry_slack: float
-    retry_window_s: float
-    order_gap_ms: float
+    drain_s: float = attrs.field(validator=schema.validators.between(0, 86_400))
+    retry_share: float = attrs.field(validator=schema.validators.between(0, 1000))
+    retry_slack: float = attrs.field(validator=schema.validators.between(0, 1e9))
+    retry_window_s: float = attrs.field(validator=schema.validators.between(0, 86_400))
+    order_gap_ms: float = attrs.field(
+        validator=schema.validators.between(0, 86_400_000)
+    )
     leaving_ms: float = attrs.field(
         default=2000.0, validator=schema.validators.between(100, 600_000)
     )
--- a/src/turmericward/platform/_store.py
+++ b/src/turmericward/platform/_store.py
@@ -1,30 +1,86 @@
 """Client of the platform's store, which keeps records in keyed topics."""
 
 import base64
+import binascii
 import http.client
-import json
 import struct
 import urllib.parse
 
 import attrs
 
-from turmericward import feeds, positions
+from turmericward import feeds, positions, schema, telemetry
 from turmericward.adapters import _persistent_connection, errors
 from turmericward.platform import _headers
 
 _READ_HEADER = struct.Struct(">QQ")
 _RECORD_LENGTH = struct.Struct(">I")
-# Raised while decoding a response that has an unexpected format.
-_MALFORMED = (ValueError, KeyError, struct.error)
+# Offsets above this don't fit the messages between fronts with room for sums.
+MAX_OFFSET = 2**62
+MAX_PAGE_BYTES = 64 * 1024 * 1024
+_OFFSET = schema.validators.between(0, MAX_OFFSET)
 
 
 def _decode_record(offset: int, raw: bytes) -> feeds.Record:
+    """Decodes the bytes of one record, which another program appended.
+
+    Raises:
+        ValueError: they hold no key.
+    """
+    if not raw or not raw[0] or len(raw) <= raw[0]:
+        raise ValueError("record holds no key")
     length = raw[0]
     key = raw[1 : 1 + length].decode("utf-8", "replace")
     value = raw[1 + length :]
     return feeds.Record(offset=offset, key=key, value=value or None)
 
 
+def _key_bytes(key: str) -> bytes:
+    """Returns a listed key as bytes, also one that isn't UTF-8."""
+    try:
+        return key.encode("utf-8", "surrogateescape")
+    except UnicodeEncodeError:
+        return key.encode("utf-8", "surrogatepass")
+
+
+@attrs.frozen(kw_only=True)
+class _Page:
+    """A page of a listing; each item holds key, value in Base64 and offset."""
+
+    items: list[dict]
+    more: bool
+    end: int = attrs.field(validator=_OFFSET)
+
+
+@attrs.frozen(kw_only=True)
+class _Appended:
+    offset: int = attrs.field(validator=_OFFSET)
+
+
+@attrs.frozen(kw_only=True)
+class _Expired:
+    first: int = attrs.field(validator=_OFFSET)
+
+
+def _decode_row(row: dict) -> feeds.Record:
+    """Decodes a row of a listing.
+
+    Raises:
+        ValueError: a field is missing or can't be used.
+    """
+    key, text, offset = row.get("key"), row.get("value"), row.get("offset")
+    if not isinstance(key, str) or not key or not isinstance(text, str):
+        raise ValueError("row has no key or no value")
+    if type(offset) is not int or not 0 <= offset <= MAX_OFFSET:
+        raise ValueError("row has no offset")
+    # Fails for text that can't be encoded again.
+    key.encode()
+    try:
+        value = base64.b64decode(text)
+    except binascii.Error as exc:
+        raise ValueError("value is not Base64") from exc
+    return feeds.Record(offset=offset, key=key, value=value)
+
+
 @attrs.frozen(kw_only=True)
 class _Response:
     """A response of the store, and its era."""
@@ -37,15 +93,23 @@
 class StoreClient:
     """Reads and appends to keyed topics; not thread-safe unless stated otherwise."""
 
-    def __init__(self, address: str, timeout_s: float, eras: positions.Eras) -> None:
+    def __init__(
+        self,
+        address: str,
+        timeout_s: float,
+        eras: positions.Eras,
+        rejections: telemetry.Rejections | None = None,
+    ) -> None:
         """Creates the client; it connects at the first request.
 
         Args:
             address: `ip:port` of the store.
             timeout_s: timeout of each response.
             eras: learns the era of each response.
+            rejections: gets the records that can't be used.
         """
         self._eras = eras
+        self._rejections = rejections or telemetry.Rejections()
         self._conn = _persistent_connection.PersistentConnection(
             address, timeout_s, connect_timeout_s=timeout_s
         )
@@ -71,28 +135,36 @@
         query = {"Topic": topic, "part": 0}
         while True:
             resp = self._get("/api/log-newest", query, 0.0)
-            page = self._decode_json(resp)
+            page = self._decode_json(resp, _Page)
             era = resp.era
             first_era = era if first_era is None else first_era
             if era != first_era:
                 raise errors.LogUnavailableError(
                     f"listing began in era {first_era} and goes on in era {era}"
                 )
+            records += self._decode_rows(topic, page.items)
+            # Records appended after the first page was read come with later reads.
+            end = page.end if end is None else end
+            if not page.more or not page.items:
+                return feeds.Listing(
+                    records=tuple(records), end=positions.Position(era, end)
+                )
+            after = page.items[-1].get("key")
+            if not isinstance(after, str) or _key_bytes(after) == query.get("after"):
+                raise errors.LogUnavailableError(f"listing has no page after {after!r}")
+            query["after"] = _key_bytes(after)
+
+    def _decode_rows(self, topic: str, rows: list[dict]) -> list[feeds.Record]:
+        """Decodes the rows of a page, without those that can't be used."""
+        records = []
+        for row in rows:
             try:
-                records += [self._decode_row(row) for row in page["items"]]
-                # Records appended after the first page was read come with later reads.
-                end = page["end"] if end is None else end
-                if not page["more"] or not page["items"]:
-                    return feeds.Listing(
-                        records=tuple(records), end=positions.Position(era, end)
-                    )
-                query["after"] = page["items"][-1]["key"]
-            except _MALFORMED as exc:
-                raise errors.LogUnavailableError(f"listing: {exc!r}") from exc
-
-    def _decode_row(self, row: dict) -> feeds.Record:
-        value = base64.b64decode(row["value"])
-        return feeds.Record(offset=row["offset"], key=row["key"], value=value)
+                records.append(_decode_row(row))
+            # The row is foreign: whatever fails is a fault of it.
+            except Exception as exc:
+                key = schema.printable(f"{topic}/{row.get('key')!r:.80}")
+                self._rejections.add("listing", key, repr(exc))
+        return records
 
     def read(
         self, topic: str, start: positions.Position, wait_s: float
@@ -118,17 +190,17 @@
         if resp.status != 200:
             raise errors.LogUnavailableError(f"read has status {resp.status}")
         try:
-            return self._decode_records(resp.body, start.offset)
-        except _MALFORMED as exc:
+            return self._decode_records(topic, resp.body, start.offset)
+        except (ValueError, struct.error) as exc:
             raise errors.LogUnavailableError(f"read: {exc!r}") from exc
 
     def _first_offset(self, raw: bytes) -> int:
         try:
-            return json.loads(raw)["first"]
-        except _MALFORMED as exc:
-            raise errors.LogUnavailableError(f"read: {exc!r}") from exc
+            return schema.decode(raw, _Expired, "read", extra=True).first
+        except schema.SchemaError as exc:
+            raise errors.LogUnavailableError(str(exc)) from exc
 
-    def _decode_records(self, raw: bytes, start: int) -> list[feeds.Record]:
+    def _decode_records(self, topic: str, raw: bytes, start: int) -> list[feeds.Record]:
         _, first = _READ_HEADER.unpack_from(raw)
         if first > start:
             raise errors.OffsetExpiredError(first)
@@ -140,17 +212,28 @@
             data = raw[position : position + length]
             if len(data) < length:
                 raise ValueError("record is truncated")
-            records.append(_decode_record(start + len(records), data))
+            records.append(self._record_or_blank(topic, start + len(records), data))
             position += length
         return records
 
-    def _decode_json(self, resp: _Response) -> dict:
+    def _record_or_blank(self, topic: str, offset: int, raw: bytes) -> feeds.Record:
+        """Decodes a record; one that can't be used takes up its offset only."""
+        try:
+            return _decode_record(offset, raw)
+        except ValueError as exc:
+            self._rejections.add("record", f"{topic}/{offset}", str(exc))
+            return feeds.blank_record(offset)
+
+    def _decode_json(self, resp: _Response, cls: type):
         if resp.status != 200:
             raise errors.LogUnavailableError(f"store returned status {resp.status}")
         try:
-            return json.loads(resp.body)
-        except ValueError as exc:
-            raise errors.LogUnavailableError(f"store: {exc!r}") from exc
+            value = schema.loads(
+                resp.body, "store", max_bytes=MAX_PAGE_BYTES, any_text=True
+            )
+            return schema.structure(value, cls, "store", extra=True)
+        except schema.SchemaError as exc:
+            raise errors.LogUnavailableError(str(exc)) from exc
 
     def put(
         self, topic: str, key: str, value: bytes, expected_end: int | None = None
@@ -174,10 +257,8 @@
         )
         if resp.status == 412:
             return None
-        try:
-            return positions.Position(resp.era, self._decode_json(resp)["offset"])
-        except (KeyError, TypeError) as exc:
-            raise errors.LogUnavailableError(f"append: {exc!r}") from exc
+        appended = self._decode_json(resp, _Appended)
+        return positions.Position(resp.era, appended.offset)
 
     def _get(self, path: str, query: dict, wait_s: float) -> _Response:
         return self._send("GET", path, query, wait_s, None)
@@ -206,10 +287,10 @@
         known = self._eras.current
         if text is None and not known:
             text = "0"
-        if text is None or not (text.isascii() and text.isdigit()):
-            raise errors.LogUnavailableError(f"store names era {text!r}")
+        if text is None:
+            raise errors.LogUnavailableError("store names no era")
         try:
-            era = int(text)
+            era = schema.parse_int(text, 0, MAX_OFFSET)
             self._eras.observe(era, "the store")
         except ValueError as exc:
             raise errors.LogUnavailableError(f"store: {exc}") from exc
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -2,12 +2,12 @@
 
 import functools
 import http.client
-import json
+import re
 from collections.abc import Iterator
 
 from absl import logging
 
-from turmericward import delivery, fleet, runtime
+from turmericward import delivery, fleet, runtime, schema
 from turmericward.adapters import _request, _response, errors, service
 from turmericward.platform import _headers, _notices
 
@@ -17,6 +17,9 @@
 LOWEST_PRIORITY = 9
 PREFILL_STAGE = "prefill"
 KV_HANDLE_PATH = "/api/kv-handle/"
+MAX_PREFILL_BYTES = 1024 * 1024
+# It becomes a part of a header and of a path.
+_HANDLE = re.compile(r"[!-~]{1,512}", re.ASCII)
 # Statuses that guarantee, without a header, that the call didn't run.
 NOT_RUN_STATUSES = frozenset({421})
 
@@ -97,12 +100,7 @@
                 raise errors.NotExecutedError(f"prefill has status {answer.status}")
             if answer.status != 200:
                 raise errors.AnswerLostError(f"prefill has status {answer.status}")
-            raw = json.loads(answer.read())
-            return f"{target.address}/{raw['handle']}"
-        except (ValueError, KeyError, TypeError) as exc:
-            raise errors.AnswerLostError(
-                f"malformed prefill response: {exc!r}"
-            ) from exc
+            return f"{target.address}/{_handle(answer.read())}"
         finally:
             answer.close()
 
@@ -121,6 +119,22 @@
             logging.info("KV cache %s is left to expire: %s", source, exc)
 
 
+def _handle(raw: bytes) -> str:
+    """Returns the handle of a prefilled KV cache.
+
+    Raises:
+        AnswerLostError: the response names none that can be sent on.
+    """
+    try:
+        value = schema.loads(raw, "prefill", max_bytes=MAX_PREFILL_BYTES)
+    except schema.SchemaError as exc:
+        raise errors.AnswerLostError(f"malformed prefill response: {exc}") from exc
+    handle = value.get("handle") if isinstance(value, dict) else None
+    if not isinstance(handle, str | int) or not _HANDLE.fullmatch(str(handle)):
+        raise errors.AnswerLostError("prefill response names no handle")
+    return str(handle)
+
+
 def _outgoing(target, call, dispatch) -> _request.Request:
     remaining_ms = max(1, int(call.remaining_s() * 1000))
     headers = list(call.headers)
--- a/src/turmericward/programs/_api.py
+++ b/src/turmericward/programs/_api.py
@@ -7,6 +7,9 @@
 
 import attrs
 
+from turmericward import schema
+from turmericward.adapters import _address
+
 TIMEOUT_S = 15.0
 WATCH_TIMEOUT_S = 60.0
 
@@ -34,10 +37,10 @@
     @classmethod
     def create(cls, address: str, key: str, key_file: str | None) -> "Api":
         """Builds the client from command-line options."""
-        host, _, port = address.rpartition(":")
+        host, port = _address.split(address)
         if key_file:
             key = pathlib.Path(key_file).read_text(encoding="utf-8").strip()
-        return cls(host=host, port=int(port), key=key)
+        return cls(host=host, port=port, key=key)
 
     def request(self, method: str, path: str, body=None, headers=None) -> dict:
         """Sends one request and returns the decoded response body.
@@ -47,7 +50,7 @@
         """
         conn, resp = self._open(method, path, body, headers, TIMEOUT_S)
         try:
-            value = json.loads(resp.read() or b"null")
+            value = schema.loads(resp.read() or b"null", "response")
         except (OSError, http.client.HTTPException, ValueError) as exc:
             raise ApiError(0, f"answer is unreadable: {exc}") from exc
         finally:
@@ -64,9 +67,9 @@
         conn, resp = self._open("GET", path, None, None, WATCH_TIMEOUT_S)
         try:
             if resp.status != 200:
-                self._check(resp.status, json.loads(resp.read()))
+                self._check(resp.status, schema.loads(resp.read(), "response"))
             while line := resp.readline():
-                yield json.loads(line)
+                yield schema.loads(line, "line")
         except (OSError, http.client.HTTPException, ValueError) as exc:
             raise ApiError(0, f"watch broke off: {exc}") from exc
         finally:
--- a/src/turmericward/programs/_front_status.py
+++ b/src/turmericward/programs/_front_status.py
@@ -1,8 +1,8 @@
 """Fetches a front's `/status` page and formats it as text."""
 
 import http.client
-import json
 
+from turmericward import schema
 from turmericward.adapters import _address
 
 TIMEOUT_S = 3.0
@@ -27,7 +27,7 @@
         conn.close()
     if resp.status != 200:
         raise ValueError(f"{address} answers {resp.status}")
-    return json.loads(raw)
+    return schema.loads(raw, address)
 
 
 def lines(status: dict) -> list[str]:
--- a/src/turmericward/programs/cli.py
+++ b/src/turmericward/programs/cli.py
@@ -6,7 +6,7 @@
 
 import click
 
-from turmericward import settings
+from turmericward import schema, settings
 from turmericward.programs import _api, _explain, _front_status, _losses
 
 EXIT_REFUSED = 1
@@ -60,7 +60,7 @@
 
 def _documents(path: str) -> list[dict]:
     text = sys.stdin.read() if path == "-" else pathlib.Path(path).read_text("utf-8")
-    value = json.loads(text)
+    value = schema.loads(text, path)
     documents = value if isinstance(value, list) else [value]
     for doc in documents:
         if not isinstance(doc, dict) or not {"kind", "name", "value"} <= doc.keys():
@@ -177,7 +177,7 @@
 
 @main.command()
 @click.argument("request_id")
-@click.argument("files", nargs=-1, required=True, type=click.File())
+@click.argument("files", nargs=-1, required=True, type=click.File(errors="replace"))
 def explain(request_id: str, files) -> None:
     """Prints every decision about a request found in log files."""
     lines = [line for file in files for line in file]
@@ -190,7 +190,7 @@
 
 
 @main.command()
-@click.argument("files", nargs=-1, required=True, type=click.File())
+@click.argument("files", nargs=-1, required=True, type=click.File(errors="replace"))
 @click.option(
     "--by-domain", is_flag=True, help="Counts each failure domain separately."
 )
--- a/src/turmericward/requests/__init__.py
+++ b/src/turmericward/requests/__init__.py
@@ -15,7 +15,12 @@
     sum_loads,
 )
 from turmericward.requests._placement import Placer
-from turmericward.requests._prompts import Prompt, PromptSegment, segment_number
+from turmericward.requests._prompts import (
+    MAX_TOKENS,
+    Prompt,
+    PromptSegment,
+    segment_number,
+)
 from turmericward.requests._quarantine import (
     Quarantine,
     SegmentChange,
@@ -31,6 +36,7 @@
 from turmericward.requests._suspects import Incarnation, SegmentOutcome
 
 __all__ = [
+    "MAX_TOKENS",
     "MIN_RETRY_AFTER_S",
     "NO_LOAD",
     "PEER_TIMEOUT_S",
--- a/src/turmericward/requests/_prompts.py
+++ b/src/turmericward/requests/_prompts.py
@@ -5,6 +5,10 @@
 
 import attrs
 
+# More tokens in a segment or an answer than any model takes; sums of them still fit
+# the fields of the messages between fronts.
+MAX_TOKENS = 1 << 24
+
 
 @attrs.frozen(kw_only=True)
 class PromptSegment:
--- a/src/turmericward/schema/_records.py
+++ b/src/turmericward/schema/_records.py
@@ -38,7 +38,8 @@
 
     def decode(self, raw: object):
         """Decodes a JSON object; raises the registry's error if it is malformed."""
-        cls = self._classes.get(raw.get(TYPE_KEY)) if isinstance(raw, dict) else None
+        tag = raw.get(TYPE_KEY) if isinstance(raw, dict) else None
+        cls = self._classes.get(tag) if isinstance(tag, str) else None
         if cls is None:
             raise self._error_class("record has no known type")
         fields = {k: v for k, v in raw.items() if k != TYPE_KEY}
--- a/src/turmericward/schema/_structure.py
+++ b/src/turmericward/schema/_structure.py
@@ -1,13 +1,15 @@
 """Converts decoded JSON into attrs classes without coercing types."""
 
 import typing
+from collections.abc import Callable
 
 import cattrs
 from cattrs import cols
 
-from turmericward.schema import _errors, validators
+from turmericward.schema import _errors, _json, validators
 
 _FIELD_SEPARATOR = "\x1f"
+MAX_MESSAGES = 100
 
 
 def _exact(kind: type):
@@ -77,8 +79,8 @@
         if separator:
             path, message = f"{path}.{field}", detail
         path = path.removeprefix(".") or root
-        messages.append(f"{path}: {message}")
-    return messages
+        messages.append(_errors.printable(f"{path}: {message}"))
+    return messages[:MAX_MESSAGES]
 
 
 def structure(value: object, cls: type, root: str, *, extra: bool = False):
@@ -100,5 +102,45 @@
     conv = _OPEN_CONVERTER if extra else _CONVERTER
     try:
         return conv.structure(value, cls)
-    except (cattrs.BaseValidationError, ValueError, TypeError) as exc:
+    # Whatever fails inside is a fault of the value.
+    except Exception as exc:
         raise _errors.SchemaError(*_messages(exc, root)) from exc
+
+
+def _unchanged(instance):
+    return instance
+
+
+def decode(
+    raw: bytes | str,
+    cls: type,
+    root: str,
+    *,
+    extra: bool = False,
+    max_bytes: int = _json.MAX_BYTES,
+    convert: Callable = _unchanged,
+):
+    """Decodes JSON into the attrs class `cls`, and converts that.
+
+    Args:
+        raw: the JSON.
+        cls: an attrs class.
+        root: names the value in errors.
+        extra: whether unknown names are ignored; by default they are errors.
+        max_bytes: longest accepted JSON.
+        convert: called with the instance; returns the result.
+
+    Raises:
+        SchemaError: it is beyond the limits of `loads`, violates the schema, or can't
+            be converted.
+
+    .. versionadded:: 0.1.0
+    """
+    value = _json.loads(raw, root, max_bytes=max_bytes)
+    instance = structure(value, cls, root, extra=extra)
+    try:
+        return convert(instance)
+    # Whatever fails inside is a fault of the value.
+    except Exception as exc:
+        reason = str(exc) if isinstance(exc, ValueError) else repr(exc)
+        raise _errors.SchemaError(_errors.printable(f"{root}: {reason}")) from exc
--- a/src/turmericward/schema/validators.py
+++ b/src/turmericward/schema/validators.py
@@ -1,5 +1,6 @@
 """Validators for attrs fields, as callables `(instance, attribute, value)`."""
 
+import functools
 import ipaddress
 import re
 
@@ -7,7 +8,13 @@
 
 _NAME = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?")
 _SHA256 = re.compile(r"[0-9a-f]{64}")
+# The scope of a link-local address names a network interface.
+_IP = re.compile(r"[0-9a-fA-F:.]{2,45}(?:%[0-9a-zA-Z_.-]{1,15})?", re.ASCII)
+_PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
+_CONTROL = re.compile(r"[\x00-\x1f\x7f]")
 MAX_PORT = 65535
+MAX_INT32 = 2**31 - 1
+MAX_LABEL_CHARS = 255
 
 
 class InvalidFieldError(ValueError):
@@ -71,17 +78,41 @@
         raise InvalidFieldError(attribute.name, msg)
 
 
+def label(instance, attribute, value) -> None:
+    """Accepts text for logs and metrics: short, without control characters.
+
+    Raises:
+        InvalidFieldError: the value is too long or has a control character.
+    """
+    if len(value) <= MAX_LABEL_CHARS and value.isprintable():
+        return
+    if len(value) > MAX_LABEL_CHARS or _CONTROL.search(value):
+        msg = f"{value!r} has control characters or more than {MAX_LABEL_CHARS}"
+        raise InvalidFieldError(attribute.name, msg)
+
+
+def _is_ip(text: str) -> bool:
+    return _IP.fullmatch(text) is not None and _is_valid_ip(text)
+
+
+# Targets announce the same addresses about once a second.
+@functools.lru_cache(maxsize=4096)
+def _is_valid_ip(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def ip_literal(instance, attribute, value) -> None:
     """Accepts an IPv4 or IPv6 address.
 
     Raises:
         InvalidFieldError: the value is a host name or malformed.
     """
-    try:
-        ipaddress.ip_address(value)
-    except ValueError:
-        msg = f"{value!r} is not an IP number"
-        raise InvalidFieldError(attribute.name, msg) from None
+    if not _is_ip(value):
+        raise InvalidFieldError(attribute.name, f"{value!r} is not an IP number")
 
 
 def ip_port(instance, attribute, value) -> None:
@@ -92,7 +123,7 @@
     """
     host, _, port = value.rpartition(":")
     ip_literal(instance, attribute, host.strip("[]"))
-    if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+    if not _PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
         msg = f"{value!r} has no port between 1 and {MAX_PORT}"
         raise InvalidFieldError(attribute.name, msg)
 
--- a/src/turmericward/settings/_load.py
+++ b/src/turmericward/settings/_load.py
@@ -1,6 +1,5 @@
 """Loads settings files and reports each error with the path of its setting."""
 
-import json
 import pathlib
 import typing
 
@@ -9,6 +8,8 @@
 from turmericward import schema
 from turmericward.settings import _errors, _schema
 
+MAX_BYTES = 1024 * 1024
+
 
 def loads(text: str, cls: type = _schema.Settings):
     """Parses settings from JSON text.
@@ -24,11 +25,7 @@
     .. versionadded:: 0.1.0
     """
     try:
-        raw = json.loads(text)
-    except json.JSONDecodeError as exc:
-        raise _errors.SettingsError(f"settings: is not JSON: {exc}") from exc
-    try:
-        return schema.structure(raw, cls, "settings")
+        return schema.decode(text, cls, "settings", max_bytes=MAX_BYTES)
     except schema.SchemaError as exc:
         raise _errors.SettingsError(*exc.args) from exc
 
@@ -43,7 +40,8 @@
     """
     try:
         text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
+    # A path with a NUL raises a ValueError.
+    except (OSError, ValueError) as exc:
         raise _errors.SettingsError(f"settings: can't be read: {exc}") from exc
     return loads(text, cls)
 
--- a/src/turmericward/steward/_catch_up.py
+++ b/src/turmericward/steward/_catch_up.py
@@ -1,10 +1,8 @@
 """Loop that restores a peer's state when a steward starts during a log outage."""
 
-import json
-
 from absl import logging
 
-from turmericward import configuration, runtime
+from turmericward import configuration, runtime, schema
 from turmericward.adapters import errors, steward
 from turmericward.steward import _messages
 
@@ -46,7 +44,7 @@
 
     def _restore(self, answer) -> None:
         try:
-            state = json.loads(answer.snapshot_json)
+            state = schema.loads(answer.snapshot_json, "state")
             configuration.Ledger.restore(state)
         except (ValueError, configuration.MalformedRecordError) as exc:
             logging.warning("catch-up: peer's state is malformed: %s", exc)
--- a/src/turmericward/steward/_handler.py
+++ b/src/turmericward/steward/_handler.py
@@ -1,9 +1,8 @@
 """The steward's thrift interface: turns calls into messages to its tasks."""
 
-import json
 import time
 
-from turmericward import calls, membership
+from turmericward import calls, membership, schema
 from turmericward.steward import _messages, _wire
 from turmericward.wire import ttypes
 
@@ -35,7 +34,7 @@
 
     def propose(self, req: ttypes.ProposeRequest) -> ttypes.ProposeAnswer:
         """Appends a change and answers when it has been read back."""
-        value = None if req.deleted else json.loads(req.value_json)
+        value = None if req.deleted else schema.loads(req.value_json, "value")
         message = _messages.Propose(
             kind=req.kind,
             name=req.name,
--- a/src/turmericward/telemetry/__init__.py
+++ b/src/turmericward/telemetry/__init__.py
@@ -7,9 +7,11 @@
     log_request,
 )
 from turmericward.telemetry._metrics import Metrics, RequestLatencies
+from turmericward.telemetry._rejections import Rejections
 
 __all__ = [
     "Metrics",
+    "Rejections",
     "RequestLatencies",
     "configure_logs",
     "flush_logs",
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -52,6 +52,10 @@
         name = key.encode()
         self._append(topic, [bytes([len(name)]) + name + value])
 
+    def put_bytes(self, topic: str, raw: bytes) -> None:
+        """Appends the bytes of a record as they are."""
+        self._append(topic, [raw])
+
     def end(self, topic: str) -> int:
         """Returns the offset after a topic's last record."""
         with self._lock:
@@ -87,8 +91,11 @@
             records = {}
             for offset, row in enumerate(self._topics.get(topic, ())):
                 raw = row.raw
-                key, value = raw[1 : 1 + raw[0]].decode(), raw[1 + raw[0] :]
-                records[key] = (offset, value)
+                # Writers may append anything; keys that aren't UTF-8 are listed too.
+                if not raw or len(raw) <= raw[0]:
+                    continue
+                key = raw[1 : 1 + raw[0]].decode("utf-8", "surrogateescape")
+                records[key] = (offset, raw[1 + raw[0] :])
         return {key: row for key, row in records.items() if row[1]}
 
     def _append(self, topic: str, new_rows: list[bytes]) -> int:
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -314,8 +314,9 @@
     def __init__(self) -> None:
         self.events: list = []
 
-    def on_listing(self, records, *, reverted: bool) -> None:
+    def on_listing(self, records, *, reverted: bool):
         self.events.append("reverted" if reverted else "listed")
+        return records
 
     def on_changes(self, records):
         self.events += [r.offset for r in records]
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -43,7 +43,10 @@
         self._loop = _reload.ReloadLoop(str(self._path), cfg, self.applied.append)
 
     def write(self, text: str) -> None:
-        self._path.write_text(text)
+        self.write_bytes(text.encode())
+
+    def write_bytes(self, raw: bytes) -> None:
+        self._path.write_bytes(raw)
         self._loop.request_reload()
         self._loop.run_once()
 
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -265,8 +265,9 @@
     def __init__(self) -> None:
         self.values: dict[str, bytes] = {}
 
-    def on_listing(self, records, *, reverted: bool) -> None:
+    def on_listing(self, records, *, reverted: bool):
         self.values = {r.key: r.value for r in records}
+        return records
 
     def on_changes(self, records):
         changed = []
