What a front tells its peers fits the datagram, and is checked by them

A number that decodes could still end the front that passed it on: encoding raised OverflowError in the peer task for tokens (a client's prompt header, a cache listing), `born` of 2**63, a capacity of 10**15 (from settings within their ranges), a hold of 1e12 s; sendto raised TypeError or UnicodeError for a host that is no address. A rate of 1.7e308 (a replica's Server-Limit, then each peer's datagrams) overflowed the share of a limit in the dispatcher. A datagram without front, boot, sequence or domain, or of 2**31 fronts, was taken. A datagram above 60,000 bytes was cut by its receivers or not sent at all, so one large record silenced the reader for its whole domain.

Encoding is total now: numbers are clamped to their field. Decoding checks what is missing, ranges and lengths; negative counts and ages count as 0. A datagram that gets too long is sent without its records, which peers then read from the store. _send_to drops what can't be sent, whatever the error.

--- a/src/turmericward/peers/_codec.py
+++ b/src/turmericward/peers/_codec.py
@@ -20,6 +20,13 @@
 MAX_VALUE_BYTES = 1_000_000
 # Encodes that a target has no limit.
 NO_LIMIT = -1.0
+# Bounds on decoded values; larger ones are malformed, as no front sends them. Sums
+# and multiples of the first are finite.
+MAX_RATE_PER_S = 1e300
+MAX_FRONTS = 100_000
+MAX_NAME_BYTES = 1024
+_MIN_INT32, _MAX_INT32 = -(2**31), 2**31 - 1
+_MIN_INT64, _MAX_INT64 = -(2**63), 2**63 - 1
 _FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(
     string_length_limit=MAX_STRING_BYTES, container_length_limit=MAX_ITEMS
 )
@@ -93,16 +100,32 @@
         return attrs.evolve(self, loads=remaining)
 
 
+def _int32(value: float) -> int:
+    """Returns the nearest whole number that a field of 32 bits holds."""
+    return int(max(_MIN_INT32, min(_MAX_INT32, value)))
+
+
+def _int64(value: int) -> int:
+    return max(_MIN_INT64, min(_MAX_INT64, value))
+
+
+def _milliseconds(seconds: float) -> int:
+    return math.ceil(max(0.0, min(_MAX_INT32, seconds * 1000)))
+
+
 def encode(state: PeerState) -> bytes:
-    """Returns the datagram of a state."""
+    """Returns the datagram of a state.
+
+    Numbers beyond the range of their field are sent as the nearest one in it.
+    """
     loads = [
         ttypes.TargetLoad(
             target=target,
-            urgent_tokens=int(load.urgent_tokens),
-            deferred_tokens=int(load.deferred_tokens),
-            open_calls=load.open_calls,
-            ended_calls=load.ended_calls,
-            failed_calls=load.failed_calls,
+            urgent_tokens=_int32(load.urgent_tokens),
+            deferred_tokens=_int32(load.deferred_tokens),
+            open_calls=_int32(load.open_calls),
+            ended_calls=_int32(load.ended_calls),
+            failed_calls=_int32(load.failed_calls),
         )
         for target, load in state.loads.items()
     ]
@@ -110,8 +133,8 @@
         ttypes.KeptPart(
             target=entry.target,
             part=entry.segment,
-            tokens=entry.tokens,
-            own_tokens=entry.own_tokens,
+            tokens=_int32(entry.tokens),
+            own_tokens=_int32(entry.own_tokens),
             ready=entry.ready,
         )
         for entry in state.cache_entries
@@ -119,24 +142,26 @@
     message = ttypes.FrontState(
         front=state.front,
         boot=state.boot,
-        sequence=state.sequence,
+        sequence=_int32(state.sequence),
         loads=loads,
         kept=cache_entries,
         domain=state.domain,
-        fronts=state.fronts,
+        fronts=_int32(state.fronts),
         listed=sorted(state.listed),
         leaving=[
-            ttypes.LeavingTarget(target=leaving.target, started_ms=leaving.started_ms)
+            ttypes.LeavingTarget(
+                target=leaving.target, started_ms=_int64(leaving.started_ms)
+            )
             for leaving in state.leaving
         ],
         limits=[_encode_limit(limit) for limit in state.limits],
         outcomes=[_encode_outcome(outcome) for outcome in state.outcomes],
-        capacity=state.capacity,
+        capacity=_int32(state.capacity),
         news=[_encode_batch(batch) for batch in state.record_batches],
         partial=state.partial,
         asks=state.needs_full_batches,
         held=[
-            ttypes.HeldTarget(target=target, ttl_ms=int(ttl_s * 1000))
+            ttypes.HeldTarget(target=target, ttl_ms=_milliseconds(ttl_s))
             for target, ttl_s in state.held.items()
         ],
     )
@@ -151,6 +176,7 @@
     """
     try:
         message = TSerialization.deserialize(ttypes.FrontState(), data, _FACTORY)
+        _check(message)
         return PeerState(
             front=message.front,
             boot=message.boot,
@@ -177,23 +203,41 @@
         raise MalformedStateError(repr(exc)) from exc
 
 
+def _require(*values: object) -> None:
+    """Raises an error if a field is missing; the library checks the types."""
+    if None in values:
+        raise MalformedStateError("a field is missing")
+
+
+def _check(message: ttypes.FrontState) -> None:
+    """Raises an error if a field of a state is missing or out of range."""
+    _require(message.boot, message.sequence, message.domain)
+    _require(message.loads, message.kept, message.held, message.listed)
+    for name in (message.front, message.domain):
+        if len(name.encode()) > MAX_NAME_BYTES:
+            raise MalformedStateError(f"a name has {len(name)} characters")
+    if not message.front or not 1 <= message.fronts <= MAX_FRONTS:
+        raise MalformedStateError(f"{message.front!r} sums {message.fronts} fronts")
+
+
 def _encode_limit(limit: TargetLimit) -> ttypes.TargetLimit:
     return ttypes.TargetLimit(
         target=limit.target,
-        started_ms=limit.started_ms,
+        started_ms=_int64(limit.started_ms),
         per_s=NO_LIMIT if limit.per_s is None else limit.per_s,
-        age_ms=math.ceil(limit.age_s * 1000),
+        age_ms=_milliseconds(limit.age_s),
     )
 
 
 def _decode_limit(row: ttypes.TargetLimit) -> TargetLimit:
-    if not math.isfinite(row.per_s):
+    _require(row.target, row.started_ms, row.age_ms)
+    if not row.per_s <= MAX_RATE_PER_S:
         raise MalformedStateError(f"limit of target {row.target} is {row.per_s}")
     return TargetLimit(
         target=row.target,
         started_ms=row.started_ms,
         per_s=None if row.per_s < 0 else row.per_s,
-        age_s=row.age_ms / 1000,
+        age_s=max(0, row.age_ms) / 1000,
     )
 
 
@@ -203,12 +247,13 @@
         segment=outcome.segment,
         answered=crashed is None,
         target=0 if crashed is None else crashed.target,
-        started_ms=0 if crashed is None else crashed.started_ms,
-        age_ms=math.ceil(outcome.age_s * 1000),
+        started_ms=0 if crashed is None else _int64(crashed.started_ms),
+        age_ms=_milliseconds(outcome.age_s),
     )
 
 
 def _decode_outcome(row: ttypes.SegmentOutcome) -> requests.SegmentOutcome:
+    _require(row.segment, row.answered, row.target, row.started_ms)
     crashed = None
     if not row.answered:
         crashed = requests.Incarnation(row.target, row.started_ms)
@@ -224,7 +269,7 @@
         start=batch.start.offset,
         end=batch.end.offset,
         era=batch.end.era,
-        age_ms=math.ceil(batch.age_s * 1000),
+        age_ms=_milliseconds(batch.age_s),
         records=records,
         whole=batch.full,
     )
@@ -243,6 +288,8 @@
 def _decode_value(row: ttypes.Record) -> bytes | None:
     if not row.compressed:
         return row.value or None
+    if row.value is None:
+        raise MalformedStateError(f"record {row.offset} has no value")
     unpacker = zlib.decompressobj()
     value = unpacker.decompress(row.value, MAX_VALUE_BYTES)
     if not unpacker.eof:
@@ -253,12 +300,11 @@
 
 
 def _decode_batch(row: ttypes.TopicNews) -> feeds.RecordBatch:
-    records = tuple(
-        feeds.Record(offset=r.offset, key=r.key, value=_decode_value(r))
-        for r in row.records
-    )
+    records = tuple(_decode_record(r) for r in row.records)
     # Builds that don't know eras send none: their batches are of the oldest.
     era = row.era or 0
+    if era > positions.MAX_ERA:
+        raise MalformedStateError(f"batch is of era {era}")
     return feeds.RecordBatch(
         topic=feeds.Topic(row.topic),
         start=positions.Position(era, row.start),
@@ -269,21 +315,30 @@
     )
 
 
+def _decode_record(row: ttypes.Record) -> feeds.Record:
+    _require(row.offset, row.key)
+    if len(row.key.encode()) > MAX_NAME_BYTES:
+        raise MalformedStateError(f"key of record {row.offset} is too long")
+    return feeds.Record(offset=row.offset, key=row.key, value=_decode_value(row))
+
+
 def _decode_load(row: ttypes.TargetLoad) -> requests.TargetLoad:
+    _require(row.target, row.urgent_tokens, row.deferred_tokens, row.open_calls)
     return requests.TargetLoad(
-        urgent_tokens=row.urgent_tokens,
-        deferred_tokens=row.deferred_tokens,
-        open_calls=row.open_calls,
-        ended_calls=row.ended_calls or 0,
-        failed_calls=row.failed_calls or 0,
+        urgent_tokens=max(0, row.urgent_tokens),
+        deferred_tokens=max(0, row.deferred_tokens),
+        open_calls=max(0, row.open_calls),
+        ended_calls=max(0, row.ended_calls or 0),
+        failed_calls=max(0, row.failed_calls or 0),
     )
 
 
 def _decode_cache_entry(row: ttypes.KeptPart) -> requests.CacheEntry:
+    _require(row.target, row.part, row.ready)
     return requests.CacheEntry(
         target=row.target,
         segment=row.part,
-        tokens=row.tokens,
-        own_tokens=row.own_tokens,
+        tokens=max(0, row.tokens),
+        own_tokens=max(0, row.own_tokens),
         ready=row.ready,
     )
--- a/src/turmericward/peers/_peer_task.py
+++ b/src/turmericward/peers/_peer_task.py
@@ -30,12 +30,14 @@
 # Ranks a draining front below all others when a relay is chosen.
 DRAINING_CAPACITY = -1
 MAX_DATAGRAM_BYTES = 60_000
+WARNING_INTERVAL_S = 10.0
 
 
 class PeerTask(runtime.Task):
     """Sends the local state to peers and, as a relay, the sum of several fronts."""
 
     period_s = IDLE_PERIOD_S
+    foreign = (_messages.Announced, _messages.StateReceived)
 
     def __init__(
         self,
@@ -297,15 +299,32 @@
         for recipient in group:
             if recipient.gets_records not in encoded:
                 sent = batches if recipient.gets_records else ()
-                encoded[recipient.gets_records] = _codec.encode(
-                    attrs.evolve(state, record_batches=sent)
-                )
+                encoded[recipient.gets_records] = self._encode(state, sent)
             self._send_to(recipient.host, encoded[recipient.gets_records])
 
+    def _encode(
+        self, state: _codec.PeerState, batches: _record_exchange.Batches
+    ) -> bytes:
+        """Returns the datagram of a state, without the batches if it is too long.
+
+        Peers read from the store what they aren't sent.
+        """
+        data = _codec.encode(attrs.evolve(state, record_batches=batches))
+        if len(data) <= MAX_DATAGRAM_BYTES or not batches:
+            return data
+        logging.log_every_n_seconds(
+            logging.WARNING,
+            "records are not forwarded: the datagram has %d bytes",
+            WARNING_INTERVAL_S,
+            len(data),
+        )
+        return _codec.encode(state)
+
     def _send_to(self, host: str, data: bytes) -> None:
         try:
             self._sock.sendto(data, (host, self._port))
-        except OSError as exc:
+        # Text that is no address raises errors of several types.
+        except Exception as exc:
             # Datagrams may be lost anyway; the next one repeats the state.
             logging.debug("can't send a datagram to peer at %s: %s", host, exc)
 
