A listing of several pages no longer ends the peer task

A front that read a topic in several pages while records were appended could exit (status 70, MalformedBatchError) when a starting front asked it for everything: records of later pages lie beyond the end that the first page named, and the full batch of them was inconsistent. Found by carrying odd listings through to the peers.

There is no full batch until the next read has passed those offsets, a moment later.

--- a/src/turmericward/feeds/_history.py
+++ b/src/turmericward/feeds/_history.py
@@ -90,14 +90,19 @@
         """Returns the newest record of every key, of any age; None if empty."""
         if self._end is None:
             return None
-        return _messages.RecordBatch(
-            topic=self._topic,
-            start=attrs.evolve(self._end, offset=0),
-            end=self._end,
-            age_s=max(0.0, now - self._as_of),
-            records=tuple(sorted(self._newest.values(), key=lambda r: r.offset)),
-            full=True,
-        )
+        try:
+            return _messages.RecordBatch(
+                topic=self._topic,
+                start=attrs.evolve(self._end, offset=0),
+                end=self._end,
+                age_s=max(0.0, now - self._as_of),
+                records=tuple(sorted(self._newest.values(), key=lambda r: r.offset)),
+                full=True,
+            )
+        except _messages.MalformedBatchError:
+            # A listing of several pages may hold records that were appended after
+            # its end was read; the next read includes their offsets.
+            return None
 
     def recent_batch(self, now: float, fresh_s: float) -> _messages.RecordBatch | None:
         """Returns the recent records; None if the last range is older than `fresh_s`.
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -481,3 +481,21 @@
     case.loop.run_once()
     check.assertLess(runtime.now() - started, 0.5)
     check.assertLessEqual(delivery.DispatchTask.period_s, 0.1)
+
+
+def test_a_full_batch_waits_while_a_listing_is_ahead_of_its_end():
+    history = feeds.History(feeds.Topic.TARGETS)
+    record = feeds.Record(offset=9, key="m1", value=b"{}")
+    topic_range = feeds.TopicRange(
+        topic=feeds.Topic.TARGETS,
+        start=positions.Position(0, 9),
+        end=positions.Position(0, 9),
+        as_of=1.0,
+        records=(record,),
+        full=True,
+    )
+    history.add(topic_range, 1.0)
+    check.assertIsNone(history.full_batch(1.0))
+    later = attrs.evolve(topic_range, end=positions.Position(0, 10), full=False)
+    history.add(later, 2.0)
+    check.assertEqual(history.full_batch(2.0).records, (record,))
