explain and losses read on behind odd log lines

One line of 50,000 nested lists among a fleet's logs ended `turmericward explain` and `losses` with RecursionError; an `instance` or `request_id` that is a list, a `time` that is a number, a missing `message` and bytes that aren't UTF-8 ended them too.

A call whose lines can't be read counts as `unknown, malformed log line`.

--- a/src/turmericward/programs/_losses.py
+++ b/src/turmericward/programs/_losses.py
@@ -14,6 +14,7 @@
 # A first output counts as slow from this multiple of the expected delay.
 SLOW_FACTOR = 1.5
 OTHER = "other"
+UNREADABLE_CAUSE = "malformed log line"
 
 _Rule = Callable[[_traces.CallTrace], bool]
 _CAUSES: dict[str, _Rule] = {}
@@ -135,21 +136,34 @@
     """Counts the calls in the logs of many fronts by how they ended."""
     losses = Losses()
     for trace in _traces.call_traces(lines):
-        losses.calls_by_route[trace.route] += 1
-        outcome = trace.outcome
+        route = str(trace.route)
+        losses.calls_by_route[route] += 1
+        outcome, cause = _classify(trace)
         if outcome is _traces.Outcome.ON_TIME:
             continue
         group = Group(
-            route=trace.route,
-            domain=trace.domain,
+            route=route,
+            domain=str(trace.domain),
             outcome=outcome.value,
-            cause=first_cause(trace),
+            cause=cause,
         )
         losses.groups[group] += 1
         losses.seconds[trace.second, outcome.value] += 1
     return losses
 
 
+def _classify(trace: _traces.CallTrace) -> tuple[_traces.Outcome, str]:
+    """Returns outcome and first cause of a call."""
+    try:
+        outcome = trace.outcome
+        if outcome is _traces.Outcome.ON_TIME:
+            return outcome, ""
+        return outcome, first_cause(trace)
+    # The lines may come from another program, or from another version of this one.
+    except Exception:
+        return _traces.Outcome.UNREADABLE, UNREADABLE_CAUSE
+
+
 def as_json(losses: Losses) -> dict:
     """Returns the losses as a JSON-serializable dictionary."""
     return {
--- a/src/turmericward/programs/_traces.py
+++ b/src/turmericward/programs/_traces.py
@@ -18,6 +18,7 @@
     FAILED = "failed"
     DISCONNECTED = "client left"
     INCOMPLETE_LOG = "log ends"
+    UNREADABLE = "unknown"
 
 
 _OUTCOME_BY_REPLY = {
@@ -39,7 +40,7 @@
 
     def events(self, message: str) -> list[dict]:
         """Returns the lines with this message."""
-        return [line for line in self.lines if line["message"] == message]
+        return [line for line in self.lines if line.get("message") == message]
 
     @property
     def reply(self) -> dict:
