A handler that fails on one foreign message no longer ends the task

A value that decodes but breaks a handler ended every front with status 70, since each gets the same message (for example Server-Limit: 1.7e308, OverflowError in the dispatcher).

Tasks name the classes of messages that carry foreign data.

--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -30,6 +30,14 @@
     """Chooses targets; `table` may be read by any thread."""
 
     period_s = PERIOD_S
+    foreign = (
+        _messages.SetTable,
+        _messages.PutTargets,
+        _messages.ReplaceTargets,
+        _messages.TargetNotice,
+        _messages.EngineCacheListing,
+        peers.PeerState,
+    )
 
     def __init__(
         self,
@@ -89,14 +97,15 @@
     def _(self, message: _messages.SetTable) -> bool:
         if self.table is not None and message.table.version <= self.table.version:
             return False
-        self.table = message.table
         for service in message.table.services.values():
             if service.kv_capacity_tokens:
                 self._placer.cache_index.set_capacity(
                     service.name, service.kv_capacity_tokens
                 )
-        logging.info("configuration %d is in force", message.table.version)
         self._on_configured(message.table)
+        # Last, so that the previous table stays in force if any of this fails.
+        self.table = message.table
+        logging.info("configuration %d is in force", message.table.version)
         return True
 
     @handle.register
@@ -138,7 +147,8 @@
     @handle.register
     def _(self, message: _messages.ReplaceTargets) -> None:
         for target in message.targets:
-            self._put(target)
+            # One by one, as one that fails is skipped.
+            self.handle_posted(_messages.PutTargets(targets=(target,)))
         names = {t.name for t in message.targets} | message.undecodable
         for name in self._directory.keep_only(names, runtime.now()):
             self._on_removed(name)
--- a/src/turmericward/runtime/_task.py
+++ b/src/turmericward/runtime/_task.py
@@ -6,10 +6,13 @@
 from concurrent import futures
 
 import attrs
+from absl import logging
 
 from turmericward.runtime import _errors
 
 DEFAULT_PERIOD_S = 0.1
+# So many failures in a row of one class of messages are a fault of their handler.
+MAX_FAILURES_IN_A_ROW = 100
 
 
 @attrs.frozen
@@ -41,9 +44,13 @@
     """
 
     period_s = DEFAULT_PERIOD_S
+    # Classes of messages that carry what other programs wrote. The failure of a
+    # handler on one of them is reported to `on_rejected` and doesn't end the task.
+    foreign: tuple[type, ...] = ()
 
     def __init__(self) -> None:
         """Creates the task with an empty inbox."""
+        self._failures: dict[type, int] = {}
         self._inbox: queue.SimpleQueue[_Envelope] = queue.SimpleQueue()
         self._stopped = threading.Event()
 
@@ -93,7 +100,7 @@
 
     def _deliver(self, envelope: _Envelope) -> None:
         if envelope.fut is None:
-            self.handle(envelope.message)
+            self.handle_posted(envelope.message)
             return
         try:
             reply = self.handle(envelope.message)
@@ -105,6 +112,26 @@
         else:
             envelope.fut.set_result(reply)
 
+    def handle_posted(self, message: object) -> None:
+        """Handles a message without reply; drops a foreign one whose handler fails."""
+        if not isinstance(message, self.foreign):
+            self.handle(message)
+            return
+        kind = type(message)
+        try:
+            self.handle(message)
+        except Exception as exc:
+            self._failures[kind] = self._failures.get(kind, 0) + 1
+            if self._failures[kind] >= MAX_FAILURES_IN_A_ROW:
+                raise
+            self.on_rejected(message, exc)
+        else:
+            self._failures[kind] = 0
+
+    def on_rejected(self, message: object, exc: Exception) -> None:
+        """Reports a foreign message whose handler failed; the default logs it."""
+        logging.error("message %.200r is dropped: %r", message, exc, exc_info=exc)
+
     def _reject_pending(self) -> None:
         while not self._inbox.empty():
             fut = self._inbox.get().fut
