Names of services and workspaces can't break the metrics page

A service's name with a quote or a line break gave lines on the metrics page that no reader parses; one with a lone surrogate gave status 500 for the page. Labels are escaped as the text format asks.

--- a/src/turmericward/telemetry/_metrics.py
+++ b/src/turmericward/telemetry/_metrics.py
@@ -111,13 +111,20 @@
         with self._lock:
             lines = [f"{n} {v}" for n, v in sorted(self._counters.items())]
             for (traffic_class, measure), hist in sorted(self._classes.items()):
-                labels = f'class="{traffic_class}"'
+                labels = f'class="{_escaped(traffic_class)}"'
                 lines += _histogram_lines(f"{measure}_ms", labels, hist)
             for tenant, hist in sorted(self._tenants.items()):
-                lines += _histogram_lines("tenant_total_ms", f'tenant="{tenant}"', hist)
+                labels = f'tenant="{_escaped(tenant)}"'
+                lines += _histogram_lines("tenant_total_ms", labels, hist)
         return "\n".join(lines) + "\n"
 
 
+def _escaped(label: str) -> str:
+    """Returns a label's value as it stands between quotes."""
+    text = label.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
+    return text.encode("utf-8", "backslashreplace").decode()
+
+
 def _histogram_lines(name: str, labels: str, hist: histogram.HdrHistogram) -> list[str]:
     lines = [f"{name}_count{{{labels}}} {hist.get_total_count()}"]
     for percentile in PERCENTILES:
