One record beyond the decoder's limits doesn't stop the steward's log

With one record that the decoder refuses in a page, none of the page was read, for good (LogUnavailableError at each read); on a record of 50,000 nested lists raised RecursionError there, which ends the steward's loop (seen in the decoder, not tried with a steward).

Such a page is read again record by record; the one beyond the limits has the value None, which each fold counts as malformed. Only the limits (`schema.LimitError`) lead to that, as they are the same for all readers; other garbage is still an unavailable log, and a page is never shorter than before, so catching up isn't cut short.

--- a/src/turmericward/adapters/errors.py
+++ b/src/turmericward/adapters/errors.py
@@ -9,6 +9,10 @@
     """Raised if the log returned no usable response; an append may have succeeded."""
 
 
+class UndecodableLogError(LogUnavailableError):
+    """Raised if a whole response of the log is beyond the limits of the decoder."""
+
+
 class OffsetExpiredError(AdapterError):
     """Raised if the log no longer holds the offset; `first` is the oldest it holds."""
 
--- a/src/turmericward/adapters/log.py
+++ b/src/turmericward/adapters/log.py
@@ -3,6 +3,7 @@
 import typing
 
 import attrs
+from absl import logging
 
 from turmericward import schema
 from turmericward.adapters import _json_http, errors
@@ -83,7 +84,32 @@
 
         .. versionadded:: 0.1.0
         """
-        query = f"from={start}&limit={MAX_RECORDS_PER_READ}&wait={wait_s:.3f}"
+        try:
+            return self._read_page(stream, start, MAX_RECORDS_PER_READ, wait_s)
+        except errors.UndecodableLogError as exc:
+            logging.warning("log stream %s from %d: %s", stream, start, exc)
+            return self._read_singly(stream, start)
+
+    def _read_singly(self, stream: str, start: int) -> Page:
+        """Reads a page record by record; one beyond the decoder's limits is None.
+
+        Limits are the same for all readers, so they agree on what is None.
+        """
+        page = Page(records=[], next_offset=start, first=0)
+        while len(page.records) < MAX_RECORDS_PER_READ:
+            offset = page.next_offset
+            try:
+                single = self._read_page(stream, offset, 1, 0.0)
+            except errors.UndecodableLogError:
+                blank = Record(offset=offset, value=None)
+                single = Page(records=[blank], next_offset=offset + 1, first=page.first)
+            if not single.records:
+                break
+            page = attrs.evolve(single, records=page.records + single.records)
+        return page
+
+    def _read_page(self, stream: str, start: int, limit: int, wait_s: float) -> Page:
+        query = f"from={start}&limit={limit}&wait={wait_s:.3f}"
         path = f"/streams/{stream}/records?{query}"
         resp = self._request("GET", path, extra_timeout_s=wait_s)
         if resp.status == 410:
@@ -103,6 +129,8 @@
     def _request(self, method, path, body=None, extra_timeout_s=0.0):
         try:
             return self._client.request(method, path, body, extra_timeout_s)
+        except schema.LimitError as exc:
+            raise errors.UndecodableLogError(str(exc)) from exc
         except _json_http.ERRORS as exc:
             raise errors.LogUnavailableError(f"log request failed: {exc!r}") from exc
 
--- a/src/turmericward/schema/_errors.py
+++ b/src/turmericward/schema/_errors.py
@@ -15,6 +15,10 @@
         return "; ".join(str(arg) for arg in self.args)
 
 
+class LimitError(SchemaError):
+    """Raised when JSON is beyond the limits of the decoder, whoever reads it."""
+
+
 def printable(text: str) -> str:
     """Returns a description that fits a log line and can be encoded."""
     if len(text) > MAX_DESCRIPTION_CHARS:
--- a/src/turmericward/schema/_json.py
+++ b/src/turmericward/schema/_json.py
@@ -84,10 +84,17 @@
     value = _DECODER.decode(str(data, "utf-8"))
     if not any_text and rb"\u" in data:
         # Escapes of lone surrogates are JSON, but not text.
-        json.dumps(value, ensure_ascii=False).encode()
+        _check_text(json.dumps(value, ensure_ascii=False))
     return value
 
 
+def _check_text(text: str) -> None:
+    try:
+        text.encode()
+    except UnicodeEncodeError as exc:
+        raise _InvalidError("has text that can't be encoded") from exc
+
+
 def loads(
     raw: bytes | str,
     root: str,
@@ -104,22 +111,24 @@
         any_text: whether strings may contain lone surrogates.
 
     Raises:
-        SchemaError: it isn't JSON, or is beyond the limits of this module: too long,
-            too deep, a number that isn't finite or a whole one beyond 64 bits, a name
-            that is repeated in an object, text that can't be encoded.
+        SchemaError: it isn't JSON in UTF-8.
+        LimitError: it is beyond the limits of this module: too long, too deep, a
+            number that isn't finite or a whole one beyond 64 bits, a name that is
+            repeated in an object, text that can't be encoded.
 
     .. versionadded:: 0.1.0
     """
     try:
         return _loads(raw, max_bytes, any_text=any_text)
+    except _InvalidError as exc:
+        reason = _errors.printable(f"{root}: {exc}")
+        raise _errors.LimitError(reason) from exc
     # The bytes are foreign: whatever fails inside is a fault of theirs.
     except Exception as exc:
         raise _errors.SchemaError(f"{root}: {_reason(exc)}") from exc
 
 
 def _reason(exc: Exception) -> str:
-    if isinstance(exc, _InvalidError):
-        return _errors.printable(str(exc))
     if isinstance(exc, UnicodeError):
         return "has text that is not UTF-8"
     if isinstance(exc, json.JSONDecodeError):
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -7,7 +7,7 @@
 
 from standins import _http, engine, launch, log
 from tests import fixtures
-from turmericward import authority
+from turmericward import authority, schema
 from turmericward.adapters import engine as engine_adapter
 from turmericward.adapters import errors, service
 from turmericward.adapters import log as log_adapter
@@ -95,6 +95,23 @@
         client.close()
 
 
+def test_a_record_beyond_the_limits_does_not_hide_the_others_of_its_page():
+    with serve_app(log.Log()) as address:
+        client = log_adapter.LogClient(address, 2.0)
+        client.append("s", [{"n": 1}])
+        nested = []
+        for _ in range(schema.MAX_DEPTH):
+            nested = [nested]
+        for value in (nested, 2**63, {"n": 2}, float("inf")):
+            client.append("s", [value])
+        page = client.read("s", 0)
+        values = [record.value for record in page.records]
+        check.assertEqual(values, [{"n": 1}, None, None, {"n": 2}, None])
+        check.assertEqual([r.offset for r in page.records], list(range(5)))
+        check.assertEqual(page.next_offset, 5)
+        client.close()
+
+
 def test_service_errors_distinguish_not_sent_from_response_lost():
     req = service.Request(method="POST", path="/x", body=b"{}")
     head = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
