Lengths and chunk sizes of responses are read strictly

A Content-Length of 5,000 digits counted as none, so a truncated answer was read as whole and passed to the client; one of 18 digits raised MemoryError, a chunk size of 16 letters OverflowError, outside of the errors that readers of the store, of replicas and of engines catch: that ends a front's or steward's loop. Chunk sizes with a sign, an underscore or a prefix were taken (http.client uses int()).

Lengths are at most 19 ASCII digits and below 2**31, chunk sizes at most 7 hexadecimal digits. Whatever else fails while a persistent connection reads is an HTTP error.

--- a/src/turmericward/adapters/_persistent_connection.py
+++ b/src/turmericward/adapters/_persistent_connection.py
@@ -83,8 +83,11 @@
             conn.request(method, path, body, dict(headers))
             resp = conn.getresponse()
             raw = resp.read()
-        except BaseException:
+        except BaseException as exc:
             self.close()
+            if isinstance(exc, Exception) and not isinstance(exc, ERRORS):
+                # The response is foreign: whatever fails is a fault of it.
+                raise http.client.HTTPException(repr(exc)) from exc
             raise
         if resp.will_close:
             self.close()
--- a/src/turmericward/adapters/_response.py
+++ b/src/turmericward/adapters/_response.py
@@ -2,6 +2,7 @@
 
 import http.client
 import io
+import re
 import select
 from collections.abc import Callable
 
@@ -15,6 +16,9 @@
 MAX_INTERIM_HEADS = 8
 MAX_TRAILER_LINES = 100
 MAX_LINE_BYTES = 65_536
+MAX_LENGTH = 2**31 - 1
+_LENGTH = re.compile(r"[0-9]{1,19}", re.ASCII)
+_CHUNK_SIZE = re.compile(rb"[0-9a-fA-F]{1,7}")
 
 
 class _LastLineReader:
@@ -67,8 +71,10 @@
             raise http.client.HTTPException("response declares its length twice")
         if codings and not self.chunked:
             raise http.client.HTTPException(f"unknown transfer coding {codings[0]!r}")
-        if lengths and not (lengths[0].isascii() and lengths[0].strip().isdigit()):
-            raise http.client.HTTPException(f"malformed length {lengths[0]!r}")
+        if lengths and not _LENGTH.fullmatch(lengths[0].strip()):
+            raise http.client.HTTPException(f"malformed length {lengths[0]!r:.80}")
+        if lengths and int(lengths[0]) > MAX_LENGTH:
+            raise http.client.HTTPException(f"length {lengths[0]} is too large")
 
     @property
     def unframed(self) -> bool:
@@ -82,6 +88,15 @@
             raise http.client.HTTPException("too many interim responses")
         return super()._read_status()
 
+    def _read_next_chunk_size(self) -> int:
+        # http.client accepts signs, underscores and sizes beyond the memory.
+        line = self.fp.readline(MAX_LINE_BYTES + 1)
+        size = line.partition(b";")[0].strip(b" \t\r\n")
+        if not line.endswith(b"\n") or not _CHUNK_SIZE.fullmatch(size):
+            self._close_conn()
+            raise ValueError(f"malformed chunk size {size[:20]!r}")
+        return int(size, 16)
+
     def _read_and_discard_trailer(self) -> None:
         # http.client skips any number of lines, and accepts the end of the
         # connection as the end of the trailer.
--- a/tests/test_answer_readers.py
+++ b/tests/test_answer_readers.py
@@ -203,7 +203,7 @@
 ) -> bytes:
     fields = reader.headers | framing
     lines = [f"HTTP/1.1 {status}", *(f"{n}: {v}" for n, v in fields.items())]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
 
 
 def _framed(reader: _Reader) -> bytes:
@@ -219,9 +219,14 @@
     return _response(reader, {}, reader.body)
 
 
+def _odd_chunk(reader: _Reader, size: bytes) -> bytes:
+    body = size + b"\r\n" + reader.body + b"\r\n0\r\n\r\n"
+    return _response(reader, {"Transfer-Encoding": "chunked"}, body)
+
+
 def _broken(reader: _Reader) -> dict[str, bytes]:
     """Returns responses that are no answer, by what is wrong with them."""
-    framed, chunked = _framed(reader), _chunked(reader)
+    framed, chunked, body = _framed(reader), _chunked(reader), reader.body
     head_end = framed.index(b"\r\n\r\n")
     size = len(reader.body)
     two_lengths = b"Content-Length: %d\r\nContent-Length: %d\r\n\r\n" % (size, size - 1)
@@ -242,6 +247,15 @@
         "two lengths": head + two_lengths + reader.body,
         "length and chunks": head + both + chunked.partition(b"\r\n\r\n")[2],
         "malformed length": _response(reader, {"Content-Length": "5x"}, reader.body),
+        "length without end": _response(reader, {"Content-Length": "9" * 5000}, body),
+        "length beyond memory": _response(reader, {"Content-Length": "9" * 18}, body),
+        "length in another script": _response(reader, {"Content-Length": "\xb2"}, body),
+        "chunk beyond memory": _odd_chunk(reader, b"f" * 16),
+        "chunk without end": _odd_chunk(reader, b"f" * 5000),
+        "signed chunk": _odd_chunk(reader, b"+%x" % size),
+        "negative chunk": _odd_chunk(reader, b"-1"),
+        "chunk with underscore": _odd_chunk(reader, b"0_%x" % size),
+        "chunk with prefix": _odd_chunk(reader, b"0x%x" % size),
         "negative length": _response(reader, {"Content-Length": "-1"}, reader.body),
         "unknown coding": _response(
             reader, {"Transfer-Encoding": "gzip, chunked"}, reader.body
