--- a/src/turmericward/platform/_ingress.py
+++ b/src/turmericward/platform/_ingress.py
@@ -3,6 +3,7 @@
 import http
 import json
 import random
+import re
 from concurrent import futures
 
 import attrs
@@ -27,6 +28,10 @@
 }
 
 
+# Others can't be sent on to a target.
+_REQUEST_TARGET = re.compile(r"[!-~]+", re.ASCII)
+
+
 class BadRequestError(ValueError):
     """Raised when a header of a client's call is malformed."""
 
@@ -56,6 +61,8 @@
         if table is None:
             raise delivery.NotConfiguredError("no configuration is known yet")
         target = environ["REQUEST_URI"]
+        if not _REQUEST_TARGET.fullmatch(target):
+            raise BadRequestError("path has characters that aren't printable ASCII")
         host = environ.get("HTTP_HOST", "").lower().partition(":")[0]
         route = table.find(host, target.partition("?")[0])
         call = _build_call(environ, target, route)
--- a/tests/test_odd_entries_in_fleet.py
+++ b/tests/test_odd_entries_in_fleet.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import random
+import socket
 
 import attrs
 
@@ -23,6 +24,7 @@
     {"Turmericward-Deadline-Ms": "1e300"},
     {"Turmericward-Deadline-Ms": "9" * 5000},
 ]
+PATHS = [b"/read/\x7f", b"/read/\x0b", b"/read/\x00", b"/read/\xff"]
 ANSWER_HEADERS = [
     ("Server-Limit", "1.7e308"),
     ("Server-Limit", "1e400"),
@@ -33,6 +35,15 @@
 ]
 
 
+def _status_line(platform, path: bytes) -> bytes:
+    """Sends a request as bytes; returns the first line of the response."""
+    host, _, port = platform.front.rpartition(":")
+    with socket.create_connection((host, int(port)), 5) as conn:
+        head = b"Host: %s\r\nConnection: close" % platform_fixtures.HOST.encode()
+        conn.sendall(b"GET %s HTTP/1.1\r\n%s\r\n\r\n" % (path, head))
+        return conn.makefile("rb").readline()
+
+
 @contextlib.contextmanager
 def _second_front(platform):
     """Runs another front of the same domain on the same store."""
@@ -133,6 +144,9 @@
             fields = platform_fixtures.PROMPT | headers
             status = platform.call("POST", "/ask/x", f"h{number}", fields)[0]
             check.assertIn(status, (200, 400, 503), headers)
+        for path in PATHS:
+            check.assertIn(b" 400 ", _status_line(platform, path), path)
+        check.assertNotIn("not_reached", platform.log.read_text())
         for name, value in ANSWER_HEADERS:
             for replica in platform.replicas.values():
                 replica.headers = ((name, value),)
