--- a/tests/test_platform_check.py
+++ b/tests/test_platform_check.py
@@ -6,18 +6,24 @@
 
 from click import testing
 
-from tests import fixtures, platform_fixtures, test_reload
+from tests import fixtures, odd_values, platform_fixtures, test_reload
 from turmericward.platform import check as command
 
 check = fixtures.check
 
 
 def _run_check(settings: dict, manifest: dict):
+    return _run_check_of_bytes(
+        json.dumps(settings).encode(), json.dumps(manifest).encode()
+    )
+
+
+def _run_check_of_bytes(settings: bytes, manifest: bytes):
     with tempfile.TemporaryDirectory() as directory:
         paths = []
-        for name, value in (("settings", settings), ("manifest", manifest)):
+        for name, raw in (("settings", settings), ("manifest", manifest)):
             path = pathlib.Path(directory) / name
-            path.write_text(json.dumps(value))
+            path.write_bytes(raw)
             paths += [f"--{name}", str(path)]
         return testing.CliRunner().invoke(command.main, paths)
 
@@ -43,3 +49,12 @@
     result = _run_check(test_reload.SETTINGS, manifest)
     check.assertEqual(result.exit_code, 2)
     check.assertIn("'model'", result.output)
+
+
+def test_files_that_cannot_be_decoded_are_reported():
+    for name, raw in odd_values.VALUES.items():
+        manifest = odd_values.with_field(platform_fixtures.manifest(3), "routes", raw)
+        settings = odd_values.with_field(test_reload.SETTINGS, "listen", raw)
+        result = _run_check_of_bytes(settings, manifest)
+        check.assertEqual(result.exit_code, 2, f"{name}: {result.exception!r}")
+        check.assertTrue("settings" in result.output and len(result.output) < 9_000)
