--- a/src/turmericward/entry/_http.py
+++ b/src/turmericward/entry/_http.py
@@ -45,7 +45,8 @@
             RequestError: the body is not valid JSON.
         """
         try:
-            return schema.loads(self.body, "body")
+            # The server has limited the length.
+            return schema.loads(self.body, "body", max_bytes=len(self.body))
         except schema.SchemaError as exc:
             msg = f"body is not JSON that can be used: {exc}"
             raise _errors.RequestError(400, "invalid_json", msg) from exc
--- a/src/turmericward/peers/_codec.py
+++ b/src/turmericward/peers/_codec.py
@@ -231,7 +231,7 @@
 
 def _decode_limit(row: ttypes.TargetLimit) -> TargetLimit:
     _require(row.target, row.started_ms, row.age_ms)
-    if not row.per_s <= MAX_RATE_PER_S:
+    if not -MAX_RATE_PER_S <= row.per_s <= MAX_RATE_PER_S:
         raise MalformedStateError(f"limit of target {row.target} is {row.per_s}")
     return TargetLimit(
         target=row.target,
--- a/src/turmericward/platform/_ingress.py
+++ b/src/turmericward/platform/_ingress.py
@@ -187,7 +187,7 @@
         return None
     try:
         segments = tuple(_segment(text) for text in raw.split(","))
-        output_tokens = _tokens(counts.split(",")[1])
+        output_tokens = _output_tokens(counts.split(",")[1])
     except (ValueError, IndexError) as exc:
         raise BadRequestError(f"prompt {raw!r} of {counts!r} tokens: {exc}") from exc
     model = values.get(_headers.MODEL.lower(), "")
@@ -203,6 +203,12 @@
     return schema.parse_int(text, 0, requests.MAX_TOKENS)
 
 
+def _output_tokens(text: str) -> int:
+    """Decodes the maximum of output tokens, which may stand for no maximum."""
+    count = schema.parse_int(text, -schema.MAX_INT, schema.MAX_INT)
+    return max(0, min(requests.MAX_TOKENS, count))
+
+
 class Readiness:
     """Readiness check: ready once a configuration is in force, until the drain."""
 
--- a/src/turmericward/telemetry/_rejections.py
+++ b/src/turmericward/telemetry/_rejections.py
@@ -7,6 +7,9 @@
 
 # Inputs that are remembered as logged; further ones are only counted.
 MAX_LOGGED = 2000
+# Bounds on what other programs can make a log line hold.
+MAX_KEY_CHARS = 300
+MAX_REASON_CHARS = 3000
 
 
 class Rejections:
@@ -31,6 +34,7 @@
             reason: why it can't be used.
         """
         self._count(f"rejected.{source}")
+        key, reason = key[:MAX_KEY_CHARS], reason[:MAX_REASON_CHARS]
         with self._lock:
             if (source, key) in self._logged or len(self._logged) >= MAX_LOGGED:
                 return
--- a/tests/test_odd_entries_in_fleet.py
+++ b/tests/test_odd_entries_in_fleet.py
@@ -144,6 +144,10 @@
             fields = platform_fixtures.PROMPT | headers
             status = platform.call("POST", "/ask/x", f"h{number}", fields)[0]
             check.assertIn(status, (200, 400, 503), headers)
+        for count in ("300,-1", "300,9223372036854775807"):
+            fields = platform_fixtures.PROMPT | {"Turmericward-Token-Count": count}
+            status = platform.call("POST", "/ask/x", "no maximum", fields)[0]
+            check.assertEqual(status, 200, count)
         for path in PATHS:
             check.assertIn(b" 400 ", _status_line(platform, path), path)
         check.assertNotIn("not_reached", platform.log.read_text())
