Odd versions in operators' requests are refused

`If-Match` or `since` of 5,000 digits got status 500 (ValueError of int()), digits of other scripts were taken as numbers. They are whole numbers of 64 bits in ASCII now, else 400.

--- a/src/turmericward/entry/_resources.py
+++ b/src/turmericward/entry/_resources.py
@@ -8,7 +8,7 @@
 import attrs
 from absl import logging
 
-from turmericward import configuration
+from turmericward import configuration, schema
 from turmericward.adapters import errors, steward
 from turmericward.entry import _context, _errors, _http
 from turmericward.wire import constants, ttypes
@@ -260,9 +260,11 @@
 
 
 def _parse_version(text: str) -> int:
-    if not text.isdecimal():
-        raise _errors.RequestError(400, "invalid_version", f"{text!r} is not a version")
-    return int(text)
+    try:
+        return schema.parse_int(text, 0, schema.MAX_INT)
+    except schema.SchemaError as exc:
+        msg = f"{text[:40]!r} is not a version"
+        raise _errors.RequestError(400, "invalid_version", msg) from exc
 
 
 def _expected_version(req: _http.Request) -> int:
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -18,6 +18,7 @@
 )
 from turmericward import feeds, fleet, peers, positions, requests, settings
 from turmericward.adapters import errors
+from turmericward.entry import _errors, _resources
 from turmericward.platform import _cache_listing, _orders, _records, _settings
 
 check = fixtures.check
@@ -271,3 +272,10 @@
     odd_values.assert_property(
         odd_values.any_bytes(test_reload.SETTINGS), read, settings.SettingsError
     )
+
+
+def test_odd_versions_in_requests_of_operators_are_refused():
+    check.assertEqual(_resources._parse_version("12"), 12)
+    for text in ("9" * 5_000, "\u0663", "-1", "9223372036854775808", "", "1_0"):
+        with check.assertRaises(_errors.RequestError, msg=text[:20]):
+            _resources._parse_version(text)
