--- a/src/turmericward/adapters/instances.py
+++ b/src/turmericward/adapters/instances.py
@@ -9,6 +9,14 @@
 TARGET = "target"
 
 
+def _ip(instance, attribute, value) -> None:
+    """Accepts an IP address with or without a port."""
+    try:
+        schema.validators.ip_literal(instance, attribute, value)
+    except ValueError:
+        schema.validators.ip_port(instance, attribute, value)
+
+
 @attrs.frozen(kw_only=True)
 class Instance:
     """One listed instance; `kind` is `entry` or `target`."""
@@ -16,7 +24,7 @@
     kind: str = attrs.field(validator=schema.validators.label)
     name: str = attrs.field(validator=schema.validators.label)
     domain: str = attrs.field(validator=schema.validators.label)
-    address: str = attrs.field(validator=schema.validators.ip_literal)
+    address: str = attrs.field(validator=_ip)
     leaving: bool
 
 
--- a/src/turmericward/platform/_store.py
+++ b/src/turmericward/platform/_store.py
@@ -4,6 +4,7 @@
 import binascii
 import http.client
 import struct
+import typing
 import urllib.parse
 
 import attrs
@@ -47,7 +48,8 @@
     """A page of a listing; each item holds key, value in Base64 and offset."""
 
     items: list[dict]
-    more: bool
+    # Whether there are further pages, as a bool or a number.
+    more: typing.Any
     end: int = attrs.field(validator=_OFFSET)
 
 
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -5,11 +5,12 @@
 import threading
 import time
 
-from standins import _http, engine, launch, log
+from standins import _http, engine, instances, launch, log
 from tests import fixtures
 from turmericward import authority, schema
 from turmericward.adapters import engine as engine_adapter
 from turmericward.adapters import errors, service
+from turmericward.adapters import instances as instances_adapter
 from turmericward.adapters import log as log_adapter
 
 check = fixtures.check
@@ -112,6 +113,26 @@
         client.close()
 
 
+def test_odd_rows_of_the_instance_list_do_not_hide_the_others():
+    good = {"kind": "entry", "name": "a1", "domain": "a", "leaving": False}
+    good |= {"address": "127.0.0.1"}
+    target = good | {"kind": "target", "name": "e1", "address": "127.0.0.1:5"}
+    odd = [
+        good | {"address": "a..b"},
+        good | {"address": "::1%" + "a" * 300},
+        good | {"name": 5},
+        good | {"leaving": "no"},
+        {},
+    ]
+    with serve_app(instances.InstanceList()) as address:
+        body = {"instances": [*odd, good | {"later": 1}, target]}
+        launch.request(address, "POST", "/instances", body)
+        client = instances_adapter.InstanceListClient(address, 2.0)
+        names = [row.name for row in client.read()]
+        client.close()
+    check.assertEqual(names, ["a1", "e1"])
+
+
 def test_service_errors_distinguish_not_sent_from_response_lost():
     req = service.Request(method="POST", path="/x", body=b"{}")
     head = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
