A steward that stops answers the calls in progress

Operators saw: 504 'outcome_unknown' for a change while the steward of the entry was stopped as planned; callers 503 'claim_unavailable' with the outcome unknown. Cause: at SIGTERM all tasks were stopped at once. The thrift server closed its connections with calls on them, and those it had not read from at all; claims and changes already on the log were never read back; a settle that came after its task had stopped, or that the appender got after its last batch, was acknowledged and lost. Change: the server accepts what is in the accept queue, lets each connection bring the request it was opened for, answers all calls and then ends (8 s at most); polls for changes are answered at once. Only then the followers stop, then the tasks, and last the appender, which repeats failed appends for 3 s. All within 14 s. Why it works: each group is stopped after those that send it messages. test_a_change_under_way_is_answered_when_its_steward_stops failed before (504). The loss of an acknowledged settle was found by reading, not seen.

--- a/src/turmericward/adapters/steward.py
+++ b/src/turmericward/adapters/steward.py
@@ -2,8 +2,10 @@
 
 import contextlib
 import functools
+import select
 import socket
 import threading
+import time
 from collections.abc import Iterator
 from concurrent import futures
 
@@ -18,6 +20,10 @@
 CONNECT_TIMEOUT_S = 1.0
 ACCEPT_POLL_S = 0.2
 IDLE_TIMEOUT_S = 120.0
+# How long a connection that was just opened may be without its request at a stop.
+LAST_REQUEST_WAIT_S = 0.2
+# Longer than any call waits, see `turmericward.steward`.
+DRAIN_TIMEOUT_S = 8.0
 MAX_CONNECTIONS = 256
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 _ERRORS = (OSError, Thrift.TException, EOFError)
@@ -107,7 +113,12 @@
 
 
 class StewardServer:
-    """Serves the interface with one executor thread for each connection."""
+    """Serves the interface with one executor thread for each connection.
+
+    At a stop, connections that were made before it are accepted and each may still
+    bring a request. All calls in progress are answered before `run` returns, unless
+    that takes longer than DRAIN_TIMEOUT_S.
+    """
 
     def __init__(self, address: str, handler) -> None:
         """Binds the listening socket.
@@ -118,8 +129,7 @@
         """
         self._processor = Steward.Processor(handler)
         self._stopping = threading.Event()
-        self._conns: set[socket.socket] = set()
-        self._conns_lock = threading.Lock()
+        self._conns: dict[socket.socket, futures.Future] = {}
         self._executor = futures.ThreadPoolExecutor(
             max_workers=MAX_CONNECTIONS, thread_name_prefix="steward-conn"
         )
@@ -129,31 +139,36 @@
         self._listener.settimeout(ACCEPT_POLL_S)
 
     def run(self) -> None:
-        """Accepts connections until `stop` is called."""
+        """Serves until `stop` is called, then answers the calls in progress."""
         while not self._stopping.is_set():
-            try:
-                conn, _ = self._listener.accept()
-            except TimeoutError:
-                continue
-            self._executor.submit(self._serve, conn)
+            with contextlib.suppress(TimeoutError):
+                self._accept()
+        self._listener.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                self._accept()
         self._listener.close()
+        futures.wait(self._conns.values(), DRAIN_TIMEOUT_S)
         self._close_connections()
         self._executor.shutdown(wait=False)
 
     def stop(self) -> None:
-        """Makes `run` return and closes every connection."""
+        """Makes `run` return once the calls in progress are answered."""
         self._stopping.set()
 
+    def _accept(self) -> None:
+        conn, _ = self._listener.accept()
+        self._conns = {c: fut for c, fut in self._conns.items() if not fut.done()}
+        self._conns[conn] = self._executor.submit(self._serve, conn)
+
     def _close_connections(self) -> None:
-        with self._conns_lock:
-            conns = list(self._conns)
-        for conn in conns:
-            with contextlib.suppress(OSError):
-                conn.shutdown(socket.SHUT_RDWR)
+        for conn, fut in self._conns.items():
+            if not fut.done():
+                logging.warning("a steward call in progress is cut by the stop")
+                with contextlib.suppress(OSError):
+                    conn.shutdown(socket.SHUT_RDWR)
 
     def _serve(self, conn: socket.socket) -> None:
-        with self._conns_lock:
-            self._conns.add(conn)
         try:
             self._process_requests(conn)
         except _ERRORS as exc:
@@ -161,11 +176,10 @@
         except Exception:
             logging.exception("steward connection failed")
         finally:
-            with self._conns_lock:
-                self._conns.discard(conn)
             conn.close()
 
     def _process_requests(self, conn: socket.socket) -> None:
+        conn.setblocking(True)
         conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock = TSocket.TSocket()
         sock.setHandle(conn)
@@ -174,5 +188,21 @@
         protocol = TCompactProtocol.TCompactProtocol(
             transport, string_length_limit=MAX_MESSAGE_BYTES
         )
-        while not self._stopping.is_set():
+        last = False
+        while not last:
+            last = self._stopping.is_set()
+            if not self._await_request(conn):
+                return
             self._processor.process(protocol, protocol)
+
+    def _await_request(self, conn: socket.socket) -> bool:
+        """Waits for the next request; returns False if there is none."""
+        poll = select.poll()
+        poll.register(conn, select.POLLIN)
+        idle_until = time.monotonic() + IDLE_TIMEOUT_S
+        while not self._stopping.is_set():
+            if poll.poll(ACCEPT_POLL_S * 1000):
+                return True
+            if time.monotonic() > idle_until:
+                return False
+        return bool(poll.poll(LAST_REQUEST_WAIT_S * 1000))
--- a/src/turmericward/steward/_assembly.py
+++ b/src/turmericward/steward/_assembly.py
@@ -3,6 +3,8 @@
 import threading
 import time
 
+from absl import logging
+
 from turmericward import runtime
 from turmericward.adapters import steward as steward_adapter
 from turmericward.steward import (
@@ -17,7 +19,10 @@
     _messages,
 )
 
-STOP_TIMEOUT_S = 10.0
+# Time in which a stopped steward has ended. What waits longest is a change of an
+# engine that places a hold and sends an order, and a proposal that is read back.
+STOP_S = 14.0
+LOOPS_STOP_TIMEOUT_S = 1.0
 RESIGN_DELAY_S = 0.5
 
 
@@ -30,34 +35,67 @@
         self._authority = _authority_task.AuthorityTask(cfg, appender)
         calls = _calls_task.CallsTask(cfg, appender)
         fleet = _fleet_task.FleetLoop(cfg)
-        configuration = _configuration_task.ConfigurationTask(
+        self._configuration = _configuration_task.ConfigurationTask(
             cfg, appender, self._authority, fleet
         )
-        fleet.sinks = [configuration, self._authority]
-        handler = _handler.Handler(configuration, calls, self._authority)
+        fleet.sinks = [self._configuration, self._authority]
+        handler = _handler.Handler(self._configuration, calls, self._authority)
         address = f"{cfg.instance.address}:{cfg.steward.port}"
-        authority_stream = _authority_task.stream_name(cfg.instance.domain)
-        tasks = [
-            appender,
-            self._authority,
-            calls,
-            configuration,
+        loops = [
             fleet,
-            _catch_up.CatchUpLoop(cfg, configuration),
-            _change_loop.ChangeLoop(cfg, self._authority),
-            _log_tasks.Follower(
-                cfg.log, _configuration_task.CONFIG_STREAM, configuration
-            ),
-            _log_tasks.Follower(cfg.log, authority_stream, self._authority),
-            _log_tasks.Follower(cfg.log, _calls_task.CALLS_STREAM, calls),
-            steward_adapter.StewardServer(address, handler),
+            _catch_up.CatchUpLoop(cfg, self._configuration),
+            *self._followers(cfg, calls),
+        ]
+        self._changes = _change_loop.ChangeLoop(cfg, self._authority)
+        self._server = steward_adapter.StewardServer(address, handler)
+        self._drain = runtime.Drain(STOP_S)
+        # Stopped in reverse: each group sends messages to those before it.
+        tasks = [self._authority, calls, self._configuration]
+        self._appender_group = runtime.Group([appender], "steward-append")
+        self._task_group = runtime.Group(tasks, "steward")
+        self._loop_group = runtime.Group(loops, "steward-loop")
+        self._change_group = runtime.Group([self._changes], "steward-change")
+        self._server_group = runtime.Group([self._server], "steward-server")
+
+    def _followers(self, cfg, calls) -> list[_log_tasks.Follower]:
+        sinks = {
+            _configuration_task.CONFIG_STREAM: self._configuration,
+            _authority_task.stream_name(cfg.instance.domain): self._authority,
+            _calls_task.CALLS_STREAM: calls,
+        }
+        return [
+            _log_tasks.Follower(cfg.log, name, sink) for name, sink in sinks.items()
         ]
-        self._group = runtime.Group(tasks, "steward")
 
     def run(self, stop: threading.Event) -> None:
-        """Runs until `stop` is set, then releases the lease and stops the tasks."""
-        self._group.start()
+        """Runs until `stop` is set, then answers open calls and stops the tasks."""
+        for group in (
+            self._appender_group,
+            self._task_group,
+            self._loop_group,
+            self._change_group,
+            self._server_group,
+        ):
+            group.start()
         stop.wait()
+        self._drain.begin()
+        logging.info("steward stops")
+        self._stop()
+        logging.info("steward has stopped after %.1f s", self._drain.elapsed_s)
+
+    def _stop(self) -> None:
+        self._server.stop()
+        self._configuration.post(_messages.EndPolls())
+        self._change_group.stop(self._remaining_s())
+        self._resign()
+        self._server_group.stop(self._remaining_s())
+        self._loop_group.stop(LOOPS_STOP_TIMEOUT_S)
+        self._task_group.stop(self._remaining_s())
+        self._appender_group.stop(self._remaining_s())
+
+    def _remaining_s(self) -> float:
+        return max(0.0, self._drain.deadline - runtime.now())
+
+    def _resign(self) -> None:
         self._authority.post(_messages.Resign())
-        time.sleep(RESIGN_DELAY_S)
-        self._group.stop(STOP_TIMEOUT_S)
+        time.sleep(min(RESIGN_DELAY_S, self._remaining_s()))
--- a/src/turmericward/steward/_configuration_task.py
+++ b/src/turmericward/steward/_configuration_task.py
@@ -3,6 +3,7 @@
 import functools
 import heapq
 import json
+import math
 import time
 import zlib
 
@@ -56,6 +57,7 @@
         self._log_reachable = False
         self._log_read_failed = False
         self._caught_up = False
+        self._stopping = False
         self._records_since_snapshot = 0
         self._snapshot_interval = self._choose_snapshot_interval()
 
@@ -284,10 +286,17 @@
         self._confirm(message)
         if self._has_update(message):
             return self._answer(message)
+        if self._stopping:
+            return self._timeout_answer(message)
         key = runtime.new_id()
         self._pending_polls[key] = message
         return self._polls.add(key, message.deadline, None)
 
+    @handle.register
+    def _(self, message: _messages.EndPolls) -> None:
+        self._stopping = True
+        self._end_polls_until(math.inf)
+
     def _confirm(self, message: _messages.Follow) -> None:
         self._holds.confirm(message.entry, message.drained)
         for hold_id in message.drained:
@@ -353,8 +362,11 @@
         now = time.monotonic()
         self._proposals.expire(now)
         self._confirmations.expire(now)
+        self._end_polls_until(now)
+
+    def _end_polls_until(self, deadline: float) -> None:
         for key, message in list(self._pending_polls.items()):
-            if message.deadline <= now:
+            if message.deadline <= deadline:
                 del self._pending_polls[key]
                 self._polls.resolve(key, self._timeout_answer(message))
 
--- a/src/turmericward/steward/_log_tasks.py
+++ b/src/turmericward/steward/_log_tasks.py
@@ -12,6 +12,7 @@
 
 RETRY_INTERVAL_S = 0.2
 MAX_BATCH_RECORDS = 200
+FLUSH_TIMEOUT_S = 3.0
 
 
 class Follower(runtime.Loop):
@@ -89,18 +90,21 @@
         """Appends a batch to the first urgent record's stream, else the oldest's."""
         self._collect()
         batch = self._next_batch()
-        if not batch:
-            return
+        if batch:
+            appended = self._append(batch)
+            self.pause(self._cfg.append_interval_s if appended else RETRY_INTERVAL_S)
+
+    def _append(self, batch: list[_messages.Append]) -> bool:
+        """Appends a batch; puts it back and returns False if that failed."""
         values = [message.value for message in batch]
         try:
             self._client.append(batch[0].stream, values)
-            self.appends += 1
         except errors.LogUnavailableError as exc:
             logging.warning("append to %s: %s", batch[0].stream, exc)
             self._waiting.extendleft(reversed(batch))
-            self.pause(RETRY_INTERVAL_S)
-            return
-        self.pause(self._cfg.append_interval_s)
+            return False
+        self.appends += 1
+        return True
 
     def _collect(self) -> None:
         try:
@@ -128,12 +132,15 @@
         return batch
 
     def release_resources(self) -> None:
-        """Appends the queued records without retries and closes the connection."""
+        """Appends the queued records, for up to FLUSH_TIMEOUT_S, and disconnects.
+
+        Their senders have been told that they are recorded.
+        """
+        deadline = time.monotonic() + FLUSH_TIMEOUT_S
         self._collect()
-        while batch := self._next_batch():
-            try:
-                self._client.append(batch[0].stream, [m.value for m in batch])
-            except errors.LogUnavailableError as exc:
-                logging.warning("last append to %s: %s", batch[0].stream, exc)
-                break
+        while self._waiting and time.monotonic() < deadline:
+            if not self._append(self._next_batch()):
+                time.sleep(RETRY_INTERVAL_S)
+        if self._waiting:
+            logging.error("%d records were not appended", len(self._waiting))
         self._client.close()
--- a/src/turmericward/steward/_messages.py
+++ b/src/turmericward/steward/_messages.py
@@ -62,6 +62,11 @@
     deadline: float
 
 
+@attrs.frozen(kw_only=True)
+class EndPolls:
+    """Answers all polls for changes at once, from now on: the process stops."""
+
+
 @attrs.frozen(kw_only=True)
 class Propose:
     """A change of one resource, requested by an operator.
--- a/tests/test_process_stops.py
+++ b/tests/test_process_stops.py
@@ -1,6 +1,7 @@
 """Planned stops of real entries and stewards: no call is cut, none runs twice."""
 
 import contextlib
+import json
 import signal
 import subprocess
 import sys
@@ -65,6 +66,24 @@
             answers.update(fut.result())
 
 
+def test_a_change_under_way_is_answered_when_its_steward_stops():
+    with fixtures.cluster() as cluster:
+        entry = cluster.nodes["a0"].entries[0]
+        cluster.faults("log", delay_s=0.6)
+        with futures.ThreadPoolExecutor(1) as executor:
+            change = executor.submit(
+                launch.request,
+                *(entry, "PATCH", MODEL, {"description": "kept"}, OPERATOR),
+                wait=30,
+            )
+            time.sleep(0.3)
+            _terminate(cluster, "steward-a0")
+            status, _, body = change.result()
+        cluster.faults("log", delay_s=0.0)
+        check.assertEqual(status, 200, body)
+        check.assertEqual(json.loads(body)["value"]["description"], "kept")
+
+
 def test_a_hangup_does_not_end_entries_and_stewards():
     with fixtures.cluster(domains=("a",)) as cluster:
         for name in ("entry-a0-0", "steward-a0"):
