A holder that stops keeps its lease while an order may be in transit

Seen (new scenario, an order 2.5 s under way, term 4 s): the successor recorded the order as void 1.1 s after the SIGTERM; the engine carried it out later. Without fencing at the engine the next order could be overtaken by it. Cause: a holder gave up its lease at once at SIGTERM. An order is protected by the term: none arrives after it, and nobody else acts before its end. A release ends that protection for an order whose answer has not come. Change: the loop that sends orders ends first. If an order has no answer and may still arrive, or the loop hangs, the lease isn't given up and ends with its term. An answered order has arrived, so it doesn't count. Why it works: the successor acts after the term, when the order has arrived or never will. The scenario failed before: outcomes done,void instead of done,done.

--- a/src/turmericward/runtime/_group.py
+++ b/src/turmericward/runtime/_group.py
@@ -41,6 +41,11 @@
         futures.wait(self._running, timeout=timeout_s)
         self._executor.shutdown(wait=False)
 
+    @property
+    def stopped(self) -> bool:
+        """Whether no task runs any more."""
+        return all(fut.done() for fut in self._running)
+
     def _on_task_done(self, done: futures.Future) -> None:
         exc = done.exception()
         # During a stop, a task may fail because it uses one that has already stopped.
--- a/src/turmericward/steward/_assembly.py
+++ b/src/turmericward/steward/_assembly.py
@@ -97,5 +97,11 @@
         return max(0.0, self._drain.deadline - runtime.now())
 
     def _resign(self) -> None:
+        # The next holder would take an order in transit for one that was never sent.
+        # It doesn't act before the lease's term is over, nor does the order arrive
+        # after that.
+        if not self._change_group.stopped or self._changes.order_in_transit:
+            logging.info("the lease is kept to its term: an order may be in transit")
+            return
         self._authority.post(_messages.Resign())
         time.sleep(min(RESIGN_DELAY_S, self._remaining_s()))
--- a/src/turmericward/steward/_change_loop.py
+++ b/src/turmericward/steward/_change_loop.py
@@ -103,6 +103,12 @@
         until = self._deliverable_until.get(order.id, 0.0)
         return phase is authority.OrderPhase.VOID and time.monotonic() < until
 
+    @property
+    def order_in_transit(self) -> bool:
+        """Whether an order may still arrive at its engine."""
+        now = time.monotonic()
+        return any(until > now for until in self._deliverable_until.values())
+
     def _change(self, desired) -> None:
         state = self._observe(desired)
         if state is None or state.changing or state.spec == desired.spec:
@@ -173,6 +179,8 @@
         self._deliverable_until[order.id] = plan.held.until
         try:
             accepted = self._control(desired).order(order.id, desired.spec, plan.held)
+            # An order that was answered has arrived.
+            self._deliverable_until.pop(order.id, None)
             logging.info(
                 "order %s to %s accepted: %s", order.id, desired.name, accepted
             )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -2,11 +2,12 @@
 
 The text depends on the prompt alone, so that tests can check a stream resumed at
 another engine. A role change aborts running requests and lasts `--change-s`.
-`GET /_orders` returns every accepted order, `GET /_requests` every started request.
-`POST /_faults` sets faults: `die_after` (events), `break_after`, `duplicate`,
-`foreign`, `refuse`. A `random_share` of requests gets a fault drawn from
-`random_seed`: the stream breaks, an event is sent twice or omitted, the response has
-another request's id, or the request is refused.
+`GET /_orders` returns every accepted order and how many were sent, `GET /_requests`
+every started request. `POST /_faults` sets faults: `die_after` (events),
+`break_after`, `duplicate`, `foreign`, `refuse`, `order_delay_s` (an order is under way
+for that long). A `random_share` of requests gets a fault drawn from `random_seed`: the
+stream breaks, an event is sent twice or omitted, the response has another request's
+id, or the request is refused.
 """
 
 import hashlib
@@ -32,6 +33,7 @@
     duplicate: bool = False
     foreign: int = 0
     refuse: bool = False
+    order_delay_s: float = 0.0
     random_share: float = 0.0
     random_seed: int = 0
 
@@ -97,6 +99,7 @@
         self._aborted_count = 0
         self._changing_until = 0.0
         self._orders: list[_Order] = []
+        self._sent_orders = 0
         self._current_order = _Order("", 0, "mixed", [])
         self._started_requests: list[dict] = []
         self._last_report = (0.0, {})
@@ -112,7 +115,8 @@
             self._random = random.Random(self._faults.random_seed)
             req.answer(200, {})
         elif path == "/_orders":
-            req.answer(200, {"orders": [attrs.asdict(o) for o in self._orders]})
+            orders = [attrs.asdict(o) for o in self._orders]
+            req.answer(200, {"orders": orders, "sent": self._sent_orders})
         elif path == "/_requests":
             req.answer(
                 200, {"starts": self._started_requests, "cut": self._aborted_count}
@@ -151,6 +155,8 @@
 
     def _handle_order(self, req: _http.Handler) -> None:
         order = _Order(**req.json())
+        self._sent_orders += 1
+        time.sleep(self._faults.order_delay_s)
         with self._lock:
             newest = max((o.token for o in self._orders), default=0)
             if self._fencing and order.token < newest:
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -386,14 +386,27 @@
 @verb("freeze_holder")
 def _freeze_holder(world, domain) -> None:
     """Sends SIGSTOP to the steward that holds the domain's lease."""
+    world.frozen = _holder_of(world, domain)
+    world.cluster.signal(f"steward-{world.frozen}", signal.SIGSTOP)
+
+
+def _holder_of(world, domain: str) -> str:
     nodes = [n for n in world.cluster.nodes.values() if n.domain == domain]
 
     def holder():
         states = [(n, fixtures.steward_status(world.cluster, n.name)) for n in nodes]
         return [n.name for n, state in states if state is not None and state.holder]
 
-    (world.frozen,) = launch.wait_until(holder, what=f"holder of {domain}")
-    world.cluster.signal(f"steward-{world.frozen}", signal.SIGSTOP)
+    (name,) = launch.wait_until(holder, what=f"holder of {domain}")
+    return name
+
+
+@verb("terminate_holder")
+def _terminate_holder(world, domain) -> None:
+    """Sends SIGTERM to the steward that holds the domain's lease; waits for its end."""
+    name = f"steward-{_holder_of(world, domain)}"
+    world.cluster.signal(name, signal.SIGTERM)
+    check.assertEqual(world.cluster.processes[name].wait(CALL_WAIT_S), 0, name)
 
 
 @verb("thaw_holder")
@@ -463,6 +476,34 @@
     check.assertEqual(tokens, sorted(tokens))
 
 
+@verb("wait_sent_orders")
+def _wait_sent_orders(world, engine, count) -> None:
+    """Waits until the engine was sent so many orders, accepted or still under way."""
+    address = world.cluster.engines[engine]
+
+    def sent() -> bool:
+        answer = json.loads(launch.request(address, "GET", "/_orders")[2])
+        return answer["sent"] >= int(count)
+
+    launch.wait_until(sent, what=f"{count} orders sent to {engine}")
+
+
+@verb("wait_outcomes")
+def _wait_outcomes(world, domain, outcomes) -> None:
+    """Waits until so many orders of a domain have an outcome; checks the outcomes."""
+    expected = outcomes.split(",")
+    path = f"/streams/authority.{domain}/records?from=0&limit=1000"
+
+    def recorded() -> list[str]:
+        page = json.loads(launch.request(world.cluster.log, "GET", path)[2])
+        values = [row["value"] for row in page["records"]]
+        found = [v["outcome"] for v in values if "outcome" in v]
+        return found if len(found) >= len(expected) else []
+
+    found = launch.wait_until(recorded, what=f"{len(expected)} outcomes")
+    check.assertEqual(found, expected)
+
+
 def _since_last_start_s(world, engine: str) -> float:
     address = world.cluster.engines[engine]
     starts = json.loads(launch.request(address, "GET", "/_requests")[2])["starts"]
