Calls with a key are taken by another steward while theirs stops or starts

Callers saw: 503 'claim_unavailable' (outcome unknown) for calls with an Idempotency-Key while the steward of the entry was restarted as planned. A steward that had just started listens before it has read the log; it answered 'unavailable', and the entry asked no other one. And a connection in the accept queue at the moment the listener closes is reset, which counts as 'may have been granted'. Change: an entry asks up to 4 stewards while each says that it did nothing, for claims and changes. A claim without an answer is settled as before, then repeated once for a new attempt, within the same time limit. Why it works: 'unavailable' is said before anything is appended. Every answered call is replayed from its record afterwards, none ran twice.

--- a/src/turmericward/adapters/steward.py
+++ b/src/turmericward/adapters/steward.py
@@ -6,7 +6,7 @@
 import socket
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from concurrent import futures
 
 from absl import logging
@@ -92,24 +92,46 @@
         client.close()
 
 
-def call_first_reachable(addresses: list[str], timeout_s: float, name: str, req):
-    """Calls a method on the first of several stewards that can be reached.
+def call_first_available(
+    addresses: list[str],
+    timeout_s: float,
+    name: str,
+    req,
+    is_unavailable: Callable[[object], bool],
+):
+    """Calls a method on the first of several stewards that can take the request.
 
-    A request that may have been received is not sent to another steward.
+    A request that may have been taken is not sent to another steward.
+
+    Args:
+        addresses: stewards in order of preference.
+        timeout_s: timeout of each call.
+        name: name of the method.
+        req: its argument.
+        is_unavailable: whether an answer says that the steward did nothing.
+
+    Returns:
+        The answer. It is one of an unavailable steward if there are only such.
 
     Raises:
         StewardNoResponseError: a steward may have received it, but did not respond.
         StewardUnavailableError: no steward could be reached.
     """
+    answer = None
     for address in addresses:
         try:
             with open_client(address, timeout_s) as client:
-                return getattr(client, name)(req)
+                answer = getattr(client, name)(req)
         except errors.StewardNoResponseError:
             raise
         except errors.StewardUnavailableError as exc:
             logging.warning("%s", exc)
-    raise errors.StewardUnavailableError(f"{name}: no steward could be reached")
+            continue
+        if not is_unavailable(answer):
+            return answer
+    if answer is None:
+        raise errors.StewardUnavailableError(f"{name}: no steward could be reached")
+    return answer
 
 
 class StewardServer:
--- a/src/turmericward/entry/_resources.py
+++ b/src/turmericward/entry/_resources.py
@@ -15,6 +15,8 @@
 
 PREFIX = "/apis/v1/"
 PROPOSE_TIMEOUT_S = 8.0
+# Stewards that are asked for a change before it is refused.
+PROPOSE_STEWARDS = 4
 STATUS_TIMEOUT_S = 2.0
 READ_YOUR_WRITES_TIMEOUT_S = 3.0
 MAX_CONFLICT_ATTEMPTS = 8
@@ -168,8 +170,12 @@
 
     def _call_steward(self, req: ttypes.ProposeRequest) -> ttypes.ProposeAnswer:
         try:
-            return steward.call_first_reachable(
-                self._ctx.follow.stewards(), PROPOSE_TIMEOUT_S, "propose", req
+            return steward.call_first_available(
+                self._ctx.follow.stewards()[:PROPOSE_STEWARDS],
+                PROPOSE_TIMEOUT_S,
+                "propose",
+                req,
+                lambda answer: answer.outcome == ttypes.Outcome.UNAVAILABLE,
             )
         except errors.StewardNoResponseError as exc:
             logging.warning("proposing a change failed: %s", exc)
--- a/src/turmericward/entry/_services.py
+++ b/src/turmericward/entry/_services.py
@@ -18,6 +18,9 @@
 # Network time of a steward call, on top of what the steward itself may wait.
 STEWARD_RPC_TIMEOUT_S = 2.0
 RETRY_AFTER_S = 1.0
+# Stewards that are asked for a claim before the call is refused.
+CLAIM_STEWARDS = 4
+CLAIM_ATTEMPTS = 2
 SETTLE_ATTEMPTS = 3
 _UNFORWARDED_HEADERS = frozenset(
     {"host", "authorization", "connection", "expect", "x-request-id"}
@@ -111,30 +114,54 @@
         if not 0 < len(key) <= MAX_KEY_CHARS:
             msg = f"Idempotency-Key has no 1 to {MAX_KEY_CHARS} characters"
             raise _errors.RequestError(400, "invalid_key", msg)
-        claim = ttypes.ClaimRequest(
-            scope=scope,
-            key=key,
-            fingerprint=_fingerprint(req, path),
-            attempt=runtime.new_id(),
+        claim, answer = self._claim_key(
+            ttypes.ClaimRequest(
+                scope=scope, key=key, fingerprint=_fingerprint(req, path)
+            )
         )
-        answer = self._claim(claim)
         if answer.state != ttypes.ClaimState.GRANTED:
             return _unclaimed_response(answer)
         return self._run_claimed(svc, req, path, claim)
 
-    def _claim(self, claim: ttypes.ClaimRequest) -> ttypes.ClaimAnswer:
+    def _claim_key(
+        self, claim: ttypes.ClaimRequest
+    ) -> tuple[ttypes.ClaimRequest, ttypes.ClaimAnswer]:
+        """Returns the claim with its attempt, and the answer to it.
+
+        A steward that stops may close a connection before it answers. The claim is
+        repeated then, for another attempt: the first one may be granted, but it has
+        been settled and is never run.
+        """
         timeout_s = self._ctx.cfg.steward.claim_timeout_s + STEWARD_RPC_TIMEOUT_S
+        deadline = runtime.now() + timeout_s
+        for _ in range(CLAIM_ATTEMPTS):
+            claim.attempt = runtime.new_id()
+            remaining_s = deadline - runtime.now()
+            answer = self._claim(claim, remaining_s) if remaining_s > 0 else None
+            if answer is not None:
+                return claim, answer
+        return claim, ttypes.ClaimAnswer(state=ttypes.ClaimState.UNAVAILABLE)
+
+    def _claim(
+        self, claim: ttypes.ClaimRequest, timeout_s: float
+    ) -> ttypes.ClaimAnswer | None:
+        """Returns the answer, or None if none was received; settles the claim then."""
         try:
-            return steward.call_first_reachable(
-                self._ctx.follow.stewards(), timeout_s, "claim", claim
+            return steward.call_first_available(
+                self._ctx.follow.stewards()[:CLAIM_STEWARDS],
+                timeout_s,
+                "claim",
+                claim,
+                lambda answer: answer.state == ttypes.ClaimState.UNAVAILABLE,
             )
         except errors.StewardNoResponseError as exc:
             logging.warning("claim failed: %s", exc)
             # The claim may have been granted, but this attempt will not be executed.
             self._settle(claim, ran=False, answer=None)
+            return None
         except errors.StewardUnavailableError as exc:
             logging.warning("claim failed: %s", exc)
-        return ttypes.ClaimAnswer(state=ttypes.ClaimState.UNAVAILABLE)
+            return ttypes.ClaimAnswer(state=ttypes.ClaimState.UNAVAILABLE)
 
     def _run_claimed(self, svc, req, path: str, claim) -> _http.Response:
         try:
--- a/tests/test_process_stops.py
+++ b/tests/test_process_stops.py
@@ -66,6 +66,27 @@
             answers.update(fut.result())
 
 
+def test_calls_with_keys_are_not_cut_when_stewards_stop():
+    with fixtures.cluster() as cluster:
+        entry = cluster.nodes["a0"].entries[0]
+        with _keyed_calls(entry) as answers:
+            for _ in range(3):
+                time.sleep(0.5)
+                _terminate(cluster, "steward-a0")
+                cluster.start("steward-a0")
+                launch.wait_until(
+                    lambda: fixtures.steward_status(cluster, "a0"), what="steward"
+                )
+        refused = {k: v for k, v in answers.items() if v[0] != 200}
+        check.assertEqual(refused, {}, f"of {len(answers)}")
+        for key in answers:
+            status, headers, body = _call_with_key(entry, key)
+            check.assertEqual(status, 200, (key, body))
+            check.assertEqual(headers.get("Idempotency-Replayed"), "true", key)
+        executed = fixtures.ran(cluster)
+        check.assertEqual(len(executed), len(set(executed)))
+
+
 def test_a_change_under_way_is_answered_when_its_steward_stops():
     with fixtures.cluster() as cluster:
         entry = cluster.nodes["a0"].entries[0]
