--- a/tests/test_process_stops.py
+++ b/tests/test_process_stops.py
@@ -107,6 +107,62 @@
         check.assertEqual(json.loads(body)["value"]["description"], "kept")
 
 
+CHAT = "/v1/chat/completions"
+
+
+def _watch_lines(entry: str) -> list[bytes]:
+    """Returns the lines of a watch, which ends with its entry."""
+    status, _, body = launch.request(
+        entry, "GET", "/apis/v1/model?watch=1", None, OPERATOR, wait=30
+    )
+    check.assertEqual(status, 200)
+    check.assertTrue(body.endswith(b"\n"), body[-200:])
+    return body.splitlines()
+
+
+def _is_replayed(entry: str, key: str) -> bool:
+    status, headers, _ = _call_with_key(entry, key)
+    check.assertIn(status, (200, 409))
+    return status == 200 and headers["Idempotency-Replayed"] == "true"
+
+
+def test_requests_of_every_kind_end_whole_when_their_entry_stops():
+    args = ("--token-s", "0.02")
+    with fixtures.cluster(engine_args=args) as cluster:
+        entry = cluster.nodes["a0"].entries[0]
+        for name in cluster.services:
+            cluster.faults(name, delay_s=0.8)
+        cluster.faults("log", delay_s=0.2)
+        stream, whole = fixtures.chat(tokens=60), fixtures.chat(False, tokens=60)
+        patch = {"description": "kept"}
+        requests = {
+            "stream": (entry, "POST", CHAT, stream, HEADERS, 30),
+            "completion": (entry, "POST", CHAT, whole, HEADERS, 30),
+            "plain": (entry, "POST", DISPATCH, "plain", HEADERS, 30),
+            "change": (entry, "PATCH", MODEL, patch, OPERATOR, 30),
+        }
+        with futures.ThreadPoolExecutor() as executor:
+            answers = {
+                name: executor.submit(launch.request, *request)
+                for name, request in requests.items()
+            }
+            answers["keyed"] = executor.submit(_call_with_key, entry, "keyed")
+            watch = executor.submit(_watch_lines, entry)
+            time.sleep(0.4)
+            took_s = _terminate(cluster, "entry-a0-0")
+            statuses = {name: fut.result()[0] for name, fut in answers.items()}
+            lines = [json.loads(line) for line in watch.result()]
+        check.assertEqual(statuses, dict.fromkeys(statuses, 200))
+        check.assertEqual(len(fixtures.stream_words(answers["stream"].result()[2])), 60)
+        check.assertGreater(len(lines), 0)
+        check.assertEqual(sorted(fixtures.ran(cluster)), ['"keyed"', '"plain"'])
+        cluster.faults("log", delay_s=0.0)
+        other = cluster.nodes["b0"].entries[0]
+        # The other domain reads the end of the call from the log.
+        launch.wait_until(lambda: _is_replayed(other, "keyed"), what="replay")
+        check.assertLess(took_s, ENTRY_STOP_S)
+
+
 def test_an_entry_does_not_wait_for_its_steward_when_it_stops():
     with fixtures.cluster(domains=("a",)) as cluster:
         cluster.signal("steward-a0", signal.SIGSTOP)
@@ -114,6 +170,48 @@
         check.assertLess(_terminate(cluster, "entry-a0-0"), ENTRY_STOP_S)
 
 
+def test_a_paused_holder_that_is_told_to_stop_leaves_the_lease_of_its_successor():
+    with fixtures.cluster(domains=("a",), per_domain=2) as cluster:
+
+        def holders() -> list:
+            states = {n: fixtures.steward_status(cluster, n) for n in cluster.nodes}
+            return [n for n, state in states.items() if state and state.holder]
+
+        (paused,) = launch.wait_until(holders, what="holder")
+        (other,) = cluster.nodes.keys() - {paused}
+        cluster.signal(f"steward-{paused}", signal.SIGSTOP)
+
+        def token() -> int:
+            state = fixtures.steward_status(cluster, other)
+            return state.token if state is not None and state.holder else 0
+
+        acquired = launch.wait_until(token, what="successor")
+        cluster.signal(f"steward-{paused}", signal.SIGTERM)
+        cluster.signal(f"steward-{paused}", signal.SIGCONT)
+        check.assertEqual(
+            cluster.processes[f"steward-{paused}"].wait(EXIT_TIMEOUT_S), 0
+        )
+        time.sleep(0.5)
+        check.assertEqual(token(), acquired)
+
+
+def test_a_stop_before_the_first_configuration_ends_in_time():
+    with launch.Cluster(domains=("a",)) as cluster:
+        for name in ("entry-a0-0", "steward-a0"):
+            cluster.kill(name)
+        cluster.faults("link-a0", mode="hang")
+        node = cluster.nodes["a0"]
+        for name in ("entry-a0-0", "steward-a0"):
+            cluster.start(name)
+        launch.wait_until(
+            lambda: launch.request(node.entries[0], "GET", "/healthz")[0] == 200
+        )
+        launch.wait_until(lambda: fixtures.steward_status(cluster, "a0"))
+        for name in ("entry-a0-0", "steward-a0"):
+            cluster.signal(name, signal.SIGTERM)
+            check.assertLess(_terminate(cluster, name), 6.0, name)
+
+
 def test_a_hangup_does_not_end_entries_and_stewards():
     with fixtures.cluster(domains=("a",)) as cluster:
         for name in ("entry-a0-0", "steward-a0"):
