Reads on a kept connection that its server closes are repeated

Operators and callers saw: 503 for changes and calls with a key for a moment after the log (or the list of instances, or the platform's store) had closed kept connections, as it does when it is restarted as planned or finds one idle. Cause: a request that crosses the close on the connection fails unanswered; the client reported the server as unavailable, and the steward refused claims and changes until its next read. Change: a request that only reads and fails on a kept connection is sent once more on a new one. An append, and any other request that may have taken effect, isn't. Why it works: reads have no effect, so a second one is harmless.

--- a/src/turmericward/adapters/_persistent_connection.py
+++ b/src/turmericward/adapters/_persistent_connection.py
@@ -9,6 +9,8 @@
 
 from turmericward.adapters import _address, _response
 
+# A request with one of these may be sent twice.
+SAFE_METHODS = frozenset({"GET", "HEAD"})
 ERRORS = (OSError, http.client.HTTPException, ValueError)
 
 
@@ -24,7 +26,9 @@
 class PersistentConnection:
     """Sends requests to one address; not thread-safe.
 
-    The connection is closed after any failure and not reused.
+    The connection is closed after any failure and not reused. A server may close a
+    kept connection just as a request is sent on it: one that only reads is then
+    repeated on a new connection. Any other may have taken effect and is not.
     """
 
     def __init__(
@@ -78,7 +82,17 @@
             http.client.HTTPException: the response is not valid HTTP.
         """
         self._close_if_readable()
-        conn = self._open(self._timeout_s + extra_timeout_s)
+        kept = self._conn is not None
+        timeout_s = self._timeout_s + extra_timeout_s
+        try:
+            return self._exchange_once(method, path, body, headers, timeout_s)
+        except ConnectionError:
+            if not kept or method not in SAFE_METHODS or self._aborted:
+                raise
+        return self._exchange_once(method, path, body, headers, timeout_s)
+
+    def _exchange_once(self, method, path, body, headers, timeout_s) -> Response:
+        conn = self._open(timeout_s)
         try:
             conn.request(method, path, body, dict(headers))
             resp = conn.getresponse()
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -84,6 +84,42 @@
             client.close()
 
 
+class _ClosingLog(log.Log):
+    """Closes the connection of its second request, unanswered, as it is received."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.methods = []
+
+    def handle_request(self, req) -> None:
+        self.methods.append(req.command)
+        if len(self.methods) == 2:
+            req.close_connection = True
+            req.connection.shutdown(socket.SHUT_RDWR)
+            return
+        super().handle_request(req)
+
+
+def test_a_read_on_a_kept_connection_that_is_being_closed_is_repeated():
+    app = _ClosingLog()
+    with serve_app(app) as address:
+        client = log_adapter.LogClient(address, 2.0)
+        client.append("s", ["a"])
+        page = client.read("s", 0)
+        check.assertEqual([r.value for r in page.records], ["a"])
+    check.assertEqual(app.methods, ["POST", "GET", "GET"])
+
+
+def test_an_append_on_a_kept_connection_that_is_being_closed_is_not_repeated():
+    app = _ClosingLog()
+    with serve_app(app) as address:
+        client = log_adapter.LogClient(address, 2.0)
+        client.read("s", 0)
+        with check.assertRaises(errors.LogUnavailableError):
+            client.append("s", ["a"])
+    check.assertEqual(app.methods, ["GET", "POST"])
+
+
 def test_log_read_of_an_expired_offset_raises():
     with serve_app(log.Log()) as address:
         launch.request(address, "POST", "/_faults", {"retain": 2})
