Stewards know at once that the log is back

Cause: after a failed read the follower paused 0.2 s and began a long poll, which ends with the next record, or after 1 s. Until then the log counted as unreachable. Change: the read after a failed one doesn't wait for records. Why it works: its answer shows that the log can be read. The new test failed before.

--- a/src/turmericward/steward/_log_tasks.py
+++ b/src/turmericward/steward/_log_tasks.py
@@ -32,23 +32,29 @@
         self._stream = stream
         self._sink = sink
         self._next_offset = start
+        self._failed = False
         self._client = log.LogClient(cfg.address, cfg.timeout_s)
 
     def run_once(self) -> None:
-        """Reads the next records with a long poll and posts them to the sink."""
+        """Reads the next records with a long poll and posts them to the sink.
+
+        The read after a failed one doesn't wait for records, so that the sink learns
+        at once that the log is reachable.
+        """
+        wait_s = 0.0 if self._failed else self._cfg.poll_wait_s
         try:
-            page = self._client.read(
-                self._stream, self._next_offset, self._cfg.poll_wait_s
-            )
+            page = self._client.read(self._stream, self._next_offset, wait_s)
         except errors.OffsetExpiredError as exc:
             self._next_offset = exc.first
             self._sink.post(_messages.LogExpired(stream=self._stream, first=exc.first))
             return
         except errors.LogUnavailableError as exc:
             logging.debug("log stream %s: %s", self._stream, exc)
+            self._failed = True
             self._sink.post(_messages.LogReadFailed(stream=self._stream))
             self.pause(RETRY_INTERVAL_S)
             return
+        self._failed = False
         self._next_offset = page.next_offset
         self._sink.post(
             _messages.LogRead(
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -5,7 +5,7 @@
 
 from tests import fixtures, test_adapters, test_router_task
 from turmericward import authority, configuration, fleet, membership, settings
-from turmericward.adapters import log
+from turmericward.adapters import errors, log
 from turmericward.steward import (
     _authority_task,
     _change_loop,
@@ -294,3 +294,30 @@
     appender.run_once()
     appender.run_once()
     check.assertEqual(appender._client.streams, [("authority.a", 1), ("calls", 2)])
+
+
+class _FailingLog:
+    """Fails its first read; records how long each one may wait."""
+
+    def __init__(self) -> None:
+        self.waits = []
+
+    def read(self, stream: str, start: int, wait_s: float):
+        self.waits.append(wait_s)
+        if len(self.waits) == 1:
+            raise errors.LogUnavailableError("down")
+        return log.Page(records=[], next_offset=0, first=0)
+
+
+def test_a_follower_learns_at_once_that_the_log_is_back():
+    cfg = settings.loads(fixtures.json.dumps(test_router_task.DOCUMENT))
+    sink = _Sink()
+    follower = _log_tasks.Follower(cfg.log, "calls", sink)
+    follower._client = _FailingLog()
+    for _ in range(3):
+        follower.run_once()
+    wait_s = cfg.log.poll_wait_s
+    check.assertEqual(follower._client.waits, [wait_s, 0.0, wait_s])
+    failed, read, _ = sink.messages
+    check.assertIsInstance(failed, _messages.LogReadFailed)
+    check.assertIsInstance(read, _messages.LogRead)
