Entries and stewards don't exit when an answer between their tasks is late

By reading, a process that is paused for 10 s in the moment in which one of its loops asks another task finds the wait timed out when it resumes. The exception ended the loop's task, and a task that fails ends the process (status 70) with every call open in it. Change: a late answer ends the iteration of a loop, is logged, and the loop goes on. The entry confirms no holds until it has heard from its router again. Why it works: each iteration asks anew; nothing is concluded from a late answer.

--- a/src/turmericward/entry/_follow_loop.py
+++ b/src/turmericward/entry/_follow_loop.py
@@ -123,6 +123,8 @@
             {load.engine: _load(load, now) for load in answer.loads},
         )
         message = _router_task.SetView(view=view, holds=holds, released=answer.released)
+        # Without the router's answer no hold is confirmed.
+        self._drained = []
         self._drained = self._router.ask(message).result(ROUTER_TIMEOUT_S)
         self._has_holds = bool(holds)
         self._fleet_version = answer.fleet_version
--- a/src/turmericward/runtime/_task.py
+++ b/src/turmericward/runtime/_task.py
@@ -6,10 +6,13 @@
 from concurrent import futures
 
 import attrs
+from absl import logging
 
 from turmericward.runtime import _errors
 
 DEFAULT_PERIOD_S = 0.1
+# Pause of a loop after an answer that came too late.
+LATE_ANSWER_PAUSE_S = 0.2
 
 
 @attrs.frozen
@@ -143,9 +146,17 @@
         return self._stopping.is_set()
 
     def run(self) -> None:
-        """Calls `run_once` until `stop`; called on the loop's thread."""
+        """Calls `run_once` until `stop`; called on the loop's thread.
+
+        An answer of another task that is late, as all are when the process was
+        paused, ends the iteration, not the loop.
+        """
         while not self._stopping.is_set():
-            self.run_once()
+            try:
+                self.run_once()
+            except TimeoutError:
+                logging.exception("%s: an answer was late", type(self).__name__)
+                self.pause(LATE_ANSWER_PAUSE_S)
         self.release_resources()
 
     def run_once(self) -> None:
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -3,6 +3,7 @@
 import time
 from concurrent import futures
 
+from standins import launch
 from tests import fixtures, test_adapters, test_router_task
 from turmericward import authority, configuration, fleet, membership, settings
 from turmericward.adapters import errors, log
@@ -321,3 +322,28 @@
     failed, read, _ = sink.messages
     check.assertIsInstance(failed, _messages.LogReadFailed)
     check.assertIsInstance(read, _messages.LogRead)
+
+
+class _LateTask:
+    """Answers too late, like a task of a process that was paused meanwhile."""
+
+    def __init__(self) -> None:
+        self.asked = 0
+
+    def ask(self, message) -> futures.Future:
+        self.asked += 1
+        fut: futures.Future = futures.Future()
+        fut.set_exception(TimeoutError())
+        return fut
+
+
+def test_loops_go_on_after_an_answer_that_came_too_late():
+    cfg = settings.loads(fixtures.json.dumps(test_router_task.DOCUMENT))
+    task = _LateTask()
+    loop = _change_loop.ChangeLoop(cfg, task)
+    with futures.ThreadPoolExecutor(1) as executor:
+        ended = executor.submit(loop.run)
+        launch.wait_until(lambda: task.asked > 1 or ended.done(), what="second ask")
+        check.assertFalse(ended.done())
+        loop.stop()
+        ended.result()
