--- a/src/turmericward/entry/_follow_loop.py
+++ b/src/turmericward/entry/_follow_loop.py
@@ -51,6 +51,11 @@
         seeds = self._cfg.steward.seeds
         return list(dict.fromkeys([self._local_address, *self._peers, *seeds]))
 
+    def stop(self) -> None:
+        """Stops the loop; a poll in progress is aborted."""
+        super().stop()
+        self._client.abort()
+
     def run_once(self) -> None:
         """Polls the steward once and applies the response."""
         self._fail_back()
@@ -73,6 +78,8 @@
         self._apply(answer)
 
     def _fail_over(self, exc: Exception) -> None:
+        if self.stopping:
+            return
         logging.warning("polling the steward failed: %s", exc)
         addresses = self.stewards()
         self._steward_index = (self._steward_index + 1) % len(addresses)
@@ -92,6 +99,9 @@
     def _connect(self, address: str) -> None:
         self._client.close()
         self._client = steward.StewardClient(address, STEWARD_TIMEOUT_S)
+        if self.stopping:
+            # `stop` may have aborted the client before.
+            self._client.abort()
         self._fleet_version = -1
         self._failback_at = time.monotonic() + FAILBACK_INTERVAL_S
 
@@ -112,6 +122,8 @@
             {load.engine: _load(load, now) for load in answer.loads},
         )
         message = _router_task.SetView(view=view, holds=holds, released=answer.released)
+        # Without the router's answer no hold is confirmed.
+        self._drained = []
         self._drained = self._router.ask(message).result(ROUTER_TIMEOUT_S)
         self._has_holds = bool(holds)
         self._fleet_version = answer.fleet_version
