--- a/src/turmericward/entry/_resources.py
+++ b/src/turmericward/entry/_resources.py
@@ -8,13 +8,15 @@
 import attrs
 from absl import logging
 
-from turmericward import configuration
+from turmericward import configuration, schema
 from turmericward.adapters import errors, steward
 from turmericward.entry import _context, _errors, _http
 from turmericward.wire import constants, ttypes
 
 PREFIX = "/apis/v1/"
 PROPOSE_TIMEOUT_S = 8.0
+# Stewards that are asked for a change before it is refused.
+PROPOSE_STEWARDS = 4
 STATUS_TIMEOUT_S = 2.0
 READ_YOUR_WRITES_TIMEOUT_S = 3.0
 MAX_CONFLICT_ATTEMPTS = 8
@@ -168,8 +170,12 @@
 
     def _call_steward(self, req: ttypes.ProposeRequest) -> ttypes.ProposeAnswer:
         try:
-            return steward.call_first_reachable(
-                self._ctx.follow.stewards(), PROPOSE_TIMEOUT_S, "propose", req
+            return steward.call_first_available(
+                self._ctx.follow.stewards()[:PROPOSE_STEWARDS],
+                PROPOSE_TIMEOUT_S,
+                "propose",
+                req,
+                lambda answer: answer.outcome == ttypes.Outcome.UNAVAILABLE,
             )
         except errors.StewardNoResponseError as exc:
             logging.warning("proposing a change failed: %s", exc)
@@ -260,9 +266,11 @@
 
 
 def _parse_version(text: str) -> int:
-    if not text.isdecimal():
-        raise _errors.RequestError(400, "invalid_version", f"{text!r} is not a version")
-    return int(text)
+    try:
+        return schema.parse_int(text, 0, schema.MAX_INT)
+    except schema.SchemaError as exc:
+        msg = f"{text[:40]!r} is not a version"
+        raise _errors.RequestError(400, "invalid_version", msg) from exc
 
 
 def _expected_version(req: _http.Request) -> int:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -62,7 +62,8 @@
     conns = [caller.Caller(platform.front, host) for _ in delays]
     for number, conn in enumerate(conns):
         check.assertEqual(
-            conn.send(caller.Call(id=f"i{number}", route="read")).status, 200
+            conn.send(caller.Call(id=f"i{number}", route="read", method="GET")).status,
+            200,
         )
     with futures.ThreadPoolExecutor(len(conns)) as executor:
         began = time.monotonic()
@@ -110,21 +111,35 @@
     check.assertEqual(stop.exit_status, 0)
 
 
+def _call_before(platform, calls: list[dict]) -> None:
+    """Lets the front observe how long calls take."""
+    with futures.ThreadPoolExecutor(len(calls)) as executor:
+        for number, work in enumerate(calls):
+            conn = caller.Caller(platform.front, platform_fixtures.HOST)
+            executor.submit(conn.send, caller.Call(id=f"w{number}", **work))
+
+
 def test_long_streams_sent_late_in_the_grace_are_not_cut_at_its_end():
     rng = random.Random(SEED)
     with platform_fixtures.platform(("p1", "m1", "m2")) as platform:
         _configure(platform)
         work = {"route": "long", "work_s": LONG_S, "events": 10}
-        with futures.ThreadPoolExecutor(4) as executor:
-            # Lets the front observe how long these calls take.
-            for number in range(4):
-                conn = caller.Caller(platform.front, platform_fixtures.HOST)
-                executor.submit(conn.send, caller.Call(id=f"w{number}", **work))
+        _call_before(platform, 4 * [work])
         # The first one can be served whole, and keeps the front from an early exit.
         delays = [1.0] + [rng.uniform(GRACE_S - LONG_S + 0.2, 5.0) for _ in range(30)]
         _check_stop(platform, _stop_with(platform, delays, **work))
 
 
+def test_seldom_long_streams_of_a_route_are_not_cut_at_the_end_of_the_grace():
+    rng = random.Random(SEED)
+    with platform_fixtures.platform(("p1", "m1", "m2")) as platform:
+        _configure(platform)
+        work = {"route": "long", "work_s": LONG_S, "events": 10}
+        _call_before(platform, 16 * [work | {"work_s": 0.2}] + 2 * [work])
+        delays = [1.0] + [rng.uniform(GRACE_S - LONG_S + 0.1, 4.0) for _ in range(20)]
+        _check_stop(platform, _stop_with(platform, delays, **work))
+
+
 def test_calls_sent_as_the_process_ends_are_answered_or_not_read():
     for seed in SEEDS:
         rng = random.Random(seed)
@@ -140,5 +155,5 @@
         with platform_fixtures.platform(("p1", "p2", "m1")) as platform:
             _configure(platform)
             delays = [rng.uniform(3.0, 3.12) for _ in range(20)]
-            stop = _stop_with(platform, delays, route="read", work_s=0.1)
+            stop = _stop_with(platform, delays, route="read", method="GET", work_s=0.1)
             _check_stop(platform, stop)
