One answer that had begun before the bar no longer clears a deadly segment

Cause: the segment at all 14 crashes was barred at 4.9 and 9.9 s and cleared at 5.1 and 13.4 s by single streams that had begun before the bars. Ruled out: the planned stop's work (no line of the quarantine differs). Now answers of the last ten seconds or so are counted by segment and front: a single one lifts no bar, the second does; that of a trial does at once.

Tests: three new ones in test_quarantine, of which the one of the finding and that of old answers fail before.

--- a/src/turmericward/requests/_quarantine.py
+++ b/src/turmericward/requests/_quarantine.py
@@ -5,10 +5,10 @@
 so that no front sees more than a few of the crashes.
 
 A crash makes the segments of all prompts suspect that the engine was just beginning
-to answer. An answer to any prompt with a segment clears it: what always crashes is
-never answered. A segment that is left after several crashes, and was there at most of
-them, is barred, and these crashes count no longer against the other segments. Pure
-logic without clock and
+to answer. An answer to any prompt with a segment clears it, a barred one if there were
+several lately: what crashes engines is hardly ever answered. A segment that
+is left after several crashes, and was there at most of them, is barred, and these
+crashes count no longer against the other segments. Pure logic without clock and
 sockets; times are monotonic seconds.
 """
 
@@ -31,6 +31,8 @@
 MOMENT_S = 0.05
 # Crashes of different engines after which a segment is barred in any case.
 CERTAIN_CRASHES = 5
+# Recent answers, as one front sees them, that don't speak for a barred segment.
+MAX_CHANCE_ANSWERS = 1.5
 # From this many on, prompts with the segment that lost an engine aren't sent again.
 CRASHES_TO_STOP_RETRIES = 2
 # How long a suspect, or its clearing, is told to the peers if nothing changes.
@@ -76,8 +78,10 @@
         self._suspects: dict[int, _suspects.Suspect] = {}
         # Engines that ended under prompts, with the times, the oldest reports first.
         self._crashes: dict[_suspects.Incarnation, float] = {}
-        # When each segment was last answered, the oldest ones first.
-        self._answered: collections.OrderedDict[int, float] = collections.OrderedDict()
+        # Answers by segment, the oldest ones first.
+        self._answered: collections.OrderedDict[int, _suspects.Answers] = (
+            collections.OrderedDict()
+        )
         self._changes: list[SegmentChange] = []
 
     def pop_changes(self) -> list[SegmentChange]:
@@ -106,7 +110,29 @@
     def record_answer(self, segments: Iterable[int], now: float) -> None:
         """Records that a prompt with these segments was answered to its end."""
         for segment in segments:
-            self._add_answer(segment, now, now)
+            if self._lifts_bar(segment, now):
+                self._add_answer(segment, now, now)
+
+    def _lifts_bar(self, segment: int, now: float) -> bool:
+        """Counts an answer; returns whether it clears the segment, also if barred.
+
+        Some prompts with a bad segment end before it does harm. So their answers lift
+        no bar unless there are several lately, or it is that of a trial.
+        """
+        answers = self._answers_of(segment)
+        answers.add(now)
+        suspect = self._suspects.get(segment)
+        bar = None if suspect is None else suspect.bar
+        if bar is None or bar.trial_until > now:
+            return True
+        return answers.recent(now) > MAX_CHANCE_ANSWERS
+
+    def _answers_of(self, segment: int) -> _suspects.Answers:
+        answers = self._answered.setdefault(segment, _suspects.Answers())
+        self._answered.move_to_end(segment)
+        if len(self._answered) > MAX_ANSWERED_SEGMENTS:
+            self._answered.popitem(last=False)
+        return answers
 
     def apply(self, outcomes: Iterable[_suspects.SegmentOutcome], now: float) -> None:
         """Records outcomes that a peer reports, in any order, also repeatedly."""
@@ -125,7 +151,8 @@
             del self._crashes[next(iter(self._crashes))]
 
     def _answered_at(self, segment: int) -> float:
-        return self._answered.get(segment, -math.inf)
+        answers = self._answered.get(segment)
+        return -math.inf if answers is None else answers.at
 
     def _add_crash(
         self, segment: int, incarnation: _suspects.Incarnation, at: float, now: float
@@ -145,10 +172,7 @@
             self._note(segment, SegmentState.SUSPECT)
 
     def _add_answer(self, segment: int, at: float, now: float) -> None:
-        self._answered[segment] = at
-        self._answered.move_to_end(segment)
-        if len(self._answered) > MAX_ANSWERED_SEGMENTS:
-            self._answered.popitem(last=False)
+        self._answers_of(segment).at = at
         suspect = self._suspects.get(segment)
         if suspect is not None and suspect.add_answer(at, now) and not suspect.crashes:
             self._note(segment, SegmentState.CLEARED)
--- a/src/turmericward/requests/_suspects.py
+++ b/src/turmericward/requests/_suspects.py
@@ -6,6 +6,8 @@
 
 # A crash so soon after an answer to the same segment doesn't count against it.
 RECENT_ANSWER_S = 2.0
+# Time constant with which answers are forgotten that are weighed against crashes.
+ANSWER_DECAY_S = 10.0
 # How long crashes count if the segment is neither answered nor barred.
 EVIDENCE_S = 300.0
 # Crashes that are kept of one segment; the oldest ones are dropped.
@@ -37,6 +39,29 @@
     age_s: float
 
 
+@attrs.define
+class Answers:
+    """Answers to prompts with a segment: the last one, and how many lately.
+
+    Times are monotonic seconds.
+    """
+
+    at: float = -math.inf
+    _count: float = 0.0
+    _counted_at: float = -math.inf
+
+    def add(self, now: float) -> None:
+        """Counts an answer."""
+        self._count = self.recent(now) + 1.0
+        self._counted_at = now
+
+    def recent(self, now: float) -> float:
+        """Returns the number of answers, older ones counted less."""
+        if not self._count:
+            return 0.0
+        return self._count * math.exp(-(now - self._counted_at) / ANSWER_DECAY_S)
+
+
 @attrs.define
 class Bar:
     """No prompts with a segment go to engines before `until`, in monotonic seconds.
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -42,16 +42,48 @@
     check.assertEqual(_barred(quarantine), set())
 
 
-def test_an_answer_clears_a_segment_also_a_barred_one():
-    for crashes in (2, 3, 5):
-        quarantine = requests.Quarantine()
-        for number in range(crashes):
-            quarantine.record_crash([2], _engine(number), 5.0 + number)
+def _crashed(crashes: int) -> requests.Quarantine:
+    quarantine = requests.Quarantine()
+    for number in range(crashes):
+        quarantine.record_crash([2], _engine(number), 5.0 + number)
+    return quarantine
+
+
+def test_an_answer_clears_a_suspect():
+    quarantine = _crashed(2)
+    quarantine.record_answer([2], 11.0)
+    quarantine.record_crash([2], _engine(9), 11.5)
+    check.assertEqual(_refused(quarantine, [2], 12.0, retry=True), "")
+
+
+def test_several_recent_answers_clear_a_barred_segment():
+    for crashes in (3, 5):
+        quarantine = _crashed(crashes)
+        quarantine.record_answer([2], 10.9)
+        check.assertEqual(_refused(quarantine, [2], 11.0), "quarantined", crashes)
         quarantine.record_answer([2], 11.0)
         quarantine.record_crash([2], _engine(9), 11.5)
         check.assertEqual(_refused(quarantine, [2], 12.0, retry=True), "", crashes)
 
 
+def test_answers_long_ago_do_not_help_to_clear_a_barred_segment():
+    quarantine = requests.Quarantine()
+    for _ in range(50):
+        quarantine.record_answer([2], -100.0)
+    for number in range(3):
+        quarantine.record_crash([2], _engine(number), 5.0 + number)
+    quarantine.record_answer([2], 11.0)
+    check.assertEqual(_refused(quarantine, [2], 11.1), "quarantined")
+
+
+def test_one_answer_that_had_begun_before_the_bar_cleared_a_deadly_segment():
+    quarantine = _crashed(3)
+    quarantine.record_answer([2], 7.2)
+    check.assertEqual(_refused(quarantine, [2], 7.3), "quarantined")
+    quarantine.record_crash([2], _engine(9), 8.0)
+    check.assertEqual(len(quarantine.barred()[2].crashes), 4)
+
+
 def test_a_prompt_that_is_suspect_is_not_sent_again_after_two_crashes():
     quarantine = requests.Quarantine()
     quarantine.record_crash([2], _engine(1), 5.0)
