--- a/src/turmericward/programs/_common.py
+++ b/src/turmericward/programs/_common.py
@@ -1,9 +1,11 @@
-"""Startup code shared by the long-running programs."""
+"""Startup and exit of the long-running programs."""
 
+import os
 import signal
 import socket
 import sys
 import threading
+from typing import NoReturn
 
 import click
 
@@ -64,3 +66,9 @@
     while numbers := reader.recv(MAX_SIGNALS_PER_READ):
         if STOP_SIGNALS.intersection(numbers):
             stop.set()
+
+
+def exit_process() -> NoReturn:
+    """Exits without joining threads, which may be blocked on others."""
+    telemetry.flush_logs()
+    os._exit(0)
--- a/src/turmericward/runtime/_drain.py
+++ b/src/turmericward/runtime/_drain.py
@@ -56,6 +56,11 @@
         """Seconds since the stop began, 0 before."""
         return 0.0 if self._began_at is None else self._clock() - self._began_at
 
+    @property
+    def left_s(self) -> float:
+        """Seconds until `end`, 0 after it."""
+        return max(0.0, self.end - self._clock())
+
     @property
     def deadline(self) -> float:
         """Time by which every open call has its final answer."""
@@ -67,6 +72,11 @@
         """Seconds until `deadline`."""
         return self.deadline - self._clock()
 
+    @property
+    def is_mostly_left(self) -> bool:
+        """Whether more than half of the length is left until `deadline`."""
+        return self.remaining_s > self._length_s / 2
+
     @property
     def end(self) -> float:
         """Time by which the process exits."""
