--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -1,6 +1,7 @@
 """Fronts as processes, beside a store, replicas and links inside the soak's process."""
 
 import contextlib
+import functools
 import json
 import os
 import pathlib
@@ -149,7 +150,9 @@
         self._serve(_evidence.STORE, self._store_address, self.store)
         for name in REPLICAS:
             address, announced = (f"127.0.0.1:{p}" for p in launch.free_ports(2))
-            self.replicas[name] = platform_replica.Replica(name)
+            replica = self.replicas[name] = platform_replica.Replica(name)
+            replica.stage = REPLICAS[name][1]
+            replica.stage_changed = functools.partial(self._change_stage, name)
             self._addresses[name], self._announced[name] = address, announced
             self._serve(name, address, self.replicas[name])
             self._link(name, announced, address)
@@ -247,7 +250,8 @@
 
     def announce(self, name: str, *, draining: bool = False) -> None:
         """Writes a replica's record; a replica that drains gets no further calls."""
-        service, stage = REPLICAS[name]
+        service, _ = REPLICAS[name]
+        stage = self.replicas[name].stage
         if not draining:
             self._births += 1
         entry = {
@@ -261,6 +265,11 @@
         entry |= {"stage": stage} if stage else {}
         self.store.put("keyed.servers", name, json.dumps(entry).encode())
 
+    def _change_stage(self, name: str) -> None:
+        # A replica that is away announces its stage when it returns.
+        if name not in self.away:
+            self.announce(name)
+
     def remove(self, name: str) -> None:
         """Deletes a replica's record."""
         self.store.put("keyed.servers", name, b"")
--- a/soak/_promises.py
+++ b/soak/_promises.py
@@ -1,12 +1,14 @@
 """Promises of the product by name, each checked against the evidence of a run."""
 
 import collections
+import itertools
 
 import attrs
 
 from soak import _evidence, _fleet
 
-NOT_RUN_STATUSES = frozenset({429, 503})
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+FAILURE_STATUSES = frozenset({500, 502, 504})
 # Of a stop: a replica still at work in its last sixth, on a call sent early, is cut.
 LAST_SHARE = 1 / 6
 EARLY_CALL_S = 3.0
@@ -117,6 +119,28 @@
     return outcome.sent_at <= stop.began + EARLY_CALL_S and until >= last_from
 
 
+@_promise
+def calm_calls_do_not_fail(evidence) -> Result:
+    """No call at a calm front and replica fails, unless a stop has to end it."""
+    reached, work_ended = evidence.arrivals(), evidence.work_ended()
+
+    def find(sent):
+        outcome = sent.outcome
+        replicas = reached.get(outcome.call.id, set())
+        if evidence.disrupted(
+            {sent.front} | replicas, outcome.sent_at, outcome.ended_at
+        ):
+            return None
+        stop = _stop_of(evidence, sent)
+        if stop and _is_exempt(evidence, stop, outcome, work_ended):
+            return None
+        ended = "no stop" if stop is None else _describe(stop)
+        return _finding("calm_calls_do_not_fail", evidence, sent, ended)
+
+    failed = (s for s in evidence.sent if s.outcome.status in FAILURE_STATUSES)
+    return _result(failed, find)
+
+
 @_promise
 def calls_that_may_run_once_run_at_most_once(evidence) -> Result:
     """A call that may not be repeated runs at most once, under all faults."""
@@ -142,7 +166,7 @@
 
 @_promise
 def refused_calls_never_run(evidence) -> Result:
-    """A call that may run once and is answered 429 or 503 never runs."""
+    """A call that may run once and is answered as not run never runs."""
     runs = evidence.runs()
 
     def find(sent):
@@ -288,6 +312,27 @@
     return _result(evidence.stops, find)
 
 
+@_promise
+def role_orders_have_one_holder(evidence) -> Result:
+    """Fencing tokens of role orders never fall, and each belongs to one holder."""
+    orders = sorted(
+        (order for replica in evidence.replicas.values() for order in replica.orders),
+        key=lambda order: order.at,
+    )
+
+    def find(pair):
+        earlier, later = pair
+        same = earlier.token == later.token and earlier.holder == later.holder
+        if same or earlier.token < later.token:
+            return None
+        return Finding(
+            promise="role_orders_have_one_holder",
+            detail=f"{earlier} before {later}",
+        )
+
+    return _result(itertools.pairwise(orders), find)
+
+
 @_promise
 def running_processes_go_on(evidence) -> Result:
     """No front ends without a signal."""
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -23,6 +23,16 @@
 SIGNATURE = "signed"
 
 
+@attrs.frozen(kw_only=True)
+class RoleOrder:
+    """An accepted order; `at` is when it was received, in monotonic seconds."""
+
+    holder: str
+    token: int
+    stage: str
+    at: float = attrs.field(factory=time.monotonic)
+
+
 @attrs.frozen(kw_only=True)
 class ReceivedCall:
     """One call as received; `ran` is whether its execution began.
@@ -82,6 +92,10 @@
         # Set if the caller reads far more than any response holds without closing.
         self.unbounded_read = False
         self.cached_segments: dict[str, int] = {}
+        # Stage of an engine that takes role orders, empty for any other replica.
+        self.stage = ""
+        self.orders: list[RoleOrder] = []
+        self.stage_changed: Callable[[], None] = lambda: None
         # Extra headers of every response.
         self.headers: tuple[tuple[str, str], ...] = ()
         # Prompt segments on which the replica crashes instead of writing an answer.
@@ -104,6 +118,9 @@
             ]
             req.answer(200, {"epoch": 1, "NextToken": 1, "held": held})
             return
+        if self.stage and req.path in ("/api/report", "/api/order"):
+            self._handle_role(req)
+            return
         call_id = req.headers.get("Turmericward-Attempt-Id", "")
         expected = req.headers.get("Turmericward-Expect-Instance", self.name)
         refusal_status = self._refusal_status(expected)
@@ -141,6 +158,25 @@
             finally:
                 self.ended.append((call_id, time.monotonic()))
 
+    def _handle_role(self, req) -> None:
+        sequence = len(self.orders)
+        if req.path == "/api/report":
+            report = {"stage": self.stage, "busy": False, "sequence": sequence}
+            req.answer(200, report)
+            return
+        order = req.json()
+        if order["expected_sequence"] != sequence:
+            req.answer(409, {"sequence": sequence})
+            return
+        self.stage = order["stage"]
+        self.orders.append(
+            RoleOrder(
+                holder=order["holder"], token=order["fencing_token"], stage=self.stage
+            )
+        )
+        req.answer(200, {})
+        self.stage_changed()
+
     def _respond_endlessly(self, req, call_id: str) -> None:
         """Sends bytes without end, in the part of the response that the fault names."""
         _, _, part = self.fault.partition(" ")
