--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,7 @@
 import collections
 import pathlib
 import shutil
+import signal
 import sys
 import tempfile
 import threading
@@ -27,6 +28,8 @@
 def main(seed, seeds, fronts, clients, seconds, planned_only, inject, keep) -> None:
     """Runs the seeds; the exit status is 1 if a promise was broken."""
     threading.stack_size(STACK_BYTES)
+    # Lets a run that is terminated end its processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     root = pathlib.Path(keep or tempfile.mkdtemp(prefix="soak-"))
     reports = []
     for number in range(seed, seed + seeds):
@@ -52,7 +55,8 @@
     faults = sum(report.injected.values())
     click.echo(
         f"seed {report.seed}: {calls} calls {report.statuses}, {faults} faults, "
-        f"{len(report.findings)} findings, {report.took_s:.0f} s"
+        f"{len(report.findings)} findings, held up {report.held_up}, "
+        f"{report.took_s:.0f} s"
     )
     for finding in report.findings[:MAX_LINES]:
         after = finding.after_stop_s
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -61,6 +61,8 @@
     took_s: float
     grace_s: float
     injected: dict[str, int]
+    # How often the machine held up the soak or a front, which excuses what follows.
+    held_up: dict[str, int]
     statuses: dict[str, int]
     checked: dict[str, int]
     findings: list[_promises.Finding]
@@ -102,7 +104,7 @@
         evidence=evidence,
     )
     with fleet:
-        with _lag.Monitor(evidence), _load.Load(fleet, options.clients, rng):
+        with _lag.Monitor(fleet), _load.Load(fleet, options.clients, rng):
             time.sleep(WARM_UP_S)
             _inject(fleet, line_up)
             evidence.healed_at = time.monotonic()
@@ -116,6 +118,7 @@
         took_s=time.monotonic() - began,
         grace_s=evidence.grace_s,
         injected=dict(sorted(evidence.injected.items())),
+        held_up=_held_up(evidence),
         statuses=_statuses(evidence),
         checked={name: result.checked for name, result in results.items()},
         findings=[f for result in results.values() for f in result.findings],
@@ -148,6 +151,11 @@
     return dict(sorted(counts.items()))
 
 
+def _held_up(evidence: _evidence.Evidence) -> dict[str, int]:
+    kinds = collections.Counter(d.kind for d in evidence.disruptions)
+    return {kind: kinds[kind] for kind in (_lag.LAG, _lag.STARVED)}
+
+
 def _write(report: Report, fleet: _fleet.Fleet) -> None:
     """Writes the report, with the fronts' own lines on each finding."""
     value = attrs.asdict(report)
