--- a/soak/_promises.py
+++ b/soak/_promises.py
@@ -126,10 +126,10 @@
 
     def find(sent):
         outcome = sent.outcome
-        replicas = reached.get(outcome.call.id, set())
-        if evidence.disrupted(
-            {sent.front} | replicas, outcome.sent_at, outcome.ended_at
-        ):
+        # Nothing tells which replica's connection broke before the call arrived there.
+        replicas = reached.get(outcome.call.id) or set(evidence.replicas)
+        excuses = {sent.front} | replicas
+        if evidence.disrupted(excuses, outcome.sent_at, outcome.ended_at):
             return None
         stop = _stop_of(evidence, sent)
         if stop and _is_exempt(evidence, stop, outcome, work_ended):
