--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,7 @@
 """Runs seeds of the soak and prints a line for each and a table at the end."""
 
 import collections
+import json
 import pathlib
 import shutil
 import signal
@@ -12,6 +13,7 @@
 
 from soak import _injections, _run
 
+FAILED_SEEDS = pathlib.Path(__file__).with_name("failed_seeds.json")
 STACK_BYTES = 512 * 1024
 MAX_LINES = 8
 
@@ -24,22 +26,23 @@
 @click.option("--seconds", default=20.0, help="time in which faults begin")
 @click.option("--planned-only", is_flag=True, help="no unplanned faults")
 @click.option("--inject", default="", help="fault in the product, see _injections")
+@click.option("--failed", is_flag=True, help="the seeds that have failed before")
 @click.option("--keep", default="", help="folder for the logs of failing runs")
-def main(seed, seeds, fronts, clients, seconds, planned_only, inject, keep) -> None:
+def main(seed, seeds, inject, failed, keep, **drawn) -> None:
     """Runs the seeds; the exit status is 1 if a promise was broken."""
     threading.stack_size(STACK_BYTES)
     # Lets a run that is terminated end its processes.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     root = pathlib.Path(keep or tempfile.mkdtemp(prefix="soak-"))
+    cases = [(number, drawn) for number in range(seed, seed + seeds)]
+    if failed:
+        cases = _failed_cases()
     reports = []
-    for number in range(seed, seed + seeds):
+    for number, shape in cases:
         options = _run.Options(
-            fronts=fronts,
-            seconds=seconds,
-            clients=clients,
-            planned_only=planned_only,
             directory=root / f"seed-{number}",
             program=_injections.program(inject) if inject else _run.PROGRAM,
+            **shape,
         )
         report = _run.run(number, options)
         reports.append(report)
@@ -50,6 +53,14 @@
     sys.exit(1 if any(report.findings for report in reports) else 0)
 
 
+def _failed_cases() -> list[tuple[int, dict]]:
+    """Returns the seeds that have failed before, each with its options."""
+    cases = json.loads(FAILED_SEEDS.read_text())
+    for case in cases:
+        click.echo(f"seed {case['seed']} has failed: {case.pop('cause')}")
+    return [(case.pop("seed"), case) for case in cases]
+
+
 def _print_run(report: _run.Report) -> None:
     calls = sum(report.statuses.values())
     faults = sum(report.injected.values())
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -17,7 +17,7 @@
 from standins import _http, launch, link, platform_replica, platform_store
 
 HOST = "api.example"
-START_TIMEOUT_S = 60.0
+START_TIMEOUT_S = 120.0
 SLOTS = 64
 ROUTE_TIMEOUT_MS = 20_000
 FRONTS_PER_DOMAIN = 2
--- /dev/null
+++ b/tests/test_soak_promises.py
@@ -0,0 +1,169 @@
+"""Promises of the soak, on evidence that keeps them and on evidence that does not."""
+
+import attrs
+
+from soak import _evidence, _fleet, _promises
+from standins import caller, platform_replica
+from tests import fixtures
+
+check = fixtures.check
+FRONT = "front-0"
+GRACE_S = 8.0
+# When the stop of the evidence begins, in monotonic seconds.
+STOP_AT = 100.0
+
+
+def _evidence_with(*sent, stops=(), **fields) -> _evidence.Evidence:
+    replicas = {name: platform_replica.Replica(name) for name in _fleet.REPLICAS}
+    return _evidence.Evidence(
+        grace_s=GRACE_S,
+        leaving_s=2.0,
+        configuration_s=2.0,
+        sent=list(sent),
+        stops=list(stops),
+        replicas=replicas,
+        **fields,
+    )
+
+
+def _sent(sent_at=STOP_AT, took_s=1.0, route="job", **outcome) -> _evidence.Sent:
+    call = caller.Call(id="c1", route=route)
+    defaults = {"status": 200, "body": call.answer(), "signed": True}
+    return _evidence.Sent(
+        front=FRONT,
+        boot=1,
+        outcome=caller.Outcome(
+            call=call, sent_at=sent_at, ended_at=sent_at + took_s, **defaults | outcome
+        ),
+    )
+
+
+def _stop(exit_status=0, took_s=7.5) -> _evidence.Stop:
+    return _evidence.Stop(
+        front=FRONT,
+        boot=1,
+        began=STOP_AT,
+        ended=STOP_AT + took_s,
+        exit_status=exit_status,
+    )
+
+
+def _run_at(evidence, replica: str, at=STOP_AT, headers=None) -> None:
+    evidence.replicas[replica].calls.append(
+        platform_replica.ReceivedCall(
+            path="/job/x?work_ms=0",
+            call_id="c1",
+            headers=headers or {},
+            body=b"",
+            ran=True,
+            at=at,
+        )
+    )
+
+
+def _broken(evidence) -> set[str]:
+    results = _promises.check(evidence)
+    return {f.promise for result in results.values() for f in result.findings}
+
+
+def _closed(sent_at: float, took_s: float) -> _evidence.Sent:
+    return _sent(sent_at, took_s, status=None, body=b"", broken="closed")
+
+
+def test_a_whole_answer_breaks_no_promise():
+    evidence = _evidence_with(_sent(), stops=[_stop()])
+    _run_at(evidence, "p1")
+    check.assertEqual(_broken(evidence), set())
+
+
+def test_calls_without_answer_are_lost_unless_they_cross_the_close():
+    promise = {"every_read_call_has_a_whole_answer"}
+    evidence = _evidence_with(_closed(STOP_AT + 4, 1.0), stops=[_stop()])
+    check.assertEqual(_broken(evidence), promise)
+    crossing = _closed(STOP_AT + 4, 0.1)
+    check.assertEqual(_broken(_evidence_with(crossing, stops=[_stop()])), set())
+    evidence = _evidence_with(crossing, stops=[_stop()])
+    _run_at(evidence, "p1")
+    check.assertEqual(_broken(evidence), promise)
+
+
+def test_early_calls_at_work_in_the_last_sixth_of_the_grace_are_exempt():
+    for sent_s, worked_s, broken in (
+        (2.9, 7.0, False),
+        (2.9, 6.0, True),
+        (3.1, 7.0, True),
+    ):
+        evidence = _evidence_with(_closed(STOP_AT + sent_s, 4.0), stops=[_stop()])
+        _run_at(evidence, "p1")
+        evidence.replicas["p1"].ended.append(("c1", STOP_AT + worked_s))
+        check.assertEqual(bool(_broken(evidence)), broken, (sent_s, worked_s))
+
+
+def test_unplanned_trouble_of_the_front_or_the_replica_excuses_a_lost_call():
+    for subject, broken in (
+        (FRONT, False),
+        ("p1", False),
+        ("p2", True),
+        ("store", True),
+    ):
+        evidence = _evidence_with(_closed(STOP_AT, 1.0), stops=[_stop()])
+        _run_at(evidence, "p1")
+        evidence.disrupt("kill", subject, STOP_AT).ended = STOP_AT + 0.5
+        check.assertEqual(bool(_broken(evidence)), broken, subject)
+
+
+def test_second_runs_are_found_and_prefills_are_none():
+    evidence = _evidence_with(_sent())
+    _run_at(evidence, "s1", headers={"Turmericward-Serving-Stage": "prefill"})
+    _run_at(evidence, "s3")
+    check.assertEqual(_broken(evidence), set())
+    _run_at(evidence, "s4")
+    check.assertEqual(_broken(evidence), {"calls_that_may_run_once_run_at_most_once"})
+
+
+def test_refusals_of_calls_that_ran_are_found():
+    evidence = _evidence_with(_sent(status=503, body=b"refused"))
+    check.assertEqual(_broken(evidence), set())
+    _run_at(evidence, "p1")
+    check.assertEqual(_broken(evidence), {"refused_calls_never_run"})
+
+
+def test_foreign_partial_and_unsigned_answers_are_found():
+    for changes in ({"body": b"answer to c2"}, {"body": b"answ"}, {"signed": False}):
+        evidence = _evidence_with(_sent(**changes))
+        check.assertEqual(_broken(evidence), {"answers_are_the_calls_own_and_whole"})
+
+
+def test_new_calls_of_leaving_replicas_are_found_after_the_bound():
+    for late_s, broken in ((1.9, False), (4.0, True)):
+        evidence = _evidence_with(_sent())
+        leaving = _evidence.Leaving(replica="p1", began=90.0, ended=120.0)
+        evidence.leaving.append(leaving)
+        _run_at(evidence, "p1", at=90.0 + late_s)
+        check.assertEqual(bool(_broken(evidence)), broken, late_s)
+
+
+def test_routes_that_vanish_again_are_found():
+    served = _sent(route="since2", took_s=0.1)
+    gone = _sent(STOP_AT + 3, 0.1, route="since2", status=404, body=b"")
+    evidence = _evidence_with(served, gone, versions={2: STOP_AT + 2.5})
+    check.assertEqual(_broken(evidence), {"configuration_never_goes_back"})
+    restarted = attrs.evolve(gone, boot=2)
+    evidence = _evidence_with(served, restarted, versions={2: STOP_AT + 2.5})
+    check.assertEqual(_broken(evidence), set())
+
+
+def test_stops_that_end_by_sigkill_are_found():
+    evidence = _evidence_with(stops=[_stop(exit_status=-9, took_s=8.0)])
+    check.assertEqual(_broken(evidence), {"stopped_processes_exit_by_themselves"})
+
+
+def test_falling_fencing_tokens_are_found():
+    evidence = _evidence_with()
+    for at, token, holder in ((1.0, 2, "a"), (2.0, 2, "a"), (3.0, 1, "b")):
+        evidence.replicas["m1"].orders.append(
+            platform_replica.RoleOrder(
+                holder=holder, token=token, stage="decode", at=at
+            )
+        )
+    check.assertEqual(_broken(evidence), {"role_orders_have_one_holder"})
