--- a/src/turmericward/platform/_ingress.py
+++ b/src/turmericward/platform/_ingress.py
@@ -3,18 +3,23 @@
 import http
 import json
 import random
+import re
 from concurrent import futures
 
 import attrs
 from absl import logging
 
-from turmericward import delivery, httpd, requests, runtime, telemetry
+from turmericward import delivery, httpd, requests, runtime, schema, telemetry
 from turmericward.adapters import service
 from turmericward.platform import _headers
 
 DEFAULT_DEADLINE_S = 10.0
 NOT_READY_RETRY_S = 1.0
 STATUS_TIMEOUT_S = 1.0
+MAX_DEADLINE_MS = 1e11
+# Longer deadlines count as this multiple of the route's timeout: the longest one of a
+# route tells which of its later calls are repeated.
+MAX_DEADLINE_PER_TIMEOUT = 2.0
 # Client headers that aren't forwarded: set per target, or hop-by-hop.
 _NOT_FORWARDED = _headers.SYSTEM_HEADERS | {
     _headers.LAST_EVENT_ID.lower(),
@@ -23,6 +28,10 @@
 }
 
 
+# Others can't be sent on to a target.
+_REQUEST_TARGET = re.compile(r"[!-~]+", re.ASCII)
+
+
 class BadRequestError(ValueError):
     """Raised when a header of a client's call is malformed."""
 
@@ -52,6 +61,8 @@
         if table is None:
             raise delivery.NotConfiguredError("no configuration is known yet")
         target = environ["REQUEST_URI"]
+        if not _REQUEST_TARGET.fullmatch(target):
+            raise BadRequestError("path has characters that aren't printable ASCII")
         host = environ.get("HTTP_HOST", "").lower().partition(":")[0]
         route = table.find(host, target.partition("?")[0])
         call = _build_call(environ, target, route)
@@ -136,7 +147,10 @@
     pairs = _header_pairs(environ)
     values = {name.lower(): value for name, value in pairs}
     received = environ.get(httpd.RECEIVED_AT_KEY) or runtime.now()
-    deadline_s = _deadline_s(values)
+    deadline_s = min(
+        _deadline_s(values),
+        max(DEFAULT_DEADLINE_S, MAX_DEADLINE_PER_TIMEOUT * route.timeout_s),
+    )
     forwarded = service.end_to_end_headers(pairs)
     return delivery.Call(
         id=values.get(_headers.CALL_ID.lower(), ""),
@@ -156,10 +170,12 @@
 
 def _deadline_s(values: dict[str, str]) -> float:
     raw = values.get(_headers.DEADLINE_MS.lower(), "")
+    if not raw:
+        return DEFAULT_DEADLINE_S
     try:
-        return float(raw) / 1000 if raw else DEFAULT_DEADLINE_S
-    except ValueError:
-        logging.warning("deadline %r is not a number; using the default", raw)
+        return schema.parse_float(raw, -MAX_DEADLINE_MS, MAX_DEADLINE_MS) / 1000
+    except schema.SchemaError as exc:
+        logging.warning("invalid deadline, using the default: %s", exc)
         return DEFAULT_DEADLINE_S
 
 
@@ -171,7 +187,7 @@
         return None
     try:
         segments = tuple(_segment(text) for text in raw.split(","))
-        output_tokens = int(counts.split(",")[1])
+        output_tokens = _output_tokens(counts.split(",")[1])
     except (ValueError, IndexError) as exc:
         raise BadRequestError(f"prompt {raw!r} of {counts!r} tokens: {exc}") from exc
     model = values.get(_headers.MODEL.lower(), "")
@@ -180,7 +196,17 @@
 
 def _segment(text: str) -> requests.PromptSegment:
     segment_id, _, tokens = text.strip().partition(":")
-    return requests.PromptSegment(id=segment_id, tokens=int(tokens))
+    return requests.PromptSegment(id=segment_id, tokens=_tokens(tokens))
+
+
+def _tokens(text: str) -> int:
+    return schema.parse_int(text, 0, requests.MAX_TOKENS)
+
+
+def _output_tokens(text: str) -> int:
+    """Decodes the maximum of output tokens, which may stand for no maximum."""
+    count = schema.parse_int(text, -schema.MAX_INT, schema.MAX_INT)
+    return max(0, min(requests.MAX_TOKENS, count))
 
 
 class Readiness:
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -5,11 +5,12 @@
 import threading
 import time
 
-from standins import _http, engine, launch, log
+from standins import _http, engine, instances, launch, log
 from tests import fixtures
-from turmericward import authority
+from turmericward import authority, schema
 from turmericward.adapters import engine as engine_adapter
 from turmericward.adapters import errors, service
+from turmericward.adapters import instances as instances_adapter
 from turmericward.adapters import log as log_adapter
 
 check = fixtures.check
@@ -84,6 +85,42 @@
             client.close()
 
 
+class _ClosingLog(log.Log):
+    """Closes the connection of its second request, unanswered, as it is received."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.methods = []
+
+    def handle_request(self, req) -> None:
+        self.methods.append(req.command)
+        if len(self.methods) == 2:
+            req.close_connection = True
+            req.connection.shutdown(socket.SHUT_RDWR)
+            return
+        super().handle_request(req)
+
+
+def test_a_read_on_a_kept_connection_that_is_being_closed_is_repeated():
+    app = _ClosingLog()
+    with serve_app(app) as address:
+        client = log_adapter.LogClient(address, 2.0)
+        client.append("s", ["a"])
+        page = client.read("s", 0)
+        check.assertEqual([r.value for r in page.records], ["a"])
+    check.assertEqual(app.methods, ["POST", "GET", "GET"])
+
+
+def test_an_append_on_a_kept_connection_that_is_being_closed_is_not_repeated():
+    app = _ClosingLog()
+    with serve_app(app) as address:
+        client = log_adapter.LogClient(address, 2.0)
+        client.read("s", 0)
+        with check.assertRaises(errors.LogUnavailableError):
+            client.append("s", ["a"])
+    check.assertEqual(app.methods, ["GET", "POST"])
+
+
 def test_log_read_of_an_expired_offset_raises():
     with serve_app(log.Log()) as address:
         launch.request(address, "POST", "/_faults", {"retain": 2})
@@ -95,6 +132,43 @@
         client.close()
 
 
+def test_a_record_beyond_the_limits_does_not_hide_the_others_of_its_page():
+    with serve_app(log.Log()) as address:
+        client = log_adapter.LogClient(address, 2.0)
+        client.append("s", [{"n": 1}])
+        nested = []
+        for _ in range(schema.MAX_DEPTH):
+            nested = [nested]
+        for value in (nested, 2**63, {"n": 2}, float("inf")):
+            client.append("s", [value])
+        page = client.read("s", 0)
+        values = [record.value for record in page.records]
+        check.assertEqual(values, [{"n": 1}, None, None, {"n": 2}, None])
+        check.assertEqual([r.offset for r in page.records], list(range(5)))
+        check.assertEqual(page.next_offset, 5)
+        client.close()
+
+
+def test_odd_rows_of_the_instance_list_do_not_hide_the_others():
+    good = {"kind": "entry", "name": "a1", "domain": "a", "leaving": False}
+    good |= {"address": "127.0.0.1"}
+    target = good | {"kind": "target", "name": "e1", "address": "127.0.0.1:5"}
+    odd = [
+        good | {"address": "a..b"},
+        good | {"address": "::1%" + "a" * 300},
+        good | {"name": 5},
+        good | {"leaving": "no"},
+        {},
+    ]
+    with serve_app(instances.InstanceList()) as address:
+        body = {"instances": [*odd, good | {"later": 1}, target]}
+        launch.request(address, "POST", "/instances", body)
+        client = instances_adapter.InstanceListClient(address, 2.0)
+        names = [row.name for row in client.read()]
+        client.close()
+    check.assertEqual(names, ["a1", "e1"])
+
+
 def test_service_errors_distinguish_not_sent_from_response_lost():
     req = service.Request(method="POST", path="/x", body=b"{}")
     head = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
