--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -1,6 +1,7 @@
 """Fronts as processes, beside a store, replicas and links inside the soak's process."""
 
 import contextlib
+import functools
 import json
 import os
 import pathlib
@@ -16,12 +17,16 @@
 from standins import _http, launch, link, platform_replica, platform_store
 
 HOST = "api.example"
-START_TIMEOUT_S = 60.0
+START_TIMEOUT_S = 120.0
 SLOTS = 64
 ROUTE_TIMEOUT_MS = 20_000
 FRONTS_PER_DOMAIN = 2
 # Fronts beyond this many reach the store directly; a link needs threads of the soak.
 MAX_STORE_LINKS = 16
+# The stand-in store is one process, which many fronts make slow.
+STORE_TIMEOUT_PER_FRONT_S = 0.05
+# Rows of a listing; small pages cost the soak a call for every two fronts.
+STORE_PAGE = 200
 FIRST_FRONT_HOST = 20
 # Route, kind, service, and whether its streams may be resumed.
 ROUTES = (
@@ -144,12 +149,15 @@
 
     def _start(self) -> None:
         self.store = platform_store.Store()
+        self.store.page_size = STORE_PAGE
         (port,) = launch.free_ports(1)
         self._store_address = f"127.0.0.1:{port}"
         self._serve(_evidence.STORE, self._store_address, self.store)
         for name in REPLICAS:
             address, announced = (f"127.0.0.1:{p}" for p in launch.free_ports(2))
-            self.replicas[name] = platform_replica.Replica(name)
+            replica = self.replicas[name] = platform_replica.Replica(name)
+            replica.stage = REPLICAS[name][1]
+            replica.stage_changed = functools.partial(self._change_stage, name)
             self._addresses[name], self._announced[name] = address, announced
             self._serve(name, address, self.replicas[name])
             self._link(name, announced, address)
@@ -217,7 +225,11 @@
                 "peers": ports[0],
                 "metrics": ports[1],
             },
-            "store": {"address": store, "wait_s": 0.5, "timeout_s": 0.5},
+            "store": {
+                "address": store,
+                "wait_s": 0.5,
+                "timeout_s": max(0.5, self.count * STORE_TIMEOUT_PER_FRONT_S),
+            },
             "limits": {"file_descriptors": 4096, "memory_mb": 300},
             "bounds": {
                 "drain_s": self.grace_s,
@@ -247,7 +259,8 @@
 
     def announce(self, name: str, *, draining: bool = False) -> None:
         """Writes a replica's record; a replica that drains gets no further calls."""
-        service, stage = REPLICAS[name]
+        service, _ = REPLICAS[name]
+        stage = self.replicas[name].stage
         if not draining:
             self._births += 1
         entry = {
@@ -261,6 +274,11 @@
         entry |= {"stage": stage} if stage else {}
         self.store.put("keyed.servers", name, json.dumps(entry).encode())
 
+    def _change_stage(self, name: str) -> None:
+        # A replica that is away announces its stage when it returns.
+        if name not in self.away:
+            self.announce(name)
+
     def remove(self, name: str) -> None:
         """Deletes a replica's record."""
         self.store.put("keyed.servers", name, b"")
