--- a/standins/log.py
+++ b/standins/log.py
@@ -2,9 +2,12 @@
 
 Faults are set by `POST /_faults`: `outage`, `lose_answers` (that many appends
 take effect and return 500), `refuse` (that many return 500 without effect),
-`delay_s`, and `retain` (records retained for each stream).
+`delay_s`, and `retain` (records retained for each stream). `return_from_copy` brings
+the log back from a copy of `copy_now`; each return begins a new era, which all answers
+name in `Log-Era`. A read past the end of a stream gets 410.
 """
 
+import copy
 import threading
 import time
 
@@ -28,6 +31,10 @@
             self.first += excess
         return start
 
+    @property
+    def end(self) -> int:
+        return self.first + len(self.values)
+
     def read(self, start: int, limit: int) -> list[dict]:
         rows = self.values[start - self.first :][:limit]
         return [{"offset": start + n, "value": v} for n, v in enumerate(rows)]
@@ -49,6 +56,8 @@
         """Starts without streams and faults."""
         self._changed = threading.Condition()
         self._streams: dict[str, _Stream] = {}
+        self._copy: dict[str, _Stream] = {}
+        self._era = 1
         self._faults = _Faults()
         self.appends = 0
 
@@ -70,7 +79,13 @@
 
     def _set_faults(self, req: _http.Handler) -> None:
         with self._changed:
-            for name, value in (req.json() or {}).items():
+            faults = req.json() or {}
+            if faults.pop("copy_now", False):
+                self._copy = copy.deepcopy(self._streams)
+            if faults.pop("return_from_copy", False):
+                self._streams = copy.deepcopy(self._copy)
+                self._era += 1
+            for name, value in faults.items():
                 setattr(self._faults, name, value)
             self._changed.notify_all()
             req.answer(200, attrs.asdict(self._faults) | {"appends": self.appends})
@@ -94,7 +109,7 @@
         if answer_lost:
             req.answer(500, {"error": "internal"})
         else:
-            req.answer(200, {"first": first})
+            req.answer(200, {"first": first}, self._headers())
 
     def _read(self, req: _http.Handler, stream: str) -> None:
         start = int(req.query["from"])
@@ -102,20 +117,25 @@
         deadline = time.monotonic() + float(req.query.get("wait", 0))
         with self._changed:
             records = self._streams.setdefault(stream, _Stream())
-            while start >= records.first + len(records.values):
+            while start == records.end:
                 remaining_s = deadline - time.monotonic()
                 if remaining_s <= 0 or self._faults.outage:
                     break
                 self._changed.wait(remaining_s)
+                records = self._streams.setdefault(stream, _Stream())
             first = records.first
+            past_end = start > records.end
             rows = records.read(start, limit) if start >= first else []
         if self._faults.outage:
             req.answer(503, {"error": "outage"})
-        elif start < first:
-            req.answer(410, {"first": first})
+        elif start < first or past_end:
+            req.answer(410, {"first": first}, self._headers())
         else:
             body = {"records": rows, "next": start + len(rows), "first": first}
-            req.answer(200, body)
+            req.answer(200, body, self._headers())
+
+    def _headers(self) -> list[tuple[str, str]]:
+        return [("Log-Era", str(self._era))]
 
 
 @click.command()
