The last log lines of a steward are written before it exits

Seen: 'steward has stopped after ...' was in no log; the process exits by os._exit, which drops lines that wait for the writer thread. The flush at an exit, which fronts and entries have, ended when the queue was empty, before its last line was written.

--- a/src/turmericward/telemetry/_logs.py
+++ b/src/turmericward/telemetry/_logs.py
@@ -136,7 +136,8 @@
     for handler in std_logging.getLogger().handlers:
         if not isinstance(handler, BoundedQueueHandler):
             continue
-        while not handler.queue.empty() and time.monotonic() < deadline:
+        # The queue is empty before its last line is written.
+        while handler.queue.unfinished_tasks and time.monotonic() < deadline:
             time.sleep(FLUSH_POLL_S)
 
 
