The reload's signal handler takes no lock; tests of signals in series

Cause: Event.set in a handler takes a lock that isn't reentrant; SIGHUP's handler still did. Now it only puts into a SimpleQueue, which is safe there.

--- a/src/turmericward/platform/_reload.py
+++ b/src/turmericward/platform/_reload.py
@@ -1,6 +1,7 @@
 """Reloads the settings file and applies changes while the process runs."""
 
-import threading
+import contextlib
+import queue
 from collections.abc import Callable
 
 import attrs
@@ -48,24 +49,24 @@
         self._path = path
         self._cfg = cfg
         self._apply = apply
-        self._requested = threading.Event()
+        # Unlike an event's lock, `put` is safe in a signal handler.
+        self._requests: queue.SimpleQueue[None] = queue.SimpleQueue()
         self._last_error = ""
 
     def request_reload(self) -> None:
         """Wakes the loop to read the file at once; safe in a signal handler."""
-        self._requested.set()
+        self._requests.put(None)
 
     def stop(self) -> None:
         """Stops the loop after the current iteration."""
         super().stop()
-        self._requested.set()
+        self._requests.put(None)
 
     def run_once(self) -> None:
         """Waits for a request or the poll interval, then reads the file."""
-        self._requested.wait(POLL_INTERVAL_S)
+        self._await_request()
         if self.stopping:
             return
-        self._requested.clear()
         try:
             self._update(settings.load(self._path, _settings.Settings))
         except settings.SettingsError as exc:
@@ -76,6 +77,13 @@
                 )
             self._last_error = error
 
+    def _await_request(self) -> None:
+        """Waits for requests or the poll interval; takes all requests."""
+        with contextlib.suppress(queue.Empty):
+            self._requests.get(timeout=POLL_INTERVAL_S)
+            while True:
+                self._requests.get_nowait()
+
     def _update(self, cfg: _settings.Settings) -> None:
         self._last_error = ""
         changed = changed_paths(self._cfg, cfg)
