The longest of a route's calls is believed from thirty calls on

Below thirty calls, in the second half of a stop, a call now has to fit with all of its own time. The test of known durations has both limits.

--- a/src/turmericward/delivery/_stop.py
+++ b/src/turmericward/delivery/_stop.py
@@ -17,9 +17,11 @@
 REASON = "stopping"
 # Other instances take the call at once.
 RETRY_AFTER_S = 0.1
-# Calls of a route whose durations are kept, and below how many they say little.
+# Calls of a route whose durations are kept, and below how many of them little is known
+# of most calls, and of the longest.
 RECENT_CALLS = 128
 MIN_CALLS = 10
+MIN_CALLS_FOR_LONGEST = 30
 # While most of the stop is left: mean deviations above the mean that a call may take,
 # and the share of its time that one may take of whose route little is known.
 USUAL_DEVIATIONS = 2.0
@@ -71,7 +73,9 @@
     def longest_s(self, route: str) -> float | None:
         """Returns what hardly any call of a route exceeds, None if few are known."""
         recent = self._recent(route)
-        return LONGEST_FACTOR * max(recent) if len(recent) >= MIN_CALLS else None
+        if len(recent) < MIN_CALLS_FOR_LONGEST:
+            return None
+        return LONGEST_FACTOR * max(recent)
 
     def _recent(self, route: str) -> list[float]:
         with self._lock:
--- a/tests/test_delivery_stop.py
+++ b/tests/test_delivery_stop.py
@@ -213,13 +213,13 @@
 
 def test_expected_durations_are_those_of_the_route_and_need_some_calls():
     times = _stop.CallTimes()
-    for _ in range(_stop.MIN_CALLS - 1):
-        times.record("a", 1.0)
-    check.assertEqual((times.usual_s("a"), times.longest_s("a")), (None, None))
-    for _ in range(20):
+    for number in range(1, _stop.MIN_CALLS_FOR_LONGEST + 1):
+        check.assertIsNone(times.longest_s("a"), number)
         times.record("a", 1.0)
+        usual_s = None if number < _stop.MIN_CALLS else 1.0
+        check.assertEqual(times.usual_s("a"), usual_s, number)
         times.record("b", 0.1)
-    check.assertEqual(times.usual_s("a"), 1.0)
+    check.assertGreater(times.longest_s("a"), 1.0)
     check.assertLess(times.longest_s("b"), 1.0)
 
 
