--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -180,7 +180,9 @@
         placement = self._open.placement
         return _calls.Dispatch(
             timeout_s=_timeouts.first_byte_timeout_s(
-                self._call, placement.expected_s, may_repeat=self._progress.may_repeat()
+                self._call,
+                placement.expected_s,
+                may_repeat=self._early_end.may_repeat(self._call),
             ),
             priority=self._call.route.priority + placement.rank,
             resume_after=self._call.resume_after,
@@ -307,7 +309,7 @@
     def next_event_deadline(self) -> float:
         """Returns the time by which the next event has to arrive."""
         return _timeouts.next_event_deadline(
-            self._call, may_repeat=self._progress.may_repeat()
+            self._call, may_repeat=self._early_end.may_repeat(self._call)
         )
 
     def events_received(self, count: int) -> None:
--- a/src/turmericward/delivery/_early_end.py
+++ b/src/turmericward/delivery/_early_end.py
@@ -71,6 +71,13 @@
         if not self._stop.admits(call, runtime.now() - self._began_at):
             self._progress.abandon(_stop.REASON, _stop.RETRY_AFTER_S)
 
+    def may_repeat(self, call: _calls.Call) -> bool:
+        """Returns whether another attempt may follow the running one.
+
+        If not, it isn't given up before the call's deadline.
+        """
+        return self._progress.may_repeat() and self._stop.admits(call, 0.0)
+
     def record_answered(self, call: _calls.Call) -> None:
         """Records how long the call took to the end of its answer."""
         self._stop.times.record(call.route.name, runtime.now() - self._began_at)
