--- a/src/turmericward/telemetry/_logs.py
+++ b/src/turmericward/telemetry/_logs.py
@@ -136,6 +136,7 @@
     for handler in std_logging.getLogger().handlers:
         if not isinstance(handler, BoundedQueueHandler):
             continue
+        # The queue is empty before its last line is written.
         while handler.queue.unfinished_tasks and time.monotonic() < deadline:
             time.sleep(FLUSH_POLL_S)
 
