--- a/src/turmericward/delivery/_stop.py
+++ b/src/turmericward/delivery/_stop.py
@@ -56,10 +56,11 @@
     def record(self, route: str, took_s: float) -> None:
         """Records a call that was answered."""
         with self._lock:
-            if route not in self._routes and len(self._routes) >= MAX_ROUTES:
+            if route not in self._routes:
+                self._routes[route] = collections.deque(maxlen=RECENT_CALLS)
+            if len(self._routes) > MAX_ROUTES:
                 self._routes.pop(next(iter(self._routes)))
-            empty = collections.deque(maxlen=RECENT_CALLS)
-            self._routes.setdefault(route, empty).append(took_s)
+            self._routes[route].append(took_s)
 
     def usual_s(self, route: str) -> float | None:
         """Returns what most calls of a route take, None if few are known."""
@@ -91,7 +92,7 @@
 
     def must_end(self) -> bool:
         """Returns whether open calls have to get their final answers now."""
-        return self.drain.remaining_s <= 0
+        return self.drain.until_deadline_s <= 0
 
     def admits(self, call: _calls.Call, elapsed_s: float) -> bool:
         """Returns whether an attempt is likely to end before the stop does.
@@ -103,10 +104,11 @@
         """
         if not self.drain.began:
             return True
-        return self._need_s(call, elapsed_s) <= self.drain.remaining_s
+        return self._need_s(call, elapsed_s) <= self.drain.until_deadline_s
 
     def _need_s(self, call: _calls.Call, elapsed_s: float) -> float:
-        # A call that came early in the stop may run until its end.
+        # New callers still come then, and a refusal costs them more than the rare call
+        # that is cut.
         early = self.drain.is_mostly_left
         times, route = self.times, call.route
         likely_s = times.usual_s(route.name) if early else times.longest_s(route.name)
--- a/src/turmericward/entry/_assembly.py
+++ b/src/turmericward/entry/_assembly.py
@@ -59,7 +59,7 @@
         try:
             self._server.run(stop, self._start_draining)
         finally:
-            self._group.stop(min(STOP_TIMEOUT_S, self._ctx.drain.left_s))
+            self._group.stop(min(STOP_TIMEOUT_S, self._ctx.drain.until_end_s))
 
     def _start_draining(self) -> None:
         logging.info("entry %s is draining", self._ctx.name)
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -244,7 +244,7 @@
         try:
             self._server.run(stop, self._begin_drain)
         finally:
-            self._group.stop(min(STOP_TIMEOUT_S, self._drain.left_s))
+            self._group.stop(min(STOP_TIMEOUT_S, self._drain.until_end_s))
 
     def _begin_drain(self) -> None:
         logging.info("front drains")
--- a/src/turmericward/runtime/_drain.py
+++ b/src/turmericward/runtime/_drain.py
@@ -62,7 +62,7 @@
         return 0.0 if self._began_at is None else self._clock() - self._began_at
 
     @property
-    def left_s(self) -> float:
+    def until_end_s(self) -> float:
         """Seconds until `end`, 0 after it."""
         return max(0.0, self.end - self._clock())
 
@@ -73,14 +73,14 @@
         return self.end - margin_s
 
     @property
-    def remaining_s(self) -> float:
+    def until_deadline_s(self) -> float:
         """Seconds until `deadline`."""
         return self.deadline - self._clock()
 
     @property
     def is_mostly_left(self) -> bool:
         """Whether more than half of the length is left until `deadline`."""
-        return self.remaining_s > self._length_s / 2
+        return self.until_deadline_s > self._length_s / 2
 
     @property
     def end(self) -> float:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -42,9 +42,9 @@
     drain.begin()
     check.assertEqual(drain.end, end)
     check.assertEqual(drain.elapsed_s, 5.0)
-    check.assertEqual(drain.left_s, end - clock.now)
+    check.assertEqual(drain.until_end_s, end - clock.now)
     clock.now += 60.0
-    check.assertEqual(drain.left_s, 0.0)
+    check.assertEqual(drain.until_end_s, 0.0)
 
 
 def test_changed_length_applies_to_a_stop_that_has_begun():
