--- a/src/turmericward/adapters/_response.py
+++ b/src/turmericward/adapters/_response.py
@@ -122,26 +122,31 @@
         """Creates the guard; `cancelled` is polled while waiting."""
         self.until = until
         self._cancelled = cancelled
+        self._next_poll_at = 0.0
 
     def wait(self, fileno: int) -> None:
         """Waits until the descriptor is readable.
 
         Raises:
             TimeoutError: it was not readable by `until`.
-            CancelledError: the client disconnected.
+            CancelledError: the client disconnected, or the process stops.
         """
         # Unlike select, poll has no limit on the number of a descriptor.
         poll = select.poll()
         poll.register(fileno, select.POLLIN)
         while True:
-            remaining_s = max(0.0, self.until - runtime.now())
+            now = runtime.now()
+            # Also while bytes come all the time.
+            if now >= self._next_poll_at:
+                self._next_poll_at = now + CANCEL_POLL_S
+                if self._cancelled():
+                    raise errors.CancelledError("call has ended")
+            remaining_s = max(0.0, self.until - now)
             # Bytes received while the process was paused count even past the deadline.
             if poll.poll(min(remaining_s, CANCEL_POLL_S) * 1000):
                 return
             if not remaining_s:
                 raise TimeoutError("no bytes in time")
-            if self._cancelled():
-                raise errors.CancelledError("client disconnected")
 
 
 class _GuardedReader(io.RawIOBase):
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -7,9 +7,9 @@
 
 from standins import _http, engine, instances, launch, log
 from tests import fixtures
-from turmericward import authority, schema
+from turmericward import authority, runtime, schema
+from turmericward.adapters import _response, errors, service
 from turmericward.adapters import engine as engine_adapter
-from turmericward.adapters import errors, service
 from turmericward.adapters import instances as instances_adapter
 from turmericward.adapters import log as log_adapter
 
@@ -231,3 +231,14 @@
         check.assertTrue(_order(address, 5, until))
         check.assertFalse(_order(address, 4, until))
         check.assertTrue(_order(address, 5, until))
+
+
+def test_bytes_that_come_all_the_time_do_not_keep_a_call_from_ending():
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        theirs.sendall(b"x" * 1000)
+        guard = _response.Guard(runtime.now() + 60.0, lambda: True)
+        with check.assertRaises(errors.CancelledError):
+            for _ in range(100):
+                guard.wait(ours.fileno())
+                ours.recv(1)
