Names: a call is cancelled, not only by its client; one phase each for calls and servers

From the review: Call.disconnected also says that the process stops (now cancelled); delivery's Phase is CallPhase beside the server's Phase; Channel.is_last_response changed state (mark_last_response); Server._close_idle also ends what lingers (_close_expired).

--- a/src/turmericward/delivery/_calls.py
+++ b/src/turmericward/delivery/_calls.py
@@ -63,7 +63,8 @@
     `target` is the path with its query as the client sent it; `received` and
     `deadline` are monotonic seconds; `deadline_s` is the time to the deadline when
     the client sent the call; `resume_after` is the last event id that the client has,
-    or empty.
+    or empty; `cancelled` returns whether the call has to end, since its client has left
+    or its process stops.
     """
 
     id: str
@@ -77,7 +78,7 @@
     deadline: float
     prompt: requests.Prompt | requests.Demand | None = None
     resume_after: str = ""
-    disconnected: Callable[[], bool] = lambda: False
+    cancelled: Callable[[], bool] = lambda: False
     traffic_class: str = ""
     tenant: str = ""
 
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -42,13 +42,13 @@
         self._progress = _progress.Progress(route=call.route)
         self._record = _record.CallRecord(ctx.metrics, call, service)
         self._early_end = _early_end.EarlyEnd(
-            call.disconnected,
+            call.cancelled,
             _stop.CallStop(drain=ctx.drain, times=ctx.times),
             self._progress,
             self._record,
         )
         # Polled while an attempt waits for its target.
-        self._call = attrs.evolve(call, disconnected=self._early_end.is_due)
+        self._call = attrs.evolve(call, cancelled=self._early_end.is_due)
         self._open = _open_placement.OpenPlacement(
             ctx.dispatch, self._record, call.prompt
         )
@@ -113,7 +113,7 @@
             return
         while (remaining_s := start - runtime.now()) > 0:
             if self._early_end.is_due():
-                self._early_end.end_call(_stop.Phase.WAITING)
+                self._early_end.end_call(_stop.CallPhase.WAITING)
             time.sleep(min(remaining_s, DISCONNECT_POLL_S))
         self._early_end.exclude_wait(runtime.now() - began_at)
         self._early_end.check_attempt(self._call, retry=False)
@@ -134,7 +134,7 @@
                     self._new_dispatch(prefill_only=True),
                 )
             except errors.CancelledError:
-                self._early_end.end_call(_stop.Phase.PREFILL)
+                self._early_end.end_call(_stop.CallPhase.PREFILL)
             except (errors.NotExecutedError, errors.NotSentError) as exc:
                 self._record_not_executed(exc)
             except errors.AdapterError as exc:
@@ -157,7 +157,7 @@
                 self._open.placement.target, self._call, self._new_dispatch()
             )
         except errors.CancelledError:
-            self._early_end.end_call(_stop.Phase.RUNNING)
+            self._early_end.end_call(_stop.CallPhase.RUNNING)
         except errors.NotSentError as exc:
             # The KV cache wasn't fetched, so another target can still use it.
             self._record_not_executed(exc)
@@ -251,7 +251,7 @@
         try:
             body = answer.read()
         except errors.CancelledError:
-            self._early_end.end_call(_stop.Phase.RUNNING)
+            self._early_end.end_call(_stop.CallPhase.RUNNING)
         except errors.AdapterError as exc:
             self._record_failure(exc)
             return None
@@ -276,7 +276,7 @@
             body.await_first()
         except errors.CancelledError:
             answer.close()
-            self._early_end.end_call(_stop.Phase.RUNNING)
+            self._early_end.end_call(_stop.CallPhase.RUNNING)
         except errors.AdapterError as exc:
             answer.close()
             self._record_failure(exc)
@@ -354,7 +354,7 @@
     def record_interruption(self) -> bool:
         """Records why a stream ends early; returns whether its client still waits."""
         try:
-            self._early_end.end_call(_stop.Phase.STREAMING)
+            self._early_end.end_call(_stop.CallPhase.STREAMING)
         except _early_end.ClientDisconnectedError:
             self.stream_ended("client_gone")
             return False
--- a/src/turmericward/delivery/_early_end.py
+++ b/src/turmericward/delivery/_early_end.py
@@ -45,7 +45,7 @@
         self.ended_by_stop = self.ended_by_stop or self._stop.must_end()
         return self.ended_by_stop
 
-    def end_call(self, phase: _stop.Phase) -> NoReturn:
+    def end_call(self, phase: _stop.CallPhase) -> NoReturn:
         """Ends the call, whose `is_due` has interrupted an attempt.
 
         Raises:
@@ -68,7 +68,7 @@
                 end of the process.
         """
         if self.is_due():
-            self.end_call(_stop.Phase.WAITING)
+            self.end_call(_stop.CallPhase.WAITING)
         if call.remaining_s() <= 0:
             self._progress.abandon("deadline")
         if retry:
--- a/src/turmericward/delivery/_record.py
+++ b/src/turmericward/delivery/_record.py
@@ -71,7 +71,7 @@
             left_s=round(self._call.remaining_s(), 3),
         )
 
-    def log_ended_by_stop(self, phase: _stop.Phase) -> None:
+    def log_ended_by_stop(self, phase: _stop.CallPhase) -> None:
         """Logs and counts a call that the process's stop ends."""
         self._metrics.count(f"delivery.ended_by_stop.{phase.value}")
         telemetry.log_event(
--- a/src/turmericward/delivery/_stop.py
+++ b/src/turmericward/delivery/_stop.py
@@ -31,7 +31,7 @@
 MAX_ROUTES = 200
 
 
-class Phase(enum.Enum):
+class CallPhase(enum.Enum):
     """What a call was doing when the stop ended it."""
 
     WAITING = "waiting"
@@ -42,7 +42,7 @@
     @property
     def may_run(self) -> bool:
         """Whether a target has the call itself, not only its prompt."""
-        return self in (Phase.RUNNING, Phase.STREAMING)
+        return self in (CallPhase.RUNNING, CallPhase.STREAMING)
 
 
 class CallTimes:
--- a/src/turmericward/entry/_models.py
+++ b/src/turmericward/entry/_models.py
@@ -114,7 +114,7 @@
             deadline_s=bounds.deadline_s,
             deadline=now + bounds.deadline_s,
             prompt=demand,
-            disconnected=req.disconnected,
+            cancelled=req.disconnected,
             traffic_class=demand.traffic_class,
             tenant=demand.tenant,
         )
--- a/src/turmericward/entry/_transport.py
+++ b/src/turmericward/entry/_transport.py
@@ -28,7 +28,7 @@
             body=call.body,
             request_id=call.id,
             priority=dispatch.priority,
-            cancelled=call.disconnected,
+            cancelled=call.cancelled,
         )
         if call.route.kind is not delivery.CallKind.STREAM:
             return _to_answer(client.complete(job, dispatch.timeout_s))
--- a/src/turmericward/httpd/_channel.py
+++ b/src/turmericward/httpd/_channel.py
@@ -54,7 +54,7 @@
 
     def build_response_header(self) -> bytes:
         """Announces the close if no further response follows."""
-        if self.channel.is_last_response():
+        if self.channel.mark_last_response():
             self.request.headers["CONNECTION"] = "close"
         header = super().build_response_header()
         has_length = any(n == "Content-Length" for n, _ in self.response_headers)
@@ -128,8 +128,8 @@
         finally:
             self._serving = False
 
-    def is_last_response(self) -> bool:
-        """Returns whether the connection is closed after the next response.
+    def mark_last_response(self) -> bool:
+        """Makes the next response the last one, if it has to be; returns whether it is.
 
         While the server stops, that is so unless another request was read already.
         Bytes that come later are discarded.
--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -103,7 +103,7 @@
         server.lingering = set()
         # Never begins; replaced by the stopper of the main server.
         server.shutdown = _shutdown.Shutdown(runtime.Drain(math.inf), 0.0)
-        # `_close_idle` does this by the monotonic clock.
+        # `_close_expired` does this by the monotonic clock.
         server.maintenance = lambda now: None
         self._servers.append(server)
         return server
@@ -116,7 +116,7 @@
         self._server.adj.max_request_header_size = limits.max_header_bytes + 1
         self._server.adj.max_request_body_size = limits.max_body_bytes + 1
 
-    def _close_idle(self) -> None:
+    def _close_expired(self) -> None:
         now = runtime.now()
         if not self._monitor.is_due(now):
             return
@@ -154,7 +154,7 @@
             try:
                 while not self._stopper.step():
                     wasyncore.poll2(self._stopper.step_s, self._map)
-                    self._close_idle()
+                    self._close_expired()
             finally:
                 stop.set()
                 self._release()
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -51,7 +51,7 @@
         dispatch: delivery.Dispatch,
     ) -> delivery.Answer:
         """Sends a call and reads the response's head; see `delivery.Transport`."""
-        guard = _response.Guard(runtime.now() + dispatch.timeout_s, call.disconnected)
+        guard = _response.Guard(runtime.now() + dispatch.timeout_s, call.cancelled)
         conn = _request.connect(
             target.address,
             dispatch.timeout_s,
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -116,7 +116,7 @@
     )
     call = test_dispatch._call(8.0)
     route = attrs.evolve(call.route, **changes)
-    call = attrs.evolve(call, route=route, disconnected=disconnected)
+    call = attrs.evolve(call, route=route, cancelled=disconnected)
     return delivery.Delivery(ctx, call, "model").run(), dispatcher
 
 
@@ -388,7 +388,7 @@
         transport=transport,
         metrics=telemetry.Metrics(None, ""),
     )
-    call = attrs.evolve(_plain_call(0), disconnected=disconnected)
+    call = attrs.evolve(_plain_call(0), cancelled=disconnected)
     started = runtime.now()
     status = delivery.Delivery(ctx, call, "model").run().status
     return status, len(transport.sent), runtime.now() - started
--- a/tests/test_delivery_stop.py
+++ b/tests/test_delivery_stop.py
@@ -59,7 +59,7 @@
             return
         self._clock.now += STOP_S
         until = time.monotonic() + INTERRUPT_WAIT_S
-        while not call.disconnected():
+        while not call.cancelled():
             check.assertLess(time.monotonic(), until, "call was not interrupted")
             time.sleep(0.01)
         raise errors.CancelledError("interrupted")
@@ -263,7 +263,7 @@
     def chunks(call):
         yield b"id: 1\ndata: x\n\n"
         clock.now = drain.end
-        check.assertTrue(call.disconnected())
+        check.assertTrue(call.cancelled())
         drain.set_length(600.0)
         raise errors.CancelledError("interrupted")
 
