explain says where a trail ends because the process ended

Now one line more for each instance without the end of the request: the last line of that instance's log, or the last before its restart.

--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -10,6 +10,7 @@
 from standins import launch
 from tests import fixtures, platform_fixtures
 from turmericward import telemetry
+from turmericward.programs import _explain
 from turmericward.telemetry import _logs
 
 check = fixtures.check
@@ -121,3 +122,33 @@
     check.assertEqual((line["message"], line["request_id"]), ("placed", "r"))
     check.assertEqual((line["program"], line["instance"]), ("p", "i"))
     check.assertTrue(callable(telemetry.log_event))
+
+
+def _line(time: str, message: str, request_id: str = "", instance="front-1") -> str:
+    fields = {"time": time, "message": message, "instance": instance}
+    return json.dumps(fields | ({"request_id": request_id} if request_id else {}))
+
+
+def test_the_trail_of_a_request_that_ended_with_its_process_says_so():
+    killed = [
+        _line("10:00:01", "placed", "r"),
+        _line("10:00:02", "stop_phase"),
+        _line("10:00:03", "reply", "other"),
+    ]
+    elsewhere = [_line("10:00:04", "front starts", instance="front-2")]
+    (_, end) = _explain.explain("r", killed + elsewhere)
+    check.assertEqual(
+        end, "10:00:03 front-1 no end of the request: log ends after 'reply'"
+    )
+    restarted = [
+        *killed,
+        _line("10:00:09", "front starts"),
+        _line("10:00:10", "placed"),
+    ]
+    (_, end) = _explain.explain("r", restarted)
+    check.assertEqual(
+        end,
+        "10:00:03 front-1 no end of the request: process was restarted after 'reply'",
+    )
+    answered = [*killed, _line("10:00:05", "reply", "r")]
+    check.assertEqual(len(_explain.explain("r", answered)), 2)
