--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -99,10 +99,14 @@
         chosen = self._ctx.dispatch.ask(message).result(DISPATCH_TIMEOUT_S)
         if chosen.is_err():
             refusal = chosen.unwrap_err()
+            if retry:
+                self._record.log_second_attempt("refused", refusal.reason)
             self._progress.abandon(refusal.reason, refusal.retry_after_s)
         placement = chosen.unwrap()
         self._open.begin(placement)
         self._target = placement.target.name
+        if retry:
+            self._record.log_second_attempt("granted", "", self._target)
         self._await_start(runtime.now() + placement.start_after_s)
         self._open.mark_sent()
 
@@ -184,12 +188,14 @@
 
     def _new_dispatch(self, *, prefill_only=False) -> _calls.Dispatch:
         placement = self._open.placement
+        timeout_s = _timeouts.first_byte_timeout_s(
+            self._call,
+            placement.expected_s,
+            may_repeat=self._early_end.may_repeat(self._call),
+        )
+        self._record.begin_wait(runtime.now() + timeout_s)
         return _calls.Dispatch(
-            timeout_s=_timeouts.first_byte_timeout_s(
-                self._call,
-                placement.expected_s,
-                may_repeat=self._early_end.may_repeat(self._call),
-            ),
+            timeout_s=timeout_s,
             priority=self._call.route.priority + placement.rank,
             resume_after=self._call.resume_after,
             kv_source=self._kv_source,
@@ -218,6 +224,8 @@
     def _end_failed_attempt(self, exc: Exception) -> bool:
         """Ends the placement; returns whether the target has ended."""
         crashed = self._has_target_crashed(exc)
+        if self._record.is_late:
+            self._record.log_late_attempt(self._open.placement)
         self._record.log_failed_attempt(
             self._open.placement, "failed", repr(exc), target_ended=crashed
         )
@@ -308,16 +316,23 @@
     def _record_reply(self, outcome: str, status: int) -> None:
         progress = self._progress
         self._record.record_reply(
-            outcome, status, progress.reason, progress.stop_reason, progress.arrivals
+            outcome,
+            status,
+            progress.reason,
+            progress.stop_reason,
+            progress.arrivals,
+            self._target,
         )
 
     # Callbacks of a running stream; see `_stream.StreamOwner`.
 
     def next_event_deadline(self) -> float:
         """Returns the time by which the next event has to arrive."""
-        return _timeouts.next_event_deadline(
+        until = _timeouts.next_event_deadline(
             self._call, may_repeat=self._early_end.may_repeat(self._call)
         )
+        self._record.begin_wait(until)
+        return until
 
     def events_received(self, count: int) -> None:
         """Records the arrival of a batch of events."""
--- a/src/turmericward/delivery/_record.py
+++ b/src/turmericward/delivery/_record.py
@@ -20,6 +20,9 @@
         self._first_event_at: float | None = None
         self._last_event_at = 0.0
         self._intervals_ms: list[int] = []
+        # The current wait for a target: since when, and until when it is meant to last.
+        self._waiting_since = self._wait_until = runtime.now()
+        self._late_placement: requests.Placement | None = None
 
     def log_placement(self, placement: requests.Placement) -> None:
         """Logs a placement with the estimates behind it."""
@@ -54,10 +57,62 @@
             took_s=round(took_s, 3),
         )
 
+    def begin_wait(self, until: float) -> None:
+        """Records that a target is waited for from now until a time."""
+        self._waiting_since = runtime.now()
+        self._wait_until = until
+
+    @property
+    def is_late(self) -> bool:
+        """Whether the target was waited for as long as was meant."""
+        return runtime.now() >= self._wait_until
+
+    @property
+    def _silent_s(self) -> float:
+        return round(runtime.now() - self._waiting_since, 3)
+
+    @property
+    def _wait_s(self) -> float:
+        return round(self._wait_until - self._waiting_since, 3)
+
+    def log_late_attempt(self, placement: requests.Placement) -> None:
+        """Logs and counts an attempt that has been waited for too long, once."""
+        if placement is self._late_placement:
+            return
+        self._late_placement = placement
+        self._metrics.count("delivery.late_attempts")
+        telemetry.log_event(
+            "attempt_late",
+            request_id=self._call.id,
+            target=placement.target.name,
+            began=self._first_event_at is not None,
+            silent_s=self._silent_s,
+            wait_s=self._wait_s,
+            after_s=self._elapsed_s(),
+            left_s=round(self._call.remaining_s(), 3),
+        )
+
+    def log_second_attempt(self, outcome: str, reason: str, target: str = "") -> None:
+        """Logs and counts whether another attempt was allowed, or what it came to."""
+        self._metrics.count(f"delivery.second_attempt.{outcome}")
+        telemetry.log_event(
+            "second_attempt",
+            request_id=self._call.id,
+            outcome=outcome,
+            reason=reason,
+            target=target,
+            silent_s=self._silent_s,
+            after_s=self._elapsed_s(),
+        )
+
     def log_failed_attempt(
         self, placement, outcome: str, detail: str, *, target_ended: bool = False
     ) -> None:
-        """Logs a failed or refused attempt; `target_ended` if its process ended."""
+        """Logs a failed or refused attempt; `target_ended` if its process ended.
+
+        `silent_s` is the time since the target last had an answer or event to give,
+        `wait_s` how long it was meant to be waited for.
+        """
         telemetry.log_event(
             "attempt",
             request_id=self._call.id,
@@ -67,6 +122,8 @@
             target_ended=target_ended,
             began=self._first_event_at is not None,
             segments=_shared_segment_ids(self._call.prompt),
+            silent_s=self._silent_s,
+            wait_s=self._wait_s,
             after_s=self._elapsed_s(),
             left_s=round(self._call.remaining_s(), 3),
         )
@@ -94,7 +151,13 @@
         self._last_event_at = now
 
     def record_reply(
-        self, outcome: str, status: int, reason: str, stop_reason: str, attempts: int
+        self,
+        outcome: str,
+        status: int,
+        reason: str,
+        stop_reason: str,
+        attempts: int,
+        target: str = "",
     ) -> None:
         """Logs and counts the end of the call.
 
@@ -104,6 +167,7 @@
             reason: cause of the failure, or empty.
             stop_reason: why no further attempt was made, or empty.
             attempts: number of attempts that reached a target.
+            target: the target of the last attempt, which gave the answer if any did.
         """
         took_s = runtime.now() - self._call.received
         self._metrics.count(f"delivery.{outcome}")
@@ -127,6 +191,7 @@
             reason=reason,
             stopped=stop_reason,
             attempts=attempts,
+            target=target,
             took_s=round(took_s, 3),
             first_s=self._time_to_first_s(took_s),
             objective_s=self._call.route.objective_s,
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -1,6 +1,7 @@
 """Delivery of calls to targets with scripted faults, without sockets."""
 
 import collections
+import time
 from concurrent import futures
 from unittest import mock
 
@@ -442,3 +443,31 @@
         transport = _Transport(sends=["closed"] * 9, ended=ended)
         reply, _ = _run(transport, targets, slack=600.0, max_attempts=4)
         check.assertEqual((len(transport.sent), reply.status), (sent, 502), ended)
+
+
+def _logged(log_event, name: str) -> list[dict]:
+    return [c.kwargs for c in log_event.call_args_list if c.args == (name,)]
+
+
+def test_lines_of_a_lost_stream_did_not_tell_a_pause_from_a_lost_connection():
+    def chunks(pause_s: float):
+        yield b"id: 1\ndata: x\n\n"
+        time.sleep(pause_s)
+        raise errors.AnswerLostError("no bytes in time")
+
+    targets = [test_dispatch._target("e1")]
+    for pause_s, late in ((0.0, 0), (1.05, 1)):
+        transport = _Transport(streams=[chunks(pause_s)])
+        with mock.patch.object(telemetry, "log_event") as log_event:
+            reply, _ = _run(transport, targets, max_attempts=2)
+            with check.assertRaises(delivery.StreamBrokenError):
+                list(reply.body)
+        (line,) = _logged(log_event, "attempt")
+        check.assertEqual(line["wait_s"], 1.0)
+        check.assertAlmostEqual(line["silent_s"], pause_s, delta=0.2)
+        check.assertEqual(len(_logged(log_event, "attempt_late")), late, pause_s)
+        (second,) = _logged(log_event, "second_attempt")
+        check.assertEqual(
+            (second["outcome"], second["reason"]), ("refused", "no_target")
+        )
+        check.assertEqual(_logged(log_event, "reply")[0]["target"], "e1")
