--- /dev/null
+++ b/src/turmericward/adapters/_pending.py
@@ -0,0 +1,57 @@
+"""Connections on which an answer is awaited while another attempt is made.
+
+Load pattern handled: targets that say nothing for a second or so and then go on. Their
+connections stay open until another target is known to answer.
+"""
+
+import contextlib
+import socket
+
+
+class PendingConnection:
+    """A connection on which an answer is awaited, as seen from another attempt."""
+
+    def __init__(self, fileno: int, *, trickles: bool = False) -> None:
+        """Refers to an open connection without owning it.
+
+        Args:
+            fileno: its descriptor.
+            trickles: whether bytes have come that were no progress, so that further
+                ones are no sign of it.
+        """
+        self.fileno = fileno
+        self.watched = not trickles
+        self.closed = False
+
+    def has_bytes(self) -> bool:
+        """Returns whether bytes can be read, rather than the connection's end."""
+        try:
+            with _borrowed(self.fileno) as sock:
+                return bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
+    def close(self) -> None:
+        """Ends the connection; its owner still has to close the descriptor."""
+        self.closed = True
+        self.watched = False
+        with contextlib.suppress(OSError), _borrowed(self.fileno) as sock:
+            sock.shutdown(socket.SHUT_RDWR)
+
+
+@contextlib.contextmanager
+def _borrowed(fileno: int):
+    sock = socket.socket(fileno=fileno)
+    try:
+        yield sock
+    finally:
+        sock.detach()
+
+
+def give_up(_: PendingConnection) -> float:
+    """Ends a wait that is over.
+
+    Raises:
+        TimeoutError: always.
+    """
+    raise TimeoutError("no bytes in time")
--- a/src/turmericward/adapters/_response.py
+++ b/src/turmericward/adapters/_response.py
@@ -1,5 +1,6 @@
 """HTTP responses that are accepted only if they are complete."""
 
+import contextlib
 import http.client
 import io
 import re
@@ -7,7 +8,7 @@
 from collections.abc import Callable
 
 from turmericward import runtime
-from turmericward.adapters import errors
+from turmericward.adapters import _pending, errors
 
 CANCEL_POLL_S = 0.2
 HEAD_TERMINATORS = (b"\r\n", b"\n")
@@ -113,16 +114,40 @@
 
 
 class Guard:
-    """Bounds waits for bytes by a deadline and by cancellation.
+    """Bounds waits for bytes by time and by cancellation.
 
-    `until` is the deadline in monotonic seconds; it may change between reads.
+    `until` is the end of the wait in monotonic seconds; it may change between reads.
     """
 
-    def __init__(self, until: float, cancelled: Callable[[], bool]) -> None:
-        """Creates the guard; `cancelled` is polled while waiting."""
+    def __init__(
+        self,
+        until: float,
+        cancelled: Callable[[], bool],
+        on_late: Callable[[_pending.PendingConnection], float] = _pending.give_up,
+        rival: _pending.PendingConnection | None = None,
+    ) -> None:
+        """Creates the guard.
+
+        Args:
+            until: the end of the wait.
+            cancelled: polled while waiting.
+            on_late: called when the wait is over, while the connection stays open;
+                returns until when to wait further, or raises an error.
+            rival: connection of another attempt at the same call, which ends the
+                wait as soon as bytes come on it.
+        """
         self.until = until
         self._cancelled = cancelled
+        self._on_late = on_late
+        self._rival = rival
         self._next_poll_at = 0.0
+        # Whether bytes have come since the wait was set.
+        self._received = False
+
+    def wait_until(self, until: float) -> None:
+        """Sets the end of the wait for further progress."""
+        self.until = until
+        self._received = False
 
     def wait(self, fileno: int) -> None:
         """Waits until the descriptor is readable.
@@ -130,10 +155,13 @@
         Raises:
             TimeoutError: it was not readable by `until`.
             CancelledError: the client disconnected, or the process stops.
+            RivalAnsweredError: bytes have come on the rival's connection.
         """
         # Unlike select, poll has no limit on the number of a descriptor.
         poll = select.poll()
         poll.register(fileno, select.POLLIN)
+        if self._rival is not None and self._rival.watched:
+            poll.register(self._rival.fileno, select.POLLIN)
         while True:
             now = runtime.now()
             # Also while bytes come all the time.
@@ -143,10 +171,29 @@
                     raise errors.CancelledError("call has ended")
             remaining_s = max(0.0, self.until - now)
             # Bytes received while the process was paused count even past the deadline.
-            if poll.poll(min(remaining_s, CANCEL_POLL_S) * 1000):
+            ready = dict(poll.poll(min(remaining_s, CANCEL_POLL_S) * 1000))
+            if fileno in ready:
+                self._received = True
                 return
-            if not remaining_s:
-                raise TimeoutError("no bytes in time")
+            if ready:
+                self._check_rival(poll)
+            elif not remaining_s:
+                self.until = self._on_late(
+                    _pending.PendingConnection(fileno, trickles=self._received)
+                )
+                self._stop_watching_closed_rival(poll)
+
+    def _check_rival(self, poll: select.poll) -> None:
+        if self._rival.has_bytes():
+            raise errors.RivalAnsweredError("the other attempt goes on")
+        # Its connection has ended: this attempt is the only one left.
+        self._rival.watched = False
+        poll.unregister(self._rival.fileno)
+
+    def _stop_watching_closed_rival(self, poll: select.poll) -> None:
+        if self._rival is not None and not self._rival.watched:
+            with contextlib.suppress(KeyError):
+                poll.unregister(self._rival.fileno)
 
 
 class _GuardedReader(io.RawIOBase):
--- a/src/turmericward/adapters/errors.py
+++ b/src/turmericward/adapters/errors.py
@@ -64,3 +64,7 @@
 
 class CancelledError(AdapterError):
     """Raised if the client disconnected before the response was received."""
+
+
+class RivalAnsweredError(AdapterError):
+    """Raised if another attempt at the same call has got bytes before this one."""
--- a/src/turmericward/delivery/__init__.py
+++ b/src/turmericward/delivery/__init__.py
@@ -33,8 +33,10 @@
     RequestSent,
     RetryBounds,
     SetTable,
+    SilentTarget,
     StoreRecovered,
     TargetNotice,
+    TargetWentOn,
 )
 from turmericward.delivery._roles_loop import RolesLoop, RoleState
 from turmericward.delivery._routes import RoutingTable, ServiceTraits
@@ -67,6 +69,7 @@
     "ReplaceTargets",
     "RequestSent",
     "TargetNotice",
+    "TargetWentOn",
     "Reply",
     "RetryBounds",
     "RoleState",
@@ -75,6 +78,7 @@
     "RoutingTable",
     "ServiceTraits",
     "SetTable",
+    "SilentTarget",
     "StoreRecovered",
     "StreamBrokenError",
     "Transport",
--- a/src/turmericward/delivery/_calls.py
+++ b/src/turmericward/delivery/_calls.py
@@ -6,7 +6,7 @@
 import attrs
 
 from turmericward import requests, runtime
-from turmericward.adapters import _request
+from turmericward.adapters import _pending, _request
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -94,6 +94,11 @@
     `kv_source` is the handle of KV cache to continue from, `fetch_from` the address
     of a target that has a prefix of the prompt cached; `prefill_only` requests KV cache
     instead of an answer.
+    `on_late` is called when the target has been silent for `timeout_s`, or until the
+    time set by `Answer.wait_until`, while its connection stays open. It returns until
+    when to wait further, in monotonic seconds, or raises an error that ends the
+    attempt. `rival` is the connection of an earlier attempt that is still open: the
+    attempt ends with `RivalAnsweredError` as soon as that one gets bytes.
     """
 
     timeout_s: float
@@ -102,14 +107,16 @@
     kv_source: str = ""
     fetch_from: str = ""
     prefill_only: bool = False
+    on_late: Callable[[_pending.PendingConnection], float] = _pending.give_up
+    rival: _pending.PendingConnection | None = None
 
 
 @attrs.define(kw_only=True)
 class Answer:
     """The head of a target's answer; `chunks` yields its body as it arrives.
 
-    `wait_until` sets until when `chunks` waits for data, in monotonic seconds; some
-    transports ignore it.
+    `wait_until` sets until when `chunks` waits for data, in monotonic seconds, before
+    it calls `Dispatch.on_late`; a transport may ignore it and wait on.
     `not_run` holds if the target reports that it didn't run the call and never will;
     `genuine` if the target itself sent the answer, to this call; `numbered` if the ids
     of its events are consecutive numbers; `unframed` if its body ends with the
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -11,12 +11,15 @@
     _calls,
     _context,
     _early_end,
+    _late_attempt,
     _messages,
     _open_placement,
+    _parts,
     _progress,
     _record,
     _stop,
     _stream,
+    _stream_delivery,
     _timeouts,
 )
 
@@ -52,12 +55,27 @@
         self._open = _open_placement.OpenPlacement(
             ctx.dispatch, self._record, call.prompt
         )
-        # Name of the target of the latest placement.
-        self._target = ""
+        self._parts = _parts.CallParts(
+            ctx=ctx,
+            call=self._call,
+            service=service,
+            progress=self._progress,
+            record=self._record,
+            early_end=self._early_end,
+            open=self._open,
+        )
+        self._late = _late_attempt.LateAttempts(self._parts, self._has_target_crashed)
+        # What has come of an attempt that replaced one at a silent target.
+        self._successor: _late_attempt.SupersededError | None = None
         # Handle of the prompt's KV cache until a decode target accepts it.
         self._kv_source = ""
         self._prefill_domain = ""
 
+    @property
+    def _target(self) -> str:
+        """Name of the target of the latest placement."""
+        return "" if self._open.current is None else self._open.current.target.name
+
     def run(self) -> _calls.Reply:
         """Returns the reply; a streamed body is relayed as it is iterated."""
         return attrs.evolve(self._final_reply(), target=self._target)
@@ -76,7 +94,7 @@
 
     def _deliver(self) -> _calls.Reply:
         while True:
-            if not self._kv_source:
+            if not self._kv_source and self._successor is None:
                 self._prefill()
             answer = self._attempt()
             reply = None if answer is None else self._reply(answer)
@@ -86,6 +104,9 @@
     # Placement and attempts.
 
     def _place(self, *, prefilled: bool) -> None:
+        if self._open.placement is not None:
+            # Granted while the last attempt was open.
+            return
         retry = self._progress.is_retry(prefilled=prefilled)
         self._early_end.check_attempt(self._call, retry=retry)
         message = _messages.Place(
@@ -104,7 +125,6 @@
             self._progress.abandon(refusal.reason, refusal.retry_after_s)
         placement = chosen.unwrap()
         self._open.begin(placement)
-        self._target = placement.target.name
         if retry:
             self._record.log_second_attempt("granted", "", self._target)
         self._await_start(runtime.now() + placement.start_after_s)
@@ -141,6 +161,8 @@
                 self._early_end.end_call(_stop.CallPhase.PREFILL)
             except (errors.NotExecutedError, errors.NotSentError) as exc:
                 self._record_not_executed(exc)
+            except _late_attempt.SupersededError as exc:
+                self._begin_granted(exc.granted)
             except errors.AdapterError as exc:
                 crashed = self._end_failed_attempt(exc)
                 self._progress.record_prefill_failure(self._target, crashed=crashed)
@@ -157,15 +179,17 @@
             # A plain call, one with a separate prefill, or a stream to resume.
             self._place(prefilled=self._call.prompt is not None)
         try:
-            answer = self._ctx.transport.send(
-                self._open.placement.target, self._call, self._new_dispatch()
-            )
+            answer = self._send()
         except errors.CancelledError:
             self._early_end.end_call(_stop.CallPhase.RUNNING)
         except errors.NotSentError as exc:
             # The KV cache wasn't fetched, so another target can still use it.
             self._record_not_executed(exc)
             return None
+        except _late_attempt.SupersededError as exc:
+            self._kv_source = ""
+            self._begin_granted(exc.granted)
+            return None
         except errors.AdapterError as exc:
             self._kv_source = ""
             self._record_failure(exc)
@@ -180,6 +204,29 @@
         self._kv_source = ""
         return answer
 
+    def _send(self) -> _calls.Answer:
+        """Sends the call, or returns what has come of an attempt sent meanwhile."""
+        if self._successor is not None:
+            successor, self._successor = self._successor, None
+            return successor.outcome()
+        try:
+            return self._ctx.transport.send(
+                self._open.placement.target, self._call, self._new_dispatch()
+            )
+        except _late_attempt.SupersededError as exc:
+            if exc.granted is not None:
+                raise
+            return exc.outcome()
+
+    def _take_over(self, successor: _late_attempt.SupersededError) -> None:
+        self._successor = successor
+
+    def _begin_granted(self, placement: requests.Placement) -> None:
+        """Begins an attempt that was granted while the last one was open."""
+        self._early_end.restart()
+        self._open.begin(placement)
+        self._open.mark_sent()
+
     def _release_kv_source(self) -> None:
         source, self._kv_source = self._kv_source, ""
         # At the end of the process's stop the reply comes first; the handle expires.
@@ -201,6 +248,7 @@
             kv_source=self._kv_source,
             fetch_from=placement.fetch_from,
             prefill_only=prefill_only,
+            on_late=self._late.on_late,
         )
 
     def _record_not_executed(self, exc: errors.AdapterError) -> None:
@@ -223,7 +271,7 @@
 
     def _end_failed_attempt(self, exc: Exception) -> bool:
         """Ends the placement; returns whether the target has ended."""
-        crashed = self._has_target_crashed(exc)
+        crashed = self._has_target_crashed(exc, self._open.placement)
         if self._record.is_late:
             self._record.log_late_attempt(self._open.placement)
         self._record.log_failed_attempt(
@@ -232,13 +280,15 @@
         self._open.end(requests.Ending.CRASHED if crashed else requests.Ending.FAILED)
         return crashed
 
-    def _has_target_crashed(self, exc: Exception) -> bool:
+    def _has_target_crashed(
+        self, exc: Exception, placement: requests.Placement | None
+    ) -> bool:
         """Returns whether the attempt failed since the engine's process ended."""
-        if self._call.prompt is None or self._open.placement is None:
+        if self._call.prompt is None or placement is None:
             return False
         if not isinstance(exc, errors.ConnectionLostError):
             return False
-        return self._ctx.transport.has_ended(self._open.placement.target)
+        return self._ctx.transport.has_ended(placement.target)
 
     # Replies.
 
@@ -266,6 +316,7 @@
         finally:
             answer.close()
         self._open.record_first_output()
+        self._late.output_received()
         reply = _calls.Reply(status=answer.status, headers=answer.headers, body=body)
         if answer.status >= 500:
             self._progress.fallback = reply
@@ -279,21 +330,40 @@
 
     def _streamed_reply(self, answer: _calls.Answer) -> _calls.Reply | None:
         attempt = _stream.StreamAttempt(answer=answer, placement=self._open.placement)
-        body = _stream.Stream(self, attempt, self._call.resume_after)
+        body = _stream.Stream(self._owner(), attempt, self._call.resume_after)
         try:
             body.await_first()
         except errors.CancelledError:
             answer.close()
             self._early_end.end_call(_stop.CallPhase.RUNNING)
+        except _late_attempt.SupersededError as exc:
+            answer.close()
+            self._take_over(exc)
+            return None
         except errors.AdapterError as exc:
             answer.close()
             self._record_failure(exc)
             return None
         self._open.record_first_output()
+        self._late.output_received()
         self._open.hand_over()
         self._early_end.record_answer_begun()
         return _calls.Reply(status=answer.status, headers=answer.headers, body=body)
 
+    def _owner(self) -> _stream_delivery.StreamDelivery:
+        attempts = _stream_delivery.Attempts(
+            next=self._resumed_attempt,
+            take_over=self._take_over,
+            record_failure=self._record_failure,
+        )
+        return _stream_delivery.StreamDelivery(
+            self._parts, self._late, attempts, self._record_reply
+        )
+
+    def _resumed_attempt(self, last_id: str) -> _calls.Answer | None:
+        self._call = attrs.evolve(self._call, resume_after=last_id)
+        return self._attempt()
+
     def _disconnected_reply(self) -> _calls.Reply:
         self._record_reply("client_gone", CLIENT_CLOSED_REQUEST)
         failure = _calls.Failure(
@@ -306,7 +376,7 @@
         if fallback is not None:
             self._record_reply("answered", fallback.status)
             return fallback
-        failure = self.failure()
+        failure = self._parts.failure()
         outcome = "outcome_unknown" if failure.may_have_run else "refused"
         self._record_reply(outcome, failure.status)
         return _calls.Reply(status=failure.status, failure=failure)
@@ -323,91 +393,3 @@
             progress.arrivals,
             self._target,
         )
-
-    # Callbacks of a running stream; see `_stream.StreamOwner`.
-
-    def next_event_deadline(self) -> float:
-        """Returns the time by which the next event has to arrive."""
-        until = _timeouts.next_event_deadline(
-            self._call, may_repeat=self._early_end.may_repeat(self._call)
-        )
-        self._record.begin_wait(until)
-        return until
-
-    def events_received(self, count: int) -> None:
-        """Records the arrival of a batch of events."""
-        self._open.record_output()
-        self._record.record_events(count)
-
-    def attempt_ended(self, attempt: _stream.StreamAttempt, *, completed: bool) -> None:
-        """Ends a successful attempt; not `completed` if the client disconnected."""
-        if completed:
-            self._early_end.record_answered(self._call)
-        self._open.resume(attempt.placement)
-        self._open.end(
-            requests.Ending.SUCCEEDED, streamed=completed, answered=completed
-        )
-
-    def stream_ended(self, outcome: str) -> None:
-        """Records the outcome of the stream."""
-        self._record_reply(outcome, 200)
-
-    def is_cut_off(self, attempt: _stream.StreamAttempt) -> bool:
-        """Returns whether an attempt that seems complete ended with its target.
-
-        The end of an unframed stream looks the same. If it was complete, a resumed
-        stream has no further events.
-        """
-        if not attempt.answer.unframed or not self._progress.may_repeat():
-            return False
-        return self._ctx.transport.has_ended(attempt.placement.target)
-
-    def interrupted(self) -> bool:
-        """Returns whether the stream has to end now."""
-        return self._early_end.is_due()
-
-    def record_interruption(self) -> bool:
-        """Records why a stream ends early; returns whether its client still waits."""
-        try:
-            self._early_end.end_call(_stop.CallPhase.STREAMING)
-        except _early_end.ClientDisconnectedError:
-            self.stream_ended("client_gone")
-            return False
-        except _progress.CallAbandonedError:
-            self.stream_ended("broken")
-            return True
-
-    def failure(self) -> _calls.Failure:
-        """Returns the failure to report if no further attempt is made."""
-        return self._progress.failure(deadline_passed=self._call.remaining_s() <= 0)
-
-    def resume(
-        self, attempt: _stream.StreamAttempt, exc: Exception, last_id: str
-    ) -> _stream.StreamAttempt | None:
-        """Ends a failed attempt and starts the next; None if none may follow."""
-        self._open.resume(attempt.placement)
-        self._call = attrs.evolve(self._call, resume_after=last_id)
-        try:
-            self._record_failure(exc)
-            return self._next_stream_attempt()
-        except (_progress.CallAbandonedError, _early_end.ClientDisconnectedError):
-            return None
-        finally:
-            self._open.end(requests.Ending.DISCONNECTED)
-
-    def _next_stream_attempt(self) -> _stream.StreamAttempt | None:
-        if not self._call.route.resumable:
-            return None
-        while True:
-            answer = self._attempt()
-            if answer is None:
-                continue
-            if not _stream.continues_stream(answer):
-                answer.close()
-                self._record_failure(
-                    errors.AnswerLostError(f"status {answer.status}, no stream")
-                )
-                continue
-            return _stream.StreamAttempt(
-                answer=answer, placement=self._open.hand_over()
-            )
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -3,22 +3,19 @@
 import functools
 
 import attrs
-import result
 from absl import logging
 
 from turmericward import fleet, peers, requests, runtime, telemetry
 from turmericward.delivery import (
     _crash_guard,
-    _deadlines,
     _limit_exchange,
     _messages,
+    _placing,
     _retry_budgets,
     _routes,
     _status,
-    _waits,
 )
 
-RETRY_BUDGET_RETRY_S = 0.5
 SHORT_PROMPT_PUBLISH_INTERVAL_S = 0.05
 PERIOD_S = 0.1
 # Loads that differ from the published ones are published after this time at the
@@ -75,7 +72,9 @@
         self._budgets = _retry_budgets.RetryBudgets(retries)
         self._published_at = 0.0
         self._published_loads: dict[int, requests.TargetLoad] = {}
-        self._deadlines = _deadlines.DeadlineEstimates()
+        self._placing = _placing.Placing(
+            self._admission, self._placer, self._crashes, self._budgets
+        )
         self._publish = publish
         self._on_configured = on_configured
         self._name = name
@@ -308,51 +307,15 @@
 
     @handle.register
     def _(self, message: _messages.Place):
-        refusal = self._crashes.refusal(message)
-        if refusal is not None:
-            return result.Err(refusal)
-        budget = self._budgets.for_service(message.service)
-        if message.retry and not budget.spend():
-            return _refusal("retry_budget", RETRY_BUDGET_RETRY_S)
-        if not message.retry and not message.prefilled:
-            budget.earn()
-        now = runtime.now()
-        deadlines = self._deadlines.deadlines(message.call, now)
-        candidates = self._admission.candidates(
-            message.service,
-            message.excluded,
-            now,
-            urgent=_waits.is_urgent(message),
-            max_wait_s=_waits.max_wait_s(message, deadlines),
-        )
-        chosen = self._choose(message, candidates, deadlines, now)
-        if chosen is None:
-            retry_after_s = self._admission.return_after_s(candidates, now)
-            return _refusal(candidates.reason, retry_after_s)
+        """Returns a Result of Placement or Refusal."""
+        chosen = self._placing.place(message)
         if chosen.is_ok():
-            self._admission.sent(chosen.unwrap().target.name, now)
-        self._publish_prompt(message.call.prompt)
+            self._publish_prompt(message.call.prompt)
         return chosen
 
-    def _choose(
-        self,
-        message: _messages.Place,
-        candidates: fleet.Candidates,
-        deadlines: requests.Deadlines,
-        now: float,
-    ):
-        prompt = message.call.prompt
-        targets, waits_s = candidates.targets, candidates.waits_s
-        if prompt is None:
-            return _as_result(self._placer.choose_replica(targets, now, waits_s))
-        if message.prefilled:
-            domain = message.prefill_domain
-            return _as_result(
-                self._placer.choose_decode_engine(
-                    prompt, domain, targets, deadlines, now, waits_s
-                )
-            )
-        return self._placer.choose_engine(prompt, targets, deadlines, now, waits_s)
+    @handle.register
+    def _(self, message: _messages.TargetWentOn) -> None:
+        self._placer.heard(message.name, runtime.now())
 
     @handle.register
     def _(self, message: _messages.FirstOutput) -> None:
@@ -377,11 +340,3 @@
     return peers.LeavingTarget(
         target=fleet.target_hash(target.name), started_ms=target.started_ms
     )
-
-
-def _as_result(placement: requests.Placement | None):
-    return None if placement is None else result.Ok(placement)
-
-
-def _refusal(reason: str, retry_after_s: float):
-    return result.Err(requests.Refusal(reason=reason, retry_after_s=retry_after_s))
--- a/src/turmericward/delivery/_early_end.py
+++ b/src/turmericward/delivery/_early_end.py
@@ -84,6 +84,10 @@
         """Records that the attempt had to wait before it was sent."""
         self._began_at += waited_s
 
+    def restart(self) -> None:
+        """Records that another attempt, which begins now, has replaced the last."""
+        self._began_at = runtime.now()
+
     def record_answer_begun(self) -> None:
         """Records that the client gets the first events of a stream."""
         self._answer_begun = True
--- /dev/null
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -0,0 +1,326 @@
+"""Looks for a second attempt when a target is silent, before the first one is ended.
+
+Load pattern handled: targets that say nothing for a second or so and go on, one or many
+of them at once, beside some that never go on. Ending an attempt for its target's
+silence loses the call if no other target can take it.
+"""
+
+import functools
+from collections.abc import Callable
+
+import attrs
+
+from turmericward import requests, runtime
+from turmericward.adapters import _pending, errors
+from turmericward.delivery import (
+    _calls,
+    _messages,
+    _open_placement,
+    _parts,
+    _stream,
+    _timeouts,
+)
+
+DISPATCH_TIMEOUT_S = 5.0
+# After this time, a call that was allowed no second attempt asks again.
+ASK_AGAIN_S = 0.5
+# How long two targets may work on a prompt or a stream at the same time.
+MAX_OVERLAP_S = 0.3
+
+
+class SupersededError(errors.AdapterError):
+    """Raised in the wait of an attempt that was ended in favour of the next one.
+
+    The next one's placement is open then. It has either an `answer`, or a `failure`, or
+    a `granted` placement to which nothing has been sent.
+    """
+
+    def __init__(
+        self,
+        *,
+        answer: _calls.Answer | None = None,
+        failure: errors.AdapterError | None = None,
+        granted: requests.Placement | None = None,
+    ) -> None:
+        """Creates the error with what came of the next attempt."""
+        super().__init__("target was silent; another attempt has replaced it")
+        self.answer = answer
+        self.failure = failure
+        self.granted = granted
+
+    def outcome(self) -> _calls.Answer:
+        """Returns the answer of the next attempt.
+
+        Raises:
+            AdapterError: it failed.
+        """
+        if self.answer is None:
+            raise self.failure
+        return self.answer
+
+
+class LateAttempts:
+    """Second attempts of one call; `on_late` is called while the first one waits.
+
+    At most two are open at a time. Of a stream or a prompt, the first is ended as soon
+    as the second has the head of a usable answer, or has worked for `MAX_OVERLAP_S`.
+    Of a plain call, the first answer counts. As long as the first attempt is open, a
+    failure of the second is none of the call.
+    """
+
+    def __init__(
+        self,
+        parts: _parts.CallParts,
+        has_crashed: Callable[[Exception, requests.Placement], bool],
+    ) -> None:
+        """Creates the second attempts of a call.
+
+        Args:
+            parts: the parts of the call's delivery.
+            has_crashed: returns whether an attempt failed since its target ended.
+        """
+        self._parts = parts
+        self._has_crashed = has_crashed
+        # Id of the last event of a stream that its client has.
+        self.last_id = parts.call.resume_after
+        # Whether the client has the beginning of a stream.
+        self.began = False
+        # Name of the target that is silent, and why no second attempt was allowed.
+        self._silent = ""
+        self._last_refusal = ""
+
+    def begin_stream(self, last_id: str) -> None:
+        """Records that the client has the events of a stream up to `last_id`."""
+        self.began = True
+        self.last_id = last_id
+
+    def output_received(self) -> None:
+        """Records that the call's target has output."""
+        if self._silent:
+            self._parts.ctx.dispatch.post(_messages.TargetWentOn(name=self._silent))
+        self._silent = ""
+
+    def on_late(self, pending: _pending.PendingConnection) -> float:
+        """Returns until when the silent target is waited for further.
+
+        Raises:
+            TimeoutError: the call's deadline has passed.
+            SupersededError: the attempt was ended in favour of another one.
+            CancelledError: the call has to end.
+        """
+        parts = self._parts
+        first = parts.open.current
+        parts.record.log_late_attempt(first)
+        self._silent = first.target.name
+        if parts.call.remaining_s() <= 0:
+            raise TimeoutError("no bytes before the deadline")
+        if not parts.early_end.may_repeat(parts.call):
+            self._log_refusal("not_allowed")
+            return parts.call.deadline
+        second = self._ask(first)
+        if second is None:
+            return self._ask_again_at()
+        if first.prefill_only or second.prefill_only:
+            # A second prefill beside the first would hold KV cache at two targets.
+            self._end_first(pending)
+            raise SupersededError(granted=second)
+        return self._race(pending, second)
+
+    def _ask_again_at(self) -> float:
+        return min(self._parts.call.deadline, runtime.now() + ASK_AGAIN_S)
+
+    def _ask(self, first: requests.Placement) -> requests.Placement | None:
+        parts = self._parts
+        name = first.target.name
+        message = _messages.Place(
+            call=self._call(),
+            service=parts.service,
+            excluded=parts.progress.excluded | {name},
+            retry=True,
+            prefilled=self.began,
+            silent=_messages.SilentTarget(name=name, silent_s=parts.record.silent_s),
+        )
+        chosen = parts.ctx.dispatch.ask(message).result(DISPATCH_TIMEOUT_S)
+        if chosen.is_err():
+            self._log_refusal(chosen.unwrap_err().reason)
+            return None
+        placement = chosen.unwrap()
+        parts.record.log_second_attempt("granted", "", placement.target.name)
+        return placement
+
+    def _log_refusal(self, reason: str) -> None:
+        if reason != self._last_refusal:
+            self._parts.record.log_second_attempt("refused", reason)
+        self._last_refusal = reason
+
+    def _call(self) -> _calls.Call:
+        return attrs.evolve(self._parts.call, resume_after=self.last_id)
+
+    def _race(
+        self, pending: _pending.PendingConnection, placement: requests.Placement
+    ) -> float:
+        """Sends the second attempt; returns if the first one goes on."""
+        parts = self._parts
+        second = _open_placement.OpenPlacement(
+            parts.ctx.dispatch, parts.record, parts.call.prompt
+        )
+        second.begin(placement)
+        second.mark_sent()
+        try:
+            answer = self._send(pending, second)
+        except errors.RivalAnsweredError:
+            second.end(requests.Ending.DISCONNECTED)
+            parts.progress.record_second(placement.target.name, ran=True)
+            parts.record.log_second_attempt("not_needed", "", placement.target.name)
+            self.output_received()
+        except errors.CancelledError:
+            self._end_either(second)
+            raise
+        except errors.AdapterError as exc:
+            if pending.closed:
+                raise _superseded_by(exc) from exc
+            self._end_second(second, exc)
+        except BaseException:
+            self._end_either(second)
+            raise
+        else:
+            self._take_over_if_usable(pending, second, answer)
+        return self._ask_again_at()
+
+    def _end_either(self, second: _open_placement.OpenPlacement) -> None:
+        """Ends the second attempt, whether or not it has replaced the first."""
+        if second.placement is None:
+            self._parts.open.end(requests.Ending.DISCONNECTED)
+        else:
+            second.end(requests.Ending.DISCONNECTED)
+
+    def _send(
+        self,
+        pending: _pending.PendingConnection,
+        second: _open_placement.OpenPlacement,
+    ) -> _calls.Answer:
+        parts = self._parts
+        call = self._call()
+        placement = second.placement
+        dispatch = _calls.Dispatch(
+            timeout_s=min(call.remaining_s(), _overlap_s(call)),
+            priority=call.route.priority + placement.rank,
+            resume_after=self.last_id,
+            fetch_from=placement.fetch_from,
+            on_late=functools.partial(self._on_late_second, pending, second),
+            rival=pending,
+        )
+        return parts.ctx.transport.send(placement.target, call, dispatch)
+
+    def _on_late_second(
+        self,
+        pending: _pending.PendingConnection,
+        second: _open_placement.OpenPlacement,
+        pending_second: _pending.PendingConnection,
+    ) -> float:
+        if pending.closed:
+            return self.on_late(pending_second)
+        if self._parts.call.remaining_s() <= 0:
+            raise TimeoutError("no bytes before the deadline")
+        self._replace_first(pending, second)
+        return self._first_byte_until(second)
+
+    def _first_byte_until(self, second: _open_placement.OpenPlacement) -> float:
+        parts = self._parts
+        timeout_s = _timeouts.first_byte_timeout_s(
+            parts.call,
+            parts.open.current.expected_s,
+            may_repeat=parts.early_end.may_repeat(parts.call),
+        )
+        until = runtime.now() + timeout_s
+        parts.record.begin_wait(until)
+        return until
+
+    def _take_over_if_usable(
+        self,
+        pending: _pending.PendingConnection,
+        second: _open_placement.OpenPlacement,
+        answer: _calls.Answer,
+    ) -> None:
+        if not pending.closed:
+            if not self._is_usable(answer):
+                answer.close()
+                self._end_second(second, _refusal_of(answer))
+                return
+            self._replace_first(pending, second)
+        raise SupersededError(answer=answer)
+
+    def _is_usable(self, answer: _calls.Answer) -> bool:
+        if self.began:
+            return not answer.not_run and _stream.continues_stream(answer)
+        return answer.genuine and not answer.not_run and answer.status < 500
+
+    def _replace_first(
+        self,
+        pending: _pending.PendingConnection,
+        second: _open_placement.OpenPlacement,
+    ) -> None:
+        self._end_first(pending)
+        self._parts.open.take_over(second)
+        self._parts.early_end.restart()
+        self._parts.record.log_second_attempt(
+            "took_over", "", self._parts.open.current.target.name
+        )
+
+    def _end_first(self, pending: _pending.PendingConnection) -> None:
+        parts = self._parts
+        pending.close()
+        first = parts.open.current
+        parts.record.log_failed_attempt(first, "superseded", "no bytes in time")
+        parts.open.resume(first)
+        parts.open.end(requests.Ending.LATE)
+        parts.progress.record_superseded(first.target.name, ran=not first.prefill_only)
+        self._silent = self._last_refusal = ""
+
+    def _end_second(
+        self, second: _open_placement.OpenPlacement, exc: errors.AdapterError
+    ) -> None:
+        """Ends a second attempt that failed while the first one goes on."""
+        placement = second.placement
+        crashed = False
+        if isinstance(exc, errors.NotSentError):
+            outcome, ending = "not_reached", requests.Ending.UNREACHED
+        elif isinstance(exc, errors.NotExecutedError):
+            outcome, ending = "refused", requests.Ending.REFUSED
+        else:
+            crashed = self._has_crashed(exc, placement)
+            outcome = "failed"
+            ending = requests.Ending.CRASHED if crashed else requests.Ending.FAILED
+        self._parts.record.log_failed_attempt(
+            placement, outcome, repr(exc), target_ended=crashed
+        )
+        second.end(ending)
+        self._parts.progress.record_second(
+            placement.target.name,
+            arrived=ending is not requests.Ending.UNREACHED,
+            ran=outcome == "failed",
+            crashed=crashed,
+        )
+
+
+def _superseded_by(exc: errors.AdapterError) -> errors.AdapterError:
+    """Returns the error for the first attempt when the second has replaced it."""
+    return exc if isinstance(exc, SupersededError) else SupersededError(failure=exc)
+
+
+def _overlap_s(call: _calls.Call) -> float:
+    """Returns how long two attempts at a call may be open."""
+    if call.prompt is None and call.route.kind is _calls.CallKind.IDEMPOTENT:
+        return call.remaining_s()
+    return MAX_OVERLAP_S
+
+
+def _refusal_of(answer: _calls.Answer) -> errors.AdapterError:
+    """Returns the error for an answer that can't replace the first attempt."""
+    if answer.not_run:
+        return errors.NotExecutedError(f"status {answer.status}")
+    if not answer.genuine:
+        return errors.ForeignAnswerError(
+            f"status {answer.status} was not sent by the target"
+        )
+    return errors.AnswerLostError(f"status {answer.status}")
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -173,13 +173,30 @@
     duration_s: float
 
 
+@attrs.frozen(kw_only=True)
+class SilentTarget:
+    """A target that holds a call and has been silent for `silent_s` seconds."""
+
+    name: str
+    silent_s: float
+
+
+@attrs.frozen(kw_only=True)
+class TargetWentOn:
+    """The target `name`, which was reported as silent, has output again."""
+
+    name: str
+
+
 @attrs.frozen(kw_only=True)
 class Place:
     """Requests a target; answered with a Result of Placement or Refusal.
 
     `prefilled` holds if the prompt's KV cache is available at another target, in the
     failure domain `prefill_domain` if that is known; `retry` if an earlier attempt of
-    the call has reached the service.
+    the call has reached the service. `silent` is the target of an attempt that is still
+    open: the call can do without another one, which is granted only at a target that
+    takes it at once.
     """
 
     call: _calls.Call
@@ -188,6 +205,7 @@
     retry: bool = False
     prefilled: bool = False
     prefill_domain: str = ""
+    silent: SilentTarget | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/turmericward/delivery/_open_placement.py
+++ b/src/turmericward/delivery/_open_placement.py
@@ -31,10 +31,12 @@
         # When the current attempt had its first output of the answer.
         self._writing_since: float | None = None
         self.placement: requests.Placement | None = None
+        # The placement of the current attempt, also while a stream has it.
+        self.current: requests.Placement | None = None
 
     def begin(self, placement: requests.Placement) -> None:
         """Logs a new placement and makes it the current one."""
-        self.placement = placement
+        self.placement = self.current = placement
         self._writing_since = None
         self._record.log_placement(placement)
 
@@ -66,7 +68,14 @@
 
     def resume(self, placement: requests.Placement) -> None:
         """Takes a placement back from a stream."""
-        self.placement = placement
+        self.placement = self.current = placement
+
+    def take_over(self, other: "OpenPlacement") -> None:
+        """Makes another attempt the current one, after the end of this one."""
+        self.placement = self.current = other.placement
+        self._sent_at = other._sent_at
+        self._writing_since = other._writing_since
+        other.placement = None
 
     def end(
         self,
--- /dev/null
+++ b/src/turmericward/delivery/_parts.py
@@ -0,0 +1,29 @@
+"""What the parts of one call's delivery share."""
+
+import attrs
+
+from turmericward.delivery import (
+    _calls,
+    _context,
+    _early_end,
+    _open_placement,
+    _progress,
+    _record,
+)
+
+
+@attrs.frozen(kw_only=True)
+class CallParts:
+    """A call at a service, with its attempts so far and what ends it early."""
+
+    ctx: _context.Context
+    call: _calls.Call
+    service: str
+    progress: _progress.Progress
+    record: _record.CallRecord
+    early_end: _early_end.EarlyEnd
+    open: _open_placement.OpenPlacement
+
+    def failure(self) -> _calls.Failure:
+        """Returns the failure to report if no further attempt is made."""
+        return self.progress.failure(deadline_passed=self.call.remaining_s() <= 0)
--- a/src/turmericward/delivery/_progress.py
+++ b/src/turmericward/delivery/_progress.py
@@ -94,6 +94,32 @@
         if self.possible_runs >= self.route.max_attempts:
             self._stop("max_attempts")
 
+    def record_superseded(self, target: str, *, ran: bool) -> None:
+        """Records an attempt that was ended in favour of another one.
+
+        Args:
+            target: the target, which was silent.
+            ran: whether the call itself may have run there, not only its prompt.
+        """
+        self._record_lost(target)
+        self.possible_runs += ran
+
+    def record_second(
+        self, target: str, *, ran: bool, arrived: bool = True, crashed: bool = False
+    ) -> None:
+        """Records a second attempt that ended while the first one goes on.
+
+        Args:
+            target: its target.
+            ran: whether the call may have run there.
+            arrived: whether it reached the target.
+            crashed: whether the target has ended.
+        """
+        self.excluded |= {target}
+        self.arrivals += arrived
+        self.possible_runs += ran
+        self._crashes += crashed
+
     def record_interrupted_run(self) -> None:
         """Records an attempt that ends with the process and may have run."""
         self.arrivals += 1
@@ -111,7 +137,9 @@
     def may_repeat(self) -> bool:
         """Returns whether another attempt may follow the running one."""
         return (
-            self.route.repeatable and self.possible_runs + 1 < self.route.max_attempts
+            self.route.repeatable
+            and self.possible_runs + 1 < self.route.max_attempts
+            and self._crashes < MAX_CRASHES
         )
 
     def abandon(self, reason: str, retry_after_s: float | None = None) -> None:
--- a/src/turmericward/delivery/_record.py
+++ b/src/turmericward/delivery/_record.py
@@ -68,7 +68,8 @@
         return runtime.now() >= self._wait_until
 
     @property
-    def _silent_s(self) -> float:
+    def silent_s(self) -> float:
+        """Seconds since the target last had an answer or event to give."""
         return round(runtime.now() - self._waiting_since, 3)
 
     @property
@@ -86,7 +87,7 @@
             request_id=self._call.id,
             target=placement.target.name,
             began=self._first_event_at is not None,
-            silent_s=self._silent_s,
+            silent_s=self.silent_s,
             wait_s=self._wait_s,
             after_s=self._elapsed_s(),
             left_s=round(self._call.remaining_s(), 3),
@@ -101,7 +102,7 @@
             outcome=outcome,
             reason=reason,
             target=target,
-            silent_s=self._silent_s,
+            silent_s=self.silent_s,
             after_s=self._elapsed_s(),
         )
 
@@ -122,7 +123,7 @@
             target_ended=target_ended,
             began=self._first_event_at is not None,
             segments=_shared_segment_ids(self._call.prompt),
-            silent_s=self._silent_s,
+            silent_s=self.silent_s,
             wait_s=self._wait_s,
             after_s=self._elapsed_s(),
             left_s=round(self._call.remaining_s(), 3),
--- a/src/turmericward/delivery/_stream.py
+++ b/src/turmericward/delivery/_stream.py
@@ -35,8 +35,8 @@
 class StreamOwner(Protocol):
     """Delivery that a stream reports to and that resumes it."""
 
-    def next_event_deadline(self) -> float:
-        """Returns the time by which the next event has to arrive."""
+    def next_event_deadline(self, last_id: str) -> float:
+        """Returns the time by which the event after `last_id` has to arrive."""
 
     def resume(
         self, attempt: StreamAttempt, exc: Exception, last_id: str
@@ -122,13 +122,13 @@
 
     def _remaining_batches(self) -> Iterator[Batch]:
         answer = self._attempt.answer
-        answer.wait_until(self._owner.next_event_deadline())
+        answer.wait_until(self._owner.next_event_deadline(self._last_id))
         for batch in self._batches:
             self._owner.events_received(len(batch))
             yield batch
             if self._owner.interrupted():
                 raise errors.CancelledError("stream has to end")
-            answer.wait_until(self._owner.next_event_deadline())
+            answer.wait_until(self._owner.next_event_deadline(self._last_id))
         if self._parser.incomplete:
             raise errors.ConnectionLostError("stream ended in the middle of an event")
         if self._owner.is_cut_off(self._attempt):
--- a/src/turmericward/delivery/_waits.py
+++ b/src/turmericward/delivery/_waits.py
@@ -16,10 +16,10 @@
     """Returns whether a call goes before others.
 
     That is one of the highest priority, one that can't be repeated, or one whose
-    prefill would be lost.
+    prefill would be lost; none that still has a target.
     """
     route = message.call.route
-    return (
+    return message.silent is None and (
         route.priority <= URGENT_PRIORITY or not route.repeatable or message.prefilled
     )
 
@@ -27,10 +27,13 @@
 def max_wait_s(message: _messages.Place, deadlines: requests.Deadlines) -> float:
     """Returns how long a call may wait.
 
-    A prompt that is prefilled may wait longer than others, and so may a stream to
-    resume, whose client waits for the next event as long as it did for the first.
+    One that still has a target doesn't wait for another. A prompt that is prefilled may
+    wait longer than others, and so may a stream to resume, whose client waits for the
+    next event as long as it did for the first.
     """
     call = message.call
+    if message.silent is not None:
+        return 0.0
     if call.resume_after:
         return RESUME_WAIT_SHARE * call.route.abandon_s
     if message.prefilled:
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -51,7 +51,12 @@
         dispatch: delivery.Dispatch,
     ) -> delivery.Answer:
         """Sends a call and reads the response's head; see `delivery.Transport`."""
-        guard = _response.Guard(runtime.now() + dispatch.timeout_s, call.cancelled)
+        guard = _response.Guard(
+            runtime.now() + dispatch.timeout_s,
+            call.cancelled,
+            dispatch.on_late,
+            dispatch.rival,
+        )
         conn = _request.connect(
             target.address,
             dispatch.timeout_s,
@@ -70,9 +75,9 @@
             raise
         # The timeout of the attempt bounds the response's head; its body is bounded
         # by the client's deadline.
-        guard.until = call.deadline
+        guard.wait_until(call.deadline)
         answer = _answer(conn, resp, target)
-        answer.wait_until = functools.partial(setattr, guard, "until")
+        answer.wait_until = guard.wait_until
         return answer
 
     def _read_notices(
--- a/src/turmericward/requests/_in_flight.py
+++ b/src/turmericward/requests/_in_flight.py
@@ -25,6 +25,8 @@
     # The client disconnected; whether the target would have succeeded is unknown.
     DISCONNECTED = "left"
     FAILED = "failed"
+    # The target was silent and the call was answered elsewhere.
+    LATE = "late"
     # The target's process has ended.
     CRASHED = "crashed"
     REFUSED = "refused"
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -87,6 +87,18 @@
         """Returns the local load by target, without targets that were never used."""
         return self._calls.local_loads()
 
+    def accepting(self, targets, now: float) -> list[fleet.Target]:
+        """Returns the targets that take calls as far as is known."""
+        return self._calls.accepting(targets, now)
+
+    def silent(self, name: str, silent_s: float, now: float) -> None:
+        """Records that a call waits at a target that has been silent for a time."""
+        self._calls.silent(name, silent_s, now)
+
+    def heard(self, name: str, now: float) -> None:
+        """Records output of a target."""
+        self._calls.heard(name, now)
+
     def count_overdue(self, now: float) -> None:
         """Counts calls as failed whose first output is overdue."""
         self._calls.count_overdue(now)
@@ -277,7 +289,7 @@
         That is the first token of a decode, the end of a separate prefill, or the
         reply of a plain service, for which `prompt` is None.
         """
-        if not self._calls.record_first_output(placement):
+        if not self._calls.record_first_output(placement, now):
             return
         name = placement.target.name
         if prompt is None:
--- a/src/turmericward/requests/_target_calls.py
+++ b/src/turmericward/requests/_target_calls.py
@@ -1,6 +1,7 @@
 """Calls in flight at each target, and which targets take further ones."""
 
 import collections
+import math
 
 from turmericward import fleet
 from turmericward.requests import _in_flight, _loads, _outcomes
@@ -13,6 +14,10 @@
 MAX_REFUSAL_BACKOFF_S = 1.5
 # A failed connection counts as this many failures in a row.
 CONNECT_FAILURE_WEIGHT = 3
+# A target that is silent gets no calls for so long, then one at a time until it has
+# output; as most go on after a second or so, the bound is low.
+FIRST_SILENCE_S = 0.5
+MAX_SILENCE_S = 2.0
 
 
 class TargetCalls:
@@ -29,6 +34,9 @@
         self._refusals = fleet.Health(
             REFUSALS_TO_BACK_OFF, FIRST_REFUSAL_BACKOFF_S, MAX_REFUSAL_BACKOFF_S
         )
+        self._silence = fleet.Health(1, FIRST_SILENCE_S, MAX_SILENCE_S)
+        # When each target last had output.
+        self._heard_at: dict[str, float] = {}
 
     def forget(self, name: str) -> None:
         """Drops the state of a target that was removed or has restarted."""
@@ -37,6 +45,8 @@
             del self._local[name]
         self.health.succeeded(name)
         self._refusals.succeeded(name)
+        self._silence.succeeded(name)
+        self._heard_at.pop(name, None)
 
     def local_loads(self) -> dict[int, _loads.TargetLoad]:
         """Returns the local load by target, without targets that were never used."""
@@ -66,13 +76,27 @@
         return self.outcomes.failure_share(fleet.target_hash(name), now)
 
     def accepting(self, targets, now: float) -> list[fleet.Target]:
-        """Returns the targets that are neither ejected nor in refusal backoff."""
+        """Returns the targets that are neither ejected, in backoff nor silent."""
+        states = (self.health, self._refusals, self._silence)
         return [
-            t
-            for t in targets
-            if self.health.usable(t.name, now) and self._refusals.usable(t.name, now)
+            t for t in targets if all(state.usable(t.name, now) for state in states)
         ]
 
+    def silent(self, name: str, silent_s: float, now: float) -> None:
+        """Records that a call waits at a target that has been silent for a time.
+
+        Calls that wait there together are one silence. A target that has had other
+        output meanwhile isn't silent: the call is queued or lost.
+        """
+        heard_s = now - self._heard_at.get(name, -math.inf)
+        if heard_s >= silent_s and self._silence.usable(name, now):
+            self._silence.failed(name, now)
+
+    def heard(self, name: str, now: float) -> None:
+        """Records output of a target."""
+        self._heard_at[name] = now
+        self._silence.succeeded(name)
+
     def usable(self, targets, now: float) -> list[fleet.Target]:
         healthy = [t for t in targets if self.health.usable(t.name, now)]
         accepting = self.accepting(healthy, now)
@@ -87,9 +111,11 @@
         calls.waiting[placement.id] = placement
         self.health.started(name)
         self._refusals.started(name)
+        self._silence.started(name)
 
-    def record_first_output(self, placement: _in_flight.Placement) -> bool:
+    def record_first_output(self, placement: _in_flight.Placement, now: float) -> bool:
         """Returns whether the placement was still waiting for its first output."""
+        self.heard(placement.target.name, now)
         waiting = self._local[placement.target.name].waiting
         return waiting.pop(placement.id, None) is not None
 
@@ -106,16 +132,18 @@
             calls.overdue.remove(placement.id)
         elif ending.target_failed or ending is _in_flight.Ending.SUCCEEDED:
             self._count_end(name, now, failed=ending.target_failed)
+        self._silence.released(name)
         if ending is _in_flight.Ending.REFUSED:
             self._refusals.failed(name, now)
             return
-        if ending is _in_flight.Ending.DISCONNECTED:
+        if ending in (_in_flight.Ending.DISCONNECTED, _in_flight.Ending.LATE):
             self._refusals.released(name)
             self.health.released(name)
             return
         self._refusals.succeeded(name)
         if ending is _in_flight.Ending.SUCCEEDED:
             self.health.succeeded(name)
+            self.heard(name, now)
         else:
             weight = CONNECT_FAILURE_WEIGHT if ending.target_ended else 1
             self.health.failed(name, now, weight=weight)
--- /dev/null
+++ b/tests/test_late_attempts.py
@@ -0,0 +1,510 @@
+"""Attempts at silent targets: a second one is looked for before the first is ended."""
+
+import socket
+import threading
+import time
+from unittest import mock
+
+import attrs
+
+from tests import fixtures, test_delivery, test_dispatch
+from turmericward import delivery, fleet, requests, runtime, telemetry
+from turmericward.adapters import _pending, _response, errors
+from turmericward.delivery import _late_attempt
+
+check = fixtures.check
+Ending = requests.Ending
+IDEMPOTENT = delivery.CallKind.IDEMPOTENT
+
+
+class _Pending:
+    """A connection of a scripted attempt."""
+
+    def __init__(self) -> None:
+        self.closed = False
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class _Attempt:
+    """One scripted attempt: what its target does, step by step.
+
+    Steps are a number (an event), "late" (the wait is over), the name of a fault, an
+    exception, or a function to call. The head comes at "head".
+    """
+
+    def __init__(self, *steps, kind: str = "none", body: bytes = b"") -> None:
+        self._steps = iter(steps)
+        self._kind = kind
+        self._body = body
+        self.pending = _Pending()
+        self.dispatch: delivery.Dispatch | None = None
+        self.waits_s: list[float] = []
+
+    def head(self, target, call, dispatch) -> delivery.Answer:
+        self.dispatch = dispatch
+        for _ in self._run(self._steps):
+            break
+        headers = (("Content-Type", "text/plain"),) if self._kind == "text" else ()
+        return delivery.Answer(
+            status={"refused": 503, "error": 500}.get(self._kind, 200),
+            headers=headers,
+            chunks=self._chunks(),
+            close=self.pending.close,
+            not_run=self._kind == "refused",
+            genuine=self._kind != "foreign",
+            numbered=True,
+        )
+
+    def _chunks(self):
+        if self._body:
+            yield self._body
+        for number in self._run(self._steps):
+            yield b"id: %d\ndata: %d\n\n" % (number, number)
+
+    def _run(self, steps):
+        """Yields events, or 0 for the head."""
+        for step in steps:
+            if step == "head":
+                yield 0
+            elif isinstance(step, int):
+                yield step
+            elif step == "late":
+                try:
+                    until = self.dispatch.on_late(self.pending)
+                except TimeoutError as exc:
+                    raise errors.AnswerLostError(str(exc)) from exc
+                self.waits_s.append(until - runtime.now())
+            elif isinstance(step, Exception):
+                raise step
+            else:
+                step()
+
+
+class _Transport(test_delivery._Transport):
+    """Makes scripted attempts one after the other."""
+
+    def __init__(self, *attempts: _Attempt, prefills=()) -> None:
+        super().__init__()
+        self.attempts = attempts
+        self._next = iter(attempts)
+        self._prefill_attempts = iter(prefills)
+
+    def send(self, target, call, dispatch) -> delivery.Answer:
+        self.sent.append((target.name, dispatch))
+        return next(self._next).head(target, call, dispatch)
+
+    def prefill(self, target, call, dispatch) -> str:
+        attempt = next(self._prefill_attempts, None)
+        if attempt is not None:
+            self.prefilled.append(target.name)
+            attempt.head(target, call, dispatch)
+            return f"{target.name}/kv{len(self.prefilled)}"
+        return super().prefill(target, call, dispatch)
+
+
+def _plain_targets(count: int = 4, role=None) -> list[fleet.Target]:
+    return [test_dispatch._target(f"e{n}", role) for n in range(count)]
+
+
+def _engines(count: int = 4) -> list[fleet.Target]:
+    return _plain_targets(count, fleet.EngineRole.DECODE)
+
+
+def _run(transport: _Transport, targets=None, slack: float = 600.0, **changes):
+    """Delivers one call; returns what the client gets and the dispatcher.
+
+    That is the ids of the events with "broken" after them if the stream broke off, the
+    body, or the status of a failure.
+    """
+    prompt = changes.pop("prompt", test_dispatch.PROMPT)
+    deadline_s = changes.pop("deadline_s", 8.0)
+    disconnected = changes.pop("disconnected", lambda: False)
+    task = test_dispatch._task(retries=delivery.RetryBounds(share=0.0, slack=slack))
+    task.handle(delivery.PutTargets(targets=tuple(targets or _engines())))
+    dispatcher = test_delivery._Dispatcher(task)
+    ctx = delivery.Context(
+        dispatch=dispatcher, transport=transport, metrics=telemetry.Metrics(None, "")
+    )
+    call = test_dispatch._call(deadline_s)
+    route = attrs.evolve(call.route, **changes)
+    call = attrs.evolve(call, route=route, prompt=prompt, cancelled=disconnected)
+    reply = delivery.Delivery(ctx, call, "model").run()
+    received = _received(reply)
+    loads = task._placer.local_loads().values()
+    check.assertEqual([load.open_calls for load in loads if load.open_calls], [])
+    return received, dispatcher
+
+
+def _received(reply: delivery.Reply):
+    if reply.failure is not None:
+        return reply.status
+    if isinstance(reply.body, bytes):
+        return reply.body
+    received = []
+    try:
+        for batch in reply.body:
+            received += [event.number for event in batch]
+    except delivery.StreamBrokenError as exc:
+        received.append(exc.failure.status)
+    return received
+
+
+def _stream(*steps) -> _Attempt:
+    return _Attempt("head", *steps)
+
+
+def _run_stream(first: _Attempt, *others: _Attempt, attempts: int = 4, **changes):
+    """Runs a stream with four targets; returns ids, attempts sent and endings."""
+    transport = _Transport(first, *others)
+    received, dispatcher = _run(transport, max_attempts=attempts, **changes)
+    return received, len(transport.sent), test_delivery._endings(dispatcher)
+
+
+SHORT = attrs.evolve(
+    test_dispatch.PROMPT, segments=(requests.PromptSegment(id="o", tokens=10),)
+)
+WHOLE = [1, 2, 3, 4]
+
+
+def test_a_stream_was_cut_for_its_targets_pause_though_no_other_attempt_was_allowed():
+    for name, changes in (
+        ("max_attempts", {"attempts": 1}),
+        ("retry budget", {"slack": 0.0}),
+        ("no other target", {"targets": _engines(1)}),
+        ("not resumable", {"resumable": False}),
+    ):
+        first = _stream(1, 2, "late", "late", 3, 4)
+        received, sent, endings = _run_stream(first, **changes)
+        check.assertEqual((received, sent), (WHOLE, 1), name)
+        check.assertEqual(endings, [Ending.SUCCEEDED], name)
+
+
+def test_a_call_that_may_be_repeated_asks_again_and_others_wait_for_their_deadline():
+    for attempts, low_s, high_s in ((1, 7.0, 8.0), (2, 0.4, 0.5)):
+        first = _stream(1, "late", "late", 2)
+        _run_stream(first, attempts=attempts, slack=0.0)
+        for wait_s in first.waits_s:
+            check.assertTrue(low_s < wait_s <= high_s, (attempts, wait_s))
+
+
+def test_a_silent_target_is_replaced_once_another_one_has_answered():
+    first = _stream(1, 2, "late")
+    second = _stream(2, 3, 4)
+    received, sent, endings = _run_stream(first, second)
+    check.assertEqual((received, sent), (WHOLE, 2))
+    check.assertEqual(endings, [Ending.LATE, Ending.SUCCEEDED])
+    check.assertTrue(first.pending.closed)
+    check.assertEqual(second.dispatch.resume_after, "2")
+
+
+def test_first_attempt_stays_open_until_the_second_is_known_to_answer():
+    first = _stream(1, 2, "late")
+    open_at_head = []
+    second = _Attempt(
+        lambda: open_at_head.append(not first.pending.closed), "head", 3, 4
+    )
+    check.assertEqual(_run_stream(first, second)[0], WHOLE)
+    check.assertEqual(open_at_head, [True])
+
+
+def test_failure_of_a_second_attempt_ended_the_first_that_would_have_gone_on():
+    for second, ending in (
+        (_Attempt("head", kind="refused"), Ending.REFUSED),
+        (_Attempt("head", kind="error"), Ending.FAILED),
+        (_Attempt("head", kind="foreign"), Ending.FAILED),
+        (_Attempt("head", kind="text"), Ending.FAILED),
+        (_Attempt(test_delivery.FAULTS["not sent"]), Ending.UNREACHED),
+        (_Attempt(test_delivery.FAULTS["lost"]), Ending.FAILED),
+        (_Attempt(errors.RivalAnsweredError("first goes on")), Ending.DISCONNECTED),
+    ):
+        first = _stream(1, 2, "late", 3, 4)
+        received, sent, endings = _run_stream(first, second, attempts=2)
+        check.assertEqual((received, sent), (WHOLE, 2), ending)
+        check.assertEqual(endings, [ending, Ending.SUCCEEDED], ending)
+
+
+def test_runs_of_second_attempts_count_against_the_routes_bound():
+    for kind, allowed in (("error", 2), ("refused", 3)):
+        seconds = [_Attempt("head", kind=kind) for _ in range(9)]
+        first = _stream(1, 2, "late", "late", "late", 3, 4)
+        received, sent, _ = _run_stream(first, *seconds, attempts=3)
+        check.assertEqual((received, sent), (WHOLE, 1 + allowed), kind)
+
+
+def test_two_targets_do_not_work_on_a_stream_longer_than_the_bound():
+    first = _stream(1, 2, "late")
+    second = _Attempt("late", lambda: closed.append(first.pending.closed), "head", 3, 4)
+    closed = []
+    received, _, endings = _run_stream(first, second)
+    check.assertEqual((received, closed), (WHOLE, [True]))
+    check.assertEqual(endings, [Ending.LATE, Ending.SUCCEEDED])
+    check.assertLessEqual(second.dispatch.timeout_s, 0.4)
+    check.assertIs(second.dispatch.rival, first.pending)
+
+
+def test_a_second_attempt_that_replaced_the_first_and_fails_is_followed_by_a_third():
+    lost = test_delivery.FAULTS["lost"]
+    for attempts, received, sent in ((3, WHOLE, 3), (2, [1, 2, 502], 2)):
+        outcome = _run_stream(
+            _stream(1, 2, "late"),
+            _Attempt("late", lost),
+            _stream(3, 4),
+            attempts=attempts,
+        )
+        check.assertEqual(outcome[:2], (received, sent), attempts)
+
+
+def test_a_second_attempt_that_is_silent_itself_is_replaced():
+    first = _stream(1, 2, "late")
+    second = _Attempt("late", "late")
+    third = _stream(3, 4)
+    received, sent, endings = _run_stream(first, second, third)
+    check.assertEqual((received, sent), (WHOLE, 3))
+    check.assertEqual(endings, [Ending.LATE, Ending.LATE, Ending.SUCCEEDED])
+    check.assertIs(third.dispatch.rival, second.pending)
+
+
+def test_a_client_that_leaves_ends_both_attempts():
+    cancelled = errors.CancelledError("client left")
+    for steps in ((cancelled,), ("late", cancelled), (RuntimeError("fault"),)):
+        second = _Attempt(*steps)
+        transport = _Transport(_stream(1, "late"), second)
+        # `_run` checks that no placement is left open.
+        with mock.patch.object(_late_attempt, "MAX_OVERLAP_S", 0.1):
+            try:
+                _run(transport, max_attempts=4)
+            except RuntimeError:
+                check.assertIsInstance(steps[0], RuntimeError)
+
+
+def test_a_silent_target_is_waited_for_until_the_deadline_and_no_longer():
+    lates = ["late", lambda: time.sleep(0.15)] * 3
+    for kind, received in (("stream", [1, 504]), ("plain", 504)):
+        if kind == "stream":
+            transport, changes = _Transport(_stream(1, *lates)), {"prompt": SHORT}
+        else:
+            transport = _Transport(_Attempt(*lates))
+            changes = {"kind": IDEMPOTENT, "prompt": None, "targets": _plain_targets()}
+        got, _ = _run(transport, deadline_s=0.3, slack=0.0, max_attempts=2, **changes)
+        check.assertEqual(got, received, kind)
+
+
+def _run_plain(*attempts: _Attempt, **changes):
+    transport = _Transport(*attempts)
+    options = {"kind": IDEMPOTENT, "prompt": None, "max_attempts": 2}
+    body, dispatcher = _run(transport, _plain_targets(), **(options | changes))
+    return body, len(transport.sent), test_delivery._endings(dispatcher)
+
+
+def test_a_late_plain_call_became_502_though_its_target_answers():
+    for second, ending in (
+        (_Attempt("head", kind="refused"), Ending.REFUSED),
+        (_Attempt("head", kind="error"), Ending.FAILED),
+        (_Attempt(errors.RivalAnsweredError("first goes on")), Ending.DISCONNECTED),
+    ):
+        first = _Attempt("late", "head", body=b"first")
+        body, sent, endings = _run_plain(first, second)
+        check.assertEqual((body, sent), (b"first", 2))
+        check.assertEqual(endings, [ending, Ending.SUCCEEDED])
+    first = _Attempt("late", "late", "head", body=b"first")
+    check.assertEqual(_run_plain(first, slack=0.0)[:2], (b"first", 1))
+
+
+def test_a_plain_call_waits_for_both_targets_until_one_answers():
+    second = _Attempt("head", body=b"second")
+    first = _Attempt("late")
+    body, sent, endings = _run_plain(first, second)
+    check.assertEqual((body, sent), (b"second", 2))
+    check.assertEqual(endings, [Ending.LATE, Ending.SUCCEEDED])
+    check.assertTrue(first.pending.closed)
+    check.assertGreater(second.dispatch.timeout_s, 6.0)
+
+
+def test_a_call_that_may_run_once_gets_no_second_attempt():
+    first = _Attempt("late", "late", "head", body=b"first")
+    body, sent, _ = _run_plain(
+        first, kind=delivery.CallKind.NON_IDEMPOTENT, resumable=False
+    )
+    check.assertEqual((body, sent), (b"first", 1))
+    check.assertGreater(first.waits_s[0], 7.0)
+
+
+def test_a_late_prefill_is_repeated_only_if_another_target_takes_it():
+    for slack, prefilled in ((600.0, 2), (0.0, 1)):
+        transport = _Transport(_stream(*WHOLE), prefills=[_Attempt("late", "head")])
+        received, _ = _run(transport, targets=test_delivery._targets(), slack=slack)
+        check.assertEqual(received, WHOLE, slack)
+        check.assertEqual(len(transport.prefilled), prefilled, slack)
+
+
+def test_a_late_first_token_is_looked_for_elsewhere_only_if_a_target_takes_it():
+    targets = test_delivery._targets()
+    for slack, prefilled, sent in ((600.0, 2, 2), (0.0, 1, 1)):
+        transport = _Transport(_Attempt("late", "head", *WHOLE), _stream(*WHOLE))
+        received, dispatcher = _run(transport, targets=targets, slack=slack)
+        check.assertEqual(received, WHOLE, slack)
+        counts = (len(transport.prefilled), len(transport.sent))
+        check.assertEqual(counts, (prefilled, sent), slack)
+
+
+def test_late_attempts_are_logged_with_what_became_of_them():
+    cases = [
+        (_stream(2, 3, 4), 600.0, ["granted", "took_over"]),
+        (_Attempt(errors.RivalAnsweredError("")), 600.0, ["granted", "not_needed"]),
+        (None, 0.0, ["refused"]),
+    ]
+    for second, slack, outcomes in cases:
+        attempts = [_stream(1, 2, "late", "late", 3, 4)]
+        attempts += [] if second is None else [second]
+        with mock.patch.object(telemetry, "log_event") as log_event:
+            _run_stream(*attempts, slack=slack, attempts=2)
+        late = test_delivery._logged(log_event, "attempt_late")
+        seconds = test_delivery._logged(log_event, "second_attempt")
+        check.assertEqual(len(late), 1)
+        check.assertEqual([s["outcome"] for s in seconds][: len(outcomes)], outcomes)
+
+
+# Targets that are silent, as the dispatcher sees them.
+
+
+def _silence_task(count: int = 3):
+    task = test_dispatch._task(retries=delivery.RetryBounds(share=0.0, slack=600.0))
+    task.handle(delivery.PutTargets(targets=tuple(_engines(count))))
+    return task
+
+
+def _place_beside(task, name: str, silent_s: float = 1.0):
+    silent = delivery.SilentTarget(name=name, silent_s=silent_s)
+    return test_dispatch._place(
+        task, retry=True, prefilled=True, excluded=frozenset((name,)), silent=silent
+    )
+
+
+def _used(task) -> set[str]:
+    calls = [attrs.evolve(test_dispatch._call(8.0), prompt=SHORT) for _ in range(10)]
+    chosen = [test_dispatch._place(task, call=call).unwrap() for call in calls]
+    return {placement.target.name for placement in chosen}
+
+
+def test_a_second_attempt_goes_to_no_target_that_is_silent_too():
+    task = _silence_task(2)
+    check.assertTrue(_place_beside(task, "e0").is_ok())
+    # e1 has a silent call as well.
+    check.assertEqual(_place_beside(task, "e1").unwrap_err().reason, "no_target")
+    check.assertEqual(_place_beside(task, "e0").unwrap_err().reason, "no_target")
+
+
+def test_a_target_that_was_silent_is_used_at_once_when_it_has_output():
+    task = _silence_task(2)
+    check.assertTrue(_place_beside(task, "e0").is_ok())
+    check.assertEqual(_used(task), {"e1"})
+    task.handle(delivery.TargetWentOn(name="e0"))
+    check.assertIn("e0", _used(task))
+
+
+def test_a_domain_whose_targets_are_all_silent_is_not_refused_as_empty():
+    task = _silence_task(3)
+    for name in ("e0", "e1", "e2"):
+        _place_beside(task, name)
+    check.assertTrue(test_dispatch._place(task).is_ok())
+
+
+def test_a_target_that_answers_other_calls_is_not_silent():
+    task = _silence_task(1)
+    placement = test_dispatch._place(task).unwrap()
+    task.handle(
+        delivery.FirstOutput(
+            placement=placement, prompt=test_dispatch.PROMPT, took_s=0.1
+        )
+    )
+    check.assertFalse(_place_beside(task, "e0", silent_s=1.0).is_ok())
+    target = placement.target
+    check.assertEqual(task._placer.accepting([target], runtime.now()), [target])
+
+
+# The wait itself.
+
+
+def _guard(until_s: float, **changes) -> _response.Guard:
+    return _response.Guard(runtime.now() + until_s, lambda: False, **changes)
+
+
+def test_a_wait_that_is_over_goes_on_with_the_connection_open():
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        lates = []
+
+        def on_late(pending):
+            lates.append(pending.watched)
+            return runtime.now() + 0.1
+
+        guard = _guard(0.05, on_late=on_late)
+        timer = threading.Timer(0.25, theirs.sendall, [b"x"])
+        timer.start()
+        guard.wait(ours.fileno())
+        timer.join()
+        check.assertGreaterEqual(len(lates), 2)
+        check.assertTrue(all(lates))
+
+
+def test_bytes_that_were_no_progress_do_not_speak_for_a_target():
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        seen = []
+
+        def on_late(pending):
+            seen.append(pending.watched)
+            raise TimeoutError
+
+        guard = _guard(0.05, on_late=on_late)
+        theirs.sendall(b"x")
+        guard.wait(ours.fileno())
+        ours.recv(1)
+        with check.assertRaises(TimeoutError):
+            guard.wait(ours.fileno())
+        guard.wait_until(runtime.now())
+        with check.assertRaises(TimeoutError):
+            guard.wait(ours.fileno())
+        check.assertEqual(seen, [False, True])
+
+
+def test_a_second_wait_ends_as_soon_as_the_first_target_goes_on():
+    first, first_target = socket.socketpair()
+    second, second_target = socket.socketpair()
+    with first, first_target, second, second_target:
+        rival = _pending.PendingConnection(first.fileno())
+        guard = _guard(5.0, rival=rival)
+        second_target.sendall(b"x")
+        guard.wait(second.fileno())
+        second.recv(1)
+        first_target.sendall(b"x")
+        with check.assertRaises(errors.RivalAnsweredError):
+            guard.wait(second.fileno())
+
+
+def test_a_first_connection_that_ends_does_not_end_the_second_wait():
+    for ended_by in ("target", "us"):
+        first, first_target = socket.socketpair()
+        second, second_target = socket.socketpair()
+        with first, first_target, second, second_target:
+            rival = _pending.PendingConnection(first.fileno())
+            guard = _guard(0.1, rival=rival)
+            if ended_by == "us":
+                rival.close()
+            else:
+                first_target.close()
+            with check.assertRaises(TimeoutError):
+                guard.wait(second.fileno())
+            second_target.sendall(b"x")
+            guard.wait(second.fileno())
+
+
+def test_closing_a_pending_connection_ends_it_for_its_target():
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        _pending.PendingConnection(ours.fileno()).close()
+        theirs.settimeout(1.0)
+        check.assertEqual(theirs.recv(1), b"")
+        check.assertGreaterEqual(ours.fileno(), 0)
