--- a/src/turmericward/delivery/_placing.py
+++ b/src/turmericward/delivery/_placing.py
@@ -67,8 +67,8 @@
         self, message: _messages.Place, budget: requests.RetryBudget, now: float
     ) -> result.Result[requests.Placement, requests.Refusal]:
         """Places an attempt beside one that is still open."""
-        if budget.saved < 1.0:
-            return _refusal("retry_budget", RETRY_BUDGET_RETRY_S)
+        if not budget.has_spare:
+            return _refusal("retry_reserve", RETRY_BUDGET_RETRY_S)
         chosen = self._choose(message, now)
         if chosen.is_ok():
             budget.spend()
--- a/src/turmericward/entry/_router_task.py
+++ b/src/turmericward/entry/_router_task.py
@@ -100,11 +100,10 @@
         refusal = self._crashes.refusal(message)
         if refusal is not None:
             return result.Err(refusal)
+        if message.silent is not None and not self._retry_budget.has_spare:
+            return _budget_refusal("retry_reserve")
         if message.retry and not self._retry_budget.spend():
-            refusal = requests.Refusal(
-                reason="retry_budget", retry_after_s=requests.MIN_RETRY_AFTER_S
-            )
-            return result.Err(refusal)
+            return _budget_refusal("retry_budget")
         if not message.retry:
             self._retry_budget.earn()
         now = time.monotonic()
@@ -176,3 +175,9 @@
         self._in_flight_by_tenant[message.tenant] -= 1
         if self._in_flight_by_tenant[message.tenant] <= 0:
             del self._in_flight_by_tenant[message.tenant]
+
+
+def _budget_refusal(reason: str):
+    return result.Err(
+        requests.Refusal(reason=reason, retry_after_s=requests.MIN_RETRY_AFTER_S)
+    )
--- a/src/turmericward/requests/_budget.py
+++ b/src/turmericward/requests/_budget.py
@@ -2,6 +2,8 @@
 
 RETRY_SHARE = 0.1
 MAX_SAVED_RETRIES = 10.0
+# Share of the bucket that is kept for calls that have lost their target.
+RESERVED_SHARE = 0.5
 
 
 class RetryBudget:
@@ -35,6 +37,11 @@
         """Number of retries that may be sent now."""
         return self._saved
 
+    @property
+    def has_spare(self) -> bool:
+        """Whether a retry is left for a call that may still be answered without it."""
+        return self._saved - 1.0 >= RESERVED_SHARE * self._max_saved
+
     def spend(self) -> bool:
         """Takes one retry; returns False if none is left."""
         if self._saved < 1.0:
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -369,8 +369,8 @@
 # Targets that are silent, as the dispatcher sees them.
 
 
-def _silence_task(count: int = 3):
-    task = test_dispatch._task(retries=delivery.RetryBounds(share=0.0, slack=600.0))
+def _silence_task(count: int = 3, slack: float = 600.0):
+    task = test_dispatch._task(retries=delivery.RetryBounds(share=0.0, slack=slack))
     task.handle(delivery.PutTargets(targets=tuple(_engines(count))))
     return task
 
@@ -382,9 +382,12 @@
     )
 
 
+def _short() -> delivery.Call:
+    return attrs.evolve(test_dispatch._call(8.0), prompt=SHORT)
+
+
 def _used(task) -> set[str]:
-    calls = [attrs.evolve(test_dispatch._call(8.0), prompt=SHORT) for _ in range(10)]
-    chosen = [test_dispatch._place(task, call=call).unwrap() for call in calls]
+    chosen = [test_dispatch._place(task, call=_short()).unwrap() for _ in range(10)]
     return {placement.target.name for placement in chosen}
 
 
@@ -424,6 +427,22 @@
     check.assertEqual(task._placer.accepting([target], runtime.now()), [target])
 
 
+def test_streams_of_a_silent_target_used_up_the_retries_of_lost_calls():
+    # Ten retries for this front, which assumes 15 others.
+    task = _silence_task(40, slack=10 * 16 / 0.7 + 1)
+    granted = sum(_place_beside(task, "e0").is_ok() for _ in range(30))
+    lost = [test_dispatch._place(task, retry=True, call=_short()) for _ in range(9)]
+    check.assertEqual(granted, 5)
+    check.assertEqual([chosen.is_ok() for chosen in lost], [True] * 5 + [False] * 4)
+    check.assertEqual(lost[-1].unwrap_err().reason, "retry_budget")
+
+
+def test_a_second_attempt_that_finds_no_target_costs_no_retry():
+    task = _silence_task(1)
+    check.assertFalse(_place_beside(task, "e0").is_ok())
+    check.assertEqual(task._budgets.available(), {"model": 0.7 * 600 / 16})
+
+
 # The wait itself.
 
 
