--- /dev/null
+++ b/src/turmericward/delivery/_asking.py
@@ -0,0 +1,47 @@
+"""Asks the dispatcher for a placement, within a time.
+
+Load pattern handled: a dispatcher that is busy with a large configuration or a list of
+all targets, or has stopped, beside calls that wait for it.
+"""
+
+import functools
+from concurrent import futures
+
+import result
+
+from turmericward import requests, runtime
+from turmericward.delivery import _context, _messages
+
+REASON = "dispatcher_late"
+RETRY_AFTER_S = 0.5
+
+
+def place(
+    dispatch: _context.Dispatcher, message: _messages.Place, timeout_s: float
+) -> result.Result[requests.Placement, requests.Refusal]:
+    """Returns the dispatcher's answer, a refusal if there is none in time.
+
+    A placement that is granted later is ended again.
+    """
+    fut = dispatch.ask(message)
+    try:
+        return fut.result(max(0.0, timeout_s))
+    except TimeoutError:
+        fut.add_done_callback(functools.partial(_give_back, dispatch, message))
+    except runtime.TaskStoppedError:
+        pass
+    return result.Err(requests.Refusal(reason=REASON, retry_after_s=RETRY_AFTER_S))
+
+
+def _give_back(
+    dispatch: _context.Dispatcher, message: _messages.Place, fut: futures.Future
+) -> None:
+    if fut.exception() is not None or fut.result().is_err():
+        return
+    dispatch.post(
+        _messages.PlacementEnded(
+            placement=fut.result().unwrap(),
+            prompt=message.call.prompt,
+            ending=requests.Ending.DISCONNECTED,
+        )
+    )
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -8,6 +8,7 @@
 from turmericward import requests, runtime
 from turmericward.adapters import errors
 from turmericward.delivery import (
+    _asking,
     _calls,
     _context,
     _early_end,
@@ -117,7 +118,8 @@
             prefilled=prefilled,
             prefill_domain=self._prefill_domain,
         )
-        chosen = self._ctx.dispatch.ask(message).result(DISPATCH_TIMEOUT_S)
+        timeout_s = min(DISPATCH_TIMEOUT_S, self._call.remaining_s())
+        chosen = _asking.place(self._ctx.dispatch, message, timeout_s)
         if chosen.is_err():
             refusal = chosen.unwrap_err()
             if retry:
--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -13,6 +13,7 @@
 from turmericward import requests, runtime
 from turmericward.adapters import _pending, errors
 from turmericward.delivery import (
+    _asking,
     _calls,
     _messages,
     _open_placement,
@@ -21,7 +22,8 @@
     _timeouts,
 )
 
-DISPATCH_TIMEOUT_S = 5.0
+# How long the answer on a second attempt may take, in which the first isn't read.
+DISPATCH_TIMEOUT_S = 0.3
 # After this time, a call that was allowed no second attempt asks again.
 ASK_AGAIN_S = 0.5
 # How long two targets may work on a prompt or a stream at the same time.
@@ -140,7 +142,7 @@
             prefilled=self.began,
             silent=_messages.SilentTarget(name=name, silent_s=parts.record.silent_s),
         )
-        chosen = parts.ctx.dispatch.ask(message).result(DISPATCH_TIMEOUT_S)
+        chosen = _asking.place(parts.ctx.dispatch, message, DISPATCH_TIMEOUT_S)
         if chosen.is_err():
             self._log_refusal(chosen.unwrap_err().reason)
             return None
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -3,6 +3,7 @@
 import socket
 import threading
 import time
+from concurrent import futures
 from unittest import mock
 
 import attrs
@@ -443,6 +444,72 @@
     check.assertEqual(task._budgets.available(), {"model": 0.7 * 600 / 16})
 
 
+# A dispatcher that is silent itself.
+
+
+class _LateDispatcher(test_delivery._Dispatcher):
+    """Answers the placements after the first ones only when it is told to."""
+
+    def __init__(self, task, answered: int) -> None:
+        super().__init__(task)
+        self._answered = answered
+        self._waiting = []
+
+    def ask(self, message) -> futures.Future:
+        if not isinstance(message, delivery.Place) or self._answered > 0:
+            self._answered -= 1
+            return super().ask(message)
+        self._waiting.append((message, futures.Future()))
+        return self._waiting[-1][1]
+
+    def answer(self) -> None:
+        for message, fut in self._waiting:
+            fut.set_result(super().ask(message).result())
+
+    def open_calls(self) -> int:
+        loads = self._task._placer.local_loads().values()
+        return sum(load.open_calls for load in loads)
+
+
+def _run_with_late_dispatcher(transport, answered: int, deadline_s: float = 8.0):
+    dispatcher = _LateDispatcher(_silence_task(4), answered)
+    ctx = delivery.Context(
+        dispatch=dispatcher, transport=transport, metrics=telemetry.Metrics(None, "")
+    )
+    call = attrs.evolve(test_dispatch._call(deadline_s), prompt=SHORT)
+    call = attrs.evolve(call, route=attrs.evolve(call.route, max_attempts=4))
+    received = _received(reply := delivery.Delivery(ctx, call, "model").run())
+    check.assertEqual(dispatcher.open_calls(), 0)
+    dispatcher.answer()
+    return received, reply, dispatcher.open_calls()
+
+
+def test_a_late_dispatcher_ended_a_call_without_an_answer_and_left_its_load():
+    transport = _Transport()
+    received, reply, left = _run_with_late_dispatcher(transport, 0, deadline_s=0.2)
+    check.assertEqual((received, transport.sent, left), (503, [], 0))
+    check.assertEqual(reply.failure.reason, "dispatcher_late")
+    check.assertFalse(reply.failure.may_have_run)
+
+
+def test_a_late_dispatcher_does_not_end_an_attempt_that_goes_on():
+    transport = _Transport(_stream(1, 2, "late", 3, 4))
+    received, _, left = _run_with_late_dispatcher(transport, 1)
+    check.assertEqual((received, left), (WHOLE, 0))
+
+
+def test_a_dispatcher_that_has_stopped_refuses_calls():
+    dispatcher = mock.Mock()
+    fut = futures.Future()
+    fut.set_exception(runtime.TaskStoppedError("DispatchTask"))
+    dispatcher.ask.return_value = fut
+    ctx = delivery.Context(
+        dispatch=dispatcher, transport=None, metrics=telemetry.Metrics(None, "")
+    )
+    reply = delivery.Delivery(ctx, test_dispatch._call(8.0), "model").run()
+    check.assertEqual(reply.status, 503)
+
+
 # The wait itself.
 
 
