--- a/src/turmericward/adapters/_request.py
+++ b/src/turmericward/adapters/_request.py
@@ -59,6 +59,7 @@
     """Opens a connection that does not reconnect automatically.
 
     Raises:
+        ConnectTimeoutError: the target was silent.
         NotSentError: the connection could not be established.
     """
     try:
@@ -71,6 +72,8 @@
     conn.response_class = response_class
     try:
         conn.connect()
+    except TimeoutError as exc:
+        raise errors.ConnectTimeoutError(f"{address}: {exc!r}") from exc
     # Text that is no address raises errors of several types.
     except Exception as exc:
         raise errors.NotSentError(f"{address}: {exc!r}") from exc
--- a/src/turmericward/adapters/errors.py
+++ b/src/turmericward/adapters/errors.py
@@ -42,6 +42,10 @@
     """Raised if the request cannot have reached the target."""
 
 
+class ConnectTimeoutError(NotSentError):
+    """Raised if the target neither accepted nor refused a connection in time."""
+
+
 class NotExecutedError(AdapterError):
     """Raised if the target states that it has not and will not run the request."""
 
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from turmericward import requests, runtime
+from turmericward import fleet, requests, runtime
 from turmericward.adapters import errors
 from turmericward.delivery import (
     _asking,
@@ -28,6 +28,11 @@
 # How often a call that waits for its turn at a target checks for its client.
 DISCONNECT_POLL_S = 0.1
 CLIENT_CLOSED_REQUEST = 499
+# If no target accepts or refuses a connection, all are tried again after this time, as
+# long as this share of the call's time is left.
+CONNECT_AGAIN_S = 0.1
+CONNECT_SHARE = 0.5
+NO_TARGET_REASONS = frozenset({fleet.NO_TARGET, "no_engine"})
 
 
 class Delivery:
@@ -109,40 +114,67 @@
             # Granted while the last attempt was open.
             return
         retry = self._progress.is_retry(prefilled=prefilled)
-        self._early_end.check_attempt(self._call, retry=retry)
+        while True:
+            self._early_end.check_attempt(self._call, retry=retry)
+            chosen = self._ask(retry=retry, prefilled=prefilled)
+            if chosen.is_ok():
+                break
+            self._try_silent_again(chosen.unwrap_err(), retry=retry)
+        placement = chosen.unwrap()
+        self._open.begin(placement)
+        if retry:
+            self._record.log_second_attempt("granted", "", self._target)
+        self._await_start(runtime.now() + placement.start_after_s)
+        self._open.mark_sent()
+
+    def _ask(self, *, retry: bool, prefilled: bool):
+        progress = self._progress
         message = _messages.Place(
             call=self._call,
             service=self._service,
-            excluded=self._progress.excluded,
+            excluded=progress.excluded | progress.silent,
             retry=retry,
             prefilled=prefilled,
             prefill_domain=self._prefill_domain,
+            first=not progress.placements,
         )
+        progress.placements += 1
         timeout_s = min(DISPATCH_TIMEOUT_S, self._call.remaining_s())
-        chosen = _asking.place(self._ctx.dispatch, message, timeout_s)
-        if chosen.is_err():
-            refusal = chosen.unwrap_err()
+        return _asking.place(self._ctx.dispatch, message, timeout_s)
+
+    def _try_silent_again(self, refusal: requests.Refusal, *, retry: bool) -> None:
+        """Waits until targets may be tried again that accepted no connection.
+
+        Raises:
+            CallAbandonedError: there are none, or little of the call's time is left.
+        """
+        progress = self._progress
+        enough_s = CONNECT_SHARE * self._call.deadline_s
+        if (
+            refusal.reason not in NO_TARGET_REASONS
+            or not progress.silent
+            or self._call.remaining_s() < enough_s
+        ):
             if retry:
                 self._record.log_second_attempt("refused", refusal.reason)
-            self._progress.abandon(refusal.reason, refusal.retry_after_s)
-        placement = chosen.unwrap()
-        self._open.begin(placement)
-        if retry:
-            self._record.log_second_attempt("granted", "", self._target)
-        self._await_start(runtime.now() + placement.start_after_s)
-        self._open.mark_sent()
+            progress.abandon(refusal.reason, refusal.retry_after_s)
+        progress.silent = frozenset()
+        self._wait(runtime.now() + CONNECT_AGAIN_S)
 
     def _await_start(self, start: float) -> None:
         """Waits until the target's rate limit allows the call."""
         began_at = runtime.now()
         if start <= began_at:
             return
-        while (remaining_s := start - runtime.now()) > 0:
+        self._wait(start)
+        self._early_end.exclude_wait(runtime.now() - began_at)
+        self._early_end.check_attempt(self._call, retry=False)
+
+    def _wait(self, until: float) -> None:
+        while (remaining_s := until - runtime.now()) > 0:
             if self._early_end.is_due():
                 self._early_end.end_call(_stop.CallPhase.WAITING)
             time.sleep(min(remaining_s, DISCONNECT_POLL_S))
-        self._early_end.exclude_wait(runtime.now() - began_at)
-        self._early_end.check_attempt(self._call, retry=False)
 
     def _prefill(self) -> None:
         """Runs a separate prefill if the placement asks for one; stores its handle."""
@@ -264,7 +296,10 @@
                 self._open.placement, "not_reached", str(exc)
             )
             self._open.end(requests.Ending.UNREACHED)
-            self._progress.record_unreachable(self._target)
+            if isinstance(exc, errors.ConnectTimeoutError):
+                self._progress.record_silent(self._target)
+            else:
+                self._progress.record_unreachable(self._target)
 
     def _record_failure(self, exc: Exception) -> None:
         """Records a failed attempt in which the call may have run."""
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -330,6 +330,7 @@
         if message.streamed:
             self._placer.streamed(message.placement, now)
         self._placer.ended(message.placement, message.ending, now)
+        self._placing.ended(message.placement, message.ending)
         if self._crashes.placement_ended(message):
             self._publish_state()
             return
--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -137,9 +137,10 @@
         message = _messages.Place(
             call=self._call(),
             service=parts.service,
-            excluded=parts.progress.excluded | {name},
+            excluded=parts.progress.excluded | parts.progress.silent | {name},
             retry=True,
             prefilled=self.began,
+            first=False,
             silent=_messages.SilentTarget(name=name, silent_s=parts.record.silent_s),
         )
         chosen = _asking.place(parts.ctx.dispatch, message, DISPATCH_TIMEOUT_S)
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -194,7 +194,8 @@
 
     `prefilled` holds if the prompt's KV cache is available at another target, in the
     failure domain `prefill_domain` if that is known; `retry` if an earlier attempt of
-    the call has reached the service. `silent` is the target of an attempt that is still
+    the call has reached the service; `first` if no target was requested for it before.
+    `silent` is the target of an attempt that is still
     open: the call can do without another one, which is granted only at a target that
     takes it at once.
     """
@@ -206,6 +207,7 @@
     prefilled: bool = False
     prefill_domain: str = ""
     silent: SilentTarget | None = None
+    first: bool = True
 
 
 @attrs.frozen(kw_only=True)
--- a/src/turmericward/delivery/_placing.py
+++ b/src/turmericward/delivery/_placing.py
@@ -43,6 +43,8 @@
         self._crashes = crashes
         self._budgets = budgets
         self._deadlines = _deadlines.DeadlineEstimates()
+        # Services of the open placements that are retries.
+        self._retries: dict[int, str] = {}
 
     def place(
         self, message: _messages.Place
@@ -59,9 +61,18 @@
             return self._place_second(message, budget, now)
         if message.retry and not budget.spend():
             return _refusal("retry_budget", RETRY_BUDGET_RETRY_S)
-        if not message.retry and not message.prefilled:
+        if message.first and not message.retry and not message.prefilled:
             budget.earn()
-        return self._choose(message, now)
+        chosen = self._choose(message, now)
+        if message.retry and chosen.is_ok():
+            self._retries[chosen.unwrap().id] = message.service
+        return chosen
+
+    def ended(self, placement: requests.Placement, ending: requests.Ending) -> None:
+        """Gives back the retry of a placement whose target wasn't reached."""
+        service = self._retries.pop(placement.id, None)
+        if service is not None and ending is requests.Ending.UNREACHED:
+            self._budgets.for_service(service).refund()
 
     def _place_second(
         self, message: _messages.Place, budget: requests.RetryBudget, now: float
@@ -72,6 +83,7 @@
         chosen = self._choose(message, now)
         if chosen.is_ok():
             budget.spend()
+            self._retries[chosen.unwrap().id] = message.service
         return chosen
 
     def _choose(
--- a/src/turmericward/delivery/_progress.py
+++ b/src/turmericward/delivery/_progress.py
@@ -21,7 +21,8 @@
 
     `arrivals` counts attempts that reached a target, `possible_runs` those that may
     have run there, `prefills` the successful separate prefills. The first prefill
-    is no retry, a further one is. `reason` is the cause of the failure,
+    is no retry, a further one is. `silent` targets neither accepted nor refused a
+    connection: they may be tried again. `reason` is the cause of the failure,
     `stop_reason` why no further attempt is made.
     """
 
@@ -34,6 +35,8 @@
     stop_reason: str = ""
     retry_after_s: float = RETRY_AFTER_S
     fallback: _calls.Reply | None = None
+    silent: frozenset[str] = frozenset()
+    placements: int = 0
     _refusals: int = 0
     _crashes: int = 0
 
@@ -45,6 +48,10 @@
         """
         self._exclude_target(target)
 
+    def record_silent(self, target: str) -> None:
+        """Records a target that neither accepted nor refused a connection."""
+        self.silent |= {target}
+
     def record_refusal(self, target: str) -> None:
         """Records a target that didn't run the call and never will.
 
--- a/src/turmericward/entry/_router_task.py
+++ b/src/turmericward/entry/_router_task.py
@@ -104,7 +104,7 @@
             return _budget_refusal("retry_reserve")
         if message.retry and not self._retry_budget.spend():
             return _budget_refusal("retry_budget")
-        if not message.retry:
+        if message.first and not message.retry:
             self._retry_budget.earn()
         now = time.monotonic()
         view = self.view
--- a/src/turmericward/fleet/__init__.py
+++ b/src/turmericward/fleet/__init__.py
@@ -1,6 +1,6 @@
 """Fleet: the state of targets as an entry, a front or a steward sees it."""
 
-from turmericward.fleet._admission import Admission, Candidates
+from turmericward.fleet._admission import NO_TARGET, Admission, Candidates
 from turmericward.fleet._backoffs import Backoffs
 from turmericward.fleet._health import Health
 from turmericward.fleet._rate_limits import RateLimit, RateLimits
@@ -18,6 +18,7 @@
 )
 
 __all__ = [
+    "NO_TARGET",
     "Admission",
     "Candidates",
     "Directory",
--- a/src/turmericward/requests/_budget.py
+++ b/src/turmericward/requests/_budget.py
@@ -26,6 +26,10 @@
         """Adds the share of a first attempt."""
         self._saved = min(self._max_saved, self._saved + self._share)
 
+    def refund(self) -> None:
+        """Returns a retry that reached no target."""
+        self._saved = min(self._max_saved, self._saved + 1.0)
+
     def set_bounds(self, share: float, max_saved: float) -> None:
         """Changes the share of a request, and the size of the bucket."""
         self._share = share
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -10,8 +10,8 @@
 
 from tests import fixtures, test_delivery, test_dispatch
 from turmericward import delivery, fleet, requests, runtime, telemetry
-from turmericward.adapters import _pending, _response, errors
-from turmericward.delivery import _late_attempt
+from turmericward.adapters import _pending, _request, _response, errors
+from turmericward.delivery import _delivery, _late_attempt
 
 check = fixtures.check
 Ending = requests.Ending
@@ -83,6 +83,19 @@
                 step()
 
 
+class _Dispatcher(test_delivery._Dispatcher):
+    """Keeps the requests for placements."""
+
+    def __init__(self, task) -> None:
+        super().__init__(task)
+        self.asked: list[delivery.Place] = []
+
+    def ask(self, message) -> futures.Future:
+        if isinstance(message, delivery.Place):
+            self.asked.append(message)
+        return super().ask(message)
+
+
 class _Transport(test_delivery._Transport):
     """Makes scripted attempts one after the other."""
 
@@ -124,7 +137,7 @@
     disconnected = changes.pop("disconnected", lambda: False)
     task = test_dispatch._task(retries=delivery.RetryBounds(share=0.0, slack=slack))
     task.handle(delivery.PutTargets(targets=tuple(targets or _engines())))
-    dispatcher = test_delivery._Dispatcher(task)
+    dispatcher = _Dispatcher(task)
     ctx = delivery.Context(
         dispatch=dispatcher, transport=transport, metrics=telemetry.Metrics(None, "")
     )
@@ -444,6 +457,98 @@
     check.assertEqual(task._budgets.available(), {"model": 0.7 * 600 / 16})
 
 
+# Targets that are silent at the connect.
+
+
+def _silent_connects(count: int) -> list[_Attempt]:
+    timeout = errors.ConnectTimeoutError("timed out")
+    return [_Attempt(timeout) for _ in range(count)]
+
+
+def test_calls_were_refused_as_without_target_when_all_were_silent_for_a_moment():
+    with mock.patch.object(_delivery, "CONNECT_AGAIN_S", 0.01):
+        for kind in (IDEMPOTENT, delivery.CallKind.NON_IDEMPOTENT):
+            answered = _Attempt("head", body=b"x")
+            attempts = [*_silent_connects(10), answered]
+            body, sent, _ = _run_plain(*attempts, slack=0.0, kind=kind, resumable=False)
+            check.assertEqual((body, sent), (b"x", 11), kind)
+
+
+def test_silent_targets_are_tried_again_for_a_part_of_the_calls_time():
+    with mock.patch.object(_delivery, "CONNECT_AGAIN_S", 0.05):
+        began = time.monotonic()
+        status, sent, _ = _run_plain(*_silent_connects(99), deadline_s=0.6)
+    check.assertEqual(status, 503)
+    check.assertGreater(sent, 4)
+    check.assertAlmostEqual(time.monotonic() - began, 0.3, delta=0.15)
+
+
+def test_only_the_first_placement_of_a_call_adds_to_the_retry_budget():
+    transport = _Transport(*_silent_connects(2), _Attempt("head", body=b"x"))
+    _, dispatcher = _run(transport, _plain_targets(), kind=IDEMPOTENT, prompt=None)
+    firsts = [message.first for message in dispatcher.asked]
+    check.assertEqual(firsts, [True, False, False])
+
+
+def test_refused_connections_end_a_call_at_once():
+    for silent in (0, 1):
+        refused = [_Attempt(test_delivery.FAULTS["not sent"]) for _ in range(9)]
+        with mock.patch.object(_delivery, "CONNECT_AGAIN_S", 0.01):
+            outcome = _run_plain(*_silent_connects(silent), *refused)
+        check.assertEqual(outcome[:2], (503, 4 + silent))
+
+
+def test_attempts_that_were_not_sent_neither_add_nor_cost_retries():
+    task = _silence_task(4)
+    placement = _place_beside(task, "e0").unwrap()
+    before = task._budgets.available()["model"]
+    for _ in range(2):
+        task.handle(
+            delivery.PlacementEnded(
+                placement=placement, prompt=SHORT, ending=Ending.UNREACHED
+            )
+        )
+    check.assertEqual(task._budgets.available()["model"], before + 1)
+    earning = test_dispatch._task(retries=delivery.RetryBounds(share=0.5, slack=60.0))
+    earning.handle(delivery.PutTargets(targets=tuple(_engines())))
+    test_dispatch._place(earning, call=_short(), retry=True)
+    low = earning._budgets.available()["model"]
+    test_dispatch._place(earning, call=_short(), first=False)
+    check.assertEqual(earning._budgets.available()["model"], low)
+
+
+def test_calls_that_failed_together_kept_a_target_away_for_longer():
+    health = fleet.Health()
+    for _ in range(30):
+        health.failed("t", 0.0, weight=3)
+    check.assertTrue(health.usable("t", 1.0))
+
+
+def test_a_connect_without_an_answer_is_no_refused_one():
+    backlog = socket.socket()
+    with backlog:
+        backlog.bind(("127.0.0.1", 0))
+        backlog.listen(0)
+        address = f"127.0.0.1:{backlog.getsockname()[1]}"
+        fillers = [_start_connecting(address) for _ in range(4)]
+        with check.assertRaises(errors.ConnectTimeoutError):
+            _request.connect(address, 0.2)
+        check.assertFalse(_request.refuses_connections(address, 0.2))
+        for filler in fillers:
+            filler.close()
+    with check.assertRaises(errors.NotSentError) as caught:
+        _request.connect(address, 0.2)
+    check.assertNotIsInstance(caught.exception, errors.ConnectTimeoutError)
+
+
+def _start_connecting(address: str) -> socket.socket:
+    host, _, port = address.partition(":")
+    sock = socket.socket()
+    sock.setblocking(False)
+    sock.connect_ex((host, int(port)))
+    return sock
+
+
 # A dispatcher that is silent itself.
 
 
