--- a/src/turmericward/adapters/_request.py
+++ b/src/turmericward/adapters/_request.py
@@ -166,27 +166,6 @@
         raise answer_lost(address, exc) from exc
 
 
-def wait_for_response(
-    conn: http.client.HTTPConnection,
-    address: str,
-    deadline: float,
-    cancelled: Callable[[], bool],
-) -> None:
-    """Waits for the first byte of the response.
-
-    Raises:
-        AnswerLostError: none was received by `deadline`, on the clock of
-            `runtime.now`.
-        CancelledError: the client disconnected while waiting.
-    """
-    try:
-        _response.Guard(deadline, cancelled).wait(conn.sock.fileno())
-    except TimeoutError as exc:
-        raise errors.AnswerLostError(
-            f"{address}: no response before the deadline"
-        ) from exc
-
-
 def join_body(chunks: Iterable[bytes], name: str = "response") -> bytes:
     """Concatenates the chunks of a body.
 
--- a/src/turmericward/adapters/engine.py
+++ b/src/turmericward/adapters/engine.py
@@ -1,5 +1,6 @@
 """Client of a model engine: completions, streams, load, state and role orders."""
 
+import functools
 import http.client
 import json
 import time
@@ -8,7 +9,7 @@
 import attrs
 
 from turmericward import runtime, schema
-from turmericward.adapters import _json_http, _request, errors
+from turmericward.adapters import _json_http, _pending, _request, _response, errors
 from turmericward.authority import Authority, EngineState, Spec
 
 READ_BYTES = 65536
@@ -73,6 +74,14 @@
     cancelled: Callable[[], bool] = lambda: False
 
 
+@attrs.frozen(kw_only=True)
+class Watch:
+    """What happens while an engine is waited for; see `delivery.Dispatch`."""
+
+    on_late: Callable[[_pending.PendingConnection], float] = _pending.give_up
+    rival: _pending.PendingConnection | None = None
+
+
 def _build_request(job: Job, resume_after: int) -> _request.Request:
     headers = [
         ("Content-Type", "application/json"),
@@ -87,14 +96,18 @@
 
 
 class Stream:
-    """An open event stream; closing it cancels the request on the engine."""
+    """An open event stream; closing it cancels the request on the engine.
 
-    def __init__(self, conn, resp, address: str) -> None:
+    `wait_until` sets until when further events are waited for.
+    """
+
+    def __init__(self, conn, resp, address: str, guard: _response.Guard) -> None:
         """Takes ownership of a connection whose response head has been read."""
         self._conn = conn
         self._resp = resp
         self._address = address
         self._buffer = b""
+        self.wait_until = guard.wait_until
 
     def events(self) -> Iterator[list[Event]]:
         """Yields batches of events in order, as they are received.
@@ -169,16 +182,18 @@
         job: Job,
         *,
         first_byte_timeout_s: float,
-        idle_timeout_s: float,
+        deadline: float,
         resume_after: int = 0,
+        watch: Watch = Watch(),
     ) -> Stream | Response:
         """Starts a stream, or resumes it after event `resume_after`.
 
         Args:
             job: the request.
             first_byte_timeout_s: timeout for the response head.
-            idle_timeout_s: timeout between two events.
+            deadline: the end of the response, on the clock of `runtime.now`.
             resume_after: number of the last event received, 0 for none.
+            watch: what happens meanwhile.
 
         Returns:
             The stream, or the engine's response if its status is not 200.
@@ -189,35 +204,52 @@
             ForeignAnswerError: the response belongs to another request.
             CancelledError: the client disconnected.
         """
-        conn = _request.connect(self._address, first_byte_timeout_s)
+        guard = _guard(job, first_byte_timeout_s, watch)
+        conn = self._connect(first_byte_timeout_s, guard)
         try:
-            resp = self._send(
-                conn, job, resume_after, runtime.now() + first_byte_timeout_s
-            )
+            resp = self._send(conn, job, resume_after)
+            guard.wait_until(deadline)
             if resp.status != 200:
-                return self._read_response(conn, resp, runtime.now() + idle_timeout_s)
-            if conn.sock is not None:
-                conn.sock.settimeout(idle_timeout_s)
-            return Stream(conn, resp, self._address)
+                return self._read_response(conn, resp, deadline)
+            return Stream(conn, resp, self._address, guard)
         except BaseException:
             conn.close()
             raise
 
-    def complete(self, job: Job, timeout_s: float) -> Response:
+    def complete(
+        self,
+        job: Job,
+        timeout_s: float,
+        *,
+        deadline: float | None = None,
+        watch: Watch = Watch(),
+    ) -> Response:
         """Sends a request and reads the complete response.
 
+        Args:
+            job: the request.
+            timeout_s: timeout for the response head.
+            deadline: the end of the response, that of its head if not given.
+            watch: what happens meanwhile.
+
         Raises:
             AdapterError: as for `stream`.
         """
-        deadline = runtime.now() + timeout_s
-        conn = _request.connect(self._address, timeout_s)
+        if deadline is None:
+            deadline = runtime.now() + timeout_s
+        guard = _guard(job, timeout_s, watch)
+        conn = self._connect(timeout_s, guard)
         with _request.closing(conn):
-            resp = self._send(conn, job, 0, deadline)
+            resp = self._send(conn, job, 0)
+            guard.wait_until(deadline)
             return self._read_response(conn, resp, deadline)
 
-    def _send(self, conn, job: Job, resume_after: int, deadline: float):
+    def _connect(self, timeout_s: float, guard: _response.Guard):
+        response_class = functools.partial(_response.GuardedResponse, guard=guard)
+        return _request.connect(self._address, timeout_s, response_class=response_class)
+
+    def _send(self, conn, job: Job, resume_after: int):
         _request.send(conn, self._address, _build_request(job, resume_after))
-        _request.wait_for_response(conn, self._address, deadline, job.cancelled)
         resp = _request.read_response_head(conn, self._address)
         _request.check_request_id(resp, job.request_id)
         return resp
@@ -231,6 +263,11 @@
         )
 
 
+def _guard(job: Job, timeout_s: float, watch: Watch) -> _response.Guard:
+    until = runtime.now() + timeout_s
+    return _response.Guard(until, job.cancelled, watch.on_late, watch.rival)
+
+
 def has_ended(address: str) -> bool:
     """Returns whether the engine's process at `ip:port` has ended."""
     return _request.refuses_connections(address, _request.CONNECT_TIMEOUT_S)
--- a/src/turmericward/entry/_models.py
+++ b/src/turmericward/entry/_models.py
@@ -32,10 +32,9 @@
     def __init__(self, ctx) -> None:
         """Creates the handlers on the given entry context."""
         self._ctx = ctx
-        classes = ctx.cfg.entry.classes
         self._delivery = delivery.Context(
             dispatch=ctx.router,
-            transport=_transport.EngineTransport(classes),
+            transport=_transport.EngineTransport(),
             metrics=ctx.metrics,
             drain=ctx.drain,
         )
--- a/src/turmericward/entry/_transport.py
+++ b/src/turmericward/entry/_transport.py
@@ -11,10 +11,6 @@
 class EngineTransport:
     """Implements `delivery.Transport` with the protocol of the engines."""
 
-    def __init__(self, classes) -> None:
-        """Creates the transport; `classes` maps traffic classes to their settings."""
-        self._classes = classes
-
     def send(
         self,
         target: fleet.Target,
@@ -30,13 +26,19 @@
             priority=dispatch.priority,
             cancelled=call.cancelled,
         )
+        watch = engine.Watch(on_late=dispatch.on_late, rival=dispatch.rival)
         if call.route.kind is not delivery.CallKind.STREAM:
-            return _to_answer(client.complete(job, dispatch.timeout_s))
+            return _to_answer(
+                client.complete(
+                    job, dispatch.timeout_s, deadline=call.deadline, watch=watch
+                )
+            )
         result = client.stream(
             job,
             first_byte_timeout_s=dispatch.timeout_s,
-            idle_timeout_s=self._classes[call.traffic_class].idle_s,
+            deadline=call.deadline,
             resume_after=int(dispatch.resume_after or 0),
+            watch=watch,
         )
         if isinstance(result, engine.Stream):
             return delivery.Answer(
@@ -44,6 +46,7 @@
                 headers=(),
                 chunks=_events(result),
                 close=result.close,
+                wait_until=result.wait_until,
                 numbered=True,
             )
         return _to_answer(result)
