--- a/standins/_http.py
+++ b/standins/_http.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.server
+import io
 import json
 import signal
 import socket
@@ -12,6 +13,22 @@
 import click
 
 SIGTERM_EXIT_STATUS = 0
+FILL_TIMEOUT_S = 0.1
+
+
+class _PausableFile(io.BufferedIOBase):
+    """Writes to a connection while its server isn't paused."""
+
+    def __init__(self, file, running: threading.Event) -> None:
+        self._file = file
+        self._running = running
+
+    def writable(self) -> bool:
+        return True
+
+    def write(self, data) -> int:
+        self._running.wait()
+        return self._file.write(data)
 
 
 class Handler(http.server.BaseHTTPRequestHandler):
@@ -24,7 +41,13 @@
     def log_message(self, *args) -> None:
         """Turns the access log off."""
 
+    def setup(self) -> None:
+        """Opens the connection's files."""
+        super().setup()
+        self.wfile = _PausableFile(self.wfile, self.server.running)
+
     def _dispatch(self) -> None:
+        self.server.running.wait()
         self.url = urllib.parse.urlsplit(self.path)
         self.query = dict(urllib.parse.parse_qsl(self.url.query))
         length = int(self.headers.get("Content-Length", 0))
@@ -60,10 +83,14 @@
         host, _, port = address.rpartition(":")
         super().__init__((host, int(port)), Handler)
         self.app = app
+        # Cleared while the server is paused.
+        self.running = threading.Event()
+        self.running.set()
         self._open: set[socket.socket] = set()
 
     def get_request(self):
         """Accepts a connection."""
+        self.running.wait()
         conn, address = super().get_request()
         self._open.add(conn)
         return conn, address
@@ -73,6 +100,31 @@
         self._open.discard(request)
         super().shutdown_request(request)
 
+    @contextlib.contextmanager
+    def paused(self, *, connectable: bool = True):
+        """Neither reads, writes nor accepts meanwhile; afterwards nothing is lost.
+
+        Args:
+            connectable: whether the system still completes the connections of callers,
+                as it does for a stopped process whose accept queue has room.
+        """
+        self.running.clear()
+        try:
+            with contextlib.nullcontext() if connectable else self._full_queue():
+                yield
+        finally:
+            self.running.set()
+
+    @contextlib.contextmanager
+    def _full_queue(self):
+        """Fills the accept queue, so that further connections time out."""
+        self.socket.listen(0)
+        try:
+            with socket.create_connection(self.server_address, FILL_TIMEOUT_S):
+                yield
+        finally:
+            self.socket.listen(self.request_queue_size)
+
     def crash(self) -> None:
         """Ends the server and all its connections at once."""
         self.socket.shutdown(socket.SHUT_RDWR)
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -147,6 +147,15 @@
         }
         conn.request(method, path, body, fields | (headers or {}))
 
+    @contextlib.contextmanager
+    def paused(self, names, *, connectable: bool = True):
+        """Lets sound replicas stand still meanwhile; see `_http.Server.paused`."""
+        with contextlib.ExitStack() as stack:
+            for name in names:
+                server = self.servers[name]
+                stack.enter_context(server.paused(connectable=connectable))
+            yield
+
     def stop(self) -> int:
         """Sends SIGTERM, waits for the process to exit and returns its status."""
         self.process.send_signal(signal.SIGTERM)
@@ -207,7 +216,9 @@
         self._platform.announce(name, born=1000 + len(self.crashed_at))
 
 
-def _settings(directory, front: str, ready: str, store: str, ports: list[int]):
+def _settings(
+    directory, front: str, ready: str, store: str, ports: list[int], bounds: dict
+):
     path = directory / "settings.json"
     value = {
         "instance": {"name": "front-1", "domain": "a", "address": "127.0.0.1"},
@@ -225,15 +236,16 @@
             "retry_slack": 500,
             "retry_window_s": 10,
             "order_gap_ms": 500,
-        },
+        }
+        | bounds,
     }
     path.write_text(json.dumps(value))
     return path
 
 
 @contextlib.contextmanager
-def platform(names=("p1", "p2", "m1", "m2"), *, started: bool = True):
-    """Runs stand-ins and a configured front that forwards to them."""
+def platform(names=("p1", "p2", "m1", "m2"), *, started: bool = True, **bounds):
+    """Runs stand-ins and a configured front, with changed bounds, before them."""
     with contextlib.ExitStack() as stack:
         directory = pathlib.Path(stack.enter_context(tempfile.TemporaryDirectory()))
         store = platform_store.Store()
@@ -258,6 +270,7 @@
                 f"127.0.0.1:{ready}",
                 store_address,
                 ports,
+                bounds,
             ),
             metrics=f"127.0.0.1:{ports[1]}",
             log=directory / "log",
