--- a/src/turmericward/delivery/_calls.py
+++ b/src/turmericward/delivery/_calls.py
@@ -62,7 +62,8 @@
 
     `target` is the path with its query as the client sent it; `received` and
     `deadline` are monotonic seconds; `deadline_s` is the time to the deadline when
-    the client sent the call; `resume_after` is the last event id that the client has,
+    the client sent the call; `caller` is what the client calls itself, empty if it
+    doesn't; `resume_after` is the last event id that the client has,
     or empty; `cancelled` returns whether the call has to end, since its client has left
     or its process stops.
     """
@@ -81,6 +82,7 @@
     cancelled: Callable[[], bool] = lambda: False
     traffic_class: str = ""
     tenant: str = ""
+    caller: str = ""
 
     def remaining_s(self) -> float:
         """Returns the seconds until the deadline."""
--- a/src/turmericward/delivery/_crash_guard.py
+++ b/src/turmericward/delivery/_crash_guard.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from turmericward import fleet, requests, runtime, telemetry
-from turmericward.delivery import _messages
+from turmericward.delivery import _fingerprint, _messages
 
 MAX_NAMED_SEGMENTS = 1_000
 
@@ -89,7 +89,7 @@
         now = runtime.now()
         return tuple(
             _messages.SegmentStatus(
-                segment=_hex(segment),
+                segment=_fingerprint.as_hex(segment),
                 id=self._ids.get(segment, ""),
                 crashes=len(suspect.crashes),
                 barred_s=round(max(0.0, suspect.bar.until - now), 3),
@@ -110,14 +110,10 @@
         for change in changes:
             telemetry.log_event(
                 "segment",
-                segment=_hex(change.segment),
+                segment=_fingerprint.as_hex(change.segment),
                 id=self._ids.get(change.segment, ""),
                 state=change.state.value,
                 crashes=change.crashes,
                 barred_s=round(max(0.0, change.until - now), 3),
             )
         return bool(changes)
-
-
-def _hex(segment: int) -> str:
-    return f"{segment & 0xFFFF_FFFF_FFFF_FFFF:016x}"
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -217,16 +217,17 @@
 
     def _end_failed_attempt(self, exc: Exception) -> bool:
         """Ends the placement; returns whether the target has ended."""
-        crashed = self._has_target_crashed(exc)
+        ended = self._has_target_ended(exc)
         self._record.log_failed_attempt(
-            self._open.placement, "failed", repr(exc), target_ended=crashed
+            self._open.placement, "failed", repr(exc), target_ended=ended
         )
+        crashed = ended and self._call.prompt is not None
         self._open.end(requests.Ending.CRASHED if crashed else requests.Ending.FAILED)
         return crashed
 
-    def _has_target_crashed(self, exc: Exception) -> bool:
-        """Returns whether the attempt failed since the engine's process ended."""
-        if self._call.prompt is None or self._open.placement is None:
+    def _has_target_ended(self, exc: Exception) -> bool:
+        """Returns whether the attempt failed since the target's process ended."""
+        if self._open.placement is None:
             return False
         if not isinstance(exc, errors.ConnectionLostError):
             return False
--- a/src/turmericward/delivery/_record.py
+++ b/src/turmericward/delivery/_record.py
@@ -1,7 +1,7 @@
 """Log lines and metrics of one call."""
 
 from turmericward import requests, runtime, telemetry
-from turmericward.delivery import _calls, _stop
+from turmericward.delivery import _calls, _fingerprint, _stop
 
 # Bounds the length of a log line.
 MAX_LOGGED_SEGMENTS = 8
@@ -16,6 +16,7 @@
         """Creates the record of a call to a service."""
         self._metrics = metrics
         self._call = call
+        self._service = service
         self._traffic_class = call.traffic_class or f"{service}.{call.route.kind.value}"
         self._first_event_at: float | None = None
         self._last_event_at = 0.0
@@ -66,6 +67,9 @@
             detail=detail,
             target_ended=target_ended,
             began=self._first_event_at is not None,
+            content=_fingerprint.as_hex(
+                _fingerprint.fingerprint(self._call, self._service)
+            ),
             segments=_shared_segment_ids(self._call.prompt),
             after_s=self._elapsed_s(),
             left_s=round(self._call.remaining_s(), 3),
--- a/src/turmericward/entry/_models.py
+++ b/src/turmericward/entry/_models.py
@@ -117,6 +117,7 @@
             cancelled=req.disconnected,
             traffic_class=demand.traffic_class,
             tenant=demand.tenant,
+            caller=demand.tenant,
         )
 
     def _response(self, reply: delivery.Reply, release) -> _http.Response:
--- a/src/turmericward/platform/_headers.py
+++ b/src/turmericward/platform/_headers.py
@@ -19,6 +19,8 @@
 RATE_LIMIT = "Server-Limit"
 # Number of times that the store has returned from an older copy of itself.
 STORE_ERA = "Store-Era"
+# Names the caller, if any header does: its calls come from several addresses.
+CALLER = "Authorization"
 KV_SOURCE = "Turmericward-Kv-Source"
 KV_FETCH = "Kv-Fetch"
 LAST_EVENT_ID = "Last-Event-Id"
--- a/src/turmericward/platform/_ingress.py
+++ b/src/turmericward/platform/_ingress.py
@@ -164,6 +164,7 @@
         deadline=received + min(deadline_s, route.timeout_s),
         prompt=_prompt(values),
         resume_after=values.get(_headers.LAST_EVENT_ID.lower(), ""),
+        caller=values.get(_headers.CALLER.lower(), ""),
         cancelled=environ.get("waitress.client_disconnected", lambda: False),
     )
 
--- a/src/turmericward/requests/_demand.py
+++ b/src/turmericward/requests/_demand.py
@@ -30,6 +30,11 @@
         """Length of the prompt in tokens."""
         return self.prompt_tokens
 
+    @property
+    def content_ids(self) -> tuple[str, ...]:
+        """What identifies the prompt beside the body of the request, which has all."""
+        return (self.model,)
+
     @property
     def shared_ids(self) -> dict[int, str]:
         """Number and id of the prompt's start, which other requests may share."""
--- a/src/turmericward/requests/_prompts.py
+++ b/src/turmericward/requests/_prompts.py
@@ -42,6 +42,11 @@
         """Tokens of the segments that other requests may share."""
         return sum(segment.tokens for segment in self.segments[:-1])
 
+    @property
+    def content_ids(self) -> tuple[str, ...]:
+        """What identifies the whole prompt."""
+        return (self.model, *(segment.id for segment in self.segments))
+
     @functools.cached_property
     def shared_segments(self) -> tuple[tuple[int, int], ...]:
         """Number and tokens of each segment that other requests may share."""
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -101,6 +101,7 @@
     targets=None,
     slack: float = 60.0,
     disconnected=lambda: False,
+    prompt: requests.Prompt | None = test_dispatch.PROMPT,
     **changes,
 ):
     """Delivers one call; returns the reply and the dispatcher."""
@@ -116,7 +117,7 @@
     )
     call = test_dispatch._call(8.0)
     route = attrs.evolve(call.route, **changes)
-    call = attrs.evolve(call, route=route, cancelled=disconnected)
+    call = attrs.evolve(call, route=route, cancelled=disconnected, prompt=prompt)
     return delivery.Delivery(ctx, call, "model").run(), dispatcher
 
 
@@ -436,6 +437,18 @@
     check.assertEqual((line["target_ended"], line["began"]), (True, False))
 
 
+def test_failed_attempts_name_the_content_and_whether_the_target_ended_of_any_call():
+    targets = [test_dispatch._target(f"e{n}") for n in range(2)]
+    for prompt in (test_dispatch.PROMPT, None):
+        transport = _Transport(sends=["closed", "lost"], ended=("e0", "e1"))
+        with mock.patch.object(telemetry, "log_event") as log_event:
+            _run(transport, targets, max_attempts=2, resumable=True, prompt=prompt)
+        lines = [c.kwargs for c in log_event.call_args_list if c.args == ("attempt",)]
+        check.assertEqual([line["target_ended"] for line in lines], [True, False])
+        check.assertEqual(len({line["content"] for line in lines}), 1)
+        check.assertRegex(lines[0]["content"], "^[0-9a-f]{16}$")
+
+
 def test_a_call_under_which_two_targets_ended_is_not_sent_to_a_third():
     targets = [test_dispatch._target(f"e{n}") for n in range(4)]
     for ended, sent in (((), 4), (("e0", "e1", "e2", "e3"), 2)):
