--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -273,12 +273,13 @@
 
     def _end_failed_attempt(self, exc: Exception) -> bool:
         """Ends the placement; returns whether the target has ended."""
-        crashed = self._has_target_crashed(exc, self._open.placement)
+        ended = self._has_target_ended(exc, self._open.placement)
         if self._record.is_late:
             self._record.log_late_attempt(self._open.placement)
         self._record.log_failed_attempt(
-            self._open.placement, "failed", repr(exc), target_ended=crashed
+            self._open.placement, "failed", repr(exc), target_ended=ended
         )
+        crashed = ended and self._call.prompt is not None
         self._open.end(requests.Ending.CRASHED if crashed else requests.Ending.FAILED)
         return crashed
 
@@ -286,7 +287,13 @@
         self, exc: Exception, placement: requests.Placement | None
     ) -> bool:
         """Returns whether the attempt failed since the engine's process ended."""
-        if self._call.prompt is None or placement is None:
+        return self._call.prompt is not None and self._has_target_ended(exc, placement)
+
+    def _has_target_ended(
+        self, exc: Exception, placement: requests.Placement | None
+    ) -> bool:
+        """Returns whether the attempt failed since the target's process ended."""
+        if placement is None:
             return False
         if not isinstance(exc, errors.ConnectionLostError):
             return False
