--- a/src/turmericward/delivery/_open_placement.py
+++ b/src/turmericward/delivery/_open_placement.py
@@ -50,16 +50,20 @@
             self._writing_since = runtime.now()
         took_s = runtime.now() - self._sent_at
         self._record.log_first_output(self.placement, took_s)
-        self._dispatch.post(
-            _messages.FirstOutput(
-                placement=self.placement, prompt=self._prompt, took_s=took_s
-            )
-        )
+        self._report_first_output(took_s)
 
     def record_output(self) -> None:
-        """Records that a resumed stream has output."""
+        """Records output of a stream, which is its first if it was resumed."""
         if self._writing_since is None:
             self._writing_since = runtime.now()
+            self._report_first_output(runtime.now() - self._sent_at)
+
+    def _report_first_output(self, took_s: float) -> None:
+        self._dispatch.post(
+            _messages.FirstOutput(
+                placement=self.current, prompt=self._prompt, took_s=took_s
+            )
+        )
 
     def hand_over(self) -> requests.Placement:
         """Returns the placement to the stream that will give it back."""
--- a/src/turmericward/requests/_loads.py
+++ b/src/turmericward/requests/_loads.py
@@ -103,8 +103,8 @@
             previous = before.get(target, NO_LOAD)
             # The counts of a restarted front start at 0 again.
             ended = load.ended_calls - previous.ended_calls
-            failed = max(0, load.failed_calls - previous.failed_calls)
-            if ended > 0:
+            failed = load.failed_calls - previous.failed_calls
+            if ended > 0 or (ended == 0 and failed < 0):
                 self._outcomes.ended(target, ended, min(ended, failed), now)
 
     def expire(self, now: float) -> list[str]:
--- a/src/turmericward/requests/_outcomes.py
+++ b/src/turmericward/requests/_outcomes.py
@@ -26,7 +26,7 @@
     at: float = 0.0
 
     def add(self, count: int, now: float) -> None:
-        self.value = self.value_at(now) + count
+        self.value = max(0.0, self.value_at(now) + count)
         self.at = now
 
     def value_at(self, now: float) -> float:
@@ -51,7 +51,10 @@
         self._targets.pop(target, None)
 
     def ended(self, target: int, calls: int, failed: int, now: float) -> None:
-        """Adds calls that ended, and how many of them failed."""
+        """Adds calls that ended, and how many of them failed.
+
+        The number of failures is negative if calls that counted as failed go on.
+        """
         counts = self._targets[target]
         counts.ended.add(calls, now)
         if failed:
--- a/src/turmericward/requests/_target_calls.py
+++ b/src/turmericward/requests/_target_calls.py
@@ -115,9 +115,16 @@
 
     def record_first_output(self, placement: _in_flight.Placement, now: float) -> bool:
         """Returns whether the placement was still waiting for its first output."""
-        self.heard(placement.target.name, now)
-        waiting = self._local[placement.target.name].waiting
-        return waiting.pop(placement.id, None) is not None
+        name = placement.target.name
+        self.heard(name, now)
+        calls = self._local[name]
+        if calls.waiting.pop(placement.id, None) is None:
+            return False
+        if placement.id in calls.overdue:
+            # The target was silent, and has not lost the call.
+            calls.failed_calls -= 1
+            self.outcomes.ended(fleet.target_hash(name), 0, -1, now)
+        return True
 
     def ended(
         self, placement: _in_flight.Placement, ending: _in_flight.Ending, now: float
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -213,6 +213,17 @@
     check.assertEqual(second.dispatch.resume_after, "2")
 
 
+def test_a_resumed_stream_counted_as_lost_by_its_sound_target():
+    transport = _Transport(_stream(1, 2, "late"), _stream(3, 4))
+    _, dispatcher = _run(transport, max_attempts=4)
+    begun = [
+        message.placement.target.name
+        for message in dispatcher.posted
+        if isinstance(message, delivery.FirstOutput)
+    ]
+    check.assertEqual(begun, [name for name, _ in transport.sent])
+
+
 def test_first_attempt_stays_open_until_the_second_is_known_to_answer():
     first = _stream(1, 2, "late")
     open_at_head = []
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -78,6 +78,31 @@
     check.assertLessEqual(placer._calls.outcomes.failure_share(number, 1.6), share)
 
 
+def test_a_target_counted_as_failing_after_a_silence_of_all_its_calls():
+    (target,) = prompt_model.targets(0, 1)
+    placer = _placer()
+    number = fleet.target_hash(target.name)
+    placements = [
+        placer.choose_engine(_prompt(), [target], AT_MOST_ONCE, 0.0).unwrap()
+        for _ in range(5)
+    ]
+    placer.count_overdue(2.0)
+    check.assertGreater(placer._calls.outcomes.failure_share(number, 2.0), 0.3)
+    peer = _placer()
+    peer.peers.replace("front", {}, 2.0)
+    peer.peers.replace("front", placer.local_loads(), 2.0)
+    for placement in placements:
+        placer.record_first_output(placement, _prompt(), 2.0, 2.0)
+        placer.record_first_output(placement, _prompt(), 2.0, 2.0)
+    peer.peers.replace("front", placer.local_loads(), 2.0)
+    for front in (placer, peer):
+        check.assertEqual(front._calls.outcomes.failure_share(number, 2.0), 0.0)
+    for placement in placements:
+        placer.ended(placement, requests.Ending.SUCCEEDED, 3.0)
+    load = placer.local_loads()[number]
+    check.assertEqual((load.ended_calls, load.failed_calls), (5, 0))
+
+
 def test_a_cancelled_probe_lets_another_call_probe_the_target():
     health = fleet.Health(failures_to_eject=1, first_s=1.0)
     health.failed("t", 0.0)
