--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -1,38 +1,29 @@
 """Delivers one call: placement, attempts at targets, and the reply."""
 
 import http
-import time
 
 import attrs
 
-from turmericward import fleet, requests, runtime
+from turmericward import requests, runtime
 from turmericward.adapters import errors
 from turmericward.delivery import (
-    _asking,
     _calls,
     _context,
     _early_end,
     _late_attempt,
-    _messages,
     _open_placement,
     _parts,
+    _placements,
     _progress,
     _record,
     _stop,
     _stream,
     _stream_delivery,
+    _superseded,
     _timeouts,
 )
 
-DISPATCH_TIMEOUT_S = 5.0
-# How often a call that waits for its turn at a target checks for its client.
-DISCONNECT_POLL_S = 0.1
 CLIENT_CLOSED_REQUEST = 499
-# If no target accepts or refuses a connection, all are tried again after this time, as
-# long as this share of the call's time is left.
-CONNECT_AGAIN_S = 0.1
-CONNECT_SHARE = 0.5
-NO_TARGET_REASONS = frozenset({fleet.NO_TARGET, "no_engine"})
 
 
 class Delivery:
@@ -71,8 +62,9 @@
             open=self._open,
         )
         self._late = _late_attempt.LateAttempts(self._parts, self._has_target_crashed)
+        self._placements = _placements.Placements(self._parts)
         # What has come of an attempt that replaced one at a silent target.
-        self._successor: _late_attempt.SupersededError | None = None
+        self._successor: _superseded.SupersededError | None = None
         # Handle of the prompt's KV cache until a decode target accepts it.
         self._kv_source = ""
         self._prefill_domain = ""
@@ -110,71 +102,11 @@
     # Placement and attempts.
 
     def _place(self, *, prefilled: bool) -> None:
-        if self._open.placement is not None:
-            # Granted while the last attempt was open.
-            return
-        retry = self._progress.is_retry(prefilled=prefilled)
-        while True:
-            self._early_end.check_attempt(self._call, retry=retry)
-            chosen = self._ask(retry=retry, prefilled=prefilled)
-            if chosen.is_ok():
-                break
-            self._try_silent_again(chosen.unwrap_err(), retry=retry)
-        placement = chosen.unwrap()
-        self._open.begin(placement)
-        if retry:
-            self._record.log_second_attempt("granted", "", self._target)
-        self._await_start(runtime.now() + placement.start_after_s)
-        self._open.mark_sent()
-
-    def _ask(self, *, retry: bool, prefilled: bool):
-        progress = self._progress
-        message = _messages.Place(
-            call=self._call,
-            service=self._service,
-            excluded=progress.excluded | progress.silent,
-            retry=retry,
-            prefilled=prefilled,
-            prefill_domain=self._prefill_domain,
-            first=not progress.placements,
-        )
-        progress.placements += 1
-        timeout_s = min(DISPATCH_TIMEOUT_S, self._call.remaining_s())
-        return _asking.place(self._ctx.dispatch, message, timeout_s)
-
-    def _try_silent_again(self, refusal: requests.Refusal, *, retry: bool) -> None:
-        """Waits until targets may be tried again that accepted no connection.
-
-        Raises:
-            CallAbandonedError: there are none, or little of the call's time is left.
-        """
-        progress = self._progress
-        enough_s = CONNECT_SHARE * self._call.deadline_s
-        if (
-            refusal.reason not in NO_TARGET_REASONS
-            or not progress.silent
-            or self._call.remaining_s() < enough_s
-        ):
-            if retry:
-                self._record.log_second_attempt("refused", refusal.reason)
-            progress.abandon(refusal.reason, refusal.retry_after_s)
-        progress.silent = frozenset()
-        self._wait(runtime.now() + CONNECT_AGAIN_S)
-
-    def _await_start(self, start: float) -> None:
-        """Waits until the target's rate limit allows the call."""
-        began_at = runtime.now()
-        if start <= began_at:
-            return
-        self._wait(start)
-        self._early_end.exclude_wait(runtime.now() - began_at)
-        self._early_end.check_attempt(self._call, retry=False)
-
-    def _wait(self, until: float) -> None:
-        while (remaining_s := until - runtime.now()) > 0:
-            if self._early_end.is_due():
-                self._early_end.end_call(_stop.CallPhase.WAITING)
-            time.sleep(min(remaining_s, DISCONNECT_POLL_S))
+        # One may have been granted while the last attempt was open.
+        if self._open.placement is None:
+            self._placements.begin(
+                self._call, prefilled=prefilled, prefill_domain=self._prefill_domain
+            )
 
     def _prefill(self) -> None:
         """Runs a separate prefill if the placement asks for one; stores its handle."""
@@ -195,7 +127,7 @@
                 self._early_end.end_call(_stop.CallPhase.PREFILL)
             except (errors.NotExecutedError, errors.NotSentError) as exc:
                 self._record_not_executed(exc)
-            except _late_attempt.SupersededError as exc:
+            except _superseded.SupersededError as exc:
                 self._begin_granted(exc.granted)
             except errors.AdapterError as exc:
                 crashed = self._end_failed_attempt(exc)
@@ -220,7 +152,7 @@
             # The KV cache wasn't fetched, so another target can still use it.
             self._record_not_executed(exc)
             return None
-        except _late_attempt.SupersededError as exc:
+        except _superseded.SupersededError as exc:
             self._kv_source = ""
             self._begin_granted(exc.granted)
             return None
@@ -247,12 +179,12 @@
             return self._ctx.transport.send(
                 self._open.placement.target, self._call, self._new_dispatch()
             )
-        except _late_attempt.SupersededError as exc:
+        except _superseded.SupersededError as exc:
             if exc.granted is not None:
                 raise
             return exc.outcome()
 
-    def _take_over(self, successor: _late_attempt.SupersededError) -> None:
+    def _take_over(self, successor: _superseded.SupersededError) -> None:
         self._successor = successor
 
     def _begin_granted(self, placement: requests.Placement) -> None:
@@ -380,7 +312,7 @@
         except errors.CancelledError:
             answer.close()
             self._early_end.end_call(_stop.CallPhase.RUNNING)
-        except _late_attempt.SupersededError as exc:
+        except _superseded.SupersededError as exc:
             answer.close()
             self._take_over(exc)
             return None
--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -19,6 +19,7 @@
     _open_placement,
     _parts,
     _stream,
+    _superseded,
     _timeouts,
 )
 
@@ -30,37 +31,6 @@
 MAX_OVERLAP_S = 0.3
 
 
-class SupersededError(errors.AdapterError):
-    """Raised in the wait of an attempt that was ended in favour of the next one.
-
-    The next one's placement is open then. It has either an `answer`, or a `failure`, or
-    a `granted` placement to which nothing has been sent.
-    """
-
-    def __init__(
-        self,
-        *,
-        answer: _calls.Answer | None = None,
-        failure: errors.AdapterError | None = None,
-        granted: requests.Placement | None = None,
-    ) -> None:
-        """Creates the error with what came of the next attempt."""
-        super().__init__("target was silent; another attempt has replaced it")
-        self.answer = answer
-        self.failure = failure
-        self.granted = granted
-
-    def outcome(self) -> _calls.Answer:
-        """Returns the answer of the next attempt.
-
-        Raises:
-            AdapterError: it failed.
-        """
-        if self.answer is None:
-            raise self.failure
-        return self.answer
-
-
 class LateAttempts:
     """Second attempts of one call; `on_late` is called while the first one waits.
 
@@ -125,7 +95,7 @@
         if first.prefill_only or second.prefill_only:
             # A second prefill beside the first would hold KV cache at two targets.
             self._end_first(pending)
-            raise SupersededError(granted=second)
+            raise _superseded.SupersededError(granted=second)
         return self._race(pending, second)
 
     def _ask_again_at(self) -> float:
@@ -181,7 +151,7 @@
             raise
         except errors.AdapterError as exc:
             if pending.closed:
-                raise _superseded_by(exc) from exc
+                raise _superseded.superseded_by(exc) from exc
             self._end_second(second, exc)
         except BaseException:
             self._end_either(second)
@@ -251,7 +221,7 @@
                 self._end_second(second, _refusal_of(answer))
                 return
             self._replace_first(pending, second)
-        raise SupersededError(answer=answer)
+        raise _superseded.SupersededError(answer=answer)
 
     def _is_usable(self, answer: _calls.Answer) -> bool:
         if self.began:
@@ -306,11 +276,6 @@
         )
 
 
-def _superseded_by(exc: errors.AdapterError) -> errors.AdapterError:
-    """Returns the error for the first attempt when the second has replaced it."""
-    return exc if isinstance(exc, SupersededError) else SupersededError(failure=exc)
-
-
 def _overlap_s(call: _calls.Call) -> float:
     """Returns how long two attempts at a call may be open."""
     if call.prompt is None and call.route.kind is _calls.CallKind.IDEMPOTENT:
--- /dev/null
+++ b/src/turmericward/delivery/_placements.py
@@ -0,0 +1,116 @@
+"""Gets a call a target, and waits until it may be sent there.
+
+Load pattern handled: targets with a rate limit, and targets that accept no connection
+for a moment, one or all of them.
+"""
+
+import time
+
+import attrs
+import result
+
+from turmericward import fleet, requests, runtime
+from turmericward.delivery import _asking, _calls, _messages, _parts, _stop
+
+DISPATCH_TIMEOUT_S = 5.0
+# How often a call that waits for its turn at a target checks for its client.
+DISCONNECT_POLL_S = 0.1
+# If no target accepts or refuses a connection, all are tried again after this time, as
+# long as this share of the call's time is left.
+CONNECT_AGAIN_S = 0.1
+CONNECT_SHARE = 0.5
+NO_TARGET_REASONS = frozenset({fleet.NO_TARGET, "no_engine"})
+
+
+class Placements:
+    """Placements of one call, one after the other."""
+
+    def __init__(self, parts: _parts.CallParts) -> None:
+        """Creates it on the parts of the call's delivery."""
+        self._parts = parts
+
+    def begin(self, call: _calls.Call, *, prefilled: bool, prefill_domain: str) -> None:
+        """Begins a placement; returns when the call may be sent to its target.
+
+        Args:
+            call: the call as it is to be sent.
+            prefilled: whether the prompt's KV cache is available at another target.
+            prefill_domain: failure domain of that target, if known.
+
+        Raises:
+            ClientDisconnectedError: the client has left.
+            CallAbandonedError: no target takes the call.
+        """
+        parts = self._parts
+        message = _messages.Place(
+            call=call,
+            service=parts.service,
+            excluded=frozenset(),
+            retry=parts.progress.is_retry(prefilled=prefilled),
+            prefilled=prefilled,
+            prefill_domain=prefill_domain,
+        )
+        placement = self._ask_until_granted(message)
+        parts.open.begin(placement)
+        if message.retry:
+            parts.record.log_second_attempt("granted", "", placement.target.name)
+        self._await_start(runtime.now() + placement.start_after_s)
+        parts.open.mark_sent()
+
+    def _ask_until_granted(self, message: _messages.Place) -> requests.Placement:
+        while True:
+            self._parts.early_end.check_attempt(message.call, retry=message.retry)
+            chosen = self._ask(message)
+            if chosen.is_ok():
+                return chosen.unwrap()
+            self._try_silent_again(message, chosen.unwrap_err())
+
+    def _ask(
+        self, message: _messages.Place
+    ) -> result.Result[requests.Placement, requests.Refusal]:
+        progress = self._parts.progress
+        message = attrs.evolve(
+            message,
+            excluded=progress.excluded | progress.silent,
+            first=not progress.placements,
+        )
+        progress.placements += 1
+        timeout_s = min(DISPATCH_TIMEOUT_S, message.call.remaining_s())
+        return _asking.place(self._parts.ctx.dispatch, message, timeout_s)
+
+    def _try_silent_again(
+        self, message: _messages.Place, refusal: requests.Refusal
+    ) -> None:
+        """Waits until targets may be tried again that accepted no connection.
+
+        Raises:
+            CallAbandonedError: there are none, or little of the call's time is left.
+        """
+        progress, call = self._parts.progress, message.call
+        if (
+            refusal.reason not in NO_TARGET_REASONS
+            or not progress.silent
+            or call.remaining_s() < CONNECT_SHARE * call.deadline_s
+        ):
+            if message.retry:
+                self._parts.record.log_second_attempt("refused", refusal.reason)
+            progress.abandon(refusal.reason, refusal.retry_after_s)
+        progress.silent = frozenset()
+        self._wait(runtime.now() + CONNECT_AGAIN_S)
+
+    def _await_start(self, start: float) -> None:
+        """Waits until the target's rate limit allows the call."""
+        began_at = runtime.now()
+        if start <= began_at:
+            return
+        self._wait(start)
+        early_end = self._parts.early_end
+        early_end.exclude_wait(runtime.now() - began_at)
+        early_end.check_attempt(self._parts.call, retry=False)
+
+    def _wait(self, until: float) -> None:
+        early_end = self._parts.early_end
+        while (remaining_s := until - runtime.now()) > 0:
+            if early_end.is_due():
+                early_end.end_call(_stop.CallPhase.WAITING)
+            time.sleep(min(remaining_s, DISCONNECT_POLL_S))
--- a/src/turmericward/delivery/_stream_delivery.py
+++ b/src/turmericward/delivery/_stream_delivery.py
@@ -14,6 +14,7 @@
     _progress,
     _stop,
     _stream,
+    _superseded,
     _timeouts,
 )
 
@@ -28,7 +29,7 @@
     """
 
     next: Callable[[str], _calls.Answer | None]
-    take_over: Callable[[_late_attempt.SupersededError], None]
+    take_over: Callable[[_superseded.SupersededError], None]
     record_failure: Callable[[Exception], None]
 
 
@@ -120,7 +121,7 @@
         """Ends a failed attempt and starts the next; None if none may follow."""
         self._late.begin_stream(last_id)
         try:
-            if isinstance(exc, _late_attempt.SupersededError):
+            if isinstance(exc, _superseded.SupersededError):
                 self._attempts.take_over(exc)
             else:
                 self._parts.open.resume(attempt.placement)
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -11,7 +11,7 @@
 from tests import fixtures, test_delivery, test_dispatch
 from turmericward import delivery, fleet, requests, runtime, telemetry
 from turmericward.adapters import _pending, _request, _response, errors
-from turmericward.delivery import _delivery, _late_attempt
+from turmericward.delivery import _late_attempt, _placements
 
 check = fixtures.check
 Ending = requests.Ending
@@ -477,7 +477,7 @@
 
 
 def test_calls_were_refused_as_without_target_when_all_were_silent_for_a_moment():
-    with mock.patch.object(_delivery, "CONNECT_AGAIN_S", 0.01):
+    with mock.patch.object(_placements, "CONNECT_AGAIN_S", 0.01):
         for kind in (IDEMPOTENT, delivery.CallKind.NON_IDEMPOTENT):
             answered = _Attempt("head", body=b"x")
             attempts = [*_silent_connects(10), answered]
@@ -486,7 +486,7 @@
 
 
 def test_silent_targets_are_tried_again_for_a_part_of_the_calls_time():
-    with mock.patch.object(_delivery, "CONNECT_AGAIN_S", 0.05):
+    with mock.patch.object(_placements, "CONNECT_AGAIN_S", 0.05):
         began = time.monotonic()
         status, sent, _ = _run_plain(*_silent_connects(99), deadline_s=0.6)
     check.assertEqual(status, 503)
@@ -504,7 +504,7 @@
 def test_refused_connections_end_a_call_at_once():
     for silent in (0, 1):
         refused = [_Attempt(test_delivery.FAULTS["not sent"]) for _ in range(9)]
-        with mock.patch.object(_delivery, "CONNECT_AGAIN_S", 0.01):
+        with mock.patch.object(_placements, "CONNECT_AGAIN_S", 0.01):
             outcome = _run_plain(*_silent_connects(silent), *refused)
         check.assertEqual(outcome[:2], (503, 4 + silent))
 
