--- a/src/turmericward/steward/_change_loop.py
+++ b/src/turmericward/steward/_change_loop.py
@@ -8,7 +8,7 @@
 from absl import logging
 
 from turmericward import authority, runtime
-from turmericward.adapters import engine, errors, steward
+from turmericward.adapters import engine_control, errors, steward
 from turmericward.steward import _messages
 from turmericward.wire import ttypes
 
@@ -67,8 +67,12 @@
     def _plan(self) -> _messages.Plan:
         return self._authority.ask(_messages.GetPlan()).result(ASK_TIMEOUT_S)
 
-    def _control(self, desired: _messages.DesiredEngine) -> engine.EngineControl:
-        return engine.EngineControl(desired.address, self._cfg.steward.order_timeout_s)
+    def _control(
+        self, desired: _messages.DesiredEngine
+    ) -> engine_control.EngineControl:
+        return engine_control.EngineControl(
+            desired.address, self._cfg.steward.order_timeout_s
+        )
 
     def _observe(self, desired) -> authority.EngineState | None:
         control = self._control(desired)
--- a/src/turmericward/steward/_fleet_task.py
+++ b/src/turmericward/steward/_fleet_task.py
@@ -7,7 +7,7 @@
 from absl import logging
 
 from turmericward import fleet, runtime
-from turmericward.adapters import engine, errors, instances
+from turmericward.adapters import engine_control, errors, instances
 from turmericward.steward import _messages
 
 LOAD_POLL_THREADS = 8
@@ -31,7 +31,7 @@
         self._rows: list[instances.Instance] = []
         self._loads: dict[str, fleet.LoadView] = {}
         self._engines: dict[str, str] = {}
-        self._controls: dict[str, engine.EngineControl] = {}
+        self._controls: dict[str, engine_control.EngineControl] = {}
         self._executor = futures.ThreadPoolExecutor(
             max_workers=LOAD_POLL_THREADS, thread_name_prefix="load"
         )
@@ -78,7 +78,7 @@
             self._controls.pop(address).close()
         timeout_s = self._cfg.instance_list.timeout_s
         for address in wanted - self._controls.keys():
-            self._controls[address] = engine.EngineControl(address, timeout_s)
+            self._controls[address] = engine_control.EngineControl(address, timeout_s)
 
     def _load_or_last(self, name: str, fut: futures.Future) -> fleet.LoadView | None:
         try:
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -9,7 +9,7 @@
 from tests import fixtures
 from turmericward import authority, runtime, schema
 from turmericward.adapters import _response, errors, service
-from turmericward.adapters import engine as engine_adapter
+from turmericward.adapters import engine_control as engine_adapter
 from turmericward.adapters import instances as instances_adapter
 from turmericward.adapters import log as log_adapter
 
--- a/tests/test_answer_readers.py
+++ b/tests/test_answer_readers.py
@@ -9,7 +9,7 @@
 
 from tests import fixtures, test_dispatch
 from turmericward import authority, delivery, fleet, positions
-from turmericward.adapters import engine, errors, log, service
+from turmericward.adapters import engine, engine_control, errors, log, service
 from turmericward.platform import (
     _cache_listing,
     _notices,
@@ -142,7 +142,7 @@
 
 
 def _read_load(address: str):
-    control = engine.EngineControl(address, 2.0)
+    control = engine_control.EngineControl(address, 2.0)
     try:
         return control.load()
     finally:
@@ -151,7 +151,7 @@
 
 def _send_order(address: str):
     lease = authority.Authority(token=1, not_before=0.0, until=time.monotonic() + 60)
-    control = engine.EngineControl(address, 2.0)
+    control = engine_control.EngineControl(address, 2.0)
     return control.order("o", authority.Spec(role="decode"), lease)
 
 
@@ -329,7 +329,7 @@
         ((doubled,), (fresh,)),
     ):
         with _Server(*connections) as address:
-            control = engine.EngineControl(address, 2.0)
+            control = engine_control.EngineControl(address, 2.0)
             check.assertEqual(control.load().running, 1)
             time.sleep(0.05)
             check.assertEqual(control.load().running, 2)
