--- a/src/turmericward/adapters/_request.py
+++ b/src/turmericward/adapters/_request.py
@@ -78,7 +78,7 @@
     except Exception as exc:
         raise errors.NotSentError(f"{address}: {exc!r}") from exc
     conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    conn.sock.settimeout(timeout_s)
+    conn.sock.settimeout(max(MIN_CONNECT_TIMEOUT_S, timeout_s))
     return conn
 
 
--- a/src/turmericward/adapters/engine.py
+++ b/src/turmericward/adapters/engine.py
@@ -177,7 +177,7 @@
             CancelledError: the client disconnected.
         """
         guard = _guard(job, first_byte_timeout_s, watch)
-        conn = self._connect(first_byte_timeout_s, guard)
+        conn = self._connect(deadline - runtime.now(), guard, watch)
         try:
             resp = self._send(conn, job, resume_after)
             guard.wait_until(deadline)
@@ -210,13 +210,16 @@
         if deadline is None:
             deadline = runtime.now() + timeout_s
         guard = _guard(job, timeout_s, watch)
-        conn = self._connect(timeout_s, guard)
+        conn = self._connect(deadline - runtime.now(), guard, watch)
         with _request.closing(conn):
             resp = self._send(conn, job, 0)
             guard.wait_until(deadline)
             return self._read_response(conn, resp, deadline)
 
-    def _connect(self, timeout_s: float, guard: _response.Guard):
+    def _connect(self, timeout_s: float, guard: _response.Guard, watch: Watch):
+        if watch.rival is not None:
+            # The sending of a second attempt doesn't hold up the first.
+            timeout_s = min(timeout_s, guard.until - runtime.now())
         response_class = functools.partial(_response.GuardedResponse, guard=guard)
         return _request.connect(self._address, timeout_s, response_class=response_class)
 
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -57,9 +57,12 @@
             dispatch.on_late,
             dispatch.rival,
         )
+        # A target may be silent in the middle of a long request. The sending of a
+        # second attempt doesn't hold up the first.
+        second = dispatch.rival is not None
         conn = _request.connect(
             target.address,
-            dispatch.timeout_s,
+            dispatch.timeout_s if second else call.remaining_s(),
             connect_timeout_s=CONNECT_TIMEOUT_S,
             response_class=functools.partial(_response.GuardedResponse, guard=guard),
         )
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -103,6 +103,7 @@
     call = attrs.evolve(
         test_dispatch._call(changes.pop("deadline_s", 8.0)),
         prompt=changes.pop("prompt", test_late_attempts.SHORT),
+        body=changes.pop("body", b""),
     )
     call = attrs.evolve(call, route=attrs.evolve(call.route, **changes))
     return test_late_attempts._received(delivery.Delivery(ctx, call, "model").run())
@@ -198,3 +199,34 @@
             took_s = time.monotonic() - began
         check.assertEqual(received, [1, 2, 3, 4], name)
         check.assertLess(took_s, 1.6, name)
+
+
+class _LateReader(_Target):
+    """Reads the request after a pause, then answers it."""
+
+    def _play(self, conn: socket.socket, script) -> None:
+        pause_s, length, answer = script
+        with conn, contextlib.suppress(OSError):
+            time.sleep(pause_s)
+            received = 0
+            while received < length and (chunk := conn.recv(1 << 20)):
+                received += len(chunk)
+            conn.sendall(answer)
+
+
+def test_a_target_that_paused_in_a_long_request_lost_the_call():
+    body = b"x" * 24_000_000
+    answer = b"HTTP/1.1 200 OK\r\n" + IDS + b"Content-Length: 2\r\n\r\nok"
+    for name, (transport, _) in _transports().items():
+        script = (1.2, len(body), answer)
+        with _LateReader(script) as paused, _Target((3.0,)) as silent:
+            received = _run(
+                transport,
+                paused,
+                silent,
+                body=body,
+                kind=delivery.CallKind.IDEMPOTENT,
+                objective_s=0.1,
+                deadline_s=2.0,
+            )
+        check.assertEqual(received, b"ok", name)
