--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -268,6 +268,9 @@
             placement, outcome, repr(exc), target_ended=crashed
         )
         second.end(ending)
+        if isinstance(exc, errors.ConnectTimeoutError):
+            self._parts.progress.record_silent(placement.target.name)
+            return
         self._parts.progress.record_second(
             placement.target.name,
             arrived=ending is not requests.Ending.UNREACHED,
--- a/src/turmericward/delivery/_placements.py
+++ b/src/turmericward/delivery/_placements.py
@@ -16,9 +16,11 @@
 # How often a call that waits for its turn at a target checks for its client.
 DISCONNECT_POLL_S = 0.1
 # If no target accepts or refuses a connection, all are tried again after this time, as
-# long as this share of the call's time is left.
+# long as this share of the call's time is left, but not for longer than targets are
+# silent that are sound: a call that waits occupies a thread.
 CONNECT_AGAIN_S = 0.1
 CONNECT_SHARE = 0.5
+MAX_CONNECT_S = 2.0
 NO_TARGET_REASONS = frozenset({fleet.NO_TARGET, "no_engine"})
 
 
@@ -28,6 +30,8 @@
     def __init__(self, parts: _parts.CallParts) -> None:
         """Creates it on the parts of the call's delivery."""
         self._parts = parts
+        # Until when targets are tried again that accept no connection.
+        self._try_until: float | None = None
 
     def begin(self, call: _calls.Call, *, prefilled: bool, prefill_domain: str) -> None:
         """Begins a placement; returns when the call may be sent to its target.
@@ -86,11 +90,11 @@
         Raises:
             CallAbandonedError: there are none, or little of the call's time is left.
         """
-        progress, call = self._parts.progress, message.call
+        progress = self._parts.progress
         if (
             refusal.reason not in NO_TARGET_REASONS
             or not progress.silent
-            or call.remaining_s() < CONNECT_SHARE * call.deadline_s
+            or runtime.now() >= self._connect_until()
         ):
             if message.retry:
                 self._parts.record.log_second_attempt("refused", refusal.reason)
@@ -98,6 +102,13 @@
         progress.silent = frozenset()
         self._wait(runtime.now() + CONNECT_AGAIN_S)
 
+    def _connect_until(self) -> float:
+        if self._try_until is None:
+            call = self._parts.call
+            latest = call.deadline - CONNECT_SHARE * call.deadline_s
+            self._try_until = min(latest, runtime.now() + MAX_CONNECT_S)
+        return self._try_until
+
     def _await_start(self, start: float) -> None:
         """Waits until the target's rate limit allows the call."""
         began_at = runtime.now()
--- a/src/turmericward/entry/_router_task.py
+++ b/src/turmericward/entry/_router_task.py
@@ -102,7 +102,8 @@
             return result.Err(refusal)
         if message.silent is not None and not self._retry_budget.has_spare:
             return _budget_refusal("retry_reserve")
-        if message.retry and not self._retry_budget.spend():
+        second = message.silent is not None
+        if message.retry and not second and not self._retry_budget.spend():
             return _budget_refusal("retry_budget")
         if message.first and not message.retry:
             self._retry_budget.earn()
@@ -112,6 +113,8 @@
         engines = view.engines_by_model.get(demand.model, ())
         excluded = message.excluded | self._holds.held(now) | view.leaving
         chosen = self._router.choose(demand, engines, view.loads, excluded, now)
+        if second and chosen.is_ok():
+            self._retry_budget.spend()
         return chosen.map(self._record_assignment)
 
     def _record_assignment(self, assignment: requests.Assignment) -> requests.Placement:
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -494,6 +494,17 @@
     check.assertAlmostEqual(time.monotonic() - began, 0.3, delta=0.15)
 
 
+def test_silent_targets_are_tried_again_for_a_bounded_time():
+    with (
+        mock.patch.object(_placements, "CONNECT_AGAIN_S", 0.05),
+        mock.patch.object(_placements, "MAX_CONNECT_S", 0.2),
+    ):
+        began = time.monotonic()
+        status, _, _ = _run_plain(*_silent_connects(99))
+    check.assertEqual(status, 503)
+    check.assertAlmostEqual(time.monotonic() - began, 0.2, delta=0.15)
+
+
 def test_only_the_first_placement_of_a_call_adds_to_the_retry_budget():
     transport = _Transport(*_silent_connects(2), _Attempt("head", body=b"x"))
     _, dispatcher = _run(transport, _plain_targets(), kind=IDEMPOTENT, prompt=None)
--- a/tests/test_router_task.py
+++ b/tests/test_router_task.py
@@ -49,10 +49,10 @@
     return requests.demand_of({"model": "m", "prompt": text}, "t", "patient")
 
 
-def _place(task, text: str):
+def _place(task, text: str, **changes):
     call = types.SimpleNamespace(prompt=_demand(text), resume_after="")
     message = delivery.Place(call=call, service="m", excluded=frozenset())
-    return task.handle(message)
+    return task.handle(attrs.evolve(message, **changes))
 
 
 def _choose(task, text: str):
@@ -119,3 +119,18 @@
     with mock.patch.object(runtime, "now", lambda: now + 1.0):
         check.assertEqual(_place(task, "deadly").unwrap_err().reason, "quarantined")
         check.assertTrue(_place(task, "sound").is_ok())
+
+
+def test_second_attempts_beside_a_silent_engine_leave_retries_to_lost_calls():
+    task = _task()
+    _set_view(task, [])
+    silent = delivery.SilentTarget(name="e0", silent_s=1.0)
+    both = frozenset({"e0", "e1"})
+    # Without a target they cost nothing.
+    for _ in range(20):
+        refused = _place(task, "x", retry=True, silent=silent, excluded=both)
+        check.assertEqual(refused.unwrap_err().reason, "no_engine")
+    seconds = [_place(task, "x", retry=True, silent=silent) for _ in range(20)]
+    check.assertEqual(sum(chosen.is_ok() for chosen in seconds), 5)
+    check.assertEqual(seconds[-1].unwrap_err().reason, "retry_reserve")
+    check.assertTrue(_place(task, "x", retry=True).is_ok())
