--- a/src/turmericward/programs/_losses.py
+++ b/src/turmericward/programs/_losses.py
@@ -35,6 +35,11 @@
     return trace.reply.get("stopped") == "retry_budget"
 
 
+@_cause("target silent")
+def _target_silent(trace: _traces.CallTrace) -> bool:
+    return bool(trace.events("attempt_late"))
+
+
 @_cause("target failed")
 def _target_failed(trace: _traces.CallTrace) -> bool:
     return any(line["outcome"] == "failed" for line in trace.events("attempt"))
--- a/src/turmericward/requests/_target_calls.py
+++ b/src/turmericward/requests/_target_calls.py
@@ -77,9 +77,12 @@
 
     def accepting(self, targets, now: float) -> list[fleet.Target]:
         """Returns the targets that are neither ejected, in backoff nor silent."""
-        states = (self.health, self._refusals, self._silence)
         return [
-            t for t in targets if all(state.usable(t.name, now) for state in states)
+            t
+            for t in targets
+            if self.health.usable(t.name, now)
+            and self._refusals.usable(t.name, now)
+            and self._silence.usable(t.name, now)
         ]
 
     def silent(self, name: str, silent_s: float, now: float) -> None:
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -57,6 +57,13 @@
         _began("a", 0.1),
         _reply("a", pause_s=0.21),
     ],
+    ("late", "target silent"): [
+        _placed("silent"),
+        _began("silent", 0.1),
+        _line("attempt_late", "silent", silent_s=1.0),
+        _failed("silent"),
+        _reply("silent", pause_s=1.4),
+    ],
     ("late", "deferred"): [
         _placed("b", deferred=True),
         _began("b", 0.3),
