--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -110,4 +110,6 @@
   /** Limits of targets; those that aren't named here are as they were told before. */
   15: list<TargetLimit> limits
   16: list<SegmentOutcome> outcomes
+  /** The same of calls that come again; `segment` is the number of their content. */
+  17: list<SegmentOutcome> request_outcomes
 }
--- a/src/turmericward/delivery/_crash_guard.py
+++ b/src/turmericward/delivery/_crash_guard.py
@@ -1,12 +1,13 @@
-"""Keeps prompts that crash engines away from them, by what became of earlier ones."""
+"""Keeps calls that crash targets away from them, by what became of earlier ones."""
 
 import collections
-from collections.abc import Callable
+import itertools
+from collections.abc import Callable, Iterable
 
 from turmericward import fleet, requests, runtime, telemetry
-from turmericward.delivery import _fingerprint, _messages
+from turmericward.delivery import _evidence, _fingerprint, _messages
 
-MAX_NAMED_SEGMENTS = 1_000
+MAX_NAMED_KEYS = 1_000
 
 
 def crashed_incarnation(
@@ -21,97 +22,127 @@
 
 
 class CrashGuard:
-    """Records crashes and answers by the segments of prompts, and refuses calls."""
+    """Records crashes and answers by what calls have in common, and refuses calls."""
 
     def __init__(
         self,
         incarnation_of: Callable[[fleet.Target], requests.Incarnation | None],
-        trial_rank: Callable[[int], int] = lambda segment: 0,
+        trial_rank: Callable[[int], int] = lambda key: 0,
     ) -> None:
         """Creates the guard.
 
         Args:
-            incarnation_of: returns the incarnation of an engine that crashed, None if
+            incarnation_of: returns the incarnation of a target that crashed, None if
                 it had left as announced.
-            trial_rank: returns how many fronts go before this one when a segment
-                whose bar has ended is tried again.
+            trial_rank: returns how many fronts go before this one when a key whose
+                bar has ended is tried again.
         """
         self._incarnation_of = incarnation_of
         self._trial_rank = trial_rank
-        self.quarantine = requests.Quarantine()
-        # Ids of segments by number, as this process has seen them in prompts.
-        self._ids: collections.OrderedDict[int, str] = collections.OrderedDict()
+        segments = requests.Quarantine(requests.EvidenceKind.SEGMENT)
+        whole = requests.Quarantine(requests.EvidenceKind.REQUEST, broader=segments)
+        # The broader one first: its bars explain crashes to the other.
+        self.quarantines = {q.kind: q for q in (segments, whole)}
+        # Keys of the open placements, by id.
+        self._placed: dict[int, dict[requests.EvidenceKind, _evidence.Keys]] = {}
+        # Names of keys, as this process has seen them in calls.
+        self._names: collections.OrderedDict[int, str] = collections.OrderedDict()
 
     def refusal(self, message: _messages.Place) -> requests.Refusal | None:
-        """Returns why a call must not go to an engine, None if it may."""
-        prompt = message.call.prompt
-        if prompt is None:
-            return None
-        refusal = self.quarantine.refusal(
-            list(prompt.shared_ids),
-            runtime.now(),
-            retry=message.retry or bool(message.call.resume_after),
-            prefilled=message.prefilled,
-            trial_rank=self._trial_rank,
+        """Returns why a call must not go to a target, None if it may."""
+        now = runtime.now()
+        refusals = (
+            self.quarantines[kind].refusal(
+                list(keys),
+                now,
+                retry=message.retry or bool(message.call.resume_after),
+                prefilled=message.prefilled,
+                trial_rank=self._trial_rank,
+            )
+            for kind, keys in _evidence.keys_of(message).items()
         )
+        refusal = next((r for r in refusals if r is not None), None)
         self._log_changes()
         return refusal
 
+    def placed(self, message: _messages.Place, placement_id: int) -> None:
+        """Records that a call goes to a target."""
+        self._placed[placement_id] = _evidence.keys_of(message)
+
     def placement_ended(self, message: _messages.PlacementEnded) -> bool:
         """Records the end of a placement; returns whether that changed anything."""
-        prompt = message.prompt
-        if prompt is None:
-            return False
+        found = self._placed.pop(message.placement.id, {})
         if message.answered:
-            self.quarantine.record_answer(prompt.shared_ids, runtime.now())
-        elif message.target_ended_under_prompt:
+            for kind, keys in found.items():
+                self.quarantines[kind].record_answer(keys, runtime.now())
+        elif message.target_ended_under_call:
             incarnation = self._incarnation_of(message.placement.target)
             if incarnation is not None:
-                self._remember_ids(prompt)
-                self.quarantine.record_crash(
-                    prompt.shared_ids, incarnation, runtime.now()
-                )
+                self._record_crash(found, incarnation)
         return self._log_changes()
 
-    def apply(self, outcomes: tuple[requests.SegmentOutcome, ...]) -> bool:
+    def _record_crash(
+        self,
+        found: dict[requests.EvidenceKind, _evidence.Keys],
+        incarnation: requests.Incarnation,
+    ) -> None:
+        for kind, keys in found.items():
+            self._remember_names(keys)
+            if keys:
+                self.quarantines[kind].record_crash(keys, incarnation, runtime.now())
+
+    def apply(self, outcomes: Iterable[requests.KeyOutcome]) -> bool:
         """Records what a peer reports; returns whether that changed anything."""
         if not outcomes:
             return False
-        self.quarantine.apply(outcomes, runtime.now())
+        for kind, quarantine in self.quarantines.items():
+            quarantine.apply([o for o in outcomes if o.kind is kind], runtime.now())
         return self._log_changes()
 
-    def outcomes(self) -> tuple[requests.SegmentOutcome, ...]:
-        """Returns what the peers should know."""
-        return self.quarantine.outcomes(runtime.now())
-
-    def status(self) -> tuple[_messages.SegmentStatus, ...]:
-        """Returns the barred segments."""
+    def outcomes(self) -> tuple[requests.KeyOutcome, ...]:
+        """Returns what the peers should know, as much of each kind."""
+        now = runtime.now()
+        by_kind = (q.outcomes(now) for q in self.quarantines.values())
+        rows = itertools.chain.from_iterable(itertools.zip_longest(*by_kind))
+        told = (row for row in rows if row is not None)
+        return tuple(itertools.islice(told, requests.MAX_TOLD_OUTCOMES))
+
+    def expire(self, now: float) -> None:
+        """Drops evidence that is too old."""
+        for quarantine in self.quarantines.values():
+            quarantine.expire(now)
+
+    def status(self) -> tuple[_messages.BarredKey, ...]:
+        """Returns the barred keys."""
         now = runtime.now()
         return tuple(
-            _messages.SegmentStatus(
-                segment=_fingerprint.as_hex(segment),
-                id=self._ids.get(segment, ""),
+            _messages.BarredKey(
+                kind=kind.value,
+                key=_fingerprint.as_hex(key),
+                id=self._names.get(key, ""),
                 crashes=len(suspect.crashes),
                 barred_s=round(max(0.0, suspect.bar.until - now), 3),
             )
-            for segment, suspect in self.quarantine.barred().items()
+            for kind, quarantine in self.quarantines.items()
+            for key, suspect in quarantine.barred().items()
         )
 
-    def _remember_ids(self, prompt: requests.Prompt | requests.Demand) -> None:
-        for number, segment_id in prompt.shared_ids.items():
-            self._ids[number] = segment_id
-            self._ids.move_to_end(number)
-        while len(self._ids) > MAX_NAMED_SEGMENTS:
-            self._ids.popitem(last=False)
+    def _remember_names(self, keys: _evidence.Keys) -> None:
+        for key, name in keys.items():
+            self._names[key] = name
+            self._names.move_to_end(key)
+        while len(self._names) > MAX_NAMED_KEYS:
+            self._names.popitem(last=False)
 
     def _log_changes(self) -> bool:
-        changes = self.quarantine.pop_changes()
+        changes = [c for q in self.quarantines.values() for c in q.pop_changes()]
         now = runtime.now()
         for change in changes:
             telemetry.log_event(
-                "segment",
-                segment=_fingerprint.as_hex(change.segment),
-                id=self._ids.get(change.segment, ""),
+                "suspect",
+                kind=change.kind.value,
+                key=_fingerprint.as_hex(change.key),
+                id=self._names.get(change.key, ""),
                 state=change.state.value,
                 crashes=change.crashes,
                 barred_s=round(max(0.0, change.until - now), 3),
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -221,9 +221,8 @@
         self._record.log_failed_attempt(
             self._open.placement, "failed", repr(exc), target_ended=ended
         )
-        crashed = ended and self._call.prompt is not None
-        self._open.end(requests.Ending.CRASHED if crashed else requests.Ending.FAILED)
-        return crashed
+        self._open.end(requests.Ending.CRASHED if ended else requests.Ending.FAILED)
+        return ended
 
     def _has_target_ended(self, exc: Exception) -> bool:
         """Returns whether the attempt failed since the target's process ended."""
@@ -265,7 +264,7 @@
             self._record_failure(errors.AnswerLostError(f"status {answer.status}"))
             return None
         self._early_end.record_answered(self._call)
-        answered = answer.status == http.HTTPStatus.OK
+        answered = answer.status < http.HTTPStatus.BAD_REQUEST
         self._open.end(requests.Ending.SUCCEEDED, answered=answered)
         self._record_reply("answered", answer.status)
         return reply
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -69,7 +69,7 @@
         )
         self._crashes = _crash_guard.CrashGuard(
             functools.partial(_crash_guard.crashed_incarnation, self._directory),
-            lambda segment: self._admission.limits.members.rank(str(segment)),
+            lambda key: self._admission.limits.members.rank(str(key)),
         )
         self._placer = requests.Placer(seed, domain)
         self._budgets = _retry_budgets.RetryBudgets(retries)
@@ -210,7 +210,7 @@
         if self._admission.limits.members.set_min_count(live_peers + 1):
             self._admission.limits.update_shares(now)
         self._placer.count_overdue(now)
-        self._crashes.quarantine.expire(now)
+        self._crashes.expire(now)
         if self._reports_changed or self._are_published_loads_outdated(now):
             self._publish_state()
 
@@ -261,7 +261,7 @@
             ),
             peer_ages_s=self._placer.peers.ages(now),
             retries_left=self._budgets.available(),
-            barred_segments=self._crashes.status(),
+            barred=self._crashes.status(),
         )
 
     @handle.register
@@ -331,6 +331,7 @@
             return _refusal(candidates.reason, retry_after_s)
         if chosen.is_ok():
             self._admission.sent(chosen.unwrap().target.name, now)
+            self._crashes.placed(message, chosen.unwrap().id)
         self._publish_prompt(message.call.prompt)
         return chosen
 
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -3,9 +3,9 @@
 import attrs
 
 from turmericward import fleet, requests
-from turmericward.delivery import _calls, _routes
+from turmericward.delivery import _calls, _fingerprint, _routes
 
-# A target that has been answering a prompt for longer wasn't ended by it.
+# A target that has been answering a call for longer wasn't ended by it.
 BEGINNING_S = 1.0
 
 
@@ -127,14 +127,16 @@
 
 
 @attrs.frozen(kw_only=True)
-class SegmentStatus:
-    """A prompt segment that is kept away from engines for `barred_s` seconds.
+class BarredKey:
+    """A key by which calls are kept away from targets for `barred_s` seconds.
 
-    `segment` is its number in hexadecimal digits, `id` its id in prompts, empty if this
-    front has seen none of the prompts; so many engines crashed under it.
+    `kind` is what the key is, `key` its number in hexadecimal digits, `id` the
+    segment's id in prompts or the request's route, empty if this front has seen none
+    of the calls; so many targets crashed under it.
     """
 
-    segment: str
+    kind: str
+    key: str
     id: str
     crashes: int
     barred_s: float
@@ -154,7 +156,7 @@
     targets: tuple[TargetStatus, ...]
     peer_ages_s: dict[str, float]
     retries_left: dict[str, float]
-    barred_segments: tuple[SegmentStatus, ...] = ()
+    barred: tuple[BarredKey, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -179,7 +181,7 @@
 
     `prefilled` holds if the prompt's KV cache is available at another target, in the
     failure domain `prefill_domain` if that is known; `retry` if an earlier attempt of
-    the call has reached the service.
+    the call has reached the service. `fingerprint` names the call's content.
     """
 
     call: _calls.Call
@@ -188,6 +190,12 @@
     retry: bool = False
     prefilled: bool = False
     prefill_domain: str = ""
+    # Computed by the thread that asks, since the task that answers is shared by all.
+    fingerprint: int = attrs.field(init=False)
+
+    @fingerprint.default
+    def _fingerprint_of_call(self) -> int:
+        return _fingerprint.fingerprint(self.call, self.service)
 
 
 @attrs.frozen(kw_only=True)
@@ -216,6 +224,6 @@
     writing_s: float = 0.0
 
     @property
-    def target_ended_under_prompt(self) -> bool:
+    def target_ended_under_call(self) -> bool:
         """Whether the target ended as it was just beginning to answer."""
         return self.ending is requests.Ending.CRASHED and self.writing_s <= BEGINNING_S
--- a/src/turmericward/entry/_router_task.py
+++ b/src/turmericward/entry/_router_task.py
@@ -113,7 +113,10 @@
         engines = view.engines_by_model.get(demand.model, ())
         excluded = message.excluded | self._holds.held(now) | view.leaving
         chosen = self._router.choose(demand, engines, view.loads, excluded, now)
-        return chosen.map(self._record_assignment)
+        placed = chosen.map(self._record_assignment)
+        if placed.is_ok():
+            self._crashes.placed(message, placed.unwrap().id)
+        return placed
 
     def _record_assignment(self, assignment: requests.Assignment) -> requests.Placement:
         self._in_flight_by_engine[assignment.engine] += 1
--- a/src/turmericward/peers/_codec.py
+++ b/src/turmericward/peers/_codec.py
@@ -66,8 +66,8 @@
     `held` are targets that should get no new calls for that many seconds; `listed`
     ones have reported their cache, whose entries are in `cache_entries` of this state
     or of a recent one. `leaving` are incarnations of targets that announced that they
-    leave, `limits` the rates that others named, `outcomes` what became of prompts that
-    may crash engines. `capacity` is that of the front's
+    leave, `limits` the rates that others named, `outcomes` what became of calls that
+    may crash targets. `capacity` is that of the front's
     instance; `record_batches` holds records of the store's topics. In a `partial`
     state, targets without a row keep the loads sent before; limits that aren't in a
     state are unchanged. A front that `needs_full_batches` could not read the topics.
@@ -83,7 +83,7 @@
     listed: frozenset[int] = frozenset()
     leaving: frozenset[LeavingTarget] = frozenset()
     limits: tuple[TargetLimit, ...] = ()
-    outcomes: tuple[requests.SegmentOutcome, ...] = ()
+    outcomes: tuple[requests.KeyOutcome, ...] = ()
     domain: str = ""
     fronts: int = 1
     capacity: int = 0
@@ -155,7 +155,8 @@
             for leaving in state.leaving
         ],
         limits=[_encode_limit(limit) for limit in state.limits],
-        outcomes=[_encode_outcome(outcome) for outcome in state.outcomes],
+        outcomes=_encode_outcomes(state, requests.EvidenceKind.SEGMENT),
+        request_outcomes=_encode_outcomes(state, requests.EvidenceKind.REQUEST),
         capacity=_int32(state.capacity),
         news=[_encode_batch(batch) for batch in state.record_batches],
         partial=state.partial,
@@ -190,7 +191,12 @@
                 for row in message.leaving or ()
             ),
             limits=tuple(_decode_limit(row) for row in message.limits or ()),
-            outcomes=tuple(_decode_outcome(row) for row in message.outcomes or ()),
+            outcomes=(
+                *_decode_outcomes(message.outcomes, requests.EvidenceKind.SEGMENT),
+                *_decode_outcomes(
+                    message.request_outcomes, requests.EvidenceKind.REQUEST
+                ),
+            ),
             capacity=message.capacity or 0,
             record_batches=tuple(_decode_batch(row) for row in message.news or ()),
             partial=bool(message.partial),
@@ -241,10 +247,16 @@
     )
 
 
-def _encode_outcome(outcome: requests.SegmentOutcome) -> ttypes.SegmentOutcome:
+def _encode_outcomes(
+    state: PeerState, kind: requests.EvidenceKind
+) -> list[ttypes.SegmentOutcome]:
+    return [_encode_outcome(row) for row in state.outcomes if row.kind is kind]
+
+
+def _encode_outcome(outcome: requests.KeyOutcome) -> ttypes.SegmentOutcome:
     crashed = outcome.crashed
     return ttypes.SegmentOutcome(
-        segment=outcome.segment,
+        segment=outcome.key,
         answered=crashed is None,
         target=0 if crashed is None else crashed.target,
         started_ms=0 if crashed is None else _int64(crashed.started_ms),
@@ -252,13 +264,21 @@
     )
 
 
-def _decode_outcome(row: ttypes.SegmentOutcome) -> requests.SegmentOutcome:
+def _decode_outcomes(
+    rows: list[ttypes.SegmentOutcome] | None, kind: requests.EvidenceKind
+) -> list[requests.KeyOutcome]:
+    return [_decode_outcome(row, kind) for row in rows or ()]
+
+
+def _decode_outcome(
+    row: ttypes.SegmentOutcome, kind: requests.EvidenceKind
+) -> requests.KeyOutcome:
     _require(row.segment, row.answered, row.target, row.started_ms)
     crashed = None
     if not row.answered:
         crashed = requests.Incarnation(row.target, row.started_ms)
-    return requests.SegmentOutcome(
-        segment=row.segment, crashed=crashed, age_s=max(0, row.age_ms) / 1000
+    return requests.KeyOutcome(
+        kind=kind, key=row.segment, crashed=crashed, age_s=max(0, row.age_ms) / 1000
     )
 
 
--- a/src/turmericward/peers/_messages.py
+++ b/src/turmericward/peers/_messages.py
@@ -42,7 +42,7 @@
     listed: frozenset[int] = frozenset()
     leaving: frozenset[_codec.LeavingTarget] = frozenset()
     limits: tuple[_codec.TargetLimit, ...] = ()
-    outcomes: tuple[requests.SegmentOutcome, ...] = ()
+    outcomes: tuple[requests.KeyOutcome, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/src/turmericward/peers/_reports.py
+++ b/src/turmericward/peers/_reports.py
@@ -64,7 +64,7 @@
     """Rows of all types that are to be sent now; fields as in `PeerState`."""
 
     limits: tuple[_codec.TargetLimit, ...]
-    outcomes: tuple[requests.SegmentOutcome, ...]
+    outcomes: tuple[requests.KeyOutcome, ...]
 
 
 class StateReports:
@@ -73,7 +73,7 @@
     def __init__(self) -> None:
         """Starts without rows."""
         self._limits: Reports[_codec.TargetLimit] = Reports()
-        self._outcomes: Reports[requests.SegmentOutcome] = Reports()
+        self._outcomes: Reports[requests.KeyOutcome] = Reports()
 
     def replace(self, state: _messages.LocalState, now: float) -> None:
         """Replaces the rows by those of a new state."""
--- a/src/turmericward/programs/_front_status.py
+++ b/src/turmericward/programs/_front_status.py
@@ -40,10 +40,10 @@
         output.append(f"peer {peer}: heard {age_s:.1f} s ago")
     for service, retries in sorted(status["retries_left"].items()):
         output.append(f"service {service}: {retries:.1f} retries left")
-    for segment in status.get("barred_segments", ()):
+    for barred in status.get("barred", ()):
         output.append(
-            f"segment {segment['segment']} ({segment['id'] or 'not seen here'}): "
-            f"barred for {segment['barred_s']:.0f} s after {segment['crashes']} crashes"
+            f"{barred['kind']} {barred['key']} ({barred['id'] or 'not seen here'}): "
+            f"barred for {barred['barred_s']:.0f} s after {barred['crashes']} crashes"
         )
     for target in sorted(status["targets"], key=lambda t: (t["service"], t["name"])):
         states = [name for name in ("leaving", "held") if target[name]]
--- a/src/turmericward/requests/__init__.py
+++ b/src/turmericward/requests/__init__.py
@@ -7,6 +7,7 @@
 )
 from turmericward.requests._demand import Demand, demand_of, with_model
 from turmericward.requests._errors import InvalidRequestError, RequestsError
+from turmericward.requests._evidence import EvidenceKind
 from turmericward.requests._in_flight import Deadlines, Ending, Placement
 from turmericward.requests._loads import (
     NO_LOAD,
@@ -22,9 +23,10 @@
     segment_number,
 )
 from turmericward.requests._quarantine import (
+    MAX_TOLD_OUTCOMES,
+    KeyChange,
+    KeyState,
     Quarantine,
-    SegmentChange,
-    SegmentState,
 )
 from turmericward.requests._router import (
     MIN_RETRY_AFTER_S,
@@ -33,10 +35,11 @@
     Refusal,
     Router,
 )
-from turmericward.requests._suspects import Incarnation, SegmentOutcome
+from turmericward.requests._suspects import Incarnation, KeyOutcome, Suspect
 
 __all__ = [
     "MAX_TOKENS",
+    "MAX_TOLD_OUTCOMES",
     "MIN_RETRY_AFTER_S",
     "NO_LOAD",
     "PEER_TIMEOUT_S",
@@ -45,9 +48,13 @@
     "Bounds",
     "Demand",
     "Ending",
+    "EvidenceKind",
     "Incarnation",
     "InvalidRequestError",
     "CacheEntry",
+    "KeyChange",
+    "KeyOutcome",
+    "KeyState",
     "Deadlines",
     "Placement",
     "Placer",
@@ -58,9 +65,7 @@
     "RequestsError",
     "RetryBudget",
     "Router",
-    "SegmentChange",
-    "SegmentOutcome",
-    "SegmentState",
+    "Suspect",
     "TargetLoad",
     "demand_of",
     "segment_number",
--- /dev/null
+++ b/src/turmericward/requests/_evidence.py
@@ -0,0 +1,44 @@
+"""Kinds of evidence on which calls crash targets, and when each kind is certain."""
+
+import enum
+import math
+
+import attrs
+
+
+class EvidenceKind(enum.Enum):
+    """What calls under which targets crash may have in common."""
+
+    # A segment that their prompts share.
+    SEGMENT = "segment"
+    # All of it: it is one call of one caller, sent again and again.
+    REQUEST = "request"
+
+
+@attrs.frozen(kw_only=True)
+class Rules:
+    """When a key of a kind is barred, and when that ends.
+
+    A key without any known answer is barred after `crashes_unanswered` targets have
+    crashed, even if other barred keys were there too. An answer lifts a bar if there
+    are more than `chance_answers` lately, as one front sees them; `max_answered`
+    bounds the keys whose answers a front remembers.
+    """
+
+    crashes_unanswered: float
+    chance_answers: float
+    max_answered: int
+
+
+RULES = {
+    # Prompts share segments by chance, and some of those with a bad one end before it
+    # does harm.
+    EvidenceKind.SEGMENT: Rules(
+        crashes_unanswered=math.inf, chance_answers=1.5, max_answered=3_000
+    ),
+    # What many callers read is answered all the time. What nobody answers is of one
+    # caller, who loses little by a bar.
+    EvidenceKind.REQUEST: Rules(
+        crashes_unanswered=3, chance_answers=0.0, max_answered=1_000
+    ),
+}
--- a/src/turmericward/requests/_suspects.py
+++ b/src/turmericward/requests/_suspects.py
@@ -1,47 +1,53 @@
-"""Evidence on prompt segments under which engines have crashed."""
+"""Evidence on what calls had in common under which targets have crashed."""
 
 import math
+from collections.abc import Callable
 
 import attrs
 
-# A crash so soon after an answer to the same segment doesn't count against it.
+from turmericward.requests import _evidence
+
+# A crash so soon after an answer to the same key doesn't count against it.
 RECENT_ANSWER_S = 2.0
 # Time constant with which answers are forgotten that are weighed against crashes.
 ANSWER_DECAY_S = 10.0
-# How long crashes count if the segment is neither answered nor barred.
+# How long crashes count if the key is neither answered nor barred.
 EVIDENCE_S = 300.0
-# Crashes that are kept of one segment; the oldest ones are dropped.
+# Crashes that are kept of one key; the oldest ones are dropped.
 MAX_CRASHES = 12
 # Duration of a bar from the last crash on, doubled by each crash above the threshold.
 FIRST_BAR_S = 60.0
 MAX_BAR_S = 600.0
+# After a bar has ended, one front after the other may try a call, at this interval.
+TRIAL_INTERVAL_S = 15.0
 # How long a bar that has run out is remembered, if no trial decides about it.
 BAR_MEMORY_S = 600.0
 
 
 @attrs.frozen
 class Incarnation:
-    """An engine from a start to its end: hash of its name, and its start time."""
+    """A target from a start to its end: hash of its name, and its start time."""
 
     target: int
     started_ms: int
 
 
 @attrs.frozen(kw_only=True)
-class SegmentOutcome:
-    """What became of a prompt with a segment `age_s` ago, as fronts tell each other.
+class KeyOutcome:
+    """What became of a call with a key `age_s` ago, as fronts tell each other.
 
-    `crashed` is the engine that ended under it, None if it was answered.
+    `crashed` is the target that ended under it, None if it was answered.
     """
 
-    segment: int
+    kind: _evidence.EvidenceKind
+    key: int
     crashed: Incarnation | None
     age_s: float
 
 
 @attrs.define
 class Answers:
-    """Answers to prompts with a segment: the last one, and how many lately.
+    """Answers to calls with a key: the last one, and how many lately.
 
     Times are monotonic seconds.
     """
@@ -64,7 +70,7 @@
 
 @attrs.define
 class Bar:
-    """No prompts with a segment go to engines before `until`, in monotonic seconds.
+    """No calls with a key go to targets before `until`, in monotonic seconds.
 
     After that one may be tried; until `trial_until` this front waits for its outcome.
     """
@@ -72,10 +78,21 @@
     until: float
     trial_until: float = -math.inf
 
+    def wait_s(self, now: float, trial_rank: Callable[[], int]) -> float:
+        """Returns in how many seconds this front may try a call.
+
+        Until the bar has ended, callers are told its end; `trial_rank` returns how
+        many fronts go before this one then.
+        """
+        if now < self.until:
+            return self.until - now
+        turn = self.until + TRIAL_INTERVAL_S * trial_rank()
+        return max(turn, self.trial_until) - now
+
 
 @attrs.define
 class Suspect:
-    """A segment under which engines crashed; times are monotonic seconds."""
+    """A key under which targets crashed; times are monotonic seconds."""
 
     crashes: dict[Incarnation, float] = attrs.field(factory=dict)
     answered_at: float = -math.inf
--- a/src/turmericward/wire/peers/ttypes.py
+++ b/src/turmericward/wire/peers/ttypes.py
@@ -930,6 +930,7 @@
      - asks: Whether the front could not read the topics yet and asks for them whole.
      - limits: Limits of targets; those that aren't named here are as they were told before.
      - outcomes
+     - request_outcomes: The same of calls that come again; `segment` is the number of their content.
 
     """
 
@@ -950,10 +951,11 @@
         'asks',
         'limits',
         'outcomes',
+        'request_outcomes',
     )
 
 
-    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None, domain=None, fronts=None, listed=None, leaving=None, capacity=None, news=None, partial=None, asks=None, limits=None, outcomes=None,):
+    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None, domain=None, fronts=None, listed=None, leaving=None, capacity=None, news=None, partial=None, asks=None, limits=None, outcomes=None, request_outcomes=None,):
         self.front = front
         self.boot = boot
         self.sequence = sequence
@@ -970,6 +972,7 @@
         self.asks = asks
         self.limits = limits
         self.outcomes = outcomes
+        self.request_outcomes = request_outcomes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1107,6 +1110,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.LIST:
+                    self.request_outcomes = []
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = SegmentOutcome()
+                        _elem60.read(iprot)
+                        self.request_outcomes.append(_elem60)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1132,22 +1146,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter55 in self.loads:
-                iter55.write(oprot)
+            for iter61 in self.loads:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.kept is not None:
             oprot.writeFieldBegin('kept', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.kept))
-            for iter56 in self.kept:
-                iter56.write(oprot)
+            for iter62 in self.kept:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter57 in self.held:
-                iter57.write(oprot)
+            for iter63 in self.held:
+                iter63.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.domain is not None:
@@ -1161,15 +1175,15 @@
         if self.listed is not None:
             oprot.writeFieldBegin('listed', TType.LIST, 9)
             oprot.writeListBegin(TType.I32, len(self.listed))
-            for iter58 in self.listed:
-                oprot.writeI32(iter58)
+            for iter64 in self.listed:
+                oprot.writeI32(iter64)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter59 in self.leaving:
-                iter59.write(oprot)
+            for iter65 in self.leaving:
+                iter65.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.capacity is not None:
@@ -1179,8 +1193,8 @@
         if self.news is not None:
             oprot.writeFieldBegin('news', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.news))
-            for iter60 in self.news:
-                iter60.write(oprot)
+            for iter66 in self.news:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.partial is not None:
@@ -1194,15 +1208,22 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter61 in self.limits:
-                iter61.write(oprot)
+            for iter67 in self.limits:
+                iter67.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcomes is not None:
             oprot.writeFieldBegin('outcomes', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.outcomes))
-            for iter62 in self.outcomes:
-                iter62.write(oprot)
+            for iter68 in self.outcomes:
+                iter68.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.request_outcomes is not None:
+            oprot.writeFieldBegin('request_outcomes', TType.LIST, 17)
+            oprot.writeListBegin(TType.STRUCT, len(self.request_outcomes))
+            for iter69 in self.request_outcomes:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1314,6 +1335,7 @@
     (14, TType.BOOL, 'asks', None, None, ),  # 14
     (15, TType.LIST, 'limits', (TType.STRUCT, [TargetLimit, None], False), None, ),  # 15
     (16, TType.LIST, 'outcomes', (TType.STRUCT, [SegmentOutcome, None], False), None, ),  # 16
+    (17, TType.LIST, 'request_outcomes', (TType.STRUCT, [SegmentOutcome, None], False), None, ),  # 17
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -312,5 +312,7 @@
             names[segment]
             for front in self.fronts.values()
             if self._is_running(front)
-            for segment in front.dispatch._crashes.quarantine.barred()
+            for segment in front.dispatch._crashes.quarantines[
+                requests.EvidenceKind.SEGMENT
+            ].barred()
         }
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -420,9 +420,12 @@
         ("closed", (), requests.Ending.FAILED),
         ("lost", ("e1",), requests.Ending.FAILED),
     ):
-        transport = _Transport(sends=[fault], ended=ended)
-        _, dispatcher = _run(transport, targets, max_attempts=1, resumable=False)
-        check.assertEqual(_endings(dispatcher), [ending], (fault, ended))
+        for prompt in (test_dispatch.PROMPT, None):
+            transport = _Transport(sends=[fault], ended=ended)
+            _, dispatcher = _run(
+                transport, targets, max_attempts=1, resumable=False, prompt=prompt
+            )
+            check.assertEqual(_endings(dispatcher), [ending], (fault, ended, prompt))
 
 
 def test_a_failed_attempt_is_logged_with_the_shared_segments_of_its_prompt():
@@ -452,6 +455,9 @@
 def test_a_call_under_which_two_targets_ended_is_not_sent_to_a_third():
     targets = [test_dispatch._target(f"e{n}") for n in range(4)]
     for ended, sent in (((), 4), (("e0", "e1", "e2", "e3"), 2)):
-        transport = _Transport(sends=["closed"] * 9, ended=ended)
-        reply, _ = _run(transport, targets, slack=600.0, max_attempts=4)
-        check.assertEqual((len(transport.sent), reply.status), (sent, 502), ended)
+        for prompt in (test_dispatch.PROMPT, None):
+            transport = _Transport(sends=["closed"] * 9, ended=ended)
+            reply, _ = _run(
+                transport, targets, slack=600.0, max_attempts=4, prompt=prompt
+            )
+            check.assertEqual((len(transport.sent), reply.status), (sent, 502), ended)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -295,8 +295,7 @@
     check.assertEqual(task.recently_limited, frozenset())
 
 
-def _crash(task, target: fleet.Target, **details) -> None:
-    placement = requests.Placement(id=1, target=target)
+def _crash(task, placement: requests.Placement, **details) -> None:
     message = delivery.PlacementEnded(
         placement=placement,
         prompt=PROMPT,
@@ -316,11 +315,17 @@
         task = _task()
         now = runtime.now()
         for number in range(3):
-            target = attrs.evolve(_target(f"e{number}"), started_ms=1, leaving=leaving)
+            target = attrs.evolve(_target(f"e{number}"), started_ms=1)
             task.handle(delivery.PutTargets(targets=(target,)))
+            excluded = frozenset(f"e{n}" for n in range(number))
+            placement = _place(task, excluded=excluded).unwrap()
+            check.assertEqual(placement.target, target)
+            left = attrs.evolve(target, leaving=leaving)
+            task.handle(delivery.PutTargets(targets=(left,)))
             ended = attrs.evolve(target, started_ms=started_ms)
             with mock.patch.object(runtime, "now", lambda at=now + number: at):
-                _crash(task, ended, writing_s=writing_s)
+                placement = attrs.evolve(placement, target=ended)
+                _crash(task, placement, writing_s=writing_s)
         task.handle(delivery.PutTargets(targets=(_target("e9"),)))
         case = (leaving, started_ms, writing_s)
         check.assertEqual(_place(task).is_err(), refused, case)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -33,6 +33,26 @@
     check.assertEqual(peers.decode(peers.encode(STATE)), STATE)
 
 
+def _outcome(kind: requests.EvidenceKind, key: int) -> requests.KeyOutcome:
+    crashed = requests.Incarnation(11, 1_700_000_000_000)
+    return requests.KeyOutcome(kind=kind, key=key, crashed=crashed, age_s=0.25)
+
+
+def test_builds_that_know_no_requests_get_outcomes_of_segments_alone():
+    kinds = requests.EvidenceKind
+    rows = (_outcome(kinds.SEGMENT, 5), _outcome(kinds.REQUEST, -(2**63)))
+    rows += (attrs.evolve(rows[1], crashed=None),)
+    state = attrs.evolve(STATE, outcomes=rows)
+    check.assertEqual(peers.decode(peers.encode(state)), state)
+    message = TSerialization.deserialize(
+        ttypes.FrontState(), peers.encode(state), _codec._FACTORY
+    )
+    check.assertEqual([row.segment for row in message.outcomes], [5])
+    message.request_outcomes = None
+    data = TSerialization.serialize(message, _codec._FACTORY)
+    check.assertEqual(peers.decode(data).outcomes, rows[:1])
+
+
 def test_malformed_datagrams_are_rejected():
     rng = random.Random(5)
     data = peers.encode(STATE)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -191,3 +191,68 @@
         segment = 1 if number % 4 == 0 else 100 + number
         quarantine.record_crash([segment], _engine(number), number)
     check.assertEqual(_barred(quarantine), set())
+
+
+def _requests(broader=None) -> requests.Quarantine:
+    return requests.Quarantine(requests.EvidenceKind.REQUEST, broader)
+
+
+def _crash_at_once(quarantine, key: int, *, first=0, at=5.0) -> None:
+    for number in range(first, first + 3):
+        quarantine.record_crash([key], _engine(number), at + number / 100)
+
+
+def test_a_request_that_nobody_answers_is_barred_at_the_third_crash_at_one_moment():
+    quarantine = _requests()
+    for number in range(3):
+        check.assertEqual(_refused(quarantine, [1], 5.0 + number / 100), "")
+        quarantine.record_crash([1], _engine(number), 5.0 + number / 100)
+    check.assertEqual(_refused(quarantine, [1], 5.1), "quarantined")
+    check.assertEqual(_refused(quarantine, [2], 5.1), "")
+
+
+def test_a_request_that_is_answered_elsewhere_is_not_barred_by_crashes_at_one_moment():
+    for answered_at, outcome in ((1.0, ""), (-1_000.0, "quarantined")):
+        quarantine, peer = _requests(), _requests()
+        peer.record_answer([1], answered_at)
+        for number in range(1_000 if outcome else 0):
+            # The peer doesn't remember all that it has ever answered.
+            peer.record_answer([number + 10], 1.0)
+        _crash_at_once(quarantine, 1)
+        check.assertEqual(_refused(quarantine, [1], 5.1), "quarantined")
+        peer.apply(quarantine.outcomes(5.1), 5.1)
+        quarantine.apply(peer.outcomes(5.1), 5.1)
+        check.assertEqual(_refused(quarantine, [1], 5.2), outcome, answered_at)
+        check.assertEqual(_refused(peer, [1], 5.2), outcome, answered_at)
+
+
+def test_one_answer_lifts_the_bar_of_a_request():
+    quarantine = _requests()
+    _crash_at_once(quarantine, 1)
+    quarantine.record_answer([1], 6.0)
+    check.assertEqual(_refused(quarantine, [1], 6.1), "")
+
+
+def test_of_two_requests_that_crash_targets_together_both_are_barred():
+    quarantine = _requests()
+    for number in range(3):
+        quarantine.record_crash([1, 2], _engine(number), 5.0 + number)
+    check.assertEqual(_barred(quarantine), {1, 2})
+
+
+def test_crashes_that_a_barred_segment_explains_do_not_count_against_requests():
+    segments = requests.Quarantine()
+    quarantine = _requests(broader=segments)
+    for number in range(3):
+        segments.record_crash([7], _engine(number), 5.0 + number)
+        quarantine.record_crash([1], _engine(number), 5.0 + number)
+    check.assertEqual((_barred(segments), _barred(quarantine)), ({7}, set()))
+    _crash_at_once(quarantine, 1, first=3, at=20.0)
+    check.assertEqual(_barred(quarantine), {1})
+
+
+def test_requests_that_were_answered_are_remembered_within_bounds():
+    quarantine = _requests()
+    for number in range(5_000):
+        quarantine.record_answer([number], 3.0)
+    check.assertLessEqual(len(quarantine._answered), 1_000)
--- a/tests/test_router_task.py
+++ b/tests/test_router_task.py
@@ -1,12 +1,11 @@
 """Router task of the entry: holds, drained engines and tenant limits."""
 
 import time
-import types
 from unittest import mock
 
 import attrs
 
-from tests import fixtures
+from tests import fixtures, test_dispatch
 from turmericward import (
     configuration,
     delivery,
@@ -50,7 +49,9 @@
 
 
 def _place(task, text: str):
-    call = types.SimpleNamespace(prompt=_demand(text), resume_after="")
+    call = attrs.evolve(
+        test_dispatch._call(8.0), prompt=_demand(text), body=text.encode()
+    )
     message = delivery.Place(call=call, service="m", excluded=frozenset())
     return task.handle(message)
 
