--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -175,13 +175,30 @@
     duration_s: float
 
 
+@attrs.frozen(kw_only=True)
+class SilentTarget:
+    """A target that holds a call and has been silent for `silent_s` seconds."""
+
+    name: str
+    silent_s: float
+
+
+@attrs.frozen(kw_only=True)
+class TargetWentOn:
+    """The target `name`, which was reported as silent, has output again."""
+
+    name: str
+
+
 @attrs.frozen(kw_only=True)
 class Place:
     """Requests a target; answered with a Result of Placement or Refusal.
 
     `prefilled` holds if the prompt's KV cache is available at another target, in the
     failure domain `prefill_domain` if that is known; `retry` if an earlier attempt of
-    the call has reached the service. `fingerprint` names the call's content.
+    the call has reached the service. `silent` is the target of an attempt that is still
+    open: the call can do without another one, which is granted only at a target that
+    takes it at once. `fingerprint` names the call's content.
     """
 
     call: _calls.Call
@@ -190,6 +207,7 @@
     retry: bool = False
     prefilled: bool = False
     prefill_domain: str = ""
+    silent: SilentTarget | None = None
     # Computed by the thread that asks, since the task that answers is shared by all.
     fingerprint: int = attrs.field(init=False)
 
