--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -70,7 +70,7 @@
             early_end=self._early_end,
             open=self._open,
         )
-        self._late = _late_attempt.LateAttempts(self._parts, self._has_target_crashed)
+        self._late = _late_attempt.LateAttempts(self._parts, self._has_target_ended)
         # What has come of an attempt that replaced one at a silent target.
         self._successor: _late_attempt.SupersededError | None = None
         # Handle of the prompt's KV cache until a decode target accepts it.
@@ -314,15 +314,8 @@
         self._record.log_failed_attempt(
             self._open.placement, "failed", repr(exc), target_ended=ended
         )
-        crashed = ended and self._call.prompt is not None
-        self._open.end(requests.Ending.CRASHED if crashed else requests.Ending.FAILED)
-        return crashed
-
-    def _has_target_crashed(
-        self, exc: Exception, placement: requests.Placement | None
-    ) -> bool:
-        """Returns whether the attempt failed since the engine's process ended."""
-        return self._call.prompt is not None and self._has_target_ended(exc, placement)
+        self._open.end(requests.Ending.CRASHED if ended else requests.Ending.FAILED)
+        return ended
 
     def _has_target_ended(
         self, exc: Exception, placement: requests.Placement | None
@@ -367,7 +360,7 @@
             self._record_failure(errors.AnswerLostError(f"status {answer.status}"))
             return None
         self._early_end.record_answered(self._call)
-        answered = answer.status == http.HTTPStatus.OK
+        answered = answer.status < http.HTTPStatus.BAD_REQUEST
         self._open.end(requests.Ending.SUCCEEDED, answered=answered)
         self._record_reply("answered", answer.status)
         return reply
--- a/src/turmericward/delivery/_placing.py
+++ b/src/turmericward/delivery/_placing.py
@@ -35,7 +35,7 @@
         Args:
             admission: which targets may get calls.
             placer: chooses one of them.
-            crashes: refuses calls that crash engines.
+            crashes: refuses calls that crash targets.
             budgets: the retry budgets.
         """
         self._admission = admission
@@ -106,6 +106,7 @@
             return _refusal(candidates.reason, retry_after_s)
         if chosen.is_ok():
             self._admission.sent(chosen.unwrap().target.name, now)
+            self._crashes.placed(message, chosen.unwrap().id)
         return chosen
 
     def _choose_target(
