--- a/src/turmericward/entry/_router_task.py
+++ b/src/turmericward/entry/_router_task.py
@@ -113,9 +113,12 @@
         engines = view.engines_by_model.get(demand.model, ())
         excluded = message.excluded | self._holds.held(now) | view.leaving
         chosen = self._router.choose(demand, engines, view.loads, excluded, now)
-        if second and chosen.is_ok():
-            self._retry_budget.spend()
-        return chosen.map(self._record_assignment)
+        placed = chosen.map(self._record_assignment)
+        if placed.is_ok():
+            self._crashes.placed(message, placed.unwrap().id)
+            if second:
+                self._retry_budget.spend()
+        return placed
 
     def _record_assignment(self, assignment: requests.Assignment) -> requests.Placement:
         self._in_flight_by_engine[assignment.engine] += 1
