--- a/src/turmericward/delivery/_placing.py
+++ b/src/turmericward/delivery/_placing.py
@@ -57,8 +57,8 @@
         if refusal is not None:
             return result.Err(refusal)
         budget = self._budgets.for_service(message.service)
-        if message.silent is not None:
-            return self._place_second(message, budget, now)
+        if message.silent is not None and not budget.has_spare:
+            return _refusal("retry_reserve", RETRY_BUDGET_RETRY_S)
         if message.retry and not budget.spend():
             return _refusal("retry_budget", RETRY_BUDGET_RETRY_S)
         if message.first and not message.retry and not message.prefilled:
@@ -66,6 +66,8 @@
         chosen = self._choose(message, now)
         if message.retry and chosen.is_ok():
             self._retries[chosen.unwrap().id] = message.service
+        elif message.retry:
+            budget.refund()
         return chosen
 
     def ended(self, placement: requests.Placement, ending: requests.Ending) -> None:
@@ -74,18 +76,6 @@
         if service is not None and ending is requests.Ending.UNREACHED:
             self._budgets.for_service(service).refund()
 
-    def _place_second(
-        self, message: _messages.Place, budget: requests.RetryBudget, now: float
-    ) -> result.Result[requests.Placement, requests.Refusal]:
-        """Places an attempt beside one that is still open."""
-        if not budget.has_spare:
-            return _refusal("retry_reserve", RETRY_BUDGET_RETRY_S)
-        chosen = self._choose(message, now)
-        if chosen.is_ok():
-            budget.spend()
-            self._retries[chosen.unwrap().id] = message.service
-        return chosen
-
     def _choose(
         self, message: _messages.Place, now: float
     ) -> result.Result[requests.Placement, requests.Refusal]:
--- a/src/turmericward/entry/_router_task.py
+++ b/src/turmericward/entry/_router_task.py
@@ -102,8 +102,7 @@
             return result.Err(refusal)
         if message.silent is not None and not self._retry_budget.has_spare:
             return _budget_refusal("retry_reserve")
-        second = message.silent is not None
-        if message.retry and not second and not self._retry_budget.spend():
+        if message.retry and not self._retry_budget.spend():
             return _budget_refusal("retry_budget")
         if message.first and not message.retry:
             self._retry_budget.earn()
@@ -116,8 +115,8 @@
         placed = chosen.map(self._record_assignment)
         if placed.is_ok():
             self._crashes.placed(message, placed.unwrap().id)
-            if second:
-                self._retry_budget.spend()
+        elif message.retry:
+            self._retry_budget.refund()
         return placed
 
     def _record_assignment(self, assignment: requests.Assignment) -> requests.Placement:
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -462,9 +462,11 @@
     check.assertEqual(lost[-1].unwrap_err().reason, "retry_budget")
 
 
-def test_a_second_attempt_that_finds_no_target_costs_no_retry():
+def test_a_retry_that_finds_no_target_cost_one_that_others_need():
     task = _silence_task(1)
     check.assertFalse(_place_beside(task, "e0").is_ok())
+    excluded = frozenset(("e0",))
+    check.assertFalse(test_dispatch._place(task, retry=True, excluded=excluded).is_ok())
     check.assertEqual(task._budgets.available(), {"model": 0.7 * 600 / 16})
 
 
