--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,6 +25,8 @@
 @click.option("--clients", default=8, help="clients of each front")
 @click.option("--seconds", default=20.0, help="time in which faults begin")
 @click.option("--planned-only", is_flag=True, help="no unplanned faults")
+@click.option("--faults", default="", help="pattern of the names of faults drawn")
+@click.option("--retry-slack", default=500, help="retries beyond the share of calls")
 @click.option("--inject", default="", help="fault in the product, see _injections")
 @click.option("--failed", is_flag=True, help="the seeds that have failed before")
 @click.option("--keep", default="", help="folder for the logs of failing runs")
--- a/soak/_evidence.py
+++ b/soak/_evidence.py
@@ -53,6 +53,15 @@
     ended: float
 
 
+@attrs.frozen(kw_only=True)
+class Silence:
+    """A pause of a sound replica, which excuses nothing."""
+
+    replica: str
+    began: float
+    ended: float
+
+
 @attrs.define(kw_only=True)
 class Evidence:
     """Everything that was seen in one run; may be added to from any thread."""
@@ -66,6 +75,7 @@
     # When each version of the configuration was written.
     versions: dict[int, float] = attrs.field(factory=dict)
     leaving: list[Leaving] = attrs.field(factory=list)
+    silences: list[Silence] = attrs.field(factory=list)
     # Fronts that ended by themselves.
     exits: list[str] = attrs.field(factory=list)
     # Fault injected, and how often.
@@ -92,6 +102,14 @@
             for d in self.disruptions
         )
 
+    def silent(self, replicas: set[str], began: float, ended: float) -> list[str]:
+        """Returns which sound replicas were silent in a time, and for how long."""
+        return [
+            f"{s.replica} silent {s.ended - s.began:.1f} s"
+            for s in self.silences
+            if s.replica in replicas and s.began <= ended and s.ended >= began
+        ]
+
     def runs(self) -> dict[str, list[str]]:
         """Returns the replicas that ran each call, once for each run."""
         runs: dict[str, list[str]] = {}
@@ -111,4 +129,8 @@
 
     def work_ended(self) -> dict[str, float]:
         """Returns when the last work on each call ended."""
-        return {i: at for r in self.replicas.values() for i, at in r.ended}
+        ended: dict[str, float] = {}
+        for replica in self.replicas.values():
+            for call_id, at in replica.ended:
+                ended[call_id] = max(at, ended.get(call_id, at))
+        return ended
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -14,6 +14,9 @@
 RESTART_MAX_S = 2.0
 TROUBLE_MIN_S, TROUBLE_MAX_S = 0.5, 4.0
 PAUSE_MAX_S = 2.0
+SILENCE_MIN_S, SILENCE_MAX_S = 0.3, 4.0
+SILENCE_GAP_MAX_S = 2.0
+SILENCES_MAX = 2
 SECOND_ACTION_FROM_S, SECOND_ACTION_TO_S = 0.2, 4.0
 ROLL_GAP_MAX_S = 2.0
 # A replica that leaves works on its calls for at least this long before it ends.
@@ -175,17 +178,55 @@
 
 
 @contextlib.contextmanager
-def _free_replica(scene: Scene):
-    """Yields the name of a replica for one fault alone, None if another works on it."""
-    name = scene.rng.choice(list(_fleet.REPLICAS))
-    if name in scene.fleet.away:
-        yield None
-        return
-    scene.fleet.away.add(name)
+def _free_replicas(scene: Scene, names: list[str]):
+    """Yields the replicas among these that no other fault works on."""
+    free = [name for name in names if name not in scene.fleet.away]
+    scene.fleet.away.update(free)
     try:
-        yield name
+        yield free
     finally:
-        scene.fleet.away.discard(name)
+        scene.fleet.away.difference_update(free)
+
+
+def _one(scene: Scene) -> list[str]:
+    return [scene.rng.choice(list(_fleet.REPLICAS))]
+
+
+@contextlib.contextmanager
+def _free_replica(scene: Scene):
+    """Yields the name of a replica for one fault alone, None if another works on it."""
+    with _free_replicas(scene, _one(scene)) as names:
+        yield names[0] if names else None
+
+
+def _domain(scene: Scene) -> list[str]:
+    domain = _fleet.replica_domain(*_one(scene))
+    return [n for n in _fleet.REPLICAS if _fleet.replica_domain(n) == domain]
+
+
+def _all(scene: Scene) -> list[str]:
+    del scene
+    return list(_fleet.REPLICAS)
+
+
+def _nothing(scene: Scene) -> None:
+    del scene
+
+
+@_fault(PLANNED)
+def silence(scene: Scene) -> None:
+    """Sound replicas are silent now and then: one, those of a domain, or all."""
+    extent = scene.rng.choice((_one, _domain, _all))
+    beside = scene.rng.choice((_nothing, configure, stop))
+    with _free_replicas(scene, extent(scene)) as names:
+        if not names:
+            return
+        scene.evidence.count_fault(f"silence{extent.__name__}")
+        thread = _start(beside, attrs.evolve(scene, name=beside.__name__))
+        for _ in range(scene.rng.randint(1, SILENCES_MAX)):
+            scene.fleet.silence(names, scene.rng.uniform(SILENCE_MIN_S, SILENCE_MAX_S))
+            time.sleep(scene.rng.uniform(0, SILENCE_GAP_MAX_S))
+    thread.join()
 
 
 @_fault(PLANNED)
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -28,6 +28,7 @@
 # Rows of a listing; small pages cost the soak a call for every two fronts.
 STORE_PAGE = 200
 FIRST_FRONT_HOST = 20
+REPLICA_DOMAINS = 3
 # Route, kind, service, and whether its streams may be resumed.
 ROUTES = (
     ("read", "idempotent", "plain", False),
@@ -56,6 +57,11 @@
 VERSION_PREFIX = "since"
 
 
+def replica_domain(name: str) -> str:
+    """Returns the failure domain of a replica; every domain has some of a service."""
+    return f"d{int(name[1:]) % REPLICA_DOMAINS}"
+
+
 def _route(name: str, kind: str, service: str, *, resumable=False) -> dict:
     return {
         "name": name,
@@ -127,6 +133,7 @@
     grace_s: float
     program: list[str]
     evidence: _evidence.Evidence
+    retry_slack: int
     fronts: list[Front] = attrs.field(factory=list)
     replicas: dict[str, platform_replica.Replica] = attrs.field(factory=dict)
     links: dict[str, link.Link] = attrs.field(factory=dict)
@@ -234,7 +241,7 @@
             "bounds": {
                 "drain_s": self.grace_s,
                 "retry_share": 0.2,
-                "retry_slack": 500,
+                "retry_slack": self.retry_slack,
                 "retry_window_s": 10,
                 "order_gap_ms": 500,
                 "leaving_ms": 1000 * self.evidence.leaving_s,
@@ -266,7 +273,7 @@
         entry = {
             "service": service,
             "address": self._announced[name],
-            "domain": "d0",
+            "domain": replica_domain(name),
             "slots": SLOTS,
             "state": "draining" if draining else "in_service",
             "born": self._births,
@@ -288,6 +295,18 @@
         self._servers.pop(name).crash()
         self.remove(name)
 
+    def silence(self, names: list[str], length_s: float) -> None:
+        """Lets sound replicas neither read nor write for a time."""
+        with contextlib.ExitStack() as stack:
+            began = time.monotonic()
+            for name in names:
+                stack.enter_context(self._servers[name].paused())
+            time.sleep(length_s)
+        ended = time.monotonic()
+        self.evidence.silences += [
+            _evidence.Silence(replica=name, began=began, ended=ended) for name in names
+        ]
+
     def restart_replica(self, name: str) -> None:
         """Starts a replica that had ended, as a new incarnation."""
         self._serve(name, self._addresses[name], self.replicas[name])
--- a/soak/_injections.py
+++ b/soak/_injections.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import threading
+import time
 from unittest import mock
 
 import attrs
@@ -17,6 +18,7 @@
 from turmericward.platform import _program, _records, _transport
 
 SHARE = 0.05
+PATIENCE_S = 1.0
 REGISTRY: dict[str, object] = {}
 
 
@@ -95,6 +97,27 @@
     )
 
 
+@_injection
+def gives_up_at_silence():
+    """A front that loses the answers of replicas that have been silent."""
+    send = _transport.ReplicaTransport.send
+
+    def send_impatiently(self, target, call, dispatch):
+        answer = send(self, target, call, dispatch)
+        return attrs.evolve(answer, chunks=_impatient(answer.chunks))
+
+    return mock.patch.object(_transport.ReplicaTransport, "send", send_impatiently)
+
+
+def _impatient(chunks):
+    waiting_since = time.monotonic()
+    for chunk in chunks:
+        if time.monotonic() - waiting_since > PATIENCE_S:
+            raise errors.AnswerLostError("injected")
+        yield chunk
+        waiting_since = time.monotonic()
+
+
 if __name__ == "__main__":
     REGISTRY[sys.argv.pop()]().start()
     _program.main()
--- a/soak/_promises.py
+++ b/soak/_promises.py
@@ -67,6 +67,8 @@
 def _finding(promise: str, evidence, sent: _evidence.Sent, detail: str) -> Finding:
     stop = _stop_of(evidence, sent)
     outcome = sent.outcome
+    replicas = evidence.arrivals().get(outcome.call.id, set())
+    silent = evidence.silent(replicas, outcome.sent_at, outcome.ended_at)
     return Finding(
         promise=promise,
         front=sent.front,
@@ -74,7 +76,7 @@
         after_stop_s=None if stop is None else outcome.sent_at - stop.began,
         detail=f"{outcome.call.route} work {outcome.call.work_s:.2f} s, "
         f"status {outcome.status}, took {outcome.ended_at - outcome.sent_at:.2f} s, "
-        f"{outcome.broken or 'whole'}: {detail}",
+        f"{outcome.broken or 'whole'}: {', '.join([detail, *silent])}",
     )
 
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -5,6 +5,7 @@
 import json
 import pathlib
 import random
+import re
 import threading
 import time
 
@@ -31,13 +32,16 @@
     """What a run is drawn with, besides its seed.
 
     `fronts` is the number of processes, `seconds` the time in which faults begin,
-    `program` the module that is run as a front, with its arguments.
+    `faults` a regular expression of their names, `program` the module that is run as
+    a front, with its arguments.
     """
 
     fronts: int = 6
     seconds: float = 20.0
     clients: int = 8
     planned_only: bool = False
+    faults: str = ""
+    retry_slack: int = 500
     directory: pathlib.Path
     program: tuple[str, ...] = PROGRAM
 
@@ -72,7 +76,11 @@
     """Draws the faults and when they begin; those of one run may overlap."""
     calm = options.planned_only or rng.random() < PLANNED_ONLY_SHARE
     kinds = {_faults.PLANNED} if calm else {_faults.PLANNED, _faults.UNPLANNED}
-    names = sorted(n for n, (kind, _) in _faults.REGISTRY.items() if kind in kinds)
+    names = sorted(
+        name
+        for name, (kind, _) in _faults.REGISTRY.items()
+        if kind in kinds and re.search(options.faults, name)
+    )
     steps, at = [], 0.0
     while at < options.seconds:
         steps.append(Step(at=at, fault=rng.choice(names), seed=rng.random()))
@@ -102,6 +110,7 @@
         grace_s=evidence.grace_s,
         program=list(options.program),
         evidence=evidence,
+        retry_slack=options.retry_slack,
     )
     with fleet:
         with _lag.Monitor(fleet), _load.Load(fleet, options.clients, rng):
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -167,3 +167,10 @@
             )
         )
     check.assertEqual(_broken(evidence), {"role_orders_have_one_holder"})
+
+
+def test_a_call_is_at_work_until_its_last_replica_ends_it():
+    evidence = _evidence_with()
+    evidence.replicas["m1"].ended.append(("c1", STOP_AT + 7.0))
+    evidence.replicas["m3"].ended.append(("c1", STOP_AT + 2.0))
+    check.assertEqual(evidence.work_ended(), {"c1": STOP_AT + 7.0})
