--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -49,7 +49,7 @@
         report = _run.run(number, options)
         reports.append(report)
         _print_run(report)
-        if not report.findings:
+        if not report.findings and not report.excused:
             shutil.rmtree(options.directory)
     _print_totals(reports)
     sys.exit(1 if any(report.findings for report in reports) else 0)
@@ -68,7 +68,8 @@
     faults = sum(report.injected.values())
     click.echo(
         f"seed {report.seed}: {calls} calls {report.statuses}, {faults} faults, "
-        f"{len(report.findings)} findings, held up {report.held_up}, "
+        f"{len(report.findings)} findings, held up {report.held_up} "
+        f"which alone excuses {len(report.excused)}, "
         f"{report.took_s:.0f} s"
     )
     for finding in report.findings[:MAX_LINES]:
--- a/soak/_lag.py
+++ b/soak/_lag.py
@@ -8,6 +8,7 @@
 from soak import _evidence, _fleet
 
 LAG, STARVED = "lag", "starved"
+KINDS = (LAG, STARVED)
 PERIOD_S = 0.05
 # The stand-ins answer late if a thread of the soak runs this much late.
 MAX_LAG_S = 0.25
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -67,6 +67,8 @@
     injected: dict[str, int]
     # How often the machine held up the soak or a front, which excuses what follows.
     held_up: dict[str, int]
+    # Findings that only these delays excuse.
+    excused: list[_promises.Finding]
     statuses: dict[str, int]
     checked: dict[str, int]
     findings: list[_promises.Finding]
@@ -82,7 +84,7 @@
         if kind in kinds and re.search(options.faults, name)
     )
     steps, at = [], 0.0
-    while at < options.seconds:
+    while names and at < options.seconds:
         steps.append(Step(at=at, fault=rng.choice(names), seed=rng.random()))
         at += rng.expovariate(FAULTS_PER_S)
     return steps
@@ -128,11 +130,12 @@
         grace_s=evidence.grace_s,
         injected=dict(sorted(evidence.injected.items())),
         held_up=_held_up(evidence),
+        excused=_excused(evidence, results),
         statuses=_statuses(evidence),
         checked={name: result.checked for name, result in results.items()},
         findings=[f for result in results.values() for f in result.findings],
     )
-    if report.findings:
+    if report.findings or report.excused:
         _write(report, fleet)
     return report
 
@@ -162,13 +165,25 @@
 
 def _held_up(evidence: _evidence.Evidence) -> dict[str, int]:
     kinds = collections.Counter(d.kind for d in evidence.disruptions)
-    return {kind: kinds[kind] for kind in (_lag.LAG, _lag.STARVED)}
+    return {kind: kinds[kind] for kind in _lag.KINDS}
+
+
+def _excused(evidence: _evidence.Evidence, results: dict) -> list[_promises.Finding]:
+    unaided = [d for d in evidence.disruptions if d.kind not in _lag.KINDS]
+    strict = _promises.check(attrs.evolve(evidence, disruptions=unaided))
+    return [
+        finding
+        for name, result in strict.items()
+        for finding in result.findings
+        if finding not in results[name].findings
+    ]
 
 
 def _write(report: Report, fleet: _fleet.Fleet) -> None:
     """Writes the report, with the fronts' own lines on each finding."""
     value = attrs.asdict(report)
-    value["log_lines"] = [_log_lines(finding, fleet) for finding in report.findings]
+    found = report.findings + report.excused
+    value["log_lines"] = [_log_lines(finding, fleet) for finding in found]
     path = report.options.directory / "report.json"
     path.write_text(json.dumps(value, indent=1, default=str))
 
