--- a/src/turmericward/delivery/_crash_guard.py
+++ b/src/turmericward/delivery/_crash_guard.py
@@ -5,7 +5,12 @@
 from collections.abc import Callable, Iterable
 
 from turmericward import fleet, requests, runtime, telemetry
-from turmericward.delivery import _evidence, _fingerprint, _messages
+from turmericward.delivery import (
+    _evidence,
+    _fingerprint,
+    _lost_connections,
+    _messages,
+)
 
 MAX_NAMED_KEYS = 1_000
 
@@ -44,7 +49,8 @@
         # The broader one first: its bars explain crashes to the other.
         self.quarantines = {q.kind: q for q in (segments, whole)}
         # Keys of the open placements, by id.
-        self._placed: dict[int, dict[requests.EvidenceKind, _evidence.Keys]] = {}
+        self._placed: dict[int, _evidence.Found] = {}
+        self._lost = _lost_connections.LostConnections()
         # Names of keys, as this process has seen them in calls.
         self._names: collections.OrderedDict[int, str] = collections.OrderedDict()
 
@@ -75,21 +81,35 @@
         if message.answered:
             for kind, keys in found.items():
                 self.quarantines[kind].record_answer(keys, runtime.now())
-        elif message.target_ended_under_call:
-            incarnation = self._incarnation_of(message.placement.target)
-            if incarnation is not None:
-                self._record_crash(found, incarnation)
+        elif message.target_closed_call:
+            target = message.placement.target
+            incarnation = self._incarnation_of(target)
+            if incarnation is None:
+                return False
+            now = runtime.now()
+            lost = _lost_connections.LostCall(target=target, found=found, at=now)
+            if message.ending is requests.Ending.CRASHED or self._lost.add(lost):
+                self._record_crash(found, incarnation, now)
+        return self._log_changes()
+
+    def target_announced(self, target: fleet.Target) -> bool:
+        """Records that another incarnation of a target, or at its address, has started.
+
+        Returns whether that changed anything.
+        """
+        for lost in self._lost.pop_ended(target, runtime.now()):
+            name_hash = fleet.target_hash(lost.target.name)
+            incarnation = requests.Incarnation(name_hash, lost.target.started_ms)
+            self._record_crash(lost.found, incarnation, lost.at)
         return self._log_changes()
 
     def _record_crash(
-        self,
-        found: dict[requests.EvidenceKind, _evidence.Keys],
-        incarnation: requests.Incarnation,
+        self, found: _evidence.Found, incarnation: requests.Incarnation, at: float
     ) -> None:
         for kind, keys in found.items():
             self._remember_names(keys)
             if keys:
-                self.quarantines[kind].record_crash(keys, incarnation, runtime.now())
+                self.quarantines[kind].record_crash(keys, incarnation, at)
 
     def apply(self, outcomes: Iterable[requests.KeyOutcome]) -> bool:
         """Records what a peer reports; returns whether that changed anything."""
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -314,7 +314,10 @@
         self._record.log_failed_attempt(
             self._open.placement, "failed", repr(exc), target_ended=ended
         )
-        self._open.end(requests.Ending.CRASHED if ended else requests.Ending.FAILED)
+        self._open.end(
+            requests.Ending.CRASHED if ended else requests.Ending.FAILED,
+            connection_lost=isinstance(exc, errors.ConnectionLostError),
+        )
         return ended
 
     def _has_target_ended(
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -125,6 +125,8 @@
         previous = self._directory.get(target.name)
         if not self._directory.put(target):
             return
+        if previous is None or previous.started_ms != target.started_ms:
+            self._reports_changed |= self._crashes.target_announced(target)
         if previous is not None and previous.started_ms != target.started_ms:
             self._placer.forget(target.name)
             self._admission.forget(target.name)
--- a/src/turmericward/delivery/_evidence.py
+++ b/src/turmericward/delivery/_evidence.py
@@ -7,6 +7,7 @@
 
 # Keys of a call, each with its name in log lines.
 Keys = dict[int, str]
+Found = dict[requests.EvidenceKind, Keys]
 _Reader = Callable[[_messages.Place], Keys]
 _READERS: dict[requests.EvidenceKind, _Reader] = {}
 
@@ -32,6 +33,6 @@
     return {message.fingerprint: message.call.route.name}
 
 
-def keys_of(message: _messages.Place) -> dict[requests.EvidenceKind, Keys]:
+def keys_of(message: _messages.Place) -> Found:
     """Returns the keys of a call, of each kind."""
     return {kind: reader(message) for kind, reader in _READERS.items()}
--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -297,7 +297,7 @@
         self._parts.record.log_failed_attempt(
             placement, outcome, repr(exc), target_ended=crashed
         )
-        second.end(ending)
+        second.end(ending, connection_lost=isinstance(exc, errors.ConnectionLostError))
         self._parts.progress.record_second(
             placement.target.name,
             arrived=ending is not requests.Ending.UNREACHED,
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -232,7 +232,8 @@
     """The end of a placement.
 
     `streamed` holds if its stream was completed, `answered` if the call got its whole
-    answer, streamed or not. `writing_s` is the time since the target's first output
+    answer, streamed or not; `connection_lost` if the target closed the connection
+    before that. `writing_s` is the time since the target's first output
     of the answer, 0 without one.
     """
 
@@ -241,9 +242,11 @@
     ending: requests.Ending
     streamed: bool = False
     answered: bool = False
+    connection_lost: bool = False
     writing_s: float = 0.0
 
     @property
-    def target_ended_under_call(self) -> bool:
-        """Whether the target ended as it was just beginning to answer."""
-        return self.ending is requests.Ending.CRASHED and self.writing_s <= BEGINNING_S
+    def target_closed_call(self) -> bool:
+        """Whether the target ended, or may have, as it was beginning to answer."""
+        closed = self.ending is requests.Ending.CRASHED or self.connection_lost
+        return closed and self.writing_s <= BEGINNING_S
--- a/src/turmericward/delivery/_open_placement.py
+++ b/src/turmericward/delivery/_open_placement.py
@@ -83,6 +83,7 @@
         *,
         answered: bool = False,
         streamed: bool = False,
+        connection_lost: bool = False,
     ) -> None:
         """Reports the end of the placement, if there is one."""
         placement, self.placement = self.placement, None
@@ -97,5 +98,6 @@
                 writing_s=0.0 if since is None else runtime.now() - since,
                 answered=answered,
                 streamed=streamed,
+                connection_lost=connection_lost,
             )
         )
--- a/tests/crashing_services.py
+++ b/tests/crashing_services.py
@@ -61,10 +61,23 @@
         servers: list[crashing_fleet.Engine],
         sound: list[Request],
         deadly: list[Request],
+        *,
+        listens_again: bool = False,
         **options,
     ) -> None:
-        """Creates the fleet in three domains; options as of the base class."""
+        """Creates the fleet in three domains; further options as of the base class.
+
+        Args:
+            fronts_each: fronts of each domain.
+            servers: the replicas.
+            sound: requests that replicas answer.
+            deadly: requests that crash them.
+            listens_again: whether something listens at a crashed replica's address
+                when fronts look.
+            options: options of the base class.
+        """
         super().__init__(fronts_each, servers, sound, deadly, **options)
+        self._listens_again = listens_again
         self._paths = itertools.count()
         self.crashes: dict[Request, list[float]] = collections.defaultdict(list)
         self.arrivals: dict[Request, list[float]] = collections.defaultdict(list)
@@ -132,6 +145,11 @@
             )
         self._complete(engine, visit)
 
+    def _end(self, front, call, placement, ending, **details) -> None:
+        if ending is requests.Ending.CRASHED and self._listens_again:
+            ending, details = requests.Ending.FAILED, {"connection_lost": True}
+        super()._end(front, call, placement, ending, **details)
+
     def crash_any(self, source: random.Random) -> None:
         """Ends one of the replicas, if one is up."""
         if self.servers:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -87,6 +87,12 @@
             _check_bounds(world, (deadly_per_s, restart_s))
 
 
+def test_replicas_that_listen_again_at_once_crashed_one_after_the_other():
+    for restart_s in (0.2, 1.0):
+        world = _play(2, listens_again=True, restart_s=restart_s)
+        _check_bounds(world, restart_s)
+
+
 def test_fronts_that_start_later_learn_which_requests_crash_replicas():
     for restarted in (("a000",), ("a000", "a001"), ("a900",)):
         with _world(2) as world:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -47,7 +47,7 @@
 
 def _target(name: str, role=fleet.EngineRole.DECODE) -> fleet.Target:
     return fleet.Target(
-        name=name, service="model", address="10.0.0.1:1", domain="a", slots=8, role=role
+        name=name, service="model", address=f"{name}:1", domain="a", slots=8, role=role
     )
 
 
@@ -329,3 +329,47 @@
         task.handle(delivery.PutTargets(targets=(_target("e9"),)))
         case = (leaving, started_ms, writing_s)
         check.assertEqual(_place(task).is_err(), refused, case)
+
+
+def _lose(task, name: str, at: float, **details) -> None:
+    """Places a call at a target, which closes its connection but seems to listen."""
+    others = frozenset(f"e{n}" for n in range(6)) - {name}
+    placement = _place(task, excluded=others).unwrap()
+    check.assertEqual(placement.target.name, name)
+    options = {"ending": requests.Ending.FAILED, "connection_lost": True} | details
+    message = delivery.PlacementEnded(placement=placement, prompt=PROMPT, **options)
+    with mock.patch.object(runtime, "now", lambda: at):
+        task.handle(message)
+
+
+def test_targets_whose_successor_listened_already_counted_as_alive():
+    now = runtime.now()
+    for leaving, lost, back_s, refused in (
+        (False, True, 1.0, True),
+        (False, True, -1.0, True),
+        (False, True, 9.0, False),
+        (False, False, 1.0, False),
+        (True, True, 1.0, False),
+    ):
+        task = _task()
+        targets = [
+            attrs.evolve(_target(f"e{n}"), address=f"10.0.0.{n}:1") for n in range(4)
+        ]
+        task.handle(delivery.PutTargets(targets=tuple(targets)))
+        for target in targets[:3]:
+            successor = attrs.evolve(target, name=f"s-{target.name}", service="other")
+            back = delivery.PutTargets(targets=(successor,))
+            with mock.patch.object(runtime, "now", lambda at=now + back_s: at):
+                if back_s < 0:
+                    task.handle(back)
+            if leaving:
+                # The call was placed before.
+                notice = delivery.TargetNotice(target=target, leaving=True)
+                task.handle(notice)
+                continue
+            _lose(task, target.name, now, connection_lost=lost)
+            with mock.patch.object(runtime, "now", lambda at=now + back_s: at):
+                if back_s > 0:
+                    task.handle(back)
+        case = (leaving, lost, back_s)
+        check.assertEqual(_place(task).is_err(), refused, case)
