--- a/src/turmericward/delivery/_fingerprint.py
+++ b/src/turmericward/delivery/_fingerprint.py
@@ -20,7 +20,8 @@
     digest = hashlib.blake2b(digest_size=8, person=_PURPOSE)
     for part in (*(text.encode() for text in head), call.body):
         # With its length, so that no two lists of parts are the same bytes.
-        digest.update(len(part).to_bytes(8) + part)
+        digest.update(len(part).to_bytes(8))
+        digest.update(part)
     return int.from_bytes(digest.digest(), signed=True)
 
 
--- a/src/turmericward/requests/_evidence.py
+++ b/src/turmericward/requests/_evidence.py
@@ -22,23 +22,34 @@
     A key without any known answer is barred after `crashes_unanswered` targets have
     crashed, even if other barred keys were there too. An answer lifts a bar if there
     are more than `chance_answers` lately, as one front sees them; `max_answered`
-    bounds the keys whose answers a front remembers.
+    bounds the keys whose answers a front remembers. Each crash above those that bar a
+    key makes its bar `bar_growth` times as long, up to `max_bar_s`.
     """
 
     crashes_unanswered: float
     chance_answers: float
     max_answered: int
+    bar_growth: int
+    max_bar_s: float
 
 
 RULES = {
     # Prompts share segments by chance, and some of those with a bad one end before it
     # does harm.
     EvidenceKind.SEGMENT: Rules(
-        crashes_unanswered=math.inf, chance_answers=1.5, max_answered=3_000
+        crashes_unanswered=math.inf,
+        chance_answers=1.5,
+        max_answered=3_000,
+        bar_growth=2,
+        max_bar_s=600.0,
     ),
     # What many callers read is answered all the time. What nobody answers is of one
-    # caller, who loses little by a bar.
+    # caller, who loses little by a bar; each trial ends another target.
     EvidenceKind.REQUEST: Rules(
-        crashes_unanswered=3, chance_answers=0.0, max_answered=1_000
+        crashes_unanswered=3,
+        chance_answers=0.0,
+        max_answered=1_000,
+        bar_growth=8,
+        max_bar_s=86_400.0,
     ),
 }
--- a/src/turmericward/requests/_quarantine.py
+++ b/src/turmericward/requests/_quarantine.py
@@ -206,7 +206,7 @@
             self._bar(worst, self._suspects[worst])
 
     def _bar(self, key: int, suspect: _suspects.Suspect) -> None:
-        suspect.extend_bar(_verdicts.MOMENTS_TO_BAR)
+        suspect.extend_bar(_verdicts.MOMENTS_TO_BAR, self._rules)
         self._note(key, KeyState.BARRED)
 
     def _note(self, key: int, state: KeyState) -> None:
--- a/src/turmericward/requests/_suspects.py
+++ b/src/turmericward/requests/_suspects.py
@@ -15,9 +15,8 @@
 EVIDENCE_S = 300.0
 # Crashes that are kept of one key; the oldest ones are dropped.
 MAX_CRASHES = 12
-# Duration of a bar from the last crash on, doubled by each crash above the threshold.
+# Duration of a bar from the last crash on, if there are no more than bar a key.
 FIRST_BAR_S = 60.0
-MAX_BAR_S = 600.0
 # After a bar has ended, one front after the other may try a call, at this interval.
 TRIAL_INTERVAL_S = 15.0
 # How long a bar that has run out is remembered, if no trial decides about it.
@@ -131,10 +130,10 @@
         self.changed_at = now
         return True
 
-    def extend_bar(self, crashes_to_bar: int) -> None:
+    def extend_bar(self, crashes_to_bar: int, rules: _evidence.Rules) -> None:
         """Sets the end of the bar by the number and the time of the crashes."""
         repeated = max(0, len(self.crashes) - crashes_to_bar)
-        duration_s = min(MAX_BAR_S, FIRST_BAR_S * 2**repeated)
+        duration_s = min(rules.max_bar_s, FIRST_BAR_S * rules.bar_growth**repeated)
         until = max(self.crashes.values()) + duration_s
         if self.bar is None:
             self.bar = Bar(until)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -119,6 +119,24 @@
         check.assertGreater(world.served_share(25.0, 35.0), 0.99)
 
 
+def test_one_front_tries_a_request_after_the_bar_and_its_answer_lifts_it_everywhere():
+    for mended in (False, True):
+        with _world(2, calls_per_s=4.0, deadly_per_s=1.0) as world:
+            world.run(15.0)
+            crashed = len(world.crashed_at)
+            arrived = len(world.arrivals[DEADLY[0]])
+            if mended:
+                world.mend()
+            world.run(180.0)
+            late = len(world.arrivals[DEADLY[0]]) - arrived
+            if mended:
+                sent = [c for c in world.calls if c.deadly and c.sent_at > 140.0]
+                check.assertGreater(len(sent), 5)
+                check.assertTrue(all(c.answered_at is not None for c in sent[:-3]))
+            else:
+                check.assertEqual((late, len(world.crashed_at) - crashed), (1, 1))
+
+
 def test_requests_of_other_callers_with_the_same_path_are_served():
     other = Request("/deadly", caller="y")
     servers = crashing_services.replicas(3)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -193,6 +193,19 @@
     check.assertEqual(_barred(quarantine), set())
 
 
+def test_a_request_is_tried_less_often_with_each_crash():
+    quarantine = _requests()
+    _crash_at_once(quarantine, 1)
+    now = 5.02
+    for number, bar_s in ((3, 60.0), (4, 480.0), (5, 3_840.0), (6, 30_720.0)):
+        check.assertEqual(_refused(quarantine, [1], now + bar_s - 0.1), "quarantined")
+        now += bar_s + 0.1
+        check.assertEqual(_refused(quarantine, [1], now), "")
+        check.assertEqual(_refused(quarantine, [1], now + 1.0), "quarantined")
+        quarantine.record_crash([1], _engine(number), now)
+    check.assertEqual(_refused(quarantine, [1], now + 86_000.0), "quarantined")
+
+
 def _requests(broader=None) -> requests.Quarantine:
     return requests.Quarantine(requests.EvidenceKind.REQUEST, broader)
 
