--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -267,7 +267,7 @@
         self._parts.record.log_failed_attempt(
             placement, outcome, repr(exc), target_ended=crashed
         )
-        second.end(ending)
+        second.end(ending, connection_lost=isinstance(exc, errors.ConnectionLostError))
         if isinstance(exc, errors.ConnectTimeoutError):
             self._parts.progress.record_silent(placement.target.name)
             return
