The log returned from an older copy: a new holder got a token of a lost one

Cause (test_no_token_is_given_twice_after_the_log_returned_from_an_older_copy): the token of a domain's lease was the offset of its acquire plus one, and a log that has returned from an older copy gives offsets out again. Besides, followers went on at offsets that the log no longer had, and a holder whose acquire was lost went on to the end of its term while another could acquire at once.

Now the log's client reads the era of each answer (Log-Era) into positions.Eras, which all readers and writers of a steward share; invalid, missing and older eras are refused as an unavailable log. A follower that learns of a new era, from whichever answer, drops what it read and starts at the beginning. A token is the number of a position (era and offset, 2^40 offsets an era). The era of a record can't be seen when it is read again, so a candidate first writes the era into the stream. A lease holds in its own era only, and a candidate that finds no acquire of the era waits for term and margin from when it first saw it. Records of an era that is over aren't appended. A log that names no era is in era 0: the same records, tokens and times as before. Builds without eras skip the new record; renewals state the token as they compare it. They refuse orders' records of this build: a successor of theirs reads the state from the engines, as before each order.

Ruled out: a counter in the lease record (the copy loses it); the era in the acquire itself (older builds would not decode it and acquire beside the holder).

--- a/src/turmericward/adapters/_json_http.py
+++ b/src/turmericward/adapters/_json_http.py
@@ -1,5 +1,6 @@
 """JSON requests over a persistent HTTP connection."""
 
+import http.client
 import json
 
 import attrs
@@ -13,10 +14,11 @@
 
 @attrs.frozen(kw_only=True)
 class JsonResponse:
-    """Status and decoded JSON body of a response."""
+    """Status, decoded JSON body and headers of a response."""
 
     status: int
     body: object
+    headers: http.client.HTTPMessage
 
 
 class JsonClient:
@@ -51,6 +53,7 @@
                 body=schema.loads(
                     resp.body or b"null", "response", max_bytes=MAX_BODY_BYTES
                 ),
+                headers=resp.headers,
             )
         except schema.SchemaError:
             self.close()
--- a/src/turmericward/adapters/log.py
+++ b/src/turmericward/adapters/log.py
@@ -5,11 +5,15 @@
 import attrs
 from absl import logging
 
-from turmericward import schema
+from turmericward import positions, schema
 from turmericward.adapters import _json_http, errors
 
 MAX_RECORDS_PER_READ = 500
-_OFFSET = schema.validators.between(0, 2**62)
+MAX_OFFSET = 2**62
+_OFFSET = schema.validators.between(0, MAX_OFFSET)
+_ERA = "Log-Era"
+# Statuses of responses that say something of the log's contents.
+_USABLE = frozenset({200, 410})
 
 
 @attrs.frozen(kw_only=True)
@@ -53,8 +57,17 @@
 class LogClient:
     """Appends to and reads from the streams of the log."""
 
-    def __init__(self, address: str, timeout_s: float) -> None:
-        """Creates the client; it is not thread-safe."""
+    def __init__(
+        self, address: str, timeout_s: float, eras: positions.Eras | None = None
+    ) -> None:
+        """Creates the client; it is not thread-safe.
+
+        Args:
+            address: `ip:port`.
+            timeout_s: timeout of each socket operation.
+            eras: learns the era of each response.
+        """
+        self._eras = positions.Eras() if eras is None else eras
         self._client = _json_http.JsonClient(address, timeout_s)
 
     def append(self, stream: str, values: list[object]) -> int:
@@ -78,8 +91,12 @@
     def read(self, stream: str, start: int, wait_s: float = 0.0) -> Page:
         """Reads records from offset `start`; waits up to `wait_s` if there are none.
 
+        What was read is of the era that was current before and still is; if it has
+        risen, it may be of either.
+
         Raises:
-            OffsetExpiredError: the log no longer holds `start`.
+            OffsetExpiredError: the log doesn't hold `start`, not any more or, after
+                its return from an older copy, not again.
             LogUnavailableError: no usable response was received.
 
         .. versionadded:: 0.1.0
@@ -128,11 +145,33 @@
 
     def _request(self, method, path, body=None, extra_timeout_s=0.0):
         try:
-            return self._client.request(method, path, body, extra_timeout_s)
+            resp = self._client.request(method, path, body, extra_timeout_s)
         except schema.LimitError as exc:
             raise errors.UndecodableLogError(str(exc)) from exc
         except _json_http.ERRORS as exc:
             raise errors.LogUnavailableError(f"log request failed: {exc!r}") from exc
+        if resp.status in _USABLE:
+            self._observe_era(resp.headers.get(_ERA))
+        return resp
+
+    def _observe_era(self, text: str | None) -> None:
+        """Takes the era that a response names.
+
+        Raises:
+            LogUnavailableError: it is invalid, missing though the log has named one
+                before, or lower than the latest, as in a response that was delayed.
+        """
+        if text is None and not self._eras.current:
+            return
+        if text is None:
+            raise errors.LogUnavailableError("log names no era")
+        try:
+            era = schema.parse_int(text, 0, MAX_OFFSET)
+            self._eras.observe(era, "the log")
+        except ValueError as exc:
+            raise errors.LogUnavailableError(f"log: {exc}") from exc
+        if era < self._eras.current:
+            raise errors.LogUnavailableError(f"log names era {era}, which is over")
 
     def close(self) -> None:
         """Closes the connection."""
--- a/src/turmericward/authority/__init__.py
+++ b/src/turmericward/authority/__init__.py
@@ -18,6 +18,7 @@
 )
 from turmericward.authority._records import (
     Acquire,
+    Era,
     Intent,
     LeaseState,
     OnDemandAcquire,
@@ -39,6 +40,7 @@
     "Claim",
     "Contender",
     "EngineState",
+    "Era",
     "Intent",
     "Lease",
     "LeaseFold",
--- a/src/turmericward/authority/_contender.py
+++ b/src/turmericward/authority/_contender.py
@@ -38,6 +38,12 @@
     The holder counts its term from before it sent a renewal; a candidate
     counts the term plus a margin from when it read the latest renewal. A
     candidate therefore acts only after the holder has stopped.
+
+    A log that returns from an older copy begins a new era and may have lost the acquire
+    or the renewals of a holder that doesn't know yet. So a lease holds in its own era
+    only, and a candidate that finds no acquire of the new era waits for the term plus
+    a margin from when it first saw that era. The token rises with the era and the
+    offset of the acquire. Candidates name the era in the stream before they acquire.
     """
 
     def __init__(self, holder: str, timing: Timing, now: float, new_id) -> None:
@@ -60,6 +66,25 @@
         self._not_before = float("inf")
         self._floor = 0
         self._known = True
+        self._era = 0
+        self._era_since = float("-inf")
+
+    def enter_era(self, era: int, since: float, now: float) -> None:
+        """Forgets the lease: the log is in a new era and is read from its beginning.
+
+        Args:
+            era: the era.
+            since: when this process first saw it.
+            now: local monotonic time in seconds.
+        """
+        self._fold = _lease.LeaseFold()
+        self._sent.clear()
+        self._until = float("-inf")
+        self._floor = 0
+        self._known = True
+        self._last_read = now
+        self._era = era
+        self._era_since = since
 
     @property
     def known(self) -> bool:
@@ -76,7 +101,7 @@
 
     def restore(self, lease: _lease.Lease, now: float) -> None:
         """Sets the lease from a snapshot."""
-        self._fold.lease = lease
+        self._fold.restore(lease)
         self._known = True
         self._last_read = now
 
@@ -91,12 +116,20 @@
         """The lease as last read from the log."""
         return self._fold.lease
 
-    def authority(self, now: float) -> Authority | None:
-        """Returns the right to send orders, or None when there is none at `now`."""
-        if self._fold.lease.holder != self._holder or now >= self._until:
+    def authority(self, now: float, era: int = 0) -> Authority | None:
+        """Returns the right to send orders, or None when there is none at `now`.
+
+        Args:
+            now: local monotonic time in seconds.
+            era: latest era of the log that this process knows.
+        """
+        lease = self._fold.lease
+        if lease.holder != self._holder or now >= self._until:
+            return None
+        if lease.era != self._era or era > self._era:
             return None
         return Authority(
-            token=self._fold.lease.token,
+            token=lease.token,
             not_before=self._not_before,
             until=self._until,
         )
@@ -125,7 +158,7 @@
         lease = self._fold.lease
         if lease.holder == self._holder and now < self._until:
             record = _records.Renew(
-                id=self._new_id(), holder=self._holder, token=lease.token
+                id=self._new_id(), holder=self._holder, token=lease.recorded_token
             )
         elif self._may_acquire(now):
             record = _records.Acquire(
@@ -137,10 +170,18 @@
             )
         else:
             return []
-        return [self._send(now, record)]
+        return [*self._era_records(), self._send(now, record)]
+
+    def _era_records(self) -> list[_records.Record]:
+        if self._fold.era >= self._era:
+            return []
+        return [_records.Era(id=self._new_id(), era=self._era)]
 
     def _may_acquire(self, now: float) -> bool:
         lease = self._fold.lease
+        lost_s = self._timing.term_s + self._timing.margin_s
+        if lease.era != self._era and now - self._era_since < lost_s:
+            return False
         if not lease.holder:
             return True
         wait_s = lease.term_s + self._timing.margin_s
@@ -156,14 +197,19 @@
         oldest = now - self._timing.term_s
         self._sent = {i: at for i, at in self._sent.items() if at > oldest}
 
-    def resign(self, now: float) -> list[_records.Record]:
-        """Ends the authority at once; returns the release to append, if any."""
-        if self.authority(now) is None:
+    def resign(self, now: float, era: int = 0) -> list[_records.Record]:
+        """Ends the authority at once; returns the release to append, if any.
+
+        Args:
+            now: local monotonic time in seconds.
+            era: latest era of the log that this process knows.
+        """
+        if self.authority(now, era) is None:
             return []
         self._until = float("-inf")
         self._last_sent = float("inf")
         lease = self._fold.lease
         release = _records.Release(
-            id=self._new_id(), holder=self._holder, token=lease.token
+            id=self._new_id(), holder=self._holder, token=lease.recorded_token
         )
         return [release]
--- a/src/turmericward/authority/_lease.py
+++ b/src/turmericward/authority/_lease.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from turmericward import positions
 from turmericward.authority import _records
 
 
@@ -9,7 +10,8 @@
 class Lease:
     """The lease according to the log; `holder` is empty when it is free.
 
-    `last` is the offset plus one of the last accepted lease record.
+    `token` is the number of the position behind its acquire. `last` is the offset plus
+    one of the last accepted lease record.
     """
 
     holder: str = ""
@@ -17,6 +19,16 @@
     term_s: float = 0.0
     last: int = 0
 
+    @property
+    def era(self) -> int:
+        """The era of the log in which it was acquired, as far as the log names it."""
+        return positions.from_number(self.token).era
+
+    @property
+    def recorded_token(self) -> int:
+        """The token as its renewals state it."""
+        return positions.from_number(self.token).offset
+
 
 class LeaseFold:
     """Accepts or rejects lease records in offset order, the same for every reader."""
@@ -24,9 +36,19 @@
     def __init__(self) -> None:
         """Creates the state of an empty stream."""
         self.lease = Lease()
+        # The latest that the stream names.
+        self.era = 0
+
+    def restore(self, lease: Lease) -> None:
+        """Sets the lease from a snapshot."""
+        self.lease = lease
+        self.era = max(self.era, lease.era)
 
     def apply(self, offset: int, record: _records.Record) -> bool:
         """Folds one record; returns whether it was accepted."""
+        if isinstance(record, _records.Era):
+            self.era = max(self.era, record.era)
+            return False
         if isinstance(record, _records.Acquire):
             return self._acquire(offset, record)
         if isinstance(record, _records.Renew):
@@ -43,7 +65,7 @@
             return False
         self.lease = Lease(
             holder=record.holder,
-            token=offset + 1,
+            token=positions.Position(self.era, offset + 1).number,
             term_s=record.term_s,
             last=offset + 1,
         )
@@ -51,7 +73,7 @@
 
     def _is_from_holder(self, record: _records.Renew | _records.Release) -> bool:
         lease = self.lease
-        return record.token == lease.token and record.holder == lease.holder
+        return record.token == lease.recorded_token and record.holder == lease.holder
 
     def _renew(self, offset: int, record: _records.Renew) -> bool:
         if not self._is_from_holder(record):
--- a/src/turmericward/authority/_on_demand_lease.py
+++ b/src/turmericward/authority/_on_demand_lease.py
@@ -5,10 +5,6 @@
 from turmericward import positions
 from turmericward.authority import _contender, _errors, _records
 
-# A token holds the era above this many bits of the offset. With `positions.MAX_ERA`
-# it is below 2**53, so that JSON decoders that use floating point keep it exact.
-OFFSET_BITS = 40
-
 
 @attrs.frozen(kw_only=True)
 class Claim:
@@ -24,9 +20,12 @@
     Raises:
         NoTokenError: the position is too high for a token.
     """
-    if position.era > positions.MAX_ERA or position.offset + 1 >= 1 << OFFSET_BITS:
+    if (
+        position.era > positions.MAX_ERA
+        or position.offset + 1 >= 1 << positions.OFFSET_BITS
+    ):
         raise _errors.NoTokenError(f"no token for an acquire at {position}")
-    return (position.era << OFFSET_BITS) + position.offset + 1
+    return position.plus(1).number
 
 
 def _era(record: _records.Record | None) -> int:
--- a/src/turmericward/authority/_records.py
+++ b/src/turmericward/authority/_records.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from turmericward import schema
+from turmericward import positions, schema
 from turmericward.authority import _errors
 
 # A longer term would keep the lease from all others.
@@ -19,7 +19,8 @@
 
     `expected` is that record's offset plus one, 0 when there is none. Records
     below the offset `floor` have expired from the log, long after any term.
-    The offset of an accepted acquire plus one is the fencing token.
+    Its fencing token is the number of the position behind it, in the era that the
+    stream names up to there.
     """
 
     id: str
@@ -29,10 +30,26 @@
     floor: int = 0
 
 
+@KINDS.register("lease.era")
+@attrs.frozen(kw_only=True)
+class Era:
+    """Names the era of the log; what is after it was appended in that era or a later.
+
+    Readers can't tell otherwise: a copy contains records of all eras before.
+    """
+
+    id: str
+    era: int = attrs.field(validator=schema.validators.between(0, positions.MAX_ERA))
+
+
 @KINDS.register("lease.renew")
 @attrs.frozen(kw_only=True)
 class Renew:
-    """Restarts the term of the lease with this token."""
+    """Restarts the term of the lease with this token.
+
+    Here and in a release it is without its era, as builds without eras compare it. The
+    holder is unique, so that no other lease is meant.
+    """
 
     id: str
     holder: str
@@ -117,6 +134,7 @@
 
 Record = (
     Acquire
+    | Era
     | Renew
     | Release
     | OnDemandAcquire
--- a/src/turmericward/positions/_position.py
+++ b/src/turmericward/positions/_position.py
@@ -2,6 +2,10 @@
 
 import attrs
 
+# A number holds the era above this many bits of the offset. Up to `MAX_ERA` it is below
+# 2**53, so that JSON decoders that use floating point keep it exact.
+OFFSET_BITS = 40
+
 
 @attrs.frozen(order=True)
 class Position:
@@ -13,3 +17,14 @@
     def plus(self, records: int) -> "Position":
         """Returns the position this many records later, in the same era."""
         return attrs.evolve(self, offset=self.offset + records)
+
+    @property
+    def number(self) -> int:
+        """The position as one number, which orders like it; in era 0 the offset."""
+        return (self.era << OFFSET_BITS) + self.offset
+
+
+def from_number(number: int) -> Position:
+    """Returns the position with this number."""
+    era = number >> OFFSET_BITS
+    return Position(era, number - (era << OFFSET_BITS))
--- a/src/turmericward/steward/_assembly.py
+++ b/src/turmericward/steward/_assembly.py
@@ -5,7 +5,7 @@
 
 from absl import logging
 
-from turmericward import runtime
+from turmericward import positions, runtime
 from turmericward.adapters import steward as steward_adapter
 from turmericward.steward import (
     _authority_task,
@@ -31,8 +31,9 @@
 
     def __init__(self, cfg) -> None:
         """Creates all tasks and binds the listening socket."""
-        appender = _log_tasks.Appender(cfg.log)
-        self._authority = _authority_task.AuthorityTask(cfg, appender)
+        self._eras = positions.Eras()
+        appender = _log_tasks.Appender(cfg.log, self._eras)
+        self._authority = _authority_task.AuthorityTask(cfg, appender, self._eras)
         calls = _calls_task.CallsTask(cfg, appender)
         fleet = _fleet_task.FleetLoop(cfg)
         self._configuration = _configuration_task.ConfigurationTask(
@@ -64,7 +65,8 @@
             _calls_task.CALLS_STREAM: calls,
         }
         return [
-            _log_tasks.Follower(cfg.log, name, sink) for name, sink in sinks.items()
+            _log_tasks.Follower(cfg.log, name, sink, self._eras)
+            for name, sink in sinks.items()
         ]
 
     def run(self, stop: threading.Event) -> None:
--- a/src/turmericward/steward/_authority_task.py
+++ b/src/turmericward/steward/_authority_task.py
@@ -7,8 +7,8 @@
 import attrs
 from absl import logging
 
-from turmericward import authority, runtime
-from turmericward.adapters import instances
+from turmericward import authority, positions, runtime
+from turmericward.adapters import instances, log
 from turmericward.steward import _messages
 
 READ_BACK_TIMEOUT_S = 3.0
@@ -25,9 +25,17 @@
 
     period_s = 0.1
 
-    def __init__(self, cfg, appender) -> None:
-        """Creates the task without the lease, for the instance in the settings."""
+    def __init__(self, cfg, appender, eras: positions.Eras | None = None) -> None:
+        """Creates the task without the lease.
+
+        Args:
+            cfg: settings of the instance.
+            appender: takes Append messages.
+            eras: the log's eras, as all readers and writers of the process know them.
+        """
         super().__init__()
+        self._eras = positions.Eras() if eras is None else eras
+        self._era = 0
         steward = cfg.steward
         timing = authority.Timing(
             term_s=steward.term_s,
@@ -60,13 +68,29 @@
         """Acts on one message."""
         return super().handle(message)
 
+    @handle.register
+    def _(self, message: _messages.LogEra) -> None:
+        self._era = message.era
+        self._contender.enter_era(message.era, message.since, time.monotonic())
+        # Orders without record are found at the engines, whose state is read first.
+        self._order_ledger.restore([])
+        self._applied = 0
+        self._first_offset = 0
+        self._buffered.clear()
+        self._records_since_snapshot = 0
+        self._caught_up = False
+
+    def _held(self) -> authority.Authority | None:
+        """Returns the right to send orders, or None if there is none now."""
+        return self._contender.authority(time.monotonic(), self._eras.current)
+
     @handle.register
     def _(self, message: _messages.LogRead) -> None:
         if not self._contender.known and message.first == message.next_offset:
             self._contender.mark_empty(message.first, message.read_at)
         for record in message.records:
             self._process_record(message.read_at, record.offset, record.value)
-        self._caught_up = True
+        self._caught_up |= len(message.records) < log.MAX_RECORDS_PER_READ
         self._snapshot_if_due()
 
     @handle.register
@@ -143,6 +167,7 @@
                 value=authority.encode(record),
                 deadline=deadline,
                 urgent=True,
+                era=self._era,
             )
         )
 
@@ -158,7 +183,7 @@
     def _(self, message: _messages.GetPlan) -> _messages.Plan:
         orders = {name: self._order_ledger.outstanding(name) for name in self._engines}
         return _messages.Plan(
-            held=self._contender.authority(time.monotonic()),
+            held=self._held(),
             engines=self._engines,
             outstanding={n: o for n, o in orders.items() if o is not None},
             members=self._members,
@@ -166,7 +191,7 @@
 
     @handle.register
     def _(self, message: _messages.AppendIntent):
-        held = self._contender.authority(time.monotonic())
+        held = self._held()
         if held is None:
             return False
         intent = authority.Intent(
@@ -180,7 +205,7 @@
 
     @handle.register
     def _(self, message: _messages.AppendOutcome):
-        held = self._contender.authority(time.monotonic())
+        held = self._held()
         if held is None:
             return False
         outcome = authority.OrderOutcome(
@@ -199,12 +224,12 @@
 
     @handle.register
     def _(self, message: _messages.Resign) -> None:
-        for record in self._contender.resign(time.monotonic()):
+        for record in self._contender.resign(time.monotonic(), self._eras.current):
             self._append(record)
 
     @handle.register
     def _(self, message: _messages.GetStatus) -> authority.Authority | None:
-        return self._contender.authority(time.monotonic())
+        return self._held()
 
     def run_periodic(self) -> None:
         """Renews the lease, or acquires it once the holder's term is over."""
--- a/src/turmericward/steward/_calls_task.py
+++ b/src/turmericward/steward/_calls_task.py
@@ -60,6 +60,12 @@
     def _(self, message: _messages.LogReadFailed) -> None:
         self._log_reachable = False
 
+    @handle.register
+    def _(self, message: _messages.LogEra) -> None:
+        self._caught_up = False
+        self._first_offset = 0
+        self._ledger = calls.ClaimLedger()
+
     @handle.register
     def _(self, message: _messages.LogExpired) -> None:
         # The expired records may have included claims: reread from the first offset.
--- a/src/turmericward/steward/_configuration_task.py
+++ b/src/turmericward/steward/_configuration_task.py
@@ -110,6 +110,12 @@
         self._log_reachable = False
         self._log_read_failed = True
 
+    @handle.register
+    def _(self, message: _messages.LogEra) -> None:
+        self._caught_up = False
+        self._replay = configuration.Replay(0)
+        self._view_offset = -1
+
     @handle.register
     def _(self, message: _messages.LogExpired) -> None:
         if self._ledger is not None and self._ledger.applied >= message.first:
--- a/src/turmericward/steward/_log_tasks.py
+++ b/src/turmericward/steward/_log_tasks.py
@@ -6,7 +6,7 @@
 
 from absl import logging
 
-from turmericward import runtime
+from turmericward import positions, runtime
 from turmericward.adapters import errors, log
 from turmericward.steward import _messages
 
@@ -18,22 +18,26 @@
 class Follower(runtime.Loop):
     """Reads one stream and posts its records to the task that folds them."""
 
-    def __init__(self, cfg, stream: str, sink: runtime.Task, start: int = 0) -> None:
-        """Creates a follower that reads from the offset `start`.
+    def __init__(
+        self, cfg, stream: str, sink: runtime.Task, eras: positions.Eras | None = None
+    ) -> None:
+        """Creates a follower that reads from the beginning of the stream.
 
         Args:
             cfg: settings of the log.
             stream: name of the stream.
-            sink: gets LogRead, LogReadFailed and LogExpired.
-            start: first offset to read.
+            sink: gets LogEra, LogRead, LogReadFailed and LogExpired.
+            eras: the log's eras, as all readers and writers of the process know them.
         """
         super().__init__()
         self._cfg = cfg
         self._stream = stream
         self._sink = sink
-        self._next_offset = start
+        self._eras = positions.Eras() if eras is None else eras
+        self._era = 0
+        self._next_offset = 0
         self._failed = False
-        self._client = log.LogClient(cfg.address, cfg.timeout_s)
+        self._client = log.LogClient(cfg.address, cfg.timeout_s, self._eras)
 
     def run_once(self) -> None:
         """Reads the next records with a long poll and posts them to the sink.
@@ -41,10 +45,14 @@
         The read after a failed one doesn't wait for records, so that the sink learns
         at once that the log is reachable.
         """
+        if self._enter_era():
+            return
         wait_s = 0.0 if self._failed else self._cfg.poll_wait_s
         try:
             page = self._client.read(self._stream, self._next_offset, wait_s)
         except errors.OffsetExpiredError as exc:
+            if self._enter_era():
+                return
             self._next_offset = exc.first
             self._sink.post(_messages.LogExpired(stream=self._stream, first=exc.first))
             return
@@ -55,6 +63,8 @@
             self.pause(RETRY_INTERVAL_S)
             return
         self._failed = False
+        if self._enter_era():
+            return
         self._next_offset = page.next_offset
         self._sink.post(
             _messages.LogRead(
@@ -66,6 +76,21 @@
             )
         )
 
+    def _enter_era(self) -> bool:
+        """Starts again at the beginning if a new era has begun; returns whether so.
+
+        Whatever was read in between may belong to either era.
+        """
+        era = self._eras.current
+        if era == self._era:
+            return False
+        self._era = era
+        self._next_offset = 0
+        self._sink.post(
+            _messages.LogEra(stream=self._stream, era=era, since=self._eras.since)
+        )
+        return True
+
     def release_resources(self) -> None:
         """Closes the connection to the log."""
         self._client.close()
@@ -79,13 +104,19 @@
     known only from reading it back, never from the response.
     """
 
-    def __init__(self, cfg) -> None:
-        """Creates the appender for the settings of the log."""
+    def __init__(self, cfg, eras: positions.Eras | None = None) -> None:
+        """Creates the appender for the settings of the log.
+
+        Args:
+            cfg: settings of the log.
+            eras: the log's eras, as all readers and writers of the process know them.
+        """
         super().__init__()
+        self._eras = positions.Eras() if eras is None else eras
         self._cfg = cfg
         self._inbox: queue.SimpleQueue = queue.SimpleQueue()
         self._waiting: collections.deque[_messages.Append] = collections.deque()
-        self._client = log.LogClient(cfg.address, cfg.timeout_s)
+        self._client = log.LogClient(cfg.address, cfg.timeout_s, self._eras)
         self.appends = 0
 
     def post(self, message: _messages.Append) -> None:
@@ -121,8 +152,12 @@
         except queue.Empty:
             pass
         now = time.monotonic()
-        unexpired = (message for message in self._waiting if message.deadline > now)
-        self._waiting = collections.deque(unexpired)
+        era = self._eras.current
+        self._waiting = collections.deque(
+            message
+            for message in self._waiting
+            if message.deadline > now and message.era in (None, era)
+        )
 
     def _next_batch(self) -> list[_messages.Append]:
         if not self._waiting:
--- a/src/turmericward/steward/_messages.py
+++ b/src/turmericward/steward/_messages.py
@@ -35,17 +35,32 @@
     first: int
 
 
+@attrs.frozen(kw_only=True)
+class LogEra:
+    """The log is in this era; its streams are read from the beginning.
+
+    It has returned from an older copy, or was reached for the first time. `since` is
+    when this process first saw the era, in monotonic seconds.
+    """
+
+    stream: str
+    era: int
+    since: float
+
+
 @attrs.frozen(kw_only=True)
 class Append:
     """Appends `value` to a stream, with retries until `deadline` (monotonic seconds).
 
-    The stream of an urgent record is appended to before the others.
+    The stream of an urgent record is appended to before the others. With an `era`, the
+    record is dropped if the log is in a later one.
     """
 
     stream: str
     value: dict
     deadline: float
     urgent: bool = False
+    era: int | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/standins/log.py
+++ b/standins/log.py
@@ -57,7 +57,8 @@
         self._changed = threading.Condition()
         self._streams: dict[str, _Stream] = {}
         self._copy: dict[str, _Stream] = {}
-        self._era = 1
+        # Value of the era's header; None for a log without eras.
+        self.era: int | str | None = 1
         self._faults = _Faults()
         self.appends = 0
 
@@ -84,7 +85,7 @@
                 self._copy = copy.deepcopy(self._streams)
             if faults.pop("return_from_copy", False):
                 self._streams = copy.deepcopy(self._copy)
-                self._era += 1
+                self.era += 1
             for name, value in faults.items():
                 setattr(self._faults, name, value)
             self._changed.notify_all()
@@ -135,7 +136,7 @@
             req.answer(200, body, self._headers())
 
     def _headers(self) -> list[tuple[str, str]]:
-        return [("Log-Era", str(self._era))]
+        return [] if self.era is None else [("Log-Era", str(self.era))]
 
 
 @click.command()
