The log returned from an older copy: no change of the configuration was accepted any more

Versions and 'applied' are numbers of positions now (era and offset), in the eras that the stream names (config.era). In a new era a steward reads the stream from the beginning beside the state in force, which entries go on to get; proposals are refused as unavailable meanwhile. What the log has accepted and lost is written again, at a random time within a second, by each steward only as far as others haven't done so; the new state takes effect once it has the era's record and all of that. Decided: written again, not only reported; a change made after the return is newer and stays. Changes name their era (config.change_in_era) and, written again, their first version: late appends of an earlier era and readers that knew less change nothing. Entries get the whole state in a new era, watches list again. A log without eras: the same records and versions as before. Builds without eras skip the new records: during a release on a log that names eras they don't follow changes.

--- a/src/turmericward/configuration/__init__.py
+++ b/src/turmericward/configuration/__init__.py
@@ -17,20 +17,32 @@
     parse,
 )
 from turmericward.configuration._ledger import Ledger, Resource, Verdict
-from turmericward.configuration._records import Change, Snapshot, decode, encode
+from turmericward.configuration._rebuild import SPREAD_S, Rebuild, lost_changes
+from turmericward.configuration._records import (
+    Change,
+    ChangeInEra,
+    Era,
+    Snapshot,
+    decode,
+    encode,
+)
 from turmericward.configuration._replay import Replay
 
 __all__ = [
     "Adapter",
     "Change",
+    "ChangeInEra",
     "ConfigurationError",
     "Engine",
+    "Era",
     "InvalidResourceError",
     "Ledger",
     "MalformedRecordError",
     "Model",
+    "Rebuild",
     "Replay",
     "Resource",
+    "SPREAD_S",
     "Service",
     "ServiceTarget",
     "Snapshot",
@@ -40,5 +52,6 @@
     "decode",
     "encode",
     "kinds",
+    "lost_changes",
     "parse",
 ]
--- a/src/turmericward/configuration/_records.py
+++ b/src/turmericward/configuration/_records.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from turmericward import schema
+from turmericward import positions, schema
 from turmericward.configuration import _errors
 
 KINDS = schema.RecordRegistry(_errors.MalformedRecordError)
@@ -25,10 +25,35 @@
     value: dict | None
 
 
+@KINDS.register("config.change_in_era")
+@attrs.frozen(kw_only=True)
+class ChangeInEra(Change):
+    """A change that applies in one era of the log only.
+
+    One that is appended late may have been rejected in an earlier era, and have lost
+    to changes that the log has lost since. `origin` is the version that the log had
+    accepted it as before it lost it, 0 for a new change.
+    """
+
+    era: int
+    origin: int = 0
+
+
+@KINDS.register("config.era")
+@attrs.frozen(kw_only=True)
+class Era:
+    """Names the era of the log; what is after it was appended in that era or a later.
+
+    Readers can't tell otherwise: a copy contains records of all eras before.
+    """
+
+    era: int = attrs.field(validator=schema.validators.between(0, positions.MAX_ERA))
+
+
 @KINDS.register("config.snapshot")
 @attrs.frozen(kw_only=True)
 class Snapshot:
-    """The state after folding every offset below `covers`."""
+    """The state after folding every position below the number `covers`."""
 
     covers: int
     state: dict
--- a/src/turmericward/configuration/_replay.py
+++ b/src/turmericward/configuration/_replay.py
@@ -1,5 +1,6 @@
 """Restores a reader's state when the log's first records have expired."""
 
+from turmericward import positions
 from turmericward.configuration import _errors, _ledger, _records
 
 
@@ -14,6 +15,7 @@
         """Creates a replay from `first`, the oldest offset that the log holds."""
         self._first_offset = first
         self._buffered: list[tuple[int, object]] = []
+        self._era = 0
         self.ledger = _ledger.Ledger() if first == 0 else None
 
     def feed(self, offset: int, raw: object) -> _ledger.Verdict:
@@ -25,7 +27,7 @@
         if self.ledger is not None:
             return self.ledger.apply(offset, raw)
         self._buffered.append((offset, raw))
-        self._try_snapshot(raw)
+        self._try_snapshot(offset, raw)
         return _ledger.Verdict.IGNORED
 
     def try_restore(self, ledger: _ledger.Ledger) -> bool:
@@ -34,7 +36,7 @@
         Returns:
             Whether the state was taken.
         """
-        if ledger.applied < self._first_offset:
+        if positions.from_number(ledger.applied).offset < self._first_offset:
             return False
         if self.ledger is not None and ledger.applied <= self.ledger.applied:
             return False
@@ -44,10 +46,17 @@
         self.ledger = ledger
         return True
 
-    def _try_snapshot(self, raw: object) -> None:
+    def _try_snapshot(self, offset: int, raw: object) -> None:
         try:
             record = _records.decode(raw)
         except _errors.MalformedRecordError:
             return
-        if isinstance(record, _records.Snapshot):
-            self.try_restore(_ledger.Ledger.restore(record.state))
+        if isinstance(record, _records.Era):
+            self._era = max(self._era, record.era)
+        if not isinstance(record, _records.Snapshot):
+            return
+        ledger = _ledger.Ledger.restore(record.state)
+        end = positions.from_number(ledger.applied)
+        # One that was appended late may have what a log lost that has returned since.
+        if end.era >= self._era and end.offset <= offset:
+            self.try_restore(ledger)
--- a/src/turmericward/steward/_configuration_task.py
+++ b/src/turmericward/steward/_configuration_task.py
@@ -4,6 +4,7 @@
 import heapq
 import json
 import math
+import random
 import time
 import zlib
 
@@ -57,6 +58,10 @@
         self._log_reachable = False
         self._log_read_failed = False
         self._caught_up = False
+        self._era = 0
+        # The state of a new era, until it takes effect.
+        self._rebuild: configuration.Rebuild | None = None
+        self._random = random.Random(cfg.instance.name)
         self._stopping = False
         self._records_since_snapshot = 0
         self._snapshot_interval = self._choose_snapshot_interval()
@@ -83,12 +88,47 @@
         self._log_read_failed = False
         for record in message.records:
             self._fold(record.offset, record.value)
-        if len(message.records) < log.MAX_RECORDS_PER_READ:
+        at_end = len(message.records) < log.MAX_RECORDS_PER_READ
+        if self._rebuild is not None:
+            self._rebuild.caught_up |= at_end
+            self._finish_rebuild()
+            return
+        if at_end:
             self._caught_up = True
         if message.records:
             self._publish_state()
             self._snapshot_if_due()
 
+    @handle.register
+    def _(self, message: _messages.LogEra) -> None:
+        self._era = message.era
+        # What was appended in an earlier era may be lost.
+        self._proposals.expire(math.inf)
+        write_at = time.monotonic()
+        if self._ready():
+            write_at += self._random.uniform(0.0, configuration.SPREAD_S)
+        self._rebuild = configuration.Rebuild(message.era, write_at)
+
+    def _finish_rebuild(self) -> None:
+        """Lets the state of a new era take effect, or writes what it lacks."""
+        if self._rebuild.is_complete(self._ledger):
+            self._replay = self._rebuild.replay
+            self._rebuild = None
+            self._caught_up = True
+            self._view_offset = -1
+            self._publish_state()
+            return
+        records = self._rebuild.due_records(
+            self._ledger, time.monotonic(), self._cfg.instance.name, runtime.new_id
+        )
+        if records:
+            logging.warning(
+                "configuration: a new era of the log, %d records are written",
+                len(records),
+            )
+        for record in records:
+            self._append(configuration.encode(record), PROPOSE_TIMEOUT_S)
+
     def _publish_state(self) -> None:
         if self._ready():
             self._update_views()
@@ -110,14 +150,11 @@
         self._log_reachable = False
         self._log_read_failed = True
 
-    @handle.register
-    def _(self, message: _messages.LogEra) -> None:
-        self._caught_up = False
-        self._replay = configuration.Replay(0)
-        self._view_offset = -1
-
     @handle.register
     def _(self, message: _messages.LogExpired) -> None:
+        if self._rebuild is not None:
+            self._rebuild.restart(message.first)
+            return
         if self._ledger is not None and self._ledger.applied >= message.first:
             return
         logging.warning(
@@ -141,7 +178,8 @@
         return {e.name: e.address for e in used}
 
     def _fold(self, offset: int, value: object) -> None:
-        verdict = self._replay.feed(offset, value)
+        replay = self._replay if self._rebuild is None else self._rebuild.replay
+        verdict = replay.feed(offset, value)
         self._records_since_snapshot += 1
         if isinstance(value, dict) and value.get("type") == "config.snapshot":
             self._records_since_snapshot = 0
@@ -151,7 +189,7 @@
                 outcome=ttypes.Outcome.ACCEPTED
                 if accepted
                 else ttypes.Outcome.CONFLICT,
-                version=offset + 1 if accepted else 0,
+                version=replay.ledger.applied if accepted else 0,
             )
             self._proposals.resolve(value["id"], answer)
 
@@ -170,17 +208,20 @@
     def _append(self, value: dict, timeout_s: float) -> None:
         deadline = time.monotonic() + timeout_s
         self._appender.post(
-            _messages.Append(stream=CONFIG_STREAM, value=value, deadline=deadline)
+            _messages.Append(
+                stream=CONFIG_STREAM, value=value, deadline=deadline, era=self._era
+            )
         )
 
     @handle.register
     def _(self, message: _messages.Propose):
-        if not (self._ready() and self._log_reachable):
+        writable = self._log_reachable and self._rebuild is None
+        if not (self._ready() and writable):
             return ttypes.ProposeAnswer(outcome=ttypes.Outcome.UNAVAILABLE, version=0)
         expected = self._expected_version(message)
         if expected is None:
             return ttypes.ProposeAnswer(outcome=ttypes.Outcome.CONFLICT, version=0)
-        change = configuration.Change(
+        change = self._ledger.change(
             id=runtime.new_id(),
             producer=message.producer,
             kind=message.kind,
@@ -367,6 +408,8 @@
         """Answers polls, proposals and holds whose deadline has passed."""
         now = time.monotonic()
         self._proposals.expire(now)
+        if self._rebuild is not None:
+            self._finish_rebuild()
         self._confirmations.expire(now)
         self._end_polls_until(now)
 
