Test of calls during changes: begins once the front knows how many fronts there are

Cause: before the store has listed the fronts each one assumes 16 and takes a sixteenth of a limit: 0.25 a second here, so that the second call would wait longer than its objective. Shown by a run: the front's log has no list of fronts when the fixture hands it over. The fixture now waits for that line; checks are unchanged.

--- a/tests/test_calls_during_changes.py
+++ b/tests/test_calls_during_changes.py
@@ -222,6 +222,11 @@
         front = _Front(platform, executor)
         front.configure(_manifest())
         launch.wait_until(lambda: _are_moved(platform), what="services of replicas")
+        # Before, it assumes many fronts and uses a small part of a replica's limit.
+        launch.wait_until(
+            lambda: "1 fronts share the targets" in platform.log.read_text(),
+            what="list of fronts",
+        )
         yield front
 
 
