--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -227,10 +227,11 @@
             self._record.log_failed_attempt(
                 self._open.placement, "not_reached", str(exc)
             )
-            self._open.end(requests.Ending.UNREACHED)
             if isinstance(exc, errors.ConnectTimeoutError):
+                self._open.end(requests.Ending.SILENT)
                 self._progress.record_silent(self._target)
             else:
+                self._open.end(requests.Ending.UNREACHED)
                 self._progress.record_unreachable(self._target)
 
     def _record_failure(self, exc: Exception) -> None:
--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -256,7 +256,9 @@
         """Ends a second attempt that failed while the first one goes on."""
         placement = second.placement
         crashed = False
-        if isinstance(exc, errors.NotSentError):
+        if isinstance(exc, errors.ConnectTimeoutError):
+            outcome, ending = "not_reached", requests.Ending.SILENT
+        elif isinstance(exc, errors.NotSentError):
             outcome, ending = "not_reached", requests.Ending.UNREACHED
         elif isinstance(exc, errors.NotExecutedError):
             outcome, ending = "refused", requests.Ending.REFUSED
@@ -268,7 +270,7 @@
             placement, outcome, repr(exc), target_ended=crashed
         )
         second.end(ending)
-        if isinstance(exc, errors.ConnectTimeoutError):
+        if ending is requests.Ending.SILENT:
             self._parts.progress.record_silent(placement.target.name)
             return
         self._parts.progress.record_second(
--- a/src/turmericward/delivery/_placing.py
+++ b/src/turmericward/delivery/_placing.py
@@ -73,7 +73,7 @@
     def ended(self, placement: requests.Placement, ending: requests.Ending) -> None:
         """Gives back the retry of a placement whose target wasn't reached."""
         service = self._retries.pop(placement.id, None)
-        if service is not None and ending is requests.Ending.UNREACHED:
+        if service is not None and ending.unsent:
             self._budgets.for_service(service).refund()
 
     def _choose(
--- a/src/turmericward/entry/_router_task.py
+++ b/src/turmericward/entry/_router_task.py
@@ -146,7 +146,7 @@
             return
         self._in_flight_by_engine[assignment.engine] -= 1
         self._crashes.placement_ended(message)
-        failed = message.ending.target_failed
+        failed = message.ending.target_failed or message.ending.unsent
         self._router.finished(assignment, failed, time.monotonic())
 
     @handle.register
--- a/src/turmericward/fleet/_health.py
+++ b/src/turmericward/fleet/_health.py
@@ -65,13 +65,12 @@
     def failed(self, target: str, now: float, *, weight: int = 1) -> None:
         """Records a failure; each further ejection lasts twice as long.
 
-        It counts as `weight` consecutive failures. Requests that fail during an
-        ejection were sent before it: they don't lengthen it.
+        It counts as `weight` consecutive failures.
         """
         state = self._states.setdefault(target, _State())
         state.failures += weight
         state.probing = False
-        if state.failures < self._failures_to_eject or now < state.until:
+        if state.failures < self._failures_to_eject:
             return
         state.ejection_s = min(self._max_s, max(self._first_s, state.ejection_s * 2))
         state.until = now + state.ejection_s
--- a/src/turmericward/requests/_in_flight.py
+++ b/src/turmericward/requests/_in_flight.py
@@ -27,6 +27,8 @@
     FAILED = "failed"
     # The target was silent and the call was answered elsewhere.
     LATE = "late"
+    # The target neither accepted nor refused a connection.
+    SILENT = "silent"
     # The target's process has ended.
     CRASHED = "crashed"
     REFUSED = "refused"
@@ -37,6 +39,11 @@
         """Whether the target lost the call or couldn't be reached."""
         return self in (Ending.FAILED, Ending.CRASHED, Ending.UNREACHED)
 
+    @property
+    def unsent(self) -> bool:
+        """Whether nothing was sent to the target."""
+        return self in (Ending.UNREACHED, Ending.SILENT)
+
     @property
     def target_ended(self) -> bool:
         """Whether nothing seems to listen at the target's address any more."""
--- a/src/turmericward/requests/_target_calls.py
+++ b/src/turmericward/requests/_target_calls.py
@@ -15,9 +15,17 @@
 # A failed connection counts as this many failures in a row.
 CONNECT_FAILURE_WEIGHT = 3
 # A target that is silent gets no calls for so long, then one at a time until it has
-# output; as most go on after a second or so, the bound is low.
+# output; each further time lasts twice as long.
 FIRST_SILENCE_S = 0.5
-MAX_SILENCE_S = 2.0
+MAX_SILENCE_S = 4.0
+# Endings that don't show whether the target works.
+NO_VERDICT = frozenset(
+    {
+        _in_flight.Ending.DISCONNECTED,
+        _in_flight.Ending.LATE,
+        _in_flight.Ending.SILENT,
+    }
+)
 
 
 class TargetCalls:
@@ -92,7 +100,11 @@
         output meanwhile isn't silent: the call is queued or lost.
         """
         heard_s = now - self._heard_at.get(name, -math.inf)
-        if heard_s >= silent_s and self._silence.usable(name, now):
+        if heard_s >= silent_s:
+            self._record_silence(name, now)
+
+    def _record_silence(self, name: str, now: float) -> None:
+        if self._silence.usable(name, now):
             self._silence.failed(name, now)
 
     def heard(self, name: str, now: float) -> None:
@@ -146,7 +158,9 @@
         if ending is _in_flight.Ending.REFUSED:
             self._refusals.failed(name, now)
             return
-        if ending in (_in_flight.Ending.DISCONNECTED, _in_flight.Ending.LATE):
+        if ending is _in_flight.Ending.SILENT:
+            self._record_silence(name, now)
+        if ending in NO_VERDICT:
             self._refusals.released(name)
             self.health.released(name)
             return
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -241,6 +241,7 @@
         (_Attempt("head", kind="foreign"), Ending.FAILED),
         (_Attempt("head", kind="text"), Ending.FAILED),
         (_Attempt(test_delivery.FAULTS["not sent"]), Ending.UNREACHED),
+        (_Attempt(errors.ConnectTimeoutError("timed out")), Ending.SILENT),
         (_Attempt(test_delivery.FAULTS["lost"]), Ending.FAILED),
         (_Attempt(errors.RivalAnsweredError("first goes on")), Ending.DISCONNECTED),
     ):
@@ -523,16 +524,16 @@
 
 
 def test_attempts_that_were_not_sent_neither_add_nor_cost_retries():
-    task = _silence_task(4)
-    placement = _place_beside(task, "e0").unwrap()
-    before = task._budgets.available()["model"]
-    for _ in range(2):
-        task.handle(
-            delivery.PlacementEnded(
-                placement=placement, prompt=SHORT, ending=Ending.UNREACHED
-            )
+    for ending in (Ending.UNREACHED, Ending.SILENT):
+        task = _silence_task(4)
+        placement = _place_beside(task, "e0").unwrap()
+        before = task._budgets.available()["model"]
+        ended = delivery.PlacementEnded(
+            placement=placement, prompt=SHORT, ending=ending
         )
-    check.assertEqual(task._budgets.available()["model"], before + 1)
+        for _ in range(2):
+            task.handle(ended)
+        check.assertEqual(task._budgets.available()["model"], before + 1, ending)
     earning = test_dispatch._task(retries=delivery.RetryBounds(share=0.5, slack=60.0))
     earning.handle(delivery.PutTargets(targets=tuple(_engines())))
     test_dispatch._place(earning, call=_short(), retry=True)
@@ -541,11 +542,24 @@
     check.assertEqual(earning._budgets.available()["model"], low)
 
 
-def test_calls_that_failed_together_kept_a_target_away_for_longer():
-    health = fleet.Health()
-    for _ in range(30):
-        health.failed("t", 0.0, weight=3)
-    check.assertTrue(health.usable("t", 1.0))
+def _connect_in_vain(placer, target, calls: int, now: float) -> None:
+    placements = [placer.choose_replica([target], now) for _ in range(calls)]
+    for placement in placements:
+        placer.ended(placement, Ending.SILENT, now)
+
+
+def test_silent_connects_of_one_moment_kept_a_target_away_for_longer():
+    (target,) = _plain_targets(1)
+    placer = requests.Placer(1, "a")
+    for now, away_s in ((0.0, 0.5), (0.5, 1.0), (1.5, 2.0), (3.5, 4.0), (7.5, 4.0)):
+        _connect_in_vain(placer, target, 30, now)
+        check.assertEqual(placer.accepting([target], now + away_s - 0.1), [], now)
+        check.assertEqual(placer.accepting([target], now + away_s), [target], now)
+    share = placer._calls.failure_share(target.name, 7.5)
+    check.assertEqual(share, 0.0)
+    placement = placer.choose_replica([target], 20.0)
+    placer.record_first_output(placement, None, 0.1, 20.1)
+    check.assertEqual(placer.accepting([target], 20.1), [target])
 
 
 def test_a_connect_without_an_answer_is_no_refused_one():
