--- a/soak/_evidence.py
+++ b/soak/_evidence.py
@@ -53,6 +53,24 @@
     ended: float
 
 
+@attrs.frozen(kw_only=True)
+class Silence:
+    """A pause of a sound replica, which excuses nothing."""
+
+    replica: str
+    began: float
+    ended: float
+
+
+@attrs.define(kw_only=True)
+class DeadlyRequest:
+    """A request that crashed replicas, and the fronts that its sendings went to."""
+
+    caller: str
+    crashed_at: list[float] = attrs.field(factory=list)
+    fronts: dict[str, str] = attrs.field(factory=dict)
+
+
 @attrs.define(kw_only=True)
 class Evidence:
     """Everything that was seen in one run; may be added to from any thread."""
@@ -66,6 +84,8 @@
     # When each version of the configuration was written.
     versions: dict[int, float] = attrs.field(factory=dict)
     leaving: list[Leaving] = attrs.field(factory=list)
+    silences: list[Silence] = attrs.field(factory=list)
+    deadly: list[DeadlyRequest] = attrs.field(factory=list)
     # Fronts that ended by themselves.
     exits: list[str] = attrs.field(factory=list)
     # Fault injected, and how often.
@@ -85,13 +105,33 @@
         self.disruptions.append(disruption)
         return disruption
 
-    def disrupted(self, subjects: set[str], began: float, ended: float) -> bool:
-        """Returns whether any subject was in, or just after, unplanned trouble."""
+    def disrupted(
+        self, subjects: set[str], began: float, ended: float, kind: str = ""
+    ) -> bool:
+        """Returns whether any subject was in, or just after, unplanned trouble.
+
+        Args:
+            subjects: names of fronts, replicas and other things.
+            began: beginning of the time that is asked for.
+            ended: its end.
+            kind: the only kind of trouble that counts, empty for all.
+        """
         return any(
-            d.subject in subjects and d.began <= ended and d.ended + SETTLING_S >= began
+            d.subject in subjects
+            and kind in ("", d.kind)
+            and d.began <= ended
+            and d.ended + SETTLING_S >= began
             for d in self.disruptions
         )
 
+    def silent(self, replicas: set[str], began: float, ended: float) -> list[str]:
+        """Returns which sound replicas were silent in a time, and for how long."""
+        return [
+            f"{s.replica} silent {s.ended - s.began:.1f} s"
+            for s in self.silences
+            if s.replica in replicas and s.began <= ended and s.ended >= began
+        ]
+
     def runs(self) -> dict[str, list[str]]:
         """Returns the replicas that ran each call, once for each run."""
         runs: dict[str, list[str]] = {}
@@ -111,4 +151,8 @@
 
     def work_ended(self) -> dict[str, float]:
         """Returns when the last work on each call ended."""
-        return {i: at for r in self.replicas.values() for i, at in r.ended}
+        ended: dict[str, float] = {}
+        for replica in self.replicas.values():
+            for call_id, at in replica.ended:
+                ended[call_id] = max(at, ended.get(call_id, at))
+        return ended
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -8,12 +8,15 @@
 
 import attrs
 
-from soak import _evidence, _fleet
+from soak import _deadly, _evidence, _fleet
 
 PLANNED, UNPLANNED = "planned", "unplanned"
 RESTART_MAX_S = 2.0
 TROUBLE_MIN_S, TROUBLE_MAX_S = 0.5, 4.0
 PAUSE_MAX_S = 2.0
+SILENCE_MIN_S, SILENCE_MAX_S = 0.3, 4.0
+SILENCE_GAP_MAX_S = 2.0
+SILENCES_MAX = 2
 SECOND_ACTION_FROM_S, SECOND_ACTION_TO_S = 0.2, 4.0
 ROLL_GAP_MAX_S = 2.0
 # A replica that leaves works on its calls for at least this long before it ends.
@@ -175,17 +178,55 @@
 
 
 @contextlib.contextmanager
-def _free_replica(scene: Scene):
-    """Yields the name of a replica for one fault alone, None if another works on it."""
-    name = scene.rng.choice(list(_fleet.REPLICAS))
-    if name in scene.fleet.away:
-        yield None
-        return
-    scene.fleet.away.add(name)
+def _free_replicas(scene: Scene, names: list[str]):
+    """Yields the replicas among these that no other fault works on."""
+    free = [name for name in names if name not in scene.fleet.away]
+    scene.fleet.away.update(free)
     try:
-        yield name
+        yield free
     finally:
-        scene.fleet.away.discard(name)
+        scene.fleet.away.difference_update(free)
+
+
+def _one(scene: Scene) -> list[str]:
+    return [scene.rng.choice(list(_fleet.REPLICAS))]
+
+
+@contextlib.contextmanager
+def _free_replica(scene: Scene):
+    """Yields the name of a replica for one fault alone, None if another works on it."""
+    with _free_replicas(scene, _one(scene)) as names:
+        yield names[0] if names else None
+
+
+def _domain(scene: Scene) -> list[str]:
+    domain = _fleet.replica_domain(*_one(scene))
+    return [n for n in _fleet.REPLICAS if _fleet.replica_domain(n) == domain]
+
+
+def _all(scene: Scene) -> list[str]:
+    del scene
+    return list(_fleet.REPLICAS)
+
+
+def _nothing(scene: Scene) -> None:
+    del scene
+
+
+@_fault(PLANNED)
+def silence(scene: Scene) -> None:
+    """Sound replicas are silent now and then: one, those of a domain, or all."""
+    extent = scene.rng.choice((_one, _domain, _all))
+    beside = scene.rng.choice((_nothing, configure, stop))
+    with _free_replicas(scene, extent(scene)) as names:
+        if not names:
+            return
+        scene.evidence.count_fault(f"silence{extent.__name__}")
+        thread = _start(beside, attrs.evolve(scene, name=beside.__name__))
+        for _ in range(scene.rng.randint(1, SILENCES_MAX)):
+            scene.fleet.silence(names, scene.rng.uniform(SILENCE_MIN_S, SILENCE_MAX_S))
+            time.sleep(scene.rng.uniform(0, SILENCE_GAP_MAX_S))
+    thread.join()
 
 
 @_fault(PLANNED)
@@ -251,6 +292,18 @@
     _on_replica(scene, scene.fleet.crash_replica, scene.fleet.restart_replica)
 
 
+@_fault(UNPLANNED)
+def deadly_request(scene: Scene) -> None:
+    """A request crashes each replica that begins it, and is sent again and again."""
+    kind = scene.rng.choice(_deadly.KINDS)
+    service = next(service for name, _, service, _ in _fleet.ROUTES if name == kind[0])
+    names = [name for name, (of, _) in _fleet.REPLICAS.items() if of == service]
+    with _free_replicas(scene, names) as free:
+        if free == names:
+            scene.evidence.count_fault(scene.name)
+            _deadly.DeadlyRequest(scene.fleet, scene.rng, kind, names).play()
+
+
 @_fault(UNPLANNED)
 def lie(scene: Scene) -> None:
     """A replica gives wrong, broken or foreign answers."""
