--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -7,6 +7,7 @@
 from turmericward import requests, runtime
 from turmericward.adapters import errors
 from turmericward.delivery import (
+    _attempt_ends,
     _calls,
     _context,
     _early_end,
@@ -61,7 +62,8 @@
             early_end=self._early_end,
             open=self._open,
         )
-        self._late = _late_attempt.LateAttempts(self._parts, self._has_target_ended)
+        self._ends = _attempt_ends.AttemptEnds(self._parts)
+        self._late = _late_attempt.LateAttempts(self._parts, self._ends)
         self._placements = _placements.Placements(self._parts)
         # What has come of an attempt that replaced one at a silent target.
         self._successor: _superseded.SupersededError | None = None
@@ -126,12 +128,11 @@
             except errors.CancelledError:
                 self._early_end.end_call(_stop.CallPhase.PREFILL)
             except (errors.NotExecutedError, errors.NotSentError) as exc:
-                self._record_not_executed(exc)
+                self._ends.not_executed(exc)
             except _superseded.SupersededError as exc:
                 self._begin_granted(exc.granted)
             except errors.AdapterError as exc:
-                crashed = self._end_failed_attempt(exc)
-                self._progress.record_prefill_failure(self._target, crashed=crashed)
+                self._ends.prefill_failed(exc)
             else:
                 self._prefill_domain = placement.target.domain
                 self._progress.prefills += 1
@@ -150,7 +151,7 @@
             self._early_end.end_call(_stop.CallPhase.RUNNING)
         except errors.NotSentError as exc:
             # The KV cache wasn't fetched, so another target can still use it.
-            self._record_not_executed(exc)
+            self._ends.not_executed(exc)
             return None
         except _superseded.SupersededError as exc:
             self._kv_source = ""
@@ -158,14 +159,12 @@
             return None
         except errors.AdapterError as exc:
             self._kv_source = ""
-            self._record_failure(exc)
+            self._ends.failed(exc)
             return None
         if answer.not_run:
             answer.close()
             self._release_kv_source()
-            self._record_not_executed(
-                errors.NotExecutedError(f"status {answer.status}")
-            )
+            self._ends.not_executed(errors.NotExecutedError(f"status {answer.status}"))
             return None
         self._kv_source = ""
         return answer
@@ -217,58 +216,12 @@
             on_late=self._late.on_late,
         )
 
-    def _record_not_executed(self, exc: errors.AdapterError) -> None:
-        """Records an attempt that was refused or couldn't be sent."""
-        if isinstance(exc, errors.NotExecutedError):
-            self._record.log_failed_attempt(self._open.placement, "refused", str(exc))
-            self._open.end(requests.Ending.REFUSED)
-            self._progress.record_refusal(self._target)
-        else:
-            self._record.log_failed_attempt(
-                self._open.placement, "not_reached", str(exc)
-            )
-            if isinstance(exc, errors.ConnectTimeoutError):
-                self._open.end(requests.Ending.SILENT)
-                self._progress.record_silent(self._target)
-            else:
-                self._open.end(requests.Ending.UNREACHED)
-                self._progress.record_unreachable(self._target)
-
-    def _record_failure(self, exc: Exception) -> None:
-        """Records a failed attempt in which the call may have run."""
-        crashed = self._end_failed_attempt(exc)
-        self._progress.record_failure(self._target, crashed=crashed)
-
-    def _end_failed_attempt(self, exc: Exception) -> bool:
-        """Ends the placement; returns whether the target has ended."""
-        ended = self._has_target_ended(exc, self._open.placement)
-        if self._record.is_late:
-            self._record.log_late_attempt(self._open.placement)
-        self._record.log_failed_attempt(
-            self._open.placement, "failed", repr(exc), target_ended=ended
-        )
-        self._open.end(
-            requests.Ending.CRASHED if ended else requests.Ending.FAILED,
-            connection_lost=isinstance(exc, errors.ConnectionLostError),
-        )
-        return ended
-
-    def _has_target_ended(
-        self, exc: Exception, placement: requests.Placement | None
-    ) -> bool:
-        """Returns whether the attempt failed since the target's process ended."""
-        if placement is None:
-            return False
-        if not isinstance(exc, errors.ConnectionLostError):
-            return False
-        return self._ctx.transport.has_ended(placement.target)
-
     # Replies.
 
     def _reply(self, answer: _calls.Answer) -> _calls.Reply | None:
         if not answer.genuine:
             answer.close()
-            self._record_failure(
+            self._ends.failed(
                 errors.ForeignAnswerError(
                     f"status {answer.status} was not sent by the target"
                 )
@@ -284,7 +237,7 @@
         except errors.CancelledError:
             self._early_end.end_call(_stop.CallPhase.RUNNING)
         except errors.AdapterError as exc:
-            self._record_failure(exc)
+            self._ends.failed(exc)
             return None
         finally:
             answer.close()
@@ -293,7 +246,7 @@
         reply = _calls.Reply(status=answer.status, headers=answer.headers, body=body)
         if answer.status >= 500:
             self._progress.fallback = reply
-            self._record_failure(errors.AnswerLostError(f"status {answer.status}"))
+            self._ends.failed(errors.AnswerLostError(f"status {answer.status}"))
             return None
         self._early_end.record_answered(self._call)
         answered = answer.status < http.HTTPStatus.BAD_REQUEST
@@ -315,7 +268,7 @@
             return None
         except errors.AdapterError as exc:
             answer.close()
-            self._record_failure(exc)
+            self._ends.failed(exc)
             return None
         self._open.record_first_output()
         self._late.output_received()
@@ -327,7 +280,7 @@
         attempts = _stream_delivery.Attempts(
             next=self._resumed_attempt,
             take_over=self._take_over,
-            record_failure=self._record_failure,
+            record_failure=self._ends.failed,
         )
         return _stream_delivery.StreamDelivery(
             self._parts, self._late, attempts, self._record_reply
--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -6,7 +6,6 @@
 """
 
 import functools
-from collections.abc import Callable
 
 import attrs
 
@@ -14,6 +13,7 @@
 from turmericward.adapters import _pending, errors
 from turmericward.delivery import (
     _asking,
+    _attempt_ends,
     _calls,
     _messages,
     _open_placement,
@@ -41,18 +41,16 @@
     """
 
     def __init__(
-        self,
-        parts: _parts.CallParts,
-        has_crashed: Callable[[Exception, requests.Placement], bool],
+        self, parts: _parts.CallParts, ends: _attempt_ends.AttemptEnds
     ) -> None:
         """Creates the second attempts of a call.
 
         Args:
             parts: the parts of the call's delivery.
-            has_crashed: returns whether an attempt failed since its target ended.
+            ends: ends those that failed.
         """
         self._parts = parts
-        self._has_crashed = has_crashed
+        self._ends = ends
         # Id of the last event of a stream that its client has.
         self.last_id = parts.call.resume_after
         # Whether the client has the beginning of a stream.
@@ -152,7 +150,7 @@
         except errors.AdapterError as exc:
             if pending.closed:
                 raise _superseded.superseded_by(exc) from exc
-            self._end_second(second, exc)
+            self._ends.second(second, exc)
         except BaseException:
             self._end_either(second)
             raise
@@ -218,7 +216,7 @@
         if not pending.closed:
             if not self._is_usable(answer):
                 answer.close()
-                self._end_second(second, _refusal_of(answer))
+                self._ends.second(second, _refusal_of(answer))
                 return
             self._replace_first(pending, second)
         raise _superseded.SupersededError(answer=answer)
@@ -250,36 +248,6 @@
         parts.progress.record_superseded(first.target.name, ran=not first.prefill_only)
         self._silent = self._last_refusal = ""
 
-    def _end_second(
-        self, second: _open_placement.OpenPlacement, exc: errors.AdapterError
-    ) -> None:
-        """Ends a second attempt that failed while the first one goes on."""
-        placement = second.placement
-        crashed = False
-        if isinstance(exc, errors.ConnectTimeoutError):
-            outcome, ending = "not_reached", requests.Ending.SILENT
-        elif isinstance(exc, errors.NotSentError):
-            outcome, ending = "not_reached", requests.Ending.UNREACHED
-        elif isinstance(exc, errors.NotExecutedError):
-            outcome, ending = "refused", requests.Ending.REFUSED
-        else:
-            crashed = self._has_crashed(exc, placement)
-            outcome = "failed"
-            ending = requests.Ending.CRASHED if crashed else requests.Ending.FAILED
-        self._parts.record.log_failed_attempt(
-            placement, outcome, repr(exc), target_ended=crashed
-        )
-        second.end(ending, connection_lost=isinstance(exc, errors.ConnectionLostError))
-        if ending is requests.Ending.SILENT:
-            self._parts.progress.record_silent(placement.target.name)
-            return
-        self._parts.progress.record_second(
-            placement.target.name,
-            arrived=ending is not requests.Ending.UNREACHED,
-            ran=outcome == "failed",
-            crashed=crashed,
-        )
-
 
 def _overlap_s(call: _calls.Call) -> float:
     """Returns how long two attempts at a call may be open."""
