The log returned from an older copy: a call whose claim was lost could run twice

Cause: the claims of keyed calls live on the log only; after its return from an older copy a key whose claim was lost counted as free, and the caller's next attempt was granted though the first may have run.

Decided: what stewards know of claims and settlements they write again, each at a random time within 0.5 s and only what is still missing; until the log has it all, they answer for the keys they know from memory and grant no others (unavailable, so the call is refused as not run). Claims under way at the return are given up (outcome unknown, settled as not run). A steward that starts meanwhile knows no lost claims: it grants none for 2.5 s, unless the stream names the era (call.era), which is written after that time only. So the first start on a log that names eras refuses keyed calls for 2.5 to 3 s. A log without eras: as before.

Open: a claim that only stewards knew that all ended before they wrote it again.

--- a/src/turmericward/calls/__init__.py
+++ b/src/turmericward/calls/__init__.py
@@ -2,7 +2,8 @@
 
 from turmericward.calls._errors import CallsError, MalformedRecordError
 from turmericward.calls._ledger import AttemptStatus, Call, ClaimLedger
-from turmericward.calls._records import Answer, Claim, Settle, decode, encode
+from turmericward.calls._rebuild import Rebuild, lost_records
+from turmericward.calls._records import Answer, Claim, Era, Settle, decode, encode
 
 __all__ = [
     "Answer",
@@ -10,9 +11,12 @@
     "CallsError",
     "Claim",
     "ClaimLedger",
+    "Era",
     "MalformedRecordError",
+    "Rebuild",
     "Settle",
     "AttemptStatus",
     "decode",
     "encode",
+    "lost_records",
 ]
--- a/src/turmericward/calls/_ledger.py
+++ b/src/turmericward/calls/_ledger.py
@@ -38,21 +38,39 @@
         self._ended_attempts: dict[str, int] = {}
         self._floor = 0
         self.applied = 0
+        # The latest that the log names.
+        self.era = 0
 
     def __len__(self) -> int:
         """Returns the number of claimed keys."""
         return len(self._calls)
 
-    def apply(self, offset: int, record: _records.Claim | _records.Settle) -> None:
+    def apply(
+        self, offset: int, record: _records.Claim | _records.Settle | _records.Era
+    ) -> None:
         """Applies one record of the log; offsets below `applied` are ignored."""
         if offset < self.applied:
             return
         self.applied = offset + 1
         if isinstance(record, _records.Claim):
             self._claim(offset, record)
+        elif isinstance(record, _records.Era):
+            self.era = max(self.era, record.era)
         else:
             self._settle(offset, record)
 
+    def merge(self, later: "ClaimLedger") -> None:
+        """Adds the claims and settlements of a later state that aren't known here."""
+        for scoped_key, call in later._calls.items():
+            known = self._calls.get(scoped_key)
+            if known is None or (known.owner == call.owner and not known.settled):
+                self._calls[scoped_key] = call
+        self._ended_attempts |= later._ended_attempts
+
+    def settle(self, settle: _records.Settle) -> None:
+        """Applies a settlement that the log has in a later era."""
+        self._settle(self.applied, settle)
+
     def _claim(self, offset: int, claim: _records.Claim) -> None:
         if claim.id in self._ended_attempts:
             return
@@ -94,6 +112,15 @@
             AttemptStatus.OWNER if call.owner == attempt else AttemptStatus.IN_PROGRESS
         )
 
+    def all(self) -> list[tuple[str, str, Call]]:
+        """Returns scope, key and state of all claimed keys, oldest claims first."""
+        rows = [(scope, key, call) for (scope, key), call in self._calls.items()]
+        return sorted(rows, key=lambda row: row[2].offset)
+
+    def has_ended(self, attempt: str) -> bool:
+        """Returns whether the attempt was settled as never run."""
+        return attempt in self._ended_attempts
+
     def get(self, scope: str, key: str) -> Call | None:
         """Returns the claimed key, or None."""
         return self._calls.get((scope, key))
--- a/src/turmericward/calls/_records.py
+++ b/src/turmericward/calls/_records.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from turmericward import schema
+from turmericward import positions, schema
 from turmericward.calls import _errors
 
 KINDS = schema.RecordRegistry(_errors.MalformedRecordError)
@@ -46,5 +46,13 @@
     answer: Answer | None = None
 
 
+@KINDS.register("call.era")
+@attrs.frozen(kw_only=True)
+class Era:
+    """Names the era of the log, once the claims that it lost are written again."""
+
+    era: int = attrs.field(validator=schema.validators.between(0, positions.MAX_ERA))
+
+
 encode = KINDS.encode
 decode = KINDS.decode
--- a/src/turmericward/steward/_calls_task.py
+++ b/src/turmericward/steward/_calls_task.py
@@ -1,6 +1,7 @@
 """Task that claims idempotency keys of calls on the log."""
 
 import functools
+import random
 import time
 
 from absl import logging
@@ -39,6 +40,10 @@
         self._first_offset = 0
         self._caught_up = False
         self._log_reachable = False
+        self._era = 0
+        # What was known before a new era, until the log has it again.
+        self._rebuild: calls.Rebuild | None = None
+        self._random = random.Random(cfg.instance.name)
 
     @functools.singledispatchmethod
     def handle(self, message: object) -> object:
@@ -55,16 +60,44 @@
         )
         self._first_offset = max(self._first_offset, message.first)
         self._ledger.discard_below(self._first_offset)
-
-    @handle.register
-    def _(self, message: _messages.LogReadFailed) -> None:
-        self._log_reachable = False
+        self._continue_rebuild()
 
     @handle.register
     def _(self, message: _messages.LogEra) -> None:
-        self._caught_up = False
-        self._first_offset = 0
+        # A claim that was not read back may have been lost.
+        self._abandon(list(self._pending_claims))
+        known = self._ledger
+        if self._rebuild is not None:
+            known = self._rebuild.known
+            known.merge(self._ledger)
+        self._era = message.era
+        self._rebuild = calls.Rebuild(
+            message.era, known, message.since, self._random.random()
+        )
         self._ledger = calls.ClaimLedger()
+        self._first_offset = 0
+        self._caught_up = False
+
+    def _continue_rebuild(self) -> None:
+        """Writes claims again that a new era of the log lacks, or ends that."""
+        if self._rebuild is None or not self._caught_up:
+            return
+        now = time.monotonic()
+        if self._rebuild.is_complete(self._ledger, now):
+            self._rebuild = None
+            return
+        records = self._rebuild.due_records(self._ledger, now)
+        if records:
+            logging.warning(
+                "calls: a new era of the log, %d records are written", len(records)
+            )
+        for record in records:
+            deadline = now + self._cfg.steward.claim_timeout_s
+            self._append(calls.encode(record), deadline, self._era)
+
+    @handle.register
+    def _(self, message: _messages.LogReadFailed) -> None:
+        self._log_reachable = False
 
     @handle.register
     def _(self, message: _messages.LogExpired) -> None:
@@ -80,6 +113,8 @@
             logging.warning("calls stream, offset %d: %s", offset, exc)
             return
         self._ledger.apply(offset, record)
+        if isinstance(record, calls.Settle) and self._rebuild is not None:
+            self._rebuild.known.settle(record)
         if isinstance(record, calls.Claim):
             self._resolve(record.id)
 
@@ -89,22 +124,31 @@
             self._claim_waiters.resolve(attempt, self._answer(message))
 
     def _answer(self, message: _messages.ClaimKey) -> ttypes.ClaimAnswer:
-        attempt_status = self._ledger.attempt_status(
+        ledger = self._ledger_of(message)
+        attempt_status = ledger.attempt_status(
             message.scope, message.key, message.attempt, message.fingerprint
         )
-        call = self._ledger.get(message.scope, message.key)
+        call = ledger.get(message.scope, message.key)
         answer = call.answer if call is not None else None
         return ttypes.ClaimAnswer(
             state=_STATES[attempt_status], answer=_wire.recorded_answer(answer)
         )
 
+    def _ledger_of(self, message: _messages.ClaimKey) -> calls.ClaimLedger:
+        """Returns the ledger that has the key's claim, if any has."""
+        known = None if self._rebuild is None else self._rebuild.known
+        if known is not None and known.get(message.scope, message.key) is not None:
+            return known
+        return self._ledger
+
     @handle.register
     def _(self, message: _messages.ClaimKey):
         if not (self._caught_up and self._log_reachable):
             return ttypes.ClaimAnswer(state=ttypes.ClaimState.UNAVAILABLE)
-        call = self._ledger.get(message.scope, message.key)
-        if call is not None:
+        if self._ledger_of(message).get(message.scope, message.key) is not None:
             return self._answer(message)
+        if self._rebuild is not None:
+            return ttypes.ClaimAnswer(state=ttypes.ClaimState.UNAVAILABLE)
         return self._append_claim(message)
 
     def _append_claim(self, message: _messages.ClaimKey):
@@ -116,7 +160,7 @@
             fingerprint=message.fingerprint,
             floor=self._first_offset,
         )
-        self._append(calls.encode(claim), deadline)
+        self._append(calls.encode(claim), deadline, self._era)
         self._pending_claims[message.attempt] = message
         timeout_answer = ttypes.ClaimAnswer(state=ttypes.ClaimState.UNKNOWN)
         return self._claim_waiters.add(message.attempt, deadline, timeout_answer)
@@ -126,18 +170,27 @@
         deadline = time.monotonic() + SETTLE_APPEND_TIMEOUT_S
         self._append(calls.encode(message.settle), deadline)
 
-    def _append(self, value: dict, deadline: float) -> None:
+    def _append(self, value: dict, deadline: float, era: int | None = None) -> None:
         self._appender.post(
-            _messages.Append(stream=CALLS_STREAM, value=value, deadline=deadline)
+            _messages.Append(
+                stream=CALLS_STREAM, value=value, deadline=deadline, era=era
+            )
         )
 
     def run_periodic(self) -> None:
-        """Abandons claims that were not read back before their deadline.
+        """Abandons claims that were not read back before their deadline."""
+        self._abandon(self._claim_waiters.expire(time.monotonic()))
+        self._continue_rebuild()
+
+    def _abandon(self, attempts: list[str]) -> None:
+        """Settles attempts as not run, whose claims were not read back.
 
-        The claim may be on the log, but the attempt will never run. It is settled
-        as not run, which frees the key for the caller's next attempt.
+        The claim may be on the log, but the attempt will never run. Its settlement
+        frees the key for the caller's next attempt.
         """
-        for attempt in self._claim_waiters.expire(time.monotonic()):
+        unknown = ttypes.ClaimAnswer(state=ttypes.ClaimState.UNKNOWN)
+        for attempt in attempts:
+            self._claim_waiters.resolve(attempt, unknown)
             message = self._pending_claims.pop(attempt)
             settle = calls.Settle(
                 id=attempt, scope=message.scope, key=message.key, ran=False
