--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -291,7 +291,8 @@
         self.store.put("keyed.servers", name, b"")
 
     def crash_replica(self, name: str) -> None:
-        """Ends a replica with its connections."""
+        """Ends a replica with its connections; further ones are refused."""
+        self.links[name].set_mode("down")
         self._servers.pop(name).crash()
         self.remove(name)
 
@@ -310,6 +311,7 @@
     def restart_replica(self, name: str) -> None:
         """Starts a replica that had ended, as a new incarnation."""
         self._serve(name, self._addresses[name], self.replicas[name])
+        self.links[name].set_mode("pass")
         self.announce(name)
 
     def stop_front(self, front: Front, extra=()) -> None:
--- a/standins/link.py
+++ b/standins/link.py
@@ -1,7 +1,8 @@
 """TCP proxy that simulates a network partition.
 
 `POST /_faults` on the control address sets `mode`: `pass`, `refuse` (new and
-open connections are closed) or `hang` (bytes are delayed, not lost).
+open connections are closed), `hang` (bytes are delayed, not lost) or `down` (nothing
+listens, as after the end of the target).
 """
 
 import contextlib
@@ -25,6 +26,7 @@
         self._changed = threading.Condition()
         self._mode = "pass"
         self._open: set[socket.socket] = set()
+        self._listener: socket.socket | None = None
 
     def handle_request(self, req: _http.Handler) -> None:
         """Sets the mode."""
@@ -36,18 +38,28 @@
         with self._changed:
             self._mode = mode
             self._changed.notify_all()
-            if mode == "refuse":
-                self._shut_down_all()
-
-    def _shut_down_all(self) -> None:
-        for sock in tuple(self._open):
+            if mode == "down" and self._listener is not None:
+                # Also ends a running accept.
+                self._shut_down(self._listener)
+            if mode in ("refuse", "down"):
+                self._shut_down(*self._open)
+
+    def _shut_down(self, *socks: socket.socket) -> None:
+        for sock in socks:
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
 
     def listen(self, address: str) -> None:
         """Accepts connections until the process ends."""
         host, _, port = address.rpartition(":")
-        listener = socket.create_server((host, int(port)), backlog=256)
+        while True:
+            with self._changed:
+                self._changed.wait_for(lambda: self._mode != "down")
+                self._listener = socket.create_server((host, int(port)), backlog=256)
+            with self._listener, contextlib.suppress(OSError):
+                self._accept_all(self._listener)
+
+    def _accept_all(self, listener: socket.socket) -> None:
         while True:
             conn, _ = listener.accept()
             threading.Thread(target=self._forward, args=(conn,), daemon=True).start()
@@ -55,7 +67,7 @@
     def _forward(self, conn: socket.socket) -> None:
         with self._changed:
             self._changed.wait_for(lambda: self._mode != "hang")
-        if self._mode == "refuse":
+        if self._mode in ("refuse", "down"):
             conn.close()
             return
         with (
