Soak: faults and promises in modules of one subject each

Faults: _scene (what they work on, the registry), _faults (fronts, store), _replica_faults; promises: _findings (registry), _call_promises, _fleet_promises.

--- /dev/null
+++ b/soak/_replica_faults.py
@@ -0,0 +1,145 @@
+"""Faults of replicas; each heals what it has broken."""
+
+import contextlib
+import time
+
+import attrs
+
+from soak import _deadly, _evidence, _faults, _fleet, _scene
+
+SILENCE_MIN_S, SILENCE_MAX_S = 0.3, 4.0
+SILENCE_GAP_MAX_S = 2.0
+SILENCES_MAX = 2
+# A replica that leaves works on its calls for at least this long before it ends.
+LAST_WORK_S = 8.0
+LIES = (
+    "extra",
+    "unframed",
+    "error",
+    "torn",
+    "reset",
+    "foreign",
+    "unsigned",
+    "foreign refusal",
+    "full",
+    "cut",
+    "hang",
+)
+
+
+@contextlib.contextmanager
+def _free_replicas(scene: _scene.Scene, names: list[str]):
+    """Yields the replicas among these that no other fault works on."""
+    free = [name for name in names if name not in scene.fleet.away]
+    scene.fleet.away.update(free)
+    try:
+        yield free
+    finally:
+        scene.fleet.away.difference_update(free)
+
+
+def _one(scene: _scene.Scene) -> list[str]:
+    return [scene.rng.choice(list(_fleet.REPLICAS))]
+
+
+@contextlib.contextmanager
+def _free_replica(scene: _scene.Scene):
+    """Yields the name of a replica for one fault alone, None if another works on it."""
+    with _free_replicas(scene, _one(scene)) as names:
+        yield names[0] if names else None
+
+
+def _domain(scene: _scene.Scene) -> list[str]:
+    domain = _fleet.replica_domain(*_one(scene))
+    return [n for n in _fleet.REPLICAS if _fleet.replica_domain(n) == domain]
+
+
+def _all(scene: _scene.Scene) -> list[str]:
+    del scene
+    return list(_fleet.REPLICAS)
+
+
+def _nothing(scene: _scene.Scene) -> None:
+    del scene
+
+
+@_scene.fault(_scene.PLANNED)
+def silence(scene: _scene.Scene) -> None:
+    """Sound replicas are silent now and then: one, those of a domain, or all."""
+    extent = scene.rng.choice((_one, _domain, _all))
+    beside = scene.rng.choice((_nothing, _faults.configure, _faults.stop))
+    with _free_replicas(scene, extent(scene)) as names:
+        if not names:
+            return
+        scene.evidence.count_fault(f"silence{extent.__name__}")
+        thread = _scene.start(beside, attrs.evolve(scene, name=beside.__name__))
+        for _ in range(scene.rng.randint(1, SILENCES_MAX)):
+            scene.fleet.silence(names, scene.rng.uniform(SILENCE_MIN_S, SILENCE_MAX_S))
+            time.sleep(scene.rng.uniform(0, SILENCE_GAP_MAX_S))
+    thread.join()
+
+
+@_scene.fault(_scene.PLANNED)
+def leave(scene: _scene.Scene) -> None:
+    """A replica drains, is removed, and returns as a new incarnation."""
+    with _free_replica(scene) as name:
+        if name is None:
+            return
+        scene.evidence.count_fault(scene.name)
+        scene.fleet.announce(name, draining=True)
+        began = time.monotonic()
+        time.sleep(scene.evidence.leaving_s + LAST_WORK_S)
+        scene.evidence.leaving.append(
+            _evidence.Leaving(replica=name, began=began, ended=time.monotonic())
+        )
+        scene.fleet.announce(name)
+
+
+def _on_replica(scene: _scene.Scene, set_in, heal) -> None:
+    with _free_replica(scene) as name:
+        if name is not None:
+            scene.evidence.count_fault(scene.name)
+            scene.trouble(name, lambda: set_in(name), lambda: heal(name))
+
+
+@_scene.fault(_scene.UNPLANNED)
+def crash_replica(scene: _scene.Scene) -> None:
+    """A replica ends with its connections and starts again."""
+    _on_replica(scene, scene.fleet.crash_replica, scene.fleet.restart_replica)
+
+
+@_scene.fault(_scene.UNPLANNED)
+def deadly_request(scene: _scene.Scene) -> None:
+    """A request crashes each replica that begins it, and is sent again and again."""
+    kind = scene.rng.choice(_deadly.KINDS)
+    service = next(service for name, _, service, _ in _fleet.ROUTES if name == kind[0])
+    names = [name for name, (of, _) in _fleet.REPLICAS.items() if of == service]
+    with _free_replicas(scene, names) as free:
+        if free == names:
+            scene.evidence.count_fault(scene.name)
+            _deadly.DeadlyRequest(scene.fleet, scene.rng, kind, names).play()
+
+
+@_scene.fault(_scene.UNPLANNED)
+def lie(scene: _scene.Scene) -> None:
+    """A replica gives wrong, broken or foreign answers."""
+    lie_name = scene.rng.choice(LIES)
+
+    def set_fault(name: str, value: str) -> None:
+        scene.fleet.replicas[name].fault = value
+
+    _on_replica(
+        scene, lambda name: set_fault(name, lie_name), lambda name: set_fault(name, "")
+    )
+
+
+@_scene.fault(_scene.UNPLANNED)
+def cut_replica(scene: _scene.Scene) -> None:
+    """The connections to a replica are closed, or their bytes held back."""
+    mode = scene.rng.choice(("refuse", "hang"))
+    links = scene.fleet.links
+    _on_replica(
+        scene,
+        lambda name: links[name].set_mode(mode),
+        lambda name: links[name].set_mode("pass"),
+    )
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -12,7 +12,18 @@
 import attrs
 from absl import logging
 
-from soak import _evidence, _faults, _fleet, _lag, _load, _promises
+from soak import (
+    _evidence,
+    _faults,
+    _findings,
+    _fleet,
+    _fleet_promises,
+    _lag,
+    _load,
+    _promises,
+    _replica_faults,
+    _scene,
+)
 
 LEAVING_S = 2.0
 CONFIGURATION_S = 2.0
@@ -24,6 +35,8 @@
 RECOVERY_LOAD_S = 3.0
 FAULT_TIMEOUT_S = 90.0
 MAX_LOG_LINES = 12
+# Modules that register faults.
+FAULTS = (_faults, _replica_faults)
 PROGRAM = ("turmericward.platform",)
 
 
@@ -68,19 +81,19 @@
     # How often the machine held up the soak or a front, which excuses what follows.
     held_up: dict[str, int]
     # Findings that only these delays excuse.
-    excused: list[_promises.Finding]
+    excused: list[_findings.Finding]
     statuses: dict[str, int]
     checked: dict[str, int]
-    findings: list[_promises.Finding]
+    findings: list[_findings.Finding]
 
 
 def draw_line_up(rng: random.Random, options: Options) -> list[Step]:
     """Draws the faults and when they begin; those of one run may overlap."""
     calm = options.planned_only or rng.random() < PLANNED_ONLY_SHARE
-    kinds = {_faults.PLANNED} if calm else {_faults.PLANNED, _faults.UNPLANNED}
+    kinds = {_scene.PLANNED} if calm else {_scene.PLANNED, _scene.UNPLANNED}
     names = sorted(
         name
-        for name, (kind, _) in _faults.REGISTRY.items()
+        for name, (kind, _) in _scene.REGISTRY.items()
         if kind in kinds and re.search(options.faults, name)
     )
     steps, at = [], 0.0
@@ -119,7 +132,7 @@
             time.sleep(WARM_UP_S)
             _inject(fleet, line_up)
             evidence.healed_at = time.monotonic()
-            time.sleep(_promises.RECOVERY_S + RECOVERY_LOAD_S)
+            time.sleep(_fleet_promises.RECOVERY_S + RECOVERY_LOAD_S)
         evidence.exits += [f.name for f in fleet.fronts if f.process.poll() is not None]
     results = _promises.check(evidence)
     report = Report(
@@ -145,8 +158,8 @@
     threads = []
     for step in line_up:
         time.sleep(max(0.0, began + step.at - time.monotonic()))
-        _, fault = _faults.REGISTRY[step.fault]
-        scene = _faults.Scene(fleet, random.Random(step.seed), step.fault)
+        _, fault = _scene.REGISTRY[step.fault]
+        scene = _scene.Scene(fleet, random.Random(step.seed), step.fault)
         threads.append(threading.Thread(target=fault, args=(scene,), daemon=True))
         threads[-1].start()
     for thread in threads:
@@ -168,7 +181,7 @@
     return {kind: kinds[kind] for kind in _lag.KINDS}
 
 
-def _excused(evidence: _evidence.Evidence, results: dict) -> list[_promises.Finding]:
+def _excused(evidence: _evidence.Evidence, results: dict) -> list[_findings.Finding]:
     unaided = [d for d in evidence.disruptions if d.kind not in _lag.KINDS]
     strict = _promises.check(attrs.evolve(evidence, disruptions=unaided))
     return [
@@ -188,7 +201,7 @@
     path.write_text(json.dumps(value, indent=1, default=str))
 
 
-def _log_lines(finding: _promises.Finding, fleet: _fleet.Fleet) -> list[str]:
+def _log_lines(finding: _findings.Finding, fleet: _fleet.Fleet) -> list[str]:
     if not finding.call_id:
         return []
     lines = []
