A segment barred too early no longer hides the one that crashes engines

Callers see: engine after engine ends under prompts with one segment, though it is known. Ruled out: load, and the ejection's length, which only changes the random draws. Change: a barred key explains no crash of a key that was there at more crashes. The document stays barred until its time is over: callers with it are refused needlessly, as before.

--- a/src/turmericward/requests/_verdicts.py
+++ b/src/turmericward/requests/_verdicts.py
@@ -100,10 +100,16 @@
         suspect: _suspects.Suspect,
         incarnations: Iterable[_suspects.Incarnation],
     ) -> set[_suspects.Incarnation]:
-        """Returns the crashes that no barred key but this one explains."""
+        """Returns the crashes that no barred key but this one explains.
+
+        A key that was there at fewer crashes explains none of another: it was barred
+        on what was known of them then.
+        """
         crashes = set(incarnations) - self._explained_by_broader()
         for other in self.suspects.values():
-            if other.bar is not None and other is not suspect:
+            if other.bar is None or other is suspect:
+                continue
+            if len(other.crashes) >= len(suspect.crashes):
                 crashes -= other.crashes.keys()
         return crashes
 
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -104,16 +104,18 @@
 
 
 def test_a_fleet_that_starts_anew_finds_the_segment_again():
-    with _world(2) as world:
-        world.run(15.0)
-        crashed = len(world.crashed_at)
-        for name, domain in tuple(world._names):
-            world.start_front(name, domain)
-        world.run(40.0)
-        check.assertLessEqual(
-            len(world.crashed_at) - crashed, crashing_fleet.CRASHES_COUNTED + 1
-        )
-        check.assertGreater(world.begun_share(30.0, 38.0), 0.99)
+    # With the second seed, a document of deadly prompts is barred first.
+    for seed in (1, 16):
+        with _world(2, seed=seed) as world:
+            world.run(15.0)
+            crashed = len(world.crashed_at)
+            for name, domain in tuple(world._names):
+                world.start_front(name, domain)
+            world.run(40.0)
+            check.assertLessEqual(
+                len(world.crashed_at) - crashed, crashing_fleet.CRASHES_COUNTED + 1
+            )
+            check.assertGreater(world.begun_share(30.0, 38.0), 0.99)
 
 
 def test_a_domain_that_was_cut_off_learns_of_the_segment_afterwards():
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -105,6 +105,17 @@
     check.assertEqual(_barred(quarantine), {2, 3})
 
 
+def test_a_segment_barred_too_early_hid_the_one_that_crashed_engines():
+    # Known late: by then a segment of some of the same prompts is barred.
+    quarantine = requests.Quarantine()
+    for number in range(3):
+        quarantine.record_crash([3], _engine(number), 5.0 + number)
+    check.assertEqual(_barred(quarantine), {3})
+    for number in range(4):
+        quarantine.record_crash([2], _engine(number), 5.0 + number)
+    check.assertEqual(_barred(quarantine), {2, 3})
+
+
 def test_a_bar_ends_with_one_trial_and_each_crash_doubles_it():
     quarantine = requests.Quarantine()
     for number in range(3):
