The entries' polls have a module of their own beside the configuration's task

Moves only; one test sets the time of an entry's poll where it is now. test_steward, test_configuration_returns, test_product, test_entry, test_process_stops pass.

--- a/src/turmericward/steward/_configuration_task.py
+++ b/src/turmericward/steward/_configuration_task.py
@@ -1,7 +1,6 @@
-"""Task that folds the configuration stream and answers polls from entries."""
+"""Task that folds the configuration stream, for entries and for operators."""
 
 import functools
-import heapq
 import json
 import math
 import random
@@ -10,15 +9,14 @@
 
 from absl import logging
 
-from turmericward import authority, configuration, fleet, membership, runtime
-from turmericward.adapters import instances, log
-from turmericward.steward import _hold_rules, _messages, _wire
+from turmericward import authority, configuration, fleet, runtime
+from turmericward.adapters import log
+from turmericward.steward import _entry_polls, _messages
 from turmericward.wire import constants, ttypes
 
 CONFIG_STREAM = "config"
 PROPOSE_TIMEOUT_S = 5.0
 SNAPSHOT_APPEND_TIMEOUT_S = 30.0
-MAX_REMOTE_STEWARDS = 4
 
 
 class ConfigurationTask(runtime.Task):
@@ -46,15 +44,8 @@
         )
         self._view_offset = -1
         self._proposals = runtime.Waiters()
-        self._polls = runtime.Waiters()
+        self._polls = _entry_polls.EntryPolls(cfg)
         self._confirmations = runtime.Waiters()
-        self._pending_polls: dict[str, _messages.Follow] = {}
-        self._holds = membership.HoldTable(cfg.entry_names())
-        self._instances: list = []
-        self._loads: dict = {}
-        self._fleet_version = 0
-        self._applied_by_entry: dict[str, int] = {}
-        self._polled_at: dict[str, float] = {}
         self._log_reachable = False
         self._log_read_failed = False
         self._caught_up = False
@@ -62,7 +53,6 @@
         # The state of a new era, until it takes effect.
         self._rebuild: configuration.Rebuild | None = None
         self._random = random.Random(cfg.instance.name)
-        self._stopping = False
         self._records_since_snapshot = 0
         self._snapshot_interval = self._choose_snapshot_interval()
 
@@ -143,7 +133,7 @@
             }
             self._authority.post(_messages.SetDesired(engines=engines))
             self._fleet.watch(self._polled_engines())
-        self._answer_polls()
+        self._polls.answer_updated(self._ready_ledger(), time.monotonic())
 
     @handle.register
     def _(self, message: _messages.LogReadFailed) -> None:
@@ -246,42 +236,33 @@
 
     @handle.register
     def _(self, message: _messages.FleetRead) -> None:
-        self._instances = message.instances
-        self._loads = message.loads
-        self._fleet_version += 1
-        self._answer_polls()
+        self._polls.instances = message.instances
+        self._polls.loads = message.loads
+        self._change_fleet()
+
+    def _change_fleet(self) -> None:
+        self._polls.change_fleet(self._ready_ledger(), time.monotonic())
 
     @handle.register
     def _(self, message: _messages.PlaceHold):
-        refused = self._refusal_reason(message.hold.engine)
+        refused = self._polls.hold_refusal(
+            message.hold.engine, self._views, time.monotonic()
+        )
         if refused:
             return _messages.HoldStatus(refused=refused)
         hold_id = message.hold.hold_id
-        self._holds.place(message.hold)
-        self._fleet_version += 1
-        self._answer_polls()
-        status = _messages.HoldStatus(missing=self._holds.unconfirmed(hold_id))
+        self._polls.holds.place(message.hold)
+        self._change_fleet()
+        missing = self._polls.holds.unconfirmed(hold_id)
+        status = _messages.HoldStatus(missing=missing)
         if not status.missing:
             return status
         return self._confirmations.add(hold_id, message.deadline, status)
 
-    def _refusal_reason(self, engine: str) -> str:
-        now = time.monotonic()
-        entries = self._cfg.entry_names()
-        unresponsive = _hold_rules.unresponsive_entry(entries, self._polled_at, now)
-        if unresponsive:
-            return f"entry {unresponsive} is silent"
-        leaving = frozenset(i.name for i in self._instances if i.leaving)
-        view = self._views.view(leaving, self._loads)
-        held = frozenset(h.engine for h in self._holds.active(now)) - {engine}
-        model = _hold_rules.unserved_model(engine, view, held, now)
-        return f"model {model} would have no engine" if model else ""
-
     @handle.register
     def _(self, message: _messages.ReleaseHolds) -> None:
-        self._holds.release(message.hold_ids)
-        self._fleet_version += 1
-        self._answer_polls()
+        self._polls.holds.release(message.hold_ids)
+        self._change_fleet()
 
     @handle.register
     def _(self, message: _messages.Restore) -> None:
@@ -310,99 +291,30 @@
             domain=self._cfg.instance.domain,
             applied=self._ledger.applied if self._ledger else 0,
             log_reachable=self._log_reachable,
-            entries=self._active_entries(),
+            entries=self._polls.active_entries(time.monotonic()),
         )
 
-    def _active_entries(self) -> dict[str, int]:
-        """Returns the applied offset of each entry that polled recently, by name.
-
-        Entries that failed over from another steward stop polling here when they
-        return to it, and are left out.
-        """
-        limit = time.monotonic() - _hold_rules.ENTRY_TIMEOUT_S
-        return {
-            e: v
-            for e, v in self._applied_by_entry.items()
-            if self._polled_at[e] > limit
-        }
-
     @handle.register
     def _(self, message: _messages.Follow):
-        self._applied_by_entry[message.entry] = message.applied
-        self._polled_at[message.entry] = time.monotonic()
         self._confirm(message)
-        if self._has_update(message):
-            return self._answer(message)
-        if self._stopping:
-            return self._timeout_answer(message)
-        key = runtime.new_id()
-        self._pending_polls[key] = message
-        return self._polls.add(key, message.deadline, None)
+        return self._polls.poll(message, self._ready_ledger(), time.monotonic())
 
     @handle.register
     def _(self, message: _messages.EndPolls) -> None:
-        self._stopping = True
-        self._end_polls_until(math.inf)
+        self._polls.stop(self._ready_ledger(), time.monotonic())
 
     def _confirm(self, message: _messages.Follow) -> None:
-        self._holds.confirm(message.entry, message.drained)
+        holds = self._polls.holds
+        holds.confirm(message.entry, message.drained)
         for hold_id in message.drained:
-            if not self._holds.unconfirmed(hold_id):
+            if not holds.unconfirmed(hold_id):
                 self._confirmations.resolve(hold_id, _messages.HoldStatus())
 
     def _ready(self) -> bool:
         return self._ledger is not None and self._caught_up
 
-    def _has_update(self, message: _messages.Follow) -> bool:
-        if not self._ready():
-            return False
-        if message.applied < self._ledger.applied:
-            return True
-        return message.fleet_version != self._fleet_version
-
-    def _answer(self, message: _messages.Follow) -> ttypes.FollowAnswer:
-        now = time.monotonic()
-        changes = None
-        if message.applied <= self._ledger.applied:
-            changes = self._ledger.since(message.applied)
-        whole = changes is None
-        resources = self._ledger.live() if whole else changes
-        return ttypes.FollowAnswer(
-            applied=self._ledger.applied,
-            whole=whole,
-            resources=[_wire.resource(r) for r in resources],
-            fleet_version=self._fleet_version,
-            instances=[_wire.instance(i) for i in self._published_instances()],
-            loads=[_wire.load(n, load, now) for n, load in self._loads.items()],
-            holds=[_wire.hold(h, now) for h in self._holds.active(now)],
-            ready=True,
-            released=self._holds.released(now),
-        )
-
-    def _published_instances(self) -> list[instances.Instance]:
-        """Returns the rows that entries need: leaving instances and stewards.
-
-        The stewards are those of the local domain, and a few remote ones to fail
-        over to when no local one is reachable.
-        """
-        domain = self._cfg.instance.domain
-        stewards = [i for i in self._instances if i.kind == instances.ENTRY]
-        remote = [i for i in stewards if i.domain != domain]
-        remote = heapq.nsmallest(MAX_REMOTE_STEWARDS, remote, key=self._remote_rank)
-        published = [i for i in stewards if i.domain == domain] + remote
-        leaving = [i for i in self._instances if i.leaving and i not in published]
-        return published + leaving
-
-    def _remote_rank(self, row: instances.Instance) -> int:
-        return zlib.crc32(f"{self._cfg.instance.name}/{row.name}".encode())
-
-    def _answer_polls(self) -> None:
-        if not self._ready():
-            return
-        for key, message in list(self._pending_polls.items()):
-            if self._has_update(message):
-                del self._pending_polls[key]
-                self._polls.resolve(key, self._answer(message))
+    def _ready_ledger(self) -> configuration.Ledger | None:
+        return self._ledger if self._ready() else None
 
     def run_periodic(self) -> None:
         """Answers polls, proposals and holds whose deadline has passed."""
@@ -411,25 +323,4 @@
         if self._rebuild is not None:
             self._finish_rebuild()
         self._confirmations.expire(now)
-        self._end_polls_until(now)
-
-    def _end_polls_until(self, deadline: float) -> None:
-        for key, message in list(self._pending_polls.items()):
-            if message.deadline <= deadline:
-                del self._pending_polls[key]
-                self._polls.resolve(key, self._timeout_answer(message))
-
-    def _timeout_answer(self, message: _messages.Follow) -> ttypes.FollowAnswer:
-        if self._ready():
-            return self._answer(message)
-        return ttypes.FollowAnswer(
-            applied=message.applied,
-            whole=False,
-            resources=[],
-            fleet_version=message.fleet_version,
-            instances=[],
-            loads=[],
-            holds=[],
-            ready=False,
-            released=[],
-        )
+        self._polls.end_due(self._ready_ledger(), now)
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -230,7 +230,7 @@
 
 def test_a_hold_is_refused_while_an_entry_is_unresponsive():
     task = _task_with_engines(("e0",))
-    task._polled_at["a0-0"] -= 60
+    task._polls.polled_at["a0-0"] -= 60
     check.assertIn("silent", _refusal(task, "e0", "h0"))
 
 
