--- a/soak/_run.py
+++ b/soak/_run.py
@@ -5,13 +5,25 @@
 import json
 import pathlib
 import random
+import re
 import threading
 import time
 
 import attrs
 from absl import logging
 
-from soak import _evidence, _faults, _fleet, _lag, _load, _promises
+from soak import (
+    _evidence,
+    _faults,
+    _findings,
+    _fleet,
+    _fleet_promises,
+    _lag,
+    _load,
+    _promises,
+    _replica_faults,
+    _scene,
+)
 
 LEAVING_S = 2.0
 CONFIGURATION_S = 2.0
@@ -23,6 +35,8 @@
 RECOVERY_LOAD_S = 3.0
 FAULT_TIMEOUT_S = 90.0
 MAX_LOG_LINES = 12
+# Modules that register faults.
+FAULTS = (_faults, _replica_faults)
 PROGRAM = ("turmericward.platform",)
 
 
@@ -31,13 +45,16 @@
     """What a run is drawn with, besides its seed.
 
     `fronts` is the number of processes, `seconds` the time in which faults begin,
-    `program` the module that is run as a front, with its arguments.
+    `faults` a regular expression of their names, `program` the module that is run as
+    a front, with its arguments.
     """
 
     fronts: int = 6
     seconds: float = 20.0
     clients: int = 8
     planned_only: bool = False
+    faults: str = ""
+    retry_slack: int = 500
     directory: pathlib.Path
     program: tuple[str, ...] = PROGRAM
 
@@ -63,18 +80,24 @@
     injected: dict[str, int]
     # How often the machine held up the soak or a front, which excuses what follows.
     held_up: dict[str, int]
+    # Findings that only these delays excuse.
+    excused: list[_findings.Finding]
     statuses: dict[str, int]
     checked: dict[str, int]
-    findings: list[_promises.Finding]
+    findings: list[_findings.Finding]
 
 
 def draw_line_up(rng: random.Random, options: Options) -> list[Step]:
     """Draws the faults and when they begin; those of one run may overlap."""
     calm = options.planned_only or rng.random() < PLANNED_ONLY_SHARE
-    kinds = {_faults.PLANNED} if calm else {_faults.PLANNED, _faults.UNPLANNED}
-    names = sorted(n for n, (kind, _) in _faults.REGISTRY.items() if kind in kinds)
+    kinds = {_scene.PLANNED} if calm else {_scene.PLANNED, _scene.UNPLANNED}
+    names = sorted(
+        name
+        for name, (kind, _) in _scene.REGISTRY.items()
+        if kind in kinds and re.search(options.faults, name)
+    )
     steps, at = [], 0.0
-    while at < options.seconds:
+    while names and at < options.seconds:
         steps.append(Step(at=at, fault=rng.choice(names), seed=rng.random()))
         at += rng.expovariate(FAULTS_PER_S)
     return steps
@@ -102,13 +125,14 @@
         grace_s=evidence.grace_s,
         program=list(options.program),
         evidence=evidence,
+        retry_slack=options.retry_slack,
     )
     with fleet:
         with _lag.Monitor(fleet), _load.Load(fleet, options.clients, rng):
             time.sleep(WARM_UP_S)
             _inject(fleet, line_up)
             evidence.healed_at = time.monotonic()
-            time.sleep(_promises.RECOVERY_S + RECOVERY_LOAD_S)
+            time.sleep(_fleet_promises.RECOVERY_S + RECOVERY_LOAD_S)
         evidence.exits += [f.name for f in fleet.fronts if f.process.poll() is not None]
     results = _promises.check(evidence)
     report = Report(
@@ -119,11 +143,12 @@
         grace_s=evidence.grace_s,
         injected=dict(sorted(evidence.injected.items())),
         held_up=_held_up(evidence),
+        excused=_excused(evidence, results),
         statuses=_statuses(evidence),
         checked={name: result.checked for name, result in results.items()},
         findings=[f for result in results.values() for f in result.findings],
     )
-    if report.findings:
+    if report.findings or report.excused:
         _write(report, fleet)
     return report
 
@@ -133,8 +158,8 @@
     threads = []
     for step in line_up:
         time.sleep(max(0.0, began + step.at - time.monotonic()))
-        _, fault = _faults.REGISTRY[step.fault]
-        scene = _faults.Scene(fleet, random.Random(step.seed), step.fault)
+        _, fault = _scene.REGISTRY[step.fault]
+        scene = _scene.Scene(fleet, random.Random(step.seed), step.fault)
         threads.append(threading.Thread(target=fault, args=(scene,), daemon=True))
         threads[-1].start()
     for thread in threads:
@@ -153,18 +178,30 @@
 
 def _held_up(evidence: _evidence.Evidence) -> dict[str, int]:
     kinds = collections.Counter(d.kind for d in evidence.disruptions)
-    return {kind: kinds[kind] for kind in (_lag.LAG, _lag.STARVED)}
+    return {kind: kinds[kind] for kind in _lag.KINDS}
+
+
+def _excused(evidence: _evidence.Evidence, results: dict) -> list[_findings.Finding]:
+    unaided = [d for d in evidence.disruptions if d.kind not in _lag.KINDS]
+    strict = _promises.check(attrs.evolve(evidence, disruptions=unaided))
+    return [
+        finding
+        for name, result in strict.items()
+        for finding in result.findings
+        if finding not in results[name].findings
+    ]
 
 
 def _write(report: Report, fleet: _fleet.Fleet) -> None:
     """Writes the report, with the fronts' own lines on each finding."""
     value = attrs.asdict(report)
-    value["log_lines"] = [_log_lines(finding, fleet) for finding in report.findings]
+    found = report.findings + report.excused
+    value["log_lines"] = [_log_lines(finding, fleet) for finding in found]
     path = report.options.directory / "report.json"
     path.write_text(json.dumps(value, indent=1, default=str))
 
 
-def _log_lines(finding: _promises.Finding, fleet: _fleet.Fleet) -> list[str]:
+def _log_lines(finding: _findings.Finding, fleet: _fleet.Fleet) -> list[str]:
     if not finding.call_id:
         return []
     lines = []
--- a/src/turmericward/adapters/_request.py
+++ b/src/turmericward/adapters/_request.py
@@ -59,6 +59,7 @@
     """Opens a connection that does not reconnect automatically.
 
     Raises:
+        ConnectTimeoutError: the target was silent.
         NotSentError: the connection could not be established.
     """
     try:
@@ -71,11 +72,13 @@
     conn.response_class = response_class
     try:
         conn.connect()
+    except TimeoutError as exc:
+        raise errors.ConnectTimeoutError(f"{address}: {exc!r}") from exc
     # Text that is no address raises errors of several types.
     except Exception as exc:
         raise errors.NotSentError(f"{address}: {exc!r}") from exc
     conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    conn.sock.settimeout(timeout_s)
+    conn.sock.settimeout(max(MIN_CONNECT_TIMEOUT_S, timeout_s))
     return conn
 
 
@@ -163,27 +166,6 @@
         raise answer_lost(address, exc) from exc
 
 
-def wait_for_response(
-    conn: http.client.HTTPConnection,
-    address: str,
-    deadline: float,
-    cancelled: Callable[[], bool],
-) -> None:
-    """Waits for the first byte of the response.
-
-    Raises:
-        AnswerLostError: none was received by `deadline`, on the clock of
-            `runtime.now`.
-        CancelledError: the client disconnected while waiting.
-    """
-    try:
-        _response.Guard(deadline, cancelled).wait(conn.sock.fileno())
-    except TimeoutError as exc:
-        raise errors.AnswerLostError(
-            f"{address}: no response before the deadline"
-        ) from exc
-
-
 def join_body(chunks: Iterable[bytes], name: str = "response") -> bytes:
     """Concatenates the chunks of a body.
 
--- a/src/turmericward/adapters/engine.py
+++ b/src/turmericward/adapters/engine.py
@@ -1,15 +1,13 @@
-"""Client of a model engine: completions, streams, load, state and role orders."""
+"""Client of a model engine: completions and streams."""
 
+import functools
 import http.client
-import json
-import time
 from collections.abc import Callable, Iterator
 
 import attrs
 
 from turmericward import runtime, schema
-from turmericward.adapters import _json_http, _request, errors
-from turmericward.authority import Authority, EngineState, Spec
+from turmericward.adapters import _pending, _request, _response, errors
 
 READ_BYTES = 65536
 MAX_EVENT_NUMBER = 2**53
@@ -33,31 +31,6 @@
     body: bytes
 
 
-_COUNT = schema.validators.between(0, schema.validators.MAX_INT32)
-
-
-@attrs.frozen(kw_only=True)
-class LoadReport:
-    """Latest load reported by an engine."""
-
-    role: str = attrs.field(validator=schema.validators.label)
-    running: int = attrs.field(validator=_COUNT)
-    queued: int = attrs.field(validator=_COUNT)
-
-
-@attrs.frozen(kw_only=True)
-class _StateReport:
-    """An engine's state; `order_id` and `order_token` are of its last order."""
-
-    role: str
-    loads: list[str]
-    changing: bool
-    running: int = attrs.field(validator=_COUNT)
-    queued: int = attrs.field(validator=_COUNT)
-    order_id: str
-    order_token: int
-
-
 @attrs.frozen(kw_only=True)
 class Job:
     """A completion request to an engine.
@@ -73,6 +46,14 @@
     cancelled: Callable[[], bool] = lambda: False
 
 
+@attrs.frozen(kw_only=True)
+class Watch:
+    """What happens while an engine is waited for; see `delivery.Dispatch`."""
+
+    on_late: Callable[[_pending.PendingConnection], float] = _pending.give_up
+    rival: _pending.PendingConnection | None = None
+
+
 def _build_request(job: Job, resume_after: int) -> _request.Request:
     headers = [
         ("Content-Type", "application/json"),
@@ -87,14 +68,18 @@
 
 
 class Stream:
-    """An open event stream; closing it cancels the request on the engine."""
+    """An open event stream; closing it cancels the request on the engine.
 
-    def __init__(self, conn, resp, address: str) -> None:
+    `wait_until` sets until when further events are waited for.
+    """
+
+    def __init__(self, conn, resp, address: str, guard: _response.Guard) -> None:
         """Takes ownership of a connection whose response head has been read."""
         self._conn = conn
         self._resp = resp
         self._address = address
         self._buffer = b""
+        self.wait_until = guard.wait_until
 
     def events(self) -> Iterator[list[Event]]:
         """Yields batches of events in order, as they are received.
@@ -169,16 +154,18 @@
         job: Job,
         *,
         first_byte_timeout_s: float,
-        idle_timeout_s: float,
+        deadline: float,
         resume_after: int = 0,
+        watch: Watch = Watch(),
     ) -> Stream | Response:
         """Starts a stream, or resumes it after event `resume_after`.
 
         Args:
             job: the request.
             first_byte_timeout_s: timeout for the response head.
-            idle_timeout_s: timeout between two events.
+            deadline: the end of the response, on the clock of `runtime.now`.
             resume_after: number of the last event received, 0 for none.
+            watch: what happens meanwhile.
 
         Returns:
             The stream, or the engine's response if its status is not 200.
@@ -189,35 +176,55 @@
             ForeignAnswerError: the response belongs to another request.
             CancelledError: the client disconnected.
         """
-        conn = _request.connect(self._address, first_byte_timeout_s)
+        guard = _guard(job, first_byte_timeout_s, watch)
+        conn = self._connect(deadline - runtime.now(), guard, watch)
         try:
-            resp = self._send(
-                conn, job, resume_after, runtime.now() + first_byte_timeout_s
-            )
+            resp = self._send(conn, job, resume_after)
+            guard.wait_until(deadline)
             if resp.status != 200:
-                return self._read_response(conn, resp, runtime.now() + idle_timeout_s)
-            if conn.sock is not None:
-                conn.sock.settimeout(idle_timeout_s)
-            return Stream(conn, resp, self._address)
+                return self._read_response(conn, resp, deadline)
+            return Stream(conn, resp, self._address, guard)
         except BaseException:
             conn.close()
             raise
 
-    def complete(self, job: Job, timeout_s: float) -> Response:
+    def complete(
+        self,
+        job: Job,
+        timeout_s: float,
+        *,
+        deadline: float | None = None,
+        watch: Watch = Watch(),
+    ) -> Response:
         """Sends a request and reads the complete response.
 
+        Args:
+            job: the request.
+            timeout_s: timeout for the response head.
+            deadline: the end of the response, that of its head if not given.
+            watch: what happens meanwhile.
+
         Raises:
             AdapterError: as for `stream`.
         """
-        deadline = runtime.now() + timeout_s
-        conn = _request.connect(self._address, timeout_s)
+        if deadline is None:
+            deadline = runtime.now() + timeout_s
+        guard = _guard(job, timeout_s, watch)
+        conn = self._connect(deadline - runtime.now(), guard, watch)
         with _request.closing(conn):
-            resp = self._send(conn, job, 0, deadline)
+            resp = self._send(conn, job, 0)
+            guard.wait_until(deadline)
             return self._read_response(conn, resp, deadline)
 
-    def _send(self, conn, job: Job, resume_after: int, deadline: float):
+    def _connect(self, timeout_s: float, guard: _response.Guard, watch: Watch):
+        if watch.rival is not None:
+            # The sending of a second attempt doesn't hold up the first.
+            timeout_s = min(timeout_s, guard.until - runtime.now())
+        response_class = functools.partial(_response.GuardedResponse, guard=guard)
+        return _request.connect(self._address, timeout_s, response_class=response_class)
+
+    def _send(self, conn, job: Job, resume_after: int):
         _request.send(conn, self._address, _build_request(job, resume_after))
-        _request.wait_for_response(conn, self._address, deadline, job.cancelled)
         resp = _request.read_response_head(conn, self._address)
         _request.check_request_id(resp, job.request_id)
         return resp
@@ -231,94 +238,11 @@
         )
 
 
+def _guard(job: Job, timeout_s: float, watch: Watch) -> _response.Guard:
+    until = runtime.now() + timeout_s
+    return _response.Guard(until, job.cancelled, watch.on_late, watch.rival)
+
+
 def has_ended(address: str) -> bool:
     """Returns whether the engine's process at `ip:port` has ended."""
     return _request.refuses_connections(address, _request.CONNECT_TIMEOUT_S)
-
-
-class EngineControl:
-    """Load, state and role orders of one engine; not thread-safe."""
-
-    def __init__(self, address: str, timeout_s: float) -> None:
-        """Creates the client for the engine at `ip:port`."""
-        self._address = address
-        self._timeout_s = timeout_s
-        self._client = _json_http.JsonClient(address, timeout_s)
-
-    def close(self) -> None:
-        """Closes the connection used by `load` and `state`."""
-        self._client.close()
-
-    def load(self) -> LoadReport:
-        """Returns the engine's latest load report.
-
-        Raises:
-            AnswerLostError: no usable response was received.
-        """
-        return self._get("/load", LoadReport)
-
-    def state(self) -> EngineState:
-        """Returns the current state of the engine, rather than its last report.
-
-        Raises:
-            AnswerLostError: no usable response was received.
-        """
-        report = self._get("/state", _StateReport)
-        return EngineState(
-            spec=Spec(role=report.role, loads=tuple(report.loads)),
-            changing=report.changing,
-            running=report.running + report.queued,
-            order_id=report.order_id,
-            order_token=report.order_token,
-        )
-
-    def _get(self, path: str, cls: type):
-        try:
-            response = self._client.request("GET", path)
-        except _json_http.ERRORS as exc:
-            raise errors.AnswerLostError(f"{self._address}: {exc!r}") from exc
-        if response.status != 200:
-            raise errors.AnswerLostError(f"{self._address}: {response.status}")
-        try:
-            return schema.structure(response.body, cls, path, extra=True)
-        except schema.SchemaError as exc:
-            raise errors.AnswerLostError(f"{self._address}: {exc}") from exc
-
-    def order(
-        self, order_id: str, spec: Spec, authority: Authority, clock=time.monotonic
-    ) -> bool:
-        """Orders the engine to change to `spec` while the authority is valid.
-
-        See `_request.send_within_term` for how the term is enforced.
-
-        Returns:
-            True if the engine accepted the order, False if it refused.
-
-        Raises:
-            AuthorityLapsedError: the order was not sent completely.
-            NotSentError: the connection could not be established.
-            AnswerLostError: the order may or may not have been accepted.
-        """
-        body = json.dumps(
-            {
-                "order_id": order_id,
-                "token": authority.token,
-                "role": spec.role,
-                "loads": list(spec.loads),
-            }
-        ).encode()
-        req = _request.Request(
-            method="POST",
-            path="/orders",
-            headers=(("Content-Type", "application/json"),),
-            body=body,
-        )
-        conn = _request.connect(self._address, self._timeout_s)
-        with _request.closing(conn):
-            _request.send_within_term(
-                conn, self._address, req, authority, self._timeout_s, clock
-            )
-            resp = _request.read_response_head(conn, self._address)
-            deadline = runtime.now() + self._timeout_s
-            _request.read_whole(conn, resp, self._address, deadline)
-            return resp.status == 200
--- a/src/turmericward/delivery/_calls.py
+++ b/src/turmericward/delivery/_calls.py
@@ -6,7 +6,7 @@
 import attrs
 
 from turmericward import requests, runtime
-from turmericward.adapters import _request
+from turmericward.adapters import _pending, _request
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -62,7 +62,8 @@
 
     `target` is the path with its query as the client sent it; `received` and
     `deadline` are monotonic seconds; `deadline_s` is the time to the deadline when
-    the client sent the call; `resume_after` is the last event id that the client has,
+    the client sent the call; `caller` is what the client calls itself, empty if it
+    doesn't; `resume_after` is the last event id that the client has,
     or empty; `cancelled` returns whether the call has to end, since its client has left
     or its process stops.
     """
@@ -81,6 +82,7 @@
     cancelled: Callable[[], bool] = lambda: False
     traffic_class: str = ""
     tenant: str = ""
+    caller: str = ""
 
     def remaining_s(self) -> float:
         """Returns the seconds until the deadline."""
@@ -94,6 +96,11 @@
     `kv_source` is the handle of KV cache to continue from, `fetch_from` the address
     of a target that has a prefix of the prompt cached; `prefill_only` requests KV cache
     instead of an answer.
+    `on_late` is called when the target has been silent for `timeout_s`, or until the
+    time set by `Answer.wait_until`, while its connection stays open. It returns until
+    when to wait further, in monotonic seconds, or raises an error that ends the
+    attempt. `rival` is the connection of an earlier attempt that is still open: the
+    attempt ends with `RivalAnsweredError` as soon as that one gets bytes.
     """
 
     timeout_s: float
@@ -102,14 +109,16 @@
     kv_source: str = ""
     fetch_from: str = ""
     prefill_only: bool = False
+    on_late: Callable[[_pending.PendingConnection], float] = _pending.give_up
+    rival: _pending.PendingConnection | None = None
 
 
 @attrs.define(kw_only=True)
 class Answer:
     """The head of a target's answer; `chunks` yields its body as it arrives.
 
-    `wait_until` sets until when `chunks` waits for data, in monotonic seconds; some
-    transports ignore it.
+    `wait_until` sets until when `chunks` waits for data, in monotonic seconds, before
+    it calls `Dispatch.on_late`; a transport may ignore it and wait on.
     `not_run` holds if the target reports that it didn't run the call and never will;
     `genuine` if the target itself sent the answer, to this call; `numbered` if the ids
     of its events are consecutive numbers; `unframed` if its body ends with the
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -3,9 +3,9 @@
 import attrs
 
 from turmericward import fleet, requests
-from turmericward.delivery import _calls, _routes
+from turmericward.delivery import _calls, _fingerprint, _routes
 
-# A target that has been answering a prompt for longer wasn't ended by it.
+# A target that has been answering a call for longer wasn't ended by it.
 BEGINNING_S = 1.0
 
 
@@ -127,14 +127,16 @@
 
 
 @attrs.frozen(kw_only=True)
-class SegmentStatus:
-    """A prompt segment that is kept away from engines for `barred_s` seconds.
+class BarredKey:
+    """A key by which calls are kept away from targets for `barred_s` seconds.
 
-    `segment` is its number in hexadecimal digits, `id` its id in prompts, empty if this
-    front has seen none of the prompts; so many engines crashed under it.
+    `kind` is what the key is, `key` its number in hexadecimal digits, `id` the
+    segment's id in prompts or the request's route, empty if this front has seen none
+    of the calls; so many targets crashed under it.
     """
 
-    segment: str
+    kind: str
+    key: str
     id: str
     crashes: int
     barred_s: float
@@ -154,7 +156,7 @@
     targets: tuple[TargetStatus, ...]
     peer_ages_s: dict[str, float]
     retries_left: dict[str, float]
-    barred_segments: tuple[SegmentStatus, ...] = ()
+    barred: tuple[BarredKey, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -173,13 +175,31 @@
     duration_s: float
 
 
+@attrs.frozen(kw_only=True)
+class SilentTarget:
+    """A target that holds a call and has been silent for `silent_s` seconds."""
+
+    name: str
+    silent_s: float
+
+
+@attrs.frozen(kw_only=True)
+class TargetWentOn:
+    """The target `name`, which was reported as silent, has output again."""
+
+    name: str
+
+
 @attrs.frozen(kw_only=True)
 class Place:
     """Requests a target; answered with a Result of Placement or Refusal.
 
     `prefilled` holds if the prompt's KV cache is available at another target, in the
     failure domain `prefill_domain` if that is known; `retry` if an earlier attempt of
-    the call has reached the service.
+    the call has reached the service; `first` if no target was requested for it before.
+    `silent` is the target of an attempt that is still
+    open: the call can do without another one, which is granted only at a target that
+    takes it at once. `fingerprint` names the call's content.
     """
 
     call: _calls.Call
@@ -188,6 +208,14 @@
     retry: bool = False
     prefilled: bool = False
     prefill_domain: str = ""
+    silent: SilentTarget | None = None
+    first: bool = True
+    # Computed by the thread that asks, since the task that answers is shared by all.
+    fingerprint: int = attrs.field(init=False)
+
+    @fingerprint.default
+    def _fingerprint_of_call(self) -> int:
+        return _fingerprint.fingerprint(self.call, self.service)
 
 
 @attrs.frozen(kw_only=True)
@@ -204,7 +232,8 @@
     """The end of a placement.
 
     `streamed` holds if its stream was completed, `answered` if the call got its whole
-    answer, streamed or not. `writing_s` is the time since the target's first output
+    answer, streamed or not; `connection_lost` if the target closed the connection
+    before that. `writing_s` is the time since the target's first output
     of the answer, 0 without one.
     """
 
@@ -213,9 +242,11 @@
     ending: requests.Ending
     streamed: bool = False
     answered: bool = False
+    connection_lost: bool = False
     writing_s: float = 0.0
 
     @property
-    def target_ended_under_prompt(self) -> bool:
-        """Whether the target ended as it was just beginning to answer."""
-        return self.ending is requests.Ending.CRASHED and self.writing_s <= BEGINNING_S
+    def target_closed_call(self) -> bool:
+        """Whether the target ended, or may have, as it was beginning to answer."""
+        closed = self.ending is requests.Ending.CRASHED or self.connection_lost
+        return closed and self.writing_s <= BEGINNING_S
--- a/src/turmericward/delivery/_progress.py
+++ b/src/turmericward/delivery/_progress.py
@@ -21,7 +21,8 @@
 
     `arrivals` counts attempts that reached a target, `possible_runs` those that may
     have run there, `prefills` the successful separate prefills. The first prefill
-    is no retry, a further one is. `reason` is the cause of the failure,
+    is no retry, a further one is. `silent` targets neither accepted nor refused a
+    connection: they may be tried again. `reason` is the cause of the failure,
     `stop_reason` why no further attempt is made.
     """
 
@@ -34,6 +35,8 @@
     stop_reason: str = ""
     retry_after_s: float = RETRY_AFTER_S
     fallback: _calls.Reply | None = None
+    silent: frozenset[str] = frozenset()
+    placements: int = 0
     _refusals: int = 0
     _crashes: int = 0
 
@@ -45,6 +48,10 @@
         """
         self._exclude_target(target)
 
+    def record_silent(self, target: str) -> None:
+        """Records a target that neither accepted nor refused a connection."""
+        self.silent |= {target}
+
     def record_refusal(self, target: str) -> None:
         """Records a target that didn't run the call and never will.
 
@@ -94,6 +101,32 @@
         if self.possible_runs >= self.route.max_attempts:
             self._stop("max_attempts")
 
+    def record_superseded(self, target: str, *, ran: bool) -> None:
+        """Records an attempt that was ended in favour of another one.
+
+        Args:
+            target: the target, which was silent.
+            ran: whether the call itself may have run there, not only its prompt.
+        """
+        self._record_lost(target)
+        self.possible_runs += ran
+
+    def record_second(
+        self, target: str, *, ran: bool, arrived: bool = True, crashed: bool = False
+    ) -> None:
+        """Records a second attempt that ended while the first one goes on.
+
+        Args:
+            target: its target.
+            ran: whether the call may have run there.
+            arrived: whether it reached the target.
+            crashed: whether the target has ended.
+        """
+        self.excluded |= {target}
+        self.arrivals += arrived
+        self.possible_runs += ran
+        self._crashes += crashed
+
     def record_interrupted_run(self) -> None:
         """Records an attempt that ends with the process and may have run."""
         self.arrivals += 1
@@ -111,7 +144,9 @@
     def may_repeat(self) -> bool:
         """Returns whether another attempt may follow the running one."""
         return (
-            self.route.repeatable and self.possible_runs + 1 < self.route.max_attempts
+            self.route.repeatable
+            and self.possible_runs + 1 < self.route.max_attempts
+            and self._crashes < MAX_CRASHES
         )
 
     def abandon(self, reason: str, retry_after_s: float | None = None) -> None:
--- a/src/turmericward/entry/_router_task.py
+++ b/src/turmericward/entry/_router_task.py
@@ -100,12 +100,11 @@
         refusal = self._crashes.refusal(message)
         if refusal is not None:
             return result.Err(refusal)
+        if message.silent is not None and not self._retry_budget.has_spare:
+            return _budget_refusal("retry_reserve")
         if message.retry and not self._retry_budget.spend():
-            refusal = requests.Refusal(
-                reason="retry_budget", retry_after_s=requests.MIN_RETRY_AFTER_S
-            )
-            return result.Err(refusal)
-        if not message.retry:
+            return _budget_refusal("retry_budget")
+        if message.first and not message.retry:
             self._retry_budget.earn()
         now = time.monotonic()
         view = self.view
@@ -113,7 +112,12 @@
         engines = view.engines_by_model.get(demand.model, ())
         excluded = message.excluded | self._holds.held(now) | view.leaving
         chosen = self._router.choose(demand, engines, view.loads, excluded, now)
-        return chosen.map(self._record_assignment)
+        placed = chosen.map(self._record_assignment)
+        if placed.is_ok():
+            self._crashes.placed(message, placed.unwrap().id)
+        elif message.retry:
+            self._retry_budget.refund()
+        return placed
 
     def _record_assignment(self, assignment: requests.Assignment) -> requests.Placement:
         self._in_flight_by_engine[assignment.engine] += 1
@@ -142,7 +146,7 @@
             return
         self._in_flight_by_engine[assignment.engine] -= 1
         self._crashes.placement_ended(message)
-        failed = message.ending.target_failed
+        failed = message.ending.target_failed or message.ending.unsent
         self._router.finished(assignment, failed, time.monotonic())
 
     @handle.register
@@ -176,3 +180,9 @@
         self._in_flight_by_tenant[message.tenant] -= 1
         if self._in_flight_by_tenant[message.tenant] <= 0:
             del self._in_flight_by_tenant[message.tenant]
+
+
+def _budget_refusal(reason: str):
+    return result.Err(
+        requests.Refusal(reason=reason, retry_after_s=requests.MIN_RETRY_AFTER_S)
+    )
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -51,10 +51,18 @@
         dispatch: delivery.Dispatch,
     ) -> delivery.Answer:
         """Sends a call and reads the response's head; see `delivery.Transport`."""
-        guard = _response.Guard(runtime.now() + dispatch.timeout_s, call.cancelled)
+        guard = _response.Guard(
+            runtime.now() + dispatch.timeout_s,
+            call.cancelled,
+            dispatch.on_late,
+            dispatch.rival,
+        )
+        # A target may be silent in the middle of a long request. The sending of a
+        # second attempt doesn't hold up the first.
+        second = dispatch.rival is not None
         conn = _request.connect(
             target.address,
-            dispatch.timeout_s,
+            dispatch.timeout_s if second else call.remaining_s(),
             connect_timeout_s=CONNECT_TIMEOUT_S,
             response_class=functools.partial(_response.GuardedResponse, guard=guard),
         )
@@ -70,9 +78,9 @@
             raise
         # The timeout of the attempt bounds the response's head; its body is bounded
         # by the client's deadline.
-        guard.until = call.deadline
+        guard.wait_until(call.deadline)
         answer = _answer(conn, resp, target)
-        answer.wait_until = functools.partial(setattr, guard, "until")
+        answer.wait_until = guard.wait_until
         return answer
 
     def _read_notices(
