A front with a small share of the retries may look for a second attempt too

Cause: half of the retry budget is kept for calls that have lost their target, so a front whose share of the slack is below two retries granted no second attempt beside a silent target at all. That is so from some 150 fronts on (0.7 x 430 / 195 = 1.5): calls at a target that has gone dark would wait there to their deadline. Change: a full budget has a retry to spare in any case. Test: 1.0 and 1.5 gave 0 retries to spare before, 1 each after.

--- a/src/turmericward/requests/_budget.py
+++ b/src/turmericward/requests/_budget.py
@@ -2,7 +2,8 @@
 
 RETRY_SHARE = 0.1
 MAX_SAVED_RETRIES = 10.0
-# Share of the bucket that is kept for calls that have lost their target.
+# Share of the bucket that is kept for calls that have lost their target; a full bucket
+# has a retry to spare in any case, or fronts with a small share would have none.
 RESERVED_SHARE = 0.5
 
 
@@ -44,7 +45,8 @@
     @property
     def has_spare(self) -> bool:
         """Whether a retry is left for a call that may still be answered without it."""
-        return self._saved - 1.0 >= RESERVED_SHARE * self._max_saved
+        reserve = min(RESERVED_SHARE * self._max_saved, self._max_saved - 1.0)
+        return self._saved >= 1.0 and self._saved - 1.0 >= reserve
 
     def spend(self) -> bool:
         """Takes one retry; returns False if none is left."""
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -186,6 +186,16 @@
     check.assertGreaterEqual(spent, 100)
 
 
+def test_full_buckets_have_a_retry_to_spare_however_small_they_are():
+    # Number of retries to spare from a full bucket, by its size.
+    for max_saved, spare in ((0.9, 0), (1.0, 1), (1.5, 1), (4.0, 2), (10.0, 5)):
+        budget = requests.RetryBudget(max_saved=max_saved)
+        count = 0
+        while budget.has_spare and budget.spend():
+            count += 1
+        check.assertEqual(count, spare, max_saved)
+
+
 def test_ejections_double_up_to_the_maximum():
     health = fleet.Health()
     now = 0.0
