The logged wait is the one that was set, to the millisecond

Cause: the end of the wait and its begin were read from the clock one after the other. The wait now begins once, by its length; the check is unchanged.

--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from turmericward import requests, runtime
+from turmericward import requests
 from turmericward.adapters import errors
 from turmericward.delivery import (
     _attempt_ends,
@@ -205,7 +205,7 @@
             placement.expected_s,
             may_repeat=self._early_end.may_repeat(self._call),
         )
-        self._record.begin_wait(runtime.now() + timeout_s)
+        self._record.begin_wait(timeout_s)
         return _calls.Dispatch(
             timeout_s=timeout_s,
             priority=self._call.route.priority + placement.rank,
--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -203,9 +203,7 @@
             parts.open.current.expected_s,
             may_repeat=parts.early_end.may_repeat(parts.call),
         )
-        until = runtime.now() + timeout_s
-        parts.record.begin_wait(until)
-        return until
+        return parts.record.begin_wait(timeout_s)
 
     def _take_over_if_usable(
         self,
--- a/src/turmericward/delivery/_record.py
+++ b/src/turmericward/delivery/_record.py
@@ -58,10 +58,11 @@
             took_s=round(took_s, 3),
         )
 
-    def begin_wait(self, until: float) -> None:
-        """Records that a target is waited for from now until a time."""
+    def begin_wait(self, wait_s: float) -> float:
+        """Records that a target is waited for from now on; returns until when."""
         self._waiting_since = runtime.now()
-        self._wait_until = until
+        self._wait_until = self._waiting_since + wait_s
+        return self._wait_until
 
     @property
     def is_late(self) -> bool:
--- a/src/turmericward/delivery/_stream_delivery.py
+++ b/src/turmericward/delivery/_stream_delivery.py
@@ -60,11 +60,10 @@
         """Returns the time by which the event after `last_id` has to arrive."""
         parts = self._parts
         self._late.begin_stream(last_id)
-        until = _timeouts.next_event_deadline(
+        timeout_s = _timeouts.next_event_timeout_s(
             parts.call, may_repeat=parts.early_end.may_repeat(parts.call)
         )
-        parts.record.begin_wait(until)
-        return until
+        return parts.record.begin_wait(timeout_s)
 
     def events_received(self, count: int) -> None:
         """Records the arrival of a batch of events."""
--- a/src/turmericward/delivery/_timeouts.py
+++ b/src/turmericward/delivery/_timeouts.py
@@ -4,7 +4,6 @@
 has to wait its turn.
 """
 
-from turmericward import runtime
 from turmericward.delivery import _calls
 
 # Timeout of the first byte, as a multiple of the route's latency objective.
@@ -41,9 +40,9 @@
     return min(remaining_s, timeout_s)
 
 
-def next_event_deadline(call: _calls.Call, *, may_repeat: bool) -> float:
-    """Returns the time by which a stream's next event has to arrive."""
+def next_event_timeout_s(call: _calls.Call, *, may_repeat: bool) -> float:
+    """Returns how long a stream's next event is waited for."""
     if not may_repeat:
-        return call.deadline
+        return call.remaining_s()
     timeout_s = max(MIN_EVENT_TIMEOUT_S, EVENT_TIMEOUT_PER_GAP * call.route.gap_s)
-    return min(call.deadline, runtime.now() + timeout_s)
+    return min(call.remaining_s(), timeout_s)
