--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -463,6 +463,28 @@
     check.assertEqual(lost[-1].unwrap_err().reason, "retry_budget")
 
 
+def test_a_silent_domain_leaves_half_of_the_retries_of_all_fronts():
+    for fronts, slack in ((6, 20.0), (6, 60.0), (69, 60.0), (69, 300.0)):
+        seconds = lost = 0
+        for number in range(fronts):
+            task = _silence_task(12, slack=slack)
+            for peer in range(fronts - 1):
+                test_dispatch._receive_peer_state(task, f"p{number}-{peer}")
+            task.run_periodic()
+            # A third of the targets is silent, with ten streams each.
+            names = [f"e{n % 4}" for n in range(40)]
+            seconds += sum(_place_beside(task, name).is_ok() for name in names)
+            chosen = [
+                test_dispatch._place(task, retry=True, call=_short()) for _ in range(40)
+            ]
+            lost += sum(c.is_ok() for c in chosen)
+        check.assertLessEqual(seconds, slack / 2, (fronts, slack))
+        check.assertLessEqual(seconds + lost, slack, (fronts, slack))
+        if slack >= 2 * fronts:
+            check.assertGreater(seconds, 0, (fronts, slack))
+            check.assertGreaterEqual(lost, seconds, (fronts, slack))
+
+
 def test_a_retry_that_finds_no_target_cost_one_that_others_need():
     task = _silence_task(1)
     check.assertFalse(_place_beside(task, "e0").is_ok())
