--- a/benchmarks/_calls.py
+++ b/benchmarks/_calls.py
@@ -45,6 +45,10 @@
     hanging: bool = False
     retried: bool = False
     sent_at: float = 0.0
+    generated: int = 0
+    # Since when its engine is silent, and when a second attempt is next asked for.
+    waiting_since: float = 0.0
+    ask_at: float = 0.0
 
 
 class Arrivals:
--- a/benchmarks/_emulator.py
+++ b/benchmarks/_emulator.py
@@ -12,6 +12,7 @@
 from benchmarks import (
     _calls,
     _engines,
+    _late,
     _limits,
     _loads,
     _outcome,
@@ -60,6 +61,7 @@
         self.limits = _limits.EngineLimits(self.fronts, publish_delay_s, self.schedule)
         self._answer_losses: dict[str, tuple[float, bool]] = {}
         self.outcome = _outcome.Outcome()
+        self._late = _late.LateAttempts(load, self)
 
     def _front(self, number: int) -> _calls.Front:
         domain = self._domains[number % len(self._domains)]
@@ -85,8 +87,8 @@
         for fault in self._load.faults:
             self.schedule(fault.at, self._apply_fault, fault, True)
             self.schedule(fault.at + fault.for_s, self._apply_fault, fault, False)
-        for front in self.fronts:
-            self.schedule(0.0, self._check_periodically, front)
+        for number in range(len(self.fronts)):
+            self.schedule(0.0, self._check_periodically, number)
         if self._load.relay_interval_s:
             self.schedule(0.0, self._relay)
         while self._events:
@@ -96,12 +98,14 @@
             action(*args)
         return self.outcome
 
-    def _check_periodically(self, front: _calls.Front) -> None:
+    def _check_periodically(self, number: int) -> None:
+        front = self.fronts[number]
         front.placer.count_overdue(self.now)
+        self._late.check(number, self.now)
         if self.now - front.published_at >= HEARTBEAT_S:
             self._publish(front)
         if self.now < self._load.length_s + 8.0:
-            self.schedule(self.now + CHECK_INTERVAL_S, self._check_periodically, front)
+            self.schedule(self.now + CHECK_INTERVAL_S, self._check_periodically, number)
 
     def _apply_fault(self, fault: _loads.Fault, active: bool) -> None:
         affected = [
@@ -111,6 +115,8 @@
             name = engine.target.name
             if fault.kind == "slow":
                 engine.slowdown = fault.x if active else 1.0
+            elif fault.kind == "paused":
+                engine.pause() if active else engine.go_on()
             elif fault.kind == "limited":
                 self.limits.set(name, fault.x if active else None)
             elif active:
@@ -124,6 +130,7 @@
         """Places a call that its client sent, or repeated, at `sent_at`."""
         call.sent_at = sent_at
         self.schedule(sent_at + call.kind.abandon_s, self._abandon, call)
+        self._late.add(self.fronts.index(call.front), call)
         self._place(call)
 
     def _abandon(self, call: _calls.Call) -> None:
@@ -142,7 +149,8 @@
 
     # Fronts.
 
-    def _deadlines(self, call: _calls.Call) -> requests.Deadlines:
+    def deadlines(self, call: _calls.Call) -> requests.Deadlines:
+        """Returns how long a call's client still waits."""
         kind = call.kind
         return requests.Deadlines(
             soft_deadline_s=call.requested_at
@@ -156,8 +164,8 @@
     def _place(self, call: _calls.Call) -> None:
         if call.state != "open":
             return
-        deadlines = self._deadlines(call)
-        candidates = self._candidates(call, deadlines.soft_deadline_s, urgent=False)
+        deadlines = self.deadlines(call)
+        candidates = self.candidates(call, deadlines.soft_deadline_s, urgent=False)
         chosen = call.front.placer.choose_engine(
             call.prompt, candidates.targets, deadlines, self.now, candidates.waits_s
         )
@@ -169,24 +177,35 @@
         if chosen.is_err():
             self._retry_or_refuse(call, chosen.unwrap_err().retry_after_s)
             return
-        self._assign(call, chosen.unwrap())
+        placement = chosen.unwrap()
         job = _engines.Job(
             call=call,
-            placement=call.placement,
+            placement=placement,
             remaining_tokens=float(call.prompt.tokens),
             context_tokens=0.0,
-            prefill_only=call.placement.prefill_only,
+            prefill_only=placement.prefill_only,
         )
-        starts_at = self.now + call.placement.start_after_s
+        self.start(job)
+
+    def start(self, job: _engines.Job) -> None:
+        """Sends a job to its engine, in place of its call's earlier one."""
+        self._assign(job.call, job.placement)
+        starts_at = self.now + job.placement.start_after_s
         self.schedule(starts_at + NETWORK_DELAY_S, self._submit, job)
 
-    def _candidates(
-        self, call: _calls.Call, max_wait_s: float, *, urgent: bool
+    def candidates(
+        self,
+        call: _calls.Call,
+        max_wait_s: float,
+        *,
+        urgent: bool,
+        excluded: frozenset[str] = frozenset(),
     ) -> fleet.Candidates:
+        """Returns the engines that a call may be sent to."""
         kind = call.kind
         return call.front.admission.candidates(
             "model",
-            (),
+            excluded,
             self.now,
             urgent=urgent or kind.once or kind.priority == 0,
             max_wait_s=max_wait_s,
@@ -194,6 +213,7 @@
 
     def _assign(self, call: _calls.Call, placement: requests.Placement) -> None:
         call.placement = placement
+        call.waiting_since = self.now + placement.start_after_s
         call.front.admission.sent(placement.target.name, self.now)
         self._publish_if_due(call)
 
@@ -224,8 +244,8 @@
         took_s = self.now - job.placement.placed_at
         placer.record_first_output(job.placement, call.prompt, took_s, self.now)
         placer.ended(job.placement, requests.Ending.SUCCEEDED, self.now)
-        deadlines = self._deadlines(call)
-        candidates = self._candidates(call, deadlines.hard_deadline_s, urgent=True)
+        deadlines = self.deadlines(call)
+        candidates = self.candidates(call, deadlines.hard_deadline_s, urgent=True)
         placement = placer.choose_decode_engine(
             call.prompt,
             job.placement.target.domain,
@@ -283,7 +303,9 @@
         else:
             interval_s = seen_at - call.last_event_at
             call.max_interval_s = max(call.max_interval_s, interval_s)
-        call.last_event_at = seen_at
+        call.last_event_at = call.waiting_since = seen_at
+        call.generated = job.generated
+        call.front.placer.heard(job.placement.target.name, self.now)
         if last:
             self._complete(call)
 
@@ -303,6 +325,11 @@
             self._place(call)
         return True
 
+    def fail(self, call: _calls.Call) -> None:
+        """Ends a call without its whole answer."""
+        self._end_placement(call, requests.Ending.FAILED)
+        self._settle(call, "failed")
+
     def _complete(self, call: _calls.Call) -> None:
         placer, placement = call.front.placer, call.placement
         placer.streamed(placement, self.now)
--- a/benchmarks/_engines.py
+++ b/benchmarks/_engines.py
@@ -52,6 +52,9 @@
         self._cached: collections.OrderedDict[object, int] = collections.OrderedDict()
         self._total_cached_tokens = 0
         self.slowdown = 1.0
+        self._paused = False
+        # A step whose end the pause has delayed.
+        self._delayed: tuple[list[Job], list[Job]] | None = None
 
     @property
     def _only_prefills(self) -> bool:
@@ -61,7 +64,21 @@
         heapq.heappush(self._queue, ((rank, next(self._simulation.order)), job))
         self._start_if_idle()
 
+    def pause(self) -> None:
+        """Stops all work, without losing any."""
+        self._paused = True
+
+    def go_on(self) -> None:
+        """Goes on with the work after a pause."""
+        self._paused = False
+        delayed, self._delayed = self._delayed, None
+        if delayed is not None:
+            self._end_step(*delayed)
+        self._start_if_idle()
+
     def _start_if_idle(self) -> None:
+        if self._paused:
+            return
         if not self._busy and (self._queue or self._prefilling or self._running):
             self._busy = True
             self._begin_step()
@@ -125,6 +142,9 @@
         )
 
     def _end_step(self, running: list[Job], prefilled: list[Job]) -> None:
+        if self._paused:
+            self._delayed = (running, prefilled)
+            return
         for job in running:
             if job.stale:
                 continue
--- a/benchmarks/_loads.py
+++ b/benchmarks/_loads.py
@@ -74,8 +74,8 @@
 class Fault:
     """Engines that are in trouble for a time.
 
-    They are `slow` by the factor `x`, `losing` that share of their answers, or
-    `limited` to as many requests a second of all fronts together. With `silent`, a
+    They are `slow` by the factor `x`, `losing` that share of their answers, `limited`
+    to as many requests a second of all fronts together, or `paused`. With `silent`, a
     call whose answer is lost hangs instead of failing.
     """
 
--- a/benchmarks/_outcome.py
+++ b/benchmarks/_outcome.py
@@ -24,6 +24,7 @@
     possible: collections.Counter = attrs.field(factory=collections.Counter)
     calls: int = 0
     unanswered: int = 0
+    second_attempts: int = 0
 
     def record(self, call: _calls.Call, result: str) -> None:
         """Counts a call that ended with a result."""
--- a/benchmarks/_variants.py
+++ b/benchmarks/_variants.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterator
 from unittest import mock
 
-from benchmarks import _emulator
+from benchmarks import _emulator, _late
 from turmericward import fleet
 from turmericward.requests import _outcomes, _speed
 
@@ -38,6 +38,18 @@
         yield
 
 
+@variant("ended at silence")
+def _ended_at_silence() -> Iterator[None]:
+    with mock.patch.object(_late.LateAttempts, "end_refused", True):
+        yield
+
+
+@variant("without second attempts")
+def _without_second_attempts() -> Iterator[None]:
+    with mock.patch.object(_late.LateAttempts, "check", lambda *_: None):
+        yield
+
+
 @variant("without slots")
 def _without_slots() -> Iterator[None]:
     with mock.patch.object(_speed.HoldTime, "wait_s", lambda *_: 0.0):
--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -22,6 +22,7 @@
     """The worth of one run and its calls by class and result."""
 
     worth: float
+    second_attempts: int
     counts: dict[tuple[str, str], int]
 
 
@@ -31,7 +32,11 @@
     load = attrs.evolve(load, faults=load.faults + faults)
     with _variants.named(variant):
         outcome = _emulator.Simulation(load, seed).run()
-    return Run(worth=outcome.worth(load.weights), counts=dict(outcome.counts))
+    return Run(
+        worth=outcome.worth(load.weights),
+        second_attempts=outcome.second_attempts,
+        counts=dict(outcome.counts),
+    )
 
 
 def _interval(values: list[float]) -> str:
@@ -43,7 +48,8 @@
 
 
 def _result_rows(load_name: str, runs: list[Run]) -> list[str]:
-    rows = []
+    attempts = statistics.mean(run.second_attempts for run in runs)
+    rows = [f"    second attempts at silent engines: {attempts:.1f}"]
     for kind in _loads.load(load_name).classes:
         counts = (sum(r.counts.get((kind.name, f), 0) for r in runs) for f in RESULTS)
         means = (
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -6,6 +6,9 @@
 import time
 from concurrent import futures
 
+import attrs
+
+from benchmarks import _emulator, _loads, _variants
 from standins import caller
 from tests import fixtures, platform_fixtures
 
@@ -29,6 +32,8 @@
 SLOTS = 64
 ENGINES = ("m1", "m2", "m3", "m4")
 PLAIN = ("p1", "p2")
+# All emulated engines stand still.
+EMULATED_PAUSE = _loads.Fault(kind="paused", at=4.0, for_s=PAUSE_S, engines=99, x=0.0)
 NO_RETRIES = {"retry_share": 0.0, "retry_slack": 0.0}
 # A front that knows no other one has a small part of the slack: 3 and 65 retries.
 FEW_RETRIES = {"retry_share": 0.0, "retry_slack": 70.0}
@@ -226,3 +231,15 @@
 
 def test_plain_calls_sent_to_replicas_that_accept_no_connection_were_refused():
     _call_during_a_pause(PLAIN, connectable=False, work=READ, **FEW_RETRIES)
+
+
+def _emulated_calls_ended(variant: str) -> int:
+    load = attrs.evolve(_loads.load("lending"), length_s=9.0, faults=(EMULATED_PAUSE,))
+    with _variants.named(variant):
+        counts = _emulator.Simulation(load, seed=0).run().counts
+    return sum(count for (_, result), count in counts.items() if result == "failed")
+
+
+def test_emulated_calls_ended_early_when_their_engines_were_given_up_at_silence():
+    check.assertEqual(_emulated_calls_ended("as it is"), 0)
+    check.assertGreater(_emulated_calls_ended("ended at silence"), 0)
