--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -109,6 +109,7 @@
             retry=True,
             prefilled=self.began,
             first=False,
+            fingerprint=parts.record.fingerprint,
             silent=_messages.SilentTarget(name=name, silent_s=parts.record.silent_s),
         )
         chosen = _asking.place(parts.ctx.dispatch, message, DISPATCH_TIMEOUT_S)
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -210,8 +210,8 @@
     prefill_domain: str = ""
     silent: SilentTarget | None = None
     first: bool = True
-    # Computed by the thread that asks, since the task that answers is shared by all.
-    fingerprint: int = attrs.field(init=False)
+    # Not computed by the task that answers, which all calls share.
+    fingerprint: int = attrs.field()
 
     @fingerprint.default
     def _fingerprint_of_call(self) -> int:
--- a/src/turmericward/delivery/_placements.py
+++ b/src/turmericward/delivery/_placements.py
@@ -53,6 +53,7 @@
             retry=parts.progress.is_retry(prefilled=prefilled),
             prefilled=prefilled,
             prefill_domain=prefill_domain,
+            fingerprint=parts.record.fingerprint,
         )
         placement = self._ask_until_granted(message)
         parts.open.begin(placement)
--- a/src/turmericward/delivery/_record.py
+++ b/src/turmericward/delivery/_record.py
@@ -1,5 +1,7 @@
 """Log lines and metrics of one call."""
 
+import functools
+
 from turmericward import requests, runtime, telemetry
 from turmericward.delivery import _calls, _fingerprint, _stop
 
@@ -25,6 +27,11 @@
         self._waiting_since = self._wait_until = runtime.now()
         self._late_placement: requests.Placement | None = None
 
+    @functools.cached_property
+    def fingerprint(self) -> int:
+        """What names the content of the call; a body may have many megabytes."""
+        return _fingerprint.fingerprint(self._call, self._service)
+
     def log_placement(self, placement: requests.Placement) -> None:
         """Logs a placement with the estimates behind it."""
         target = placement.target
@@ -123,9 +130,7 @@
             detail=detail,
             target_ended=target_ended,
             began=self._first_event_at is not None,
-            content=_fingerprint.as_hex(
-                _fingerprint.fingerprint(self._call, self._service)
-            ),
+            content=_fingerprint.as_hex(self.fingerprint),
             segments=_shared_segment_ids(self._call.prompt),
             silent_s=self.silent_s,
             wait_s=self._wait_s,
--- a/tests/crashing_services.py
+++ b/tests/crashing_services.py
@@ -12,6 +12,7 @@
 
 from tests import crashing_fleet, limited_fleet
 from turmericward import delivery, requests
+from turmericward.delivery import _fingerprint
 
 # The bound of the rule: later than `SETTLING_S` after a request has crashed its third
 # replica, at most `MAX_LATE_ARRIVALS` sendings of it reach replicas.
@@ -105,7 +106,8 @@
             return None
         request = call.request
         changed = attrs.evolve(message.call, target=request.path, caller=request.caller)
-        return attrs.evolve(message, call=changed)
+        number = _fingerprint.fingerprint(changed, message.service)
+        return attrs.evolve(message, call=changed, fingerprint=number)
 
     def _refuse(self, call: Call, refusal: requests.Refusal) -> None:
         if refusal.reason in ("quarantined", "suspected") and not call.deadly:
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -10,6 +10,7 @@
 from tests import fixtures, test_dispatch
 from turmericward import delivery, fleet, peers, requests, runtime, telemetry
 from turmericward.adapters import errors
+from turmericward.delivery import _fingerprint
 
 check = fixtures.check
 NO_FAULT = "none"
@@ -490,3 +491,14 @@
             (second["outcome"], second["reason"]), ("refused", "no_target")
         )
         check.assertEqual(_logged(log_event, "reply")[0]["target"], "e1")
+
+
+def test_the_content_of_a_call_is_hashed_once_for_all_its_attempts():
+    targets = [test_dispatch._target(f"e{n}") for n in range(4)]
+    for prompt in (test_dispatch.PROMPT, None):
+        transport = _Transport(sends=["closed"] * 3)
+        with mock.patch.object(
+            _fingerprint, "fingerprint", wraps=_fingerprint.fingerprint
+        ) as fingerprint:
+            _run(transport, targets, slack=600.0, max_attempts=4, prompt=prompt)
+        check.assertEqual((len(transport.sent), fingerprint.call_count), (4, 1))
