--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -11,6 +11,7 @@
     _calls,
     _context,
     _early_end,
+    _final_replies,
     _late_attempt,
     _open_placement,
     _parts,
@@ -24,8 +25,6 @@
     _timeouts,
 )
 
-CLIENT_CLOSED_REQUEST = 499
-
 
 class Delivery:
     """One call, with attempts bounded by its route and the retry budget."""
@@ -62,6 +61,7 @@
             early_end=self._early_end,
             open=self._open,
         )
+        self._replies = _final_replies.FinalReplies(self._parts)
         self._ends = _attempt_ends.AttemptEnds(self._parts)
         self._late = _late_attempt.LateAttempts(self._parts, self._ends)
         self._placements = _placements.Placements(self._parts)
@@ -71,22 +71,17 @@
         self._kv_source = ""
         self._prefill_domain = ""
 
-    @property
-    def _target(self) -> str:
-        """Name of the target of the latest placement."""
-        return "" if self._open.current is None else self._open.current.target.name
-
     def run(self) -> _calls.Reply:
         """Returns the reply; a streamed body is relayed as it is iterated."""
-        return attrs.evolve(self._final_reply(), target=self._target)
+        return attrs.evolve(self._final_reply(), target=self._parts.target)
 
     def _final_reply(self) -> _calls.Reply:
         try:
             return self._deliver()
         except _early_end.ClientDisconnectedError:
-            return self._disconnected_reply()
+            return self._replies.client_gone()
         except _progress.CallAbandonedError:
-            return self._abandoned_reply()
+            return self._replies.abandoned()
         finally:
             # A running stream has taken over its placement and ends it itself.
             self._open.end(requests.Ending.DISCONNECTED)
@@ -251,7 +246,7 @@
         self._early_end.record_answered(self._call)
         answered = answer.status < http.HTTPStatus.BAD_REQUEST
         self._open.end(requests.Ending.SUCCEEDED, answered=answered)
-        self._record_reply("answered", answer.status)
+        self._replies.record("answered", answer.status)
         return reply
 
     def _streamed_reply(self, answer: _calls.Answer) -> _calls.Reply | None:
@@ -283,39 +278,9 @@
             record_failure=self._ends.failed,
         )
         return _stream_delivery.StreamDelivery(
-            self._parts, self._late, attempts, self._record_reply
+            self._parts, self._late, attempts, self._replies.record
         )
 
     def _resumed_attempt(self, last_id: str) -> _calls.Answer | None:
         self._call = attrs.evolve(self._call, resume_after=last_id)
         return self._attempt()
-
-    def _disconnected_reply(self) -> _calls.Reply:
-        self._record_reply("client_gone", CLIENT_CLOSED_REQUEST)
-        failure = _calls.Failure(
-            status=CLIENT_CLOSED_REQUEST, reason="cancelled", may_have_run=True
-        )
-        return _calls.Reply(status=failure.status, failure=failure)
-
-    def _abandoned_reply(self) -> _calls.Reply:
-        fallback = self._progress.fallback
-        if fallback is not None:
-            self._record_reply("answered", fallback.status)
-            return fallback
-        failure = self._parts.failure()
-        outcome = "outcome_unknown" if failure.may_have_run else "refused"
-        self._record_reply(outcome, failure.status)
-        return _calls.Reply(status=failure.status, failure=failure)
-
-    # Bookkeeping.
-
-    def _record_reply(self, outcome: str, status: int) -> None:
-        progress = self._progress
-        self._record.record_reply(
-            outcome,
-            status,
-            progress.reason,
-            progress.stop_reason,
-            progress.arrivals,
-            self._target,
-        )
--- a/src/turmericward/delivery/_parts.py
+++ b/src/turmericward/delivery/_parts.py
@@ -24,6 +24,11 @@
     early_end: _early_end.EarlyEnd
     open: _open_placement.OpenPlacement
 
+    @property
+    def target(self) -> str:
+        """Name of the target of the latest attempt, empty before the first."""
+        return "" if self.open.current is None else self.open.current.target.name
+
     def failure(self) -> _calls.Failure:
         """Returns the failure to report if no further attempt is made."""
         return self.progress.failure(deadline_passed=self.call.remaining_s() <= 0)
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -700,6 +700,16 @@
         check.assertTrue(all(lates))
 
 
+def test_bytes_that_came_while_this_process_was_paused_are_not_late():
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        lates = []
+        guard = _guard(-2.0, on_late=lates.append)
+        theirs.sendall(b"x")
+        guard.wait(ours.fileno())
+        check.assertEqual(lates, [])
+
+
 def test_bytes_that_were_no_progress_do_not_speak_for_a_target():
     ours, theirs = socket.socketpair()
     with ours, theirs:
