--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -109,6 +109,7 @@
             retry=True,
             prefilled=self.began,
             first=False,
+            fingerprint=parts.record.fingerprint,
             silent=_messages.SilentTarget(name=name, silent_s=parts.record.silent_s),
         )
         chosen = _asking.place(parts.ctx.dispatch, message, DISPATCH_TIMEOUT_S)
@@ -203,9 +204,7 @@
             parts.open.current.expected_s,
             may_repeat=parts.early_end.may_repeat(parts.call),
         )
-        until = runtime.now() + timeout_s
-        parts.record.begin_wait(until)
-        return until
+        return parts.record.begin_wait(timeout_s)
 
     def _take_over_if_usable(
         self,
