--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -105,7 +105,7 @@
         message = _messages.Place(
             call=self._call(),
             service=parts.service,
-            excluded=parts.progress.excluded | parts.progress.silent | {name},
+            excluded=parts.progress.avoided | {name},
             retry=True,
             prefilled=self.began,
             first=False,
--- a/src/turmericward/delivery/_placements.py
+++ b/src/turmericward/delivery/_placements.py
@@ -68,7 +68,9 @@
             chosen = self._ask(message)
             if chosen.is_ok():
                 return chosen.unwrap()
-            self._try_silent_again(message, chosen.unwrap_err())
+            refusal = chosen.unwrap_err()
+            if not self._allows_superseded(refusal):
+                self._try_silent_again(message, refusal)
 
     def _ask(
         self, message: _messages.Place
@@ -76,13 +78,21 @@
         progress = self._parts.progress
         message = attrs.evolve(
             message,
-            excluded=progress.excluded | progress.silent,
+            excluded=progress.avoided,
             first=not progress.placements,
         )
         progress.placements += 1
         timeout_s = min(DISPATCH_TIMEOUT_S, message.call.remaining_s())
         return _asking.place(self._parts.ctx.dispatch, message, timeout_s)
 
+    def _allows_superseded(self, refusal: requests.Refusal) -> bool:
+        """Returns whether targets may be used now that were silent before."""
+        progress = self._parts.progress
+        if refusal.reason not in NO_TARGET_REASONS or not progress.superseded:
+            return False
+        progress.superseded = frozenset()
+        return True
+
     def _try_silent_again(
         self, message: _messages.Place, refusal: requests.Refusal
     ) -> None:
--- a/src/turmericward/delivery/_progress.py
+++ b/src/turmericward/delivery/_progress.py
@@ -22,7 +22,8 @@
     `arrivals` counts attempts that reached a target, `possible_runs` those that may
     have run there, `prefills` the successful separate prefills. The first prefill
     is no retry, a further one is. `silent` targets neither accepted nor refused a
-    connection: they may be tried again. `reason` is the cause of the failure,
+    connection: they may be tried again, as may `superseded` ones, whose attempt was
+    ended in favour of another. `reason` is the cause of the failure,
     `stop_reason` why no further attempt is made.
     """
 
@@ -36,10 +37,16 @@
     retry_after_s: float = RETRY_AFTER_S
     fallback: _calls.Reply | None = None
     silent: frozenset[str] = frozenset()
+    superseded: frozenset[str] = frozenset()
     placements: int = 0
     _refusals: int = 0
     _crashes: int = 0
 
+    @property
+    def avoided(self) -> frozenset[str]:
+        """Names of the targets to which the next attempt isn't sent."""
+        return self.excluded | self.silent | self.superseded
+
     def record_unreachable(self, target: str) -> None:
         """Records a target that couldn't be reached.
 
@@ -79,6 +86,9 @@
 
     def _record_lost(self, target: str) -> None:
         self.excluded |= {target}
+        self._record_arrival()
+
+    def _record_arrival(self) -> None:
         self.arrivals += 1
         self.reason = "answer_lost"
 
@@ -108,7 +118,8 @@
             target: the target, which was silent.
             ran: whether the call itself may have run there, not only its prompt.
         """
-        self._record_lost(target)
+        self.superseded |= {target}
+        self._record_arrival()
         self.possible_runs += ran
 
     def record_second(
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -759,3 +759,23 @@
         theirs.settimeout(1.0)
         check.assertEqual(theirs.recv(1), b"")
         check.assertGreaterEqual(ours.fileno(), 0)
+
+
+# Targets that were given up, or silent, earlier in the call.
+
+
+def test_a_stream_was_cut_as_without_target_though_the_one_it_gave_up_was_sound():
+    for second in (
+        _Attempt("late", "head", kind="refused"),
+        _Attempt("late", test_delivery.FAULTS["lost"]),
+    ):
+        first = _stream(1, 2, "late")
+        third = _stream(3, 4)
+        outcome = _run_stream(first, second, third, targets=_engines(2), attempts=3)
+        check.assertEqual(outcome[:2], (WHOLE, 3))
+        check.assertEqual(outcome[2][0], Ending.LATE)
+    # A run that may have been one too many isn't followed by another.
+    second = _Attempt("late", test_delivery.FAULTS["lost"])
+    first = _stream(1, 2, "late")
+    outcome = _run_stream(first, second, targets=_engines(2), attempts=2)
+    check.assertEqual(outcome[:2], ([1, 2, 502], 2))
