--- a/src/turmericward/delivery/_placements.py
+++ b/src/turmericward/delivery/_placements.py
@@ -30,8 +30,10 @@
     def __init__(self, parts: _parts.CallParts) -> None:
         """Creates it on the parts of the call's delivery."""
         self._parts = parts
-        # Until when targets are tried again that accept no connection.
+        # Until when targets are tried again that accept no connection, since the
+        # latest attempt that reached one.
         self._try_until: float | None = None
+        self._arrivals = 0
 
     def begin(self, call: _calls.Call, *, prefilled: bool, prefill_domain: str) -> None:
         """Begins a placement; returns when the call may be sent to its target.
@@ -114,7 +116,9 @@
         self._wait(runtime.now() + CONNECT_AGAIN_S)
 
     def _connect_until(self) -> float:
-        if self._try_until is None:
+        arrivals = self._parts.progress.arrivals
+        if self._try_until is None or arrivals > self._arrivals:
+            self._arrivals = arrivals
             call = self._parts.call
             latest = call.deadline - CONNECT_SHARE * call.deadline_s
             self._try_until = min(latest, runtime.now() + MAX_CONNECT_S)
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -779,3 +779,20 @@
     first = _stream(1, 2, "late")
     outcome = _run_stream(first, second, targets=_engines(2), attempts=2)
     check.assertEqual(outcome[:2], ([1, 2, 502], 2))
+
+
+def test_silent_connects_before_a_stream_left_no_time_for_later_ones():
+    timeout = errors.ConnectTimeoutError("timed out")
+    lost = test_delivery.FAULTS["lost"]
+    with (
+        mock.patch.object(_placements, "CONNECT_AGAIN_S", 0.05),
+        mock.patch.object(_placements, "MAX_CONNECT_S", 0.3),
+    ):
+        received, sent, _ = _run_stream(
+            *_silent_connects(2),
+            _stream(1, 2, lambda: time.sleep(0.5), lost),
+            _Attempt(timeout),
+            _stream(3, 4),
+            targets=_engines(2),
+        )
+    check.assertEqual((received, sent), (WHOLE, 5))
