Demo: a call with a key is sent again while its key can't be claimed

A key makes the repeat safe, and the answer has Retry-After: the demo's client now does as any other. It still fails if the call isn't served within the start's time-out.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -30,16 +30,20 @@
 
 
 def _post(address: str, path: str, value: dict, headers: dict) -> tuple[int, bytes]:
-    """Sends a request; retries while it is refused as not run, as a client would."""
+    """Sends a request; retries while it is refused, as a client would.
+
+    That is while it wasn't run, or while its idempotency key can't be claimed.
+    """
     deadline = time.monotonic() + launch.START_TIMEOUT_S
     while True:
         status, reply_headers, body = launch.request(
             address, "POST", path, value, headers
         )
-        refused = status == 503 and b'"not_run"' in body
+        keyed = "Idempotency-Key" in headers
+        refused = status == 503 and (keyed or b'"not_run"' in body)
         if not refused or time.monotonic() > deadline:
             return status, body
-        click.echo(f"--- {path}: not run, retrying in {reply_headers['Retry-After']} s")
+        click.echo(f"--- {path}: refused, retrying in {reply_headers['Retry-After']} s")
         time.sleep(float(reply_headers["Retry-After"]))
 
 
