--- a/src/turmericward/delivery/_early_end.py
+++ b/src/turmericward/delivery/_early_end.py
@@ -92,12 +92,12 @@
         """Records that the client gets the first events of a stream."""
         self._answer_begun = True
 
-    def may_repeat(self, call: _calls.Call) -> bool:
-        """Returns whether another attempt may follow the running one.
+    def may_repeat(self, call: _calls.Call, *, running: int = 1) -> bool:
+        """Returns whether another attempt may follow the running ones.
 
-        If not, it isn't given up before the call's deadline.
+        If not, they aren't given up before the call's deadline.
         """
-        return self._progress.may_repeat() and self._admits(call, 0.0)
+        return self._progress.may_repeat(running=running) and self._admits(call, 0.0)
 
     def record_answered(self, call: _calls.Call) -> None:
         """Records how long the call took to the end of its answer."""
--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -36,7 +36,8 @@
 
     At most two are open at a time. Of a stream or a prompt, the first is ended as soon
     as the second has the head of a usable answer, or has worked for `MAX_OVERLAP_S`.
-    Of a plain call, the first answer counts. As long as the first attempt is open, a
+    Of a plain call, the first answer counts; if neither comes, the first attempt is
+    ended when a third one is allowed. As long as the first attempt is open, a
     failure of the second is none of the call.
     """
 
@@ -105,7 +106,7 @@
         message = _messages.Place(
             call=self._call(),
             service=parts.service,
-            excluded=parts.progress.avoided | {name},
+            excluded=parts.progress.avoided | {name, parts.open.current.target.name},
             retry=True,
             prefilled=self.began,
             first=False,
@@ -175,7 +176,7 @@
         call = self._call()
         placement = second.placement
         dispatch = _calls.Dispatch(
-            timeout_s=min(call.remaining_s(), _overlap_s(call)),
+            timeout_s=min(call.remaining_s(), self._overlap_s(placement)),
             priority=call.route.priority + placement.rank,
             resume_after=self.last_id,
             fetch_from=placement.fetch_from,
@@ -184,6 +185,17 @@
         )
         return parts.ctx.transport.send(placement.target, call, dispatch)
 
+    def _overlap_s(self, second: requests.Placement) -> float:
+        """Returns how long the second attempt is waited for beside the first."""
+        parts = self._parts
+        if not _first_answer_counts(parts.call):
+            return MAX_OVERLAP_S
+        return _timeouts.first_byte_timeout_s(
+            parts.call,
+            second.expected_s,
+            may_repeat=parts.early_end.may_repeat(parts.call, running=2),
+        )
+
     def _on_late_second(
         self,
         pending: _pending.PendingConnection,
@@ -194,9 +206,28 @@
             return self.on_late(pending_second)
         if self._parts.call.remaining_s() <= 0:
             raise TimeoutError("no bytes before the deadline")
+        if _first_answer_counts(self._parts.call):
+            return self._on_late_both(pending, second, pending_second)
         self._replace_first(pending, second)
         return self._first_byte_until(second)
 
+    def _on_late_both(
+        self,
+        pending: _pending.PendingConnection,
+        second: _open_placement.OpenPlacement,
+        pending_second: _pending.PendingConnection,
+    ) -> float:
+        """Looks for a third attempt; the first is ended only if there is one."""
+        parts = self._parts
+        if not parts.early_end.may_repeat(parts.call, running=2):
+            return parts.call.deadline
+        third = self._ask(second.placement)
+        if third is None:
+            return self._ask_again_at()
+        self._replace_first(pending, second)
+        self._silent = parts.open.current.target.name
+        return self._race(pending_second, third)
+
     def _first_byte_until(self, second: _open_placement.OpenPlacement) -> float:
         parts = self._parts
         timeout_s = _timeouts.first_byte_timeout_s(
@@ -248,11 +279,9 @@
         self._silent = self._last_refusal = ""
 
 
-def _overlap_s(call: _calls.Call) -> float:
-    """Returns how long two attempts at a call may be open."""
-    if call.prompt is None and call.route.kind is _calls.CallKind.IDEMPOTENT:
-        return call.remaining_s()
-    return MAX_OVERLAP_S
+def _first_answer_counts(call: _calls.Call) -> bool:
+    """Returns whether two attempts are kept until one of them answers."""
+    return call.prompt is None and call.route.kind is _calls.CallKind.IDEMPOTENT
 
 
 def _refusal_of(answer: _calls.Answer) -> errors.AdapterError:
--- a/src/turmericward/delivery/_progress.py
+++ b/src/turmericward/delivery/_progress.py
@@ -152,11 +152,11 @@
         """
         return self.arrivals > 0 or (self.prefills > 0 and not prefilled)
 
-    def may_repeat(self) -> bool:
-        """Returns whether another attempt may follow the running one."""
+    def may_repeat(self, *, running: int = 1) -> bool:
+        """Returns whether another attempt may follow the running ones."""
         return (
             self.route.repeatable
-            and self.possible_runs + 1 < self.route.max_attempts
+            and self.possible_runs + running < self.route.max_attempts
             and self._crashes < MAX_CRASHES
         )
 
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -1,5 +1,6 @@
 """Attempts at silent targets: a second one is looked for before the first is ended."""
 
+import functools
 import socket
 import threading
 import time
@@ -348,6 +349,37 @@
     check.assertGreater(second.dispatch.timeout_s, 6.0)
 
 
+def test_a_plain_call_waited_at_two_silent_targets_though_a_third_would_answer():
+    first, closed = _Attempt("late"), []
+    second = _Attempt("late")
+    third = _Attempt(
+        lambda: closed.append((first.pending.closed, second.pending.closed)),
+        "head",
+        body=b"third",
+    )
+    body, sent, endings = _run_plain(first, second, third, max_attempts=3)
+    check.assertEqual((body, sent), (b"third", 3))
+    check.assertEqual(closed, [(True, False)])
+    check.assertEqual(endings, [Ending.LATE, Ending.LATE, Ending.SUCCEEDED])
+    check.assertLess(second.dispatch.timeout_s, 6.0)
+
+
+def test_a_plain_call_keeps_both_silent_targets_if_no_third_attempt_is_allowed():
+    one_retry = 1.5 * 16 / 0.7
+    closed = []
+    for changes in ({"max_attempts": 2}, {"max_attempts": 3, "slack": one_retry}):
+        first = _Attempt("late")
+        record = functools.partial(_record_closed, closed, first)
+        second = _Attempt("late", record, "head", body=b"second")
+        body, sent, _ = _run_plain(first, second, **changes)
+        check.assertEqual((body, sent), (b"second", 2), changes)
+    check.assertEqual(closed, [False, False])
+
+
+def _record_closed(closed: list[bool], attempt: _Attempt) -> None:
+    closed.append(attempt.pending.closed)
+
+
 def test_a_call_that_may_run_once_gets_no_second_attempt():
     first = _Attempt("late", "late", "head", body=b"first")
     body, sent, _ = _run_plain(
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -82,7 +82,8 @@
 
 def _run(transport, *targets: _Target, **changes):
     """Delivers a call whose first attempt is at the first target."""
-    task = test_dispatch._task()
+    retries = delivery.RetryBounds(share=0.0, slack=changes.pop("slack", 60.0))
+    task = test_dispatch._task(retries=retries)
     first, *others = (
         fleet.Target(
             name=f"e{n}",
@@ -186,6 +187,31 @@
     check.assertEqual(paused.closed_after_s, [])
 
 
+def test_a_plain_call_was_lost_at_two_hung_targets_though_a_third_answers():
+    answer = b"HTTP/1.1 200 OK\r\n" + IDS + b"Content-Length: 2\r\n\r\nok"
+    transport, _ = _transports()["platform"]
+    for sound_at in range(2):
+        with (
+            _Target((5.0,)) as first,
+            _Target((5.0,)) as hung,
+            _Target((answer,)) as ok,
+        ):
+            others = (ok, hung) if sound_at == 0 else (hung, ok)
+            body = _run(
+                transport,
+                first,
+                *others,
+                prompt=None,
+                role=None,
+                kind=delivery.CallKind.IDEMPOTENT,
+                deadline_s=2.4,
+                objective_s=0.1,
+                max_attempts=3,
+                slack=600.0,
+            )
+        check.assertEqual(body, b"ok", sound_at)
+
+
 def test_a_trickle_of_bytes_without_an_event_does_not_keep_a_stream():
     for name, (transport, done) in _transports().items():
         trickle = [step for _ in range(40) for step in (b":", 0.1)]
