--- a/src/turmericward/adapters/_request.py
+++ b/src/turmericward/adapters/_request.py
@@ -17,6 +17,7 @@
 MIN_CONNECT_TIMEOUT_S = 0.001
 # Bounds memory if a faulty target sends an endless body.
 MAX_BODY_BYTES = 8 * 1024 * 1024
+PIECE_BYTES = 256 * 1024
 REQUEST_ID = "X-Request-Id"
 
 
@@ -97,9 +98,21 @@
         conn.putheader("Content-Length", str(len(req.body)))
 
 
-def send(conn: http.client.HTTPConnection, address: str, req: Request) -> None:
+def send(
+    conn: http.client.HTTPConnection,
+    address: str,
+    req: Request,
+    check: Callable[[], None] | None = None,
+) -> None:
     """Sends the complete request once.
 
+    Args:
+        conn: an open connection to the target; its timeout bounds the writing of the
+            request, that of each piece of the body if there is a `check`.
+        address: the target's address, for error messages.
+        req: the request.
+        check: called before each piece of the body; what it raises ends the writing.
+
     Raises:
         NotSentError: the request line or a header is invalid.
         AnswerLostError: the connection failed after bytes may have been sent.
@@ -109,11 +122,19 @@
     except (ValueError, http.client.HTTPException) as exc:
         raise errors.NotSentError(f"{address}: {exc}") from exc
     try:
-        conn.endheaders(req.body or None)
+        body = req.body if check is None else _pieces(req.body, check)
+        conn.endheaders(body or None)
     except OSError as exc:
         raise answer_lost(address, exc) from exc
 
 
+def _pieces(body: bytes, check: Callable[[], None]) -> Iterator[memoryview]:
+    view = memoryview(body)
+    for start in range(0, len(body), PIECE_BYTES):
+        check()
+        yield view[start : start + PIECE_BYTES]
+
+
 def send_within_term(
     conn: http.client.HTTPConnection,
     address: str,
--- a/src/turmericward/adapters/_response.py
+++ b/src/turmericward/adapters/_response.py
@@ -183,6 +183,18 @@
                 )
                 self._stop_watching_closed_rival(poll)
 
+    def check(self) -> None:
+        """Checks, without waiting, that this attempt is still needed.
+
+        Raises:
+            CancelledError: the client disconnected, or the process stops.
+            RivalAnsweredError: bytes have come on the rival's connection.
+        """
+        if self._cancelled():
+            raise errors.CancelledError("call has ended")
+        if self._rival is not None and self._rival.watched and self._rival.has_bytes():
+            raise errors.RivalAnsweredError("the other attempt goes on")
+
     def _check_rival(self, poll: select.poll) -> None:
         if self._rival.has_bytes():
             raise errors.RivalAnsweredError("the other attempt goes on")
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -12,6 +12,8 @@
 from turmericward.platform import _headers, _notices
 
 CONNECT_TIMEOUT_S = 0.3
+# How long a second attempt may write without progress; the first isn't read meanwhile.
+SECOND_WRITE_TIMEOUT_S = 0.3
 READ_CHUNK_BYTES = 65536
 RELEASE_TIMEOUT_S = 0.5
 LOWEST_PRIORITY = 9
@@ -57,18 +59,24 @@
             dispatch.on_late,
             dispatch.rival,
         )
-        # A target may be silent in the middle of a long request. The sending of a
-        # second attempt doesn't hold up the first.
+        # A target may be silent in the middle of a long request.
         second = dispatch.rival is not None
         conn = _request.connect(
             target.address,
-            dispatch.timeout_s if second else call.remaining_s(),
+            min(dispatch.timeout_s, SECOND_WRITE_TIMEOUT_S)
+            if second
+            else call.remaining_s(),
             connect_timeout_s=CONNECT_TIMEOUT_S,
             response_class=functools.partial(_response.GuardedResponse, guard=guard),
         )
         try:
             sent_at = runtime.now()
-            _request.send(conn, target.address, _outgoing(target, call, dispatch))
+            _request.send(
+                conn,
+                target.address,
+                _outgoing(target, call, dispatch),
+                guard.check if second else None,
+            )
             resp = _request.read_response_head(conn, target.address)
             self._read_notices(resp, target, call, sent_at)
             # Nothing that it says, such as a refusal, is about this call.
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -1,6 +1,7 @@
 """Both transports against targets that pause, on real connections."""
 
 import contextlib
+import re
 import socket
 import threading
 import time
@@ -14,6 +15,8 @@
 
 check = fixtures.check
 PAUSE_S = 1.4
+# More than the buffers of a connection take.
+LONG_BODY_BYTES = 12 * 1024 * 1024
 IDS = (
     b"X-Request-Id: c\r\nTurmericward-Attempt-Id: c\r\nTurmericward-Server-Stamp: s\r\n"
 )
@@ -55,7 +58,7 @@
 
     def _play(self, conn: socket.socket, script) -> None:
         with conn, contextlib.suppress(OSError):
-            conn.recv(65536)
+            self._read_request(conn)
             began = time.monotonic()
             for step in script:
                 if isinstance(step, bytes):
@@ -63,6 +66,15 @@
                 else:
                     self._pause(conn, step, began)
 
+    def _read_request(self, conn: socket.socket) -> None:
+        received = conn.recv(65536)
+        length = re.search(rb"(?i)content-length: (\d+)", received)
+        missing = (
+            int(length[1]) - len(received.partition(b"\r\n\r\n")[2]) if length else 0
+        )
+        while missing > 0:
+            missing -= len(conn.recv(65536))
+
     def _pause(self, conn: socket.socket, pause_s: float, began: float) -> None:
         """Records when the front closes the connection meanwhile."""
         conn.settimeout(pause_s)
@@ -72,6 +84,18 @@
                 raise ConnectionAbortedError
 
 
+class _UnreadingTarget:
+    """Accepts connections and reads nothing."""
+
+    def __enter__(self) -> "_UnreadingTarget":
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        return self
+
+    def __exit__(self, *_) -> None:
+        self._listener.close()
+
+
 def _transports():
     reader = _notices.NoticeReader(lambda notice: None, tuple)
     return {
@@ -187,6 +211,27 @@
     check.assertEqual(paused.closed_after_s, [])
 
 
+def test_a_plain_answer_was_not_read_while_a_second_request_could_not_be_written():
+    answer = b"HTTP/1.1 200 OK\r\n" + IDS + b"Content-Length: 2\r\n\r\nok"
+    transport, _ = _transports()["platform"]
+    with _Target((PAUSE_S, answer)) as paused, _UnreadingTarget() as full:
+        began = time.monotonic()
+        body = _run(
+            transport,
+            paused,
+            full,
+            prompt=None,
+            role=None,
+            kind=delivery.CallKind.IDEMPOTENT,
+            body=bytes(LONG_BODY_BYTES),
+            deadline_s=2.4,
+            objective_s=0.1,
+        )
+        took_s = time.monotonic() - began
+    check.assertEqual(body, b"ok")
+    check.assertLess(took_s, 2.0)
+
+
 def test_a_plain_call_was_lost_at_two_hung_targets_though_a_third_answers():
     answer = b"HTTP/1.1 200 OK\r\n" + IDS + b"Content-Length: 2\r\n\r\nok"
     transport, _ = _transports()["platform"]
