--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -7,6 +7,8 @@
 
 # A target that has been answering a call for longer wasn't ended by it.
 BEGINNING_S = 1.0
+# Sound targets are silent for shorter times, as a rule.
+SOUND_SILENCE_S = 2.0
 
 
 @attrs.frozen(kw_only=True)
@@ -182,6 +184,11 @@
     name: str
     silent_s: float
 
+    @property
+    def may_go_on(self) -> bool:
+        """Whether the target is likely to go on by itself."""
+        return self.silent_s < SOUND_SILENCE_S
+
 
 @attrs.frozen(kw_only=True)
 class TargetWentOn:
@@ -217,6 +224,11 @@
     def _fingerprint_of_call(self) -> int:
         return _fingerprint.fingerprint(self.call, self.service)
 
+    @property
+    def is_optional(self) -> bool:
+        """Whether the call is likely to be answered without the target."""
+        return self.silent is not None and self.silent.may_go_on
+
 
 @attrs.frozen(kw_only=True)
 class FirstOutput:
--- a/src/turmericward/entry/_router_task.py
+++ b/src/turmericward/entry/_router_task.py
@@ -100,7 +100,7 @@
         refusal = self._crashes.refusal(message)
         if refusal is not None:
             return result.Err(refusal)
-        if message.silent is not None and not self._retry_budget.has_spare:
+        if message.is_optional and not self._retry_budget.has_spare:
             return _budget_refusal("retry_reserve")
         if message.retry and not self._retry_budget.spend():
             return _budget_refusal("retry_budget")
--- a/tests/test_router_task.py
+++ b/tests/test_router_task.py
@@ -134,4 +134,6 @@
     seconds = [_place(task, "x", retry=True, silent=silent) for _ in range(20)]
     check.assertEqual(sum(chosen.is_ok() for chosen in seconds), 5)
     check.assertEqual(seconds[-1].unwrap_err().reason, "retry_reserve")
+    dark = attrs.evolve(silent, silent_s=2.0)
+    check.assertTrue(_place(task, "x", retry=True, silent=dark).is_ok())
     check.assertTrue(_place(task, "x", retry=True).is_ok())
