--- a/src/turmericward/adapters/_pending.py
+++ b/src/turmericward/adapters/_pending.py
@@ -22,6 +22,8 @@
         self.fileno = fileno
         self.watched = not trickles
         self.closed = False
+        # Whether its target has ended it.
+        self.lost = False
 
     def has_bytes(self) -> bool:
         """Returns whether bytes can be read, rather than the connection's end."""
--- a/src/turmericward/adapters/_response.py
+++ b/src/turmericward/adapters/_response.py
@@ -200,6 +200,7 @@
             raise errors.RivalAnsweredError("the other attempt goes on")
         # Its connection has ended: this attempt is the only one left.
         self._rival.watched = False
+        self._rival.lost = True
         poll.unregister(self._rival.fileno)
 
     def _stop_watching_closed_rival(self, poll: select.poll) -> None:
--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -274,7 +274,7 @@
         first = parts.open.current
         parts.record.log_failed_attempt(first, "superseded", "no bytes in time")
         parts.open.resume(first)
-        parts.open.end(requests.Ending.LATE)
+        parts.open.end(requests.Ending.LATE, connection_lost=pending.lost)
         parts.progress.record_superseded(first.target.name, ran=not first.prefill_only)
         self._silent = self._last_refusal = ""
 
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -23,7 +23,7 @@
     """A connection of a scripted attempt."""
 
     def __init__(self) -> None:
-        self.closed = False
+        self.closed = self.lost = False
 
     def close(self) -> None:
         self.closed = True
@@ -380,6 +380,22 @@
     closed.append(attempt.pending.closed)
 
 
+def test_a_target_that_crashed_beside_a_second_attempt_counted_as_silent():
+    for lost in (False, True):
+        first = _Attempt("late")
+        end = functools.partial(setattr, first.pending, "lost", lost)
+        second = _Attempt(end, "head", body=b"second")
+        transport = _Transport(first, second)
+        changes = {"kind": IDEMPOTENT, "prompt": None, "max_attempts": 2}
+        _, dispatcher = _run(transport, _plain_targets(), **changes)
+        ended = [
+            message
+            for message in dispatcher.posted
+            if isinstance(message, delivery.PlacementEnded)
+        ]
+        check.assertEqual([m.target_closed_call for m in ended], [lost, False])
+
+
 def test_a_call_that_may_run_once_gets_no_second_attempt():
     first = _Attempt("late", "late", "head", body=b"first")
     body, sent, _ = _run_plain(
@@ -790,6 +806,7 @@
                 first_target.close()
             with check.assertRaises(TimeoutError):
                 guard.wait(second.fileno())
+            check.assertEqual(rival.lost, ended_by == "target")
             second_target.sendall(b"x")
             guard.wait(second.fileno())
 
