--- a/src/turmericward/delivery/_placements.py
+++ b/src/turmericward/delivery/_placements.py
@@ -30,8 +30,10 @@
     def __init__(self, parts: _parts.CallParts) -> None:
         """Creates it on the parts of the call's delivery."""
         self._parts = parts
-        # Until when targets are tried again that accept no connection.
+        # Until when targets are tried again that accept no connection, since the
+        # latest attempt that reached one.
         self._try_until: float | None = None
+        self._arrivals = 0
 
     def begin(self, call: _calls.Call, *, prefilled: bool, prefill_domain: str) -> None:
         """Begins a placement; returns when the call may be sent to its target.
@@ -68,7 +70,9 @@
             chosen = self._ask(message)
             if chosen.is_ok():
                 return chosen.unwrap()
-            self._try_silent_again(message, chosen.unwrap_err())
+            refusal = chosen.unwrap_err()
+            if not self._allows_superseded(refusal):
+                self._try_silent_again(message, refusal)
 
     def _ask(
         self, message: _messages.Place
@@ -76,13 +80,21 @@
         progress = self._parts.progress
         message = attrs.evolve(
             message,
-            excluded=progress.excluded | progress.silent,
+            excluded=progress.avoided,
             first=not progress.placements,
         )
         progress.placements += 1
         timeout_s = min(DISPATCH_TIMEOUT_S, message.call.remaining_s())
         return _asking.place(self._parts.ctx.dispatch, message, timeout_s)
 
+    def _allows_superseded(self, refusal: requests.Refusal) -> bool:
+        """Returns whether targets may be used now that were silent before."""
+        progress = self._parts.progress
+        if refusal.reason not in NO_TARGET_REASONS or not progress.superseded:
+            return False
+        progress.superseded = frozenset()
+        return True
+
     def _try_silent_again(
         self, message: _messages.Place, refusal: requests.Refusal
     ) -> None:
@@ -104,7 +116,9 @@
         self._wait(runtime.now() + CONNECT_AGAIN_S)
 
     def _connect_until(self) -> float:
-        if self._try_until is None:
+        arrivals = self._parts.progress.arrivals
+        if self._try_until is None or arrivals > self._arrivals:
+            self._arrivals = arrivals
             call = self._parts.call
             latest = call.deadline - CONNECT_SHARE * call.deadline_s
             self._try_until = min(latest, runtime.now() + MAX_CONNECT_S)
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -1,5 +1,6 @@
 """Attempts at silent targets: a second one is looked for before the first is ended."""
 
+import functools
 import socket
 import threading
 import time
@@ -348,6 +349,37 @@
     check.assertGreater(second.dispatch.timeout_s, 6.0)
 
 
+def test_a_plain_call_waited_at_two_silent_targets_though_a_third_would_answer():
+    first, closed = _Attempt("late"), []
+    second = _Attempt("late")
+    third = _Attempt(
+        lambda: closed.append((first.pending.closed, second.pending.closed)),
+        "head",
+        body=b"third",
+    )
+    body, sent, endings = _run_plain(first, second, third, max_attempts=3)
+    check.assertEqual((body, sent), (b"third", 3))
+    check.assertEqual(closed, [(True, False)])
+    check.assertEqual(endings, [Ending.LATE, Ending.LATE, Ending.SUCCEEDED])
+    check.assertLess(second.dispatch.timeout_s, 6.0)
+
+
+def test_a_plain_call_keeps_both_silent_targets_if_no_third_attempt_is_allowed():
+    one_retry = 1.5 * 16 / 0.7
+    closed = []
+    for changes in ({"max_attempts": 2}, {"max_attempts": 3, "slack": one_retry}):
+        first = _Attempt("late")
+        record = functools.partial(_record_closed, closed, first)
+        second = _Attempt("late", record, "head", body=b"second")
+        body, sent, _ = _run_plain(first, second, **changes)
+        check.assertEqual((body, sent), (b"second", 2), changes)
+    check.assertEqual(closed, [False, False])
+
+
+def _record_closed(closed: list[bool], attempt: _Attempt) -> None:
+    closed.append(attempt.pending.closed)
+
+
 def test_a_call_that_may_run_once_gets_no_second_attempt():
     first = _Attempt("late", "late", "head", body=b"first")
     body, sent, _ = _run_plain(
@@ -700,6 +732,16 @@
         check.assertTrue(all(lates))
 
 
+def test_bytes_that_came_while_this_process_was_paused_are_not_late():
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        lates = []
+        guard = _guard(-2.0, on_late=lates.append)
+        theirs.sendall(b"x")
+        guard.wait(ours.fileno())
+        check.assertEqual(lates, [])
+
+
 def test_bytes_that_were_no_progress_do_not_speak_for_a_target():
     ours, theirs = socket.socketpair()
     with ours, theirs:
@@ -759,3 +801,40 @@
         theirs.settimeout(1.0)
         check.assertEqual(theirs.recv(1), b"")
         check.assertGreaterEqual(ours.fileno(), 0)
+
+
+# Targets that were given up, or silent, earlier in the call.
+
+
+def test_a_stream_was_cut_as_without_target_though_the_one_it_gave_up_was_sound():
+    for second in (
+        _Attempt("late", "head", kind="refused"),
+        _Attempt("late", test_delivery.FAULTS["lost"]),
+    ):
+        first = _stream(1, 2, "late")
+        third = _stream(3, 4)
+        outcome = _run_stream(first, second, third, targets=_engines(2), attempts=3)
+        check.assertEqual(outcome[:2], (WHOLE, 3))
+        check.assertEqual(outcome[2][0], Ending.LATE)
+    # A run that may have been one too many isn't followed by another.
+    second = _Attempt("late", test_delivery.FAULTS["lost"])
+    first = _stream(1, 2, "late")
+    outcome = _run_stream(first, second, targets=_engines(2), attempts=2)
+    check.assertEqual(outcome[:2], ([1, 2, 502], 2))
+
+
+def test_silent_connects_before_a_stream_left_no_time_for_later_ones():
+    timeout = errors.ConnectTimeoutError("timed out")
+    lost = test_delivery.FAULTS["lost"]
+    with (
+        mock.patch.object(_placements, "CONNECT_AGAIN_S", 0.05),
+        mock.patch.object(_placements, "MAX_CONNECT_S", 0.3),
+    ):
+        received, sent, _ = _run_stream(
+            *_silent_connects(2),
+            _stream(1, 2, lambda: time.sleep(0.5), lost),
+            _Attempt(timeout),
+            _stream(3, 4),
+            targets=_engines(2),
+        )
+    check.assertEqual((received, sent), (WHOLE, 5))
