--- a/src/turmericward/adapters/log.py
+++ b/src/turmericward/adapters/log.py
@@ -151,27 +151,14 @@
         except _json_http.ERRORS as exc:
             raise errors.LogUnavailableError(f"log request failed: {exc!r}") from exc
         if resp.status in _USABLE:
-            self._observe_era(resp.headers.get(_ERA))
+            self._observe_era(resp)
         return resp
 
-    def _observe_era(self, text: str | None) -> None:
-        """Takes the era that a response names.
-
-        Raises:
-            LogUnavailableError: it is invalid, missing though the log has named one
-                before, or lower than the latest, as in a response that was delayed.
-        """
-        if text is None and not self._eras.current:
-            return
-        if text is None:
-            raise errors.LogUnavailableError("log names no era")
+    def _observe_era(self, resp: _json_http.JsonResponse) -> None:
         try:
-            era = schema.parse_int(text, 0, MAX_OFFSET)
-            self._eras.observe(era, "the log")
-        except ValueError as exc:
-            raise errors.LogUnavailableError(f"log: {exc}") from exc
-        if era < self._eras.current:
-            raise errors.LogUnavailableError(f"log names era {era}, which is over")
+            self._eras.observe_answer(resp.headers.get(_ERA), "the log")
+        except positions.InvalidEraError as exc:
+            raise errors.LogUnavailableError(str(exc)) from exc
 
     def close(self) -> None:
         """Closes the connection."""
--- a/src/turmericward/platform/_store.py
+++ b/src/turmericward/platform/_store.py
@@ -282,25 +282,14 @@
         """Returns the era of a response.
 
         Raises:
-            LogUnavailableError: it is invalid, missing though the store has named one
-                before, or lower than the latest, as in a response that was delayed.
+            LogUnavailableError: it can't be that of a response sent now.
         """
-        text = headers.get(_headers.STORE_ERA)
-        known = self._eras.current
-        if text is None and not known:
-            text = "0"
-        if text is None:
-            raise errors.LogUnavailableError("store names no era")
         try:
-            era = schema.parse_int(text, 0, MAX_OFFSET)
-            self._eras.observe(era, "the store")
-        except ValueError as exc:
-            raise errors.LogUnavailableError(f"store: {exc}") from exc
-        if era < known:
-            raise errors.LogUnavailableError(
-                f"store names era {era}, though era {known} has begun"
+            return self._eras.observe_answer(
+                headers.get(_headers.STORE_ERA), "the store"
             )
-        return era
+        except positions.InvalidEraError as exc:
+            raise errors.LogUnavailableError(str(exc)) from exc
 
     def close(self) -> None:
         """Closes the connection, if one is open."""
--- a/src/turmericward/positions/_eras.py
+++ b/src/turmericward/positions/_eras.py
@@ -6,7 +6,7 @@
 import threading
 from collections.abc import Callable
 
-from turmericward import runtime, telemetry
+from turmericward import runtime, schema, telemetry
 
 # A larger rise is taken for an invalid value, as it would make all later eras
 # look outdated.
@@ -56,6 +56,30 @@
         """
         return self._since
 
+    def observe_answer(self, text: str | None, source: str) -> int:
+        """Takes the era that an answer names; returns it.
+
+        Args:
+            text: what the answer says, None if it names no era.
+            source: what sent it, for the log.
+
+        Raises:
+            InvalidEraError: it is malformed, missing though an era was named before,
+                or lower than the latest, as in an answer that was delayed.
+        """
+        if text is None and self._current:
+            raise InvalidEraError(f"{source} names no era")
+        try:
+            era = schema.parse_int(text or "0", 0, schema.MAX_INT)
+        except schema.SchemaError as exc:
+            raise InvalidEraError(f"{source}: {exc}") from exc
+        self.observe(era, source)
+        if era < self._current:
+            raise InvalidEraError(
+                f"{source} names era {era}, though era {self._current} has begun"
+            )
+        return era
+
     def observe(self, era: int, source: str) -> None:
         """Takes an era that the store or a peer named; older ones change nothing.
 
