--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -19,10 +19,11 @@
 
 HOST = "api.example"
 STOP_TIMEOUT_S = 15.0
+PREFIX = "Turmericward-Prompt-Prefix"
 PROMPT = {
     "Turmericward-Model-Id": "m",
     "Turmericward-Token-Count": "300,8",
-    "Turmericward-Prompt-Prefix": "aa:100,bb:200",
+    PREFIX: "aa:100,bb:200",
 }
 
 
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -1,18 +1,15 @@
 """Prompts that crash engines don't take one engine after the other."""
 
 import contextlib
-import http.client
-import itertools
 import os
 import random
-import threading
 import time
-from concurrent import futures
 
+import attrs
 from click import testing
 
 from standins import launch, platform_replica
-from tests import crashing_fleet, fixtures, platform_fixtures
+from tests import crashing_fleet, fixtures, platform_fixtures, repeated_calls
 from turmericward.programs import cli
 
 check = fixtures.check
@@ -180,57 +177,18 @@
     check.assertEqual({seed: names for seed, names in barred.items() if names}, {})
 
 
-def _fields(*segments: str) -> dict[str, str]:
-    prefix = ",".join(f"{segment}:100" for segment in segments)
-    return platform_fixtures.PROMPT | {"Turmericward-Prompt-Prefix": prefix}
-
-
-class _Clients:
-    """Calls of two kinds that a front gets at the same time."""
-
-    def __init__(self, platform) -> None:
-        self._platform = platform
-        self._stopped = threading.Event()
-        self._pool = futures.ThreadPoolExecutor()
-        self.sound: list[tuple[float, int]] = []
-
-    def __enter__(self) -> "_Clients":
-        self._running = [self._pool.submit(self._run, d) for d in (True, False)]
-        return self
-
-    def __exit__(self, *_) -> None:
-        self._stopped.set()
-        futures.wait(self._running)
-        self._pool.shutdown()
-
-    def _run(self, deadly: bool) -> None:
-        for number in itertools.count():
-            if self._stopped.wait(CALL_INTERVAL_S):
-                return
-            self._pool.submit(self._call, number, deadly)
-
-    def _call(self, number: int, deadly: bool) -> None:
-        # Identifiers of segments are hexadecimal.
-        own = f"{'d' if deadly else 'b'}{number:x}"
-        segments = ("aa", "dead", own) if deadly else ("aa", "cc", own)
-        sent_at = time.monotonic()
-        try:
-            status, _, _ = self._platform.call(
-                "POST", "/ask/x", own, _fields(*segments), b"q"
-            )
-        except (OSError, http.client.HTTPException):
-            status = 0
-        if not deadly:
-            self.sound.append((sent_at, status))
-
-
 def test_a_front_sent_prompts_with_a_deadly_segment_to_engine_after_engine():
     names = ("m1", "m2", "m3")
     with contextlib.ExitStack() as stack:
         platform = stack.enter_context(platform_fixtures.platform(names))
         crashing = platform_fixtures.CrashingReplicas(stack, platform, RESTART_S)
         crashing.arm(names, frozenset(("dead",)))
-        with _Clients(platform) as clients:
+        deadly = repeated_calls.Sending(
+            method="POST", path="/ask/x", body=b"q", segments=("aa", "dead")
+        )
+        sound = attrs.evolve(deadly, segments=("aa", "cc"))
+        sendings = (deadly, sound)
+        with repeated_calls.Clients(platform, sendings, CALL_INTERVAL_S) as clients:
             time.sleep(PLAY_S)
         ended_at = time.monotonic()
         counted = sorted(crashing.crashed_at)[: crashing_fleet.CRASHES_COUNTED]
@@ -243,8 +201,7 @@
             and received.at > settled_at
         ]
         check.assertLessEqual(len(late), crashing_fleet.MAX_LATE_ARRIVALS)
-        since = ended_at - STEADY_S
-        served = [status == 200 for sent_at, status in clients.sound if sent_at > since]
+        served = clients.served(sound, ended_at - STEADY_S)
         check.assertGreater(len(served), STEADY_S / CALL_INTERVAL_S / 2)
         check.assertGreater(sum(served) / len(served), 0.9)
         output = (
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,19 +1,15 @@
 """Requests that crash replicas don't take one replica after the other."""
 
 import contextlib
-import http.client
-import itertools
 import os
 import random
-import threading
 import time
-from concurrent import futures
 
 import attrs
 from click import testing
 
 from standins import platform_replica
-from tests import crashing_services, fixtures, platform_fixtures
+from tests import crashing_services, fixtures, platform_fixtures, repeated_calls
 from turmericward.programs import cli
 
 check = fixtures.check
@@ -199,61 +195,6 @@
     check.assertEqual({seed: found for seed, found in barred.items() if found}, {})
 
 
-@attrs.frozen(kw_only=True)
-class _Sending:
-    """A call that a client sends again and again; `{}` in its path is a number."""
-
-    method: str
-    path: str
-    caller: str = ""
-    body: bytes = b""
-
-
-class _Clients:
-    """Sends each of several calls at an interval; has the statuses by call."""
-
-    def __init__(self, platform, sendings: tuple[_Sending, ...]) -> None:
-        self._platform = platform
-        self._stopped = threading.Event()
-        self._pool = futures.ThreadPoolExecutor()
-        self._sendings = sendings
-        self.statuses: dict[_Sending, list[tuple[float, int]]] = {
-            sending: [] for sending in sendings
-        }
-
-    def __enter__(self) -> "_Clients":
-        self._running = [self._pool.submit(self._run, s) for s in self._sendings]
-        return self
-
-    def __exit__(self, *_) -> None:
-        self._stopped.set()
-        futures.wait(self._running)
-        self._pool.shutdown()
-
-    def _run(self, sending: _Sending) -> None:
-        for number in itertools.count():
-            if self._stopped.wait(CALL_INTERVAL_S):
-                return
-            self._pool.submit(self._call, sending, number)
-
-    def _call(self, sending: _Sending, number: int) -> None:
-        headers = {"Authorization": sending.caller} if sending.caller else {}
-        path = sending.path.format(number)
-        sent_at = time.monotonic()
-        try:
-            status, _, _ = self._platform.call(
-                sending.method, path, f"i{number}", headers, sending.body or None
-            )
-        except (OSError, http.client.HTTPException):
-            status = 0
-        self.statuses[sending].append((sent_at, status))
-
-    def served_share(self, sending: _Sending, since: float) -> float:
-        """Returns the share of the calls sent since a time that were answered."""
-        sent = [status for at, status in self.statuses[sending] if at > since]
-        return sum(status == 200 for status in sent) / len(sent)
-
-
 def test_a_front_sent_a_deadly_request_to_replica_after_replica():
     names = ("p1", "p2", "p3")
     for path, method, body in (
@@ -261,15 +202,16 @@
         ("/write/deadly", "POST", b"q"),
     ):
         content = platform_replica.Content(path=path, caller="x", body=body)
-        deadly = _Sending(method=method, path=path, caller="x", body=body)
+        deadly = repeated_calls.Sending(method=method, path=path, caller="x", body=body)
         other = attrs.evolve(deadly, caller="y")
-        common = _Sending(method="GET", path="/read/status")
-        unique = _Sending(method="GET", path="/read/own/{}")
+        common = repeated_calls.Sending(method="GET", path="/read/status")
+        unique = repeated_calls.Sending(method="GET", path="/read/own/{}")
         with contextlib.ExitStack() as stack:
             platform = stack.enter_context(platform_fixtures.platform(names))
             crashing = platform_fixtures.CrashingReplicas(stack, platform, RESTART_S)
             crashing.arm(names, contents=frozenset((content,)))
-            with _Clients(platform, (deadly, other, common, unique)) as clients:
+            sendings = (deadly, other, common, unique)
+            with repeated_calls.Clients(platform, sendings, CALL_INTERVAL_S) as clients:
                 time.sleep(PLAY_S)
             ended_at = time.monotonic()
             counted = sorted(crashing.crashed_at)[: crashing_services.CRASHES_COUNTED]
