--- a/src/turmericward/adapters/engine.py
+++ b/src/turmericward/adapters/engine.py
@@ -213,7 +213,9 @@
         conn = self._connect(deadline - runtime.now(), guard, watch)
         with _request.closing(conn):
             resp = self._send(conn, job, 0)
-            guard.wait_until(deadline)
+            # An answer is read whole here, while another attempt may be open.
+            if watch.rival is None or watch.rival.closed:
+                guard.wait_until(deadline)
             return self._read_response(conn, resp, deadline)
 
     def _connect(self, timeout_s: float, guard: _response.Guard, watch: Watch):
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -211,6 +211,23 @@
     check.assertEqual(paused.closed_after_s, [])
 
 
+def test_two_targets_worked_on_a_prompt_until_the_second_had_its_whole_answer():
+    head = b"HTTP/1.1 200 OK\r\n" + IDS + b"Content-Length: 2\r\n\r\n"
+    for name, (transport, _) in _transports().items():
+        with _Target((5.0,)) as hung, _Target((head, 0.8, b"ok")) as slow:
+            body = _run(
+                transport,
+                hung,
+                slow,
+                kind=delivery.CallKind.IDEMPOTENT,
+                deadline_s=2.4,
+                objective_s=0.1,
+            )
+        check.assertEqual(body, b"ok", name)
+        # The second attempt begins after 1.2 s.
+        check.assertLess(hung.closed_after_s[0], 1.6, name)
+
+
 def test_a_plain_answer_was_not_read_while_a_second_request_could_not_be_written():
     answer = b"HTTP/1.1 200 OK\r\n" + IDS + b"Content-Length: 2\r\n\r\nok"
     transport, _ = _transports()["platform"]
