--- a/src/turmericward/delivery/_calls.py
+++ b/src/turmericward/delivery/_calls.py
@@ -84,6 +84,11 @@
     tenant: str = ""
     caller: str = ""
 
+    @property
+    def first_answer_counts(self) -> bool:
+        """Whether two targets may run it until one of them answers."""
+        return self.prompt is None and self.route.kind is CallKind.IDEMPOTENT
+
     def remaining_s(self) -> float:
         """Returns the seconds until the deadline."""
         return self.deadline - runtime.now()
--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -188,7 +188,7 @@
     def _overlap_s(self, second: requests.Placement) -> float:
         """Returns how long the second attempt is waited for beside the first."""
         parts = self._parts
-        if not _first_answer_counts(parts.call):
+        if not parts.call.first_answer_counts:
             return MAX_OVERLAP_S
         return _timeouts.first_byte_timeout_s(
             parts.call,
@@ -206,7 +206,7 @@
             return self.on_late(pending_second)
         if self._parts.call.remaining_s() <= 0:
             raise TimeoutError("no bytes before the deadline")
-        if _first_answer_counts(self._parts.call):
+        if self._parts.call.first_answer_counts:
             return self._on_late_both(pending, second, pending_second)
         self._replace_first(pending, second)
         return self._first_byte_until(second)
@@ -279,11 +279,6 @@
         self._silent = self._last_refusal = ""
 
 
-def _first_answer_counts(call: _calls.Call) -> bool:
-    """Returns whether two attempts are kept until one of them answers."""
-    return call.prompt is None and call.route.kind is _calls.CallKind.IDEMPOTENT
-
-
 def _refusal_of(answer: _calls.Answer) -> errors.AdapterError:
     """Returns the error for an answer that can't replace the first attempt."""
     if answer.not_run:
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -229,6 +229,15 @@
         """Whether the call is likely to be answered without the target."""
         return self.silent is not None and self.silent.may_go_on
 
+    @property
+    def retries_kept(self) -> float:
+        """Retries that an optional attempt has to leave.
+
+        If the first attempt is ended before the second one has answered, the call may
+        need a third.
+        """
+        return 0.0 if self.call.first_answer_counts else 1.0
+
 
 @attrs.frozen(kw_only=True)
 class FirstOutput:
--- a/src/turmericward/delivery/_placing.py
+++ b/src/turmericward/delivery/_placing.py
@@ -57,7 +57,7 @@
         if refusal is not None:
             return result.Err(refusal)
         budget = self._budgets.for_service(message.service)
-        if message.is_optional and not budget.has_spare:
+        if message.is_optional and not budget.has_spare(message.retries_kept):
             return _refusal("retry_reserve", RETRY_BUDGET_RETRY_S)
         if message.retry and not budget.spend():
             return _refusal("retry_budget", RETRY_BUDGET_RETRY_S)
--- a/src/turmericward/entry/_router_task.py
+++ b/src/turmericward/entry/_router_task.py
@@ -100,12 +100,13 @@
         refusal = self._crashes.refusal(message)
         if refusal is not None:
             return result.Err(refusal)
-        if message.is_optional and not self._retry_budget.has_spare:
+        budget = self._retry_budget
+        if message.is_optional and not budget.has_spare(message.retries_kept):
             return _budget_refusal("retry_reserve")
-        if message.retry and not self._retry_budget.spend():
+        if message.retry and not budget.spend():
             return _budget_refusal("retry_budget")
         if message.first and not message.retry:
-            self._retry_budget.earn()
+            budget.earn()
         now = time.monotonic()
         view = self.view
         demand = message.call.prompt
--- a/src/turmericward/requests/_budget.py
+++ b/src/turmericward/requests/_budget.py
@@ -42,11 +42,14 @@
         """Number of retries that may be sent now."""
         return self._saved
 
-    @property
-    def has_spare(self) -> bool:
-        """Whether a retry is left for a call that may still be answered without it."""
+    def has_spare(self, kept: float) -> bool:
+        """Returns whether a call that may be answered without a retry may take one.
+
+        Args:
+            kept: retries that have to be left in any case.
+        """
         reserve = min(RESERVED_SHARE * self._max_saved, self._max_saved - 1.0)
-        return self._saved >= 1.0 and self._saved - 1.0 >= reserve
+        return self._saved - 1.0 >= max(kept, reserve)
 
     def spend(self) -> bool:
         """Takes one retry; returns False if none is left."""
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -187,6 +187,8 @@
     for name, changes in (
         ("max_attempts", {"attempts": 1}),
         ("retry budget", {"slack": 0.0}),
+        # If the second attempt is refused, a third one would be one too many.
+        ("one retry", {"slack": 1.2 * 16 / 0.7}),
         ("no other target", {"targets": _engines(1)}),
         ("not resumable", {"resumable": False}),
     ):
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -187,13 +187,22 @@
 
 
 def test_full_buckets_have_a_retry_to_spare_however_small_they_are():
-    # Number of retries to spare from a full bucket, by its size.
-    for max_saved, spare in ((0.9, 0), (1.0, 1), (1.5, 1), (4.0, 2), (10.0, 5)):
-        budget = requests.RetryBudget(max_saved=max_saved)
-        count = 0
-        while budget.has_spare and budget.spend():
-            count += 1
-        check.assertEqual(count, spare, max_saved)
+    # Number of retries to spare from a full bucket, by its size: in any case, and if
+    # one has to be left.
+    for max_saved, spare, above_one in (
+        (0.9, 0, 0),
+        (1.0, 1, 0),
+        (1.5, 1, 0),
+        (2.0, 1, 1),
+        (4.0, 2, 2),
+        (10.0, 5, 5),
+    ):
+        for kept, expected in ((0.0, spare), (1.0, above_one)):
+            budget = requests.RetryBudget(max_saved=max_saved)
+            count = 0
+            while budget.has_spare(kept) and budget.spend():
+                count += 1
+            check.assertEqual(count, expected, (max_saved, kept))
 
 
 def test_ejections_double_up_to_the_maximum():
