Tests: a loaded machine leaves a long request and many calls the time that they need

Long request: 0.8 s were left of its deadline to read 24 MB in the test's own process; shown on a quiet machine with a reader that takes 0.8 s longer (504). Calls sent again and again: 25 of 60 in 3 s, 30 wanted; twelve threads, two of them for the timing, sent them, so that answers of 0.4 s and more hold up the sending. Not shown by a run of its own. Now each call has a thread; what is checked is unchanged.

--- a/tests/repeated_calls.py
+++ b/tests/repeated_calls.py
@@ -36,6 +36,10 @@
         return headers | platform_fixtures.PROMPT | {platform_fixtures.PREFIX: prefix}
 
 
+# More calls than wait for an answer at a time, so that a late one delays no other.
+MAX_OPEN_CALLS = 200
+
+
 class Clients:
     """Sends each of several calls at an interval; has the statuses by call."""
 
@@ -45,7 +49,7 @@
         self._platform = platform
         self._interval_s = interval_s
         self._stopped = threading.Event()
-        self._pool = futures.ThreadPoolExecutor()
+        self._pool = futures.ThreadPoolExecutor(MAX_OPEN_CALLS)
         self._ids = itertools.count()
         self.statuses: dict[Sending, list[tuple[float, int]]] = {
             sending: [] for sending in sendings
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -303,10 +303,11 @@
 
 
 def test_a_target_that_paused_in_a_long_request_lost_the_call():
-    body = b"x" * 24_000_000
+    body = bytes(LONG_BODY_BYTES)
     answer = b"HTTP/1.1 200 OK\r\n" + IDS + b"Content-Length: 2\r\n\r\nok"
     for name, (transport, _) in _transports().items():
-        script = (1.2, len(body), answer)
+        # The wait for the first byte ends after half of the call's time.
+        script = (1.7, len(body), answer)
         with _LateReader(script) as paused, _Target((3.0,)) as silent:
             received = _run(
                 transport,
@@ -315,6 +316,6 @@
                 body=body,
                 kind=delivery.CallKind.IDEMPOTENT,
                 objective_s=0.1,
-                deadline_s=2.0,
+                deadline_s=3.0,
             )
         check.assertEqual(received, b"ok", name)
