Ports of tests and stand-ins are reserved by process and checked for datagrams too

Cause: free_ports looked for ports that can be bound by a stream socket only, and let go of them before the process that was to use them had started. Another worker's fronts hold datagram ports of the same range, and two processes may draw one port within the same moment.

Ruled out: the ports that the system gives to connections (32768 and above; the range given out ends below); a front of the same test that was still stopping (its ports are drawn anew for each test).

Change: standins.loopback reserves blocks of 100 ports by process, as long as it lives, gives each port out once, and checks both kinds of socket.

--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -14,7 +14,7 @@
 import attrs
 
 from soak import _evidence
-from standins import _http, launch, link, platform_replica, platform_store
+from standins import _http, launch, link, loopback, platform_replica, platform_store
 
 HOST = "api.example"
 START_TIMEOUT_S = 120.0
@@ -157,11 +157,11 @@
     def _start(self) -> None:
         self.store = platform_store.Store()
         self.store.page_size = STORE_PAGE
-        (port,) = launch.free_ports(1)
+        (port,) = loopback.free_ports(1)
         self._store_address = f"127.0.0.1:{port}"
         self._serve(_evidence.STORE, self._store_address, self.store)
         for name in REPLICAS:
-            address, announced = (f"127.0.0.1:{p}" for p in launch.free_ports(2))
+            address, announced = (f"127.0.0.1:{p}" for p in loopback.free_ports(2))
             replica = self.replicas[name] = platform_replica.Replica(name)
             replica.stage = REPLICAS[name][1]
             replica.stage_changed = functools.partial(self._change_stage, name)
@@ -198,12 +198,12 @@
         ).start()
 
     def _front_list(self) -> list[Front]:
-        (peer_port,) = launch.free_ports(1)
+        (peer_port,) = loopback.free_ports(1)
         fronts = []
         for number in range(self.count):
             name = f"front-{number}"
             host = f"127.0.0.{FIRST_FRONT_HOST + number}"
-            ports = launch.free_ports(4, host)
+            ports = loopback.free_ports(4, host)
             store = self._store_address
             if number < MAX_STORE_LINKS:
                 store = f"{host}:{ports[3]}"
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -5,9 +5,7 @@
 import http.client
 import json
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -15,12 +13,13 @@
 
 import attrs
 
+from standins import loopback
+
 OPERATOR_KEY = "operator-key"
 TENANT_KEY = "tenant-key"
 STEWARD_PORT = 7100
 LOG = "127.0.0.1"
 START_TIMEOUT_S = 20.0
-LISTEN_PORTS = (10_000, 32_000)
 STOP_TIMEOUT_S = 15.0
 
 
@@ -29,23 +28,6 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
-    """Returns ports that are currently free.
-
-    They are below those that the system gives to clients' connections, and random, so
-    that processes that ask at the same time rarely get the same ones.
-    """
-    with contextlib.ExitStack() as stack:
-        ports: list[int] = []
-        while len(ports) < count:
-            port = random.randint(*LISTEN_PORTS)
-            sock = stack.enter_context(socket.socket())
-            with contextlib.suppress(OSError):
-                sock.bind((host, port))
-                ports.append(port)
-        return ports
-
-
 def request(address: str, method: str, path: str, body=None, headers=None, wait=10.0):
     """Sends one JSON request; returns the status, the headers and the body."""
     host, _, port = address.rpartition(":")
@@ -153,7 +135,7 @@
         return (pathlib.Path(self._dir.name) / f"{name}.log").read_text()
 
     def _start_platform(self) -> None:
-        log, rows = free_ports(2)
+        log, rows = loopback.free_ports(2)
         self.log = f"127.0.0.1:{log}"
         self.instance_list = f"127.0.0.1:{rows}"
         self.start("log", ["standins.log", "--listen", self.log])
@@ -164,7 +146,7 @@
         )
 
     def _start_targets(self) -> None:
-        ports = free_ports(2 * len(self.domains))
+        ports = loopback.free_ports(2 * len(self.domains))
         for n, domain in enumerate(self.domains):
             engine, service = f"engine-{domain}", f"alarm-{domain}"
             self.engines[engine] = f"127.0.0.1:{ports[2 * n]}"
@@ -177,12 +159,12 @@
 
     def _write_settings(self) -> None:
         names = [(d, n) for d in self.domains for n in range(self.per_domain)]
-        steward_port = free_ports(1)[0]
+        steward_port = loopback.free_ports(1)[0]
         hosts = {f"{d}{n}": f"127.0.0.{11 + i}" for i, (d, n) in enumerate(names)}
         seeds = [f"{host}:{steward_port}" for host in hosts.values()]
         for domain, number in names:
             name = f"{domain}{number}"
-            ports = free_ports(self.entries)
+            ports = loopback.free_ports(self.entries)
             host = hosts[name]
             value = self._settings(name, domain, host, ports, steward_port, seeds)
             value["log"] |= {"address": self._link(f"link-{name}", self.log)}
@@ -193,7 +175,7 @@
             )
 
     def _link(self, name: str, target: str) -> str:
-        listen, control = (f"127.0.0.1:{port}" for port in free_ports(2))
+        listen, control = (f"127.0.0.1:{port}" for port in loopback.free_ports(2))
         self.links[name] = control
         arguments = ["--listen", listen, "--control", control, "--target", target]
         self.start(name, ["standins.link", *arguments])
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from standins import _http, launch, platform_replica, platform_store
+from standins import _http, launch, loopback, platform_replica, platform_store
 
 HOST = "api.example"
 STOP_TIMEOUT_S = 15.0
@@ -164,7 +164,7 @@
 
 
 def _start_server(stack, app) -> str:
-    (port,) = launch.free_ports(1)
+    (port,) = loopback.free_ports(1)
     address = f"127.0.0.1:{port}"
     _serve(stack, address, app)
     return address
@@ -260,10 +260,10 @@
         replicas = {name: platform_replica.Replica(name) for name in names}
         addresses, servers = {}, {}
         for name, replica in replicas.items():
-            (port,) = launch.free_ports(1)
+            (port,) = loopback.free_ports(1)
             addresses[name] = f"127.0.0.1:{port}"
             servers[name] = _serve(stack, addresses[name], replica)
-        front, ready, *ports = launch.free_ports(4)
+        front, ready, *ports = loopback.free_ports(4)
         deployment = Platform(
             store=store,
             replicas=replicas,
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-from standins import _http, engine, instances, launch, log
+from standins import _http, engine, instances, launch, log, loopback
 from tests import fixtures
 from turmericward import authority, runtime, schema
 from turmericward.adapters import _response, errors, service
@@ -20,7 +20,7 @@
 @contextlib.contextmanager
 def serve_app(app):
     """Serves a stand-in on a background thread; yields its address."""
-    address = f"127.0.0.1:{launch.free_ports(1)[0]}"
+    address = f"127.0.0.1:{loopback.free_ports(1)[0]}"
     server = _http.Server(address, app)
     thread = threading.Thread(target=server.serve_forever, args=(0.01,))
     thread.start()
@@ -187,7 +187,7 @@
     for name, answer, expected in cases:
         with raw_server(answer) as address, check.assertRaises(expected, msg=name):
             service.call(address, req, "mine", 1.0)
-    unused_address = f"127.0.0.1:{launch.free_ports(1)[0]}"
+    unused_address = f"127.0.0.1:{loopback.free_ports(1)[0]}"
     with check.assertRaises(errors.NotSentError):
         service.call(unused_address, req, "mine", 1.0)
     invalid = service.Request(method="POST", path="/x", headers=(("A", "b\r\nc"),))
--- a/tests/test_front_status.py
+++ b/tests/test_front_status.py
@@ -2,6 +2,7 @@
 
 from click import testing
 
+from standins import loopback
 from tests import fixtures, platform_fixtures
 from turmericward.programs import cli
 
@@ -30,7 +31,7 @@
 
 
 def test_an_unreachable_front_is_reported_as_an_error():
-    (port,) = platform_fixtures.launch.free_ports(1)
+    (port,) = loopback.free_ports(1)
     result = _front_status(f"127.0.0.1:{port}")
     check.assertNotEqual(result.exit_code, 0)
     check.assertIn("refused", result.output)
--- a/tests/test_httpd_stop.py
+++ b/tests/test_httpd_stop.py
@@ -9,7 +9,7 @@
 import threading
 import time
 
-from standins import launch
+from standins import loopback
 from tests import fixtures, httpd_fixtures
 from turmericward import runtime
 from turmericward.httpd import _shutdown
@@ -231,7 +231,7 @@
 
 
 def test_probe_is_served_until_the_stop_is_over():
-    (port,) = launch.free_ports(1)
+    (port,) = loopback.free_ports(1)
     address = ("127.0.0.1", port)
     probe = (httpd_fixtures.App(), address)
     with (
--- a/tests/test_odd_entries_in_fleet.py
+++ b/tests/test_odd_entries_in_fleet.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from standins import launch
+from standins import launch, loopback
 from tests import fixtures, odd_values, platform_fixtures
 
 check = fixtures.check
@@ -48,7 +48,7 @@
 def _second_front(platform):
     """Runs another front of the same domain on the same store."""
     value = json.loads(platform.settings.read_text())
-    front, ready, metrics = launch.free_ports(3)
+    front, ready, metrics = loopback.free_ports(3)
     value["instance"] |= {"name": "front-2", "address": SECOND_HOST}
     value["listen"] |= {
         "front": f"127.0.0.1:{front}",
