Soak: a 502 after a prefill is excused by the decode engines' links, and by no other service's

Trace on: the line-up cuts the link of engine s3 (mode refuse) 2.40 s after the warm-up, for 0.64 s. The call's prefill at s1 ended, it was placed at s3, the link took the connection and closed it: ConnectionResetError 3 ms later, 0.2 s after another front had lost a stream at s3 by the same cut. The route may run once and the request had been written, so "may have run" and 502 are the only true answer; has_ended rightly said that the engine lives. The product is as it should be.

The check was wrong: it looked for trouble at the replicas that the call had reached. The call never arrived at s3 (that is what the cut means), so only the prefill engine counted.

Change: a call that ran nowhere (a prefill is no run) is excused by trouble of a replica of its own service. Before, a call that had reached nothing was excused by trouble of any replica at all; that is narrower now. A call that ran is judged as before.

Ruled out: a later record of the engine's incarnation or role (none in that second), the front's retry budget (the route has one attempt).

Test: test_a_reset_by_a_link_after_a_prefill_was_found_as_the_failure_of_a_calm_call failed before (found for s3; and not found for another service's trouble).

--- a/soak/_call_promises.py
+++ b/soak/_call_promises.py
@@ -47,11 +47,15 @@
 def calm_calls_do_not_fail(evidence) -> _findings.Result:
     """No call at a calm front and replica fails, unless a stop has to end it."""
     reached, work_ended = evidence.arrivals(), evidence.work_ended()
+    runs = evidence.runs()
 
     def find(sent):
         outcome = sent.outcome
-        # Nothing tells which replica's connection broke before the call arrived there.
-        replicas = reached.get(outcome.call.id) or set(evidence.replicas)
+        replicas = reached.get(outcome.call.id, set())
+        if outcome.call.id not in runs:
+            # Nothing tells which replica's connection broke before the call, or its
+            # part after a prefill, arrived there.
+            replicas = replicas | _fleet.replicas_of(outcome.call.route)
         # The stand-ins answer late if the soak does.
         excuses = {sent.front, _evidence.SOAK} | replicas
         if evidence.disrupted(excuses, outcome.sent_at, outcome.ended_at):
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -62,6 +62,13 @@
     return f"d{int(name[1:]) % REPLICA_DOMAINS}"
 
 
+def replicas_of(route: str) -> set[str]:
+    """Returns the replicas of a route's service."""
+    services = {name: service for name, _, service, _ in ROUTES}
+    service = services.get(route, PLAIN)
+    return {name for name, (of, _) in REPLICAS.items() if of == service}
+
+
 def _route(name: str, kind: str, service: str, *, resumable=False) -> dict:
     return {
         "name": name,
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -112,6 +112,25 @@
         check.assertEqual(bool(_broken(evidence)), broken, subject)
 
 
+def _is_unexplained(*reached: str, trouble: str, route="split") -> bool:
+    """Returns whether a 502 is found beside trouble of a replica."""
+    evidence = _evidence_with(_sent(route=route, status=502, body=b""))
+    for name in reached:
+        prefill = {"Turmericward-Serving-Stage": "prefill"} if name == "s1" else None
+        _run_at(evidence, name, headers=prefill)
+    evidence.disrupt("cut_replica", trouble, STOP_AT).ended = STOP_AT + 0.5
+    return "calm_calls_do_not_fail" in _broken(evidence)
+
+
+def test_a_reset_by_a_link_after_a_prefill_was_found_as_the_failure_of_a_calm_call():
+    check.assertFalse(_is_unexplained("s1", trouble="s3"))
+    check.assertTrue(_is_unexplained("s1", trouble="m1"))
+    check.assertTrue(_is_unexplained("s1", "s4", trouble="s3"))
+    check.assertFalse(_is_unexplained(trouble="p1", route="job"))
+    check.assertTrue(_is_unexplained(trouble="s3", route="job"))
+    check.assertTrue(_is_unexplained("p2", trouble="p1", route="job"))
+
+
 def test_second_runs_are_found_and_prefills_are_none():
     evidence = _evidence_with(_sent())
     _run_at(evidence, "s1", headers={"Turmericward-Serving-Stage": "prefill"})
