--- a/src/turmericward/delivery/_placements.py
+++ b/src/turmericward/delivery/_placements.py
@@ -16,8 +16,8 @@
 # How often a call that waits for its turn at a target checks for its client.
 DISCONNECT_POLL_S = 0.1
 # If no target accepts or refuses a connection, all are tried again after this time, as
-# long as this share of the call's time is left, but not for longer than targets are
-# silent that are sound: a call that waits occupies a thread.
+# long as this share of the call's time is left if it can still be refused, but not for
+# longer than targets are silent that are sound: a call that waits occupies a thread.
 CONNECT_AGAIN_S = 0.1
 CONNECT_SHARE = 0.5
 MAX_CONNECT_S = 2.0
@@ -119,11 +119,15 @@
         arrivals = self._parts.progress.arrivals
         if self._try_until is None or arrivals > self._arrivals:
             self._arrivals = arrivals
-            call = self._parts.call
-            latest = call.deadline - CONNECT_SHARE * call.deadline_s
-            self._try_until = min(latest, runtime.now() + MAX_CONNECT_S)
+            self._try_until = min(self._latest_try(), runtime.now() + MAX_CONNECT_S)
         return self._try_until
 
+    def _latest_try(self) -> float:
+        call = self._parts.call
+        if self._parts.progress.possible_runs:
+            return call.deadline
+        return call.deadline - CONNECT_SHARE * (call.deadline - call.received)
+
     def _await_start(self, start: float) -> None:
         """Waits until the target's rate limit allows the call."""
         began_at = runtime.now()
--- /dev/null
+++ b/tests/test_late_outcomes.py
@@ -0,0 +1,38 @@
+"""What a second attempt beside a silent target leaves for the rest of its call."""
+
+from unittest import mock
+
+import attrs
+
+from tests import fixtures, test_delivery, test_dispatch, test_late_attempts
+from turmericward import requests
+from turmericward.adapters import errors
+
+check = fixtures.check
+Ending = requests.Ending
+WHOLE = test_late_attempts.WHOLE
+LOST = test_delivery.FAULTS["closed"]
+_Attempt = test_late_attempts._Attempt
+_run_plain = test_late_attempts._run_plain
+_run_stream = test_late_attempts._run_stream
+_stream = test_late_attempts._stream
+
+
+def test_silent_connects_were_not_tried_again_with_a_deadline_beyond_the_routes():
+    timeout = errors.ConnectTimeoutError("timed out")
+    attempts = [*(_Attempt(timeout) for _ in range(5)), _Attempt("head", body=b"x")]
+    call = test_dispatch._call(3.0)
+    client_waits_longer = attrs.evolve(call, deadline_s=10.0)
+    with mock.patch.object(test_dispatch, "_call", lambda _: client_waits_longer):
+        body, sent, _ = _run_plain(*attempts)
+    check.assertEqual((body, sent), (b"x", 6))
+
+
+def test_a_stream_was_cut_late_in_its_time_for_a_silent_connect():
+    call = test_dispatch._call(8.0)
+    half_over = attrs.evolve(call, received=call.received - 12.0, deadline_s=20.0)
+    attempts = [_Attempt(errors.ConnectTimeoutError("timed out")), _stream(3, 4)]
+    plain = {"prompt": None, "targets": test_late_attempts._plain_targets(2)}
+    with mock.patch.object(test_dispatch, "_call", lambda _: half_over):
+        outcome = _run_stream(_stream(1, 2, LOST), *attempts, **plain)
+    check.assertEqual(outcome[:2], (WHOLE, 3))
