--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -34,11 +34,12 @@
 class LateAttempts:
     """Second attempts of one call; `on_late` is called while the first one waits.
 
-    At most two are open at a time. Of a stream or a prompt, the first is ended as soon
-    as the second has the head of a usable answer, or has worked for `MAX_OVERLAP_S`.
-    Of a plain call, the first answer counts; if neither comes, the first attempt is
-    ended when a third one is allowed. As long as the first attempt is open, a
-    failure of the second is none of the call.
+    At most two are open at a time. The first is ended as soon as the second has the
+    head of a usable answer; that of a stream or a prompt also when the second has
+    worked for `MAX_OVERLAP_S`, if the retry budget allows a third. Otherwise the first
+    answer counts; if neither comes, the first attempt is ended when a third one is
+    allowed. As long as the first attempt is open, a failure of the second is none of
+    the call.
     """
 
     def __init__(
@@ -91,7 +92,12 @@
         second = self._ask(first)
         if second is None:
             return self._ask_again_at()
-        if first.prefill_only or second.prefill_only:
+        return self._go_on_with(pending, second)
+
+    def _go_on_with(
+        self, pending: _pending.PendingConnection, second: requests.Placement
+    ) -> float:
+        if self._parts.open.current.prefill_only or second.prefill_only:
             # A second prefill beside the first would hold KV cache at two targets.
             self._end_first(pending)
             raise _superseded.SupersededError(granted=second)
@@ -188,7 +194,7 @@
     def _overlap_s(self, second: requests.Placement) -> float:
         """Returns how long the second attempt is waited for beside the first."""
         parts = self._parts
-        if not parts.call.first_answer_counts:
+        if not self._keeps_both(second):
             return MAX_OVERLAP_S
         return _timeouts.first_byte_timeout_s(
             parts.call,
@@ -196,6 +202,10 @@
             may_repeat=parts.early_end.may_repeat(parts.call, running=2),
         )
 
+    def _keeps_both(self, second: requests.Placement) -> bool:
+        """Returns whether the first goes on until the second answers."""
+        return self._parts.call.first_answer_counts or second.last_retry
+
     def _on_late_second(
         self,
         pending: _pending.PendingConnection,
@@ -206,7 +216,7 @@
             return self.on_late(pending_second)
         if self._parts.call.remaining_s() <= 0:
             raise TimeoutError("no bytes before the deadline")
-        if self._parts.call.first_answer_counts:
+        if self._keeps_both(second.placement):
             return self._on_late_both(pending, second, pending_second)
         self._replace_first(pending, second)
         return self._first_byte_until(second)
@@ -226,7 +236,7 @@
             return self._ask_again_at()
         self._replace_first(pending, second)
         self._silent = parts.open.current.target.name
-        return self._race(pending_second, third)
+        return self._go_on_with(pending_second, third)
 
     def _first_byte_until(self, second: _open_placement.OpenPlacement) -> float:
         parts = self._parts
@@ -246,7 +256,7 @@
         if not pending.closed:
             if not self._is_usable(answer):
                 answer.close()
-                self._ends.second(second, _refusal_of(answer))
+                self._ends.second(second, _superseded.refusal_of(answer))
                 return
             self._replace_first(pending, second)
         raise _superseded.SupersededError(answer=answer)
@@ -277,14 +287,3 @@
         parts.open.end(requests.Ending.LATE, connection_lost=pending.lost)
         parts.progress.record_superseded(first.target.name, ran=not first.prefill_only)
         self._silent = self._last_refusal = ""
-
-
-def _refusal_of(answer: _calls.Answer) -> errors.AdapterError:
-    """Returns the error for an answer that can't replace the first attempt."""
-    if answer.not_run:
-        return errors.NotExecutedError(f"status {answer.status}")
-    if not answer.genuine:
-        return errors.ForeignAnswerError(
-            f"status {answer.status} was not sent by the target"
-        )
-    return errors.AnswerLostError(f"status {answer.status}")
--- a/src/turmericward/delivery/_placing.py
+++ b/src/turmericward/delivery/_placing.py
@@ -64,11 +64,13 @@
         if message.first and not message.retry and not message.prefilled:
             budget.earn()
         chosen = self._choose(message, now)
-        if message.retry and chosen.is_ok():
-            self._retries[chosen.unwrap().id] = message.service
-        elif message.retry:
+        if message.retry and chosen.is_err():
             budget.refund()
-        return chosen
+        if not message.retry or chosen.is_err():
+            return chosen
+        self._retries[chosen.unwrap().id] = message.service
+        last = not budget.has_retry
+        return chosen.map(lambda granted: attrs.evolve(granted, last_retry=last))
 
     def ended(self, placement: requests.Placement, ending: requests.Ending) -> None:
         """Gives back the retry of a placement whose target wasn't reached."""
--- a/src/turmericward/requests/_budget.py
+++ b/src/turmericward/requests/_budget.py
@@ -51,9 +51,14 @@
         reserve = min(RESERVED_SHARE * self._max_saved, self._max_saved - 1.0)
         return self._saved - 1.0 >= max(kept, reserve)
 
+    @property
+    def has_retry(self) -> bool:
+        """Whether a whole retry is left."""
+        return self._saved >= 1.0
+
     def spend(self) -> bool:
         """Takes one retry; returns False if none is left."""
-        if self._saved < 1.0:
+        if not self.has_retry:
             return False
         self._saved -= 1.0
         return True
--- a/src/turmericward/requests/_in_flight.py
+++ b/src/turmericward/requests/_in_flight.py
@@ -74,7 +74,8 @@
     expected cost of failures of the target. The call was sent at `placed_at`
     (monotonic seconds), or is to be sent `start_after_s` later since the target limits
     its rate. `deferred` calls queue behind those that can still meet their
-    soft deadline. With `prefill_only` another target decodes.
+    soft deadline. With `prefill_only` another target decodes. A `last_retry` leaves no
+    whole one in the retry budget.
     """
 
     id: int
@@ -89,6 +90,7 @@
     start_after_s: float = 0.0
     deferred: bool = False
     prefill_only: bool = False
+    last_retry: bool = False
 
     def is_overdue(self, now: float) -> bool:
         """Returns whether its first output is so late that the call counts as lost."""
--- a/tests/test_late_outcomes.py
+++ b/tests/test_late_outcomes.py
@@ -7,6 +7,7 @@
 from tests import fixtures, test_delivery, test_dispatch, test_late_attempts
 from turmericward import requests
 from turmericward.adapters import errors
+from turmericward.delivery import _messages
 
 check = fixtures.check
 Ending = requests.Ending
@@ -18,6 +19,20 @@
 _stream = test_late_attempts._stream
 
 
+def _seconds_that_fail_late() -> list[_Attempt]:
+    refused = _Attempt("late", "head", kind="refused")
+    return [refused, _Attempt("late", test_delivery.FAULTS["lost"])]
+
+
+def test_a_stream_lost_its_sound_target_to_the_last_retry_of_the_budget():
+    one_retry = 1.2 * 16 / 0.7
+    with mock.patch.object(_messages, "SOUND_SILENCE_S", 0.0):
+        for second in _seconds_that_fail_late():
+            first = _stream(1, 2, "late", 3, 4)
+            outcome = _run_stream(first, second, slack=one_retry)
+            check.assertEqual(outcome[:2], (WHOLE, 2))
+
+
 def test_silent_connects_were_not_tried_again_with_a_deadline_beyond_the_routes():
     timeout = errors.ConnectTimeoutError("timed out")
     attempts = [*(_Attempt(timeout) for _ in range(5)), _Attempt("head", body=b"x")]
