A request that was answered before is barred too when it begins to crash targets

Callers saw: a request that replicas had answered until other software or data made it crash them went on taking replicas: 6 to 16 ended by one request. Cause: a crash within 2 s after an answer didn't count against a request. The first replicas that it ends are within that time, so that the count began after their return. The rule was meant for segments, which many prompts share; a whole request has the answer itself to clear it. Ruled out: the exchange (all fronts knew the same crashes). Change: crashes count from the answer on for requests (rules of the kind), and four that nothing else explains are certain (five for segments). With that, sound prompts that come again were barred as requests before their common segment was; so a bar that a broader one explains ends at once, not after 60 s.

--- a/src/turmericward/requests/_evidence.py
+++ b/src/turmericward/requests/_evidence.py
@@ -20,13 +20,17 @@
     """When a key of a kind is barred, and when that ends.
 
     A key without any known answer is barred after `crashes_unanswered` targets have
-    crashed, even if other barred keys were there too. An answer lifts a bar if there
-    are more than `chance_answers` lately, as one front sees them; `max_answered`
-    bounds the keys whose answers a front remembers. Each crash above those that bar a
-    key makes its bar `bar_growth` times as long, up to `max_bar_s`.
+    crashed, even if other barred keys were there too, any key after
+    `crashes_certain` that no other explains. A crash up to `recent_answer_s` after an
+    answer doesn't count against a key. An answer lifts a bar if there are more than
+    `chance_answers` lately, as one front sees them; `max_answered` bounds the keys
+    whose answers a front remembers. Each crash above those that bar a key makes its
+    bar `bar_growth` times as long, up to `max_bar_s`.
     """
 
     crashes_unanswered: float
+    crashes_certain: int
+    recent_answer_s: float
     chance_answers: float
     max_answered: int
     bar_growth: int
@@ -38,6 +42,8 @@
     # does harm.
     EvidenceKind.SEGMENT: Rules(
         crashes_unanswered=math.inf,
+        crashes_certain=5,
+        recent_answer_s=2.0,
         chance_answers=1.5,
         max_answered=3_000,
         bar_growth=2,
@@ -47,6 +53,9 @@
     # caller, who loses little by a bar; each trial ends another target.
     EvidenceKind.REQUEST: Rules(
         crashes_unanswered=3,
+        crashes_certain=4,
+        # What was answered before may crash other software, or on other data.
+        recent_answer_s=0.0,
         chance_answers=0.0,
         max_answered=1_000,
         bar_growth=8,
--- a/src/turmericward/requests/_quarantine.py
+++ b/src/turmericward/requests/_quarantine.py
@@ -104,7 +104,7 @@
         """
         self._note_crash(incarnation, now)
         for key in keys:
-            if now > self._answered_at(key) + _suspects.RECENT_ANSWER_S:
+            if now > self._answered_at(key) + self._rules.recent_answer_s:
                 self._add_crash(key, incarnation, now, now)
         self._update_bars()
 
@@ -161,7 +161,10 @@
     ) -> None:
         suspect = self._suspects.get(key)
         if suspect is None:
-            suspect = _suspects.Suspect(answered_at=self._answered_at(key))
+            suspect = _suspects.Suspect(
+                recent_answer_s=self._rules.recent_answer_s,
+                answered_at=self._answered_at(key),
+            )
             self._suspects[key] = suspect
             self._evict()
         if not suspect.add_crash(incarnation, at, now):
@@ -201,7 +204,13 @@
     # Bars.
 
     def _update_bars(self) -> None:
-        """Bars the key that explains most crashes, as long as there is one."""
+        """Bars the key that explains most crashes, as long as there is one.
+
+        Those that were barred before a broader one was known to explain it are free.
+        """
+        for key in self._verdicts.excused():
+            self._suspects[key].bar = None
+            self._note(key, KeyState.SUSPECT)
         while (worst := self._verdicts.worst()) is not None:
             self._bar(worst, self._suspects[worst])
 
--- a/src/turmericward/requests/_suspects.py
+++ b/src/turmericward/requests/_suspects.py
@@ -7,8 +7,6 @@
 
 from turmericward.requests import _evidence
 
-# A crash so soon after an answer to the same key doesn't count against it.
-RECENT_ANSWER_S = 2.0
 # Time constant with which answers are forgotten that are weighed against crashes.
 ANSWER_DECAY_S = 10.0
 # How long crashes count if the key is neither answered nor barred.
@@ -91,8 +89,12 @@
 
 @attrs.define
 class Suspect:
-    """A key under which targets crashed; times are monotonic seconds."""
+    """A key under which targets crashed; times are monotonic seconds.
 
+    A crash so soon after an answer doesn't count, `recent_answer_s`.
+    """
+
+    recent_answer_s: float
     crashes: dict[Incarnation, float] = attrs.field(factory=dict)
     answered_at: float = -math.inf
     # When the evidence changed last.
@@ -102,7 +104,7 @@
     def add_crash(self, incarnation: Incarnation, at: float, now: float) -> bool:
         """Adds a crash unless an answer speaks against it; returns if it is new."""
         known_at = self.crashes.get(incarnation)
-        if at <= self.answered_at + RECENT_ANSWER_S:
+        if at <= self.answered_at + self.recent_answer_s:
             return False
         if known_at is not None:
             # The earliest estimate is the one that was delayed least.
@@ -120,7 +122,7 @@
         refuted = [
             incarnation
             for incarnation, crashed_at in self.crashes.items()
-            if crashed_at <= self.answered_at + RECENT_ANSWER_S
+            if crashed_at <= self.answered_at + self.recent_answer_s
         ]
         for incarnation in refuted:
             del self.crashes[incarnation]
--- a/src/turmericward/requests/_verdicts.py
+++ b/src/turmericward/requests/_verdicts.py
@@ -16,8 +16,6 @@
 MIN_SHARE_TO_BAR = 0.5
 # Crashes closer to each other are of one moment.
 MOMENT_S = 0.05
-# Crashes of different targets after which a key is barred in any case.
-CERTAIN_CRASHES = 5
 
 
 class Verdicts:
@@ -49,6 +47,18 @@
         ]
         return max(bad, key=self._badness, default=None)
 
+    def excused(self) -> list[int]:
+        """Returns the barred keys that a broader one leaves too few crashes."""
+        explained = self._explained_by_broader()
+        if not explained:
+            return []
+        return [
+            key
+            for key, suspect in self.suspects.items()
+            if suspect.bar is not None
+            and len(suspect.crashes.keys() - explained) < MOMENTS_TO_BAR
+        ]
+
     def is_bad(self, key: int) -> bool:
         """Returns whether a key is to be barred."""
         suspect = self.suspects[key]
@@ -56,7 +66,7 @@
             return True
         known = suspect.crashes
         crashes = self._unexplained(suspect, known)
-        if len(crashes) >= CERTAIN_CRASHES:
+        if len(crashes) >= self._rules.crashes_certain:
             return True
         moments = _count_moments(known[i] for i in crashes)
         if moments < MOMENTS_TO_BAR:
--- a/tests/crashing_services.py
+++ b/tests/crashing_services.py
@@ -64,6 +64,7 @@
         deadly: list[Request],
         *,
         listens_again: bool = False,
+        answered_until: float = 0.0,
         **options,
     ) -> None:
         """Creates the fleet in three domains; further options as of the base class.
@@ -75,10 +76,12 @@
             deadly: requests that crash them.
             listens_again: whether something listens at a crashed replica's address
                 when fronts look.
+            answered_until: until when the replicas answer what crashes them later.
             options: options of the base class.
         """
         super().__init__(fronts_each, servers, sound, deadly, **options)
         self._listens_again = listens_again
+        self._answered_until = answered_until
         self._paths = itertools.count()
         self.crashes: dict[Request, list[float]] = collections.defaultdict(list)
         self.arrivals: dict[Request, list[float]] = collections.defaultdict(list)
@@ -135,7 +138,7 @@
         if visit not in engine.open:
             return
         front, call, placement = engine.open[visit]
-        if call.deadly and not self._mended:
+        if call.deadly and not self._mended and self.now >= self._answered_until:
             self.crashes[call.request].append(self.now)
             self.crash(engine.target.name)
             return
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -91,6 +91,16 @@
         _check_bounds(world, restart_s)
 
 
+def test_a_request_that_was_answered_before_crashed_one_replica_after_the_other():
+    for requests_each, restart_s in ((1, 1.0), (1, 5.0), (3, 5.0)):
+        deadly = [Request(f"/deadly{n}", caller="x") for n in range(requests_each)]
+        for seed in (1, 2, 3):
+            options = {"restart_s": restart_s, "deadly_per_s": 4.0, "seed": seed}
+            world = _play(2, deadly=deadly, answered_until=10.0, **options)
+            _check_bounds(world, (requests_each, options))
+            check.assertNotIn(COMMON, world.false_alarms, (requests_each, options))
+
+
 def test_fronts_that_start_later_learn_which_requests_crash_replicas():
     for restarted in (("a000",), ("a000", "a001"), ("a900",)):
         with _world(2) as world:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -257,6 +257,28 @@
     check.assertEqual(_refused(quarantine, [1], 6.1), "")
 
 
+def test_crashes_right_after_an_answer_did_not_count_against_a_request():
+    quarantine = _requests()
+    quarantine.record_answer([1], 4.9)
+    for number in range(3):
+        quarantine.record_crash([1], _engine(number), 5.0 + number / 10)
+    check.assertEqual(_refused(quarantine, [1], 5.3), "quarantined")
+
+
+def test_a_request_stayed_barred_when_a_segment_explained_its_crashes():
+    segments = requests.Quarantine()
+    quarantine = _requests(broader=segments)
+    for number in range(3):
+        quarantine.record_crash([1, 2], _engine(number), 5.0 + number)
+        segments.record_crash([7], _engine(number), 5.0 + number)
+    quarantine.record_crash([2], _engine(3), 8.0)
+    check.assertEqual(_barred(segments), {7})
+    check.assertEqual(_refused(quarantine, [1], 8.1), "")
+    for number in range(4, 6):
+        quarantine.record_crash([2], _engine(number), 5.0 + number)
+    check.assertEqual(_barred(quarantine), {2})
+
+
 def test_of_two_requests_that_crash_targets_together_both_are_barred():
     quarantine = _requests()
     for number in range(3):
