Configuration: a steward that knew less shows a change of before a return once it is confirmed

The log returns without the winner, and the loser is appended before the record of the new era, in the place of the winner. To a reader it looks as if the copy had it. Stewards that had read the winner write it again, but that write was lost at first.

Change: three rules. - A new change whose place a steward had read before the return, and that wasn't there, is late: what was in force is written again (a tombstone if there was no such resource), also by a steward that doesn't know the winner. - A new change of an earlier era whose place a steward had not read isn't shown until a record `config.confirmation` of the era reaches it. Stewards append one, after a random time within 1 s and only as far as no other has, of how far they knew the log, when nothing of that is missing. If none comes for 5 to 6 s, the steward that waits confirms what it has read. - A change that was appended twice and is found in its earlier place only is written again with its first version. Builds before skip the new record. A steward that starts needs a confirmation too, only for changes older than the era.

Ruled out: the length of the copy in the era's record (its writer may know less than others); waiting without an end (changes stay refused when the others are gone).

Open: all that knew the winner cut off for longer than the 5 s.

--- a/src/turmericward/configuration/__init__.py
+++ b/src/turmericward/configuration/__init__.py
@@ -17,10 +17,16 @@
     parse,
 )
 from turmericward.configuration._ledger import Ledger, Resource, Verdict
-from turmericward.configuration._rebuild import SPREAD_S, Rebuild, lost_changes
+from turmericward.configuration._rebuild import (
+    SPREAD_S,
+    Confirmer,
+    Rebuild,
+    lost_changes,
+)
 from turmericward.configuration._records import (
     Change,
     ChangeInEra,
+    Confirmation,
     Era,
     Snapshot,
     decode,
@@ -33,6 +39,8 @@
     "Change",
     "ChangeInEra",
     "ConfigurationError",
+    "Confirmation",
+    "Confirmer",
     "Engine",
     "Era",
     "InvalidResourceError",
--- a/src/turmericward/configuration/_ledger.py
+++ b/src/turmericward/configuration/_ledger.py
@@ -58,6 +58,8 @@
         )
         self._history_floor = 0
         self.applied = 0
+        # Number up to which changes of earlier eras are confirmed in this one.
+        self.confirmed = 0
 
     def get(self, kind: str, name: str) -> Resource | None:
         """Returns the resource, or its tombstone if it was deleted, or None."""
@@ -116,8 +118,9 @@
         except _errors.MalformedRecordError:
             record = None
         era = self.era
-        if isinstance(record, _records.Era):
-            era = max(era, record.era)
+        if isinstance(record, _records.Era) and record.era > era:
+            era = record.era
+            self.confirmed = 0
         position = positions.Position(era, offset)
         if position.number < self.applied:
             return Verdict.IGNORED
@@ -125,7 +128,9 @@
         self._drop_expired_tombstones()
         if record is None:
             return Verdict.INVALID
-        if isinstance(record, (_records.Snapshot, _records.Era)):
+        if isinstance(record, _records.Confirmation) and record.era == era:
+            self.confirmed = max(self.confirmed, record.known)
+        if not isinstance(record, _records.Change):
             return Verdict.IGNORED
         return self._apply_change(self.applied, record)
 
@@ -203,7 +208,7 @@
                     value=value,
                     origin=origin[0] if origin else version,
                 )
-            ledger.applied = state["applied"]
+            ledger.applied = ledger.confirmed = state["applied"]
         except (KeyError, TypeError, ValueError) as exc:
             raise _errors.MalformedRecordError(f"snapshot: {exc}") from exc
         ledger._history_floor = ledger.applied
--- a/src/turmericward/configuration/_records.py
+++ b/src/turmericward/configuration/_records.py
@@ -50,6 +50,19 @@
     era: int = attrs.field(validator=schema.validators.between(0, positions.MAX_ERA))
 
 
+@KINDS.register("config.confirmation")
+@attrs.frozen(kw_only=True)
+class Confirmation:
+    """Says that a log which has returned has what was in force up to `known`.
+
+    Its sender knew the log up to that number before the era, and has found again, or
+    written again, what was in force. So other changes up to there are not late ones.
+    """
+
+    era: int
+    known: int
+
+
 @KINDS.register("config.snapshot")
 @attrs.frozen(kw_only=True)
 class Snapshot:
--- a/src/turmericward/steward/_configuration_task.py
+++ b/src/turmericward/steward/_configuration_task.py
@@ -52,6 +52,7 @@
         self._era = 0
         # The state of a new era, until it takes effect.
         self._rebuild: configuration.Rebuild | None = None
+        self._confirmer: configuration.Confirmer | None = None
         self._random = random.Random(cfg.instance.name)
         self._records_since_snapshot = 0
         self._snapshot_interval = self._choose_snapshot_interval()
@@ -94,14 +95,19 @@
         self._era = message.era
         # What was appended in an earlier era may be lost.
         self._proposals.expire(math.inf)
-        write_at = time.monotonic()
-        if self._ready():
-            write_at += self._random.uniform(0.0, configuration.SPREAD_S)
-        self._rebuild = configuration.Rebuild(message.era, write_at)
+        # One that starts has nothing to show until then.
+        jitter = self._random.random() if self._ready() else 0.0
+        self._rebuild = configuration.Rebuild(message.era, time.monotonic(), jitter)
+        self._confirmer = None
 
     def _finish_rebuild(self) -> None:
         """Lets the state of a new era take effect, or writes what it lacks."""
+        now = time.monotonic()
         if self._rebuild.is_complete(self._ledger):
+            if self._ledger is not None:
+                self._confirmer = configuration.Confirmer(
+                    self._era, self._ledger.applied, now, self._random.random()
+                )
             self._replay = self._rebuild.replay
             self._rebuild = None
             self._caught_up = True
@@ -109,13 +115,16 @@
             self._publish_state()
             return
         records = self._rebuild.due_records(
-            self._ledger, time.monotonic(), self._cfg.instance.name, runtime.new_id
+            self._ledger, now, self._cfg.instance.name, runtime.new_id
         )
         if records:
             logging.warning(
                 "configuration: a new era of the log, %d records are written",
                 len(records),
             )
+        self._append_all(records)
+
+    def _append_all(self, records: list) -> None:
         for record in records:
             self._append(configuration.encode(record), PROPOSE_TIMEOUT_S)
 
@@ -322,5 +331,7 @@
         self._proposals.expire(now)
         if self._rebuild is not None:
             self._finish_rebuild()
+        elif self._confirmer is not None:
+            self._append_all(self._confirmer.due_records(self._ledger, now))
         self._confirmations.expire(now)
         self._polls.end_due(self._ready_ledger(), now)
