Entry: a late target of a plain service no longer loses an idempotent call

What callers saw: an idempotent call to a plain service whose targets are at work, or silent, for longer than the service's timeout_s got 502: with one target after timeout_s, with three after three times that, each target's work thrown away as the next was tried.

The connection to a target was closed at timeout_s before another had answered.

Change: entry/_repeated_call.py. At timeout_s the call is sent to the next target beside the late one; all attempts stay open, and the first whole answer counts. A later attempt ends when an earlier one has bytes (the guard now watches every earlier attempt, not the last one alone). The call ends after three times timeout_s, the longest that it could take before; a lone target is waited for as long. A call that may run once is sent to one target and ends after timeout_s, as before: that is the service's own bound. service.call reads under the guard, so that a trickling head is bounded too. An attempt that ends since an earlier one goes on is no failure of its target. Answers about keys moved to a module of their own.

Price: with a lone target that hangs for good a caller waits three times as long for its 502.

--- a/src/turmericward/adapters/_pending.py
+++ b/src/turmericward/adapters/_pending.py
@@ -6,6 +6,9 @@
 
 import contextlib
 import socket
+from collections.abc import Callable, Iterator
+
+import attrs
 
 
 class PendingConnection:
@@ -24,6 +27,16 @@
         self.closed = False
         # Whether its target has ended it.
         self.lost = False
+        # Connection of the attempt before this one, if that is open too.
+        self.earlier: PendingConnection | None = None
+
+    def all_watched(self) -> "Iterator[PendingConnection]":
+        """Yields this connection and the earlier ones, as far as they are watched."""
+        conn = self
+        while conn is not None:
+            if conn.watched:
+                yield conn
+            conn = conn.earlier
 
     def has_bytes(self) -> bool:
         """Returns whether bytes can be read, rather than the connection's end."""
@@ -57,3 +70,15 @@
         TimeoutError: always.
     """
     raise TimeoutError("no bytes in time")
+
+
+@attrs.frozen(kw_only=True)
+class Watch:
+    """What happens while a target is waited for; see `delivery.Dispatch`."""
+
+    on_late: Callable[[PendingConnection], float] = give_up
+    rival: PendingConnection | None = None
+
+
+# A target that is late is given up.
+NO_WATCH = Watch()
--- a/src/turmericward/adapters/_response.py
+++ b/src/turmericward/adapters/_response.py
@@ -133,8 +133,8 @@
             cancelled: polled while waiting.
             on_late: called when the wait is over, while the connection stays open;
                 returns until when to wait further, or raises an error.
-            rival: connection of another attempt at the same call, which ends the
-                wait as soon as bytes come on it.
+            rival: connection of another attempt at the same call; the wait ends as
+                soon as bytes come on it, or on an earlier one.
         """
         self.until = until
         self._cancelled = cancelled
@@ -160,8 +160,8 @@
         # Unlike select, poll has no limit on the number of a descriptor.
         poll = select.poll()
         poll.register(fileno, select.POLLIN)
-        if self._rival is not None and self._rival.watched:
-            poll.register(self._rival.fileno, select.POLLIN)
+        for rival in self._rivals():
+            poll.register(rival.fileno, select.POLLIN)
         while True:
             now = runtime.now()
             # Also while bytes come all the time.
@@ -176,7 +176,7 @@
                 self._received = True
                 return
             if ready:
-                self._check_rival(poll)
+                self._check_rivals(poll, ready)
             elif not remaining_s:
                 self.until = self._on_late(
                     _pending.PendingConnection(fileno, trickles=self._received)
@@ -192,16 +192,22 @@
         """
         if self._cancelled():
             raise errors.CancelledError("call has ended")
-        if self._rival is not None and self._rival.watched and self._rival.has_bytes():
+        if any(rival.has_bytes() for rival in self._rivals()):
             raise errors.RivalAnsweredError("the other attempt goes on")
 
-    def _check_rival(self, poll: select.poll) -> None:
-        if self._rival.has_bytes():
-            raise errors.RivalAnsweredError("the other attempt goes on")
-        # Its connection has ended: this attempt is the only one left.
-        self._rival.watched = False
-        self._rival.lost = True
-        poll.unregister(self._rival.fileno)
+    def _rivals(self) -> list[_pending.PendingConnection]:
+        return [] if self._rival is None else list(self._rival.all_watched())
+
+    def _check_rivals(self, poll: select.poll, ready: dict[int, int]) -> None:
+        for rival in self._rivals():
+            if rival.fileno not in ready:
+                continue
+            if rival.has_bytes():
+                raise errors.RivalAnsweredError("the other attempt goes on")
+            # Its connection has ended: it is read when this attempt has failed.
+            rival.watched = False
+            rival.lost = True
+            poll.unregister(rival.fileno)
 
     def _stop_watching_closed_rival(self, poll: select.poll) -> None:
         if self._rival is not None and not self._rival.watched:
--- a/src/turmericward/adapters/engine.py
+++ b/src/turmericward/adapters/engine.py
@@ -12,6 +12,7 @@
 READ_BYTES = 65536
 MAX_EVENT_NUMBER = 2**53
 NOT_STARTED_STATUSES = frozenset({429, 503})
+Watch = _pending.Watch
 
 
 @attrs.frozen(kw_only=True)
@@ -46,14 +47,6 @@
     cancelled: Callable[[], bool] = lambda: False
 
 
-@attrs.frozen(kw_only=True)
-class Watch:
-    """What happens while an engine is waited for; see `delivery.Dispatch`."""
-
-    on_late: Callable[[_pending.PendingConnection], float] = _pending.give_up
-    rival: _pending.PendingConnection | None = None
-
-
 def _build_request(job: Job, resume_after: int) -> _request.Request:
     headers = [
         ("Content-Type", "application/json"),
@@ -156,7 +149,7 @@
         first_byte_timeout_s: float,
         deadline: float,
         resume_after: int = 0,
-        watch: Watch = Watch(),
+        watch: Watch = _pending.NO_WATCH,
     ) -> Stream | Response:
         """Starts a stream, or resumes it after event `resume_after`.
 
@@ -194,7 +187,7 @@
         timeout_s: float,
         *,
         deadline: float | None = None,
-        watch: Watch = Watch(),
+        watch: Watch = _pending.NO_WATCH,
     ) -> Response:
         """Sends a request and reads the complete response.
 
--- a/src/turmericward/adapters/service.py
+++ b/src/turmericward/adapters/service.py
@@ -1,9 +1,11 @@
 """Client of a plain service; each call is sent at most once."""
 
+import functools
+
 import attrs
 
 from turmericward import runtime
-from turmericward.adapters import _request
+from turmericward.adapters import _pending, _request, _response
 
 Request = _request.Request
 _HOP_BY_HOP = frozenset(
@@ -35,22 +37,54 @@
     return tuple((n, v) for n, v in headers if n.lower() not in _HOP_BY_HOP)
 
 
-def call(address: str, req: Request, request_id: str, timeout_s: float) -> Response:
+def call(
+    address: str,
+    req: Request,
+    request_id: str,
+    timeout_s: float,
+    *,
+    deadline: float | None = None,
+    watch: _pending.Watch = _pending.NO_WATCH,
+) -> Response:
     """Sends one call without retries and reads the complete response.
 
+    Args:
+        address: the service's address.
+        req: the call.
+        request_id: its id.
+        timeout_s: timeout for the response.
+        deadline: the end of the response, on the clock of `runtime.now`, if it is
+            later than that.
+        watch: what happens when the timeout is over.
+
     Raises:
         NotSentError: the request cannot have reached the service.
         AnswerLostError: the call may have been executed.
         ForeignAnswerError: the response belongs to another request.
+        RivalAnsweredError: another attempt has got bytes before this one.
 
     .. versionadded:: 0.1.0
     """
-    deadline = runtime.now() + timeout_s
-    conn = _request.connect(address, timeout_s)
+    until = runtime.now() + timeout_s
+    deadline = until if deadline is None else deadline
+    guard = _response.Guard(until, lambda: False, watch.on_late, watch.rival)
+    conn = _request.connect(
+        address,
+        timeout_s,
+        response_class=functools.partial(_response.GuardedResponse, guard=guard),
+    )
     with _request.closing(conn):
-        _request.send(conn, address, req)
+        # The first attempt isn't read while a second one is written.
+        check = None if watch.rival is None else functools.partial(_check, guard, until)
+        _request.send(conn, address, req, check)
         resp = _request.read_response_head(conn, address)
         _request.check_request_id(resp, request_id, required=False)
         body = _request.read_whole(conn, resp, address, deadline)
         headers = end_to_end_headers(resp.getheaders())
         return Response(status=resp.status, headers=headers, body=body)
+
+
+def _check(guard: _response.Guard, until: float) -> None:
+    guard.check()
+    if runtime.now() >= until:
+        raise TimeoutError("request not written in time")
--- a/src/turmericward/entry/_services.py
+++ b/src/turmericward/entry/_services.py
@@ -8,11 +8,16 @@
 
 from turmericward import runtime
 from turmericward.adapters import errors, service, steward
-from turmericward.entry import _errors, _http, _router_task
+from turmericward.entry import (
+    _claim_answers,
+    _errors,
+    _http,
+    _repeated_call,
+    _router_task,
+)
 from turmericward.wire import ttypes
 
 PREFIX = "/services/"
-MAX_IDEMPOTENT_ATTEMPTS = 3
 MAX_RECORDED_BYTES = 16 * 1024
 MAX_KEY_CHARS = 255
 # Network time of a steward call, on top of what the steward itself may wait.
@@ -37,7 +42,7 @@
     def call(self, req: _http.Request) -> _http.Response:
         """Handles a call with any HTTP method.
 
-        Idempotent calls are retried on other targets. Other calls are sent at most
+        Idempotent calls are repeated at other targets. Other calls are sent at most
         once, and with an Idempotency-Key only after a steward granted the claim.
         """
         caller = self._ctx.caller(req)
@@ -61,7 +66,9 @@
     def _ranked_targets(self, svc) -> list:
         return self._ctx.ask_router(_router_task.RankTargets(targets=svc.targets))
 
-    def _send(self, svc, target, req: _http.Request, path: str) -> service.Response:
+    def _send(
+        self, req: _http.Request, path: str, attempt: _repeated_call.Attempt
+    ) -> service.Response:
         query = f"?{req.raw_query}" if req.raw_query else ""
         headers = [
             (n, v) for n, v in req.headers.items() if n not in _UNFORWARDED_HEADERS
@@ -74,34 +81,48 @@
             headers=tuple(headers),
             body=req.body,
         )
-        failed = True
+        target = attempt.target
         try:
-            resp = service.call(target.address, outgoing, req.id, svc.timeout_s)
-            failed = False
-            return resp
-        except errors.AdapterError as exc:
+            resp = service.call(
+                target.address,
+                outgoing,
+                req.id,
+                attempt.timeout_s,
+                deadline=attempt.deadline,
+                watch=attempt.watch,
+            )
+        except errors.RivalAnsweredError:
+            # That its target was the slower one is no failure.
+            raise
+        except BaseException as exc:
             logging.warning("request %s to %s failed: %s", req.id, target.name, exc)
+            self._record_end(target, failed=True)
             raise
-        finally:
-            ended = _router_task.CallEnded(target=target.name, failed=failed)
-            self._ctx.router.post(ended)
+        self._record_end(target, failed=False)
+        return resp
+
+    def _record_end(self, target, *, failed: bool) -> None:
+        ended = _router_task.CallEnded(target=target.name, failed=failed)
+        self._ctx.router.post(ended)
 
     def _call_idempotent(self, svc, req, path: str) -> _http.Response:
-        sent = False
-        for target in self._ranked_targets(svc)[:MAX_IDEMPOTENT_ATTEMPTS]:
-            try:
-                return _to_http_response(self._send(svc, target, req, path))
-            except errors.NotSentError:
-                continue
-            except errors.AdapterError:
-                sent = True
-        raise _no_response_error(sent)
+        """Repeats the call at other targets, beside those that are late."""
+        call = _repeated_call.RepeatedCall(
+            self._ranked_targets(svc),
+            svc.timeout_s,
+            functools.partial(self._send, req, path),
+        )
+        resp = call.run()
+        if resp is None:
+            raise _no_response_error(call.sent)
+        return _to_http_response(resp)
 
     def _call_once(self, svc, req, path: str) -> _http.Response:
         """Sends the call at most once; tries another target only if it was not sent."""
         for target in self._ranked_targets(svc):
             try:
-                return _to_http_response(self._send(svc, target, req, path))
+                attempt = _repeated_call.only_attempt(target, svc.timeout_s)
+                return _to_http_response(self._send(req, path, attempt))
             except errors.NotSentError:
                 continue
             except errors.AdapterError as exc:
@@ -120,7 +141,7 @@
             )
         )
         if answer.state != ttypes.ClaimState.GRANTED:
-            return _unclaimed_response(answer)
+            return _claim_answers.response(answer)
         return self._run_claimed(svc, req, path, claim)
 
     def _claim_key(
@@ -230,57 +251,3 @@
         "no target of the service could be reached",
         retry_after_s=RETRY_AFTER_S,
     )
-
-
-def _unclaimed_response(answer: ttypes.ClaimAnswer) -> _http.Response:
-    if answer.state == ttypes.ClaimState.DONE and answer.answer is not None:
-        return _replayed_response(answer.answer)
-    raise _CLAIM_ERRORS[answer.state]()
-
-
-def _replayed_response(answer: ttypes.RecordedAnswer) -> _http.Response:
-    headers = [("Idempotency-Replayed", "true")]
-    if answer.truncated:
-        headers.append(("Idempotency-Body-Omitted", "true"))
-    return _http.Response(
-        status=answer.status,
-        content_type=answer.content_type,
-        headers=headers,
-        body=answer.body,
-    )
-
-
-_CLAIM_UNAVAILABLE = functools.partial(
-    _errors.RequestError,
-    503,
-    "claim_unavailable",
-    "the key can't be claimed now; this attempt was not run",
-    # An earlier attempt, sent through another entry, may have been executed.
-    outcome=_errors.ExecutionState.UNKNOWN,
-    retry_after_s=RETRY_AFTER_S,
-)
-_CLAIM_ERRORS = {
-    ttypes.ClaimState.MISMATCH: functools.partial(
-        _errors.RequestError,
-        422,
-        "key_reused",
-        "Idempotency-Key was used for another request",
-    ),
-    ttypes.ClaimState.IN_PROGRESS: functools.partial(
-        _errors.RequestError,
-        409,
-        "call_in_progress",
-        "an earlier attempt under this key has no known end",
-        outcome=_errors.ExecutionState.UNKNOWN,
-        retry_after_s=RETRY_AFTER_S,
-    ),
-    ttypes.ClaimState.DONE: functools.partial(
-        _errors.RequestError,
-        502,
-        "answer_lost",
-        "an earlier attempt under this key was sent and its answer was lost",
-        outcome=_errors.ExecutionState.UNKNOWN,
-    ),
-    ttypes.ClaimState.UNKNOWN: _CLAIM_UNAVAILABLE,
-    ttypes.ClaimState.UNAVAILABLE: _CLAIM_UNAVAILABLE,
-}
