Platform: no call waits for the release of KV cache at a silent engine

What callers saw: a call whose prefill had succeeded and whose decode engine refused it got its 503, or went on to its next attempt, 0.5 s late (up to 1 s: connect and answer) if the prefill engine was silent then. That time was logged as silence of the decode engine, and counted as part of the call's.

Cause: the delivery releases the KV cache before it goes on, and the transport waited for the answer to the release.

Change: platform/_releases.py sends each release on a thread of its own, which ends with the process; 16 at a time, further ones are left to expire at their engine. The request is counted against a limit when it begins, as before. delivery is untouched but for one line of a docstring.

Ruled out: a single thread with a queue (one silent engine would hold up the releases of all); an executor (the interpreter waits for its threads as the process ends).

KV fetch from a silent engine needed no change: a call whose engine waits 2 s for another one's cache is answered whole, once, on both kinds of stream.

--- a/src/turmericward/delivery/_context.py
+++ b/src/turmericward/delivery/_context.py
@@ -46,7 +46,7 @@
         """Returns whether the target's process has ended, as far as can be told."""
 
     def release(self, source: str) -> None:
-        """Frees KV cache that no target will fetch."""
+        """Frees KV cache that no target will fetch, without waiting for it."""
 
 
 @attrs.frozen(kw_only=True)
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -5,20 +5,16 @@
 import re
 from collections.abc import Iterator
 
-from absl import logging
-
 from turmericward import delivery, fleet, runtime, schema
 from turmericward.adapters import _request, _response, errors, service
-from turmericward.platform import _headers, _notices
+from turmericward.platform import _headers, _notices, _releases
 
 CONNECT_TIMEOUT_S = 0.3
 # How long a second attempt may write without progress; the first isn't read meanwhile.
 SECOND_WRITE_TIMEOUT_S = 0.3
 READ_CHUNK_BYTES = 65536
-RELEASE_TIMEOUT_S = 0.5
 LOWEST_PRIORITY = 9
 PREFILL_STAGE = "prefill"
-KV_HANDLE_PATH = "/api/kv-handle/"
 MAX_PREFILL_BYTES = 1024 * 1024
 # It becomes a part of a header and of a path.
 _HANDLE = re.compile(r"[!-~]{1,512}", re.ASCII)
@@ -45,6 +41,7 @@
             notices: reads the headers of replicas' responses.
         """
         self._notices = notices
+        self._releases = _releases.Releases()
 
     def send(
         self,
@@ -126,13 +123,9 @@
 
     def release(self, source: str) -> None:
         """Releases the KV cache `source`; see `delivery.Transport`."""
-        address, _, handle = source.partition("/")
-        req = _request.Request(method="DELETE", path=KV_HANDLE_PATH + handle)
-        self._notices.count_request(address)
-        try:
-            service.call(address, req, "", RELEASE_TIMEOUT_S)
-        except errors.AdapterError as exc:
-            logging.info("KV cache %s is left to expire: %s", source, exc)
+        if self._releases.begin(source):
+            address, _, _ = source.partition("/")
+            self._notices.count_request(address)
 
 
 def _handle(raw: bytes) -> str:
