--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -5,11 +5,12 @@
 import itertools
 import time
 from concurrent import futures
+from unittest import mock
 
 import attrs
 
 from benchmarks import _emulator, _loads, _variants
-from standins import caller
+from standins import caller, platform_replica
 from tests import fixtures, platform_fixtures
 
 check = fixtures.check
@@ -28,6 +29,10 @@
 STREAMS = 30
 READS = 12
 INTERVAL_S = 0.1
+# More than the front and the connections buffer of an answer.
+EVENT_BYTES = 1_000_000
+LARGE_EVENTS = 32
+LONG_DEADLINE = {"Turmericward-Deadline-Ms": "20000"}
 CHANGE_INTERVAL_S = 0.3
 SLOTS = 64
 ENGINES = ("m1", "m2", "m3", "m4")
@@ -126,6 +131,32 @@
             check.assertEqual(runs[outcome.call.id], 1, outcome.call)
 
 
+def _large_event(call_id: str, number: int) -> bytes:
+    return f"id: {number}\ndata: {call_id}{'x' * EVENT_BYTES}\n\n".encode()
+
+
+def test_a_client_that_reads_slowly_has_the_whole_stream_of_a_silent_replica():
+    events = [_large_event("c", n) for n in range(1, LARGE_EVENTS + 1)]
+    with (
+        mock.patch.object(platform_replica, "event", _large_event),
+        _front(ENGINES[:2]) as platform,
+    ):
+        conn = platform.connect()
+        path = f"/asked/x?events={LARGE_EVENTS}&gap_ms=50"
+        platform.send(conn, "POST", path, "c", platform_fixtures.PROMPT | LONG_DEADLINE)
+        _await_arrivals(platform, 1)
+        time.sleep(BEGUN_S)
+        # Nothing is read before all engines have been silent.
+        with platform.paused(ENGINES[:2]):
+            time.sleep(PAUSE_S)
+        time.sleep(PAUSE_S)
+        resp = conn.getresponse()
+        body = resp.read()
+        conn.close()
+    check.assertEqual(resp.status, 200)
+    check.assertEqual(hash(body), hash(b"".join(events)), f"{len(body)} bytes")
+
+
 def _wait(platform, length_s: float) -> None:
     del platform
     time.sleep(length_s)
