--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -198,7 +198,7 @@
         timeout_s = _timeouts.first_byte_timeout_s(
             self._call,
             placement.expected_s,
-            may_repeat=self._early_end.may_repeat(self._call),
+            may_repeat=self._early_end.may_repeat(self._call, placement),
         )
         self._record.begin_wait(timeout_s)
         return _calls.Dispatch(
--- a/src/turmericward/delivery/_early_end.py
+++ b/src/turmericward/delivery/_early_end.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import NoReturn
 
-from turmericward import runtime
+from turmericward import requests, runtime
 from turmericward.delivery import _calls, _progress, _record, _stop
 
 
@@ -92,12 +92,13 @@
         """Records that the client gets the first events of a stream."""
         self._answer_begun = True
 
-    def may_repeat(self, call: _calls.Call, *, running: int = 1) -> bool:
+    def may_repeat(self, call: _calls.Call, *running: requests.Placement) -> bool:
         """Returns whether another attempt may follow the running ones.
 
         If not, they aren't given up before the call's deadline.
         """
-        return self._progress.may_repeat(running=running) and self._admits(call, 0.0)
+        names = frozenset(placement.target.name for placement in running)
+        return self._progress.may_repeat(names) and self._admits(call, 0.0)
 
     def record_answered(self, call: _calls.Call) -> None:
         """Records how long the call took to the end of its answer."""
--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -86,7 +86,7 @@
         self._silent = first.target.name
         if parts.call.remaining_s() <= 0:
             raise TimeoutError("no bytes before the deadline")
-        if not parts.early_end.may_repeat(parts.call):
+        if not parts.early_end.may_repeat(parts.call, first):
             self._log_refusal("not_allowed")
             return parts.call.deadline
         second = self._ask(first)
@@ -106,13 +106,15 @@
     def _ask_again_at(self) -> float:
         return min(self._parts.call.deadline, runtime.now() + ASK_AGAIN_S)
 
-    def _ask(self, first: requests.Placement) -> requests.Placement | None:
+    def _ask(self, waiting: requests.Placement) -> requests.Placement | None:
         parts = self._parts
-        name = first.target.name
+        name = waiting.target.name
+        running = frozenset((name, parts.open.current.target.name))
         message = _messages.Place(
             call=self._call(),
             service=parts.service,
-            excluded=parts.progress.avoided | {name, parts.open.current.target.name},
+            excluded=parts.progress.avoided(running) | running,
+            only=parts.progress.bound_to(running),
             retry=True,
             prefilled=self.began,
             first=False,
@@ -149,7 +151,7 @@
             answer = self._send(pending, second)
         except errors.RivalAnsweredError:
             second.end(requests.Ending.DISCONNECTED)
-            parts.progress.record_second(placement.target.name, ran=True)
+            parts.progress.record_not_needed(placement.target.name)
             parts.record.log_second_attempt("not_needed", "", placement.target.name)
             self.output_received()
         except errors.CancelledError:
@@ -199,9 +201,13 @@
         return _timeouts.first_byte_timeout_s(
             parts.call,
             second.expected_s,
-            may_repeat=parts.early_end.may_repeat(parts.call, running=2),
+            may_repeat=self._may_have_third(second),
         )
 
+    def _may_have_third(self, second: requests.Placement) -> bool:
+        parts = self._parts
+        return parts.early_end.may_repeat(parts.call, parts.open.current, second)
+
     def _keeps_both(self, second: requests.Placement) -> bool:
         """Returns whether the first goes on until the second answers."""
         return self._parts.call.first_answer_counts or second.last_retry
@@ -229,7 +235,7 @@
     ) -> float:
         """Looks for a third attempt; the first is ended only if there is one."""
         parts = self._parts
-        if not parts.early_end.may_repeat(parts.call, running=2):
+        if not self._may_have_third(second.placement):
             return parts.call.deadline
         third = self._ask(second.placement)
         if third is None:
@@ -243,7 +249,7 @@
         timeout_s = _timeouts.first_byte_timeout_s(
             parts.call,
             parts.open.current.expected_s,
-            may_repeat=parts.early_end.may_repeat(parts.call),
+            may_repeat=parts.early_end.may_repeat(parts.call, parts.open.current),
         )
         return parts.record.begin_wait(timeout_s)
 
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/delivery/_messages.py
@@ -206,7 +206,8 @@
     the call has reached the service; `first` if no target was requested for it before.
     `silent` is the target of an attempt that is still
     open: the call can do without another one, which is granted only at a target that
-    takes it at once. `fingerprint` names the call's content.
+    takes it at once. `only` names the targets that it may go to, None for any.
+    `fingerprint` names the call's content.
     """
 
     call: _calls.Call
@@ -217,6 +218,7 @@
     prefill_domain: str = ""
     silent: SilentTarget | None = None
     first: bool = True
+    only: frozenset[str] | None = None
     # Not computed by the task that answers, which all calls share.
     fingerprint: int = attrs.field()
 
@@ -224,6 +226,11 @@
     def _fingerprint_of_call(self) -> int:
         return _fingerprint.fingerprint(self.call, self.service)
 
+    def may_go_to(self, target: str) -> bool:
+        """Returns whether the call may go to the named target."""
+        bound = self.only is not None and target not in self.only
+        return not bound and target not in self.excluded
+
     @property
     def is_optional(self) -> bool:
         """Whether the call is likely to be answered without the target."""
--- a/src/turmericward/delivery/_placements.py
+++ b/src/turmericward/delivery/_placements.py
@@ -80,7 +80,8 @@
         progress = self._parts.progress
         message = attrs.evolve(
             message,
-            excluded=progress.avoided,
+            excluded=progress.avoided(),
+            only=progress.bound_to(frozenset()),
             first=not progress.placements,
         )
         progress.placements += 1
@@ -124,7 +125,7 @@
 
     def _latest_try(self) -> float:
         call = self._parts.call
-        if self._parts.progress.possible_runs:
+        if self._parts.progress.may_have_run:
             return call.deadline
         return call.deadline - CONNECT_SHARE * (call.deadline - call.received)
 
--- a/src/turmericward/delivery/_placing.py
+++ b/src/turmericward/delivery/_placing.py
@@ -89,6 +89,9 @@
             urgent=_waits.is_urgent(message),
             max_wait_s=_waits.max_wait_s(message, deadlines),
         )
+        if message.only is not None:
+            allowed = [t for t in candidates.targets if message.may_go_to(t.name)]
+            candidates = attrs.evolve(candidates, targets=allowed)
         if message.silent is not None:
             accepting = self._placer.accepting(candidates.targets, now)
             candidates = attrs.evolve(candidates, targets=accepting)
--- a/src/turmericward/delivery/_progress.py
+++ b/src/turmericward/delivery/_progress.py
@@ -1,5 +1,7 @@
 """Attempts of one call so far, and whether another one may follow."""
 
+from collections.abc import Set
+
 import attrs
 
 from turmericward.delivery import _calls
@@ -19,18 +21,19 @@
 class Progress:
     """Attempts of one call so far.
 
-    `arrivals` counts attempts that reached a target, `possible_runs` those that may
-    have run there, `prefills` the successful separate prefills. The first prefill
-    is no retry, a further one is. `silent` targets neither accepted nor refused a
-    connection: they may be tried again, as may `superseded` ones, whose attempt was
-    ended in favour of another. `reason` is the cause of the failure,
-    `stop_reason` why no further attempt is made.
+    `arrivals` counts attempts that reached a target, `prefills` the successful separate
+    prefills. The first prefill is no retry, a further one is. `silent` targets neither
+    accepted nor refused a connection: they may be tried again, as may `superseded`
+    ones, whose attempt was ended in favour of another. `reason` is the cause of the
+    failure, `stop_reason` why no further attempt is made.
+
+    The route bounds the targets at which the call may run. Those where this front ended
+    an attempt that had not failed may get it again when there are as many.
     """
 
     route: _calls.Route
     excluded: frozenset[str] = frozenset()
     arrivals: int = 0
-    possible_runs: int = 0
     prefills: int = 0
     reason: str = ""
     stop_reason: str = ""
@@ -41,11 +44,38 @@
     placements: int = 0
     _refusals: int = 0
     _crashes: int = 0
+    # Names of the targets at which the call may have run, and of those that were left.
+    _ran_at: frozenset[str] = frozenset()
+    _left: frozenset[str] = frozenset()
+    _interrupted: bool = False
+
+    def avoided(self, running: Set[str] = frozenset()) -> frozenset[str]:
+        """Returns the targets to which the next attempt isn't sent.
+
+        Args:
+            running: names of the targets of the attempts that go on.
+        """
+        avoided = self.excluded | self.silent
+        return avoided if self._has_all(running) else avoided | self.superseded
 
     @property
-    def avoided(self) -> frozenset[str]:
-        """Names of the targets to which the next attempt isn't sent."""
-        return self.excluded | self.silent | self.superseded
+    def may_have_run(self) -> bool:
+        """Whether the call may have run at a target."""
+        return bool(self._ran_at) or self._interrupted
+
+    def bound_to(self, running: Set[str]) -> frozenset[str] | None:
+        """Returns the targets that the next attempt may go to, None for any.
+
+        Args:
+            running: names of the targets of the attempts that go on.
+        """
+        return self._returnable(running) if self._has_all(running) else None
+
+    def _has_all(self, running: Set[str]) -> bool:
+        return len(self._ran_at | running) >= self.route.max_attempts
+
+    def _returnable(self, running: Set[str]) -> frozenset[str]:
+        return self._left - self.excluded - running
 
     def record_unreachable(self, target: str) -> None:
         """Records a target that couldn't be reached.
@@ -104,11 +134,11 @@
             CallAbandonedError: the call must not run again.
         """
         self._record_lost(target)
-        self.possible_runs += 1
+        self._ran_at |= {target}
         self._count_crash(crashed)
         if not self.route.repeatable:
             self._stop("not_repeatable")
-        if self.possible_runs >= self.route.max_attempts:
+        if self._has_all(frozenset()) and not self._returnable(frozenset()):
             self._stop("max_attempts")
 
     def record_superseded(self, target: str, *, ran: bool) -> None:
@@ -120,12 +150,22 @@
         """
         self.superseded |= {target}
         self._record_arrival()
-        self.possible_runs += ran
+        if ran:
+            self._record_left(target)
+
+    def record_not_needed(self, target: str) -> None:
+        """Records a second attempt that was ended since the first goes on."""
+        self.arrivals += 1
+        self._record_left(target)
+
+    def _record_left(self, target: str) -> None:
+        self._ran_at |= {target}
+        self._left |= {target}
 
     def record_second(
         self, target: str, *, ran: bool, arrived: bool = True, crashed: bool = False
     ) -> None:
-        """Records a second attempt that ended while the first one goes on.
+        """Records a second attempt that failed while the first one goes on.
 
         Args:
             target: its target.
@@ -135,13 +175,14 @@
         """
         self.excluded |= {target}
         self.arrivals += arrived
-        self.possible_runs += ran
         self._crashes += crashed
+        if ran:
+            self._ran_at |= {target}
 
     def record_interrupted_run(self) -> None:
         """Records an attempt that ends with the process and may have run."""
         self.arrivals += 1
-        self.possible_runs += 1
+        self._interrupted = True
         self.reason = "process_stopped"
 
     def is_retry(self, *, prefilled: bool) -> bool:
@@ -152,12 +193,12 @@
         """
         return self.arrivals > 0 or (self.prefills > 0 and not prefilled)
 
-    def may_repeat(self, *, running: int = 1) -> bool:
-        """Returns whether another attempt may follow the running ones."""
+    def may_repeat(self, running: Set[str]) -> bool:
+        """Returns whether another attempt may follow those at the named targets."""
         return (
             self.route.repeatable
-            and self.possible_runs + running < self.route.max_attempts
             and self._crashes < MAX_CRASHES
+            and (not self._has_all(running) or bool(self._returnable(running)))
         )
 
     def abandon(self, reason: str, retry_after_s: float | None = None) -> None:
@@ -177,7 +218,7 @@
 
     def failure(self, *, deadline_passed: bool) -> _calls.Failure:
         """Returns the failure that is reported to the client."""
-        if not self.possible_runs:
+        if not self.may_have_run:
             return _calls.Failure(
                 status=503,
                 reason=self.reason,
--- a/src/turmericward/delivery/_stream_delivery.py
+++ b/src/turmericward/delivery/_stream_delivery.py
@@ -61,7 +61,8 @@
         parts = self._parts
         self._late.begin_stream(last_id)
         timeout_s = _timeouts.next_event_timeout_s(
-            parts.call, may_repeat=parts.early_end.may_repeat(parts.call)
+            parts.call,
+            may_repeat=parts.early_end.may_repeat(parts.call, parts.open.current),
         )
         return parts.record.begin_wait(timeout_s)
 
@@ -91,9 +92,11 @@
         The end of an unframed stream looks the same. If it was complete, a resumed
         stream has no further events.
         """
-        if not attempt.answer.unframed or not self._parts.progress.may_repeat():
+        target = attempt.placement.target
+        may_repeat = self._parts.progress.may_repeat(frozenset((target.name,)))
+        if not attempt.answer.unframed or not may_repeat:
             return False
-        return self._parts.ctx.transport.has_ended(attempt.placement.target)
+        return self._parts.ctx.transport.has_ended(target)
 
     def interrupted(self) -> bool:
         """Returns whether the stream has to end now."""
--- a/src/turmericward/entry/_router_task.py
+++ b/src/turmericward/entry/_router_task.py
@@ -110,7 +110,8 @@
         now = time.monotonic()
         view = self.view
         demand = message.call.prompt
-        engines = view.engines_by_model.get(demand.model, ())
+        served = view.engines_by_model.get(demand.model, ())
+        engines = tuple(e for e in served if message.may_go_to(e.name))
         excluded = message.excluded | self._holds.held(now) | view.leaving
         chosen = self._router.choose(demand, engines, view.loads, excluded, now)
         placed = chosen.map(self._record_assignment)
--- a/tests/test_late_outcomes.py
+++ b/tests/test_late_outcomes.py
@@ -13,7 +13,9 @@
 Ending = requests.Ending
 WHOLE = test_late_attempts.WHOLE
 LOST = test_delivery.FAULTS["closed"]
+NOT_NEEDED = errors.RivalAnsweredError("first goes on")
 _Attempt = test_late_attempts._Attempt
+_engines = test_late_attempts._engines
 _run_plain = test_late_attempts._run_plain
 _run_stream = test_late_attempts._run_stream
 _stream = test_late_attempts._stream
@@ -24,6 +26,26 @@
     return [refused, _Attempt("late", test_delivery.FAULTS["lost"])]
 
 
+def test_a_stream_was_cut_with_its_second_attempt_though_its_first_target_was_sound():
+    for second in _seconds_that_fail_late():
+        attempts = _stream(1, 2, "late"), second, _stream(3, 4)
+        outcome, names = _sent_to(*attempts, attempts=2, targets=_engines(2))
+        check.assertEqual(outcome[:2], (WHOLE, 3))
+        check.assertEqual(names[0], names[2])
+
+
+def _sent_to(*attempts: _Attempt, **changes):
+    """Runs a stream; returns its outcome and the targets of its attempts."""
+    names, send = [], test_late_attempts._Transport.send
+
+    def recorded(self, target, call, dispatch):
+        names.append(target.name)
+        return send(self, target, call, dispatch)
+
+    with mock.patch.object(test_late_attempts._Transport, "send", recorded):
+        return _run_stream(*attempts, **changes), names
+
+
 def test_a_stream_lost_its_sound_target_to_the_last_retry_of_the_budget():
     one_retry = 1.2 * 16 / 0.7
     with mock.patch.object(_messages, "SOUND_SILENCE_S", 0.0):
@@ -33,6 +55,34 @@
             check.assertEqual(outcome[:2], (WHOLE, 2))
 
 
+def test_a_target_that_was_not_needed_was_not_used_when_the_first_one_ended():
+    for attempts, engines in ((4, 2), (2, 4)):
+        first, second = _stream(1, 2, "late", 3, LOST), _Attempt(NOT_NEEDED)
+        targets = _engines(engines)
+        outcome = _run_stream(
+            first, second, _stream(4), attempts=attempts, targets=targets
+        )
+        check.assertEqual(outcome[:2], (WHOLE, 3), (attempts, engines))
+
+
+def test_the_second_pause_of_a_call_was_waited_out_with_two_attempts():
+    first = _stream(1, 2, "late", 3, "late", lambda: check.fail("waited for"))
+    outcome = _run_stream(first, _Attempt(NOT_NEEDED), _stream(4), attempts=2)
+    check.assertEqual(outcome[:2], (WHOLE, 3))
+
+
+def test_a_call_goes_to_no_more_targets_than_its_route_allows():
+    attempts = _stream(1, 2, "late", 3, LOST), _Attempt(NOT_NEEDED), _Attempt(LOST)
+    outcome, names = _sent_to(*attempts, attempts=2)
+    check.assertEqual(outcome[:2], ([1, 2, 3, 502], 3))
+    check.assertEqual((len(set(names)), names[1]), (2, names[2]))
+    not_reached = _Attempt(test_delivery.FAULTS["not sent"])
+    attempts = _stream(1, 2, "late"), _Attempt("late", LOST), not_reached
+    outcome, names = _sent_to(*attempts, attempts=2)
+    check.assertEqual(outcome[:2], ([1, 2, 502], 3))
+    check.assertEqual((len(set(names)), names[0]), (2, names[2]))
+
+
 def test_silent_connects_were_not_tried_again_with_a_deadline_beyond_the_routes():
     timeout = errors.ConnectTimeoutError("timed out")
     attempts = [*(_Attempt(timeout) for _ in range(5)), _Attempt("head", body=b"x")]
