--- a/src/turmericward/delivery/_stream.py
+++ b/src/turmericward/delivery/_stream.py
@@ -44,7 +44,7 @@
         """Ends a failed attempt and starts the next; None if none may follow."""
 
     def attempt_ended(self, attempt: StreamAttempt, *, completed: bool) -> None:
-        """Ends a successful attempt; not `completed` if the client disconnected."""
+        """Ends an attempt; not `completed` if the client left or the process stops."""
 
     def stream_ended(self, outcome: str) -> None:
         """Records the outcome of the stream."""
--- a/src/turmericward/delivery/_stream_delivery.py
+++ b/src/turmericward/delivery/_stream_delivery.py
@@ -73,14 +73,16 @@
         self._late.output_received()
 
     def attempt_ended(self, attempt: _stream.StreamAttempt, *, completed: bool) -> None:
-        """Ends a successful attempt; not `completed` if the client disconnected."""
+        """Ends an attempt; not `completed` if the client left or the process stops."""
         parts = self._parts
         if completed:
             parts.early_end.record_answered(parts.call)
         parts.open.resume(attempt.placement)
-        parts.open.end(
-            requests.Ending.SUCCEEDED, streamed=completed, answered=completed
+        # A client that leaves says nothing of its target, which may be silent.
+        ending = (
+            requests.Ending.SUCCEEDED if completed else requests.Ending.DISCONNECTED
         )
+        parts.open.end(ending, streamed=completed, answered=completed)
 
     def stream_ended(self, outcome: str) -> None:
         """Records the outcome of the stream."""
--- a/tests/test_late_outcomes.py
+++ b/tests/test_late_outcomes.py
@@ -1,5 +1,6 @@
 """What a second attempt beside a silent target leaves for the rest of its call."""
 
+import functools
 from unittest import mock
 
 import attrs
@@ -83,6 +84,18 @@
     check.assertEqual((len(set(names)), names[0]), (2, names[2]))
 
 
+def test_a_client_that_left_a_silent_target_spoke_for_it():
+    left = []
+    first = _stream(
+        1, "late", functools.partial(left.append, 1), test_delivery.FAULTS["cancelled"]
+    )
+    transport = test_late_attempts._Transport(first)
+    _, dispatcher = test_late_attempts._run(
+        transport, slack=0.0, disconnected=lambda: bool(left)
+    )
+    check.assertEqual(test_delivery._endings(dispatcher), [Ending.DISCONNECTED])
+
+
 def test_silent_connects_were_not_tried_again_with_a_deadline_beyond_the_routes():
     timeout = errors.ConnectTimeoutError("timed out")
     attempts = [*(_Attempt(timeout) for _ in range(5)), _Attempt("head", body=b"x")]
