--- a/src/turmericward/delivery/_asking.py
+++ b/src/turmericward/delivery/_asking.py
@@ -1,7 +1,7 @@
 """Asks the dispatcher for a placement, within a time.
 
 Load pattern handled: a dispatcher that is busy with a large configuration or a list of
-all targets, or has stopped, beside calls that wait for it.
+all targets, fails on a call, or has stopped, beside calls that wait for it.
 """
 
 import functools
@@ -13,6 +13,7 @@
 from turmericward.delivery import _context, _messages
 
 REASON = "dispatcher_late"
+FAILED_REASON = "dispatcher_failed"
 RETRY_AFTER_S = 0.5
 
 
@@ -24,13 +25,17 @@
     A placement that is granted later is ended again.
     """
     fut = dispatch.ask(message)
+    reason = REASON
     try:
         return fut.result(max(0.0, timeout_s))
     except TimeoutError:
         fut.add_done_callback(functools.partial(_give_back, dispatch, message))
     except runtime.TaskStoppedError:
         pass
-    return result.Err(requests.Refusal(reason=REASON, retry_after_s=RETRY_AFTER_S))
+    except Exception:
+        # Logged by the dispatcher; what fails on one call must not end another.
+        reason = FAILED_REASON
+    return result.Err(requests.Refusal(reason=reason, retry_after_s=RETRY_AFTER_S))
 
 
 def _give_back(
--- a/src/turmericward/delivery/_calls.py
+++ b/src/turmericward/delivery/_calls.py
@@ -71,8 +71,9 @@
     id: str
     method: str
     target: str
-    headers: Headers
-    body: bytes
+    # Not for the log.
+    headers: Headers = attrs.field(repr=False)
+    body: bytes = attrs.field(repr=False)
     route: Route
     received: float
     deadline_s: float
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/delivery/_dispatch_task.py
@@ -33,6 +33,10 @@
         _messages.ReplaceTargets,
         _messages.TargetNotice,
         _messages.EngineCacheListing,
+        # They carry a client's call.
+        _messages.Place,
+        _messages.FirstOutput,
+        _messages.PlacementEnded,
         peers.PeerState,
     )
 
--- a/src/turmericward/entry/_models.py
+++ b/src/turmericward/entry/_models.py
@@ -17,6 +17,7 @@
     "no_engine": (503, "no_engine"),
     "retry_budget": (503, "retry_budget"),
     "dispatcher_late": (503, "dispatcher_late"),
+    "dispatcher_failed": (503, "dispatcher_failed"),
     "targets_refused": (503, "engines_failed"),
     "quarantined": (503, "prompt_quarantined"),
     "suspected": (503, "prompt_quarantined"),
--- a/src/turmericward/entry/_router_task.py
+++ b/src/turmericward/entry/_router_task.py
@@ -53,6 +53,9 @@
 class RouterTask(runtime.Task):
     """Selects engines by the latest view; `view` may be read from any thread."""
 
+    # They carry a client's call.
+    foreign = (delivery.Place, delivery.FirstOutput, delivery.PlacementEnded)
+
     def __init__(self, cfg, seed: int) -> None:
         """Creates the task without a view; `seed` makes the choices reproducible."""
         super().__init__()
--- a/src/turmericward/runtime/_task.py
+++ b/src/turmericward/runtime/_task.py
@@ -47,7 +47,8 @@
 
     period_s = DEFAULT_PERIOD_S
     # Classes of messages that carry what other programs wrote. The failure of a
-    # handler on one of them is reported to `on_rejected` and doesn't end the task.
+    # handler on one of them is reported to `on_rejected`, and to who asked, and doesn't
+    # end the task.
     foreign: tuple[type, ...] = ()
 
     def __init__(self) -> None:
@@ -108,7 +109,9 @@
             reply = self.handle(envelope.message)
         except Exception as exc:
             envelope.fut.set_exception(exc)
-            raise
+            self._reject(envelope.message, exc)
+            return
+        self._failures.pop(type(envelope.message), None)
         if isinstance(reply, futures.Future):
             _chain(reply, envelope.fut)
         else:
@@ -116,19 +119,25 @@
 
     def handle_posted(self, message: object) -> None:
         """Handles a message without reply; drops a foreign one whose handler fails."""
-        if not isinstance(message, self.foreign):
-            self.handle(message)
-            return
-        kind = type(message)
         try:
             self.handle(message)
         except Exception as exc:
-            self._failures[kind] = self._failures.get(kind, 0) + 1
-            if self._failures[kind] >= MAX_FAILURES_IN_A_ROW:
-                raise
-            self.on_rejected(message, exc)
+            self._reject(message, exc)
         else:
-            self._failures[kind] = 0
+            self._failures.pop(type(message), None)
+
+    def _reject(self, message: object, exc: Exception) -> None:
+        """Reports a foreign message whose handler failed.
+
+        Raises:
+            Exception: `exc`, if the message isn't foreign or its handler always fails.
+        """
+        kind = type(message)
+        self._failures[kind] = self._failures.get(kind, 0) + 1
+        is_fault = self._failures[kind] >= MAX_FAILURES_IN_A_ROW
+        if is_fault or not isinstance(message, self.foreign):
+            raise exc
+        self.on_rejected(message, exc)
 
     def on_rejected(self, message: object, exc: Exception) -> None:
         """Reports a foreign message whose handler failed; the default logs it."""
--- a/tests/test_late_outcomes.py
+++ b/tests/test_late_outcomes.py
@@ -1,12 +1,20 @@
 """What a second attempt beside a silent target leaves for the rest of its call."""
 
 import functools
+import threading
+from concurrent import futures
 from unittest import mock
 
 import attrs
 
-from tests import fixtures, test_delivery, test_dispatch, test_late_attempts
-from turmericward import requests
+from tests import (
+    fixtures,
+    test_delivery,
+    test_dispatch,
+    test_late_attempts,
+    test_router_task,
+)
+from turmericward import delivery, requests, telemetry
 from turmericward.adapters import errors
 from turmericward.delivery import _messages
 
@@ -114,3 +122,49 @@
     with mock.patch.object(test_dispatch, "_call", lambda _: half_over):
         outcome = _run_stream(_stream(1, 2, LOST), *attempts, **plain)
     check.assertEqual(outcome[:2], (WHOLE, 3))
+
+
+class _FailingDispatcher(test_delivery._Dispatcher):
+    """Fails on the placements after the first."""
+
+    def ask(self, message) -> futures.Future:
+        if not self.granted:
+            return super().ask(message)
+        fut = futures.Future()
+        fut.set_exception(RuntimeError("fault of a handler"))
+        return fut
+
+
+def test_a_fault_of_the_dispatcher_ended_an_attempt_that_went_on():
+    dispatcher = _FailingDispatcher(test_late_attempts._silence_task(4))
+    attempts = _stream(1, 2, "late", 3, 4), _stream(5)
+    ctx = delivery.Context(
+        dispatch=dispatcher,
+        transport=test_late_attempts._Transport(*attempts),
+        metrics=telemetry.Metrics(None, ""),
+    )
+    call = test_late_attempts._short()
+    received = []
+    for _ in attempts:
+        reply = delivery.Delivery(ctx, call, "model").run()
+        received.append(test_late_attempts._received(reply))
+    check.assertEqual(received, [WHOLE, 503])
+
+
+def test_a_call_on_which_the_dispatcher_fails_ended_the_process():
+    front, entry = test_dispatch._task(), test_router_task._task()
+    front._placing = entry._crashes = mock.Mock(
+        place=mock.Mock(side_effect=RuntimeError("fault")),
+        refusal=mock.Mock(side_effect=RuntimeError("fault")),
+    )
+    call = attrs.evolve(test_dispatch._call(8.0), prompt=test_router_task._demand("x"))
+    message = delivery.Place(call=call, service="model", excluded=frozenset())
+    for task in (front, entry):
+        thread = threading.Thread(target=task.run, daemon=True)
+        thread.start()
+        for _ in range(2):
+            with check.assertRaises(RuntimeError):
+                task.ask(message).result(5.0)
+        check.assertTrue(thread.is_alive())
+        task.stop()
+        thread.join(5.0)
