--- a/src/turmericward/delivery/_stream_delivery.py
+++ b/src/turmericward/delivery/_stream_delivery.py
@@ -61,7 +61,8 @@
         parts = self._parts
         self._late.begin_stream(last_id)
         timeout_s = _timeouts.next_event_timeout_s(
-            parts.call, may_repeat=parts.early_end.may_repeat(parts.call)
+            parts.call,
+            may_repeat=parts.early_end.may_repeat(parts.call, parts.open.current),
         )
         return parts.record.begin_wait(timeout_s)
 
@@ -72,14 +73,16 @@
         self._late.output_received()
 
     def attempt_ended(self, attempt: _stream.StreamAttempt, *, completed: bool) -> None:
-        """Ends a successful attempt; not `completed` if the client disconnected."""
+        """Ends an attempt; not `completed` if the client left or the process stops."""
         parts = self._parts
         if completed:
             parts.early_end.record_answered(parts.call)
         parts.open.resume(attempt.placement)
-        parts.open.end(
-            requests.Ending.SUCCEEDED, streamed=completed, answered=completed
+        # A client that leaves says nothing of its target, which may be silent.
+        ending = (
+            requests.Ending.SUCCEEDED if completed else requests.Ending.DISCONNECTED
         )
+        parts.open.end(ending, streamed=completed, answered=completed)
 
     def stream_ended(self, outcome: str) -> None:
         """Records the outcome of the stream."""
@@ -91,9 +94,11 @@
         The end of an unframed stream looks the same. If it was complete, a resumed
         stream has no further events.
         """
-        if not attempt.answer.unframed or not self._parts.progress.may_repeat():
+        target = attempt.placement.target
+        may_repeat = self._parts.progress.may_repeat(frozenset((target.name,)))
+        if not attempt.answer.unframed or not may_repeat:
             return False
-        return self._parts.ctx.transport.has_ended(attempt.placement.target)
+        return self._parts.ctx.transport.has_ended(target)
 
     def interrupted(self) -> bool:
         """Returns whether the stream has to end now."""
--- a/src/turmericward/entry/_router_task.py
+++ b/src/turmericward/entry/_router_task.py
@@ -53,6 +53,9 @@
 class RouterTask(runtime.Task):
     """Selects engines by the latest view; `view` may be read from any thread."""
 
+    # They carry a client's call.
+    foreign = (delivery.Place, delivery.FirstOutput, delivery.PlacementEnded)
+
     def __init__(self, cfg, seed: int) -> None:
         """Creates the task without a view; `seed` makes the choices reproducible."""
         super().__init__()
@@ -110,7 +113,8 @@
         now = time.monotonic()
         view = self.view
         demand = message.call.prompt
-        engines = view.engines_by_model.get(demand.model, ())
+        served = view.engines_by_model.get(demand.model, ())
+        engines = tuple(e for e in served if message.may_go_to(e.name))
         excluded = message.excluded | self._holds.held(now) | view.leaving
         chosen = self._router.choose(demand, engines, view.loads, excluded, now)
         placed = chosen.map(self._record_assignment)
