News of a suspect is told before what is known, and all that is known in turn

What happened: once some 66 requests were barred, fronts told each other no more of further ones, and each found them for itself: a request ended up to 12 replicas. Cause: a datagram holds 200 rows, the strongest evidence first, so that the bars of old requests (three rows each) left no room for a suspect with one crash. Change: keys with new evidence come first, the others in turn, seven further ones each half second. What is told has a module of its own (_reports.py). The test failed before.

--- a/src/turmericward/requests/__init__.py
+++ b/src/turmericward/requests/__init__.py
@@ -23,11 +23,11 @@
     segment_number,
 )
 from turmericward.requests._quarantine import (
-    MAX_TOLD_OUTCOMES,
     KeyChange,
     KeyState,
     Quarantine,
 )
+from turmericward.requests._reports import MAX_TOLD_OUTCOMES
 from turmericward.requests._router import (
     MIN_RETRY_AFTER_S,
     Assignment,
--- a/src/turmericward/requests/_quarantine.py
+++ b/src/turmericward/requests/_quarantine.py
@@ -16,24 +16,18 @@
 import collections
 import enum
 import functools
-import itertools
 import math
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 
-from turmericward.requests import _evidence, _router, _suspects, _verdicts
+from turmericward.requests import _evidence, _reports, _router, _suspects, _verdicts
 
-# From this many on, calls with the key that lost a target aren't sent again.
-CRASHES_TO_STOP_RETRIES = 2
-# How long a suspect, or its clearing, is told to the peers if nothing changes.
-TELL_S = 3.0
 # Estimates of the same time by different fronts differ by less.
 AGE_TOLERANCE_S = 0.25
 TRIAL_TIMEOUT_S = 10.0
 MAX_SUSPECTS = 300
 MAX_CRASHES = 500
-MAX_TOLD_OUTCOMES = 200
 
 BARRED = "quarantined"
 SUSPECTED = "suspected"
@@ -194,12 +188,8 @@
             return
         *_, newest = self._suspects
         others = (key for key in self._suspects if key != newest)
-        del self._suspects[min(others, key=self.evidence)]
-
-    def evidence(self, key: int) -> tuple[bool, int, float]:
-        """Returns a value that is greater for suspects with more evidence."""
-        suspect = self._suspects[key]
-        return (suspect.bar is not None, len(suspect.crashes), suspect.changed_at)
+        least = min(others, key=lambda key: self._suspects[key].evidence)
+        del self._suspects[least]
 
     # Bars.
 
@@ -270,7 +260,8 @@
         if wait_s > 0:
             return _router.Refusal(reason=BARRED, retry_after_s=wait_s)
         if retry and any(
-            len(self._verdicts.counted(k)) >= CRASHES_TO_STOP_RETRIES for k, _ in known
+            len(self._verdicts.counted(k)) >= _suspects.CRASHES_TO_STOP_RETRIES
+            for k, _ in known
         ):
             return _router.Refusal(reason=SUSPECTED, retry_after_s=TRIAL_TIMEOUT_S)
         for key, bar in barred:
@@ -281,25 +272,8 @@
     # Reports.
 
     def outcomes(self, now: float) -> tuple[_suspects.KeyOutcome, ...]:
-        """Returns what is to be told to the peers, the strongest evidence first."""
-        told = sorted(self._suspects, key=self.evidence, reverse=True)
-        rows = (row for key in told for row in self._outcomes_of(key, now))
-        return tuple(itertools.islice(rows, MAX_TOLD_OUTCOMES))
-
-    def _outcomes_of(self, key: int, now: float) -> Iterator[_suspects.KeyOutcome]:
-        suspect = self._suspects[key]
-        lasting = len(suspect.crashes) >= CRASHES_TO_STOP_RETRIES
-        if not lasting and now - suspect.changed_at > TELL_S:
-            return
-        if suspect.answered_at > -math.inf:
-            # Also if crashes came after it: others may know of no answer at all.
-            yield _suspects.KeyOutcome(
-                kind=self.kind, key=key, crashed=None, age_s=now - suspect.answered_at
-            )
-        for incarnation, at in suspect.crashes.items():
-            yield _suspects.KeyOutcome(
-                kind=self.kind, key=key, crashed=incarnation, age_s=now - at
-            )
+        """Returns what is to be told to the peers, the latest news first."""
+        return _reports.outcomes(self.kind, self._suspects, now)
 
     def barred(self) -> dict[int, _suspects.Suspect]:
         """Returns the barred keys with their evidence."""
--- a/src/turmericward/requests/_suspects.py
+++ b/src/turmericward/requests/_suspects.py
@@ -11,6 +11,8 @@
 ANSWER_DECAY_S = 10.0
 # How long crashes count if the key is neither answered nor barred.
 EVIDENCE_S = 300.0
+# From this many on, calls with the key that lost a target aren't sent again.
+CRASHES_TO_STOP_RETRIES = 2
 # Crashes that are kept of one key; the oldest ones are dropped.
 MAX_CRASHES = 12
 # Duration of a bar from the last crash on, if there are no more than bar a key.
@@ -101,6 +103,11 @@
     changed_at: float = -math.inf
     bar: Bar | None = None
 
+    @property
+    def evidence(self) -> tuple[bool, int, float]:
+        """A value that is greater for suspects with more evidence."""
+        return (self.bar is not None, len(self.crashes), self.changed_at)
+
     def add_crash(self, incarnation: Incarnation, at: float, now: float) -> bool:
         """Adds a crash unless an answer speaks against it; returns if it is new."""
         known_at = self.crashes.get(incarnation)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -178,6 +178,19 @@
     check.assertLessEqual(len(quarantine._answered), 3_000)
 
 
+def test_many_barred_requests_kept_the_fronts_from_learning_of_further_ones():
+    quarantine, peer = _requests(), _requests()
+    for key in range(120):
+        _crash_at_once(quarantine, key, first=3 * key)
+    quarantine.record_crash([500], _engine(900), 20.0)
+    told = quarantine.outcomes(20.1)
+    check.assertLessEqual(len(told), 200)
+    check.assertIn(500, {row.key for row in told})
+    for number in range(40):
+        peer.apply(quarantine.outcomes(20.1 + number / 4), 20.1 + number / 4)
+    check.assertEqual(_barred(peer), set(range(120)))
+
+
 def test_old_evidence_is_forgotten():
     quarantine = requests.Quarantine()
     for number in range(2):
