An entry forgets old evidence on crashes

Found in review: an entry's router never dropped evidence. Cause: the front's dispatcher drops old evidence each period, the router of an entry had no period. Change: it has one. The test failed before.

--- a/src/turmericward/entry/_router_task.py
+++ b/src/turmericward/entry/_router_task.py
@@ -74,6 +74,10 @@
         self._in_flight_by_tenant: collections.Counter[str] = collections.Counter()
         self.view: fleet.View | None = None
 
+    def run_periodic(self) -> None:
+        """Drops old evidence on crashes, and logs the new."""
+        self._crashes.expire(runtime.now())
+
     @functools.singledispatchmethod
     def handle(self, message: object) -> object:
         """Dispatches a message by its type."""
--- a/tests/test_router_task.py
+++ b/tests/test_router_task.py
@@ -122,6 +122,23 @@
         check.assertTrue(_place(task, "sound").is_ok())
 
 
+def test_an_entry_counted_crashes_however_old_they_were():
+    task = _task()
+    _set_view(task, [])
+    now = time.monotonic()
+    for _ in range(3):
+        now += 400.0
+        message = delivery.PlacementEnded(
+            placement=_choose(task, "unlucky"),
+            prompt=_demand("unlucky"),
+            ending=requests.Ending.CRASHED,
+        )
+        with mock.patch.object(runtime, "now", lambda at=now: at):
+            task.run_periodic()
+            task.handle(message)
+    check.assertTrue(_place(task, "unlucky").is_ok())
+
+
 def test_second_attempts_beside_a_silent_engine_leave_retries_to_lost_calls():
     task = _task()
     _set_view(task, [])
