One log line for all that one crash makes suspect

On call, one crash of a busy engine wrote a `suspect` line for each open call at each front (64 and more), and the lines that matter stood among them. Change: keys that become suspect within a period of the dispatcher (0.1 s) have one line for each kind: their count, the most crashes, and key, id and crashes of the ten with the most. Bars, trials and clearings keep their lines; what became suspect before is logged before them. `attempt` lines with `target_ended` name all calls.

--- a/src/turmericward/delivery/_crash_guard.py
+++ b/src/turmericward/delivery/_crash_guard.py
@@ -1,19 +1,17 @@
 """Keeps calls that crash targets away from them, by what became of earlier ones."""
 
-import collections
 import itertools
 from collections.abc import Callable, Iterable
 
-from turmericward import fleet, requests, runtime, telemetry
+from turmericward import fleet, requests, runtime
 from turmericward.delivery import (
     _evidence,
     _fingerprint,
     _lost_connections,
     _messages,
+    _suspect_log,
 )
 
-MAX_NAMED_KEYS = 1_000
-
 
 def crashed_incarnation(
     directory: fleet.Directory, target: fleet.Target
@@ -51,8 +49,7 @@
         # Keys of the open placements, by id.
         self._placed: dict[int, _evidence.Found] = {}
         self._lost = _lost_connections.LostConnections()
-        # Names of keys, as this process has seen them in calls.
-        self._names: collections.OrderedDict[int, str] = collections.OrderedDict()
+        self._log = _suspect_log.SuspectLog()
 
     def refusal(self, message: _messages.Place) -> requests.Refusal | None:
         """Returns why a call must not go to a target, None if it may."""
@@ -107,7 +104,7 @@
         self, found: _evidence.Found, incarnation: requests.Incarnation, at: float
     ) -> None:
         for kind, keys in found.items():
-            self._remember_names(keys)
+            self._log.remember(keys)
             if keys:
                 self.quarantines[kind].record_crash(keys, incarnation, at)
 
@@ -128,7 +125,8 @@
         return tuple(itertools.islice(told, requests.MAX_TOLD_OUTCOMES))
 
     def expire(self, now: float) -> None:
-        """Drops evidence that is too old."""
+        """Drops evidence that is too old, and logs the suspects of the last period."""
+        self._log.flush()
         for quarantine in self.quarantines.values():
             quarantine.expire(now)
 
@@ -139,7 +137,7 @@
             _messages.BarredKey(
                 kind=kind.value,
                 key=_fingerprint.as_hex(key),
-                id=self._names.get(key, ""),
+                id=self._log.name(key),
                 crashes=len(suspect.crashes),
                 barred_s=round(max(0.0, suspect.bar.until - now), 3),
             )
@@ -147,24 +145,7 @@
             for key, suspect in quarantine.barred().items()
         )
 
-    def _remember_names(self, keys: _evidence.Keys) -> None:
-        for key, name in keys.items():
-            self._names[key] = name
-            self._names.move_to_end(key)
-        while len(self._names) > MAX_NAMED_KEYS:
-            self._names.popitem(last=False)
-
     def _log_changes(self) -> bool:
         changes = [c for q in self.quarantines.values() for c in q.pop_changes()]
-        now = runtime.now()
-        for change in changes:
-            telemetry.log_event(
-                "suspect",
-                kind=change.kind.value,
-                key=_fingerprint.as_hex(change.key),
-                id=self._names.get(change.key, ""),
-                state=change.state.value,
-                crashes=change.crashes,
-                barred_s=round(max(0.0, change.until - now), 3),
-            )
+        self._log.record(changes)
         return bool(changes)
