A call's keys are built once, and nothing is asked while nothing is suspect

The dispatcher's thread built the keys of each call twice, asked both quarantines and looked for log lines though nothing was suspect; an answer looked each key up two or three times and made an object for each. Change: no keys before the end of a placement while there are no suspects (the table of open placements keeps the message); an answer looks a key up once. The test failed before (keys built twice in the dispatcher before the call's end).

--- a/src/turmericward/delivery/_crash_guard.py
+++ b/src/turmericward/delivery/_crash_guard.py
@@ -46,13 +46,15 @@
         whole = requests.Quarantine(requests.EvidenceKind.REQUEST, broader=segments)
         # The broader one first: its bars explain crashes to the other.
         self.quarantines = {q.kind: q for q in (segments, whole)}
-        # Keys of the open placements, by id.
-        self._placed: dict[int, _evidence.Found] = {}
+        # What the open placements were requested for, by id.
+        self._placed: dict[int, _messages.Place] = {}
         self._lost = _lost_connections.LostConnections()
         self._log = _suspect_log.SuspectLog()
 
     def refusal(self, message: _messages.Place) -> requests.Refusal | None:
         """Returns why a call must not go to a target, None if it may."""
+        if not any(q.has_suspects for q in self.quarantines.values()):
+            return None
         now = runtime.now()
         refusals = (
             self.quarantines[kind].refusal(
@@ -70,15 +72,18 @@
 
     def placed(self, message: _messages.Place, placement_id: int) -> None:
         """Records that a call goes to a target."""
-        self._placed[placement_id] = _evidence.keys_of(message)
+        self._placed[placement_id] = message
 
     def placement_ended(self, message: _messages.PlacementEnded) -> bool:
         """Records the end of a placement; returns whether that changed anything."""
-        found = self._placed.pop(message.placement.id, {})
+        placed = self._placed.pop(message.placement.id, None)
+        if placed is None or not (message.answered or message.target_closed_call):
+            return False
+        found = _evidence.keys_of(placed)
         if message.answered:
             for kind, keys in found.items():
                 self.quarantines[kind].record_answer(keys, runtime.now())
-        elif message.target_closed_call:
+        else:
             target = message.placement.target
             incarnation = self._incarnation_of(target)
             if incarnation is None:
--- a/src/turmericward/requests/_quarantine.py
+++ b/src/turmericward/requests/_quarantine.py
@@ -105,26 +105,34 @@
     def record_answer(self, keys: Iterable[int], now: float) -> None:
         """Records that a call with these keys was answered to its end."""
         for key in keys:
-            if self._lifts_bar(key, now):
-                self._add_answer(key, now, now)
-
-    def _lifts_bar(self, key: int, now: float) -> bool:
-        """Counts an answer; returns whether it clears the key, also if barred.
+            answers = self._answers_of(key)
+            answers.add(now)
+            suspect = self._suspects.get(key)
+            if suspect is None:
+                answers.at = now
+            elif self._lifts_bar(suspect, answers, now):
+                answers.at = now
+                self._clear(key, suspect, now, now)
+
+    def _lifts_bar(
+        self, suspect: _suspects.Suspect, answers: _suspects.Answers, now: float
+    ) -> bool:
+        """Returns whether an answer clears a suspect, also if barred.
 
         Some prompts with a bad segment end before it does harm. So their answers lift
         no bar unless there are several lately, or it is that of a trial.
         """
-        answers = self._answers_of(key)
-        answers.add(now)
-        suspect = self._suspects.get(key)
-        bar = None if suspect is None else suspect.bar
+        bar = suspect.bar
         if bar is None or bar.trial_until > now:
             return True
         return answers.recent(now) > self._rules.chance_answers
 
     def _answers_of(self, key: int) -> _suspects.Answers:
-        answers = self._answered.setdefault(key, _suspects.Answers())
-        self._answered.move_to_end(key)
+        answers = self._answered.get(key)
+        if answers is not None:
+            self._answered.move_to_end(key)
+            return answers
+        answers = self._answered[key] = _suspects.Answers()
         if len(self._answered) > self._rules.max_answered:
             self._answered.popitem(last=False)
         return answers
@@ -137,7 +145,9 @@
                 self._note_crash(outcome.crashed, at)
                 self._add_crash(outcome.key, outcome.crashed, at, now)
             elif at > self._answered_at(outcome.key) + AGE_TOLERANCE_S:
-                self._add_answer(outcome.key, at, now)
+                self._answers_of(outcome.key).at = at
+                if outcome.key in self._suspects:
+                    self._clear(outcome.key, self._suspects[outcome.key], at, now)
         self._update_bars()
 
     def _note_crash(self, incarnation: _suspects.Incarnation, at: float) -> None:
@@ -170,11 +180,10 @@
         else:
             self._note(key, KeyState.SUSPECT)
 
-    def _add_answer(self, key: int, at: float, now: float) -> None:
-        self._answers_of(key).at = at
-        suspect = self._suspects.get(key)
-        if suspect is None:
-            return
+    def _clear(
+        self, key: int, suspect: _suspects.Suspect, at: float, now: float
+    ) -> None:
+        """Counts an answer for a suspect."""
         was_unanswered = self._verdicts.is_unanswered(suspect)
         if suspect.add_answer(at, now) and not suspect.crashes:
             self._note(key, KeyState.CLEARED)
@@ -275,6 +284,11 @@
         """Returns what is to be told to the peers, the latest news first."""
         return _reports.outcomes(self.kind, self._suspects, now)
 
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any key is suspect or barred."""
+        return bool(self._suspects)
+
     def barred(self) -> dict[int, _suspects.Suspect]:
         """Returns the barred keys with their evidence."""
         return {k: x for k, x in self._suspects.items() if x.bar is not None}
--- a/tests/test_suspect_log.py
+++ b/tests/test_suspect_log.py
@@ -6,6 +6,7 @@
 
 from tests import crashing_services, fixtures, test_dispatch
 from turmericward import delivery, requests, telemetry
+from turmericward.delivery import _evidence
 
 check = fixtures.check
 OPEN_CALLS = 64
@@ -75,3 +76,13 @@
     check.assertEqual([x["state"] for x in lines], ["suspect", "barred"])
     check.assertEqual(lines[1]["crashes"], 3)
     check.assertGreater(lines[1]["barred_s"], 59.0)
+
+
+def test_while_nothing_is_suspect_no_keys_are_built_before_the_end_of_a_call():
+    guard = _guard()
+    with mock.patch.object(_evidence, "keys_of") as keys_of:
+        ends = _place_all(guard, [7], 1)
+        check.assertEqual(keys_of.call_count, 0)
+        keys_of.return_value = {requests.EvidenceKind.REQUEST: {7: "read"}}
+        guard.placement_ended(ends[0])
+        check.assertEqual(keys_of.call_count, 1)
