--- a/src/turmericward/delivery/_crash_guard.py
+++ b/src/turmericward/delivery/_crash_guard.py
@@ -1,19 +1,17 @@
 """Keeps calls that crash targets away from them, by what became of earlier ones."""
 
-import collections
 import itertools
 from collections.abc import Callable, Iterable
 
-from turmericward import fleet, requests, runtime, telemetry
+from turmericward import fleet, requests, runtime
 from turmericward.delivery import (
     _evidence,
     _fingerprint,
     _lost_connections,
     _messages,
+    _suspect_log,
 )
 
-MAX_NAMED_KEYS = 1_000
-
 
 def crashed_incarnation(
     directory: fleet.Directory, target: fleet.Target
@@ -48,14 +46,15 @@
         whole = requests.Quarantine(requests.EvidenceKind.REQUEST, broader=segments)
         # The broader one first: its bars explain crashes to the other.
         self.quarantines = {q.kind: q for q in (segments, whole)}
-        # Keys of the open placements, by id.
-        self._placed: dict[int, _evidence.Found] = {}
+        # What the open placements were requested for, by id.
+        self._placed: dict[int, _messages.Place] = {}
         self._lost = _lost_connections.LostConnections()
-        # Names of keys, as this process has seen them in calls.
-        self._names: collections.OrderedDict[int, str] = collections.OrderedDict()
+        self._log = _suspect_log.SuspectLog()
 
     def refusal(self, message: _messages.Place) -> requests.Refusal | None:
         """Returns why a call must not go to a target, None if it may."""
+        if not any(q.has_suspects for q in self.quarantines.values()):
+            return None
         now = runtime.now()
         refusals = (
             self.quarantines[kind].refusal(
@@ -73,15 +72,18 @@
 
     def placed(self, message: _messages.Place, placement_id: int) -> None:
         """Records that a call goes to a target."""
-        self._placed[placement_id] = _evidence.keys_of(message)
+        self._placed[placement_id] = message
 
     def placement_ended(self, message: _messages.PlacementEnded) -> bool:
         """Records the end of a placement; returns whether that changed anything."""
-        found = self._placed.pop(message.placement.id, {})
+        placed = self._placed.pop(message.placement.id, None)
+        if placed is None or not (message.answered or message.target_closed_call):
+            return False
+        found = _evidence.keys_of(placed)
         if message.answered:
             for kind, keys in found.items():
                 self.quarantines[kind].record_answer(keys, runtime.now())
-        elif message.target_closed_call:
+        else:
             target = message.placement.target
             incarnation = self._incarnation_of(target)
             if incarnation is None:
@@ -107,7 +109,7 @@
         self, found: _evidence.Found, incarnation: requests.Incarnation, at: float
     ) -> None:
         for kind, keys in found.items():
-            self._remember_names(keys)
+            self._log.remember(keys)
             if keys:
                 self.quarantines[kind].record_crash(keys, incarnation, at)
 
@@ -128,7 +130,8 @@
         return tuple(itertools.islice(told, requests.MAX_TOLD_OUTCOMES))
 
     def expire(self, now: float) -> None:
-        """Drops evidence that is too old."""
+        """Drops evidence that is too old, and logs the suspects of the last period."""
+        self._log.flush()
         for quarantine in self.quarantines.values():
             quarantine.expire(now)
 
@@ -139,7 +142,7 @@
             _messages.BarredKey(
                 kind=kind.value,
                 key=_fingerprint.as_hex(key),
-                id=self._names.get(key, ""),
+                id=self._log.name(key),
                 crashes=len(suspect.crashes),
                 barred_s=round(max(0.0, suspect.bar.until - now), 3),
             )
@@ -147,24 +150,7 @@
             for key, suspect in quarantine.barred().items()
         )
 
-    def _remember_names(self, keys: _evidence.Keys) -> None:
-        for key, name in keys.items():
-            self._names[key] = name
-            self._names.move_to_end(key)
-        while len(self._names) > MAX_NAMED_KEYS:
-            self._names.popitem(last=False)
-
     def _log_changes(self) -> bool:
         changes = [c for q in self.quarantines.values() for c in q.pop_changes()]
-        now = runtime.now()
-        for change in changes:
-            telemetry.log_event(
-                "suspect",
-                kind=change.kind.value,
-                key=_fingerprint.as_hex(change.key),
-                id=self._names.get(change.key, ""),
-                state=change.state.value,
-                crashes=change.crashes,
-                barred_s=round(max(0.0, change.until - now), 3),
-            )
+        self._log.record(changes)
         return bool(changes)
--- a/src/turmericward/requests/_quarantine.py
+++ b/src/turmericward/requests/_quarantine.py
@@ -16,24 +16,18 @@
 import collections
 import enum
 import functools
-import itertools
 import math
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 
-from turmericward.requests import _evidence, _router, _suspects, _verdicts
+from turmericward.requests import _evidence, _reports, _router, _suspects, _verdicts
 
-# From this many on, calls with the key that lost a target aren't sent again.
-CRASHES_TO_STOP_RETRIES = 2
-# How long a suspect, or its clearing, is told to the peers if nothing changes.
-TELL_S = 3.0
 # Estimates of the same time by different fronts differ by less.
 AGE_TOLERANCE_S = 0.25
 TRIAL_TIMEOUT_S = 10.0
 MAX_SUSPECTS = 300
 MAX_CRASHES = 500
-MAX_TOLD_OUTCOMES = 200
 
 BARRED = "quarantined"
 SUSPECTED = "suspected"
@@ -111,26 +105,34 @@
     def record_answer(self, keys: Iterable[int], now: float) -> None:
         """Records that a call with these keys was answered to its end."""
         for key in keys:
-            if self._lifts_bar(key, now):
-                self._add_answer(key, now, now)
-
-    def _lifts_bar(self, key: int, now: float) -> bool:
-        """Counts an answer; returns whether it clears the key, also if barred.
+            answers = self._answers_of(key)
+            answers.add(now)
+            suspect = self._suspects.get(key)
+            if suspect is None:
+                answers.at = now
+            elif self._lifts_bar(suspect, answers, now):
+                answers.at = now
+                self._clear(key, suspect, now, now)
+
+    def _lifts_bar(
+        self, suspect: _suspects.Suspect, answers: _suspects.Answers, now: float
+    ) -> bool:
+        """Returns whether an answer clears a suspect, also if barred.
 
         Some prompts with a bad segment end before it does harm. So their answers lift
         no bar unless there are several lately, or it is that of a trial.
         """
-        answers = self._answers_of(key)
-        answers.add(now)
-        suspect = self._suspects.get(key)
-        bar = None if suspect is None else suspect.bar
+        bar = suspect.bar
         if bar is None or bar.trial_until > now:
             return True
         return answers.recent(now) > self._rules.chance_answers
 
     def _answers_of(self, key: int) -> _suspects.Answers:
-        answers = self._answered.setdefault(key, _suspects.Answers())
-        self._answered.move_to_end(key)
+        answers = self._answered.get(key)
+        if answers is not None:
+            self._answered.move_to_end(key)
+            return answers
+        answers = self._answered[key] = _suspects.Answers()
         if len(self._answered) > self._rules.max_answered:
             self._answered.popitem(last=False)
         return answers
@@ -143,7 +145,9 @@
                 self._note_crash(outcome.crashed, at)
                 self._add_crash(outcome.key, outcome.crashed, at, now)
             elif at > self._answered_at(outcome.key) + AGE_TOLERANCE_S:
-                self._add_answer(outcome.key, at, now)
+                self._answers_of(outcome.key).at = at
+                if outcome.key in self._suspects:
+                    self._clear(outcome.key, self._suspects[outcome.key], at, now)
         self._update_bars()
 
     def _note_crash(self, incarnation: _suspects.Incarnation, at: float) -> None:
@@ -176,11 +180,10 @@
         else:
             self._note(key, KeyState.SUSPECT)
 
-    def _add_answer(self, key: int, at: float, now: float) -> None:
-        self._answers_of(key).at = at
-        suspect = self._suspects.get(key)
-        if suspect is None:
-            return
+    def _clear(
+        self, key: int, suspect: _suspects.Suspect, at: float, now: float
+    ) -> None:
+        """Counts an answer for a suspect."""
         was_unanswered = self._verdicts.is_unanswered(suspect)
         if suspect.add_answer(at, now) and not suspect.crashes:
             self._note(key, KeyState.CLEARED)
@@ -194,12 +197,8 @@
             return
         *_, newest = self._suspects
         others = (key for key in self._suspects if key != newest)
-        del self._suspects[min(others, key=self.evidence)]
-
-    def evidence(self, key: int) -> tuple[bool, int, float]:
-        """Returns a value that is greater for suspects with more evidence."""
-        suspect = self._suspects[key]
-        return (suspect.bar is not None, len(suspect.crashes), suspect.changed_at)
+        least = min(others, key=lambda key: self._suspects[key].evidence)
+        del self._suspects[least]
 
     # Bars.
 
@@ -270,7 +269,8 @@
         if wait_s > 0:
             return _router.Refusal(reason=BARRED, retry_after_s=wait_s)
         if retry and any(
-            len(self._verdicts.counted(k)) >= CRASHES_TO_STOP_RETRIES for k, _ in known
+            len(self._verdicts.counted(k)) >= _suspects.CRASHES_TO_STOP_RETRIES
+            for k, _ in known
         ):
             return _router.Refusal(reason=SUSPECTED, retry_after_s=TRIAL_TIMEOUT_S)
         for key, bar in barred:
@@ -281,25 +281,13 @@
     # Reports.
 
     def outcomes(self, now: float) -> tuple[_suspects.KeyOutcome, ...]:
-        """Returns what is to be told to the peers, the strongest evidence first."""
-        told = sorted(self._suspects, key=self.evidence, reverse=True)
-        rows = (row for key in told for row in self._outcomes_of(key, now))
-        return tuple(itertools.islice(rows, MAX_TOLD_OUTCOMES))
+        """Returns what is to be told to the peers, the latest news first."""
+        return _reports.outcomes(self.kind, self._suspects, now)
 
-    def _outcomes_of(self, key: int, now: float) -> Iterator[_suspects.KeyOutcome]:
-        suspect = self._suspects[key]
-        lasting = len(suspect.crashes) >= CRASHES_TO_STOP_RETRIES
-        if not lasting and now - suspect.changed_at > TELL_S:
-            return
-        if suspect.answered_at > -math.inf:
-            # Also if crashes came after it: others may know of no answer at all.
-            yield _suspects.KeyOutcome(
-                kind=self.kind, key=key, crashed=None, age_s=now - suspect.answered_at
-            )
-        for incarnation, at in suspect.crashes.items():
-            yield _suspects.KeyOutcome(
-                kind=self.kind, key=key, crashed=incarnation, age_s=now - at
-            )
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any key is suspect or barred."""
+        return bool(self._suspects)
 
     def barred(self) -> dict[int, _suspects.Suspect]:
         """Returns the barred keys with their evidence."""
