Peers: the states, the fields' ranges and the records' encoding in modules of their own

No behaviour changed; names of `turmericward.peers` are the same. test_peers, test_odd_peers, test_peer_group, test_deltas, test_odd_records, test_shared_limits and test_loopback pass.

--- a/src/turmericward/peers/_messages.py
+++ b/src/turmericward/peers/_messages.py
@@ -3,7 +3,7 @@
 import attrs
 
 from turmericward import requests
-from turmericward.peers import _codec
+from turmericward.peers import _states
 
 
 @attrs.frozen(kw_only=True)
@@ -25,7 +25,7 @@
 class StateReceived:
     """A state was received from `host`."""
 
-    state: _codec.PeerState
+    state: _states.PeerState
     host: str
 
 
@@ -40,8 +40,8 @@
     cache_entries: tuple[requests.CacheEntry, ...] = ()
     held: dict[int, float] = attrs.field(factory=dict)
     listed: frozenset[int] = frozenset()
-    leaving: frozenset[_codec.LeavingTarget] = frozenset()
-    limits: tuple[_codec.TargetLimit, ...] = ()
+    leaving: frozenset[_states.LeavingTarget] = frozenset()
+    limits: tuple[_states.TargetLimit, ...] = ()
     outcomes: tuple[requests.KeyOutcome, ...] = ()
 
 
--- a/src/turmericward/peers/_outbox.py
+++ b/src/turmericward/peers/_outbox.py
@@ -5,7 +5,7 @@
 import attrs
 
 from turmericward import requests
-from turmericward.peers import _codec, _messages
+from turmericward.peers import _messages, _states
 
 # Cache entries in one datagram, and in the queue, which drops the oldest ones.
 MAX_ENTRIES_PER_DATAGRAM = 200
@@ -21,7 +21,7 @@
     cache_entries: tuple[requests.CacheEntry, ...]
     held: dict[int, float]
     listed: frozenset[int]
-    leaving: frozenset[_codec.LeavingTarget]
+    leaving: frozenset[_states.LeavingTarget]
 
 
 class Outbox:
@@ -34,9 +34,9 @@
         self._held: dict[int, float] = {}
         self._listed: frozenset[int] = frozenset()
         # Incarnations of leaving targets, with the time they were first added.
-        self._leaving: dict[_codec.LeavingTarget, float] = {}
+        self._leaving: dict[_states.LeavingTarget, float] = {}
 
-    def add(self, state: _messages.LocalState | _codec.PeerState, now: float) -> None:
+    def add(self, state: _messages.LocalState | _states.PeerState, now: float) -> None:
         """Adds the events of a local state or of a peer's."""
         self._cache_entries.extend(state.cache_entries)
         self._held |= state.held
@@ -57,7 +57,7 @@
             leaving=self._leaving_now(now),
         )
 
-    def _leaving_now(self, now: float) -> frozenset[_codec.LeavingTarget]:
+    def _leaving_now(self, now: float) -> frozenset[_states.LeavingTarget]:
         # Retained for longer than sent, so that two relays don't repeat each other's
         # events forever.
         self._leaving = {
--- a/src/turmericward/peers/_peer_task.py
+++ b/src/turmericward/peers/_peer_task.py
@@ -18,6 +18,7 @@
     _peer_group,
     _record_exchange,
     _reports,
+    _states,
 )
 
 BOOT_ID_BITS = 62
@@ -45,7 +46,7 @@
         domain: str,
         port: int,
         sock: socket.socket,
-        deliver: Callable[[_codec.PeerState | _messages.Members], None],
+        deliver: Callable[[_states.PeerState | _messages.Members], None],
         *,
         capacity: int = 0,
         fresh_s: Mapping[feeds.Topic, float] | None = None,
@@ -78,7 +79,7 @@
         self._local = _messages.LocalState(loads={})
         self._reports = _reports.StateReports()
         self._known_fronts = _members.KnownFronts()
-        self._received: dict[str, tuple[float, _codec.PeerState]] = {}
+        self._received: dict[str, tuple[float, _states.PeerState]] = {}
         self._records = _record_exchange.RecordExchange(fresh_s or {})
         # Events for the peers of this domain and for those of other domains.
         self._local_outbox = _outbox.Outbox()
@@ -155,7 +156,7 @@
                 self._send_full_batches(state.front, message.host, now)
         self._forward(self._without_local_load(state))
 
-    def _with_unchanged_loads(self, state: _codec.PeerState) -> _codec.PeerState:
+    def _with_unchanged_loads(self, state: _states.PeerState) -> _states.PeerState:
         """Adds the loads that a partial state leaves out as unchanged."""
         if not state.partial:
             return state
@@ -163,7 +164,7 @@
         base = previous.loads if previous.boot == state.boot else {}
         return attrs.evolve(state, loads=_deltas.merge(base, state.loads))
 
-    def _queue_events(self, state: _codec.PeerState, now: float) -> None:
+    def _queue_events(self, state: _states.PeerState, now: float) -> None:
         self._local_outbox.add(state, now)
         # A relay of another domain sends its events to the other domains itself.
         if state.domain == self._domain:
@@ -183,7 +184,7 @@
         logging.info("%s is told what the store holds, %d bytes", front, len(data))
         self._send_to(host, data)
 
-    def _without_local_load(self, state: _codec.PeerState) -> _codec.PeerState:
+    def _without_local_load(self, state: _states.PeerState) -> _states.PeerState:
         """Subtracts the local load from a relay's sum."""
         if state.fronts == 1 or state.domain != self._domain:
             return state
@@ -303,7 +304,7 @@
             self._send_to(recipient.host, encoded[recipient.gets_records])
 
     def _encode(
-        self, state: _codec.PeerState, batches: _record_exchange.Batches
+        self, state: _states.PeerState, batches: _record_exchange.Batches
     ) -> bytes:
         """Returns the datagram of a state, without the batches if it is too long.
 
@@ -328,10 +329,10 @@
             # Datagrams may be lost anyway; the next one repeats the state.
             logging.debug("can't send a datagram to peer at %s: %s", host, exc)
 
-    def _empty_state(self) -> _codec.PeerState:
+    def _empty_state(self) -> _states.PeerState:
         """Returns a state that leaves the loads sent before unchanged."""
         self._sequence += 1
-        return _codec.PeerState(
+        return _states.PeerState(
             front=self._front,
             boot=self._boot,
             sequence=self._sequence,
@@ -344,7 +345,7 @@
 
     def _build_state(
         self, scope, outbox: _outbox.Outbox, now: float
-    ) -> _codec.PeerState:
+    ) -> _states.PeerState:
         relayed = (
             []
             if scope is _peer_group.LoadScope.LOCAL
@@ -367,7 +368,7 @@
             fronts=1 + sum(state.fronts for state in relayed),
         )
 
-    def _relayed_states(self, scope, now: float) -> list[_codec.PeerState]:
+    def _relayed_states(self, scope, now: float) -> list[_states.PeerState]:
         """Returns the peers' states that a relay adds to its local state."""
         members = set(self._peers.live_members(now))
         return [
--- a/src/turmericward/peers/_receive_loop.py
+++ b/src/turmericward/peers/_receive_loop.py
@@ -5,7 +5,7 @@
 from absl import logging
 
 from turmericward import runtime, telemetry
-from turmericward.peers import _codec, _messages, _peer_task
+from turmericward.peers import _codec, _fields, _messages, _peer_task
 
 RECEIVE_TIMEOUT_S = 0.5
 
@@ -52,7 +52,7 @@
             return
         try:
             state = _codec.decode(data)
-        except _codec.MalformedStateError as exc:
+        except _fields.MalformedStateError as exc:
             self._rejections.add("datagrams", host, str(exc))
             return
         boot, sequence = self._latest.get(state.front, (0, 0))
--- a/src/turmericward/peers/_record_exchange.py
+++ b/src/turmericward/peers/_record_exchange.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Mapping
 
 from turmericward import feeds
-from turmericward.peers import _codec
+from turmericward.peers import _states
 
 # How often a reader confirms that a topic has no further changes.
 HEARTBEAT_S = 0.4
@@ -50,7 +50,7 @@
         """Makes the next datagram hold the recent records."""
         self._due = True
 
-    def receive(self, state: _codec.PeerState) -> None:
+    def receive(self, state: _states.PeerState) -> None:
         """Passes the batches of a peer of this domain on."""
         for batch in state.record_batches:
             self._latest_era = max(self._latest_era, batch.end.era)
--- a/src/turmericward/peers/_reports.py
+++ b/src/turmericward/peers/_reports.py
@@ -5,7 +5,7 @@
 import attrs
 
 from turmericward import requests
-from turmericward.peers import _codec, _messages
+from turmericward.peers import _messages, _states
 
 # Unchanged rows are repeated after this time, for peers that have missed a datagram
 # or have started since.
@@ -63,7 +63,7 @@
 class DueReports:
     """Rows of all types that are to be sent now; fields as in `PeerState`."""
 
-    limits: tuple[_codec.TargetLimit, ...]
+    limits: tuple[_states.TargetLimit, ...]
     outcomes: tuple[requests.KeyOutcome, ...]
 
 
@@ -72,7 +72,7 @@
 
     def __init__(self) -> None:
         """Starts without rows."""
-        self._limits: Reports[_codec.TargetLimit] = Reports()
+        self._limits: Reports[_states.TargetLimit] = Reports()
         self._outcomes: Reports[requests.KeyOutcome] = Reports()
 
     def replace(self, state: _messages.LocalState, now: float) -> None:
