Soak: a long run no longer runs out of descriptors that select takes

Ruled out: connections that the fronts leave open (they are processes, and ended by then).

Change: a link can be closed, and a fleet closes its links at its end; clients use poll.

Tests: both new ones in tests/test_soak.py failed before (no close; ValueError).

--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -189,6 +189,8 @@
         for front in self.fronts:
             if front.process is not None and front.process.poll() is None:
                 front.kill()
+        for proxy in self.links.values():
+            proxy.close()
         for server in self._servers.values():
             server.shutdown()
             server.server_close()
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -130,8 +130,10 @@
         sock = self._conn.sock
         if sock is None:
             return False
-        readable, _, _ = select.select([sock], [], [], 0)
-        if not readable:
+        # Unlike select, poll has no limit on the number of a descriptor.
+        poll = select.poll()
+        poll.register(sock, select.POLLIN)
+        if not poll.poll(0):
             return True
         with contextlib.suppress(OSError):
             return sock.recv(1, socket.MSG_PEEK) != b""
--- a/standins/link.py
+++ b/standins/link.py
@@ -14,6 +14,11 @@
 from standins import _http
 
 CHUNK_BYTES = 65536
+# The mode after `close`.
+CLOSED = "closed"
+# Modes in which nothing listens, and those in which no connection stays open.
+DEAF = ("down", CLOSED)
+CUT = ("refuse", *DEAF)
 
 
 class Link:
@@ -38,23 +43,29 @@
         with self._changed:
             self._mode = mode
             self._changed.notify_all()
-            if mode == "down" and self._listener is not None:
+            if mode in DEAF and self._listener is not None:
                 # Also ends a running accept.
                 self._shut_down(self._listener)
-            if mode in ("refuse", "down"):
+            if mode in CUT:
                 self._shut_down(*self._open)
 
+    def close(self) -> None:
+        """Ends all connections and frees the port for good."""
+        self.set_mode(CLOSED)
+
     def _shut_down(self, *socks: socket.socket) -> None:
         for sock in socks:
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
 
     def listen(self, address: str) -> None:
-        """Accepts connections until the process ends."""
+        """Accepts connections until the link is closed."""
         host, _, port = address.rpartition(":")
         while True:
             with self._changed:
                 self._changed.wait_for(lambda: self._mode != "down")
+                if self._mode == CLOSED:
+                    return
                 self._listener = socket.create_server((host, int(port)), backlog=256)
             with self._listener, contextlib.suppress(OSError):
                 self._accept_all(self._listener)
@@ -67,7 +78,7 @@
     def _forward(self, conn: socket.socket) -> None:
         with self._changed:
             self._changed.wait_for(lambda: self._mode != "hang")
-        if self._mode in ("refuse", "down"):
+        if self._mode in CUT:
             conn.close()
             return
         with (
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,15 +1,22 @@
 """Short seeded runs of the soak, with the product as it is and with a fault in it."""
 
+import contextlib
+import os
 import pathlib
+import socket
 import tempfile
+import threading
 
 from soak import _injections, _run
-from tests import fixtures
+from standins import caller, launch, link, loopback
+from tests import fixtures, test_late_connections
 
 check = fixtures.check
 SEED = 1
 FRONTS = 3
 SECONDS = 6.0
+MAX_CLOSE_S = 5.0
+SELECT_LIMIT = 1024
 # With this seed a request crashes replicas, and then all others are silent, beside a
 # stop; there are too few retries to resume every stream elsewhere.
 TROUBLED_SEED = 147
@@ -34,6 +41,45 @@
     return [f"{f.promise}: {f.front} {f.call_id} {f.detail}" for f in report.findings]
 
 
+def test_a_link_kept_its_port_and_connections_when_its_run_had_ended():
+    (port,) = loopback.free_ports(1)
+    address = ("127.0.0.1", port)
+    with test_late_connections._Target((30.0,)) as target:
+        proxy = link.Link(target.address)
+        listening = threading.Thread(
+            target=proxy.listen, args=(f"127.0.0.1:{port}",), daemon=True
+        )
+        listening.start()
+        launch.wait_until(lambda: _connects(address), what="link listens")
+        with socket.create_connection(address) as conn:
+            conn.sendall(b"x")
+            launch.wait_until(lambda: proxy._open, what="connection forwarded")
+            proxy.close()
+            conn.settimeout(MAX_CLOSE_S)
+            check.assertEqual(conn.recv(1), b"")
+        listening.join(MAX_CLOSE_S)
+        check.assertFalse(listening.is_alive())
+        check.assertFalse(_connects(address))
+
+
+def _connects(address) -> bool:
+    with contextlib.suppress(OSError), socket.create_connection(address):
+        return True
+    return False
+
+
+def test_clients_ended_when_the_soak_had_more_descriptors_than_select_takes():
+    with (
+        test_late_connections._Target((30.0,)) as target,
+        contextlib.ExitStack() as fds,
+    ):
+        for _ in range(SELECT_LIMIT):
+            fds.callback(os.close, os.dup(0))
+        conn = caller.Caller(target.address, "h")
+        fds.callback(conn.close)
+        check.assertTrue(conn.is_open())
+
+
 def test_a_seeded_run_with_overlapping_faults_breaks_no_promise():
     check.assertEqual(_findings(_run.PROGRAM), [])
 
