Tests: a second attempt of a plain service whose long request isn't read

The case of a second target that doesn't read, beside a hung first one: its writing ends after timeout_s and the third target answers.

--- a/tests/test_late_services.py
+++ b/tests/test_late_services.py
@@ -121,8 +121,14 @@
 
 def test_a_long_request_that_a_target_does_not_read_goes_to_another_one():
     body = bytes(test_late_connections.LONG_BODY_BYTES)
-    with test_late_connections._UnreadingTarget() as full, _targets(SOUND) as targets:
-        check.assertEqual(_call(full, *targets, method="PUT", body=body)[0], 200)
+    for earlier in ((), (HUNG,)):
+        with (
+            _targets(*earlier, SOUND) as (*late, sound),
+            test_late_connections._UnreadingTarget() as full,
+        ):
+            status, took_s = _call(*late, full, sound, method="PUT", body=body)
+        check.assertEqual(status, 200, earlier)
+        check.assertLess(took_s, 2.9 * TIMEOUT_S, earlier)
 
 
 def test_a_call_that_may_run_once_waits_for_its_silent_target_alone():
