--- a/src/turmericward/delivery/_progress.py
+++ b/src/turmericward/delivery/_progress.py
@@ -27,8 +27,10 @@
     ones, whose attempt was ended in favour of another. `reason` is the cause of the
     failure, `stop_reason` why no further attempt is made.
 
-    The route bounds the targets at which the call may run. Those where this front ended
-    an attempt that had not failed may get it again when there are as many.
+    The route bounds the targets at which the call may run. When there are as many, it
+    goes again to those where this front ended an attempt that had not failed: beside a
+    running one only if it had not been silent either, or two targets that need time
+    would get the call in turns for ever.
     """
 
     route: _calls.Route
@@ -44,9 +46,11 @@
     placements: int = 0
     _refusals: int = 0
     _crashes: int = 0
-    # Names of the targets at which the call may have run, and of those that were left.
+    # Names of the targets at which the call may have run; of those that were left; and
+    # of those among them that were not needed.
     _ran_at: frozenset[str] = frozenset()
     _left: frozenset[str] = frozenset()
+    _not_needed: frozenset[str] = frozenset()
     _interrupted: bool = False
 
     def avoided(self, running: Set[str] = frozenset()) -> frozenset[str]:
@@ -56,7 +60,8 @@
             running: names of the targets of the attempts that go on.
         """
         avoided = self.excluded | self.silent
-        return avoided if self._has_all(running) else avoided | self.superseded
+        goes_back = not running and self._has_all(running)
+        return avoided if goes_back else avoided | self.superseded
 
     @property
     def may_have_run(self) -> bool:
@@ -75,7 +80,8 @@
         return len(self._ran_at | running) >= self.route.max_attempts
 
     def _returnable(self, running: Set[str]) -> frozenset[str]:
-        return self._left - self.excluded - running
+        left = self._not_needed if running else self._left
+        return left - self.excluded - running
 
     def record_unreachable(self, target: str) -> None:
         """Records a target that couldn't be reached.
@@ -150,6 +156,7 @@
         """
         self.superseded |= {target}
         self._record_arrival()
+        self._not_needed -= {target}
         if ran:
             self._record_left(target)
 
@@ -157,6 +164,7 @@
         """Records a second attempt that was ended since the first goes on."""
         self.arrivals += 1
         self._record_left(target)
+        self._not_needed |= {target}
 
     def _record_left(self, target: str) -> None:
         self._ran_at |= {target}
--- a/tests/test_late_outcomes.py
+++ b/tests/test_late_outcomes.py
@@ -16,7 +16,7 @@
 )
 from turmericward import delivery, requests, telemetry
 from turmericward.adapters import errors
-from turmericward.delivery import _messages
+from turmericward.delivery import _messages, _progress
 
 check = fixtures.check
 Ending = requests.Ending
@@ -168,3 +168,18 @@
         check.assertTrue(thread.is_alive())
         task.stop()
         thread.join(5.0)
+
+
+def test_two_targets_that_needed_time_got_a_call_in_turns():
+    route = attrs.evolve(test_dispatch._call(8.0).route, max_attempts=2)
+    progress = _progress.Progress(route=route)
+    nothing, first, second = frozenset(), frozenset(("a",)), frozenset(("b",))
+    progress.record_not_needed("b")
+    check.assertEqual(progress.bound_to(first), second)
+    progress.record_superseded("a", ran=True)
+    progress.record_superseded("b", ran=True)
+    check.assertFalse(progress.may_repeat(first))
+    check.assertFalse(progress.may_repeat(second))
+    progress.record_failure("b")
+    check.assertEqual(progress.bound_to(nothing), first)
+    check.assertEqual(progress.avoided() & first, nothing)
