--- a/src/turmericward/httpd/_channel.py
+++ b/src/turmericward/httpd/_channel.py
@@ -1,5 +1,6 @@
 """Client connections of the HTTP server and the requests on them."""
 
+import math
 import socket
 
 from waitress import channel, parser, task, utilities
@@ -8,6 +9,8 @@
 from turmericward.httpd import _idle, _linger, _shutdown
 
 RECEIVED_AT_KEY = "turmericward.received"
+# Other instances may take the request at once.
+REFUSAL_RETRY_AFTER_S = 0.5
 
 
 class Parser(parser.HTTPRequestParser):
@@ -70,6 +73,23 @@
         self.channel.response_is_whole = True
 
 
+class RefusalTask(Task):
+    """Answers that the request wasn't run, without the application."""
+
+    # waitress writes no response that isn't.
+    complete = True
+
+    def execute(self) -> None:
+        """Writes the response."""
+        self.status = "503 Service Unavailable"
+        self.response_headers = [
+            ("Content-Length", "0"),
+            ("Retry-After", f"{REFUSAL_RETRY_AFTER_S:.2f}"),
+        ]
+        self.content_length = 0
+        self.write(b"")
+
+
 class Channel(channel.HTTPChannel):
     """A connection that is closed only when the client has had time to read.
 
@@ -82,6 +102,8 @@
     _served = False
     _serving = False
     _discards = False
+    # Whether the next request is refused.
+    refuses = False
     # Whether the client knows the end of the response by the close alone (HTTP/1.0).
     close_ends_response = False
     response_is_whole = False
@@ -122,12 +144,20 @@
 
     def service(self) -> None:
         """Answers the first request; called by a worker thread."""
+        self.task_class = RefusalTask if self.refuses else Task
+        self.refuses = False
         self._served = self._serving = True
         try:
             super().service()
         finally:
             self._serving = False
 
+    @property
+    def waiting_since(self) -> float:
+        """Time at which the first request was complete, infinite without one."""
+        first = next(iter(self.requests), None)
+        return math.inf if first is None else first.received_at
+
     def mark_last_response(self) -> bool:
         """Makes the next response the last one, if it has to be; returns whether it is.
 
--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -10,7 +10,14 @@
 from waitress import trigger, wasyncore
 
 from turmericward import runtime
-from turmericward.httpd import _channel, _idle, _shutdown, _stopping, _workers
+from turmericward.httpd import (
+    _channel,
+    _idle,
+    _shutdown,
+    _stopping,
+    _waiting,
+    _workers,
+)
 
 CONNECTION_LIMIT = 4000
 IDLE_TIMEOUT_S = 3600.0
@@ -26,13 +33,14 @@
     """Limits of a server.
 
     `balancer_lag_s` is how long the load balancer takes to notice that the server
-    is no longer ready.
+    is no longer ready, `queue_s` how long a request may wait for a thread.
     """
 
     threads: int
     max_body_bytes: int
     balancer_lag_s: float
     connections: int = CONNECTION_LIMIT
+    queue_s: float = math.inf
 
 
 @attrs.frozen(kw_only=True)
@@ -75,6 +83,7 @@
         self._servers: list = []
         self._monitor = _idle.IdleMonitor()
         self._server = self._listen(app, address, limits.threads)
+        self._refuser = _waiting.Refuser(self._server.task_dispatcher, limits.queue_s)
         self._stopper = _stopping.Stopper(
             self._server, self._drain, limits.balancer_lag_s
         )
@@ -153,8 +162,10 @@
             begun = executor.submit(self._begin_after, stop, on_stop)
             try:
                 while not self._stopper.step():
-                    wasyncore.poll2(self._stopper.step_s, self._map)
+                    step_s = min(self._stopper.step_s, self._refuser.step_s)
+                    wasyncore.poll2(step_s, self._map)
                     self._close_expired()
+                    self._refuser.step()
             finally:
                 stop.set()
                 self._release()
@@ -170,6 +181,7 @@
 
     def _release(self) -> None:
         """Lets idle workers end and closes the probes."""
+        self._refuser.close()
         for server in self._servers:
             server.task_dispatcher.set_thread_count(0)
         for conn in list(self._map.values()):
--- a/src/turmericward/httpd/_workers.py
+++ b/src/turmericward/httpd/_workers.py
@@ -39,6 +39,19 @@
             self._grow(count + 1)
         super().add_task(task)
 
+    def waiting(self) -> list:
+        """Returns the tasks that no worker has begun."""
+        with self.lock:
+            return list(self.queue)
+
+    def withdraw(self, task) -> bool:
+        """Takes a task back; returns whether no worker had begun it."""
+        with self.lock:
+            if task not in self.queue:
+                return False
+            self.queue.remove(task)
+            return True
+
     def _grow(self, count: int) -> None:
         before = set(self.threads)
         try:
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -37,6 +37,8 @@
 WORKER_THREADS = 120
 MAX_TRACEBACK_CHARS = 2000
 BALANCER_LAG_S = 3.0
+# Longer than targets are silent that are sound.
+QUEUE_S = 2.0
 STOP_TIMEOUT_S = 1.0
 # After a store outage, replicas renew expired announcements within 2 s.
 REANNOUNCE_GRACE_S = 2.5
@@ -132,6 +134,7 @@
             max_body_bytes=DEFAULT_MAX_BODY_BYTES,
             balancer_lag_s=BALANCER_LAG_S,
             connections=cfg.limits.file_descriptors - RESERVED_DESCRIPTORS,
+            queue_s=QUEUE_S,
         )
         address = _address.split(cfg.listen.front)
         self._server = httpd.Server(
