--- a/src/turmericward/delivery/_calls.py
+++ b/src/turmericward/delivery/_calls.py
@@ -149,6 +149,18 @@
         """
         return _request.join_body(self.chunks)
 
+    def whole(self) -> "Answer":
+        """Returns the answer with its complete body, and closes its connection.
+
+        Raises:
+            AdapterError: as for `read`, or the wait for it has ended.
+        """
+        try:
+            body = self.read()
+        finally:
+            self.close()
+        return attrs.evolve(self, chunks=iter((body,)))
+
 
 @attrs.frozen(kw_only=True)
 class Failure:
--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -35,11 +35,11 @@
     """Second attempts of one call; `on_late` is called while the first one waits.
 
     At most two are open at a time. The first is ended as soon as the second has the
-    head of a usable answer; that of a stream or a prompt also when the second has
-    worked for `MAX_OVERLAP_S`, if the retry budget allows a third. Otherwise the first
-    answer counts; if neither comes, the first attempt is ended when a third one is
-    allowed. As long as the first attempt is open, a failure of the second is none of
-    the call.
+    head of a usable answer, of a plain call the whole; that of a stream or a prompt
+    also when the second has worked for `MAX_OVERLAP_S`, if the retry budget allows a
+    third. Otherwise the first answer counts; if neither comes, the first attempt is
+    ended when a third one is allowed. As long as the first attempt is open, a failure
+    of the second is none of the call.
     """
 
     def __init__(
@@ -191,7 +191,10 @@
             on_late=functools.partial(self._on_late_second, pending, second),
             rival=pending,
         )
-        return parts.ctx.transport.send(placement.target, call, dispatch)
+        answer = parts.ctx.transport.send(placement.target, call, dispatch)
+        if pending.closed or not call.first_answer_counts:
+            return answer
+        return answer.whole() if self._is_usable(answer) else answer
 
     def _overlap_s(self, second: requests.Placement) -> float:
         """Returns how long the second attempt is waited for beside the first."""
--- a/tests/test_late_outcomes.py
+++ b/tests/test_late_outcomes.py
@@ -104,6 +104,14 @@
     check.assertEqual(test_delivery._endings(dispatcher), [Ending.DISCONNECTED])
 
 
+def test_half_an_answer_of_a_second_target_ended_the_first():
+    second = _Attempt("head", LOST)
+    first = _Attempt("late", "head", body=b"first")
+    body, sent, endings = _run_plain(first, second)
+    check.assertEqual((body, sent), (b"first", 2))
+    check.assertEqual(endings, [Ending.FAILED, Ending.SUCCEEDED])
+
+
 def test_silent_connects_were_not_tried_again_with_a_deadline_beyond_the_routes():
     timeout = errors.ConnectTimeoutError("timed out")
     attempts = [*(_Attempt(timeout) for _ in range(5)), _Attempt("head", body=b"x")]
