--- a/tests/test_late_outcomes.py
+++ b/tests/test_late_outcomes.py
@@ -16,7 +16,7 @@
 )
 from turmericward import delivery, requests, telemetry
 from turmericward.adapters import errors
-from turmericward.delivery import _messages
+from turmericward.delivery import _messages, _progress
 
 check = fixtures.check
 Ending = requests.Ending
@@ -104,6 +104,14 @@
     check.assertEqual(test_delivery._endings(dispatcher), [Ending.DISCONNECTED])
 
 
+def test_half_an_answer_of_a_second_target_ended_the_first():
+    second = _Attempt("head", LOST)
+    first = _Attempt("late", "head", body=b"first")
+    body, sent, endings = _run_plain(first, second)
+    check.assertEqual((body, sent), (b"first", 2))
+    check.assertEqual(endings, [Ending.FAILED, Ending.SUCCEEDED])
+
+
 def test_silent_connects_were_not_tried_again_with_a_deadline_beyond_the_routes():
     timeout = errors.ConnectTimeoutError("timed out")
     attempts = [*(_Attempt(timeout) for _ in range(5)), _Attempt("head", body=b"x")]
@@ -168,3 +176,18 @@
         check.assertTrue(thread.is_alive())
         task.stop()
         thread.join(5.0)
+
+
+def test_two_targets_that_needed_time_got_a_call_in_turns():
+    route = attrs.evolve(test_dispatch._call(8.0).route, max_attempts=2)
+    progress = _progress.Progress(route=route)
+    nothing, first, second = frozenset(), frozenset(("a",)), frozenset(("b",))
+    progress.record_not_needed("b")
+    check.assertEqual(progress.bound_to(first), second)
+    progress.record_superseded("a", ran=True)
+    progress.record_superseded("b", ran=True)
+    check.assertFalse(progress.may_repeat(first))
+    check.assertFalse(progress.may_repeat(second))
+    progress.record_failure("b")
+    check.assertEqual(progress.bound_to(nothing), first)
+    check.assertEqual(progress.avoided() & first, nothing)
