Peers: building states and keeping received ones are apart from the task that sends

`_peer_task.py` (384 lines) handled messages, kept the peers' states and built its own. Now `_received_states.py` and `_state_builder.py` do the latter two.

--- a/src/turmericward/peers/_peer_task.py
+++ b/src/turmericward/peers/_peer_task.py
@@ -1,27 +1,26 @@
 """The task that sends this front's state to its peers and relays theirs."""
 
 import functools
-import secrets
 import socket
 from collections.abc import Callable, Mapping
 
 import attrs
 from absl import logging
 
-from turmericward import feeds, requests, runtime
+from turmericward import feeds, runtime
 from turmericward.peers import (
     _codec,
     _deltas,
     _members,
     _messages,
-    _outbox,
     _peer_group,
+    _received_states,
     _record_exchange,
     _reports,
+    _state_builder,
     _states,
 )
 
-BOOT_ID_BITS = 62
 IDLE_PERIOD_S = 0.25
 # Longest time between two states where every front sends to every other one.
 DIRECT_HEARTBEAT_S = 0.25
@@ -73,23 +72,16 @@
         self._sock = sock
         self._forward = deliver
         self._clock = clock
-        self._boot = secrets.randbits(BOOT_ID_BITS)
-        self._sequence = 0
         self._peers = _peer_group.PeerGroup(front, domain, capacity)
         self._local = _messages.LocalState(loads={})
         self._reports = _reports.StateReports()
         self._known_fronts = _members.KnownFronts()
-        self._received: dict[str, tuple[float, _states.PeerState]] = {}
+        self._received = _received_states.ReceivedStates(domain, self._peers)
         self._records = _record_exchange.RecordExchange(fresh_s or {})
-        # Events for the peers of this domain and for those of other domains.
-        self._local_outbox = _outbox.Outbox()
-        self._remote_outbox = _outbox.Outbox()
-        self._encoders = {
-            scope: _deltas.DeltaEncoder(exact=scope is _peer_group.LoadScope.LOCAL)
-            for scope in _peer_group.LoadScope
-        }
+        self._builder = _state_builder.StateBuilder(
+            front, domain, self._peers, self._records
+        )
         self._sent_loads: _deltas.Loads = {}
-        self._last_recipients: frozenset[str] = frozenset()
         self._sent_at = float("-inf")
         self._changed = False
         # Read by any thread: whether peers rely on what this front reads of the
@@ -144,10 +136,9 @@
         ):
             logging.info("peer %s at %s is known", state.front, message.host)
             self._forward_members()
-        state = self._with_unchanged_loads(state)
-        self._received[state.front] = (now, state)
+        state = self._received.record(state, now)
         if self._peers.is_relay(now):
-            self._queue_events(state, now)
+            self._builder.add_relayed(state, now)
             self._changed = True
             self._send_if_due(now)
         if state.domain == self._domain:
@@ -156,20 +147,6 @@
                 self._send_full_batches(state.front, message.host, now)
         self._forward(self._without_local_load(state))
 
-    def _with_unchanged_loads(self, state: _states.PeerState) -> _states.PeerState:
-        """Adds the loads that a partial state leaves out as unchanged."""
-        if not state.partial:
-            return state
-        _, previous = self._received.get(state.front, (0.0, state))
-        base = previous.loads if previous.boot == state.boot else {}
-        return attrs.evolve(state, loads=_deltas.merge(base, state.loads))
-
-    def _queue_events(self, state: _states.PeerState, now: float) -> None:
-        self._local_outbox.add(state, now)
-        # A relay of another domain sends its events to the other domains itself.
-        if state.domain == self._domain:
-            self._remote_outbox.add(state, now)
-
     def _send_full_batches(self, front: str, host: str, now: float) -> None:
         """Sends the newest record of every key to a front that can't read the store."""
         if self._peers.relay_of(self._domain, now, exclude=front) != self._front:
@@ -177,7 +154,9 @@
         batches = self._records.pop_full(now)
         if not batches:
             return
-        data = _codec.encode(attrs.evolve(self._empty_state(), record_batches=batches))
+        data = _codec.encode(
+            attrs.evolve(self._builder.empty(), record_batches=batches)
+        )
         if len(data) > MAX_DATAGRAM_BYTES:
             logging.warning("%s asks for %d bytes, too much", front, len(data))
             return
@@ -203,8 +182,7 @@
         now = self._clock()
         self._local = message
         self._reports.replace(message, now)
-        self._local_outbox.add(message, now)
-        self._remote_outbox.add(message, now)
+        self._builder.add_local(message, now)
         self._changed = True
         self._send_if_due(now)
 
@@ -225,7 +203,7 @@
             return
         expired = self._peers.expire(now)
         for front in expired:
-            self._received.pop(front, None)
+            self._received.drop(front)
             logging.info("peer %s expired", front)
         if expired:
             self._forward_members()
@@ -263,7 +241,7 @@
         self._sent_at = now
         self._changed = False
         recipients = self._peers.recipients(now)
-        self._track_recipients(recipients)
+        self._builder.track_recipients(recipients)
         reports = self._reports.pop_due(now)
         batches = self._records.pop_due(now)
         for scope in _peer_group.LoadScope:
@@ -272,16 +250,7 @@
                 self._send_scope(scope, group, batches, reports, now)
         self._sent_loads = self._local.loads
         if not self._peers.is_relay(now):
-            # Only a relay sends to other domains: discard their events.
-            self._remote_outbox.pop_due(now)
-
-    def _track_recipients(self, recipients: list[_peer_group.Recipient]) -> None:
-        """Makes the next states complete if a recipient is new."""
-        fronts = frozenset(r.front for r in recipients)
-        if fronts - self._last_recipients:
-            for encoder in self._encoders.values():
-                encoder.reset()
-        self._last_recipients = fronts
+            self._builder.discard_remote(now)
 
     def _send_scope(
         self,
@@ -291,10 +260,8 @@
         reports: _reports.DueReports,
         now: float,
     ) -> None:
-        remote = scope is _peer_group.LoadScope.DOMAIN
-        state = self._build_state(
-            scope, self._remote_outbox if remote else self._local_outbox, now
-        )
+        relayed = self._received.relayed(scope, now)
+        state = self._builder.build(scope, self._local.loads, relayed, now)
         state = attrs.evolve(state, limits=reports.limits, outcomes=reports.outcomes)
         encoded: dict[bool, bytes] = {}
         for recipient in group:
@@ -328,58 +295,3 @@
         except Exception as exc:
             # Datagrams may be lost anyway; the next one repeats the state.
             logging.debug("can't send a datagram to peer at %s: %s", host, exc)
-
-    def _empty_state(self) -> _states.PeerState:
-        """Returns a state that leaves the loads sent before unchanged."""
-        self._sequence += 1
-        return _states.PeerState(
-            front=self._front,
-            boot=self._boot,
-            sequence=self._sequence,
-            loads={},
-            partial=True,
-            domain=self._domain,
-            capacity=self._peers.capacity,
-            needs_full_batches=self._records.needs_full_batches,
-        )
-
-    def _build_state(
-        self, scope, outbox: _outbox.Outbox, now: float
-    ) -> _states.PeerState:
-        relayed = (
-            []
-            if scope is _peer_group.LoadScope.LOCAL
-            else self._relayed_states(scope, now)
-        )
-        loads = requests.sum_loads([self._local.loads, *(s.loads for s in relayed)])
-        if self._peers.direct:
-            update = _deltas.Update(rows=loads, partial=False)
-        else:
-            update = self._encoders[scope].next_update(loads, now)
-        events = outbox.pop_due(now)
-        return attrs.evolve(
-            self._empty_state(),
-            loads=update.rows,
-            partial=update.partial,
-            cache_entries=events.cache_entries,
-            held=events.held,
-            listed=events.listed,
-            leaving=events.leaving,
-            fronts=1 + sum(state.fronts for state in relayed),
-        )
-
-    def _relayed_states(self, scope, now: float) -> list[_states.PeerState]:
-        """Returns the peers' states that a relay adds to its local state."""
-        members = set(self._peers.live_members(now))
-        return [
-            state
-            for front, (received_at, state) in self._received.items()
-            if now - received_at <= requests.PEER_TIMEOUT_S
-            and (
-                (front in members and state.fronts == 1)
-                or (
-                    scope is _peer_group.LoadScope.FLEET
-                    and state.domain != self._domain
-                )
-            )
-        ]
