Tests of late connections: the two plays of a resumed stream share their run

No assertion or bound changed; the trickle's run now waits 0.1 s after its time is taken, as the other did. test_late_connections: 10 passed.

--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -177,16 +177,21 @@
         check.assertEqual(paused.closed_after_s, [], name)
 
 
+def _resume(name: str, transport, done: bytes, *script: bytes | float):
+    """Returns the stopwatch of a stream that is resumed, and its first target."""
+    resumed = (HEAD, _events(3, 4), done)
+    with _Target((HEAD, _events(1, 2), *script)) as first, _Target(resumed) as sound:
+        watch, received = _timed_run(transport, first, sound)
+        time.sleep(0.1)
+    check.assertEqual(received, [1, 2, 3, 4], name)
+    return watch, first
+
+
 def test_a_stream_is_resumed_at_a_target_that_answers():
     for name, (transport, done) in _transports().items():
 
         def play(name=name, transport=transport, done=done):
-            script = (HEAD, _events(1, 2), 5.0)
-            resumed = (HEAD, _events(3, 4), done)
-            with _Target(script) as hung, _Target(resumed) as sound:
-                watch, received = _timed_run(transport, hung, sound)
-                time.sleep(0.1)
-            check.assertEqual(received, [1, 2, 3, 4], name)
+            watch, hung = _resume(name, transport, done, 5.0)
             (closed_s,) = hung.closed_after_s
             return watch, [watch.took_s, closed_s]
 
@@ -296,17 +301,11 @@
 
 
 def test_a_trickle_of_bytes_without_an_event_does_not_keep_a_stream():
+    trickle = [step for _ in range(40) for step in (b":", 0.1)]
     for name, (transport, done) in _transports().items():
 
         def play(name=name, transport=transport, done=done):
-            trickle = [step for _ in range(40) for step in (b":", 0.1)]
-            resumed = (HEAD, _events(3, 4), done)
-            with (
-                _Target((HEAD, _events(1, 2), *trickle)) as trickling,
-                _Target(resumed) as sound,
-            ):
-                watch, received = _timed_run(transport, trickling, sound)
-            check.assertEqual(received, [1, 2, 3, 4], name)
+            watch, _ = _resume(name, transport, done, *trickle)
             return watch, [watch.took_s]
 
         processor_waits.check_times(play, [1.6], name)
