Configuration: expired records are noticed in a later era of the log, too

In any era above 0 the number is larger, so the steward went on from the first record and never folded those between: its configuration could lack changes that others have. Now offsets are compared (`Ledger.end`), as `Replay` did.

The test failed before (the steward said that it was ready). test_configuration, test_configuration_returns, test_follow and test_steward pass.

--- a/src/turmericward/configuration/_ledger.py
+++ b/src/turmericward/configuration/_ledger.py
@@ -65,10 +65,15 @@
         """Returns the resource, or its tombstone if it was deleted, or None."""
         return self._resources.get((kind, name))
 
+    @property
+    def end(self) -> positions.Position:
+        """The position behind the last record."""
+        return positions.from_number(self.applied)
+
     @property
     def era(self) -> int:
         """The era that the log named last."""
-        return positions.from_number(self.applied).era
+        return self.end.era
 
     def all(self) -> list[Resource]:
         """Returns all resources and tombstones."""
--- a/src/turmericward/configuration/_replay.py
+++ b/src/turmericward/configuration/_replay.py
@@ -1,6 +1,5 @@
 """Restores a reader's state when the log's first records have expired."""
 
-from turmericward import positions
 from turmericward.configuration import _errors, _ledger, _records
 
 
@@ -36,7 +35,7 @@
         Returns:
             Whether the state was taken.
         """
-        if positions.from_number(ledger.applied).offset < self._first_offset:
+        if ledger.end.offset < self._first_offset:
             return False
         if self.ledger is not None and ledger.applied <= self.ledger.applied:
             return False
@@ -56,7 +55,7 @@
         if not isinstance(record, _records.Snapshot):
             return
         ledger = _ledger.Ledger.restore(record.state)
-        end = positions.from_number(ledger.applied)
+        end = ledger.end
         # One that was appended late may have what a log lost that has returned since.
         if end.era >= self._era and end.offset <= offset:
             self.try_restore(ledger)
--- a/src/turmericward/steward/_configuration_task.py
+++ b/src/turmericward/steward/_configuration_task.py
@@ -154,7 +154,7 @@
         if self._rebuild is not None:
             self._rebuild.restart(message.first)
             return
-        if self._ledger is not None and self._ledger.applied >= message.first:
+        if self._ledger is not None and self._ledger.end.offset >= message.first:
             return
         logging.warning(
             "configuration: offset expired, rereading from %d", message.first
--- a/tests/test_configuration_returns.py
+++ b/tests/test_configuration_returns.py
@@ -295,3 +295,15 @@
     record = configuration.Confirmation(era=2, known=_version(3))
     current.apply(4, configuration.encode(record))
     check.assertEqual(_lost(in_force, current), [({"version": "9"}, _version(3))])
+
+
+def test_a_steward_whose_next_records_have_expired_rereads_the_log_in_a_later_era():
+    with _scripted("a0") as world:
+        task = world.readers[0].task
+        after = task._ledger.applied
+        end = positions.from_number(after).offset
+        task.handle(_messages.LogExpired(stream="s", first=end))
+        check.assertEqual(task._ledger.applied, after)
+        task.handle(_messages.LogExpired(stream="s", first=end + 1))
+        status = task.handle(_messages.GetState())
+    check.assertFalse(status.ready)
