An entry that moves to a steward that knew less of the log keeps its configuration

Change: a poll names how far the entry has applied the log. If that is of an earlier era and further than the steward knew the log before, and than any confirmation of the era in the log reaches, the entry gets no resources, only the fleet's state, until such a confirmation comes, for 10 s at most after the steward entered the era. Then it follows, as nobody has the change any more.

--- a/src/turmericward/steward/_configuration_task.py
+++ b/src/turmericward/steward/_configuration_task.py
@@ -105,6 +105,7 @@
         now = time.monotonic()
         if self._rebuild.is_complete(self._ledger):
             if self._ledger is not None:
+                self._polls.enter_era(self._ledger.applied, now)
                 self._confirmer = configuration.Confirmer(
                     self._era, self._ledger.applied, now, self._random.random()
                 )
--- a/src/turmericward/steward/_entry_polls.py
+++ b/src/turmericward/steward/_entry_polls.py
@@ -4,12 +4,15 @@
 import zlib
 from concurrent import futures
 
-from turmericward import configuration, fleet, membership, runtime
+from turmericward import configuration, fleet, membership, positions, runtime
 from turmericward.adapters import instances
 from turmericward.steward import _hold_rules, _messages, _wire
 from turmericward.wire import ttypes
 
 MAX_REMOTE_STEWARDS = 4
+# How long an entry that knew more of the log before its return keeps what it has,
+# unless a steward that knew as much has confirmed the log's state.
+AHEAD_TIMEOUT_S = 10.0
 
 
 class EntryPolls:
@@ -30,9 +33,18 @@
         self._pending: dict[str, _messages.Follow] = {}
         self._applied: dict[str, int] = {}
         self._stopping = False
+        # Number up to which the log was known before this era, and until when entries
+        # that knew more are not updated.
+        self._known = 0
+        self._ahead_until = float("-inf")
         # When each entry polled last.
         self.polled_at: dict[str, float] = {}
 
+    def enter_era(self, known: int, now: float) -> None:
+        """Begins a new era of the log; `known` is how far it was known before."""
+        self._known = known
+        self._ahead_until = now + AHEAD_TIMEOUT_S
+
     def change_fleet(self, ledger: configuration.Ledger | None, now: float) -> None:
         """Answers waiting polls after a change of instances, loads or holds."""
         self._fleet_version += 1
@@ -65,7 +77,7 @@
         """Returns an answer, or a future of it."""
         self._applied[message.entry] = message.applied
         self.polled_at[message.entry] = now
-        if self._has_update(message, ledger):
+        if self._has_update(message, ledger, now):
             return self._answer(message, ledger, now)
         if self._stopping:
             return self._timeout_answer(message, ledger, now)
@@ -76,7 +88,7 @@
     def answer_updated(self, ledger: configuration.Ledger | None, now: float) -> None:
         """Answers waiting polls for which there is something new."""
         for key, message in list(self._pending.items()):
-            if self._has_update(message, ledger):
+            if self._has_update(message, ledger, now):
                 del self._pending[key]
                 self._waiters.resolve(key, self._answer(message, ledger, now))
 
@@ -93,24 +105,40 @@
         self.end_due(ledger, now)
 
     def _has_update(
-        self, message: _messages.Follow, ledger: configuration.Ledger | None
+        self,
+        message: _messages.Follow,
+        ledger: configuration.Ledger | None,
+        now: float,
     ) -> bool:
         if ledger is None:
             return False
-        if message.applied < ledger.applied:
+        if message.fleet_version != self._fleet_version:
             return True
-        return message.fleet_version != self._fleet_version
+        if self._is_ahead(message, ledger, now):
+            return False
+        return message.applied < ledger.applied
+
+    def _is_ahead(
+        self, message: _messages.Follow, ledger: configuration.Ledger, now: float
+    ) -> bool:
+        """Returns whether an entry may have changes that the log has lost."""
+        if positions.from_number(message.applied).era >= ledger.era:
+            return False
+        known = max(self._known, ledger.confirmed)
+        return message.applied > known and now < self._ahead_until
 
     def _answer(
         self, message: _messages.Follow, ledger: configuration.Ledger, now: float
     ) -> ttypes.FollowAnswer:
-        changes = None
-        if message.applied <= ledger.applied:
+        applied, changes = ledger.applied, None
+        if self._is_ahead(message, ledger, now):
+            applied, changes = message.applied, []
+        elif message.applied <= ledger.applied:
             changes = ledger.since(message.applied)
         whole = changes is None
         resources = ledger.live() if whole else changes
         return ttypes.FollowAnswer(
-            applied=ledger.applied,
+            applied=applied,
             whole=whole,
             resources=[_wire.resource(r) for r in resources],
             fleet_version=self._fleet_version,
--- a/tests/test_late_changes.py
+++ b/tests/test_late_changes.py
@@ -177,21 +177,53 @@
     check.assertFalse(status.ready)
 
 
+def _move_from_one_that_knew_more(world: _ScriptedWorld, cut_s: float):
+    """Cuts off the one steward that read a lost change; returns its entry's next."""
+    less, more = world.readers
+    first = less.task._ledger.get("model", "b").version
+    end = len(world.stream)
+    less.cut_until = world.now + 0.6
+    world.stream.append(_change(2, first))
+    world.run(3)
+    check.assertEqual(more.shown, {"b": 2})
+    del world.stream[end:]
+    world.era = 2
+    more.cut_until = world.now + cut_s
+    world.run(10)
+    # The entry of the one that is cut off follows the other from now on.
+    less.mirror, less.shown, less.poll = more.mirror, more.shown, None
+    return less
+
+
 def test_an_entry_that_moves_to_a_steward_that_knew_less_went_back():
     with _scripted("a0", "a1") as world:
-        less, more = world.readers
-        first = less.task._ledger.get("model", "b").version
-        end = len(world.stream)
-        less.cut_until = world.now + 0.6
-        world.stream.append(_change(2, first))
-        world.run(3)
-        check.assertEqual(more.shown, {"b": 2})
-        del world.stream[end:]
-        world.era = 2
-        more.cut_until = world.now + 8.0
-        world.run(10)
-        # The entry of the one that is cut off follows the other from now on.
-        less.mirror, less.shown, less.poll = more.mirror, more.shown, None
+        reader = _move_from_one_that_knew_more(world, 8.0)
         world.run(100)
-    check.assertEqual(less.shown, {"b": 2})
+    check.assertEqual(reader.shown, {"b": 2})
     check.assertEqual(world.reverted, [])
+
+
+def test_an_entry_follows_after_a_time_if_nobody_comes_who_knew_as_much():
+    with _scripted("a0", "a1") as world:
+        reader = _move_from_one_that_knew_more(world, 1000.0)
+        world.run(80)
+        check.assertEqual(reader.shown, {"b": 2})
+        world.run(40)
+        check.assertEqual(reader.shown, {"b": 1})
+
+
+def test_an_entry_that_knew_more_gets_the_fleet_meanwhile():
+    with _scripted("a0", "a1") as world:
+        reader = _move_from_one_that_knew_more(world, 1000.0)
+        world.run(20)
+        check.assertEqual((reader.task._ledger.era, reader.shown), (2, {"b": 2}))
+        message = _messages.Follow(
+            entry="a0-0",
+            applied=reader.mirror.applied,
+            fleet_version=-1,
+            drained=[],
+            deadline=world.now + 1.0,
+        )
+        answer = returning_log.resolved(reader.task.handle(message)).result(0)
+    check.assertEqual((answer.ready, answer.whole, answer.resources), (True, False, []))
+    check.assertEqual(answer.applied, reader.mirror.applied)
