--- a/src/turmericward/steward/_configuration_task.py
+++ b/src/turmericward/steward/_configuration_task.py
@@ -105,6 +105,7 @@
         now = time.monotonic()
         if self._rebuild.is_complete(self._ledger):
             if self._ledger is not None:
+                self._polls.enter_era(self._ledger.applied, now)
                 self._confirmer = configuration.Confirmer(
                     self._era, self._ledger.applied, now, self._random.random()
                 )
@@ -154,7 +155,7 @@
         if self._rebuild is not None:
             self._rebuild.restart(message.first)
             return
-        if self._ledger is not None and self._ledger.applied >= message.first:
+        if self._ledger is not None and self._ledger.end.offset >= message.first:
             return
         logging.warning(
             "configuration: offset expired, rereading from %d", message.first
