Benchmark of an idle front: a simulated member is one front, not a sum of 40

Members have the capacity -1, which counted as true: their states claimed to be sums of 40 fronts, and a relay leaves such states of its own domain out of its sums. The measured relay summed up relays alone.

--- a/benchmarks/front_cost.py
+++ b/benchmarks/front_cost.py
@@ -119,10 +119,9 @@
                 peer.batches = self._record_batches()
                 # A relay publishes in each interval. A member publishes on changes,
                 # simulated as every fifth interval.
-                if peer.capacity == RELAY_CAPACITY or sequence_number % 5 == 0:
-                    peer.send_state(
-                        self._port, self._loads(), 40 if peer.capacity else 1
-                    )
+                relays = peer.capacity == RELAY_CAPACITY
+                if relays or sequence_number % 5 == 0:
+                    peer.send_state(self._port, self._loads(), 40 if relays else 1)
                 peer.receive_pending()
             share = int(len(self._targets) * STATE_S / HEARTBEAT_S) + 1
             for name in self._random.sample(self._targets, share):
