--- a/benchmarks/_processes.py
+++ b/benchmarks/_processes.py
@@ -19,3 +19,13 @@
         if line.startswith("VmRSS"):
             return int(line.split()[1]) / 1024
     return 0.0
+
+
+def wake_ups(pid: int) -> int:
+    """Returns how often threads of a process have waited until now."""
+    total = 0
+    for task in pathlib.Path(f"/proc/{pid}/task").iterdir():
+        for line in (task / "status").read_text().splitlines():
+            if line.startswith("voluntary_ctxt_switches"):
+                total += int(line.split()[1])
+    return total
--- a/benchmarks/front_cost.py
+++ b/benchmarks/front_cost.py
@@ -8,7 +8,6 @@
 """
 
 import json
-import pathlib
 import random
 import socket
 import threading
@@ -40,7 +39,7 @@
 
 
 @attrs.define
-class _Peer:
+class Peer:
     """A simulated front: its socket and the bytes received."""
 
     name: str
@@ -81,14 +80,14 @@
                 return
 
 
-def _peer(number: int, port: int, domain: str, capacity: int) -> _Peer:
+def _peer(number: int, port: int, domain: str, capacity: int) -> Peer:
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     sock.bind((f"127.0.{1 + number // 250}.{1 + number % 250}", port))
     sock.setblocking(False)
-    return _Peer(f"front-{domain}-{number}", domain, sock, capacity)
+    return Peer(f"front-{domain}-{number}", domain, sock, capacity)
 
 
-def _fleet(fronts: int, port: int, role: str) -> list[_Peer]:
+def simulated_fleet(fronts: int, port: int, role: str) -> list[Peer]:
     """Returns the fronts that send to the measured one, which is in domain `a`."""
     near = fronts // DOMAINS
     if role == "member":
@@ -98,12 +97,26 @@
     return members + relays
 
 
-class _Replay(threading.Thread):
+class Replay(threading.Thread):
     """Sends the states of the simulated fronts and the heartbeats of replicas."""
 
-    def __init__(self, platform, fleet: list[_Peer], port: int, replicas: int) -> None:
+    # Targets whose load a front and a relay sends in each state.
+    front_rows = 2
+    relay_rows = 2
+    # A member publishes on changes, simulated as every so many intervals.
+    front_intervals = 5
+
+    def __init__(self, platform, fleet: list[Peer], port: int, replicas: int) -> None:
+        """Starts when `start` is called.
+
+        Args:
+            platform: the measured front and its stand-ins.
+            fleet: the simulated fronts.
+            port: on which the measured front receives datagrams.
+            replicas: number of replicas that write heartbeats.
+        """
         super().__init__(daemon=True)
-        self._platform = platform
+        self.platform = platform
         self._fleet = fleet
         self._port = port
         self._targets = [f"m{n}" for n in range(replicas)]
@@ -117,19 +130,24 @@
             sequence_number += 1
             for peer in self._fleet:
                 peer.batches = self._record_batches()
-                # A relay publishes in each interval. A member publishes on changes,
-                # simulated as every fifth interval.
+                # A relay publishes in each interval.
                 relays = peer.capacity == RELAY_CAPACITY
-                if relays or sequence_number % 5 == 0:
-                    peer.send_state(self._port, self._loads(), 40 if relays else 1)
+                if relays or sequence_number % self.front_intervals == 0:
+                    rows = self.relay_rows if relays else self.front_rows
+                    peer.send_state(self._port, self._loads(rows), 40 if relays else 1)
                 peer.receive_pending()
             share = int(len(self._targets) * STATE_S / HEARTBEAT_S) + 1
             for name in self._random.sample(self._targets, share):
-                _heartbeat(self._platform, name, sequence_number)
+                self.send_heartbeat(name, sequence_number)
+
+    def send_heartbeat(self, name: str, sequence: int) -> None:
+        """Writes a heartbeat of a replica to the store."""
+        self.platform.addresses[name] = "127.0.0.1:9"
+        self.platform.announce(name, slots=16, Sequence=sequence)
 
     def _record_batches(self) -> list[feeds.RecordBatch]:
         """Returns the empty batches that a domain's reader sends without changes."""
-        era = self._platform.store.era
+        era = self.platform.store.era
         topics = (("op", feeds.Topic.CONFIGURATION), ("servers", feeds.Topic.TARGETS))
         return [
             feeds.RecordBatch(
@@ -139,11 +157,11 @@
                 age_s=0.0,
             )
             for name, topic in topics
-            if (end := self._platform.store.end(f"keyed.{name}"))
+            if (end := self.platform.store.end(f"keyed.{name}"))
         ]
 
-    def _loads(self) -> dict[int, requests.TargetLoad]:
-        names = self._random.sample(self._targets, min(2, len(self._targets)))
+    def _loads(self, rows: int) -> dict[int, requests.TargetLoad]:
+        names = self._random.sample(self._targets, min(rows, len(self._targets)))
         return {
             fleet.target_hash(name): requests.TargetLoad(
                 urgent_tokens=self._random.randrange(20_000), open_calls=2
@@ -152,20 +170,6 @@
         }
 
 
-def _heartbeat(platform, name: str, sequence: int) -> None:
-    platform.addresses[name] = "127.0.0.1:9"
-    platform.announce(name, slots=16, Sequence=sequence)
-
-
-def _wake_ups(pid: int) -> int:
-    total = 0
-    for task in pathlib.Path(f"/proc/{pid}/task").iterdir():
-        for line in (task / "status").read_text().splitlines():
-            if line.startswith("voluntary_ctxt_switches"):
-                total += int(line.split()[1])
-    return total
-
-
 def _count_calls(store) -> list[int]:
     """Patches a store to count its calls; returns the counter as a list of one."""
     calls = [0]
@@ -179,22 +183,25 @@
     return calls
 
 
+def peers_port(platform) -> int:
+    """Returns the port on which a front receives its peers' datagrams."""
+    return json.loads(platform.settings.read_text())["listen"]["peers"]
+
+
 def _measure(fronts: int, role: str, seconds: float) -> list:
     with platform_fixtures.platform(("p1",)) as platform:
-        port = json.loads(platform.settings.read_text())["listen"]["peers"]
-        fleet = _fleet(fronts, port, role)
+        port = peers_port(platform)
+        fleet = simulated_fleet(fronts, port, role)
         calls = _count_calls(platform.store)
-        replay = _Replay(
-            platform, fleet, port, max(2, int(fronts * REPLICAS_PER_FRONT))
-        )
+        replay = Replay(platform, fleet, port, max(2, int(fronts * REPLICAS_PER_FRONT)))
         replay.start()
         time.sleep(3)
         pid = platform.process.pid
-        before = (_processes.cpu_s(pid), _wake_ups(pid), calls[0])
+        before = (_processes.cpu_s(pid), _processes.wake_ups(pid), calls[0])
         for peer in fleet:
             peer.received_bytes = 0
         time.sleep(seconds)
-        after = (_processes.cpu_s(pid), _wake_ups(pid), calls[0])
+        after = (_processes.cpu_s(pid), _processes.wake_ups(pid), calls[0])
         replay.ended.set()
         replay.join()
         cpu_s, wake_ups, calls_made = (
