Tests read a front's log after the time for which it collects lines

The writer collects lines for 0.1 s, so that a test which looks right after a call may not find the line, or find none that it must not find. Tests that looked at once wait 0.3 s first, or until the line is there; each assertion stays.

--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -19,6 +19,8 @@
 
 HOST = "api.example"
 STOP_TIMEOUT_S = 15.0
+# Longer than a front collects lines before it writes them.
+LOG_DELAY_S = 0.3
 PREFIX = "Turmericward-Prompt-Prefix"
 PROMPT = {
     "Turmericward-Model-Id": "m",
@@ -124,6 +126,11 @@
             for line in self.log.read_text().splitlines()
         )
 
+    def read_log(self) -> str:
+        """Returns all lines that the front has logged until now."""
+        time.sleep(LOG_DELAY_S)
+        return self.log.read_text()
+
     def call(self, method: str, path: str, call_id: str, headers=None, body=None):
         """Sends one call; returns status, headers and body."""
         conn = self.connect()
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -210,4 +210,4 @@
         check.assertIn("(dead): barred for", output)
         page = launch.request(platform.metrics, "GET", "/metrics")[2].decode()
         check.assertIn("delivery.stopped.quarantined", page)
-        check.assertIn('"id": "dead", "state": "barred"', platform.log.read_text())
+        check.assertIn('"id": "dead", "state": "barred"', platform.read_log())
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -244,6 +244,6 @@
                 .output
             )
             check.assertRegex(output, rf"request \w{{16}} \({path[1:-7]}\): barred for")
-            check.assertIn('"kind": "request"', platform.log.read_text())
+            check.assertIn('"kind": "request"', platform.read_log())
             refusals = [s for at, s in clients.statuses[deadly] if at > settled_at]
             check.assertEqual(set(refusals), {503})
--- a/tests/test_odd_entries_in_fleet.py
+++ b/tests/test_odd_entries_in_fleet.py
@@ -125,7 +125,7 @@
         page = launch.request(platform.metrics, "GET", "/metrics")[2].decode()
         check.assertIn("rejected.targets", page)
         check.assertIn("rejected.configuration", page)
-        logged = platform.log.read_text()
+        logged = platform.read_log()
         line = '"source": "targets", "key": "odd deep list"'
         check.assertEqual(logged.count(line), 1)
         # Both read everything again at their next start.
@@ -151,7 +151,7 @@
             check.assertEqual(status, 200, count)
         for path in PATHS:
             check.assertIn(b" 400 ", _status_line(platform, path), path)
-        check.assertNotIn("not_reached", platform.log.read_text())
+        check.assertNotIn("not_reached", platform.read_log())
         for name, value in ANSWER_HEADERS:
             for replica in platform.replicas.values():
                 replica.headers = ((name, value),)
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -99,7 +99,7 @@
         with check.assertRaises(http.client.IncompleteRead):
             platform.call("POST", "/once/x", "s1", PROMPT, b"q")
         check.assertEqual(_runs(platform, "s1"), 1)
-        check.assertNotIn("Traceback", platform.log.read_text())
+        check.assertNotIn("Traceback", platform.read_log())
 
 
 def test_system_headers_sent_by_clients_are_dropped():
@@ -415,7 +415,7 @@
         shown = _limits_shown(platform)
         for name, (text, per_s) in zip(names, LIMITS, strict=True):
             check.assertEqual(shown[name], per_s, text[:20])
-        check.assertIn('"message": "target_limit"', platform.log.read_text())
+        check.assertIn('"message": "target_limit"', platform.read_log())
 
 
 def test_an_answer_without_limit_lifts_it_unless_the_target_did_not_serve_it():
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -112,9 +112,13 @@
     check.assertEqual(other[0], 422)
 
 
-def _check_logs(cluster) -> None:
+def _completions(cluster) -> list[dict]:
     lines = _json_lines(cluster, "entry-a0-0")
-    chats = [x for x in lines if x.get("path") == "/v1/completions"]
+    return [x for x in lines if x.get("path") == "/v1/completions"]
+
+
+def _check_logs(cluster) -> None:
+    chats = launch.wait_until(lambda: _completions(cluster), what="line of the call")
     check.assertEqual(chats[0]["tenant"], "coop")
     check.assertEqual(chats[0]["traffic_class"], "urgent")
     check.assertIn(chats[0]["engine"], cluster.engines)
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -230,7 +230,7 @@
 
 
 def _logged(platform, event: str) -> bool:
-    return f'"message": "{event}"' in platform.log.read_text()
+    return f'"message": "{event}"' in platform.read_log()
 
 
 def test_a_front_follows_a_store_that_returned_from_an_older_copy():
