A sound request that was there by chance is tried soon, not refused for a minute

Cause: a request that was under three crashes without an answer in between is barred, and other barred requests don't excuse it, since two deadly ones that come together would hide each other. While all servers of a service end in turn, a sound request that many ask for can be at three of them. Change: if a barred request was answered once, and each crash under it was under another barred one too, five crashes at most, it is tried 5 s after the last of them. Weighed and left: the same for requests that nobody has answered. Tests failed before: ...by_chance_stayed_refused, ...refused_as_long_as_those...

--- a/src/turmericward/requests/_evidence.py
+++ b/src/turmericward/requests/_evidence.py
@@ -25,7 +25,9 @@
     answer doesn't count against a key. An answer lifts a bar if there are more than
     `chance_answers` lately, as one front sees them; `max_answered` bounds the keys
     whose answers a front remembers. Each crash above those that bar a key makes its
-    bar `bar_growth` times as long, up to `max_bar_s`.
+    bar `bar_growth` times as long, up to `max_bar_s`. With `tries_explained_early`, a
+    key that was answered once, and never the only barred one at a crash, is tried
+    sooner.
     """
 
     crashes_unanswered: float
@@ -35,6 +37,7 @@
     max_answered: int
     bar_growth: int
     max_bar_s: float
+    tries_explained_early: bool
 
 
 RULES = {
@@ -48,6 +51,7 @@
         max_answered=3_000,
         bar_growth=2,
         max_bar_s=600.0,
+        tries_explained_early=False,
     ),
     # What many callers read is answered all the time. What nobody answers is of one
     # caller, who loses little by a bar; each trial ends another target.
@@ -60,5 +64,6 @@
         max_answered=1_000,
         bar_growth=8,
         max_bar_s=86_400.0,
+        tries_explained_early=True,
     ),
 }
--- a/src/turmericward/requests/_quarantine.py
+++ b/src/turmericward/requests/_quarantine.py
@@ -205,13 +205,18 @@
     def _update_bars(self) -> None:
         """Bars the key that explains most crashes, as long as there is one.
 
-        Those that were barred before a broader one was known to explain it are free.
+        Those that were barred before a broader one was known to explain it are free,
+        and those that others of their kind explain are tried early.
         """
         for key in self._verdicts.excused():
             self._suspects[key].bar = None
             self._note(key, KeyState.SUSPECT)
         while (worst := self._verdicts.worst()) is not None:
             self._bar(worst, self._suspects[worst])
+        if self._rules.tries_explained_early:
+            for key in self._verdicts.explained():
+                if self._suspects[key].shorten_bar():
+                    self._note(key, KeyState.BARRED)
 
     def _bar(self, key: int, suspect: _suspects.Suspect) -> None:
         suspect.extend_bar(_verdicts.MOMENTS_TO_BAR, self._rules)
--- a/src/turmericward/requests/_suspects.py
+++ b/src/turmericward/requests/_suspects.py
@@ -17,6 +17,8 @@
 MAX_CRASHES = 12
 # Duration of a bar from the last crash on, if there are no more than bar a key.
 FIRST_BAR_S = 60.0
+# The same for keys that may be sound, as others explain all their crashes.
+EARLY_TRIAL_S = 5.0
 # After a bar has ended, one front after the other may try a call, at this interval.
 TRIAL_INTERVAL_S = 15.0
 # How long a bar that has run out is remembered, if no trial decides about it.
@@ -148,6 +150,14 @@
             self.bar = Bar(until)
         self.bar.until = max(self.bar.until, until)
 
+    def shorten_bar(self) -> bool:
+        """Ends the bar early for a trial; returns whether that changed it."""
+        until = max(self.crashes.values()) + EARLY_TRIAL_S
+        if until >= self.bar.until:
+            return False
+        self.bar.until = until
+        return True
+
     def has_expired(self, now: float) -> bool:
         """Returns whether the evidence is too old to count."""
         if self.bar is not None:
--- a/src/turmericward/requests/_verdicts.py
+++ b/src/turmericward/requests/_verdicts.py
@@ -4,6 +4,7 @@
 logic on the evidence; times are monotonic seconds.
 """
 
+import collections
 import math
 from collections.abc import Iterable
 
@@ -14,6 +15,8 @@
 # reasons, at once or in turn, some keys are there several times by chance.
 MOMENTS_TO_BAR = 3
 MIN_SHARE_TO_BAR = 0.5
+# With more crashes, a key isn't tried early, whatever else was there.
+MAX_EXPLAINED = 5
 # Crashes closer to each other are of one moment.
 MOMENT_S = 0.05
 
@@ -59,6 +62,23 @@
             and len(suspect.crashes.keys() - explained) < MOMENTS_TO_BAR
         ]
 
+    def explained(self) -> list[int]:
+        """Returns the barred keys, answered once, that had company at each crash.
+
+        Each of these crashes may be due to another barred key.
+        """
+        barred = {k: x for k, x in self.suspects.items() if x.bar is not None}
+        if len(barred) < 2:
+            return []
+        present = collections.Counter(i for x in barred.values() for i in x.crashes)
+        return [
+            key
+            for key, suspect in barred.items()
+            if suspect.answered_at > -math.inf
+            and len(suspect.crashes) <= MAX_EXPLAINED
+            and all(present[incarnation] > 1 for incarnation in suspect.crashes)
+        ]
+
     def is_bad(self, key: int) -> bool:
         """Returns whether a key is to be barred."""
         suspect = self.suspects[key]
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -96,11 +96,26 @@
         deadly = [Request(f"/deadly{n}", caller="x") for n in range(requests_each)]
         for seed in (1, 2, 3):
             options = {"restart_s": restart_s, "deadly_per_s": 4.0, "seed": seed}
-            world = _play(2, deadly=deadly, answered_until=10.0, **options)
+            world = _play(2, deadly=deadly, answered_until=10.0, until=60.0, **options)
             _check_bounds(world, (requests_each, options))
             check.assertNotIn(COMMON, world.false_alarms, (requests_each, options))
 
 
+def test_sound_requests_that_were_there_by_chance_stayed_refused():
+    subjects = [Request(f"/subject/{n}") for n in range(60)]
+    for restart_s, seed in ((1.0, 6), (5.0, 2), (5.0, 7)):
+        deadly = [Request(f"/deadly{n}", caller="x") for n in range(2)]
+        options = {"restart_s": restart_s, "seed": seed, "deadly_per_s": 4.0}
+        servers = crashing_services.replicas(3)
+        with crashing_services.World(
+            2, servers, subjects, deadly, calls_per_s=120.0, **options
+        ) as world:
+            world.run(35.0)
+        _check_bounds(world, options)
+        # Their bar of a minute isn't over.
+        check.assertEqual(world.served_share(30.0, 34.0), 1.0, options)
+
+
 def test_fronts_that_start_later_learn_which_requests_crash_replicas():
     for restarted in (("a000",), ("a000", "a001"), ("a900",)):
         with _world(2) as world:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -278,6 +278,38 @@
     check.assertEqual(_refused(quarantine, [1], 5.3), "quarantined")
 
 
+def test_a_sound_request_was_refused_as_long_as_those_that_crashed_targets_beside_it():
+    quarantine = _requests()
+    quarantine.record_answer([9], 1.0)
+    for number, keys in enumerate(([1, 9], [2, 9], [1, 9], [2], [1], [2])):
+        quarantine.record_crash(keys, _engine(number), 5.0 + number / 10)
+    check.assertEqual(_barred(quarantine), {1, 2, 9})
+    # Only the crashes under the one were all under others too.
+    check.assertEqual(_refused(quarantine, [9], 10.1), "quarantined")
+    check.assertEqual(_refused(quarantine, [9], 10.3), "")
+    check.assertEqual(_refused(quarantine, [9], 10.4), "quarantined")
+    for key in (1, 2):
+        check.assertEqual(_refused(quarantine, [key], 65.0), "quarantined")
+    quarantine.record_answer([9], 10.5)
+    check.assertEqual(_refused(quarantine, [9], 10.6), "")
+
+
+def test_requests_that_crash_targets_together_are_tried_early_only_if_answered_once():
+    for answered in (False, True):
+        quarantine = _requests()
+        if answered:
+            quarantine.record_answer([1, 2], 1.0)
+        for number in range(3):
+            quarantine.record_crash([1, 2], _engine(number), 5.0 + number)
+        check.assertEqual(_barred(quarantine), {1} if answered else {1, 2})
+        check.assertEqual(_refused(quarantine, [1], 13.0), "quarantined")
+    # The other one is free until it crashes targets without the first.
+    for number in range(3, 6):
+        quarantine.record_crash([2], _engine(number), 14.0 + number)
+    check.assertEqual(_barred(quarantine), {1, 2})
+    check.assertEqual(_refused(quarantine, [2], 30.0), "quarantined")
+
+
 def test_a_request_stayed_barred_when_a_segment_explained_its_crashes():
     segments = requests.Quarantine()
     quarantine = _requests(broader=segments)
