Tests: one play of ordinary crashes and one reading of late calls

The play of ordinary crashes, its check over seeds, and what reached replicas after the counted crash stood alike in the tests on prompts and on requests.

--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -5,11 +5,13 @@
 """
 
 import itertools
+import os
 import random
+from collections.abc import Callable
 
 import attrs
 
-from tests import limited_fleet
+from tests import fixtures, limited_fleet
 from turmericward import delivery, fleet, requests
 
 # The bounds of the rule: at most `MAX_LATE_ARRIVALS` requests with the segment reach
@@ -20,6 +22,13 @@
 MAX_LATE_ARRIVALS = 3
 MIN_BEGUN_SHARE = 0.5
 
+# Plays of ordinary crashes: seeds by default, times, and number and interval of the
+# crashes of each series.
+CRASH_SEEDS = 3
+CRASHES_FROM_S, CRASHES_UNTIL_S = 2.0, 24.0
+CRASH_INTERVAL_S = (4.0, 9.0)
+CRASH_SERIES = ((1, 0.0), (2, 0.01), (3, 0.01), (3, 0.7))
+
 RESTART_S = 3.5
 REMOVAL_S = 1.8
 PREFILL_S = 0.1
@@ -42,6 +51,17 @@
     return requests.Prompt(model="m", segments=tuple(segments), output_tokens=9)
 
 
+def check_ordinary_crashes(play: Callable[[int], set]) -> None:
+    """Checks that a play finds nothing with any seed.
+
+    CRASH_SEEDS in the environment sets how many seeds are run, for long runs by hand.
+    """
+    seeds = int(os.environ.get("CRASH_SEEDS", CRASH_SEEDS))
+    found = {seed: play(seed) for seed in range(seeds)}
+    found = {seed: barred for seed, barred in found.items() if barred}
+    fixtures.check.assertEqual(found, {})
+
+
 def engines(prefill: int, decode: int) -> list["Engine"]:
     """Returns engines in the domains a, b and c in turn."""
     roles = [fleet.EngineRole.PREFILL] * prefill + [fleet.EngineRole.DECODE] * decode
@@ -262,6 +282,15 @@
         if names:
             self.crash(source.choice(names))
 
+    def schedule_ordinary_crashes(self, source: random.Random) -> None:
+        """Ends targets alone, at once and in turn, each few seconds."""
+        at = CRASHES_FROM_S
+        while at < CRASHES_UNTIL_S:
+            count, interval_s = source.choice(CRASH_SERIES)
+            for number in range(count):
+                self.schedule(at + number * interval_s, self.crash_any, source)
+            at += source.uniform(*CRASH_INTERVAL_S)
+
     def mend(self) -> None:
         """Lets engines answer the deadly prompts from now on."""
         self._mended = True
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -222,6 +222,19 @@
         self._platform.servers[name] = _serve(self._stack, address, replica)
         self._platform.announce(name, born=1000 + len(self.crashed_at))
 
+    def settled_at(self, crashes_counted: int, settling_s: float) -> float:
+        """Returns when the bound on late calls begins to hold."""
+        return sorted(self.crashed_at)[:crashes_counted][-1] + settling_s
+
+    def received_since(self, since: float) -> list[platform_replica.ReceivedCall]:
+        """Returns the calls that reached any replica after a time."""
+        return [
+            received
+            for replica in self._platform.replicas.values()
+            for received in replica.calls
+            if received.at > since
+        ]
+
 
 def _settings(
     directory, front: str, ready: str, store: str, ports: list[int], bounds: dict
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -1,7 +1,6 @@
 """Prompts that crash engines don't take one engine after the other."""
 
 import contextlib
-import os
 import random
 import time
 
@@ -157,12 +156,7 @@
         2, crashing_fleet.engines(3, 6), sound, [], calls_per_s=60.0, seed=seed
     )
     barred: set[tuple[str, str]] = set()
-    at = 2.0
-    while at < 24.0:
-        count, interval_s = source.choice(((1, 0.0), (2, 0.01), (3, 0.01), (3, 0.7)))
-        for number in range(count):
-            world.schedule(at + number * interval_s, world.crash_any, source)
-        at += source.uniform(4.0, 9.0)
+    world.schedule_ordinary_crashes(source)
     with world:
         for second in range(1, 29):
             world.run(float(second))
@@ -171,10 +165,7 @@
 
 
 def test_ordinary_crashes_bar_no_segment():
-    # CRASH_SEEDS sets how many seeds are run, for long runs by hand.
-    seeds = int(os.environ.get("CRASH_SEEDS", "3"))
-    barred = {seed: _run_ordinary_crashes(seed) for seed in range(seeds)}
-    check.assertEqual({seed: names for seed, names in barred.items() if names}, {})
+    crashing_fleet.check_ordinary_crashes(_run_ordinary_crashes)
 
 
 def test_a_front_sent_prompts_with_a_deadly_segment_to_engine_after_engine():
@@ -191,14 +182,13 @@
         with repeated_calls.Clients(platform, sendings, CALL_INTERVAL_S) as clients:
             time.sleep(PLAY_S)
         ended_at = time.monotonic()
-        counted = sorted(crashing.crashed_at)[: crashing_fleet.CRASHES_COUNTED]
-        settled_at = counted[-1] + crashing_fleet.SETTLING_S
+        settled_at = crashing.settled_at(
+            crashing_fleet.CRASHES_COUNTED, crashing_fleet.SETTLING_S
+        )
         late = [
             received
-            for replica in platform.replicas.values()
-            for received in replica.calls
+            for received in crashing.received_since(settled_at)
             if "dead" in platform_replica.shared_segments(received.headers)
-            and received.at > settled_at
         ]
         check.assertLessEqual(len(late), crashing_fleet.MAX_LATE_ARRIVALS)
         served = clients.served(sound, ended_at - STEADY_S)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,7 +1,6 @@
 """Requests that crash replicas don't take one replica after the other."""
 
 import contextlib
-import os
 import random
 import time
 
@@ -9,7 +8,13 @@
 from click import testing
 
 from standins import platform_replica
-from tests import crashing_services, fixtures, platform_fixtures, repeated_calls
+from tests import (
+    crashing_fleet,
+    crashing_services,
+    fixtures,
+    platform_fixtures,
+    repeated_calls,
+)
 from turmericward.programs import cli
 
 check = fixtures.check
@@ -202,22 +207,14 @@
     world = crashing_services.World(
         2, servers, SOUND, [], calls_per_s=60.0, restart_s=3.0, seed=seed
     )
-    at = 2.0
-    while at < 24.0:
-        count, interval_s = source.choice(((1, 0.0), (2, 0.01), (3, 0.01), (3, 0.7)))
-        for number in range(count):
-            world.schedule(at + number * interval_s, world.crash_any, source)
-        at += source.uniform(4.0, 9.0)
+    world.schedule_ordinary_crashes(source)
     with world:
         world.run(29.0)
     return set(world.false_alarms)
 
 
 def test_ordinary_crashes_bar_no_request():
-    # CRASH_SEEDS sets how many seeds are run, for long runs by hand.
-    seeds = int(os.environ.get("CRASH_SEEDS", "3"))
-    barred = {seed: _run_ordinary_crashes(seed) for seed in range(seeds)}
-    check.assertEqual({seed: found for seed, found in barred.items() if found}, {})
+    crashing_fleet.check_ordinary_crashes(_run_ordinary_crashes)
 
 
 def test_a_front_sent_a_deadly_request_to_replica_after_replica():
@@ -239,14 +236,13 @@
             with repeated_calls.Clients(platform, sendings, CALL_INTERVAL_S) as clients:
                 time.sleep(PLAY_S)
             ended_at = time.monotonic()
-            counted = sorted(crashing.crashed_at)[: crashing_services.CRASHES_COUNTED]
-            settled_at = counted[-1] + crashing_services.SETTLING_S
+            settled_at = crashing.settled_at(
+                crashing_services.CRASHES_COUNTED, crashing_services.SETTLING_S
+            )
             late = [
                 received
-                for replica in platform.replicas.values()
-                for received in replica.calls
-                if received.at > settled_at
-                and received.path == path
+                for received in crashing.received_since(settled_at)
+                if received.path == path
                 and received.headers.get("Authorization") == "x"
             ]
             check.assertLessEqual(len(late), crashing_services.MAX_LATE_ARRIVALS, path)
