Test: a request is the same however its client writes it

Review of the fingerprint at a real front: a body in chunks or with a length, the host's case and port, other headers and their order name the same content; another caller or body doesn't. Passed at once: no change.

--- a/tests/test_fingerprint.py
+++ b/tests/test_fingerprint.py
@@ -1,8 +1,10 @@
 """What names the content of a call, and what doesn't count."""
 
+import re
+
 import attrs
 
-from tests import fixtures, test_dispatch
+from tests import fixtures, platform_fixtures, test_dispatch
 from turmericward import requests
 from turmericward.delivery import _fingerprint
 
@@ -45,3 +47,30 @@
     }
     check.assertEqual(len(others), 13)
     check.assertLess(max(abs(number) for number in others), 2**63 + 1)
+
+
+def test_a_request_is_the_same_however_its_client_writes_it():
+    body, headers = b"q" * 100, {"Authorization": "x"}
+    sendings = {
+        "first": (body, headers),
+        "in_chunks": (iter((body[:9], body[9:])), headers),
+        "host": (body, headers | {"Host": f"{platform_fixtures.HOST.upper()}:80"}),
+        "order": (body, {"X-Other": "1"} | headers | {"Accept": "*/*"}),
+        "other_caller": (body, {"Authorization": "y"}),
+        "other_body": (body + b"q", headers),
+    }
+    contents = {}
+    with platform_fixtures.platform(("p1", "p2", "p3")) as platform:
+        for name in tuple(platform.servers):
+            # Attempts that fail are logged.
+            platform.servers.pop(name).crash()
+        for call_id, (sent, fields) in sendings.items():
+            platform.call("POST", "/write/deadly", call_id, fields, sent)
+        for line in platform.log.read_text().splitlines():
+            found = re.search(r'"request_id": "(\w+)".*"content": "(\w+)"', line)
+            if found is not None:
+                contents[found[1]] = found[2]
+    check.assertEqual(set(contents), set(sendings))
+    same = ("first", "in_chunks", "host", "order")
+    check.assertEqual(len({contents[name] for name in same}), 1, contents)
+    check.assertEqual(len(set(contents.values())), 3, contents)
