--- a/src/turmericward/requests/_evidence.py
+++ b/src/turmericward/requests/_evidence.py
@@ -27,7 +27,8 @@
     whose answers a front remembers. Each crash above those that bar a key makes its
     bar `bar_growth` times as long, up to `max_bar_s`. With `tries_explained_early`, a
     key that was answered once, and never the only barred one at a crash, is tried
-    sooner.
+    sooner. A bar that has run out is remembered for `bar_memory_s`, if no trial decides
+    about it.
     """
 
     crashes_unanswered: float
@@ -37,6 +38,7 @@
     max_answered: int
     bar_growth: int
     max_bar_s: float
+    bar_memory_s: float
     tries_explained_early: bool
 
 
@@ -51,6 +53,7 @@
         max_answered=3_000,
         bar_growth=2,
         max_bar_s=600.0,
+        bar_memory_s=600.0,
         tries_explained_early=False,
     ),
     # What many callers read is answered all the time. What nobody answers is of one
@@ -64,6 +67,7 @@
         max_answered=1_000,
         bar_growth=8,
         max_bar_s=86_400.0,
+        bar_memory_s=86_400.0,
         tries_explained_early=True,
     ),
 }
--- a/src/turmericward/requests/_suspects.py
+++ b/src/turmericward/requests/_suspects.py
@@ -21,8 +21,6 @@
 EARLY_TRIAL_S = 5.0
 # After a bar has ended, one front after the other may try a call, at this interval.
 TRIAL_INTERVAL_S = 15.0
-# How long a bar that has run out is remembered, if no trial decides about it.
-BAR_MEMORY_S = 600.0
 
 
 @attrs.frozen
@@ -158,8 +156,8 @@
         self.bar.until = until
         return True
 
-    def has_expired(self, now: float) -> bool:
+    def has_expired(self, now: float, bar_memory_s: float) -> bool:
         """Returns whether the evidence is too old to count."""
         if self.bar is not None:
-            return now > self.bar.until + BAR_MEMORY_S
+            return now > self.bar.until + bar_memory_s
         return now - self.changed_at > EVIDENCE_S
--- a/src/turmericward/requests/_verdicts.py
+++ b/src/turmericward/requests/_verdicts.py
@@ -155,7 +155,8 @@
 
     def expire(self, now: float) -> None:
         """Drops evidence that is too old."""
-        expired = [k for k, x in self.suspects.items() if x.has_expired(now)]
+        memory_s = self._rules.bar_memory_s
+        expired = [k for k, x in self.suspects.items() if x.has_expired(now, memory_s)]
         for key in expired:
             del self.suspects[key]
         old = [
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -200,6 +200,16 @@
     check.assertEqual(_barred(quarantine), set())
 
 
+def test_a_request_that_came_every_quarter_of_an_hour_crashed_three_targets_each_time():
+    quarantine = _requests()
+    _crash_at_once(quarantine, 1)
+    quarantine.expire(900.0)
+    check.assertEqual(_refused(quarantine, [1], 900.0), "")
+    quarantine.record_crash([1], _engine(3), 900.1)
+    quarantine.expire(1_300.0)
+    check.assertEqual(_refused(quarantine, [1], 1_300.0), "quarantined")
+
+
 def test_engines_that_end_at_one_moment_do_not_bar_a_segment_before_it_is_certain():
     quarantine = requests.Quarantine()
     for number in range(4):
