--- a/src/turmericward/requests/_evidence.py
+++ b/src/turmericward/requests/_evidence.py
@@ -25,7 +25,10 @@
     answer doesn't count against a key. An answer lifts a bar if there are more than
     `chance_answers` lately, as one front sees them; `max_answered` bounds the keys
     whose answers a front remembers. Each crash above those that bar a key makes its
-    bar `bar_growth` times as long, up to `max_bar_s`.
+    bar `bar_growth` times as long, up to `max_bar_s`. With `tries_explained_early`, a
+    key that was answered once, and never the only barred one at a crash, is tried
+    sooner. A bar that has run out is remembered for `bar_memory_s`, if no trial decides
+    about it.
     """
 
     crashes_unanswered: float
@@ -35,6 +38,8 @@
     max_answered: int
     bar_growth: int
     max_bar_s: float
+    bar_memory_s: float
+    tries_explained_early: bool
 
 
 RULES = {
@@ -48,6 +53,8 @@
         max_answered=3_000,
         bar_growth=2,
         max_bar_s=600.0,
+        bar_memory_s=600.0,
+        tries_explained_early=False,
     ),
     # What many callers read is answered all the time. What nobody answers is of one
     # caller, who loses little by a bar; each trial ends another target.
@@ -60,5 +67,7 @@
         max_answered=1_000,
         bar_growth=8,
         max_bar_s=86_400.0,
+        bar_memory_s=86_400.0,
+        tries_explained_early=True,
     ),
 }
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,7 +1,6 @@
 """Requests that crash replicas don't take one replica after the other."""
 
 import contextlib
-import os
 import random
 import time
 
@@ -9,7 +8,13 @@
 from click import testing
 
 from standins import platform_replica
-from tests import crashing_services, fixtures, platform_fixtures, repeated_calls
+from tests import (
+    crashing_fleet,
+    crashing_services,
+    fixtures,
+    platform_fixtures,
+    repeated_calls,
+)
 from turmericward.programs import cli
 
 check = fixtures.check
@@ -96,11 +101,26 @@
         deadly = [Request(f"/deadly{n}", caller="x") for n in range(requests_each)]
         for seed in (1, 2, 3):
             options = {"restart_s": restart_s, "deadly_per_s": 4.0, "seed": seed}
-            world = _play(2, deadly=deadly, answered_until=10.0, **options)
+            world = _play(2, deadly=deadly, answered_until=10.0, until=60.0, **options)
             _check_bounds(world, (requests_each, options))
             check.assertNotIn(COMMON, world.false_alarms, (requests_each, options))
 
 
+def test_sound_requests_that_were_there_by_chance_stayed_refused():
+    subjects = [Request(f"/subject/{n}") for n in range(60)]
+    for restart_s, seed in ((1.0, 6), (5.0, 2), (5.0, 7)):
+        deadly = [Request(f"/deadly{n}", caller="x") for n in range(2)]
+        options = {"restart_s": restart_s, "seed": seed, "deadly_per_s": 4.0}
+        servers = crashing_services.replicas(3)
+        with crashing_services.World(
+            2, servers, subjects, deadly, calls_per_s=120.0, **options
+        ) as world:
+            world.run(35.0)
+        _check_bounds(world, options)
+        # Their bar of a minute isn't over.
+        check.assertEqual(world.served_share(30.0, 34.0), 1.0, options)
+
+
 def test_fronts_that_start_later_learn_which_requests_crash_replicas():
     for restarted in (("a000",), ("a000", "a001"), ("a900",)):
         with _world(2) as world:
@@ -187,22 +207,14 @@
     world = crashing_services.World(
         2, servers, SOUND, [], calls_per_s=60.0, restart_s=3.0, seed=seed
     )
-    at = 2.0
-    while at < 24.0:
-        count, interval_s = source.choice(((1, 0.0), (2, 0.01), (3, 0.01), (3, 0.7)))
-        for number in range(count):
-            world.schedule(at + number * interval_s, world.crash_any, source)
-        at += source.uniform(4.0, 9.0)
+    world.schedule_ordinary_crashes(source)
     with world:
         world.run(29.0)
     return set(world.false_alarms)
 
 
 def test_ordinary_crashes_bar_no_request():
-    # CRASH_SEEDS sets how many seeds are run, for long runs by hand.
-    seeds = int(os.environ.get("CRASH_SEEDS", "3"))
-    barred = {seed: _run_ordinary_crashes(seed) for seed in range(seeds)}
-    check.assertEqual({seed: found for seed, found in barred.items() if found}, {})
+    crashing_fleet.check_ordinary_crashes(_run_ordinary_crashes)
 
 
 def test_a_front_sent_a_deadly_request_to_replica_after_replica():
@@ -224,14 +236,13 @@
             with repeated_calls.Clients(platform, sendings, CALL_INTERVAL_S) as clients:
                 time.sleep(PLAY_S)
             ended_at = time.monotonic()
-            counted = sorted(crashing.crashed_at)[: crashing_services.CRASHES_COUNTED]
-            settled_at = counted[-1] + crashing_services.SETTLING_S
+            settled_at = crashing.settled_at(
+                crashing_services.CRASHES_COUNTED, crashing_services.SETTLING_S
+            )
             late = [
                 received
-                for replica in platform.replicas.values()
-                for received in replica.calls
-                if received.at > settled_at
-                and received.path == path
+                for received in crashing.received_since(settled_at)
+                if received.path == path
                 and received.headers.get("Authorization") == "x"
             ]
             check.assertLessEqual(len(late), crashing_services.MAX_LATE_ARRIVALS, path)
