--- a/src/turmericward/httpd/_idle.py
+++ b/src/turmericward/httpd/_idle.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-CHECK_INTERVAL_S = 1.0
+from turmericward.httpd import _monitor
 
 
 @attrs.frozen(kw_only=True)
@@ -20,7 +20,7 @@
     header_started_at: float | None = None
 
 
-class IdleMonitor:
+class IdleMonitor(_monitor.Monitor):
     """Finds connections that exceed a timeout at two consecutive checks.
 
     A byte sent or received between the two checks keeps the connection open. After
@@ -30,16 +30,9 @@
 
     def __init__(self) -> None:
         """Creates the monitor; the first check is due immediately."""
-        self._next_at = 0.0
+        super().__init__()
         self._suspects: dict[Hashable, float] = {}
 
-    def is_due(self, now: float) -> bool:
-        """Returns whether a check is due, and schedules the one after it."""
-        if now < self._next_at:
-            return False
-        self._next_at = now + CHECK_INTERVAL_S
-        return True
-
     def find_expired(
         self,
         idle_states: Iterable[IdleState],
--- a/src/turmericward/httpd/_waiting.py
+++ b/src/turmericward/httpd/_waiting.py
@@ -7,36 +7,30 @@
 import math
 
 from turmericward import runtime, telemetry
-from turmericward.httpd import _channel, _workers
+from turmericward.httpd import _channel, _monitor, _workers
 
-CHECK_INTERVAL_S = 0.25
 REFUSERS = 1
 
 
-class WaitMonitor:
+class WaitMonitor(_monitor.Monitor):
     """Finds requests that have waited too long, at two checks in a row.
 
     After the process was paused all seem to have, though workers are about to begin
     them.
     """
 
+    interval_s = 0.25
+
     def __init__(self, max_wait_s: float) -> None:
         """Creates the monitor; the first check is due immediately.
 
         Args:
             max_wait_s: how long a request may wait, in seconds.
         """
+        super().__init__()
         self._max_wait_s = max_wait_s
-        self._next_at = 0.0
         self._suspects: set[_channel.Channel] = set()
 
-    def is_due(self, now: float) -> bool:
-        """Returns whether a check is due, and schedules the one after it."""
-        if now < self._next_at:
-            return False
-        self._next_at = now + CHECK_INTERVAL_S
-        return True
-
     def find_expired(
         self, waiting: list[tuple[_channel.Channel, float]], now: float
     ) -> list[_channel.Channel]:
@@ -64,7 +58,7 @@
     @property
     def step_s(self) -> float:
         """Time until the next step, if no client sends anything."""
-        return CHECK_INTERVAL_S if self._workers.waiting() else math.inf
+        return self._monitor.interval_s if self._workers.waiting() else math.inf
 
     def step(self) -> None:
         """Refuses what has waited too long."""
