--- a/benchmarks/busy_front.py
+++ b/benchmarks/busy_front.py
@@ -132,12 +132,9 @@
         load = self._load
         shared = self._random.randrange(SHARED_SEGMENTS)
         tokens = load.prompt_tokens // 2
-        headers = {
-            "Turmericward-Model-Id": "m",
-            "Turmericward-Token-Count": f"{load.prompt_tokens},{load.events}",
-            platform_fixtures.PREFIX: f"s{shared}:{tokens},{call_id}:{tokens}",
-            "Turmericward-Deadline-Ms": "8000",
-        }
+        headers = platform_fixtures.prompt_headers(
+            load.prompt_tokens, load.events, f"s{shared}:{tokens},{call_id}:{tokens}"
+        )
         path = f"/ask/x?events={load.events}&gap_ms={EVENT_INTERVAL_MS}"
         self._platform.send(conn, "POST", path, call_id, headers, b"x" * 800)
         resp = conn.getresponse()
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -29,6 +29,11 @@
 }
 
 
+def prompt_headers(tokens: int, output: int, segments: str) -> dict[str, str]:
+    """Returns the headers of a prompt whose segments are `id:tokens,...`."""
+    return PROMPT | {"Turmericward-Token-Count": f"{tokens},{output}", PREFIX: segments}
+
+
 def route(name: str, kind: str, service: str, **changes) -> dict:
     """Returns a route of the manifest whose path prefix is its name."""
     return {
