--- a/src/turmericward/telemetry/_logs.py
+++ b/src/turmericward/telemetry/_logs.py
@@ -35,9 +35,6 @@
 DROPPED_EVENT = "lines left out"
 FLUSH_TIMEOUT_S = 0.5
 FLUSH_POLL_S = 0.01
-# How long the writer collects further lines after the first one. To wake its thread
-# costs several times as much as to write a line.
-BATCH_INTERVAL_S = 0.1
 
 
 class MessageRateLimit(std_logging.Filter):
@@ -86,8 +83,6 @@
         """Creates the handler; `lines` is a bounded queue."""
         super().__init__(lines)
         self._dropped = 0
-        # Set while queued lines have to be written without delay.
-        self.flushing = threading.Event()
 
     def enqueue(self, record: std_logging.LogRecord) -> None:
         """Queues the line, or counts it as dropped if the queue is full."""
@@ -101,28 +96,6 @@
             log_event(DROPPED_EVENT, kinds={"any": dropped})
 
 
-class BatchingListener(handlers.QueueListener):
-    """Writes queued lines on its own thread, which few of them wake."""
-
-    def __init__(
-        self,
-        lines: queue.Queue,
-        writer: std_logging.Handler,
-        flushing: threading.Event,
-    ) -> None:
-        """Creates the listener; no further lines are awaited while `flushing`."""
-        super().__init__(lines, writer)
-        self._flushing = flushing
-
-    def dequeue(self, block: bool):
-        """Returns the next line; delays the first one of a batch."""
-        if not self.queue.empty():
-            return super().dequeue(block)
-        record = super().dequeue(block)
-        self._flushing.wait(BATCH_INTERVAL_S)
-        return record
-
-
 def configure_logs(program: str, instance: str, level: str) -> None:
     """Sends logs to standard output as JSON, or as text if `PLAIN_ENV` is set.
 
@@ -153,7 +126,7 @@
     for old in list(root.handlers):
         root.removeHandler(old)
     root.addHandler(handler)
-    BatchingListener(lines, writer, handler.flushing).start()
+    handlers.QueueListener(lines, writer).start()
     atexit.register(flush_logs)
 
 
@@ -163,11 +136,9 @@
     for handler in std_logging.getLogger().handlers:
         if not isinstance(handler, BoundedQueueHandler):
             continue
-        handler.flushing.set()
         # The queue is empty before its last line is written.
         while handler.queue.unfinished_tasks and time.monotonic() < deadline:
             time.sleep(FLUSH_POLL_S)
-        handler.flushing.clear()
 
 
 def log_request(fields: object) -> None:
