--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -19,7 +19,7 @@
 
 HOST = "api.example"
 STOP_TIMEOUT_S = 15.0
-# Longer than a front collects lines before it writes them.
+# Longer than the thread that writes the lines takes on a busy machine.
 LOG_DELAY_S = 0.3
 PREFIX = "Turmericward-Prompt-Prefix"
 PROMPT = {
--- a/tests/test_fingerprint.py
+++ b/tests/test_fingerprint.py
@@ -66,7 +66,7 @@
             platform.servers.pop(name).crash()
         for call_id, (sent, fields) in sendings.items():
             platform.call("POST", "/write/deadly", call_id, fields, sent)
-        for line in platform.log.read_text().splitlines():
+        for line in platform.read_log().splitlines():
             found = re.search(r'"request_id": "(\w+)".*"content": "(\w+)"', line)
             if found is not None:
                 contents[found[1]] = found[2]
