--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -19,7 +19,7 @@
 
 HOST = "api.example"
 STOP_TIMEOUT_S = 15.0
-# Longer than a front collects lines before it writes them.
+# Longer than the thread that writes the lines takes on a busy machine.
 LOG_DELAY_S = 0.3
 PREFIX = "Turmericward-Prompt-Prefix"
 PROMPT = {
@@ -29,6 +29,11 @@
 }
 
 
+def prompt_headers(tokens: int, output: int, segments: str) -> dict[str, str]:
+    """Returns the headers of a prompt whose segments are `id:tokens,...`."""
+    return PROMPT | {"Turmericward-Token-Count": f"{tokens},{output}", PREFIX: segments}
+
+
 def route(name: str, kind: str, service: str, **changes) -> dict:
     """Returns a route of the manifest whose path prefix is its name."""
     return {
