Test of a link's end: a reset ends the connection as well

Cause: the test waits until the link has both connections, not until it has read the client's byte; a socket that is closed with unread bytes is reset. That depends on threads' order, not on the link's end. Both are an end; a connection that stays open still fails by its time-out.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -56,7 +56,9 @@
             launch.wait_until(lambda: proxy._open, what="connection forwarded")
             proxy.close()
             conn.settimeout(MAX_CLOSE_S)
-            check.assertEqual(conn.recv(1), b"")
+            # A reset is an end as well: the link may not have read the byte yet.
+            with contextlib.suppress(ConnectionResetError):
+                check.assertEqual(conn.recv(1), b"")
         listening.join(MAX_CLOSE_S)
         check.assertFalse(listening.is_alive())
         check.assertFalse(_connects(address))
