Stand-in link: a connection that opens as the link is cut is ended too

Cause: a link looked at its mode, connected to its target and added both sockets to those that a cut ends; a cut in between missed them. The set was changed outside the lock, too. Ruled out: the test alone (it waits for the connections of an earlier probe at times, so that it meets the moment more often; the fault is the link's). Change: sockets are added under the lock, and ended if the mode is a cut by then. A soak's cut may have missed a connection before.

--- a/standins/link.py
+++ b/standins/link.py
@@ -85,7 +85,7 @@
             contextlib.suppress(OSError),
             socket.create_connection(self._target) as upstream,
         ):
-            self._open |= {conn, upstream}
+            self._add(conn, upstream)
             for sock in (conn, upstream):
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             reverse = threading.Thread(
@@ -94,9 +94,17 @@
             reverse.start()
             self._copy(conn, upstream)
             reverse.join()
-            self._open -= {conn, upstream}
+            with self._changed:
+                self._open -= {conn, upstream}
         conn.close()
 
+    def _add(self, *socks: socket.socket) -> None:
+        """Adds a pair of connections; ends it if the mode has changed meanwhile."""
+        with self._changed:
+            self._open.update(socks)
+            if self._mode in CUT:
+                self._shut_down(*socks)
+
     def _copy(self, source: socket.socket, sink: socket.socket) -> None:
         with contextlib.suppress(OSError):
             while data := source.recv(CHUNK_BYTES):
