--- /dev/null
+++ b/review/kit/replica_process.py
@@ -0,0 +1,62 @@
+"""A replica as a process of its own, which its case may kill.
+
+Its answers have neither a length nor chunks and end with their channel, as the pages
+allow. Streams have as many numbered events as their path's last part says; so many
+lines has any other answer. Each is written at once, with a pause before the next.
+"""
+
+import socket
+import sys
+import threading
+import time
+
+from kit import replica
+
+PAUSE_S = 0.1
+
+
+def piece(attempt: str, number: int, *, stream: bool) -> bytes:
+    """Returns an event of a stream, or a line of another answer."""
+    if stream:
+        return f"id: {number}\ndata: {attempt}-{number}\n\n".encode()
+    return f"{attempt}-{number}\n".encode()
+
+
+def body(attempt: str, count: int, *, stream: bool) -> bytes:
+    """Returns a whole body."""
+    return b"".join(piece(attempt, n + 1, stream=stream) for n in range(count))
+
+
+def _serve(sock: socket.socket, name: str) -> None:
+    with sock:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        req = replica.read_request(sock.makefile("rb"))
+        if req is None or req.target.startswith("/api/"):
+            return
+        if req.headers.get("turmericward-expect-instance", name) != name:
+            lines = ("Turmericward-Not-Executed: 1", "Content-Length: 0")
+            sock.sendall(replica.head(req, *lines, status="421 Misdirected Request"))
+            return
+        # One write, as other threads write too.
+        sys.stdout.write(f"run {req.id}\n")
+        sys.stdout.flush()
+        stream = "turmericward-prompt-prefix" in req.headers
+        kind = "text/event-stream" if stream else "text/plain"
+        sock.sendall(replica.head(req, f"Content-Type: {kind}", "Connection: close"))
+        for number in range(int(req.target.rpartition("/")[2])):
+            time.sleep(PAUSE_S)
+            sock.sendall(piece(req.id, number + 1, stream=stream))
+
+
+def main() -> None:
+    """Serves at the given port under the given id until it is killed."""
+    port, name = int(sys.argv[1]), sys.argv[2]
+    listener = socket.create_server(("127.0.0.1", port), backlog=256)
+    print("listens", flush=True)
+    while True:
+        sock, _ = listener.accept()
+        threading.Thread(target=_serve, args=(sock, name), daemon=True).start()
+
+
+if __name__ == "__main__":
+    main()
