--- a/review/kit/replica_process.py
+++ b/review/kit/replica_process.py
@@ -1,8 +1,10 @@
 """A replica as a process of its own, which its case may kill.
 
-Its answers have neither a length nor chunks and end with their channel, as the pages
-allow. Streams have as many numbered events as their path's last part says; so many
-lines has any other answer. Each is written at once, with a pause before the next.
+Streams have as many numbered events as their path's last part says; so many lines has
+any other answer. Each is written at once, with a pause before the next. Answers come
+in chunks if the third argument is `chunks`; with `open` they have neither a length nor
+chunks and end with their channel, as the pages allow. The fourth argument is the width
+of the events' ids, which are filled with zeros.
 """
 
 import socket
@@ -15,19 +17,21 @@
 PAUSE_S = 0.1
 
 
-def piece(attempt: str, number: int, *, stream: bool) -> bytes:
+def piece(attempt: str, number: int, *, stream: bool, width: int = 1) -> bytes:
     """Returns an event of a stream, or a line of another answer."""
     if stream:
-        return f"id: {number}\ndata: {attempt}-{number}\n\n".encode()
+        return f"id: {number:0{width}}\ndata: {attempt}-{number}\n\n".encode()
     return f"{attempt}-{number}\n".encode()
 
 
-def body(attempt: str, count: int, *, stream: bool) -> bytes:
+def body(attempt: str, count: int, *, stream: bool, width: int = 1) -> bytes:
     """Returns a whole body."""
-    return b"".join(piece(attempt, n + 1, stream=stream) for n in range(count))
+    return b"".join(
+        piece(attempt, n + 1, stream=stream, width=width) for n in range(count)
+    )
 
 
-def _serve(sock: socket.socket, name: str) -> None:
+def _serve(sock: socket.socket, name: str, *, chunks: bool, width: int) -> None:
     with sock:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         req = replica.read_request(sock.makefile("rb"))
@@ -42,20 +46,28 @@
         sys.stdout.flush()
         stream = "turmericward-prompt-prefix" in req.headers
         kind = "text/event-stream" if stream else "text/plain"
-        sock.sendall(replica.head(req, f"Content-Type: {kind}", "Connection: close"))
-        for number in range(int(req.target.rpartition("/")[2])):
+        framing = ("Transfer-Encoding: chunked",) if chunks else ()
+        lines = (f"Content-Type: {kind}", "Connection: close", *framing)
+        sock.sendall(replica.head(req, *lines))
+        first = int(req.headers.get("last-event-id", 0))
+        for number in range(first, int(req.target.rpartition("/")[2])):
             time.sleep(PAUSE_S)
-            sock.sendall(piece(req.id, number + 1, stream=stream))
+            data = piece(req.id, number + 1, stream=stream, width=width)
+            sock.sendall(replica.chunk(data) if chunks else data)
+        if chunks:
+            sock.sendall(replica.chunk(b""))
 
 
 def main() -> None:
     """Serves at the given port under the given id until it is killed."""
-    port, name = int(sys.argv[1]), sys.argv[2]
-    listener = socket.create_server(("127.0.0.1", port), backlog=256)
+    port, name, framing, width = sys.argv[1:]
+    how = {"chunks": framing == "chunks", "width": int(width)}
+    listener = socket.create_server(("127.0.0.1", int(port)), backlog=256)
     print("listens", flush=True)
     while True:
         sock, _ = listener.accept()
-        threading.Thread(target=_serve, args=(sock, name), daemon=True).start()
+        args = (sock, name)
+        threading.Thread(target=_serve, args=args, kwargs=how, daemon=True).start()
 
 
 if __name__ == "__main__":
