--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,7 +9,7 @@
 # One in 20 answers (x = 0.05) of one replica of two (share 0.5).
 SPOILED_EACH = 20
 FRAMING = "Transfer-Encoding: chunked"
-SPOILED = "Transfer-Encodin\x07\x12 chunked"
+SPOILED = "Transfer-Encoding; chunked"
 
 
 def run(record: fleet.Record, trouble: bool) -> list[str]:
