review: case 4, the last retry keeps two model replicas at work on a stream

Claimed: TWICE, the rule for model replicas. A second attempt that takes the last retry of the budget doesn't end the first one. Shown: review/4/run.sh, one front before eight replicas, one of which works 7.5 times as long for 6.5 s; streams may be resumed.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,116 +1,157 @@
-"""Replicas send bytes without end in the bodies of some of their streams."""
+"""A model replica turns slow while it writes streams that may be resumed."""
 
 import concurrent.futures
-import contextlib
-import itertools
-import random
+import socket
 import sys
+import threading
 import time
 
 from kit import client, fleet, replica
 
-TIMEOUT_S = 2.0
-# The clients' time budget is longer than the route's timeout.
-BUDGET_S = 6.0
-# The rule: so long after the timeout there has to be a final answer, ...
-SLACK_S = 0.5
-# ... and so many requests, and this share of those that last so long, have none.
-LATE_COUNT = 8
-LATE_SHARE = 0.25
-# Three of five replicas (share 0.6) send one in 20 answers (x = 0.05) without end, for
-# 6.4 s, and once more so after a pause.
-REPLICAS = 5
-FAULTY = 3
-ENDLESS_EACH = 20
-FAULTY_FOR_S = 6.4
-AGAIN_AFTER_S = 9.0
-CALLS = 2400
-CALLERS = 40
-EVENTS = 4
-# Sent at once, so that this program's other threads don't hold it up.
-NOISE_CHUNK = replica.chunk(random.Random(1).randbytes(2 * 1024 * 1024))
-# Requests share the first part of their prompts with every so many others.
-PARTS = 40
+# One of eight replicas (share 0.125) works 7.5 times as long for 6.5 s.
+REPLICAS = 8
+SLOW_X = 7.5
+SLOW_FOR_S = 6.5
+SLOW_AFTER_S = 2.5
+# What a sound replica takes to read a prompt, and between two events.
+FIRST_S = 0.8
+PAUSE_S = 0.4
+POLL_S = 0.01
+EVENTS = 8
+CALLERS = 32
+LAST_S = 14.0
+# The rule.
+OVERLAP_S = 0.4
+PROMPT = {
+    "Turmericward-Model-Id": "m",
+    "Turmericward-Token-Count": "300,80",
+}
+
+
+class Work:
+    """What each replica did for each request, and when, in monotonic seconds."""
+
+    def __init__(self, record: fleet.Record) -> None:
+        """Starts without work."""
+        self._record = record
+        self._lock = threading.Lock()
+        self.spans: dict[str, list[list]] = {}
+
+    def begin(self, attempt: str, name: str, after: str) -> list:
+        """Records that a replica has got a request."""
+        span = [time.monotonic(), None, name, after]
+        with self._lock:
+            self.spans.setdefault(attempt, []).append(span)
+        return span
+
+    def end(self, attempt: str, span: list, how: str) -> None:
+        """Records that it works on it no longer."""
+        span[1] = time.monotonic()
+        self._record.add("ended", id=attempt, replica=span[2], how=how)
 
 
 def run(record: fleet.Record, trouble: bool) -> list[str]:
-    """Returns the requests without a final answer, if they break the rule."""
+    """Returns the requests that went on at two replicas at once."""
+    work = Work(record)
+    slow_from = [float("inf")]
+
+    def factor(name: str) -> float:
+        slow_s = time.monotonic() - slow_from[0]
+        is_slow = name == "i-0" and 0 <= slow_s < SLOW_FOR_S
+        return SLOW_X if is_slow else 1.0
+
+    def server(name: str):
+        def serve(req: replica.Request, sock) -> bool:
+            after = req.headers.get("last-event-id", "")
+            span = work.begin(req.id, name, after)
+            if not _wait(sock, lambda: FIRST_S * factor(name)):
+                work.end(req.id, span, "left")
+                return False
+            lines = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+            sock.sendall(replica.head(req, *lines))
+            for number in range(int(after or 0) + 1, EVENTS + 1):
+                event = f"id: {number}\ndata: {req.id}-{number}\n\n".encode()
+                sock.sendall(replica.chunk(event))
+                if not _wait(sock, lambda: PAUSE_S * factor(name)):
+                    work.end(req.id, span, "left")
+                    return False
+            sock.sendall(replica.chunk(b""))
+            work.end(req.id, span, "complete")
+            return True
+
+        return serve
+
     routes = [
-        fleet.route("ask", "streaming", "model", timeout_ms=int(1000 * TIMEOUT_S))
+        fleet.route(
+            "ask",
+            "streaming",
+            "model",
+            timeout_ms=20000,
+            objective_ms=1000,
+            gap_ms=500,
+            resumable=True,
+            max_attempts=2,
+        )
     ]
     deployment = fleet.Fleet(record, ["a"], routes)
-    numbers = itertools.count(1)
-    began: list[float] = []
-
-    def sound(req: replica.Request, sock) -> bool:
-        _begin(req, sock)
-        for number in range(2, EVENTS + 1):
-            sock.sendall(replica.chunk(_event(req, number)))
-        sock.sendall(replica.chunk(b""))
-        return True
-
-    def faulty(req: replica.Request, sock) -> bool:
-        is_time = (time.monotonic() - began[0]) % AGAIN_AFTER_S < FAULTY_FOR_S
-        if not trouble or next(numbers) % ENDLESS_EACH or not is_time:
-            return sound(req, sock)
-        record.add("without end", id=req.id)
-        _begin(req, sock)
-        with contextlib.suppress(OSError):
-            while True:
-                sock.sendall(NOISE_CHUNK)
-        record.add("closed by the front", id=req.id)
-        return False
-
     for number in range(REPLICAS):
-        serve = faulty if number < FAULTY else sound
-        replica.Replica(deployment, f"i-{number}", "model", serve)
+        name = f"i-{number}"
+        replica.Replica(deployment, name, "model", server(name))
     with deployment, concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
-        began.append(time.monotonic())
-        calls = [pool.submit(_call, deployment, n, began[0]) for n in range(CALLS)]
-        answers = [call.result() for call in calls]
-    return _faults([answer for answer in answers if answer is not None])
-
-
-def _call(deployment: fleet.Fleet, number: int, began: float) -> client.Answer | None:
-    if time.monotonic() - began > 2 * AGAIN_AFTER_S:
-        return None
-    parts = f"5c1e{number % PARTS:04x}:200,91{number:06x}:100"
-    prompt = {
-        "Turmericward-Model-Id": "m",
-        "Turmericward-Token-Count": "300,80",
-        "Turmericward-Prompt-Prefix": parts,
-    }
-    return client.call(
-        deployment,
-        deployment.fronts[0],
-        "POST",
-        f"/ask/{number}",
-        body=b"{}",
-        deadline_s=BUDGET_S,
-        headers=prompt,
-        most=1 << 40,
-    )
-
-
-def _faults(answers: list[client.Answer]) -> list[str]:
-    longer = [a for a in answers if a.took_s > TIMEOUT_S]
-    late = [a for a in longer if a.took_s > TIMEOUT_S + SLACK_S]
-    if len(late) < LATE_COUNT or len(late) <= LATE_SHARE * len(longer):
-        return []
-    return [
-        f"CONFIG: {len(late)} of the {len(longer)} requests that last longer than "
-        f"TimeoutMs have no final answer {SLACK_S} s after it",
-        *(f"CONFIG: {a.id} had none after {a.took_s:.2f} s" for a in late),
-    ]
-
-
-def _begin(req: replica.Request, sock) -> None:
-    lines = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
-    sock.sendall(replica.head(req, *lines) + replica.chunk(_event(req, 1)))
-
-
-def _event(req: replica.Request, number: int) -> bytes:
-    return f"id: {number}\ndata: {req.id}-{number}\n\n".encode()
+        began = time.monotonic()
+        for number in range(CALLERS):
+            pool.submit(_call_until, deployment, number, began + LAST_S)
+        time.sleep(SLOW_AFTER_S)
+        if trouble:
+            record.add("slow", replica="i-0")
+            slow_from[0] = time.monotonic()
+        pool.shutdown()
+    return _faults(work)
+
+
+def _wait(sock, length_s) -> bool:
+    """Waits as long as the work takes; returns whether the caller is still there."""
+    began = time.monotonic()
+    while time.monotonic() - began < length_s():
+        try:
+            if not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
+                return False
+        except BlockingIOError:
+            pass
+        except OSError:
+            return False
+        time.sleep(POLL_S)
+    return True
+
+
+def _call_until(deployment: fleet.Fleet, caller: int, until: float) -> None:
+    number = 0
+    while time.monotonic() < until:
+        number += 1
+        parts = f"5c{caller:02x}{number:04x}:200,91{caller:02x}{number:04x}:100"
+        client.call(
+            deployment,
+            deployment.fronts[0],
+            "POST",
+            f"/ask/{caller}",
+            body=b"{}",
+            deadline_s=20.0,
+            headers=PROMPT | {"Turmericward-Prompt-Prefix": parts},
+        )
+
+
+def _faults(work: Work) -> list[str]:
+    faults = []
+    for attempt, spans in work.spans.items():
+        for first, second in zip(spans, spans[1:]):
+            now = time.monotonic()
+            both_s = min(first[1] or now, second[1] or now) - second[0]
+            if both_s > OVERLAP_S:
+                faults.append(
+                    f"TWICE: {attempt} went on at {second[2]} after event "
+                    f"{second[3] or 'none'} while {first[2]} worked on it {both_s:.2f} s"
+                )
+    return faults
 
 
 if __name__ == "__main__":
