--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
 """A model replica turns slow while it writes streams that may be resumed."""
 
 import concurrent.futures
+import itertools
 import socket
 import sys
 import threading
@@ -143,13 +144,14 @@
 def _faults(work: Work) -> list[str]:
     faults = []
     for attempt, spans in work.spans.items():
-        for first, second in zip(spans, spans[1:]):
+        for first, second in itertools.pairwise(spans):
             now = time.monotonic()
             both_s = min(first[1] or now, second[1] or now) - second[0]
             if both_s > OVERLAP_S:
                 faults.append(
                     f"TWICE: {attempt} went on at {second[2]} after event "
-                    f"{second[3] or 'none'} while {first[2]} worked on it {both_s:.2f} s"
+                    f"{second[3] or 'none'} while {first[2]} was at work, "
+                    f"both for {both_s:.2f} s"
                 )
     return faults
 
