--- a/review/5/case.py
+++ b/review/5/case.py
@@ -65,6 +65,7 @@
         serve = faulty if number < FAULTY else sound
         replica.Replica(deployment, f"i-{number}", "model", serve)
     with deployment, concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+        time.sleep(fleet.STABLE_S)
         began.append(time.monotonic())
         calls = [pool.submit(_call, deployment, n, began[0]) for n in range(CALLS)]
         answers = [call.result() for call in calls]
