review: case 3 sends eight calls at a time

Claimed: as before; the case was flaky, as the front could leave the faulty replica aside when calls came one by one.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,11 +1,17 @@
 """A replica spoils bytes in the heads of some of its answers."""
 
+import concurrent.futures
+import functools
 import itertools
 import sys
+import time
 
 from kit import client, fleet, replica
 
 CALLS = 400
+# So many at once, with some work each, so that both replicas get their part.
+CALLERS = 8
+WORK_S = 0.03
 # One in 20 answers (x = 0.05) of one replica of two (share 0.5).
 SPOILED_EACH = 20
 FRAMING = "Transfer-Encoding: chunked"
@@ -22,10 +28,12 @@
     numbers = itertools.count(1)
 
     def sound(req: replica.Request, sock) -> bool:
+        time.sleep(WORK_S)
         sock.sendall(_answer(req, FRAMING))
         return False
 
     def faulty(req: replica.Request, sock) -> bool:
+        time.sleep(WORK_S)
         spoils = trouble and next(numbers) % SPOILED_EACH == 0
         if spoils:
             record.add("spoiled", id=req.id)
@@ -34,8 +42,9 @@
 
     replica.Replica(deployment, "i-1", "app", sound)
     replica.Replica(deployment, "i-2", "app", faulty)
-    with deployment:
-        faults = [_fault_of_call(deployment, n) for n in range(CALLS)]
+    with deployment, concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+        call = functools.partial(_fault_of_call, deployment)
+        faults = list(pool.map(call, range(CALLS)))
     return [fault for fault in faults if fault]
 
 
