--- a/src/turmericward/adapters/engine.py
+++ b/src/turmericward/adapters/engine.py
@@ -7,7 +7,7 @@
 import attrs
 
 from turmericward import runtime, schema
-from turmericward.adapters import _pending, _request, _response, errors
+from turmericward.adapters import _guard, _pending, _request, _response, errors
 
 READ_BYTES = 65536
 MAX_EVENT_NUMBER = 2**53
@@ -66,7 +66,7 @@
     `wait_until` sets until when further events are waited for.
     """
 
-    def __init__(self, conn, resp, address: str, guard: _response.Guard) -> None:
+    def __init__(self, conn, resp, address: str, guard: _guard.Guard) -> None:
         """Takes ownership of a connection whose response head has been read."""
         self._conn = conn
         self._resp = resp
@@ -169,7 +169,7 @@
             ForeignAnswerError: the response belongs to another request.
             CancelledError: the client disconnected.
         """
-        guard = _guard(job, first_byte_timeout_s, watch)
+        guard = _new_guard(job, first_byte_timeout_s, watch)
         conn = self._connect(deadline - runtime.now(), guard, watch)
         try:
             resp = self._send(conn, job, resume_after)
@@ -202,7 +202,7 @@
         """
         if deadline is None:
             deadline = runtime.now() + timeout_s
-        guard = _guard(job, timeout_s, watch)
+        guard = _new_guard(job, timeout_s, watch)
         conn = self._connect(deadline - runtime.now(), guard, watch)
         with _request.closing(conn):
             resp = self._send(conn, job, 0)
@@ -211,7 +211,7 @@
                 guard.wait_until(deadline)
             return self._read_response(conn, resp, deadline)
 
-    def _connect(self, timeout_s: float, guard: _response.Guard, watch: Watch):
+    def _connect(self, timeout_s: float, guard: _guard.Guard, watch: Watch):
         if watch.rival is not None:
             # The sending of a second attempt doesn't hold up the first.
             timeout_s = min(timeout_s, guard.until - runtime.now())
@@ -233,9 +233,9 @@
         )
 
 
-def _guard(job: Job, timeout_s: float, watch: Watch) -> _response.Guard:
+def _new_guard(job: Job, timeout_s: float, watch: Watch) -> _guard.Guard:
     until = runtime.now() + timeout_s
-    return _response.Guard(until, job.cancelled, watch.on_late, watch.rival)
+    return _guard.Guard(until, job.cancelled, watch.on_late, watch.rival)
 
 
 def has_ended(address: str) -> bool:
--- a/src/turmericward/adapters/service.py
+++ b/src/turmericward/adapters/service.py
@@ -5,7 +5,7 @@
 import attrs
 
 from turmericward import runtime
-from turmericward.adapters import _pending, _request, _response
+from turmericward.adapters import _guard, _pending, _request, _response
 
 Request = _request.Request
 _HOP_BY_HOP = frozenset(
@@ -67,7 +67,7 @@
     """
     until = runtime.now() + timeout_s
     deadline = until if deadline is None else deadline
-    guard = _response.Guard(until, lambda: False, watch.on_late, watch.rival)
+    guard = _guard.Guard(until, lambda: False, watch.on_late, watch.rival)
     conn = _request.connect(
         address,
         timeout_s,
@@ -84,7 +84,7 @@
         return Response(status=resp.status, headers=headers, body=body)
 
 
-def _check(guard: _response.Guard, until: float) -> None:
+def _check(guard: _guard.Guard, until: float) -> None:
     guard.check()
     if runtime.now() >= until:
         raise TimeoutError("request not written in time")
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 
 from turmericward import delivery, fleet, runtime, schema
-from turmericward.adapters import _request, _response, errors, service
+from turmericward.adapters import _guard, _request, _response, errors, service
 from turmericward.platform import _headers, _notices, _releases
 
 CONNECT_TIMEOUT_S = 0.3
@@ -50,7 +50,7 @@
         dispatch: delivery.Dispatch,
     ) -> delivery.Answer:
         """Sends a call and reads the response's head; see `delivery.Transport`."""
-        guard = _response.Guard(
+        guard = _guard.Guard(
             runtime.now() + dispatch.timeout_s,
             call.cancelled,
             dispatch.on_late,
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -8,7 +8,7 @@
 from standins import _http, engine, instances, launch, log, loopback
 from tests import fixtures
 from turmericward import authority, runtime, schema
-from turmericward.adapters import _response, errors, service
+from turmericward.adapters import _guard, errors, service
 from turmericward.adapters import engine_control as engine_adapter
 from turmericward.adapters import instances as instances_adapter
 from turmericward.adapters import log as log_adapter
@@ -237,7 +237,7 @@
     ours, theirs = socket.socketpair()
     with ours, theirs:
         theirs.sendall(b"x" * 1000)
-        guard = _response.Guard(runtime.now() + 60.0, lambda: True)
+        guard = _guard.Guard(runtime.now() + 60.0, lambda: True)
         with check.assertRaises(errors.CancelledError):
             for _ in range(100):
                 guard.wait(ours.fileno())
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -11,7 +11,7 @@
 
 from tests import fixtures, test_delivery, test_dispatch
 from turmericward import delivery, fleet, requests, runtime, telemetry
-from turmericward.adapters import _pending, _request, _response, errors
+from turmericward.adapters import _guard, _pending, _request, errors
 from turmericward.delivery import _late_attempt, _placements
 
 check = fixtures.check
@@ -730,8 +730,8 @@
 # The wait itself.
 
 
-def _guard(until_s: float, **changes) -> _response.Guard:
-    return _response.Guard(runtime.now() + until_s, lambda: False, **changes)
+def _new_guard(until_s: float, **changes) -> _guard.Guard:
+    return _guard.Guard(runtime.now() + until_s, lambda: False, **changes)
 
 
 def test_a_wait_that_is_over_goes_on_with_the_connection_open():
@@ -743,7 +743,7 @@
             lates.append(pending.watched)
             return runtime.now() + 0.1
 
-        guard = _guard(0.05, on_late=on_late)
+        guard = _new_guard(0.05, on_late=on_late)
         timer = threading.Timer(0.25, theirs.sendall, [b"x"])
         timer.start()
         guard.wait(ours.fileno())
@@ -756,7 +756,7 @@
     ours, theirs = socket.socketpair()
     with ours, theirs:
         lates = []
-        guard = _guard(-2.0, on_late=lates.append)
+        guard = _new_guard(-2.0, on_late=lates.append)
         theirs.sendall(b"x")
         guard.wait(ours.fileno())
         check.assertEqual(lates, [])
@@ -771,7 +771,7 @@
             seen.append(pending.watched)
             raise TimeoutError
 
-        guard = _guard(0.05, on_late=on_late)
+        guard = _new_guard(0.05, on_late=on_late)
         theirs.sendall(b"x")
         guard.wait(ours.fileno())
         ours.recv(1)
@@ -788,7 +788,7 @@
     second, second_target = socket.socketpair()
     with first, first_target, second, second_target:
         rival = _pending.PendingConnection(first.fileno())
-        guard = _guard(5.0, rival=rival)
+        guard = _new_guard(5.0, rival=rival)
         second_target.sendall(b"x")
         guard.wait(second.fileno())
         second.recv(1)
@@ -803,7 +803,7 @@
         second, second_target = socket.socketpair()
         with first, first_target, second, second_target:
             rival = _pending.PendingConnection(first.fileno())
-            guard = _guard(0.1, rival=rival)
+            guard = _new_guard(0.1, rival=rival)
             if ended_by == "us":
                 rival.close()
             else:
