--- a/src/turmericward/adapters/_response.py
+++ b/src/turmericward/adapters/_response.py
@@ -2,110 +2,75 @@
 
 import http.client
 import io
-import re
 
-from turmericward.adapters import _guard
+from turmericward.adapters import _guard, _head
 
-HEAD_TERMINATORS = (b"\r\n", b"\n")
-BODILESS_STATUSES = frozenset({204, 304})
-# http.client itself limits neither interim (1xx) responses nor trailer lines.
+# http.client itself doesn't limit the number of interim (1xx) responses.
 MAX_INTERIM_HEADS = 8
-MAX_TRAILER_LINES = 100
-MAX_LINE_BYTES = 65_536
-MAX_LENGTH = 2**31 - 1
-_LENGTH = re.compile(r"[0-9]{1,19}", re.ASCII)
-_CHUNK_SIZE = re.compile(rb"[0-9a-fA-F]{1,7}")
-
-
-class _LastLineReader:
-    """Wraps a file and records the last line read from it."""
-
-    def __init__(self, file) -> None:
-        self._file = file
-        self.last = b""
-
-    def readline(self, limit: int = -1) -> bytes:
-        self.last = self._file.readline(limit)
-        return self.last
-
-    def __getattr__(self, name: str):
-        return getattr(self._file, name)
 
 
 class WholeResponse(http.client.HTTPResponse):
-    """Rejects a truncated head, and a body whose end is declared ambiguously.
+    """Reads head and framing by the grammar, and rejects what is truncated.
 
-    http.client treats the end of the connection as the end of the head, and a
-    malformed length as none. A body that declares neither a length nor chunks ends
-    with the connection.
+    http.client drops header lines that it doesn't understand and all after them, takes
+    the end of the connection for the end of the head, and a malformed length for none.
+    A body that declares neither a length nor chunks ends with the connection.
     """
 
-    _head_count = 0
-
     def begin(self) -> None:
         """Reads the status line and the headers.
 
         Raises:
-            http.client.HTTPException: the head is truncated, or it doesn't tell for
-                certain where the body ends.
+            http.client.HTTPException: the head is truncated or malformed, or it doesn't
+                tell for certain where the body ends.
         """
-        file = self.fp
-        self.fp = _LastLineReader(file)
-        super().begin()
-        complete = self.fp.last in HEAD_TERMINATORS
-        self.fp = file
-        if not complete:
-            raise http.client.IncompleteRead(b"")
-        self._check_framing()
-
-    def _check_framing(self) -> None:
-        lengths = self.headers.get_all("Content-Length", [])
-        codings = self.headers.get_all("Transfer-Encoding", [])
-        if not lengths and not codings:
+        if self.headers is not None:
             return
-        if len(lengths) + len(codings) > 1:
-            raise http.client.HTTPException("response declares its length twice")
-        if codings and not self.chunked:
-            raise http.client.HTTPException(f"unknown transfer coding {codings[0]!r}")
-        if lengths and not _LENGTH.fullmatch(lengths[0].strip()):
-            raise http.client.HTTPException(f"malformed length {lengths[0]!r:.80}")
-        if lengths and int(lengths[0]) > MAX_LENGTH:
-            raise http.client.HTTPException(f"length {lengths[0]} is too large")
+        head = self._read_final_head()
+        self.version = 11 if head.minor_version else 10
+        self.code = self.status = head.status
+        self.reason = head.reason
+        self.headers = self.msg = http.client.HTTPMessage()
+        for name, value in head.fields:
+            self.headers[name] = value
+        self.length = head.length
+        self.chunked = head.chunked
+        self.chunk_left = None
+        self.will_close = self._check_close() or self.unframed
+
+    def _read_final_head(self) -> _head.Head:
+        if not self.fp.peek(1):
+            raise http.client.RemoteDisconnected("connection closed without a response")
+        for _ in range(MAX_INTERIM_HEADS):
+            lines = _head.read_lines(self.fp)
+            head = _head.decode_head(lines, bodiless=self._method == "HEAD")
+            if not head.interim:
+                return head
+        raise _head.MalformedResponseError("too many interim responses")
 
     @property
     def unframed(self) -> bool:
         """Whether the body ends with the connection."""
-        return self.length is None and not self.chunked and not self._has_no_body()
-
-    def _read_status(self):
-        # http.client skips any number of interim responses.
-        self._head_count += 1
-        if self._head_count > MAX_INTERIM_HEADS:
-            raise http.client.HTTPException("too many interim responses")
-        return super()._read_status()
-
-    def _read_next_chunk_size(self) -> int:
-        # http.client accepts signs, underscores and sizes beyond the memory.
-        line = self.fp.readline(MAX_LINE_BYTES + 1)
-        size = line.partition(b";")[0].strip(b" \t\r\n")
-        if not line.endswith(b"\n") or not _CHUNK_SIZE.fullmatch(size):
+        return self.length is None and not self.chunked
+
+    def _get_chunk_left(self) -> int | None:
+        """Returns how much of the chunk is left, None after the last one."""
+        # http.client accepts any bytes in the place of a chunk's end.
+        if self.chunk_left:
+            return self.chunk_left
+        if self.chunk_left is not None:
+            self._read_chunk_end()
+        line = _head.read_line(self.fp, _head.MAX_CHUNK_LINE_BYTES)
+        self.chunk_left = _head.decode_chunk_size(line) or None
+        if self.chunk_left is None:
+            _head.check_trailer(_head.read_lines(self.fp))
             self._close_conn()
-            raise ValueError(f"malformed chunk size {size[:20]!r}")
-        return int(size, 16)
-
-    def _read_and_discard_trailer(self) -> None:
-        # http.client skips any number of lines, and accepts the end of the
-        # connection as the end of the trailer.
-        for _ in range(MAX_TRAILER_LINES):
-            line = self.fp.readline(MAX_LINE_BYTES + 1)
-            if line in HEAD_TERMINATORS:
-                return
-            if not line.endswith(b"\n"):
-                break
-        raise http.client.IncompleteRead(b"")
+        return self.chunk_left
 
-    def _has_no_body(self) -> bool:
-        return self._method == "HEAD" or self.status in BODILESS_STATUSES
+    def _read_chunk_end(self) -> None:
+        end = self._safe_read(len(_head.CRLF))
+        if end != _head.CRLF:
+            raise _head.MalformedResponseError(f"chunk ends in {end!r}")
 
 
 class GuardedResponse(WholeResponse):
