--- a/src/turmericward/delivery/_cache_listing_loop.py
+++ b/src/turmericward/delivery/_cache_listing_loop.py
@@ -40,6 +40,9 @@
     random, so that fronts which start together list different ones.
     """
 
+    # Engines that aren't listed cost prefills only.
+    tolerated_failures = runtime.MAX_FAILURES_IN_A_ROW
+
     def __init__(
         self,
         dispatch: _dispatch_task.DispatchTask,
--- a/src/turmericward/delivery/_roles_loop.py
+++ b/src/turmericward/delivery/_roles_loop.py
@@ -79,6 +79,9 @@
 class RolesLoop(runtime.Loop):
     """Keeps each service's engines near the wanted mix of roles."""
 
+    # Each iteration asks the lease anew, and engines keep the roles that they have.
+    tolerated_failures = runtime.MAX_FAILURES_IN_A_ROW
+
     def __init__(
         self,
         dispatch: _dispatch_task.DispatchTask,
--- a/src/turmericward/runtime/__init__.py
+++ b/src/turmericward/runtime/__init__.py
@@ -5,10 +5,11 @@
 from turmericward.runtime._errors import RuntimeFaultError, TaskStoppedError
 from turmericward.runtime._group import Group
 from turmericward.runtime._ids import new_id, sha256_hex
-from turmericward.runtime._task import Loop, Task
+from turmericward.runtime._task import MAX_FAILURES_IN_A_ROW, Loop, Task
 from turmericward.runtime._waiters import Waiters
 
 __all__ = [
+    "MAX_FAILURES_IN_A_ROW",
     "Drain",
     "Group",
     "Loop",
--- a/src/turmericward/runtime/_task.py
+++ b/src/turmericward/runtime/_task.py
@@ -15,6 +15,8 @@
 MAX_FAILURES_IN_A_ROW = 100
 # Pause of a loop after an answer that came too late.
 LATE_ANSWER_PAUSE_S = 0.2
+# Pause of a loop after a failure that is tolerated.
+FAILURE_PAUSE_S = 1.0
 
 
 @attrs.frozen
@@ -163,9 +165,14 @@
 class Loop:
     """Calls `run_once` repeatedly on its own thread until it is stopped."""
 
+    # Failures in a row that don't end the loop, and so the process. A loop that keeps
+    # what it reads has to end: it may have lost a part of it.
+    tolerated_failures = 0
+
     def __init__(self) -> None:
         """Creates the loop, not yet running."""
         self._stopping = threading.Event()
+        self._failures = 0
 
     def stop(self) -> None:
         """Stops the loop after the current iteration."""
@@ -192,8 +199,25 @@
             except TimeoutError:
                 logging.exception("%s: an answer was late", type(self).__name__)
                 self.pause(LATE_ANSWER_PAUSE_S)
+            except Exception as exc:
+                self._tolerate(exc)
+            else:
+                self._failures = 0
         self.release_resources()
 
+    def _tolerate(self, exc: Exception) -> None:
+        """Logs a failure and pauses.
+
+        Raises:
+            Exception: `exc`, if there were too many in a row.
+        """
+        self._failures += 1
+        if self._failures > self.tolerated_failures:
+            raise exc
+        name = type(self).__name__
+        logging.error("%s failed, %d in a row", name, self._failures, exc_info=exc)
+        self.pause(FAILURE_PAUSE_S)
+
     def run_once(self) -> None:
         """Runs one iteration; overridden by subclasses."""
         raise NotImplementedError
--- a/tests/test_answer_readers.py
+++ b/tests/test_answer_readers.py
@@ -249,6 +249,15 @@
         "malformed length": _response(reader, {"Content-Length": "5x"}, reader.body),
         "length without end": _response(reader, {"Content-Length": "9" * 5000}, body),
         "length beyond memory": _response(reader, {"Content-Length": "9" * 18}, body),
+        "length beside a control byte": _response(
+            reader, {"Content-Length": f"\x1c{size}"}, body
+        ),
+        "length split by a control byte": _response(
+            reader, {"Content-Length": f"{size}\x1f{size}"}, body
+        ),
+        "line without a colon": status_line
+        + b"\r\nX\r\n"
+        + framed[len(status_line) + 2 :],
         "length in another script": _response(reader, {"Content-Length": "\xb2"}, body),
         "chunk beyond memory": _odd_chunk(reader, b"f" * 16),
         "chunk without end": _odd_chunk(reader, b"f" * 5000),
--- a/tests/test_cache_listing_loop.py
+++ b/tests/test_cache_listing_loop.py
@@ -1,11 +1,12 @@
 """Listing of the engines' KV cache contents at the start of a front."""
 
+import itertools
 import json
 from concurrent import futures
 
 from standins import platform_replica
 from tests import fixtures, platform_fixtures
-from turmericward import delivery, fleet, peers
+from turmericward import delivery, fleet, peers, runtime
 from turmericward.adapters import errors
 from turmericward.platform import _cache_listing
 
@@ -102,6 +103,37 @@
     check.assertEqual(lister.queried.count("e0"), 1)
 
 
+def test_an_answer_that_no_error_names_ended_the_front_that_had_asked():
+    """Guards against a loop that ends its process for what one engine answered."""
+    lister = _Lister()
+    front = _Front(lister)
+    failures = itertools.count(1)
+
+    def fail(target) -> None:
+        if next(failures) < 3:
+            raise ValueError("no length")
+        front.loop.stop()
+
+    lister.cached_segments = fail
+    front.loop.run()
+    check.assertEqual(next(failures), 4)
+
+
+def test_a_loop_that_always_fails_ends():
+    front = _Front(_Lister())
+    failures = itertools.count(1)
+
+    def fail() -> None:
+        next(failures)
+        raise ValueError("always")
+
+    front.loop.run_once = fail
+    with check.assertLogs("absl") as logs, check.assertRaises(ValueError):
+        front.loop.run()
+    check.assertEqual(len(logs.output), runtime.MAX_FAILURES_IN_A_ROW)
+    check.assertEqual(next(failures), runtime.MAX_FAILURES_IN_A_ROW + 2)
+
+
 def test_fronts_with_different_seeds_begin_with_different_engines():
     lister = _Lister()
     for seed in range(20):
