--- a/src/turmericward/delivery/_errors.py
+++ b/src/turmericward/delivery/_errors.py
@@ -1,5 +1,7 @@
 """Errors of call delivery."""
 
+from turmericward.adapters import errors
+
 
 class DeliveryError(Exception):
     """Base class of this package's errors; never raised directly."""
@@ -13,6 +15,10 @@
     """Raised when no configuration has been loaded yet."""
 
 
+class EventOrderError(DeliveryError, errors.AnswerLostError):
+    """Raised when the events of an answer aren't in sequence."""
+
+
 class StreamBrokenError(DeliveryError):
     """Raised while a reply is streamed that can't be completed."""
 
--- a/src/turmericward/delivery/_events.py
+++ b/src/turmericward/delivery/_events.py
@@ -8,7 +8,14 @@
 # Bounds the bytes that are buffered for an event that never ends.
 MAX_EVENT_BYTES = 1024 * 1024
 # Longer ids aren't treated as event numbers.
-MAX_EVENT_NUMBER_DIGITS = 18
+MAX_EVENT_NUMBER_DIGITS = 40
+
+
+def number_of(event_id: str) -> int | None:
+    """Returns an event's id as a number; None if it isn't one."""
+    if len(event_id) > MAX_EVENT_NUMBER_DIGITS or not event_id.isascii():
+        return None
+    return int(event_id) if event_id.isdigit() else None
 
 
 @attrs.frozen(kw_only=True)
@@ -21,15 +28,19 @@
     @property
     def number(self) -> int | None:
         """The event's id as a number; None if it isn't one."""
-        if len(self.id) > MAX_EVENT_NUMBER_DIGITS or not self.id.isascii():
-            return None
-        return int(self.id) if self.id.isdigit() else None
+        return number_of(self.id)
 
     @property
     def data(self) -> bytes:
         """The first line of the event's data."""
         return _field(self.raw, b"data")
 
+    @property
+    def has_data(self) -> bool:
+        """Whether it is an event, rather than a comment or an empty line."""
+        lines = self.raw.split(b"\n")
+        return any(line.partition(b":")[0] == b"data" for line in lines)
+
 
 def _field(raw: bytes, wanted: bytes) -> bytes:
     for line in raw.split(b"\n"):
--- a/src/turmericward/delivery/_progress.py
+++ b/src/turmericward/delivery/_progress.py
@@ -52,6 +52,7 @@
     _left: frozenset[str] = frozenset()
     _not_needed: frozenset[str] = frozenset()
     _interrupted: bool = False
+    _repeats_forbidden: bool = False
 
     def avoided(self, running: Set[str] = frozenset()) -> frozenset[str]:
         """Returns the targets to which the next attempt isn't sent.
@@ -133,6 +134,14 @@
         if self._crashes >= MAX_CRASHES:
             self._stop("crashes")
 
+    def forbid_repeats(self) -> None:
+        """Records that no other attempt can give the rest of what the client has."""
+        self._repeats_forbidden = True
+
+    @property
+    def _repeatable(self) -> bool:
+        return self.route.repeatable and not self._repeats_forbidden
+
     def record_failure(self, target: str, *, crashed: bool = False) -> None:
         """Records a failed attempt in which the call may have run.
 
@@ -142,7 +151,7 @@
         self._record_lost(target)
         self._ran_at |= {target}
         self._count_crash(crashed)
-        if not self.route.repeatable:
+        if not self._repeatable:
             self._stop("not_repeatable")
         if self._has_all(frozenset()) and not self._returnable(frozenset()):
             self._stop("max_attempts")
@@ -204,7 +213,7 @@
     def may_repeat(self, running: Set[str]) -> bool:
         """Returns whether another attempt may follow those at the named targets."""
         return (
-            self.route.repeatable
+            self._repeatable
             and self._crashes < MAX_CRASHES
             and (not self._has_all(running) or bool(self._returnable(running)))
         )
--- a/src/turmericward/delivery/_stream.py
+++ b/src/turmericward/delivery/_stream.py
@@ -8,10 +8,12 @@
 
 from turmericward import requests
 from turmericward.adapters import errors
-from turmericward.delivery import _calls, _errors, _events
+from turmericward.delivery import _calls, _errors, _event_sequence, _events
 
 EVENT_STREAM = "text/event-stream"
 Batch = list[_events.Event]
+# Comments and empty lines that are kept until the first event.
+MAX_BYTES_BEFORE_FIRST = 64 * 1024
 
 
 def continues_stream(answer: _calls.Answer) -> bool:
@@ -24,6 +26,10 @@
     )
 
 
+def _event_count(batch: Batch) -> int:
+    return sum(event.has_data for event in batch)
+
+
 @attrs.define(kw_only=True)
 class StreamAttempt:
     """An attempt of a stream: one target's answer and its placement."""
@@ -55,6 +61,9 @@
     def is_cut_off(self, attempt: StreamAttempt) -> bool:
         """Returns whether an attempt that seems complete ended with its target."""
 
+    def forbid_resuming(self) -> None:
+        """Records that no other attempt can go on with the stream."""
+
     def interrupted(self) -> bool:
         """Returns whether the stream has to end now."""
 
@@ -68,9 +77,8 @@
 class Stream:
     """The body of a streamed reply: events, batched as they arrive.
 
-    Events that the client already has are dropped. If a target numbers its events
-    consecutively, a missing event fails the attempt, after the events before it
-    were delivered.
+    An event out of sequence fails the attempt, after the events before it were
+    delivered. Comments and empty lines are delivered, but are no progress.
     """
 
     def __init__(
@@ -80,7 +88,7 @@
         self._owner = owner
         self._attempt: StreamAttempt | None = attempt
         self._parser = _events.EventParser()
-        self._last_id = last_id
+        self._sequence = _event_sequence.EventSequence(last_id)
         self._first_batch: Batch = []
         self._batches = self._new_batches()
 
@@ -90,11 +98,13 @@
         Raises:
             AdapterError: the stream failed or ended before it.
         """
-        try:
-            self._first_batch = next(self._batches)
-        except StopIteration:
-            msg = "stream ended before its first event"
-            raise errors.ConnectionLostError(msg) from None
+        for batch in self._batches:
+            self._first_batch += batch
+            if _event_count(batch):
+                return
+            if sum(len(e.raw) for e in self._first_batch) > MAX_BYTES_BEFORE_FIRST:
+                raise errors.AnswerLostError("no event among the first bytes")
+        raise errors.ConnectionLostError("stream ended before its first event")
 
     def __iter__(self) -> Iterator[Batch]:
         """Yields batches until the stream is complete.
@@ -121,52 +131,62 @@
                 self._resume(exc)
 
     def _remaining_batches(self) -> Iterator[Batch]:
-        answer = self._attempt.answer
-        answer.wait_until(self._owner.next_event_deadline(self._last_id))
+        self._await_next()
         for batch in self._batches:
-            self._owner.events_received(len(batch))
+            count = _event_count(batch)
+            if count:
+                self._owner.events_received(count)
             yield batch
             if self._owner.interrupted():
                 raise errors.CancelledError("stream has to end")
-            answer.wait_until(self._owner.next_event_deadline(self._last_id))
+            if count:
+                self._await_next()
         if self._parser.incomplete:
             raise errors.ConnectionLostError("stream ended in the middle of an event")
         if self._owner.is_cut_off(self._attempt):
             raise errors.ConnectionLostError("stream ended with its target")
+        self._end_run()
+
+    def _await_next(self) -> None:
+        until = self._owner.next_event_deadline(self._sequence.last_id)
+        self._attempt.answer.wait_until(until)
+
+    def _end_run(self) -> None:
+        try:
+            self._sequence.end_run()
+        finally:
+            self._report_resumable()
 
     def _new_batches(self) -> Iterator[Batch]:
         """Yields the events of the current attempt that the client doesn't have."""
-        resumed = bool(self._last_id)
+        self._sequence.begin_run(consecutive=self._attempt.answer.numbered)
         for chunk in self._attempt.answer.chunks:
-            batch, fault = self._check_sequence(self._parser.feed(chunk), resumed)
+            batch, fault = self._accept(self._parser.feed(chunk))
+            self._report_resumable()
             if batch:
                 yield batch
-            if fault:
-                raise errors.AnswerLostError(f"{fault}, last is {self._last_id}")
+            if fault is not None:
+                raise fault
 
-    def _check_sequence(self, events: Batch, resumed: bool) -> tuple[Batch, str]:
-        """Returns the events to deliver, and what is wrong after them, or ""."""
-        new_events = []
+    def _accept(self, events: Batch) -> tuple[Batch, _errors.EventOrderError | None]:
+        """Returns the events to deliver, and what is wrong after them."""
+        accepted = []
         for event in events:
-            if event.number is None:
-                if resumed:
-                    # A stream is resumed by the ids of its events: all have one.
-                    return new_events, "event without id in a resumed stream"
-                new_events.append(event)
-                continue
-            last_number = _events.Event(id=self._last_id, raw=b"").number or 0
-            if event.number <= last_number:
-                continue
-            if self._attempt.answer.numbered and event.number > last_number + 1:
-                return new_events, f"missing events before {event.id}"
-            self._last_id = event.id
-            new_events.append(event)
-        return new_events, ""
+            try:
+                if self._sequence.accept(event):
+                    accepted.append(event)
+            except _errors.EventOrderError as exc:
+                return accepted, exc
+        return accepted, None
+
+    def _report_resumable(self) -> None:
+        if not self._sequence.resumable:
+            self._owner.forbid_resuming()
 
     def _resume(self, exc: Exception) -> None:
         attempt, self._attempt = self._attempt, None
         attempt.answer.close()
-        self._attempt = self._owner.resume(attempt, exc, self._last_id)
+        self._attempt = self._owner.resume(attempt, exc, self._sequence.last_id)
         if self._attempt is None:
             self._owner.stream_ended("broken")
             raise _errors.StreamBrokenError(self._owner.failure()) from exc
--- a/src/turmericward/delivery/_stream_delivery.py
+++ b/src/turmericward/delivery/_stream_delivery.py
@@ -100,6 +100,10 @@
             return False
         return self._parts.ctx.transport.has_ended(target)
 
+    def forbid_resuming(self) -> None:
+        """Records that no other attempt can go on with the stream."""
+        self._parts.progress.forbid_repeats()
+
     def interrupted(self) -> bool:
         """Returns whether the stream has to end now."""
         return self._parts.early_end.is_due()
