--- a/src/turmericward/delivery/_event_sequence.py
+++ b/src/turmericward/delivery/_event_sequence.py
@@ -11,9 +11,10 @@
     """The ids of a stream, over the runs at the targets that answer it in turn.
 
     Within one run numbers only rise: one that doesn't is spoiled, or the one before it
-    was. Events that the client has are dropped at the beginning of a run that goes on
-    for another one. What has no number is passed on in a first run only, and ends the
-    time in which another run can go on.
+    was. Only where they are consecutive, so that a lost event shows, one may come twice
+    in a row. Events that the client has are dropped at the beginning of a run that goes
+    on for another one. What has no number is passed on in a first run only, and ends
+    the time in which another run can go on.
     """
 
     def __init__(self, last_id: str = "") -> None:
@@ -29,6 +30,7 @@
         self._number = _events.number_of(last_id)
         # The last number of this run, dropped events included.
         self._run_number: int | None = None
+        self._run_event = b""
         # By how much the last id exceeds the one before; None before the first event.
         self._step: int | None = None
         # Whether larger steps than 1 are known to be usual.
@@ -45,7 +47,7 @@
         Args:
             consecutive: whether its numbers are consecutive.
         """
-        self._run_number = None
+        self._run_number, self._run_event = None, b""
         self._consecutive = consecutive
         self._unconfirmed = not self._is_last_likely
         self._continues = self._number is not None
@@ -76,11 +78,13 @@
         self.resumable = False
 
     def _accept_number(self, event: _events.Event, number: int) -> bool:
+        if self._consecutive and event.raw == self._run_event:
+            return False
         if self._run_number is not None and number <= self._run_number:
             # Which of the two is spoiled shows if the one before was the next.
             self.resumable = self.resumable and self._follows_directly
             raise _errors.EventOrderError(f"id {number} after {self._run_number}")
-        self._run_number = number
+        self._run_number, self._run_event = number, event.raw
         last = self._number or 0
         if self._continues and number <= last:
             return False
