--- a/src/turmericward/adapters/_guard.py
+++ b/src/turmericward/adapters/_guard.py
@@ -9,18 +9,22 @@
 from turmericward.adapters import _pending, errors
 
 CANCEL_POLL_S = 0.2
+# How long bytes are still read after the end of a wait: they may have come before it,
+# while the process was paused.
+LATE_READ_S = 0.1
 
 
 class Guard:
     """Bounds waits for bytes by time and by cancellation.
 
-    `until` is the end of the wait in monotonic seconds; it may change between reads.
+    `until` is the end of the wait in monotonic seconds; it may change between reads. It
+    holds whether bytes come or not.
     """
 
     def __init__(
         self,
         until: float,
-        cancelled: Callable[[], bool],
+        cancelled: Callable[[], bool] | None = None,
         on_late: Callable[[_pending.PendingConnection], float] = _pending.give_up,
         rival: _pending.PendingConnection | None = None,
     ) -> None:
@@ -28,7 +32,7 @@
 
         Args:
             until: the end of the wait.
-            cancelled: polled while waiting.
+            cancelled: polled while waiting, if given.
             on_late: called when the wait is over, while the connection stays open;
                 returns until when to wait further, or raises an error.
             rival: connection of another attempt at the same call; the wait ends as
@@ -41,6 +45,8 @@
         self._next_poll_at = 0.0
         # Whether bytes have come since the wait was set.
         self._received = False
+        # When the wait was first seen to be over.
+        self._over_since: float | None = None
 
     def wait_until(self, until: float) -> None:
         """Sets the end of the wait for further progress."""
@@ -62,25 +68,43 @@
             poll.register(rival.fileno, select.POLLIN)
         while True:
             now = runtime.now()
-            # Also while bytes come all the time.
-            if now >= self._next_poll_at:
-                self._next_poll_at = now + CANCEL_POLL_S
-                if self._cancelled():
-                    raise errors.CancelledError("call has ended")
+            self._check_cancelled(now)
             remaining_s = max(0.0, self.until - now)
-            # Bytes received while the process was paused count even past the deadline.
-            ready = dict(poll.poll(min(remaining_s, CANCEL_POLL_S) * 1000))
-            if fileno in ready:
+            ready = dict(poll.poll(self._slice_s(remaining_s) * 1000))
+            if fileno in ready and not self._is_overdue(now):
                 self._received = True
                 return
-            if ready:
+            if ready and fileno not in ready:
                 self._check_rivals(poll, ready)
             elif not remaining_s:
+                trickles = self._received or fileno in ready
                 self.until = self._on_late(
-                    _pending.PendingConnection(fileno, trickles=self._received)
+                    _pending.PendingConnection(fileno, trickles=trickles)
                 )
                 self._stop_watching_closed_rival(poll)
 
+    def _check_cancelled(self, now: float) -> None:
+        # Also while bytes come all the time.
+        if self._cancelled is None or now < self._next_poll_at:
+            return
+        self._next_poll_at = now + CANCEL_POLL_S
+        if self._cancelled():
+            raise errors.CancelledError("call has ended")
+
+    def _slice_s(self, remaining_s: float) -> float:
+        if self._cancelled is None:
+            return remaining_s
+        return min(remaining_s, CANCEL_POLL_S)
+
+    def _is_overdue(self, now: float) -> bool:
+        """Returns whether bytes no longer count, though they have come."""
+        if now < self.until:
+            self._over_since = None
+            return False
+        if self._over_since is None:
+            self._over_since = now
+        return now - self._over_since >= LATE_READ_S
+
     def check(self) -> None:
         """Checks, without waiting, that this attempt is still needed.
 
@@ -88,7 +112,7 @@
             CancelledError: the client disconnected, or the process stops.
             RivalAnsweredError: bytes have come on the rival's connection.
         """
-        if self._cancelled():
+        if self._cancelled is not None and self._cancelled():
             raise errors.CancelledError("call has ended")
         if any(rival.has_bytes() for rival in self._rivals()):
             raise errors.RivalAnsweredError("the other attempt goes on")
--- a/src/turmericward/adapters/_json_http.py
+++ b/src/turmericward/adapters/_json_http.py
@@ -9,7 +9,7 @@
 from turmericward.adapters import _persistent_connection
 
 ERRORS = _persistent_connection.ERRORS
-MAX_BODY_BYTES = 256 * 1024 * 1024
+MAX_BODY_BYTES = _persistent_connection.MAX_BODY_BYTES
 
 
 @attrs.frozen(kw_only=True)
--- a/src/turmericward/adapters/_persistent_connection.py
+++ b/src/turmericward/adapters/_persistent_connection.py
@@ -1,17 +1,30 @@
 """Persistent HTTP connection to one address."""
 
 import contextlib
+import functools
 import http.client
 import select
 import socket
+from collections.abc import Iterator
 
 import attrs
 
-from turmericward.adapters import _address, _response
+from turmericward import runtime
+from turmericward.adapters import (
+    _address,
+    _guard,
+    _request,
+    _response,
+    errors,
+)
 
 # A request with one of these may be sent twice.
 SAFE_METHODS = frozenset({"GET", "HEAD"})
-ERRORS = (OSError, http.client.HTTPException, ValueError)
+ERRORS = (OSError, http.client.HTTPException, ValueError, errors.AnswerLostError)
+MAX_BODY_BYTES = 64 * 1024 * 1024
+# A body may take longer than a response without bytes, but not for ever.
+MAX_BODY_S = 30.0
+READ_BYTES = 65536
 
 
 @attrs.frozen(kw_only=True)
@@ -32,15 +45,21 @@
     """
 
     def __init__(
-        self, address: str, timeout_s: float, connect_timeout_s: float | None = None
+        self,
+        address: str,
+        timeout_s: float,
+        connect_timeout_s: float | None = None,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         """Creates the client; it connects on the first request.
 
         Args:
             address: `ip:port`.
-            timeout_s: timeout of each socket operation of a request.
+            timeout_s: timeout of the head of a response, and of each part of its body.
             connect_timeout_s: connect timeout, or None to use that of the request.
+            max_body_bytes: the longest body of a response.
         """
+        self._max_body_bytes = max_body_bytes
         self._address = address
         self._timeout_s = timeout_s
         self._connect_timeout_s = connect_timeout_s
@@ -80,6 +99,7 @@
         Raises:
             OSError: the connection failed.
             http.client.HTTPException: the response is not valid HTTP.
+            AnswerLostError: its body is too long.
         """
         self._close_if_readable()
         kept = self._conn is not None
@@ -94,9 +114,17 @@
     def _exchange_once(self, method, path, body, headers, timeout_s) -> Response:
         conn = self._open(timeout_s)
         try:
+            guard = _guard.Guard(runtime.now() + timeout_s)
+            conn.response_class = functools.partial(
+                _response.GuardedResponse, guard=guard
+            )
             conn.request(method, path, body, dict(headers))
             resp = conn.getresponse()
-            raw = resp.read()
+            raw = _request.join_body(
+                _parts(resp, guard, timeout_s),
+                self._address,
+                self._max_body_bytes,
+            )
         except BaseException as exc:
             self.close()
             if isinstance(exc, Exception) and not isinstance(exc, ERRORS):
@@ -130,7 +158,6 @@
             conn = http.client.HTTPConnection(host, port, timeout=wait_s)
             # An automatic reconnect by http.client could send a request twice.
             conn.auto_open = 0
-            conn.response_class = _response.WholeResponse
             conn.connect()
             self._conn = conn
         if self._aborted:
@@ -143,3 +170,15 @@
         if self._conn is not None:
             self._conn.close()
             self._conn = None
+
+
+def _parts(resp, guard: _guard.Guard, timeout_s: float) -> Iterator[bytes]:
+    deadline = runtime.now() + MAX_BODY_S
+    guard.wait_until(min(deadline, runtime.now() + timeout_s))
+    while part := resp.read1(READ_BYTES):
+        yield part
+        guard.wait_until(min(deadline, runtime.now() + timeout_s))
+    if resp.length:
+        raise http.client.IncompleteRead(b"", resp.length)
+    # Frees the connection for the next request.
+    resp.close()
--- a/src/turmericward/adapters/_request.py
+++ b/src/turmericward/adapters/_request.py
@@ -1,6 +1,7 @@
 """HTTP requests to a target, each sent at most once on its own connection."""
 
 import contextlib
+import functools
 import http.client
 import socket
 from collections.abc import Callable, Iterable, Iterator
@@ -8,7 +9,7 @@
 import attrs
 
 from turmericward import runtime
-from turmericward.adapters import _address, _response, errors
+from turmericward.adapters import _address, _guard, _response, errors
 from turmericward.authority import Authority
 
 CONNECT_TIMEOUT_S = 1.0
@@ -55,10 +56,16 @@
     timeout_s: float,
     *,
     connect_timeout_s: float = CONNECT_TIMEOUT_S,
-    response_class=_response.WholeResponse,
+    guard: _guard.Guard | None = None,
 ) -> http.client.HTTPConnection:
     """Opens a connection that does not reconnect automatically.
 
+    Args:
+        address: the target's address.
+        timeout_s: bounds the writing of a request.
+        connect_timeout_s: bounds the connecting.
+        guard: bounds the reading of the response, by `timeout_s` if None.
+
     Raises:
         ConnectTimeoutError: the target was silent.
         NotSentError: the connection could not be established.
@@ -70,7 +77,8 @@
     wait_s = max(MIN_CONNECT_TIMEOUT_S, min(timeout_s, connect_timeout_s))
     conn = http.client.HTTPConnection(host, port, timeout=wait_s)
     conn.auto_open = 0
-    conn.response_class = response_class
+    guard = guard or _guard.Guard(runtime.now() + timeout_s)
+    conn.response_class = functools.partial(_response.GuardedResponse, guard=guard)
     try:
         conn.connect()
     except TimeoutError as exc:
@@ -187,23 +195,26 @@
         raise answer_lost(address, exc) from exc
 
 
-def join_body(chunks: Iterable[bytes], name: str = "response") -> bytes:
+def join_body(
+    chunks: Iterable[bytes],
+    name: str = "response",
+    max_bytes: int = MAX_BODY_BYTES,
+) -> bytes:
     """Concatenates the chunks of a body.
 
     Args:
         chunks: the body as it is received.
         name: name of the body in error messages.
+        max_bytes: the longest body.
 
     Raises:
-        AnswerLostError: the body is longer than `MAX_BODY_BYTES`.
+        AnswerLostError: the body is too long.
     """
     received, size = [], 0
     for chunk in chunks:
         size += len(chunk)
-        if size > MAX_BODY_BYTES:
-            raise errors.AnswerLostError(
-                f"{name} is longer than {MAX_BODY_BYTES} bytes"
-            )
+        if size > max_bytes:
+            raise errors.AnswerLostError(f"{name} is longer than {max_bytes} bytes")
         received.append(chunk)
     return b"".join(received)
 
@@ -213,16 +224,23 @@
     resp: http.client.HTTPResponse,
     address: str,
     deadline: float,
+    max_bytes: int = MAX_BODY_BYTES,
 ) -> bytes:
     """Reads the body to its declared end.
 
+    Args:
+        conn: the connection.
+        resp: its response.
+        address: the target's address, for error messages.
+        deadline: the end of the body, on the clock of `runtime.now`.
+        max_bytes: the longest body.
+
     Raises:
         AnswerLostError: the body is truncated, too long, or not complete by
-            `deadline`, on the clock of `runtime.now`.
+            `deadline`.
     """
-    return join_body(
-        _read_chunks(conn, resp, address, deadline), f"{address}: response"
-    )
+    chunks = _read_chunks(conn, resp, address, deadline)
+    return join_body(chunks, f"{address}: response", max_bytes)
 
 
 def _read_chunks(conn, resp, address: str, deadline: float) -> Iterator[bytes]:
--- a/src/turmericward/adapters/engine.py
+++ b/src/turmericward/adapters/engine.py
@@ -1,13 +1,12 @@
 """Client of a model engine: completions and streams."""
 
-import functools
 import http.client
 from collections.abc import Callable, Iterator
 
 import attrs
 
 from turmericward import runtime, schema
-from turmericward.adapters import _guard, _pending, _request, _response, errors
+from turmericward.adapters import _guard, _pending, _request, errors, event_buffer
 
 READ_BYTES = 65536
 MAX_EVENT_NUMBER = 2**53
@@ -71,7 +70,7 @@
         self._conn = conn
         self._resp = resp
         self._address = address
-        self._buffer = b""
+        self._buffer = event_buffer.EventBuffer()
         self.wait_until = guard.wait_until
 
     def events(self) -> Iterator[list[Event]]:
@@ -99,9 +98,8 @@
         return chunk
 
     def _split(self, chunk: bytes) -> tuple[list[Event], bool]:
-        *blocks, self._buffer = (self._buffer + chunk).split(b"\n\n")
         events = []
-        for block in blocks:
+        for block in self._buffer.feed(chunk):
             event = self._parse(block)
             if event.data == b"[DONE]":
                 return events, True
@@ -215,8 +213,7 @@
         if watch.rival is not None:
             # The sending of a second attempt doesn't hold up the first.
             timeout_s = min(timeout_s, guard.until - runtime.now())
-        response_class = functools.partial(_response.GuardedResponse, guard=guard)
-        return _request.connect(self._address, timeout_s, response_class=response_class)
+        return _request.connect(self._address, timeout_s, guard=guard)
 
     def _send(self, conn, job: Job, resume_after: int):
         _request.send(conn, self._address, _build_request(job, resume_after))
--- a/src/turmericward/adapters/service.py
+++ b/src/turmericward/adapters/service.py
@@ -5,7 +5,7 @@
 import attrs
 
 from turmericward import runtime
-from turmericward.adapters import _guard, _pending, _request, _response
+from turmericward.adapters import _guard, _pending, _request
 
 Request = _request.Request
 _HOP_BY_HOP = frozenset(
@@ -67,12 +67,8 @@
     """
     until = runtime.now() + timeout_s
     deadline = until if deadline is None else deadline
-    guard = _guard.Guard(until, lambda: False, watch.on_late, watch.rival)
-    conn = _request.connect(
-        address,
-        timeout_s,
-        response_class=functools.partial(_response.GuardedResponse, guard=guard),
-    )
+    guard = _guard.Guard(until, None, watch.on_late, watch.rival)
+    conn = _request.connect(address, timeout_s, guard=guard)
     with _request.closing(conn):
         # The first attempt isn't read while a second one is written.
         check = None if watch.rival is None else functools.partial(_check, guard, until)
--- a/src/turmericward/delivery/_event_sequence.py
+++ b/src/turmericward/delivery/_event_sequence.py
@@ -66,6 +66,8 @@
         Raises:
             EventOrderError: the run is broken before it.
         """
+        if not event.is_text:
+            raise _errors.EventOrderError("bytes that are no event")
         if event.number is not None:
             return self._accept_number(event, event.number)
         if event.has_data:
--- a/src/turmericward/delivery/_events.py
+++ b/src/turmericward/delivery/_events.py
@@ -1,12 +1,13 @@
 """Incremental parser of server-sent events."""
 
+import re
+
 import attrs
 
-from turmericward.adapters import errors
+from turmericward.adapters import event_buffer
 
-EVENT_END = b"\n\n"
-# Bounds the bytes that are buffered for an event that never ends.
-MAX_EVENT_BYTES = 1024 * 1024
+_CONTROLS = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
+EVENT_END = event_buffer.EVENT_END
 # Longer ids aren't treated as event numbers.
 MAX_EVENT_NUMBER_DIGITS = 40
 
@@ -35,6 +36,17 @@
         """The first line of the event's data."""
         return _field(self.raw, b"data")
 
+    @property
+    def is_text(self) -> bool:
+        """Whether it is text without control characters, as events are."""
+        if _CONTROLS.search(self.raw):
+            return False
+        try:
+            self.raw.decode("utf-8")
+        except UnicodeDecodeError:
+            return False
+        return True
+
     @property
     def has_data(self) -> bool:
         """Whether it is an event, rather than a comment or an empty line."""
@@ -55,25 +67,20 @@
 
     def __init__(self) -> None:
         """Creates the parser with an empty buffer."""
-        self._incomplete = b""
+        self._buffer = event_buffer.EventBuffer()
 
     def feed(self, data: bytes) -> list[Event]:
         """Adds received bytes; returns the events that they complete.
 
         Raises:
-            AnswerLostError: an event exceeds `MAX_EVENT_BYTES`.
+            AnswerLostError: an event is too long.
         """
-        *complete, self._incomplete = (self._incomplete + data).split(EVENT_END)
-        if len(self._incomplete) > MAX_EVENT_BYTES:
-            raise errors.AnswerLostError(
-                f"event exceeds the byte limit of {MAX_EVENT_BYTES}"
-            )
         return [
             Event(id=_field(raw, b"id").decode("latin-1"), raw=raw + EVENT_END)
-            for raw in complete
+            for raw in self._buffer.feed(data)
         ]
 
     @property
-    def incomplete(self) -> bytes:
-        """Buffered bytes of an incomplete event."""
-        return self._incomplete
+    def incomplete(self) -> bool:
+        """Whether an event has begun and not ended."""
+        return self._buffer.incomplete
--- a/src/turmericward/delivery/_record.py
+++ b/src/turmericward/delivery/_record.py
@@ -1,5 +1,6 @@
 """Log lines and metrics of one call."""
 
+import collections
 import functools
 
 from turmericward import requests, runtime, telemetry
@@ -22,7 +23,8 @@
         self._traffic_class = call.traffic_class or f"{service}.{call.route.kind.value}"
         self._first_event_at: float | None = None
         self._last_event_at = 0.0
-        self._intervals_ms: list[int] = []
+        # How often the next event came after so many milliseconds.
+        self._intervals_ms: collections.Counter[int] = collections.Counter()
         # The current wait for a target: since when, and until when it is meant to last.
         self._waiting_since = self._wait_until = runtime.now()
         self._late_placement: requests.Placement | None = None
@@ -157,8 +159,9 @@
         if self._first_event_at is None:
             self._first_event_at = now
         else:
-            self._intervals_ms.append(int((now - self._last_event_at) * 1000))
-            self._intervals_ms.extend([0] * (count - 1))
+            self._intervals_ms[int((now - self._last_event_at) * 1000)] += 1
+            if count > 1:
+                self._intervals_ms[0] += count - 1
         self._last_event_at = now
 
     def record_reply(
--- a/src/turmericward/httpd/_channel.py
+++ b/src/turmericward/httpd/_channel.py
@@ -1,5 +1,6 @@
 """Client connections of the HTTP server and the requests on them."""
 
+import contextlib
 import math
 import socket
 
@@ -11,6 +12,9 @@
 RECEIVED_AT_KEY = "turmericward.received"
 # Other instances may take the request at once.
 REFUSAL_RETRY_AFTER_S = 0.5
+# How long a client may read nothing while its response waits to be sent.
+MAX_STALL_S = 10.0
+STALL_POLL_S = 0.5
 
 
 class Parser(parser.HTTPRequestParser):
@@ -196,6 +200,26 @@
             self.requests.append(request)
         self.server.add_task(self)
 
+    def _flush_outbufs_below_high_watermark(self) -> None:
+        """Waits, in a worker thread that holds the lock, until the client has read.
+
+        Raises:
+            ClientDisconnected: it has read nothing for too long.
+        """
+        limit = self.adj.outbuf_high_watermark
+        least = self.total_outbufs_len
+        stalled_since = runtime.now()
+        while self.connected and self.total_outbufs_len > limit:
+            self.server.pull_trigger()
+            self.outbuf_lock.wait(STALL_POLL_S)
+            if self.total_outbufs_len < least:
+                least, stalled_since = self.total_outbufs_len, runtime.now()
+            elif runtime.now() - stalled_since >= MAX_STALL_S:
+                # Ends the connection in the event loop too.
+                with contextlib.suppress(OSError):
+                    self.socket.shutdown(socket.SHUT_RDWR)
+                raise channel.ClientDisconnected
+
     def has_unread(self) -> bool:
         """Returns whether bytes of the client are waiting to be read."""
         return self.socket is not None and _linger.has_unread(self.socket)
--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -1,6 +1,7 @@
 """HTTP server with limits on clients and a bounded, planned stop."""
 
 import math
+import socket
 import threading
 from collections.abc import Callable
 from concurrent import futures
@@ -26,6 +27,10 @@
 RECV_BYTES = 65536
 LISTEN_BACKLOG = 1024
 PROBE_THREADS = 1
+# What the system keeps unsent for a client is still to be read when its response ends.
+SEND_BUFFER_BYTES = 128 * 1024
+# A stream whose client reads more slowly than its target writes waits above this.
+MAX_UNSENT_BYTES = 256 * 1024
 
 
 @attrs.frozen(kw_only=True)
@@ -103,12 +108,17 @@
             max_request_body_size=self._client_limits.max_body_bytes,
             recv_bytes=RECV_BYTES,
             channel_request_lookahead=1,
+            outbuf_high_watermark=MAX_UNSENT_BYTES,
             asyncore_use_poll=True,
             log_socket_errors=False,
             clear_untrusted_proxy_headers=True,
             ident=None,
         )
         server.channel_class = _channel.Channel
+        server.adj.socket_options = [
+            (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+            (socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES),
+        ]
         server.lingering = set()
         # Never begins; replaced by the stopper of the main server.
         server.shutdown = _shutdown.Shutdown(runtime.Drain(math.inf), 0.0)
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 
 from turmericward import delivery, fleet, runtime, schema
-from turmericward.adapters import _guard, _request, _response, errors, service
+from turmericward.adapters import _guard, _request, errors, service
 from turmericward.platform import _headers, _notices, _releases
 
 CONNECT_TIMEOUT_S = 0.3
@@ -64,7 +64,7 @@
             if second
             else call.remaining_s(),
             connect_timeout_s=CONNECT_TIMEOUT_S,
-            response_class=functools.partial(_response.GuardedResponse, guard=guard),
+            guard=guard,
         )
         try:
             sent_at = runtime.now()
--- a/src/turmericward/telemetry/_metrics.py
+++ b/src/turmericward/telemetry/_metrics.py
@@ -2,6 +2,7 @@
 
 import collections
 import threading
+from collections.abc import Mapping
 
 import attrs
 import statsd
@@ -16,12 +17,15 @@
 
 @attrs.frozen(kw_only=True)
 class RequestLatencies:
-    """Latencies of one request in milliseconds; `tenant` is empty without a tenant."""
+    """Latencies of one request in milliseconds; `tenant` is empty without a tenant.
+
+    `token_intervals_ms` has the number of tokens that came after each interval.
+    """
 
     traffic_class: str
     tenant: str
     first_token_ms: float | None
-    token_intervals_ms: list[int]
+    token_intervals_ms: Mapping[int, int]
     total_ms: float
 
 
@@ -85,8 +89,8 @@
             hist = self._class_histogram(latencies.traffic_class, "first_token")
             hist.record_value(_clamped(latencies.first_token_ms))
         intervals = self._class_histogram(latencies.traffic_class, "between_tokens")
-        for interval_ms in latencies.token_intervals_ms:
-            intervals.record_value(_clamped(interval_ms))
+        for interval_ms, count in latencies.token_intervals_ms.items():
+            intervals.record_value(_clamped(interval_ms), count)
         total = self._class_histogram(latencies.traffic_class, "total")
         total.record_value(_clamped(latencies.total_ms))
 
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -10,6 +10,7 @@
 """
 
 import socket
+import sys
 import threading
 import time
 from collections.abc import Callable
@@ -73,6 +74,15 @@
     "chunk extension": (_CHUNKED + "5;", _KB),
     "trailer": (_CHUNKED + "0\r\n", b"X: " + _KB + b"\r\n"),
 }
+_STREAM = _OK + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+# The same for streams, whose first event comes first.
+ENDLESS_STREAMS = {
+    "noise": b"x" * 500 + b"\n\n" + b"y" * 500,
+    "empty lines": b"\n" * 1024,
+    "comments": b": still here\n\n" * 64,
+    "events without id": b"data: x\n\n" * 64,
+    "old ids": b"id: 1\ndata: x\n\n" * 64,
+}
 
 
 def shared_segments(headers) -> frozenset[str]:
@@ -81,6 +91,10 @@
     return frozenset(part.partition(":")[0] for part in prefix.split(",")[:-1])
 
 
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
 def event(call_id: str, number: int) -> bytes:
     """Returns one event of a stream."""
     return f"id: {number}\ndata: {call_id}-{number}\n\n".encode()
@@ -197,13 +211,19 @@
     def _respond_endlessly(self, req, call_id: str) -> None:
         """Sends bytes without end, in the part of the response that the fault names."""
         _, _, part = self.fault.partition(" ")
-        head, repeated = ENDLESS[part]
+        if part in ENDLESS_STREAMS:
+            head, writes = _STREAM, sys.maxsize
+            repeated = _chunk(ENDLESS_STREAMS[part])
+        else:
+            (head, repeated), writes = ENDLESS[part], MAX_ENDLESS_WRITES
         signed = f"Turmericward-Attempt-Id: {call_id}\r\n"
         signed += f"Turmericward-Server-Stamp: {SIGNATURE}\r\n"
         req.close_connection = True
         try:
             req.wfile.write(head.replace("SIGNED", signed).encode())
-            for _ in range(MAX_ENDLESS_WRITES):
+            if part in ENDLESS_STREAMS:
+                req.wfile.write(_chunk(event(call_id, 1)))
+            for _ in range(writes):
                 req.wfile.write(repeated)
         except OSError:
             return
@@ -283,7 +303,7 @@
             time.sleep(0.01)
 
     def _send_chunk(self, req, data: bytes) -> None:
-        req.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+        req.wfile.write(_chunk(data))
 
     def _reset(self, req) -> None:
         linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
--- a/tests/test_httpd.py
+++ b/tests/test_httpd.py
@@ -5,10 +5,11 @@
 import threading
 import time
 from concurrent import futures
+from unittest import mock
 
 from tests import fixtures, httpd_fixtures
 from turmericward import httpd
-from turmericward.httpd import _idle
+from turmericward.httpd import _channel, _idle
 
 check = fixtures.check
 IDLE_TIMEOUT_S = 5.0
@@ -185,3 +186,25 @@
     ):
         conn.sendall(b"POST / HTTP/1.1\r\nHost:")
         check.assertEqual(conn.recv(1), b"")
+
+
+def test_a_client_that_reads_nothing_does_not_keep_a_worker():
+    """Guards against a response without end that nobody reads."""
+    ended = threading.Event()
+
+    def parts():
+        try:
+            while True:
+                yield b"x" * 65536
+        finally:
+            ended.set()
+
+    streams = {"/endless": lambda _: parts()}
+    with (
+        mock.patch.dict(httpd_fixtures._STREAMS, streams),
+        mock.patch.object(_channel, "MAX_STALL_S", 0.5),
+        httpd_fixtures.running() as running,
+        socket.create_connection(running.address) as sock,
+    ):
+        sock.sendall(b"GET /endless HTTP/1.1\r\nHost: h\r\n\r\n")
+        check.assertTrue(ended.wait(10.0))
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -1,5 +1,6 @@
 """Attempts at silent targets: a second one is looked for before the first is ended."""
 
+import contextlib
 import functools
 import socket
 import threading
@@ -762,6 +763,36 @@
         check.assertEqual(lates, [])
 
 
+def test_bytes_without_end_kept_a_wait_from_being_over():
+    """Guards against a bound on time that holds only while nothing comes."""
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        guard = _new_guard(0.2)
+        began = time.monotonic()
+        theirs.setblocking(False)
+        with check.assertRaises(TimeoutError):
+            while time.monotonic() - began < 5.0:
+                with contextlib.suppress(BlockingIOError):
+                    theirs.send(b"x" * 1024)
+                guard.wait(ours.fileno())
+                ours.recv(1024)
+        check.assertLess(time.monotonic() - began, 0.2 + 2 * _guard.LATE_READ_S)
+
+
+def test_a_wait_that_is_set_anew_after_its_end_stays_over():
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        guard = _new_guard(0.0)
+        theirs.sendall(b"x")
+        guard.wait(ours.fileno())
+        time.sleep(2 * _guard.LATE_READ_S)
+        guard.wait_until(runtime.now() - 0.01)
+        with check.assertRaises(TimeoutError):
+            guard.wait(ours.fileno())
+        guard.wait_until(runtime.now() + 1.0)
+        guard.wait(ours.fileno())
+
+
 def test_bytes_that_were_no_progress_do_not_speak_for_a_target():
     ours, theirs = socket.socketpair()
     with ours, theirs:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -14,7 +14,7 @@
                 traffic_class=name,
                 tenant=name,
                 first_token_ms=1.0,
-                token_intervals_ms=[],
+                token_intervals_ms={},
                 total_ms=1.0,
             )
         )
