--- a/src/turmericward/adapters/_persistent_connection.py
+++ b/src/turmericward/adapters/_persistent_connection.py
@@ -12,6 +12,7 @@
 from turmericward import runtime
 from turmericward.adapters import (
     _address,
+    _body_memory,
     _guard,
     _request,
     _response,
@@ -60,6 +61,8 @@
             max_body_bytes: the longest body of a response.
         """
         self._max_body_bytes = max_body_bytes
+        # One body at a time; those of targets don't count here.
+        self._memory = _body_memory.BodyMemory(max_body_bytes)
         self._address = address
         self._timeout_s = timeout_s
         self._connect_timeout_s = connect_timeout_s
@@ -124,6 +127,7 @@
                 _parts(resp, guard, timeout_s),
                 self._address,
                 self._max_body_bytes,
+                self._memory,
             )
         except BaseException as exc:
             self.close()
--- a/src/turmericward/adapters/_request.py
+++ b/src/turmericward/adapters/_request.py
@@ -9,7 +9,7 @@
 import attrs
 
 from turmericward import runtime
-from turmericward.adapters import _address, _guard, _response, errors
+from turmericward.adapters import _address, _body_memory, _guard, _response, errors
 from turmericward.authority import Authority
 
 CONNECT_TIMEOUT_S = 1.0
@@ -199,6 +199,7 @@
     chunks: Iterable[bytes],
     name: str = "response",
     max_bytes: int = MAX_BODY_BYTES,
+    memory: _body_memory.BodyMemory = _body_memory.shared,
 ) -> bytes:
     """Concatenates the chunks of a body.
 
@@ -206,17 +207,20 @@
         chunks: the body as it is received.
         name: name of the body in error messages.
         max_bytes: the longest body.
+        memory: bounds it together with others.
 
     Raises:
-        AnswerLostError: the body is too long.
+        AnswerLostError: the body is too long, or all bodies together are.
     """
     received, size = [], 0
-    for chunk in chunks:
-        size += len(chunk)
-        if size > max_bytes:
-            raise errors.AnswerLostError(f"{name} is longer than {max_bytes} bytes")
-        received.append(chunk)
-    return b"".join(received)
+    with memory.reservation() as reservation:
+        for chunk in chunks:
+            size += len(chunk)
+            if size > max_bytes:
+                raise errors.AnswerLostError(f"{name} is longer than {max_bytes} bytes")
+            reservation.grow_to(size)
+            received.append(chunk)
+        return b"".join(received)
 
 
 def read_whole(
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -20,7 +20,7 @@
     schema,
     telemetry,
 )
-from turmericward.adapters import _address
+from turmericward.adapters import _address, _body_memory
 from turmericward.platform import (
     _cache_listing,
     _follow,
@@ -35,6 +35,9 @@
 from turmericward.programs import _common
 
 WORKER_THREADS = 120
+BYTES_PER_MB = 1024 * 1024
+# Share of the memory for bodies of responses that are being received.
+BODY_MEMORY_SHARE = 0.125
 MAX_TRACEBACK_CHARS = 2000
 BALANCER_LAG_S = 3.0
 # Longer than targets are silent that are sound.
@@ -63,6 +66,8 @@
         """
         self._cfg = cfg
         self._clients: list[_store.StoreClient] = []
+        body_mb = cfg.limits.memory_mb * BODY_MEMORY_SHARE
+        _body_memory.shared.limit_bytes = int(body_mb * BYTES_PER_MB)
         metrics = telemetry.Metrics(None, "")
         self._rejections = telemetry.Rejections(metrics.count)
         self._eras = positions.Eras(lambda: metrics.count("store.new_eras"))
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -5,6 +5,7 @@
 import pathlib
 import threading
 import time
+from concurrent import futures
 
 from standins import launch, platform_replica
 from tests import fixtures, platform_fixtures
@@ -97,3 +98,31 @@
                     check.assertLess(took_s, TIMEOUT_S + SLACK_S, name)
         check.assertEqual(set(sound.statuses), {200})
         check.assertIsNone(platform.process.poll())
+
+
+def test_many_bodies_without_end_together_filled_the_memory_of_a_front():
+    """Guards against a bound on each body alone."""
+    with platform_fixtures.platform() as platform:
+        pid = platform.process.pid
+        flood = platform_fixtures.route(
+            "flood", "non_idempotent", "model", max_attempts=1
+        )
+        platform.configure(platform_fixtures.manifest(4, flood))
+        launch.wait_until(
+            lambda: _call_took_s(platform, "/flood/x", "known")[0] == 200,
+            what="route in force",
+        )
+        for name in ("m1", "m2"):
+            platform.replicas[name].fault = "endless body"
+        before_mb = _resident_mb(pid, "VmRSS")
+        with _SoundCalls(platform) as sound, futures.ThreadPoolExecutor(FLOODS) as pool:
+            for number in range(ROUNDS):
+                calls = [
+                    pool.submit(_call_took_s, platform, "/flood/x", f"b{number}-{n}")
+                    for n in range(FLOODS)
+                ]
+                statuses = {call.result()[0] for call in calls}
+                check.assertLessEqual(statuses, {502, 504})
+        check.assertLess(_resident_mb(pid, "VmHWM") - before_mb, MAX_ADDED_MB)
+        check.assertEqual(set(sound.statuses), {200})
+        check.assertIsNone(platform.process.poll())
