--- a/src/turmericward/httpd/_channel.py
+++ b/src/turmericward/httpd/_channel.py
@@ -15,6 +15,9 @@
 # How long a client may read nothing while its response waits to be sent.
 MAX_STALL_S = 10.0
 STALL_POLL_S = 0.5
+# What the system keeps of a stream for its client, who still has to read it when the
+# stream is broken off.
+STREAM_BUFFER_BYTES = 128 * 1024
 
 
 class Parser(parser.HTTPRequestParser):
@@ -65,6 +68,8 @@
             self.request.headers["CONNECTION"] = "close"
         header = super().build_response_header()
         has_length = any(n == "Content-Length" for n, _ in self.response_headers)
+        if not has_length:
+            self.channel.bound_send_buffer()
         self.channel.response_is_whole = False
         self.channel.close_ends_response = self.has_body and not (
             self.chunked_response or has_length
@@ -220,6 +225,13 @@
                     self.socket.shutdown(socket.SHUT_RDWR)
                 raise channel.ClientDisconnected
 
+    def bound_send_buffer(self) -> None:
+        """Bounds what the system keeps of the response that begins."""
+        with contextlib.suppress(OSError, AttributeError):
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, STREAM_BUFFER_BYTES
+            )
+
     def has_unread(self) -> bool:
         """Returns whether bytes of the client are waiting to be read."""
         return self.socket is not None and _linger.has_unread(self.socket)
--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -1,7 +1,6 @@
 """HTTP server with limits on clients and a bounded, planned stop."""
 
 import math
-import socket
 import threading
 from collections.abc import Callable
 from concurrent import futures
@@ -27,8 +26,6 @@
 RECV_BYTES = 65536
 LISTEN_BACKLOG = 1024
 PROBE_THREADS = 1
-# What the system keeps unsent for a client is still to be read when its response ends.
-SEND_BUFFER_BYTES = 128 * 1024
 # A stream whose client reads more slowly than its target writes waits above this.
 MAX_UNSENT_BYTES = 256 * 1024
 
@@ -115,10 +112,6 @@
             ident=None,
         )
         server.channel_class = _channel.Channel
-        server.adj.socket_options = [
-            (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-            (socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES),
-        ]
         server.lingering = set()
         # Never begins; replaced by the stopper of the main server.
         server.shutdown = _shutdown.Shutdown(runtime.Drain(math.inf), 0.0)
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -37,7 +37,7 @@
 WORKER_THREADS = 120
 BYTES_PER_MB = 1024 * 1024
 # Share of the memory for bodies of responses that are being received.
-BODY_MEMORY_SHARE = 0.125
+BODY_MEMORY_SHARE = 1 / 16
 MAX_TRACEBACK_CHARS = 2000
 BALANCER_LAG_S = 3.0
 # Longer than targets are silent that are sound.
