--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -279,8 +279,6 @@
     cfg = _common.load_settings(path, _settings.Settings)
     telemetry.configure_logs("turmericward-front", cfg.instance.name, "info")
     stop = _common.stop_event()
-    # By default SIGHUP would end the process before the front can handle it.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     telemetry.log_event("front starts", domain=cfg.instance.domain)
     front = Front(cfg, path)
     signal.signal(signal.SIGHUP, lambda *_: front.reload.request_reload())
