--- a/soak/_injections.py
+++ b/soak/_injections.py
@@ -12,9 +12,10 @@
 
 import attrs
 
-from turmericward import delivery
+from turmericward import routing
 from turmericward.adapters import errors
-from turmericward.delivery import _crash_guard, _progress
+from turmericward.delivery import _progress
+from turmericward.dispatching import _crash_guard
 from turmericward.platform import _program, _records, _transport
 
 SHARE = 0.05
@@ -77,7 +78,7 @@
         raise errors.AnswerLostError("injected")
 
     def failure(self, *, deadline_passed):
-        return delivery.Failure(
+        return routing.Failure(
             status=503, reason=self.reason, may_have_run=False, retry_after_s=1.0
         )
 
--- a/src/turmericward/delivery/_asking.py
+++ b/src/turmericward/delivery/_asking.py
@@ -9,8 +9,8 @@
 
 import result
 
-from turmericward import requests, runtime
-from turmericward.delivery import _context, _messages
+from turmericward import dispatching, requests, runtime
+from turmericward.delivery import _context
 
 REASON = "dispatcher_late"
 FAILED_REASON = "dispatcher_failed"
@@ -18,7 +18,7 @@
 
 
 def place(
-    dispatch: _context.Dispatcher, message: _messages.Place, timeout_s: float
+    dispatch: _context.Dispatcher, message: dispatching.Place, timeout_s: float
 ) -> result.Result[requests.Placement, requests.Refusal]:
     """Returns the dispatcher's answer, a refusal if there is none in time.
 
@@ -39,12 +39,12 @@
 
 
 def _give_back(
-    dispatch: _context.Dispatcher, message: _messages.Place, fut: futures.Future
+    dispatch: _context.Dispatcher, message: dispatching.Place, fut: futures.Future
 ) -> None:
     if fut.exception() is not None or fut.result().is_err():
         return
     dispatch.post(
-        _messages.PlacementEnded(
+        dispatching.PlacementEnded(
             placement=fut.result().unwrap(),
             prompt=message.call.prompt,
             ending=requests.Ending.DISCONNECTED,
--- a/src/turmericward/delivery/_context.py
+++ b/src/turmericward/delivery/_context.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from turmericward import fleet, runtime, telemetry
-from turmericward.delivery import _calls, _stop
+from turmericward import fleet, routing, runtime, telemetry
+from turmericward.delivery import _stop
 
 
 class Dispatcher(Protocol):
@@ -24,8 +24,8 @@
     """Sends calls to targets; the implementation defines their protocol."""
 
     def send(
-        self, target: fleet.Target, call: _calls.Call, dispatch: _calls.Dispatch
-    ) -> _calls.Answer:
+        self, target: fleet.Target, call: routing.Call, dispatch: routing.Dispatch
+    ) -> routing.Answer:
         """Sends a call and returns the head of the answer.
 
         Raises:
@@ -33,7 +33,7 @@
         """
 
     def prefill(
-        self, target: fleet.Target, call: _calls.Call, dispatch: _calls.Dispatch
+        self, target: fleet.Target, call: routing.Call, dispatch: routing.Dispatch
     ) -> str:
         """Runs a prefill of the prompt and returns a handle of its KV cache.
 
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -4,11 +4,10 @@
 
 import attrs
 
-from turmericward import requests
+from turmericward import requests, routing
 from turmericward.adapters import errors
 from turmericward.delivery import (
     _attempt_ends,
-    _calls,
     _context,
     _early_end,
     _final_replies,
@@ -29,7 +28,7 @@
 class Delivery:
     """One call, with attempts bounded by its route and the retry budget."""
 
-    def __init__(self, ctx: _context.Context, call: _calls.Call, service: str) -> None:
+    def __init__(self, ctx: _context.Context, call: routing.Call, service: str) -> None:
         """Creates the delivery without sending anything.
 
         Args:
@@ -71,11 +70,11 @@
         self._kv_source = ""
         self._prefill_domain = ""
 
-    def run(self) -> _calls.Reply:
+    def run(self) -> routing.Reply:
         """Returns the reply; a streamed body is relayed as it is iterated."""
         return attrs.evolve(self._final_reply(), target=self._parts.target)
 
-    def _final_reply(self) -> _calls.Reply:
+    def _final_reply(self) -> routing.Reply:
         try:
             return self._deliver()
         except _early_end.ClientDisconnectedError:
@@ -87,7 +86,7 @@
             self._open.end(requests.Ending.DISCONNECTED)
             self._release_kv_source()
 
-    def _deliver(self) -> _calls.Reply:
+    def _deliver(self) -> routing.Reply:
         while True:
             if not self._kv_source and self._successor is None:
                 self._prefill()
@@ -135,7 +134,7 @@
                 self._open.end(requests.Ending.SUCCEEDED)
                 return
 
-    def _attempt(self) -> _calls.Answer | None:
+    def _attempt(self) -> routing.Answer | None:
         """Sends the call once; returns None if it has to go to another target."""
         if self._open.placement is None:
             # A plain call, one with a separate prefill, or a stream to resume.
@@ -164,7 +163,7 @@
         self._kv_source = ""
         return answer
 
-    def _send(self) -> _calls.Answer:
+    def _send(self) -> routing.Answer:
         """Sends the call, or returns what has come of an attempt sent meanwhile."""
         if self._successor is not None:
             successor, self._successor = self._successor, None
@@ -193,7 +192,7 @@
         if source and not self._early_end.ended_by_stop:
             self._ctx.transport.release(source)
 
-    def _new_dispatch(self, *, prefill_only=False) -> _calls.Dispatch:
+    def _new_dispatch(self, *, prefill_only=False) -> routing.Dispatch:
         placement = self._open.placement
         timeout_s = _timeouts.first_byte_timeout_s(
             self._call,
@@ -201,7 +200,7 @@
             may_repeat=self._early_end.may_repeat(self._call, placement),
         )
         self._record.begin_wait(timeout_s)
-        return _calls.Dispatch(
+        return routing.Dispatch(
             timeout_s=timeout_s,
             priority=self._call.route.priority + placement.rank,
             resume_after=self._call.resume_after,
@@ -213,7 +212,7 @@
 
     # Replies.
 
-    def _reply(self, answer: _calls.Answer) -> _calls.Reply | None:
+    def _reply(self, answer: routing.Answer) -> routing.Reply | None:
         if not answer.genuine:
             answer.close()
             self._ends.failed(
@@ -222,11 +221,11 @@
                 )
             )
             return None
-        if self._call.route.kind is _calls.CallKind.STREAM and answer.status == 200:
+        if self._call.route.kind is routing.CallKind.STREAM and answer.status == 200:
             return self._streamed_reply(answer)
         return self._buffered_reply(answer)
 
-    def _buffered_reply(self, answer: _calls.Answer) -> _calls.Reply | None:
+    def _buffered_reply(self, answer: routing.Answer) -> routing.Reply | None:
         try:
             body = answer.read()
         except errors.CancelledError:
@@ -238,7 +237,7 @@
             answer.close()
         self._open.record_first_output()
         self._late.output_received()
-        reply = _calls.Reply(status=answer.status, headers=answer.headers, body=body)
+        reply = routing.Reply(status=answer.status, headers=answer.headers, body=body)
         if answer.status >= 500:
             self._progress.fallback = reply
             self._ends.failed(errors.AnswerLostError(f"status {answer.status}"))
@@ -249,7 +248,7 @@
         self._replies.record("answered", answer.status)
         return reply
 
-    def _streamed_reply(self, answer: _calls.Answer) -> _calls.Reply | None:
+    def _streamed_reply(self, answer: routing.Answer) -> routing.Reply | None:
         attempt = _stream.StreamAttempt(answer=answer, placement=self._open.placement)
         body = _stream.Stream(self._owner(), attempt, self._call.resume_after)
         try:
@@ -269,7 +268,7 @@
         self._late.output_received()
         self._open.hand_over()
         self._early_end.record_answer_begun()
-        return _calls.Reply(status=answer.status, headers=answer.headers, body=body)
+        return routing.Reply(status=answer.status, headers=answer.headers, body=body)
 
     def _owner(self) -> _stream_delivery.StreamDelivery:
         attempts = _stream_delivery.Attempts(
@@ -281,6 +280,6 @@
             self._parts, self._late, attempts, self._replies.record
         )
 
-    def _resumed_attempt(self, last_id: str) -> _calls.Answer | None:
+    def _resumed_attempt(self, last_id: str) -> routing.Answer | None:
         self._call = attrs.evolve(self._call, resume_after=last_id)
         return self._attempt()
--- a/src/turmericward/delivery/_early_end.py
+++ b/src/turmericward/delivery/_early_end.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from typing import NoReturn
 
-from turmericward import requests, runtime
-from turmericward.delivery import _calls, _progress, _record, _stop
+from turmericward import requests, routing, runtime
+from turmericward.delivery import _progress, _record, _stop
 
 
 class ClientDisconnectedError(Exception):
@@ -59,7 +59,7 @@
             self._progress.record_interrupted_run()
         self._progress.abandon(_stop.REASON, _stop.RETRY_AFTER_S)
 
-    def check_attempt(self, call: _calls.Call, *, retry: bool) -> None:
+    def check_attempt(self, call: routing.Call, *, retry: bool) -> None:
         """Ends the call if a further attempt can't be of use to its client.
 
         Raises:
@@ -76,7 +76,7 @@
         if not self._admits(call, runtime.now() - self._began_at):
             self._progress.abandon(_stop.REASON, _stop.RETRY_AFTER_S)
 
-    def _admits(self, call: _calls.Call, elapsed_s: float) -> bool:
+    def _admits(self, call: routing.Call, elapsed_s: float) -> bool:
         # A stream that the client has in part can't be refused any more.
         return self._answer_begun or self._stop.admits(call, elapsed_s)
 
@@ -92,7 +92,7 @@
         """Records that the client gets the first events of a stream."""
         self._answer_begun = True
 
-    def may_repeat(self, call: _calls.Call, *running: requests.Placement) -> bool:
+    def may_repeat(self, call: routing.Call, *running: requests.Placement) -> bool:
         """Returns whether another attempt may follow the running ones.
 
         If not, they aren't given up before the call's deadline.
@@ -100,6 +100,6 @@
         names = frozenset(placement.target.name for placement in running)
         return self._progress.may_repeat(names) and self._admits(call, 0.0)
 
-    def record_answered(self, call: _calls.Call) -> None:
+    def record_answered(self, call: routing.Call) -> None:
         """Records how long the call took to the end of its answer."""
         self._stop.times.record(call.route.name, runtime.now() - self._began_at)
--- a/src/turmericward/delivery/_final_replies.py
+++ b/src/turmericward/delivery/_final_replies.py
@@ -1,6 +1,7 @@
 """Replies to calls that got no answer, and the record of each call's end."""
 
-from turmericward.delivery import _calls, _parts
+from turmericward import routing
+from turmericward.delivery import _parts
 
 CLIENT_CLOSED_REQUEST = 499
 
@@ -24,15 +25,15 @@
             self._parts.target,
         )
 
-    def client_gone(self) -> _calls.Reply:
+    def client_gone(self) -> routing.Reply:
         """Returns the reply to a client that has left."""
         self.record("client_gone", CLIENT_CLOSED_REQUEST)
-        failure = _calls.Failure(
+        failure = routing.Failure(
             status=CLIENT_CLOSED_REQUEST, reason="cancelled", may_have_run=True
         )
-        return _calls.Reply(status=failure.status, failure=failure)
+        return routing.Reply(status=failure.status, failure=failure)
 
-    def abandoned(self) -> _calls.Reply:
+    def abandoned(self) -> routing.Reply:
         """Returns a target's failure, or else why no further attempt is made."""
         fallback = self._parts.progress.fallback
         if fallback is not None:
@@ -41,4 +42,4 @@
         failure = self._parts.failure()
         outcome = "outcome_unknown" if failure.may_have_run else "refused"
         self.record(outcome, failure.status)
-        return _calls.Reply(status=failure.status, failure=failure)
+        return routing.Reply(status=failure.status, failure=failure)
--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -9,13 +9,11 @@
 
 import attrs
 
-from turmericward import requests, runtime
+from turmericward import dispatching, requests, routing, runtime
 from turmericward.adapters import _pending, errors
 from turmericward.delivery import (
     _asking,
     _attempt_ends,
-    _calls,
-    _messages,
     _open_placement,
     _parts,
     _stream,
@@ -69,7 +67,7 @@
     def output_received(self) -> None:
         """Records that the call's target has output."""
         if self._silent:
-            self._parts.ctx.dispatch.post(_messages.TargetWentOn(name=self._silent))
+            self._parts.ctx.dispatch.post(dispatching.TargetWentOn(name=self._silent))
         self._silent = ""
 
     def on_late(self, pending: _pending.PendingConnection) -> float:
@@ -110,7 +108,7 @@
         parts = self._parts
         name = waiting.target.name
         running = frozenset((name, parts.open.current.target.name))
-        message = _messages.Place(
+        message = dispatching.Place(
             call=self._call(),
             service=parts.service,
             excluded=parts.progress.avoided(running) | running,
@@ -119,7 +117,7 @@
             prefilled=self.began,
             first=False,
             fingerprint=parts.record.fingerprint,
-            silent=_messages.SilentTarget(name=name, silent_s=parts.record.silent_s),
+            silent=dispatching.SilentTarget(name=name, silent_s=parts.record.silent_s),
         )
         chosen = _asking.place(parts.ctx.dispatch, message, DISPATCH_TIMEOUT_S)
         if chosen.is_err():
@@ -134,7 +132,7 @@
             self._parts.record.log_second_attempt("refused", reason)
         self._last_refusal = reason
 
-    def _call(self) -> _calls.Call:
+    def _call(self) -> routing.Call:
         return attrs.evolve(self._parts.call, resume_after=self.last_id)
 
     def _race(
@@ -179,11 +177,11 @@
         self,
         pending: _pending.PendingConnection,
         second: _open_placement.OpenPlacement,
-    ) -> _calls.Answer:
+    ) -> routing.Answer:
         parts = self._parts
         call = self._call()
         placement = second.placement
-        dispatch = _calls.Dispatch(
+        dispatch = routing.Dispatch(
             timeout_s=min(call.remaining_s(), self._overlap_s(placement)),
             priority=call.route.priority + placement.rank,
             resume_after=self.last_id,
@@ -260,7 +258,7 @@
         self,
         pending: _pending.PendingConnection,
         second: _open_placement.OpenPlacement,
-        answer: _calls.Answer,
+        answer: routing.Answer,
     ) -> None:
         if not pending.closed:
             if not self._is_usable(answer):
@@ -270,7 +268,7 @@
             self._replace_first(pending, second)
         raise _superseded.SupersededError(answer=answer)
 
-    def _is_usable(self, answer: _calls.Answer) -> bool:
+    def _is_usable(self, answer: routing.Answer) -> bool:
         if self.began:
             return not answer.not_run and _stream.continues_stream(answer)
         return answer.genuine and not answer.not_run and answer.status < 500
--- a/src/turmericward/delivery/_open_placement.py
+++ b/src/turmericward/delivery/_open_placement.py
@@ -1,7 +1,7 @@
 """The placement of a call's current attempt, as reported to the dispatcher."""
 
-from turmericward import requests, runtime
-from turmericward.delivery import _context, _messages, _record
+from turmericward import dispatching, requests, runtime
+from turmericward.delivery import _context, _record
 
 
 class OpenPlacement:
@@ -60,7 +60,7 @@
 
     def _report_first_output(self, took_s: float) -> None:
         self._dispatch.post(
-            _messages.FirstOutput(
+            dispatching.FirstOutput(
                 placement=self.current, prompt=self._prompt, took_s=took_s
             )
         )
@@ -95,7 +95,7 @@
             return
         since = self._writing_since
         self._dispatch.post(
-            _messages.PlacementEnded(
+            dispatching.PlacementEnded(
                 placement=placement,
                 prompt=self._prompt,
                 ending=ending,
--- a/src/turmericward/delivery/_parts.py
+++ b/src/turmericward/delivery/_parts.py
@@ -2,8 +2,8 @@
 
 import attrs
 
+from turmericward import routing
 from turmericward.delivery import (
-    _calls,
     _context,
     _early_end,
     _open_placement,
@@ -17,7 +17,7 @@
     """A call at a service, with its attempts so far and what ends it early."""
 
     ctx: _context.Context
-    call: _calls.Call
+    call: routing.Call
     service: str
     progress: _progress.Progress
     record: _record.CallRecord
@@ -29,6 +29,6 @@
         """Name of the target of the latest attempt, empty before the first."""
         return "" if self.open.current is None else self.open.current.target.name
 
-    def failure(self) -> _calls.Failure:
+    def failure(self) -> routing.Failure:
         """Returns the failure to report if no further attempt is made."""
         return self.progress.failure(deadline_passed=self.call.remaining_s() <= 0)
--- a/src/turmericward/delivery/_placements.py
+++ b/src/turmericward/delivery/_placements.py
@@ -9,8 +9,8 @@
 import attrs
 import result
 
-from turmericward import fleet, requests, runtime
-from turmericward.delivery import _asking, _calls, _messages, _parts, _stop
+from turmericward import dispatching, fleet, requests, routing, runtime
+from turmericward.delivery import _asking, _parts, _stop
 
 DISPATCH_TIMEOUT_S = 5.0
 # How often a call that waits for its turn at a target checks for its client.
@@ -35,7 +35,9 @@
         self._try_until: float | None = None
         self._arrivals = 0
 
-    def begin(self, call: _calls.Call, *, prefilled: bool, prefill_domain: str) -> None:
+    def begin(
+        self, call: routing.Call, *, prefilled: bool, prefill_domain: str
+    ) -> None:
         """Begins a placement; returns when the call may be sent to its target.
 
         Args:
@@ -48,7 +50,7 @@
             CallAbandonedError: no target takes the call.
         """
         parts = self._parts
-        message = _messages.Place(
+        message = dispatching.Place(
             call=call,
             service=parts.service,
             excluded=frozenset(),
@@ -64,7 +66,7 @@
         self._await_start(runtime.now() + placement.start_after_s)
         parts.open.mark_sent()
 
-    def _ask_until_granted(self, message: _messages.Place) -> requests.Placement:
+    def _ask_until_granted(self, message: dispatching.Place) -> requests.Placement:
         while True:
             self._parts.early_end.check_attempt(message.call, retry=message.retry)
             chosen = self._ask(message)
@@ -75,7 +77,7 @@
                 self._try_silent_again(message, refusal)
 
     def _ask(
-        self, message: _messages.Place
+        self, message: dispatching.Place
     ) -> result.Result[requests.Placement, requests.Refusal]:
         progress = self._parts.progress
         message = attrs.evolve(
@@ -97,7 +99,7 @@
         return True
 
     def _try_silent_again(
-        self, message: _messages.Place, refusal: requests.Refusal
+        self, message: dispatching.Place, refusal: requests.Refusal
     ) -> None:
         """Waits until targets may be tried again that accepted no connection.
 
--- a/src/turmericward/delivery/_progress.py
+++ b/src/turmericward/delivery/_progress.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from turmericward.delivery import _calls
+from turmericward import routing
 
 # Targets that may refuse a call or be unreachable before the client is refused.
 MAX_REFUSALS = 4
@@ -33,14 +33,14 @@
     would get the call in turns for ever.
     """
 
-    route: _calls.Route
+    route: routing.Route
     excluded: frozenset[str] = frozenset()
     arrivals: int = 0
     prefills: int = 0
     reason: str = ""
     stop_reason: str = ""
     retry_after_s: float = RETRY_AFTER_S
-    fallback: _calls.Reply | None = None
+    fallback: routing.Reply | None = None
     silent: frozenset[str] = frozenset()
     superseded: frozenset[str] = frozenset()
     placements: int = 0
@@ -233,16 +233,16 @@
         self.stop_reason = reason
         raise CallAbandonedError
 
-    def failure(self, *, deadline_passed: bool) -> _calls.Failure:
+    def failure(self, *, deadline_passed: bool) -> routing.Failure:
         """Returns the failure that is reported to the client."""
         if not self.may_have_run:
-            return _calls.Failure(
+            return routing.Failure(
                 status=503,
                 reason=self.reason,
                 may_have_run=False,
                 retry_after_s=self.retry_after_s,
             )
-        return _calls.Failure(
+        return routing.Failure(
             status=504 if deadline_passed else 502,
             reason=self.reason,
             may_have_run=True,
--- a/src/turmericward/delivery/_record.py
+++ b/src/turmericward/delivery/_record.py
@@ -3,8 +3,8 @@
 import collections
 import functools
 
-from turmericward import requests, runtime, telemetry
-from turmericward.delivery import _calls, _fingerprint, _stop
+from turmericward import requests, routing, runtime, telemetry
+from turmericward.delivery import _stop
 
 # Bounds the length of a log line.
 MAX_LOGGED_SEGMENTS = 8
@@ -14,7 +14,7 @@
     """Logs the decisions on a call and measures its token latencies."""
 
     def __init__(
-        self, metrics: telemetry.Metrics, call: _calls.Call, service: str
+        self, metrics: telemetry.Metrics, call: routing.Call, service: str
     ) -> None:
         """Creates the record of a call to a service."""
         self._metrics = metrics
@@ -32,7 +32,7 @@
     @functools.cached_property
     def fingerprint(self) -> int:
         """What names the content of the call; a body may have many megabytes."""
-        return _fingerprint.fingerprint(self._call, self._service)
+        return routing.fingerprint(self._call, self._service)
 
     def log_placement(self, placement: requests.Placement) -> None:
         """Logs a placement with the estimates behind it."""
@@ -133,7 +133,7 @@
             detail=detail,
             target_ended=target_ended,
             began=self._first_event_at is not None,
-            content=_fingerprint.as_hex(self.fingerprint),
+            content=routing.fingerprint_hex(self.fingerprint),
             segments=_shared_segment_ids(self._call.prompt),
             silent_s=self.silent_s,
             wait_s=self._wait_s,
--- a/src/turmericward/delivery/_stop.py
+++ b/src/turmericward/delivery/_stop.py
@@ -11,8 +11,7 @@
 
 import attrs
 
-from turmericward import runtime
-from turmericward.delivery import _calls
+from turmericward import routing, runtime
 
 REASON = "stopping"
 # Other instances take the call at once.
@@ -94,7 +93,7 @@
         """Returns whether open calls have to get their final answers now."""
         return self.drain.until_deadline_s <= 0
 
-    def admits(self, call: _calls.Call, elapsed_s: float) -> bool:
+    def admits(self, call: routing.Call, elapsed_s: float) -> bool:
         """Returns whether an attempt is likely to end before the stop does.
 
         Args:
@@ -106,7 +105,7 @@
             return True
         return self._need_s(call, elapsed_s) <= self.drain.until_deadline_s
 
-    def _need_s(self, call: _calls.Call, elapsed_s: float) -> float:
+    def _need_s(self, call: routing.Call, elapsed_s: float) -> float:
         # New callers still come then, and a refusal costs them more than the rare call
         # that is cut.
         early = self.drain.is_mostly_left
--- a/src/turmericward/delivery/_stream.py
+++ b/src/turmericward/delivery/_stream.py
@@ -6,17 +6,17 @@
 
 import attrs
 
-from turmericward import requests
+from turmericward import eventstream, requests, routing
 from turmericward.adapters import errors
-from turmericward.delivery import _calls, _errors, _event_sequence, _events
+from turmericward.delivery import _errors
 
 EVENT_STREAM = "text/event-stream"
-Batch = list[_events.Event]
+Batch = list[eventstream.Event]
 # Comments and empty lines that are kept until the first event.
 MAX_BYTES_BEFORE_FIRST = 64 * 1024
 
 
-def continues_stream(answer: _calls.Answer) -> bool:
+def continues_stream(answer: routing.Answer) -> bool:
     """Returns whether an answer can go on with a stream that another target began."""
     types = [value for name, value in answer.headers if name.lower() == "content-type"]
     return (
@@ -34,7 +34,7 @@
 class StreamAttempt:
     """An attempt of a stream: one target's answer and its placement."""
 
-    answer: _calls.Answer
+    answer: routing.Answer
     placement: requests.Placement
 
 
@@ -70,7 +70,7 @@
     def record_interruption(self) -> bool:
         """Records why a stream ends early; returns whether its client still waits."""
 
-    def failure(self) -> _calls.Failure:
+    def failure(self) -> routing.Failure:
         """Returns the failure to report if the stream can't be resumed."""
 
 
@@ -87,8 +87,8 @@
         """Creates the stream with its first attempt."""
         self._owner = owner
         self._attempt: StreamAttempt | None = attempt
-        self._parser = _events.EventParser()
-        self._sequence = _event_sequence.EventSequence(last_id)
+        self._parser = eventstream.EventParser()
+        self._sequence = eventstream.EventSequence(last_id)
         self._first_batch: Batch = []
         self._batches = self._new_batches()
 
@@ -168,14 +168,16 @@
             if fault is not None:
                 raise fault
 
-    def _accept(self, events: Batch) -> tuple[Batch, _errors.EventOrderError | None]:
+    def _accept(
+        self, events: Batch
+    ) -> tuple[Batch, eventstream.EventOrderError | None]:
         """Returns the events to deliver, and what is wrong after them."""
         accepted = []
         for event in events:
             try:
                 if self._sequence.accept(event):
                     accepted.append(event)
-            except _errors.EventOrderError as exc:
+            except eventstream.EventOrderError as exc:
                 return accepted, exc
         return accepted, None
 
@@ -190,7 +192,7 @@
         if self._attempt is None:
             self._owner.stream_ended("broken")
             raise _errors.StreamBrokenError(self._owner.failure()) from exc
-        self._parser = _events.EventParser()
+        self._parser = eventstream.EventParser()
         self._batches = self._new_batches()
 
     def _end_attempt(self, *, completed: bool = False) -> None:
--- a/src/turmericward/delivery/_stream_delivery.py
+++ b/src/turmericward/delivery/_stream_delivery.py
@@ -4,10 +4,9 @@
 
 import attrs
 
-from turmericward import requests
+from turmericward import requests, routing
 from turmericward.adapters import errors
 from turmericward.delivery import (
-    _calls,
     _early_end,
     _late_attempt,
     _parts,
@@ -28,7 +27,7 @@
     replaced the last one; `record_failure` ends a failed one.
     """
 
-    next: Callable[[str], _calls.Answer | None]
+    next: Callable[[str], routing.Answer | None]
     take_over: Callable[[_superseded.SupersededError], None]
     record_failure: Callable[[Exception], None]
 
@@ -119,7 +118,7 @@
             self.stream_ended("broken")
             return True
 
-    def failure(self) -> _calls.Failure:
+    def failure(self) -> routing.Failure:
         """Returns the failure to report if no further attempt is made."""
         return self._parts.failure()
 
--- a/src/turmericward/delivery/_superseded.py
+++ b/src/turmericward/delivery/_superseded.py
@@ -1,8 +1,7 @@
 """Replacement of an attempt at a silent target by another one."""
 
-from turmericward import requests
+from turmericward import requests, routing
 from turmericward.adapters import errors
-from turmericward.delivery import _calls
 
 
 class SupersededError(errors.AdapterError):
@@ -15,7 +14,7 @@
     def __init__(
         self,
         *,
-        answer: _calls.Answer | None = None,
+        answer: routing.Answer | None = None,
         failure: errors.AdapterError | None = None,
         granted: requests.Placement | None = None,
     ) -> None:
@@ -25,7 +24,7 @@
         self.failure = failure
         self.granted = granted
 
-    def outcome(self) -> _calls.Answer:
+    def outcome(self) -> routing.Answer:
         """Returns the answer of the next attempt.
 
         Raises:
@@ -41,7 +40,7 @@
     return exc if isinstance(exc, SupersededError) else SupersededError(failure=exc)
 
 
-def refusal_of(answer: _calls.Answer) -> errors.AdapterError:
+def refusal_of(answer: routing.Answer) -> errors.AdapterError:
     """Returns the error for an answer that can't replace the first attempt."""
     if answer.not_run:
         return errors.NotExecutedError(f"status {answer.status}")
--- a/src/turmericward/delivery/_timeouts.py
+++ b/src/turmericward/delivery/_timeouts.py
@@ -4,7 +4,7 @@
 has to wait its turn.
 """
 
-from turmericward.delivery import _calls
+from turmericward import routing
 
 # Timeout of the first byte, as a multiple of the route's latency objective.
 FIRST_BYTE_TIMEOUT_PER_OBJECTIVE = 2.0
@@ -18,7 +18,7 @@
 
 
 def first_byte_timeout_s(
-    call: _calls.Call, expected_s: float, *, may_repeat: bool
+    call: routing.Call, expected_s: float, *, may_repeat: bool
 ) -> float:
     """Returns the timeout for the first byte of an answer.
 
@@ -40,7 +40,7 @@
     return min(remaining_s, timeout_s)
 
 
-def next_event_timeout_s(call: _calls.Call, *, may_repeat: bool) -> float:
+def next_event_timeout_s(call: routing.Call, *, may_repeat: bool) -> float:
     """Returns how long a stream's next event is waited for."""
     if not may_repeat:
         return call.remaining_s()
--- /dev/null
+++ b/src/turmericward/dispatching/__init__.py
@@ -0,0 +1,44 @@
+"""Chooses targets for calls: the task that owns what a front knows of them."""
+
+from turmericward.dispatching._cache_listing_loop import CacheListingLoop
+from turmericward.dispatching._crash_guard import CrashGuard
+from turmericward.dispatching._dispatch_task import DispatchTask
+from turmericward.dispatching._messages import (
+    EngineCacheListing,
+    FirstOutput,
+    GetStatus,
+    Place,
+    PlacementEnded,
+    PutTargets,
+    ReplaceTargets,
+    RequestSent,
+    RetryBounds,
+    SetTable,
+    SilentTarget,
+    StoreRecovered,
+    TargetNotice,
+    TargetWentOn,
+)
+from turmericward.dispatching._roles_loop import RolesLoop, RoleState
+
+__all__ = [
+    "CacheListingLoop",
+    "CrashGuard",
+    "DispatchTask",
+    "EngineCacheListing",
+    "FirstOutput",
+    "GetStatus",
+    "Place",
+    "PlacementEnded",
+    "PutTargets",
+    "ReplaceTargets",
+    "RequestSent",
+    "RetryBounds",
+    "RoleState",
+    "RolesLoop",
+    "SetTable",
+    "SilentTarget",
+    "StoreRecovered",
+    "TargetNotice",
+    "TargetWentOn",
+]
--- a/src/turmericward/delivery/_cache_listing_loop.py
+++ b/src/turmericward/dispatching/_cache_listing_loop.py
@@ -9,7 +9,7 @@
 
 from turmericward import fleet, runtime
 from turmericward.adapters import errors
-from turmericward.delivery import _dispatch_task, _messages
+from turmericward.dispatching import _dispatch_task, _messages
 
 # Engines that appear later start with an empty cache and needn't be listed.
 LISTING_WINDOW_S = 6.0
--- a/src/turmericward/delivery/_crash_guard.py
+++ b/src/turmericward/dispatching/_crash_guard.py
@@ -3,10 +3,9 @@
 import itertools
 from collections.abc import Callable, Iterable
 
-from turmericward import fleet, requests, runtime
-from turmericward.delivery import (
+from turmericward import fleet, requests, routing, runtime
+from turmericward.dispatching import (
     _evidence,
-    _fingerprint,
     _lost_connections,
     _messages,
     _suspect_log,
@@ -141,7 +140,7 @@
         return tuple(
             _messages.BarredKey(
                 kind=kind.value,
-                key=_fingerprint.as_hex(key),
+                key=routing.fingerprint_hex(key),
                 id=self._log.name(key),
                 crashes=len(suspect.crashes),
                 barred_s=round(max(0.0, suspect.bar.until - now), 3),
--- a/src/turmericward/delivery/_deadlines.py
+++ b/src/turmericward/dispatching/_deadlines.py
@@ -2,8 +2,7 @@
 
 import collections
 
-from turmericward import requests
-from turmericward.delivery import _calls
+from turmericward import requests, routing
 
 # A call with less than this share of its route's longest deadline is treated as
 # repeated by a client that was refused before.
@@ -17,7 +16,7 @@
         """Starts without calls."""
         self._max_deadline_s: dict[str, float] = collections.defaultdict(float)
 
-    def deadlines(self, call: _calls.Call, now: float) -> requests.Deadlines:
+    def deadlines(self, call: routing.Call, now: float) -> requests.Deadlines:
         """Returns how long the client of a call still waits."""
         route = call.route
         max_deadline_s = max(self._max_deadline_s[route.name], call.deadline_s)
--- a/src/turmericward/delivery/_dispatch_task.py
+++ b/src/turmericward/dispatching/_dispatch_task.py
@@ -5,14 +5,13 @@
 import attrs
 from absl import logging
 
-from turmericward import fleet, peers, requests, runtime, telemetry
-from turmericward.delivery import (
+from turmericward import fleet, peers, requests, routing, runtime, telemetry
+from turmericward.dispatching import (
     _crash_guard,
     _limit_exchange,
     _messages,
     _placing,
     _retry_budgets,
-    _routes,
     _status,
 )
 
@@ -84,7 +83,7 @@
         self._name = name
         self._domain = domain
         self._listed_engines: set[int] = set()
-        self.table: _routes.RoutingTable | None = None
+        self.table: routing.RoutingTable | None = None
         # Whether peers should be told what this front knows of targets and prompts.
         self._reports_changed = False
         # Names of the targets that have a limit or had one recently; replaced, so that
--- a/src/turmericward/delivery/_evidence.py
+++ b/src/turmericward/dispatching/_evidence.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from turmericward import requests
-from turmericward.delivery import _messages
+from turmericward.dispatching import _messages
 
 # Keys of a call, each with its name in log lines.
 Keys = dict[int, str]
--- a/src/turmericward/delivery/_lost_connections.py
+++ b/src/turmericward/dispatching/_lost_connections.py
@@ -10,7 +10,7 @@
 import attrs
 
 from turmericward import fleet
-from turmericward.delivery import _evidence
+from turmericward.dispatching import _evidence
 
 # With more time between them, another incarnation at the address tells nothing about
 # the call.
--- a/src/turmericward/delivery/_messages.py
+++ b/src/turmericward/dispatching/_messages.py
@@ -2,8 +2,7 @@
 
 import attrs
 
-from turmericward import fleet, requests
-from turmericward.delivery import _calls, _fingerprint, _routes
+from turmericward import fleet, requests, routing
 
 # A target that has been answering a call for longer wasn't ended by it.
 BEGINNING_S = 1.0
@@ -15,7 +14,7 @@
 class SetTable:
     """A routing table, which takes effect if its version is newer."""
 
-    table: _routes.RoutingTable
+    table: routing.RoutingTable
 
 
 @attrs.frozen(kw_only=True)
@@ -210,7 +209,7 @@
     `fingerprint` names the call's content.
     """
 
-    call: _calls.Call
+    call: routing.Call
     service: str
     excluded: frozenset[str]
     retry: bool = False
@@ -224,7 +223,7 @@
 
     @fingerprint.default
     def _fingerprint_of_call(self) -> int:
-        return _fingerprint.fingerprint(self.call, self.service)
+        return routing.fingerprint(self.call, self.service)
 
     def may_go_to(self, target: str) -> bool:
         """Returns whether the call may go to the named target."""
--- a/src/turmericward/delivery/_placing.py
+++ b/src/turmericward/dispatching/_placing.py
@@ -9,7 +9,7 @@
 import result
 
 from turmericward import fleet, requests, runtime
-from turmericward.delivery import (
+from turmericward.dispatching import (
     _crash_guard,
     _deadlines,
     _messages,
--- a/src/turmericward/delivery/_retry_budgets.py
+++ b/src/turmericward/dispatching/_retry_budgets.py
@@ -3,7 +3,7 @@
 import collections
 
 from turmericward import requests
-from turmericward.delivery import _messages
+from turmericward.dispatching import _messages
 
 # Assumed number of fronts until a report of a peer has been received.
 ASSUMED_FLEET_SIZE = 16
--- a/src/turmericward/delivery/_roles_loop.py
+++ b/src/turmericward/dispatching/_roles_loop.py
@@ -10,7 +10,7 @@
 
 from turmericward import authority, fleet, positions, runtime, telemetry
 from turmericward.adapters import errors
-from turmericward.delivery import _dispatch_task, _messages
+from turmericward.dispatching import _dispatch_task, _messages
 
 POLL_INTERVAL_S = 0.5
 INACTIVE_POLL_INTERVAL_S = 2.0
--- a/src/turmericward/delivery/_status.py
+++ b/src/turmericward/dispatching/_status.py
@@ -4,7 +4,7 @@
 from collections.abc import Set
 
 from turmericward import fleet, requests
-from turmericward.delivery import _messages
+from turmericward.dispatching import _messages
 
 
 def target_status(
--- a/src/turmericward/delivery/_suspect_log.py
+++ b/src/turmericward/dispatching/_suspect_log.py
@@ -7,8 +7,8 @@
 import collections
 from collections.abc import Iterable
 
-from turmericward import requests, runtime, telemetry
-from turmericward.delivery import _evidence, _fingerprint
+from turmericward import requests, routing, runtime, telemetry
+from turmericward.dispatching import _evidence
 
 MAX_NAMED_KEYS = 1_000
 # Keys in one line, those with the most crashes first.
@@ -72,7 +72,7 @@
             crashes=changes[0].crashes,
             keys=[
                 {
-                    "key": _fingerprint.as_hex(change.key),
+                    "key": routing.fingerprint_hex(change.key),
                     "id": self.name(change.key),
                     "crashes": change.crashes,
                 }
@@ -85,7 +85,7 @@
         telemetry.log_event(
             "suspect",
             kind=change.kind.value,
-            key=_fingerprint.as_hex(change.key),
+            key=routing.fingerprint_hex(change.key),
             id=self.name(change.key),
             state=change.state.value,
             crashes=change.crashes,
--- a/src/turmericward/delivery/_waits.py
+++ b/src/turmericward/dispatching/_waits.py
@@ -5,7 +5,7 @@
 """
 
 from turmericward import requests
-from turmericward.delivery import _messages
+from turmericward.dispatching import _messages
 
 URGENT_PRIORITY = 0
 # Part of the time that a client waits for an event in which a stream is resumed.
--- a/src/turmericward/entry/_models.py
+++ b/src/turmericward/entry/_models.py
@@ -3,7 +3,7 @@
 import functools
 from collections.abc import Iterator
 
-from turmericward import delivery, requests, runtime
+from turmericward import delivery, eventstream, requests, routing, runtime
 from turmericward.entry import _errors, _http, _transport
 
 SSE = "text/event-stream"
@@ -86,10 +86,10 @@
 
     def _build_call(
         self, req: _http.Request, demand, *, streamed: bool
-    ) -> delivery.Call:
+    ) -> routing.Call:
         bounds = self._ctx.cfg.entry.classes[demand.traffic_class]
-        kind = delivery.CallKind.STREAM if streamed else delivery.CallKind.IDEMPOTENT
-        route = delivery.Route(
+        kind = routing.CallKind.STREAM if streamed else routing.CallKind.IDEMPOTENT
+        route = routing.Route(
             name=demand.traffic_class,
             host="",
             path_prefix=req.path,
@@ -101,10 +101,10 @@
             priority=demand.priority,
             max_attempts=MAX_ATTEMPTS,
             resumable=streamed,
-            destinations=(delivery.Destination(service=demand.model),),
+            destinations=(routing.Destination(service=demand.model),),
         )
         now = runtime.now()
-        return delivery.Call(
+        return routing.Call(
             id=req.id,
             method=req.method,
             target=req.path,
@@ -121,7 +121,7 @@
             caller=demand.tenant,
         )
 
-    def _response(self, reply: delivery.Reply, release) -> _http.Response:
+    def _response(self, reply: routing.Reply, release) -> _http.Response:
         if reply.failure is not None:
             raise _delivery_error(reply.failure)
         headers = dict(reply.headers)
@@ -166,10 +166,10 @@
 
 
 def _sse(data: bytes) -> bytes:
-    return b"data: " + data + delivery.EVENT_END
+    return b"data: " + data + eventstream.EVENT_END
 
 
-def _delivery_error(failure: delivery.Failure) -> _errors.RequestError:
+def _delivery_error(failure: routing.Failure) -> _errors.RequestError:
     status, code = _ERRORS_BY_REASON.get(
         failure.reason, (failure.status, "stream_lost")
     )
--- a/src/turmericward/entry/_router_task.py
+++ b/src/turmericward/entry/_router_task.py
@@ -8,7 +8,14 @@
 import attrs
 import result
 
-from turmericward import configuration, delivery, fleet, membership, requests, runtime
+from turmericward import (
+    configuration,
+    dispatching,
+    fleet,
+    membership,
+    requests,
+    runtime,
+)
 from turmericward.entry import _engine_crashes
 
 
@@ -54,7 +61,7 @@
     """Selects engines by the latest view; `view` may be read from any thread."""
 
     # They carry a client's call.
-    foreign = (delivery.Place, delivery.FirstOutput, delivery.PlacementEnded)
+    foreign = (dispatching.Place, dispatching.FirstOutput, dispatching.PlacementEnded)
 
     def __init__(self, cfg, seed: int) -> None:
         """Creates the task without a view; `seed` makes the choices reproducible."""
@@ -68,7 +75,7 @@
         self._domain = cfg.instance.domain
         self._random = random.Random(seed)
         self._service_health = fleet.Health()
-        self._crashes = delivery.CrashGuard(
+        self._crashes = dispatching.CrashGuard(
             _engine_crashes.EngineCrashes().incarnation_of
         )
         self._holds = membership.EntryHolds()
@@ -102,7 +109,7 @@
         ]
 
     @handle.register
-    def _(self, message: delivery.Place):
+    def _(self, message: dispatching.Place):
         """Returns a Result of Placement or Refusal."""
         refusal = self._crashes.refusal(message)
         if refusal is not None:
@@ -143,13 +150,13 @@
         )
 
     @handle.register
-    def _(self, message: delivery.FirstOutput) -> None:
+    def _(self, message: dispatching.FirstOutput) -> None:
         assignment = self._assigned.get(message.placement.id)
         if assignment is not None:
             self._router.first_token(assignment, message.took_s)
 
     @handle.register
-    def _(self, message: delivery.PlacementEnded) -> None:
+    def _(self, message: dispatching.PlacementEnded) -> None:
         assignment = self._assigned.pop(message.placement.id, None)
         if assignment is None:
             return
--- a/src/turmericward/entry/_transport.py
+++ b/src/turmericward/entry/_transport.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from turmericward import delivery, fleet
+from turmericward import eventstream, fleet, routing
 from turmericward.adapters import engine
 
 DONE = b"[DONE]"
@@ -14,9 +14,9 @@
     def send(
         self,
         target: fleet.Target,
-        call: delivery.Call,
-        dispatch: delivery.Dispatch,
-    ) -> delivery.Answer:
+        call: routing.Call,
+        dispatch: routing.Dispatch,
+    ) -> routing.Answer:
         """Sends a completion; see `delivery.Transport`."""
         client = engine.EngineClient(target.address)
         job = engine.Job(
@@ -27,7 +27,7 @@
             cancelled=call.cancelled,
         )
         watch = engine.Watch(on_late=dispatch.on_late, rival=dispatch.rival)
-        if call.route.kind is not delivery.CallKind.STREAM:
+        if call.route.kind is not routing.CallKind.STREAM:
             return _to_answer(
                 client.complete(
                     job, dispatch.timeout_s, deadline=call.deadline, watch=watch
@@ -41,7 +41,7 @@
             watch=watch,
         )
         if isinstance(result, engine.Stream):
-            return delivery.Answer(
+            return routing.Answer(
                 status=200,
                 headers=(),
                 chunks=_events(result),
@@ -63,8 +63,8 @@
         """Does nothing: without separate prefill no KV cache is held."""
 
 
-def _to_answer(resp: engine.Response) -> delivery.Answer:
-    return delivery.Answer(
+def _to_answer(resp: engine.Response) -> routing.Answer:
+    return routing.Answer(
         status=resp.status,
         headers=(("Content-Type", resp.content_type),),
         chunks=iter((resp.body,)),
@@ -80,4 +80,4 @@
 
 def _event(event: engine.Event) -> bytes:
     id_line = b"id: %d\n" % event.seq if event.seq else b""
-    return id_line + b"data: " + event.data + delivery.EVENT_END
+    return id_line + b"data: " + event.data + eventstream.EVENT_END
--- a/src/turmericward/delivery/_event_sequence.py
+++ b/src/turmericward/eventstream/_sequence.py
@@ -4,7 +4,7 @@
 beside targets that go on where another one has left off.
 """
 
-from turmericward.delivery import _errors, _events
+from turmericward.eventstream import _errors, _events
 
 
 class EventSequence:
--- a/src/turmericward/platform/_follow.py
+++ b/src/turmericward/platform/_follow.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from turmericward import delivery, feeds, fleet, telemetry
+from turmericward import dispatching, feeds, fleet, telemetry
 from turmericward.platform import _records
 
 CONFIGURATION_TOPIC = "keyed.op"
@@ -52,7 +52,7 @@
 
     def __init__(
         self,
-        dispatch: delivery.DispatchTask,
+        dispatch: dispatching.DispatchTask,
         rejections: telemetry.Rejections | None = None,
     ) -> None:
         """Creates the sink.
@@ -89,7 +89,7 @@
             key = f"configuration at offset {record.offset}"
             self._rejections.add("configuration", key, str(exc))
             return False
-        self._dispatch.post(delivery.SetTable(table=table))
+        self._dispatch.post(dispatching.SetTable(table=table))
         return True
 
     def on_recovery(self) -> None:
@@ -101,7 +101,7 @@
 
     def __init__(
         self,
-        dispatch: delivery.DispatchTask,
+        dispatch: dispatching.DispatchTask,
         rejections: telemetry.Rejections | None = None,
     ) -> None:
         """Creates the sink.
@@ -131,10 +131,10 @@
         # A record that can't be decoded doesn't remove its target.
         malformed = {r.key for r in records} - {t.name for t in targets}
         if reverted:
-            self._dispatch.post(delivery.StoreRecovered())
+            self._dispatch.post(dispatching.StoreRecovered())
             targets = tuple(t for t in targets if not self._was_removed(t))
         self._posted = {t.name: t for t in targets}
-        message = delivery.ReplaceTargets(
+        message = dispatching.ReplaceTargets(
             targets=targets, undecodable=frozenset(malformed)
         )
         self._dispatch.post(message)
@@ -161,9 +161,9 @@
         self._record_removal(record.key, target)
         self._posted[record.key] = target
         if target is None:
-            self._dispatch.post(delivery.PutTargets(removed=(record.key,)))
+            self._dispatch.post(dispatching.PutTargets(removed=(record.key,)))
         else:
-            self._dispatch.post(delivery.PutTargets(targets=(target,)))
+            self._dispatch.post(dispatching.PutTargets(targets=(target,)))
         return True
 
     def _record_removal(self, key: str, target: fleet.Target | None) -> None:
@@ -188,4 +188,4 @@
 
     def on_recovery(self) -> None:
         """Reports that announcements may have expired during a store outage."""
-        self._dispatch.post(delivery.StoreRecovered())
+        self._dispatch.post(dispatching.StoreRecovered())
--- a/src/turmericward/platform/_ingress.py
+++ b/src/turmericward/platform/_ingress.py
@@ -9,7 +9,16 @@
 import attrs
 from absl import logging
 
-from turmericward import delivery, httpd, requests, runtime, schema, telemetry
+from turmericward import (
+    delivery,
+    dispatching,
+    httpd,
+    requests,
+    routing,
+    runtime,
+    schema,
+    telemetry,
+)
 from turmericward.adapters import service
 from turmericward.platform import _headers
 
@@ -48,18 +57,18 @@
         """Handles one WSGI request; failures become HTTP error responses."""
         try:
             reply = self._respond(environ)
-        except delivery.NoRouteError as exc:
+        except routing.NoRouteError as exc:
             reply = _refusal(404, str(exc))
-        except delivery.NotConfiguredError as exc:
+        except routing.NotConfiguredError as exc:
             reply = _refusal(503, str(exc), NOT_READY_RETRY_S)
         except BadRequestError as exc:
             reply = _refusal(400, str(exc))
         return _send(reply, start_response)
 
-    def _respond(self, environ) -> delivery.Reply:
+    def _respond(self, environ) -> routing.Reply:
         table = self._ctx.dispatch.table
         if table is None:
-            raise delivery.NotConfiguredError("no configuration is known yet")
+            raise routing.NotConfiguredError("no configuration is known yet")
         target = environ["REQUEST_URI"]
         if not _REQUEST_TARGET.fullmatch(target):
             raise BadRequestError("path has characters that aren't printable ASCII")
@@ -68,7 +77,7 @@
         call = _build_call(environ, target, route)
         return delivery.Delivery(self._ctx, call, self._pick_service(route)).run()
 
-    def _pick_service(self, route: delivery.Route) -> str:
+    def _pick_service(self, route: routing.Route) -> str:
         if len(route.destinations) == 1:
             return route.destinations[0].service
         weights = [d.weight for d in route.destinations]
@@ -77,9 +86,9 @@
 
 def _refusal(
     status: int, detail: str, retry_after_s: float | None = None
-) -> delivery.Reply:
+) -> routing.Reply:
     telemetry.log_event("refusal", status=status, detail=detail)
-    failure = delivery.Failure(
+    failure = routing.Failure(
         status=status,
         reason=detail,
         may_have_run=False,
@@ -87,10 +96,10 @@
     )
     headers = (("Content-Type", "text/plain"),)
     body = f"{detail}\n".encode()
-    return delivery.Reply(status=status, headers=headers, body=body, failure=failure)
+    return routing.Reply(status=status, headers=headers, body=body, failure=failure)
 
 
-def _send(reply: delivery.Reply, start_response):
+def _send(reply: routing.Reply, start_response):
     headers = _failure_headers(reply.failure) + [
         (name, value)
         for name, value in reply.headers
@@ -107,7 +116,7 @@
     return [reply.body] if buffered else _StreamedBody(reply.body)
 
 
-def _failure_headers(failure: delivery.Failure | None) -> list[tuple[str, str]]:
+def _failure_headers(failure: routing.Failure | None) -> list[tuple[str, str]]:
     if failure is None or failure.retry_after_s is None:
         return []
     return [("Retry-After", f"{failure.retry_after_s:.2f}")]
@@ -143,7 +152,7 @@
     return pairs
 
 
-def _build_call(environ, target: str, route: delivery.Route) -> delivery.Call:
+def _build_call(environ, target: str, route: routing.Route) -> routing.Call:
     pairs = _header_pairs(environ)
     values = {name.lower(): value for name, value in pairs}
     received = environ.get(httpd.RECEIVED_AT_KEY) or runtime.now()
@@ -152,7 +161,7 @@
         max(DEFAULT_DEADLINE_S, MAX_DEADLINE_PER_TIMEOUT * route.timeout_s),
     )
     forwarded = service.end_to_end_headers(pairs)
-    return delivery.Call(
+    return routing.Call(
         id=values.get(_headers.CALL_ID.lower(), ""),
         method=environ["REQUEST_METHOD"],
         target=target,
@@ -213,7 +222,7 @@
 class Readiness:
     """Readiness check: ready once a configuration is in force, until the drain."""
 
-    def __init__(self, dispatch: delivery.DispatchTask, draining) -> None:
+    def __init__(self, dispatch: dispatching.DispatchTask, draining) -> None:
         """Creates the application; `draining` is a `threading.Event`."""
         self._dispatch = dispatch
         self._draining = draining
@@ -230,7 +239,7 @@
     """Serves metrics as text, and the front's status as JSON at `/status`."""
 
     def __init__(
-        self, metrics: telemetry.Metrics, dispatch: delivery.DispatchTask
+        self, metrics: telemetry.Metrics, dispatch: dispatching.DispatchTask
     ) -> None:
         """Creates the application of one front."""
         self._metrics = metrics
@@ -243,7 +252,9 @@
             body = self._metrics.render_text().encode()
         else:
             try:
-                view = self._dispatch.ask(delivery.GetStatus()).result(STATUS_TIMEOUT_S)
+                view = self._dispatch.ask(dispatching.GetStatus()).result(
+                    STATUS_TIMEOUT_S
+                )
                 body, content_type = (
                     json.dumps(attrs.asdict(view)).encode(),
                     "application/json",
--- a/src/turmericward/platform/_notices.py
+++ b/src/turmericward/platform/_notices.py
@@ -5,7 +5,7 @@
 
 from absl import logging
 
-from turmericward import delivery, fleet, runtime, schema
+from turmericward import dispatching, fleet, runtime, schema
 from turmericward.platform import _headers
 
 WARNING_INTERVAL_S = 10.0
@@ -19,7 +19,7 @@
 
     def __init__(
         self,
-        post: Callable[[delivery.TargetNotice | delivery.RequestSent], None],
+        post: Callable[[dispatching.TargetNotice | dispatching.RequestSent], None],
         recently_limited: Callable[[], Collection[str]],
     ) -> None:
         """Creates the reader.
@@ -59,7 +59,7 @@
             limit = self._limit(resp, target, served_after)
         if leaving or backoff_s or limit is not None:
             self._post(
-                delivery.TargetNotice(
+                dispatching.TargetNotice(
                     target=target, leaving=leaving, backoff_s=backoff_s, limit=limit
                 )
             )
@@ -67,7 +67,7 @@
     def count_request(self, address: str) -> None:
         """Counts a request other than a call against the limit of its replica."""
         if self._recently_limited():
-            self._post(delivery.RequestSent(address=address))
+            self._post(dispatching.RequestSent(address=address))
 
     def _limit(
         self, resp, target: fleet.Target, served_after: float | None
--- a/src/turmericward/platform/_orders.py
+++ b/src/turmericward/platform/_orders.py
@@ -6,7 +6,7 @@
 
 from turmericward import (
     authority,
-    delivery,
+    dispatching,
     feeds,
     fleet,
     positions,
@@ -95,7 +95,7 @@
         self._holder = holder
         self._notices = notices
 
-    def state(self, target: fleet.Target) -> delivery.RoleState:
+    def state(self, target: fleet.Target) -> dispatching.RoleState:
         """Queries a replica's role state; see `delivery.Orders`."""
         status, raw = self._exchange(target, "GET", "/api/report", b"", None)
         if status != 200:
@@ -106,7 +106,7 @@
             )
         except schema.SchemaError as exc:
             raise errors.AnswerLostError(f"{target.name}: {exc}") from exc
-        return delivery.RoleState(
+        return dispatching.RoleState(
             role=fleet.EngineRole(report.stage),
             busy=report.busy,
             sequence=report.sequence,
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -12,10 +12,12 @@
 from turmericward import (
     authority,
     delivery,
+    dispatching,
     feeds,
     httpd,
     peers,
     positions,
+    routing,
     runtime,
     schema,
     telemetry,
@@ -89,7 +91,7 @@
             },
         )
         self._peer_task = peer_task
-        self._dispatch = delivery.DispatchTask(
+        self._dispatch = dispatching.DispatchTask(
             name=cfg.instance.name,
             domain=cfg.instance.domain,
             seed=seed,
@@ -119,7 +121,7 @@
                 _follow.TargetsSink(self._dispatch, self._rejections),
             ),
             self._roles_loop(notices),
-            delivery.CacheListingLoop(
+            dispatching.CacheListingLoop(
                 self._dispatch,
                 _cache_listing.ReplicaCacheLister(notices),
                 seed,
@@ -151,11 +153,11 @@
         pages = _ingress.OperatorPages(metrics, self._dispatch)
         self._server.add_probe(pages, metrics_address)
 
-    def _apply_table(self, table: delivery.RoutingTable) -> None:
+    def _apply_table(self, table: routing.RoutingTable) -> None:
         if table.client_limits is not None:
             self._server.set_client_limits(table.client_limits)
 
-    def _roles_loop(self, notices: _notices.NoticeReader) -> delivery.RolesLoop:
+    def _roles_loop(self, notices: _notices.NoticeReader) -> dispatching.RolesLoop:
         order_gap_s = self._cfg.bounds.order_gap_ms / 1000
         timing = authority.Timing(
             term_s=_orders.TERM_S,
@@ -164,7 +166,7 @@
             settle_s=order_gap_s + CLOCK_MARGIN_S,
         )
         holder = f"{self._cfg.instance.name}/{runtime.new_id()}"
-        return delivery.RolesLoop(
+        return dispatching.RolesLoop(
             self._dispatch,
             authority.OnDemandLease(holder, timing, runtime.new_id),
             _orders.StoreLease(self._store_client(), self._rejections),
@@ -266,8 +268,8 @@
     return min(capacity, schema.validators.MAX_INT32)
 
 
-def _retry_bounds(cfg: _settings.Settings) -> delivery.RetryBounds:
-    return delivery.RetryBounds(
+def _retry_bounds(cfg: _settings.Settings) -> dispatching.RetryBounds:
+    return dispatching.RetryBounds(
         share=cfg.bounds.retry_share, slack=cfg.bounds.retry_slack
     )
 
--- a/src/turmericward/platform/_records.py
+++ b/src/turmericward/platform/_records.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from turmericward import delivery, fleet, httpd, schema
+from turmericward import fleet, httpd, routing, schema
 
 # Clients abandon a stream after the longest of these without an event: a minimum, a
 # multiple of the latency objective, a multiple of the bound between events.
@@ -17,9 +17,9 @@
 # previous limit for a while after a change.
 IDLE_TIMEOUT_FACTOR = 2.0
 _KIND_BY_NAME = {
-    "idempotent": delivery.CallKind.IDEMPOTENT,
-    "non_idempotent": delivery.CallKind.NON_IDEMPOTENT,
-    "streaming": delivery.CallKind.STREAM,
+    "idempotent": routing.CallKind.IDEMPOTENT,
+    "non_idempotent": routing.CallKind.NON_IDEMPOTENT,
+    "streaming": routing.CallKind.STREAM,
 }
 _LEAVING_BY_STATE = {"in_service": False, "draining": True}
 _ROLE_BY_STAGE = {
@@ -124,24 +124,23 @@
         raise RecordError(str(exc)) from exc
 
 
-def _destinations(route: _Route) -> tuple[delivery.Destination, ...]:
+def _destinations(route: _Route) -> tuple[routing.Destination, ...]:
     if route.split:
         if not any(s.weight for s in route.split):
             raise RecordError(f"route {route.name!r} has no weight above 0")
         return tuple(
-            delivery.Destination(service=s.service, weight=s.weight)
-            for s in route.split
+            routing.Destination(service=s.service, weight=s.weight) for s in route.split
         )
     if not route.service:
         raise RecordError(f"route {route.name!r} names no service")
-    return (delivery.Destination(service=route.service),)
+    return (routing.Destination(service=route.service),)
 
 
-def _route(route: _Route) -> delivery.Route:
+def _route(route: _Route) -> routing.Route:
     timeout_s = route.timeout_ms / 1000
     objective_s = route.objective_ms / 1000 or timeout_s
     gap_s = route.gap_ms / 1000
-    return delivery.Route(
+    return routing.Route(
         name=route.name,
         host=route.host.lower(),
         path_prefix=route.path_prefix,
@@ -170,7 +169,7 @@
     )
 
 
-def routing_table(raw: bytes) -> delivery.RoutingTable:
+def routing_table(raw: bytes) -> routing.RoutingTable:
     """Decodes the operators' configuration into a routing table.
 
     Raises:
@@ -179,16 +178,16 @@
     return _decode(raw, _Manifest, "configuration", MAX_MANIFEST_BYTES, _table)
 
 
-def _table(manifest: _Manifest) -> delivery.RoutingTable:
+def _table(manifest: _Manifest) -> routing.RoutingTable:
     services = [
-        delivery.ServiceTraits(
+        routing.ServiceTraits(
             name=s.name, kv_capacity_tokens=s.engine.kv_capacity_tokens
         )
         for s in manifest.services
     ]
     routes = [_route(route) for route in manifest.routes]
     limits = manifest.limits and _client_limits(manifest.limits)
-    return delivery.RoutingTable(manifest.version, routes, services, limits)
+    return routing.RoutingTable(manifest.version, routes, services, limits)
 
 
 def is_name(key: str) -> bool:
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -5,7 +5,7 @@
 import re
 from collections.abc import Iterator
 
-from turmericward import delivery, fleet, runtime, schema
+from turmericward import fleet, routing, runtime, schema
 from turmericward.adapters import _guard, _request, errors, service
 from turmericward.platform import _headers, _notices, _releases
 
@@ -46,9 +46,9 @@
     def send(
         self,
         target: fleet.Target,
-        call: delivery.Call,
-        dispatch: delivery.Dispatch,
-    ) -> delivery.Answer:
+        call: routing.Call,
+        dispatch: routing.Dispatch,
+    ) -> routing.Answer:
         """Sends a call and reads the response's head; see `delivery.Transport`."""
         guard = _guard.Guard(
             runtime.now() + dispatch.timeout_s,
@@ -89,7 +89,7 @@
         return answer
 
     def _read_notices(
-        self, resp, target: fleet.Target, call: delivery.Call, sent_at: float
+        self, resp, target: fleet.Target, call: routing.Call, sent_at: float
     ) -> None:
         answers_call = _answers_call(resp, call)
         served = answers_call and resp.status < http.HTTPStatus.MULTIPLE_CHOICES
@@ -103,8 +103,8 @@
     def prefill(
         self,
         target: fleet.Target,
-        call: delivery.Call,
-        dispatch: delivery.Dispatch,
+        call: routing.Call,
+        dispatch: routing.Dispatch,
     ) -> str:
         """Requests a prefill; see `delivery.Transport`."""
         answer = self.send(target, call, dispatch)
@@ -164,11 +164,11 @@
     )
 
 
-def _answer(conn, resp, target) -> delivery.Answer:
+def _answer(conn, resp, target) -> routing.Answer:
     not_run = (
         resp.status in NOT_RUN_STATUSES or resp.getheader(_headers.NOT_RUN) is not None
     )
-    return delivery.Answer(
+    return routing.Answer(
         status=resp.status,
         headers=_end_to_end_headers(resp.getheaders()),
         chunks=_chunks(resp, target.address),
@@ -179,12 +179,12 @@
     )
 
 
-def _answers_call(resp: http.client.HTTPResponse, call: delivery.Call) -> bool:
+def _answers_call(resp: http.client.HTTPResponse, call: routing.Call) -> bool:
     """Returns whether the response doesn't belong to another call."""
     return resp.getheader(_headers.CALL_ID, call.id) == call.id
 
 
-def _check_call_id(resp, target: fleet.Target, call: delivery.Call) -> None:
+def _check_call_id(resp, target: fleet.Target, call: routing.Call) -> None:
     if not _answers_call(resp, call):
         other_id = resp.getheader(_headers.CALL_ID)
         raise errors.ForeignAnswerError(
--- /dev/null
+++ b/src/turmericward/routing/_errors.py
@@ -0,0 +1,13 @@
+"""Errors of routing."""
+
+
+class RoutingError(Exception):
+    """Base class of this package's errors; never raised directly."""
+
+
+class NoRouteError(RoutingError):
+    """Raised when the configuration in force has no route for a call."""
+
+
+class NotConfiguredError(RoutingError):
+    """Raised when no configuration has been loaded yet."""
--- a/src/turmericward/delivery/_fingerprint.py
+++ b/src/turmericward/routing/_fingerprint.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-from turmericward.delivery import _calls
+from turmericward.routing import _calls
 
 # Keeps these hashes apart from others of the same text.
 _PURPOSE = b"call content"
@@ -25,6 +25,6 @@
     return int.from_bytes(digest.digest(), signed=True)
 
 
-def as_hex(number: int) -> str:
+def fingerprint_hex(number: int) -> str:
     """Returns a fingerprint, or the number of a segment, as it is logged."""
     return f"{number & 0xFFFF_FFFF_FFFF_FFFF:016x}"
--- a/src/turmericward/delivery/_routes.py
+++ b/src/turmericward/routing/_routes.py
@@ -6,7 +6,7 @@
 import attrs
 
 from turmericward import httpd
-from turmericward.delivery import _calls, _errors
+from turmericward.routing import _calls, _errors
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -12,7 +12,7 @@
 import attrs
 
 from tests import fixtures, limited_fleet
-from turmericward import delivery, fleet, requests
+from turmericward import dispatching, fleet, requests, routing
 
 # The bounds of the rule: at most `MAX_LATE_ARRIVALS` requests with the segment reach
 # engines later than `SETTLING_S` after the fifth crash; from twice that time on, sound
@@ -39,7 +39,7 @@
 ROUTE = attrs.evolve(
     limited_fleet.ROUTE,
     name="ask",
-    kind=delivery.CallKind.STREAM,
+    kind=routing.CallKind.STREAM,
     objective_s=0.4,
     resumable=True,
 )
@@ -218,7 +218,7 @@
             self.schedule(self.now + STREAM_S, self._complete, engine, visit)
         if not self._is_running(front):
             return
-        message = delivery.FirstOutput(
+        message = dispatching.FirstOutput(
             placement=placement, prompt=call.prompt, took_s=self.now - reached_at
         )
         front.dispatch.handle(message)
@@ -240,7 +240,7 @@
     def _end(
         self, front, call: Call, placement, ending: requests.Ending, **details
     ) -> None:
-        message = delivery.PlacementEnded(
+        message = dispatching.PlacementEnded(
             placement=placement, prompt=call.prompt, ending=ending, **details
         )
         front.dispatch.handle(message)
@@ -298,7 +298,7 @@
     def _announce_removal(self, name: str) -> None:
         for front in self.fronts.values():
             if self._is_running(front):
-                front.dispatch.handle(delivery.PutTargets(removed=(name,)))
+                front.dispatch.handle(dispatching.PutTargets(removed=(name,)))
 
     def _restart(self, engine: Engine) -> None:
         target = attrs.evolve(
--- a/tests/crashing_services.py
+++ b/tests/crashing_services.py
@@ -11,8 +11,8 @@
 import attrs
 
 from tests import crashing_fleet, limited_fleet
-from turmericward import delivery, requests
-from turmericward.delivery import _fingerprint
+from turmericward import dispatching, requests, routing
+from turmericward.routing import _fingerprint
 
 # The bound of the rule: later than `SETTLING_S` after a request has crashed its third
 # replica, at most `MAX_LATE_ARRIVALS` sendings of it reach replicas.
@@ -27,7 +27,7 @@
 
 READ = limited_fleet.ROUTE
 WRITE = attrs.evolve(
-    READ, name="act", kind=delivery.CallKind.NON_IDEMPOTENT, max_attempts=1
+    READ, name="act", kind=routing.CallKind.NON_IDEMPOTENT, max_attempts=1
 )
 
 
@@ -37,7 +37,7 @@
 
     path: str = ""
     caller: str = ""
-    route: delivery.Route = READ
+    route: routing.Route = READ
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -103,7 +103,9 @@
         self.calls.append(call)
         self._request(call)
 
-    def _place_message(self, call: Call, prefill_domain: str) -> delivery.Place | None:
+    def _place_message(
+        self, call: Call, prefill_domain: str
+    ) -> dispatching.Place | None:
         message = super()._place_message(call, prefill_domain)
         if message is None:
             return None
@@ -144,7 +146,7 @@
             return
         if self._is_running(front):
             front.dispatch.handle(
-                delivery.FirstOutput(
+                dispatching.FirstOutput(
                     placement=placement, prompt=None, took_s=self.now - reached_at
                 )
             )
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from turmericward import delivery, fleet, peers, requests, runtime
+from turmericward import dispatching, fleet, peers, requests, routing, runtime
 
 # The bound on the requests that reach a target: in each window of this length, from
 # the settling time after it first named a limit on, at most this factor times what
@@ -32,11 +32,11 @@
 CLIENT_DEADLINE_S = 4.0
 MAX_CLIENT_ATTEMPTS = 4
 
-ROUTE = delivery.Route(
+ROUTE = routing.Route(
     name="read",
     host="h",
     path_prefix="/",
-    kind=delivery.CallKind.IDEMPOTENT,
+    kind=routing.CallKind.IDEMPOTENT,
     timeout_s=8.0,
     objective_s=0.8,
     gap_s=0.25,
@@ -44,7 +44,7 @@
     priority=1,
     max_attempts=2,
     resumable=False,
-    destinations=(delivery.Destination(service="s"),),
+    destinations=(routing.Destination(service="s"),),
 )
 
 
@@ -123,7 +123,7 @@
     name: str
     domain: str
     boot: int
-    dispatch: delivery.DispatchTask
+    dispatch: dispatching.DispatchTask
     peer_task: peers.PeerTask
     started_at: float = 0.0
     up: bool = True
@@ -137,7 +137,7 @@
     sent_at: float
     domain: str
     prompt: requests.Prompt | None
-    route: delivery.Route
+    route: routing.Route
     attempts: int = 0
     refused: bool = False
     answered_at: float | None = None
@@ -170,7 +170,7 @@
         calls_per_s: float,
         seed: int = 1,
         prompt: requests.Prompt | None = None,
-        routes: tuple[delivery.Route, ...] = (ROUTE,),
+        routes: tuple[routing.Route, ...] = (ROUTE,),
     ) -> None:
         """Creates fronts that know each other and all targets."""
         self.now = 0.0
@@ -222,12 +222,12 @@
 
     def start_front(self, name: str, domain: str) -> None:
         """Starts a front, also in place of one with the same name."""
-        dispatch = delivery.DispatchTask(
+        dispatch = dispatching.DispatchTask(
             name=name,
             domain=domain,
             seed=len(self.fronts),
             grace_s=2.5,
-            retries=delivery.RetryBounds(share=0.2, slack=50.0),
+            retries=dispatching.RetryBounds(share=0.2, slack=50.0),
             publish=lambda state: self._publish(front, state),
         )
         peer_task = peers.PeerTask(
@@ -248,7 +248,7 @@
         )
         self.fronts[name] = front
         targets = tuple(s.target for s in self.servers.values())
-        dispatch.handle(delivery.ReplaceTargets(targets=targets))
+        dispatch.handle(dispatching.ReplaceTargets(targets=targets))
         delay_s = LISTING_DELAY_S if self.now else 0.0
         self.schedule(self.now + delay_s, self._list_fronts, front)
         self.schedule(self.now, self._run_dispatch, front)
@@ -278,7 +278,7 @@
 
     def _announce(self, front: Front, target: fleet.Target) -> None:
         if self._is_running(front):
-            front.dispatch.handle(delivery.PutTargets(targets=(target,)))
+            front.dispatch.handle(dispatching.PutTargets(targets=(target,)))
 
     def _is_running(self, front: Front) -> bool:
         return front.up and self.fronts[front.name] is front
@@ -355,13 +355,13 @@
 
     def _place_message(
         self, call: ClientCall, prefill_domain: str
-    ) -> delivery.Place | None:
+    ) -> dispatching.Place | None:
         """Returns the request for a target, None if the client waits no longer."""
         remaining_s = call.sent_at + CLIENT_DEADLINE_S - self.now
         if remaining_s <= 0:
             return None
-        return delivery.Place(
-            call=delivery.Call(
+        return dispatching.Place(
+            call=routing.Call(
                 id="c",
                 method="GET",
                 target="/",
@@ -418,10 +418,12 @@
         dispatch = front.dispatch
         took_s = self.now - reached_at
         dispatch.handle(
-            delivery.FirstOutput(placement=placement, prompt=call.prompt, took_s=took_s)
+            dispatching.FirstOutput(
+                placement=placement, prompt=call.prompt, took_s=took_s
+            )
         )
         dispatch.handle(
-            delivery.PlacementEnded(
+            dispatching.PlacementEnded(
                 placement=placement,
                 prompt=call.prompt,
                 ending=requests.Ending.SUCCEEDED,
@@ -441,7 +443,7 @@
             return
         observed_at = sent_at if per_s is None else self.now
         limit = fleet.RateLimit(per_s=per_s, observed_at=observed_at)
-        front.dispatch.handle(delivery.TargetNotice(target=target, limit=limit))
+        front.dispatch.handle(dispatching.TargetNotice(target=target, limit=limit))
 
     # Results.
 
--- a/tests/test_answer_readers.py
+++ b/tests/test_answer_readers.py
@@ -8,7 +8,7 @@
 import attrs
 
 from tests import fixtures, test_dispatch
-from turmericward import authority, delivery, fleet, positions
+from turmericward import authority, fleet, positions, routing
 from turmericward.adapters import engine, engine_control, errors, log, service
 from turmericward.platform import (
     _cache_listing,
@@ -95,13 +95,13 @@
     return _notices.NoticeReader(lambda message: None, frozenset)
 
 
-def _call() -> delivery.Call:
+def _call() -> routing.Call:
     return attrs.evolve(test_dispatch._call(2.0), id=CALL_ID)
 
 
 def _read_call(address: str) -> bytes:
     transport = _transport.ReplicaTransport(_notice_reader())
-    dispatch = delivery.Dispatch(timeout_s=2.0, priority=1)
+    dispatch = routing.Dispatch(timeout_s=2.0, priority=1)
     answer = transport.send(_target(address), _call(), dispatch)
     if answer.not_run:
         raise errors.NotExecutedError(f"status {answer.status}")
@@ -110,7 +110,7 @@
 
 def _read_prefill(address: str) -> str:
     transport = _transport.ReplicaTransport(_notice_reader())
-    dispatch = delivery.Dispatch(timeout_s=2.0, priority=1, prefill_only=True)
+    dispatch = routing.Dispatch(timeout_s=2.0, priority=1, prefill_only=True)
     handle = transport.prefill(_target(address), _call(), dispatch)
     return handle.removeprefix(address)
 
--- a/tests/test_cache_listing_loop.py
+++ b/tests/test_cache_listing_loop.py
@@ -6,7 +6,7 @@
 
 from standins import platform_replica
 from tests import fixtures, platform_fixtures
-from turmericward import delivery, fleet, peers, runtime
+from turmericward import dispatching, fleet, peers, runtime
 from turmericward.adapters import errors
 from turmericward.platform import _cache_listing
 
@@ -45,8 +45,8 @@
 
     def __init__(self, lister: _Lister, seed: int = 1) -> None:
         self.published = []
-        retries = delivery.RetryBounds(share=0.0, slack=1.0)
-        self.task = delivery.DispatchTask(
+        retries = dispatching.RetryBounds(share=0.0, slack=1.0)
+        self.task = dispatching.DispatchTask(
             name=f"front-{seed}",
             domain="a",
             seed=seed,
@@ -56,9 +56,9 @@
         )
         self.task.ask = self._ask
         self.task.post = self.task.handle
-        self.loop = delivery.CacheListingLoop(self.task, lister, seed)
+        self.loop = dispatching.CacheListingLoop(self.task, lister, seed)
         self.loop.pause = lambda seconds: None
-        self.task.handle(delivery.PutTargets(targets=ENGINES))
+        self.task.handle(dispatching.PutTargets(targets=ENGINES))
 
     def _ask(self, message):
         fut = futures.Future()
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -8,9 +8,17 @@
 import attrs
 
 from tests import fixtures, test_dispatch
-from turmericward import delivery, fleet, peers, requests, runtime, telemetry
+from turmericward import (
+    delivery,
+    dispatching,
+    fleet,
+    peers,
+    requests,
+    routing,
+    runtime,
+    telemetry,
+)
 from turmericward.adapters import errors
-from turmericward.delivery import _fingerprint
 
 check = fixtures.check
 NO_FAULT = "none"
@@ -25,7 +33,7 @@
 class _Dispatcher:
     """Handles messages of the dispatcher's task synchronously."""
 
-    def __init__(self, task: delivery.DispatchTask) -> None:
+    def __init__(self, task: dispatching.DispatchTask) -> None:
         self._task = task
         self.granted = collections.Counter()
         self.posted: list[object] = []
@@ -33,7 +41,7 @@
     def ask(self, message) -> futures.Future:
         fut = futures.Future()
         answer = self._task.handle(message)
-        if isinstance(message, delivery.Place) and answer.is_ok():
+        if isinstance(message, dispatching.Place) and answer.is_ok():
             self.granted["retry" if message.retry else "first"] += 1
         fut.set_result(answer)
         return fut
@@ -55,7 +63,7 @@
         self._sends = iter(sends)
         self._prefills = iter(prefills)
         self._streams = iter(streams)
-        self.sent: list[tuple[str, delivery.Dispatch]] = []
+        self.sent: list[tuple[str, routing.Dispatch]] = []
         self.prefilled: list[str] = []
         self.released: list[str] = []
 
@@ -68,13 +76,13 @@
             raise FAULTS[fault]
         return f"{target.name}/kv{len(self.prefilled)}"
 
-    def send(self, target, call, dispatch) -> delivery.Answer:
+    def send(self, target, call, dispatch) -> routing.Answer:
         self.sent.append((target.name, dispatch))
         fault = next(self._sends, NO_FAULT)
         if fault in FAULTS:
             raise FAULTS[fault]
         chunks = next(self._streams, None) or iter([b"id: 1\ndata: x\n\n"])
-        return delivery.Answer(
+        return routing.Answer(
             status={"refused": 503, "error": 500}.get(fault, 200),
             headers=self._headers.get(fault, ()),
             chunks=chunks,
@@ -110,10 +118,10 @@
     **changes,
 ):
     """Delivers one call; returns the reply and the dispatcher."""
-    retries = delivery.RetryBounds(share=0.0, slack=slack)
+    retries = dispatching.RetryBounds(share=0.0, slack=slack)
     task = test_dispatch._task(retries=retries)
     announced = _targets() if targets is None else targets
-    task.handle(delivery.PutTargets(targets=tuple(announced)))
+    task.handle(dispatching.PutTargets(targets=tuple(announced)))
     dispatcher = _Dispatcher(task)
     ctx = delivery.Context(
         dispatch=dispatcher,
@@ -126,7 +134,7 @@
     return delivery.Delivery(ctx, call, "model").run(), dispatcher
 
 
-def _ids(reply: delivery.Reply) -> list[int]:
+def _ids(reply: routing.Reply) -> list[int]:
     return [int(event.id) for batch in reply.body for event in batch]
 
 
@@ -384,8 +392,8 @@
     check.assertIs(requests.Ending.SUCCEEDED.value, "sound")
 
 
-def _plain_call(seconds: int) -> delivery.Call:
-    route = attrs.evolve(test_dispatch.ROUTE, kind=delivery.CallKind.IDEMPOTENT)
+def _plain_call(seconds: int) -> routing.Call:
+    route = attrs.evolve(test_dispatch.ROUTE, kind=routing.CallKind.IDEMPOTENT)
     call = test_dispatch._call(1.0)
     return attrs.evolve(call, id=f"c{seconds}", route=route, prompt=None)
 
@@ -393,10 +401,10 @@
 def test_plain_service_calls_sustain_the_retry_budget():
     # One call in eight fails at its first target. The initial budget doesn't cover
     # all retries, so calls have to earn them.
-    retries = delivery.RetryBounds(share=0.2, slack=60.0)
+    retries = dispatching.RetryBounds(share=0.2, slack=60.0)
     task = test_dispatch._task(retries=retries)
     task.handle(
-        delivery.PutTargets(targets=tuple(test_dispatch._target(n) for n in "ab"))
+        dispatching.PutTargets(targets=tuple(test_dispatch._target(n) for n in "ab"))
     )
     dispatcher = _Dispatcher(task)
     answered = 0
@@ -417,10 +425,10 @@
     """Delivers a plain call whose only target takes it after 0.3 s."""
     task = test_dispatch._task()
     target = test_dispatch._target("p", role=None)
-    task.handle(delivery.PutTargets(targets=(target,)))
+    task.handle(dispatching.PutTargets(targets=(target,)))
     task.handle(peers.Members(names=frozenset(("front-2",))))
     limit = fleet.RateLimit(per_s=1 / 0.3, observed_at=runtime.now())
-    task.handle(delivery.TargetNotice(target=target, limit=limit))
+    task.handle(dispatching.TargetNotice(target=target, limit=limit))
     transport = _Transport()
     ctx = delivery.Context(
         dispatch=_Dispatcher(task),
@@ -447,7 +455,7 @@
 
 
 def _endings(dispatcher: _Dispatcher) -> list[requests.Ending]:
-    ended = (m for m in dispatcher.posted if isinstance(m, delivery.PlacementEnded))
+    ended = (m for m in dispatcher.posted if isinstance(m, dispatching.PlacementEnded))
     return [message.ending for message in ended]
 
 
@@ -534,7 +542,7 @@
     for prompt in (test_dispatch.PROMPT, None):
         transport = _Transport(sends=["closed"] * 3)
         with mock.patch.object(
-            _fingerprint, "fingerprint", wraps=_fingerprint.fingerprint
+            routing, "fingerprint", wraps=routing.fingerprint
         ) as fingerprint:
             _run(transport, targets, slack=600.0, max_attempts=4, prompt=prompt)
         check.assertEqual((len(transport.sent), fingerprint.call_count), (4, 1))
--- a/tests/test_delivery_stop.py
+++ b/tests/test_delivery_stop.py
@@ -7,7 +7,7 @@
 import result
 
 from tests import fixtures, test_delivery, test_dispatch
-from turmericward import delivery, requests, runtime, telemetry
+from turmericward import delivery, dispatching, requests, routing, runtime, telemetry
 from turmericward.adapters import errors
 from turmericward.delivery import _stop
 
@@ -44,7 +44,7 @@
         self._wait_if("prefill", call)
         return source
 
-    def send(self, target, call, dispatch) -> delivery.Answer:
+    def send(self, target, call, dispatch) -> routing.Answer:
         self._clock.now += self.send_s
         answer = super().send(target, call, dispatch)
         self._wait_if("send", call)
@@ -67,7 +67,7 @@
 
 def _context(drain: runtime.Drain, transport, times=None):
     task = test_dispatch._task()
-    task.handle(delivery.PutTargets(targets=tuple(test_delivery._targets())))
+    task.handle(dispatching.PutTargets(targets=tuple(test_delivery._targets())))
     dispatcher = test_delivery._Dispatcher(task)
     ctx = delivery.Context(
         dispatch=dispatcher,
@@ -97,7 +97,7 @@
     return delivery.Delivery(ctx, call, "model").run(), dispatcher
 
 
-def _check_refused(reply: delivery.Reply) -> None:
+def _check_refused(reply: routing.Reply) -> None:
     check.assertEqual((reply.status, reply.failure.reason), (503, "stopping"))
     check.assertFalse(reply.failure.may_have_run)
     check.assertEqual(reply.failure.retry_after_s, _stop.RETRY_AFTER_S)
--- a/tests/test_event_sequence.py
+++ b/tests/test_event_sequence.py
@@ -3,7 +3,8 @@
 import attrs
 
 from tests import fixtures
-from turmericward.delivery import _errors, _event_sequence, _events
+from turmericward import eventstream
+from turmericward.eventstream import _events, _sequence
 
 check = fixtures.check
 
@@ -31,7 +32,7 @@
 
 
 def _play(
-    sequence: _event_sequence.EventSequence, names: str, *, consecutive: bool = False
+    sequence: _sequence.EventSequence, names: str, *, consecutive: bool = False
 ) -> _Run:
     sequence.begin_run(consecutive=consecutive)
     given, fault = [], ""
@@ -40,7 +41,7 @@
             if sequence.accept(_event(name)):
                 given.append(name)
         sequence.end_run()
-    except _errors.EventOrderError as exc:
+    except eventstream.EventOrderError as exc:
         fault = str(exc)
     return _Run(" ".join(given), fault, sequence.resumable)
 
@@ -108,7 +109,7 @@
     """Guards against events taken for repeats that their own run can't contain."""
     for runs, consecutive in ((RUNS, False), (CONSECUTIVE_RUNS, True)):
         for name, (last_id, ids, expected) in runs.items():
-            sequence = _event_sequence.EventSequence(last_id)
+            sequence = _sequence.EventSequence(last_id)
             played = _play(sequence, ids, consecutive=consecutive)
             check.assertEqual(played, expected, (name, consecutive))
 
@@ -121,6 +122,6 @@
         ("1 2 3", "", _Run("")),
         ("10 20 30", "", _Run("")),
     ):
-        sequence = _event_sequence.EventSequence()
+        sequence = _sequence.EventSequence()
         _play(sequence, ids)
         check.assertEqual(_play(sequence, then), expected, ids)
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -6,7 +6,7 @@
 import attrs
 
 from tests import fixtures
-from turmericward import delivery, feeds, positions, runtime
+from turmericward import dispatching, feeds, positions, runtime
 from turmericward.adapters import errors
 
 check = fixtures.check
@@ -480,7 +480,7 @@
     started = runtime.now()
     case.loop.run_once()
     check.assertLess(runtime.now() - started, 0.5)
-    check.assertLessEqual(delivery.DispatchTask.period_s, 0.1)
+    check.assertLessEqual(dispatching.DispatchTask.period_s, 0.1)
 
 
 def test_a_full_batch_waits_while_a_listing_is_ahead_of_its_end():
--- a/tests/test_fingerprint.py
+++ b/tests/test_fingerprint.py
@@ -6,7 +6,7 @@
 
 from tests import fixtures, platform_fixtures, test_dispatch
 from turmericward import requests
-from turmericward.delivery import _fingerprint
+from turmericward.routing import _fingerprint
 
 check = fixtures.check
 CALL = attrs.evolve(test_dispatch._call(8.0), target="/a/b?c=1", caller="x", body=b"q")
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -11,13 +11,21 @@
 import attrs
 
 from tests import fixtures, test_delivery, test_dispatch
-from turmericward import delivery, fleet, requests, runtime, telemetry
+from turmericward import (
+    delivery,
+    dispatching,
+    fleet,
+    requests,
+    routing,
+    runtime,
+    telemetry,
+)
 from turmericward.adapters import _guard, _pending, _request, errors
 from turmericward.delivery import _late_attempt, _placements
 
 check = fixtures.check
 Ending = requests.Ending
-IDEMPOTENT = delivery.CallKind.IDEMPOTENT
+IDEMPOTENT = routing.CallKind.IDEMPOTENT
 
 
 class _Pending:
@@ -42,15 +50,15 @@
         self._kind = kind
         self._body = body
         self.pending = _Pending()
-        self.dispatch: delivery.Dispatch | None = None
+        self.dispatch: routing.Dispatch | None = None
         self.waits_s: list[float] = []
 
-    def head(self, target, call, dispatch) -> delivery.Answer:
+    def head(self, target, call, dispatch) -> routing.Answer:
         self.dispatch = dispatch
         for _ in self._run(self._steps):
             break
         headers = (("Content-Type", "text/plain"),) if self._kind == "text" else ()
-        return delivery.Answer(
+        return routing.Answer(
             status={"refused": 503, "error": 500}.get(self._kind, 200),
             headers=headers,
             chunks=self._chunks(),
@@ -90,10 +98,10 @@
 
     def __init__(self, task) -> None:
         super().__init__(task)
-        self.asked: list[delivery.Place] = []
+        self.asked: list[dispatching.Place] = []
 
     def ask(self, message) -> futures.Future:
-        if isinstance(message, delivery.Place):
+        if isinstance(message, dispatching.Place):
             self.asked.append(message)
         return super().ask(message)
 
@@ -107,7 +115,7 @@
         self._next = iter(attempts)
         self._prefill_attempts = iter(prefills)
 
-    def send(self, target, call, dispatch) -> delivery.Answer:
+    def send(self, target, call, dispatch) -> routing.Answer:
         self.sent.append((target.name, dispatch))
         return next(self._next).head(target, call, dispatch)
 
@@ -137,8 +145,8 @@
     prompt = changes.pop("prompt", test_dispatch.PROMPT)
     deadline_s = changes.pop("deadline_s", 8.0)
     disconnected = changes.pop("disconnected", lambda: False)
-    task = test_dispatch._task(retries=delivery.RetryBounds(share=0.0, slack=slack))
-    task.handle(delivery.PutTargets(targets=tuple(targets or _engines())))
+    task = test_dispatch._task(retries=dispatching.RetryBounds(share=0.0, slack=slack))
+    task.handle(dispatching.PutTargets(targets=tuple(targets or _engines())))
     dispatcher = _Dispatcher(task)
     ctx = delivery.Context(
         dispatch=dispatcher, transport=transport, metrics=telemetry.Metrics(None, "")
@@ -153,7 +161,7 @@
     return received, dispatcher
 
 
-def _received(reply: delivery.Reply):
+def _received(reply: routing.Reply):
     if reply.failure is not None:
         return reply.status
     if isinstance(reply.body, bytes):
@@ -223,7 +231,7 @@
     begun = [
         message.placement.target.name
         for message in dispatcher.posted
-        if isinstance(message, delivery.FirstOutput)
+        if isinstance(message, dispatching.FirstOutput)
     ]
     check.assertEqual(begun, [name for name, _ in transport.sent])
 
@@ -395,7 +403,7 @@
         ended = [
             message
             for message in dispatcher.posted
-            if isinstance(message, delivery.PlacementEnded)
+            if isinstance(message, dispatching.PlacementEnded)
         ]
         check.assertEqual([m.target_closed_call for m in ended], [lost, False])
 
@@ -403,7 +411,7 @@
 def test_a_call_that_may_run_once_gets_no_second_attempt():
     first = _Attempt("late", "late", "head", body=b"first")
     body, sent, _ = _run_plain(
-        first, kind=delivery.CallKind.NON_IDEMPOTENT, resumable=False
+        first, kind=routing.CallKind.NON_IDEMPOTENT, resumable=False
     )
     check.assertEqual((body, sent), (b"first", 1))
     check.assertGreater(first.waits_s[0], 7.0)
@@ -449,19 +457,19 @@
 
 
 def _silence_task(count: int = 3, slack: float = 600.0):
-    task = test_dispatch._task(retries=delivery.RetryBounds(share=0.0, slack=slack))
-    task.handle(delivery.PutTargets(targets=tuple(_engines(count))))
+    task = test_dispatch._task(retries=dispatching.RetryBounds(share=0.0, slack=slack))
+    task.handle(dispatching.PutTargets(targets=tuple(_engines(count))))
     return task
 
 
 def _place_beside(task, name: str, silent_s: float = 1.0):
-    silent = delivery.SilentTarget(name=name, silent_s=silent_s)
+    silent = dispatching.SilentTarget(name=name, silent_s=silent_s)
     return test_dispatch._place(
         task, retry=True, prefilled=True, excluded=frozenset((name,)), silent=silent
     )
 
 
-def _short() -> delivery.Call:
+def _short() -> routing.Call:
     return attrs.evolve(test_dispatch._call(8.0), prompt=SHORT)
 
 
@@ -482,7 +490,7 @@
     task = _silence_task(2)
     check.assertTrue(_place_beside(task, "e0").is_ok())
     check.assertEqual(_used(task), {"e1"})
-    task.handle(delivery.TargetWentOn(name="e0"))
+    task.handle(dispatching.TargetWentOn(name="e0"))
     check.assertIn("e0", _used(task))
 
 
@@ -497,7 +505,7 @@
     task = _silence_task(1)
     placement = test_dispatch._place(task).unwrap()
     task.handle(
-        delivery.FirstOutput(
+        dispatching.FirstOutput(
             placement=placement, prompt=test_dispatch.PROMPT, took_s=0.1
         )
     )
@@ -556,7 +564,7 @@
 
 def test_calls_were_refused_as_without_target_when_all_were_silent_for_a_moment():
     with mock.patch.object(_placements, "CONNECT_AGAIN_S", 0.01):
-        for kind in (IDEMPOTENT, delivery.CallKind.NON_IDEMPOTENT):
+        for kind in (IDEMPOTENT, routing.CallKind.NON_IDEMPOTENT):
             answered = _Attempt("head", body=b"x")
             attempts = [*_silent_connects(10), answered]
             body, sent, _ = _run_plain(*attempts, slack=0.0, kind=kind, resumable=False)
@@ -603,14 +611,16 @@
         task = _silence_task(4)
         placement = _place_beside(task, "e0").unwrap()
         before = task._budgets.available()["model"]
-        ended = delivery.PlacementEnded(
+        ended = dispatching.PlacementEnded(
             placement=placement, prompt=SHORT, ending=ending
         )
         for _ in range(2):
             task.handle(ended)
         check.assertEqual(task._budgets.available()["model"], before + 1, ending)
-    earning = test_dispatch._task(retries=delivery.RetryBounds(share=0.5, slack=60.0))
-    earning.handle(delivery.PutTargets(targets=tuple(_engines())))
+    earning = test_dispatch._task(
+        retries=dispatching.RetryBounds(share=0.5, slack=60.0)
+    )
+    earning.handle(dispatching.PutTargets(targets=tuple(_engines())))
     test_dispatch._place(earning, call=_short(), retry=True)
     low = earning._budgets.available()["model"]
     test_dispatch._place(earning, call=_short(), first=False)
@@ -674,7 +684,7 @@
         self._waiting = []
 
     def ask(self, message) -> futures.Future:
-        if not isinstance(message, delivery.Place) or self._answered > 0:
+        if not isinstance(message, dispatching.Place) or self._answered > 0:
             self._answered -= 1
             return super().ask(message)
         self._waiting.append((message, futures.Future()))
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -15,7 +15,7 @@
     test_dispatch,
     test_late_attempts,
 )
-from turmericward import delivery, fleet, telemetry
+from turmericward import delivery, dispatching, fleet, routing, telemetry
 from turmericward.entry import _transport as entry_transport
 from turmericward.platform import _notices, _transport
 
@@ -126,7 +126,7 @@
 
 def _run(transport, *targets: _Target, **changes):
     """Delivers a call whose first attempt is at the first target."""
-    retries = delivery.RetryBounds(share=0.0, slack=changes.pop("slack", 60.0))
+    retries = dispatching.RetryBounds(share=0.0, slack=changes.pop("slack", 60.0))
     task = test_dispatch._task(retries=retries)
     first, *others = (
         fleet.Target(
@@ -140,7 +140,7 @@
         for n, target in enumerate(targets)
     )
     changes.pop("role", None)
-    task.handle(delivery.PutTargets(targets=(first,)))
+    task.handle(dispatching.PutTargets(targets=(first,)))
     dispatcher = _AnnouncingDispatcher(task, others)
     ctx = delivery.Context(
         dispatch=dispatcher, transport=transport, metrics=telemetry.Metrics(None, "")
@@ -163,8 +163,8 @@
 
     def ask(self, message):
         answer = super().ask(message)
-        if isinstance(message, delivery.Place):
-            self._task.handle(delivery.PutTargets(targets=self._others))
+        if isinstance(message, dispatching.Place):
+            self._task.handle(dispatching.PutTargets(targets=self._others))
         return answer
 
 
@@ -229,7 +229,7 @@
             silent,
             prompt=None,
             role=None,
-            kind=delivery.CallKind.IDEMPOTENT,
+            kind=routing.CallKind.IDEMPOTENT,
             deadline_s=2.4,
             objective_s=0.1,
         )
@@ -245,7 +245,7 @@
                 transport,
                 hung,
                 slow,
-                kind=delivery.CallKind.IDEMPOTENT,
+                kind=routing.CallKind.IDEMPOTENT,
                 deadline_s=2.4,
                 objective_s=0.1,
             )
@@ -265,7 +265,7 @@
             full,
             prompt=None,
             role=None,
-            kind=delivery.CallKind.IDEMPOTENT,
+            kind=routing.CallKind.IDEMPOTENT,
             body=bytes(LONG_BODY_BYTES),
             deadline_s=2.4,
             objective_s=0.1,
@@ -291,7 +291,7 @@
                 *others,
                 prompt=None,
                 role=None,
-                kind=delivery.CallKind.IDEMPOTENT,
+                kind=routing.CallKind.IDEMPOTENT,
                 deadline_s=2.4,
                 objective_s=0.1,
                 max_attempts=3,
@@ -336,7 +336,7 @@
                 paused,
                 silent,
                 body=body,
-                kind=delivery.CallKind.IDEMPOTENT,
+                kind=routing.CallKind.IDEMPOTENT,
                 objective_s=0.1,
                 deadline_s=3.0,
             )
--- a/tests/test_late_outcomes.py
+++ b/tests/test_late_outcomes.py
@@ -14,9 +14,10 @@
     test_late_attempts,
     test_router_task,
 )
-from turmericward import delivery, requests, telemetry
+from turmericward import delivery, dispatching, requests, telemetry
 from turmericward.adapters import errors
-from turmericward.delivery import _messages, _progress
+from turmericward.delivery import _progress
+from turmericward.dispatching import _messages
 
 check = fixtures.check
 Ending = requests.Ending
@@ -166,7 +167,7 @@
         refusal=mock.Mock(side_effect=RuntimeError("fault")),
     )
     call = attrs.evolve(test_dispatch._call(8.0), prompt=test_router_task._demand("x"))
-    message = delivery.Place(call=call, service="model", excluded=frozenset())
+    message = dispatching.Place(call=call, service="model", excluded=frozenset())
     for task in (front, entry):
         thread = threading.Thread(target=task.run, daemon=True)
         thread.start()
--- a/tests/test_operator_returns.py
+++ b/tests/test_operator_returns.py
@@ -4,7 +4,7 @@
 import random
 
 from tests import fixtures, platform_fixtures, test_dispatch, test_store_returns
-from turmericward import delivery, feeds
+from turmericward import dispatching, feeds
 from turmericward.platform import _follow
 
 check = fixtures.check
@@ -51,7 +51,7 @@
         self.task = test_dispatch._task()
         self.in_force: list[int] = []
 
-    def post(self, message: delivery.SetTable) -> None:
+    def post(self, message: dispatching.SetTable) -> None:
         self.task.handle(message)
         self.in_force.append(self.task.table.version)
 
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -8,7 +8,7 @@
 
 from standins import launch, platform_replica
 from tests import fixtures, limited_fleet, platform_fixtures
-from turmericward import delivery
+from turmericward import eventstream
 
 check = fixtures.check
 PROMPT = platform_fixtures.PROMPT
@@ -323,7 +323,7 @@
 
 def test_malformed_event_ids_have_no_number():
     for event_id in ("\xb2", "9" * 5_000, "-1", "", "1.5"):
-        event = delivery.Event(id=event_id, raw=b"")
+        event = eventstream.Event(id=event_id, raw=b"")
         check.assertIsNone(event.number, event_id[:5])
 
 
--- a/tests/test_platform_notices.py
+++ b/tests/test_platform_notices.py
@@ -4,7 +4,7 @@
 
 from standins import platform_replica
 from tests import fixtures, test_adapters
-from turmericward import delivery, fleet
+from turmericward import dispatching, fleet
 from turmericward.adapters import errors
 from turmericward.platform import _cache_listing, _notices, _orders, _transport
 
@@ -40,7 +40,7 @@
 
 def test_requests_besides_calls_are_counted_while_a_target_is_limited():
     posted, address = _requests_counted({"m1"})
-    check.assertEqual(posted, [delivery.RequestSent(address=address)] * 3)
+    check.assertEqual(posted, [dispatching.RequestSent(address=address)] * 3)
     posted, _ = _requests_counted(set())
     check.assertEqual(posted, [])
 
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -6,7 +6,7 @@
 import tomllib
 
 from tests import fixtures, platform_fixtures
-from turmericward import delivery, fleet
+from turmericward import fleet, routing
 from turmericward.platform import _records
 
 check = fixtures.check
@@ -77,7 +77,7 @@
         (host, "/read"),
         ("c.example", "/read/x"),
     ):
-        with check.assertRaises(delivery.NoRouteError):
+        with check.assertRaises(routing.NoRouteError):
             table.find(unknown, path)
 
 
--- a/tests/test_rejected_messages.py
+++ b/tests/test_rejected_messages.py
@@ -1,7 +1,7 @@
 """Messages with foreign data on which a handler fails."""
 
 from tests import fixtures, test_dispatch
-from turmericward import delivery, fleet
+from turmericward import dispatching, fleet, routing
 
 check = fixtures.check
 
@@ -20,12 +20,12 @@
     task._placer.cache_index.set_service = fail
     names = ("t1", "bad", "t2")
     targets = tuple(test_dispatch._target(name) for name in names)
-    task.handle_posted(delivery.ReplaceTargets(targets=targets))
+    task.handle_posted(dispatching.ReplaceTargets(targets=targets))
     check.assertEqual([str(exc) for _, exc in rejected], ["injected"])
     known = {t.name for t in task._directory.all()}
     check.assertTrue({"t1", "t2"} <= known)
     # A handler that fails on each message ends the task, and so the process.
-    message = delivery.PutTargets(targets=(test_dispatch._target("bad"),))
+    message = dispatching.PutTargets(targets=(test_dispatch._target("bad"),))
     with check.assertRaises(ArithmeticError):
         for _ in range(1_000):
             task.handle_posted(message)
@@ -34,7 +34,7 @@
 def test_the_table_in_force_stays_if_a_later_one_cannot_be_applied():
     applied = []
 
-    def apply(table: delivery.RoutingTable) -> None:
+    def apply(table: routing.RoutingTable) -> None:
         if table.version == 2:
             raise ArithmeticError("injected")
         applied.append(table.version)
@@ -43,8 +43,8 @@
     rejected = []
     task.on_rejected = lambda message, exc: rejected.append(message.table.version)
     for version in (1, 2):
-        table = delivery.RoutingTable(version, ())
-        task.handle_posted(delivery.SetTable(table=table))
+        table = routing.RoutingTable(version, ())
+        task.handle_posted(dispatching.SetTable(table=table))
     check.assertEqual((applied, rejected, task.table.version), ([1], [2], 1))
 
 
--- a/tests/test_roles_loop.py
+++ b/tests/test_roles_loop.py
@@ -5,8 +5,8 @@
 
 from benchmarks import prompt_model
 from tests import fixtures
-from turmericward import authority, delivery, fleet, positions
-from turmericward.delivery import _messages
+from turmericward import authority, dispatching, fleet, positions
+from turmericward.dispatching import _messages
 
 check = fixtures.check
 # Without waits: the loop uses the real clock.
@@ -34,7 +34,7 @@
         self.ordered: list[str] = []
 
     def state(self, target):
-        return delivery.RoleState(role=target.role, busy=False, sequence=0)
+        return dispatching.RoleState(role=target.role, busy=False, sequence=0)
 
     def order(self, change, sequence, held) -> bool:
         self.ordered.append(change.target.name)
@@ -63,10 +63,10 @@
         pass
 
 
-def _loop(log: _Log, orders: _Orders, enabled) -> delivery.RolesLoop:
+def _loop(log: _Log, orders: _Orders, enabled) -> dispatching.RolesLoop:
     ids = iter(range(1000))
     lease = authority.OnDemandLease("front-1", TIMING, lambda: str(next(ids)))
-    loop = delivery.RolesLoop(
+    loop = dispatching.RolesLoop(
         _Dispatcher(), lease, log, orders, positions.Eras(lambda: None), enabled
     )
     loop.pause = lambda seconds: None
--- a/tests/test_router_task.py
+++ b/tests/test_router_task.py
@@ -8,7 +8,7 @@
 from tests import fixtures, test_dispatch
 from turmericward import (
     configuration,
-    delivery,
+    dispatching,
     fleet,
     membership,
     requests,
@@ -52,7 +52,7 @@
     call = attrs.evolve(
         test_dispatch._call(8.0), prompt=_demand(text), body=text.encode()
     )
-    message = delivery.Place(call=call, service="m", excluded=frozenset())
+    message = dispatching.Place(call=call, service="m", excluded=frozenset())
     return task.handle(attrs.evolve(message, **changes))
 
 
@@ -63,7 +63,7 @@
 def _finish(task, placement) -> None:
     succeeded = requests.Ending.SUCCEEDED
     task.handle(
-        delivery.PlacementEnded(placement=placement, prompt=None, ending=succeeded)
+        dispatching.PlacementEnded(placement=placement, prompt=None, ending=succeeded)
     )
 
 
@@ -109,7 +109,7 @@
         now += 5.0
         placement = _choose(task, "deadly")
         for late_s in (0.0, 0.1):
-            message = delivery.PlacementEnded(
+            message = dispatching.PlacementEnded(
                 placement=placement,
                 prompt=_demand("deadly"),
                 ending=requests.Ending.CRASHED,
@@ -128,7 +128,7 @@
     now = time.monotonic()
     for _ in range(3):
         now += 400.0
-        message = delivery.PlacementEnded(
+        message = dispatching.PlacementEnded(
             placement=_choose(task, "unlucky"),
             prompt=_demand("unlucky"),
             ending=requests.Ending.CRASHED,
@@ -142,7 +142,7 @@
 def test_second_attempts_beside_a_silent_engine_leave_retries_to_lost_calls():
     task = _task()
     _set_view(task, [])
-    silent = delivery.SilentTarget(name="e0", silent_s=1.0)
+    silent = dispatching.SilentTarget(name="e0", silent_s=1.0)
     both = frozenset({"e0", "e1"})
     # Without a target they cost nothing.
     for _ in range(20):
--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -7,7 +7,7 @@
 
 from benchmarks import _emulator, _loads, _variants
 from tests import fixtures, limited_fleet
-from turmericward import delivery, fleet, requests
+from turmericward import fleet, requests, routing
 
 check = fixtures.check
 PROMPT = requests.Prompt(
@@ -186,7 +186,7 @@
         [*prefill, *decode],
         calls_per_s=20.0,
         prompt=PROMPT,
-        routes=(attrs.evolve(limited_fleet.ROUTE, kind=delivery.CallKind.STREAM),),
+        routes=(attrs.evolve(limited_fleet.ROUTE, kind=routing.CallKind.STREAM),),
     )
     with world:
         world.run(20.0)
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -6,7 +6,7 @@
 
 from standins import launch, platform_store
 from tests import fixtures, platform_fixtures, test_adapters, test_feeds
-from turmericward import authority, delivery, feeds, fleet, peers, positions
+from turmericward import authority, dispatching, feeds, fleet, peers, positions
 from turmericward.adapters import errors
 from turmericward.platform import _follow, _orders, _store
 
@@ -179,12 +179,12 @@
         self.now = 0.0
 
     def post(self, message) -> None:
-        if isinstance(message, delivery.StoreRecovered):
+        if isinstance(message, dispatching.StoreRecovered):
             self.directory.store_recovered(self.now)
             return
         for target in message.targets:
             self.directory.put(target)
-        if isinstance(message, delivery.PutTargets):
+        if isinstance(message, dispatching.PutTargets):
             for name in message.removed:
                 self.directory.remove(name, self.now)
             return
--- a/tests/test_suspect_log.py
+++ b/tests/test_suspect_log.py
@@ -5,27 +5,27 @@
 import attrs
 
 from tests import crashing_services, fixtures, test_dispatch
-from turmericward import delivery, requests, telemetry
-from turmericward.delivery import _evidence
+from turmericward import dispatching, requests, telemetry
+from turmericward.dispatching import _evidence
 
 check = fixtures.check
 OPEN_CALLS = 64
 
 
-def _guard() -> delivery.CrashGuard:
-    return delivery.CrashGuard(
+def _guard() -> dispatching.CrashGuard:
+    return dispatching.CrashGuard(
         lambda target: requests.Incarnation(1, target.started_ms)
     )
 
 
-def _place_all(guard: delivery.CrashGuard, numbers, started_ms: int) -> list:
+def _place_all(guard: dispatching.CrashGuard, numbers, started_ms: int) -> list:
     """Places calls with these fingerprints at an incarnation; returns their ends."""
     target = attrs.evolve(
         crashing_services.replicas(1)[0].target, started_ms=started_ms
     )
     ends = []
     for number in numbers:
-        message = delivery.Place(
+        message = dispatching.Place(
             call=attrs.evolve(test_dispatch._call(8.0), prompt=None),
             service="s",
             excluded=frozenset(),
@@ -35,7 +35,7 @@
         placement = requests.Placement(id=number, target=target)
         guard.placed(message, number)
         ends.append(
-            delivery.PlacementEnded(
+            dispatching.PlacementEnded(
                 placement=placement, prompt=None, ending=requests.Ending.CRASHED
             )
         )
