--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -1,6 +1,7 @@
 """Delivery of calls to targets with scripted faults, without sockets."""
 
 import collections
+import itertools
 import time
 from concurrent import futures
 from unittest import mock
@@ -354,6 +355,13 @@
     check.assertTrue(reply.failure.may_have_run)
 
 
+def test_comments_without_end_before_the_first_event_are_bounded():
+    comments = itertools.repeat(b": still here\n\n" * 64)
+    transport = _Transport(streams=[comments])
+    reply, _ = _run(transport, max_attempts=1, resumable=False)
+    check.assertEqual(reply.status, 502)
+
+
 def test_non_resumable_stream_raises_stream_broken():
     transport = _Transport(streams=[iter(_Stream([[1, 2]], False))])
     reply, _ = _run(transport, max_attempts=1, resumable=False)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -51,7 +51,8 @@
     watch = processor_waits.Stopwatch()
     status, took_s = _call_took_s(platform, path, name)
     watch.stop()
-    check.assertIn(status, {0, 200, 502, 503, 504}, name)
+    # 200 would be an answer that looks complete.
+    check.assertIn(status, {0, 502, 503, 504}, name)
     return watch, [took_s]
 
 
