A stop logs why it takes or refuses each call, and what it leaves open

The hypotheses (docs/incidents/2026-12-05-stop-cut-streams.md) differ in whether a front took a call it couldn't end, and by which estimate, or exited with it. No line told either: an admission in a stop left nothing, and a call that was open at the exit nothing at all.

Change: stop_admission (outcome, basis, need_s, stop_left_s, received_s), ended_by_stop with received_s and silent_s, left_open for each call without a final answer at the exit, delivery.stop.<outcome>.<basis>. The decision itself is unchanged.

--- a/src/turmericward/delivery/_context.py
+++ b/src/turmericward/delivery/_context.py
@@ -7,7 +7,7 @@
 import attrs
 
 from turmericward import fleet, routing, runtime, telemetry
-from turmericward.delivery import _stop
+from turmericward.delivery import _open_calls, _stop
 
 
 class Dispatcher(Protocol):
@@ -54,7 +54,7 @@
     """Dependencies that all deliveries of a process share.
 
     `drain` has the time bounds of the process's planned stop, `times` how long calls
-    take.
+    take, `open_calls` those without a final answer.
     """
 
     dispatch: Dispatcher
@@ -62,3 +62,4 @@
     metrics: telemetry.Metrics
     drain: runtime.Drain = attrs.field(factory=lambda: runtime.Drain(math.inf))
     times: _stop.CallTimes = attrs.field(factory=_stop.CallTimes)
+    open_calls: _open_calls.OpenCalls = attrs.field(factory=_open_calls.OpenCalls)
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -72,7 +72,13 @@
 
     def run(self) -> routing.Reply:
         """Returns the reply; a streamed body is relayed as it is iterated."""
-        return attrs.evolve(self._final_reply(), target=self._parts.target)
+        self._ctx.open_calls.add(self._record)
+        try:
+            reply = self._final_reply()
+        except BaseException:
+            self._ctx.open_calls.discard(self._record)
+            raise
+        return attrs.evolve(reply, target=self._parts.target)
 
     def _final_reply(self) -> routing.Reply:
         try:
--- a/src/turmericward/delivery/_early_end.py
+++ b/src/turmericward/delivery/_early_end.py
@@ -54,7 +54,7 @@
         """
         if self._client_disconnected() or not self.ended_by_stop:
             raise ClientDisconnectedError
-        self._record.log_ended_by_stop(phase)
+        self._record.log_ended_by_stop(phase, self._stop)
         if phase.may_run:
             self._progress.record_interrupted_run()
         self._progress.abandon(_stop.REASON, _stop.RETRY_AFTER_S)
@@ -73,12 +73,18 @@
             self._progress.abandon("deadline")
         if retry:
             self._began_at = runtime.now()
-        if not self._admits(call, runtime.now() - self._began_at):
+        admission = self._stop.admission(call, runtime.now() - self._began_at)
+        if admission is None:
+            return
+        granted = self._answer_begun or admission.granted
+        self._record.log_admission(admission, self._stop, granted=granted, retry=retry)
+        if not granted:
             self._progress.abandon(_stop.REASON, _stop.RETRY_AFTER_S)
 
-    def _admits(self, call: routing.Call, elapsed_s: float) -> bool:
+    def _admits(self, call: routing.Call) -> bool:
         # A stream that the client has in part can't be refused any more.
-        return self._answer_begun or self._stop.admits(call, elapsed_s)
+        admission = self._stop.admission(call, 0.0)
+        return self._answer_begun or admission is None or admission.granted
 
     def exclude_wait(self, waited_s: float) -> None:
         """Records that the attempt had to wait before it was sent."""
@@ -98,7 +104,7 @@
         If not, they aren't given up before the call's deadline.
         """
         names = frozenset(placement.target.name for placement in running)
-        return self._progress.may_repeat(names) and self._admits(call, 0.0)
+        return self._progress.may_repeat(names) and self._admits(call)
 
     def record_answered(self, call: routing.Call) -> None:
         """Records how long the call took to the end of its answer."""
--- a/src/turmericward/delivery/_final_replies.py
+++ b/src/turmericward/delivery/_final_replies.py
@@ -16,6 +16,7 @@
     def record(self, outcome: str, status: int) -> None:
         """Records the end of the call."""
         progress = self._parts.progress
+        self._parts.ctx.open_calls.discard(self._parts.record)
         self._parts.record.record_reply(
             outcome,
             status,
--- a/src/turmericward/delivery/_record.py
+++ b/src/turmericward/delivery/_record.py
@@ -29,6 +29,18 @@
         self._waiting_since = self._wait_until = runtime.now()
         self._late_placement: requests.Placement | None = None
 
+    def log_left_open(self) -> None:
+        """Logs a call that has no final answer as its process exits."""
+        telemetry.log_event(
+            "left_open",
+            request_id=self._call.id,
+            route=self._call.route.name,
+            began=self._first_event_at is not None,
+            silent_s=self.silent_s,
+            after_s=self._elapsed_s(),
+            left_s=round(self._call.remaining_s(), 3),
+        )
+
     @functools.cached_property
     def fingerprint(self) -> int:
         """What names the content of the call; a body may have many megabytes."""
@@ -141,7 +153,30 @@
             left_s=round(self._call.remaining_s(), 3),
         )
 
-    def log_ended_by_stop(self, phase: _stop.CallPhase) -> None:
+    def log_admission(
+        self,
+        admission: _stop.Admission,
+        stop: _stop.CallStop,
+        *,
+        granted: bool,
+        retry: bool,
+    ) -> None:
+        """Logs and counts whether an attempt may begin during the process's stop."""
+        outcome = "granted" if granted else "refused"
+        self._metrics.count(f"delivery.stop.{outcome}.{admission.basis.value}")
+        telemetry.log_event(
+            "stop_admission",
+            request_id=self._call.id,
+            outcome=outcome,
+            retry=retry,
+            basis=admission.basis.value,
+            need_s=round(admission.need_s, 3),
+            stop_left_s=round(admission.left_s, 3),
+            received_s=round(stop.received_s(self._call), 3),
+            left_s=round(self._call.remaining_s(), 3),
+        )
+
+    def log_ended_by_stop(self, phase: _stop.CallPhase, stop: _stop.CallStop) -> None:
         """Logs and counts a call that the process's stop ends."""
         self._metrics.count(f"delivery.ended_by_stop.{phase.value}")
         telemetry.log_event(
@@ -149,6 +184,8 @@
             request_id=self._call.id,
             phase=phase.value,
             passed_on=phase.may_run,
+            received_s=round(stop.received_s(self._call), 3),
+            silent_s=self.silent_s,
             after_s=self._elapsed_s(),
             left_s=round(self._call.remaining_s(), 3),
         )
--- a/src/turmericward/delivery/_stop.py
+++ b/src/turmericward/delivery/_stop.py
@@ -44,6 +44,33 @@
         return self in (CallPhase.RUNNING, CallPhase.STREAMING)
 
 
+class Basis(enum.Enum):
+    """What the time that an attempt needs in a stop is taken from."""
+
+    USUAL = "usual"
+    LONGEST = "longest"
+    # The time that the call has left, or a share of it.
+    DEADLINE = "deadline"
+
+
+@attrs.frozen(kw_only=True)
+class Admission:
+    """Whether an attempt may begin during a stop.
+
+    `need_s` is the time that it is taken to need, `left_s` the time until open calls
+    have to end.
+    """
+
+    basis: Basis
+    need_s: float
+    left_s: float
+
+    @property
+    def granted(self) -> bool:
+        """Whether the attempt may begin."""
+        return self.need_s <= self.left_s
+
+
 class CallTimes:
     """How long recent calls took to the end of their answers; thread-safe."""
 
@@ -93,8 +120,12 @@
         """Returns whether open calls have to get their final answers now."""
         return self.drain.until_deadline_s <= 0
 
-    def admits(self, call: routing.Call, elapsed_s: float) -> bool:
-        """Returns whether an attempt is likely to end before the stop does.
+    def received_s(self, call: routing.Call) -> float:
+        """Returns how long after the beginning of the stop a call was received."""
+        return self.drain.elapsed_s - (runtime.now() - call.received)
+
+    def admission(self, call: routing.Call, elapsed_s: float) -> Admission | None:
+        """Returns whether an attempt is likely to end before the stop; None before it.
 
         Args:
             call: the call; without earlier calls of its route it may last until its
@@ -102,15 +133,18 @@
             elapsed_s: time since its first attempt began, if none has failed.
         """
         if not self.drain.began:
-            return True
-        return self._need_s(call, elapsed_s) <= self.drain.until_deadline_s
+            return None
+        basis, need_s = self._need(call, elapsed_s)
+        return Admission(basis=basis, need_s=need_s, left_s=self.drain.until_deadline_s)
 
-    def _need_s(self, call: routing.Call, elapsed_s: float) -> float:
+    def _need(self, call: routing.Call, elapsed_s: float) -> tuple[Basis, float]:
         # New callers still come then, and a refusal costs them more than the rare call
         # that is cut.
         early = self.drain.is_mostly_left
         times, route = self.times, call.route
         likely_s = times.usual_s(route.name) if early else times.longest_s(route.name)
+        remaining_s = call.remaining_s()
         if likely_s is None:
-            return call.remaining_s() * (USUAL_SHARE if early else 1.0)
-        return min(call.remaining_s(), max(route.objective_s, likely_s - elapsed_s))
+            return Basis.DEADLINE, remaining_s * (USUAL_SHARE if early else 1.0)
+        basis = Basis.USUAL if early else Basis.LONGEST
+        return basis, min(remaining_s, max(route.objective_s, likely_s - elapsed_s))
--- a/src/turmericward/entry/_assembly.py
+++ b/src/turmericward/entry/_assembly.py
@@ -59,6 +59,7 @@
         try:
             self._server.run(stop, self._start_draining)
         finally:
+            self._ctx.open_calls.log()
             self._group.stop(min(STOP_TIMEOUT_S, self._ctx.drain.until_end_s))
 
     def _start_draining(self) -> None:
--- a/src/turmericward/entry/_context.py
+++ b/src/turmericward/entry/_context.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from turmericward import runtime, telemetry
+from turmericward import delivery, runtime, telemetry
 from turmericward.entry import _errors, _follow_loop, _http, _mirror, _router_task
 
 BUSY_RETRY_AFTER_S = 1.0
@@ -66,6 +66,7 @@
     thread_limiter: ThreadLimiter
     drain: runtime.Drain
     draining: threading.Event = attrs.field(factory=threading.Event)
+    open_calls: delivery.OpenCalls = attrs.field(factory=delivery.OpenCalls)
 
     def ask_router(self, message: object) -> object:
         """Sends a message to the router task and waits for the reply."""
--- a/src/turmericward/entry/_models.py
+++ b/src/turmericward/entry/_models.py
@@ -38,6 +38,7 @@
             transport=_transport.EngineTransport(),
             metrics=ctx.metrics,
             drain=ctx.drain,
+            open_calls=ctx.open_calls,
         )
 
     def list_models(self, req: _http.Request) -> _http.Response:
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -136,6 +136,7 @@
             metrics=metrics,
             drain=self._drain,
         )
+        self._open_calls = ctx.open_calls
         limits = httpd.Limits(
             threads=WORKER_THREADS,
             max_body_bytes=DEFAULT_MAX_BODY_BYTES,
@@ -254,6 +255,7 @@
         try:
             self._server.run(stop, self._begin_drain)
         finally:
+            self._open_calls.log()
             self._group.stop(min(STOP_TIMEOUT_S, self._drain.until_end_s))
 
     def _begin_drain(self) -> None:
--- a/tests/test_delivery_stop.py
+++ b/tests/test_delivery_stop.py
@@ -2,6 +2,7 @@
 
 import time
 from concurrent import futures
+from unittest import mock
 
 import attrs
 import result
@@ -291,6 +292,38 @@
     check.assertEqual(len(transport.sent), 2)
 
 
+def _logged(log_event, name: str) -> list[dict]:
+    return [c.kwargs for c in log_event.call_args_list if c.args == (name,)]
+
+
+def test_the_log_did_not_tell_why_a_stop_took_or_refused_a_call():
+    for left_s, took_s, outcome in ((6.0, 1.0, "granted"), (6.0, 6.5, "refused")):
+        clock = _Clock()
+        with mock.patch.object(telemetry, "log_event") as log_event:
+            _run(_Transport(clock), clock, left_s=left_s, took_s=took_s)
+        lines = _logged(log_event, "stop_admission")
+        check.assertEqual({line["outcome"] for line in lines}, {outcome})
+        check.assertEqual(lines[0]["basis"], "usual")
+        check.assertEqual(lines[0]["need_s"], took_s)
+        check.assertAlmostEqual(lines[0]["stop_left_s"], left_s, places=2)
+        check.assertAlmostEqual(lines[0]["received_s"], 7.0 - left_s, delta=0.1)
+
+
+def test_the_log_did_not_tell_which_calls_a_process_left_open():
+    transport = _Transport(_Clock())
+    ctx, _ = _context(runtime.Drain(STOP_S), transport)
+    for reads in (True, False):
+        reply = delivery.Delivery(ctx, test_dispatch._call(CALL_S), "model").run()
+        with mock.patch.object(telemetry, "log_event") as log_event:
+            ctx.open_calls.log()
+        (line,) = _logged(log_event, "left_open")
+        check.assertEqual((line["request_id"], line["began"]), ("c", True))
+        if reads:
+            test_delivery._ids(reply)
+        reply.body.close()
+        check.assertEqual(len(ctx.open_calls), 0)
+
+
 def test_kv_cache_is_not_released_before_the_last_answers_of_a_stop():
     clock = _Clock()
     transport = _Transport(clock, silent_in="send")
