Failing test: streams that take longer than all before a stop are cut at its end

What callers saw: a stream sent after SIGTERM, passed on, closed before its end. Reproduced with one real front, calm, SIGTERM alone: 40 streams of 0.25 s, then 20 streams of 5 s (6 s of time) 3.2 to 4.6 s after SIGTERM: 20 of 20 cut at 7.0 s, the process ends at 7.47 s with status 0.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -148,6 +148,18 @@
         _check_stop(platform, _stop_with(platform, delays, **work))
 
 
+# Calls got longer than all before them while the process stopped, and were cut.
+def test_streams_that_took_longer_than_all_before_the_stop_were_cut_at_its_end():
+    rng = random.Random(SEED)
+    with platform_fixtures.platform(("p1", "m1", "m2")) as platform:
+        _configure(platform)
+        work = {"route": "long", "work_s": 0.25, "events": 2, "deadline_s": 6.0}
+        _call_before(platform, 40 * [work])
+        work |= {"work_s": LONG_S, "events": 10}
+        delays = [1.0] + [rng.uniform(3.2, 4.6) for _ in range(20)]
+        _check_stop(platform, _stop_with(platform, delays, **work))
+
+
 def test_calls_sent_as_the_process_ends_are_answered_or_not_read():
     for seed in SEEDS:
         rng = random.Random(seed)
