After a stop is known, only the deadline of a call lets it begin, no estimate

What callers saw (LOST): a stream sent after SIGTERM was passed on and cut at 7.0 s of 8, its target at work. Cause: while the process stopped, a call was taken if 1.25 times the longest of its route's last 128 calls fitted (or all of its own time, with few known). Calls that got longer than all before them - another mix, slower engines - were cut. Class: a promise rests on an estimate from the past.

So estimates may decide until callers can know of the stop (the balancer's lag, less 0.25 s by which the process may learn late); later only what is certain: the call's own deadline is in time. The lag is a bound of the stop now (runtime.Drain), known once, not also a limit of the server.

Ruled out: larger factors or margins on the estimate (no factor is a bound). Price: calls with more time than is left are refused (503, not run, 0.1 s).

--- a/src/turmericward/delivery/_stop.py
+++ b/src/turmericward/delivery/_stop.py
@@ -125,11 +125,14 @@
         return self.drain.elapsed_s - (runtime.now() - call.received)
 
     def admission(self, call: routing.Call, elapsed_s: float) -> Admission | None:
-        """Returns whether an attempt is likely to end before the stop; None before it.
+        """Returns whether an attempt may begin during the stop; None before it.
+
+        A call that came before its client could know of the stop may begin if it is
+        likely to end in time. Of a later one only its own deadline is certain: calls
+        may take longer than all before them.
 
         Args:
-            call: the call; without earlier calls of its route it may last until its
-                deadline.
+            call: the call.
             elapsed_s: time since its first attempt began, if none has failed.
         """
         if not self.drain.began:
@@ -138,12 +141,12 @@
         return Admission(basis=basis, need_s=need_s, left_s=self.drain.until_deadline_s)
 
     def _need(self, call: routing.Call, elapsed_s: float) -> tuple[Basis, float]:
-        # New callers still come then, and a refusal costs them more than the rare call
-        # that is cut.
+        remaining_s = call.remaining_s()
+        if not self.drain.is_before_notice(self.received_s(call)):
+            return Basis.DEADLINE, remaining_s
         early = self.drain.is_mostly_left
         times, route = self.times, call.route
         likely_s = times.usual_s(route.name) if early else times.longest_s(route.name)
-        remaining_s = call.remaining_s()
         if likely_s is None:
             return Basis.DEADLINE, remaining_s * (USUAL_SHARE if early else 1.0)
         basis = Basis.USUAL if early else Basis.LONGEST
--- a/src/turmericward/entry/_assembly.py
+++ b/src/turmericward/entry/_assembly.py
@@ -31,7 +31,7 @@
         if cfg.statsd is not None:
             statsd = _address.split(cfg.statsd.address)
             prefix = f"{cfg.statsd.prefix}.{name}"
-        drain = runtime.Drain(cfg.entry.drain_s)
+        drain = runtime.Drain(cfg.entry.drain_s, lag_s=cfg.entry.balancer_lag_s)
         self._ctx = _context.Context(
             cfg=cfg,
             name=name,
@@ -49,7 +49,6 @@
         limits = httpd.Limits(
             threads=cfg.entry.threads,
             max_body_bytes=cfg.entry.max_body_bytes,
-            balancer_lag_s=cfg.entry.balancer_lag_s,
         )
         self._server = httpd.Server(_app.App(self._ctx), address, limits, drain)
 
--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -34,13 +34,11 @@
 class Limits:
     """Limits of a server.
 
-    `balancer_lag_s` is how long the load balancer takes to notice that the server
-    is no longer ready, `queue_s` how long a request may wait for a thread.
+    `queue_s` is how long a request may wait for a thread.
     """
 
     threads: int
     max_body_bytes: int
-    balancer_lag_s: float
     connections: int = CONNECTION_LIMIT
     queue_s: float = math.inf
 
@@ -70,7 +68,7 @@
         Args:
             app: the WSGI callable.
             address: IP address and port.
-            limits: limits of the server, and the delay at its shutdown.
+            limits: limits of the server.
             drain: time bounds of the shutdown; unbounded if None.
         """
         self._limits = limits
@@ -86,9 +84,7 @@
         self._monitor = _idle.IdleMonitor()
         self._server = self._listen(app, address, limits.threads)
         self._refuser = _waiting.Refuser(self._server.task_dispatcher, limits.queue_s)
-        self._stopper = _stopping.Stopper(
-            self._server, self._drain, limits.balancer_lag_s
-        )
+        self._stopper = _stopping.Stopper(self._server, self._drain)
 
     def _listen(self, app, address: tuple[str, int], threads: int):
         host, port = address
@@ -114,7 +110,7 @@
         server.channel_class = _channel.Channel
         server.lingering = set()
         # Never begins; replaced by the stopper of the main server.
-        server.shutdown = _shutdown.Shutdown(runtime.Drain(math.inf), 0.0)
+        server.shutdown = _shutdown.Shutdown(runtime.Drain(math.inf))
         # `_close_expired` does this by the monotonic clock.
         server.maintenance = lambda now: None
         self._servers.append(server)
--- a/src/turmericward/httpd/_shutdown.py
+++ b/src/turmericward/httpd/_shutdown.py
@@ -83,19 +83,16 @@
     def __init__(
         self,
         drain: runtime.Drain,
-        lag_s: float,
         clock: Callable[[], float] = runtime.now,
     ) -> None:
         """Creates the machine of a server that serves.
 
         Args:
             drain: time bounds of the stop.
-            lag_s: time that the load balancer takes to notice.
             clock: the clock of `drain`.
         """
         self.phase = Phase.SERVING
         self._drain = drain
-        self._lag_s = lag_s
         self._clock = clock
         self._settled_at = 0.0
 
@@ -136,7 +133,7 @@
             return Phase.CLOSING
         if self.phase is Phase.FINISHING:
             return self.phase if in_use else Phase.CLOSING
-        lag_is_over = self._drain.elapsed_s >= self._lag_s
+        lag_is_over = self._drain.elapsed_s >= self._drain.lag_s
         return Phase.FINISHING if lag_is_over else Phase.LEAVING
 
     @property
--- a/src/turmericward/httpd/_stopping.py
+++ b/src/turmericward/httpd/_stopping.py
@@ -25,17 +25,16 @@
 class Stopper:
     """Advances the phases of a stop and applies them to the connections."""
 
-    def __init__(self, server, drain: runtime.Drain, lag_s: float) -> None:
+    def __init__(self, server, drain: runtime.Drain) -> None:
         """Creates the stopper.
 
         Args:
             server: the waitress server; its `shutdown` is set to the state machine.
             drain: time bounds of the stop.
-            lag_s: time that the load balancer takes to notice.
         """
         self._server = server
         self._drain = drain
-        self._machine = _shutdown.Shutdown(drain, lag_s)
+        self._machine = _shutdown.Shutdown(drain)
         server.shutdown = self._machine
 
     @property
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -75,7 +75,7 @@
         self._eras = positions.Eras(lambda: metrics.count("store.new_eras"))
         self.reload = _reload.ReloadLoop(path, cfg, self._reconfigure)
         self._draining = threading.Event()
-        self._drain = runtime.Drain(cfg.bounds.drain_s)
+        self._drain = runtime.Drain(cfg.bounds.drain_s, lag_s=BALANCER_LAG_S)
         seed = zlib.crc32(cfg.instance.name.encode())
         sock = peers.open_socket(cfg.instance.address, cfg.listen.peers)
         peer_task = peers.PeerTask(
@@ -140,7 +140,6 @@
         limits = httpd.Limits(
             threads=WORKER_THREADS,
             max_body_bytes=DEFAULT_MAX_BODY_BYTES,
-            balancer_lag_s=BALANCER_LAG_S,
             connections=cfg.limits.file_descriptors - RESERVED_DESCRIPTORS,
             queue_s=QUEUE_S,
         )
--- a/src/turmericward/runtime/_drain.py
+++ b/src/turmericward/runtime/_drain.py
@@ -13,6 +13,8 @@
 MAX_ANSWER_MARGIN_S = 0.5
 EXIT_MARGIN_SHARE = 1 / 10
 MAX_EXIT_MARGIN_S = 0.5
+# How late the process may learn that its stop has begun.
+SIGNAL_MARGIN_S = 0.25
 
 
 class Drain:
@@ -24,17 +26,23 @@
     """
 
     def __init__(
-        self, length_s: float, clock: Callable[[], float] = _clock.now
+        self,
+        length_s: float,
+        clock: Callable[[], float] = _clock.now,
+        *,
+        lag_s: float = 0.0,
     ) -> None:
         """Creates the bounds of a stop that has not begun.
 
         Args:
             length_s: time between the signal to stop and the kill.
             clock: returns the current time.
+            lag_s: time that the load balancer takes to notice that the process stops.
         """
         self._lock = threading.Lock()
         self._clock = clock
         self._length_s = length_s
+        self.lag_s = lag_s
         self._began_at: float | None = None
 
     def set_length(self, length_s: float) -> None:
@@ -62,6 +70,10 @@
         """Seconds since the stop began, 0 before."""
         return 0.0 if self._began_at is None else self._clock() - self._began_at
 
+    def is_before_notice(self, elapsed_s: float) -> bool:
+        """Returns whether callers couldn't know of the stop yet at a time of it."""
+        return elapsed_s <= self.lag_s - SIGNAL_MARGIN_S
+
     @property
     def until_end_s(self) -> float:
         """Seconds until `end`, 0 after it."""
