--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -234,6 +234,8 @@
     def _buffered_reply(self, answer: routing.Answer) -> routing.Reply | None:
         try:
             body = answer.read()
+            if self._parts.is_cut_off(answer, self._open.placement.target):
+                raise errors.ConnectionLostError("answer ended with its target")
         except errors.CancelledError:
             self._early_end.end_call(_stop.CallPhase.RUNNING)
         except errors.AdapterError as exc:
--- a/src/turmericward/delivery/_parts.py
+++ b/src/turmericward/delivery/_parts.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from turmericward import routing
+from turmericward import fleet, routing
 from turmericward.delivery import (
     _context,
     _early_end,
@@ -32,3 +32,10 @@
     def failure(self) -> routing.Failure:
         """Returns the failure to report if no further attempt is made."""
         return self.progress.failure(deadline_passed=self.call.remaining_s() <= 0)
+
+    def is_cut_off(self, answer: routing.Answer, target: fleet.Target) -> bool:
+        """Returns whether an answer that seems complete ended with its target.
+
+        The end of an unframed one looks the same.
+        """
+        return answer.unframed and self.ctx.transport.has_ended(target)
--- a/src/turmericward/delivery/_stream_delivery.py
+++ b/src/turmericward/delivery/_stream_delivery.py
@@ -90,14 +90,9 @@
     def is_cut_off(self, attempt: _stream.StreamAttempt) -> bool:
         """Returns whether an attempt that seems complete ended with its target.
 
-        The end of an unframed stream looks the same. If it was complete, a resumed
-        stream has no further events.
+        If it was complete, a resumed stream has no further events.
         """
-        target = attempt.placement.target
-        may_repeat = self._parts.progress.may_repeat(frozenset((target.name,)))
-        if not attempt.answer.unframed or not may_repeat:
-            return False
-        return self._parts.ctx.transport.has_ended(target)
+        return self._parts.is_cut_off(attempt.answer, attempt.placement.target)
 
     def forbid_resuming(self) -> None:
         """Records that no other attempt can go on with the stream."""
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -1,6 +1,7 @@
 """Delivery of calls to targets with scripted faults, without sockets."""
 
 import collections
+import contextlib
 import itertools
 import time
 from concurrent import futures
@@ -348,6 +349,29 @@
         check.assertEqual(_ids(reply), ids, ended)
 
 
+def test_an_unframed_stream_looked_whole_though_its_target_had_ended():
+    for ended, whole in (((), True), (("e0", "e1", "e2", "e3"), False)):
+        streams = [iter(_Stream([[1, 2]], True))]
+        transport = _Transport(sends=["unframed"], streams=streams, ended=ended)
+        targets = [test_dispatch._target(f"e{n}") for n in range(4)]
+        reply, _ = _run(transport, targets, max_attempts=1, resumable=False)
+        broken = None if whole else check.assertRaises(delivery.StreamBrokenError)
+        with broken or contextlib.nullcontext():
+            check.assertEqual(_ids(reply), [1, 2])
+
+
+def test_an_unframed_answer_looked_whole_though_its_target_had_ended():
+    names = tuple(f"e{n}" for n in range(4))
+    for kind, status, sent in (("NON_IDEMPOTENT", 502, 1), ("IDEMPOTENT", 200, 2)):
+        streams = [iter([b"a par"]), iter([b"a whole answer"])]
+        transport = _Transport(sends=["unframed"], streams=streams, ended=names)
+        targets = [test_dispatch._target(name) for name in names]
+        changes = {"kind": routing.CallKind[kind], "resumable": False}
+        reply, _ = _run(transport, targets, prompt=None, max_attempts=2, **changes)
+        check.assertEqual((reply.status, len(transport.sent)), (status, sent))
+        check.assertNotEqual(reply.body, b"a par")
+
+
 def test_stream_broken_before_its_first_event_returns_502():
     transport = _Transport(streams=[iter(_Stream([], False))])
     reply, _ = _run(transport, max_attempts=1, resumable=False)
