A target that is ending is not taken for one that listens

Cause: an ending process may close its listener after its other connections; the connection that asks is taken and then reset. It is watched for 10 ms now, and the address asked again.

--- a/src/turmericward/adapters/_request.py
+++ b/src/turmericward/adapters/_request.py
@@ -19,6 +19,9 @@
 # Bounds memory if a faulty target sends an endless body.
 MAX_BODY_BYTES = 8 * 1024 * 1024
 PIECE_BYTES = 256 * 1024
+# How long a listener that is being closed takes to reset a new connection.
+LISTENER_CLOSE_S = 0.01
+MAX_LISTENER_CHECKS = 3
 REQUEST_ID = "X-Request-Id"
 
 
@@ -40,15 +43,32 @@
 
 
 def refuses_connections(address: str, timeout_s: float) -> bool:
-    """Returns whether nothing listens at an address any more."""
+    """Returns whether nothing listens at an address any more.
+
+    A process that ends may close other connections before its listener, which resets
+    the connections that it still takes.
+    """
     host, port = _address.split(address)
+    for _ in range(MAX_LISTENER_CHECKS):
+        try:
+            with socket.create_connection((host, port), timeout_s) as sock:
+                if not _is_closed_at_once(sock):
+                    return False
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+    return False
+
+
+def _is_closed_at_once(sock: socket.socket) -> bool:
+    sock.settimeout(LISTENER_CLOSE_S)
     try:
-        socket.create_connection((host, port), timeout_s).close()
-    except ConnectionRefusedError:
-        return True
-    except OSError:
+        return not sock.recv(1)
+    except TimeoutError:
         return False
-    return False
+    except OSError:
+        return True
 
 
 def connect(
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+import select
 import socket
 import threading
 import time
@@ -900,3 +901,16 @@
             targets=_engines(2),
         )
     check.assertEqual((received, sent), (WHOLE, 5))
+
+
+def test_a_target_that_was_ending_looked_alive_while_its_listener_closed():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+
+        def close_at_the_next_connection():
+            select.select([listener], [], [])
+            listener.close()
+
+        with futures.ThreadPoolExecutor(1) as executor:
+            executor.submit(close_at_the_next_connection)
+            check.assertTrue(_request.refuses_connections(address, 0.2))
