A stop doesn't end a begun stream's attempt for one that hasn't answered

Cause: beside a silent target a second attempt replaces the first after 0.3 s, answered or not, since a third may follow. While the process stops, the third may be refused (retry budget, no target) with no time left to ask again: a begun stream, sent at any time, then has no target, is broken off, and no target is at work in the last sixth of the grace. So nothing excuses the cut: the front ended the attempt itself.

Ruled out: both attempts kept until the end (two targets may work on a stream for 0.3 s only); no second attempt in a stop (a target that never goes on would cost the stream). Prompts without output yet stay as they were: they get a whole 502 or 503, nothing is cut.

Change: during a stop a stream that its client has in part leaves its first attempt only for a second one that answers within 0.3 s, which is else ended (`not_awaited`) and not repeated.

--- a/src/turmericward/delivery/_early_end.py
+++ b/src/turmericward/delivery/_early_end.py
@@ -106,6 +106,11 @@
         names = frozenset(placement.target.name for placement in running)
         return self._progress.may_repeat(names) and self._admits(call)
 
+    @property
+    def stops(self) -> bool:
+        """Whether the process stops."""
+        return self._stop.drain.began
+
     def record_answered(self, call: routing.Call) -> None:
         """Records how long the call took to the end of its answer."""
         self._stop.times.record(call.route.name, runtime.now() - self._began_at)
--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -29,6 +29,10 @@
 MAX_OVERLAP_S = 0.3
 
 
+class _NotAwaitedError(errors.AdapterError):
+    """Raised when a second attempt is ended though the first one is silent."""
+
+
 class LateAttempts:
     """Second attempts of one call; `on_late` is called while the first one waits.
 
@@ -36,8 +40,9 @@
     head of a usable answer, of a plain call the whole; that of a stream or a prompt
     also when the second has worked for `MAX_OVERLAP_S`, if the retry budget allows a
     third. Otherwise the first answer counts; if neither comes, the first attempt is
-    ended when a third one is allowed. As long as the first attempt is open, a failure
-    of the second is none of the call.
+    ended when a third one is allowed. While the process stops, a stream that its client
+    has in part is kept at the first unless the second answers within `MAX_OVERLAP_S`.
+    As long as the first attempt is open, a failure of the second is none of the call.
     """
 
     def __init__(
@@ -148,10 +153,11 @@
         try:
             answer = self._send(pending, second)
         except errors.RivalAnsweredError:
-            second.end(requests.Ending.DISCONNECTED)
-            parts.progress.record_not_needed(placement.target.name)
-            parts.record.log_second_attempt("not_needed", "", placement.target.name)
+            self._end_second(second, "not_needed")
             self.output_received()
+        except _NotAwaitedError:
+            self._end_second(second, "not_awaited")
+            return parts.call.deadline
         except errors.CancelledError:
             self._end_either(second)
             raise
@@ -166,6 +172,12 @@
             self._take_over_if_usable(pending, second, answer)
         return self._ask_again_at()
 
+    def _end_second(self, second: _open_placement.OpenPlacement, outcome: str) -> None:
+        name = second.placement.target.name
+        second.end(requests.Ending.DISCONNECTED)
+        self._parts.progress.record_not_needed(name)
+        self._parts.record.log_second_attempt(outcome, "", name)
+
     def _end_either(self, second: _open_placement.OpenPlacement) -> None:
         """Ends the second attempt, whether or not it has replaced the first."""
         if second.placement is None:
@@ -197,7 +209,7 @@
     def _overlap_s(self, second: requests.Placement) -> float:
         """Returns how long the second attempt is waited for beside the first."""
         parts = self._parts
-        if not self._keeps_both(second):
+        if self._keeps_first or not self._keeps_both(second):
             return MAX_OVERLAP_S
         return _timeouts.first_byte_timeout_s(
             parts.call,
@@ -209,6 +221,11 @@
         parts = self._parts
         return parts.early_end.may_repeat(parts.call, parts.open.current, second)
 
+    @property
+    def _keeps_first(self) -> bool:
+        # A stream whose other attempt fails may get no further one before the end.
+        return self.began and self._parts.early_end.stops
+
     def _keeps_both(self, second: requests.Placement) -> bool:
         """Returns whether the first goes on until the second answers."""
         return self._parts.call.first_answer_counts or second.last_retry
@@ -223,6 +240,8 @@
             return self.on_late(pending_second)
         if self._parts.call.remaining_s() <= 0:
             raise TimeoutError("no bytes before the deadline")
+        if self._keeps_first:
+            raise _NotAwaitedError("the process stops")
         if self._keeps_both(second.placement):
             return self._on_late_both(pending, second, pending_second)
         self._replace_first(pending, second)
--- a/tests/test_delivery_stop.py
+++ b/tests/test_delivery_stop.py
@@ -7,7 +7,7 @@
 import attrs
 import result
 
-from tests import fixtures, test_delivery, test_dispatch
+from tests import fixtures, test_delivery, test_dispatch, test_late_attempts
 from turmericward import delivery, dispatching, requests, routing, runtime, telemetry
 from turmericward.adapters import errors
 from turmericward.delivery import _stop
@@ -402,3 +402,49 @@
     _check_refused(delivery.Delivery(ctx, call, "model").run())
     check.assertEqual((transport.prefilled, transport.sent), ([], []))
     check.assertGreater(time.monotonic() - began, 0.09)
+
+
+# The attempt at the silent target had been ended, and no other one was allowed.
+def test_a_stop_cut_a_begun_stream_whose_silent_target_would_have_gone_on():
+    for second in (
+        test_late_attempts._Attempt("late", "head", kind="refused"),
+        test_late_attempts._Attempt("late", test_delivery.FAULTS["lost"]),
+    ):
+        first = test_late_attempts._stream(1, "late", 2)
+        ends = [requests.Ending.DISCONNECTED, requests.Ending.SUCCEEDED]
+        check.assertEqual(_run_late(first, second), ([1, 2], ends))
+        check.assertLessEqual(second.dispatch.timeout_s, 0.4)
+
+
+def test_a_silent_target_is_replaced_in_a_stop_once_another_one_has_answered():
+    first = test_late_attempts._stream(1, "late")
+    second = test_late_attempts._stream(2)
+    ends = [requests.Ending.LATE, requests.Ending.SUCCEEDED]
+    check.assertEqual(_run_late(first, second), ([1, 2], ends))
+
+
+def _run_late(first, second) -> tuple[list, list[requests.Ending]]:
+    """Stops the process under a stream that may be sent once more, no oftener.
+
+    Returns what the client gets, and how its two attempts ended.
+    """
+    drain = runtime.Drain(STOP_S, _Clock(), lag_s=LAG_S)
+    transport = test_late_attempts._Transport(first, second)
+    ctx, dispatcher = _context(drain, transport)
+    granted = dispatcher.ask
+
+    def ask(message):
+        if not message.retry or not dispatcher.granted["retry"]:
+            return granted(message)
+        refusal = requests.Refusal(reason="retry_budget", retry_after_s=1.0)
+        fut = futures.Future()
+        fut.set_result(result.Err(refusal))
+        return fut
+
+    dispatcher.ask = ask
+    call = test_dispatch._call(CALL_S)
+    route = attrs.evolve(call.route, max_attempts=4, resumable=True)
+    reply = delivery.Delivery(ctx, attrs.evolve(call, route=route), "model").run()
+    drain.begin()
+    received = test_late_attempts._received(reply)
+    return received, test_delivery._endings(dispatcher)[-2:]
