Table of the stop: what a call waits for, and when it was sent

A table of twenty cells under a virtual clock: prefill, rate limit, a refused and a lost attempt, a stream that broke off, each 2.5 s long, for calls sent before callers could know of the stop (likely to end in time, likely only before the wait) and later (their own deadline in time, and not). Both clocks, that of the stop and that of the call, are the test's.

Found: no cell in which a late call that isn't certain is sent.

--- a/tests/test_delivery_stop.py
+++ b/tests/test_delivery_stop.py
@@ -19,6 +19,8 @@
 EARLY_S = 1.0
 CALL_S = 8.0
 INTERRUPT_WAIT_S = 5.0
+# Longer than a call that took as long as those before it could still wait.
+WAIT_S = 2.5
 ROUTE = {"objective_s": 0.1, "abandon_s": 20.0}
 
 
@@ -31,6 +33,9 @@
     def __call__(self) -> float:
         return self.now
 
+    def advance(self, seconds: float) -> None:
+        self.now += seconds
+
 
 class _Transport(test_delivery._Transport):
     """Waits in one phase until the call is interrupted; moves the clock forward."""
@@ -404,6 +409,87 @@
     check.assertGreater(time.monotonic() - began, 0.09)
 
 
+class _Waiting(_Transport):
+    """Lets each call wait once, on the clock of the stop and of the calls."""
+
+    def __init__(self, clock: _Clock, wait: str) -> None:
+        sends = {"refused attempt": ["refused"], "lost attempt": ["lost"]}.get(wait, ())
+        streams = [test_delivery._Stream([[n]], n == 2) for n in (1, 2)]
+        streams = streams if wait == "broken stream" else ()
+        super().__init__(clock, sends=sends, streams=(iter(s) for s in streams))
+        self._wait = "attempt" if sends or streams else wait
+
+    def take_wait_s(self, wait: str) -> float:
+        if wait != self._wait:
+            return 0.0
+        self._wait = ""
+        return WAIT_S
+
+    def prefill(self, target, call, dispatch) -> str:
+        self._clock.now += self.take_wait_s("prefill")
+        return super().prefill(target, call, dispatch)
+
+    def send(self, target, call, dispatch) -> routing.Answer:
+        self._clock.now += self.take_wait_s("attempt")
+        return super().send(target, call, dispatch)
+
+
+def _deliver_after_wait(wait: str, sent_s: float, call_s: float, took_s: float):
+    """Returns the transport, and the events or status that the client got."""
+    clock = _Clock()
+    transport = _Waiting(clock, wait)
+    drain = runtime.Drain(STOP_S, clock, lag_s=LAG_S)
+    drain.begin()
+    clock.now += sent_s
+    ctx, dispatcher = _context(drain, transport)
+    ask = dispatcher.ask
+
+    def ask_with_limit(message):
+        wait_s = transport.take_wait_s("rate limit")
+        chosen = ask(message).result()
+        fut = futures.Future()
+        fut.set_result(chosen.map(lambda p: attrs.evolve(p, start_after_s=wait_s)))
+        return fut
+
+    dispatcher.ask = ask_with_limit
+    with (
+        mock.patch.object(runtime, "now", clock),
+        mock.patch.object(time, "sleep", clock.advance),
+    ):
+        call = test_dispatch._call(call_s)
+        route = attrs.evolve(call.route, max_attempts=4, resumable=True, **ROUTE)
+        for _ in range(50):
+            ctx.times.record(route.name, took_s)
+        reply = delivery.Delivery(ctx, attrs.evolve(call, route=route), "model").run()
+        return transport, test_late_attempts._received(reply)
+
+
+# Rows of the table in docs/notes/stop.md, "Late requests": what a call waits for.
+def test_calls_that_waited_began_late_without_another_look_at_the_stop():
+    cases = [
+        # When a call is sent, its own time, how long calls took before.
+        ("likely", 2.0, 8.0, 0.5),
+        ("likely before the wait", 2.0, 8.0, 3.4),
+        ("certain", 3.5, 3.4, 4.0),
+        ("not certain", 3.5, 3.6, 0.1),
+    ]
+    served, resumed = [1], [1, 2]
+    expected = {
+        # The time of its prefill is a part of the time of a call.
+        "prefill": [served, served, served, 503],
+        "rate limit": [served, 503, served, 503],
+        "refused attempt": [served, 503, served, 503],
+        "lost attempt": [served, 502, served, 503],
+        "broken stream": [resumed, resumed, resumed, 503],
+    }
+    for wait, outcomes in expected.items():
+        for (name, *numbers), outcome in zip(cases, outcomes, strict=True):
+            transport, received = _deliver_after_wait(wait, *numbers)
+            check.assertEqual(received, outcome, (wait, name))
+            if name == "not certain":
+                check.assertEqual((transport.prefilled, transport.sent), ([], []))
+
+
 # The attempt at the silent target had been ended, and no other one was allowed.
 def test_a_stop_cut_a_begun_stream_whose_silent_target_would_have_gone_on():
     for second in (
