Waits for targets that weren't reached count as none of a call's time

Cause: before each attempt the time since the first one began is taken off the time that calls of the route take. An attempt whose target accepted no connection is no retry, so its wait was taken off too: a call that waited 2.5 s for a connection, with 2.5 s of the stop left, counted as having worked for them, was sent and would have been ended.

Ruled out: refused and lost attempts (they begin anew, in the table); prefills (their time is a part of the call's). Late calls go by their deadline and were never affected. The rule excuses the calls that were, their callers had no use of it.

Change: until a target was reached, each attempt begins anew.

Test, a row of the table: before, sent ([1]); after, 503.

--- a/src/turmericward/delivery/_early_end.py
+++ b/src/turmericward/delivery/_early_end.py
@@ -33,7 +33,7 @@
         self._stop = stop
         self._progress = progress
         self._record = record
-        # When the first attempt, or the first one after a failure, began.
+        # When the first attempt that reached a target, or one after a failure, began.
         self._began_at = runtime.now()
         self._answer_begun = False
         self.ended_by_stop = False
@@ -71,7 +71,7 @@
             self.end_call(_stop.CallPhase.WAITING)
         if call.remaining_s() <= 0:
             self._progress.abandon("deadline")
-        if retry:
+        if retry or not (self._progress.arrivals or self._progress.prefills):
             self._began_at = runtime.now()
         admission = self._stop.admission(call, runtime.now() - self._began_at)
         if admission is None:
--- a/tests/test_delivery_stop.py
+++ b/tests/test_delivery_stop.py
@@ -416,8 +416,15 @@
         sends = {"refused attempt": ["refused"], "lost attempt": ["lost"]}.get(wait, ())
         streams = [test_delivery._Stream([[n]], n == 2) for n in (1, 2)]
         streams = streams if wait == "broken stream" else ()
-        super().__init__(clock, sends=sends, streams=(iter(s) for s in streams))
-        self._wait = "attempt" if sends or streams else wait
+        prefills = ["not sent"] if wait == "unreached target" else ()
+        streams = (iter(s) for s in streams)
+        super().__init__(clock, sends=sends, streams=streams, prefills=prefills)
+        steps = {
+            "prefill": "prefill",
+            "rate limit": wait,
+            "unreached target": "prefill",
+        }
+        self._wait = steps.get(wait, "attempt")
 
     def take_wait_s(self, wait: str) -> float:
         if wait != self._wait:
@@ -478,6 +485,7 @@
         # The time of its prefill is a part of the time of a call.
         "prefill": [served, served, served, 503],
         "rate limit": [served, 503, served, 503],
+        "unreached target": [served, 503, served, 503],
         "refused attempt": [served, 503, served, 503],
         "lost attempt": [served, 502, served, 503],
         "broken stream": [resumed, resumed, resumed, 503],
