Tests: the second half of a call whose prefill is done as a stop begins

The stop begins in the prefill: handed over in time; no time left; the handle lost, or the role changed, with and without time for another prefill; the answer lost; a begun stream that no engine takes on. Nothing but prompts ran: 503, not run, 0.1 s; sent and lost: 502; begun: the stream breaks off visibly. A handle that isn't used is released once.

--- a/tests/test_delivery_stop.py
+++ b/tests/test_delivery_stop.py
@@ -459,6 +459,11 @@
         return fut
 
     dispatcher.ask = ask_with_limit
+    return transport, _received_on(clock, ctx, call_s, took_s)
+
+
+def _received_on(clock: _Clock, ctx, call_s: float, took_s: float):
+    """Returns what the client gets of a call whose time is that of the stop."""
     with (
         mock.patch.object(runtime, "now", clock),
         mock.patch.object(time, "sleep", clock.advance),
@@ -468,7 +473,7 @@
         for _ in range(50):
             ctx.times.record(route.name, took_s)
         reply = delivery.Delivery(ctx, attrs.evolve(call, route=route), "model").run()
-        return transport, test_late_attempts._received(reply)
+        return test_late_attempts._received(reply)
 
 
 # Rows of the table in docs/notes/stop.md, "Late requests": what a call waits for.
@@ -498,6 +503,56 @@
                 check.assertEqual((transport.prefilled, transport.sent), ([], []))
 
 
+# Prefilled before the stop: the handle was lost, or the engine had changed its role.
+def test_the_second_half_of_a_call_was_begun_or_given_up_against_the_time_of_a_stop():
+    cases = [
+        # Time of the prefill, faults, what the client gets; prefills, calls sent, and
+        # handles released.
+        (1.0, {}, [1], (1, 1, 0)),
+        (6.95, {}, 503, (1, 0, 1)),
+        (1.0, {"sends": ["refused"]}, [1], (2, 2, 1)),
+        (4.0, {"sends": ["refused"]}, 503, (1, 1, 1)),
+        (1.0, {"prefills": ["refused"]}, [1], (2, 1, 0)),
+        (6.0, {"prefills": ["refused"]}, 503, (1, 0, 0)),
+        (4.0, {"sends": ["lost"]}, 502, (1, 1, 0)),
+    ]
+    for prefill_s, faults, outcome, counts in cases:
+        clock = _Clock()
+        drain = runtime.Drain(STOP_S, clock, lag_s=LAG_S)
+        transport = _StoppedInPrefill(clock, drain, prefill_s, **faults)
+        ctx, _ = _context(drain, transport)
+        case = (prefill_s, faults)
+        check.assertEqual(_received_on(clock, ctx, CALL_S, 3.0), outcome, case)
+        done = (transport.prefilled, transport.sent, transport.released)
+        check.assertEqual(tuple(len(calls) for calls in done), counts, case)
+
+
+class _StoppedInPrefill(_Transport):
+    """Lets the stop begin as the first prefill does, which takes a time."""
+
+    def __init__(self, clock, drain, prefill_s: float, **faults) -> None:
+        super().__init__(clock, **faults)
+        self._drain = drain
+        self._first_s = prefill_s
+
+    def prefill(self, target, call, dispatch) -> str:
+        self._drain.begin()
+        self._clock.now += self._first_s
+        self._first_s = 0.0
+        return super().prefill(target, call, dispatch)
+
+
+def test_a_begun_stream_that_no_engine_takes_on_in_a_stop_breaks_off_visibly():
+    clock = _Clock()
+    drain = runtime.Drain(STOP_S, clock, lag_s=LAG_S)
+    streams = [iter(test_delivery._Stream([[1]], False))]
+    transport = _StoppedInPrefill(
+        clock, drain, 1.0, sends=["none"] + ["refused"] * 9, streams=streams
+    )
+    ctx, _ = _context(drain, transport)
+    check.assertEqual(_received_on(clock, ctx, CALL_S, 3.0), [1, 502])
+
+
 # The attempt at the silent target had been ended, and no other one was allowed.
 def test_a_stop_cut_a_begun_stream_whose_silent_target_would_have_gone_on():
     for second in (
