--- a/tests/test_delivery_stop.py
+++ b/tests/test_delivery_stop.py
@@ -572,9 +572,21 @@
     check.assertEqual(_run_late(first, second), ([1, 2], ends))
 
 
-def _run_late(first, second) -> tuple[list, list[requests.Ending]]:
+def test_a_stream_without_an_event_gets_a_whole_answer_if_no_target_takes_it_on():
+    # Its prompt is prefilled anew, but the call isn't allowed once more.
+    first = test_late_attempts._Attempt("late", "head", 1, 2)
+    received, ends = _run_late(first, test_late_attempts._stream(1), early=True)
+    check.assertEqual(received, 502)
+    check.assertEqual(ends, [requests.Ending.LATE, requests.Ending.SUCCEEDED])
+
+
+def _run_late(
+    first, second, *, early: bool = False
+) -> tuple[list, list[requests.Ending]]:
     """Stops the process under a stream that may be sent once more, no oftener.
 
+    The stop begins `early` before the stream does, or else after its first event.
+
     Returns what the client gets, and how its two attempts ended.
     """
     drain = runtime.Drain(STOP_S, _Clock(), lag_s=LAG_S)
@@ -593,6 +605,8 @@
     dispatcher.ask = ask
     call = test_dispatch._call(CALL_S)
     route = attrs.evolve(call.route, max_attempts=4, resumable=True)
+    if early:
+        drain.begin()
     reply = delivery.Delivery(ctx, attrs.evolve(call, route=route), "model").run()
     drain.begin()
     received = test_late_attempts._received(reply)
