--- a/tests/test_delivery_stop.py
+++ b/tests/test_delivery_stop.py
@@ -7,7 +7,7 @@
 import attrs
 import result
 
-from tests import fixtures, test_delivery, test_dispatch
+from tests import fixtures, test_delivery, test_dispatch, test_late_attempts
 from turmericward import delivery, dispatching, requests, routing, runtime, telemetry
 from turmericward.adapters import errors
 from turmericward.delivery import _stop
@@ -19,6 +19,8 @@
 EARLY_S = 1.0
 CALL_S = 8.0
 INTERRUPT_WAIT_S = 5.0
+# Longer than a call that took as long as those before it could still wait.
+WAIT_S = 2.5
 ROUTE = {"objective_s": 0.1, "abandon_s": 20.0}
 
 
@@ -31,6 +33,9 @@
     def __call__(self) -> float:
         return self.now
 
+    def advance(self, seconds: float) -> None:
+        self.now += seconds
+
 
 class _Transport(test_delivery._Transport):
     """Waits in one phase until the call is interrupted; moves the clock forward."""
@@ -402,3 +407,207 @@
     _check_refused(delivery.Delivery(ctx, call, "model").run())
     check.assertEqual((transport.prefilled, transport.sent), ([], []))
     check.assertGreater(time.monotonic() - began, 0.09)
+
+
+class _Waiting(_Transport):
+    """Lets each call wait once, on the clock of the stop and of the calls."""
+
+    def __init__(self, clock: _Clock, wait: str) -> None:
+        sends = {"refused attempt": ["refused"], "lost attempt": ["lost"]}.get(wait, ())
+        streams = [test_delivery._Stream([[n]], n == 2) for n in (1, 2)]
+        streams = streams if wait == "broken stream" else ()
+        prefills = ["not sent"] if wait == "unreached target" else ()
+        streams = (iter(s) for s in streams)
+        super().__init__(clock, sends=sends, streams=streams, prefills=prefills)
+        steps = {
+            "prefill": "prefill",
+            "rate limit": wait,
+            "unreached target": "prefill",
+        }
+        self._wait = steps.get(wait, "attempt")
+
+    def take_wait_s(self, wait: str) -> float:
+        if wait != self._wait:
+            return 0.0
+        self._wait = ""
+        return WAIT_S
+
+    def prefill(self, target, call, dispatch) -> str:
+        self._clock.now += self.take_wait_s("prefill")
+        return super().prefill(target, call, dispatch)
+
+    def send(self, target, call, dispatch) -> routing.Answer:
+        self._clock.now += self.take_wait_s("attempt")
+        return super().send(target, call, dispatch)
+
+
+def _deliver_after_wait(wait: str, sent_s: float, call_s: float, took_s: float):
+    """Returns the transport, and the events or status that the client got."""
+    clock = _Clock()
+    transport = _Waiting(clock, wait)
+    drain = runtime.Drain(STOP_S, clock, lag_s=LAG_S)
+    drain.begin()
+    clock.now += sent_s
+    ctx, dispatcher = _context(drain, transport)
+    ask = dispatcher.ask
+
+    def ask_with_limit(message):
+        wait_s = transport.take_wait_s("rate limit")
+        chosen = ask(message).result()
+        fut = futures.Future()
+        fut.set_result(chosen.map(lambda p: attrs.evolve(p, start_after_s=wait_s)))
+        return fut
+
+    dispatcher.ask = ask_with_limit
+    return transport, _received_on(clock, ctx, call_s, took_s)
+
+
+def _received_on(clock: _Clock, ctx, call_s: float, took_s: float):
+    """Returns what the client gets of a call whose time is that of the stop."""
+    with (
+        mock.patch.object(runtime, "now", clock),
+        mock.patch.object(time, "sleep", clock.advance),
+    ):
+        call = test_dispatch._call(call_s)
+        route = attrs.evolve(call.route, max_attempts=4, resumable=True, **ROUTE)
+        for _ in range(50):
+            ctx.times.record(route.name, took_s)
+        reply = delivery.Delivery(ctx, attrs.evolve(call, route=route), "model").run()
+        return test_late_attempts._received(reply)
+
+
+# Rows of the table in docs/notes/stop.md, "Late requests": what a call waits for.
+def test_calls_that_waited_began_late_without_another_look_at_the_stop():
+    cases = [
+        # When a call is sent, its own time, how long calls took before.
+        ("likely", 2.0, 8.0, 0.5),
+        ("likely before the wait", 2.0, 8.0, 3.4),
+        ("certain", 3.5, 3.4, 4.0),
+        ("not certain", 3.5, 3.6, 0.1),
+    ]
+    served, resumed = [1], [1, 2]
+    expected = {
+        # The time of its prefill is a part of the time of a call.
+        "prefill": [served, served, served, 503],
+        "rate limit": [served, 503, served, 503],
+        "unreached target": [served, 503, served, 503],
+        "refused attempt": [served, 503, served, 503],
+        "lost attempt": [served, 502, served, 503],
+        "broken stream": [resumed, resumed, resumed, 503],
+    }
+    for wait, outcomes in expected.items():
+        for (name, *numbers), outcome in zip(cases, outcomes, strict=True):
+            transport, received = _deliver_after_wait(wait, *numbers)
+            check.assertEqual(received, outcome, (wait, name))
+            if name == "not certain":
+                check.assertEqual((transport.prefilled, transport.sent), ([], []))
+
+
+# Prefilled before the stop: the handle was lost, or the engine had changed its role.
+def test_the_second_half_of_a_call_was_begun_or_given_up_against_the_time_of_a_stop():
+    cases = [
+        # Time of the prefill, faults, what the client gets; prefills, calls sent, and
+        # handles released.
+        (1.0, {}, [1], (1, 1, 0)),
+        (6.95, {}, 503, (1, 0, 1)),
+        (1.0, {"sends": ["refused"]}, [1], (2, 2, 1)),
+        (4.0, {"sends": ["refused"]}, 503, (1, 1, 1)),
+        (1.0, {"prefills": ["refused"]}, [1], (2, 1, 0)),
+        (6.0, {"prefills": ["refused"]}, 503, (1, 0, 0)),
+        (4.0, {"sends": ["lost"]}, 502, (1, 1, 0)),
+    ]
+    for prefill_s, faults, outcome, counts in cases:
+        clock = _Clock()
+        drain = runtime.Drain(STOP_S, clock, lag_s=LAG_S)
+        transport = _StoppedInPrefill(clock, drain, prefill_s, **faults)
+        ctx, _ = _context(drain, transport)
+        case = (prefill_s, faults)
+        check.assertEqual(_received_on(clock, ctx, CALL_S, 3.0), outcome, case)
+        done = (transport.prefilled, transport.sent, transport.released)
+        check.assertEqual(tuple(len(calls) for calls in done), counts, case)
+
+
+class _StoppedInPrefill(_Transport):
+    """Lets the stop begin as the first prefill does, which takes a time."""
+
+    def __init__(self, clock, drain, prefill_s: float, **faults) -> None:
+        super().__init__(clock, **faults)
+        self._drain = drain
+        self._first_s = prefill_s
+
+    def prefill(self, target, call, dispatch) -> str:
+        self._drain.begin()
+        self._clock.now += self._first_s
+        self._first_s = 0.0
+        return super().prefill(target, call, dispatch)
+
+
+def test_a_begun_stream_that_no_engine_takes_on_in_a_stop_breaks_off_visibly():
+    clock = _Clock()
+    drain = runtime.Drain(STOP_S, clock, lag_s=LAG_S)
+    streams = [iter(test_delivery._Stream([[1]], False))]
+    transport = _StoppedInPrefill(
+        clock, drain, 1.0, sends=["none"] + ["refused"] * 9, streams=streams
+    )
+    ctx, _ = _context(drain, transport)
+    check.assertEqual(_received_on(clock, ctx, CALL_S, 3.0), [1, 502])
+
+
+# The attempt at the silent target had been ended, and no other one was allowed.
+def test_a_stop_cut_a_begun_stream_whose_silent_target_would_have_gone_on():
+    for second in (
+        test_late_attempts._Attempt("late", "head", kind="refused"),
+        test_late_attempts._Attempt("late", test_delivery.FAULTS["lost"]),
+    ):
+        first = test_late_attempts._stream(1, "late", 2)
+        ends = [requests.Ending.DISCONNECTED, requests.Ending.SUCCEEDED]
+        check.assertEqual(_run_late(first, second), ([1, 2], ends))
+        check.assertLessEqual(second.dispatch.timeout_s, 0.4)
+
+
+def test_a_silent_target_is_replaced_in_a_stop_once_another_one_has_answered():
+    first = test_late_attempts._stream(1, "late")
+    second = test_late_attempts._stream(2)
+    ends = [requests.Ending.LATE, requests.Ending.SUCCEEDED]
+    check.assertEqual(_run_late(first, second), ([1, 2], ends))
+
+
+def test_a_stream_without_an_event_gets_a_whole_answer_if_no_target_takes_it_on():
+    # Its prompt is prefilled anew, but the call isn't allowed once more.
+    first = test_late_attempts._Attempt("late", "head", 1, 2)
+    received, ends = _run_late(first, test_late_attempts._stream(1), early=True)
+    check.assertEqual(received, 502)
+    check.assertEqual(ends, [requests.Ending.LATE, requests.Ending.SUCCEEDED])
+
+
+def _run_late(
+    first, second, *, early: bool = False
+) -> tuple[list, list[requests.Ending]]:
+    """Stops the process under a stream that may be sent once more, no oftener.
+
+    The stop begins `early` before the stream does, or else after its first event.
+
+    Returns what the client gets, and how its two attempts ended.
+    """
+    drain = runtime.Drain(STOP_S, _Clock(), lag_s=LAG_S)
+    transport = test_late_attempts._Transport(first, second)
+    ctx, dispatcher = _context(drain, transport)
+    granted = dispatcher.ask
+
+    def ask(message):
+        if not message.retry or not dispatcher.granted["retry"]:
+            return granted(message)
+        refusal = requests.Refusal(reason="retry_budget", retry_after_s=1.0)
+        fut = futures.Future()
+        fut.set_result(result.Err(refusal))
+        return fut
+
+    dispatcher.ask = ask
+    call = test_dispatch._call(CALL_S)
+    route = attrs.evolve(call.route, max_attempts=4, resumable=True)
+    if early:
+        drain.begin()
+    reply = delivery.Delivery(ctx, attrs.evolve(call, route=route), "model").run()
+    drain.begin()
+    received = test_late_attempts._received(reply)
+    return received, test_delivery._endings(dispatcher)[-2:]
