A stop, and a client that leaves, end a call whose request is still written

What callers would see (LOST): a call with a long body at a target that pauses gets no answer at all when its front stops: the process ends at 7.5 s of 8, the write waits to the call's own deadline. After its client has left the request was written on (GONE).

Cause: only reads waited under the guard that polls the stop and the client; a first attempt's request was one sendall with the call's time as its bound. Both transports and plain services. Now a body is written in pieces, and each wait for the target to read is at most 0.2 s between two looks.

Ruled out: closing the connection from another thread (a thread per call).

--- a/src/turmericward/adapters/_guard.py
+++ b/src/turmericward/adapters/_guard.py
@@ -117,6 +117,18 @@
         if any(rival.has_bytes() for rival in self._rivals()):
             raise errors.RivalAnsweredError("the other attempt goes on")
 
+    def check_writing(self, until: float) -> None:
+        """Checks, without waiting, that a request is still to be written.
+
+        Raises:
+            TimeoutError: `until` is over.
+            CancelledError: the client disconnected, or the process stops.
+            RivalAnsweredError: bytes have come on the rival's connection.
+        """
+        self.check()
+        if runtime.now() >= until:
+            raise TimeoutError("request not written in time")
+
     def _rivals(self) -> list[_pending.PendingConnection]:
         return [] if self._rival is None else list(self._rival.all_watched())
 
--- a/src/turmericward/adapters/_request.py
+++ b/src/turmericward/adapters/_request.py
@@ -3,6 +3,7 @@
 import contextlib
 import functools
 import http.client
+import select
 import socket
 from collections.abc import Callable, Iterable, Iterator
 
@@ -19,6 +20,8 @@
 # Bounds memory if a faulty target sends an endless body.
 MAX_BODY_BYTES = 8 * 1024 * 1024
 PIECE_BYTES = 256 * 1024
+# Between checks while a target doesn't read.
+CHECK_S = 0.2
 REQUEST_ID = "X-Request-Id"
 
 
@@ -119,7 +122,8 @@
             request, that of each piece of the body if there is a `check`.
         address: the target's address, for error messages.
         req: the request.
-        check: called before each piece of the body; what it raises ends the writing.
+        check: called while the body is written, every `CHECK_S` at least; what it
+            raises ends the writing.
 
     Raises:
         NotSentError: the request line or a header is invalid.
@@ -130,17 +134,30 @@
     except (ValueError, http.client.HTTPException) as exc:
         raise errors.NotSentError(f"{address}: {exc}") from exc
     try:
-        body = req.body if check is None else _pieces(req.body, check)
-        conn.endheaders(body or None)
+        if check is None:
+            conn.endheaders(req.body or None)
+            return
+        conn.endheaders()
+        view = memoryview(req.body)
+        for start in range(0, len(view), PIECE_BYTES):
+            _write_piece(conn.sock, view[start : start + PIECE_BYTES], check)
     except OSError as exc:
         raise answer_lost(address, exc) from exc
 
 
-def _pieces(body: bytes, check: Callable[[], None]) -> Iterator[memoryview]:
-    view = memoryview(body)
-    for start in range(0, len(body), PIECE_BYTES):
+def _write_piece(
+    sock: socket.socket, piece: memoryview, check: Callable[[], None]
+) -> None:
+    poll = select.poll()
+    poll.register(sock, select.POLLOUT)
+    until = runtime.now() + sock.gettimeout()
+    while piece:
         check()
-        yield view[start : start + PIECE_BYTES]
+        remaining_s = until - runtime.now()
+        if poll.poll(max(0.0, min(CHECK_S, remaining_s)) * 1000):
+            piece = piece[sock.send(piece) :]
+        elif remaining_s <= 0:
+            raise TimeoutError("target doesn't read the request")
 
 
 def send_within_term(
--- a/src/turmericward/adapters/engine.py
+++ b/src/turmericward/adapters/engine.py
@@ -1,5 +1,6 @@
 """Client of a model engine: completions and streams."""
 
+import functools
 import http.client
 from collections.abc import Callable, Iterator
 
@@ -168,9 +169,11 @@
             CancelledError: the client disconnected.
         """
         guard = _new_guard(job, first_byte_timeout_s, watch)
-        conn = self._connect(deadline - runtime.now(), guard, watch)
+        # The sending of a second attempt doesn't hold up the first.
+        write_until = deadline if watch.rival is None else min(deadline, guard.until)
+        conn = self._connect(write_until, guard)
         try:
-            resp = self._send(conn, job, resume_after)
+            resp = self._send(conn, job, resume_after, guard, write_until)
             guard.wait_until(deadline)
             if resp.status != 200:
                 return self._read_response(conn, resp, deadline)
@@ -201,22 +204,29 @@
         if deadline is None:
             deadline = runtime.now() + timeout_s
         guard = _new_guard(job, timeout_s, watch)
-        conn = self._connect(deadline - runtime.now(), guard, watch)
+        write_until = deadline if watch.rival is None else min(deadline, guard.until)
+        conn = self._connect(write_until, guard)
         with _request.closing(conn):
-            resp = self._send(conn, job, 0)
+            resp = self._send(conn, job, 0, guard, write_until)
             # An answer is read whole here, while another attempt may be open.
             if watch.rival is None or watch.rival.closed:
                 guard.wait_until(deadline)
             return self._read_response(conn, resp, deadline)
 
-    def _connect(self, timeout_s: float, guard: _guard.Guard, watch: Watch):
-        if watch.rival is not None:
-            # The sending of a second attempt doesn't hold up the first.
-            timeout_s = min(timeout_s, guard.until - runtime.now())
+    def _connect(self, write_until: float, guard: _guard.Guard):
+        timeout_s = write_until - runtime.now()
         return _request.connect(self._address, timeout_s, guard=guard)
 
-    def _send(self, conn, job: Job, resume_after: int):
-        _request.send(conn, self._address, _build_request(job, resume_after))
+    def _send(
+        self,
+        conn,
+        job: Job,
+        resume_after: int,
+        guard: _guard.Guard,
+        write_until: float,
+    ):
+        check = functools.partial(guard.check_writing, write_until)
+        _request.send(conn, self._address, _build_request(job, resume_after), check)
         resp = _request.read_response_head(conn, self._address)
         _request.check_request_id(resp, job.request_id)
         return resp
--- a/src/turmericward/adapters/service.py
+++ b/src/turmericward/adapters/service.py
@@ -70,17 +70,10 @@
     guard = _guard.Guard(until, None, watch.on_late, watch.rival)
     conn = _request.connect(address, timeout_s, guard=guard)
     with _request.closing(conn):
-        # The first attempt isn't read while a second one is written.
-        check = None if watch.rival is None else functools.partial(_check, guard, until)
+        check = functools.partial(guard.check_writing, until)
         _request.send(conn, address, req, check)
         resp = _request.read_response_head(conn, address)
         _request.check_request_id(resp, request_id, required=False)
         body = _request.read_whole(conn, resp, address, deadline)
         headers = end_to_end_headers(resp.getheaders())
         return Response(status=resp.status, headers=headers, body=body)
-
-
-def _check(guard: _guard.Guard, until: float) -> None:
-    guard.check()
-    if runtime.now() >= until:
-        raise TimeoutError("request not written in time")
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -72,7 +72,7 @@
                 conn,
                 target.address,
                 _outgoing(target, call, dispatch),
-                guard.check if second else None,
+                functools.partial(guard.check_writing, call.deadline),
             )
             resp = _request.read_response_head(conn, target.address)
             self._read_notices(resp, target, call, sent_at)
