An entry's stop ends calls of plain services by an answer, at its deadline

What callers would see: a call of a plain service that lasts longer than the entry's stop (timeout_s up to 3,600 s beside drain_s from 0.5 s) is cut when the process ends, without an answer, whether it had begun before SIGTERM or came in it. Cause: plain services didn't know of the stop; only model calls go through delivery. An expected bound (timeout_s is short beside drain_s) guarded the promise.

Now their waits are polled for the stop's deadline: 502 if sent, 503 if not. Once clients can know of the stop a call begins only if its longest time (timeout_s, three times that if it may be repeated, and the wait for a claim) is left: else 503, not run, 0.1 s. A stop isn't a failure of the target. The settling of a claim takes at most half of what is left of the process.

--- a/src/turmericward/adapters/service.py
+++ b/src/turmericward/adapters/service.py
@@ -1,6 +1,7 @@
 """Client of a plain service; each call is sent at most once."""
 
 import functools
+from collections.abc import Callable
 
 import attrs
 
@@ -45,6 +46,7 @@
     *,
     deadline: float | None = None,
     watch: _pending.Watch = _pending.NO_WATCH,
+    cancelled: Callable[[], bool] | None = None,
 ) -> Response:
     """Sends one call without retries and reads the complete response.
 
@@ -56,18 +58,20 @@
         deadline: the end of the response, on the clock of `runtime.now`, if it is
             later than that.
         watch: what happens when the timeout is over.
+        cancelled: returns whether the call has to end; polled, if given.
 
     Raises:
         NotSentError: the request cannot have reached the service.
         AnswerLostError: the call may have been executed.
         ForeignAnswerError: the response belongs to another request.
         RivalAnsweredError: another attempt has got bytes before this one.
+        CancelledError: the call had to end; it may have been executed.
 
     .. versionadded:: 0.1.0
     """
     until = runtime.now() + timeout_s
     deadline = until if deadline is None else deadline
-    guard = _guard.Guard(until, None, watch.on_late, watch.rival)
+    guard = _guard.Guard(until, cancelled, watch.on_late, watch.rival)
     conn = _request.connect(address, timeout_s, guard=guard)
     with _request.closing(conn):
         check = functools.partial(guard.check_writing, until)
--- a/src/turmericward/entry/_context.py
+++ b/src/turmericward/entry/_context.py
@@ -9,6 +9,8 @@
 
 BUSY_RETRY_AFTER_S = 1.0
 NOT_READY_RETRY_AFTER_S = 2.0
+# Other entries take the call at once.
+STOPPING_RETRY_AFTER_S = 0.1
 ROUTER_TIMEOUT_S = 10.0
 CLASS_HEADER = "x-traffic-class"
 URGENT = "urgent"
@@ -131,6 +133,29 @@
                 retry_after_s=BUSY_RETRY_AFTER_S,
             )
 
+    def must_end(self) -> bool:
+        """Returns whether open calls have to get their final answers now."""
+        return self.drain.until_deadline_s <= 0
+
+    def check_stop(self, need_s: float = 0.0) -> None:
+        """Checks that a call may begin, once its client may know that the entry stops.
+
+        Args:
+            need_s: the longest time that the call may take.
+
+        Raises:
+            RequestError: the entry may end before the call.
+        """
+        if self.drain.is_before_notice(self.drain.elapsed_s):
+            need_s = 0.0
+        if self.drain.until_deadline_s <= need_s:
+            raise _errors.RequestError(
+                503,
+                "stopping",
+                "entry stops before the call may have ended",
+                retry_after_s=STOPPING_RETRY_AFTER_S,
+            )
+
     def release_request(self, tenant: str) -> None:
         """Stops counting a request that `admit_request` admitted."""
         self.router.post(_router_task.ReleaseRequest(tenant=tenant))
--- a/src/turmericward/entry/_repeated_call.py
+++ b/src/turmericward/entry/_repeated_call.py
@@ -79,6 +79,8 @@
             return self._try_targets()
         except _AnsweredError as exc:
             return exc.resp
+        except errors.CancelledError:
+            return None
 
     def _try_targets(self) -> service.Response | None:
         while self._targets:
@@ -88,8 +90,10 @@
                 continue
             except errors.RivalAnsweredError:
                 raise
-            except errors.AdapterError:
+            except errors.AdapterError as exc:
                 self.sent = True
+                if isinstance(exc, errors.CancelledError):
+                    raise
         return None
 
     def _attempt(self, target: configuration.ServiceTarget) -> service.Response:
--- a/src/turmericward/entry/_services.py
+++ b/src/turmericward/entry/_services.py
@@ -63,6 +63,10 @@
         finally:
             self._ctx.release_request(caller.tenant)
 
+    @property
+    def _claim_timeout_s(self) -> float:
+        return self._ctx.cfg.steward.claim_timeout_s + STEWARD_RPC_TIMEOUT_S
+
     def _ranked_targets(self, svc) -> list:
         return self._ctx.ask_router(_router_task.RankTargets(targets=svc.targets))
 
@@ -90,9 +94,10 @@
                 attempt.timeout_s,
                 deadline=attempt.deadline,
                 watch=attempt.watch,
+                cancelled=self._ctx.must_end,
             )
-        except errors.RivalAnsweredError:
-            # That its target was the slower one is no failure.
+        except (errors.RivalAnsweredError, errors.CancelledError):
+            # That its target was the slower one, or the entry stops, is no failure.
             raise
         except BaseException as exc:
             logging.warning("request %s to %s failed: %s", req.id, target.name, exc)
@@ -107,6 +112,7 @@
 
     def _call_idempotent(self, svc, req, path: str) -> _http.Response:
         """Repeats the call at other targets, beside those that are late."""
+        self._ctx.check_stop(_repeated_call.MAX_ATTEMPTS * svc.timeout_s)
         call = _repeated_call.RepeatedCall(
             self._ranked_targets(svc),
             svc.timeout_s,
@@ -119,7 +125,9 @@
 
     def _call_once(self, svc, req, path: str) -> _http.Response:
         """Sends the call at most once; tries another target only if it was not sent."""
+        self._ctx.check_stop(svc.timeout_s)
         for target in self._ranked_targets(svc):
+            self._ctx.check_stop()
             try:
                 attempt = _repeated_call.only_attempt(target, svc.timeout_s)
                 return _to_http_response(self._send(req, path, attempt))
@@ -135,6 +143,7 @@
         if not 0 < len(key) <= MAX_KEY_CHARS:
             msg = f"Idempotency-Key has no 1 to {MAX_KEY_CHARS} characters"
             raise _errors.RequestError(400, "invalid_key", msg)
+        self._ctx.check_stop(self._claim_timeout_s + svc.timeout_s)
         claim, answer = self._claim_key(
             ttypes.ClaimRequest(
                 scope=scope, key=key, fingerprint=_fingerprint(req, path)
@@ -153,8 +162,7 @@
         repeated then, for another attempt: the first one may be granted, but it has
         been settled and is never run.
         """
-        timeout_s = self._ctx.cfg.steward.claim_timeout_s + STEWARD_RPC_TIMEOUT_S
-        deadline = runtime.now() + timeout_s
+        deadline = runtime.now() + self._claim_timeout_s
         for _ in range(CLAIM_ATTEMPTS):
             claim.attempt = runtime.new_id()
             remaining_s = deadline - runtime.now()
@@ -203,8 +211,10 @@
             answer=answer,
         )
         for address in self._ctx.follow.stewards()[:SETTLE_ATTEMPTS]:
+            # At the end of a stop the answer has to reach the client meanwhile.
+            timeout_s = min(STEWARD_RPC_TIMEOUT_S, self._ctx.drain.until_end_s / 2)
             try:
-                with steward.open_client(address, STEWARD_RPC_TIMEOUT_S) as client:
+                with steward.open_client(address, timeout_s) as client:
                     client.settle(settle)
                 return
             except errors.StewardUnavailableError as exc:
--- a/tests/test_late_services.py
+++ b/tests/test_late_services.py
@@ -1,16 +1,20 @@
 """Plain services of an entry whose targets pause, on real connections."""
 
 import contextlib
+import math
+import threading
 import time
 import types
 from concurrent import futures
 
 from tests import fixtures, test_late_connections
-from turmericward import configuration
-from turmericward.entry import _errors, _http, _router_task, _services
+from turmericward import configuration, runtime
+from turmericward.entry import _context, _errors, _http, _router_task, _services
 
 check = fixtures.check
 TIMEOUT_S = 1.2
+# Never begins to stop.
+SERVES = runtime.Drain(math.inf)
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 HUNG = (15.0,)
 SOUND = (ANSWER,)
@@ -20,8 +24,9 @@
 class _Context:
     """Admits every call and ranks targets as they are configured."""
 
-    def __init__(self, service: configuration.Service) -> None:
+    def __init__(self, service: configuration.Service, drain: runtime.Drain) -> None:
         self._services = {"s": service}
+        self.drain = drain
         self.router = self
         self.ended: list[_router_task.CallEnded] = []
 
@@ -35,6 +40,8 @@
         pass
 
     release_request = admit_request
+    must_end = _context.Context.must_end
+    check_stop = _context.Context.check_stop
 
     def ask_router(self, message: _router_task.RankTargets) -> list:
         return message.targets
@@ -43,7 +50,9 @@
         self.ended.append(message)
 
 
-def _call(*targets, method="GET", body=b"") -> tuple[int, float]:
+def _call(
+    *targets, method="GET", body=b"", timeout_s=TIMEOUT_S, drain=SERVES
+) -> tuple[int, float]:
     """Returns the status of a call, and how long it took."""
     service = configuration.Service(
         targets=[
@@ -51,7 +60,7 @@
             for n, t in enumerate(targets)
         ],
         idempotent=["GET *", "PUT *"],
-        timeout_s=TIMEOUT_S,
+        timeout_s=timeout_s,
     )
     req = _http.Request(
         id="c",
@@ -64,7 +73,7 @@
     )
     began = time.monotonic()
     try:
-        status = _services.Services(_Context(service)).call(req).status
+        status = _services.Services(_Context(service, drain)).call(req).status
     except _errors.RequestError as exc:
         status = exc.status
     return status, time.monotonic() - began
@@ -144,3 +153,36 @@
             status, took_s = _call(paused, other, method="POST")
         check.assertEqual(status, expected)
         check.assertLess(took_s, 1.2 * TIMEOUT_S)
+
+
+def test_a_call_longer_than_the_stop_was_cut_at_its_end():
+    def run(case) -> None:
+        method, targets = case
+        drain = runtime.Drain(2.0)
+        with _targets(*targets) as hung:
+            threading.Timer(0.3, drain.begin).start()
+            status, _ = _call(*hung, method=method, timeout_s=5.0, drain=drain)
+            check.assertLess(runtime.now(), drain.deadline + 0.6, case)
+        check.assertEqual(status, 502, case)
+
+    cases = [("GET", [HUNG]), ("GET", [HUNG] * 3), ("POST", [HUNG])]
+    cases += [("POST", [(HALF, *HUNG)]), ("GET", [(HALF, *HUNG), HUNG])]
+    with futures.ThreadPoolExecutor(len(cases)) as executor:
+        list(executor.map(run, cases))
+
+
+def test_a_call_began_once_a_stop_was_known_though_it_may_not_end_in_time():
+    cases = [
+        # Time between the signal and the kill, balancer's lag, status of GET and POST.
+        (8.0, 0.0, 200, 200),
+        (3.0, 0.0, 503, 200),
+        (1.2, 0.0, 503, 503),
+        (1.2, 1.0, 200, 200),
+    ]
+    for length_s, lag_s, *statuses in cases:
+        for method, expected in zip(("GET", "POST"), statuses, strict=True):
+            drain = runtime.Drain(length_s, lag_s=lag_s)
+            drain.begin()
+            with _targets(SOUND) as targets:
+                status, _ = _call(*targets, method=method, drain=drain)
+            check.assertEqual(status, expected, (length_s, lag_s, method))
