A stop ends a call that waits for the dispatcher

What callers would see (LOST): a call that waits for a placement while the dispatcher is busy or stuck (up to 5 s) isn't looked at by the stop; it is cut when the process ends. Cause: the wait is guarded by how long the dispatcher takes as a rule. Now it is polled every 0.2 s for the stop and the client, as each other wait of a call is; 503, not run, as before, and a placement granted later is ended again.

Ruled out: only a shorter time-out (shorter stops exist).

--- a/src/turmericward/delivery/_asking.py
+++ b/src/turmericward/delivery/_asking.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+from collections.abc import Callable
 from concurrent import futures
 
 import result
@@ -15,19 +16,29 @@
 REASON = "dispatcher_late"
 FAILED_REASON = "dispatcher_failed"
 RETRY_AFTER_S = 0.5
+END_POLL_S = 0.2
 
 
 def place(
-    dispatch: _context.Dispatcher, message: dispatching.Place, timeout_s: float
+    dispatch: _context.Dispatcher,
+    message: dispatching.Place,
+    timeout_s: float,
+    must_end: Callable[[], bool] = lambda: False,
 ) -> result.Result[requests.Placement, requests.Refusal]:
     """Returns the dispatcher's answer, a refusal if there is none in time.
 
     A placement that is granted later is ended again.
+
+    Args:
+        dispatch: the dispatcher.
+        message: the call to place.
+        timeout_s: how long the answer is waited for.
+        must_end: returns whether the call has to end; polled.
     """
     fut = dispatch.ask(message)
     reason = REASON
     try:
-        return fut.result(max(0.0, timeout_s))
+        return _await(fut, runtime.now() + timeout_s, must_end)
     except TimeoutError:
         fut.add_done_callback(functools.partial(_give_back, dispatch, message))
     except runtime.TaskStoppedError:
@@ -38,6 +49,18 @@
     return result.Err(requests.Refusal(reason=reason, retry_after_s=RETRY_AFTER_S))
 
 
+def _await(fut: futures.Future, until: float, must_end: Callable[[], bool]):
+    while True:
+        remaining_s = until - runtime.now()
+        try:
+            return fut.result(max(0.0, min(END_POLL_S, remaining_s)))
+        except TimeoutError:
+            if fut.done():
+                return fut.result()
+            if remaining_s <= 0 or must_end():
+                raise
+
+
 def _give_back(
     dispatch: _context.Dispatcher, message: dispatching.Place, fut: futures.Future
 ) -> None:
--- a/src/turmericward/delivery/_placements.py
+++ b/src/turmericward/delivery/_placements.py
@@ -88,7 +88,12 @@
         )
         progress.placements += 1
         timeout_s = min(DISPATCH_TIMEOUT_S, message.call.remaining_s())
-        return _asking.place(self._parts.ctx.dispatch, message, timeout_s)
+        return _asking.place(
+            self._parts.ctx.dispatch,
+            message,
+            timeout_s,
+            self._parts.early_end.is_due,
+        )
 
     def _allows_superseded(self, refusal: requests.Refusal) -> bool:
         """Returns whether targets may be used now that were silent before."""
