The longest time that clients give a call is that of the last minute

What callers would see: no broken rule; after clients (or a changed timeout) give a route's calls less than 0.8 of the longest time ever seen, every call counts as one that was refused before: it ranks behind others at its engine for good, and never waits for its turn at a target with a rate limit, until the front restarts. Cause: the maximum of a route was kept without end. Now it is that of one to two windows of 30 s.

What ends a call doesn't depend on it (same test): its own deadline.

--- a/src/turmericward/dispatching/_deadlines.py
+++ b/src/turmericward/dispatching/_deadlines.py
@@ -1,12 +1,32 @@
 """Deadlines of a call's first output, by its route and what its client has waited."""
 
-import collections
+import attrs
 
 from turmericward import requests, routing
 
 # A call with less than this share of its route's longest deadline is treated as
 # repeated by a client that was refused before.
 MIN_FIRST_CALL_DEADLINE_SHARE = 0.8
+# The longest deadline is that of a route's calls in one to two such times.
+WINDOW_S = 30.0
+
+
+@attrs.define
+class _Longest:
+    """The longest deadline in the window since `since`, and in the one before."""
+
+    since: float
+    current_s: float = 0.0
+    previous_s: float = 0.0
+
+    def add(self, deadline_s: float, now: float) -> float:
+        """Records a call's deadline; returns the longest one."""
+        age_s = now - self.since
+        if age_s >= WINDOW_S:
+            self.previous_s = self.current_s if age_s < 2 * WINDOW_S else 0.0
+            self.current_s, self.since = 0.0, now
+        self.current_s = max(self.current_s, deadline_s)
+        return max(self.current_s, self.previous_s)
 
 
 class DeadlineEstimates:
@@ -14,13 +34,13 @@
 
     def __init__(self) -> None:
         """Starts without calls."""
-        self._max_deadline_s: dict[str, float] = collections.defaultdict(float)
+        self._longest: dict[str, _Longest] = {}
 
     def deadlines(self, call: routing.Call, now: float) -> requests.Deadlines:
         """Returns how long the client of a call still waits."""
         route = call.route
-        max_deadline_s = max(self._max_deadline_s[route.name], call.deadline_s)
-        self._max_deadline_s[route.name] = max_deadline_s
+        longest = self._longest.setdefault(route.name, _Longest(since=now))
+        max_deadline_s = longest.add(call.deadline_s, now)
         # A client that retries after a refusal has less time left than at first.
         waited_s = max(
             0.0, MIN_FIRST_CALL_DEADLINE_SHARE * max_deadline_s - call.deadline_s
--- a/tests/test_shifted_estimates.py
+++ b/tests/test_shifted_estimates.py
@@ -7,6 +7,7 @@
 
 from tests import fixtures, test_delivery_stop, test_dispatch
 from turmericward import delivery, runtime
+from turmericward.dispatching import _deadlines
 
 check = fixtures.check
 STOP_S = 2.0
@@ -36,3 +37,31 @@
 
     with futures.ThreadPoolExecutor() as executor:
         list(executor.map(run, (0.0, 0.5)))
+
+
+def test_calls_were_taken_for_repeats_for_good_after_clients_gave_them_less_time():
+    estimates = _deadlines.DeadlineEstimates()
+    call = test_dispatch._call(9.0)
+    objective_s = call.route.objective_s
+    estimates.deadlines(call, call.received)
+    cases = [
+        # Seconds since then, time of a call, whether it counts as repeated.
+        (1.0, 3.0, True),
+        (25.0, 3.0, True),
+        (65.0, 3.0, False),
+        (66.0, 9.0, False),
+        (67.0, 3.0, True),
+        (200.0, 3.0, False),
+    ]
+    for after_s, call_s, repeated in cases:
+        now = call.received + after_s
+        later = attrs.evolve(
+            call, received=now, deadline_s=call_s, deadline=now + call_s
+        )
+        deadlines = estimates.deadlines(later, now)
+        late = deadlines.soft_deadline_s < objective_s - 0.01
+        check.assertEqual(late, repeated, after_s)
+        # What ends a call is its own time, whatever others had.
+        check.assertAlmostEqual(
+            deadlines.hard_deadline_s, min(call_s, call.route.abandon_s), places=3
+        )
