--- a/src/turmericward/adapters/service.py
+++ b/src/turmericward/adapters/service.py
@@ -1,6 +1,7 @@
 """Client of a plain service; each call is sent at most once."""
 
 import functools
+from collections.abc import Callable
 
 import attrs
 
@@ -45,6 +46,7 @@
     *,
     deadline: float | None = None,
     watch: _pending.Watch = _pending.NO_WATCH,
+    cancelled: Callable[[], bool] | None = None,
 ) -> Response:
     """Sends one call without retries and reads the complete response.
 
@@ -56,31 +58,26 @@
         deadline: the end of the response, on the clock of `runtime.now`, if it is
             later than that.
         watch: what happens when the timeout is over.
+        cancelled: returns whether the call has to end; polled, if given.
 
     Raises:
         NotSentError: the request cannot have reached the service.
         AnswerLostError: the call may have been executed.
         ForeignAnswerError: the response belongs to another request.
         RivalAnsweredError: another attempt has got bytes before this one.
+        CancelledError: the call had to end; it may have been executed.
 
     .. versionadded:: 0.1.0
     """
     until = runtime.now() + timeout_s
     deadline = until if deadline is None else deadline
-    guard = _guard.Guard(until, None, watch.on_late, watch.rival)
+    guard = _guard.Guard(until, cancelled, watch.on_late, watch.rival)
     conn = _request.connect(address, timeout_s, guard=guard)
     with _request.closing(conn):
-        # The first attempt isn't read while a second one is written.
-        check = None if watch.rival is None else functools.partial(_check, guard, until)
+        check = functools.partial(guard.check_writing, until)
         _request.send(conn, address, req, check)
         resp = _request.read_response_head(conn, address)
         _request.check_request_id(resp, request_id, required=False)
         body = _request.read_whole(conn, resp, address, deadline)
         headers = end_to_end_headers(resp.getheaders())
         return Response(status=resp.status, headers=headers, body=body)
-
-
-def _check(guard: _guard.Guard, until: float) -> None:
-    guard.check()
-    if runtime.now() >= until:
-        raise TimeoutError("request not written in time")
