A stop's clock begins at the signal also if the process got no processor

Cause: the margin for learning late (0.25 s) was an estimate.

The thread that waits for the signal now notes every 0.1 s that none has come; if the last such time but one is more than the margin ago, the stop began then. It may so begin too early, by a pause that ended before the signal.

Ruled out: a larger margin (no bound); the time of a signal isn't told by the kernel.

--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -26,6 +26,8 @@
 RECV_BYTES = 65536
 LISTEN_BACKLOG = 1024
 PROBE_THREADS = 1
+# How often it is noted that no signal to stop has come.
+SIGNAL_POLL_S = 0.1
 # A stream whose client reads more slowly than its target writes waits above this.
 MAX_UNSENT_BYTES = 256 * 1024
 
@@ -171,8 +173,11 @@
         begun.result()
 
     def _begin_after(self, stop: threading.Event, on_stop) -> None:
-        stop.wait()
-        self._drain.begin()
+        earlier = latest = runtime.now()
+        while not stop.wait(SIGNAL_POLL_S):
+            # After a pause the signal may not have been handled yet.
+            earlier, latest = latest, runtime.now()
+        self._drain.begin(earlier)
         try:
             on_stop()
         finally:
--- a/src/turmericward/runtime/_drain.py
+++ b/src/turmericward/runtime/_drain.py
@@ -49,11 +49,19 @@
         """Changes the length, also of a stop that has begun."""
         self._length_s = length_s
 
-    def begin(self) -> None:
-        """Begins the stop; later calls change nothing."""
+    def begin(self, clear_at: float | None = None) -> None:
+        """Begins the stop; later calls change nothing.
+
+        Args:
+            clear_at: when no signal had come yet, as far as is known. If that is
+                long ago, the process got no processor, and the stop began then.
+        """
         with self._lock:
-            if self._began_at is None:
-                self._began_at = self._clock()
+            if self._began_at is not None:
+                return
+            now = self._clock()
+            is_late = clear_at is not None and now - clear_at > SIGNAL_MARGIN_S
+            self._began_at = clear_at if is_late else now
 
     @property
     def length_s(self) -> float:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -52,3 +52,23 @@
     drain.begin()
     drain.set_length(2.0)
     check.assertLess(drain.end, START + 2.0)
+
+
+# A busy machine gave the process no processor: the kill came before its clock's end.
+def test_the_clock_of_a_stop_began_when_the_process_got_a_processor_again():
+    cases = [
+        # Since when no signal is known to have come, the same as the stop's beginning.
+        (None, 0.0),
+        (0.0, 0.0),
+        (0.2, 0.0),
+        (0.5, 0.5),
+        (0.75, 0.75),
+        (20.0, 20.0),
+    ]
+    for clear_s, elapsed_s in cases:
+        clock = _Clock()
+        drain = runtime.Drain(8.0, clock, lag_s=3.0)
+        drain.begin(None if clear_s is None else clock.now - clear_s)
+        check.assertAlmostEqual(drain.elapsed_s, elapsed_s, msg=clear_s)
+        # Callers that sent 3 s after the signal know of the stop.
+        check.assertFalse(drain.is_before_notice(3.0 - (clear_s or 0.0) + elapsed_s))
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -219,3 +219,32 @@
         check.assertEqual(platform.process.wait(DRAIN_S), 0)
         check.assertLess(time.monotonic() - began, 3.0)
         conn.close()
+
+
+# Its open calls were answered, and it ended, so much later: after the kill.
+def test_a_front_without_a_processor_at_its_signal_ends_before_the_kill():
+    pause_s = 0.9
+    with platform_fixtures.platform(("m1",)) as platform:
+        long = platform_fixtures.route(
+            "long", "streaming", "model", max_attempts=1, timeout_ms=20_000
+        )
+        platform.configure(platform_fixtures.manifest(4, long))
+        launch.wait_until(
+            lambda: platform.call("POST", "/long/x", "known", PROMPT, b"q")[0] == 200,
+            what="route known",
+        )
+        _set_drain(platform, DRAIN_S)
+        platform.replicas["m1"].event_interval_s = 1.8
+        stream = platform.connect()
+        headers = PROMPT | {"Turmericward-Deadline-Ms": "20000"}
+        platform.send(stream, "POST", "/long/x", "s", headers, b"q")
+        resp = stream.getresponse()
+        platform.process.send_signal(signal.SIGSTOP)
+        began = time.monotonic()
+        platform.process.terminate()
+        time.sleep(pause_s)
+        platform.process.send_signal(signal.SIGCONT)
+        with check.assertRaises(http.client.IncompleteRead):
+            resp.read()
+        check.assertLess(time.monotonic() - began, DRAIN_S)
+        check.assertEqual(platform.process.wait(began + DRAIN_S - time.monotonic()), 0)
