--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -129,6 +129,22 @@
     check.assertGreater(world.rate("t0", 15.0, 24.0), 2.5)
 
 
+def test_limits_hold_when_rates_and_the_number_of_fronts_change_threefold_at_once():
+    for seed in range(3):
+        changes = [(2.0, 12.0), (8.0, 4.0), (14.0, 12.0), (20.0, 4.0)]
+        servers = _servers(3, changes, [(2.0, 4.0)])
+        world = limited_fleet.World("abc", 1, servers, calls_per_s=60.0, seed=seed)
+        with world:
+            world.run(7.9)
+            for number, domain in enumerate("abcabc"):
+                world.start_front(f"{domain}9{number}", domain)
+            world.run(19.9)
+            for number, domain in enumerate("abcabc"):
+                world.kill_front(f"{domain}9{number}")
+            world.run(27.0)
+        check.assertEqual(world.windows_over_limit(), [], seed)
+
+
 def test_a_domain_that_is_cut_off_does_not_take_the_whole_limit():
     for fronts_each in (2, 14):
         servers = _servers(4, [(2.0, 6.0)], [(2.0, 4.0)])
--- a/tests/test_shifted_estimates.py
+++ b/tests/test_shifted_estimates.py
@@ -7,6 +7,7 @@
 
 from tests import fixtures, test_delivery_stop, test_dispatch
 from turmericward import delivery, runtime
+from turmericward.delivery import _stop, _timeouts
 from turmericward.dispatching import _deadlines
 
 check = fixtures.check
@@ -65,3 +66,36 @@
         check.assertAlmostEqual(
             deadlines.hard_deadline_s, min(call_s, call.route.abandon_s), places=3
         )
+
+
+def test_how_long_an_answer_is_expected_moved_the_end_of_a_call():
+    call = test_dispatch._call(8.0)
+    for expected_s in (0.0, 0.3, 1.0, 3.0, 9.0, 1e6):
+        alone_s = _timeouts.first_byte_timeout_s(call, expected_s, may_repeat=False)
+        check.assertAlmostEqual(alone_s, 8.0, places=1, msg=expected_s)
+        timeout_s = _timeouts.first_byte_timeout_s(call, expected_s, may_repeat=True)
+        check.assertLessEqual(timeout_s, 8.0, expected_s)
+        # Another attempt is looked for, at the earliest, after half of its time.
+        check.assertGreaterEqual(timeout_s, 3.9, expected_s)
+
+
+def test_routes_whose_times_are_not_known_changed_which_calls_begin_late_in_a_stop():
+    moved, evicted = _stop.CallTimes(), _stop.CallTimes()
+    for _ in range(_stop.RECENT_CALLS):
+        moved.record("ask", 0.1)
+        evicted.record("ask", 0.1)
+    for number in range(_stop.MAX_ROUTES):
+        evicted.record(f"r{number}", 0.1)
+    check.assertIsNone(evicted.usual_s("ask"))
+    # A front that has just started; a route that moved to a slower service; too many.
+    for times in (_stop.CallTimes(), moved, evicted):
+        for call_s, granted in ((3.9, True), (4.1, False), (30.0, False)):
+            stop = _stop.CallStop(drain=_known_stop(3.0), times=times)
+            call = test_dispatch._call(call_s)
+            check.assertIs(stop.admission(call, 0.0).granted, granted, call_s)
+
+
+def _known_stop(elapsed_s: float) -> runtime.Drain:
+    drain = runtime.Drain(8.0, lag_s=3.0)
+    drain.begin(runtime.now() - elapsed_s)
+    return drain
