New retry budgets begin with a part of the slack that is kept for starts

Cause: a service's budget began full at the share known at its first call: 0.7 x slack / fronts once peers are heard, half of 0.7 x slack after the first peer. Each restart in a window adds that, and fronts that start apart from the others keep shares that add up to more than the slack.

Change: a new budget begins with 0.3 x slack / 16 (fewer among more known fronts), the rest is earned; fronts that the store lists count as those that are heard; until it has listed them, at least 16 are assumed.

Open: more than 16 fronts that start within 10 s and repeat before the store has listed them. What the smaller start costs in served calls is not measured.

--- a/src/turmericward/dispatching/_dispatch_task.py
+++ b/src/turmericward/dispatching/_dispatch_task.py
@@ -245,6 +245,7 @@
         if limits.members.set_names(message.names):
             logging.info("%d fronts share the targets", len(message.names))
             limits.update_shares(runtime.now())
+        self._budgets.update_listed_count(limits.members.count)
 
     @handle.register
     def _(self, message: _messages.GetEngines) -> _messages.EnginesView:
--- a/src/turmericward/dispatching/_retry_budgets.py
+++ b/src/turmericward/dispatching/_retry_budgets.py
@@ -5,11 +5,15 @@
 from turmericward import requests
 from turmericward.dispatching import _messages
 
-# Assumed number of fronts until a report of a peer has been received.
+# Assumed number of fronts until the store has listed them, and least number among which
+# the retries are divided that fronts begin with.
 ASSUMED_FLEET_SIZE = 16
-# Fraction of the retry bounds that is used, since windows slide and restarted
-# fronts begin with full budgets.
-RETRY_SAFETY_FACTOR = 0.7
+# Fraction of the share of the requests that is used, since windows slide.
+SHARE_FACTOR = 0.7
+# Fractions of the slack that all fronts together may save, and that so many fronts as
+# are assumed may begin with in one window.
+SAVED_FACTOR = 0.7
+INITIAL_FACTOR = 0.3
 
 
 class RetryBudgets:
@@ -18,7 +22,9 @@
     def __init__(self, bounds: _messages.RetryBounds) -> None:
         """Starts with the assumed number of fronts."""
         self._bounds = bounds
-        self._max_live_peers = 0
+        # Most fronts that were heard or listed at a time, this one included.
+        self._max_fronts = 1
+        self._listed = False
         self._budgets: dict[str, requests.RetryBudget] = collections.defaultdict(
             self._new_budget
         )
@@ -42,24 +48,36 @@
         The highest number is used so that a partitioned front, which sees no peers,
         doesn't take over their shares.
         """
-        if live_peers <= self._max_live_peers:
-            return
-        self._max_live_peers = live_peers
-        self._apply_bounds()
+        self._set_fronts(live_peers + 1)
+
+    def update_listed_count(self, fronts: int) -> None:
+        """Does the same with the number of fronts that the store lists.
+
+        A front that starts in a partition hears only some of its peers.
+        """
+        if not self._listed:
+            self._listed = True
+            self._apply_bounds()
+        self._set_fronts(fronts)
+
+    def _set_fronts(self, fronts: int) -> None:
+        if fronts > self._max_fronts:
+            self._max_fronts = fronts
+            self._apply_bounds()
 
     def _apply_bounds(self) -> None:
         for budget in self._budgets.values():
-            budget.set_bounds(
-                RETRY_SAFETY_FACTOR * self._bounds.share, self._max_saved()
-            )
+            budget.set_bounds(SHARE_FACTOR * self._bounds.share, self._max_saved())
 
     def _new_budget(self) -> requests.RetryBudget:
+        fronts = max(self._max_fronts, ASSUMED_FLEET_SIZE)
         return requests.RetryBudget(
-            share=RETRY_SAFETY_FACTOR * self._bounds.share, max_saved=self._max_saved()
+            share=SHARE_FACTOR * self._bounds.share,
+            max_saved=self._max_saved(),
+            saved=INITIAL_FACTOR * self._bounds.slack / fronts,
         )
 
     def _max_saved(self) -> float:
-        fronts = (
-            self._max_live_peers + 1 if self._max_live_peers else ASSUMED_FLEET_SIZE
-        )
-        return RETRY_SAFETY_FACTOR * self._bounds.slack / fronts
+        alone = self._max_fronts == 1
+        assumed = ASSUMED_FLEET_SIZE if alone or not self._listed else 1
+        return SAVED_FACTOR * self._bounds.slack / max(self._max_fronts, assumed)
