Soak: repeats counted at the replicas stay within the budget, and are all paid for

Two promises: retries_stay_within_the_budget counts arrivals beyond the first by service in windows of 10 s at the stand-ins (rejected ones too; not the first accepted prefill), against a share of the calls sent to the service in that window, the one before or half a window before, and the slack; fronts_pay_for_each_repeat compares each call's repeats with the retries that the fronts' logs say were granted.

Tested on evidence that keeps and that breaks each.

--- a/soak/_evidence.py
+++ b/soak/_evidence.py
@@ -1,5 +1,6 @@
 """What clients, replicas and the operator saw in a run; times are monotonic seconds."""
 
+import collections
 import math
 import threading
 
@@ -91,6 +92,10 @@
     # Fault injected, and how often.
     injected: dict[str, int] = attrs.field(factory=dict)
     healed_at: float = math.inf
+    # Bound on the repeats of all fronts, besides a share of the calls.
+    retry_slack: float = math.inf
+    # Retries that fronts logged as granted, by call; None if their logs were not read.
+    granted: collections.Counter | None = None
     replicas: dict = attrs.field(factory=dict)
     _lock: threading.Lock = attrs.field(factory=threading.Lock)
 
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -30,6 +30,7 @@
 FIRST_FRONT_HOST = 20
 REPLICA_DOMAINS = 3
 # Route, kind, service, and whether its streams may be resumed.
+RETRY_SHARE = 0.2
 ROUTES = (
     ("read", "idempotent", "plain", False),
     ("job", "non_idempotent", "plain", False),
@@ -64,11 +65,16 @@
 
 def replicas_of(route: str) -> set[str]:
     """Returns the replicas of a route's service."""
-    services = {name: service for name, _, service, _ in ROUTES}
-    service = services.get(route, PLAIN)
+    service = service_of(route)
     return {name for name, (of, _) in REPLICAS.items() if of == service}
 
 
+def service_of(route: str) -> str:
+    """Returns the name of a route's service."""
+    services = {name: service for name, _, service, _ in ROUTES}
+    return services.get(route, PLAIN)
+
+
 def _route(name: str, kind: str, service: str, *, resumable=False) -> dict:
     return {
         "name": name,
@@ -249,7 +255,7 @@
             "limits": {"file_descriptors": 4096, "memory_mb": 300},
             "bounds": {
                 "drain_s": self.grace_s,
-                "retry_share": 0.2,
+                "retry_share": RETRY_SHARE,
                 "retry_slack": self.retry_slack,
                 "retry_window_s": 10,
                 "order_gap_ms": 500,
--- a/soak/_promises.py
+++ b/soak/_promises.py
@@ -1,9 +1,15 @@
 """Promises of the product by name, each checked against the evidence of a run."""
 
-from soak import _call_promises, _evidence, _findings, _fleet_promises
+from soak import (
+    _budget_promises,
+    _call_promises,
+    _evidence,
+    _findings,
+    _fleet_promises,
+)
 
 # Modules that register promises.
-MODULES = (_call_promises, _fleet_promises)
+MODULES = (_budget_promises, _call_promises, _fleet_promises)
 
 
 def check(evidence: _evidence.Evidence) -> dict[str, _findings.Result]:
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -13,6 +13,7 @@
 from absl import logging
 
 from soak import (
+    _budget_promises,
     _evidence,
     _faults,
     _findings,
@@ -117,6 +118,7 @@
         grace_s=rng.choice(GRACES_S),
         leaving_s=LEAVING_S,
         configuration_s=CONFIGURATION_S,
+        retry_slack=options.retry_slack,
     )
     options.directory.mkdir(parents=True, exist_ok=True)
     fleet = _fleet.Fleet(
@@ -134,6 +136,7 @@
             evidence.healed_at = time.monotonic()
             time.sleep(_fleet_promises.RECOVERY_S + RECOVERY_LOAD_S)
         evidence.exits += [f.name for f in fleet.fronts if f.process.poll() is not None]
+    evidence.granted = _budget_promises.granted_retries(fleet)
     results = _promises.check(evidence)
     report = Report(
         seed=seed,
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -1,8 +1,10 @@
 """Promises of the soak, on evidence that keeps them and on evidence that does not."""
 
+import collections
+
 import attrs
 
-from soak import _evidence, _fleet, _promises
+from soak import _budget_promises, _evidence, _fleet, _promises
 from standins import caller, platform_replica
 from tests import fixtures
 
@@ -48,15 +50,14 @@
     )
 
 
-def _run_at(evidence, replica: str, at=STOP_AT, headers=None) -> None:
+def _run_at(evidence, replica: str, at=STOP_AT, headers=None, **fields) -> None:
     evidence.replicas[replica].calls.append(
         platform_replica.ReceivedCall(
             path="/job/x?work_ms=0",
-            call_id="c1",
             headers=headers or {},
             body=b"",
-            ran=True,
             at=at,
+            **{"call_id": "c1", "ran": True} | fields,
         )
     )
 
@@ -208,3 +209,56 @@
         check.assertEqual(bool(_broken(evidence)), broken, (late_s, arrivals))
     evidence.disrupt("pause", FRONT, STOP_AT).ended = STOP_AT + 5.0
     check.assertEqual(_broken(evidence), set())
+
+
+PREFILL = {"Turmericward-Serving-Stage": "prefill"}
+
+
+def _repeated(times: int, spacing_s: float = 0.0, **fields) -> _evidence.Evidence:
+    """Returns evidence of calls that a replica rejected and another one ran."""
+    evidence = _evidence_with(**fields)
+    for number in range(times):
+        at, call_id = STOP_AT + number * spacing_s, f"r{number}"
+        _run_at(evidence, "p1", at, call_id=call_id, ran=False)
+        _run_at(evidence, "p2", at + 0.1, call_id=call_id)
+    return evidence
+
+
+def test_repeats_that_replicas_rejected_were_not_counted_against_the_budget():
+    promise = "retries_stay_within_the_budget"
+    # 40 calls allow 8 repeats.
+    for slack, spacing_s, kept in ((31, 0.0, False), (32, 0.0, True), (20, 1.0, True)):
+        broken = _broken(_repeated(40, spacing_s, retry_slack=slack))
+        check.assertEqual(promise not in broken, kept, (slack, spacing_s))
+
+
+def test_the_calls_of_a_window_before_allow_repeats_when_no_call_comes():
+    for before_s, kept in ((0.0, True), (4.0, True), (9.0, True), (30.0, False)):
+        evidence = _repeated(4, retry_slack=0)
+        for number in range(16):
+            at = STOP_AT - before_s
+            _run_at(evidence, "p1", at, call_id=f"early{number}")
+        broken = "retries_stay_within_the_budget" in _broken(evidence)
+        check.assertEqual(not broken, kept, before_s)
+
+
+def test_the_first_accepted_prefill_alone_is_no_repeat():
+    for accepted, count in ((True, 0), (False, 1)):
+        evidence = _evidence_with()
+        _run_at(evidence, "s1", ran=accepted, headers=PREFILL)
+        _run_at(evidence, "s3", STOP_AT + 1)
+        check.assertEqual(len(_budget_promises.repeats(evidence)), count, accepted)
+    _run_at(evidence, "s2", STOP_AT + 2, headers=PREFILL)
+    _run_at(evidence, "s1", STOP_AT + 3, headers=PREFILL)
+    check.assertEqual(len(_budget_promises.repeats(evidence)), 2)
+
+
+def test_a_repeat_that_no_front_had_granted_was_not_found():
+    promise = "fronts_pay_for_each_repeat"
+    for granted, killed, kept in ((0, False, False), (1, False, True), (0, True, True)):
+        evidence = _evidence_with(_sent(), granted=collections.Counter(c1=granted))
+        if killed:
+            evidence.disrupt("kill", FRONT, STOP_AT + 0.5).ended = STOP_AT + 1
+        _run_at(evidence, "p1", ran=False)
+        _run_at(evidence, "p2", STOP_AT + 0.5)
+        check.assertEqual(promise not in _broken(evidence), kept, (granted, killed))
