--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -18,6 +18,7 @@
 
 HOST = "api.example"
 START_TIMEOUT_S = 120.0
+PROBE_WAIT_S = 10.0
 SLOTS = 64
 ROUTE_TIMEOUT_MS = 20_000
 FRONTS_PER_DOMAIN = 2
@@ -29,8 +30,9 @@
 STORE_PAGE = 200
 FIRST_FRONT_HOST = 20
 REPLICA_DOMAINS = 3
-# Route, kind, service, and whether its streams may be resumed.
+# Retries that all fronts together may make, as a share of the calls.
 RETRY_SHARE = 0.2
+# Route, kind, service, and whether its streams may be resumed.
 ROUTES = (
     ("read", "idempotent", "plain", False),
     ("job", "non_idempotent", "plain", False),
@@ -122,9 +124,10 @@
         self.boot += 1
         self.stop_at = None
 
-    def is_ready(self) -> bool:
+    def is_ready(self, wait_s: float = PROBE_WAIT_S) -> bool:
         """Returns whether the readiness probe succeeds."""
-        return launch.request(self.ready, "GET", "/api/readiness")[0] == 200
+        path = "/api/readiness"
+        return launch.request(self.ready, "GET", path, wait=wait_s)[0] == 200
 
     def signal(self, number: int) -> None:
         """Sends a signal, unless the process has ended."""
@@ -147,6 +150,7 @@
     program: list[str]
     evidence: _evidence.Evidence
     retry_slack: int
+    slowdown_per_call: float
     fronts: list[Front] = attrs.field(factory=list)
     replicas: dict[str, platform_replica.Replica] = attrs.field(factory=dict)
     links: dict[str, link.Link] = attrs.field(factory=dict)
@@ -177,6 +181,7 @@
             address, announced = (f"127.0.0.1:{p}" for p in loopback.free_ports(2))
             replica = self.replicas[name] = platform_replica.Replica(name)
             replica.stage = REPLICAS[name][1]
+            replica.slowdown_per_call = self.slowdown_per_call
             replica.stage_changed = functools.partial(self._change_stage, name)
             self._addresses[name], self._announced[name] = address, announced
             self._serve(name, address, self.replicas[name])
