A call is early in a stop by one safe look at the clocks, also without a lag

What callers would see: a thread paused between two looks (0.4 s) took a call sent 3.1 s after SIGTERM for an early one, by estimate (LOST); where the balancer is told at once (lag below 0.25 s) a call received before SIGTERM was refused as a late one. Cause: the stop's clock was read before the call's age; the margin was taken off a lag smaller than it. Now the age is read first, so a pause only makes a call later, and what was received before the stop began is early.

--- a/src/turmericward/delivery/_stop.py
+++ b/src/turmericward/delivery/_stop.py
@@ -122,7 +122,9 @@
 
     def received_s(self, call: routing.Call) -> float:
         """Returns how long after the beginning of the stop a call was received."""
-        return self.drain.elapsed_s - (runtime.now() - call.received)
+        # In this order a pause in between makes the call a later one.
+        age_s = runtime.now() - call.received
+        return self.drain.elapsed_s - age_s
 
     def admission(self, call: routing.Call, elapsed_s: float) -> Admission | None:
         """Returns whether an attempt may begin during the stop; None before it.
--- a/src/turmericward/runtime/_drain.py
+++ b/src/turmericward/runtime/_drain.py
@@ -80,7 +80,7 @@
 
     def is_before_notice(self, elapsed_s: float) -> bool:
         """Returns whether callers couldn't know of the stop yet at a time of it."""
-        return elapsed_s <= self.lag_s - SIGNAL_MARGIN_S
+        return elapsed_s <= max(0.0, self.lag_s - SIGNAL_MARGIN_S)
 
     @property
     def until_end_s(self) -> float:
--- a/tests/test_delivery_stop.py
+++ b/tests/test_delivery_stop.py
@@ -76,7 +76,8 @@
 
 
 def _context(drain: runtime.Drain, transport, times=None):
-    task = test_dispatch._task()
+    retries = dispatching.RetryBounds(share=0.0, slack=test_dispatch.slack_for(2.7))
+    task = test_dispatch._task(retries=retries)
     task.handle(dispatching.PutTargets(targets=tuple(test_delivery._targets())))
     dispatcher = test_delivery._Dispatcher(task)
     ctx = delivery.Context(
@@ -611,3 +612,43 @@
     drain.begin()
     received = test_late_attempts._received(reply)
     return received, test_delivery._endings(dispatcher)[-2:]
+
+
+class _PausingClock:
+    """A clock whose reader's thread is switched out after each look."""
+
+    def __init__(self, now: float, pause_s: float) -> None:
+        self.now = now
+        self._pause_s = pause_s
+
+    def __call__(self) -> float:
+        now = self.now
+        self.now += self._pause_s
+        return now
+
+
+def _admission(call, received_s: float, lag_s: float, pause_s: float = 0.0):
+    """Returns the admission of a call by a clock that goes on between two looks."""
+    clock = _Clock()
+    drain = runtime.Drain(STOP_S, clock, lag_s=lag_s)
+    drain.begin()
+    received = clock.now + received_s
+    call = attrs.evolve(call, received=received, deadline=received + CALL_S)
+    times = _stop.CallTimes()
+    for _ in range(50):
+        times.record(call.route.name, 0.1)
+    looks = _PausingClock(clock.now + max(0.0, received_s), pause_s)
+    drain._clock = looks
+    with mock.patch.object(runtime, "now", looks):
+        return _stop.CallStop(drain=drain, times=times).admission(call, 0.0)
+
+
+def test_a_late_call_looked_early_as_its_thread_was_paused_between_two_looks():
+    admission = _admission(test_dispatch._call(CALL_S), 3.1, LAG_S, pause_s=0.4)
+    check.assertEqual(admission.basis, _stop.Basis.DEADLINE, admission)
+
+
+def test_a_call_received_before_the_stop_was_refused_as_one_that_could_know_of_it():
+    for lag_s in (0.0, 0.1, LAG_S):
+        admission = _admission(test_dispatch._call(CALL_S), -0.1, lag_s)
+        check.assertTrue(admission.granted, lag_s)
