A request that waits for a worker is refused by the end of a stop

What callers would see (LOST): all workers are occupied, a request was read whole, and the process ends before the 2 s are over after which a worker of its own refuses it: closed without an answer. Cause: that bound didn't know of the stop. Halfway between the deadline of open calls and the end, what still waits is refused: 503, not run.

--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -85,7 +85,9 @@
         self._servers: list = []
         self._monitor = _idle.IdleMonitor()
         self._server = self._listen(app, address, limits.threads)
-        self._refuser = _waiting.Refuser(self._server.task_dispatcher, limits.queue_s)
+        self._refuser = _waiting.Refuser(
+            self._server.task_dispatcher, limits.queue_s, self._drain
+        )
         self._stopper = _stopping.Stopper(self._server, self._drain)
 
     def _listen(self, app, address: tuple[str, int], threads: int):
--- a/src/turmericward/httpd/_waiting.py
+++ b/src/turmericward/httpd/_waiting.py
@@ -49,9 +49,21 @@
 class Refuser:
     """Answers late requests by a worker of its own; for the event loop's thread."""
 
-    def __init__(self, workers: _workers.GrowingDispatcher, max_wait_s: float) -> None:
-        """Creates the refuser of the requests that wait for `workers`."""
+    def __init__(
+        self,
+        workers: _workers.GrowingDispatcher,
+        max_wait_s: float,
+        drain: runtime.Drain,
+    ) -> None:
+        """Creates the refuser of the requests that wait for `workers`.
+
+        Args:
+            workers: the workers.
+            max_wait_s: how long a request may wait, in seconds.
+            drain: time bounds of the stop, which none outlasts.
+        """
         self._workers = workers
+        self._drain = drain
         self._monitor = WaitMonitor(max_wait_s)
         self._refusers = _workers.GrowingDispatcher(REFUSERS)
 
@@ -61,18 +73,23 @@
         return self._monitor.interval_s if self._workers.waiting() else math.inf
 
     def step(self) -> None:
-        """Refuses what has waited too long."""
-        now = runtime.now()
-        if not self._monitor.is_due(now):
-            return
-        waiting = [(c, c.waiting_since) for c in self._workers.waiting()]
-        for channel in self._monitor.find_expired(waiting, now):
+        """Refuses what has waited too long, or to the end of a stop."""
+        for channel in self._expired(runtime.now()):
             # A worker may have begun it meanwhile.
             if self._workers.withdraw(channel):
                 telemetry.log_event("refusal", status=503, detail="no worker is free")
                 channel.refuses = True
                 self._refusers.add_task(channel)
 
+    def _expired(self, now: float) -> list[_channel.Channel]:
+        # Workers whose calls end at the deadline have half of what is left then.
+        if now >= (self._drain.deadline + self._drain.end) / 2:
+            return self._workers.waiting()
+        if not self._monitor.is_due(now):
+            return []
+        waiting = [(c, c.waiting_since) for c in self._workers.waiting()]
+        return self._monitor.find_expired(waiting, now)
+
     def close(self) -> None:
         """Lets the worker end."""
         self._refusers.set_thread_count(0)
--- a/tests/test_httpd_waiting.py
+++ b/tests/test_httpd_waiting.py
@@ -34,3 +34,19 @@
     check.assertEqual(monitor.find_expired([("a", 0.0)], 1.0), [])
     check.assertEqual(monitor.find_expired([("a", 0.0), ("b", 2.0)], 9.0), [])
     check.assertEqual(monitor.find_expired([("b", 2.0), ("c", 8.9)], 9.3), ["b"])
+
+
+# A worker would have refused them after the time for which they may wait.
+def test_requests_that_waited_for_a_worker_were_closed_unanswered_by_a_stop():
+    with httpd_fixtures.running(4.0, threads=2, queue_s=2.0) as running:
+        occupying = [running.connect() for _ in range(2)]
+        for conn in occupying:
+            conn.sendall(httpd_fixtures.head("/wait"))
+            check.assertTrue(running.app.started.acquire(timeout=5))
+        waiting = running.connect()
+        running.begin()
+        time.sleep(2.0)
+        waiting.sendall(httpd_fixtures.head("/late"))
+        status, headers, _ = httpd_fixtures.read(waiting)
+        check.assertEqual((status, headers["Connection"]), (503, "close"))
+        check.assertNotIn("/late", running.app.paths)
