In a stop, idle connections are closed when the balancer's lag is over

Since only the deadline of a late call lets it begin, calls on connections that were idle since before SIGTERM are mostly refused (503, not run), though any other front would take them. Idle connections were kept for half of the stop, and as long as anything else was open.

Change: after the lag, a connection between two requests, without a byte for as long as the lag, is closed (its sending side ended, read on, bytes that cross discarded; unread bytes are served first). New connections without a byte, and the listener, stay as they were.

Ruled out: closing new connections too (a balancer may be late, and no other front ready); handing late calls to a peer (weighed, not built).

--- a/src/turmericward/httpd/_shutdown.py
+++ b/src/turmericward/httpd/_shutdown.py
@@ -157,9 +157,9 @@
             only_idle: whether no connection has a request in progress.
         """
         action = ACTIONS[self.phase][state]
-        without_request = state in IDLE_STATES
-        needless = without_request and only_idle and quiet_s >= self._max_quiet_s
-        if self.phase is Phase.FINISHING and needless:
+        if self.phase is Phase.FINISHING and self._is_needless(
+            state, quiet_s, only_idle=only_idle
+        ):
             action = Action.CLOSE
         settling = self._clock() < self._settled_at
         if action is Action.CLOSE and (unread or (state is State.NEW and settling)):
@@ -167,3 +167,9 @@
         if action is Action.REFUSE and unread and settling:
             return Action.LAST
         return action
+
+    def _is_needless(self, state: State, quiet_s: float, *, only_idle: bool) -> bool:
+        # Its next call would come too late to be sure of its end.
+        if state is State.IDLE and quiet_s >= self._drain.lag_s:
+            return True
+        return state in IDLE_STATES and only_idle and quiet_s >= self._max_quiet_s
