A plain service's connect ends at the deadline of an entry's stop

What callers would see: a call whose connect to a silent target begins in the last second before the stop's deadline is cut with the process: nothing looks at the stop meanwhile (1 s, margin 0.5 s). Now the connect is bounded by what is left: 503, not run.

Not mended: engines' connects of an entry, which go through delivery (1 s); a front's are bounded by 0.3 s. Read from the code, not run.

Test: answered 0.57 s after the end of the process before (1 of 1 failed); now passes. test_late_services 9 passed.

--- a/src/turmericward/adapters/service.py
+++ b/src/turmericward/adapters/service.py
@@ -9,6 +9,7 @@
 from turmericward.adapters import _guard, _pending, _request
 
 Request = _request.Request
+CONNECT_TIMEOUT_S = _request.CONNECT_TIMEOUT_S
 _HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -47,6 +48,7 @@
     deadline: float | None = None,
     watch: _pending.Watch = _pending.NO_WATCH,
     cancelled: Callable[[], bool] | None = None,
+    connect_timeout_s: float = CONNECT_TIMEOUT_S,
 ) -> Response:
     """Sends one call without retries and reads the complete response.
 
@@ -58,7 +60,9 @@
         deadline: the end of the response, on the clock of `runtime.now`, if it is
             later than that.
         watch: what happens when the timeout is over.
-        cancelled: returns whether the call has to end; polled, if given.
+        cancelled: returns whether the call has to end; polled, if given, once the
+            connection is open.
+        connect_timeout_s: bounds the connecting, besides `timeout_s`.
 
     Raises:
         NotSentError: the request cannot have reached the service.
@@ -72,7 +76,9 @@
     until = runtime.now() + timeout_s
     deadline = until if deadline is None else deadline
     guard = _guard.Guard(until, cancelled, watch.on_late, watch.rival)
-    conn = _request.connect(address, timeout_s, guard=guard)
+    conn = _request.connect(
+        address, timeout_s, connect_timeout_s=connect_timeout_s, guard=guard
+    )
     with _request.closing(conn):
         check = functools.partial(guard.check_writing, until)
         _request.send(conn, address, req, check)
--- a/src/turmericward/entry/_services.py
+++ b/src/turmericward/entry/_services.py
@@ -95,6 +95,9 @@
                 deadline=attempt.deadline,
                 watch=attempt.watch,
                 cancelled=self._ctx.must_end,
+                connect_timeout_s=min(
+                    service.CONNECT_TIMEOUT_S, self._ctx.drain.until_deadline_s
+                ),
             )
         except (errors.RivalAnsweredError, errors.CancelledError):
             # That its target was the slower one, or the entry stops, is no failure.
--- a/tests/test_late_services.py
+++ b/tests/test_late_services.py
@@ -2,12 +2,13 @@
 
 import contextlib
 import math
+import socket
 import threading
 import time
 import types
 from concurrent import futures
 
-from tests import fixtures, test_late_connections
+from tests import fixtures, test_late_attempts, test_late_connections
 from turmericward import configuration, runtime
 from turmericward.entry import _context, _errors, _http, _router_task, _services
 
@@ -186,3 +187,21 @@
             with _targets(SOUND) as targets:
                 status, _ = _call(*targets, method=method, drain=drain)
             check.assertEqual(status, expected, (length_s, lag_s, method))
+
+
+def test_a_connect_that_began_late_in_a_stop_outlasted_it():
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
+        address = f"127.0.0.1:{full.getsockname()[1]}"
+        fillers = [test_late_attempts._start_connecting(address) for _ in range(3)]
+        time.sleep(0.1)
+        for method in ("POST", "GET"):
+            drain = runtime.Drain(2.0, lag_s=8.0)
+            drain.begin()
+            time.sleep(drain.until_deadline_s - 0.3)
+            status, _ = _call(
+                types.SimpleNamespace(address=address), method=method, drain=drain
+            )
+            check.assertLess(runtime.now(), drain.end, method)
+            check.assertEqual(status, 503, method)
+        for filler in fillers:
+            filler.close()
