Failing test: fronts that know no peer yet have more retries than all may send

Until a peer reports, a front assumes 16 fronts. With a slack of 60, 48 fronts have 96 first retries, 195 have 390 (BUDGET, if they start together and lose calls within their first half second).

--- a/tests/test_shifted_estimates.py
+++ b/tests/test_shifted_estimates.py
@@ -6,9 +6,9 @@
 import attrs
 
 from tests import fixtures, test_delivery_stop, test_dispatch
-from turmericward import delivery, runtime
+from turmericward import delivery, dispatching, runtime
 from turmericward.delivery import _stop, _timeouts
-from turmericward.dispatching import _deadlines
+from turmericward.dispatching import _deadlines, _retry_budgets
 
 check = fixtures.check
 STOP_S = 2.0
@@ -99,3 +99,14 @@
     drain = runtime.Drain(8.0, lag_s=3.0)
     drain.begin(runtime.now() - elapsed_s)
     return drain
+
+
+def test_fronts_that_know_no_peer_yet_had_more_retries_than_all_may_send():
+    bounds = dispatching.RetryBounds(share=0.1, slack=60.0)
+    for fronts in (1, 16, 48, 195):
+        budgets = [_retry_budgets.RetryBudgets(bounds) for _ in range(fronts)]
+        spent = sum(
+            sum(budget.spend() for _ in range(60))
+            for budget in (b.for_service("s") for b in budgets)
+        )
+        check.assertLessEqual(spent, bounds.slack, fronts)
