--- a/soak/_injections.py
+++ b/soak/_injections.py
@@ -118,6 +118,14 @@
     )
 
 
+@_injection
+def repeats_unpaid():
+    """A front that takes nothing from its retry budget for a call without a target."""
+    return mock.patch.object(
+        _progress.Progress, "is_retry", lambda self, *, prefilled: False
+    )
+
+
 def _impatient(chunks):
     waiting_since = time.monotonic()
     for chunk in chunks:
