Soak: an injected admission by estimate is found while sizes shift

Why: nothing of ours showed the cut streams. The injected fault takes calls of a stop by past durations whenever they were sent, as before.

Drafts and chat of the output-heavy profile have routes of their own and little spread, so that their past durations are short and alike; with long calls on the same route the estimate refused nearly all late calls.

The promise is unchanged.

--- a/soak/_injections.py
+++ b/soak/_injections.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from turmericward import routing
+from turmericward import routing, runtime
 from turmericward.adapters import errors
 from turmericward.delivery import _progress
 from turmericward.dispatching import _crash_guard
@@ -118,6 +118,14 @@
     )
 
 
+@_injection
+def admits_by_estimate():
+    """A front that takes late calls of a stop by how long earlier ones took."""
+    return mock.patch.object(
+        runtime.Drain, "is_before_notice", lambda self, elapsed_s: True
+    )
+
+
 def _impatient(chunks):
     waiting_since = time.monotonic()
     for chunk in chunks:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,6 +26,16 @@
     "faults": "^(silence|deadly_request)$",
     "retry_slack": 30,
 }
+# With this seed, drafts get five times as long while all fronts of a domain stop.
+SHIFTED_SEED = 5684
+SHIFTED = {
+    "fronts": 2,
+    "clients": 32,
+    "seconds": 0.5,
+    "planned_only": True,
+    "faults": "^stop_domain$",
+    "profile": "output-heavy",
+}
 
 
 def _findings(program: tuple[str, ...], *, seed=SEED, **changes) -> list[str]:
@@ -101,3 +111,13 @@
     findings = _findings(program, seed=TROUBLED_SEED, **TROUBLED)
     for promise in ("every_read_call", "deadly_requests_reach_few_replicas"):
         check.assertTrue([f for f in findings if f.startswith(promise)], findings)
+
+
+def test_streams_that_got_longer_while_fronts_stop_break_no_promise():
+    check.assertEqual(_findings(_run.PROGRAM, seed=SHIFTED_SEED, **SHIFTED), [])
+
+
+def test_a_front_that_admits_late_calls_by_how_long_earlier_ones_took_is_found():
+    program = _injections.program("admits_by_estimate")
+    findings = _findings(program, seed=SHIFTED_SEED, **SHIFTED)
+    check.assertTrue([f for f in findings if f.startswith("every_read_call")], findings)
