--- a/src/turmericward/platform/_ingress.py
+++ b/src/turmericward/platform/_ingress.py
@@ -22,12 +22,12 @@
 from turmericward.adapters import service
 from turmericward.platform import _headers
 
-DEFAULT_DEADLINE_S = 10.0
 NOT_READY_RETRY_S = 1.0
 STATUS_TIMEOUT_S = 1.0
 MAX_DEADLINE_MS = 1e11
-# Longer deadlines count as this multiple of the route's timeout: the longest one of a
-# route tells which of its later calls are repeated.
+# Longer deadlines count as the larger of these, the second a multiple of the route's
+# timeout: the longest one of a route tells which of its later calls are repeated.
+LONG_DEADLINE_S = 10.0
 MAX_DEADLINE_PER_TIMEOUT = 2.0
 # Client headers that aren't forwarded: set per target, or hop-by-hop.
 _NOT_FORWARDED = _headers.SYSTEM_HEADERS | {
@@ -112,7 +112,12 @@
         phrase = http.HTTPStatus(reply.status).phrase
     except ValueError:
         phrase = "Status"
-    start_response(f"{reply.status} {phrase}", headers)
+    try:
+        start_response(f"{reply.status} {phrase}", headers)
+    except BaseException:
+        if not buffered:
+            reply.body.close()
+        raise
     return [reply.body] if buffered else _StreamedBody(reply.body)
 
 
@@ -157,8 +162,8 @@
     values = {name.lower(): value for name, value in pairs}
     received = environ.get(httpd.RECEIVED_AT_KEY) or runtime.now()
     deadline_s = min(
-        _deadline_s(values),
-        max(DEFAULT_DEADLINE_S, MAX_DEADLINE_PER_TIMEOUT * route.timeout_s),
+        _deadline_s(values, route.timeout_s),
+        max(LONG_DEADLINE_S, MAX_DEADLINE_PER_TIMEOUT * route.timeout_s),
     )
     forwarded = service.end_to_end_headers(pairs)
     return routing.Call(
@@ -178,15 +183,15 @@
     )
 
 
-def _deadline_s(values: dict[str, str]) -> float:
+def _deadline_s(values: dict[str, str], default_s: float) -> float:
     raw = values.get(_headers.DEADLINE_MS.lower(), "")
     if not raw:
-        return DEFAULT_DEADLINE_S
+        return default_s
     try:
         return schema.parse_float(raw, -MAX_DEADLINE_MS, MAX_DEADLINE_MS) / 1000
     except schema.SchemaError as exc:
-        logging.warning("invalid deadline, using the default: %s", exc)
-        return DEFAULT_DEADLINE_S
+        logging.warning("invalid deadline, using the route's timeout: %s", exc)
+        return default_s
 
 
 def _prompt(values: dict[str, str]) -> requests.Prompt | None:
