The header Trailers isn't passed on: the server refuses it

Cause: the server's list of hop-by-hop headers has it (RFC 2616's name), ours had Trailer alone. test_headers_that_the_server_refuses_failed_an_answer failed before.

--- a/src/turmericward/adapters/service.py
+++ b/src/turmericward/adapters/service.py
@@ -18,6 +18,7 @@
         "proxy-authorization",
         "te",
         "trailer",
+        "trailers",
         "transfer-encoding",
         "upgrade",
         "content-length",
