A call that waited for its turn asks whether its target may still be used

Cause: a promise rested on a placement from before the wait. Now the dispatcher is asked once after a wait; if the target has left, is gone or born anew, the call is placed again, its retry given back.

--- a/src/turmericward/delivery/_asking.py
+++ b/src/turmericward/delivery/_asking.py
@@ -10,7 +10,7 @@
 
 import result
 
-from turmericward import dispatching, requests, runtime
+from turmericward import dispatching, fleet, requests, runtime
 from turmericward.delivery import _context
 
 REASON = "dispatcher_late"
@@ -49,6 +49,16 @@
     return result.Err(requests.Refusal(reason=reason, retry_after_s=RETRY_AFTER_S))
 
 
+def is_usable(
+    dispatch: _context.Dispatcher, target: fleet.Target, timeout_s: float
+) -> bool:
+    """Returns whether a target may still get a call; so if there is no answer."""
+    try:
+        return dispatch.ask(dispatching.IsUsable(target=target)).result(timeout_s)
+    except (TimeoutError, runtime.TaskStoppedError):
+        return True
+
+
 def _await(fut: futures.Future, until: float, must_end: Callable[[], bool]):
     while True:
         remaining_s = until - runtime.now()
--- a/src/turmericward/delivery/_placements.py
+++ b/src/turmericward/delivery/_placements.py
@@ -13,6 +13,7 @@
 from turmericward.delivery import _asking, _parts, _stop
 
 DISPATCH_TIMEOUT_S = 5.0
+CHECK_TIMEOUT_S = 0.2
 # How often a call that waits for its turn at a target checks for its client.
 DISCONNECT_POLL_S = 0.1
 # If no target accepts or refuses a connection, all are tried again after this time, as
@@ -59,12 +60,22 @@
             prefill_domain=prefill_domain,
             fingerprint=parts.record.fingerprint,
         )
-        placement = self._ask_until_granted(message)
-        parts.open.begin(placement)
-        if message.retry:
-            parts.record.log_second_attempt("granted", "", placement.target.name)
-        self._await_start(runtime.now() + placement.start_after_s)
-        parts.open.mark_sent()
+        while True:
+            placement = self._ask_until_granted(message)
+            parts.open.begin(placement)
+            if message.retry:
+                parts.record.log_second_attempt("granted", "", placement.target.name)
+            start = runtime.now() + placement.start_after_s
+            if not self._await_start(start) or self._is_usable(placement):
+                parts.open.mark_sent()
+                return
+            detail = "the target left before the call's turn"
+            parts.record.log_failed_attempt(placement, "not_reached", detail)
+            parts.open.end(requests.Ending.UNREACHED)
+
+    def _is_usable(self, placement: requests.Placement) -> bool:
+        dispatch = self._parts.ctx.dispatch
+        return _asking.is_usable(dispatch, placement.target, CHECK_TIMEOUT_S)
 
     def _ask_until_granted(self, message: dispatching.Place) -> requests.Placement:
         while True:
@@ -136,15 +147,16 @@
             return call.deadline
         return call.deadline - CONNECT_SHARE * (call.deadline - call.received)
 
-    def _await_start(self, start: float) -> None:
-        """Waits until the target's rate limit allows the call."""
+    def _await_start(self, start: float) -> bool:
+        """Waits until the target's rate limit allows the call; returns if it had to."""
         began_at = runtime.now()
         if start <= began_at:
-            return
+            return False
         self._wait(start)
         early_end = self._parts.early_end
         early_end.exclude_wait(runtime.now() - began_at)
         early_end.check_attempt(self._parts.call, retry=False)
+        return True
 
     def _wait(self, until: float) -> None:
         early_end = self._parts.early_end
--- a/src/turmericward/dispatching/_dispatch_task.py
+++ b/src/turmericward/dispatching/_dispatch_task.py
@@ -253,6 +253,12 @@
             self._name, self._directory, self._placer, self._listed_engines
         )
 
+    @handle.register
+    def _(self, message: _messages.IsUsable) -> bool:
+        known = self._directory.get(message.target.name)
+        same = known is not None and known.started_ms == message.target.started_ms
+        return same and not known.leaving
+
     @handle.register
     def _(self, message: _messages.GetStatus) -> _messages.Status:
         now = runtime.now()
--- a/src/turmericward/dispatching/_messages.py
+++ b/src/turmericward/dispatching/_messages.py
@@ -245,6 +245,13 @@
         return 0.0 if self.call.first_answer_counts else 1.0
 
 
+@attrs.frozen(kw_only=True)
+class IsUsable:
+    """Asks whether a target that was placed on may still get a call."""
+
+    target: fleet.Target
+
+
 @attrs.frozen(kw_only=True)
 class FirstOutput:
     """The first token or the end of a prefill, `took_s` after the call was sent."""
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -578,3 +578,33 @@
         ) as fingerprint:
             _run(transport, targets, slack=600.0, max_attempts=4, prompt=prompt)
         check.assertEqual((len(transport.sent), fingerprint.call_count), (4, 1))
+
+
+# Its placement was from before the wait for the target's rate limit.
+def test_a_call_that_waited_for_its_turn_was_sent_to_a_target_that_had_left():
+    for leaves in (False, True):
+        task = test_dispatch._task()
+        target = test_dispatch._target("p", role=None)
+        task.handle(dispatching.PutTargets(targets=(target,)))
+        task.handle(peers.Members(names=frozenset(("front-2",))))
+        limit = fleet.RateLimit(per_s=1 / 0.7, observed_at=runtime.now())
+        task.handle(dispatching.TargetNotice(target=target, limit=limit))
+        transport = _Transport()
+        ctx = delivery.Context(
+            dispatch=_Dispatcher(task),
+            transport=transport,
+            metrics=telemetry.Metrics(None, ""),
+        )
+        began, polled = runtime.now(), []
+
+        def cancelled(task=task, target=target, began=began, leaves=leaves, at=polled):
+            # Polled by the call while it waits.
+            if not at and runtime.now() - began > 0.05:
+                at.append(runtime.now())
+                task.handle(dispatching.TargetNotice(target=target, leaving=leaves))
+            return False
+
+        call = attrs.evolve(_plain_call(0), cancelled=cancelled)
+        reply = delivery.Delivery(ctx, call, "model").run()
+        check.assertEqual(len(transport.sent), 0 if leaves else 1)
+        check.assertEqual(reply.status, 503 if leaves else 200)
--- a/tests/test_delivery_stop.py
+++ b/tests/test_delivery_stop.py
@@ -453,6 +453,8 @@
     ask = dispatcher.ask
 
     def ask_with_limit(message):
+        if not isinstance(message, dispatching.Place):
+            return ask(message)
         wait_s = transport.take_wait_s("rate limit")
         chosen = ask(message).result()
         fut = futures.Future()
