--- a/src/turmericward/httpd/_channel.py
+++ b/src/turmericward/httpd/_channel.py
@@ -116,6 +116,7 @@
     # Whether the client knows the end of the response by the close alone (HTTP/1.0).
     close_ends_response = False
     response_is_whole = False
+    _served_id = ""
 
     @property
     def last_activity(self) -> float:
@@ -156,11 +157,20 @@
         self.task_class = RefusalTask if self.refuses else Task
         self.refuses = False
         self._served = self._serving = True
+        self._served_id = self.request_id
         try:
             super().service()
         finally:
             self._serving = False
 
+    @property
+    def request_id(self) -> str:
+        """Id of the first request, or of the one whose response is being sent."""
+        first = next(iter(self.requests), None)
+        if first is None:
+            return self._served_id
+        return first.headers.get(self.server.id_header, "")
+
     @property
     def waiting_since(self) -> float:
         """Time at which the first request was complete, infinite without one."""
--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -36,13 +36,15 @@
 class Limits:
     """Limits of a server.
 
-    `queue_s` is how long a request may wait for a thread.
+    `queue_s` is how long a request may wait for a thread; `id_header` names the header
+    by which the log of a stop names requests.
     """
 
     threads: int
     max_body_bytes: int
     connections: int = CONNECTION_LIMIT
     queue_s: float = math.inf
+    id_header: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -113,6 +115,8 @@
         )
         server.channel_class = _channel.Channel
         server.lingering = set()
+        # As the parser writes names.
+        server.id_header = self._limits.id_header.upper().replace("-", "_")
         # Never begins; replaced by the stopper of the main server.
         server.shutdown = _shutdown.Shutdown(runtime.Drain(math.inf))
         # `_close_expired` does this by the monotonic clock.
--- a/src/turmericward/httpd/_stopping.py
+++ b/src/turmericward/httpd/_stopping.py
@@ -18,6 +18,10 @@
 Phase = _shutdown.Phase
 State = _shutdown.State
 Action = _shutdown.Action
+# Bounds the log lines of a stop.
+MAX_CUT_LOGGED = 100
+# States of a request without a whole response.
+_CUT = frozenset({State.WAITING, State.RUNNING, State.FLUSHING})
 # States in which unread bytes matter.
 _MAY_CLOSE = frozenset({State.NEW, State.IDLE, State.HEADER, State.BODY})
 
@@ -82,8 +86,23 @@
         complete = not self._in_use() and not unsent
         how = "complete" if complete else "cut"
         telemetry.log_event("stop_ended", how=how, unsent=unsent, **self._counts())
+        self._log_cut()
         self._cut()
 
+    def _log_cut(self) -> None:
+        """Logs the requests without a whole response at their clients."""
+        channels = [
+            c for c in self._server.active_channels.values() if c.state() in _CUT
+        ]
+        for channel in channels[:MAX_CUT_LOGGED]:
+            telemetry.log_event(
+                "response_cut",
+                request_id=channel.request_id,
+                state=channel.state().name.lower(),
+                unsent_bytes=channel.total_outbufs_len,
+                quiet_s=round(runtime.now() - channel.last_activity, 3),
+            )
+
     def _close_listener(self) -> None:
         """Accepts what is in the queue, which would be reset, and stops listening."""
         server = self._server
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -26,6 +26,7 @@
 from turmericward.platform import (
     _cache_listing,
     _follow,
+    _headers,
     _ingress,
     _notices,
     _orders,
@@ -142,6 +143,7 @@
             max_body_bytes=DEFAULT_MAX_BODY_BYTES,
             connections=cfg.limits.file_descriptors - RESERVED_DESCRIPTORS,
             queue_s=QUEUE_S,
+            id_header=_headers.CALL_ID,
         )
         address = _address.split(cfg.listen.front)
         self._server = httpd.Server(
--- a/tests/test_httpd_stop.py
+++ b/tests/test_httpd_stop.py
@@ -113,6 +113,26 @@
     check.assertEqual((ended.how, ended.requests, ended.busy_workers), ("cut", 1, 1))
 
 
+def test_the_log_did_not_name_the_requests_that_a_stop_cut():
+    with (
+        check.assertLogs("absl", "INFO") as logs,
+        httpd_fixtures.running(4.0, id_header="X-Id") as server,
+        server.connect() as running,
+        server.connect(4096) as reading,
+    ):
+        for conn, path, name in ((running, "/wait", b"a"), (reading, "/large", b"b")):
+            head = httpd_fixtures.head(path)
+            conn.sendall(head.replace(b"Host: h", b"Host: h\r\nX-Id: " + name))
+        check.assertTrue(server.app.started.acquire(timeout=5))
+        check.assertTrue(reading.recv(100))
+        server.begin()
+        check.assertTrue(server.is_over(10))
+    cut = {r.request_id: r for r in logs.records if r.msg == "response_cut"}
+    states = {name: record.state for name, record in cut.items()}
+    check.assertEqual(states, {"a": "running", "b": "flushing"})
+    check.assertGreater(cut["b"].unsent_bytes, 0)
+
+
 def test_requests_that_wait_for_a_worker_are_answered():
     with httpd_fixtures.running(2.0, threads=1) as server:
         with contextlib.ExitStack() as stack:
