--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -175,6 +175,18 @@
         _check_stop(platform, _stop_with(platform, delays, newly=True, **work))
 
 
+def test_late_calls_whose_deadline_is_in_time_were_refused_with_those_that_may_be_cut():
+    with platform_fixtures.platform(("p1", "m1", "m2")) as platform:
+        _configure(platform)
+        work = {"route": "long", "work_s": 1.0, "events": 4, "deadline_s": 2.0}
+        # Each one keeps the front open for the next.
+        delays = [1.0, 2.0, 2.7, 3.4, 4.1, 4.8]
+        stop = _stop_with(platform, delays, newly=True, **work)
+        _check_stop(platform, stop)
+        statuses = [(o.status, o.broken) for o in stop.outcomes]
+        check.assertEqual(statuses, len(delays) * [(200, "")])
+
+
 def test_calls_sent_as_the_process_ends_are_answered_or_not_read():
     for seed in SEEDS:
         rng = random.Random(seed)
