--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -208,7 +208,7 @@
         self._record.begin_wait(timeout_s)
         return routing.Dispatch(
             timeout_s=timeout_s,
-            priority=self._call.route.priority + placement.rank,
+            priority=self._call.priority + placement.rank,
             resume_after=self._call.resume_after,
             kv_source=self._kv_source,
             fetch_from=placement.fetch_from,
--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -195,7 +195,7 @@
         placement = second.placement
         dispatch = routing.Dispatch(
             timeout_s=min(call.remaining_s(), self._overlap_s(placement)),
-            priority=call.route.priority + placement.rank,
+            priority=call.priority + placement.rank,
             resume_after=self.last_id,
             fetch_from=placement.fetch_from,
             on_late=functools.partial(self._on_late_second, pending, second),
--- a/src/turmericward/dispatching/_waits.py
+++ b/src/turmericward/dispatching/_waits.py
@@ -20,7 +20,9 @@
     """
     route = message.call.route
     return message.silent is None and (
-        route.priority <= URGENT_PRIORITY or not route.repeatable or message.prefilled
+        message.call.priority <= URGENT_PRIORITY
+        or not route.repeatable
+        or message.prefilled
     )
 
 
--- /dev/null
+++ b/src/turmericward/duties/__init__.py
@@ -0,0 +1,12 @@
+"""Duties: calls to the platform that one front at a time makes, under one lease."""
+
+from turmericward.duties._calls import CapacityOrder, Outcome, UsageReport
+from turmericward.duties._duty import Duty, DutyCall
+
+__all__ = [
+    "CapacityOrder",
+    "Duty",
+    "DutyCall",
+    "Outcome",
+    "UsageReport",
+]
--- a/src/turmericward/fleet/_targets.py
+++ b/src/turmericward/fleet/_targets.py
@@ -30,7 +30,8 @@
 class Target:
     """An engine or a replica of a plain service; `role` is None for the latter.
 
-    `started_ms` distinguishes the incarnations of one name.
+    `started_ms` distinguishes the incarnations of one name. A `spot` replica is cheaper
+    and may be reclaimed by the platform.
     """
 
     name: str
@@ -41,6 +42,7 @@
     role: EngineRole | None = None
     leaving: bool = False
     started_ms: int = 0
+    spot: bool = False
 
     @property
     def can_decode(self) -> bool:
--- a/src/turmericward/platform/_headers.py
+++ b/src/turmericward/platform/_headers.py
@@ -21,6 +21,10 @@
 STORE_ERA = "Store-Era"
 # Names the caller, if any header does: its calls come from several addresses.
 CALLER = "Authorization"
+# Names the caller's workspace where the configuration has any; a secret.
+KEY = "Turmericward-Key"
+# Names the workspace to replicas.
+WORKSPACE = "Turmericward-Tenant-Id"
 KV_SOURCE = "Turmericward-Kv-Source"
 KV_FETCH = "Kv-Fetch"
 LAST_EVENT_ID = "Last-Event-Id"
@@ -31,6 +35,8 @@
     for name in (
         DEADLINE_MS,
         EXPECTED_TARGET,
+        KEY,
+        WORKSPACE,
         "Turmericward-Expect-Version",
         PRIORITY,
         STAGE,
--- a/src/turmericward/platform/_ingress.py
+++ b/src/turmericward/platform/_ingress.py
@@ -36,7 +36,7 @@
     "content-length",
 }
 
-
+_KEY_VARIABLE = "HTTP_" + _headers.KEY.upper().replace("-", "_")
 # Others can't be sent on to a target.
 _REQUEST_TARGET = re.compile(r"[!-~]+", re.ASCII)
 
@@ -59,6 +59,8 @@
             reply = self._respond(environ)
         except routing.NoRouteError as exc:
             reply = _refusal(404, str(exc))
+        except routing.UnknownKeyError as exc:
+            reply = _refusal(401, str(exc))
         except routing.NotConfiguredError as exc:
             reply = _refusal(503, str(exc), NOT_READY_RETRY_S)
         except BadRequestError as exc:
@@ -74,7 +76,8 @@
             raise BadRequestError("path has characters that aren't printable ASCII")
         host = environ.get("HTTP_HOST", "").lower().partition(":")[0]
         route = table.find(host, target.partition("?")[0])
-        call = _build_call(environ, target, route)
+        key = environ.get(_KEY_VARIABLE, "")
+        call = _build_call(environ, target, route, table.identify(route, key))
         return delivery.Delivery(self._ctx, call, self._pick_service(route)).run()
 
     def _pick_service(self, route: routing.Route) -> str:
@@ -157,7 +160,12 @@
     return pairs
 
 
-def _build_call(environ, target: str, route: routing.Route) -> routing.Call:
+def _build_call(
+    environ,
+    target: str,
+    route: routing.Route,
+    workspace: routing.Workspace | None,
+) -> routing.Call:
     pairs = _header_pairs(environ)
     values = {name.lower(): value for name, value in pairs}
     received = environ.get(httpd.RECEIVED_AT_KEY) or runtime.now()
@@ -178,7 +186,8 @@
         deadline=received + min(deadline_s, route.timeout_s),
         prompt=_prompt(values),
         resume_after=values.get(_headers.LAST_EVENT_ID.lower(), ""),
-        caller=values.get(_headers.CALLER.lower(), ""),
+        caller=workspace.name if workspace else values.get(_headers.CALLER.lower(), ""),
+        workspace=workspace,
         cancelled=environ.get("waitress.client_disconnected", lambda: False),
     )
 
--- a/src/turmericward/platform/_records.py
+++ b/src/turmericward/platform/_records.py
@@ -37,8 +37,12 @@
 # Later versions or incarnations than this would be the last ones.
 MAX_VERSION = 2**53
 MAX_STARTED_MS = 10**14
+MAX_REPLICAS = 1_000_000
+MAX_PRICE = 1e9
+MAX_BOOT_S = 86_400.0
 _NAME_TEXT = re.compile(r"[!-~]{1,255}", re.ASCII)
 _DURATION_MS = schema.validators.between(0, MAX_DURATION_MS)
+_BOOT_S = schema.validators.between(0, MAX_BOOT_S)
 _INT32 = schema.validators.between(
     -schema.validators.MAX_INT32, schema.validators.MAX_INT32
 )
@@ -67,6 +71,7 @@
     priority: int = attrs.field(default=0, validator=_INT32)
     max_attempts: int = attrs.field(default=1, validator=_INT32)
     resumable: bool = False
+    public: bool = False
     service: str = attrs.field(default="", validator=schema.validators.label)
     split: list[_Split] = attrs.field(factory=list)
 
@@ -78,10 +83,37 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class _Scaling:
+    min: int = attrs.field(validator=schema.validators.between(0, MAX_REPLICAS))
+    max: int = attrs.field(validator=schema.validators.between(0, MAX_REPLICAS))
+    boot_s: float = attrs.field(default=0.0, validator=_BOOT_S)
+    spot_price: float | None = attrs.field(
+        default=None,
+        validator=attrs.validators.optional(schema.validators.between(0, MAX_PRICE)),
+    )
+    domain_prices: dict[str, float] = attrs.field(
+        factory=dict,
+        validator=attrs.validators.deep_mapping(
+            schema.validators.label, schema.validators.between(0, MAX_PRICE)
+        ),
+    )
+
+
 @attrs.frozen(kw_only=True)
 class _Service:
     name: str = attrs.field(validator=schema.validators.label)
     engine: _Engine = attrs.field(factory=_Engine)
+    scaling: _Scaling | None = None
+
+
+@attrs.frozen(kw_only=True)
+class _Workspace:
+    name: str = attrs.field(validator=schema.validators.label)
+    api_keys: list[str] = attrs.field(factory=list)
+    priority: int | None = attrs.field(
+        default=None, validator=attrs.validators.optional(_INT32)
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -98,6 +130,8 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _ClientLimits | None = None
+    # Calls need no keys if the manifest has no such field.
+    workspaces: list[_Workspace] | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -113,6 +147,7 @@
     stage: str = attrs.field(
         default="", validator=schema.validators.one_of(*_ROLE_BY_STAGE)
     )
+    spot: bool = False
 
 
 def _decode(raw: bytes, cls: type, root: str, max_bytes: int, convert: Callable):
@@ -156,6 +191,7 @@
         priority=route.priority,
         max_attempts=max(1, route.max_attempts),
         resumable=route.resumable,
+        public=route.public,
         destinations=_destinations(route),
     )
 
@@ -181,13 +217,37 @@
 def _table(manifest: _Manifest) -> routing.RoutingTable:
     services = [
         routing.ServiceTraits(
-            name=s.name, kv_capacity_tokens=s.engine.kv_capacity_tokens
+            name=s.name,
+            kv_capacity_tokens=s.engine.kv_capacity_tokens,
+            scaling=s.scaling and _scaling(s.scaling),
         )
         for s in manifest.services
     ]
     routes = [_route(route) for route in manifest.routes]
     limits = manifest.limits and _client_limits(manifest.limits)
-    return routing.RoutingTable(manifest.version, routes, services, limits)
+    return routing.RoutingTable(
+        manifest.version, routes, services, limits, _workspaces(manifest)
+    )
+
+
+def _scaling(scaling: _Scaling) -> routing.Scaling:
+    return routing.Scaling(
+        min_count=scaling.min,
+        max_count=max(scaling.min, scaling.max),
+        boot_s=scaling.boot_s,
+        spot_price=scaling.spot_price,
+        domain_prices=scaling.domain_prices,
+    )
+
+
+def _workspaces(manifest: _Manifest) -> routing.Workspaces | None:
+    if manifest.workspaces is None:
+        return None
+    return routing.Workspaces.of_keys(
+        (key, routing.Workspace(name=w.name, priority=w.priority))
+        for w in manifest.workspaces
+        for key in w.api_keys
+    )
 
 
 def is_name(key: str) -> bool:
@@ -217,4 +277,5 @@
         role=_ROLE_BY_STAGE[record.stage],
         leaving=_LEAVING_BY_STATE[record.state],
         started_ms=record.born,
+        spot=record.spot,
     )
--- a/src/turmericward/platform/_settings.py
+++ b/src/turmericward/platform/_settings.py
@@ -84,12 +84,35 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class DutySettings:
+    """Calls to the platform's API that one front at a time makes.
+
+    `kinds` names the duties, `calls_per_s` bounds the calls of all fronts together.
+    Usage is reported for each window of `usage_window_s` of Unix time, at the latest
+    `usage_due_s` after its end.
+    """
+
+    address: str = attrs.field(validator=schema.validators.ip_port)
+    kinds: list[str] = attrs.field(factory=list)
+    calls_per_s: float = attrs.field(
+        default=1.0, validator=schema.validators.between(0, 1e6)
+    )
+    usage_window_s: float = attrs.field(
+        default=5.0, validator=schema.validators.between(0.1, 86_400)
+    )
+    usage_due_s: float = attrs.field(
+        default=10.0, validator=schema.validators.between(0, 86_400)
+    )
+
+
 @attrs.frozen(kw_only=True)
 class Settings:
-    """All settings of a front."""
+    """All settings of a front; it has no duties if `duties` is None."""
 
     instance: InstanceSettings
     listen: ListenSettings
     store: StoreSettings
     limits: LimitSettings
     bounds: BoundSettings
+    duties: DutySettings | None = None
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -153,6 +153,7 @@
         priority = min(LOWEST_PRIORITY, max(0, dispatch.priority))
         headers.append((_headers.PRIORITY, str(priority)))
     optional = (
+        (_headers.WORKSPACE, call.workspace.name if call.workspace else ""),
         (_headers.LAST_EVENT_ID, dispatch.resume_after),
         (_headers.KV_SOURCE, dispatch.kv_source),
         (_headers.KV_FETCH, dispatch.fetch_from),
--- a/src/turmericward/routing/__init__.py
+++ b/src/turmericward/routing/__init__.py
@@ -10,9 +10,15 @@
     Reply,
     Route,
 )
-from turmericward.routing._errors import NoRouteError, NotConfiguredError, RoutingError
+from turmericward.routing._errors import (
+    NoRouteError,
+    NotConfiguredError,
+    RoutingError,
+    UnknownKeyError,
+)
 from turmericward.routing._fingerprint import fingerprint, fingerprint_hex
-from turmericward.routing._routes import RoutingTable, ServiceTraits
+from turmericward.routing._routes import RoutingTable, Scaling, ServiceTraits
+from turmericward.routing._workspaces import Workspace, Workspaces, key_digest
 
 __all__ = [
     "Answer",
@@ -27,7 +33,12 @@
     "Route",
     "RoutingError",
     "RoutingTable",
+    "Scaling",
     "ServiceTraits",
+    "UnknownKeyError",
+    "Workspace",
+    "Workspaces",
     "fingerprint_hex",
     "fingerprint",
+    "key_digest",
 ]
--- a/src/turmericward/routing/_calls.py
+++ b/src/turmericward/routing/_calls.py
@@ -7,6 +7,7 @@
 
 from turmericward import requests, runtime
 from turmericward.adapters import _pending, _request
+from turmericward.routing import _workspaces
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -34,7 +35,7 @@
     `objective_s` is the latency objective for the first byte or event, `gap_s` the
     one for the interval between two events; clients disconnect after `abandon_s`
     without an event; `max_attempts` bounds the targets on which one call may run;
-    lower values of `priority` are served first.
+    lower values of `priority` are served first; calls of a `public` route need no key.
     """
 
     name: str
@@ -49,6 +50,7 @@
     max_attempts: int
     resumable: bool
     destinations: tuple[Destination, ...]
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -84,6 +86,14 @@
     traffic_class: str = ""
     tenant: str = ""
     caller: str = ""
+    workspace: _workspaces.Workspace | None = None
+
+    @property
+    def priority(self) -> int:
+        """Rank of the call: its workspace's, or else its route's; lower goes first."""
+        if self.workspace is None or self.workspace.priority is None:
+            return self.route.priority
+        return self.workspace.priority
 
     @property
     def first_answer_counts(self) -> bool:
--- a/src/turmericward/routing/_errors.py
+++ b/src/turmericward/routing/_errors.py
@@ -11,3 +11,7 @@
 
 class NotConfiguredError(RoutingError):
     """Raised when no configuration has been loaded yet."""
+
+
+class UnknownKeyError(RoutingError):
+    """Raised when a call needs a key and no workspace holds the one that it has."""
