Unknown keys at a front with an old configuration: 503; stale fronts ask peers for it

Cause: a front whose copy of the configuration is old can't tell a new key from a wrong one; one that the store refuses kept a removed key after a gap in its reader's batches. A front whose configuration is stale sends its position, and the reader, or a member in turn, answers with what follows. Ruled out: the key's check by the age at the last call of the dispatcher (a message for each call); full batches on each request (60 KB, also in an outage of the whole store).

--- a/src/turmericward/delivery/_record.py
+++ b/src/turmericward/delivery/_record.py
@@ -222,6 +222,8 @@
         """
         took_s = runtime.now() - self._call.received
         self._metrics.count(f"delivery.{outcome}")
+        if self._call.workspace is not None:
+            self._metrics.count_workspace(self._call.workspace.name, outcome)
         if stop_reason:
             self._metrics.count(f"delivery.stopped.{stop_reason}")
         self._metrics.record(
@@ -248,8 +250,13 @@
             objective_s=self._call.route.objective_s,
             pause_s=max(self._intervals_ms, default=0) / 1000,
             max_pause_s=self._call.route.gap_s,
+            **self._workspace_field(),
         )
 
+    def _workspace_field(self) -> dict[str, str]:
+        workspace = self._call.workspace
+        return {} if workspace is None else {"workspace": workspace.name}
+
     def _time_to_first_s(self, took_s: float) -> float | None:
         """Returns the time to the first event, or to the end of a plain answer."""
         if self._call.prompt is None:
--- a/src/turmericward/feeds/_follow_loop.py
+++ b/src/turmericward/feeds/_follow_loop.py
@@ -136,6 +136,22 @@
         )
         self._listing_due = True
         self._unavailable = False
+        # Era of the records that the sink has, and until when they count as fresh.
+        self._applied: tuple[int, float] = (-1, float("-inf"))
+
+    @property
+    def fresh_until(self) -> float:
+        """Until when the sink has all records but those of the last `fresh_s`.
+
+        It is in the past if records may be missing. Read by any thread.
+        """
+        era, until = self._applied
+        return until if era >= self._eras.current else float("-inf")
+
+    def _mark_applied(self) -> None:
+        """Makes the cursor's freshness known, once the sink has the records."""
+        if self._cursor.next is not None:
+            self._applied = (self._cursor.next.era, self._cursor.fresh_until)
 
     def put_batch(self, batch: _messages.RecordBatch) -> None:
         """Queues a peer's batch; called by any thread."""
@@ -159,6 +175,7 @@
         except errors.OffsetExpiredError as exc:
             logging.info("topic %s: %s; listing it again", self._name, exc)
             self._cursor.mark_expired()
+            self._mark_applied()
             self._listing_due = True
         except errors.EraEndedError as exc:
             # The next iteration lists the topic.
@@ -200,20 +217,33 @@
     def _apply_batch(self, batch: _messages.RecordBatch | None) -> None:
         if batch is None or not self._observe_era(batch):
             return
-        if batch.full:
+        if batch.full and not self._follows(batch):
             self._apply_full_batch(batch)
             return
-        start = self._cursor.next
+        start, fresh_until = self._cursor.next, self._cursor.fresh_until
         now = runtime.now()
         records = self._cursor.apply_batch(batch, now)
         if self._unavailable and self._cursor.is_fresh(now):
             self._mark_available("told by a peer")
         if records:
             self._sink.on_changes(records)
-        if start is not None and self._cursor.next > start:
+        self._mark_applied()
+        if start is not None and (
+            self._cursor.next > start or self._cursor.fresh_until > fresh_until
+        ):
             as_of = now - batch.age_s
             self._publish_range(start, self._cursor.next, as_of, records)
 
+    def _follows(self, batch: _messages.RecordBatch) -> bool:
+        """Returns whether a full batch can be applied like changes.
+
+        It lacks deletions, which don't occur in the configuration.
+        """
+        return (
+            self._topic is _messages.Topic.CONFIGURATION
+            and not self._cursor.is_before(batch.end.era)
+        )
+
     def _observe_era(self, batch: _messages.RecordBatch) -> bool:
         """Learns the era of a batch; returns whether the batch is of the latest."""
         era = batch.end.era
@@ -236,6 +266,7 @@
             "topic %s is known from a peer, %.1f s old", self._name, batch.age_s
         )
         records = self._apply_records(batch.records, previous, batch.end)
+        self._mark_applied()
         self._publish_range(batch.end, batch.end, as_of, records, full=True)
 
     # Reads of the store.
@@ -251,6 +282,7 @@
         self._listing_due = False
         self._mark_available("read")
         records = self._apply_records(listing.records, previous, listing.end)
+        self._mark_applied()
         self._publish_range(listing.end, listing.end, sent_at, records, full=True)
 
     def _apply_records(
@@ -289,6 +321,7 @@
         end = start.plus(len(records))
         self._cursor.apply_read(end, as_of)
         changes = self._sink.on_changes(records) if records else ()
+        self._mark_applied()
         self._publish_range(start, end, as_of, changes)
         if records and self._is_reader():
             self.pause(self._pacing.batch_s)
--- a/src/turmericward/feeds/_history.py
+++ b/src/turmericward/feeds/_history.py
@@ -104,6 +104,36 @@
             # its end was read; the next read includes their offsets.
             return None
 
+    def request(self, now: float, fresh_s: float) -> _messages.RecordBatch | None:
+        """Returns a batch that asks peers for later records; None if not needed.
+
+        It has no records and is older than any batch that gives some.
+
+        Args:
+            now: monotonic seconds.
+            fresh_s: maximum age of a range that makes a request needless.
+        """
+        if self._end is None or now - self._as_of <= fresh_s:
+            return None
+        return _messages.RecordBatch(
+            topic=self._topic,
+            start=self._end,
+            end=self._end,
+            age_s=now - self._as_of,
+        )
+
+    def answer(
+        self, request: _messages.RecordBatch, now: float, fresh_s: float
+    ) -> _messages.RecordBatch | None:
+        """Returns what a peer needs that has the records up to `request.end`.
+
+        That is None if the last range is older than `fresh_s`: such a peer has that.
+        """
+        recent = self.recent_batch(now, fresh_s)
+        if recent is None or recent.end < request.end:
+            return None
+        return recent if recent.start <= request.end else self.full_batch(now)
+
     def recent_batch(self, now: float, fresh_s: float) -> _messages.RecordBatch | None:
         """Returns the recent records; None if the last range is older than `fresh_s`.
 
--- a/src/turmericward/peers/_peer_group.py
+++ b/src/turmericward/peers/_peer_group.py
@@ -8,6 +8,7 @@
 """
 
 import enum
+import zlib
 
 import attrs
 
@@ -145,6 +146,25 @@
         """Returns whether the domain's other fronts rely on this front's reads."""
         return self.relay_of(self._domain, now) == self._front
 
+    def answers(self, front: str, domain: str, turn: int, now: float) -> bool:
+        """Returns whether this front answers a peer that asks for records.
+
+        The reader does; it may be refused by the store, too, so that the other members
+        that hear the peer take turns.
+
+        Args:
+            front: name of the peer.
+            domain: its failure domain.
+            turn: number that is different in each of its datagrams.
+            now: monotonic seconds.
+        """
+        if self.is_reader(now):
+            return True
+        members = sorted({self._front, *self.live_members(now)} - {front})
+        # Turns of consecutive datagrams to the same peer may differ by 2.
+        chosen = members[zlib.crc32(b"%d" % turn) % len(members)]
+        return domain == self._domain and chosen == self._front
+
     def is_relay(self, now: float) -> bool:
         """Returns whether this front sums up the load of its domain."""
         return not self.direct and self.is_reader(now)
--- a/src/turmericward/peers/_peer_task.py
+++ b/src/turmericward/peers/_peer_task.py
@@ -141,17 +141,27 @@
             self._builder.add_relayed(state, now)
             self._changed = True
             self._send_if_due(now)
-        if state.domain == self._domain:
-            self._records.receive(state)
-            if state.needs_full_batches:
-                self._send_full_batches(state.front, message.host, now)
+        asking = self._records.receive(state)
+        if asking and self._peers.answers(
+            state.front, state.domain, state.sequence, now
+        ):
+            self._send_batches(
+                self._records.answers(asking, now), state.front, message.host
+            )
+        if state.domain == self._domain and state.needs_full_batches:
+            self._send_full_batches(state.front, message.host, now)
         self._forward(self._without_local_load(state))
 
     def _send_full_batches(self, front: str, host: str, now: float) -> None:
         """Sends the newest record of every key to a front that can't read the store."""
         if self._peers.relay_of(self._domain, now, exclude=front) != self._front:
             return
-        batches = self._records.pop_full(now)
+        self._send_batches(self._records.pop_full(now), front, host)
+
+    def _send_batches(
+        self, batches: _record_exchange.Batches, front: str, host: str
+    ) -> None:
+        """Sends a front the batches that it asks for."""
         if not batches:
             return
         data = _codec.encode(
@@ -160,7 +170,8 @@
         if len(data) > MAX_DATAGRAM_BYTES:
             logging.warning("%s asks for %d bytes, too much", front, len(data))
             return
-        logging.info("%s is told what the store holds, %d bytes", front, len(data))
+        if any(batch.full for batch in batches):
+            logging.info("%s is told what the store holds, %d bytes", front, len(data))
         self._send_to(host, data)
 
     def _without_local_load(self, state: _states.PeerState) -> _states.PeerState:
@@ -243,11 +254,11 @@
         recipients = self._peers.recipients(now)
         self._builder.track_recipients(recipients)
         reports = self._reports.pop_due(now)
-        batches = self._records.pop_due(now)
+        batches, asking = self._records.pop_due(now), self._records.requests(now)
         for scope in _peer_group.LoadScope:
             group = [r for r in recipients if r.scope is scope]
             if group:
-                self._send_scope(scope, group, batches, reports, now)
+                self._send_scope(scope, group, (batches, asking), reports, now)
         self._sent_loads = self._local.loads
         if not self._peers.is_relay(now):
             self._builder.discard_remote(now)
@@ -256,7 +267,7 @@
         self,
         scope: _peer_group.LoadScope,
         group: list[_peer_group.Recipient],
-        batches: _record_exchange.Batches,
+        records: tuple[_record_exchange.Batches, _record_exchange.Batches],
         reports: _reports.DueReports,
         now: float,
     ) -> None:
@@ -266,7 +277,8 @@
         encoded: dict[bool, bytes] = {}
         for recipient in group:
             if recipient.gets_records not in encoded:
-                sent = batches if recipient.gets_records else ()
+                batches, asking = records
+                sent = batches + asking if recipient.gets_records else asking
                 encoded[recipient.gets_records] = self._encode(state, sent)
             self._send_to(recipient.host, encoded[recipient.gets_records])
 
--- a/src/turmericward/peers/_record_exchange.py
+++ b/src/turmericward/peers/_record_exchange.py
@@ -13,6 +13,9 @@
 HEARTBEAT_S = 0.4
 # Shortest time between two datagrams with full batches.
 FULL_BATCH_INTERVAL_S = 0.2
+# Topics that a front asks its peers for while the store refuses it: a key that was
+# removed, or added, is in force everywhere within the bound all the same.
+REQUESTED_TOPICS = (feeds.Topic.CONFIGURATION,)
 
 Batches = tuple[feeds.RecordBatch, ...]
 
@@ -50,12 +53,41 @@
         """Makes the next datagram hold the recent records."""
         self._due = True
 
-    def receive(self, state: _states.PeerState) -> None:
-        """Passes the batches of a peer of this domain on."""
+    def receive(self, state: _states.PeerState) -> Batches:
+        """Passes a peer's batches on; returns those that ask for later records."""
+        asking = tuple(b for b in state.record_batches if self._is_request(b))
         for batch in state.record_batches:
             self._latest_era = max(self._latest_era, batch.end.era)
-            if batch.topic in self._subscribers:
+            if batch.topic in self._subscribers and batch not in asking:
                 self._subscribers[batch.topic](batch)
+        return asking
+
+    def _is_request(self, batch: feeds.RecordBatch) -> bool:
+        """Returns whether a batch is older than those that are forwarded."""
+        if batch.topic not in REQUESTED_TOPICS or batch.full:
+            return False
+        return batch.age_s > self._fresh_s.get(batch.topic, float("inf"))
+
+    def requests(self, now: float) -> Batches:
+        """Returns batches that ask peers for what the store doesn't tell this front."""
+        asking = [
+            self._histories[topic].request(now, self._fresh_s[topic])
+            for topic in REQUESTED_TOPICS
+            if topic in self._histories
+        ]
+        return tuple(batch for batch in asking if batch is not None)
+
+    def answers(self, asking: Batches, now: float) -> Batches:
+        """Returns the answers to a peer's requests, those with everything not often."""
+        batches = [
+            self._histories[b.topic].answer(b, now, self._fresh_s[b.topic])
+            for b in asking
+        ]
+        if any(b is not None and b.full for b in batches):
+            if now - self._full_sent_at < FULL_BATCH_INTERVAL_S:
+                return ()
+            self._full_sent_at = now
+        return tuple(batch for batch in batches if batch is not None)
 
     def pop_due(self, now: float) -> Batches:
         """Returns the recent records of each topic if they are to be sent now."""
--- a/src/turmericward/platform/_follow.py
+++ b/src/turmericward/platform/_follow.py
@@ -63,6 +63,13 @@
         """
         self._dispatch = dispatch
         self._rejections = rejections or telemetry.Rejections()
+        self._latest_version = -1
+
+    @property
+    def is_in_force(self) -> bool:
+        """Whether the dispatcher uses the latest one; read by any thread."""
+        table = self._dispatch.table
+        return table is not None and table.version >= self._latest_version
 
     def on_listing(
         self, records: tuple[feeds.Record, ...], *, reverted: bool
@@ -89,6 +96,7 @@
             key = f"configuration at offset {record.offset}"
             self._rejections.add("configuration", key, str(exc))
             return False
+        self._latest_version = max(self._latest_version, table.version)
         self._dispatch.post(dispatching.SetTable(table=table))
         return True
 
--- a/src/turmericward/platform/_ingress.py
+++ b/src/turmericward/platform/_ingress.py
@@ -4,6 +4,7 @@
 import json
 import random
 import re
+from collections.abc import Callable
 from concurrent import futures
 
 import attrs
@@ -20,9 +21,11 @@
     telemetry,
 )
 from turmericward.adapters import service
-from turmericward.platform import _headers
+from turmericward.platform import _headers, _identity
 
 NOT_READY_RETRY_S = 1.0
+# Another front may know the key at once; this one does after the store's next answer.
+STALE_RETRY_S = 0.5
 STATUS_TIMEOUT_S = 1.0
 MAX_DEADLINE_MS = 1e11
 # Longer deadlines count as the larger of these, the second a multiple of the route's
@@ -36,7 +39,6 @@
     "content-length",
 }
 
-_KEY_VARIABLE = "HTTP_" + _headers.KEY.upper().replace("-", "_")
 # Others can't be sent on to a target.
 _REQUEST_TARGET = re.compile(r"[!-~]+", re.ASCII)
 
@@ -48,10 +50,22 @@
 class Ingress:
     """Accepts client calls and passes them to the delivery engine."""
 
-    def __init__(self, ctx: delivery.Context, seed: int) -> None:
-        """Creates the application; `seed` seeds the choice between destinations."""
+    def __init__(
+        self,
+        ctx: delivery.Context,
+        seed: int,
+        is_current: Callable[[], bool] = lambda: True,
+    ) -> None:
+        """Creates the application.
+
+        Args:
+            ctx: what deliveries need.
+            seed: seeds the choice between destinations.
+            is_current: as for `_identity.Identification`.
+        """
         self._ctx = ctx
         self._random = random.Random(seed)
+        self._identification = _identity.Identification(ctx, is_current)
 
     def __call__(self, environ, start_response):
         """Handles one WSGI request; failures become HTTP error responses."""
@@ -60,7 +74,9 @@
         except routing.NoRouteError as exc:
             reply = _refusal(404, str(exc))
         except routing.UnknownKeyError as exc:
-            reply = _refusal(401, str(exc))
+            reply = _reply(401, str(exc))
+        except routing.StaleConfigurationError as exc:
+            reply = _reply(503, str(exc), STALE_RETRY_S)
         except routing.NotConfiguredError as exc:
             reply = _refusal(503, str(exc), NOT_READY_RETRY_S)
         except BadRequestError as exc:
@@ -76,8 +92,9 @@
             raise BadRequestError("path has characters that aren't printable ASCII")
         host = environ.get("HTTP_HOST", "").lower().partition(":")[0]
         route = table.find(host, target.partition("?")[0])
-        key = environ.get(_KEY_VARIABLE, "")
-        call = _build_call(environ, target, route, table.identify(route, key))
+        # Before the body is read.
+        workspace = self._identification.identify(environ, table, route)
+        call = _build_call(environ, target, route, workspace)
         return delivery.Delivery(self._ctx, call, self._pick_service(route)).run()
 
     def _pick_service(self, route: routing.Route) -> str:
@@ -91,6 +108,13 @@
     status: int, detail: str, retry_after_s: float | None = None
 ) -> routing.Reply:
     telemetry.log_event("refusal", status=status, detail=detail)
+    return _reply(status, detail, retry_after_s)
+
+
+def _reply(
+    status: int, detail: str, retry_after_s: float | None = None
+) -> routing.Reply:
+    """Returns the reply to a call that didn't run."""
     failure = routing.Failure(
         status=status,
         reason=detail,
@@ -164,7 +188,7 @@
     environ,
     target: str,
     route: routing.Route,
-    workspace: routing.Workspace | None,
+    workspace: routing.Workspace | None = None,
 ) -> routing.Call:
     pairs = _header_pairs(environ)
     values = {name.lower(): value for name, value in pairs}
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -106,15 +106,17 @@
         notices = _notices.NoticeReader(
             self._dispatch.post, lambda: self._dispatch.recently_limited
         )
+        sink = _follow.ConfigurationSink(self._dispatch, self._rejections)
+        configuration = self._follow_loop(
+            _follow.CONFIGURATION_TOPIC,
+            feeds.Topic.CONFIGURATION,
+            self._configuration_pacing(),
+            sink,
+        )
         loops = [
             peers.ReceiveLoop(sock, peer_task, self._rejections),
             self._announce_loop(),
-            self._follow_loop(
-                _follow.CONFIGURATION_TOPIC,
-                feeds.Topic.CONFIGURATION,
-                self._configuration_pacing(),
-                _follow.ConfigurationSink(self._dispatch, self._rejections),
-            ),
+            configuration,
             self._follow_loop(
                 _follow.TARGETS_TOPIC,
                 feeds.Topic.TARGETS,
@@ -146,9 +148,12 @@
             id_header=_headers.CALL_ID,
         )
         address = _address.split(cfg.listen.front)
-        self._server = httpd.Server(
-            _ingress.Ingress(ctx, seed), address, limits, self._drain
+        ingress = _ingress.Ingress(
+            ctx,
+            seed,
+            lambda: sink.is_in_force and runtime.now() < configuration.fresh_until,
         )
+        self._server = httpd.Server(ingress, address, limits, self._drain)
         readiness = _ingress.Readiness(self._dispatch, self._draining)
         self._server.add_probe(readiness, _address.split(cfg.listen.ready))
         metrics_address = (cfg.instance.address, cfg.listen.metrics)
--- a/src/turmericward/platform/_records.py
+++ b/src/turmericward/platform/_records.py
@@ -46,6 +46,10 @@
 _INT32 = schema.validators.between(
     -schema.validators.MAX_INT32, schema.validators.MAX_INT32
 )
+_BEYOND_LIMITS = (
+    "configuration: is too long or too deep, has a number beyond 64 bits, a repeated"
+    " name or text that can't be encoded"
+)
 ENGINE_STAGES = tuple(stage for stage in _ROLE_BY_STAGE if stage)
 
 
@@ -211,7 +215,13 @@
     Raises:
         RecordError: the record can't be used; names the field and the reason.
     """
-    return _decode(raw, _Manifest, "configuration", MAX_MANIFEST_BYTES, _table)
+    try:
+        return _decode(raw, _Manifest, "configuration", MAX_MANIFEST_BYTES, _table)
+    except RecordError as exc:
+        if isinstance(exc.__cause__, schema.LimitError):
+            # Its text quotes the value, which may be a key of a workspace.
+            raise RecordError(_BEYOND_LIMITS) from None
+        raise
 
 
 def _table(manifest: _Manifest) -> routing.RoutingTable:
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -153,7 +153,7 @@
         priority = min(LOWEST_PRIORITY, max(0, dispatch.priority))
         headers.append((_headers.PRIORITY, str(priority)))
     optional = (
-        (_headers.WORKSPACE, call.workspace.name if call.workspace else ""),
+        (_headers.WORKSPACE, _workspace_text(call.workspace)),
         (_headers.LAST_EVENT_ID, dispatch.resume_after),
         (_headers.KV_SOURCE, dispatch.kv_source),
         (_headers.KV_FETCH, dispatch.fetch_from),
@@ -165,6 +165,14 @@
     )
 
 
+def _workspace_text(workspace: routing.Workspace | None) -> str:
+    """Returns a workspace's name as header text, which is sent in Latin-1.
+
+    The bytes on the wire are the name in UTF-8.
+    """
+    return workspace.name.encode().decode("latin-1") if workspace else ""
+
+
 def _answer(conn, resp, target) -> routing.Answer:
     not_run = (
         resp.status in NOT_RUN_STATUSES or resp.getheader(_headers.NOT_RUN) is not None
--- a/src/turmericward/routing/__init__.py
+++ b/src/turmericward/routing/__init__.py
@@ -14,6 +14,7 @@
     NoRouteError,
     NotConfiguredError,
     RoutingError,
+    StaleConfigurationError,
     UnknownKeyError,
 )
 from turmericward.routing._fingerprint import fingerprint, fingerprint_hex
@@ -35,6 +36,7 @@
     "RoutingTable",
     "Scaling",
     "ServiceTraits",
+    "StaleConfigurationError",
     "UnknownKeyError",
     "Workspace",
     "Workspaces",
--- a/src/turmericward/routing/_errors.py
+++ b/src/turmericward/routing/_errors.py
@@ -15,3 +15,7 @@
 
 class UnknownKeyError(RoutingError):
     """Raised when a call needs a key and no workspace holds the one that it has."""
+
+
+class StaleConfigurationError(RoutingError):
+    """Raised when a key is unknown and the configuration in force may be old."""
--- a/src/turmericward/routing/_routes.py
+++ b/src/turmericward/routing/_routes.py
@@ -81,7 +81,7 @@
                 return route
         raise _errors.NoRouteError(f"{host}{path} has no route")
 
-    def identify(self, route: _calls.Route, key: str) -> _workspaces.Workspace | None:
+    def identify(self, route: _calls.Route, key: bytes) -> _workspaces.Workspace | None:
         """Returns the workspace of a call, None if it has none.
 
         Calls of public routes need no key; one that is known still names the workspace.
--- a/src/turmericward/routing/_workspaces.py
+++ b/src/turmericward/routing/_workspaces.py
@@ -16,9 +16,9 @@
     priority: int | None = None
 
 
-def key_digest(key: str) -> bytes:
+def key_digest(key: bytes) -> bytes:
     """Returns what is stored in place of a key: its SHA-256 digest."""
-    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).digest()
+    return hashlib.sha256(key).digest()
 
 
 class Workspaces:
@@ -30,11 +30,14 @@
 
     @classmethod
     def of_keys(cls, keys: Iterable[tuple[str, Workspace]]) -> "Workspaces":
-        """Creates them from pairs of a key and its workspace."""
-        return cls({key_digest(key): workspace for key, workspace in keys})
+        """Creates them from pairs of a key and its workspace.
 
-    def find(self, key: str) -> Workspace:
-        """Returns the workspace that holds a key.
+        The last pair counts if two have the same key; clients send keys in UTF-8.
+        """
+        return cls({key_digest(key.encode()): workspace for key, workspace in keys})
+
+    def find(self, key: bytes) -> Workspace:
+        """Returns the workspace that holds a key, given as the bytes on the wire.
 
         Raises:
             UnknownKeyError: none does; the error doesn't contain the key.
--- a/src/turmericward/telemetry/_metrics.py
+++ b/src/turmericward/telemetry/_metrics.py
@@ -8,6 +8,8 @@
 import statsd
 from hdrh import histogram
 
+from turmericward.telemetry import _workspace_counts
+
 MIN_TRACKED_MS = 1
 MAX_TRACKED_MS = 3_600_000
 SIGNIFICANT_DIGITS = 2
@@ -56,6 +58,7 @@
         self._classes: dict[tuple[str, str], histogram.HdrHistogram] = {}
         self._tenants: collections.OrderedDict[str, histogram.HdrHistogram]
         self._tenants = collections.OrderedDict()
+        self._workspaces = _workspace_counts.WorkspaceCounts()
         self._statsd = None
         if address is not None:
             self._statsd = statsd.StatsClient(*address, prefix=prefix)
@@ -67,6 +70,11 @@
         if self._statsd is not None:
             self._statsd.incr(name)
 
+    def count_workspace(self, workspace: str, outcome: str) -> None:
+        """Counts the end of a workspace's call; not sent to statsd."""
+        with self._lock:
+            self._workspaces.add(workspace, outcome)
+
     def record(self, latencies: RequestLatencies) -> None:
         """Records the latencies of one request."""
         with self._lock:
@@ -120,6 +128,11 @@
             for tenant, hist in sorted(self._tenants.items()):
                 labels = f'tenant="{_escaped(tenant)}"'
                 lines += _histogram_lines("tenant_total_ms", labels, hist)
+            lines += [
+                f'workspace_calls{{workspace="{_escaped(name)}",outcome="{outcome}"}} '
+                f"{count}"
+                for name, outcome, count in self._workspaces.rows()
+            ]
         return "\n".join(lines) + "\n"
 
 
