--- a/src/turmericward/httpd/_channel.py
+++ b/src/turmericward/httpd/_channel.py
@@ -7,7 +7,7 @@
 from waitress import channel, parser, task, utilities
 
 from turmericward import runtime
-from turmericward.httpd import _idle, _linger, _shutdown
+from turmericward.httpd import _heads, _idle, _linger, _shutdown
 
 RECEIVED_AT_KEY = "turmericward.received"
 # Other instances may take the request at once.
@@ -37,6 +37,21 @@
             # With both headers, a proxy may see a different end of the body, so that
             # bytes after it must not be read as a request (request smuggling).
             self.headers["CONNECTION"] = "close"
+        if self.chunked or self.content_length > _heads.MAX_UNCHECKED_BODY_BYTES:
+            self._check_head()
+
+    def _check_head(self) -> None:
+        """Completes a request that is refused by its head; its body isn't read."""
+        check = getattr(self.adj, "check_head", None)
+        if check is None:
+            return
+        refusal = check(_heads.Head(target=self.request_uri, headers=self.headers))
+        if refusal is None:
+            return
+        self.error = _heads.RefusedHeadError(refusal)
+        # The client may go on with its body after a 100 (Continue).
+        self.expect_continue = False
+        self.completed = True
 
     def received(self, data: bytes) -> int:
         """Parses bytes; returns how many belong to this request."""
--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -12,6 +12,7 @@
 from turmericward import runtime
 from turmericward.httpd import (
     _channel,
+    _heads,
     _idle,
     _shutdown,
     _stopping,
@@ -132,6 +133,15 @@
         self._server.adj.max_request_header_size = limits.max_header_bytes + 1
         self._server.adj.max_request_body_size = limits.max_body_bytes + 1
 
+    def set_head_check(self, check: _heads.HeadCheck) -> None:
+        """Sets what refuses requests before their bodies are read; call before `run`.
+
+        It is called for chunked and for long bodies. Error responses close the
+        connection.
+        """
+        # Read by the parser of each request.
+        self._server.adj.check_head = check
+
     def _close_expired(self) -> None:
         now = runtime.now()
         if not self._monitor.is_due(now):
--- a/src/turmericward/platform/_identity.py
+++ b/src/turmericward/platform/_identity.py
@@ -6,10 +6,12 @@
 import threading
 from collections.abc import Callable
 
-from turmericward import delivery, routing, runtime, telemetry
+from turmericward import delivery, httpd, routing, runtime, telemetry
 from turmericward.platform import _headers
 
 _KEY_VARIABLE = "HTTP_" + _headers.KEY.upper().replace("-", "_")
+# Another front may know the key at once; this one does after the store's next answer.
+STALE_RETRY_S = 0.5
 # At most one line for each reason in this time; it tells how many calls it stands for.
 LINE_INTERVAL_S = 1.0
 UNKNOWN_KEY = "unknown_key"
@@ -71,6 +73,16 @@
             )
 
 
+def find_route(table: routing.RoutingTable, environ, target: str) -> routing.Route:
+    """Returns the route of a request.
+
+    Raises:
+        NoRouteError: the table has none.
+    """
+    host = environ.get("HTTP_HOST", "").lower().partition(":")[0]
+    return table.find(host, target.partition("?")[0])
+
+
 class Identification:
     """Identifies the callers of one front."""
 
@@ -109,5 +121,33 @@
             "the key is unknown, and the configuration may be old"
         )
 
+    def check_head(self, head: httpd.Head) -> httpd.Refusal | None:
+        """Returns why a request is refused by its key, None if it isn't.
+
+        The key is checked again when the request is complete.
+        """
+        table = self._ctx.dispatch.table
+        if table is None or table.workspaces is None:
+            return None
+        environ = {
+            name: head.headers.get(name.removeprefix("HTTP_"), "")
+            for name in ("HTTP_HOST", _KEY_VARIABLE)
+        }
+        try:
+            route = find_route(table, environ, head.target)
+            self.identify(environ, table, route)
+        except routing.UnknownKeyError as exc:
+            return httpd.Refusal(status=401, phrase="Unauthorized", detail=str(exc))
+        except routing.StaleConfigurationError as exc:
+            return httpd.Refusal(
+                status=503,
+                phrase="Service Unavailable",
+                detail=str(exc),
+                retry_after_s=STALE_RETRY_S,
+            )
+        except routing.NoRouteError:
+            return None
+        return None
+
     def _report(self, reason: str, status: int, route, table, key: bytes) -> None:
         self._refusals.add(reason, status, route, version=table.version, key=bool(key))
--- a/src/turmericward/platform/_ingress.py
+++ b/src/turmericward/platform/_ingress.py
@@ -24,8 +24,6 @@
 from turmericward.platform import _headers, _identity
 
 NOT_READY_RETRY_S = 1.0
-# Another front may know the key at once; this one does after the store's next answer.
-STALE_RETRY_S = 0.5
 STATUS_TIMEOUT_S = 1.0
 MAX_DEADLINE_MS = 1e11
 # Longer deadlines count as the larger of these, the second a multiple of the route's
@@ -65,7 +63,7 @@
         """
         self._ctx = ctx
         self._random = random.Random(seed)
-        self._identification = _identity.Identification(ctx, is_current)
+        self.identification = _identity.Identification(ctx, is_current)
 
     def __call__(self, environ, start_response):
         """Handles one WSGI request; failures become HTTP error responses."""
@@ -76,7 +74,7 @@
         except routing.UnknownKeyError as exc:
             reply = _reply(401, str(exc))
         except routing.StaleConfigurationError as exc:
-            reply = _reply(503, str(exc), STALE_RETRY_S)
+            reply = _reply(503, str(exc), _identity.STALE_RETRY_S)
         except routing.NotConfiguredError as exc:
             reply = _refusal(503, str(exc), NOT_READY_RETRY_S)
         except BadRequestError as exc:
@@ -90,10 +88,8 @@
         target = environ["REQUEST_URI"]
         if not _REQUEST_TARGET.fullmatch(target):
             raise BadRequestError("path has characters that aren't printable ASCII")
-        host = environ.get("HTTP_HOST", "").lower().partition(":")[0]
-        route = table.find(host, target.partition("?")[0])
-        # Before the body is read.
-        workspace = self._identification.identify(environ, table, route)
+        route = _identity.find_route(table, environ, target)
+        workspace = self.identification.identify(environ, table, route)
         call = _build_call(environ, target, route, workspace)
         return delivery.Delivery(self._ctx, call, self._pick_service(route)).run()
 
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -154,6 +154,7 @@
             lambda: sink.is_in_force and runtime.now() < configuration.fresh_until,
         )
         self._server = httpd.Server(ingress, address, limits, self._drain)
+        self._server.set_head_check(ingress.identification.check_head)
         readiness = _ingress.Readiness(self._dispatch, self._draining)
         self._server.add_probe(readiness, _address.split(cfg.listen.ready))
         metrics_address = (cfg.instance.address, cfg.listen.metrics)
--- a/src/turmericward/routing/_calls.py
+++ b/src/turmericward/routing/_calls.py
@@ -85,7 +85,8 @@
     cancelled: Callable[[], bool] = lambda: False
     traffic_class: str = ""
     tenant: str = ""
-    caller: str = ""
+    # Not for the log: it may be a credential.
+    caller: str = attrs.field(default="", repr=False)
     workspace: _workspaces.Workspace | None = None
 
     @property
--- a/tests/test_identity.py
+++ b/tests/test_identity.py
@@ -188,6 +188,7 @@
             priority = dict(out)[_headers.PRIORITY]
             check.assertEqual(priority, "2" if name == "acme" else "0")
         check.assertNotIn("s3cret", repr(call))
+    check.assertNotIn("s3cret", repr(_call(None, AUTHORIZATION=SECRET)))
 
 
 def test_two_keys_of_a_workspace_made_two_callers():
