--- a/benchmarks/_emulator.py
+++ b/benchmarks/_emulator.py
@@ -46,8 +46,9 @@
         self.targets = prompt_model.targets(
             load.prefill, load.decode, domains=self._domains, slots=load.engine.slots
         )
+        speeds = itertools.cycle(load.speeds or (1.0,))
         self._engines = {
-            target.name: _engines.Engine(target, load.engine, self)
+            target.name: _engines.Engine(target, load.engine, self, next(speeds))
             for target in self.targets
         }
         self._by_address = {e.target.address: e for e in self._engines.values()}
--- a/benchmarks/_engines.py
+++ b/benchmarks/_engines.py
@@ -40,7 +40,11 @@
     """One engine; reports prefills, events and stream ends to the simulation."""
 
     def __init__(
-        self, target: fleet.Target, cfg: _loads.EngineTraits, simulation
+        self,
+        target: fleet.Target,
+        cfg: _loads.EngineTraits,
+        simulation,
+        speed: float = 1.0,
     ) -> None:
         self.target = target
         self._cfg = cfg
@@ -52,6 +56,7 @@
         self._cached: collections.OrderedDict[object, int] = collections.OrderedDict()
         self._total_cached_tokens = 0
         self.slowdown = 1.0
+        self._speed = speed
         self._paused = False
         # A step whose end the pause has delayed.
         self._delayed: tuple[list[Job], list[Job]] | None = None
@@ -136,7 +141,7 @@
         if running or not self._only_prefills:
             took_ms += self._cfg.step_ms
             took_ms += self._cfg.step_ms_per_answer * len(running)
-        took_s = self.slowdown * (took_ms + self._cfg.first_ms * bool(prefilled)) / 1000
+        took_s = self.slowdown / self._speed * (took_ms + self._cfg.first_ms * bool(prefilled)) / 1000
         self._simulation.schedule(
             self._simulation.now + took_s, self._end_step, running, prefilled
         )
--- a/benchmarks/_loads.py
+++ b/benchmarks/_loads.py
@@ -103,7 +103,8 @@
 class Load:
     """Arrivals, deployment and faults of one run.
 
-    With a `relay_interval_s` a relay publishes the sum of all loads that often;
+    Engines have the factors `speeds` by turns, all 1 if there are none. With a
+    `relay_interval_s` a relay publishes the sum of all loads that often;
     otherwise each front publishes its local loads to its peers.
     """
 
@@ -117,6 +118,7 @@
     bursts: tuple[Burst, ...] = ()
     faults: tuple[Fault, ...] = ()
     relay_interval_s: float = 0.0
+    speeds: tuple[float, ...] = ()
     weights: Weights = Weights()
 
 
--- a/benchmarks/_variants.py
+++ b/benchmarks/_variants.py
@@ -6,12 +6,13 @@
 import contextlib
 import importlib
 import json
+import math
 from collections.abc import Callable, Iterator
 from unittest import mock
 
 from benchmarks import _emulator, _late
 from turmericward import fleet
-from turmericward.requests import _outcomes, _speed
+from turmericward.requests import _engine_speeds, _outcomes, _speed
 
 _Variant = Callable[[], contextlib.AbstractContextManager]
 VARIANTS: dict[str, _Variant] = {}
@@ -50,6 +51,12 @@
         yield
 
 
+@variant("speeds learnt alone")
+def _speeds_learnt_alone() -> Iterator[None]:
+    with mock.patch.object(_engine_speeds, "MIN_SPREAD", math.inf):
+        yield
+
+
 @variant("without slots")
 def _without_slots() -> Iterator[None]:
     with mock.patch.object(_speed.HoldTime, "wait_s", lambda *_: 0.0):
--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -12,6 +12,9 @@
   /** Since the front began: calls that ended, and those of them that failed. */
   5: i32 ended_calls
   6: i32 failed_calls
+  /** Since the front began: time until first outputs, and at ordinary speed. */
+  7: i64 prefill_ms
+  8: i64 ordinary_prefill_ms
 }
 
 /** A prompt's part at a target; `part` is a hash of its id, 0 for none. */
--- a/src/turmericward/peers/_codec.py
+++ b/src/turmericward/peers/_codec.py
@@ -34,6 +34,8 @@
             open_calls=_fields.int32(load.open_calls),
             ended_calls=_fields.int32(load.ended_calls),
             failed_calls=_fields.int32(load.failed_calls),
+            prefill_ms=_encode_s(load.prefill_s),
+            ordinary_prefill_ms=_encode_s(load.ordinary_prefill_s),
         )
         for target, load in state.loads.items()
     ]
@@ -77,6 +79,11 @@
     return TSerialization.serialize(message, _FACTORY)
 
 
+def _encode_s(seconds: float) -> int | None:
+    """Returns milliseconds; nothing is sent for a target without such work."""
+    return _fields.int64(int(seconds * 1000)) or None
+
+
 def decode(data: bytes) -> _states.PeerState:
     """Decodes a datagram.
 
@@ -198,6 +205,8 @@
         open_calls=max(0, row.open_calls),
         ended_calls=max(0, row.ended_calls or 0),
         failed_calls=max(0, row.failed_calls or 0),
+        prefill_s=max(0, row.prefill_ms or 0) / 1000,
+        ordinary_prefill_s=max(0, row.ordinary_prefill_ms or 0) / 1000,
     )
 
 
--- a/src/turmericward/requests/_in_flight.py
+++ b/src/turmericward/requests/_in_flight.py
@@ -117,6 +117,8 @@
     overdue: set[int] = attrs.field(factory=set)
     ended_calls: int = 0
     failed_calls: int = 0
+    prefill_s: float = 0.0
+    ordinary_prefill_s: float = 0.0
 
     def load(self) -> _loads.TargetLoad:
         """Returns the load that these calls put on the target."""
@@ -132,4 +134,6 @@
             open_calls=len(self.open),
             ended_calls=self.ended_calls,
             failed_calls=self.failed_calls,
+            prefill_s=self.prefill_s,
+            ordinary_prefill_s=self.ordinary_prefill_s,
         )
--- a/src/turmericward/requests/_loads.py
+++ b/src/turmericward/requests/_loads.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from turmericward.requests import _outcomes
+from turmericward.requests import _engine_speeds, _outcomes
 
 # A peer without a report for this long is assumed to have no load.
 PEER_TIMEOUT_S = 1.5
@@ -19,7 +19,8 @@
 
     Urgent tokens belong to calls that can still meet their soft deadline, deferred
     ones to calls that can't and queue behind them. Ended calls, and failed ones among
-    them, are counted since the start of the front.
+    them, are counted since the start of the front. So are the seconds until first
+    outputs, and those that the same prefills take at an engine of ordinary speed.
     """
 
     urgent_tokens: float = 0.0
@@ -27,6 +28,8 @@
     open_calls: int = 0
     ended_calls: int = 0
     failed_calls: int = 0
+    prefill_s: float = 0.0
+    ordinary_prefill_s: float = 0.0
 
     def __add__(self, other: "TargetLoad") -> "TargetLoad":
         """Returns the sum of both loads."""
@@ -36,6 +39,8 @@
             open_calls=self.open_calls + other.open_calls,
             ended_calls=self.ended_calls + other.ended_calls,
             failed_calls=self.failed_calls + other.failed_calls,
+            prefill_s=self.prefill_s + other.prefill_s,
+            ordinary_prefill_s=self.ordinary_prefill_s + other.ordinary_prefill_s,
         )
 
     @classmethod
@@ -47,6 +52,8 @@
             open_calls=sum([load.open_calls for load in loads]),
             ended_calls=sum([load.ended_calls for load in loads]),
             failed_calls=sum([load.failed_calls for load in loads]),
+            prefill_s=sum([load.prefill_s for load in loads]),
+            ordinary_prefill_s=sum([load.ordinary_prefill_s for load in loads]),
         )
 
     def without(self, other: "TargetLoad") -> "TargetLoad":
@@ -57,6 +64,10 @@
             open_calls=max(0, self.open_calls - other.open_calls),
             ended_calls=max(0, self.ended_calls - other.ended_calls),
             failed_calls=max(0, self.failed_calls - other.failed_calls),
+            prefill_s=max(0.0, self.prefill_s - other.prefill_s),
+            ordinary_prefill_s=max(
+                0.0, self.ordinary_prefill_s - other.ordinary_prefill_s
+            ),
         )
 
     def queued_tokens(self, *, deferred: bool) -> float:
@@ -93,13 +104,17 @@
 class PeerLoads:
     """Latest load report of each peer; times are monotonic seconds."""
 
-    def __init__(self, outcomes: _outcomes.Outcomes) -> None:
+    def __init__(
+        self, outcomes: _outcomes.Outcomes, speeds: _engine_speeds.EngineSpeeds
+    ) -> None:
         """Starts without reports.
 
         Args:
             outcomes: receives the outcomes of the peers' calls.
+            speeds: receives the times of their prefills.
         """
         self._outcomes = outcomes
+        self._speeds = speeds
         self._reports: dict[str, _Report] = {}
         self._sums: dict[int, TargetLoad] | None = None
 
@@ -121,6 +136,12 @@
             failed = load.failed_calls - previous.failed_calls
             if ended > 0 or (ended == 0 and failed < 0):
                 self._outcomes.ended(target, ended, min(ended, failed), now)
+            self._speeds.add(
+                target,
+                load.prefill_s - previous.prefill_s,
+                load.ordinary_prefill_s - previous.ordinary_prefill_s,
+                now,
+            )
 
     def expire(self, now: float) -> list[str]:
         """Drops unresponsive peers; returns their names."""
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -60,7 +60,7 @@
         self.peers = self._calls.peers
         self.health = self._calls.health
         self._latency = _speed.Latency()
-        self._speed = _speed.PrefillSpeed()
+        self._speed = _speed.PrefillSpeed(self._calls.speeds)
         self._shortlist = _shortlist.Shortlist(domain)
         self._last_id = 0
         self.cache_index = _cache_index.CacheIndex()
@@ -297,10 +297,17 @@
             return
         if placement.uncached_tokens:
             tokens = placement.queued_tokens + placement.uncached_tokens
-            self._speed.learn(placement.target, tokens, took_s)
+            self._learn_speed(placement.target, tokens, took_s, now)
         if prompt.tokens >= _cache_index.SHORT_PROMPT_TOKENS:
             self.cache_index.record_prompt(placement.target, prompt, ready=True)
 
+    def _learn_speed(
+        self, target: fleet.Target, tokens: float, took_s: float, now: float
+    ) -> None:
+        self._speed.learn(target, tokens, took_s)
+        prefill_s, ordinary_s = self._speed.prefill_s(target, tokens, took_s)
+        self._calls.record_prefill(target.name, prefill_s, ordinary_s, now)
+
     def ended(
         self, placement: _in_flight.Placement, ending: _in_flight.Ending, now: float
     ) -> None:
--- a/src/turmericward/requests/_speed.py
+++ b/src/turmericward/requests/_speed.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from turmericward import fleet
+from turmericward.requests import _engine_speeds
 
 # Until the first sample. A decode engine prefills between decode steps.
 INITIAL_SECONDS_PER_TOKEN = {
@@ -33,10 +34,19 @@
 
 
 class PrefillSpeed:
-    """Overhead of a first token, and seconds per effective token before it."""
+    """Overhead of a first token, and seconds per effective token before it.
 
-    def __init__(self) -> None:
-        """Starts with the initial estimates."""
+    Engines that are known to be unequal have the speed that all fronts have seen;
+    others the one that this front has.
+    """
+
+    def __init__(self, engines: _engine_speeds.EngineSpeeds) -> None:
+        """Starts with the initial estimates.
+
+        Args:
+            engines: how slow each engine is.
+        """
+        self._engines = engines
         self._seconds_per_token: dict[str, float] = {}
         self._overhead_s = INITIAL_OVERHEAD_S
 
@@ -46,12 +56,43 @@
 
     def per_token(self, target: fleet.Target) -> float:
         """Returns the engine's estimated seconds per effective token."""
-        initial = INITIAL_SECONDS_PER_TOKEN[target.role or fleet.EngineRole.DECODE]
-        return self._seconds_per_token.get(target.name, initial)
+        if self._engines.uneven:
+            slowness = self._engines.mean * self.slowness(target)
+            return _initial(target) * slowness
+        return self._seconds_per_token.get(target.name, _initial(target))
+
+    def slowness(self, target: fleet.Target) -> float:
+        """Returns how slow an engine is against all; 1 if all are equally fast."""
+        return self._engines.relative(fleet.target_hash(target.name))
+
+    def overhead_s(self, target: fleet.Target) -> float:
+        """Returns the time to a first token of a prompt without uncached tokens."""
+        return self._overhead_s * self.slowness(target)
+
+    def excess_s(self, target: fleet.Target) -> float:
+        """Returns by how much that time exceeds the one at an engine of mean speed.
+
+        Negative for faster engines, 0 if all are equally fast.
+        """
+        return self._overhead_s * (self.slowness(target) - 1.0)
 
     def expected_s(self, target: fleet.Target, tokens: float) -> float:
         """Returns the time to a first token after this many effective tokens."""
-        return self._overhead_s + tokens * self.per_token(target)
+        return self.overhead_s(target) + tokens * self.per_token(target)
+
+    def prefill_s(
+        self, target: fleet.Target, tokens: float, took_s: float
+    ) -> tuple[float, float]:
+        """Returns the time of a prefill, and its time at an engine of ordinary speed.
+
+        Both are 0 if it was too short to show the engine's speed.
+        """
+        if tokens < MIN_SAMPLE_TOKENS:
+            return 0.0, 0.0
+        ordinary_s = tokens * _initial(target)
+        sample_s = max(0.0, took_s - self.overhead_s(target))
+        bounds = ordinary_s / MAX_SPEED_FACTOR, ordinary_s * MAX_SPEED_FACTOR
+        return min(bounds[1], max(bounds[0], sample_s)), ordinary_s
 
     def learn(self, target: fleet.Target, tokens: float, took_s: float) -> None:
         """Takes a sample: a first token after `tokens` effective tokens."""
@@ -60,17 +101,21 @@
                 sample = min(took_s, MAX_SPEED_FACTOR * INITIAL_OVERHEAD_S)
                 self._overhead_s += LEARNING_RATE * (sample - self._overhead_s)
             return
-        initial = INITIAL_SECONDS_PER_TOKEN[target.role or fleet.EngineRole.DECODE]
+        initial = _initial(target)
         sample = max(0.0, took_s - self._overhead_s) / tokens
         sample = min(
             initial * MAX_SPEED_FACTOR, max(initial / MAX_SPEED_FACTOR, sample)
         )
-        estimate = self.per_token(target)
+        estimate = self._seconds_per_token.get(target.name, initial)
         self._seconds_per_token[target.name] = estimate + LEARNING_RATE * (
             sample - estimate
         )
 
 
+def _initial(target: fleet.Target) -> float:
+    return INITIAL_SECONDS_PER_TOKEN[target.role or fleet.EngineRole.DECODE]
+
+
 class HoldTime:
     """How long a call occupies a decode slot, learned over all engines."""
 
--- a/src/turmericward/requests/_target_calls.py
+++ b/src/turmericward/requests/_target_calls.py
@@ -4,7 +4,7 @@
 import math
 
 from turmericward import fleet
-from turmericward.requests import _in_flight, _loads, _outcomes
+from turmericward.requests import _engine_speeds, _in_flight, _loads, _outcomes
 
 # Also bounds the time until a failure domain is used again after a network partition.
 MAX_EJECTION_S = 4.0
@@ -37,7 +37,8 @@
             _in_flight.LocalCalls
         )
         self.outcomes = _outcomes.Outcomes()
-        self.peers = _loads.PeerLoads(self.outcomes)
+        self.speeds = _engine_speeds.EngineSpeeds()
+        self.peers = _loads.PeerLoads(self.outcomes, self.speeds)
         self.health = fleet.Health(max_s=MAX_EJECTION_S)
         self._refusals = fleet.Health(
             REFUSALS_TO_BACK_OFF, FIRST_REFUSAL_BACKOFF_S, MAX_REFUSAL_BACKOFF_S
@@ -49,6 +50,7 @@
     def forget(self, name: str) -> None:
         """Drops the state of a target that was removed or has restarted."""
         self.outcomes.forget(fleet.target_hash(name))
+        self.speeds.forget(fleet.target_hash(name))
         if name in self._local and not self._local[name].open:
             del self._local[name]
         self.health.succeeded(name)
@@ -141,6 +143,15 @@
             self.outcomes.ended(fleet.target_hash(name), 0, -1, now)
         return True
 
+    def record_prefill(
+        self, name: str, took_s: float, ordinary_s: float, now: float
+    ) -> None:
+        """Records how long a prefill took, and takes at an engine of ordinary speed."""
+        calls = self._local[name]
+        calls.prefill_s += took_s
+        calls.ordinary_prefill_s += ordinary_s
+        self.speeds.add(fleet.target_hash(name), took_s, ordinary_s, now)
+
     def ended(
         self, placement: _in_flight.Placement, ending: _in_flight.Ending, now: float
     ) -> None:
--- a/src/turmericward/wire/peers/ttypes.py
+++ b/src/turmericward/wire/peers/ttypes.py
@@ -27,6 +27,8 @@
      - open_calls
      - ended_calls: Since the front began: calls that ended, and those of them that failed.
      - failed_calls
+     - prefill_ms: Since the front began: time until first outputs, and at ordinary speed.
+     - ordinary_prefill_ms
 
     """
 
@@ -37,16 +39,20 @@
         'open_calls',
         'ended_calls',
         'failed_calls',
+        'prefill_ms',
+        'ordinary_prefill_ms',
     )
 
 
-    def __init__(self, target=None, urgent_tokens=None, deferred_tokens=None, open_calls=None, ended_calls=None, failed_calls=None,):
+    def __init__(self, target=None, urgent_tokens=None, deferred_tokens=None, open_calls=None, ended_calls=None, failed_calls=None, prefill_ms=None, ordinary_prefill_ms=None,):
         self.target = target
         self.urgent_tokens = urgent_tokens
         self.deferred_tokens = deferred_tokens
         self.open_calls = open_calls
         self.ended_calls = ended_calls
         self.failed_calls = failed_calls
+        self.prefill_ms = prefill_ms
+        self.ordinary_prefill_ms = ordinary_prefill_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -87,6 +93,16 @@
                     self.failed_calls = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.prefill_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.ordinary_prefill_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -121,6 +137,14 @@
             oprot.writeFieldBegin('failed_calls', TType.I32, 6)
             oprot.writeI32(self.failed_calls)
             oprot.writeFieldEnd()
+        if self.prefill_ms is not None:
+            oprot.writeFieldBegin('prefill_ms', TType.I64, 7)
+            oprot.writeI64(self.prefill_ms)
+            oprot.writeFieldEnd()
+        if self.ordinary_prefill_ms is not None:
+            oprot.writeFieldBegin('ordinary_prefill_ms', TType.I64, 8)
+            oprot.writeI64(self.ordinary_prefill_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1258,6 +1282,8 @@
     (4, TType.I32, 'open_calls', None, None, ),  # 4
     (5, TType.I32, 'ended_calls', None, None, ),  # 5
     (6, TType.I32, 'failed_calls', None, None, ),  # 6
+    (7, TType.I64, 'prefill_ms', None, None, ),  # 7
+    (8, TType.I64, 'ordinary_prefill_ms', None, None, ),  # 8
 )
 all_structs.append(KeptPart)
 KeptPart.thrift_spec = (
