--- a/benchmarks/_emulator.py
+++ b/benchmarks/_emulator.py
@@ -56,7 +56,7 @@
         for front in self.fronts:
             front.placer.cache_index.set_capacity("model", load.engine.memory_tokens)
             for target in self.targets:
-                front.placer.cache_index.set_service(target)
+                front.placer.put(target)
         self._arrivals = _calls.Arrivals(load, self._rng, self.fronts, self.order)
         publish_delay_s = load.relay_interval_s or PUBLISH_DELAY_S
         self.limits = _limits.EngineLimits(self.fronts, publish_delay_s, self.schedule)
--- a/benchmarks/_engines.py
+++ b/benchmarks/_engines.py
@@ -141,7 +141,12 @@
         if running or not self._only_prefills:
             took_ms += self._cfg.step_ms
             took_ms += self._cfg.step_ms_per_answer * len(running)
-        took_s = self.slowdown / self._speed * (took_ms + self._cfg.first_ms * bool(prefilled)) / 1000
+        took_s = (
+            self.slowdown
+            / self._speed
+            * (took_ms + self._cfg.first_ms * bool(prefilled))
+            / 1000
+        )
         self._simulation.schedule(
             self._simulation.now + took_s, self._end_step, running, prefilled
         )
--- a/src/turmericward/dispatching/_dispatch_task.py
+++ b/src/turmericward/dispatching/_dispatch_task.py
@@ -134,7 +134,7 @@
             self._placer.forget(target.name)
             self._admission.forget(target.name)
             self._update_recently_limited()
-        self._placer.cache_index.set_service(target)
+        self._placer.put(target)
         if previous is not None and previous.role is not target.role:
             self._admission.release(target.name)
         if previous is None or attrs.evolve(previous, slots=target.slots) != target:
--- a/src/turmericward/requests/_costs.py
+++ b/src/turmericward/requests/_costs.py
@@ -74,13 +74,14 @@
         self._outcomes = estimates.outcomes
 
     def wait_s(self, target: fleet.Target) -> float:
-        """Returns the delay of any new call at an engine."""
+        """Returns the delay of any new call at an engine, beyond an idle ordinary one.
+
+        It is negative for an idle engine that is faster than others.
+        """
         load = self._load(target.name)
         wait_s = load.open_calls * SECONDS_PER_OPEN_CALL
-        wait_s += self._speed.overhead_s(target)
-        return wait_s + load.queued_tokens(deferred=False) * self._speed.per_token(
-            target
-        )
+        wait_s += load.queued_tokens(deferred=False) * self._speed.per_token(target)
+        return wait_s * self._speed.slowness(target) + self._speed.excess_s(target)
 
     def prefill_placements(
         self, query: Query, targets, *, deferred: bool
@@ -140,7 +141,6 @@
             factor = min(
                 MAX_INTERFERENCE_FACTOR, load.open_calls / INTERFERENCE_OPEN_CALLS
             )
-            factor *= self._speed.slowness(target)
             imposed_s += (
                 (prompt.tokens - cached) * INTERFERENCE_SECONDS_PER_TOKEN * factor
             )
@@ -149,7 +149,7 @@
         start_after_s = query.waits_s.get(target.name, 0.0)
         expected_s = start_after_s + extra_s
         expected_s += self._speed.expected_s(target, queued + uncached)
-        expected_s += self._slot_wait_s(target, load)
+        expected_s += self._hold_time.wait_s(target, load.open_calls)
         adjusted_s = expected_s + imposed_s
         at_most_once = query.deadlines.at_most_once and not prefill_only
         return _in_flight.Placement(
@@ -166,10 +166,6 @@
             prefill_only=prefill_only,
         )
 
-    def _slot_wait_s(self, target, load: _loads.TargetLoad) -> float:
-        wait_s = self._hold_time.wait_s(target, load.open_calls)
-        return wait_s * self._speed.slowness(target)
-
     def _failure_cost_s(self, target, at_most_once: bool, now: float) -> float:
         target_id = fleet.target_hash(target.name)
         share = self._outcomes.failure_share(target_id, now)
@@ -190,7 +186,7 @@
         expected_s = start_after_s + load.open_calls * SECONDS_PER_OPEN_CALL
         queued = load.queued_tokens(deferred=False)
         expected_s += queued * self._speed.per_token(target)
-        expected_s += self._slot_wait_s(target, load)
+        expected_s += self._hold_time.wait_s(target, load.open_calls)
         expected_s += self._speed.excess_s(target)
         copied = query.prompt.shared_tokens - self._cache_index.cached_tokens(
             target, query.prompt, ready=False
--- a/src/turmericward/requests/_engine_speeds.py
+++ b/src/turmericward/requests/_engine_speeds.py
@@ -4,17 +4,23 @@
 an engine too few prompts to learn its speed alone; engines that slow down for a time.
 """
 
+import collections
 import math
+from collections.abc import Iterable, Sequence
 
 import attrs
 
+from turmericward import fleet
+
 # Time constant of the exponential decay of the samples.
 DECAY_S = 15.0
 # Prefill time assumed for each engine at the speed of all, in addition to its samples.
 PRIOR_S = 0.5
-# Engines whose slowness differs by less, the slowest against the fastest, count as
-# equally fast: their samples differ by chance and by the prompts that they got.
-MIN_SPREAD = 1.35
+# Engines whose slowness differs by less count as equally fast, but for a share of them
+# at each end: samples differ by chance and by the prompts that an engine got.
+MIN_SPREAD = 1.7
+OUTER_SHARE = 0.15
+MIN_ENGINES = 6
 # Engines with fewer seconds of samples don't count for that.
 MIN_SAMPLE_S = 0.5
 # One engine's slowness against that of all is bounded by this factor either way.
@@ -47,8 +53,9 @@
     def __init__(self) -> None:
         """Starts without samples: all engines count as equally fast."""
         self._samples: dict[int, _Sample] = {}
+        self._roles: dict[int, fleet.EngineRole | None] = {}
         self._slowness: dict[int, float] = {}
-        self._mean = 1.0
+        self._means: dict[fleet.EngineRole | None, float] = {}
         self._refresh_at = -math.inf
 
     @property
@@ -56,15 +63,25 @@
         """Whether some engines are known to be slower than others."""
         return bool(self._slowness)
 
-    @property
-    def mean(self) -> float:
-        """Slowness of all engines together."""
-        return self._mean
+    def mean(self, role: fleet.EngineRole | None) -> float:
+        """Returns the slowness of all engines of a role together."""
+        return self._means.get(role, 1.0)
+
+    def set_role(self, target: fleet.Target) -> None:
+        """Records the role of an engine: roles differ in their ordinary speed.
+
+        Samples of another role are dropped.
+        """
+        target_id = fleet.target_hash(target.name)
+        if self._roles.get(target_id) is not target.role:
+            self.forget(target_id)
+        self._roles[target_id] = target.role
 
     def forget(self, target: int) -> None:
         """Drops the samples of a target that was removed or has restarted."""
         self._samples.pop(target, None)
         self._slowness.pop(target, None)
+        self._roles.pop(target, None)
 
     def add(self, target: int, took_s: float, ordinary_s: float, now: float) -> None:
         """Adds the time of prefills; without effect if one of the times is 0 or less.
@@ -80,30 +97,43 @@
             self._refresh(now)
 
     def relative(self, target: int) -> float:
-        """Returns a target's slowness over that of all; 1 if all are equally fast."""
+        """Returns a target's slowness over its role's; 1 if all are equally fast."""
         return self._slowness.get(target, 1.0)
 
     def _refresh(self, now: float) -> None:
-        for sample in self._samples.values():
+        by_role: dict[fleet.EngineRole | None, dict[int, _Sample]]
+        by_role = collections.defaultdict(dict)
+        for target, sample in self._samples.items():
             sample.add(0.0, 0.0, now)
-        took_s = sum(sample.took_s for sample in self._samples.values())
-        ordinary_s = sum(sample.ordinary_s for sample in self._samples.values())
-        if ordinary_s < MIN_SAMPLE_S:
-            return
-        self._mean = took_s / ordinary_s
+            by_role[self._roles.get(target)][target] = sample
+        self._means = {role: _mean(group.values()) for role, group in by_role.items()}
         relative = {
-            target: _relative(sample, self._mean)
-            for target, sample in self._samples.items()
+            target: _relative(sample, self._means[role])
+            for role, group in by_role.items()
+            for target, sample in group.items()
         }
-        known = [
+        known = sorted(
             relative[target]
             for target, sample in self._samples.items()
             if sample.ordinary_s >= MIN_SAMPLE_S
-        ]
-        uneven = len(known) > 1 and max(known) >= MIN_SPREAD * min(known)
-        self._slowness = relative if uneven else {}
+        )
+        self._slowness = relative if _is_uneven(known) else {}
+
+
+def _mean(samples: Iterable[_Sample]) -> float:
+    samples = list(samples)
+    ordinary_s = sum(sample.ordinary_s for sample in samples)
+    return sum(sample.took_s for sample in samples) / ordinary_s if ordinary_s else 1.0
 
 
 def _relative(sample: _Sample, mean: float) -> float:
     slowness = (sample.took_s / mean + PRIOR_S) / (sample.ordinary_s + PRIOR_S)
     return min(MAX_FACTOR, max(1 / MAX_FACTOR, slowness))
+
+
+def _is_uneven(slowness: Sequence[float]) -> bool:
+    """Returns whether sorted values differ by more than a few of them by chance."""
+    if len(slowness) < MIN_ENGINES:
+        return False
+    outer = int(OUTER_SHARE * len(slowness))
+    return slowness[-1 - outer] >= MIN_SPREAD * slowness[outer]
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -41,6 +41,8 @@
 LONG_PREFILL_TOKENS = 1_000.0
 # Weight of a replica's recent failure share relative to its open calls.
 FAILURE_WEIGHT = 10.0
+# Prefills behind more queued tokens than this share of their own don't show a speed.
+MAX_QUEUED_SHARE = 0.2
 NO_WAITS: Mapping[str, float] = types.MappingProxyType({})
 
 
@@ -76,6 +78,11 @@
 
     # State of targets.
 
+    def put(self, target: fleet.Target) -> None:
+        """Records an announced target."""
+        self.cache_index.set_service(target)
+        self._calls.speeds.set_role(target)
+
     def forget(self, name: str) -> None:
         """Drops the state of a target that was removed or has restarted."""
         self._latency.forget(name)
@@ -297,14 +304,19 @@
             return
         if placement.uncached_tokens:
             tokens = placement.queued_tokens + placement.uncached_tokens
-            self._learn_speed(placement.target, tokens, took_s, now)
+            self._speed.learn(placement.target, tokens, took_s)
+            self._record_prefill(placement, took_s, now)
         if prompt.tokens >= _cache_index.SHORT_PROMPT_TOKENS:
             self.cache_index.record_prompt(placement.target, prompt, ready=True)
 
-    def _learn_speed(
-        self, target: fleet.Target, tokens: float, took_s: float, now: float
+    def _record_prefill(
+        self, placement: _in_flight.Placement, took_s: float, now: float
     ) -> None:
-        self._speed.learn(target, tokens, took_s)
+        # What others had queued there is known late, and hides how fast the engine is.
+        if placement.queued_tokens > MAX_QUEUED_SHARE * placement.uncached_tokens:
+            return
+        tokens = placement.queued_tokens + placement.uncached_tokens
+        target = placement.target
         prefill_s, ordinary_s = self._speed.prefill_s(target, tokens, took_s)
         self._calls.record_prefill(target.name, prefill_s, ordinary_s, now)
 
--- a/src/turmericward/requests/_speed.py
+++ b/src/turmericward/requests/_speed.py
@@ -36,8 +36,8 @@
 class PrefillSpeed:
     """Overhead of a first token, and seconds per effective token before it.
 
-    Engines that are known to be unequal have the speed that all fronts have seen;
-    others the one that this front has.
+    It is what this front has seen of an engine, or, if engines are known to be unequal,
+    what all fronts have seen of all engines.
     """
 
     def __init__(self, engines: _engine_speeds.EngineSpeeds) -> None:
@@ -55,22 +55,22 @@
         self._seconds_per_token.pop(name, None)
 
     def per_token(self, target: fleet.Target) -> float:
-        """Returns the engine's estimated seconds per effective token."""
+        """Returns the engine's estimated seconds per effective token.
+
+        If engines are unequal, it is that of all of them: how slow each one is decides
+        which engines are candidates, and among these, small differences would send
+        the calls of all fronts to the same engine.
+        """
         if self._engines.uneven:
-            slowness = self._engines.mean * self.slowness(target)
-            return _initial(target) * slowness
+            return _initial(target) * self._engines.mean(target.role)
         return self._seconds_per_token.get(target.name, _initial(target))
 
     def slowness(self, target: fleet.Target) -> float:
         """Returns how slow an engine is against all; 1 if all are equally fast."""
         return self._engines.relative(fleet.target_hash(target.name))
 
-    def overhead_s(self, target: fleet.Target) -> float:
-        """Returns the time to a first token of a prompt without uncached tokens."""
-        return self._overhead_s * self.slowness(target)
-
     def excess_s(self, target: fleet.Target) -> float:
-        """Returns by how much that time exceeds the one at an engine of mean speed.
+        """Returns by how much a first token comes later than at an ordinary engine.
 
         Negative for faster engines, 0 if all are equally fast.
         """
@@ -78,21 +78,15 @@
 
     def expected_s(self, target: fleet.Target, tokens: float) -> float:
         """Returns the time to a first token after this many effective tokens."""
-        return self.overhead_s(target) + tokens * self.per_token(target)
+        return self._overhead_s + tokens * self.per_token(target)
 
     def prefill_s(
         self, target: fleet.Target, tokens: float, took_s: float
     ) -> tuple[float, float]:
-        """Returns the time of a prefill, and its time at an engine of ordinary speed.
-
-        Both are 0 if it was too short to show the engine's speed.
-        """
-        if tokens < MIN_SAMPLE_TOKENS:
-            return 0.0, 0.0
-        ordinary_s = tokens * _initial(target)
-        sample_s = max(0.0, took_s - self.overhead_s(target))
+        """Returns the time to a first token, bounded, and that of an ordinary engine."""
+        ordinary_s = INITIAL_OVERHEAD_S + tokens * _initial(target)
         bounds = ordinary_s / MAX_SPEED_FACTOR, ordinary_s * MAX_SPEED_FACTOR
-        return min(bounds[1], max(bounds[0], sample_s)), ordinary_s
+        return min(bounds[1], max(bounds[0], took_s)), ordinary_s
 
     def learn(self, target: fleet.Target, tokens: float, took_s: float) -> None:
         """Takes a sample: a first token after `tokens` effective tokens."""
