--- a/src/turmericward/requests/_speed.py
+++ b/src/turmericward/requests/_speed.py
@@ -83,7 +83,7 @@
     def prefill_s(
         self, target: fleet.Target, tokens: float, took_s: float
     ) -> tuple[float, float]:
-        """Returns the time to a first token, bounded, and that of an ordinary engine."""
+        """Returns the bounded time to a first token, and an ordinary engine's."""
         ordinary_s = INITIAL_OVERHEAD_S + tokens * _initial(target)
         bounds = ordinary_s / MAX_SPEED_FACTOR, ordinary_s * MAX_SPEED_FACTOR
         return min(bounds[1], max(bounds[0], took_s)), ordinary_s
