--- a/benchmarks/_emulator.py
+++ b/benchmarks/_emulator.py
@@ -46,8 +46,9 @@
         self.targets = prompt_model.targets(
             load.prefill, load.decode, domains=self._domains, slots=load.engine.slots
         )
+        speeds = itertools.cycle(load.speeds or (1.0,))
         self._engines = {
-            target.name: _engines.Engine(target, load.engine, self)
+            target.name: _engines.Engine(target, load.engine, self, next(speeds))
             for target in self.targets
         }
         self._by_address = {e.target.address: e for e in self._engines.values()}
@@ -55,7 +56,7 @@
         for front in self.fronts:
             front.placer.cache_index.set_capacity("model", load.engine.memory_tokens)
             for target in self.targets:
-                front.placer.cache_index.set_service(target)
+                front.placer.put(target)
         self._arrivals = _calls.Arrivals(load, self._rng, self.fronts, self.order)
         publish_delay_s = load.relay_interval_s or PUBLISH_DELAY_S
         self.limits = _limits.EngineLimits(self.fronts, publish_delay_s, self.schedule)
--- a/src/turmericward/requests/_costs.py
+++ b/src/turmericward/requests/_costs.py
@@ -74,12 +74,14 @@
         self._outcomes = estimates.outcomes
 
     def wait_s(self, target: fleet.Target) -> float:
-        """Returns the queue delay of any new call at an engine."""
+        """Returns the delay of any new call at an engine, beyond an idle ordinary one.
+
+        It is negative for an idle engine that is faster than others.
+        """
         load = self._load(target.name)
         wait_s = load.open_calls * SECONDS_PER_OPEN_CALL
-        return wait_s + load.queued_tokens(deferred=False) * self._speed.per_token(
-            target
-        )
+        wait_s += load.queued_tokens(deferred=False) * self._speed.per_token(target)
+        return wait_s * self._speed.slowness(target) + self._speed.excess_s(target)
 
     def prefill_placements(
         self, query: Query, targets, *, deferred: bool
@@ -185,6 +187,7 @@
         queued = load.queued_tokens(deferred=False)
         expected_s += queued * self._speed.per_token(target)
         expected_s += self._hold_time.wait_s(target, load.open_calls)
+        expected_s += self._speed.excess_s(target)
         copied = query.prompt.shared_tokens - self._cache_index.cached_tokens(
             target, query.prompt, ready=False
         )
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -41,6 +41,8 @@
 LONG_PREFILL_TOKENS = 1_000.0
 # Weight of a replica's recent failure share relative to its open calls.
 FAILURE_WEIGHT = 10.0
+# Prefills behind more queued tokens than this share of their own don't show a speed.
+MAX_QUEUED_SHARE = 0.2
 NO_WAITS: Mapping[str, float] = types.MappingProxyType({})
 
 
@@ -60,7 +62,7 @@
         self.peers = self._calls.peers
         self.health = self._calls.health
         self._latency = _speed.Latency()
-        self._speed = _speed.PrefillSpeed()
+        self._speed = _speed.PrefillSpeed(self._calls.speeds)
         self._shortlist = _shortlist.Shortlist(domain)
         self._last_id = 0
         self.cache_index = _cache_index.CacheIndex()
@@ -76,6 +78,11 @@
 
     # State of targets.
 
+    def put(self, target: fleet.Target) -> None:
+        """Records an announced target."""
+        self.cache_index.set_service(target)
+        self._calls.speeds.set_role(target)
+
     def forget(self, name: str) -> None:
         """Drops the state of a target that was removed or has restarted."""
         self._latency.forget(name)
@@ -298,9 +305,21 @@
         if placement.uncached_tokens:
             tokens = placement.queued_tokens + placement.uncached_tokens
             self._speed.learn(placement.target, tokens, took_s)
+            self._record_prefill(placement, took_s, now)
         if prompt.tokens >= _cache_index.SHORT_PROMPT_TOKENS:
             self.cache_index.record_prompt(placement.target, prompt, ready=True)
 
+    def _record_prefill(
+        self, placement: _in_flight.Placement, took_s: float, now: float
+    ) -> None:
+        # What others had queued there is known late, and hides how fast the engine is.
+        if placement.queued_tokens > MAX_QUEUED_SHARE * placement.uncached_tokens:
+            return
+        tokens = placement.queued_tokens + placement.uncached_tokens
+        target = placement.target
+        prefill_s, ordinary_s = self._speed.prefill_s(target, tokens, took_s)
+        self._calls.record_prefill(target.name, prefill_s, ordinary_s, now)
+
     def ended(
         self, placement: _in_flight.Placement, ending: _in_flight.Ending, now: float
     ) -> None:
