Loop of duties, standing lease, encoding of duty calls: interface

Cause: calls to the platform's API that one front at a time makes need one lease with renewal, shared with role orders.

--- a/src/turmericward/authority/_on_demand_lease.py
+++ b/src/turmericward/authority/_on_demand_lease.py
@@ -1,4 +1,4 @@
-"""A lease for rare orders: acquired to send one, then released."""
+"""A lease that is acquired to send rare orders, or renewed while duties need it."""
 
 import attrs
 
@@ -30,7 +30,11 @@
 
 def _era(record: _records.Record | None) -> int:
     """Returns the era in which a lease record was appended, 0 if it names none."""
-    named = (_records.OnDemandAcquire, _records.OnDemandRelease)
+    named = (
+        _records.OnDemandAcquire,
+        _records.OnDemandRenew,
+        _records.OnDemandRelease,
+    )
     return record.era if isinstance(record, named) else 0
 
 
@@ -47,6 +51,10 @@
     and a candidate that finds no lease record of the new era waits for the term plus
     a margin from when it first saw that era. The token is made of the acquire's era
     and offset: it rises with both.
+
+    A renewal, or any other record that the holder appends at the end that it knows,
+    restarts the term: candidates wait anew whenever the end has moved. The token stays,
+    so that a call which arrives after a renewal has no lower one than a later call.
     """
 
     def __init__(self, holder: str, timing: _contender.Timing, new_id) -> None:
@@ -54,7 +62,8 @@
 
         Args:
             holder: unique for each run of a process.
-            timing: times of the protocol; `renew_s` is ignored.
+            timing: times of the protocol; the caller renews every `renew_s`, if at
+                all.
             new_id: callable that returns a fresh record id.
         """
         self._holder = holder
@@ -106,7 +115,11 @@
         return Claim(end=self._end, record=record)
 
     def _is_free(self, now: float) -> bool:
-        acquires = (_records.Acquire, _records.OnDemandAcquire)
+        acquires = (
+            _records.Acquire,
+            _records.OnDemandAcquire,
+            _records.OnDemandRenew,
+        )
         if isinstance(self._record, acquires):
             wait_s = self._record.term_s + self._timing.margin_s
             if now - self._read_at < wait_s:
@@ -139,9 +152,76 @@
             now: monotonic seconds.
             era: latest era of the log that this process knows.
         """
-        if self._held is None or now >= self._held.until or era > self._held_era:
+        held = self._held
+        if held is None or now >= held.until or era > self._held_era:
+            return None
+        return held
+
+    @property
+    def end(self) -> positions.Position:
+        """The end of the log as last read or appended to."""
+        return self._end
+
+    @property
+    def is_holder(self) -> bool:
+        """Whether no other process is known to have acquired the lease since."""
+        return self._held is not None
+
+    def renew(self, era: int) -> Claim | None:
+        """Returns the renewal to append, or None without the lease.
+
+        It may be appended after the term too: it succeeds only if nobody has acquired
+        the lease in between.
+
+        Args:
+            era: latest era of the log that this process knows.
+        """
+        if not self._is_held_in(era):
             return None
-        return self._held
+        record = _records.OnDemandRenew(
+            id=self._new_id(),
+            holder=self._holder,
+            era=self._held_era,
+            term_s=self._timing.term_s,
+            token=self._held.token,
+        )
+        return Claim(end=self._end, record=record)
+
+    def _is_held_in(self, era: int) -> bool:
+        """Returns whether the lease is held in an era, and drops it if not."""
+        if self._held is not None and era > self._held_era:
+            self._held = None
+        return self._held is not None
+
+    def extended(
+        self, sent_at: float, position: positions.Position, now: float
+    ) -> bool:
+        """Records that the holder's record, sent at `sent_at`, is at `position`.
+
+        Returns:
+            Whether that restarted the term; it doesn't if the era has changed.
+        """
+        if not self._is_held_in(position.era):
+            return False
+        until = max(self._held.until, sent_at + self._timing.term_s)
+        self._held = attrs.evolve(self._held, until=until)
+        self.record_log_end(now, position.plus(1), self._record, self._era_since)
+        return True
+
+    def confirm(
+        self, now: float, end: positions.Position, record: _records.Record | None
+    ) -> bool:
+        """Takes the log as read after an append of unknown outcome, or of a refused one.
+
+        Returns:
+            Whether the lease is still this process's. Its term isn't restarted.
+        """
+        self.record_log_end(now, end, record, self._era_since)
+        own = (_records.OnDemandAcquire, _records.OnDemandRenew)
+        same = isinstance(record, own) and record.holder == self._holder
+        if not same or end.era != self._held_era:
+            self._held = None
+        return self._held is not None
 
     def release(self, now: float, era: int) -> Claim | None:
         """Releases the lease; returns the record to append if it was held.
--- a/src/turmericward/authority/_records.py
+++ b/src/turmericward/authority/_records.py
@@ -77,6 +77,18 @@
     term_s: float = attrs.field(validator=_TERM_S)
 
 
+@KINDS.register("lease.on_demand.renew")
+@attrs.frozen(kw_only=True)
+class OnDemandRenew:
+    """Restarts the term of the on-demand lease with this token."""
+
+    id: str
+    holder: str
+    era: int
+    term_s: float = attrs.field(validator=_TERM_S)
+    token: int
+
+
 @KINDS.register("lease.on_demand.release")
 @attrs.frozen(kw_only=True)
 class OnDemandRelease:
@@ -138,6 +150,7 @@
     | Renew
     | Release
     | OnDemandAcquire
+    | OnDemandRenew
     | OnDemandRelease
     | Intent
     | OrderOutcome
--- a/src/turmericward/dispatching/__init__.py
+++ b/src/turmericward/dispatching/__init__.py
@@ -3,6 +3,7 @@
 from turmericward.dispatching._cache_listing_loop import CacheListingLoop
 from turmericward.dispatching._crash_guard import CrashGuard
 from turmericward.dispatching._dispatch_task import DispatchTask
+from turmericward.dispatching._duties_loop import DutiesLoop
 from turmericward.dispatching._messages import (
     EngineCacheListing,
     FirstOutput,
@@ -21,15 +22,23 @@
     TargetWentOn,
 )
 from turmericward.dispatching._roles_loop import RolesLoop, RoleState
+from turmericward.dispatching._standing_lease import (
+    LeaseLoop,
+    LogState,
+    StandingLease,
+)
 
 __all__ = [
     "CacheListingLoop",
     "CrashGuard",
     "DispatchTask",
+    "DutiesLoop",
     "EngineCacheListing",
     "FirstOutput",
     "GetStatus",
     "IsUsable",
+    "LeaseLoop",
+    "LogState",
     "Place",
     "PlacementEnded",
     "PutTargets",
@@ -40,6 +49,7 @@
     "RolesLoop",
     "SetTable",
     "SilentTarget",
+    "StandingLease",
     "StoreRecovered",
     "TargetNotice",
     "TargetWentOn",
--- a/src/turmericward/dispatching/_roles_loop.py
+++ b/src/turmericward/dispatching/_roles_loop.py
@@ -10,7 +10,7 @@
 
 from turmericward import authority, fleet, positions, runtime, telemetry
 from turmericward.adapters import errors
-from turmericward.dispatching import _dispatch_task, _messages
+from turmericward.dispatching import _dispatch_task, _messages, _standing_lease
 
 POLL_INTERVAL_S = 0.5
 INACTIVE_POLL_INTERVAL_S = 2.0
@@ -90,6 +90,7 @@
         orders: Orders,
         eras: positions.Eras,
         enabled: Callable[[], bool] = lambda: True,
+        standing: _standing_lease.StandingLease | None = None,
     ) -> None:
         """Creates the loop.
 
@@ -102,6 +103,8 @@
             enabled: returns whether this front takes part; in a large fleet only a
                 few do, and none that is stopping. One that no longer does releases
                 the lease.
+            standing: the lease of a front with duties, which orders need then in place
+                of `lease`.
         """
         super().__init__()
         self._dispatch = dispatch
@@ -110,6 +113,7 @@
         self._orders = orders
         self._eras = eras
         self._enabled = enabled
+        self._standing = standing
         self._planners: dict[str, fleet.RolePlanner] = collections.defaultdict(
             fleet.RolePlanner
         )
@@ -154,10 +158,16 @@
             return None
         if self._due_since is None:
             self._due_since = now
-        if not view.has_lowest_name and now - self._due_since < FOLLOWER_DELAY_S:
+        if self._follows(view) and now - self._due_since < FOLLOWER_DELAY_S:
             return None
         return due[0]
 
+    def _follows(self, view: _messages.EnginesView) -> bool:
+        """Returns whether another front is to send the order first."""
+        if self._standing is not None:
+            return self._held() is None
+        return not view.has_lowest_name
+
     def _execute(self, change: fleet.RoleChange) -> None:
         held = self._held() or self._acquire()
         if held is None:
@@ -172,6 +182,8 @@
         self._send_order(change, state, held)
 
     def _held(self) -> authority.Authority | None:
+        if self._standing is not None:
+            return self._standing.authority()
         return self._lease.authority(runtime.now(), self._eras.current)
 
     def _send_order(self, change, state: RoleState, held: authority.Authority) -> None:
@@ -180,6 +192,8 @@
             return
         self._planners[change.target.service].ordered(change, now)
         self._ordered_at = now
+        if self._standing is not None:
+            self._standing.note_sent()
         outcome = "unknown"
         try:
             accepted = self._orders.order(change, state.sequence, held)
@@ -195,6 +209,8 @@
             )
 
     def _acquire(self) -> authority.Authority | None:
+        if self._standing is not None:
+            return None
         end, record = self._log.read()
         self._lease.record_log_end(runtime.now(), end, record, self._eras.since)
         sent_at = runtime.now()
@@ -215,7 +231,7 @@
 
     def _release(self) -> None:
         now = runtime.now()
-        if self._held() is None:
+        if self._standing is not None or self._held() is None:
             return
         if now - self._ordered_at < self._lease.settle_s:
             return
--- /dev/null
+++ b/src/turmericward/dispatching/_standing_lease.py
@@ -0,0 +1,239 @@
+"""The lease of a front that performs duties: held and renewed, shared by its loops."""
+
+import threading
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+from absl import logging
+
+from turmericward import authority, positions, runtime, telemetry
+from turmericward.adapters import errors
+
+
+@attrs.frozen(kw_only=True)
+class LogState:
+    """The end of the lease's log, its newest lease record and the newest journal.
+
+    `journal` is what holders have to know of the calls of earlier ones.
+    """
+
+    end: positions.Position
+    lease: authority.Record | None
+    journal: bytes | None
+
+
+class DutyLog(Protocol):
+    """Log that stores the lease and the journal of duties."""
+
+    def read_state(self) -> LogState:
+        """Returns the state of the log.
+
+        Raises:
+            LogUnavailableError: there is no valid answer.
+        """
+
+    def append(self, claim: authority.Claim) -> positions.Position | None:
+        """Appends a claim; returns its position, or None if the log has grown.
+
+        Raises:
+            LogUnavailableError: it isn't known whether the claim was appended.
+        """
+
+    def append_journal(
+        self, value: bytes, end: positions.Position
+    ) -> positions.Position | None:
+        """Replaces the journal likewise, if the log still ends at `end`."""
+
+
+class StandingLease:
+    """Acquires, renews and releases the lease; thread-safe.
+
+    One thread calls the log at a time. `authority` doesn't wait for it.
+    """
+
+    def __init__(
+        self,
+        lease: authority.OnDemandLease,
+        log: DutyLog,
+        eras: positions.Eras,
+        renew_s: float,
+        clock: Callable[[], float] = runtime.now,
+    ) -> None:
+        """Starts without the lease.
+
+        Args:
+            lease: lease protocol of this process.
+            log: stores the lease; used by this object only.
+            eras: the known era of the log.
+            renew_s: time since the last append after which the lease is renewed.
+            clock: returns monotonic seconds.
+        """
+        self._lease = lease
+        self._log = log
+        self._eras = eras
+        self._renew_s = renew_s
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._appended_at = float("-inf")
+        self._sent_at = float("-inf")
+        # Whether the outcome of an append is unknown, or one was refused.
+        self._must_confirm = False
+        self._journal: bytes | None = None
+        self._held_since = float("-inf")
+
+    @property
+    def journal(self) -> bytes | None:
+        """The journal as of the acquire, or of this front's last append."""
+        return self._journal
+
+    @property
+    def held_since(self) -> float:
+        """When this front acquired the lease last; changes with each tenure."""
+        return self._held_since
+
+    def authority(self) -> authority.Authority | None:
+        """Returns the right to send calls, or None when there is none."""
+        return self._lease.authority(self._clock(), self._eras.current)
+
+    def note_sent(self) -> None:
+        """Records that a call or order is sent, which delays a release."""
+        self._sent_at = self._clock()
+
+    def tend(self) -> None:
+        """Acquires the lease if it is free, and renews it when that is due.
+
+        Raises:
+            AdapterError: the log isn't available.
+            AuthorityError: the lease can't be acquired.
+        """
+        with self._lock:
+            if not self._lease.is_holder:
+                self._acquire()
+            elif self._must_confirm:
+                self._confirm()
+            elif self._clock() - self._appended_at >= self._renew_s:
+                claim = self._lease.renew(self._eras.current)
+                if claim is not None:
+                    self._extend(lambda: self._log.append(claim))
+
+    def append_journal(self, value: bytes) -> bool:
+        """Replaces the journal, which restarts the term.
+
+        Returns:
+            Whether the lease is certain to have been held at the time of the append.
+
+        Raises:
+            LogUnavailableError: it isn't known whether the journal was replaced.
+        """
+        with self._lock:
+            if self._must_confirm or not self._lease.is_holder:
+                return False
+            end = self._lease.end
+            appended = self._extend(lambda: self._log.append_journal(value, end))
+            if appended:
+                self._journal = value
+            return appended
+
+    def _extend(self, append: Callable[[], positions.Position | None]) -> bool:
+        sent_at = self._clock()
+        # Until the outcome is known.
+        self._must_confirm = True
+        position = append()
+        if position is None:
+            return False
+        self._must_confirm = False
+        self._appended_at = sent_at
+        return self._lease.extended(sent_at, position, self._clock())
+
+    def _confirm(self) -> None:
+        state = self._log.read_state()
+        if not self._lease.confirm(self._clock(), state.end, state.lease):
+            telemetry.log_event("lease", state="lost", end=state.end.offset)
+        self._journal = state.journal
+        self._must_confirm = False
+        self._appended_at = float("-inf")
+
+    def _acquire(self) -> None:
+        state = self._log.read_state()
+        self._lease.record_log_end(
+            self._clock(), state.end, state.lease, self._eras.since
+        )
+        sent_at = self._clock()
+        claim = self._lease.acquire(sent_at)
+        if claim is None:
+            return
+        position = self._log.append(claim)
+        if position is None:
+            logging.info("lease was acquired by another front")
+            return
+        self._lease.acquired(claim, sent_at, position, self._clock())
+        self._must_confirm = False
+        self._appended_at = sent_at
+        self._held_since = sent_at
+        self._journal = state.journal
+        held = self.authority()
+        if held is not None:
+            telemetry.log_event("lease", state="acquired", token=held.token)
+
+    def release(self) -> bool:
+        """Releases the lease once no call of this front is under way any more.
+
+        Returns:
+            Whether this front is without the lease.
+
+        Raises:
+            LogUnavailableError: others wait until the term has ended.
+        """
+        with self._lock:
+            if not self._lease.is_holder:
+                return True
+            now = self._clock()
+            if now - self._sent_at < self._lease.settle_s:
+                return self.authority() is None
+            claim = self._lease.release(now, self._eras.current)
+            if claim is not None and not self._must_confirm:
+                self._log.append(claim)
+                telemetry.log_event("lease", state="released")
+            return True
+
+
+class LeaseLoop(runtime.Loop):
+    """Keeps the lease with one of the fronts that take part."""
+
+    tolerated_failures = runtime.MAX_FAILURES_IN_A_ROW
+
+    def __init__(
+        self,
+        lease: StandingLease,
+        enabled: Callable[[], bool],
+        *,
+        poll_s: float,
+        tick_s: float,
+    ) -> None:
+        """Creates the loop.
+
+        Args:
+            lease: the lease of this front.
+            enabled: returns whether this front takes part; in a large fleet only a
+                few do, and none that is stopping.
+            poll_s: time between two reads of a front without the lease.
+            tick_s: time between two looks at whether the lease is to be renewed.
+        """
+        super().__init__()
+        self._lease = lease
+        self._enabled = enabled
+        self._poll_s = poll_s
+        self._tick_s = tick_s
+
+    def run_once(self) -> None:
+        """Tends or releases the lease once."""
+        try:
+            if self._enabled():
+                self._lease.tend()
+            else:
+                self._lease.release()
+        except (errors.AdapterError, authority.AuthorityError) as exc:
+            logging.log_every_n_seconds(logging.WARNING, "lease: %s", 10, exc)
+        held = self._lease.authority() is not None
+        self.pause(self._tick_s if held else self._poll_s)
--- a/src/turmericward/duties/_calls.py
+++ b/src/turmericward/duties/_calls.py
@@ -16,6 +16,14 @@
     window: int
     counts: Mapping[str, int]
 
+    def log_fields(self) -> dict[str, object]:
+        """Returns what the log line of the call says of it."""
+        return {
+            "window": self.window,
+            "workspaces": len(self.counts),
+            "calls": sum(self.counts.values()),
+        }
+
 
 @attrs.frozen(kw_only=True)
 class CapacityOrder:
@@ -26,6 +34,10 @@
     count: int
     spot: bool
 
+    def log_fields(self) -> dict[str, object]:
+        """Returns what the log line of the call says of it."""
+        return attrs.asdict(self)
+
 
 class Outcome(enum.Enum):
     """What became of a call to the platform."""
--- a/src/turmericward/platform/_headers.py
+++ b/src/turmericward/platform/_headers.py
@@ -25,6 +25,9 @@
 KEY = "Turmericward-Key"
 # Names the workspace to replicas.
 WORKSPACE = "Turmericward-Tenant-Id"
+# Of calls that are the duty of one front at a time: the front, and its lease.
+DUTY_HOLDER = "Turmericward-Duty-Holder"
+FENCING_TOKEN = "Turmericward-Fencing-Token"
 KV_SOURCE = "Turmericward-Kv-Source"
 KV_FETCH = "Kv-Fetch"
 LAST_EVENT_ID = "Last-Event-Id"
--- a/src/turmericward/platform/_orders.py
+++ b/src/turmericward/platform/_orders.py
@@ -19,6 +19,7 @@
 
 LEASE_TOPIC = "keyed.leases"
 LEASE_KEY = "roles"
+JOURNAL_KEY = "duties"
 TIMEOUT_S = 1.0
 # Term of an on-demand lease, the same on all fronts.
 TERM_S = 6.0
@@ -62,6 +63,25 @@
             return listing.end, None
         return listing.end, self._decode(leases[0], listing.end.era)
 
+    def read_state(self) -> dispatching.LogState:
+        """Returns end, lease and journal; see `dispatching.DutyLog`."""
+        listing = self._client.newest(LEASE_TOPIC)
+        newest = {record.key: record for record in listing.records}
+        lease, journal = newest.get(LEASE_KEY), newest.get(JOURNAL_KEY)
+        return dispatching.LogState(
+            end=listing.end,
+            lease=None if lease is None else self._decode(lease, listing.end.era),
+            journal=None if journal is None else journal.value,
+        )
+
+    def append_journal(
+        self, value: bytes, end: positions.Position
+    ) -> positions.Position | None:
+        """Replaces the journal if the topic still ends at `end`."""
+        return self._client.put(
+            LEASE_TOPIC, JOURNAL_KEY, value, expected_end=end.offset
+        )
+
     def _decode(self, record: feeds.Record, era: int) -> authority.Record:
         """Decodes the lease; one that can't be used counts as just acquired.
 
