--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -84,6 +84,20 @@
   7: i64 era
 }
 
+/** Calls that began to run in a window of Unix time, by workspace. */
+struct WindowUsage {
+  1: i64 window
+  2: map<string, i32> counts
+  /** Whether they are those of all fronts in the sender's domain. */
+  3: bool domain
+}
+
+/** Usage that a front or a domain has counted, and what time its sender takes it to be. */
+struct Usage {
+  1: i64 unix_ms
+  2: list<WindowUsage> windows
+}
+
 /** A front's whole load, and the prompts read since its last datagrams. */
 struct FrontState {
   1: string front
@@ -112,4 +126,5 @@
   16: list<SegmentOutcome> outcomes
   /** The same of calls that come again; `segment` is the number of their content. */
   17: list<SegmentOutcome> request_outcomes
+  18: Usage usage
 }
--- a/src/turmericward/authority/_on_demand_lease.py
+++ b/src/turmericward/authority/_on_demand_lease.py
@@ -211,7 +211,7 @@
     def confirm(
         self, now: float, end: positions.Position, record: _records.Record | None
     ) -> bool:
-        """Takes the log as read after an append of unknown outcome, or of a refused one.
+        """Takes the log as read after an append that was refused or has no outcome.
 
         Returns:
             Whether the lease is still this process's. Its term isn't restarted.
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -49,7 +49,11 @@
         # Polled while an attempt waits for its target.
         self._call = attrs.evolve(call, cancelled=self._early_end.is_due)
         self._open = _open_placement.OpenPlacement(
-            ctx.dispatch, self._record, call.prompt
+            ctx.dispatch,
+            self._record,
+            call.prompt,
+            call.workspace.name if call.workspace else "",
+            streamed=call.route.kind is routing.CallKind.STREAM,
         )
         self._parts = _parts.CallParts(
             ctx=ctx,
--- a/src/turmericward/delivery/_open_placement.py
+++ b/src/turmericward/delivery/_open_placement.py
@@ -16,6 +16,9 @@
         dispatch: _context.Dispatcher,
         record: _record.CallRecord,
         prompt: requests.Prompt | requests.Demand | None,
+        workspace: str = "",
+        *,
+        streamed: bool = False,
     ) -> None:
         """Starts without a placement.
 
@@ -23,10 +26,15 @@
             dispatch: gets the reports.
             record: log lines of the call.
             prompt: the call's prompt, if it has one.
+            workspace: the call's workspace, if it has one.
+            streamed: whether the answer is a stream, which runs from its first event
+                on; other calls run from when they are sent.
         """
         self._dispatch = dispatch
         self._record = record
         self._prompt = prompt
+        self._workspace = workspace
+        self._streamed = streamed
         self._sent_at = 0.0
         # When the current attempt had its first output of the answer.
         self._writing_since: float | None = None
@@ -50,7 +58,8 @@
             self._writing_since = runtime.now()
         took_s = runtime.now() - self._sent_at
         self._record.log_first_output(self.placement, took_s)
-        self._report_first_output(took_s)
+        runs = not self.placement.prefill_only
+        self._report_first_output(took_s, self._workspace if runs else "")
 
     def record_output(self) -> None:
         """Records output of a stream, which is its first if it was resumed."""
@@ -58,10 +67,14 @@
             self._writing_since = runtime.now()
             self._report_first_output(runtime.now() - self._sent_at)
 
-    def _report_first_output(self, took_s: float) -> None:
+    def _report_first_output(self, took_s: float, workspace: str = "") -> None:
         self._dispatch.post(
             dispatching.FirstOutput(
-                placement=self.current, prompt=self._prompt, took_s=took_s
+                placement=self.current,
+                prompt=self._prompt,
+                took_s=took_s,
+                workspace=workspace,
+                began_at=self._sent_at + (took_s if self._streamed else 0.0),
             )
         )
 
--- a/src/turmericward/dispatching/_dispatch_task.py
+++ b/src/turmericward/dispatching/_dispatch_task.py
@@ -1,6 +1,7 @@
 """Task that owns the routing table, the targets and the calls in flight."""
 
 import functools
+from collections.abc import Callable
 
 import attrs
 from absl import logging
@@ -49,6 +50,7 @@
         retries: _messages.RetryBounds,
         publish,
         on_configured=lambda table: None,
+        publish_began: Callable[[peers.CallsBegan], None] | None = None,
     ) -> None:
         """Creates the task without configuration and targets.
 
@@ -60,6 +62,8 @@
             retries: bounds on the retries of all fronts together.
             publish: called with each state change to publish to the peers.
             on_configured: called with each routing table that takes effect.
+            publish_began: called with the calls of workspaces that began to run; None
+                without metering.
         """
         super().__init__()
         self._admission = fleet.Admission(name, grace_s)
@@ -80,6 +84,9 @@
         )
         self._publish = publish
         self._on_configured = on_configured
+        self._publish_began = publish_began
+        # Workspace and time of the calls that began to run and weren't published yet.
+        self._began: list[tuple[str, float]] = []
         self._name = name
         self._domain = domain
         self._listed_engines: set[int] = set()
@@ -215,6 +222,9 @@
             self._admission.limits.update_shares(now)
         self._placer.count_overdue(now)
         self._crashes.expire(now)
+        if self._began:
+            self._publish_began(peers.CallsBegan(calls=tuple(self._began)))
+            self._began.clear()
         if self._reports_changed or self._are_published_loads_outdated(now):
             self._publish_state()
 
@@ -331,6 +341,8 @@
 
     @handle.register
     def _(self, message: _messages.FirstOutput) -> None:
+        if message.workspace and self._publish_began is not None:
+            self._began.append((message.workspace, message.began_at))
         self._placer.record_first_output(
             message.placement, message.prompt, message.took_s, runtime.now()
         )
--- a/src/turmericward/dispatching/_duties_loop.py
+++ b/src/turmericward/dispatching/_duties_loop.py
@@ -88,6 +88,7 @@
         self._count = count
         self._clock = clock
         self._term_began: float | None = None
+        self._journal_reads = 0
 
     def run_once(self) -> None:
         """Gives each duty the opportunity to make one call."""
@@ -100,6 +101,9 @@
             self.pause(IDLE_PAUSE_S)
 
     def _begin_term(self) -> None:
+        if self._journal_reads != self._lease.journal_reads:
+            self._journal_reads = self._lease.journal_reads
+            self._restore()
         if self._term_began == self._lease.held_since:
             return
         self._term_began = self._lease.held_since
@@ -107,6 +111,11 @@
         for duty in self._duties:
             duty.took_over(self._clock())
 
+    def _restore(self) -> None:
+        for duty in self._duties:
+            if duties.is_journaled(duty):
+                duty.restore(self._lease.journal, self._lease.era_began, self._clock())
+
     def _perform(self, index: int) -> bool:
         """Makes the call of a duty that is due; returns whether one was made."""
         duty, backoff = self._duties[index], self._backoffs[index]
@@ -114,12 +123,12 @@
             return False
         try:
             call = duty.next_call(self._clock())
+            if call is None or not self._store(duty, call):
+                return False
         except (errors.AdapterError, TimeoutError) as exc:
             logging.log_every_n_seconds(logging.WARNING, "duty waits: %s", 10, exc)
             return False
-        if call is None:
-            return False
-        # `next_call` may have used the log, which takes time and renews the lease.
+        # The journal takes time, and renews the lease.
         held = self._lease.authority()
         if held is None or not self._may_send():
             return False
@@ -127,6 +136,16 @@
         self.pause(self._interval_s)
         return True
 
+    def _store(self, duty: duties.Duty, call: duties.DutyCall) -> bool:
+        """Stores a call in the journal if it has to be; returns whether it is there."""
+        entry = duty.entry(call) if duties.is_journaled(duty) else None
+        if entry is None:
+            return True
+        if not self._lease.append_journal(entry):
+            return False
+        duty.record_entry(call)
+        return True
+
     def _may_send(self) -> bool:
         held = self._lease.authority()
         return (
--- a/src/turmericward/dispatching/_messages.py
+++ b/src/turmericward/dispatching/_messages.py
@@ -254,11 +254,17 @@
 
 @attrs.frozen(kw_only=True)
 class FirstOutput:
-    """The first token or the end of a prefill, `took_s` after the call was sent."""
+    """The first token or the end of a prefill, `took_s` after the call was sent.
+
+    `workspace` is set, and `began_at` in monotonic seconds, if a call of a workspace
+    has begun to run by this; not by a prefill, nor by the resumption of a stream.
+    """
 
     placement: requests.Placement
     prompt: requests.Prompt | None
     took_s: float
+    workspace: str = ""
+    began_at: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/turmericward/dispatching/_standing_lease.py
+++ b/src/turmericward/dispatching/_standing_lease.py
@@ -80,6 +80,7 @@
         # Whether the outcome of an append is unknown, or one was refused.
         self._must_confirm = False
         self._journal: bytes | None = None
+        self._journal_reads = 0
         self._held_since = float("-inf")
 
     @property
@@ -87,6 +88,16 @@
         """The journal as of the acquire, or of this front's last append."""
         return self._journal
 
+    @property
+    def journal_reads(self) -> int:
+        """How often the journal was read from the log."""
+        return self._journal_reads
+
+    @property
+    def era_began(self) -> float:
+        """When this front first saw the log's era."""
+        return self._eras.since
+
     @property
     def held_since(self) -> float:
         """When this front acquired the lease last; changes with each tenure."""
@@ -150,10 +161,14 @@
         state = self._log.read_state()
         if not self._lease.confirm(self._clock(), state.end, state.lease):
             telemetry.log_event("lease", state="lost", end=state.end.offset)
-        self._journal = state.journal
+        self._read_journal(state)
         self._must_confirm = False
         self._appended_at = float("-inf")
 
+    def _read_journal(self, state: LogState) -> None:
+        self._journal = state.journal
+        self._journal_reads += 1
+
     def _acquire(self) -> None:
         state = self._log.read_state()
         self._lease.record_log_end(
@@ -167,11 +182,12 @@
         if position is None:
             logging.info("lease was acquired by another front")
             return
-        self._lease.acquired(claim, sent_at, position, self._clock())
         self._must_confirm = False
         self._appended_at = sent_at
+        self._read_journal(state)
         self._held_since = sent_at
-        self._journal = state.journal
+        # Last: from here on, other threads may send calls.
+        self._lease.acquired(claim, sent_at, position, self._clock())
         held = self.authority()
         if held is not None:
             telemetry.log_event("lease", state="acquired", token=held.token)
--- a/src/turmericward/duties/_duty.py
+++ b/src/turmericward/duties/_duty.py
@@ -23,3 +23,31 @@
         self, call: DutyCall, outcome: _calls.Outcome, now: float
     ) -> None:
         """Records what became of a call that `next_call` returned."""
+
+
+class JournaledDuty(Duty, Protocol):
+    """A duty whose calls are stored in the lease's log before they are sent.
+
+    At most one duty of a front has a journal.
+    """
+
+    def restore(self, journal: bytes | None, era_began: float, now: float) -> None:
+        """Takes over the newest journal; called before `took_over` and on changes.
+
+        Args:
+            journal: what this front or an earlier holder stored last, if anything.
+            era_began: when this front first saw the log's era, in monotonic seconds:
+                what was stored before may be missing.
+            now: monotonic seconds.
+        """
+
+    def entry(self, call: DutyCall) -> bytes | None:
+        """Returns the journal to store before a call, None if it is in there."""
+
+    def record_entry(self, call: DutyCall) -> None:
+        """Records that the journal with the call was stored under the lease."""
+
+
+def is_journaled(duty: Duty) -> bool:
+    """Returns whether a duty has a journal."""
+    return hasattr(duty, "restore")
--- a/src/turmericward/peers/__init__.py
+++ b/src/turmericward/peers/__init__.py
@@ -5,6 +5,8 @@
 from turmericward.peers._fields import MalformedStateError
 from turmericward.peers._messages import (
     Announced,
+    CallsBegan,
+    CollectUsage,
     Drain,
     FrontsListed,
     LocalState,
@@ -20,6 +22,8 @@
     "AnnounceLoop",
     "Announced",
     "Announcement",
+    "CallsBegan",
+    "CollectUsage",
     "Drain",
     "FrontsListed",
     "LeavingTarget",
--- a/src/turmericward/peers/_codec.py
+++ b/src/turmericward/peers/_codec.py
@@ -4,7 +4,7 @@
 from thrift.protocol import TCompactProtocol
 
 from turmericward import requests
-from turmericward.peers import _fields, _record_codec, _states
+from turmericward.peers import _fields, _record_codec, _states, _usage_codec
 from turmericward.wire.peers import ttypes
 
 # Bounds on the lengths that a datagram may declare; a longer one is malformed.
@@ -73,6 +73,7 @@
             ttypes.HeldTarget(target=target, ttl_ms=_fields.milliseconds(ttl_s))
             for target, ttl_s in state.held.items()
         ],
+        usage=_usage_codec.encode(state.usage),
     )
     return TSerialization.serialize(message, _FACTORY)
 
@@ -111,6 +112,7 @@
             ),
             partial=bool(message.partial),
             needs_full_batches=bool(message.asks),
+            usage=_usage_codec.decode(message.usage),
             domain=message.domain,
             fronts=message.fronts,
         )
--- a/src/turmericward/peers/_messages.py
+++ b/src/turmericward/peers/_messages.py
@@ -55,3 +55,17 @@
 @attrs.frozen(kw_only=True)
 class Drain:
     """This front is shutting down: another one has to become the domain's relay."""
+
+
+@attrs.frozen(kw_only=True)
+class CallsBegan:
+    """Calls of this front that began to run: workspace, and when in monotonic s."""
+
+    calls: tuple[tuple[str, float], ...]
+
+
+@attrs.frozen(kw_only=True)
+class CollectUsage:
+    """Requests the usage of a window; answered with `metering.Collected`."""
+
+    window: int
--- a/src/turmericward/peers/_peer_task.py
+++ b/src/turmericward/peers/_peer_task.py
@@ -7,7 +7,7 @@
 import attrs
 from absl import logging
 
-from turmericward import feeds, runtime
+from turmericward import feeds, metering, runtime
 from turmericward.peers import (
     _codec,
     _deltas,
@@ -19,6 +19,7 @@
     _reports,
     _state_builder,
     _states,
+    _usage_exchange,
 )
 
 IDLE_PERIOD_S = 0.25
@@ -49,6 +50,7 @@
         *,
         capacity: int = 0,
         fresh_s: Mapping[feeds.Topic, float] | None = None,
+        usage_window_s: float | None = None,
         clock: Callable[[], float] = runtime.now,
     ) -> None:
         """Creates the task without peers.
@@ -63,6 +65,7 @@
             capacity: capacity of the instance; the highest one becomes the relay.
             fresh_s: topics that fronts forward, each with the maximum age of the
                 last read that is forwarded.
+            usage_window_s: length of the windows of metering; None without it.
             clock: returns monotonic seconds.
         """
         super().__init__()
@@ -81,6 +84,11 @@
         self._builder = _state_builder.StateBuilder(
             front, domain, self._peers, self._records
         )
+        self._usage: _usage_exchange.UsageExchange | None = None
+        if usage_window_s is not None:
+            self._usage = _usage_exchange.UsageExchange(
+                front, domain, self._builder.boot, usage_window_s, clock()
+            )
         self._sent_loads: _deltas.Loads = {}
         self._sent_at = float("-inf")
         self._changed = False
@@ -136,6 +144,10 @@
         ):
             logging.info("peer %s at %s is known", state.front, message.host)
             self._forward_members()
+        if self._usage is not None:
+            relay = not self._peers.direct and state.domain == self._domain
+            follows = relay and not self._peers.is_relay(now)
+            self._usage.receive(state, now, relay=follows)
         state = self._received.record(state, now)
         if self._peers.is_relay(now):
             self._builder.add_relayed(state, now)
@@ -186,6 +198,15 @@
         self._changed = True
         self._send_if_due(now)
 
+    @handle.register
+    def _(self, message: _messages.CallsBegan) -> None:
+        if self._usage is not None:
+            self._usage.count(message)
+
+    @handle.register
+    def _(self, message: _messages.CollectUsage) -> metering.Collected:
+        return self._usage.collect(message.window, self._clock())
+
     @handle.register
     def _(self, message: _messages.Drain) -> None:
         self._peers.capacity = DRAINING_CAPACITY
@@ -196,6 +217,8 @@
         now = self._clock()
         self._expire_peers(now)
         self._update_role(now)
+        if self._usage is not None:
+            self._usage.run_periodic(now)
         self._send_if_due(now)
 
     def _expire_peers(self, now: float) -> None:
@@ -263,6 +286,8 @@
         relayed = self._received.relayed(scope, now)
         state = self._builder.build(scope, self._local.loads, relayed, now)
         state = attrs.evolve(state, limits=reports.limits, outcomes=reports.outcomes)
+        if self._usage is not None:
+            state = attrs.evolve(state, usage=self._usage.pop_due(scope, now))
         encoded: dict[bool, bytes] = {}
         for recipient in group:
             if recipient.gets_records not in encoded:
--- a/src/turmericward/peers/_state_builder.py
+++ b/src/turmericward/peers/_state_builder.py
@@ -50,6 +50,11 @@
         }
         self._last_recipients: frozenset[str] = frozenset()
 
+    @property
+    def boot(self) -> int:
+        """The number of this start of the front."""
+        return self._boot
+
     def add_local(self, state: _messages.LocalState, now: float) -> None:
         """Queues the events of this front's own state."""
         self._local_outbox.add(state, now)
--- a/src/turmericward/peers/_states.py
+++ b/src/turmericward/peers/_states.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from turmericward import feeds, requests
+from turmericward import feeds, metering, requests
 
 
 @attrs.frozen(kw_only=True)
@@ -42,6 +42,7 @@
     instance; `record_batches` holds records of the store's topics. In a `partial`
     state, targets without a row keep the loads sent before; limits that aren't in a
     state are unchanged. A front that `needs_full_batches` could not read the topics.
+    `usage` is set now and then by fronts that meter.
     `sequence` orders the states of one `boot`, a random number chosen at each start.
     """
 
@@ -61,6 +62,7 @@
     record_batches: tuple[feeds.RecordBatch, ...] = ()
     partial: bool = False
     needs_full_batches: bool = False
+    usage: metering.Usage | None = None
 
     def without(self, loads: Mapping[int, requests.TargetLoad]) -> "PeerState":
         """Returns the state with one front's loads subtracted from the sum."""
--- /dev/null
+++ b/src/turmericward/peers/_usage_exchange.py
@@ -0,0 +1,110 @@
+"""Usage of this front and of others, as far as datagrams tell it."""
+
+import time
+from collections.abc import Callable
+
+import attrs
+
+from turmericward import metering
+from turmericward.peers import _messages, _peer_group, _states
+
+# Windows that ended longer ago are dropped.
+KEPT_S = 30.0
+# The sender's time may be so far from this front's; what is further isn't counted.
+MAX_TIME_DIFFERENCE_S = 15.0
+# A domain that hasn't been heard of for so long isn't waited for.
+FORGET_DOMAIN_S = 60.0
+
+
+@attrs.define
+class _HeardDomain:
+    """What a domain last told: its time, and when that was received."""
+
+    until_s: float
+    at: float
+
+
+class UsageExchange:
+    """Counts, merges and sends usage; used by the peer task only."""
+
+    def __init__(
+        self,
+        front: str,
+        domain: str,
+        boot: int,
+        window_s: float,
+        now: float,
+        time_of_day: Callable[[], float] = time.time,
+    ) -> None:
+        """Starts without counts.
+
+        Args:
+            front: name of this front.
+            domain: its failure domain.
+            boot: number of this start of it.
+            window_s: length of a window.
+            now: monotonic seconds.
+            time_of_day: returns the Unix time of the instance.
+        """
+        self._domain = domain
+        self._window_s = window_s
+        self._time_of_day = time_of_day
+        self._clock = metering.UnixClock(now, time_of_day())
+        self._ledger = metering.Ledger(domain, (front, boot))
+        self._sending = {
+            scope: metering.UsageSending(
+                window_s, domain=scope is _peer_group.LoadScope.DOMAIN
+            )
+            for scope in _peer_group.LoadScope
+        }
+        self._heard: dict[str, _HeardDomain] = {}
+
+    def count(self, message: _messages.CallsBegan) -> None:
+        """Counts calls of this front."""
+        for workspace, began_at in message.calls:
+            window = int(self._clock.unix_s(began_at) // self._window_s)
+            self._ledger.count(window, workspace)
+
+    def receive(self, state: _states.PeerState, now: float, *, relay: bool) -> None:
+        """Merges the usage of a state; `relay` if this front relies on its sender."""
+        usage = state.usage
+        if usage is None:
+            return
+        self._clock.record_peer(state.front, usage.unix_s, now, relay=relay)
+        unix_s = self._clock.unix_s(now)
+        oldest = self._window(unix_s - KEPT_S)
+        newest = self._window(unix_s + MAX_TIME_DIFFERENCE_S)
+        for row in usage.windows:
+            if oldest <= row.window <= newest:
+                self._ledger.receive((state.front, state.boot), state.domain, row)
+        if state.domain != self._domain:
+            self._heard[state.domain] = _HeardDomain(usage.unix_s, now)
+
+    def _window(self, unix_s: float) -> int:
+        return int(unix_s // self._window_s)
+
+    def pop_due(
+        self, scope: _peer_group.LoadScope, now: float
+    ) -> metering.Usage | None:
+        """Returns what is to be sent to peers of a scope."""
+        return self._sending[scope].next_usage(self._ledger, self._clock.unix_s(now))
+
+    def run_periodic(self, now: float) -> None:
+        """Follows the clock and drops old counts."""
+        self._clock.record_time_of_day(now, self._time_of_day())
+        self._ledger.drop_before(self._window(self._clock.unix_s(now) - KEPT_S))
+
+    def collect(self, window: int, now: float) -> metering.Collected:
+        """Returns the usage of all known fronts in a window."""
+        self._heard = {
+            domain: heard
+            for domain, heard in self._heard.items()
+            if now - heard.at <= FORGET_DOMAIN_S
+        }
+        unix_s = self._clock.unix_s(now)
+        known_until_s = min([unix_s, *(h.until_s for h in self._heard.values())])
+        return metering.Collected(
+            unix_s=unix_s,
+            counts=self._ledger.total(window),
+            known_until_s=known_until_s,
+        )
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -25,6 +25,7 @@
 from turmericward.adapters import _address, _body_memory
 from turmericward.platform import (
     _cache_listing,
+    _duties,
     _follow,
     _headers,
     _ingress,
@@ -90,6 +91,7 @@
                 feeds.Topic.CONFIGURATION: self._configuration_pacing().fresh_s,
                 feeds.Topic.TARGETS: self._targets_pacing().fresh_s,
             },
+            usage_window_s=_duties.usage_window_s(cfg.duties),
         )
         self._peer_task = peer_task
         self._dispatch = dispatching.DispatchTask(
@@ -100,12 +102,14 @@
             retries=_retry_bounds(cfg),
             publish=peer_task.publish_state,
             on_configured=self._apply_table,
+            publish_began=self._publish_began(),
         )
         for task in (self._dispatch, peer_task):
             task.on_rejected = self._on_message_rejected
         notices = _notices.NoticeReader(
             self._dispatch.post, lambda: self._dispatch.recently_limited
         )
+        standing = self._standing_lease()
         loops = [
             peers.ReceiveLoop(sock, peer_task, self._rejections),
             self._announce_loop(),
@@ -121,7 +125,7 @@
                 self._targets_pacing(),
                 _follow.TargetsSink(self._dispatch, self._rejections),
             ),
-            self._roles_loop(notices),
+            self._roles_loop(notices, standing),
             dispatching.CacheListingLoop(
                 self._dispatch,
                 _cache_listing.ReplicaCacheLister(notices),
@@ -129,6 +133,7 @@
                 lambda: peer_task.polls_targets,
             ),
             self.reload,
+            *self._duty_loops(standing, metrics),
         ]
         self._group = runtime.Group([peer_task, self._dispatch, *loops], "front")
         ctx = delivery.Context(
@@ -159,7 +164,38 @@
         if table.client_limits is not None:
             self._server.set_client_limits(table.client_limits)
 
-    def _roles_loop(self, notices: _notices.NoticeReader) -> dispatching.RolesLoop:
+    def _publish_began(self):
+        if _duties.usage_window_s(self._cfg.duties) is None:
+            return None
+        return self._peer_task.post
+
+    def _standing_lease(self) -> dispatching.StandingLease | None:
+        cfg = self._cfg
+        if not _duties.has_duties(cfg.duties):
+            return None
+        log = _orders.StoreLease(self._store_client(), self._rejections)
+        gap_s = cfg.bounds.order_gap_ms / 1000
+        return _duties.standing_lease(cfg.instance.name, gap_s, log, self._eras)
+
+    def _duty_loops(
+        self, lease: dispatching.StandingLease | None, metrics: telemetry.Metrics
+    ) -> list[runtime.Loop]:
+        if lease is None:
+            return []
+        ctx = _duties.DutyContext(
+            settings=self._cfg.duties,
+            peer_task=self._peer_task,
+            dispatch=self._dispatch,
+        )
+        return _duties.loops(
+            ctx, self._cfg.instance.name, lease, self._drain, metrics.count
+        )
+
+    def _roles_loop(
+        self,
+        notices: _notices.NoticeReader,
+        standing: dispatching.StandingLease | None,
+    ) -> dispatching.RolesLoop:
         order_gap_s = self._cfg.bounds.order_gap_ms / 1000
         timing = authority.Timing(
             term_s=_orders.TERM_S,
@@ -175,6 +211,7 @@
             _orders.ReplicaOrders(holder, notices),
             self._eras,
             lambda: self._peer_task.polls_targets and not self._drain.began,
+            standing,
         )
 
     def _configuration_pacing(self) -> feeds.Pacing:
--- a/src/turmericward/wire/peers/ttypes.py
+++ b/src/turmericward/wire/peers/ttypes.py
@@ -909,6 +909,201 @@
         return not (self == other)
 
 
+class WindowUsage(object):
+    """
+    Calls that began to run in a window of Unix time, by workspace.
+
+    Attributes:
+     - window
+     - counts
+     - domain: Whether they are those of all fronts in the sender's domain.
+
+    """
+
+    __slots__ = (
+        'window',
+        'counts',
+        'domain',
+    )
+
+
+    def __init__(self, window=None, counts=None, domain=None,):
+        self.window = window
+        self.counts = counts
+        self.domain = domain
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.window = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.MAP:
+                    self.counts = {}
+                    (_ktype7, _vtype8, _size6) = iprot.readMapBegin()
+                    for _i10 in range(_size6):
+                        _key11 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val12 = iprot.readI32()
+                        self.counts[_key11] = _val12
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.domain = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WindowUsage')
+        if self.window is not None:
+            oprot.writeFieldBegin('window', TType.I64, 1)
+            oprot.writeI64(self.window)
+            oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.MAP, 2)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.counts))
+            for kiter19, viter20 in self.counts.items():
+                oprot.writeString(kiter19.encode('utf-8') if sys.version_info[0] == 2 else kiter19)
+                oprot.writeI32(viter20)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.domain is not None:
+            oprot.writeFieldBegin('domain', TType.BOOL, 3)
+            oprot.writeBool(self.domain)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Usage(object):
+    """
+    Usage that a front or a domain has counted, and what time its sender takes it to be.
+
+    Attributes:
+     - unix_ms
+     - windows
+
+    """
+
+    __slots__ = (
+        'unix_ms',
+        'windows',
+    )
+
+
+    def __init__(self, unix_ms=None, windows=None,):
+        self.unix_ms = unix_ms
+        self.windows = windows
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.unix_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.windows = []
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = WindowUsage()
+                        _elem18.read(iprot)
+                        self.windows.append(_elem18)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Usage')
+        if self.unix_ms is not None:
+            oprot.writeFieldBegin('unix_ms', TType.I64, 1)
+            oprot.writeI64(self.unix_ms)
+            oprot.writeFieldEnd()
+        if self.windows is not None:
+            oprot.writeFieldBegin('windows', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.windows))
+            for iter21 in self.windows:
+                iter21.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class FrontState(object):
     """
     A front's whole load, and the prompts read since its last datagrams.
@@ -931,6 +1126,7 @@
      - limits: Limits of targets; those that aren't named here are as they were told before.
      - outcomes
      - request_outcomes: The same of calls that come again; `segment` is the number of their content.
+     - usage
 
     """
 
@@ -952,10 +1148,11 @@
         'limits',
         'outcomes',
         'request_outcomes',
+        'usage',
     )
 
 
-    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None, domain=None, fronts=None, listed=None, leaving=None, capacity=None, news=None, partial=None, asks=None, limits=None, outcomes=None, request_outcomes=None,):
+    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None, domain=None, fronts=None, listed=None, leaving=None, capacity=None, news=None, partial=None, asks=None, limits=None, outcomes=None, request_outcomes=None, usage=None,):
         self.front = front
         self.boot = boot
         self.sequence = sequence
@@ -973,6 +1170,7 @@
         self.limits = limits
         self.outcomes = outcomes
         self.request_outcomes = request_outcomes
+        self.usage = usage
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1121,6 +1319,12 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRUCT:
+                    self.usage = Usage()
+                    self.usage.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1226,6 +1430,10 @@
                 iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.usage is not None:
+            oprot.writeFieldBegin('usage', TType.STRUCT, 18)
+            self.usage.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1316,6 +1524,19 @@
     (6, TType.BOOL, 'whole', None, None, ),  # 6
     (7, TType.I64, 'era', None, None, ),  # 7
 )
+all_structs.append(WindowUsage)
+WindowUsage.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'window', None, None, ),  # 1
+    (2, TType.MAP, 'counts', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 2
+    (3, TType.BOOL, 'domain', None, None, ),  # 3
+)
+all_structs.append(Usage)
+Usage.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'unix_ms', None, None, ),  # 1
+    (2, TType.LIST, 'windows', (TType.STRUCT, [WindowUsage, None], False), None, ),  # 2
+)
 all_structs.append(FrontState)
 FrontState.thrift_spec = (
     None,  # 0
@@ -1336,6 +1557,7 @@
     (15, TType.LIST, 'limits', (TType.STRUCT, [TargetLimit, None], False), None, ),  # 15
     (16, TType.LIST, 'outcomes', (TType.STRUCT, [SegmentOutcome, None], False), None, ),  # 16
     (17, TType.LIST, 'request_outcomes', (TType.STRUCT, [SegmentOutcome, None], False), None, ),  # 17
+    (18, TType.STRUCT, 'usage', [Usage, None], None, ),  # 18
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -175,7 +175,8 @@
         return self.process.wait(STOP_TIMEOUT_S)
 
 
-def _start_server(stack, app) -> str:
+def start_server(stack, app) -> str:
+    """Serves an application until the stack ends; returns its address."""
     (port,) = loopback.free_ports(1)
     address = f"127.0.0.1:{port}"
     _serve(stack, address, app)
@@ -281,7 +282,7 @@
     with contextlib.ExitStack() as stack:
         directory = pathlib.Path(stack.enter_context(tempfile.TemporaryDirectory()))
         store = platform_store.Store()
-        store_address = _start_server(stack, store)
+        store_address = start_server(stack, store)
         replicas = {name: platform_replica.Replica(name) for name in names}
         addresses, servers = {}, {}
         for name, replica in replicas.items():
