--- a/tests/test_duty_crashes.py
+++ b/tests/test_duty_crashes.py
@@ -68,6 +68,20 @@
                 check.assertEqual(world.missing(), [], case)
 
 
+def test_a_call_late_in_a_term_and_the_successors_first_are_a_gap_apart():
+    # Guards against a margin that doesn't contain the order gap.
+    for freeze_s in (0.5, 1.0, 1.5, 2.0, 2.4):
+        for phase_s in PHASES_S:
+            world = duty_world.World()
+            world.run(phase_s)
+            world.at_point["before send"] = world.freeze(freeze_s)
+            world.at_point["after send"] = _kill
+            world.run(60.0)
+            case = f"{freeze_s}, {phase_s}"
+            check.assertEqual(world.violations(), [], case)
+            check.assertEqual(world.missing(), [], case)
+
+
 def test_a_lost_answer_of_the_log_loses_neither_lease_nor_report():
     # Guards against a second body after an append of unknown outcome.
     for point in POINTS:
