--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -90,6 +90,8 @@
   2: map<string, i32> counts
   /** Whether they are those of all fronts in the sender's domain. */
   3: bool domain
+  /** Of all counts, also those that aren't in this message. */
+  4: i32 total
 }
 
 /** Usage that a front or a domain has counted, and what time its sender takes it to be. */
--- a/src/turmericward/dispatching/_duties_loop.py
+++ b/src/turmericward/dispatching/_duties_loop.py
@@ -143,7 +143,8 @@
             return True
         if not self._lease.append_journal(entry):
             return False
-        duty.record_entry(call)
+        inputs = duty.record_entry(call)
+        telemetry.log_event("duty_stored", **call.log_fields(), **inputs)
         return True
 
     def _may_send(self) -> bool:
--- a/src/turmericward/duties/_duty.py
+++ b/src/turmericward/duties/_duty.py
@@ -44,8 +44,12 @@
     def entry(self, call: DutyCall) -> bytes | None:
         """Returns the journal to store before a call, None if it is in there."""
 
-    def record_entry(self, call: DutyCall) -> None:
-        """Records that the journal with the call was stored under the lease."""
+    def record_entry(self, call: DutyCall) -> dict[str, object]:
+        """Records that the journal with the call was stored under the lease.
+
+        Returns:
+            What the log line says of the inputs of the call.
+        """
 
 
 def is_journaled(duty: Duty) -> bool:
--- a/src/turmericward/metering/_ledger.py
+++ b/src/turmericward/metering/_ledger.py
@@ -39,6 +39,8 @@
         self._own = own
         self._fronts: dict[int, dict[Incarnation, Counts]] = {}
         self._domains: dict[int, dict[str, Counts]] = {}
+        # Highest total that a front or a domain has told, by window.
+        self._totals: dict[int, dict[Incarnation | str, int]] = {}
         # Domains of the fronts that have sent counts.
         self._domain_of: dict[Incarnation, str] = {own: domain}
 
@@ -54,6 +56,9 @@
         self, front: Incarnation, domain: str, usage: _usage.WindowUsage
     ) -> bool:
         """Merges what a front has sent; returns whether that changed anything."""
+        source = domain if usage.domain else front
+        totals = self._totals.setdefault(usage.window, {})
+        totals[source] = max(usage.total, totals.get(source, 0))
         if usage.domain:
             sums = self._domains.setdefault(usage.window, {}).setdefault(domain, {})
             return _merge(sums, usage.counts)
@@ -85,13 +90,24 @@
             total.update(self.domain_sum(window, domain))
         return dict(total)
 
+    def is_whole(self, window: int) -> bool:
+        """Returns whether all counts that were told of have been received."""
+        received: dict[Incarnation | str, Counts] = {
+            **self._fronts.get(window, {}),
+            **self._domains.get(window, {}),
+        }
+        return all(
+            sum(received.get(source, {}).values()) >= total
+            for source, total in self._totals.get(window, {}).items()
+        )
+
     def windows(self) -> list[int]:
         """Returns the windows that have counts."""
         return sorted(self._fronts.keys() | self._domains.keys())
 
     def drop_before(self, window: int) -> None:
         """Drops the counts of earlier windows."""
-        for table in (self._fronts, self._domains):
+        for table in (self._fronts, self._domains, self._totals):
             for old in [w for w in table if w < window]:
                 del table[old]
         live = {front for fronts in self._fronts.values() for front in fronts}
--- a/src/turmericward/metering/_usage_duty.py
+++ b/src/turmericward/metering/_usage_duty.py
@@ -66,6 +66,8 @@
     _next: int | None = attrs.field(default=None, init=False)
     # Unix time less monotonic time, as last told.
     _offset: float | None = attrs.field(default=None, init=False)
+    # How old and how complete the last collected counts were.
+    _inputs: dict[str, object] = attrs.field(factory=dict, init=False)
     _era_began: float = attrs.field(default=float("-inf"), init=False)
 
     def restore(self, journal: bytes | None, era_began: float, now: float) -> None:
@@ -119,7 +121,13 @@
             return duties.UsageReport(window=window, counts=self._own[window])
         collected = self.collect(window)
         self._offset = collected.unix_s - now
-        whole = collected.known_until_s >= end + DOMAIN_SETTLE_S
+        settled = collected.known_until_s >= end + DOMAIN_SETTLE_S
+        whole = settled and collected.whole
+        self._inputs = {
+            "age_s": round(collected.unix_s - end, 3),
+            "whole": whole,
+            "known_until_s": round(collected.known_until_s - end, 3),
+        }
         if not whole and collected.unix_s < end + WAIT_SHARE * self.due_s:
             return None
         return duties.UsageReport(window=window, counts=dict(collected.counts))
@@ -143,13 +151,14 @@
             return None
         return encode_journal({call.window: call.counts, **self._open})
 
-    def record_entry(self, call: duties.UsageReport) -> None:
+    def record_entry(self, call: duties.UsageReport) -> dict[str, object]:
         """Records that the journal with the call is stored."""
         self._open[call.window] = call.counts
         self._own[call.window] = call.counts
         self._next = call.window + 1
         while len(self._own) > KEPT_REPORTS:
             del self._own[min(self._own)]
+        return self._inputs
 
     def record_outcome(
         self, call: duties.UsageReport, outcome: duties.Outcome, now: float
--- a/src/turmericward/metering/_usage_sending.py
+++ b/src/turmericward/metering/_usage_sending.py
@@ -7,6 +7,8 @@
 # Windows that ended longer ago aren't repeated.
 REPEAT_WINDOW_S = 5.0
 MIN_INTERVAL_S = 0.4
+# The sum of a domain is sent when most of its fronts have told their last counts.
+DOMAIN_DELAY_S = 0.5
 # Rows in one message; a longer window is sent in several.
 MAX_ROWS = 2000
 
@@ -29,14 +31,15 @@
         self._repeated_at = float("-inf")
 
     def next_usage(self, ledger: _ledger.Ledger, unix_s: float) -> _usage.Usage | None:
-        """Returns what is due now, None if nothing is."""
+        """Returns what is due now, None if nothing is.
+
+        Its time and totals tell the receiver how much it knows; they take few bytes.
+        """
         since_s = unix_s - self._sent_at
         if 0 <= since_s < MIN_INTERVAL_S:
             return None
         repeats = not 0 <= unix_s - self._repeated_at < REPEAT_S
         rows = self._rows(ledger, unix_s, repeats)
-        if not rows and not repeats:
-            return None
         self._sent_at = unix_s
         if repeats:
             self._repeated_at = unix_s
@@ -50,19 +53,25 @@
         current = {}
         for window in reversed(ledger.windows()):
             end = (window + 1) * self._window_s
-            if unix_s > end + REPEAT_WINDOW_S or (self._domain and unix_s < end):
+            if unix_s > end + REPEAT_WINDOW_S:
+                continue
+            if self._domain and unix_s < end + DOMAIN_DELAY_S:
                 continue
             counts = ledger.domain_sum(window) if self._domain else ledger.own(window)
             sent = self._sent.get(window, {})
             due = counts if repeats else _changed(counts, sent)
             part = dict(list(due.items())[:room])
             room -= len(part)
-            current[window] = sent | part
-            if part:
-                row = _usage.WindowUsage(
-                    window=window, counts=part, domain=self._domain
+            # What has no room in a repetition is sent next, as if it had changed.
+            current[window] = part if repeats else sent | part
+            rows.append(
+                _usage.WindowUsage(
+                    window=window,
+                    counts=part,
+                    domain=self._domain,
+                    total=sum(counts.values()),
                 )
-                rows.append(row)
+            )
         self._sent = current
         return rows
 
--- a/src/turmericward/peers/_usage_codec.py
+++ b/src/turmericward/peers/_usage_codec.py
@@ -19,6 +19,7 @@
             window=row.window,
             counts={name: _fields.int32(n) for name, n in row.counts.items()},
             domain=row.domain,
+            total=_fields.int32(row.total),
         )
         for row in usage.windows
     ]
@@ -47,9 +48,13 @@
 def _decode_window(row: ttypes.WindowUsage) -> metering.WindowUsage:
     _fields.require(row.window, row.counts)
     _check(row.window, MAX_WINDOW)
+    _check(row.total or 0, MAX_COUNT)
     for name, count in row.counts.items():
         _check(count, MAX_COUNT)
         _check(len(name), _fields.MAX_NAME_BYTES)
     return metering.WindowUsage(
-        window=row.window, counts=row.counts, domain=bool(row.domain)
+        window=row.window,
+        counts=row.counts,
+        domain=bool(row.domain),
+        total=row.total or 0,
     )
--- a/src/turmericward/peers/_usage_exchange.py
+++ b/src/turmericward/peers/_usage_exchange.py
@@ -107,4 +107,5 @@
             unix_s=unix_s,
             counts=self._ledger.total(window),
             known_until_s=known_until_s,
+            whole=self._ledger.is_whole(window),
         )
--- a/src/turmericward/wire/peers/ttypes.py
+++ b/src/turmericward/wire/peers/ttypes.py
@@ -917,6 +917,7 @@
      - window
      - counts
      - domain: Whether they are those of all fronts in the sender's domain.
+     - total: Of all counts, also those that aren't in this message.
 
     """
 
@@ -924,13 +925,15 @@
         'window',
         'counts',
         'domain',
+        'total',
     )
 
 
-    def __init__(self, window=None, counts=None, domain=None,):
+    def __init__(self, window=None, counts=None, domain=None, total=None,):
         self.window = window
         self.counts = counts
         self.domain = domain
+        self.total = total
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -962,6 +965,11 @@
                     self.domain = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.total = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -988,6 +996,10 @@
             oprot.writeFieldBegin('domain', TType.BOOL, 3)
             oprot.writeBool(self.domain)
             oprot.writeFieldEnd()
+        if self.total is not None:
+            oprot.writeFieldBegin('total', TType.I32, 4)
+            oprot.writeI32(self.total)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1530,6 +1542,7 @@
     (1, TType.I64, 'window', None, None, ),  # 1
     (2, TType.MAP, 'counts', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 2
     (3, TType.BOOL, 'domain', None, None, ),  # 3
+    (4, TType.I32, 'total', None, None, ),  # 4
 )
 all_structs.append(Usage)
 Usage.thrift_spec = (
--- a/tests/test_metering.py
+++ b/tests/test_metering.py
@@ -49,6 +49,22 @@
         check.assertEqual(other.total(200), truth, seed)
 
 
+def test_a_sum_with_lost_rows_is_known_not_to_be_whole():
+    # Guards against a report without the counts of a datagram that was lost.
+    relay, holder = _ledger("relay"), _ledger("h", "b")
+    sending = metering.UsageSending(WINDOW_S, domain=True)
+    relay.count(200, "w")
+    sending.next_usage(relay, 1005.6)
+    later = sending.next_usage(relay, 1006.1)
+    holder.receive(("relay", 1), "a", later.windows[0])
+    check.assertEqual(holder.total(200), {})
+    check.assertFalse(holder.is_whole(200))
+    repeated = sending.next_usage(relay, 1006.7)
+    holder.receive(("relay", 1), "a", repeated.windows[0])
+    check.assertEqual(holder.total(200), {"w": 1})
+    check.assertTrue(holder.is_whole(200))
+
+
 def test_a_new_relay_and_its_dead_predecessor_are_not_added():
     # Guards against a domain's calls that count twice after the death of its relay.
     holder = _ledger("h", "b")
