Capacity: demand, mix, steps and duty; fleet under virtual time

Cause: scalable services have 36 replicas of the dear kind whatever their load. Change: package capacity: load in busy replicas with held peaks, the cheapest mix with reserves, the next order, the duty. Not wired yet. Ruled out: a mean of the load, which hides either burst.

--- /dev/null
+++ b/src/turmericward/capacity/_mix.py
@@ -0,0 +1,150 @@
+"""The cheapest replicas that carry a load and the loss of some of them."""
+
+import collections
+import math
+from collections.abc import Collection, Mapping
+
+import attrs
+
+from turmericward import routing
+
+# Share of each domain's replicas that can't be reclaimed, at least one.
+STEADY_SHARE = 0.1
+
+
+@attrs.frozen(kw_only=True)
+class Subject:
+    """One kind of replicas of a service in a failure domain."""
+
+    domain: str
+    spot: bool
+
+
+@attrs.frozen(kw_only=True)
+class Need:
+    """Replicas needed in all, without one domain, and without its spot replicas."""
+
+    total: int
+    without_domain: int = 0
+    without_spot: int = 0
+
+
+class _Mix:
+    """Counts that grow by one replica at a time, within the bounds."""
+
+    def __init__(
+        self,
+        scaling: routing.Scaling,
+        domains: Collection[str],
+        limits: Mapping[Subject, int],
+        even: int,
+    ) -> None:
+        self.counts: collections.Counter[Subject] = collections.Counter()
+        self._scaling = scaling
+        self._domains = sorted(domains)
+        self._limits = limits
+        self._even = max(1, even)
+
+    def of_domain(self, domain: str) -> int:
+        return sum(self.counts[Subject(domain=domain, spot=s)] for s in (True, False))
+
+    def has_room(self, subject: Subject) -> bool:
+        if subject.spot and not _has_cheaper_spot(self._scaling):
+            return False
+        if self.of_domain(subject.domain) >= self._scaling.max_count:
+            return False
+        return self.counts[subject] < self._limits.get(subject, math.inf)
+
+    def fill(self, subjects: Collection[Subject], count: int) -> None:
+        """Adds up to `count` replicas of the first subject with room each time."""
+        for _ in range(count):
+            subject = next((s for s in subjects if self.has_room(s)), None)
+            if subject is None:
+                return
+            self.counts[subject] += 1
+
+    def add_cheapest(self, domains: Collection[str], kinds: Collection[bool]) -> bool:
+        """Adds one replica; returns False if there is no room for it."""
+        subjects = [
+            Subject(domain=d, spot=s)
+            for d in domains
+            for s in kinds
+            if self.has_room(Subject(domain=d, spot=s))
+        ]
+        if not subjects:
+            return False
+        self.counts[min(subjects, key=self._cost)] += 1
+        return True
+
+    def _cost(self, subject: Subject) -> tuple[float, int, str]:
+        """Returns the price, which grows in domains above an even share.
+
+        Callers of a domain that has fewer replicas than others send their work across.
+        """
+        total = self.of_domain(subject.domain)
+        price = self._scaling.domain_prices.get(subject.domain, 1.0)
+        if subject.spot:
+            price *= self._scaling.spot_price
+        return (price * max(1.0, (total + 1) / self._even), total, subject.domain)
+
+    @property
+    def total(self) -> int:
+        return self.counts.total()
+
+    def largest_domain(self) -> str:
+        return max(self._domains, key=self.of_domain)
+
+    def most_spot_domain(self) -> str:
+        return max(
+            self._domains, key=lambda d: self.counts[Subject(domain=d, spot=True)]
+        )
+
+
+def _has_cheaper_spot(scaling: routing.Scaling) -> bool:
+    return scaling.spot_price is not None and scaling.spot_price < 1.0
+
+
+def plan(
+    need: Need,
+    scaling: routing.Scaling,
+    domains: Collection[str],
+    limits: Mapping[Subject, int],
+) -> dict[Subject, int]:
+    """Returns how many replicas of each kind there should be in each domain.
+
+    Args:
+        need: what the replicas have to carry.
+        scaling: bounds and prices.
+        domains: failure domains in which replicas can be ordered.
+        limits: highest counts of the kinds of which no more are available now.
+    """
+    even = math.ceil(need.total / max(1, len(domains)))
+    mix = _Mix(scaling, domains, limits, even)
+    steady = max(1, round(STEADY_SHARE * even))
+    for domain in sorted(domains):
+        kinds = [Subject(domain=domain, spot=s) for s in (False, True)]
+        mix.fill(kinds, steady)
+        mix.fill(kinds[::-1], scaling.min_count - mix.of_domain(domain))
+    while mix.total < need.total:
+        if not mix.add_cheapest(domains, (True, False)):
+            break
+    # A second loss while no more spot replicas are available isn't worth others.
+    kinds = (True,) if any(s.spot for s in limits) else (True, False)
+    _add_reserve(mix, need, domains, kinds)
+    every = [Subject(domain=d, spot=s) for d in domains for s in (True, False)]
+    return {subject: mix.counts[subject] for subject in every}
+
+
+def _add_reserve(mix: _Mix, need: Need, domains, kinds) -> None:
+    while True:
+        largest = mix.largest_domain()
+        most_spot = mix.most_spot_domain()
+        spot = mix.counts[Subject(domain=most_spot, spot=True)]
+        if mix.total - mix.of_domain(largest) < need.without_domain:
+            others = [d for d in domains if d != largest]
+        elif mix.total - spot < need.without_spot:
+            others = [d for d in domains if d != most_spot]
+        else:
+            return
+        if not mix.add_cheapest(others, kinds):
+            return
--- /dev/null
+++ b/src/turmericward/capacity/_service.py
@@ -0,0 +1,167 @@
+"""The capacity of one service in the term of one holder."""
+
+import collections
+import math
+
+import attrs
+
+from turmericward import duties, telemetry
+from turmericward.capacity import _demand, _mix, _orders, _steps, _view
+
+# Share of the replicas that the peak load keeps busy: as is, after the reclaim of all
+# spot replicas of a domain, and after the loss of a domain.
+UTILIZATION = 0.6
+UTILIZATION_WITHOUT_SPOT = 0.8
+UTILIZATION_WITHOUT_DOMAIN = 0.9
+# Beyond the boot time, what a previous holder ordered may take so long to be announced.
+HANDOVER_S = 1.0
+# Share of the replicas of a previous holder that may be meant to stay although they
+# aren't spot replicas.
+KEPT_SHARE = 0.2
+# How long the return of replicas waits for roles to be changed.
+MAX_ROLE_WAIT_S = 20.0
+
+
+class ServiceCapacity:
+    """What the holder knows of a service; times are monotonic seconds."""
+
+    def __init__(self, name: str, since: float) -> None:
+        """Starts a term.
+
+        Args:
+            name: name of the service.
+            since: when the term began.
+        """
+        self._name = name
+        self._since = since
+        self._demand = _demand.DemandTracker()
+        self._states: collections.defaultdict[_mix.Subject, _orders.OrderState]
+        self._states = collections.defaultdict(_orders.OrderState)
+        self._live: collections.Counter[_mix.Subject] = collections.Counter()
+        self._view: _view.ServiceView | None = None
+        self._boot_s = 0.0
+        # Replicas at the start of the term, kept until the load is known.
+        self._present = 0
+        self._fell_at: dict[str, float] = {}
+        self._roles_wait_since: float | None = None
+        self._sample = _demand.Sample(slots=0.0, prefill=0.0, late_s=0.0)
+        self._need = _mix.Need(total=0)
+
+    def observe(self, view: _view.ServiceView, now: float) -> None:
+        """Takes the announced replicas and their load."""
+        self._view = view
+        self._boot_s = view.scaling.boot_s
+        self._sample = _demand.sample(view)
+        self._demand.observe(self._sample, view.scaling.boot_s, now)
+        live = collections.Counter(
+            _mix.Subject(domain=r.target.domain, spot=r.target.spot)
+            for r in view.serving
+        )
+        if now - self._since < view.scaling.boot_s + HANDOVER_S:
+            self._present = max(self._present, _carrying(live))
+        for subject in {*self._live, *live}:
+            found = self._states[subject].check(self._live[subject], live[subject], now)
+            if found:
+                self._log_short(subject, found, live[subject])
+        self._live = live
+        self._need = self._needed(now)
+
+    def _log_short(self, subject: _mix.Subject, found: str, live: int) -> None:
+        telemetry.log_event(
+            "capacity_short",
+            service=self._name,
+            domain=subject.domain,
+            spot=subject.spot,
+            found=found,
+            before=self._live[subject],
+            live=live,
+        )
+
+    def lost_sight(self) -> None:
+        """Stops orders until the next `observe`."""
+        self._view = None
+
+    def _needed(self, now: float) -> _mix.Need:
+        busy = self._demand.busy_replicas
+        total = math.ceil(busy / UTILIZATION)
+        if not self._demand.is_known(now):
+            total = max(total, self._present)
+        return _mix.Need(
+            total=total,
+            without_domain=math.ceil(busy / UTILIZATION_WITHOUT_DOMAIN),
+            without_spot=math.ceil(busy / UTILIZATION_WITHOUT_SPOT),
+        )
+
+    def next_step(self, now: float) -> _steps.Step | None:
+        """Returns the order that is due, None if there is none."""
+        view = self._view
+        if view is None or now - self._since < view.scaling.boot_s + HANDOVER_S:
+            return None
+        situation = self._situation(view, now)
+        step = _steps.next_step(situation, now)
+        if step is None:
+            step = self._step_without_roles(situation, now)
+        else:
+            self._roles_wait_since = None
+        if step is not None and step.count < step.before:
+            self._fell_at[step.subject.domain] = now
+        return step
+
+    def _step_without_roles(
+        self, situation: _steps.Situation, now: float
+    ) -> _steps.Step | None:
+        """Returns the order that has waited too long for engines to change roles."""
+        step = _steps.next_step(attrs.evolve(situation, check_roles=False), now)
+        if step is None:
+            self._roles_wait_since = None
+            return None
+        if self._roles_wait_since is None:
+            self._roles_wait_since = now
+        return step if now - self._roles_wait_since >= MAX_ROLE_WAIT_S else None
+
+    def _situation(self, view: _view.ServiceView, now: float) -> _steps.Situation:
+        domains = set(view.scaling.domain_prices)
+        domains |= {s.domain for s in self._states}
+        subjects = [
+            _mix.Subject(domain=d, spot=s) for d in domains for s in (True, False)
+        ]
+        limits = {s: self._live[s] for s in subjects if self._states[s].is_limited(now)}
+        planned = _mix.plan(self._need, view.scaling, domains, limits)
+        return _steps.Situation(
+            scaling=view.scaling,
+            live={s: self._live[s] for s in planned},
+            planned=planned,
+            states=self._states,
+            engines=tuple(r.target for r in view.serving if r.target.role),
+            fell_at=self._fell_at,
+            gentle=self._demand.has_traffic,
+        )
+
+    def inputs(self) -> dict[str, float]:
+        """Returns what the latest decision was based on, for the log."""
+        return {
+            "slots": round(self._sample.slots, 2),
+            "prefill": round(self._sample.prefill, 2),
+            "late_s": round(self._sample.late_s, 3),
+            "busy": round(self._demand.busy_replicas, 2),
+            "correction": round(self._demand.correction, 2),
+            "live": self._live.total(),
+            "needed": self._need.total,
+        }
+
+    def record_outcome(
+        self, call: duties.CapacityOrder, outcome: duties.Outcome, now: float
+    ) -> None:
+        """Records what became of an order."""
+        subject = _mix.Subject(domain=call.domain, spot=call.spot)
+        self._states[subject].record(call.count, outcome, self._boot_s, now)
+
+
+def _carrying(live: collections.Counter[_mix.Subject]) -> int:
+    """Returns how many of the replicas found at the start of a term are needed.
+
+    The previous holder may have been replacing them: then most are there twice.
+    """
+    spot = sum(count for subject, count in live.items() if subject.spot)
+    steady = live.total() - spot
+    return max(steady, spot + min(steady, math.ceil(KEPT_SHARE * live.total())))
--- /dev/null
+++ b/src/turmericward/capacity/_steps.py
@@ -0,0 +1,155 @@
+"""The next order on the way from the announced replicas to the planned ones.
+
+Replicas are added before others are given back, spot replicas first, so that there
+are never fewer than both the present and the planned mix need.
+"""
+
+import math
+from collections.abc import Mapping
+
+import attrs
+
+from turmericward import fleet, routing
+from turmericward.capacity import _mix, _orders
+
+# Replicas of a domain that one order may add, or as many as it has.
+MIN_RISE = 4
+# Share of a domain's replicas that one order gives back while there are calls.
+MAX_FALL_SHARE = 0.25
+# Minimum time between two orders that give replicas of a domain back under load.
+FALL_INTERVAL_S = 3.0
+
+
+@attrs.frozen(kw_only=True)
+class Step:
+    """A change of the ordered count of a subject, and the reason for it."""
+
+    subject: _mix.Subject
+    before: int
+    count: int
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class Situation:
+    """What is announced, ordered and planned for one service.
+
+    `live` counts the replicas that take new calls; `engines` are these, if they have
+    roles; `fell_at` is when each domain's replicas were last reduced. Without
+    `gentle`, replicas are given back all at once.
+    """
+
+    scaling: routing.Scaling
+    live: Mapping[_mix.Subject, int]
+    planned: Mapping[_mix.Subject, int]
+    states: Mapping[_mix.Subject, _orders.OrderState]
+    engines: tuple[fleet.Target, ...] = ()
+    fell_at: Mapping[str, float] = attrs.field(factory=dict)
+    gentle: bool = True
+    check_roles: bool = True
+
+    def live_in(self, domain: str) -> int:
+        """Returns the replicas of a domain that take new calls."""
+        return sum(n for s, n in self.live.items() if s.domain == domain)
+
+    def remaining(self, subject: _mix.Subject, now: float) -> int:
+        """Returns the live replicas of a subject that no order gives back."""
+        live = self.live[subject]
+        return min(live, self.states[subject].expected(live, now))
+
+    def planned_in(self, domain: str) -> int:
+        """Returns the planned replicas of a domain."""
+        return sum(n for s, n in self.planned.items() if s.domain == domain)
+
+
+def next_step(situation: Situation, now: float) -> Step | None:
+    """Returns the next order, None if none is due at `now`."""
+    ready = [s for s in situation.planned if not situation.states[s].is_blocked(now)]
+    # Spot replicas first.
+    ready.sort(key=lambda s: (not s.spot, s.domain))
+    for find in (_repeat, _rise, _fall):
+        for subject in ready:
+            step = find(situation, subject, now)
+            if step is not None:
+                return step
+    return None
+
+
+def _repeat(situation: Situation, subject: _mix.Subject, now: float) -> Step | None:
+    """Repeats an order whose outcome is unknown, since it may still take effect."""
+    count = situation.states[subject].unconfirmed
+    if count is None:
+        return None
+    return Step(
+        subject=subject,
+        before=situation.live[subject],
+        count=count,
+        reason="no response",
+    )
+
+
+def _rise(situation: Situation, subject: _mix.Subject, now: float) -> Step | None:
+    state = situation.states[subject]
+    expected = state.expected(situation.live[subject], now)
+    other = attrs.evolve(subject, spot=not subject.spot)
+    others = situation.states[other].highest(situation.live[other])
+    if situation.planned[subject] <= expected:
+        return None
+    step = max(MIN_RISE, situation.live_in(subject.domain))
+    count = min(situation.planned[subject], expected + step)
+    # Fewer than intended would give back replicas that aren't announced at present.
+    count = max(count, state.intended)
+    count = min(count, situation.scaling.max_count - others)
+    if count <= expected or count < state.intended:
+        return None
+    return Step(subject=subject, before=expected, count=count, reason="too few")
+
+
+def _fall(situation: Situation, subject: _mix.Subject, now: float) -> Step | None:
+    state = situation.states[subject]
+    live = situation.live[subject]
+    planned = situation.planned[subject]
+    # Until the previous order has taken effect it isn't known what is left.
+    if live <= planned or state.expected(live, now) != live:
+        return None
+    domain = subject.domain
+    remaining = {s: situation.remaining(s, now) for s in situation.planned}
+    of_domain = sum(n for s, n in remaining.items() if s.domain == domain)
+    spare = min(
+        of_domain - situation.planned_in(domain),
+        sum(remaining.values()) - sum(situation.planned.values()),
+        of_domain - situation.scaling.min_count,
+    )
+    count = min(live - planned, spare, _max_fall(situation, domain, now))
+    if count <= 0:
+        return None
+    if situation.check_roles and not _keeps_roles(situation, subject, count):
+        return None
+    return Step(subject=subject, before=live, count=live - count, reason="spare")
+
+
+def _max_fall(situation: Situation, domain: str, now: float) -> int:
+    live = situation.live_in(domain)
+    if not situation.gentle:
+        return live
+    if now - situation.fell_at.get(domain, -math.inf) < FALL_INTERVAL_S:
+        return 0
+    return max(1, int(live * MAX_FALL_SHARE))
+
+
+def _keeps_roles(situation: Situation, subject: _mix.Subject, count: int) -> bool:
+    """Returns whether enough prefill engines remain, whichever are given back.
+
+    New replicas start as decode engines; the role planner has to change some of them
+    before the prefill engines that they replace may go.
+    """
+    prefill = [t for t in situation.engines if not t.can_decode]
+    if not prefill:
+        return True
+    affected = sum(
+        t.domain == subject.domain and t.spot == subject.spot for t in prefill
+    )
+    kept = len(prefill) - min(affected, count)
+    planned = sum(situation.planned.values())
+    share = len(prefill) / len(situation.engines)
+    return kept >= math.floor(share * planned)
--- /dev/null
+++ b/tests/capacity_fleet.py
@@ -0,0 +1,273 @@
+"""A scalable service under virtual time: replicas, their queues, and a platform.
+
+The platform takes orders as the users' one does: counts by domain and kind, a boot
+time, prices; a test scripts its refusals, silences, late effects and reclaims.
+"""
+
+import collections
+import itertools
+import random
+from collections.abc import Callable
+
+import attrs
+
+from turmericward import capacity, duties, fleet, routing
+
+PRICES = {"a": 0.85, "b": 1.2, "c": 1.0}
+SCALING = routing.Scaling(
+    min_count=1, max_count=24, boot_s=4.0, spot_price=0.22, domain_prices=PRICES
+)
+SLOTS = 12
+STEP_S = 0.05
+LEAVES_S = 2.0
+CROSS_DOMAIN_S = 0.003
+# From the end of a prefill until the front has the first token, and the end.
+FIRST_OUTPUT_S = 0.05
+DECODE_S = 0.1
+
+
+@attrs.frozen(kw_only=True)
+class CallClass:
+    """Calls of one kind: arrivals per second, work, latency objective, deadline."""
+
+    per_s: float
+    work_s: float
+    objective_s: float
+    deadline_s: float
+    burst: float
+
+
+# Half of 36 replicas are busy on average.
+SHORT = CallClass(
+    per_s=201, work_s=0.02, objective_s=0.273, deadline_s=3.282, burst=1.9
+)
+LONG = CallClass(
+    per_s=15.7, work_s=0.45, objective_s=1.263, deadline_s=6.317, burst=2.6
+)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Engine:
+    """A replica that works off its calls one after the other."""
+
+    name: str
+    subject: capacity.Subject
+    ready_at: float
+    free_at: float = 0.0
+    leaves_at: float | None = None
+    # First output, end, work and whether the objective is missed, of each call.
+    calls: list[tuple[float, float, float, bool]] = attrs.field(factory=list)
+
+    def takes_calls(self, now: float) -> bool:
+        return now >= self.ready_at and self.leaves_at is None
+
+    def replica(self, now: float) -> capacity.Replica:
+        waiting = [c for c in self.calls if c[0] > now]
+        return capacity.Replica(
+            target=fleet.Target(
+                name=self.name,
+                service="chat",
+                address="10.0.0.1:1",
+                domain=self.subject.domain,
+                slots=SLOTS,
+                leaving=self.leaves_at is not None,
+                spot=self.subject.spot,
+            ),
+            open_calls=len(self.calls),
+            queued_s=sum(c[2] for c in waiting),
+            late_s=sum(c[2] for c in waiting if c[3]),
+        )
+
+
+def _always_accepted(order: duties.CapacityOrder, now: float) -> duties.Outcome:
+    return duties.Outcome.ACCEPTED
+
+
+class ScalableFleet:
+    """The service, its load and the platform; `now` is virtual time in seconds."""
+
+    def __init__(
+        self,
+        *,
+        scaling: routing.Scaling = SCALING,
+        per_domain: int = 12,
+        classes: tuple[CallClass, ...] = (SHORT, LONG),
+        traffic_from: float = 15.0,
+        seed: int = 1,
+        estimate: float = 1.0,
+        answer: Callable = _always_accepted,
+    ) -> None:
+        self.now = 0.0
+        self.scaling = scaling
+        self.estimate = estimate
+        self.answer = answer
+        self.engines: list[Engine] = []
+        self.desired: collections.Counter[capacity.Subject] = collections.Counter()
+        self.orders: list[tuple[float, duties.CapacityOrder, duties.Outcome]] = []
+        self.price = 0.0
+        self.arrived, self.served, self.in_time = 0, 0, 0
+        self._effects: list[tuple[float, duties.CapacityOrder]] = []
+        self._random = random.Random(seed)
+        self._classes = classes
+        self._traffic_from = traffic_from
+        self._numbers = itertools.count()
+        self._burst_until = 0.0
+        self._bursting: CallClass | None = None
+        for domain in PRICES:
+            subject = capacity.Subject(domain=domain, spot=False)
+            self.desired[subject] = per_domain
+            self._resize(subject, per_domain, boot_s=0.0)
+
+    # Platform.
+
+    def order(self, order: duties.CapacityOrder, late_s: float = 0.0) -> None:
+        """Takes an order into effect now or later."""
+        self._effects.append((self.now + late_s, order))
+
+    def perform(self, duty: capacity.CapacityDuty) -> None:
+        """Makes the call that a duty has to make, if any."""
+        order = duty.next_call(self.now)
+        if order is None:
+            return
+        outcome = self.answer(order, self.now)
+        self.orders.append((self.now, order, outcome))
+        if outcome is duties.Outcome.ACCEPTED:
+            self.order(order)
+            self._take_effects()
+        duty.record_outcome(order, outcome, self.now)
+
+    def _take_effects(self) -> None:
+        due = [order for at, order in self._effects if at <= self.now]
+        self._effects = [e for e in self._effects if e[0] > self.now]
+        for order in due:
+            subject = capacity.Subject(domain=order.domain, spot=order.spot)
+            self.desired[subject] = order.count
+            total = sum(n for s, n in self.desired.items() if s.domain == order.domain)
+            if not self.scaling.min_count <= total <= self.scaling.max_count:
+                raise AssertionError(f"{total} replicas desired in {order.domain}")
+            self._resize(subject, order.count, boot_s=self.scaling.boot_s)
+
+    def _resize(self, subject: capacity.Subject, count: int, boot_s: float) -> None:
+        present = [
+            e for e in self.engines if e.subject == subject and e.leaves_at is None
+        ]
+        for _ in range(count - len(present)):
+            number = next(self._numbers)
+            name = f"{subject.domain}-{'spot-' if subject.spot else ''}{number}"
+            self.engines.append(
+                Engine(name=name, subject=subject, ready_at=self.now + boot_s)
+            )
+        for engine in present[: max(0, len(present) - count)]:
+            engine.leaves_at = self.now + LEAVES_S
+
+    def reclaim(self, domain: str) -> None:
+        """Takes all spot replicas of a domain back, which drain first."""
+        for engine in self.engines:
+            if engine.subject == capacity.Subject(domain=domain, spot=True):
+                engine.leaves_at = self.now + LEAVES_S
+
+    def lose(self, domain: str) -> None:
+        """Ends all replicas of a domain at once, with their calls."""
+        for engine in [e for e in self.engines if e.subject.domain == domain]:
+            lost = [c for c in engine.calls if c[1] > self.now]
+            self.served -= len(lost)
+            self.in_time -= sum(not c[3] for c in lost)
+            self.engines.remove(engine)
+
+    # Load.
+
+    def run(self, until: float, duty: capacity.CapacityDuty | None = None) -> None:
+        """Lets time pass."""
+        while self.now < until:
+            self.now = round(self.now + STEP_S, 6)
+            self._take_effects()
+            for engine in self.engines:
+                engine.calls = [c for c in engine.calls if c[1] > self.now]
+            self.engines = [
+                e
+                for e in self.engines
+                if e.leaves_at is None or e.leaves_at > self.now or e.calls
+            ]
+            self._arrive()
+            self._bill()
+            if duty is not None:
+                self.perform(duty)
+
+    def _bill(self) -> None:
+        for engine in self.engines:
+            price = self.scaling.domain_prices[engine.subject.domain]
+            if engine.subject.spot:
+                price *= self.scaling.spot_price
+            self.price += price * STEP_S
+
+    def _arrive(self) -> None:
+        if self.now < self._traffic_from:
+            return
+        if self.now >= self._burst_until:
+            self._burst_until = self.now + self._random.uniform(3.0, 15.0)
+            others = [c for c in self._classes if c is not self._bursting]
+            self._bursting = others[0]
+        ready = [e for e in self.engines if e.takes_calls(self.now)]
+        for kind in self._classes:
+            rate = kind.per_s * (kind.burst if kind is self._bursting else 1.0)
+            count = int(rate * STEP_S + self._random.random())
+            for _ in range(count):
+                self._place(kind, ready)
+
+    def _place(self, kind: CallClass, ready: list[Engine]) -> None:
+        self.arrived += 1
+        domain = self._random.choice(tuple(PRICES))
+        if not ready:
+            return
+        engine = min(
+            ready,
+            key=lambda e: (
+                max(e.free_at, self.now) + CROSS_DOMAIN_S * (e.subject.domain != domain)
+            ),
+        )
+        engine_free = max(engine.free_at, self.now) + kind.work_s
+        first = engine_free + FIRST_OUTPUT_S
+        took_s = first - self.now
+        if took_s > kind.deadline_s:
+            return
+        late = took_s > kind.objective_s
+        engine.free_at = engine_free
+        engine.calls.append((first, first + DECODE_S, kind.work_s, late))
+        self.served += 1
+        self.in_time += not late
+
+    # What a front sees.
+
+    def view(self) -> capacity.View:
+        """Returns the announced replicas; loads are misjudged by `estimate`."""
+        replicas = [e.replica(self.now) for e in self.engines if self.now >= e.ready_at]
+        replicas = [
+            attrs.evolve(r, queued_s=r.queued_s * self.estimate) for r in replicas
+        ]
+        service = capacity.ServiceView(
+            name="chat", scaling=self.scaling, replicas=tuple(replicas)
+        )
+        return capacity.View(services=(service,))
+
+    def duty(self) -> capacity.CapacityDuty:
+        """Returns a duty of a new holder."""
+        duty = capacity.CapacityDuty(self.view)
+        duty.took_over(self.now)
+        return duty
+
+    def count(self, *, spot: bool | None = None, domain: str = "") -> int:
+        """Returns the replicas that take calls."""
+        return sum(
+            e.takes_calls(self.now)
+            and spot in (None, e.subject.spot)
+            and domain in ("", e.subject.domain)
+            for e in self.engines
+        )
+
+    @property
+    def served_share(self) -> float:
+        return self.served / max(1, self.arrived)
+
+    @property
+    def in_time_share(self) -> float:
+        return self.in_time / max(1, self.arrived)
