Capacity: view of scalable services; the role planner lets their number change

Cause: new replicas start as decode engines, and the planner waited until the number of engines was stable for 3 s, which it isn't while replicas are replaced. Change: GetCapacity; RolePlanner.scaled; role orders of such services more at a time. Ruled out: capacity orders roles itself (two owners of the role orders).

--- a/src/turmericward/capacity/_duty.py
+++ b/src/turmericward/capacity/_duty.py
@@ -10,9 +10,6 @@
 VIEW_INTERVAL_S = 0.25
 # Minimum time between two orders of the duty.
 ORDER_INTERVAL_S = 0.1
-# Pause of all orders after one that was throttled or got no response.
-FIRST_PAUSE_S = 0.5
-MAX_PAUSE_S = 5.0
 
 
 class CapacityDuty:
@@ -39,22 +36,18 @@
         self._age_s = 0.0
         self._since = -math.inf
         self._ordered_at = -math.inf
-        self._paused_until = -math.inf
-        self._pause_s = 0.0
 
     def took_over(self, now: float) -> None:
         """Begins a term: forgets all orders, and what was seen of the load."""
         self._services.clear()
         self._looked_at = -math.inf
         self._since = now
-        self._paused_until = -math.inf
-        self._pause_s = 0.0
 
     def next_call(self, now: float) -> duties.CapacityOrder | None:
         """Returns the order that is due, None if there is none."""
         if now - self._looked_at >= VIEW_INTERVAL_S:
             self._observe(now)
-        if now < max(self._paused_until, self._ordered_at + ORDER_INTERVAL_S):
+        if now < self._ordered_at + ORDER_INTERVAL_S:
             return None
         for name, service in self._services.items():
             step = service.next_step(now)
@@ -104,19 +97,6 @@
     ) -> None:
         """Records what became of an order."""
         self._count(f"capacity.{outcome.value}")
-        telemetry.log_event(
-            "capacity_outcome",
-            service=call.service,
-            domain=call.domain,
-            spot=call.spot,
-            count=call.count,
-            outcome=outcome.value,
-        )
-        if outcome in (duties.Outcome.THROTTLED, duties.Outcome.UNKNOWN):
-            self._pause_s = min(MAX_PAUSE_S, max(FIRST_PAUSE_S, 2 * self._pause_s))
-            self._paused_until = now + self._pause_s
-        else:
-            self._pause_s = 0.0
         service = self._services.get(call.service)
         if service is not None:
             service.record_outcome(call, outcome, now)
--- a/src/turmericward/capacity/_mix.py
+++ b/src/turmericward/capacity/_mix.py
@@ -120,7 +120,7 @@
     """
     even = math.ceil(need.total / max(1, len(domains)))
     mix = _Mix(scaling, domains, limits, even)
-    steady = max(1, round(STEADY_SHARE * even))
+    steady = max(1, int(STEADY_SHARE * even))
     for domain in sorted(domains):
         kinds = [Subject(domain=domain, spot=s) for s in (False, True)]
         mix.fill(kinds, steady)
--- a/src/turmericward/capacity/_service.py
+++ b/src/turmericward/capacity/_service.py
@@ -44,6 +44,8 @@
         self._present = 0
         self._fell_at: dict[str, float] = {}
         self._roles_wait_since: float | None = None
+        # Share of prefill engines when the replicas were last as planned.
+        self._prefill_share: float | None = None
         self._sample = _demand.Sample(slots=0.0, prefill=0.0, late_s=0.0)
         self._need = _mix.Need(total=0)
 
@@ -127,12 +129,17 @@
         ]
         limits = {s: self._live[s] for s in subjects if self._states[s].is_limited(now)}
         planned = _mix.plan(self._need, view.scaling, domains, limits)
+        engines = tuple(r.target for r in view.serving if r.target.role)
+        as_planned = all(self._live[s] == count for s, count in planned.items())
+        if engines and (as_planned or self._prefill_share is None):
+            self._prefill_share = sum(not t.can_decode for t in engines) / len(engines)
         return _steps.Situation(
             scaling=view.scaling,
             live={s: self._live[s] for s in planned},
             planned=planned,
             states=self._states,
-            engines=tuple(r.target for r in view.serving if r.target.role),
+            engines=engines,
+            prefill_share=self._prefill_share or 0.0,
             fell_at=self._fell_at,
             gentle=self._demand.has_traffic,
         )
--- a/src/turmericward/capacity/_steps.py
+++ b/src/turmericward/capacity/_steps.py
@@ -35,8 +35,8 @@
     """What is announced, ordered and planned for one service.
 
     `live` counts the replicas that take new calls; `engines` are these, if they have
-    roles; `fell_at` is when each domain's replicas were last reduced. Without
-    `gentle`, replicas are given back all at once.
+    roles, of which `prefill_share` should only prefill. `fell_at` is when each domain's
+    replicas were last reduced. Without `gentle`, replicas are given back all at once.
     """
 
     scaling: routing.Scaling
@@ -44,6 +44,7 @@
     planned: Mapping[_mix.Subject, int]
     states: Mapping[_mix.Subject, _orders.OrderState]
     engines: tuple[fleet.Target, ...] = ()
+    prefill_share: float = 0.0
     fell_at: Mapping[str, float] = attrs.field(factory=dict)
     gentle: bool = True
     check_roles: bool = True
@@ -144,12 +145,11 @@
     before the prefill engines that they replace may go.
     """
     prefill = [t for t in situation.engines if not t.can_decode]
-    if not prefill:
-        return True
     affected = sum(
         t.domain == subject.domain and t.spot == subject.spot for t in prefill
     )
+    if not affected:
+        return True
     kept = len(prefill) - min(affected, count)
     planned = sum(situation.planned.values())
-    share = len(prefill) / len(situation.engines)
-    return kept >= math.floor(share * planned)
+    return kept >= math.floor(situation.prefill_share * planned)
--- a/src/turmericward/dispatching/__init__.py
+++ b/src/turmericward/dispatching/__init__.py
@@ -7,6 +7,7 @@
 from turmericward.dispatching._messages import (
     EngineCacheListing,
     FirstOutput,
+    GetCapacity,
     GetStatus,
     IsUsable,
     Place,
@@ -35,6 +36,7 @@
     "DutiesLoop",
     "EngineCacheListing",
     "FirstOutput",
+    "GetCapacity",
     "GetStatus",
     "IsUsable",
     "LeaseLoop",
--- a/src/turmericward/dispatching/_dispatch_task.py
+++ b/src/turmericward/dispatching/_dispatch_task.py
@@ -5,7 +5,15 @@
 import attrs
 from absl import logging
 
-from turmericward import fleet, peers, requests, routing, runtime, telemetry
+from turmericward import (
+    capacity,
+    fleet,
+    peers,
+    requests,
+    routing,
+    runtime,
+    telemetry,
+)
 from turmericward.dispatching import (
     _crash_guard,
     _limit_exchange,
@@ -250,7 +258,17 @@
     @handle.register
     def _(self, message: _messages.GetEngines) -> _messages.EnginesView:
         return _status.engines_view(
-            self._name, self._directory, self._placer, self._listed_engines
+            self._name,
+            self._directory,
+            self._placer,
+            self._listed_engines,
+            self.table,
+        )
+
+    @handle.register
+    def _(self, message: _messages.GetCapacity) -> capacity.View | None:
+        return _status.capacity_view(
+            self._directory, self._placer, self.table, runtime.now()
         )
 
     @handle.register
--- a/src/turmericward/dispatching/_messages.py
+++ b/src/turmericward/dispatching/_messages.py
@@ -86,13 +86,23 @@
     """Engines by service, and the load of all fronts by engine.
 
     `has_lowest_name` holds if no live peer has a lower name than this front; `listed`
-    names the engines whose cache contents were listed, by any front.
+    names the engines whose cache contents were listed, by any front; `scalable` the
+    services whose replicas can be ordered.
     """
 
     engines: dict[str, list[fleet.Target]]
     loads: dict[str, fleet.EngineLoad]
     has_lowest_name: bool
     listed: frozenset[str]
+    scalable: frozenset[str] = frozenset()
+
+
+@attrs.frozen(kw_only=True)
+class GetCapacity:
+    """Requests the scalable services; answered with a `capacity.View`.
+
+    Before the first configuration the answer is None.
+    """
 
 
 @attrs.frozen(kw_only=True)
--- a/src/turmericward/dispatching/_roles_loop.py
+++ b/src/turmericward/dispatching/_roles_loop.py
@@ -91,6 +91,7 @@
         eras: positions.Eras,
         enabled: Callable[[], bool] = lambda: True,
         standing: _standing_lease.StandingLease | None = None,
+        orders_replicas: bool = False,
     ) -> None:
         """Creates the loop.
 
@@ -105,6 +106,7 @@
                 the lease.
             standing: the lease of a front with duties, which orders need then in place
                 of `lease`.
+            orders_replicas: whether fronts order replicas of scalable services.
         """
         super().__init__()
         self._dispatch = dispatch
@@ -114,6 +116,7 @@
         self._eras = eras
         self._enabled = enabled
         self._standing = standing
+        self._orders_replicas = orders_replicas
         self._planners: dict[str, fleet.RolePlanner] = collections.defaultdict(
             fleet.RolePlanner
         )
@@ -150,6 +153,7 @@
         changes = []
         for service, targets in view.engines.items():
             planner = self._planners[service]
+            planner.scaled = self._orders_replicas and service in view.scalable
             planner.observe(targets, now, view.loads)
             changes.append(planner.plan(targets, view.loads, now))
         due = [change for change in changes if change is not None]
--- a/src/turmericward/dispatching/_status.py
+++ b/src/turmericward/dispatching/_status.py
@@ -1,9 +1,9 @@
-"""What the status page and the role planner are told of the targets."""
+"""What the status page and the decisions on roles and capacity are told of targets."""
 
 import collections
 from collections.abc import Set
 
-from turmericward import fleet, requests
+from turmericward import capacity, fleet, requests, routing
 from turmericward.dispatching import _messages
 
 
@@ -40,6 +40,7 @@
     directory: fleet.Directory,
     placer: requests.Placer,
     listed_engines: Set[int],
+    table: routing.RoutingTable | None,
 ) -> _messages.EnginesView:
     """Returns the engines in use.
 
@@ -48,6 +49,7 @@
         directory: the known targets.
         placer: knows the load of all fronts.
         listed_engines: hashes of the engines whose cache contents were listed.
+        table: the configuration in force, if any.
     """
     targets = [t for t in directory.all() if t.role and not t.leaving]
     engines = collections.defaultdict(list)
@@ -60,6 +62,52 @@
         listed=frozenset(
             t.name for t in targets if fleet.target_hash(t.name) in listed_engines
         ),
+        scalable=frozenset(_scalings(table)),
+    )
+
+
+def _scalings(table: routing.RoutingTable | None) -> dict[str, routing.Scaling]:
+    """Returns the scaling of each service that has one."""
+    services = {} if table is None else table.services
+    return {s.name: s.scaling for s in services.values() if s.scaling is not None}
+
+
+def capacity_view(
+    directory: fleet.Directory,
+    placer: requests.Placer,
+    table: routing.RoutingTable | None,
+    now: float,
+) -> capacity.View | None:
+    """Returns the scalable services with their replicas and the load of all fronts.
+
+    It is None before the first configuration.
+    """
+    if table is None:
+        return None
+    replicas = collections.defaultdict(list)
+    scalings = _scalings(table)
+    for target in directory.all():
+        if target.service in scalings:
+            replicas[target.service].append(_replica(target, placer))
+    return capacity.View(
+        services=tuple(
+            capacity.ServiceView(
+                name=name, scaling=scaling, replicas=tuple(replicas[name])
+            )
+            for name, scaling in sorted(scalings.items())
+        ),
+        age_s=max(placer.peers.ages(now).values(), default=0.0),
+    )
+
+
+def _replica(target: fleet.Target, placer: requests.Placer) -> capacity.Replica:
+    load = placer.load(target.name)
+    per_token_s = placer.seconds_per_token(target)
+    return capacity.Replica(
+        target=target,
+        open_calls=load.open_calls,
+        queued_s=(load.urgent_tokens + load.deferred_tokens) * per_token_s,
+        late_s=load.deferred_tokens * per_token_s,
     )
 
 
--- a/src/turmericward/fleet/_roles.py
+++ b/src/turmericward/fleet/_roles.py
@@ -28,8 +28,10 @@
 # How long the composition and the wanted share must be stable before the latter is
 # adapted to the load.
 MIN_ADAPTATION_INTERVAL_S = 4.0
-# One of this many engines, but at least one, changes its role at a time.
+# One of this many engines, but at least one, changes its role at a time; more of a
+# service whose replicas are ordered, since all new ones start as decode engines.
 ENGINES_PER_CHANGE = 15
+SCALED_ENGINES_PER_CHANGE = 6
 
 
 _NO_LOADS: Mapping[str, _role_mix.EngineLoad] = {}
@@ -49,10 +51,21 @@
     That is the first stable share, until the load requires another one. A role
     change beyond the wanted share was ordered by a peer that saw such load, and is
     adopted.
+
+    The number of engines of a scaled service is another decision's: its changes don't
+    delay role changes, and the share that results from them is nobody's choice. Its
+    spot replicas change first, as others are given back when they are replaced.
     """
 
-    def __init__(self) -> None:
-        """Starts without a wanted share."""
+    def __init__(self, *, scaled: bool = False) -> None:
+        """Starts without a wanted share.
+
+        Args:
+            scaled: whether engines of the service are ordered and given back.
+        """
+        self.scaled = scaled
+        self._count_since = 0.0
+        self._short_since: float | None = None
         self._demand = _role_mix.RoleDemand()
         self._previous: dict[str, _targets.Target] = {}
         self._adapted_at = float("-inf")
@@ -71,17 +84,26 @@
         self._demand.observe(targets, loads, now)
         prefill = sum(not t.can_decode for t in targets)
         composition = (prefill, len(targets))
+        if composition[1] != self._composition[1]:
+            self._count_since = now
         if composition != self._composition:
             self._composition = composition
             self._since = now
         settled = now - self._since >= SETTLED_S and len(targets) >= MIN_ENGINES
         if self._wanted_share is None and settled:
             self._wanted_share = prefill / len(targets) or DEFAULT_PREFILL_SHARE
-        self._adopt_changes(targets, prefill)
+        counts_settled = now - self._count_since >= SETTLED_S
+        if counts_settled or not self.scaled:
+            self._adopt_changes(targets, prefill)
+        else:
+            self._previous = {t.name: t for t in targets}
         for target in targets:
             role, _ = self._ordered.get(target.name, (None, 0.0))
             if role is target.role:
                 del self._ordered[target.name]
+        if self.scaled:
+            names = {t.name for t in targets}
+            self._ordered = {n: o for n, o in self._ordered.items() if n in names}
 
     def _adopt_changes(self, targets, prefill: int) -> None:
         """Adopts a role mix that a peer has changed."""
@@ -112,7 +134,7 @@
         self._expire_orders(now)
         prefill, count = self._composition
         step = max(1, count // ENGINES_PER_CHANGE)
-        if len(self._ordered) >= step:
+        if len(self._ordered) >= self._max_ordered(count):
             return None
         if not self._ordered:
             self._adapt(targets, step, now)
@@ -123,7 +145,7 @@
         tolerance_s = (
             ROLE_SHORTAGE_TOLERANCE_S if both_present else ROLE_ABSENCE_TOLERANCE_S
         )
-        if now - self._since < tolerance_s:
+        if now - self._stable_since(prefill < wanted, now) < tolerance_s:
             return None
         if prefill < wanted:
             return self._to_prefill(targets, loads)
@@ -134,6 +156,19 @@
             return self._to_decode(without_decode, loads)
         return None
 
+    def _max_ordered(self, count: int) -> int:
+        per_change = SCALED_ENGINES_PER_CHANGE if self.scaled else ENGINES_PER_CHANGE
+        return max(1, count // per_change)
+
+    def _stable_since(self, is_short: bool, now: float) -> float:
+        """Returns since when a shortage of prefill engines, or the mix, is the same."""
+        if not self.scaled or not is_short:
+            self._short_since = None
+            return self._since
+        if self._short_since is None:
+            self._short_since = now
+        return self._short_since
+
     def _outstanding(self) -> int:
         """Returns how many more engines prefill once all orders are carried out."""
         return sum(
@@ -166,6 +201,8 @@
 
     def _to_prefill(self, targets, loads) -> RoleChange | None:
         eligible = _spare_decode(targets) or [t for t in targets if t.can_decode]
+        if self.scaled:
+            eligible = [t for t in eligible if t.spot] or eligible
         return _change_idlest(eligible, _targets.EngineRole.PREFILL, loads)
 
     def _to_decode(self, targets, loads) -> RoleChange | None:
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -107,6 +107,10 @@
         """Returns the load of all fronts at a target."""
         return self._calls.load(name)
 
+    def seconds_per_token(self, target: fleet.Target) -> float:
+        """Returns the time in which an engine prefills a token, as far as is known."""
+        return self._speed.per_token(target)
+
     def failure_share(self, name: str, now: float) -> float:
         """Returns the share of all fronts' recent calls at a target that failed."""
         return self._calls.failure_share(name, now)
