--- a/src/turmericward/capacity/_mix.py
+++ b/src/turmericward/capacity/_mix.py
@@ -10,6 +10,9 @@
 
 # Share of each domain's replicas that can't be reclaimed, at least one.
 STEADY_SHARE = 0.1
+# How steeply the price of a further replica grows above an even share: spot replicas
+# elsewhere are preferred to others up to about 1.5 times the even share.
+CROWDING_EXPONENT = 4
 
 
 @attrs.frozen(kw_only=True)
@@ -37,13 +40,13 @@
         scaling: routing.Scaling,
         domains: Collection[str],
         limits: Mapping[Subject, int],
-        even: int,
+        even: float,
     ) -> None:
         self.counts: collections.Counter[Subject] = collections.Counter()
         self._scaling = scaling
         self._domains = sorted(domains)
         self._limits = limits
-        self._even = max(1, even)
+        self._even = max(1.0, even)
 
     def of_domain(self, domain: str) -> int:
         return sum(self.counts[Subject(domain=domain, spot=s)] for s in (True, False))
@@ -85,7 +88,8 @@
         price = self._scaling.domain_prices.get(subject.domain, 1.0)
         if subject.spot:
             price *= self._scaling.spot_price
-        return (price * max(1.0, (total + 1) / self._even), total, subject.domain)
+        crowding = max(1.0, (total + 1) / self._even) ** CROWDING_EXPONENT
+        return (price * crowding, total, subject.domain)
 
     @property
     def total(self) -> int:
@@ -118,7 +122,7 @@
         domains: failure domains in which replicas can be ordered.
         limits: highest counts of the kinds of which no more are available now.
     """
-    even = math.ceil(need.total / max(1, len(domains)))
+    even = need.total / max(1, len(domains))
     mix = _Mix(scaling, domains, limits, even)
     steady = max(1, int(STEADY_SHARE * even))
     for domain in sorted(domains):
--- a/src/turmericward/capacity/_service.py
+++ b/src/turmericward/capacity/_service.py
@@ -15,9 +15,6 @@
 UTILIZATION_WITHOUT_DOMAIN = 0.9
 # Beyond the boot time, what a previous holder ordered may take so long to be announced.
 HANDOVER_S = 1.0
-# Share of the replicas of a previous holder that may be meant to stay although they
-# aren't spot replicas.
-KEPT_SHARE = 0.2
 # How long the return of replicas waits for roles to be changed.
 MAX_ROLE_WAIT_S = 20.0
 
@@ -167,8 +164,11 @@
 def _carrying(live: collections.Counter[_mix.Subject]) -> int:
     """Returns how many of the replicas found at the start of a term are needed.
 
-    The previous holder may have been replacing them: then most are there twice.
+    The previous holder may have been replacing them: then most are there twice. If it
+    ordered others since there were no spot replicas, the load alone shows the need.
     """
     spot = sum(count for subject, count in live.items() if subject.spot)
     steady = live.total() - spot
-    return max(steady, spot + min(steady, math.ceil(KEPT_SHARE * live.total())))
+    domains = len({subject.domain for subject in live})
+    kept = max(domains, int(_mix.STEADY_SHARE * spot))
+    return max(steady, spot + min(steady, kept))
