--- a/src/turmericward/capacity/_duty.py
+++ b/src/turmericward/capacity/_duty.py
@@ -21,16 +21,13 @@
     def __init__(
         self,
         look: Callable[[], _view.View | None],
-        count: Callable[[str], None] = lambda name: None,
     ) -> None:
         """Starts without knowledge of the fleet.
 
         Args:
             look: returns the fleet as all fronts see it, None if unknown at present.
-            count: counts an event of the given name.
         """
         self._look = look
-        self._count = count
         self._services: dict[str, _service.ServiceCapacity] = {}
         self._looked_at = -math.inf
         self._age_s = 0.0
@@ -96,7 +93,6 @@
         self, call: duties.CapacityOrder, outcome: duties.Outcome, now: float
     ) -> None:
         """Records what became of an order."""
-        self._count(f"capacity.{outcome.value}")
         service = self._services.get(call.service)
         if service is not None:
             service.record_outcome(call, outcome, now)
--- a/src/turmericward/platform/_duties.py
+++ b/src/turmericward/platform/_duties.py
@@ -7,6 +7,7 @@
 
 from turmericward import (
     authority,
+    capacity,
     dispatching,
     duties,
     metering,
@@ -27,6 +28,7 @@
 MARGIN_S = 0.25
 ASK_TIMEOUT_S = 0.5
 USAGE = "usage"
+CAPACITY = "capacity"
 
 
 @attrs.frozen(kw_only=True)
@@ -64,6 +66,19 @@
     )
 
 
+@duty(CAPACITY)
+def _capacity(ctx: DutyContext) -> duties.Duty:
+    def look() -> capacity.View | None:
+        return ctx.dispatch.ask(dispatching.GetCapacity()).result(ASK_TIMEOUT_S)
+
+    return capacity.CapacityDuty(look)
+
+
+def orders_replicas(settings: _settings.DutySettings | None) -> bool:
+    """Returns whether replicas of scalable services are ordered."""
+    return settings is not None and CAPACITY in settings.kinds
+
+
 def usage_window_s(settings: _settings.DutySettings | None) -> float | None:
     """Returns the length of the windows of metering, None without it."""
     if settings is None or USAGE not in settings.kinds:
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -212,6 +212,7 @@
             self._eras,
             lambda: self._peer_task.polls_targets and not self._drain.began,
             standing,
+            _duties.orders_replicas(self._cfg.duties),
         )
 
     def _configuration_pacing(self) -> feeds.Pacing:
