Capacity: slow fall of the total, corrections only under load, fewer looks

Change: the total follows a lower load with a time constant of 500 s; corrections need a fifth of the replicas busy; one look in 0.5 s, less often in large fleets, and no plan without a new view. Ruled out: no fall at all (a fleet that has grown in trouble would stay so).

--- a/src/turmericward/capacity/_demand.py
+++ b/src/turmericward/capacity/_demand.py
@@ -25,6 +25,9 @@
 # Smoothed work of late calls per replica from which there are too few of them.
 LATE_S_PER_REPLICA = 0.05
 LATE_SMOOTHING_S = 2.0
+# With fewer busy replicas an estimate that is too low by the maximal correction would
+# still leave some free: others wouldn't make the calls less late.
+MIN_LATE_UTILIZATION = 0.2
 # The estimate is raised by this factor for each interval with late calls, up to the
 # maximum; the correction is forgotten with this time constant.
 CORRECTION_STEP = 1.25
@@ -42,12 +45,13 @@
     """The load of a service at one moment, in replicas that it keeps busy.
 
     `slots` is by occupied slots, `prefill` by prompts to prefill; `late_s` is the work
-    of late calls per replica.
+    of late calls for each of the `serving` replicas.
     """
 
     slots: float
     prefill: float
     late_s: float
+    serving: int = 0
 
 
 def sample(service: _view.ServiceView) -> Sample:
@@ -59,7 +63,9 @@
     # Little's law at each replica: the work present is the rate of work times the time
     # for which it is present, that of an idle replica and that of the queue.
     prefill = sum(r.queued_s / (FIRST_OUTPUT_S + r.queued_s) for r in service.replicas)
-    return Sample(slots=slots, prefill=prefill, late_s=late_s / count)
+    return Sample(
+        slots=slots, prefill=prefill, late_s=late_s / count, serving=len(serving)
+    )
 
 
 class _Smoothed:
@@ -97,6 +103,10 @@
         while self._buckets[0][0] < bucket - PEAK_WINDOW_S / PEAK_BUCKET_S:
             self._buckets.popleft()
 
+    @property
+    def level(self) -> float:
+        return self._smoothed.value
+
     @property
     def value(self) -> float:
         return max((value for _, value in self._buckets), default=0.0)
@@ -125,14 +135,19 @@
         self._slots.add(taken.slots, elapsed_s, boot_s, now)
         self._prefill.add(taken.prefill, elapsed_s, boot_s, now)
         self._late.add(taken.late_s, elapsed_s)
-        self._correct(elapsed_s, boot_s, now)
+        self._correct(taken.serving, elapsed_s, boot_s, now)
         self._hold(max(self._slots.value, self._prefill.value) * self.correction)
 
-    def _correct(self, elapsed_s: float, boot_s: float, now: float) -> None:
+    def _correct(
+        self, serving: int, elapsed_s: float, boot_s: float, now: float
+    ) -> None:
         excess = self.correction - 1.0
         self.correction = 1.0 + excess * math.exp(-elapsed_s / CORRECTION_SMOOTHING_S)
         if self._late.value < LATE_S_PER_REPLICA:
             return
+        busy = max(self._slots.level, self._prefill.level)
+        if busy < serving * MIN_LATE_UTILIZATION:
+            return
         if now - self._corrected_at < boot_s + CORRECTION_MARGIN_S:
             return
         self._corrected_at = now
--- a/src/turmericward/capacity/_duty.py
+++ b/src/turmericward/capacity/_duty.py
@@ -6,8 +6,10 @@
 from turmericward import duties, telemetry
 from turmericward.capacity import _service, _view
 
-# How often the fleet is looked at; orders in between use the same view.
-VIEW_INTERVAL_S = 0.25
+# How often the fleet is looked at; orders in between use the same view. In large fleets
+# a look takes long: 10 us for each replica, which this bounds to 1 of 50.
+VIEW_INTERVAL_S = 0.5
+VIEW_INTERVAL_PER_REPLICA_S = 0.0005
 # Minimum time between two orders of the duty.
 ORDER_INTERVAL_S = 0.1
 
@@ -30,6 +32,9 @@
         self._look = look
         self._services: dict[str, _service.ServiceCapacity] = {}
         self._looked_at = -math.inf
+        self._view_interval_s = VIEW_INTERVAL_S
+        # Whether the latest view leads to no further order.
+        self._is_done = False
         self._age_s = 0.0
         self._since = -math.inf
         self._ordered_at = -math.inf
@@ -42,9 +47,9 @@
 
     def next_call(self, now: float) -> duties.CapacityOrder | None:
         """Returns the order that is due, None if there is none."""
-        if now - self._looked_at >= VIEW_INTERVAL_S:
+        if now - self._looked_at >= self._view_interval_s:
             self._observe(now)
-        if now < self._ordered_at + ORDER_INTERVAL_S:
+        if self._is_done or now < self._ordered_at + ORDER_INTERVAL_S:
             return None
         for name, service in self._services.items():
             step = service.next_step(now)
@@ -68,16 +73,22 @@
                 count=step.count,
                 spot=step.subject.spot,
             )
+        self._is_done = True
         return None
 
     def _observe(self, now: float) -> None:
         view = self._look()
+        self._is_done = False
         if view is None:
             # No orders by an old view: the counts in it may have changed.
             for service in self._services.values():
                 service.lost_sight()
             return
         self._looked_at = now
+        replicas = sum(len(service.replicas) for service in view.services)
+        self._view_interval_s = max(
+            VIEW_INTERVAL_S, replicas * VIEW_INTERVAL_PER_REPLICA_S
+        )
         self._age_s = view.age_s
         known = {service.name for service in view.services}
         for name in self._services.keys() - known:
@@ -93,6 +104,7 @@
         self, call: duties.CapacityOrder, outcome: duties.Outcome, now: float
     ) -> None:
         """Records what became of an order."""
+        self._is_done = False
         service = self._services.get(call.service)
         if service is not None:
             service.record_outcome(call, outcome, now)
--- a/src/turmericward/capacity/_mix.py
+++ b/src/turmericward/capacity/_mix.py
@@ -9,7 +9,7 @@
 from turmericward import routing
 
 # Share of each domain's replicas that can't be reclaimed, at least one.
-STEADY_SHARE = 0.1
+STEADY_SHARE = 0.08
 # How steeply the price of a further replica grows above an even share: spot replicas
 # elsewhere are preferred to others up to about 1.5 times the even share.
 CROWDING_EXPONENT = 4
--- a/src/turmericward/capacity/_service.py
+++ b/src/turmericward/capacity/_service.py
@@ -13,6 +13,9 @@
 UTILIZATION = 0.6
 UTILIZATION_WITHOUT_SPOT = 0.8
 UTILIZATION_WITHOUT_DOMAIN = 0.9
+# Time constant with which the number of replicas follows a lower load: what prompts
+# share is cached at fewer engines then, so that the load of the rest rises.
+SHRINK_S = 500.0
 # Beyond the boot time, what a previous holder ordered may take so long to be announced.
 HANDOVER_S = 1.0
 # How long the return of replicas waits for roles to be changed.
@@ -37,8 +40,9 @@
         self._live: collections.Counter[_mix.Subject] = collections.Counter()
         self._view: _view.ServiceView | None = None
         self._boot_s = 0.0
-        # Replicas at the start of the term, kept until the load is known.
-        self._present = 0
+        # Replicas needed: at first those found, kept until the load is known.
+        self._total = 0.0
+        self._observed_at = since
         self._fell_at: dict[str, float] = {}
         self._roles_wait_since: float | None = None
         # Share of prefill engines when the replicas were last as planned.
@@ -57,7 +61,7 @@
             for r in view.serving
         )
         if now - self._since < view.scaling.boot_s + HANDOVER_S:
-            self._present = max(self._present, _carrying(live))
+            self._total = max(self._total, _carrying(live))
         for subject in {*self._live, *live}:
             found = self._states[subject].check(self._live[subject], live[subject], now)
             if found:
@@ -82,11 +86,12 @@
 
     def _needed(self, now: float) -> _mix.Need:
         busy = self._demand.busy_replicas
-        total = math.ceil(busy / UTILIZATION)
-        if not self._demand.is_known(now):
-            total = max(total, self._present)
+        if self._demand.is_known(now):
+            self._total *= math.exp((self._observed_at - now) / SHRINK_S)
+        self._observed_at = now
+        self._total = max(self._total, busy / UTILIZATION)
         return _mix.Need(
-            total=total,
+            total=math.ceil(self._total),
             without_domain=math.ceil(busy / UTILIZATION_WITHOUT_DOMAIN),
             without_spot=math.ceil(busy / UTILIZATION_WITHOUT_SPOT),
         )
