Replicas are given back when enough prefill engines remain, also of orders under way

Cause: three orders in a row, one for each domain, each saw the prefill engines that the previous one had given back: 5 of 12 remained in a replay with the role planner. Change: engines of orders that haven't taken effect don't count as kept.

--- a/src/turmericward/capacity/_steps.py
+++ b/src/turmericward/capacity/_steps.py
@@ -4,6 +4,7 @@
 are never fewer than both the present and the planned mix need.
 """
 
+import collections
 import math
 from collections.abc import Mapping
 
@@ -18,6 +19,8 @@
 MAX_FALL_SHARE = 0.25
 # Minimum time between two orders that give replicas of a domain back under load.
 FALL_INTERVAL_S = 3.0
+# A third of 36 replicas is 12 in spite of rounding errors.
+ROUNDING = 1e-6
 
 
 @attrs.frozen(kw_only=True)
@@ -124,7 +127,7 @@
     count = min(live - planned, spare, _max_fall(situation, domain, now))
     if count <= 0:
         return None
-    if situation.check_roles and not _keeps_roles(situation, subject, count):
+    if situation.check_roles and not _keeps_roles(situation, subject, count, now):
         return None
     return Step(subject=subject, before=live, count=live - count, reason="spare")
 
@@ -138,18 +141,26 @@
     return max(1, int(live * MAX_FALL_SHARE))
 
 
-def _keeps_roles(situation: Situation, subject: _mix.Subject, count: int) -> bool:
+def _keeps_roles(
+    situation: Situation, subject: _mix.Subject, count: int, now: float
+) -> bool:
     """Returns whether enough prefill engines remain, whichever are given back.
 
     New replicas start as decode engines; the role planner has to change some of them
     before the prefill engines that they replace may go.
     """
-    prefill = [t for t in situation.engines if not t.can_decode]
-    affected = sum(
-        t.domain == subject.domain and t.spot == subject.spot for t in prefill
+    prefill = collections.Counter(
+        _mix.Subject(domain=t.domain, spot=t.spot)
+        for t in situation.engines
+        if not t.can_decode
     )
-    if not affected:
+    if not prefill[subject]:
         return True
-    kept = len(prefill) - min(affected, count)
+    kept = 0
+    for other, engines in prefill.items():
+        leaving = situation.live[other] - situation.remaining(other, now)
+        if other == subject:
+            leaving += count
+        kept += max(0, engines - leaving)
     planned = sum(situation.planned.values())
-    return kept >= math.floor(situation.prefill_share * planned)
+    return kept >= math.floor(situation.prefill_share * planned + ROUNDING)
--- a/tests/capacity_fleet.py
+++ b/tests/capacity_fleet.py
@@ -55,6 +55,7 @@
     ready_at: float
     free_at: float = 0.0
     leaves_at: float | None = None
+    role: fleet.EngineRole | None = None
     # First output, end, work and whether the objective is missed, of each call.
     calls: list[tuple[float, float, float, bool]] = attrs.field(factory=list)
 
@@ -70,6 +71,7 @@
                 address="10.0.0.1:1",
                 domain=self.subject.domain,
                 slots=SLOTS,
+                role=self.role,
                 leaving=self.leaves_at is not None,
                 spot=self.subject.spot,
             ),
@@ -96,6 +98,7 @@
         seed: int = 1,
         estimate: float = 1.0,
         answer: Callable = _always_accepted,
+        prefill_per_domain: int | None = None,
     ) -> None:
         self.now = 0.0
         self.scaling = scaling
@@ -117,6 +120,13 @@
             subject = capacity.Subject(domain=domain, spot=False)
             self.desired[subject] = per_domain
             self._resize(subject, per_domain, boot_s=0.0)
+        self._role_orders: list[tuple[float, str, fleet.EngineRole]] = []
+        self._has_roles = prefill_per_domain is not None
+        for index, engine in enumerate(self.engines if self._has_roles else ()):
+            prefills = index % per_domain < prefill_per_domain
+            engine.role = (
+                fleet.EngineRole.PREFILL if prefills else fleet.EngineRole.DECODE
+            )
 
     # Platform.
 
@@ -154,9 +164,10 @@
         for _ in range(count - len(present)):
             number = next(self._numbers)
             name = f"{subject.domain}-{'spot-' if subject.spot else ''}{number}"
-            self.engines.append(
-                Engine(name=name, subject=subject, ready_at=self.now + boot_s)
-            )
+            engine = Engine(name=name, subject=subject, ready_at=self.now + boot_s)
+            if boot_s and self._has_roles:
+                engine.role = fleet.EngineRole.DECODE
+            self.engines.append(engine)
         for engine in present[: max(0, len(present) - count)]:
             engine.leaves_at = self.now + LEAVES_S
 
@@ -174,6 +185,29 @@
             self.in_time -= sum(not c[3] for c in lost)
             self.engines.remove(engine)
 
+    def plan_roles(self, planner: fleet.RolePlanner) -> None:
+        """Lets a planner order a role, which the engine takes 3 s later."""
+        for at, name, role in self._role_orders:
+            for engine in self.engines:
+                if at <= self.now and engine.name == name:
+                    engine.role = role
+        self._role_orders = [o for o in self._role_orders if o[0] > self.now]
+        engines = [e.replica(self.now).target for e in self.engines if self._takes(e)]
+        planner.observe(engines, self.now)
+        change = planner.plan(engines, {}, self.now)
+        if change is not None:
+            planner.ordered(change, self.now)
+            order = (self.now + 3.0, change.target.name, change.role)
+            self._role_orders.append(order)
+
+    def prefill_count(self) -> int:
+        """Returns the prefill engines that take calls."""
+        prefill = fleet.EngineRole.PREFILL
+        return sum(self._takes(e) and e.role is prefill for e in self.engines)
+
+    def _takes(self, engine: Engine) -> bool:
+        return engine.takes_calls(self.now)
+
     # Load.
 
     def run(self, until: float, duty: capacity.CapacityDuty | None = None) -> None:
--- a/tests/test_capacity_replay.py
+++ b/tests/test_capacity_replay.py
@@ -8,6 +8,7 @@
 
 from tests import capacity_fleet, fixtures
 from turmericward import capacity, duties
+from turmericward import fleet as fleets
 
 check = fixtures.check
 ACCEPTED, UNAVAILABLE = duties.Outcome.ACCEPTED, duties.Outcome.UNAVAILABLE
@@ -58,6 +59,20 @@
         check.assertGreaterEqual(fleet.count(), 35)
 
 
+def test_the_fleet_keeps_its_prefill_engines_while_they_are_replaced():
+    """Guards against a swap after which all engines decode, or too many prefill."""
+    fleet = capacity_fleet.ScalableFleet(prefill_per_domain=4, traffic_from=1e9)
+    duty, planner = fleet.duty(), fleets.RolePlanner(scaled=True)
+    shares = []
+    while fleet.now < 60:
+        fleet.run(fleet.now + 0.5, duty)
+        fleet.plan_roles(planner)
+        shares.append(fleet.prefill_count() / 36)
+    check.assertGreaterEqual(min(shares), 0.32)
+    check.assertEqual(fleet.count(spot=False), 3)
+    check.assertAlmostEqual(fleet.prefill_count() / fleet.count(), 1 / 3, delta=0.06)
+
+
 def test_a_reclaim_at_the_peak_is_made_up_for_elsewhere():
     """Guards against calls lost when all spot replicas of a domain go at once."""
     for domain in "ab":
