--- a/src/turmericward/capacity/__init__.py
+++ b/src/turmericward/capacity/__init__.py
@@ -2,7 +2,7 @@
 
 from turmericward.capacity._demand import DemandTracker, Sample, sample
 from turmericward.capacity._duty import CapacityDuty
-from turmericward.capacity._mix import Need, Subject, plan
+from turmericward.capacity._mix import Need, Pool, plan
 from turmericward.capacity._orders import OrderState
 from turmericward.capacity._steps import Situation, Step, next_step
 from turmericward.capacity._view import Replica, ServiceView, View
@@ -17,7 +17,7 @@
     "ServiceView",
     "Situation",
     "Step",
-    "Subject",
+    "Pool",
     "View",
     "next_step",
     "plan",
--- a/src/turmericward/capacity/_duty.py
+++ b/src/turmericward/capacity/_duty.py
@@ -36,14 +36,12 @@
         # Whether the latest view leads to no further order.
         self._is_done = False
         self._age_s = 0.0
-        self._since = -math.inf
         self._ordered_at = -math.inf
 
     def took_over(self, now: float) -> None:
         """Begins a term: forgets all orders, and what was seen of the load."""
         self._services.clear()
         self._looked_at = -math.inf
-        self._since = now
 
     def next_call(self, now: float) -> duties.CapacityOrder | None:
         """Returns the order that is due, None if there is none."""
@@ -59,8 +57,8 @@
             telemetry.log_event(
                 "capacity_order",
                 service=name,
-                domain=step.subject.domain,
-                spot=step.subject.spot,
+                domain=step.pool.domain,
+                spot=step.pool.spot,
                 before=step.before,
                 count=step.count,
                 reason=step.reason,
@@ -69,9 +67,9 @@
             )
             return duties.CapacityOrder(
                 service=name,
-                domain=step.subject.domain,
+                domain=step.pool.domain,
                 count=step.count,
-                spot=step.subject.spot,
+                spot=step.pool.spot,
             )
         self._is_done = True
         return None
@@ -96,7 +94,7 @@
         for service in view.services:
             if service.name not in self._services:
                 self._services[service.name] = _service.ServiceCapacity(
-                    service.name, self._since
+                    service.name, now
                 )
             self._services[service.name].observe(service, now)
 
--- a/src/turmericward/capacity/_mix.py
+++ b/src/turmericward/capacity/_mix.py
@@ -16,7 +16,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Subject:
+class Pool:
     """One kind of replicas of a service in a failure domain."""
 
     domain: str
@@ -39,57 +39,57 @@
         self,
         scaling: routing.Scaling,
         domains: Collection[str],
-        limits: Mapping[Subject, int],
+        limits: Mapping[Pool, int],
         even: float,
     ) -> None:
-        self.counts: collections.Counter[Subject] = collections.Counter()
+        self.counts: collections.Counter[Pool] = collections.Counter()
         self._scaling = scaling
         self._domains = sorted(domains)
         self._limits = limits
         self._even = max(1.0, even)
 
     def of_domain(self, domain: str) -> int:
-        return sum(self.counts[Subject(domain=domain, spot=s)] for s in (True, False))
+        return sum(self.counts[Pool(domain=domain, spot=s)] for s in (True, False))
 
-    def has_room(self, subject: Subject) -> bool:
-        if subject.spot and not _has_cheaper_spot(self._scaling):
+    def has_room(self, pool: Pool) -> bool:
+        if pool.spot and not _has_cheaper_spot(self._scaling):
             return False
-        if self.of_domain(subject.domain) >= self._scaling.max_count:
+        if self.of_domain(pool.domain) >= self._scaling.max_count:
             return False
-        return self.counts[subject] < self._limits.get(subject, math.inf)
+        return self.counts[pool] < self._limits.get(pool, math.inf)
 
-    def fill(self, subjects: Collection[Subject], count: int) -> None:
-        """Adds up to `count` replicas of the first subject with room each time."""
+    def fill(self, pools: Collection[Pool], count: int) -> None:
+        """Adds up to `count` replicas of the first pool with room each time."""
         for _ in range(count):
-            subject = next((s for s in subjects if self.has_room(s)), None)
-            if subject is None:
+            pool = next((s for s in pools if self.has_room(s)), None)
+            if pool is None:
                 return
-            self.counts[subject] += 1
+            self.counts[pool] += 1
 
     def add_cheapest(self, domains: Collection[str], kinds: Collection[bool]) -> bool:
         """Adds one replica; returns False if there is no room for it."""
-        subjects = [
-            Subject(domain=d, spot=s)
+        pools = [
+            Pool(domain=d, spot=s)
             for d in domains
             for s in kinds
-            if self.has_room(Subject(domain=d, spot=s))
+            if self.has_room(Pool(domain=d, spot=s))
         ]
-        if not subjects:
+        if not pools:
             return False
-        self.counts[min(subjects, key=self._cost)] += 1
+        self.counts[min(pools, key=self._cost)] += 1
         return True
 
-    def _cost(self, subject: Subject) -> tuple[float, int, str]:
+    def _cost(self, pool: Pool) -> tuple[float, int, str]:
         """Returns the price, which grows in domains above an even share.
 
         Callers of a domain that has fewer replicas than others send their work across.
         """
-        total = self.of_domain(subject.domain)
-        price = self._scaling.domain_prices.get(subject.domain, 1.0)
-        if subject.spot:
+        total = self.of_domain(pool.domain)
+        price = self._scaling.domain_prices.get(pool.domain, 1.0)
+        if pool.spot:
             price *= self._scaling.spot_price
         crowding = max(1.0, (total + 1) / self._even) ** CROWDING_EXPONENT
-        return (price * crowding, total, subject.domain)
+        return (price * crowding, total, pool.domain)
 
     @property
     def total(self) -> int:
@@ -99,9 +99,7 @@
         return max(self._domains, key=self.of_domain)
 
     def most_spot_domain(self) -> str:
-        return max(
-            self._domains, key=lambda d: self.counts[Subject(domain=d, spot=True)]
-        )
+        return max(self._domains, key=lambda d: self.counts[Pool(domain=d, spot=True)])
 
 
 def _has_cheaper_spot(scaling: routing.Scaling) -> bool:
@@ -112,8 +110,8 @@
     need: Need,
     scaling: routing.Scaling,
     domains: Collection[str],
-    limits: Mapping[Subject, int],
-) -> dict[Subject, int]:
+    limits: Mapping[Pool, int],
+) -> dict[Pool, int]:
     """Returns how many replicas of each kind there should be in each domain.
 
     Args:
@@ -126,7 +124,7 @@
     mix = _Mix(scaling, domains, limits, even)
     steady = max(1, int(STEADY_SHARE * even))
     for domain in sorted(domains):
-        kinds = [Subject(domain=domain, spot=s) for s in (False, True)]
+        kinds = [Pool(domain=domain, spot=s) for s in (False, True)]
         mix.fill(kinds, steady)
         mix.fill(kinds[::-1], scaling.min_count - mix.of_domain(domain))
     while mix.total < need.total:
@@ -135,15 +133,15 @@
     # A second loss while no more spot replicas are available isn't worth others.
     kinds = (True,) if any(s.spot for s in limits) else (True, False)
     _add_reserve(mix, need, domains, kinds)
-    every = [Subject(domain=d, spot=s) for d in domains for s in (True, False)]
-    return {subject: mix.counts[subject] for subject in every}
+    every = [Pool(domain=d, spot=s) for d in domains for s in (True, False)]
+    return {pool: mix.counts[pool] for pool in every}
 
 
 def _add_reserve(mix: _Mix, need: Need, domains, kinds) -> None:
     while True:
         largest = mix.largest_domain()
         most_spot = mix.most_spot_domain()
-        spot = mix.counts[Subject(domain=most_spot, spot=True)]
+        spot = mix.counts[Pool(domain=most_spot, spot=True)]
         if mix.total - mix.of_domain(largest) < need.without_domain:
             others = [d for d in domains if d != largest]
         elif mix.total - spot < need.without_spot:
--- a/src/turmericward/capacity/_orders.py
+++ b/src/turmericward/capacity/_orders.py
@@ -24,7 +24,7 @@
 
 @attrs.define(kw_only=True)
 class OrderState:
-    """The orders of a subject in this term; times are monotonic seconds.
+    """The orders of a pool in this term; times are monotonic seconds.
 
     `ordered` is the count accepted last, `unconfirmed` that of the latest order if it
     got no response and may still take effect.
@@ -60,6 +60,11 @@
         """
         return self._seen if self.ordered is None else self.ordered
 
+    def is_unknown(self, live: int) -> bool:
+        """Returns whether replicas are announced that this term knows nothing of."""
+        never_ordered = self.ordered is None and self.unconfirmed is None
+        return never_ordered and live > self._seen
+
     def highest(self, live: int) -> int:
         """Returns how many replicas there may be at most."""
         return max(live, self.intended, self._possible)
@@ -87,7 +92,7 @@
             self._appeared = True
             self._unavailable_s = 0.0
         self._seen = max(self._seen, live)
-        gone = min(before, self.intended) - live
+        gone = min(before, self.intended, self.expected(before, now)) - live
         if gone >= max(MIN_LOST, LOST_SHARE * before):
             self._limited_until = max(self._limited_until, now + LOST_S)
             self._settles_at = -math.inf
--- a/src/turmericward/capacity/_service.py
+++ b/src/turmericward/capacity/_service.py
@@ -26,18 +26,18 @@
     """What the holder knows of a service; times are monotonic seconds."""
 
     def __init__(self, name: str, since: float) -> None:
-        """Starts a term.
+        """Starts without knowledge.
 
         Args:
             name: name of the service.
-            since: when the term began.
+            since: when the term began, or the service was first seen in it.
         """
         self._name = name
         self._since = since
         self._demand = _demand.DemandTracker()
-        self._states: collections.defaultdict[_mix.Subject, _orders.OrderState]
+        self._states: collections.defaultdict[_mix.Pool, _orders.OrderState]
         self._states = collections.defaultdict(_orders.OrderState)
-        self._live: collections.Counter[_mix.Subject] = collections.Counter()
+        self._live: collections.Counter[_mix.Pool] = collections.Counter()
         self._view: _view.ServiceView | None = None
         self._boot_s = 0.0
         # Replicas needed: at first those found, kept until the load is known.
@@ -57,26 +57,28 @@
         self._sample = _demand.sample(view)
         self._demand.observe(self._sample, view.scaling.boot_s, now)
         live = collections.Counter(
-            _mix.Subject(domain=r.target.domain, spot=r.target.spot)
-            for r in view.serving
+            _mix.Pool(domain=r.target.domain, spot=r.target.spot) for r in view.serving
         )
+        if any(self._states[pool].is_unknown(live[pool]) for pool in live):
+            # Not all replicas were known yet; the front may have just started.
+            self._since = now
         if now - self._since < view.scaling.boot_s + HANDOVER_S:
             self._total = max(self._total, _carrying(live))
-        for subject in {*self._live, *live}:
-            found = self._states[subject].check(self._live[subject], live[subject], now)
+        for pool in {*self._live, *live}:
+            found = self._states[pool].check(self._live[pool], live[pool], now)
             if found:
-                self._log_short(subject, found, live[subject])
+                self._log_short(pool, found, live[pool])
         self._live = live
         self._need = self._needed(now)
 
-    def _log_short(self, subject: _mix.Subject, found: str, live: int) -> None:
+    def _log_short(self, pool: _mix.Pool, found: str, live: int) -> None:
         telemetry.log_event(
             "capacity_short",
             service=self._name,
-            domain=subject.domain,
-            spot=subject.spot,
+            domain=pool.domain,
+            spot=pool.spot,
             found=found,
-            before=self._live[subject],
+            before=self._live[pool],
             live=live,
         )
 
@@ -101,6 +103,9 @@
         view = self._view
         if view is None or now - self._since < view.scaling.boot_s + HANDOVER_S:
             return None
+        if not self._states:
+            # No replica has ever been announced: the directory isn't known.
+            return None
         situation = self._situation(view, now)
         step = _steps.next_step(situation, now)
         if step is None:
@@ -108,7 +113,7 @@
         else:
             self._roles_wait_since = None
         if step is not None and step.count < step.before:
-            self._fell_at[step.subject.domain] = now
+            self._fell_at[step.pool.domain] = now
         return step
 
     def _step_without_roles(
@@ -126,10 +131,8 @@
     def _situation(self, view: _view.ServiceView, now: float) -> _steps.Situation:
         domains = set(view.scaling.domain_prices)
         domains |= {s.domain for s in self._states}
-        subjects = [
-            _mix.Subject(domain=d, spot=s) for d in domains for s in (True, False)
-        ]
-        limits = {s: self._live[s] for s in subjects if self._states[s].is_limited(now)}
+        pools = [_mix.Pool(domain=d, spot=s) for d in domains for s in (True, False)]
+        limits = {s: self._live[s] for s in pools if self._states[s].is_limited(now)}
         planned = _mix.plan(self._need, view.scaling, domains, limits)
         engines = tuple(r.target for r in view.serving if r.target.role)
         as_planned = all(self._live[s] == count for s, count in planned.items())
@@ -162,18 +165,18 @@
         self, call: duties.CapacityOrder, outcome: duties.Outcome, now: float
     ) -> None:
         """Records what became of an order."""
-        subject = _mix.Subject(domain=call.domain, spot=call.spot)
-        self._states[subject].record(call.count, outcome, self._boot_s, now)
+        pool = _mix.Pool(domain=call.domain, spot=call.spot)
+        self._states[pool].record(call.count, outcome, self._boot_s, now)
 
 
-def _carrying(live: collections.Counter[_mix.Subject]) -> int:
+def _carrying(live: collections.Counter[_mix.Pool]) -> int:
     """Returns how many of the replicas found at the start of a term are needed.
 
     The previous holder may have been replacing them: then most are there twice. If it
     ordered others since there were no spot replicas, the load alone shows the need.
     """
-    spot = sum(count for subject, count in live.items() if subject.spot)
+    spot = sum(count for pool, count in live.items() if pool.spot)
     steady = live.total() - spot
-    domains = len({subject.domain for subject in live})
+    domains = len({pool.domain for pool in live})
     kept = max(domains, int(_mix.STEADY_SHARE * spot))
     return max(steady, spot + min(steady, kept))
--- a/src/turmericward/capacity/_steps.py
+++ b/src/turmericward/capacity/_steps.py
@@ -25,9 +25,9 @@
 
 @attrs.frozen(kw_only=True)
 class Step:
-    """A change of the ordered count of a subject, and the reason for it."""
+    """A change of the ordered count of a pool, and the reason for it."""
 
-    subject: _mix.Subject
+    pool: _mix.Pool
     before: int
     count: int
     reason: str
@@ -43,9 +43,9 @@
     """
 
     scaling: routing.Scaling
-    live: Mapping[_mix.Subject, int]
-    planned: Mapping[_mix.Subject, int]
-    states: Mapping[_mix.Subject, _orders.OrderState]
+    live: Mapping[_mix.Pool, int]
+    planned: Mapping[_mix.Pool, int]
+    states: Mapping[_mix.Pool, _orders.OrderState]
     engines: tuple[fleet.Target, ...] = ()
     prefill_share: float = 0.0
     fell_at: Mapping[str, float] = attrs.field(factory=dict)
@@ -56,10 +56,10 @@
         """Returns the replicas of a domain that take new calls."""
         return sum(n for s, n in self.live.items() if s.domain == domain)
 
-    def remaining(self, subject: _mix.Subject, now: float) -> int:
-        """Returns the live replicas of a subject that no order gives back."""
-        live = self.live[subject]
-        return min(live, self.states[subject].expected(live, now))
+    def remaining(self, pool: _mix.Pool, now: float) -> int:
+        """Returns the live replicas of a pool that no order gives back."""
+        live = self.live[pool]
+        return min(live, self.states[pool].expected(live, now))
 
     def planned_in(self, domain: str) -> int:
         """Returns the planned replicas of a domain."""
@@ -72,51 +72,51 @@
     # Spot replicas first.
     ready.sort(key=lambda s: (not s.spot, s.domain))
     for find in (_repeat, _rise, _fall):
-        for subject in ready:
-            step = find(situation, subject, now)
+        for pool in ready:
+            step = find(situation, pool, now)
             if step is not None:
                 return step
     return None
 
 
-def _repeat(situation: Situation, subject: _mix.Subject, now: float) -> Step | None:
+def _repeat(situation: Situation, pool: _mix.Pool, now: float) -> Step | None:
     """Repeats an order whose outcome is unknown, since it may still take effect."""
-    count = situation.states[subject].unconfirmed
+    count = situation.states[pool].unconfirmed
     if count is None:
         return None
     return Step(
-        subject=subject,
-        before=situation.live[subject],
+        pool=pool,
+        before=situation.live[pool],
         count=count,
         reason="no response",
     )
 
 
-def _rise(situation: Situation, subject: _mix.Subject, now: float) -> Step | None:
-    state = situation.states[subject]
-    expected = state.expected(situation.live[subject], now)
-    other = attrs.evolve(subject, spot=not subject.spot)
+def _rise(situation: Situation, pool: _mix.Pool, now: float) -> Step | None:
+    state = situation.states[pool]
+    expected = state.expected(situation.live[pool], now)
+    other = attrs.evolve(pool, spot=not pool.spot)
     others = situation.states[other].highest(situation.live[other])
-    if situation.planned[subject] <= expected:
+    if situation.planned[pool] <= expected:
         return None
-    step = max(MIN_RISE, situation.live_in(subject.domain))
-    count = min(situation.planned[subject], expected + step)
+    step = max(MIN_RISE, situation.live_in(pool.domain))
+    count = min(situation.planned[pool], expected + step)
     # Fewer than intended would give back replicas that aren't announced at present.
     count = max(count, state.intended)
     count = min(count, situation.scaling.max_count - others)
     if count <= expected or count < state.intended:
         return None
-    return Step(subject=subject, before=expected, count=count, reason="too few")
+    return Step(pool=pool, before=expected, count=count, reason="too few")
 
 
-def _fall(situation: Situation, subject: _mix.Subject, now: float) -> Step | None:
-    state = situation.states[subject]
-    live = situation.live[subject]
-    planned = situation.planned[subject]
+def _fall(situation: Situation, pool: _mix.Pool, now: float) -> Step | None:
+    state = situation.states[pool]
+    live = situation.live[pool]
+    planned = situation.planned[pool]
     # Until the previous order has taken effect it isn't known what is left.
     if live <= planned or state.expected(live, now) != live:
         return None
-    domain = subject.domain
+    domain = pool.domain
     remaining = {s: situation.remaining(s, now) for s in situation.planned}
     of_domain = sum(n for s, n in remaining.items() if s.domain == domain)
     spare = min(
@@ -127,9 +127,9 @@
     count = min(live - planned, spare, _max_fall(situation, domain, now))
     if count <= 0:
         return None
-    if situation.check_roles and not _keeps_roles(situation, subject, count, now):
+    if situation.check_roles and not _keeps_roles(situation, pool, count, now):
         return None
-    return Step(subject=subject, before=live, count=live - count, reason="spare")
+    return Step(pool=pool, before=live, count=live - count, reason="spare")
 
 
 def _max_fall(situation: Situation, domain: str, now: float) -> int:
@@ -141,25 +141,23 @@
     return max(1, int(live * MAX_FALL_SHARE))
 
 
-def _keeps_roles(
-    situation: Situation, subject: _mix.Subject, count: int, now: float
-) -> bool:
+def _keeps_roles(situation: Situation, pool: _mix.Pool, count: int, now: float) -> bool:
     """Returns whether enough prefill engines remain, whichever are given back.
 
     New replicas start as decode engines; the role planner has to change some of them
     before the prefill engines that they replace may go.
     """
     prefill = collections.Counter(
-        _mix.Subject(domain=t.domain, spot=t.spot)
+        _mix.Pool(domain=t.domain, spot=t.spot)
         for t in situation.engines
         if not t.can_decode
     )
-    if not prefill[subject]:
+    if not prefill[pool]:
         return True
     kept = 0
     for other, engines in prefill.items():
         leaving = situation.live[other] - situation.remaining(other, now)
-        if other == subject:
+        if other == pool:
             leaving += count
         kept += max(0, engines - leaving)
     planned = sum(situation.planned.values())
--- a/tests/capacity_fleet.py
+++ b/tests/capacity_fleet.py
@@ -51,7 +51,7 @@
     """A replica that works off its calls one after the other."""
 
     name: str
-    subject: capacity.Subject
+    pool: capacity.Pool
     ready_at: float
     free_at: float = 0.0
     leaves_at: float | None = None
@@ -69,11 +69,11 @@
                 name=self.name,
                 service="chat",
                 address="10.0.0.1:1",
-                domain=self.subject.domain,
+                domain=self.pool.domain,
                 slots=SLOTS,
                 role=self.role,
                 leaving=self.leaves_at is not None,
-                spot=self.subject.spot,
+                spot=self.pool.spot,
             ),
             open_calls=len(self.calls),
             queued_s=sum(c[2] for c in waiting),
@@ -105,7 +105,7 @@
         self.estimate = estimate
         self.answer = answer
         self.engines: list[Engine] = []
-        self.desired: collections.Counter[capacity.Subject] = collections.Counter()
+        self.desired: collections.Counter[capacity.Pool] = collections.Counter()
         self.orders: list[tuple[float, duties.CapacityOrder, duties.Outcome]] = []
         self.price = 0.0
         self.arrived, self.served, self.in_time = 0, 0, 0
@@ -117,9 +117,9 @@
         self._burst_until = 0.0
         self._bursting: CallClass | None = None
         for domain in PRICES:
-            subject = capacity.Subject(domain=domain, spot=False)
-            self.desired[subject] = per_domain
-            self._resize(subject, per_domain, boot_s=0.0)
+            pool = capacity.Pool(domain=domain, spot=False)
+            self.desired[pool] = per_domain
+            self._resize(pool, per_domain, boot_s=0.0)
         self._role_orders: list[tuple[float, str, fleet.EngineRole]] = []
         self._has_roles = prefill_per_domain is not None
         for index, engine in enumerate(self.engines if self._has_roles else ()):
@@ -150,21 +150,19 @@
         due = [order for at, order in self._effects if at <= self.now]
         self._effects = [e for e in self._effects if e[0] > self.now]
         for order in due:
-            subject = capacity.Subject(domain=order.domain, spot=order.spot)
-            self.desired[subject] = order.count
+            pool = capacity.Pool(domain=order.domain, spot=order.spot)
+            self.desired[pool] = order.count
             total = sum(n for s, n in self.desired.items() if s.domain == order.domain)
             if not self.scaling.min_count <= total <= self.scaling.max_count:
                 raise AssertionError(f"{total} replicas desired in {order.domain}")
-            self._resize(subject, order.count, boot_s=self.scaling.boot_s)
+            self._resize(pool, order.count, boot_s=self.scaling.boot_s)
 
-    def _resize(self, subject: capacity.Subject, count: int, boot_s: float) -> None:
-        present = [
-            e for e in self.engines if e.subject == subject and e.leaves_at is None
-        ]
+    def _resize(self, pool: capacity.Pool, count: int, boot_s: float) -> None:
+        present = [e for e in self.engines if e.pool == pool and e.leaves_at is None]
         for _ in range(count - len(present)):
             number = next(self._numbers)
-            name = f"{subject.domain}-{'spot-' if subject.spot else ''}{number}"
-            engine = Engine(name=name, subject=subject, ready_at=self.now + boot_s)
+            name = f"{pool.domain}-{'spot-' if pool.spot else ''}{number}"
+            engine = Engine(name=name, pool=pool, ready_at=self.now + boot_s)
             if boot_s and self._has_roles:
                 engine.role = fleet.EngineRole.DECODE
             self.engines.append(engine)
@@ -174,12 +172,12 @@
     def reclaim(self, domain: str) -> None:
         """Takes all spot replicas of a domain back, which drain first."""
         for engine in self.engines:
-            if engine.subject == capacity.Subject(domain=domain, spot=True):
+            if engine.pool == capacity.Pool(domain=domain, spot=True):
                 engine.leaves_at = self.now + LEAVES_S
 
     def lose(self, domain: str) -> None:
         """Ends all replicas of a domain at once, with their calls."""
-        for engine in [e for e in self.engines if e.subject.domain == domain]:
+        for engine in [e for e in self.engines if e.pool.domain == domain]:
             lost = [c for c in engine.calls if c[1] > self.now]
             self.served -= len(lost)
             self.in_time -= sum(not c[3] for c in lost)
@@ -229,8 +227,8 @@
 
     def _bill(self) -> None:
         for engine in self.engines:
-            price = self.scaling.domain_prices[engine.subject.domain]
-            if engine.subject.spot:
+            price = self.scaling.domain_prices[engine.pool.domain]
+            if engine.pool.spot:
                 price *= self.scaling.spot_price
             self.price += price * STEP_S
 
@@ -256,7 +254,7 @@
         engine = min(
             ready,
             key=lambda e: (
-                max(e.free_at, self.now) + CROSS_DOMAIN_S * (e.subject.domain != domain)
+                max(e.free_at, self.now) + CROSS_DOMAIN_S * (e.pool.domain != domain)
             ),
         )
         engine_free = max(engine.free_at, self.now) + kind.work_s
@@ -293,8 +291,8 @@
         """Returns the replicas that take calls."""
         return sum(
             e.takes_calls(self.now)
-            and spot in (None, e.subject.spot)
-            and domain in ("", e.subject.domain)
+            and spot in (None, e.pool.spot)
+            and domain in ("", e.pool.domain)
             for e in self.engines
         )
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -11,14 +11,14 @@
 BOOT_S = 4.0
 
 
-def _subject(domain: str, spot: bool = False) -> capacity.Subject:
-    return capacity.Subject(domain=domain, spot=spot)
+def _pool(domain: str, spot: bool = False) -> capacity.Pool:
+    return capacity.Pool(domain=domain, spot=spot)
 
 
 def _counts(plan) -> dict[str, tuple[int, int]]:
     """Returns the spot and the other replicas of each domain."""
     domains = sorted({s.domain for s in plan})
-    return {d: (plan[_subject(d, True)], plan[_subject(d)]) for d in domains}
+    return {d: (plan[_pool(d, True)], plan[_pool(d)]) for d in domains}
 
 
 def _plan(need, scaling=SCALING, limits=None):
@@ -76,11 +76,11 @@
 
 def test_what_is_unavailable_is_replaced_elsewhere_or_by_the_other_kind():
     """Guards against waiting for a kind that the platform hasn't got."""
-    plan = _plan(capacity.Need(total=36), limits={_subject("b", True): 0})
+    plan = _plan(capacity.Need(total=36), limits={_pool("b", True): 0})
     check.assertEqual(plan["b"][0], 0)
     check.assertEqual(sum(map(sum, plan.values())), 36)
     check.assertEqual(sum(pair[1] for pair in plan.values()), 3)
-    everywhere = {_subject(d, True): 2 for d in PRICES}
+    everywhere = {_pool(d, True): 2 for d in PRICES}
     plan = _plan(capacity.Need(total=36), limits=everywhere)
     check.assertEqual(plan, {"a": (2, 11), "b": (2, 9), "c": (2, 10)})
 
@@ -160,10 +160,10 @@
 
 def _situation(live, planned, states=None, **fields) -> capacity.Situation:
     """Returns a situation of domain `a`: spot replicas and others."""
-    keys = _subject("a", True), _subject("a")
+    keys = _pool("a", True), _pool("a")
     known = {s: capacity.OrderState() for s in keys}
-    for subject, count in zip(keys, live, strict=True):
-        known[subject].check(count, count, 0.0)
+    for pool, count in zip(keys, live, strict=True):
+        known[pool].check(count, count, 0.0)
     return capacity.Situation(
         scaling=SCALING,
         live=dict(zip(keys, live, strict=True)),
@@ -181,7 +181,7 @@
 
 def test_table_of_steps():
     """Guards against dips: fewer replicas than the plan while others are starting."""
-    spot, steady = _subject("a", True), _subject("a")
+    spot, steady = _pool("a", True), _pool("a")
     cases = {
         "spot first": (_situation((0, 12), (11, 1)), 1.0, (spot, 11)),
         "nothing back before they serve": (
@@ -234,21 +234,21 @@
     }
     for name, (situation, now, expected) in cases.items():
         step = capacity.next_step(situation, now)
-        found = None if step is None else (step.subject, step.count)
+        found = None if step is None else (step.pool, step.count)
         with check.subTest(name):
             check.assertEqual(found, expected)
 
 
 def test_replicas_that_are_not_announced_at_present_are_not_given_back():
     """Guards against an order below the ordered count, taken for a rise."""
-    spot = _subject("a", True)
+    spot = _pool("a", True)
     state = _ordered(12)
     state.check(12, 12, 8.0)
     check.assertEqual(state.check(12, 0, 9.0), "lost")
     situation = _situation((0, 1), (8, 1), {spot: state})
     check.assertIsNone(capacity.next_step(situation, 10.0))
     step = capacity.next_step(situation, 30.0)
-    check.assertEqual((step.subject, step.count), (spot, 12))
+    check.assertEqual((step.pool, step.count), (spot, 12))
 
 
 def test_ordered_replicas_that_do_not_appear_count_as_unavailable():
--- a/tests/test_capacity_replay.py
+++ b/tests/test_capacity_replay.py
@@ -6,6 +6,8 @@
 import functools
 import random
 
+import attrs
+
 from tests import capacity_fleet, fixtures
 from turmericward import capacity, duties
 from turmericward import fleet as fleets
@@ -170,9 +172,9 @@
     """Guards against a second order while the first may still take effect."""
     fleet = capacity_fleet.ScalableFleet(answer=lambda order, now: UNKNOWN)
     fleet.run(60.0, fleet.duty())
-    subjects = {(o.domain, o.spot) for _, o, _ in fleet.orders}
+    pools = {(o.domain, o.spot) for _, o, _ in fleet.orders}
     counts = {(o.domain, o.spot, o.count) for _, o, _ in fleet.orders}
-    check.assertEqual(len(subjects), len(counts))
+    check.assertEqual(len(pools), len(counts))
     check.assertLessEqual(len(fleet.orders), 50)
 
 
@@ -214,3 +216,33 @@
     check.assertIsNone(duty.next_call(6.0))
     views[0] = fleet.view()
     check.assertIsNotNone(duty.next_call(6.5))
+
+
+def test_replicas_that_become_known_late_are_not_given_back():
+    """Guards against a holder that has just started and knows no targets yet."""
+    fleet = capacity_fleet.ScalableFleet(traffic_from=1e9)
+    known = [0]
+
+    def look() -> capacity.View:
+        (service,) = fleet.view().services
+        replicas = service.replicas[: known[0]]
+        return capacity.View(services=(attrs.evolve(service, replicas=replicas),))
+
+    duty = capacity.CapacityDuty(look)
+    duty.took_over(0.0)
+    for until, count in ((8.0, 0), (10.0, 20), (60.0, 1000)):
+        known[0] = count
+        fleet.run(until, duty)
+        check.assertGreaterEqual(fleet.count(), 36)
+
+
+def test_a_service_that_becomes_scalable_in_a_term_is_not_reduced():
+    """Guards against a need of nothing where the replicas found weren't counted."""
+    fleet = capacity_fleet.ScalableFleet(traffic_from=1e9)
+    views = [capacity.View()]
+    duty = capacity.CapacityDuty(lambda: views[0] or fleet.view())
+    duty.took_over(0.0)
+    fleet.run(10.0, duty)
+    views[0] = None
+    fleet.run(40.0, duty)
+    check.assertEqual((fleet.count(), fleet.count(spot=False)), (36, 3))
