--- a/tests/test_capacity_replay.py
+++ b/tests/test_capacity_replay.py
@@ -189,6 +189,15 @@
         check.assertLessEqual(len(fleet.orders), 60)
 
 
+def test_a_new_holder_waits_for_orders_of_the_previous_one_to_appear():
+    """Guards against counts above the maximum by two holders' orders together."""
+    fleet = capacity_fleet.ScalableFleet()
+    unseen = duties.CapacityOrder(service="chat", domain="a", count=20, spot=False)
+    fleet.order(unseen)
+    fleet.run(40.0, fleet.duty())
+    check.assertGreaterEqual(fleet.served_share, 0.98)
+
+
 def test_estimates_that_are_wrong_by_a_factor_of_three():
     """Guards against rules that hold only if the estimate is right."""
     for estimate in (1 / 3, 3.0):
