--- a/src/turmericward/authority/_on_demand_lease.py
+++ b/src/turmericward/authority/_on_demand_lease.py
@@ -191,6 +191,21 @@
         )
         return Claim(end=self._end, record=record)
 
+    def resign(self, era: int) -> Claim | None:
+        """Gives the lease up; returns the renewal without a term to append, if any.
+
+        Others wait for their margin from when they read it, so that it may be appended
+        as soon as no call is under way any more; a release may only after `settle_s`.
+
+        Args:
+            era: latest era of the log that this process knows.
+        """
+        claim = self.renew(era)
+        self._held = None
+        if claim is None:
+            return None
+        return attrs.evolve(claim, record=attrs.evolve(claim.record, term_s=0.0))
+
     def _is_held_in(self, era: int) -> bool:
         """Returns whether the lease is held in an era, and drops it if not."""
         if self._held is not None and era > self._held_era:
--- a/src/turmericward/dispatching/_standing_lease.py
+++ b/src/turmericward/dispatching/_standing_lease.py
@@ -10,6 +10,9 @@
 from turmericward import authority, positions, runtime, telemetry
 from turmericward.adapters import errors
 
+# A call or order that was begun before has ended, or isn't sent any more.
+LONGEST_CALL_S = 1.6
+
 
 @attrs.frozen(kw_only=True)
 class LogState:
@@ -47,7 +50,7 @@
 
 
 class StandingLease:
-    """Acquires, renews and releases the lease; thread-safe.
+    """Acquires, renews and gives up the lease; thread-safe.
 
     One thread calls the log at a time. `authority` doesn't wait for it.
     """
@@ -116,7 +119,7 @@
         return free_in_s if 0 < free_in_s < poll_s else poll_s
 
     def note_sent(self) -> None:
-        """Records that a call or order is sent, which delays a release."""
+        """Records that a call or order is sent, which delays a resignation."""
         self._sent_at = self._clock()
 
     def tend(self) -> None:
@@ -200,8 +203,8 @@
         if held is not None:
             telemetry.log_event("lease", state="acquired", token=held.token)
 
-    def release(self) -> bool:
-        """Releases the lease once no call of this front is under way any more.
+    def resign(self) -> bool:
+        """Gives the lease up once no call of this front is under way any more.
 
         Returns:
             Whether this front is without the lease.
@@ -212,10 +215,9 @@
         with self._lock:
             if not self._lease.is_holder:
                 return True
-            now = self._clock()
-            if now - self._sent_at < self._lease.settle_s:
-                return self.authority() is None
-            claim = self._lease.release(now, self._eras.current)
+            if self._clock() - self._sent_at < LONGEST_CALL_S:
+                return False
+            claim = self._lease.resign(self._eras.current)
             if claim is not None and not self._must_confirm:
                 self._log.append(claim)
                 telemetry.log_event("lease", state="released")
@@ -251,12 +253,12 @@
         self._tick_s = tick_s
 
     def run_once(self) -> None:
-        """Tends or releases the lease once."""
+        """Tends or gives up the lease once."""
         try:
             if self._enabled():
                 self._lease.tend()
             else:
-                self._lease.release()
+                self._lease.resign()
         except (errors.AdapterError, authority.AuthorityError) as exc:
             logging.log_every_n_seconds(logging.WARNING, "lease: %s", 10, exc)
         held = self._lease.authority() is not None
--- a/src/turmericward/peers/_usage_exchange.py
+++ b/src/turmericward/peers/_usage_exchange.py
@@ -13,7 +13,7 @@
 # The sender's time may be so far from this front's; what is further isn't counted.
 MAX_TIME_DIFFERENCE_S = 15.0
 # A domain that hasn't been heard of for so long isn't waited for.
-FORGET_DOMAIN_S = 60.0
+FORGET_DOMAIN_S = 30.0
 
 
 @attrs.define
--- a/tests/duty_world.py
+++ b/tests/duty_world.py
@@ -160,7 +160,7 @@
             return
         try:
             if self.stops:
-                self.lease.release()
+                self.lease.resign()
             else:
                 self.lease.tend()
         except errors.AdapterError:
