--- a/src/turmericward/peers/_peer_group.py
+++ b/src/turmericward/peers/_peer_group.py
@@ -65,6 +65,9 @@
         """
         self._front = front
         self._domain = domain
+        # Whether relays of other domains are sent to also while they are suspected.
+        self.greets_relays = False
+        self._relay_hello_at = float("-inf")
         self._hello_at = float("-inf")
         self.capacity = capacity
         self._peers: dict[str, _Peer] = {}
@@ -167,6 +170,7 @@
             return [self._recipient(relay, LoadScope.LOCAL)]
         others = {p.domain for p in self._peers.values()} - {self._domain}
         relays = [self.relay_of(domain, now) for domain in sorted(others)]
+        relays += self._suspected_relays(others, set(relays), now)
         return [
             *(self._recipient(f, LoadScope.DOMAIN) for f in relays if f),
             *(
@@ -187,6 +191,23 @@
             if p.domain == self._domain and f not in live
         ]
 
+    def _suspected_relays(
+        self, domains: set[str], known: set[str | None], now: float
+    ) -> list[str]:
+        """Returns the suspected first fronts of domains, once a `HELLO_INTERVAL_S`.
+
+        After a cut, the relays of both sides would otherwise send to fronts that the
+        others have chosen in place of them, until no front is suspected any more.
+        """
+        if not self.greets_relays or now - self._relay_hello_at < HELLO_INTERVAL_S:
+            return []
+        self._relay_hello_at = now
+        firsts = [
+            min((-p.capacity, f) for f, p in self._peers.items() if p.domain == domain)
+            for domain in sorted(domains)
+        ]
+        return [front for _, front in firsts if front not in known]
+
     def _recipient(
         self, front: str, scope: LoadScope, *, gets_records: bool = False
     ) -> Recipient:
--- a/src/turmericward/peers/_peer_task.py
+++ b/src/turmericward/peers/_peer_task.py
@@ -2,6 +2,7 @@
 
 import functools
 import socket
+import time
 from collections.abc import Callable, Mapping
 
 import attrs
@@ -52,6 +53,7 @@
         fresh_s: Mapping[feeds.Topic, float] | None = None,
         usage_window_s: float | None = None,
         clock: Callable[[], float] = runtime.now,
+        time_of_day: Callable[[], float] = time.time,
     ) -> None:
         """Creates the task without peers.
 
@@ -67,6 +69,7 @@
                 last read that is forwarded.
             usage_window_s: length of the windows of metering; None without it.
             clock: returns monotonic seconds.
+            time_of_day: returns the Unix time of the instance.
         """
         super().__init__()
         self._front = front
@@ -86,8 +89,14 @@
         )
         self._usage: _usage_exchange.UsageExchange | None = None
         if usage_window_s is not None:
+            self._peers.greets_relays = True
             self._usage = _usage_exchange.UsageExchange(
-                front, domain, self._builder.boot, usage_window_s, clock()
+                front,
+                domain,
+                self._builder.boot,
+                usage_window_s,
+                clock(),
+                time_of_day,
             )
         self._sent_loads: _deltas.Loads = {}
         self._sent_at = float("-inf")
--- a/src/turmericward/peers/_usage_exchange.py
+++ b/src/turmericward/peers/_usage_exchange.py
@@ -1,6 +1,5 @@
 """Usage of this front and of others, as far as datagrams tell it."""
 
-import time
 from collections.abc import Callable
 
 import attrs
@@ -34,7 +33,7 @@
         boot: int,
         window_s: float,
         now: float,
-        time_of_day: Callable[[], float] = time.time,
+        time_of_day: Callable[[], float],
     ) -> None:
         """Starts without counts.
 
