Usage of a cut domain goes through the store; role orders under the standing lease tested

Cause: a domain that is cut from the holder's for longer than a report waits would be missing in every window of the cut. Ruled out: one record a domain and window at all times, which costs calls to the store. Change: relays that don't hear of a domain for 2 s store the sums of their own, once a window; the holder reads them once a second. Nothing is read or stored otherwise.

--- a/src/turmericward/dispatching/__init__.py
+++ b/src/turmericward/dispatching/__init__.py
@@ -27,6 +27,7 @@
     LogState,
     StandingLease,
 )
+from turmericward.dispatching._usage_store_loop import UsageStoreLoop
 
 __all__ = [
     "CacheListingLoop",
@@ -53,4 +54,5 @@
     "StoreRecovered",
     "TargetNotice",
     "TargetWentOn",
+    "UsageStoreLoop",
 ]
--- a/src/turmericward/peers/__init__.py
+++ b/src/turmericward/peers/__init__.py
@@ -9,9 +9,12 @@
     CollectUsage,
     Drain,
     FrontsListed,
+    GetSilentDomains,
     LocalState,
     Members,
+    SilentDomains,
     StateReceived,
+    StoredUsage,
 )
 from turmericward.peers._peer_group import LoadScope, PeerGroup, Recipient
 from turmericward.peers._peer_task import PeerTask
@@ -26,6 +29,7 @@
     "CollectUsage",
     "Drain",
     "FrontsListed",
+    "GetSilentDomains",
     "LeavingTarget",
     "LoadScope",
     "MalformedStateError",
@@ -35,7 +39,9 @@
     "PeerTask",
     "ReceiveLoop",
     "Recipient",
+    "SilentDomains",
     "StateReceived",
+    "StoredUsage",
     "TargetLimit",
     "LocalState",
     "decode",
--- a/src/turmericward/peers/_messages.py
+++ b/src/turmericward/peers/_messages.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from turmericward import requests
+from turmericward import metering, requests
 from turmericward.peers import _states
 
 
@@ -69,3 +69,24 @@
     """Requests the usage of a window; answered with `metering.Collected`."""
 
     window: int
+
+
+@attrs.frozen(kw_only=True)
+class GetSilentDomains:
+    """Asks which domains aren't heard of now; answered with `SilentDomains`."""
+
+
+@attrs.frozen(kw_only=True)
+class SilentDomains:
+    """Domains that were heard of but aren't now, and the sums of this front's own."""
+
+    domains: frozenset[str]
+    sums: metering.Usage
+
+
+@attrs.frozen(kw_only=True)
+class StoredUsage:
+    """What a domain has stored of its usage."""
+
+    domain: str
+    usage: metering.Usage
--- a/src/turmericward/peers/_peer_task.py
+++ b/src/turmericward/peers/_peer_task.py
@@ -216,6 +216,14 @@
     def _(self, message: _messages.CollectUsage) -> metering.Collected:
         return self._usage.collect(message.window, self._clock())
 
+    @handle.register
+    def _(self, message: _messages.GetSilentDomains) -> _messages.SilentDomains:
+        return self._usage.silent_domains(self._clock())
+
+    @handle.register
+    def _(self, message: _messages.StoredUsage) -> None:
+        self._usage.receive_stored(message, self._clock())
+
     @handle.register
     def _(self, message: _messages.Drain) -> None:
         self._peers.capacity = DRAINING_CAPACITY
--- a/src/turmericward/peers/_usage_exchange.py
+++ b/src/turmericward/peers/_usage_exchange.py
@@ -12,7 +12,13 @@
 # The sender's time may be so far from this front's; what is further isn't counted.
 MAX_TIME_DIFFERENCE_S = 15.0
 # A domain that hasn't been heard of for so long isn't waited for.
-FORGET_DOMAIN_S = 30.0
+FORGET_DOMAIN_S = 60.0
+# A domain that hasn't been heard of for so long gets its usage through the store.
+SILENT_S = 2.0
+# Time after the end of a window in which its sum is stored: when its fronts have told
+# their last counts, and for as long as reports wait.
+STORE_DELAY_S = 1.0
+STORE_UNTIL_S = 6.0
 
 
 @attrs.define
@@ -57,6 +63,8 @@
             for scope in _peer_group.LoadScope
         }
         self._heard: dict[str, _HeardDomain] = {}
+        # Unix time up to which domains have stored what they counted.
+        self._stored_until_s: dict[str, float] = {}
 
     def count(self, message: _messages.CallsBegan) -> None:
         """Counts calls of this front."""
@@ -71,13 +79,46 @@
             return
         self._clock.record_peer(state.front, usage.unix_s, now, relay=relay)
         unix_s = self._clock.unix_s(now)
+        self._merge((state.front, state.boot), state.domain, usage, unix_s)
+        if state.domain != self._domain:
+            self._heard[state.domain] = _HeardDomain(usage.unix_s, now)
+
+    def _merge(
+        self, source: tuple[str, int], domain: str, usage: metering.Usage, unix_s: float
+    ) -> None:
         oldest = self._window(unix_s - KEPT_S)
         newest = self._window(unix_s + MAX_TIME_DIFFERENCE_S)
         for row in usage.windows:
             if oldest <= row.window <= newest:
-                self._ledger.receive((state.front, state.boot), state.domain, row)
-        if state.domain != self._domain:
-            self._heard[state.domain] = _HeardDomain(usage.unix_s, now)
+                self._ledger.receive(source, domain, row)
+
+    def receive_stored(self, message: _messages.StoredUsage, now: float) -> None:
+        """Merges what a domain has stored, whose relay isn't heard of."""
+        domain, usage = message.domain, message.usage
+        unix_s = self._clock.unix_s(now)
+        self._merge(("", 0), domain, usage, unix_s)
+        if usage.unix_s <= unix_s + MAX_TIME_DIFFERENCE_S:
+            self._stored_until_s[domain] = usage.unix_s
+
+    def silent_domains(self, now: float) -> _messages.SilentDomains:
+        """Returns which domains are silent, and sums of this domain to be stored."""
+        unix_s = self._clock.unix_s(now)
+        silent = frozenset(
+            domain
+            for domain, heard in self._heard.items()
+            if SILENT_S < now - heard.at <= FORGET_DOMAIN_S
+        )
+        first = self._window(unix_s - STORE_UNTIL_S)
+        last = self._window(unix_s - STORE_DELAY_S) - 1
+        windows = tuple(
+            metering.WindowUsage(
+                window=window, counts=self._ledger.domain_sum(window), domain=True
+            )
+            for window in range(first, last + 1)
+            if silent
+        )
+        sums = metering.Usage(unix_s=unix_s, windows=windows)
+        return _messages.SilentDomains(domains=silent, sums=sums)
 
     def _window(self, unix_s: float) -> int:
         return int(unix_s // self._window_s)
@@ -101,7 +142,11 @@
             if now - heard.at <= FORGET_DOMAIN_S
         }
         unix_s = self._clock.unix_s(now)
-        known_until_s = min([unix_s, *(h.until_s for h in self._heard.values())])
+        heard_until_s = [
+            max(heard.until_s, self._stored_until_s.get(domain, 0.0))
+            for domain, heard in self._heard.items()
+        ]
+        known_until_s = min([unix_s, *heard_until_s])
         return metering.Collected(
             unix_s=unix_s,
             counts=self._ledger.total(window),
--- a/src/turmericward/platform/_duties.py
+++ b/src/turmericward/platform/_duties.py
@@ -14,7 +14,7 @@
     positions,
     runtime,
 )
-from turmericward.platform import _duty_calls, _orders, _settings
+from turmericward.platform import _duty_calls, _orders, _settings, _usage_store
 
 # A holder that dies is replaced after term, margin and up to one poll, 7.75 s with an
 # order gap of 3 s; a report is made 1.5 s after its window and due after 10 s.
@@ -71,6 +71,18 @@
     return settings.usage_window_s
 
 
+def usage_store_loop(
+    instance: _settings.InstanceSettings,
+    peer_task: peers.PeerTask,
+    lease: dispatching.StandingLease,
+    store: _usage_store.StoredUsage,
+) -> runtime.Loop:
+    """Returns the loop that passes usage through the store during a cut."""
+    return dispatching.UsageStoreLoop(
+        instance.domain, peer_task, store, lambda: lease.authority() is not None
+    )
+
+
 def has_duties(settings: _settings.DutySettings | None) -> bool:
     """Returns whether the settings name any duty that this front knows."""
     return settings is not None and any(kind in _DUTIES for kind in settings.kinds)
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -35,6 +35,7 @@
     _settings,
     _store,
     _transport,
+    _usage_store,
 )
 from turmericward.programs import _common
 
@@ -187,9 +188,16 @@
             peer_task=self._peer_task,
             dispatch=self._dispatch,
         )
-        return _duties.loops(
+        loops = _duties.loops(
             ctx, self._cfg.instance.name, lease, self._drain, metrics.count
         )
+        if _duties.usage_window_s(self._cfg.duties) is not None:
+            store = _usage_store.StoredUsage(self._store_client(), self._rejections)
+            instance = self._cfg.instance
+            loops.append(
+                _duties.usage_store_loop(instance, self._peer_task, lease, store)
+            )
+        return loops
 
     def _roles_loop(
         self,
--- a/tests/test_roles_loop.py
+++ b/tests/test_roles_loop.py
@@ -89,3 +89,34 @@
     check.assertEqual(orders.ordered, [target.name])
     (_, released) = log.claims
     check.assertIsInstance(released.record, authority.OnDemandRelease)
+
+
+class _Standing:
+    """A lease of duties that this front has, or not."""
+
+    def __init__(self) -> None:
+        self.held = None
+        self.sent = 0
+
+    def authority(self):
+        return self.held
+
+    def note_sent(self) -> None:
+        self.sent += 1
+
+
+def test_with_duties_the_holder_alone_orders_and_the_loop_leaves_the_lease_alone():
+    # Guards against two leases at a time, and against orders that wait for the front
+    # of the lowest name.
+    log, orders, standing = _Log(), _Orders(), _Standing()
+    loop = _loop(log, orders, lambda: True)
+    loop._standing = standing
+    target = prompt_model.targets(3, 3)[0]
+    change = fleet.RoleChange(target=target, role=fleet.EngineRole.DECODE)
+    with mock.patch.object(fleet.RolePlanner, "plan", return_value=change):
+        loop.run_once()
+        check.assertEqual(orders.ordered, [])
+        standing.held = authority.Authority(token=7, not_before=0.0, until=float("inf"))
+        loop.run_once()
+    check.assertEqual(orders.ordered, [target.name])
+    check.assertEqual((log.claims, standing.sent), ([], 1))
--- a/tests/test_usage_relays.py
+++ b/tests/test_usage_relays.py
@@ -2,9 +2,11 @@
 
 import collections
 import random
+from concurrent import futures
 
 from tests import fixtures
-from turmericward import peers
+from turmericward import dispatching, feeds, metering, peers, positions, telemetry
+from turmericward.platform import _usage_store
 
 check = fixtures.check
 UNIX_0 = 1_000_000.0
@@ -177,3 +179,100 @@
     print(f"usage between 3 domains: {per_s:.0f} bytes/s, {WORKSPACES} workspaces")
     # Six pairs; rows of 6 bytes, in full five times a window and changed once or twice.
     check.assertLess(per_s, 6 * 7 * WORKSPACES * 8 / WINDOW_S)
+
+
+class _Store:
+    """Keeps usage of domains; counts the calls."""
+
+    def __init__(self) -> None:
+        self.usage = {}
+        self.puts = 0
+        self.reads = 0
+
+    def put(self, domain: str, usage) -> None:
+        self.puts += 1
+        self.usage[domain] = usage
+
+    def read(self):
+        self.reads += 1
+        return self.usage
+
+
+class _PeerTask:
+    """Asks a peer task without its thread."""
+
+    def __init__(self, task: peers.PeerTask) -> None:
+        self._task = task
+        self.post = task.handle
+
+    @property
+    def reads_store(self) -> bool:
+        return self._task.reads_store
+
+    def ask(self, message) -> futures.Future:
+        fut = futures.Future()
+        fut.set_result(self._task.handle(message))
+        return fut
+
+
+def _store_loops(network: _Network, store: _Store, holder: str) -> list:
+    loops = []
+    for name, task in network.tasks.items():
+        loop = dispatching.UsageStoreLoop(
+            name[0],
+            _PeerTask(task),
+            store,
+            lambda name=name: name == holder,
+            lambda: network.now,
+        )
+        loop.pause = lambda seconds: None
+        loops.append(loop)
+    return loops
+
+
+def test_a_domain_that_is_cut_from_the_holder_tells_its_counts_through_the_store():
+    # Guards against windows without the calls of a domain in a cut of any length.
+    network, store = _Network(6), _Store()
+    loops = _store_loops(network, store, "a00")
+    network.run(10.0, 300.0)
+    for loop in loops:
+        loop.run_once()
+    check.assertEqual((store.puts, store.reads), (0, 0))
+    network.cut = {"c"}
+    windows = 4
+    for _ in range(int(windows * WINDOW_S / 0.5)):
+        network.run(0.5, 300.0)
+        for loop in loops:
+            loop.run_once()
+        window = int((UNIX_0 + network.now - 3.0) // WINDOW_S) - 1
+        end = (window + 1) * WINDOW_S
+        if end > UNIX_0 + 1010.0 + 1.0:
+            collected = network.collect("a00", window)
+            check.assertEqual(collected.counts, network.truth[window])
+            check.assertGreaterEqual(collected.known_until_s, end + 1.0)
+    # Each window once by the relays of the two domains without the holder, and a read
+    # a second.
+    check.assertLessEqual(store.puts, 2 * (windows + 1))
+    check.assertLessEqual(store.reads, windows * WINDOW_S + 1)
+
+
+def test_stored_usage_survives_the_store_and_odd_records_are_left_out():
+    # Guards against a foreign record that keeps all reports waiting.
+    class Client:
+        records = []
+
+        def put(self, topic: str, key: str, value: bytes) -> None:
+            self.records.append(feeds.Record(offset=0, key=key, value=value))
+
+        def newest(self, topic: str) -> feeds.Listing:
+            end = positions.Position(1, 1)
+            return feeds.Listing(records=tuple(self.records), end=end)
+
+    client, rejections = Client(), telemetry.Rejections()
+    stored = _usage_store.StoredUsage(client, rejections)
+    row = metering.WindowUsage(window=3, counts={"w": 2}, domain=True)
+    usage = metering.Usage(unix_s=20.5, windows=(row,))
+    stored.put("a", usage)
+    for value in (b"x", b"{}", b'{"unix_s": 1, "windows": [{"window": -1}]}'):
+        client.put("", f"odd {value}", value)
+    check.assertEqual(stored.read(), {"a": usage})
