A front that stops tells its last counts before it ends

Cause: a planned stop ended up to 0.5 s after the last call, before its count was sent. Change: the dispatcher publishes what has begun before the tasks stop, and the peer task's last state has all recent counts.

--- a/src/turmericward/dispatching/_dispatch_task.py
+++ b/src/turmericward/dispatching/_dispatch_task.py
@@ -222,11 +222,18 @@
             self._admission.limits.update_shares(now)
         self._placer.count_overdue(now)
         self._crashes.expire(now)
+        self._publish_began_calls()
+        if self._reports_changed or self._are_published_loads_outdated(now):
+            self._publish_state()
+
+    def _publish_began_calls(self) -> None:
         if self._began:
             self._publish_began(peers.CallsBegan(calls=tuple(self._began)))
             self._began.clear()
-        if self._reports_changed or self._are_published_loads_outdated(now):
-            self._publish_state()
+
+    @handle.register
+    def _(self, message: _messages.PublishBegan) -> None:
+        self._publish_began_calls()
 
     def _are_published_loads_outdated(self, now: float) -> bool:
         if now - self._published_at < MAX_PUBLISH_INTERVAL_S:
--- a/src/turmericward/dispatching/_duties_loop.py
+++ b/src/turmericward/dispatching/_duties_loop.py
@@ -11,8 +11,6 @@
 from turmericward.dispatching import _standing_lease
 
 IDLE_PAUSE_S = 0.2
-# Remaining term of the lease that a call needs when its last byte is sent.
-CALL_DURATION_S = 1.0
 # Bounds a call, so that a silent platform delays the other duties only shortly.
 CALL_TIMEOUT_S = 1.5
 # Delay of a duty's next call after one without an answer: doubled up to the longest.
@@ -152,7 +150,7 @@
         return (
             held is not None
             and self._enabled()
-            and held.allows(self._clock(), CALL_DURATION_S)
+            and held.allows(self._clock(), duties.CALL_DURATION_S)
         )
 
     def _send(
--- a/src/turmericward/dispatching/_messages.py
+++ b/src/turmericward/dispatching/_messages.py
@@ -267,6 +267,11 @@
     began_at: float = 0.0
 
 
+@attrs.frozen(kw_only=True)
+class PublishBegan:
+    """Asks to publish now which calls have begun to run; before the process ends."""
+
+
 @attrs.frozen(kw_only=True)
 class PlacementEnded:
     """The end of a placement.
--- a/src/turmericward/duties/_duty.py
+++ b/src/turmericward/duties/_duty.py
@@ -4,6 +4,9 @@
 
 from turmericward.duties import _calls
 
+# Remaining term of the lease that a call needs when its last byte is sent.
+CALL_DURATION_S = 1.0
+
 DutyCall = _calls.UsageReport | _calls.CapacityOrder
 
 
--- a/src/turmericward/metering/_usage_sending.py
+++ b/src/turmericward/metering/_usage_sending.py
@@ -30,6 +30,10 @@
         self._sent_at = float("-inf")
         self._repeated_at = float("-inf")
 
+    def reset(self) -> None:
+        """Makes everything due."""
+        self._sent_at = self._repeated_at = float("-inf")
+
     def next_usage(self, ledger: _ledger.Ledger, unix_s: float) -> _usage.Usage | None:
         """Returns what is due now, None if nothing is.
 
--- a/src/turmericward/peers/_peer_task.py
+++ b/src/turmericward/peers/_peer_task.py
@@ -258,8 +258,10 @@
         self.polls_targets = is_reader or self._peers.direct
 
     def release_resources(self) -> None:
-        """Sends a last state without load."""
+        """Sends a last state without load, and all usage."""
         self._local = _messages.LocalState(loads={})
+        if self._usage is not None:
+            self._usage.send_all()
         self._send(self._clock())
 
     # Sending.
--- a/src/turmericward/peers/_usage_exchange.py
+++ b/src/turmericward/peers/_usage_exchange.py
@@ -129,6 +129,11 @@
         """Returns what is to be sent to peers of a scope."""
         return self._sending[scope].next_usage(self._ledger, self._clock.unix_s(now))
 
+    def send_all(self) -> None:
+        """Makes all recent counts due, whenever they were sent."""
+        for sending in self._sending.values():
+            sending.reset()
+
     def run_periodic(self, now: float) -> None:
         """Follows the clock and drops old counts."""
         self._clock.record_time_of_day(now, self._time_of_day())
--- a/src/turmericward/platform/_duty_calls.py
+++ b/src/turmericward/platform/_duty_calls.py
@@ -7,7 +7,6 @@
 
 from turmericward import authority, duties, runtime
 from turmericward.adapters import _request, errors
-from turmericward.dispatching import _duties_loop
 from turmericward.platform import _headers
 
 MAX_ANSWER_BYTES = 64 * 1024
@@ -103,7 +102,7 @@
 
     def _exchange(self, conn, req, held, deadline: float) -> duties.Outcome:
         _request.send_within_term(
-            conn, self._address, req, held, _duties_loop.CALL_DURATION_S, runtime.now
+            conn, self._address, req, held, duties.CALL_DURATION_S, runtime.now
         )
         resp = _request.read_response_head(conn, self._address)
         # The status tells the outcome; the connection isn't used again.
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -5,6 +5,7 @@
 import threading
 import traceback
 import zlib
+from concurrent import futures
 
 import click
 from absl import logging
@@ -48,6 +49,7 @@
 # Longer than targets are silent that are sound.
 QUEUE_S = 2.0
 STOP_TIMEOUT_S = 1.0
+LAST_USAGE_TIMEOUT_S = 0.1
 # After a store outage, replicas renew expired announcements within 2 s.
 REANNOUNCE_GRACE_S = 2.5
 # Bounds clock drift between two fronts plus the delay of one loop iteration.
@@ -302,8 +304,16 @@
             self._server.run(stop, self._begin_drain)
         finally:
             self._open_calls.log()
+            self._publish_last_usage()
             self._group.stop(min(STOP_TIMEOUT_S, self._drain.until_end_s))
 
+    def _publish_last_usage(self) -> None:
+        if _duties.usage_window_s(self._cfg.duties) is None:
+            return
+        asked = self._dispatch.ask(dispatching.PublishBegan())
+        # The process ends at its time, with or without them.
+        futures.wait([asked], timeout=LAST_USAGE_TIMEOUT_S)
+
     def _begin_drain(self) -> None:
         logging.info("front drains")
         self._peer_task.post(peers.Drain())
--- a/tests/test_usage_relays.py
+++ b/tests/test_usage_relays.py
@@ -276,3 +276,21 @@
     for value in (b"x", b"{}", b'{"unix_s": 1, "windows": [{"window": -1}]}'):
         client.put("", f"odd {value}", value)
     check.assertEqual(stored.read(), {"a": usage})
+
+
+def test_a_front_that_stops_tells_its_last_counts():
+    # Guards against the calls of the last moments of a planned stop.
+    network = _Network(7)
+    network.run(10.0)
+    while network.window() == int((UNIX_0 + network.now - STEP_S) // WINDOW_S):
+        network.run(STEP_S)
+    network.run(3.0, 300.0)
+    window = network.window()
+    for name in ("b03", "b04"):
+        network.run(0.0)
+        network._call(name)
+        network.tasks[name].release_resources()
+        network.dead.add(name)
+    network.in_transit = [row for row in network.in_transit if row[0] == "b00"]
+    network.run(4.5)
+    check.assertEqual(network.collect("a00", window).counts, network.truth[window])
