--- a/src/turmericward/dispatching/__init__.py
+++ b/src/turmericward/dispatching/__init__.py
@@ -12,6 +12,7 @@
     IsUsable,
     Place,
     PlacementEnded,
+    PublishBegan,
     PutTargets,
     ReplaceTargets,
     RequestSent,
@@ -28,6 +29,7 @@
     LogState,
     StandingLease,
 )
+from turmericward.dispatching._usage_store_loop import UsageStoreLoop
 
 __all__ = [
     "CacheListingLoop",
@@ -43,6 +45,7 @@
     "LogState",
     "Place",
     "PlacementEnded",
+    "PublishBegan",
     "PutTargets",
     "ReplaceTargets",
     "RequestSent",
@@ -55,4 +58,5 @@
     "StoreRecovered",
     "TargetNotice",
     "TargetWentOn",
+    "UsageStoreLoop",
 ]
