--- a/tests/capacity_fleet.py
+++ b/tests/capacity_fleet.py
@@ -11,13 +11,13 @@
 
 import attrs
 
+from tests import capacity_engines
 from turmericward import capacity, duties, fleet, routing
 
 PRICES = {"a": 0.85, "b": 1.2, "c": 1.0}
 SCALING = routing.Scaling(
     min_count=1, max_count=24, boot_s=4.0, spot_price=0.22, domain_prices=PRICES
 )
-SLOTS = 12
 STEP_S = 0.05
 LEAVES_S = 2.0
 CROSS_DOMAIN_S = 0.003
@@ -26,61 +26,6 @@
 DECODE_S = 0.1
 
 
-@attrs.frozen(kw_only=True)
-class CallClass:
-    """Calls of one kind: arrivals per second, work, latency objective, deadline."""
-
-    per_s: float
-    work_s: float
-    objective_s: float
-    deadline_s: float
-    burst: float
-
-
-# Half of 36 replicas are busy on average.
-SHORT = CallClass(
-    per_s=201, work_s=0.02, objective_s=0.273, deadline_s=3.282, burst=1.9
-)
-LONG = CallClass(
-    per_s=15.7, work_s=0.45, objective_s=1.263, deadline_s=6.317, burst=2.6
-)
-
-
-@attrs.define(kw_only=True, eq=False)
-class Engine:
-    """A replica that works off its calls one after the other."""
-
-    name: str
-    pool: capacity.Pool
-    ready_at: float
-    free_at: float = 0.0
-    leaves_at: float | None = None
-    role: fleet.EngineRole | None = None
-    # First output, end, work and whether the objective is missed, of each call.
-    calls: list[tuple[float, float, float, bool]] = attrs.field(factory=list)
-
-    def takes_calls(self, now: float) -> bool:
-        return now >= self.ready_at and self.leaves_at is None
-
-    def replica(self, now: float) -> capacity.Replica:
-        waiting = [c for c in self.calls if c[0] > now]
-        return capacity.Replica(
-            target=fleet.Target(
-                name=self.name,
-                service="chat",
-                address="10.0.0.1:1",
-                domain=self.pool.domain,
-                slots=SLOTS,
-                role=self.role,
-                leaving=self.leaves_at is not None,
-                spot=self.pool.spot,
-            ),
-            open_calls=len(self.calls),
-            queued_s=sum(c[2] for c in waiting),
-            late_s=sum(c[2] for c in waiting if c[3]),
-        )
-
-
 def _always_accepted(order: duties.CapacityOrder, now: float) -> duties.Outcome:
     return duties.Outcome.ACCEPTED
 
@@ -93,7 +38,10 @@
         *,
         scaling: routing.Scaling = SCALING,
         per_domain: int = 12,
-        classes: tuple[CallClass, ...] = (SHORT, LONG),
+        classes: tuple[capacity_engines.CallClass, ...] = (
+            capacity_engines.SHORT,
+            capacity_engines.LONG,
+        ),
         traffic_from: float = 15.0,
         seed: int = 1,
         estimate: float = 1.0,
@@ -104,7 +52,7 @@
         self.scaling = scaling
         self.estimate = estimate
         self.answer = answer
-        self.engines: list[Engine] = []
+        self.engines: list[capacity_engines.Engine] = []
         self.desired: collections.Counter[capacity.Pool] = collections.Counter()
         self.orders: list[tuple[float, duties.CapacityOrder, duties.Outcome]] = []
         self.price = 0.0
@@ -115,7 +63,7 @@
         self._traffic_from = traffic_from
         self._numbers = itertools.count()
         self._burst_until = 0.0
-        self._bursting: CallClass | None = None
+        self._bursting: capacity_engines.CallClass | None = None
         for domain in PRICES:
             pool = capacity.Pool(domain=domain, spot=False)
             self.desired[pool] = per_domain
@@ -162,7 +110,9 @@
         for _ in range(count - len(present)):
             number = next(self._numbers)
             name = f"{pool.domain}-{'spot-' if pool.spot else ''}{number}"
-            engine = Engine(name=name, pool=pool, ready_at=self.now + boot_s)
+            engine = capacity_engines.Engine(
+                name=name, pool=pool, ready_at=self.now + boot_s
+            )
             if boot_s and self._has_roles:
                 engine.role = fleet.EngineRole.DECODE
             self.engines.append(engine)
@@ -203,7 +153,7 @@
         prefill = fleet.EngineRole.PREFILL
         return sum(self._takes(e) and e.role is prefill for e in self.engines)
 
-    def _takes(self, engine: Engine) -> bool:
+    def _takes(self, engine: capacity_engines.Engine) -> bool:
         return engine.takes_calls(self.now)
 
     # Load.
@@ -246,7 +196,9 @@
             for _ in range(count):
                 self._place(kind, ready)
 
-    def _place(self, kind: CallClass, ready: list[Engine]) -> None:
+    def _place(
+        self, kind: capacity_engines.CallClass, ready: list[capacity_engines.Engine]
+    ) -> None:
         self.arrived += 1
         domain = self._random.choice(tuple(PRICES))
         if not ready:
