--- a/tests/test_capacity_fronts.py
+++ b/tests/test_capacity_fronts.py
@@ -70,6 +70,25 @@
             check.assertIn(field, log)
 
 
+def test_the_next_holder_goes_on_when_one_dies_between_order_and_effect():
+    """Guards against a successor that orders anew or forgets the rest of a swap."""
+    with duty_fixtures.deployment(("a", "b"), kinds=["capacity"]) as deployment:
+        for name in ("m1", "m2"):
+            _announce(deployment, name)
+        _configure(deployment)
+        _wait_for(deployment, 1)
+        deployment.holder().kill()
+        _announce(deployment, "s1", spot=True)
+        orders = _wait_for(deployment, 2)
+        check.assertEqual(
+            [(o["domain"], o["desired"], o["spot"]) for o in orders],
+            [("a", 1, True), ("a", 1, False)],
+        )
+        holders = {c.holder for c in deployment.api.calls}
+        check.assertEqual(len(holders), 2)
+        check.assertEqual(deployment.api.violations(), [])
+
+
 def test_without_the_kind_in_the_settings_nothing_is_ordered():
     """Guards against orders where another duty alone is asked for."""
     with duty_fixtures.deployment(kinds=["usage"]) as deployment:
