--- a/src/turmericward/peers/_peer_task.py
+++ b/src/turmericward/peers/_peer_task.py
@@ -2,6 +2,7 @@
 
 import functools
 import socket
+import time
 from collections.abc import Callable, Mapping
 
 import attrs
@@ -52,6 +53,7 @@
         fresh_s: Mapping[feeds.Topic, float] | None = None,
         usage_window_s: float | None = None,
         clock: Callable[[], float] = runtime.now,
+        time_of_day: Callable[[], float] = time.time,
     ) -> None:
         """Creates the task without peers.
 
@@ -67,6 +69,7 @@
                 last read that is forwarded.
             usage_window_s: length of the windows of metering; None without it.
             clock: returns monotonic seconds.
+            time_of_day: returns the Unix time of the instance.
         """
         super().__init__()
         self._front = front
@@ -86,8 +89,14 @@
         )
         self._usage: _usage_exchange.UsageExchange | None = None
         if usage_window_s is not None:
+            self._peers.greets_relays = True
             self._usage = _usage_exchange.UsageExchange(
-                front, domain, self._builder.boot, usage_window_s, clock()
+                front,
+                domain,
+                self._builder.boot,
+                usage_window_s,
+                clock(),
+                time_of_day,
             )
         self._sent_loads: _deltas.Loads = {}
         self._sent_at = float("-inf")
@@ -207,6 +216,14 @@
     def _(self, message: _messages.CollectUsage) -> metering.Collected:
         return self._usage.collect(message.window, self._clock())
 
+    @handle.register
+    def _(self, message: _messages.GetSilentDomains) -> _messages.SilentDomains:
+        return self._usage.silent_domains(self._clock())
+
+    @handle.register
+    def _(self, message: _messages.StoredUsage) -> None:
+        self._usage.receive_stored(message, self._clock())
+
     @handle.register
     def _(self, message: _messages.Drain) -> None:
         self._peers.capacity = DRAINING_CAPACITY
@@ -241,8 +258,10 @@
         self.polls_targets = is_reader or self._peers.direct
 
     def release_resources(self) -> None:
-        """Sends a last state without load."""
+        """Sends a last state without load, and all usage."""
         self._local = _messages.LocalState(loads={})
+        if self._usage is not None:
+            self._usage.send_all()
         self._send(self._clock())
 
     # Sending.
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -5,6 +5,7 @@
 import threading
 import traceback
 import zlib
+from concurrent import futures
 
 import click
 from absl import logging
@@ -35,6 +36,7 @@
     _settings,
     _store,
     _transport,
+    _usage_store,
 )
 from turmericward.programs import _common
 
@@ -47,6 +49,7 @@
 # Longer than targets are silent that are sound.
 QUEUE_S = 2.0
 STOP_TIMEOUT_S = 1.0
+LAST_USAGE_TIMEOUT_S = 0.1
 # After a store outage, replicas renew expired announcements within 2 s.
 REANNOUNCE_GRACE_S = 2.5
 # Bounds clock drift between two fronts plus the delay of one loop iteration.
@@ -187,9 +190,16 @@
             peer_task=self._peer_task,
             dispatch=self._dispatch,
         )
-        return _duties.loops(
+        loops = _duties.loops(
             ctx, self._cfg.instance.name, lease, self._drain, metrics.count
         )
+        if _duties.usage_window_s(self._cfg.duties) is not None:
+            store = _usage_store.StoredUsage(self._store_client(), self._rejections)
+            instance = self._cfg.instance
+            loops.append(
+                _duties.usage_store_loop(instance, self._peer_task, lease, store)
+            )
+        return loops
 
     def _roles_loop(
         self,
@@ -295,8 +305,16 @@
             self._server.run(stop, self._begin_drain)
         finally:
             self._open_calls.log()
+            self._publish_last_usage()
             self._group.stop(min(STOP_TIMEOUT_S, self._drain.until_end_s))
 
+    def _publish_last_usage(self) -> None:
+        if _duties.usage_window_s(self._cfg.duties) is None:
+            return
+        asked = self._dispatch.ask(dispatching.PublishBegan())
+        # The process ends at its time, with or without them.
+        futures.wait([asked], timeout=LAST_USAGE_TIMEOUT_S)
+
     def _begin_drain(self) -> None:
         logging.info("front drains")
         self._peer_task.post(peers.Drain())
