--- a/src/turmericward/dispatching/_standing_lease.py
+++ b/src/turmericward/dispatching/_standing_lease.py
@@ -13,6 +13,9 @@
 # A call or order that was begun before has ended, or isn't sent any more.
 LONGEST_CALL_S = 1.6
 
+# How long a front waits before it takes part.
+SETTLING_S = 1.5
+
 
 @attrs.frozen(kw_only=True)
 class LogState:
@@ -236,6 +239,7 @@
         *,
         poll_s: float,
         tick_s: float,
+        clock: Callable[[], float] = runtime.now,
     ) -> None:
         """Creates the loop.
 
@@ -245,22 +249,36 @@
                 few do, and none that is stopping.
             poll_s: time between two reads of a front without the lease.
             tick_s: time between two looks at whether the lease is to be renewed.
+            clock: returns monotonic seconds.
         """
         super().__init__()
         self._lease = lease
         self._enabled = enabled
         self._poll_s = poll_s
         self._tick_s = tick_s
+        self._clock = clock
+        self._enabled_since: float | None = None
 
     def run_once(self) -> None:
         """Tends or gives up the lease once."""
         try:
-            if self._enabled():
-                self._lease.tend()
-            else:
+            if not self._enabled():
+                self._enabled_since = None
                 self._lease.resign()
+            elif self._takes_part():
+                self._lease.tend()
         except (errors.AdapterError, authority.AuthorityError) as exc:
             logging.log_every_n_seconds(logging.WARNING, "lease: %s", 10, exc)
         held = self._lease.authority() is not None
         poll_s = self._lease.poll_in_s(self._poll_s)
         self.pause(self._tick_s if held else poll_s)
+
+    def _takes_part(self) -> bool:
+        """Returns whether this front has been enabled for some time.
+
+        When hundreds of fronts start at once, each of them is until it hears of others.
+        """
+        now = self._clock()
+        if self._enabled_since is None:
+            self._enabled_since = now
+        return now - self._enabled_since >= SETTLING_S
