--- /dev/null
+++ b/src/turmericward/sharing/_saturation.py
@@ -0,0 +1,82 @@
+"""Whether a service is saturated, and how much work it may be given then.
+
+Load pattern handled: bursts that fill the queues of a service for seconds, and targets
+that become slower or fewer while it is saturated.
+"""
+
+import attrs
+
+from turmericward.sharing import _decay
+
+# A sample of pressure is a call's wait behind other calls, as a share of its route's
+# latency objective; the service is saturated from this mean on.
+SATURATED_PRESSURE = 1.0
+# Samples decay after this time; with fewer recent ones nothing is concluded.
+PRESSURE_DECAY_S = 1.0
+MIN_SAMPLES = 2.0
+# While saturated, pressure above the first value reduces what the service is given to
+# less than it does, so that queues get shorter; below the second one it is given more.
+HIGH_PRESSURE = 0.8
+LOW_PRESSURE = 0.5
+DRAIN_FACTOR = 0.95
+# Growth without pressure; it falls to 0 as the pressure gets to the second value.
+GROWTH_PER_S = 0.5
+# Kept of what is asked for when nothing is served, so that the estimate can grow again
+# after an outage.
+MIN_CAPACITY_SHARE = 0.05
+# Given so much more than callers ask for, the service counts as no longer saturated.
+RELEASE_FACTOR = 1.2
+UPDATE_INTERVAL_S = 0.25
+# Bounds one sample, so that a single call can't hold the mean up for seconds.
+MAX_SAMPLE = 2.0
+
+
+@attrs.define
+class Saturation:
+    """Estimates what a service is able to do, from waits and served work.
+
+    `capacity` is the work per second that it may be given, None if it isn't saturated;
+    times are monotonic seconds.
+    """
+
+    capacity: float | None = None
+    since: float = 0.0
+    _pressure: _decay.DecayedMean = attrs.field(
+        factory=lambda: _decay.DecayedMean(PRESSURE_DECAY_S)
+    )
+    _updated_at: float = float("-inf")
+
+    def observe(self, pressure: float, now: float) -> None:
+        """Records the wait of a call, as a share of its latency objective."""
+        self._pressure.add(min(MAX_SAMPLE, pressure), now)
+
+    def is_due(self, now: float) -> bool:
+        """Returns whether the estimate is to be updated."""
+        return now - self._updated_at >= UPDATE_INTERVAL_S
+
+    def may_limit(self, now: float) -> bool:
+        """Returns whether the service is saturated, or may be from now on."""
+        return self.capacity is not None or self.pressure(now) >= SATURATED_PRESSURE
+
+    def pressure(self, now: float) -> float:
+        """Returns the recent mean pressure, 0 with too few samples."""
+        enough = self._pressure.weight(now) >= MIN_SAMPLES
+        return self._pressure.mean if enough else 0.0
+
+    def update(self, served: float, offered: float, now: float) -> None:
+        """Updates the estimate from the work per second of all fronts."""
+        elapsed_s = min(1.0, now - self._updated_at)
+        self._updated_at = now
+        pressure = self.pressure(now)
+        if self.capacity is None:
+            if pressure >= SATURATED_PRESSURE and served > 0:
+                self.capacity, self.since = served, now
+            return
+        if pressure >= HIGH_PRESSURE:
+            self.capacity = DRAIN_FACTOR * served
+        elif pressure < LOW_PRESSURE:
+            growth_per_s = GROWTH_PER_S * (1 - pressure / LOW_PRESSURE)
+            self.capacity *= 1 + growth_per_s * elapsed_s
+        self.capacity = max(self.capacity, MIN_CAPACITY_SHARE * offered)
+        if self.capacity >= RELEASE_FACTOR * offered:
+            self.capacity = None
--- /dev/null
+++ b/src/turmericward/sharing/_service.py
@@ -0,0 +1,112 @@
+"""Shares of one service."""
+
+import random
+
+import attrs
+
+from turmericward import fleet, requests
+from turmericward.sharing import (
+    _accounts,
+    _levels,
+    _messages,
+    _peer_work,
+    _retry_after,
+    _saturation,
+    _work,
+)
+
+# Calls of a workspace above its share go behind those of others of their priority.
+ABOVE_SHARE_RANKS = 1
+NO_LEVEL = float("inf")
+
+
+class ServiceShares:
+    """Decides on the calls to one service; times are monotonic seconds."""
+
+    def __init__(
+        self, service: str, peers: _peer_work.PeerWork, rng: random.Random
+    ) -> None:
+        """Starts without work.
+
+        Args:
+            service: name of the service.
+            peers: what the peers told.
+            rng: chooses which calls above a share are refused.
+        """
+        self._id = fleet.target_hash(service)
+        self._peers = peers
+        self._random = rng
+        self._saturation = _saturation.Saturation()
+        self._level = NO_LEVEL
+        # The peers' part of the demands, as of the last update.
+        self._peer_work = _work.NO_WORK
+        # Of all fronts, as of the last update.
+        self._offered = 0.0
+        self._count = 0
+        self.accounts = _accounts.Accounts()
+
+    @property
+    def level(self) -> float | None:
+        """The largest share of any workspace, None if no one is limited."""
+        return None if self._level == NO_LEVEL else self._level
+
+    def decide(
+        self,
+        account: _accounts.Account,
+        priority: int,
+        now: float,
+        *,
+        refusable: bool,
+    ) -> _messages.Verdict:
+        """Returns what follows for a call whose work is already in the account."""
+        if self._saturation.is_due(now):
+            self._update(now)
+        if self._level == NO_LEVEL:
+            return _messages.WITHIN_SHARE
+        demand = self.demand(account, now)
+        heavy = _levels.is_heavy(demand, self._offered, self._count)
+        if demand <= self._level or not heavy:
+            return _messages.WITHIN_SHARE
+        verdict = _messages.Verdict(
+            ranks=ABOVE_SHARE_RANKS,
+            demand=demand,
+            share=self._level,
+            age_s=self._peers.age_s(now),
+        )
+        granted = _levels.granted_share(
+            account.by_priority(now), priority, demand, self._level
+        )
+        if not refusable or self._random.random() < granted:
+            return verdict
+        refusal = requests.Refusal(
+            reason=_messages.ABOVE_SHARE,
+            retry_after_s=_retry_after.retry_after_s(
+                demand, self._level, self._random.random()
+            ),
+        )
+        return attrs.evolve(verdict, refusal=refusal)
+
+    def observe(self, pressure: float, now: float) -> None:
+        """Records the wait of a call, as a share of its latency objective."""
+        self._saturation.observe(pressure, now)
+
+    def demand(self, account: _accounts.Account, now: float) -> float:
+        """Returns what a workspace asks for at all fronts, per second."""
+        peers = self._peer_work.heaviest.get(account.workspace, 0.0)
+        return account.per_s(now) + peers
+
+    def _update(self, now: float) -> None:
+        """Updates what each workspace may get; cheap if the service has room."""
+        if not self._saturation.may_limit(now):
+            self._level = NO_LEVEL
+            return
+        self._peer_work = self._peers.at_service(self._id)
+        total = _work.sum_services((self.accounts.work(now), self._peer_work))
+        self._offered, self._count = total.offered, total.count
+        self._saturation.update(total.served, total.offered, now)
+        capacity = self._saturation.capacity
+        self._level = NO_LEVEL
+        if capacity is not None:
+            self._level = _levels.fair_level(
+                total.heaviest.values(), total.others, capacity
+            )
