--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -84,6 +84,25 @@
   7: i64 era
 }
 
+/** What a workspace asked for; `workspace` is the CRC-32 of its name. */
+struct WorkspaceWork {
+  1: i32 workspace
+  /** Prompt tokens, or milliseconds of plain calls, a second. */
+  2: i32 per_s
+}
+
+/** Work at a service, of the fronts that are summed here, in the same units. */
+struct ServiceWork {
+  /** CRC-32 of its name. */
+  1: i32 service
+  /** What targets have done. */
+  2: i32 served_per_s
+  /** What the workspaces asked for that aren't named here. */
+  3: i32 others_per_s
+  4: i32 others_count
+  5: list<WorkspaceWork> heaviest
+}
+
 /** A front's whole load, and the prompts read since its last datagrams. */
 struct FrontState {
   1: string front
@@ -112,4 +131,6 @@
   16: list<SegmentOutcome> outcomes
   /** The same of calls that come again; `segment` is the number of their content. */
   17: list<SegmentOutcome> request_outcomes
+  /** Work by service; without it the work is as it was told before. */
+  19: list<ServiceWork> work
 }
--- a/src/turmericward/dispatching/_dispatch_task.py
+++ b/src/turmericward/dispatching/_dispatch_task.py
@@ -8,6 +8,7 @@
 from turmericward import fleet, peers, requests, routing, runtime, telemetry
 from turmericward.dispatching import (
     _crash_guard,
+    _fair_sharing,
     _limit_exchange,
     _messages,
     _placing,
@@ -75,8 +76,13 @@
         self._budgets = _retry_budgets.RetryBudgets(retries)
         self._published_at = 0.0
         self._published_loads: dict[int, requests.TargetLoad] = {}
+        self._sharing = _fair_sharing.FairSharing(seed, self._placer)
         self._placing = _placing.Placing(
-            self._admission, self._placer, self._crashes, self._budgets
+            self._admission,
+            self._placer,
+            self._crashes,
+            self._budgets,
+            self._sharing,
         )
         self._publish = publish
         self._on_configured = on_configured
@@ -215,7 +221,12 @@
             self._admission.limits.update_shares(now)
         self._placer.count_overdue(now)
         self._crashes.expire(now)
-        if self._reports_changed or self._are_published_loads_outdated(now):
+        self._sharing.expire(now)
+        if (
+            self._reports_changed
+            or self._are_published_loads_outdated(now)
+            or self._sharing.is_publication_due(now)
+        ):
             self._publish_state()
 
     def _are_published_loads_outdated(self, now: float) -> bool:
@@ -236,6 +247,8 @@
             self._update_recently_limited()
             self._reports_changed = True
         self._reports_changed |= self._crashes.apply(message.outcomes)
+        if message.work is not None:
+            self._sharing.shares.apply(message.front, message.work, runtime.now())
         for target, ttl_s in message.held.items():
             self._admission.hold(target, runtime.now() + ttl_s)
 
@@ -273,6 +286,7 @@
             peer_ages_s=self._placer.peers.ages(now),
             retries_left=self._budgets.available(),
             barred=self._crashes.status(),
+            workspaces=self._sharing.shares.status(now),
         )
 
     @handle.register
@@ -300,6 +314,7 @@
                 cache_entries=entries,
                 limits=self._limits.reports(),
                 outcomes=self._crashes.outcomes(),
+                work=self._sharing.publishable_work(self._published_at),
                 **changes,
             )
         )
@@ -331,6 +346,7 @@
 
     @handle.register
     def _(self, message: _messages.FirstOutput) -> None:
+        self._sharing.first_output(message.placement, runtime.now())
         self._placer.record_first_output(
             message.placement, message.prompt, message.took_s, runtime.now()
         )
--- a/src/turmericward/dispatching/_messages.py
+++ b/src/turmericward/dispatching/_messages.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from turmericward import fleet, requests, routing
+from turmericward import fleet, requests, routing, sharing
 
 # A target that has been answering a call for longer wasn't ended by it.
 BEGINNING_S = 1.0
@@ -148,7 +148,8 @@
     """A front's view; `version` is None before the first configuration.
 
     `peer_ages_s` is the age of the latest state of each live peer, `retries_left` the
-    number of retries that this front may send now, by service.
+    number of retries that this front may send now, by service; `workspaces` are the
+    heaviest ones of this front.
     """
 
     front: str
@@ -158,6 +159,7 @@
     peer_ages_s: dict[str, float]
     retries_left: dict[str, float]
     barred: tuple[BarredKey, ...] = ()
+    workspaces: tuple[sharing.WorkspaceStatus, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/src/turmericward/dispatching/_placing.py
+++ b/src/turmericward/dispatching/_placing.py
@@ -12,6 +12,7 @@
 from turmericward.dispatching import (
     _crash_guard,
     _deadlines,
+    _fair_sharing,
     _messages,
     _retry_budgets,
     _waits,
@@ -29,6 +30,7 @@
         placer: requests.Placer,
         crashes: _crash_guard.CrashGuard,
         budgets: _retry_budgets.RetryBudgets,
+        shares: _fair_sharing.FairSharing,
     ) -> None:
         """Creates it on the dispatcher's state.
 
@@ -37,11 +39,13 @@
             placer: chooses one of them.
             crashes: refuses calls that crash targets.
             budgets: the retry budgets.
+            shares: the workspaces' shares of saturated services.
         """
         self._admission = admission
         self._placer = placer
         self._crashes = crashes
         self._budgets = budgets
+        self._shares = shares
         self._deadlines = _deadlines.DeadlineEstimates()
         # Services of the open placements that are retries.
         self._retries: dict[int, str] = {}
@@ -56,6 +60,9 @@
         refusal = self._crashes.refusal(message)
         if refusal is not None:
             return result.Err(refusal)
+        turn = self._shares.offer(message, now)
+        if turn is not None and turn.verdict.refusal is not None:
+            return result.Err(turn.verdict.refusal)
         budget = self._budgets.for_service(message.service)
         if message.is_optional and not budget.has_spare(message.retries_kept):
             return _refusal("retry_reserve", RETRY_BUDGET_RETRY_S)
@@ -64,6 +71,8 @@
         if message.first and not message.retry and not message.prefilled:
             budget.earn()
         chosen = self._choose(message, now)
+        if turn is not None:
+            chosen = self._shares.placed(turn, message, chosen, now)
         if message.retry and chosen.is_err():
             budget.refund()
         if not message.retry or chosen.is_err():
@@ -74,6 +83,7 @@
 
     def ended(self, placement: requests.Placement, ending: requests.Ending) -> None:
         """Gives back the retry of a placement whose target wasn't reached."""
+        self._shares.ended(placement, ending, runtime.now())
         service = self._retries.pop(placement.id, None)
         if service is not None and ending.unsent:
             self._budgets.for_service(service).refund()
--- a/src/turmericward/peers/_codec.py
+++ b/src/turmericward/peers/_codec.py
@@ -4,7 +4,7 @@
 from thrift.protocol import TCompactProtocol
 
 from turmericward import requests
-from turmericward.peers import _fields, _record_codec, _states
+from turmericward.peers import _fields, _record_codec, _states, _work_codec
 from turmericward.wire.peers import ttypes
 
 # Bounds on the lengths that a datagram may declare; a longer one is malformed.
@@ -69,6 +69,7 @@
         news=[_record_codec.encode_batch(batch) for batch in state.record_batches],
         partial=state.partial,
         asks=state.needs_full_batches,
+        work=_work_codec.encode(state.work),
         held=[
             ttypes.HeldTarget(target=target, ttl_ms=_fields.milliseconds(ttl_s))
             for target, ttl_s in state.held.items()
@@ -111,6 +112,7 @@
             ),
             partial=bool(message.partial),
             needs_full_batches=bool(message.asks),
+            work=_work_codec.decode(message.work),
             domain=message.domain,
             fronts=message.fronts,
         )
--- a/src/turmericward/peers/_messages.py
+++ b/src/turmericward/peers/_messages.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from turmericward import requests
+from turmericward import requests, sharing
 from turmericward.peers import _states
 
 
@@ -43,6 +43,7 @@
     leaving: frozenset[_states.LeavingTarget] = frozenset()
     limits: tuple[_states.TargetLimit, ...] = ()
     outcomes: tuple[requests.KeyOutcome, ...] = ()
+    work: sharing.Work | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/turmericward/peers/_peer_task.py
+++ b/src/turmericward/peers/_peer_task.py
@@ -19,6 +19,7 @@
     _reports,
     _state_builder,
     _states,
+    _work_exchange,
 )
 
 IDLE_PERIOD_S = 0.25
@@ -78,6 +79,7 @@
         self._known_fronts = _members.KnownFronts()
         self._received = _received_states.ReceivedStates(domain, self._peers)
         self._records = _record_exchange.RecordExchange(fresh_s or {})
+        self._work = _work_exchange.WorkExchange()
         self._builder = _state_builder.StateBuilder(
             front, domain, self._peers, self._records
         )
@@ -137,6 +139,7 @@
             logging.info("peer %s at %s is known", state.front, message.host)
             self._forward_members()
         state = self._received.record(state, now)
+        self._work.receive(state, now)
         if self._peers.is_relay(now):
             self._builder.add_relayed(state, now)
             self._changed = True
@@ -167,7 +170,7 @@
         """Subtracts the local load from a relay's sum."""
         if state.fronts == 1 or state.domain != self._domain:
             return state
-        return state.without(self._sent_loads)
+        return self._work.without_own(state).without(self._sent_loads)
 
     @handle.register
     def _(self, message: feeds.TopicRange) -> None:
@@ -182,6 +185,7 @@
         now = self._clock()
         self._local = message
         self._reports.replace(message, now)
+        self._work.set_local(message, now)
         self._builder.add_local(message, now)
         self._changed = True
         self._send_if_due(now)
@@ -244,6 +248,7 @@
         self._builder.track_recipients(recipients)
         reports = self._reports.pop_due(now)
         batches = self._records.pop_due(now)
+        self._work.begin_datagrams(now)
         for scope in _peer_group.LoadScope:
             group = [r for r in recipients if r.scope is scope]
             if group:
@@ -263,6 +268,7 @@
         relayed = self._received.relayed(scope, now)
         state = self._builder.build(scope, self._local.loads, relayed, now)
         state = attrs.evolve(state, limits=reports.limits, outcomes=reports.outcomes)
+        state = self._work.add_due(state, relayed, now)
         encoded: dict[bool, bytes] = {}
         for recipient in group:
             if recipient.gets_records not in encoded:
--- a/src/turmericward/peers/_states.py
+++ b/src/turmericward/peers/_states.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from turmericward import feeds, requests
+from turmericward import feeds, requests, sharing
 
 
 @attrs.frozen(kw_only=True)
@@ -42,6 +42,7 @@
     instance; `record_batches` holds records of the store's topics. In a `partial`
     state, targets without a row keep the loads sent before; limits that aren't in a
     state are unchanged. A front that `needs_full_batches` could not read the topics.
+    `work` is that of workspaces, by service; None if it is as told before.
     `sequence` orders the states of one `boot`, a random number chosen at each start.
     """
 
@@ -61,6 +62,7 @@
     record_batches: tuple[feeds.RecordBatch, ...] = ()
     partial: bool = False
     needs_full_batches: bool = False
+    work: sharing.Work | None = None
 
     def without(self, loads: Mapping[int, requests.TargetLoad]) -> "PeerState":
         """Returns the state with one front's loads subtracted from the sum."""
--- a/src/turmericward/programs/_front_status.py
+++ b/src/turmericward/programs/_front_status.py
@@ -45,6 +45,13 @@
             f"{barred['kind']} {barred['key']} ({barred['id'] or 'not seen here'}): "
             f"barred for {barred['barred_s']:.0f} s after {barred['crashes']} crashes"
         )
+    for row in status.get("workspaces", ()):
+        share = row["share_per_s"]
+        bound = "not limited" if share is None else f"share {share:.0f}/s"
+        output.append(
+            f"workspace {row['workspace']} of {row['service']}: "
+            f"asks for {row['work_per_s']:.0f}/s, {bound}"
+        )
     for target in sorted(status["targets"], key=lambda t: (t["service"], t["name"])):
         states = [name for name in ("leaving", "held") if target[name]]
         states += [] if target["usable"] else ["ejected"]
--- a/src/turmericward/requests/_costs.py
+++ b/src/turmericward/requests/_costs.py
@@ -147,7 +147,9 @@
         start_after_s = query.waits_s.get(target.name, 0.0)
         expected_s = start_after_s + extra_s
         expected_s += self._speed.expected_s(target, queued + uncached)
-        expected_s += self._hold_time.wait_s(target, load.open_calls)
+        slot_s = self._hold_time.wait_s(target, load.open_calls)
+        expected_s += slot_s
+        queue_s = start_after_s + slot_s + queued * self._speed.per_token(target)
         adjusted_s = expected_s + imposed_s
         at_most_once = query.deadlines.at_most_once and not prefill_only
         return _in_flight.Placement(
@@ -160,6 +162,7 @@
             adjusted_s=adjusted_s,
             cost_s=adjusted_s + self._failure_cost_s(target, at_most_once, query.now),
             start_after_s=start_after_s,
+            queue_s=queue_s,
             deferred=deferred,
             prefill_only=prefill_only,
         )
--- a/src/turmericward/requests/_in_flight.py
+++ b/src/turmericward/requests/_in_flight.py
@@ -73,9 +73,11 @@
     `adjusted_s` adds the delay imposed on other calls, and `cost_s` also the
     expected cost of failures of the target. The call was sent at `placed_at`
     (monotonic seconds), or is to be sent `start_after_s` later since the target limits
-    its rate. `deferred` calls queue behind those that can still meet their
-    soft deadline. With `prefill_only` another target decodes. A `last_retry` leaves no
-    whole one in the retry budget.
+    its rate. `queue_s` is the part of `expected_s` that other calls cause;
+    `share_ranks` are those by which it goes behind calls of workspaces within their
+    share. `deferred` calls queue behind those that can still meet their soft deadline.
+    With `prefill_only` another target decodes. A `last_retry` leaves no whole one in
+    the retry budget.
     """
 
     id: int
@@ -88,6 +90,8 @@
     cost_s: float = 0.0
     placed_at: float = 0.0
     start_after_s: float = 0.0
+    queue_s: float = 0.0
+    share_ranks: int = 0
     deferred: bool = False
     prefill_only: bool = False
     last_retry: bool = False
@@ -101,7 +105,7 @@
     def rank(self) -> int:
         """Ranks by which the call queues behind the most urgent of its kind."""
         longer = sum(self.uncached_tokens > limit for limit in RANK_THRESHOLDS_TOKENS)
-        return longer + DEFERRED_RANKS * self.deferred
+        return longer + self.share_ranks + DEFERRED_RANKS * self.deferred
 
 
 @attrs.define
--- a/src/turmericward/sharing/_levels.py
+++ b/src/turmericward/sharing/_levels.py
@@ -45,7 +45,7 @@
     remaining = max(capacity - others, capacity / (len(ordered) + 1))
     for i, demand in enumerate(ordered):
         level = remaining / (len(ordered) - i)
-        if demand >= level:
+        if demand > level:
             return level
         remaining -= demand
     return float("inf")
--- a/src/turmericward/sharing/_saturation.py
+++ b/src/turmericward/sharing/_saturation.py
@@ -10,15 +10,15 @@
 
 # A sample of pressure is a call's wait behind other calls, as a share of its route's
 # latency objective; the service is saturated from this mean on.
-SATURATED_PRESSURE = 1.0
+SATURATED_PRESSURE = 0.8
 # Samples decay after this time; with fewer recent ones nothing is concluded.
 PRESSURE_DECAY_S = 1.0
 MIN_SAMPLES = 2.0
 # While saturated, pressure above the first value reduces what the service is given to
 # less than it does, so that queues get shorter; below the second one it is given more.
-HIGH_PRESSURE = 0.8
-LOW_PRESSURE = 0.5
-DRAIN_FACTOR = 0.95
+HIGH_PRESSURE = 0.4
+LOW_PRESSURE = 0.2
+DRAIN_FACTOR = 0.93
 # Growth without pressure; it falls to 0 as the pressure gets to the second value.
 GROWTH_PER_S = 0.5
 # Kept of what is asked for when nothing is served, so that the estimate can grow again
--- a/src/turmericward/wire/peers/ttypes.py
+++ b/src/turmericward/wire/peers/ttypes.py
@@ -909,6 +909,215 @@
         return not (self == other)
 
 
+class WorkspaceWork(object):
+    """
+    What a workspace asked for; `workspace` is the CRC-32 of its name.
+
+    Attributes:
+     - workspace
+     - per_s: Prompt tokens, or milliseconds of plain calls, a second.
+
+    """
+
+    __slots__ = (
+        'workspace',
+        'per_s',
+    )
+
+
+    def __init__(self, workspace=None, per_s=None,):
+        self.workspace = workspace
+        self.per_s = per_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.workspace = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.per_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WorkspaceWork')
+        if self.workspace is not None:
+            oprot.writeFieldBegin('workspace', TType.I32, 1)
+            oprot.writeI32(self.workspace)
+            oprot.writeFieldEnd()
+        if self.per_s is not None:
+            oprot.writeFieldBegin('per_s', TType.I32, 2)
+            oprot.writeI32(self.per_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceWork(object):
+    """
+    Work at a service, of the fronts that are summed here, in the same units.
+
+    Attributes:
+     - service: CRC-32 of its name.
+     - served_per_s: What targets have done.
+     - others_per_s: What the workspaces asked for that aren't named here.
+     - others_count
+     - heaviest
+
+    """
+
+    __slots__ = (
+        'service',
+        'served_per_s',
+        'others_per_s',
+        'others_count',
+        'heaviest',
+    )
+
+
+    def __init__(self, service=None, served_per_s=None, others_per_s=None, others_count=None, heaviest=None,):
+        self.service = service
+        self.served_per_s = served_per_s
+        self.others_per_s = others_per_s
+        self.others_count = others_count
+        self.heaviest = heaviest
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.service = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.served_per_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.others_per_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.others_count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.heaviest = []
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = WorkspaceWork()
+                        _elem66.read(iprot)
+                        self.heaviest.append(_elem66)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceWork')
+        if self.service is not None:
+            oprot.writeFieldBegin('service', TType.I32, 1)
+            oprot.writeI32(self.service)
+            oprot.writeFieldEnd()
+        if self.served_per_s is not None:
+            oprot.writeFieldBegin('served_per_s', TType.I32, 2)
+            oprot.writeI32(self.served_per_s)
+            oprot.writeFieldEnd()
+        if self.others_per_s is not None:
+            oprot.writeFieldBegin('others_per_s', TType.I32, 3)
+            oprot.writeI32(self.others_per_s)
+            oprot.writeFieldEnd()
+        if self.others_count is not None:
+            oprot.writeFieldBegin('others_count', TType.I32, 4)
+            oprot.writeI32(self.others_count)
+            oprot.writeFieldEnd()
+        if self.heaviest is not None:
+            oprot.writeFieldBegin('heaviest', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.heaviest))
+            for iter70 in self.heaviest:
+                iter70.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class FrontState(object):
     """
     A front's whole load, and the prompts read since its last datagrams.
@@ -931,6 +1140,7 @@
      - limits: Limits of targets; those that aren't named here are as they were told before.
      - outcomes
      - request_outcomes: The same of calls that come again; `segment` is the number of their content.
+     - work: Work by service; without it the work is as it was told before.
 
     """
 
@@ -952,10 +1162,11 @@
         'limits',
         'outcomes',
         'request_outcomes',
+        'work',
     )
 
 
-    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None, domain=None, fronts=None, listed=None, leaving=None, capacity=None, news=None, partial=None, asks=None, limits=None, outcomes=None, request_outcomes=None,):
+    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None, domain=None, fronts=None, listed=None, leaving=None, capacity=None, news=None, partial=None, asks=None, limits=None, outcomes=None, request_outcomes=None, work=None,):
         self.front = front
         self.boot = boot
         self.sequence = sequence
@@ -973,6 +1184,7 @@
         self.limits = limits
         self.outcomes = outcomes
         self.request_outcomes = request_outcomes
+        self.work = work
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1121,6 +1333,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.LIST:
+                    self.work = []
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = ServiceWork()
+                        _elem72.read(iprot)
+                        self.work.append(_elem72)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1226,6 +1449,13 @@
                 iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.work is not None:
+            oprot.writeFieldBegin('work', TType.LIST, 19)
+            oprot.writeListBegin(TType.STRUCT, len(self.work))
+            for iter76 in self.work:
+                iter76.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1316,6 +1546,21 @@
     (6, TType.BOOL, 'whole', None, None, ),  # 6
     (7, TType.I64, 'era', None, None, ),  # 7
 )
+all_structs.append(WorkspaceWork)
+WorkspaceWork.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'workspace', None, None, ),  # 1
+    (2, TType.I32, 'per_s', None, None, ),  # 2
+)
+all_structs.append(ServiceWork)
+ServiceWork.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'service', None, None, ),  # 1
+    (2, TType.I32, 'served_per_s', None, None, ),  # 2
+    (3, TType.I32, 'others_per_s', None, None, ),  # 3
+    (4, TType.I32, 'others_count', None, None, ),  # 4
+    (5, TType.LIST, 'heaviest', (TType.STRUCT, [WorkspaceWork, None], False), None, ),  # 5
+)
 all_structs.append(FrontState)
 FrontState.thrift_spec = (
     None,  # 0
@@ -1336,6 +1581,8 @@
     (15, TType.LIST, 'limits', (TType.STRUCT, [TargetLimit, None], False), None, ),  # 15
     (16, TType.LIST, 'outcomes', (TType.STRUCT, [SegmentOutcome, None], False), None, ),  # 16
     (17, TType.LIST, 'request_outcomes', (TType.STRUCT, [SegmentOutcome, None], False), None, ),  # 17
+    None,  # 18
+    (19, TType.LIST, 'work', (TType.STRUCT, [ServiceWork, None], False), None, ),  # 19
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/sharing_queue.py
+++ b/tests/sharing_queue.py
@@ -29,7 +29,8 @@
     """What is sent for `length_s`: rates are in multiples of a fair share.
 
     In a burst, which lasts 5 of every 10 seconds, all but the heavy workspace send
-    `burst` times as much; refused calls of the heavy one are sent `retries` times again.
+    `burst` times as much; refused calls of the heavy one are sent again immediately,
+    up to `retries` times.
     """
 
     others: float = 0.8
