--- a/src/turmericward/dispatching/_dispatch_task.py
+++ b/src/turmericward/dispatching/_dispatch_task.py
@@ -50,6 +50,7 @@
         retries: _messages.RetryBounds,
         publish,
         on_configured=lambda table: None,
+        count=lambda name: None,
     ) -> None:
         """Creates the task without configuration and targets.
 
@@ -61,6 +62,7 @@
             retries: bounds on the retries of all fronts together.
             publish: called with each state change to publish to the peers.
             on_configured: called with each routing table that takes effect.
+            count: called with the name of each counter to increase.
         """
         super().__init__()
         self._admission = fleet.Admission(name, grace_s)
@@ -76,7 +78,7 @@
         self._budgets = _retry_budgets.RetryBudgets(retries)
         self._published_at = 0.0
         self._published_loads: dict[int, requests.TargetLoad] = {}
-        self._sharing = _fair_sharing.FairSharing(seed, self._placer)
+        self._sharing = _fair_sharing.FairSharing(seed, self._placer, count)
         self._placing = _placing.Placing(
             self._admission,
             self._placer,
--- a/src/turmericward/dispatching/_fair_sharing.py
+++ b/src/turmericward/dispatching/_fair_sharing.py
@@ -5,6 +5,8 @@
 Calls without a workspace aren't counted.
 """
 
+from collections.abc import Callable
+
 import attrs
 import result
 
@@ -44,15 +46,19 @@
 class FairSharing:
     """Counts calls for their workspaces; used by the dispatcher's thread only."""
 
-    def __init__(self, seed: int, placer: requests.Placer) -> None:
+    def __init__(
+        self, seed: int, placer: requests.Placer, count: Callable[[str], None]
+    ) -> None:
         """Starts without calls.
 
         Args:
             seed: seed of the random choices.
             placer: knows the load of the targets.
+            count: called with the name of each counter to increase.
         """
         self.shares = sharing.Shares(seed)
         self._placer = placer
+        self._count = count
         self._means: dict[str, _ServiceMeans] = {}
         # Services of open placements of plain calls.
         self._plain: dict[int, str] = {}
@@ -76,6 +82,7 @@
         )
         verdict = self.shares.offer(offer, now)
         if verdict.refusal is not None:
+            self._count(f"shares.refused.{offer.service}")
             self._log.refused(call.id, offer, verdict, now)
         return Turn(offer=offer, verdict=verdict)
 
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -100,6 +100,7 @@
             retries=_retry_bounds(cfg),
             publish=peer_task.publish_state,
             on_configured=self._apply_table,
+            count=metrics.count,
         )
         for task in (self._dispatch, peer_task):
             task.on_rejected = self._on_message_rejected
--- a/tests/test_sharing_calls.py
+++ b/tests/test_sharing_calls.py
@@ -14,9 +14,10 @@
 WORK = {5: sharing.ServiceWork(served=9.0, others=2.0, heaviest={7: 3.0})}
 
 
-def _front(published: list | None = None) -> dispatching.DispatchTask:
-    publish = (lambda state: None) if published is None else published.append
-    task = test_dispatch._task(publish=publish)
+def _front(published: list | None = None, **options) -> dispatching.DispatchTask:
+    if published is not None:
+        options["publish"] = published.append
+    task = test_dispatch._task(**options)
     targets = tuple(test_dispatch._target(name) for name in "ab")
     task.handle(dispatching.PutTargets(targets=targets))
     return task
@@ -64,12 +65,14 @@
 
 
 def test_a_heavy_workspace_is_refused_and_others_are_not():
-    task = _front()
+    counted = []
+    task = _front(count=counted.append)
     _saturate(task)
     outcomes = [_place(task, "heavy") for _ in range(20)]
     refused = [o.unwrap_err() for o in outcomes if o.is_err()]
     check.assertGreater(len(refused), 15)
     check.assertEqual({r.reason for r in refused}, {sharing.ABOVE_SHARE})
+    check.assertEqual(counted, ["shares.refused.model"] * len(refused))
     check.assertGreater(len({r.retry_after_s for r in refused}), 10)
     for workspace in ("light", None):
         answer = _place(task, workspace)
