--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -101,6 +101,10 @@
   3: i32 others_per_s
   4: i32 others_count
   5: list<WorkspaceWork> heaviest
+  /** Recent waits in thousandths of the latency objectives: their sum, and
+   * a thousand times their number. */
+  6: i32 waits
+  7: i32 samples
 }
 
 /** A front's whole load, and the prompts read since its last datagrams. */
--- a/src/turmericward/dispatching/_fair_sharing.py
+++ b/src/turmericward/dispatching/_fair_sharing.py
@@ -170,9 +170,9 @@
         took_s = max(0.0, now - placement.placed_at - placement.start_after_s)
         means = self._means_of(service)
         # What the call waited for a slot at its target is not its own work.
-        open_calls = self._placer.load(placement.target.name).open_calls
+        open_calls = self._placer.load(placement.target.name).open_calls + 1
         slots = max(1, placement.target.slots)
-        worked_s = took_s * min(1.0, slots / max(1, open_calls))
+        worked_s = took_s * min(1.0, slots / open_calls)
         means.plain_s += LEARNING_RATE * (worked_s - means.plain_s)
         self.shares.served(placement.id, now, worked_s * MILLISECONDS)
 
--- a/src/turmericward/peers/_work_codec.py
+++ b/src/turmericward/peers/_work_codec.py
@@ -6,6 +6,8 @@
 
 # No front has so many services; more are malformed.
 MAX_SERVICES = 1_000
+# Waits and their number are sent as whole thousandths.
+THOUSANDTHS = 1000
 
 
 def encode(work: sharing.Work | None) -> list[ttypes.ServiceWork] | None:
@@ -26,6 +28,8 @@
             for workspace, per_s in part.heaviest.items()
             if per_s >= 1
         ],
+        waits=_fields.int32(part.pressure.total * THOUSANDTHS),
+        samples=_fields.int32(part.pressure.samples * THOUSANDTHS),
     )
 
 
@@ -46,7 +50,7 @@
 
 def _decode_service(row: ttypes.ServiceWork) -> sharing.ServiceWork:
     _fields.require(row.service, row.served_per_s, row.others_per_s)
-    _fields.require(row.others_count, row.heaviest)
+    _fields.require(row.others_count, row.heaviest, row.waits, row.samples)
     for workspace in row.heaviest:
         _fields.require(workspace.workspace, workspace.per_s)
     part = sharing.ServiceWork(
@@ -54,5 +58,9 @@
         others=max(0, row.others_per_s),
         others_count=max(0, row.others_count),
         heaviest={w.workspace: max(0, w.per_s) for w in row.heaviest},
+        pressure=sharing.Pressure(
+            total=max(0, row.waits) / THOUSANDTHS,
+            samples=max(0, row.samples) / THOUSANDTHS,
+        ),
     )
     return part.limited_to(sharing.MAX_SUMMED_WORKSPACES)
--- a/src/turmericward/sharing/__init__.py
+++ b/src/turmericward/sharing/__init__.py
@@ -11,6 +11,7 @@
 from turmericward.sharing._work import (
     MAX_PUBLISHED_WORKSPACES,
     MAX_SUMMED_WORKSPACES,
+    Pressure,
     ServiceWork,
     Work,
     output_work,
@@ -25,6 +26,7 @@
     "MAX_PUBLISHED_WORKSPACES",
     "MAX_SUMMED_WORKSPACES",
     "Offer",
+    "Pressure",
     "ServiceWork",
     "Shares",
     "Verdict",
--- a/src/turmericward/sharing/_decay.py
+++ b/src/turmericward/sharing/_decay.py
@@ -31,8 +31,8 @@
 
 
 @attrs.define
-class DecayedMean:
-    """Mean of samples, of which older ones count less; times are monotonic."""
+class DecayedSamples:
+    """Sum and number of samples; older ones count less. Times are monotonic."""
 
     _decay_s: float
     _sum: float = 0.0
@@ -47,13 +47,12 @@
         self._at = max(now, self._at)
 
     def weight(self, now: float) -> float:
-        """Returns how many recent samples the mean is made of."""
+        """Returns the number of recent samples."""
         return self._weight * self._factor(now)
 
-    @property
-    def mean(self) -> float:
-        """The mean, 0 without samples."""
-        return self._sum / self._weight if self._weight else 0.0
+    def total(self, now: float) -> float:
+        """Returns the sum of the recent samples."""
+        return self._sum * self._factor(now)
 
     def _factor(self, now: float) -> float:
         return math.exp(-max(0.0, now - self._at) / self._decay_s)
--- a/src/turmericward/sharing/_saturation.py
+++ b/src/turmericward/sharing/_saturation.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from turmericward.sharing import _decay
+from turmericward.sharing import _decay, _work
 
 # A sample of pressure is a call's wait behind other calls, as a share of its route's
 # latency objective; the service is saturated from this mean on.
@@ -40,37 +40,51 @@
     """
 
     capacity: float | None = None
-    since: float = 0.0
-    _pressure: _decay.DecayedMean = attrs.field(
-        factory=lambda: _decay.DecayedMean(PRESSURE_DECAY_S)
+    _samples: _decay.DecayedSamples = attrs.field(
+        factory=lambda: _decay.DecayedSamples(PRESSURE_DECAY_S)
     )
     _updated_at: float = float("-inf")
 
     def observe(self, pressure: float, now: float) -> None:
         """Records the wait of a call, as a share of its latency objective."""
-        self._pressure.add(min(MAX_SAMPLE, pressure), now)
+        self._samples.add(min(MAX_SAMPLE, pressure), now)
 
     def is_due(self, now: float) -> bool:
         """Returns whether the estimate is to be updated."""
         return now - self._updated_at >= UPDATE_INTERVAL_S
 
-    def may_limit(self, now: float) -> bool:
-        """Returns whether the service is saturated, or may be from now on."""
-        return self.capacity is not None or self.pressure(now) >= SATURATED_PRESSURE
+    def local_pressure(self, now: float) -> _work.Pressure:
+        """Returns the recent samples of this front."""
+        return _work.Pressure(
+            total=self._samples.total(now), samples=self._samples.weight(now)
+        )
 
-    def pressure(self, now: float) -> float:
-        """Returns the recent mean pressure, 0 with too few samples."""
-        enough = self._pressure.weight(now) >= MIN_SAMPLES
-        return self._pressure.mean if enough else 0.0
+    def may_limit(self, pressure: _work.Pressure, now: float) -> bool:
+        """Returns whether the service is saturated, or may be from now on.
 
-    def update(self, served: float, offered: float, now: float) -> None:
-        """Updates the estimate from the work per second of all fronts."""
+        Args:
+            pressure: samples of all fronts.
+            now: monotonic seconds.
+        """
+        if self.capacity is not None or _mean(pressure) >= SATURATED_PRESSURE:
+            return True
+        self._updated_at = now
+        return False
+
+    def update(
+        self,
+        pressure_of_all: _work.Pressure,
+        served: float,
+        offered: float,
+        now: float,
+    ) -> None:
+        """Updates the estimate from the samples and the work of all fronts."""
         elapsed_s = min(1.0, now - self._updated_at)
         self._updated_at = now
-        pressure = self.pressure(now)
+        pressure = _mean(pressure_of_all)
         if self.capacity is None:
             if pressure >= SATURATED_PRESSURE and served > 0:
-                self.capacity, self.since = served, now
+                self.capacity = served
             return
         if pressure >= HIGH_PRESSURE:
             self.capacity = DRAIN_FACTOR * served
@@ -80,3 +94,10 @@
         self.capacity = max(self.capacity, MIN_CAPACITY_SHARE * offered)
         if self.capacity >= RELEASE_FACTOR * offered:
             self.capacity = None
+
+
+def _mean(pressure: _work.Pressure) -> float:
+    """Returns the mean pressure, 0 with too few samples."""
+    if pressure.samples < MIN_SAMPLES:
+        return 0.0
+    return pressure.total / pressure.samples
--- a/src/turmericward/sharing/_service.py
+++ b/src/turmericward/sharing/_service.py
@@ -97,16 +97,21 @@
 
     def _update(self, now: float) -> None:
         """Updates what each workspace may get; cheap if the service has room."""
-        if not self._saturation.may_limit(now):
-            self._level = NO_LEVEL
-            return
         self._peer_work = self._peers.at_service(self._id)
+        pressure = self._saturation.local_pressure(now) + self._peer_work.pressure
+        self._level = NO_LEVEL
+        if not self._saturation.may_limit(pressure, now):
+            return
         total = _work.sum_services((self.accounts.work(now), self._peer_work))
         self._offered, self._count = total.offered, total.count
-        self._saturation.update(total.served, total.offered, now)
+        self._saturation.update(pressure, total.served, total.offered, now)
         capacity = self._saturation.capacity
-        self._level = NO_LEVEL
         if capacity is not None:
             self._level = _levels.fair_level(
                 total.heaviest.values(), total.others, capacity
             )
+
+    def work(self, now: float) -> _work.ServiceWork:
+        """Returns what the peers are told of this front."""
+        work = self.accounts.work(now).limited_to(_work.MAX_PUBLISHED_WORKSPACES)
+        return attrs.evolve(work, pressure=self._saturation.local_pressure(now))
--- a/src/turmericward/sharing/_shares.py
+++ b/src/turmericward/sharing/_shares.py
@@ -19,6 +19,7 @@
 )
 
 MAX_LISTED_WORKSPACES = 10
+EXPIRY_INTERVAL_S = 5.0
 
 
 @attrs.define
@@ -48,6 +49,7 @@
         self._peers = _peer_work.PeerWork()
         self._services: dict[str, _service.ServiceShares] = {}
         self._open: dict[int, _OpenWork] = {}
+        self._expired_at = float("-inf")
 
     @property
     def in_use(self) -> bool:
@@ -109,9 +111,15 @@
         self._peers.replace(peer, work, now)
 
     def expire(self, now: float) -> None:
-        """Drops silent peers and idle workspaces, and services without any."""
+        """Drops silent peers and idle workspaces, and services without any.
+
+        Cheap to call often: it looks at all workspaces once in a while only.
+        """
         if self._peers:
             self._peers.expire(now)
+        if now - self._expired_at < EXPIRY_INTERVAL_S:
+            return
+        self._expired_at = now
         for name, shares in list(self._services.items()):
             shares.accounts.expire(now)
             if not shares.accounts:
@@ -120,9 +128,7 @@
     def local_work(self, now: float) -> dict[int, _work.ServiceWork]:
         """Returns what the peers are told: the heaviest workspaces of this front."""
         return {
-            fleet.target_hash(name): shares.accounts.work(now).limited_to(
-                _work.MAX_PUBLISHED_WORKSPACES
-            )
+            fleet.target_hash(name): shares.work(now)
             for name, shares in self._services.items()
         }
 
--- a/src/turmericward/sharing/_work.py
+++ b/src/turmericward/sharing/_work.py
@@ -43,6 +43,33 @@
     return OUTPUT_TOKEN_WORK * prompt.output_tokens
 
 
+@attrs.frozen(kw_only=True)
+class Pressure:
+    """Recent waits of calls as shares of their latency objectives: sum and number.
+
+    A front alone has too few calls to tell whether a service is saturated.
+    """
+
+    total: float = 0.0
+    samples: float = 0.0
+
+    def __add__(self, other: "Pressure") -> "Pressure":
+        """Returns the samples of both."""
+        return Pressure(
+            total=self.total + other.total, samples=self.samples + other.samples
+        )
+
+    def without(self, other: "Pressure") -> "Pressure":
+        """Returns the remaining samples."""
+        return Pressure(
+            total=max(0.0, self.total - other.total),
+            samples=max(0.0, self.samples - other.samples),
+        )
+
+
+NO_PRESSURE = Pressure()
+
+
 @attrs.frozen(kw_only=True)
 class ServiceWork:
     """Work per second at one service, of one or several fronts.
@@ -56,6 +83,7 @@
     others: float = 0.0
     others_count: int = 0
     heaviest: Mapping[int, float] = attrs.field(factory=dict)
+    pressure: Pressure = NO_PRESSURE
 
     @property
     def offered(self) -> float:
@@ -95,6 +123,7 @@
             others=max(0.0, others),
             others_count=self.others_count,
             heaviest=heaviest,
+            pressure=self.pressure.without(own.pressure),
         )
 
 
@@ -107,11 +136,13 @@
     """Returns the work of several fronts at one service, with all their workspaces."""
     served = others = 0.0
     count = 0
+    pressure = NO_PRESSURE
     heaviest: dict[int, float] = {}
     for part in parts:
         served += part.served
         others += part.others
         count = max(count, part.count)
+        pressure += part.pressure
         for workspace, value in part.heaviest.items():
             heaviest[workspace] = heaviest.get(workspace, 0.0) + value
     # Several fronts' other workspaces are partly the same ones, and may be named here.
@@ -120,6 +151,7 @@
         others=others,
         others_count=max(0, count - len(heaviest)),
         heaviest=heaviest,
+        pressure=pressure,
     )
 
 
--- a/src/turmericward/wire/peers/ttypes.py
+++ b/src/turmericward/wire/peers/ttypes.py
@@ -1001,6 +1001,9 @@
      - others_per_s: What the workspaces asked for that aren't named here.
      - others_count
      - heaviest
+     - waits: Recent waits in thousandths of the latency objectives: their sum, and
+    a thousand times their number.
+     - samples
 
     """
 
@@ -1010,15 +1013,19 @@
         'others_per_s',
         'others_count',
         'heaviest',
+        'waits',
+        'samples',
     )
 
 
-    def __init__(self, service=None, served_per_s=None, others_per_s=None, others_count=None, heaviest=None,):
+    def __init__(self, service=None, served_per_s=None, others_per_s=None, others_count=None, heaviest=None, waits=None, samples=None,):
         self.service = service
         self.served_per_s = served_per_s
         self.others_per_s = others_per_s
         self.others_count = others_count
         self.heaviest = heaviest
+        self.waits = waits
+        self.samples = samples
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1060,6 +1067,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.waits = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.samples = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1093,6 +1110,14 @@
                 iter70.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.waits is not None:
+            oprot.writeFieldBegin('waits', TType.I32, 6)
+            oprot.writeI32(self.waits)
+            oprot.writeFieldEnd()
+        if self.samples is not None:
+            oprot.writeFieldBegin('samples', TType.I32, 7)
+            oprot.writeI32(self.samples)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1560,6 +1585,8 @@
     (3, TType.I32, 'others_per_s', None, None, ),  # 3
     (4, TType.I32, 'others_count', None, None, ),  # 4
     (5, TType.LIST, 'heaviest', (TType.STRUCT, [WorkspaceWork, None], False), None, ),  # 5
+    (6, TType.I32, 'waits', None, None, ),  # 6
+    (7, TType.I32, 'samples', None, None, ),  # 7
 )
 all_structs.append(FrontState)
 FrontState.thrift_spec = (
