Workspaces are named to peers only near saturation; sums name 64

A relay would have sent each member 128 rows for each service twice a second, 11 KB/s with four services; a workspace that sends ten times its share of 3,300 is among the first 36 of a Zipf distribution with exponent 1.2.

--- a/src/turmericward/peers/_work_exchange.py
+++ b/src/turmericward/peers/_work_exchange.py
@@ -5,7 +5,7 @@
 from turmericward import requests, sharing
 from turmericward.peers import _messages, _states
 
-# Less often than the loads: a share changes over seconds, and the rows of 128
+# Less often than the loads: a share changes over seconds, and the rows of 64
 # workspaces are longer than those of the targets that changed.
 SEND_INTERVAL_S = 0.5
 
--- a/src/turmericward/sharing/_accounts.py
+++ b/src/turmericward/sharing/_accounts.py
@@ -63,6 +63,10 @@
         """Records work that a target has done."""
         self._served.add(work, now)
 
+    def served_per_s(self, now: float) -> float:
+        """Returns the work per second that targets have done."""
+        return self._served.per_s(now)
+
     def work(self, now: float) -> _work.ServiceWork:
         """Returns the work per second, with all workspaces."""
         heaviest: dict[int, float] = {}
--- a/src/turmericward/sharing/_saturation.py
+++ b/src/turmericward/sharing/_saturation.py
@@ -11,9 +11,7 @@
 # A sample of pressure is a call's wait behind other calls, as a share of its route's
 # latency objective; the service is saturated from this mean on.
 SATURATED_PRESSURE = 0.8
-# Samples decay after this time; with fewer recent ones nothing is concluded.
 PRESSURE_DECAY_S = 1.0
-MIN_SAMPLES = 2.0
 # While saturated, pressure above the first value reduces what the service is given to
 # less than it does, so that queues get shorter; below the second one it is given more.
 HIGH_PRESSURE = 0.4
@@ -66,7 +64,7 @@
             pressure: samples of all fronts.
             now: monotonic seconds.
         """
-        if self.capacity is not None or _mean(pressure) >= SATURATED_PRESSURE:
+        if self.capacity is not None or pressure.mean >= SATURATED_PRESSURE:
             return True
         self._updated_at = now
         return False
@@ -81,7 +79,7 @@
         """Updates the estimate from the samples and the work of all fronts."""
         elapsed_s = min(1.0, now - self._updated_at)
         self._updated_at = now
-        pressure = _mean(pressure_of_all)
+        pressure = pressure_of_all.mean
         if self.capacity is None:
             if pressure >= SATURATED_PRESSURE and served > 0:
                 self.capacity = served
@@ -94,10 +92,3 @@
         self.capacity = max(self.capacity, MIN_CAPACITY_SHARE * offered)
         if self.capacity >= RELEASE_FACTOR * offered:
             self.capacity = None
-
-
-def _mean(pressure: _work.Pressure) -> float:
-    """Returns the mean pressure, 0 with too few samples."""
-    if pressure.samples < MIN_SAMPLES:
-        return 0.0
-    return pressure.total / pressure.samples
--- a/src/turmericward/sharing/_service.py
+++ b/src/turmericward/sharing/_service.py
@@ -18,6 +18,10 @@
 # Calls of a workspace above its share go behind those of others of their priority.
 ABOVE_SHARE_RANKS = 1
 NO_LEVEL = float("inf")
+# The peers are told of workspaces from this pressure on, half of that of a saturated
+# service, and for a while after: a calm service costs them 24 bytes.
+NAMED_PRESSURE = 0.4
+NAMED_S = 10.0
 
 
 class ServiceShares:
@@ -41,6 +45,7 @@
         # The peers' part of the demands, as of the last update.
         self._peer_work = _work.NO_WORK
         # Of all fronts, as of the last update.
+        self._named_until = float("-inf")
         self._offered = 0.0
         self._count = 0
         self.accounts = _accounts.Accounts()
@@ -100,6 +105,9 @@
         self._peer_work = self._peers.at_service(self._id)
         pressure = self._saturation.local_pressure(now) + self._peer_work.pressure
         self._level = NO_LEVEL
+        limits = self._saturation.capacity is not None
+        if limits or pressure.mean >= NAMED_PRESSURE:
+            self._named_until = now + NAMED_S
         if not self._saturation.may_limit(pressure, now):
             return
         total = _work.sum_services((self.accounts.work(now), self._peer_work))
@@ -113,5 +121,11 @@
 
     def work(self, now: float) -> _work.ServiceWork:
         """Returns what the peers are told of this front."""
+        if self._saturation.is_due(now):
+            self._update(now)
+        pressure = self._saturation.local_pressure(now)
+        if now >= self._named_until:
+            served = self.accounts.served_per_s(now)
+            return _work.ServiceWork(served=served, pressure=pressure)
         work = self.accounts.work(now).limited_to(_work.MAX_PUBLISHED_WORKSPACES)
-        return attrs.evolve(work, pressure=self._saturation.local_pressure(now))
+        return attrs.evolve(work, pressure=pressure)
--- a/src/turmericward/sharing/_work.py
+++ b/src/turmericward/sharing/_work.py
@@ -16,7 +16,7 @@
 OUTPUT_TOKEN_WORK = 20.0
 # Workspaces of a service that one front publishes, and that a sum of fronts holds.
 MAX_PUBLISHED_WORKSPACES = 32
-MAX_SUMMED_WORKSPACES = 128
+MAX_SUMMED_WORKSPACES = 64
 
 
 def prompt_work(prompt, uncached_share: float) -> float:
@@ -43,6 +43,10 @@
     return OUTPUT_TOKEN_WORK * prompt.output_tokens
 
 
+# With fewer recent samples of waits nothing is concluded.
+MIN_SAMPLES = 2.0
+
+
 @attrs.frozen(kw_only=True)
 class Pressure:
     """Recent waits of calls as shares of their latency objectives: sum and number.
@@ -53,6 +57,11 @@
     total: float = 0.0
     samples: float = 0.0
 
+    @property
+    def mean(self) -> float:
+        """Mean of the samples, 0 with too few."""
+        return self.total / self.samples if self.samples >= MIN_SAMPLES else 0.0
+
     def __add__(self, other: "Pressure") -> "Pressure":
         """Returns the samples of both."""
         return Pressure(
--- a/tests/test_sharing_calls.py
+++ b/tests/test_sharing_calls.py
@@ -145,6 +145,15 @@
     check.assertEqual([len(part.heaviest) for part in work.values()], [2])
 
 
+def test_peers_are_told_of_workspaces_only_near_saturation():
+    published = []
+    task = _front(published)
+    _place(task, "w").unwrap()
+    task.run_periodic()
+    (calm,) = [s.work for s in published if s.work]
+    check.assertEqual({len(part.heaviest) for part in calm.values()}, {0})
+
+
 def test_work_survives_encoding_and_old_fronts_ignore_it():
     state = attrs.evolve(test_peers.STATE, work=WORK)
     check.assertEqual(peers.decode(peers.encode(state)), state)
