--- a/tests/test_sharing_calls.py
+++ b/tests/test_sharing_calls.py
@@ -212,6 +212,30 @@
     check.assertEqual(later.work[5].heaviest, {7: 0.25})
 
 
+def test_peer_tasks_exchange_work_twice_a_second():
+    # Guards against work in each datagram, and in those of fronts without workspaces.
+    sock, now, delivered = mock.Mock(), [100.0], []
+    task = peers.PeerTask("f1", "a", 9, sock, delivered.append, clock=lambda: now[0])
+    task.handle(peers.Announced(front="f2", host="127.0.0.1", domain="a"))
+
+    def sent() -> list:
+        datagrams = [peers.decode(c.args[0]) for c in sock.sendto.call_args_list]
+        sock.reset_mock()
+        return [state.work for state in datagrams]
+
+    task.handle(peers.LocalState(loads={}))
+    check.assertEqual(sent(), [None])
+    for _ in range(10):
+        now[0] += 0.1
+        task.handle(peers.LocalState(loads={}, work=WORK))
+    works = sent()
+    check.assertEqual(len(works), 10)
+    check.assertEqual([work for work in works if work is not None], [WORK, WORK])
+    state = attrs.evolve(test_peers.STATE, front="f2", domain="a", work=WORK)
+    task.handle(peers.StateReceived(state=state, host="127.0.0.1"))
+    check.assertEqual(delivered[-1].work, WORK)
+
+
 def test_lines_on_refusals_are_bounded():
     log = _share_log.ShareLog()
     refusal = requests.Refusal(reason=sharing.ABOVE_SHARE, retry_after_s=1.0)
