--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -103,6 +103,29 @@
   2: list<WindowUsage> windows
 }
 
+/** What a workspace asked for; `workspace` is the CRC-32 of its name. */
+struct WorkspaceWork {
+  1: i32 workspace
+  /** Thousandths of prompt tokens, or of milliseconds of plain calls, a second. */
+  2: i64 per_s
+}
+
+/** Work at a service, of the fronts that are summed here, in the same units. */
+struct ServiceWork {
+  /** CRC-32 of its name. */
+  1: i32 service_id
+  /** What targets have done. */
+  2: i64 served_per_s
+  /** What the workspaces asked for that aren't named here. */
+  3: i64 others_per_s
+  4: i32 others_count
+  5: list<WorkspaceWork> heaviest
+  /** Recent waits in thousandths of the latency objectives: their sum, and
+   * a thousand times their number. */
+  6: i32 waits
+  7: i32 samples
+}
+
 /** A front's whole load, and the prompts read since its last datagrams. */
 struct FrontState {
   1: string front
@@ -132,4 +155,6 @@
   /** The same of calls that come again; `segment` is the number of their content. */
   17: list<SegmentOutcome> request_outcomes
   18: Usage usage
+  /** Work by service; without it the work is as it was told before. */
+  19: list<ServiceWork> work
 }
--- a/src/turmericward/dispatching/_dispatch_task.py
+++ b/src/turmericward/dispatching/_dispatch_task.py
@@ -17,6 +17,7 @@
 )
 from turmericward.dispatching import (
     _crash_guard,
+    _fair_sharing,
     _limit_exchange,
     _messages,
     _placing,
@@ -59,6 +60,7 @@
         publish,
         on_configured=lambda table: None,
         publish_began: Callable[[peers.CallsBegan], None] | None = None,
+        count=lambda name: None,
     ) -> None:
         """Creates the task without configuration and targets.
 
@@ -72,6 +74,7 @@
             on_configured: called with each routing table that takes effect.
             publish_began: called with the calls of workspaces that began to run; None
                 without metering.
+            count: called with the name of each counter to increase.
         """
         super().__init__()
         self._admission = fleet.Admission(name, grace_s)
@@ -87,8 +90,13 @@
         self._budgets = _retry_budgets.RetryBudgets(retries)
         self._published_at = 0.0
         self._published_loads: dict[int, requests.TargetLoad] = {}
+        self._sharing = _fair_sharing.FairSharing(seed, self._placer, count)
         self._placing = _placing.Placing(
-            self._admission, self._placer, self._crashes, self._budgets
+            self._admission,
+            self._placer,
+            self._crashes,
+            self._budgets,
+            self._sharing,
         )
         self._publish = publish
         self._on_configured = on_configured
@@ -231,7 +239,12 @@
         self._placer.count_overdue(now)
         self._crashes.expire(now)
         self._publish_began_calls()
-        if self._reports_changed or self._are_published_loads_outdated(now):
+        self._sharing.expire(now)
+        if (
+            self._reports_changed
+            or self._are_published_loads_outdated(now)
+            or self._sharing.is_publication_due(now)
+        ):
             self._publish_state()
 
     def _publish_began_calls(self) -> None:
@@ -261,6 +274,8 @@
             self._update_recently_limited()
             self._reports_changed = True
         self._reports_changed |= self._crashes.apply(message.outcomes)
+        if message.work is not None:
+            self._sharing.shares.apply(message.front, message.work, runtime.now())
         for target, ttl_s in message.held.items():
             self._admission.hold(target, runtime.now() + ttl_s)
 
@@ -308,6 +323,7 @@
             peer_ages_s=self._placer.peers.ages(now),
             retries_left=self._budgets.available(),
             barred=self._crashes.status(),
+            workspaces=self._sharing.shares.status(now),
         )
 
     @handle.register
@@ -335,6 +351,7 @@
                 cache_entries=entries,
                 limits=self._limits.reports(),
                 outcomes=self._crashes.outcomes(),
+                work=self._sharing.publishable_work(self._published_at),
                 **changes,
             )
         )
@@ -368,6 +385,7 @@
     def _(self, message: _messages.FirstOutput) -> None:
         if message.workspace and self._publish_began is not None:
             self._began.append((message.workspace, message.began_at))
+        self._sharing.first_output(message.placement, runtime.now())
         self._placer.record_first_output(
             message.placement, message.prompt, message.took_s, runtime.now()
         )
--- a/src/turmericward/peers/_states.py
+++ b/src/turmericward/peers/_states.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from turmericward import feeds, metering, requests
+from turmericward import feeds, metering, requests, sharing
 
 
 @attrs.frozen(kw_only=True)
@@ -43,6 +43,7 @@
     state, targets without a row keep the loads sent before; limits that aren't in a
     state are unchanged. A front that `needs_full_batches` could not read the topics.
     `usage` is set now and then by fronts that meter.
+    `work` is that of workspaces, by service; None if it is as told before.
     `sequence` orders the states of one `boot`, a random number chosen at each start.
     """
 
@@ -63,6 +64,7 @@
     partial: bool = False
     needs_full_batches: bool = False
     usage: metering.Usage | None = None
+    work: sharing.Work | None = None
 
     def without(self, loads: Mapping[int, requests.TargetLoad]) -> "PeerState":
         """Returns the state with one front's loads subtracted from the sum."""
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -106,6 +106,7 @@
             publish=peer_task.publish_state,
             on_configured=self._apply_table,
             publish_began=self._publish_began(),
+            count=metrics.count,
         )
         for task in (self._dispatch, peer_task):
             task.on_rejected = self._on_message_rejected
--- a/src/turmericward/wire/peers/ttypes.py
+++ b/src/turmericward/wire/peers/ttypes.py
@@ -976,11 +976,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.counts = {}
-                    (_ktype7, _vtype8, _size6) = iprot.readMapBegin()
-                    for _i10 in range(_size6):
-                        _key11 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val12 = iprot.readI32()
-                        self.counts[_key11] = _val12
+                    (_ktype8, _vtype9, _size7) = iprot.readMapBegin()
+                    for _i11 in range(_size7):
+                        _key12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val13 = iprot.readI32()
+                        self.counts[_key12] = _val13
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1011,9 +1011,9 @@
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.counts))
-            for kiter19, viter20 in self.counts.items():
-                oprot.writeString(kiter19.encode('utf-8') if sys.version_info[0] == 2 else kiter19)
-                oprot.writeI32(viter20)
+            for kiter14, viter15 in self.counts.items():
+                oprot.writeString(kiter14.encode('utf-8') if sys.version_info[0] == 2 else kiter14)
+                oprot.writeI32(viter15)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.domain is not None:
@@ -1086,11 +1086,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.windows = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = WindowUsage()
-                        _elem18.read(iprot)
-                        self.windows.append(_elem18)
+                    (_etype19, _size16) = iprot.readListBegin()
+                    for _i20 in range(_size16):
+                        _elem21 = WindowUsage()
+                        _elem21.read(iprot)
+                        self.windows.append(_elem21)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1111,10 +1111,244 @@
         if self.windows is not None:
             oprot.writeFieldBegin('windows', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.windows))
-            for iter21 in self.windows:
-                iter21.write(oprot)
+            for iter22 in self.windows:
+                iter22.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class WorkspaceWork(object):
+    """
+    What a workspace asked for; `workspace` is the CRC-32 of its name.
+
+    Attributes:
+     - workspace
+     - per_s: Thousandths of prompt tokens, or of milliseconds of plain calls, a second.
+
+    """
+
+    __slots__ = (
+        'workspace',
+        'per_s',
+    )
+
+
+    def __init__(self, workspace=None, per_s=None,):
+        self.workspace = workspace
+        self.per_s = per_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.workspace = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.per_s = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WorkspaceWork')
+        if self.workspace is not None:
+            oprot.writeFieldBegin('workspace', TType.I32, 1)
+            oprot.writeI32(self.workspace)
+            oprot.writeFieldEnd()
+        if self.per_s is not None:
+            oprot.writeFieldBegin('per_s', TType.I64, 2)
+            oprot.writeI64(self.per_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceWork(object):
+    """
+    Work at a service, of the fronts that are summed here, in the same units.
+
+    Attributes:
+     - service_id: CRC-32 of its name.
+     - served_per_s: What targets have done.
+     - others_per_s: What the workspaces asked for that aren't named here.
+     - others_count
+     - heaviest
+     - waits: Recent waits in thousandths of the latency objectives: their sum, and
+    a thousand times their number.
+     - samples
+
+    """
+
+    __slots__ = (
+        'service_id',
+        'served_per_s',
+        'others_per_s',
+        'others_count',
+        'heaviest',
+        'waits',
+        'samples',
+    )
+
+
+    def __init__(self, service_id=None, served_per_s=None, others_per_s=None, others_count=None, heaviest=None, waits=None, samples=None,):
+        self.service_id = service_id
+        self.served_per_s = served_per_s
+        self.others_per_s = others_per_s
+        self.others_count = others_count
+        self.heaviest = heaviest
+        self.waits = waits
+        self.samples = samples
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.service_id = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.served_per_s = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.others_per_s = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.others_count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.heaviest = []
+                    (_etype26, _size23) = iprot.readListBegin()
+                    for _i27 in range(_size23):
+                        _elem28 = WorkspaceWork()
+                        _elem28.read(iprot)
+                        self.heaviest.append(_elem28)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.waits = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.samples = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceWork')
+        if self.service_id is not None:
+            oprot.writeFieldBegin('service_id', TType.I32, 1)
+            oprot.writeI32(self.service_id)
+            oprot.writeFieldEnd()
+        if self.served_per_s is not None:
+            oprot.writeFieldBegin('served_per_s', TType.I64, 2)
+            oprot.writeI64(self.served_per_s)
+            oprot.writeFieldEnd()
+        if self.others_per_s is not None:
+            oprot.writeFieldBegin('others_per_s', TType.I64, 3)
+            oprot.writeI64(self.others_per_s)
+            oprot.writeFieldEnd()
+        if self.others_count is not None:
+            oprot.writeFieldBegin('others_count', TType.I32, 4)
+            oprot.writeI32(self.others_count)
+            oprot.writeFieldEnd()
+        if self.heaviest is not None:
+            oprot.writeFieldBegin('heaviest', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.heaviest))
+            for iter29 in self.heaviest:
+                iter29.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.waits is not None:
+            oprot.writeFieldBegin('waits', TType.I32, 6)
+            oprot.writeI32(self.waits)
+            oprot.writeFieldEnd()
+        if self.samples is not None:
+            oprot.writeFieldBegin('samples', TType.I32, 7)
+            oprot.writeI32(self.samples)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1163,6 +1397,7 @@
      - outcomes
      - request_outcomes: The same of calls that come again; `segment` is the number of their content.
      - usage
+     - work: Work by service; without it the work is as it was told before.
 
     """
 
@@ -1185,10 +1420,11 @@
         'outcomes',
         'request_outcomes',
         'usage',
+        'work',
     )
 
 
-    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None, domain=None, fronts=None, listed=None, leaving=None, capacity=None, news=None, partial=None, asks=None, limits=None, outcomes=None, request_outcomes=None, usage=None,):
+    def __init__(self, front=None, boot=None, sequence=None, loads=None, kept=None, held=None, domain=None, fronts=None, listed=None, leaving=None, capacity=None, news=None, partial=None, asks=None, limits=None, outcomes=None, request_outcomes=None, usage=None, work=None,):
         self.front = front
         self.boot = boot
         self.sequence = sequence
@@ -1207,6 +1443,7 @@
         self.outcomes = outcomes
         self.request_outcomes = request_outcomes
         self.usage = usage
+        self.work = work
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1235,33 +1472,33 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = TargetLoad()
-                        _elem12.read(iprot)
-                        self.loads.append(_elem12)
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = TargetLoad()
+                        _elem35.read(iprot)
+                        self.loads.append(_elem35)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.kept = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = KeptPart()
-                        _elem18.read(iprot)
-                        self.kept.append(_elem18)
+                    (_etype39, _size36) = iprot.readListBegin()
+                    for _i40 in range(_size36):
+                        _elem41 = KeptPart()
+                        _elem41.read(iprot)
+                        self.kept.append(_elem41)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype22, _size19) = iprot.readListBegin()
-                    for _i23 in range(_size19):
-                        _elem24 = HeldTarget()
-                        _elem24.read(iprot)
-                        self.held.append(_elem24)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = HeldTarget()
+                        _elem47.read(iprot)
+                        self.held.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1278,21 +1515,21 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.listed = []
-                    (_etype28, _size25) = iprot.readListBegin()
-                    for _i29 in range(_size25):
-                        _elem30 = iprot.readI32()
-                        self.listed.append(_elem30)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = iprot.readI32()
+                        self.listed.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype34, _size31) = iprot.readListBegin()
-                    for _i35 in range(_size31):
-                        _elem36 = LeavingTarget()
-                        _elem36.read(iprot)
-                        self.leaving.append(_elem36)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = LeavingTarget()
+                        _elem59.read(iprot)
+                        self.leaving.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1304,11 +1541,11 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.news = []
-                    (_etype40, _size37) = iprot.readListBegin()
-                    for _i41 in range(_size37):
-                        _elem42 = TopicNews()
-                        _elem42.read(iprot)
-                        self.news.append(_elem42)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = TopicNews()
+                        _elem65.read(iprot)
+                        self.news.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1325,33 +1562,33 @@
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype46, _size43) = iprot.readListBegin()
-                    for _i47 in range(_size43):
-                        _elem48 = TargetLimit()
-                        _elem48.read(iprot)
-                        self.limits.append(_elem48)
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = TargetLimit()
+                        _elem71.read(iprot)
+                        self.limits.append(_elem71)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.outcomes = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = SegmentOutcome()
-                        _elem54.read(iprot)
-                        self.outcomes.append(_elem54)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = SegmentOutcome()
+                        _elem77.read(iprot)
+                        self.outcomes.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 17:
                 if ftype == TType.LIST:
                     self.request_outcomes = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = SegmentOutcome()
-                        _elem60.read(iprot)
-                        self.request_outcomes.append(_elem60)
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = SegmentOutcome()
+                        _elem83.read(iprot)
+                        self.request_outcomes.append(_elem83)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1361,6 +1598,17 @@
                     self.usage.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.LIST:
+                    self.work = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = ServiceWork()
+                        _elem89.read(iprot)
+                        self.work.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1386,22 +1634,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter61 in self.loads:
-                iter61.write(oprot)
+            for iter90 in self.loads:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.kept is not None:
             oprot.writeFieldBegin('kept', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.kept))
-            for iter62 in self.kept:
-                iter62.write(oprot)
+            for iter91 in self.kept:
+                iter91.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter63 in self.held:
-                iter63.write(oprot)
+            for iter92 in self.held:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.domain is not None:
@@ -1415,15 +1663,15 @@
         if self.listed is not None:
             oprot.writeFieldBegin('listed', TType.LIST, 9)
             oprot.writeListBegin(TType.I32, len(self.listed))
-            for iter64 in self.listed:
-                oprot.writeI32(iter64)
+            for iter93 in self.listed:
+                oprot.writeI32(iter93)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter65 in self.leaving:
-                iter65.write(oprot)
+            for iter94 in self.leaving:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.capacity is not None:
@@ -1433,8 +1681,8 @@
         if self.news is not None:
             oprot.writeFieldBegin('news', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.news))
-            for iter66 in self.news:
-                iter66.write(oprot)
+            for iter95 in self.news:
+                iter95.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.partial is not None:
@@ -1448,28 +1696,35 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter67 in self.limits:
-                iter67.write(oprot)
+            for iter96 in self.limits:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcomes is not None:
             oprot.writeFieldBegin('outcomes', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.outcomes))
-            for iter68 in self.outcomes:
-                iter68.write(oprot)
+            for iter97 in self.outcomes:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.request_outcomes is not None:
             oprot.writeFieldBegin('request_outcomes', TType.LIST, 17)
             oprot.writeListBegin(TType.STRUCT, len(self.request_outcomes))
-            for iter69 in self.request_outcomes:
-                iter69.write(oprot)
+            for iter98 in self.request_outcomes:
+                iter98.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage is not None:
             oprot.writeFieldBegin('usage', TType.STRUCT, 18)
             self.usage.write(oprot)
             oprot.writeFieldEnd()
+        if self.work is not None:
+            oprot.writeFieldBegin('work', TType.LIST, 19)
+            oprot.writeListBegin(TType.STRUCT, len(self.work))
+            for iter99 in self.work:
+                iter99.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1576,6 +1831,23 @@
     (1, TType.I64, 'unix_ms', None, None, ),  # 1
     (2, TType.LIST, 'windows', (TType.STRUCT, [WindowUsage, None], False), None, ),  # 2
 )
+all_structs.append(WorkspaceWork)
+WorkspaceWork.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'workspace', None, None, ),  # 1
+    (2, TType.I64, 'per_s', None, None, ),  # 2
+)
+all_structs.append(ServiceWork)
+ServiceWork.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'service_id', None, None, ),  # 1
+    (2, TType.I64, 'served_per_s', None, None, ),  # 2
+    (3, TType.I64, 'others_per_s', None, None, ),  # 3
+    (4, TType.I32, 'others_count', None, None, ),  # 4
+    (5, TType.LIST, 'heaviest', (TType.STRUCT, [WorkspaceWork, None], False), None, ),  # 5
+    (6, TType.I32, 'waits', None, None, ),  # 6
+    (7, TType.I32, 'samples', None, None, ),  # 7
+)
 all_structs.append(FrontState)
 FrontState.thrift_spec = (
     None,  # 0
@@ -1597,6 +1869,7 @@
     (16, TType.LIST, 'outcomes', (TType.STRUCT, [SegmentOutcome, None], False), None, ),  # 16
     (17, TType.LIST, 'request_outcomes', (TType.STRUCT, [SegmentOutcome, None], False), None, ),  # 17
     (18, TType.STRUCT, 'usage', [Usage, None], None, ),  # 18
+    (19, TType.LIST, 'work', (TType.STRUCT, [ServiceWork, None], False), None, ),  # 19
 )
 fix_spec(all_structs)
 del all_structs
