--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -249,7 +249,13 @@
 
 
 def _settings(
-    directory, front: str, ready: str, store: str, ports: list[int], bounds: dict
+    directory,
+    front: str,
+    ready: str,
+    store: str,
+    ports: list[int],
+    memory_mb: int,
+    bounds: dict,
 ):
     path = directory / "settings.json"
     value = {
@@ -261,7 +267,7 @@
             "metrics": ports[1],
         },
         "store": {"address": store, "wait_s": 0.5, "timeout_s": 0.5},
-        "limits": {"file_descriptors": 4096, "memory_mb": 300},
+        "limits": {"file_descriptors": 4096, "memory_mb": memory_mb},
         "bounds": {
             "drain_s": 8,
             "retry_share": 0.2,
@@ -276,7 +282,13 @@
 
 
 @contextlib.contextmanager
-def platform(names=("p1", "p2", "m1", "m2"), *, started: bool = True, **bounds):
+def platform(
+    names=("p1", "p2", "m1", "m2"),
+    *,
+    started: bool = True,
+    memory_mb: int = 300,
+    **bounds,
+):
     """Runs stand-ins and a configured front, with changed bounds, before them."""
     with contextlib.ExitStack() as stack:
         directory = pathlib.Path(stack.enter_context(tempfile.TemporaryDirectory()))
@@ -302,6 +314,7 @@
                 f"127.0.0.1:{ready}",
                 store_address,
                 ports,
+                memory_mb,
                 bounds,
             ),
             metrics=f"127.0.0.1:{ports[1]}",
