One account of the memory held for clients and targets; bodies are held in memory and decoded in linear time

Cause: each connection could hold a whole body in memory or in a temporary file, and nothing bounded them together; waitress decodes chunks in quadratic time and keeps chunk extensions and trailers without a bound.

Ruled out: a bound for each connection (thousands of connections times a body), and pausing reads when the limit is reached (half-read bodies would wait for each other's memory). A body is read once its whole length is granted.

Change: package memory (pure decisions, account), httpd/_gate.py (grants, refusals, turns of costly bodies), own receivers and output buffer. The limit is 3/16 of limits.memory_mb; other servers have none.

--- a/src/turmericward/adapters/_body_memory.py
+++ b/src/turmericward/adapters/_body_memory.py
@@ -7,11 +7,14 @@
 import threading
 from collections.abc import Iterator
 
+from turmericward import memory, runtime
 from turmericward.adapters import errors
 
 DEFAULT_LIMIT_BYTES = 64 * 1024 * 1024
 # Bodies up to this size are never refused for what others hold.
 FREE_BYTES = 64 * 1024
+# Less than targets bear with responses that aren't read.
+WAIT_S = 2.0
 
 
 class Reservation:
@@ -28,6 +31,7 @@
         Raises:
             AnswerLostError: all bodies together would be too large.
         """
+        self._memory.check_account(self, size)
         size = max(0, size - FREE_BYTES)
         self._memory.add(size - self._size)
         self._size = size
@@ -36,6 +40,7 @@
         """Gives back what was reserved."""
         self._memory.add(-self._size)
         self._size = 0
+        self._memory.leave_account(self)
 
 
 class BodyMemory:
@@ -44,6 +49,8 @@
     def __init__(self, limit_bytes: int = DEFAULT_LIMIT_BYTES) -> None:
         """Creates the count, without bytes."""
         self.limit_bytes = limit_bytes
+        # What is held for clients as well, if that is bounded.
+        self.account: memory.Account | None = None
         self._lock = threading.Lock()
         self._held = 0
 
@@ -61,6 +68,30 @@
         finally:
             reservation.release()
 
+    def check_account(self, reservation: Reservation, size: int) -> None:
+        """Reserves memory of the process for a body that has grown.
+
+        Bodies that need more than is free aren't read further for `WAIT_S`.
+
+        Raises:
+            AnswerLostError: no memory has become free.
+        """
+        if self.account is None:
+            return
+        kind, now = memory.Kind.WORK, runtime.now()
+        if size <= FREE_BYTES:
+            self.account.set(reservation, kind, size, now)
+        elif not self.account.grant(reservation, kind, size, now, WAIT_S):
+            self.account.count("memory.ended.answer_not_read")
+            raise errors.AnswerLostError(
+                f"{self.account.held} bytes are held for clients and targets"
+            )
+
+    def leave_account(self, reservation: Reservation) -> None:
+        """Gives back what was reserved of the process's memory."""
+        if self.account is not None:
+            self.account.set(reservation, memory.Kind.WORK, 0, runtime.now())
+
     def add(self, count: int) -> None:
         """Reserves bytes, or gives them back.
 
--- a/src/turmericward/httpd/_channel.py
+++ b/src/turmericward/httpd/_channel.py
@@ -3,11 +3,12 @@
 import contextlib
 import math
 import socket
+import threading
 
 from waitress import channel, parser, task, utilities
 
-from turmericward import runtime
-from turmericward.httpd import _idle, _linger, _shutdown
+from turmericward import memory, runtime
+from turmericward.httpd import _idle, _linger, _outbuf, _receivers, _shutdown
 
 RECEIVED_AT_KEY = "turmericward.received"
 # Other instances may take the request at once.
@@ -18,6 +19,8 @@
 # What the system keeps of a stream for its client, who still has to read it when the
 # stream is broken off.
 STREAM_BUFFER_BYTES = 128 * 1024
+# What a header field takes beyond its bytes: two strings and a place in a table.
+FIELD_BYTES = 256
 
 
 class Parser(parser.HTTPRequestParser):
@@ -37,14 +40,43 @@
             # With both headers, a proxy may see a different end of the body, so that
             # bytes after it must not be read as a request (request smuggling).
             self.headers["CONNECTION"] = "close"
+        if self.chunked:
+            max_bytes = self.adj.max_request_body_size
+            self.body_rcv = _receivers.ChunkedReceiver(max_bytes)
+        elif self.body_rcv is not None:
+            self.body_rcv = _receivers.FixedReceiver(self.content_length)
+        self.header_plus = b""
+
+    @property
+    def size(self) -> int:
+        """Bytes of memory that the request holds or may use."""
+        if not self.headers_finished:
+            return len(self.header_plus)
+        size = self.header_bytes_received + FIELD_BYTES * len(self.headers)
+        return size if self.body_rcv is None else size + self.body_rcv.size
 
     def received(self, data: bytes) -> int:
         """Parses bytes; returns how many belong to this request."""
-        consumed = super().received(data)
+        if self.body_rcv is None or self.completed:
+            consumed = super().received(data)
+        else:
+            consumed = self._receive_body(data)
+        if self.error is not None:
+            self.close()
         if self.completed and not self.received_at:
             self.received_at = runtime.now()
         return consumed
 
+    def _receive_body(self, data: bytes) -> int:
+        receiver = self.body_rcv
+        consumed = receiver.received(data)
+        self.error = receiver.error
+        self.completed = receiver.completed or self.error is not None
+        if self.completed and self.chunked:
+            # The application sees a body with a length.
+            self.headers["CONTENT_LENGTH"] = str(len(receiver))
+        return consumed
+
 
 class RequestTimeoutError(utilities.Error):
     """Response to a request that isn't complete when the server stops."""
@@ -117,6 +149,17 @@
     close_ends_response = False
     response_is_whole = False
     _served_id = ""
+    # All responses use the first buffer, so that waitress never begins another.
+    current_outbuf_count = property(lambda self: 0, lambda self, _: None)
+
+    def __init__(self, server, sock, addr, adj, map=None) -> None:  # noqa: A002
+        """Creates the channel of an accepted connection."""
+        super().__init__(server, sock, addr, adj, map)
+        self.outbufs = [_outbuf.Outbuf()]
+        # Bytes of requests after those that wait already.
+        self._unparsed = b""
+        self._rejected: Parser | None = None
+        self._account_lock = threading.Lock()
 
     @property
     def last_activity(self) -> float:
@@ -129,7 +172,7 @@
 
     def idle_state(self) -> _idle.IdleState | None:
         """Returns the idle state, or None while a request is in progress."""
-        if self.requests or self.total_outbufs_len:
+        if self.requests or self.total_outbufs_len or self._unparsed:
             return None
         header_started_at = None
         if self.request is not None and not self.request.headers_finished:
@@ -162,6 +205,7 @@
             super().service()
         finally:
             self._serving = False
+            self._count_output()
 
     @property
     def request_id(self) -> str:
@@ -188,32 +232,168 @@
             return False
         with self.requests_lock:
             closing = shutdown.phase is _shutdown.Phase.CLOSING
-            partial = self.request is not None and not closing
+            partial = self.request is not None or bool(self._unparsed)
+            partial = partial and not closing
             if len(self.requests) > 1 or partial:
                 return False
             self._discards = True
             return True
 
+    @property
+    def request_size(self) -> int:
+        """Bytes of memory that the incomplete request holds or may use."""
+        request = self.request
+        return len(self._unparsed) + (0 if request is None else request.size)
+
+    def _receiver(self) -> _receivers.Receiver | None:
+        """Returns the receiver of an incomplete body."""
+        return None if self.request is None else self.request.body_rcv
+
+    def readable(self) -> bool:
+        """Returns whether bytes are to be read, for which there is memory."""
+        if self._unparsed and super().readable():
+            self._parse_later()
+        if self._unparsed or not super().readable():
+            return False
+        receiver = self._receiver()
+        return receiver is None or self.server.gate.admits(self, receiver)
+
+    def _parse_later(self) -> None:
+        """Parses bytes that were read with an earlier request."""
+        try:
+            self.received(b"")
+        except Exception:
+            # As after an error in `handle_read`.
+            self.handle_error()
+        else:
+            self._count_input()
+
     def handle_read(self) -> None:
         """Reads bytes, but none once the stop's time is used up."""
-        if not self.server.shutdown.ended:
-            super().handle_read()
+        if self.server.shutdown.ended:
+            return
+        size = self.server.gate.read_size(self, self._receiver())
+        if not size:
+            return
+        try:
+            data = self.recv(size)
+        except OSError:
+            self.handle_close()
+            return
+        if not data:
+            self.connected = False
+            return
+        self.last_activity = None
+        self.received(data)
+        self._count_input(len(data))
 
     def received(self, data: bytes) -> bool:
         """Parses bytes unless the last response has been announced."""
-        return not self._discards and super().received(data)
+        with self.requests_lock:
+            if self._discards or self.will_close or self.close_when_flushed:
+                self._unparsed = b""
+                return False
+            self._unparsed += data
+            lookahead = self.adj.channel_request_lookahead
+            while self._unparsed and len(self.requests) <= lookahead:
+                self._parse()
+            rejected, self._rejected = self._rejected, None
+        if rejected is not None:
+            self._reject(rejected)
+        return True
 
-    def refuse(self) -> None:
-        """Answers an incomplete request; its remaining bytes are not parsed."""
+    def _parse(self) -> None:
+        """Parses bytes of one request."""
+        request = self.request or self.parser_class(self.adj)
+        self.request = request
+        consumed = request.received(self._unparsed)
+        self._unparsed = self._unparsed[consumed:]
+        if (
+            request.expect_continue
+            and request.headers_finished
+            and not self.requests
+            and not self.sent_continue
+        ):
+            self.send_continue()
+        if request.completed:
+            self.sent_continue = False
+            self.request = None
+            if not request.empty:
+                self._append(request)
+
+    def _append(self, request: Parser) -> None:
+        if request.error is not None:
+            # Its end isn't known.
+            self._discards = True
+            self._unparsed = b""
+            if not self.requests:
+                self._rejected = request
+                return
+        self.requests.append(request)
+        if len(self.requests) == 1:
+            self.server.add_task(self)
+
+    def _reject(self, request: Parser) -> None:
+        """Answers a request that isn't run, if no response has to come before."""
+        self._served_id = request.headers.get(self.server.id_header, "")
+        with contextlib.suppress(channel.ClientDisconnected):
+            self.error_task_class(self, request).service()
+        self.close_when_flushed = True
+
+    def refuse(self, error: utilities.Error | None = None) -> bool:
+        """Answers an incomplete request; its remaining bytes are not parsed.
+
+        Args:
+            error: the response; by default, that the server stops.
+
+        Returns:
+            Whether there was one.
+        """
         with self.requests_lock:
             request, self.request = self.request, None
-            request.error = RequestTimeoutError(
+            if request is None:
+                return False
+            request.close()
+            request.error = error or RequestTimeoutError(
                 "The server stops; the incomplete request was not run."
             )
             request.completed = True
-            self._discards = True
-            self.requests.append(request)
-        self.server.add_task(self)
+            self._append(request)
+            rejected, self._rejected = self._rejected, None
+        if rejected is not None:
+            self._reject(rejected)
+        self._count_input()
+        return True
+
+    def _count_input(self, received: int = 0) -> None:
+        """Accounts for incomplete and waiting requests; by the event loop's thread."""
+        gate = self.server.gate
+        if self.request is None or not self.connected:
+            gate.forget(self)
+        size = self.request_size if self.connected else 0
+        gate.account.set(self, memory.Kind.REQUEST, size, gate.now, received)
+        self._count_output()
+
+    def _count_output(self, sent: int = 0) -> None:
+        """Accounts for complete requests and unsent bytes; by any thread."""
+        gate = self.server.gate
+        with self._account_lock:
+            size = sum(request.size for request in list(self.requests))
+            gate.account.set(self, memory.Kind.WORK, size, gate.now)
+            unsent = self.total_outbufs_len if self.connected else 0
+            gate.account.set(self, memory.Kind.RESPONSE, unsent, gate.now, sent)
+
+    def write_soon(self, data: bytes) -> int:
+        """Sends bytes, or holds those that the client doesn't take yet."""
+        count = super().write_soon(data)
+        self._count_output()
+        return count
+
+    def handle_write(self) -> None:
+        """Sends bytes that wait."""
+        unsent = self.total_outbufs_len
+        super().handle_write()
+        self._count_output(max(0, unsent - self.total_outbufs_len))
 
     def _flush_outbufs_below_high_watermark(self) -> None:
         """Waits, in a worker thread that holds the lock, until the client has read.
@@ -244,7 +424,9 @@
 
     def has_unread(self) -> bool:
         """Returns whether bytes of the client are waiting to be read."""
-        return self.socket is not None and _linger.has_unread(self.socket)
+        if self.socket is None:
+            return False
+        return bool(self._unparsed) or _linger.has_unread(self.socket)
 
     def cut(self) -> None:
         """Closes the socket as it is."""
@@ -277,7 +459,17 @@
             sock, self.socket = self.socket, None
             whole = self.response_is_whole and not self.total_outbufs_len
         super().handle_close()
+        self._release_input()
         if sock is not None and self.close_ends_response and not whole:
             _linger.reset(sock)
             return None
         return sock
+
+    def _release_input(self) -> None:
+        """Frees the memory of the incomplete request."""
+        with self.requests_lock:
+            request, self.request = self.request, None
+            self._unparsed = b""
+        if request is not None:
+            request.close()
+        self._count_input()
--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -9,9 +9,10 @@
 import waitress.server
 from waitress import trigger, wasyncore
 
-from turmericward import runtime
+from turmericward import memory, runtime
 from turmericward.httpd import (
     _channel,
+    _gate,
     _idle,
     _shutdown,
     _stopping,
@@ -23,7 +24,6 @@
 IDLE_TIMEOUT_S = 3600.0
 HEADER_TIMEOUT_S = 60.0
 MAX_HEADER_BYTES = 256 * 1024
-RECV_BYTES = 65536
 LISTEN_BACKLOG = 1024
 PROBE_THREADS = 1
 # How often it is noted that no signal to stop has come.
@@ -37,7 +37,8 @@
     """Limits of a server.
 
     `queue_s` is how long a request may wait for a thread; `id_header` names the header
-    by which the log of a stop names requests.
+    by which the log of a stop names requests. `account` bounds the memory held for
+    clients; without one it isn't bounded.
     """
 
     threads: int
@@ -45,6 +46,7 @@
     connections: int = CONNECTION_LIMIT
     queue_s: float = math.inf
     id_header: str = ""
+    account: memory.Account | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -105,7 +107,7 @@
             connection_limit=self._limits.connections,
             max_request_header_size=self._client_limits.max_header_bytes,
             max_request_body_size=self._client_limits.max_body_bytes,
-            recv_bytes=RECV_BYTES,
+            recv_bytes=_gate.RECV_BYTES,
             channel_request_lookahead=1,
             outbuf_high_watermark=MAX_UNSENT_BYTES,
             asyncore_use_poll=True,
@@ -114,6 +116,10 @@
             ident=None,
         )
         server.channel_class = _channel.Channel
+        # Probes have no part in the limit.
+        main = not self._servers
+        account = (self._limits.account if main else None) or memory.Account()
+        server.gate = _gate.Gate(account)
         server.lingering = set()
         # As the parser writes names.
         server.id_header = self._limits.id_header.upper().replace("-", "_")
@@ -169,15 +175,25 @@
             begun = executor.submit(self._begin_after, stop, on_stop)
             try:
                 while not self._stopper.step():
-                    step_s = min(self._stopper.step_s, self._refuser.step_s)
-                    wasyncore.poll2(step_s, self._map)
-                    self._close_expired()
-                    self._refuser.step()
+                    self._turn()
             finally:
                 stop.set()
                 self._release()
         begun.result()
 
+    def _turn(self) -> None:
+        gates = [server.gate for server in self._servers]
+        for gate in gates:
+            gate.begin_turn()
+        step_s = min(
+            self._stopper.step_s, self._refuser.step_s, *(g.step_s for g in gates)
+        )
+        wasyncore.poll2(step_s, self._map)
+        self._close_expired()
+        self._refuser.step()
+        for gate in gates:
+            gate.step()
+
     def _begin_after(self, stop: threading.Event, on_stop) -> None:
         earlier = latest = runtime.now()
         while not stop.wait(SIGNAL_POLL_S):
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -15,6 +15,7 @@
     dispatching,
     feeds,
     httpd,
+    memory,
     peers,
     positions,
     routing,
@@ -41,6 +42,8 @@
 BYTES_PER_MB = 1024 * 1024
 # Share of the memory for bodies of responses that are being received.
 BODY_MEMORY_SHARE = 1 / 16
+# Share of the memory for all that is held for clients and targets.
+HELD_MEMORY_SHARE = 3 / 16
 MAX_TRACEBACK_CHARS = 2000
 BALANCER_LAG_S = 3.0
 # Longer than targets are silent that are sound.
@@ -72,6 +75,12 @@
         body_mb = cfg.limits.memory_mb * BODY_MEMORY_SHARE
         _body_memory.shared.limit_bytes = int(body_mb * BYTES_PER_MB)
         metrics = telemetry.Metrics(None, "")
+        account = memory.Account(
+            cfg.limits.memory_mb * HELD_MEMORY_SHARE * BYTES_PER_MB, metrics.count
+        )
+        _body_memory.shared.account = account
+        metrics.add_gauge("memory.held_bytes", lambda: account.held)
+        metrics.add_gauge("memory.limit_bytes", lambda: int(account.bounds.total))
         self._rejections = telemetry.Rejections(metrics.count)
         self._eras = positions.Eras(lambda: metrics.count("store.new_eras"))
         self.reload = _reload.ReloadLoop(path, cfg, self._reconfigure)
@@ -144,6 +153,7 @@
             connections=cfg.limits.file_descriptors - RESERVED_DESCRIPTORS,
             queue_s=QUEUE_S,
             id_header=_headers.CALL_ID,
+            account=account,
         )
         address = _address.split(cfg.listen.front)
         self._server = httpd.Server(
--- a/src/turmericward/telemetry/_metrics.py
+++ b/src/turmericward/telemetry/_metrics.py
@@ -2,7 +2,7 @@
 
 import collections
 import threading
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import attrs
 import statsd
@@ -56,10 +56,15 @@
         self._classes: dict[tuple[str, str], histogram.HdrHistogram] = {}
         self._tenants: collections.OrderedDict[str, histogram.HdrHistogram]
         self._tenants = collections.OrderedDict()
+        self._gauges: dict[str, Callable[[], int]] = {}
         self._statsd = None
         if address is not None:
             self._statsd = statsd.StatsClient(*address, prefix=prefix)
 
+    def add_gauge(self, name: str, read: Callable[[], int]) -> None:
+        """Adds a value to the page that is read when the page is rendered."""
+        self._gauges[name] = read
+
     def count(self, name: str) -> None:
         """Adds one to a counter."""
         with self._lock:
@@ -113,7 +118,9 @@
     def render_text(self) -> str:
         """Returns all metrics as text, one per line."""
         with self._lock:
-            lines = [f"{n} {v}" for n, v in sorted(self._counters.items())]
+            values = dict(self._counters)
+            values |= {name: read() for name, read in self._gauges.items()}
+            lines = [f"{n} {v}" for n, v in sorted(values.items())]
             for (traffic_class, measure), hist in sorted(self._classes.items()):
                 labels = f'class="{_escaped(traffic_class)}"'
                 lines += _histogram_lines(f"{measure}_ms", labels, hist)
