--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -34,7 +34,7 @@
 
 
 @attrs.define
-class _Usage:
+class Usage:
     """Highest usage of a process since the start of the observation."""
 
     pid: int
@@ -73,18 +73,23 @@
     check.assertEqual((status, answer), (200, f"answer to {call_id}".encode()))
 
 
+def configure(platform) -> None:
+    """Sets limits on clients and waits until they are in force."""
+    platform.configure(platform_fixtures.manifest(4) | {"limits": CLIENT_LIMITS})
+    launch.wait_until(
+        lambda: platform.call("GET", "/read/x", "long", LONG_HEADER)[0] == 431,
+        what="limits in force",
+    )
+
+
 def _check_crowd(count: int, script) -> None:
     """Checks that the front outlives one crowd within the bounds."""
     with platform_fixtures.platform(("p1",), memory_mb=MEMORY_MB) as platform:
-        platform.configure(platform_fixtures.manifest(4) | {"limits": CLIENT_LIMITS})
-        launch.wait_until(
-            lambda: platform.call("GET", "/read/x", "long", LONG_HEADER)[0] == 431,
-            what="limits in force",
-        )
+        configure(platform)
         _check_ordinary_call(platform, "before")
         pid = platform.process.pid
         before_mb = resident_mb(pid, "VmHWM")
-        usage = _Usage(pid)
+        usage = Usage(pid)
         crowd = misbehaving_clients.Crowd(platform.front, count, script)
         try:
             crowd.send(SEND_S, usage.observe)
