--- a/src/turmericward/adapters/event_buffer.py
+++ b/src/turmericward/adapters/event_buffer.py
@@ -34,6 +34,11 @@
             )
         return complete
 
+    @property
+    def size(self) -> int:
+        """Bytes of the event that has begun."""
+        return len(self._incomplete)
+
     @property
     def incomplete(self) -> bool:
         """Whether an event has begun and not ended."""
--- a/src/turmericward/delivery/_stream.py
+++ b/src/turmericward/delivery/_stream.py
@@ -7,7 +7,7 @@
 import attrs
 
 from turmericward import eventstream, requests, routing
-from turmericward.adapters import errors
+from turmericward.adapters import _body_memory, errors
 from turmericward.delivery import _errors
 
 EVENT_STREAM = "text/event-stream"
@@ -160,13 +160,16 @@
     def _new_batches(self) -> Iterator[Batch]:
         """Yields the events of the current attempt that the client doesn't have."""
         self._sequence.begin_run(consecutive=self._attempt.answer.numbered)
-        for chunk in self._attempt.answer.chunks:
-            batch, fault = self._accept(self._parser.feed(chunk))
-            self._report_resumable()
-            if batch:
-                yield batch
-            if fault is not None:
-                raise fault
+        # An incomplete event may be long.
+        with _body_memory.shared.reservation() as reservation:
+            for chunk in self._attempt.answer.chunks:
+                batch, fault = self._accept(self._parser.feed(chunk))
+                reservation.grow_to(self._parser.size)
+                self._report_resumable()
+                if batch:
+                    yield batch
+                if fault is not None:
+                    raise fault
 
     def _accept(
         self, events: Batch
--- a/src/turmericward/eventstream/_events.py
+++ b/src/turmericward/eventstream/_events.py
@@ -80,6 +80,11 @@
             for raw in self._buffer.feed(data)
         ]
 
+    @property
+    def size(self) -> int:
+        """Bytes of the event that has begun."""
+        return self._buffer.size
+
     @property
     def incomplete(self) -> bool:
         """Whether an event has begun and not ended."""
--- a/src/turmericward/memory/_account.py
+++ b/src/turmericward/memory/_account.py
@@ -44,7 +44,11 @@
     @property
     def excess(self) -> int:
         """Bytes held beyond the limit."""
-        return math.ceil(max(0, self._held - self.bounds.total))
+        if self._held <= self.bounds.total:
+            return 0
+        with self._changed:
+            largest = max((h.size for h in self._holdings.values()), default=0)
+            return _decisions.excess(self.bounds, self._held, largest)
 
     @property
     def held(self) -> int:
--- a/src/turmericward/memory/_decisions.py
+++ b/src/turmericward/memory/_decisions.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import math
 from collections.abc import Container, Hashable, Iterable
 
 import attrs
@@ -57,6 +58,11 @@
     total: float
     large: float
 
+    @property
+    def small(self) -> float:
+        """Bytes for small requests only."""
+        return self.total - self.large
+
     @classmethod
     def of(cls, limit_bytes: float) -> "Bounds":
         """Returns the bounds for a limit."""
@@ -76,7 +82,18 @@
     if others + size <= bounds.large or size <= SMALL_BYTES:
         return True
     # One that exceeds the limit by itself is served while hardly anything else is held.
-    return others <= bounds.total - bounds.large
+    return others <= bounds.small
+
+
+def excess(bounds: Bounds, held: int, largest: int) -> int:
+    """Returns the bytes that are held beyond the limit.
+
+    Args:
+        bounds: the limits.
+        held: bytes of all holdings.
+        largest: bytes of the largest, which may exceed the limit by itself.
+    """
+    return max(0, math.ceil(held - max(bounds.total, largest + bounds.small)))
 
 
 def is_idle(holding: Holding, now: float) -> bool:
