Turns of the event loop are bounded in time and take several new connections

Cause: 1,000 heads of 1,900 fields each were parsed in one turn, before the limit was enforced (82 MB more, an ordinary call took 2.5 s), and the server accepts one connection in a turn, so that a call waited behind a thousand.

Ruled out: closing all reads while the limit is exceeded (5.0 s for an ordinary call).

Change: a turn reads for 20 ms at most, in rounds; long heads are read like costly bodies and not while the limit is exceeded; 32 connections are accepted in a turn.

--- a/src/turmericward/httpd/_channel.py
+++ b/src/turmericward/httpd/_channel.py
@@ -20,7 +20,7 @@
 # stream is broken off.
 STREAM_BUFFER_BYTES = 128 * 1024
 # What a header field takes beyond its bytes: two strings and a place in a table.
-FIELD_BYTES = 256
+FIELD_BYTES = 160
 
 
 class Parser(parser.HTTPRequestParser):
@@ -47,6 +47,13 @@
             self.body_rcv = _receivers.FixedReceiver(self.content_length)
         self.header_plus = b""
 
+    @property
+    def is_costly(self) -> bool:
+        """Whether the next bytes take much time to parse."""
+        if self.body_rcv is None:
+            return not self.completed
+        return self.body_rcv.is_costly
+
     @property
     def size(self) -> int:
         """Bytes of memory that the request holds or may use."""
@@ -245,18 +252,13 @@
         request = self.request
         return len(self._unparsed) + (0 if request is None else request.size)
 
-    def _receiver(self) -> _receivers.Receiver | None:
-        """Returns the receiver of an incomplete body."""
-        return None if self.request is None else self.request.body_rcv
-
     def readable(self) -> bool:
         """Returns whether bytes are to be read, for which there is memory."""
         if self._unparsed and super().readable():
             self._parse_later()
         if self._unparsed or not super().readable():
             return False
-        receiver = self._receiver()
-        return receiver is None or self.server.gate.admits(self, receiver)
+        return self.server.gate.admits(self, self.request)
 
     def _parse_later(self) -> None:
         """Parses bytes that were read with an earlier request."""
@@ -272,7 +274,7 @@
         """Reads bytes, but none once the stop's time is used up."""
         if self.server.shutdown.ended:
             return
-        size = self.server.gate.read_size(self, self._receiver())
+        size = self.server.gate.read_size(self, self.request)
         if not size:
             return
         try:
@@ -369,7 +371,7 @@
         """Accounts for incomplete and waiting requests; by the event loop's thread."""
         gate = self.server.gate
         if self.request is None or not self.connected:
-            gate.forget(self)
+            gate.end_wait(self)
         size = self.request_size if self.connected else 0
         gate.account.set(self, memory.Kind.REQUEST, size, gate.now, received)
         self._count_output()
@@ -473,3 +475,4 @@
         if request is not None:
             request.close()
         self._count_input()
+        self.server.gate.forget(self)
--- a/src/turmericward/httpd/_gate.py
+++ b/src/turmericward/httpd/_gate.py
@@ -18,12 +18,16 @@
 # unread bytes are read before anyone counts as idle.
 MAX_ELAPSED_S = 1.0
 RECV_BYTES = 65536
-# Read at once while it isn't known how much memory a request needs.
-FIRST_RECV_BYTES = 16 * 1024
+# Read at once while it isn't known how much memory a request needs. Most requests are
+# whole then; a longer head is costly: 16 KiB can hold 2,000 fields, which take 2.5 ms.
+FIRST_RECV_BYTES = 4096
+LONG_HEAD_RECV_BYTES = 16 * 1024
 # Costly bodies are read in small parts, and only so many in a turn of the event loop:
 # 4,096 bytes are up to 700 chunks, which take about 1 ms.
 COSTLY_RECV_BYTES = 4096
 COSTLY_READS_PER_TURN = 4
+# Nothing more is read in a turn that has taken this time, so that responses are sent.
+TURN_S = 0.02
 # Bounds the log lines.
 MAX_LOGGED_PER_S = 5
 
@@ -88,10 +92,11 @@
         # Connections that wait for memory.
         self._waiting: dict[Hashable, _Wait] = {}
         self._log_budget = _LogBudget()
-        # Connections with costly bodies that have been read in this round.
+        # Connections that have been read in this round of turns.
         self._served: set[Hashable] = set()
-        self._reads_left = COSTLY_READS_PER_TURN
         self._delayed = False
+        self._full = False
+        self.begin_turn()
 
     @property
     def step_s(self) -> float:
@@ -99,13 +104,27 @@
         busy = self._waiting or self._served or self.account.excess
         return STEP_S if busy else math.inf
 
-    def admits(self, channel, receiver: _receivers.Receiver) -> bool:
-        """Returns whether the body of an incomplete request may be read further."""
-        if receiver.is_costly and channel in self._served:
+    def admits(self, channel, request) -> bool:
+        """Returns whether a connection is to be read in this turn.
+
+        Args:
+            channel: the connection.
+            request: its incomplete request, None before its first byte.
+        """
+        if channel in self._served:
             return False
-        if receiver.room:
+        if request is None:
             return True
+        receiver = request.body_rcv
+        if receiver is None:
+            return not self._full
+        return receiver.room > 0 or self._admits_body(channel, receiver)
+
+    def _admits_body(self, channel, receiver: _receivers.Receiver) -> bool:
+        """Returns whether there is memory to read more of an incomplete body."""
         size = receiver.wanted
+        if size <= memory.SMALL_BYTES and self._full:
+            return False
         if size > memory.SMALL_BYTES and not self._grant(channel, size):
             wait = self._waiting.get(channel)
             since = wait.since if wait else self.now
@@ -118,28 +137,36 @@
     def _grant(self, channel, size: int) -> bool:
         return self.account.grant(channel, memory.Kind.REQUEST, size, self.now)
 
-    def read_size(self, channel, receiver: _receivers.Receiver | None) -> int:
+    def read_size(self, channel, request) -> int:
         """Returns how many bytes may be read at once, 0 if none in this turn."""
-        if receiver is None:
-            return FIRST_RECV_BYTES
-        if not receiver.is_costly:
-            return min(RECV_BYTES, receiver.room)
-        if not self._reads_left:
+        now = runtime.now()
+        self._turn_at = self._turn_at or now
+        self._full = self._full or self.account.excess > 0
+        is_late = now - self._turn_at > TURN_S
+        is_costly = request is not None and request.is_costly
+        if is_late or (is_costly and (self._full or not self._reads_left)):
             self._delayed = True
             return 0
-        self._reads_left -= 1
         self._served.add(channel)
-        return min(COSTLY_RECV_BYTES, receiver.room)
+        self._reads_left -= is_costly
+        return _read_size(request)
 
     def begin_turn(self) -> None:
-        """Lets costly bodies be read again once each has had its turn."""
+        """Lets connections be read again once each has had its turn."""
         if not self._delayed:
             self._served.clear()
-        self._reads_left = COSTLY_READS_PER_TURN
         self._delayed = False
+        self._full = self.account.excess > 0
+        self._reads_left = COSTLY_READS_PER_TURN
+        # Time of the first read.
+        self._turn_at: float | None = None
+
+    def end_wait(self, channel) -> None:
+        """Records that a connection doesn't wait for memory."""
+        self._waiting.pop(channel, None)
 
     def forget(self, channel) -> None:
-        """Ends the wait of a connection."""
+        """Records that a connection is closed."""
         self._waiting.pop(channel, None)
         self._served.discard(channel)
 
@@ -154,6 +181,9 @@
         self._next_at = now + STEP_S
         needed = sum(wait.size for wait in self._waiting.values())
         needed += self.account.wanted
+        if excess:
+            # Frees more at once, so that it isn't repeated for each request.
+            excess += int(self.account.bounds.small)
         if needed or excess:
             self._relieve(needed, excess)
         late = [c for c, w in self._waiting.items() if self.now - w.since > WAIT_S]
@@ -189,3 +219,12 @@
                 bytes=size,
                 held_bytes=self.account.held,
             )
+
+
+def _read_size(request) -> int:
+    if request is None:
+        return FIRST_RECV_BYTES
+    receiver = request.body_rcv
+    if receiver is None:
+        return LONG_HEAD_RECV_BYTES
+    return min(COSTLY_RECV_BYTES if receiver.is_costly else RECV_BYTES, receiver.room)
--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -1,5 +1,6 @@
 """HTTP server with limits on clients and a bounded, planned stop."""
 
+import functools
 import math
 import threading
 from collections.abc import Callable
@@ -26,6 +27,9 @@
 MAX_HEADER_BYTES = 256 * 1024
 LISTEN_BACKLOG = 1024
 PROBE_THREADS = 1
+# waitress accepts one connection in a turn of the event loop: behind a thousand others,
+# a call would wait for a thousand turns.
+ACCEPTS_PER_TURN = 32
 # How often it is noted that no signal to stop has come.
 SIGNAL_POLL_S = 0.1
 # A stream whose client reads more slowly than its target writes waits above this.
@@ -116,6 +120,7 @@
             ident=None,
         )
         server.channel_class = _channel.Channel
+        server.handle_accept = functools.partial(_accept, server, server.handle_accept)
         # Probes have no part in the limit.
         main = not self._servers
         account = (self._limits.account if main else None) or memory.Account()
@@ -215,3 +220,14 @@
             if not isinstance(conn, trigger.trigger):
                 wasyncore.dispatcher.close(conn)
         self._map.clear()
+
+
+def _accept(server, accept_one: Callable[[], None]) -> None:
+    """Accepts the connections that wait, up to the limits."""
+    for _ in range(ACCEPTS_PER_TURN):
+        count = len(server.active_channels)
+        if len(server._map) >= server.adj.connection_limit:
+            return
+        accept_one()
+        if len(server.active_channels) == count:
+            return
