--- a/src/turmericward/httpd/__init__.py
+++ b/src/turmericward/httpd/__init__.py
@@ -1,6 +1,6 @@
 """HTTP servers with graceful shutdown and limits on clients."""
 
-from turmericward.httpd._channel import RECEIVED_AT_KEY
 from turmericward.httpd._server import ClientLimits, Limits, Server
+from turmericward.httpd._tasks import RECEIVED_AT_KEY
 
 __all__ = ["RECEIVED_AT_KEY", "ClientLimits", "Limits", "Server"]
--- a/src/turmericward/httpd/_channel.py
+++ b/src/turmericward/httpd/_channel.py
@@ -5,137 +5,17 @@
 import socket
 import threading
 
-from waitress import channel, parser, task, utilities
+from waitress import channel, utilities
 
 from turmericward import memory, runtime
-from turmericward.httpd import _idle, _linger, _outbuf, _receivers, _shutdown
+from turmericward.httpd import _idle, _linger, _outbuf, _parser, _shutdown, _tasks
 
-RECEIVED_AT_KEY = "turmericward.received"
-# Other instances may take the request at once.
-REFUSAL_RETRY_AFTER_S = 0.5
 # How long a client may read nothing while its response waits to be sent.
 MAX_STALL_S = 10.0
 STALL_POLL_S = 0.5
 # What the system keeps of a stream for its client, who still has to read it when the
 # stream is broken off.
 STREAM_BUFFER_BYTES = 128 * 1024
-# What a header field takes beyond its bytes: two strings and a place in a table.
-FIELD_BYTES = 160
-
-
-class Parser(parser.HTTPRequestParser):
-    """Records when a request was complete; closes connections with unclear framing."""
-
-    received_at = 0.0
-
-    def __init__(self, adj) -> None:
-        """Creates the parser of the request whose first bytes have come."""
-        super().__init__(adj)
-        self.header_started_at = runtime.now()
-
-    def parse_header(self, header_plus: bytes) -> None:
-        """Parses the header."""
-        super().parse_header(header_plus)
-        if self.chunked and "CONTENT_LENGTH" in self.headers:
-            # With both headers, a proxy may see a different end of the body, so that
-            # bytes after it must not be read as a request (request smuggling).
-            self.headers["CONNECTION"] = "close"
-        if self.chunked:
-            max_bytes = self.adj.max_request_body_size
-            self.body_rcv = _receivers.ChunkedReceiver(max_bytes)
-        elif self.body_rcv is not None:
-            self.body_rcv = _receivers.FixedReceiver(self.content_length)
-        self.header_plus = b""
-
-    @property
-    def is_costly(self) -> bool:
-        """Whether the next bytes take much time to parse."""
-        if self.body_rcv is None:
-            return not self.completed
-        return self.body_rcv.is_costly
-
-    @property
-    def size(self) -> int:
-        """Bytes of memory that the request holds or may use."""
-        if not self.headers_finished:
-            return len(self.header_plus)
-        size = self.header_bytes_received + FIELD_BYTES * len(self.headers)
-        return size if self.body_rcv is None else size + self.body_rcv.size
-
-    def received(self, data: bytes) -> int:
-        """Parses bytes; returns how many belong to this request."""
-        if self.body_rcv is None or self.completed:
-            consumed = super().received(data)
-        else:
-            consumed = self._receive_body(data)
-        if self.error is not None:
-            self.close()
-        if self.completed and not self.received_at:
-            self.received_at = runtime.now()
-        return consumed
-
-    def _receive_body(self, data: bytes) -> int:
-        receiver = self.body_rcv
-        consumed = receiver.received(data)
-        self.error = receiver.error
-        self.completed = receiver.completed or self.error is not None
-        if self.completed and self.chunked:
-            # The application sees a body with a length.
-            self.headers["CONTENT_LENGTH"] = str(len(receiver))
-        return consumed
-
-
-class RequestTimeoutError(utilities.Error):
-    """Response to a request that isn't complete when the server stops."""
-
-    code = 408
-    reason = "Request Timeout"
-
-
-class Task(task.WSGITask):
-    """Closes the connection after the last response while the server stops."""
-
-    def get_environment(self) -> dict:
-        """Adds the time of the request's last byte."""
-        environ = super().get_environment()
-        environ[RECEIVED_AT_KEY] = self.request.received_at
-        return environ
-
-    def build_response_header(self) -> bytes:
-        """Announces the close if no further response follows."""
-        if self.channel.mark_last_response():
-            self.request.headers["CONNECTION"] = "close"
-        header = super().build_response_header()
-        has_length = any(n == "Content-Length" for n, _ in self.response_headers)
-        if not has_length:
-            self.channel.bound_send_buffer()
-        self.channel.response_is_whole = False
-        self.channel.close_ends_response = self.has_body and not (
-            self.chunked_response or has_length
-        )
-        return header
-
-    def finish(self) -> None:
-        """Completes the response."""
-        super().finish()
-        self.channel.response_is_whole = True
-
-
-class RefusalTask(Task):
-    """Answers that the request wasn't run, without the application."""
-
-    # waitress writes no response that isn't.
-    complete = True
-
-    def execute(self) -> None:
-        """Writes the response."""
-        self.status = "503 Service Unavailable"
-        self.response_headers = [
-            ("Content-Length", "0"),
-            ("Retry-After", f"{REFUSAL_RETRY_AFTER_S:.2f}"),
-        ]
-        self.content_length = 0
-        self.write(b"")
 
 
 class Channel(channel.HTTPChannel):
@@ -144,8 +24,8 @@
     Its last activity is in monotonic seconds, not wall-clock time.
     """
 
-    task_class = Task
-    parser_class = Parser
+    task_class = _tasks.Task
+    parser_class = _parser.Parser
     _last_active_at = 0.0
     _served = False
     _serving = False
@@ -165,7 +45,7 @@
         self.outbufs = [_outbuf.Outbuf()]
         # Bytes of requests after those that wait already.
         self._unparsed = b""
-        self._rejected: Parser | None = None
+        self._rejected: _parser.Parser | None = None
         self._account_lock = threading.Lock()
 
     @property
@@ -204,7 +84,7 @@
 
     def service(self) -> None:
         """Answers the first request; called by a worker thread."""
-        self.task_class = RefusalTask if self.refuses else Task
+        self.task_class = _tasks.RefusalTask if self.refuses else _tasks.Task
         self.refuses = False
         self._served = self._serving = True
         self._served_id = self.request_id
@@ -323,7 +203,7 @@
             if not request.empty:
                 self._append(request)
 
-    def _append(self, request: Parser) -> None:
+    def _append(self, request: _parser.Parser) -> None:
         if request.error is not None:
             # Its end isn't known.
             self._discards = True
@@ -335,7 +215,7 @@
         if len(self.requests) == 1:
             self.server.add_task(self)
 
-    def _reject(self, request: Parser) -> None:
+    def _reject(self, request: _parser.Parser) -> None:
         """Answers a request that isn't run, if no response has to come before."""
         self._served_id = request.headers.get(self.server.id_header, "")
         with contextlib.suppress(channel.ClientDisconnected):
@@ -356,7 +236,7 @@
             if request is None:
                 return False
             request.close()
-            request.error = error or RequestTimeoutError(
+            request.error = error or _tasks.RequestTimeoutError(
                 "The server stops; the incomplete request was not run."
             )
             request.completed = True
--- a/tests/test_request_heads.py
+++ b/tests/test_request_heads.py
@@ -3,7 +3,7 @@
 from waitress import adjustments
 
 from tests import fixtures
-from turmericward.httpd import _channel
+from turmericward.httpd import _parser
 
 check = fixtures.check
 BODY = b'{"do":"it"}'
@@ -15,7 +15,7 @@
 
 def _parse(received: bytes):
     """Returns path and body of a request, None if it is incomplete or in error."""
-    parser = _channel.Parser(adjustments.Adjustments())
+    parser = _parser.Parser(adjustments.Adjustments())
     while received and not parser.completed:
         received = received[parser.received(received) :]
     if not parser.completed or parser.error:
