--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -223,11 +223,15 @@
 
 
 def _accept(server, accept_one: Callable[[], None]) -> None:
-    """Accepts the connections that wait, up to the limits."""
+    """Accepts the connections that wait, one of them also above the limit.
+
+    The limit is checked before by the event loop, and not at the end of a stop.
+    """
     for _ in range(ACCEPTS_PER_TURN):
         count = len(server.active_channels)
-        if len(server._map) >= server.adj.connection_limit:
-            return
         accept_one()
-        if len(server.active_channels) == count:
+        if (
+            len(server.active_channels) == count
+            or len(server._map) >= server.adj.connection_limit
+        ):
             return
