--- a/src/turmericward/httpd/_channel.py
+++ b/src/turmericward/httpd/_channel.py
@@ -3,15 +3,13 @@
 import contextlib
 import math
 import socket
+import threading
 
-from waitress import channel, parser, task, utilities
+from waitress import channel, utilities
 
-from turmericward import runtime
-from turmericward.httpd import _heads, _idle, _linger, _shutdown
+from turmericward import memory, runtime
+from turmericward.httpd import _idle, _linger, _outbuf, _parser, _shutdown, _tasks
 
-RECEIVED_AT_KEY = "turmericward.received"
-# Other instances may take the request at once.
-REFUSAL_RETRY_AFTER_S = 0.5
 # How long a client may read nothing while its response waits to be sent.
 MAX_STALL_S = 10.0
 STALL_POLL_S = 0.5
@@ -20,108 +18,14 @@
 STREAM_BUFFER_BYTES = 128 * 1024
 
 
-class Parser(parser.HTTPRequestParser):
-    """Records when a request was complete; closes connections with unclear framing."""
-
-    received_at = 0.0
-
-    def __init__(self, adj) -> None:
-        """Creates the parser of the request whose first bytes have come."""
-        super().__init__(adj)
-        self.header_started_at = runtime.now()
-
-    def parse_header(self, header_plus: bytes) -> None:
-        """Parses the header."""
-        super().parse_header(header_plus)
-        if self.chunked and "CONTENT_LENGTH" in self.headers:
-            # With both headers, a proxy may see a different end of the body, so that
-            # bytes after it must not be read as a request (request smuggling).
-            self.headers["CONNECTION"] = "close"
-        if self.chunked or self.content_length > _heads.MAX_UNCHECKED_BODY_BYTES:
-            self._check_head()
-
-    def _check_head(self) -> None:
-        """Completes a request that is refused by its head; its body isn't read."""
-        check = getattr(self.adj, "check_head", None)
-        if check is None:
-            return
-        refusal = check(_heads.Head(target=self.request_uri, headers=self.headers))
-        if refusal is None:
-            return
-        self.error = _heads.RefusedHeadError(refusal)
-        # The client may go on with its body after a 100 (Continue).
-        self.expect_continue = False
-        self.completed = True
-
-    def received(self, data: bytes) -> int:
-        """Parses bytes; returns how many belong to this request."""
-        consumed = super().received(data)
-        if self.completed and not self.received_at:
-            self.received_at = runtime.now()
-        return consumed
-
-
-class RequestTimeoutError(utilities.Error):
-    """Response to a request that isn't complete when the server stops."""
-
-    code = 408
-    reason = "Request Timeout"
-
-
-class Task(task.WSGITask):
-    """Closes the connection after the last response while the server stops."""
-
-    def get_environment(self) -> dict:
-        """Adds the time of the request's last byte."""
-        environ = super().get_environment()
-        environ[RECEIVED_AT_KEY] = self.request.received_at
-        return environ
-
-    def build_response_header(self) -> bytes:
-        """Announces the close if no further response follows."""
-        if self.channel.mark_last_response():
-            self.request.headers["CONNECTION"] = "close"
-        header = super().build_response_header()
-        has_length = any(n == "Content-Length" for n, _ in self.response_headers)
-        if not has_length:
-            self.channel.bound_send_buffer()
-        self.channel.response_is_whole = False
-        self.channel.close_ends_response = self.has_body and not (
-            self.chunked_response or has_length
-        )
-        return header
-
-    def finish(self) -> None:
-        """Completes the response."""
-        super().finish()
-        self.channel.response_is_whole = True
-
-
-class RefusalTask(Task):
-    """Answers that the request wasn't run, without the application."""
-
-    # waitress writes no response that isn't.
-    complete = True
-
-    def execute(self) -> None:
-        """Writes the response."""
-        self.status = "503 Service Unavailable"
-        self.response_headers = [
-            ("Content-Length", "0"),
-            ("Retry-After", f"{REFUSAL_RETRY_AFTER_S:.2f}"),
-        ]
-        self.content_length = 0
-        self.write(b"")
-
-
 class Channel(channel.HTTPChannel):
     """A connection that is closed only when the client has had time to read.
 
     Its last activity is in monotonic seconds, not wall-clock time.
     """
 
-    task_class = Task
-    parser_class = Parser
+    task_class = _tasks.Task
+    parser_class = _parser.Parser
     _last_active_at = 0.0
     _served = False
     _serving = False
@@ -132,6 +36,17 @@
     close_ends_response = False
     response_is_whole = False
     _served_id = ""
+    # All responses use the first buffer, so that waitress never begins another.
+    current_outbuf_count = property(lambda self: 0, lambda self, _: None)
+
+    def __init__(self, server, sock, addr, adj, map=None) -> None:  # noqa: A002
+        """Creates the channel of an accepted connection."""
+        super().__init__(server, sock, addr, adj, map)
+        self.outbufs = [_outbuf.Outbuf()]
+        # Bytes of requests after those that wait already.
+        self._unparsed = b""
+        self._rejected: _parser.Parser | None = None
+        self._account_lock = threading.Lock()
 
     @property
     def last_activity(self) -> float:
@@ -144,7 +59,7 @@
 
     def idle_state(self) -> _idle.IdleState | None:
         """Returns the idle state, or None while a request is in progress."""
-        if self.requests or self.total_outbufs_len:
+        if self.requests or self.total_outbufs_len or self._unparsed:
             return None
         header_started_at = None
         if self.request is not None and not self.request.headers_finished:
@@ -169,7 +84,7 @@
 
     def service(self) -> None:
         """Answers the first request; called by a worker thread."""
-        self.task_class = RefusalTask if self.refuses else Task
+        self.task_class = _tasks.RefusalTask if self.refuses else _tasks.Task
         self.refuses = False
         self._served = self._serving = True
         self._served_id = self.request_id
@@ -177,6 +92,7 @@
             super().service()
         finally:
             self._serving = False
+            self._count_output()
 
     @property
     def request_id(self) -> str:
@@ -203,32 +119,163 @@
             return False
         with self.requests_lock:
             closing = shutdown.phase is _shutdown.Phase.CLOSING
-            partial = self.request is not None and not closing
+            partial = self.request is not None or bool(self._unparsed)
+            partial = partial and not closing
             if len(self.requests) > 1 or partial:
                 return False
             self._discards = True
             return True
 
+    @property
+    def request_size(self) -> int:
+        """Bytes of memory that the incomplete request holds or may use."""
+        request = self.request
+        return len(self._unparsed) + (0 if request is None else request.size)
+
+    def readable(self) -> bool:
+        """Returns whether bytes are to be read, for which there is memory."""
+        if self._unparsed and super().readable():
+            self._parse_later()
+        if self._unparsed or not super().readable():
+            return False
+        return self.server.gate.admits(self, self.request)
+
+    def _parse_later(self) -> None:
+        """Parses bytes that were read with an earlier request."""
+        try:
+            self.received(b"")
+        except Exception:
+            # As after an error in `handle_read`.
+            self.handle_error()
+        else:
+            self._count_input()
+
     def handle_read(self) -> None:
         """Reads bytes, but none once the stop's time is used up."""
-        if not self.server.shutdown.ended:
-            super().handle_read()
+        if self.server.shutdown.ended:
+            return
+        size = self.server.gate.read_size(self, self.request)
+        if not size:
+            return
+        try:
+            data = self.recv(size)
+        except OSError:
+            self.handle_close()
+            return
+        if not data:
+            self.connected = False
+            return
+        self.last_activity = None
+        self.received(data)
+        self._count_input(len(data))
 
     def received(self, data: bytes) -> bool:
         """Parses bytes unless the last response has been announced."""
-        return not self._discards and super().received(data)
+        with self.requests_lock:
+            if self._discards or self.will_close or self.close_when_flushed:
+                self._unparsed = b""
+                return False
+            self._unparsed += data
+            lookahead = self.adj.channel_request_lookahead
+            while self._unparsed and len(self.requests) <= lookahead:
+                self._parse()
+            rejected, self._rejected = self._rejected, None
+        if rejected is not None:
+            self._reject(rejected)
+        return True
 
-    def refuse(self) -> None:
-        """Answers an incomplete request; its remaining bytes are not parsed."""
+    def _parse(self) -> None:
+        """Parses bytes of one request."""
+        request = self.request or self.parser_class(self.adj)
+        self.request = request
+        consumed = request.received(self._unparsed)
+        self._unparsed = self._unparsed[consumed:]
+        if (
+            request.expect_continue
+            and request.headers_finished
+            and not self.requests
+            and not self.sent_continue
+        ):
+            self.send_continue()
+        if request.completed:
+            self.sent_continue = False
+            self.request = None
+            if not request.empty:
+                self._append(request)
+
+    def _append(self, request: _parser.Parser) -> None:
+        if request.error is not None:
+            # Its end isn't known.
+            self._discards = True
+            self._unparsed = b""
+            if not self.requests:
+                self._rejected = request
+                return
+        self.requests.append(request)
+        if len(self.requests) == 1:
+            self.server.add_task(self)
+
+    def _reject(self, request: _parser.Parser) -> None:
+        """Answers a request that isn't run, if no response has to come before."""
+        self._served_id = request.headers.get(self.server.id_header, "")
+        with contextlib.suppress(channel.ClientDisconnected):
+            self.error_task_class(self, request).service()
+        self.close_when_flushed = True
+
+    def refuse(self, error: utilities.Error | None = None) -> bool:
+        """Answers an incomplete request; its remaining bytes are not parsed.
+
+        Args:
+            error: the response; by default, that the server stops.
+
+        Returns:
+            Whether there was one.
+        """
         with self.requests_lock:
             request, self.request = self.request, None
-            request.error = RequestTimeoutError(
+            if request is None:
+                return False
+            request.close()
+            request.error = error or _tasks.RequestTimeoutError(
                 "The server stops; the incomplete request was not run."
             )
             request.completed = True
-            self._discards = True
-            self.requests.append(request)
-        self.server.add_task(self)
+            self._append(request)
+            rejected, self._rejected = self._rejected, None
+        if rejected is not None:
+            self._reject(rejected)
+        self._count_input()
+        return True
+
+    def _count_input(self, received: int = 0) -> None:
+        """Accounts for incomplete and waiting requests; by the event loop's thread."""
+        gate = self.server.gate
+        if self.request is None or not self.connected:
+            gate.end_wait(self)
+        size = self.request_size if self.connected else 0
+        gate.account.set(self, memory.Kind.REQUEST, size, gate.now, received)
+        self._count_output()
+
+    def _count_output(self, sent: int = 0) -> None:
+        """Accounts for complete requests and unsent bytes; by any thread."""
+        gate = self.server.gate
+        with self._account_lock:
+            size = sum(request.size for request in list(self.requests))
+            gate.account.set(self, memory.Kind.WORK, size, gate.now)
+            unsent = self.total_outbufs_len if self.connected else 0
+            gate.account.set(self, memory.Kind.RESPONSE, unsent, gate.now, sent)
+
+    def write_soon(self, data: bytes) -> int:
+        """Sends bytes, or holds those that the client doesn't take yet."""
+        count = super().write_soon(data)
+        self._count_output()
+        return count
+
+    def handle_write(self) -> None:
+        """Sends bytes that wait."""
+        unsent = self.total_outbufs_len
+        super().handle_write()
+        self._count_output(max(0, unsent - self.total_outbufs_len))
 
     def _flush_outbufs_below_high_watermark(self) -> None:
         """Waits, in a worker thread that holds the lock, until the client has read.
@@ -259,7 +306,9 @@
 
     def has_unread(self) -> bool:
         """Returns whether bytes of the client are waiting to be read."""
-        return self.socket is not None and _linger.has_unread(self.socket)
+        if self.socket is None:
+            return False
+        return bool(self._unparsed) or _linger.has_unread(self.socket)
 
     def cut(self) -> None:
         """Closes the socket as it is."""
@@ -292,7 +341,18 @@
             sock, self.socket = self.socket, None
             whole = self.response_is_whole and not self.total_outbufs_len
         super().handle_close()
+        self._release_input()
         if sock is not None and self.close_ends_response and not whole:
             _linger.reset(sock)
             return None
         return sock
+
+    def _release_input(self) -> None:
+        """Frees the memory of the incomplete request."""
+        with self.requests_lock:
+            request, self.request = self.request, None
+            self._unparsed = b""
+        if request is not None:
+            request.close()
+        self._count_input()
+        self.server.gate.forget(self)
--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -1,5 +1,6 @@
 """HTTP server with limits on clients and a bounded, planned stop."""
 
+import functools
 import math
 import threading
 from collections.abc import Callable
@@ -9,9 +10,10 @@
 import waitress.server
 from waitress import trigger, wasyncore
 
-from turmericward import runtime
+from turmericward import memory, runtime
 from turmericward.httpd import (
     _channel,
+    _gate,
     _heads,
     _idle,
     _shutdown,
@@ -24,9 +26,11 @@
 IDLE_TIMEOUT_S = 3600.0
 HEADER_TIMEOUT_S = 60.0
 MAX_HEADER_BYTES = 256 * 1024
-RECV_BYTES = 65536
 LISTEN_BACKLOG = 1024
 PROBE_THREADS = 1
+# waitress accepts one connection in a turn of the event loop: behind a thousand others,
+# a call would wait for a thousand turns.
+ACCEPTS_PER_TURN = 32
 # How often it is noted that no signal to stop has come.
 SIGNAL_POLL_S = 0.1
 # A stream whose client reads more slowly than its target writes waits above this.
@@ -38,7 +42,8 @@
     """Limits of a server.
 
     `queue_s` is how long a request may wait for a thread; `id_header` names the header
-    by which the log of a stop names requests.
+    by which the log of a stop names requests. `account` bounds the memory held for
+    clients; without one it isn't bounded.
     """
 
     threads: int
@@ -46,6 +51,7 @@
     connections: int = CONNECTION_LIMIT
     queue_s: float = math.inf
     id_header: str = ""
+    account: memory.Account | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -106,7 +112,7 @@
             connection_limit=self._limits.connections,
             max_request_header_size=self._client_limits.max_header_bytes,
             max_request_body_size=self._client_limits.max_body_bytes,
-            recv_bytes=RECV_BYTES,
+            recv_bytes=_gate.RECV_BYTES,
             channel_request_lookahead=1,
             outbuf_high_watermark=MAX_UNSENT_BYTES,
             asyncore_use_poll=True,
@@ -115,6 +121,11 @@
             ident=None,
         )
         server.channel_class = _channel.Channel
+        server.handle_accept = functools.partial(_accept, server, server.handle_accept)
+        # Probes have no part in the limit.
+        main = not self._servers
+        account = (self._limits.account if main else None) or memory.Account()
+        server.gate = _gate.Gate(account)
         server.lingering = set()
         # As the parser writes names.
         server.id_header = self._limits.id_header.upper().replace("-", "_")
@@ -179,15 +190,25 @@
             begun = executor.submit(self._begin_after, stop, on_stop)
             try:
                 while not self._stopper.step():
-                    step_s = min(self._stopper.step_s, self._refuser.step_s)
-                    wasyncore.poll2(step_s, self._map)
-                    self._close_expired()
-                    self._refuser.step()
+                    self._turn()
             finally:
                 stop.set()
                 self._release()
         begun.result()
 
+    def _turn(self) -> None:
+        gates = [server.gate for server in self._servers]
+        for gate in gates:
+            gate.begin_turn()
+        step_s = min(
+            self._stopper.step_s, self._refuser.step_s, *(g.step_s for g in gates)
+        )
+        wasyncore.poll2(step_s, self._map)
+        self._close_expired()
+        self._refuser.step()
+        for gate in gates:
+            gate.step()
+
     def _begin_after(self, stop: threading.Event, on_stop) -> None:
         earlier = latest = runtime.now()
         while not stop.wait(SIGNAL_POLL_S):
@@ -209,3 +230,18 @@
             if not isinstance(conn, trigger.trigger):
                 wasyncore.dispatcher.close(conn)
         self._map.clear()
+
+
+def _accept(server, accept_one: Callable[[], None]) -> None:
+    """Accepts the connections that wait, one of them also above the limit.
+
+    The limit is checked before by the event loop, and not at the end of a stop.
+    """
+    for _ in range(ACCEPTS_PER_TURN):
+        count = len(server.active_channels)
+        accept_one()
+        if (
+            len(server.active_channels) == count
+            or len(server._map) >= server.adj.connection_limit
+        ):
+            return
