--- a/src/turmericward/capacity/_duty.py
+++ b/src/turmericward/capacity/_duty.py
@@ -37,10 +37,13 @@
         self._is_done = False
         self._age_s = 0.0
         self._ordered_at = -math.inf
+        # Whether nobody can have ordered replicas before.
+        self._first = False
 
-    def took_over(self, now: float) -> None:
+    def took_over(self, now: float, *, first: bool = False) -> None:
         """Begins a term: forgets all orders, and what was seen of the load."""
         self._services.clear()
+        self._first = first
         self._looked_at = -math.inf
 
     def next_call(self, now: float) -> duties.CapacityOrder | None:
@@ -94,7 +97,7 @@
         for service in view.services:
             if service.name not in self._services:
                 self._services[service.name] = _service.ServiceCapacity(
-                    service.name, now
+                    service.name, now, handed_over=not self._first
                 )
             self._services[service.name].observe(service, now)
 
--- a/src/turmericward/capacity/_service.py
+++ b/src/turmericward/capacity/_service.py
@@ -20,13 +20,15 @@
 class ServiceCapacity:
     """What the holder knows of a service; times are monotonic seconds."""
 
-    def __init__(self, name: str, since: float) -> None:
+    def __init__(self, name: str, since: float, *, handed_over: bool = True) -> None:
         """Starts without knowledge.
 
         Args:
             name: name of the service.
             since: when the term began, or the service was first seen in it.
+            handed_over: whether replicas ordered by a previous holder may follow.
         """
+        self._handed_over = handed_over
         self._name = name
         self._since = since
         self._demand = _demand.DemandTracker()
@@ -57,7 +59,7 @@
         if any(self._states[pool].is_unknown(live[pool]) for pool in live):
             # Not all replicas were known yet; the front may have just started.
             self._since = now
-        if now - self._since < view.scaling.boot_s + HANDOVER_S:
+        if self._may_others_follow(now):
             self._total = max(self._total, _carrying(live))
         for pool in {*self._live, *live}:
             found = self._states[pool].check(self._live[pool], live[pool], now)
@@ -66,6 +68,13 @@
         self._live = live
         self._need = self._needed(now)
 
+    def _may_others_follow(self, now: float) -> bool:
+        """Returns whether replicas may still appear that this holder didn't order."""
+        wait_s = HANDOVER_S
+        if self._handed_over:
+            wait_s += self._boot_s
+        return now - self._since < wait_s
+
     def _log_short(self, pool: _mix.Pool, found: str, live: int) -> None:
         telemetry.log_event(
             "capacity_short",
@@ -93,7 +102,7 @@
     def next_step(self, now: float) -> _steps.Step | None:
         """Returns the order that is due, None if there is none."""
         view = self._view
-        if view is None or now - self._since < view.scaling.boot_s + HANDOVER_S:
+        if view is None or self._may_others_follow(now):
             return None
         if not self._states:
             # No replica has ever been announced: the directory isn't known.
--- a/src/turmericward/dispatching/_duties_loop.py
+++ b/src/turmericward/dispatching/_duties_loop.py
@@ -107,7 +107,7 @@
         self._term_began = self._lease.held_since
         self._backoffs = [_Backoff() for _ in self._duties]
         for duty in self._duties:
-            duty.took_over(self._clock())
+            duty.took_over(self._clock(), first=self._lease.is_first)
 
     def _restore(self) -> None:
         for duty in self._duties:
--- a/src/turmericward/dispatching/_standing_lease.py
+++ b/src/turmericward/dispatching/_standing_lease.py
@@ -88,6 +88,7 @@
         self._journal: bytes | None = None
         self._journal_reads = 0
         self._held_since = float("-inf")
+        self._is_first = False
 
     @property
     def journal(self) -> bytes | None:
@@ -109,6 +110,11 @@
         """When this front acquired the lease last; changes with each tenure."""
         return self._held_since
 
+    @property
+    def is_first(self) -> bool:
+        """Whether no front can have had the lease before this one."""
+        return self._is_first
+
     def authority(self) -> authority.Authority | None:
         """Returns the right to send calls, or None when there is none."""
         return self._lease.authority(self._clock(), self._eras.current)
@@ -199,6 +205,8 @@
         self._must_confirm = False
         self._appended_at = sent_at
         self._read_journal(state)
+        # A copy of the log may lack the records of later holders.
+        self._is_first = state.lease is None and state.end.era == 0
         self._held_since = sent_at
         # Last: from here on, other threads may send calls.
         self._lease.acquired(claim, sent_at, position, self._clock())
--- a/src/turmericward/duties/_duty.py
+++ b/src/turmericward/duties/_duty.py
@@ -16,8 +16,13 @@
     Implementations have no clock, socket or thread; `now` is in monotonic seconds.
     """
 
-    def took_over(self, now: float) -> None:
-        """Begins a term: another front may have made calls before it."""
+    def took_over(self, now: float, *, first: bool = False) -> None:
+        """Begins a term: another front may have made calls before it.
+
+        Args:
+            now: monotonic seconds.
+            first: whether no front can have had the lease before.
+        """
 
     def next_call(self, now: float) -> DutyCall | None:
         """Returns the call that is due, None if there is none."""
--- a/src/turmericward/metering/_usage_duty.py
+++ b/src/turmericward/metering/_usage_duty.py
@@ -88,7 +88,7 @@
         self._next = max(reports) + 1 if reports else None
         self._era_began = era_began
 
-    def took_over(self, now: float) -> None:
+    def took_over(self, now: float, *, first: bool = False) -> None:
         """Begins a term; `restore` says what others have done."""
 
     def next_call(self, now: float) -> duties.UsageReport | None:
--- a/tests/test_capacity_replay.py
+++ b/tests/test_capacity_replay.py
@@ -255,3 +255,17 @@
     views[0] = None
     fleet.run(40.0, duty)
     check.assertEqual((fleet.count(), fleet.count(spot=False)), (36, 3))
+
+
+def _first_order_at(*, first: bool) -> float:
+    """Returns when a holder sends its first order to a fleet without calls."""
+    fleet = capacity_fleet.ScalableFleet()
+    duty = capacity.CapacityDuty(fleet.view)
+    duty.took_over(0.0, first=first)
+    return next(t / 4 for t in range(100) if duty.next_call(t / 4) is not None)
+
+
+def test_the_first_holder_of_all_does_not_wait_for_orders_of_another():
+    """Guards against a new fleet that pays for its dearer replicas for longer."""
+    check.assertLess(_first_order_at(first=True), capacity_fleet.SCALING.boot_s)
+    check.assertGreater(_first_order_at(first=False), capacity_fleet.SCALING.boot_s)
