--- a/src/turmericward/dispatching/_dispatch_task.py
+++ b/src/turmericward/dispatching/_dispatch_task.py
@@ -5,7 +5,15 @@
 import attrs
 from absl import logging
 
-from turmericward import fleet, peers, requests, routing, runtime, telemetry
+from turmericward import (
+    fleet,
+    peers,
+    requests,
+    routing,
+    runtime,
+    telemetry,
+    transfer,
+)
 from turmericward.dispatching import (
     _crash_guard,
     _limit_exchange,
@@ -13,6 +21,7 @@
     _placing,
     _retry_budgets,
     _status,
+    _transfer_reports,
 )
 
 SHORT_PROMPT_PUBLISH_INTERVAL_S = 0.05
@@ -49,6 +58,8 @@
         retries: _messages.RetryBounds,
         publish,
         on_configured=lambda table: None,
+        link: transfer.Link | None = None,
+        metrics: telemetry.Metrics | None = None,
     ) -> None:
         """Creates the task without configuration and targets.
 
@@ -60,6 +71,9 @@
             retries: bounds on the retries of all fronts together.
             publish: called with each state change to publish to the peers.
             on_configured: called with each routing table that takes effect.
+            link: costs of the way to other domains, if calls stay in theirs unless
+                leaving pays.
+            metrics: counts the calls between domains, if there is a `link`.
         """
         super().__init__()
         self._admission = fleet.Admission(name, grace_s)
@@ -71,7 +85,10 @@
             functools.partial(_crash_guard.crashed_incarnation, self._directory),
             lambda key: self._admission.limits.members.rank(str(key)),
         )
-        self._placer = requests.Placer(seed, domain)
+        self._placer = requests.Placer(seed, domain, link)
+        self._transfer_reports = _transfer_reports.TransferReports(
+            domain, self._placer.transfers, metrics
+        )
         self._budgets = _retry_budgets.RetryBudgets(retries)
         self._published_at = 0.0
         self._published_loads: dict[int, requests.TargetLoad] = {}
@@ -215,6 +232,7 @@
             self._admission.limits.update_shares(now)
         self._placer.count_overdue(now)
         self._crashes.expire(now)
+        self._transfer_reports.run_periodic()
         if self._reports_changed or self._are_published_loads_outdated(now):
             self._publish_state()
 
@@ -322,6 +340,7 @@
         """Returns a Result of Placement or Refusal."""
         chosen = self._placing.place(message)
         if chosen.is_ok():
+            self._transfer_reports.placed(chosen.unwrap())
             self._publish_prompt(message.call.prompt)
         return chosen
 
--- a/src/turmericward/dispatching/_placing.py
+++ b/src/turmericward/dispatching/_placing.py
@@ -113,8 +113,11 @@
     ):
         prompt = message.call.prompt
         targets, waits_s = candidates.targets, candidates.waits_s
+        tried = message.retry or bool(message.excluded) or message.only is not None
         if prompt is None:
-            return _as_result(self._placer.choose_replica(targets, now, waits_s))
+            return _as_result(
+                self._placer.choose_replica(targets, now, waits_s, tried=tried)
+            )
         if message.prefilled:
             domain = message.prefill_domain
             return _as_result(
@@ -122,7 +125,9 @@
                     prompt, domain, targets, deadlines, now, waits_s
                 )
             )
-        return self._placer.choose_engine(prompt, targets, deadlines, now, waits_s)
+        return self._placer.choose_engine(
+            prompt, targets, deadlines, now, waits_s, tried=tried
+        )
 
 
 def _as_result(placement: requests.Placement | None):
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -21,6 +21,7 @@
     runtime,
     schema,
     telemetry,
+    transfer,
 )
 from turmericward.adapters import _address, _body_memory
 from turmericward.platform import (
@@ -100,6 +101,8 @@
             retries=_retry_bounds(cfg),
             publish=peer_task.publish_state,
             on_configured=self._apply_table,
+            link=_transfer_link(cfg),
+            metrics=metrics,
         )
         for task in (self._dispatch, peer_task):
             task.on_rejected = self._on_message_rejected
@@ -277,6 +280,17 @@
     )
 
 
+def _transfer_link(cfg: _settings.Settings) -> transfer.Link | None:
+    costs = cfg.transfer
+    if costs is None:
+        return None
+    return transfer.Link(
+        delay_s=costs.delay_ms / 1000,
+        price_s=costs.price_ms / 1000,
+        byte_price_s=costs.price_ms_per_mb / 1000 / BYTES_PER_MB,
+    )
+
+
 @click.command()
 def main() -> None:
     """Serves clients' calls until SIGTERM, then drains open calls and exits."""
--- a/src/turmericward/platform/_settings.py
+++ b/src/turmericward/platform/_settings.py
@@ -106,9 +106,32 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class TransferSettings:
+    """What it costs a call to leave its failure domain.
+
+    `delay_ms` is the delay of the link one way. The price of traffic is the extra wait
+    that is tolerated to avoid it, for each call and for each MB.
+    """
+
+    delay_ms: float = attrs.field(
+        default=1.4, validator=schema.validators.between(0, 10_000)
+    )
+    price_ms: float = attrs.field(
+        default=5.0, validator=schema.validators.between(0, 60_000)
+    )
+    price_ms_per_mb: float = attrs.field(
+        default=100.0, validator=schema.validators.between(0, 1e6)
+    )
+
+
 @attrs.frozen(kw_only=True)
 class Settings:
-    """All settings of a front; it has no duties if `duties` is None."""
+    """All settings of a front.
+
+    It has no duties if `duties` is None; calls stay in their domain unless leaving
+    pays only if there is `transfer`.
+    """
 
     instance: InstanceSettings
     listen: ListenSettings
@@ -116,3 +139,4 @@
     limits: LimitSettings
     bounds: BoundSettings
     duties: DutySettings | None = None
+    transfer: TransferSettings | None = None
--- a/src/turmericward/requests/__init__.py
+++ b/src/turmericward/requests/__init__.py
@@ -36,6 +36,7 @@
     Router,
 )
 from turmericward.requests._suspects import Incarnation, KeyOutcome, Suspect
+from turmericward.requests._transfers import Transfer
 
 __all__ = [
     "MAX_TOKENS",
@@ -67,6 +68,7 @@
     "Router",
     "Suspect",
     "TargetLoad",
+    "Transfer",
     "demand_of",
     "segment_number",
     "sum_loads",
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -15,7 +15,7 @@
 import attrs
 import result
 
-from turmericward import fleet
+from turmericward import fleet, transfer
 from turmericward.requests import (
     _cache_index,
     _costs,
@@ -26,6 +26,7 @@
     _shortlist,
     _speed,
     _target_calls,
+    _transfers,
 )
 
 # Replicas whose latency is within this factor of the fastest count as equally fast.
@@ -47,12 +48,16 @@
 class Placer:
     """Tracks the calls in flight by target and places new ones."""
 
-    def __init__(self, seed: int, domain: str) -> None:
+    def __init__(
+        self, seed: int, domain: str, link: transfer.Link | None = None
+    ) -> None:
         """Starts with no calls in flight.
 
         Args:
             seed: seed of the random choices.
             domain: failure domain whose targets are preferred on equal scores.
+            link: costs of the way to other domains, if calls stay in their domain
+                unless leaving pays; None: they don't.
         """
         self._random = random.Random(seed)
         self._domain = domain
@@ -61,7 +66,8 @@
         self.health = self._calls.health
         self._latency = _speed.Latency()
         self._speed = _speed.PrefillSpeed()
-        self._shortlist = _shortlist.Shortlist(domain)
+        # By the domains that a call may go to; empty for all.
+        self._shortlists: dict[str, _shortlist.Shortlist] = {}
         self._last_id = 0
         self.cache_index = _cache_index.CacheIndex()
         self._hold_time = _speed.HoldTime()
@@ -73,6 +79,11 @@
             outcomes=self._calls.outcomes,
         )
         self._costs = _costs.EngineCosts(estimates)
+        self.transfers: _transfers.Transfers | None = None
+        if link is not None:
+            self.transfers = _transfers.Transfers(
+                domain, link, seed, self._calls, self._speed
+            )
 
     # State of targets.
 
@@ -114,7 +125,12 @@
     # Replicas of plain services.
 
     def choose_replica(
-        self, targets, now: float, waits_s: Mapping[str, float] = NO_WAITS
+        self,
+        targets,
+        now: float,
+        waits_s: Mapping[str, float] = NO_WAITS,
+        *,
+        tried: bool = False,
     ) -> _in_flight.Placement | None:
         """Chooses a replica of a plain service by its open calls and its latency.
 
@@ -123,7 +139,10 @@
             now: monotonic seconds.
             waits_s: replicas that take the call only after a time, used if no other
                 is left.
+            tried: whether a target has refused or lost the call before.
         """
+        if self.transfers is not None and targets:
+            targets = self._select_replicas(targets, now, waits_s, tried=tried)
         usable = self._calls.usable(targets, now)
         if not usable:
             return None
@@ -137,6 +156,31 @@
         )
         return self._assign(placement, now)
 
+    def _select_replicas(self, targets, now: float, waits_s, *, tried: bool):
+        """Returns the replicas that a call may go to; elsewhere if all here are full.
+
+        A full one's wait is that for one of its slots, after the calls queued there.
+        """
+        hold_s = self._latency.fastest(t.name for t in targets)
+        selected = self.transfers.select(targets, hold_s, now, tried=tried)
+        if not selected.elsewhere:
+            return selected.targets
+        here_s, there_s = (
+            min(
+                waits_s.get(t.name, 0.0) + self._replica_wait_s(t, hold_s)
+                for t in self._calls.usable(group, now)
+            )
+            for group in (selected.targets, selected.elsewhere)
+        )
+        if here_s > 0 and self.transfers.pays(here_s, there_s):
+            return selected.elsewhere
+        return selected.targets
+
+    def _replica_wait_s(self, target: fleet.Target, hold_s: float) -> float:
+        slots = max(1, target.slots)
+        excess = self._calls.load(target.name).open_calls + 1 - slots
+        return max(0, excess) * hold_s / slots
+
     def _replica_score(
         self, target: fleet.Target, fastest_s: float, now: float
     ) -> tuple[float, bool]:
@@ -155,6 +199,8 @@
         deadlines: _in_flight.Deadlines,
         now: float,
         waits_s: Mapping[str, float] = NO_WAITS,
+        *,
+        tried: bool = False,
     ) -> result.Result[_in_flight.Placement, _router.Refusal] | None:
         """Chooses the engine that prefills a prompt, and may decode it as well.
 
@@ -164,20 +210,21 @@
             deadlines: how long the client still waits.
             now: monotonic seconds.
             waits_s: engines that take the prompt only after a time.
+            tried: whether a target has refused or lost the call before.
 
         Returns:
             The placement or a refusal; None if no usable engine could decode
             afterwards.
         """
-        usable = self._candidates(prompt, targets, now)
-        if not _any_can_decode(usable):
-            usable = self._calls.usable(targets, now)
-        if not _any_can_decode(usable):
-            return None
         query = _costs.Query(
             prompt=prompt, deadlines=deadlines, now=now, waits_s=waits_s
         )
-        best = self._best(query, usable)
+        if self.transfers is None or not targets:
+            best = self._best_of(query, targets)
+        else:
+            best = self._best_selected(query, targets, tried=tried)
+        if best is None:
+            return None
         if best.adjusted_s > deadlines.hard_deadline_s:
             retry_s = max(
                 MIN_RETRY_AFTER_S, best.adjusted_s - deadlines.hard_deadline_s
@@ -190,13 +237,58 @@
             self.cache_index.record_prompt(placement.target, prompt, ready=False)
         return result.Ok(placement)
 
+    def _best_of(
+        self, query: _costs.Query, targets, key: str = ""
+    ) -> _in_flight.Placement | None:
+        """Returns the best placement; None if no usable engine could decode."""
+        usable = self._candidates(query.prompt, targets, query.now, key=key)
+        if not _any_can_decode(usable):
+            usable = self._calls.usable(targets, query.now)
+        if not _any_can_decode(usable):
+            return None
+        return self._best(query, usable)
+
+    def _best_selected(
+        self, query: _costs.Query, targets, *, tried: bool
+    ) -> _in_flight.Placement | None:
+        """Returns the best placement among the domains that the call may go to.
+
+        A kept call leaves if that pays, and it would be late or its prefix is cached
+        elsewhere only.
+        """
+        selected = self.transfers.select(
+            targets, self._hold_time.hold_s, query.now, tried=tried
+        )
+        best = self._best_of(query, selected.targets, selected.key)
+        if best is None:
+            return self._best_of(query, targets)
+        elsewhere = selected.elsewhere
+        if best.adjusted_s <= query.deadlines.soft_deadline_s:
+            if best.uncached_tokens < LONG_PREFILL_TOKENS:
+                return best
+            caching = self.cache_index.engines_caching(query.prompt, elsewhere)
+            elsewhere = self._calls.accepting(caching, query.now)
+        if not _any_can_decode(elsewhere):
+            return best
+        other = self._best_of(query, elsewhere, "elsewhere")
+        if other is None or not self.transfers.pays(
+            best.cost_s, other.cost_s, query.prompt
+        ):
+            return best
+        return other
+
     def _candidates(
-        self, prompt, targets, now: float, *, decode: bool = False
+        self, prompt, targets, now: float, *, decode: bool = False, key: str = ""
     ) -> list[fleet.Target]:
-        """Returns the least loaded engines and those that cache the prompt's prefix."""
-        shortlisted = self._shortlist.pick(
-            targets, self._costs.wait_s, now, decode=decode
-        )
+        """Returns the least loaded engines and those that cache the prompt's prefix.
+
+        Each `key` has a shortlist of its own.
+        """
+        shortlist = self._shortlists.get(key)
+        if shortlist is None:
+            shortlist = _shortlist.Shortlist(self._domain)
+            self._shortlists[key] = shortlist
+        shortlisted = shortlist.pick(targets, self._costs.wait_s, now, decode=decode)
         eligible = _decode_capable(targets) if decode else targets
         if shortlisted is targets:
             return self._calls.usable(eligible, now)
@@ -261,7 +353,11 @@
             now: monotonic seconds.
             waits_s: engines that take the prompt only after a time.
         """
-        usable = self._candidates(prompt, targets, now, decode=True)
+        key = ""
+        if self.transfers is not None and targets:
+            selected = self.transfers.select_decode(targets, prefill_domain, now)
+            targets, key = selected.targets, selected.key
+        usable = self._candidates(prompt, targets, now, decode=True, key=key)
         if not usable:
             return None
         query = _costs.Query(
--- a/src/turmericward/requests/_speed.py
+++ b/src/turmericward/requests/_speed.py
@@ -78,6 +78,11 @@
         """Starts with the initial estimate."""
         self._hold_s = INITIAL_HOLD_S
 
+    @property
+    def hold_s(self) -> float:
+        """Returns how long a call occupies a slot."""
+        return self._hold_s
+
     def learn(self, took_s: float) -> None:
         """Takes a sample: the time from a decode's placement to its end."""
         self._hold_s += LEARNING_RATE * (min(took_s, MAX_HOLD_S) - self._hold_s)
--- a/src/turmericward/telemetry/_metrics.py
+++ b/src/turmericward/telemetry/_metrics.py
@@ -53,6 +53,7 @@
         """
         self._lock = threading.Lock()
         self._counters: collections.Counter[str] = collections.Counter()
+        self._values: dict[str, float] = {}
         self._classes: dict[tuple[str, str], histogram.HdrHistogram] = {}
         self._tenants: collections.OrderedDict[str, histogram.HdrHistogram]
         self._tenants = collections.OrderedDict()
@@ -67,6 +68,13 @@
         if self._statsd is not None:
             self._statsd.incr(name)
 
+    def set_value(self, name: str, value: float) -> None:
+        """Sets a value that goes up and down."""
+        with self._lock:
+            self._values[name] = value
+        if self._statsd is not None:
+            self._statsd.gauge(name, value)
+
     def record(self, latencies: RequestLatencies) -> None:
         """Records the latencies of one request."""
         with self._lock:
@@ -114,6 +122,7 @@
         """Returns all metrics as text, one per line."""
         with self._lock:
             lines = [f"{n} {v}" for n, v in sorted(self._counters.items())]
+            lines += [f"{n} {v:g}" for n, v in sorted(self._values.items())]
             for (traffic_class, measure), hist in sorted(self._classes.items()):
                 labels = f'class="{_escaped(traffic_class)}"'
                 lines += _histogram_lines(f"{measure}_ms", labels, hist)
--- a/src/turmericward/transfer/_decision.py
+++ b/src/turmericward/transfer/_decision.py
@@ -13,11 +13,12 @@
 # are filled by them.
 ENOUGH_UTILIZATION = 0.8
 MAX_RECEIVING_UTILIZATION = 0.95
-# At this utilization a domain gets no calls of others.
-FULL_UTILIZATION = 1.0
+# At this utilization a domain gets no calls of others. At 1.0, three full domains with
+# a load of 1.5 exchange 0.36 of their calls after refusals, at 0.97 0.11.
+FULL_UTILIZATION = 0.97
 # Another domain's utilization counts as higher by this, so that two domains with
 # nearly the same utilization exchange nothing.
-MARGIN = 0.1
+MARGIN = 0.05
 # Share sent per utilization in excess. The share is proportional and has no memory, so
 # that all fronts reach the same one, whenever they started.
 GAIN = 2.5
@@ -31,17 +32,17 @@
 class Link:
     """What leaving the domain costs.
 
-    `delay_s` is the delay one way. `price_s` is the price of a call's traffic, as the
-    extra wait that is tolerated to avoid it.
+    `delay_s` is the delay one way. The price of traffic is the extra wait that is
+    tolerated to avoid it: `price_s` for each call, and `byte_price_s` for each byte.
     """
 
     delay_s: float
-    price_s: float
+    price_s: float = 0.0
+    byte_price_s: float = 0.0
 
-    @property
-    def cost_s(self) -> float:
-        """Returns the cost of one call's way there and back."""
-        return 2 * self.delay_s + self.price_s
+    def cost_s(self, size: float = 0.0) -> float:
+        """Returns the cost of the way there and back of a call of `size` bytes."""
+        return 2 * self.delay_s + self.price_s + self.byte_price_s * size
 
 
 @attrs.frozen(kw_only=True)
@@ -76,7 +77,14 @@
         return self.heard and self.slots > 0 and self.utilization < FULL_UTILIZATION
 
 
-def pays(here_s: float, there_s: float, link: Link, lost_cache_s: float = 0.0) -> bool:
+def pays(
+    here_s: float,
+    there_s: float,
+    link: Link,
+    *,
+    lost_cache_s: float = 0.0,
+    size: float = 0.0,
+) -> bool:
     """Returns whether a call should leave its domain.
 
     Args:
@@ -84,8 +92,9 @@
         there_s: what it waits in the other one, without the link.
         link: costs of the way.
         lost_cache_s: time to compute anew the KV cache that it leaves behind.
+        size: bytes of the call and its response.
     """
-    return there_s + link.cost_s + lost_cache_s < here_s
+    return there_s + link.cost_s(size) + lost_cache_s < here_s
 
 
 def target_shares(home: Domain, others: Iterable[Domain]) -> Mapping[str, float]:
--- a/src/turmericward/transfer/_heard.py
+++ b/src/turmericward/transfer/_heard.py
@@ -4,7 +4,8 @@
 
 # Without this part of the calls counted before, the domain's fronts aren't heard.
 HEARD_PART = 0.5
-# Fronts that restarted count from 0; after this time the lower count is taken as theirs.
+# Fronts that restarted count from 0; the lower count is taken as theirs after this
+# time. Calls into a partition that lasts longer fail, and targets are ejected for it.
 RECOUNT_S = 30.0
 
 
@@ -34,7 +35,8 @@
             now: monotonic seconds.
         """
         count = self._counts.setdefault(domain, _Count(highest=ended_calls, at=now))
-        heard = ended_calls > 0 and ended_calls >= HEARD_PART * count.highest
+        # A domain without clients may have no calls at all, and has room for others.
+        heard = ended_calls >= HEARD_PART * count.highest
         if heard or now - count.at > RECOUNT_S:
             count.highest = ended_calls
             count.at = now
--- a/src/turmericward/transfer/_shares.py
+++ b/src/turmericward/transfer/_shares.py
@@ -14,8 +14,9 @@
 MAX_FALL_PER_S = 0.3
 # Smaller shares without a target count as 0.
 MIN_SHARE = 0.01
-# Changes of a share by more than this are reported.
+# Changes of a share by more than this are reported, at most this often.
 REPORTED_CHANGE = 0.1
+MIN_REPORT_INTERVAL_S = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -46,12 +47,13 @@
         self._shares: dict[str, float] = {}
         self._reported: dict[str, float] = {}
         self._updated_at: float | None = None
+        self._reported_at = -math.inf
         self._open: frozenset[str] = frozenset()
 
     @property
     def shares(self) -> Mapping[str, float]:
-        """Returns the share of each destination that gets calls now."""
-        return {name: s for name, s in self._shares.items() if name in self._open}
+        """Returns the share of each destination."""
+        return dict(self._shares)
 
     @property
     def receiving(self) -> frozenset[str]:
@@ -84,10 +86,17 @@
                 self._shares[name] = share
             else:
                 self._shares.pop(name, None)
-        return self._changes()
+        if now - self._reported_at < MIN_REPORT_INTERVAL_S:
+            return []
+        changes = self._changes()
+        if changes:
+            self._reported_at = now
+        return changes
 
     def _targets(self, home, others) -> Mapping[str, float]:
-        if not self._shares:
+        # A full domain refuses calls, which costs more than the wait for a slot.
+        full = home.utilization >= _decision.FULL_UTILIZATION
+        if not self._shares and not full:
             others = [
                 d for d in others if _decision.pays(home.wait_s, d.wait_s, self._link)
             ]
@@ -105,14 +114,14 @@
         return changes
 
     def destination(self, draw: float) -> str:
-        """Returns the domain that a call goes to.
+        """Returns the domain that a call goes to, which isn't one that is full.
 
         Args:
             draw: random number of at least 0 and below 1.
         """
-        for name, share in sorted(self.shares.items()):
+        for name, share in sorted(self._shares.items()):
             if draw < share:
-                return name
+                return name if name in self._open else self._home
             draw -= share
         return self._home
 
