--- a/src/turmericward/requests/_transfers.py
+++ b/src/turmericward/requests/_transfers.py
@@ -12,7 +12,10 @@
 from turmericward import fleet, transfer
 from turmericward.requests import _prompts, _speed, _target_calls
 
-UPDATE_INTERVAL_S = 0.1
+UPDATE_INTERVAL_S = 0.2
+# Targets of a domain whose loads are read at each update. Those of 11,000 replicas take
+# longer to read than the interval allows.
+MAX_SAMPLED_TARGETS = 40
 # Bytes of a prompt's token, and of the event that carries an output token.
 BYTES_PER_TOKEN = 4
 BYTES_PER_EVENT = 120
@@ -52,17 +55,37 @@
     domains: list[transfer.Domain] = attrs.field(factory=list)
     listed: Sequence[fleet.Target] = ()
     by_key: dict[str, tuple[fleet.Target, ...]] = attrs.field(factory=dict)
+    samples: dict[str, tuple[fleet.Target, ...]] = attrs.field(factory=dict)
+    counts: dict[str, int] = attrs.field(factory=dict)
 
     def within(self, targets, domains: frozenset[str]) -> tuple[fleet.Target, ...]:
         """Returns the targets in some domains; the same object if unchanged."""
-        if self.listed is not targets:
-            self.listed = targets
-            self.by_key.clear()
+        self._list(targets)
         key = _key(domains)
         if key not in self.by_key:
             self.by_key[key] = tuple(t for t in targets if t.domain in domains)
         return self.by_key[key]
 
+    def sample(self, targets) -> dict[str, tuple[fleet.Target, ...]]:
+        """Returns some targets of each domain, the same ones if unchanged."""
+        self._list(targets)
+        if not self.samples:
+            domains: dict[str, list[fleet.Target]] = {}
+            for target in targets:
+                domains.setdefault(target.domain, []).append(target)
+            self.counts = {name: len(group) for name, group in domains.items()}
+            self.samples = {
+                name: tuple(group[:: 1 + (len(group) - 1) // MAX_SAMPLED_TARGETS])
+                for name, group in domains.items()
+            }
+        return self.samples
+
+    def _list(self, targets) -> None:
+        if self.listed is not targets:
+            self.listed = targets
+            self.by_key.clear()
+            self.samples = {}
+
 
 class Transfers:
     """Follows the shares of all services of a domain; times are monotonic seconds."""
@@ -144,13 +167,18 @@
         if updated_at is not None and 0 <= now - updated_at < UPDATE_INTERVAL_S:
             return
         service.updated_at = now
+        samples = service.sample(targets)
         uses = [
             self._use(target)
-            for target in self._calls.accepting(targets, now)
+            for sample in samples.values()
+            for target in self._calls.accepting(sample, now)
             if self._calls.health.usable(target.name, now)
         ]
-        heard = self._heard(service, targets, now)
-        service.domains = transfer.domains_of(uses, hold_s, heard)
+        heard = self._heard(service, now)
+        service.domains = [
+            _scaled(domain, service.counts[domain.name] / len(samples[domain.name]))
+            for domain in transfer.domains_of(uses, hold_s, heard)
+        ]
         utilization = {d.name: round(d.utilization, 3) for d in service.domains}
         self._changes += [
             Transfer(
@@ -178,11 +206,14 @@
             queue_s=queue_s,
         )
 
-    def _heard(self, service: _Service, targets, now: float) -> frozenset[str]:
-        counts: dict[str, int] = {}
-        for target in targets:
-            load = self._calls.peers.load_at(fleet.target_hash(target.name))
-            counts[target.domain] = counts.get(target.domain, 0) + load.ended_calls
+    def _heard(self, service: _Service, now: float) -> frozenset[str]:
+        peers = self._calls.peers
+        counts = {
+            domain: sum(
+                peers.load_at(fleet.target_hash(t.name)).ended_calls for t in sample
+            )
+            for domain, sample in service.samples.items()
+        }
         return frozenset(
             domain
             for domain, count in counts.items()
@@ -212,5 +243,9 @@
     return "/".join(sorted(domains))
 
 
+def _scaled(domain: transfer.Domain, factor: float) -> transfer.Domain:
+    return attrs.evolve(domain, slots=round(domain.slots * factor))
+
+
 def _size(prompt: _prompts.Prompt) -> int:
     return prompt.tokens * BYTES_PER_TOKEN + prompt.output_tokens * BYTES_PER_EVENT
--- a/tests/test_transfers.py
+++ b/tests/test_transfers.py
@@ -1,4 +1,4 @@
-"""Placement with calls that stay in their domain: fronts and targets in virtual time."""
+"""Placement with calls that stay in their domain, in virtual time."""
 
 import heapq
 import random
