--- a/tests/test_platform_check.py
+++ b/tests/test_platform_check.py
@@ -43,6 +43,21 @@
         check.assertIn(text, result.output)
 
 
+def test_the_costs_of_leaving_the_domain_are_optional_and_checked():
+    """Guards against a typing error that turns transfer on with other costs."""
+    valid = test_reload.SETTINGS | {"transfer": {}}
+    result = _run_check(valid, platform_fixtures.manifest(3))
+    check.assertEqual((result.exit_code, result.output), (0, "no faults\n"))
+    for costs, text in (
+        ({"price_ms": -1.0}, "transfer.price_ms"),
+        ({"delay": 1.4}, "transfer: has no field named delay"),
+    ):
+        settings = test_reload.SETTINGS | {"transfer": costs}
+        result = _run_check(settings, platform_fixtures.manifest(3))
+        check.assertEqual(result.exit_code, 2)
+        check.assertIn(text, result.output)
+
+
 def test_a_route_to_an_undefined_service_is_reported():
     manifest = platform_fixtures.manifest(3)
     manifest["services"] = manifest["services"][:1]
