--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -142,7 +142,10 @@
             tried: whether a target has refused or lost the call before.
         """
         if self.transfers is not None and targets:
-            targets = self._select_replicas(targets, now, waits_s, tried=tried)
+            hold_s = self._latency.fastest(t.name for t in targets)
+            targets = self.transfers.select_replicas(
+                targets, hold_s, now, waits_s, tried=tried
+            )
         usable = self._calls.usable(targets, now)
         if not usable:
             return None
@@ -156,31 +159,6 @@
         )
         return self._assign(placement, now)
 
-    def _select_replicas(self, targets, now: float, waits_s, *, tried: bool):
-        """Returns the replicas that a call may go to; elsewhere if all here are full.
-
-        A full one's wait is that for one of its slots, after the calls queued there.
-        """
-        hold_s = self._latency.fastest(t.name for t in targets)
-        selected = self.transfers.select(targets, hold_s, now, tried=tried)
-        if not selected.elsewhere:
-            return selected.targets
-        here_s, there_s = (
-            min(
-                waits_s.get(t.name, 0.0) + self._replica_wait_s(t, hold_s)
-                for t in self._calls.usable(group, now)
-            )
-            for group in (selected.targets, selected.elsewhere)
-        )
-        if here_s > 0 and self.transfers.pays(here_s, there_s):
-            return selected.elsewhere
-        return selected.targets
-
-    def _replica_wait_s(self, target: fleet.Target, hold_s: float) -> float:
-        slots = max(1, target.slots)
-        excess = self._calls.load(target.name).open_calls + 1 - slots
-        return max(0, excess) * hold_s / slots
-
     def _replica_score(
         self, target: fleet.Target, fastest_s: float, now: float
     ) -> tuple[float, bool]:
--- a/src/turmericward/requests/_transfers.py
+++ b/src/turmericward/requests/_transfers.py
@@ -143,6 +143,43 @@
         kept = self._selection(service, targets, frozenset({goal}))
         return attrs.evolve(kept, elsewhere=service.within(targets, receiving))
 
+    def select_replicas(
+        self,
+        targets: Sequence[fleet.Target],
+        hold_s: float,
+        now: float,
+        waits_s: Mapping[str, float],
+        *,
+        tried: bool,
+    ) -> Sequence[fleet.Target]:
+        """Returns the replicas that a call may go to; elsewhere if all here are full.
+
+        Args:
+            targets: replicas of the service, at least one.
+            hold_s: how long a call takes a slot.
+            now: monotonic seconds.
+            waits_s: replicas that take the call only after a time.
+            tried: whether a target has refused or lost the call before.
+        """
+        selected = self.select(targets, hold_s, now, tried=tried)
+        if not selected.elsewhere:
+            return selected.targets
+        here_s, there_s = (
+            min(
+                waits_s.get(t.name, 0.0) + self._slot_wait_s(t, hold_s)
+                for t in self._calls.usable(group, now)
+            )
+            for group in (selected.targets, selected.elsewhere)
+        )
+        if here_s > 0 and self.pays(here_s, there_s):
+            return selected.elsewhere
+        return selected.targets
+
+    def _slot_wait_s(self, target: fleet.Target, hold_s: float) -> float:
+        slots = max(1, target.slots)
+        excess = self._calls.load(target.name).open_calls + 1 - slots
+        return max(0, excess) * hold_s / slots
+
     def select_decode(
         self, targets: Sequence[fleet.Target], prefill_domain: str, now: float
     ) -> Selection:
