Transfer: KV cache is fetched across domains, a queue of 1 s counts as full

Cause: with transfer, each domain prefilled each shared prefix itself, and late prompts stayed since all domains counted as full at a queue of 0.4 s.

--- a/src/turmericward/requests/_costs.py
+++ b/src/turmericward/requests/_costs.py
@@ -53,13 +53,15 @@
 class Query:
     """A prompt to place at `now` (monotonic seconds).
 
-    `waits_s` has the engines that take it only after a time.
+    `waits_s` has the engines that take it only after a time. KV cache may also be
+    fetched from `sources`, engines of other domains that don't get the prompt.
     """
 
     prompt: _prompts.Prompt
     deadlines: _in_flight.Deadlines
     now: float
     waits_s: Mapping[str, float] = attrs.field(factory=dict)
+    sources: tuple[fleet.Target, ...] = ()
 
 
 class EngineCosts:
@@ -93,7 +95,9 @@
         """
         sources = {}
         if query.prompt.tokens >= _cache_index.SHORT_PROMPT_TOKENS:
-            sources = self._fetch_sources(query.prompt, targets)
+            names = {t.name for t in targets}
+            others = [t for t in query.sources if t.name not in names]
+            sources = self._fetch_sources(query.prompt, [*targets, *others])
         return [
             self._prefill_placement(query, t, sources.get(t.domain), deferred)
             for t in targets
@@ -131,6 +135,8 @@
                 cached = fetchable
                 fetch_from = source.address
                 extra_s += FETCH_OVERHEAD_S
+                if query.sources and source.domain != target.domain:
+                    extra_s += CROSS_DOMAIN_COST_S
                 imposed_s += EVICTION_COST_S * evicted
         prefill_only = not target.can_decode
         if prefill_only:
--- a/src/turmericward/requests/_placement.py
+++ b/src/turmericward/requests/_placement.py
@@ -237,6 +237,9 @@
         selected = self.transfers.select(
             targets, self._hold_time.hold_s, query.now, tried=tried
         )
+        caching = self.cache_index.engines_caching(query.prompt, targets)
+        sources = tuple(self._calls.accepting(caching, query.now))
+        query = attrs.evolve(query, sources=sources)
         best = self._best_of(query, selected.targets, selected.key)
         if best is None:
             return self._best_of(query, targets)
--- a/src/turmericward/transfer/_utilization.py
+++ b/src/turmericward/transfer/_utilization.py
@@ -8,8 +8,9 @@
 from turmericward.transfer import _decision
 
 # Average prefill queue at which the engines of a role count as full. A single long
-# prompt with a cached prefix takes about 0.1 s, one without 0.35 s.
-FULL_QUEUE_S = 0.4
+# prompt with a cached prefix takes about 0.1 s, one without 0.35 s. With 0.4 s, a tenth
+# of the long prompts that are on time without transfer are late in an overload.
+FULL_QUEUE_S = 1.0
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/test_transfers.py
+++ b/tests/test_transfers.py
@@ -3,6 +3,7 @@
 import heapq
 import random
 
+from benchmarks import prompt_model
 from tests import fixtures
 from turmericward import dispatching, fleet, requests, telemetry, transfer
 from turmericward.dispatching import _transfer_reports
@@ -202,6 +203,28 @@
     check.assertEqual(goals, {"c"})
 
 
+def test_long_prompts_are_on_time_as_often_and_fewer_cross_domains():
+    """Guards against the loss of what domains share: engines and cached prefixes."""
+    for name in ("swing", "overload"):
+        shares, crossings = [], []
+        for link in (None, LINK):
+            results = [
+                prompt_model.Model(
+                    prompt_model.LOADS[name],
+                    seed,
+                    fronts=12,
+                    prefill=6,
+                    decode=6,
+                    link=link,
+                ).run()
+                for seed in range(2)
+            ]
+            shares.append(sum(r.share("long") for r in results))
+            crossings.append(sum(r.crossings for r in results))
+        check.assertGreater(shares[1], 0.95 * shares[0], msg=name)
+        check.assertLess(crossings[1], 0.6 * crossings[0], msg=name)
+
+
 def test_kv_cache_stays_in_the_domain_of_its_prefill():
     """Guards against moving KV cache over the link while engines there take calls."""
     placer = _placer({"b": 8}, ENGINES)
