--- a/tests/test_transfers.py
+++ b/tests/test_transfers.py
@@ -194,13 +194,35 @@
 
 def test_a_refused_call_may_leave_but_not_to_a_full_domain():
     """Guards against calls that a full domain sends to another full one."""
-    placer = _placer({"b": SLOTS}, TARGETS)
-    check.assertEqual(placer.choose_replica(TARGETS, 0.0).target.domain, "a")
-    rest = tuple(t for t in TARGETS if t.domain != "a")
-    goals = {
-        placer.choose_replica(rest, 0.0, tried=True).target.domain for _ in range(20)
-    }
-    check.assertEqual(goals, {"c"})
+    busy = {"a": SLOTS, "b": SLOTS}
+    # The wait for a slot isn't known yet, and the share is 0 at the first update.
+    check.assertEqual(_replica_domain(_placer(busy, TARGETS)), "a")
+    check.assertEqual(_replica_domain(_placer(busy, TARGETS), tried=True), "c")
+
+
+def _replica_domain(placer, **options) -> str:
+    return placer.choose_replica(TARGETS, 0.0, **options).target.domain
+
+
+def test_a_call_leaves_full_replicas_if_the_wait_for_a_slot_costs_more():
+    """Guards against calls that queue or are refused beside idle replicas."""
+    for latency_s, expected in ((0.01, "a"), (0.3, "c")):
+        placer = _placer({"a": SLOTS, "b": SLOTS}, TARGETS)
+        for _ in range(20):
+            placement = placer.choose_replica(TARGETS, 0.0)
+            placer.record_first_output(placement, None, latency_s, 0.0)
+            placer.ended(placement, requests.Ending.SUCCEEDED, 0.0)
+        check.assertEqual(_replica_domain(placer), expected, msg=latency_s)
+
+
+def test_kv_cache_of_a_full_domain_is_fetched():
+    """Guards against each domain prefilling each shared prefix itself."""
+    placer = _placer({"b": SLOTS}, ENGINES)
+    remote = next(t for t in ENGINES if t.domain == "b")
+    placer.cache_index.record_prompt(remote, _prompt("p"), ready=True)
+    choice = placer.choose_engine(_prompt(), ENGINES, DEADLINES, 0.0).unwrap()
+    check.assertEqual(choice.target.domain, "a")
+    check.assertEqual(choice.fetch_from, remote.address)
 
 
 def test_long_prompts_are_on_time_as_often_and_fewer_cross_domains():
