--- a/src/turmericward/dispatching/_dispatch_task.py
+++ b/src/turmericward/dispatching/_dispatch_task.py
@@ -14,6 +14,7 @@
     routing,
     runtime,
     telemetry,
+    transfer,
 )
 from turmericward.dispatching import (
     _crash_guard,
@@ -23,6 +24,7 @@
     _placing,
     _retry_budgets,
     _status,
+    _transfer_reports,
 )
 
 SHORT_PROMPT_PUBLISH_INTERVAL_S = 0.05
@@ -61,6 +63,8 @@
         on_configured=lambda table: None,
         publish_began: Callable[[peers.CallsBegan], None] | None = None,
         count=lambda name: None,
+        link: transfer.Link | None = None,
+        metrics: telemetry.Metrics | None = None,
     ) -> None:
         """Creates the task without configuration and targets.
 
@@ -75,6 +79,9 @@
             publish_began: called with the calls of workspaces that began to run; None
                 without metering.
             count: called with the name of each counter to increase.
+            link: costs of the way to other domains, if calls stay in theirs unless
+                leaving pays.
+            metrics: counts the calls between domains, if there is a `link`.
         """
         super().__init__()
         self._admission = fleet.Admission(name, grace_s)
@@ -86,7 +93,10 @@
             functools.partial(_crash_guard.crashed_incarnation, self._directory),
             lambda key: self._admission.limits.members.rank(str(key)),
         )
-        self._placer = requests.Placer(seed, domain)
+        self._placer = requests.Placer(seed, domain, link)
+        self._transfer_reports = _transfer_reports.TransferReports(
+            domain, self._placer.transfers, metrics
+        )
         self._budgets = _retry_budgets.RetryBudgets(retries)
         self._published_at = 0.0
         self._published_loads: dict[int, requests.TargetLoad] = {}
@@ -240,6 +250,7 @@
         self._crashes.expire(now)
         self._publish_began_calls()
         self._sharing.expire(now)
+        self._transfer_reports.run_periodic()
         if (
             self._reports_changed
             or self._are_published_loads_outdated(now)
@@ -374,6 +385,7 @@
         """Returns a Result of Placement or Refusal."""
         chosen = self._placing.place(message)
         if chosen.is_ok():
+            self._transfer_reports.placed(chosen.unwrap())
             self._publish_prompt(message.call.prompt)
         return chosen
 
--- a/src/turmericward/requests/_engine_speeds.py
+++ b/src/turmericward/requests/_engine_speeds.py
@@ -18,11 +18,11 @@
 PRIOR_S = 0.5
 # Engines whose slowness differs by less count as equally fast, but for a share of them
 # at each end: samples differ by chance and by the prompts that an engine got.
-MIN_SPREAD = 1.7
-OUTER_SHARE = 0.15
+MIN_SPREAD = 1.75
+OUTER_SHARE = 0.2
 MIN_ENGINES = 6
 # Engines with fewer seconds of samples don't count for that.
-MIN_SAMPLE_S = 0.5
+MIN_SAMPLE_S = 2.0
 # One engine's slowness against that of all is bounded by this factor either way.
 MAX_FACTOR = 4.0
 REFRESH_S = 0.5
--- a/src/turmericward/requests/_target_calls.py
+++ b/src/turmericward/requests/_target_calls.py
@@ -144,13 +144,14 @@
         return True
 
     def record_prefill(
-        self, name: str, took_s: float, ordinary_s: float, now: float
+        self, target: fleet.Target, took_s: float, ordinary_s: float, now: float
     ) -> None:
         """Records how long a prefill took, and takes at an engine of ordinary speed."""
-        calls = self._local[name]
+        self.speeds.set_role(target)
+        calls = self._local[target.name]
         calls.prefill_s += took_s
         calls.ordinary_prefill_s += ordinary_s
-        self.speeds.add(fleet.target_hash(name), took_s, ordinary_s, now)
+        self.speeds.add(fleet.target_hash(target.name), took_s, ordinary_s, now)
 
     def ended(
         self, placement: _in_flight.Placement, ending: _in_flight.Ending, now: float
--- a/src/turmericward/telemetry/_metrics.py
+++ b/src/turmericward/telemetry/_metrics.py
@@ -55,6 +55,7 @@
         """
         self._lock = threading.Lock()
         self._counters: collections.Counter[str] = collections.Counter()
+        self._values: dict[str, float] = {}
         self._classes: dict[tuple[str, str], histogram.HdrHistogram] = {}
         self._tenants: collections.OrderedDict[str, histogram.HdrHistogram]
         self._tenants = collections.OrderedDict()
@@ -80,6 +81,13 @@
         with self._lock:
             self._workspaces.add(workspace, outcome)
 
+    def set_value(self, name: str, value: float) -> None:
+        """Sets a value that goes up and down."""
+        with self._lock:
+            self._values[name] = value
+        if self._statsd is not None:
+            self._statsd.gauge(name, value)
+
     def record(self, latencies: RequestLatencies) -> None:
         """Records the latencies of one request."""
         with self._lock:
@@ -129,6 +137,7 @@
             values = dict(self._counters)
             values |= {name: read() for name, read in self._gauges.items()}
             lines = [f"{n} {v}" for n, v in sorted(values.items())]
+            lines += [f"{n} {v:g}" for n, v in sorted(self._values.items())]
             for (traffic_class, measure), hist in sorted(self._classes.items()):
                 labels = f'class="{_escaped(traffic_class)}"'
                 lines += _histogram_lines(f"{measure}_ms", labels, hist)
