Queues and missing replicas don't raise the estimate of load without bound

Cause: after a reclaim of 12 spot replicas 25 were left; their queues counted as load, late calls corrected the estimate twice, and 166 replicas were asked for (36 at start). Ruled out: the trend (at most 1.3) and the peak's window alone. Change: a replica counts as 1.25 occupied at most; late calls correct the estimate only while no planned replica is missing.

--- a/src/turmericward/capacity/_demand.py
+++ b/src/turmericward/capacity/_demand.py
@@ -19,6 +19,9 @@
 TREND_SMOOTHING_S = 4.0
 # Bounds the rise that the trend adds, as bursts rise steeply and end soon.
 MAX_TREND_FACTOR = 1.3
+# Calls beyond a replica's slots are a queue, which lasts longer than what caused it: up
+# to this occupancy they count as load.
+MAX_OCCUPANCY = 1.25
 # Peaks count for so long: longer than a cycle of two bursts of up to 15 s each.
 PEAK_WINDOW_S = 45.0
 PEAK_BUCKET_S = 1.0
@@ -58,7 +61,10 @@
     """Returns the present load of a service."""
     serving = service.serving
     count = max(1, len(serving))
-    slots = sum(r.open_calls / max(1, r.target.slots) for r in service.replicas)
+    slots = sum(
+        min(MAX_OCCUPANCY, r.open_calls / max(1, r.target.slots))
+        for r in service.replicas
+    )
     late_s = sum(r.late_s for r in service.replicas)
     # Little's law at each replica: the work present is the rate of work times the time
     # for which it is present, that of an idle replica and that of the queue.
@@ -126,8 +132,18 @@
         self._held = 0.0
         self.correction = 1.0
 
-    def observe(self, taken: Sample, boot_s: float, now: float) -> None:
-        """Takes the load at `now`; new replicas would serve after `boot_s`."""
+    def observe(
+        self, taken: Sample, boot_s: float, now: float, *, is_short: bool = False
+    ) -> None:
+        """Takes the load of one moment.
+
+        Args:
+            taken: the load.
+            boot_s: time after which new replicas would serve.
+            now: monotonic seconds.
+            is_short: whether there are fewer replicas than planned. Calls are late for
+                that then, and don't show that the estimate is too low.
+        """
         elapsed_s = 0.0 if self._at is None else max(0.0, now - self._at)
         self._at = now
         if self._traffic_since is None and taken.slots > 0:
@@ -135,15 +151,21 @@
         self._slots.add(taken.slots, elapsed_s, boot_s, now)
         self._prefill.add(taken.prefill, elapsed_s, boot_s, now)
         self._late.add(taken.late_s, elapsed_s)
-        self._correct(taken.serving, elapsed_s, boot_s, now)
+        self._correct(taken.serving, elapsed_s, boot_s, now, is_short=is_short)
         self._hold(max(self._slots.value, self._prefill.value) * self.correction)
 
     def _correct(
-        self, serving: int, elapsed_s: float, boot_s: float, now: float
+        self,
+        serving: int,
+        elapsed_s: float,
+        boot_s: float,
+        now: float,
+        *,
+        is_short: bool,
     ) -> None:
         excess = self.correction - 1.0
         self.correction = 1.0 + excess * math.exp(-elapsed_s / CORRECTION_SMOOTHING_S)
-        if self._late.value < LATE_S_PER_REPLICA:
+        if is_short or self._late.value < LATE_S_PER_REPLICA:
             return
         busy = max(self._slots.level, self._prefill.level)
         if busy < serving * MIN_LATE_UTILIZATION:
--- a/src/turmericward/capacity/_service.py
+++ b/src/turmericward/capacity/_service.py
@@ -52,10 +52,15 @@
         self._view = view
         self._boot_s = view.scaling.boot_s
         self._sample = _demand.sample(view)
-        self._demand.observe(self._sample, view.scaling.boot_s, now)
         live = collections.Counter(
             _mix.Pool(domain=r.target.domain, spot=r.target.spot) for r in view.serving
         )
+        self._demand.observe(
+            self._sample,
+            view.scaling.boot_s,
+            now,
+            is_short=live.total() < self._need.total,
+        )
         if any(self._states[pool].is_unknown(live[pool]) for pool in live):
             # Not all replicas were known yet; the front may have just started.
             self._since = now
