Answer and free requests that wait behind a long response

Cause: between two responses of a connection waitress waits for the client without holding the lock of the unsent bytes, and this package's override needed it: RuntimeError in the worker, the second request was never answered. A request behind a response that was never read stayed in the account after the connection was closed, so that a few clients could fill it for good. Ruled out: not counting requests of closed connections, since those queued for a worker still take memory. Change: the override takes the lock (reentrant); a closing connection drops the requests behind the first; a worker that gives up drops them all. The server of the test of unread answers is a fixture now, its checks are the same. Before: both new tests fail. After: both pass; tests.test_httpd 9 of 9, tests.test_request_bodies 8 of 9: test_answers_that_clients_do_not_read failed once (37.7 MB where 32.5 are allowed), 2 of 2 alone; without the change of src/ it failed 1 of 2 (36.7 MB), so that isn't from this commit.

--- a/src/turmericward/httpd/_channel.py
+++ b/src/turmericward/httpd/_channel.py
@@ -90,10 +90,20 @@
         self._served_id = self.request_id
         try:
             super().service()
+        except channel.ClientDisconnected:
+            # Raised while it waits between two responses; no task follows.
+            self._drop_requests(0)
         finally:
             self._serving = False
             self._count_output()
 
+    def _drop_requests(self, first: int) -> None:
+        """Frees the complete requests from the position `first` on."""
+        with self.requests_lock:
+            dropped, self.requests = self.requests[first:], self.requests[:first]
+        for request in dropped:
+            request.close()
+
     @property
     def request_id(self) -> str:
         """Id of the first request, or of the one whose response is being sent."""
@@ -278,11 +288,18 @@
         self._count_output(max(0, unsent - self.total_outbufs_len))
 
     def _flush_outbufs_below_high_watermark(self) -> None:
-        """Waits, in a worker thread that holds the lock, until the client has read.
+        """Waits, in a worker thread, until the client has read.
+
+        It may hold the lock, which is reentrant: waitress calls this without it
+        between two responses.
 
         Raises:
             ClientDisconnected: it has read nothing for too long.
         """
+        with self.outbuf_lock:
+            self._wait_until_read()
+
+    def _wait_until_read(self) -> None:
         limit = self.adj.outbuf_high_watermark
         least = self.total_outbufs_len
         stalled_since = runtime.now()
@@ -335,6 +352,8 @@
 
     def _detach(self) -> socket.socket | None:
         """Ends the connection for requests; returns its socket, None if closed."""
+        # While it is connected a worker has a task for those that follow the first.
+        self._drop_requests(1)
         with self.outbuf_lock:
             # Worker threads don't use the socket once it isn't connected.
             self.connected = False
--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -1,9 +1,11 @@
 """Receivers of request bodies, unsent bytes, and connections that hold them."""
 
+import contextlib
 import random
 import socket
 import threading
 import time
+from collections.abc import Iterator
 
 from tests import fixtures, httpd_fixtures
 from turmericward import httpd, memory, runtime
@@ -171,10 +173,9 @@
         return [body]
 
 
-def test_answers_that_clients_do_not_read_filled_the_memory():
-    """Guards against unsent answers without a bound."""
-    account = memory.Account(24 * MB)
-    highest = 0
+@contextlib.contextmanager
+def _serving_large_answers(account: memory.Account) -> Iterator[tuple[str, int]]:
+    """Runs a server with `_LargeAnswers`; gives its address."""
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         address = probe.getsockname()
@@ -184,25 +185,61 @@
     stop = threading.Event()
     thread = threading.Thread(target=server.run, args=(stop, lambda: None))
     thread.start()
-    conns = []
     try:
-        for _ in range(16):
-            conn = socket.socket()
-            conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            conn.connect(address)
-            conn.sendall(httpd_fixtures.head("/large"))
-            conns.append(conn)
-        until = time.monotonic() + 6
-        while time.monotonic() < until:
-            highest = max(highest, account.held)
-            time.sleep(0.01)
-        with socket.create_connection(address, 5) as conn:
-            check.assertEqual(httpd_fixtures.call(conn, "/x")[2], b"small")
+        yield address
     finally:
-        for conn in conns:
-            conn.close()
         stop.set()
         thread.join(20)
+
+
+def test_a_request_behind_a_long_unsent_response_is_answered():
+    """Guards against a worker that fails while it waits between two responses."""
+    with (
+        _serving_large_answers(memory.Account(24 * MB)) as address,
+        socket.create_connection(address, 5) as conn,
+    ):
+        conn.sendall(httpd_fixtures.head("/large") + httpd_fixtures.last_head("/x"))
+        # Long enough for the worker to come to the second request.
+        time.sleep(0.5)
+        received = b"".join(iter(lambda: conn.recv(MB), b""))
+    check.assertEqual(received.count(b"HTTP/1.1 200 OK"), 2)
+    check.assertTrue(received.endswith(b"small"))
+
+
+def test_a_request_behind_a_response_that_is_never_read_is_freed():
+    """Guards against requests of closed connections that stay in the account."""
+    account = memory.Account(24 * MB)
+    with _serving_large_answers(account) as address:
+        with socket.create_connection(address, 5) as conn:
+            behind = httpd_fixtures.head("/x", 30_000) + b"x" * 30_000
+            conn.sendall(httpd_fixtures.head("/large") + behind)
+            time.sleep(0.5)
+            check.assertGreater(account.held, 30_000)
+        _wait_until_free(account)
+
+
+def test_answers_that_clients_do_not_read_filled_the_memory():
+    """Guards against unsent answers without a bound."""
+    account = memory.Account(24 * MB)
+    highest = 0
+    conns = []
+    with _serving_large_answers(account) as address:
+        try:
+            for _ in range(16):
+                conn = socket.socket()
+                conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                conn.connect(address)
+                conn.sendall(httpd_fixtures.head("/large"))
+                conns.append(conn)
+            until = time.monotonic() + 6
+            while time.monotonic() < until:
+                highest = max(highest, account.held)
+                time.sleep(0.01)
+            with socket.create_connection(address, 5) as conn:
+                check.assertEqual(httpd_fixtures.call(conn, "/x")[2], b"small")
+        finally:
+            for conn in conns:
+                conn.close()
     # An answer is counted again while it passes from its reader to its connection.
     check.assertLess(highest, (24 + 7) * MB)
     check.assertGreater(highest, 12 * MB)
