Give the dispatch task one parameter for its metrics

Cause: `count` and `metrics` were both the front's metrics, and the two kinds of values of telemetry.Metrics didn't say how they differ. Change: `count` is taken from `metrics`; docstrings; sums of usage are listed only if a domain is silent. No change of behaviour in the front. tests.test_sharing_calls 12, test_transfers 11, test_dispatch 18, test_usage_relays 8, test_metrics 1: all passed.

--- a/src/turmericward/dispatching/_dispatch_task.py
+++ b/src/turmericward/dispatching/_dispatch_task.py
@@ -62,7 +62,6 @@
         publish,
         on_configured=lambda table: None,
         publish_began: Callable[[peers.CallsBegan], None] | None = None,
-        count=lambda name: None,
         link: transfer.Link | None = None,
         metrics: telemetry.Metrics | None = None,
     ) -> None:
@@ -78,12 +77,13 @@
             on_configured: called with each routing table that takes effect.
             publish_began: called with the calls of workspaces that began to run; None
                 without metering.
-            count: called with the name of each counter to increase.
             link: costs of the way to other domains, if calls stay in theirs unless
                 leaving pays.
-            metrics: counts the calls between domains, if there is a `link`.
+            metrics: counts refusals by share, and the calls between domains if there
+                is a `link`; None to count nothing.
         """
         super().__init__()
+        count = (lambda name: None) if metrics is None else metrics.count
         self._admission = fleet.Admission(name, grace_s)
         self._directory = self._admission.directory
         self._limits = _limit_exchange.LimitExchange(
--- a/src/turmericward/peers/_usage_exchange.py
+++ b/src/turmericward/peers/_usage_exchange.py
@@ -114,8 +114,7 @@
             metering.WindowUsage(
                 window=window, counts=self._ledger.domain_sum(window), domain=True
             )
-            for window in range(first, last + 1)
-            if silent
+            for window in (range(first, last + 1) if silent else ())
         )
         sums = metering.Usage(unix_s=unix_s, windows=windows)
         return _messages.SilentDomains(domains=silent, sums=sums)
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -116,7 +116,6 @@
             publish=peer_task.publish_state,
             on_configured=self._apply_table,
             publish_began=self._publish_began(),
-            count=metrics.count,
             link=_transfer_link(cfg),
             metrics=metrics,
         )
--- a/src/turmericward/telemetry/_metrics.py
+++ b/src/turmericward/telemetry/_metrics.py
@@ -66,7 +66,10 @@
             self._statsd = statsd.StatsClient(*address, prefix=prefix)
 
     def add_gauge(self, name: str, read: Callable[[], int]) -> None:
-        """Adds a value to the page that is read when the page is rendered."""
+        """Adds a value to the page that is read each time the page is rendered.
+
+        `read` must not use these metrics; values aren't sent to statsd.
+        """
         self._gauges[name] = read
 
     def count(self, name: str) -> None:
@@ -82,7 +85,7 @@
             self._workspaces.add(workspace, outcome)
 
     def set_value(self, name: str, value: float) -> None:
-        """Sets a value that goes up and down."""
+        """Sets a value that its owner computes now and then, and sends it to statsd."""
         with self._lock:
             self._values[name] = value
         if self._statsd is not None:
--- a/tests/test_sharing_calls.py
+++ b/tests/test_sharing_calls.py
@@ -6,7 +6,15 @@
 import result
 
 from tests import fixtures, test_dispatch, test_peers
-from turmericward import dispatching, peers, requests, routing, runtime, sharing
+from turmericward import (
+    dispatching,
+    peers,
+    requests,
+    routing,
+    runtime,
+    sharing,
+    telemetry,
+)
 from turmericward.dispatching import _fair_sharing, _messages, _share_log
 from turmericward.peers import _work_exchange
 
@@ -74,14 +82,15 @@
 
 
 def test_a_heavy_workspace_is_refused_and_others_are_not():
-    counted = []
-    task = _front(count=counted.append)
+    metrics = telemetry.Metrics(None, "")
+    task = _front(metrics=metrics)
     _saturate(task)
     outcomes = [_place(task, "heavy") for _ in range(20)]
     refused = [o.unwrap_err() for o in outcomes if o.is_err()]
     check.assertGreater(len(refused), 15)
     check.assertEqual({r.reason for r in refused}, {sharing.ABOVE_SHARE})
-    check.assertEqual(counted, ["shares.refused.model"] * len(refused))
+    counted = [line for line in metrics.render_text().splitlines() if line]
+    check.assertEqual(counted, [f"shares.refused.model {len(refused)}"])
     check.assertGreater(len({r.retry_after_s for r in refused}), 10)
     for workspace in ("light", None):
         check.assertTrue(_place(task, workspace).is_ok(), workspace)
