Bound messages of usage by their bytes

Cause: a message had up to 2,000 rows whatever their length. With names of 41 bytes or more the datagram exceeds what can be sent or is read (60,000 bytes), so that peers lose the loads as well. Change: rows of 32 KiB at most in one message, the rest in the next ones as before; a received name is bounded in bytes like other names, not characters. The parameter `deadline` of PlatformDuties._exchange was unused.

--- a/src/turmericward/metering/_usage_sending.py
+++ b/src/turmericward/metering/_usage_sending.py
@@ -9,8 +9,11 @@
 MIN_INTERVAL_S = 0.4
 # The sum of a domain is sent when most of its fronts have told their last counts.
 DOMAIN_DELAY_S = 0.5
-# Rows in one message; a longer window is sent in several.
-MAX_ROWS = 2000
+# Bytes of rows in one message, which shares a datagram with loads; more rows are sent in
+# several. About 2,000 rows with names of 9 bytes.
+MAX_ROW_BYTES = 32 * 1024
+# At most, for a row's count and the length of its name.
+ROW_OVERHEAD_BYTES = 7
 
 
 class UsageSending:
@@ -53,7 +56,7 @@
         self, ledger: _ledger.Ledger, unix_s: float, repeats: bool
     ) -> list[_usage.WindowUsage]:
         rows: list[_usage.WindowUsage] = []
-        room = MAX_ROWS
+        room = MAX_ROW_BYTES
         current = {}
         for window in reversed(ledger.windows()):
             end = (window + 1) * self._window_s
@@ -64,8 +67,7 @@
             counts = ledger.domain_sum(window) if self._domain else ledger.own(window)
             sent = self._sent.get(window, {})
             due = counts if repeats else _changed(counts, sent)
-            part = dict(list(due.items())[:room])
-            room -= len(part)
+            part, room = _fitting(due, room)
             # What has no room in a repetition is sent next, as if it had changed.
             current[window] = part if repeats else sent | part
             rows.append(
@@ -82,3 +84,15 @@
 
 def _changed(counts: _ledger.Counts, sent: _ledger.Counts) -> _ledger.Counts:
     return {name: count for name, count in counts.items() if sent.get(name) != count}
+
+
+def _fitting(counts: _ledger.Counts, room: int) -> tuple[_ledger.Counts, int]:
+    """Returns the first counts that fit into `room` bytes, and the room left."""
+    part = {}
+    for name, count in counts.items():
+        size = len(name.encode()) + ROW_OVERHEAD_BYTES
+        if size > room:
+            return part, 0
+        part[name] = count
+        room -= size
+    return part, room
--- a/src/turmericward/peers/_usage_codec.py
+++ b/src/turmericward/peers/_usage_codec.py
@@ -51,7 +51,7 @@
     _check(row.total or 0, MAX_COUNT)
     for name, count in row.counts.items():
         _check(count, MAX_COUNT)
-        _check(len(name), _fields.MAX_NAME_BYTES)
+        _check(len(name.encode()), _fields.MAX_NAME_BYTES)
     return metering.WindowUsage(
         window=row.window,
         counts=row.counts,
--- a/src/turmericward/platform/_duty_calls.py
+++ b/src/turmericward/platform/_duty_calls.py
@@ -79,12 +79,11 @@
             NotSentError: there is no connection.
             AuthorityLapsedError: the call wasn't sent completely.
         """
-        deadline = runtime.now() + timeout_s
         req = self._request(call, held.token)
         conn = _request.connect(self._address, timeout_s)
         with _request.closing(conn):
             try:
-                return self._exchange(conn, req, held, deadline)
+                return self._exchange(conn, req, held)
             except errors.AnswerLostError:
                 return duties.Outcome.UNKNOWN
 
@@ -100,7 +99,7 @@
             body=body(call),
         )
 
-    def _exchange(self, conn, req, held, deadline: float) -> duties.Outcome:
+    def _exchange(self, conn, req, held) -> duties.Outcome:
         _request.send_within_term(
             conn, self._address, req, held, duties.CALL_DURATION_S, runtime.now
         )
--- a/tests/test_metering.py
+++ b/tests/test_metering.py
@@ -2,6 +2,8 @@
 
 import random
 
+import attrs
+
 from tests import fixtures
 from turmericward import duties, metering, peers
 from turmericward.metering import _usage_duty
@@ -49,6 +51,23 @@
         check.assertEqual(other.total(200), truth, seed)
 
 
+def test_long_names_are_sent_in_several_messages_that_fit_a_datagram():
+    # Guards against datagrams that can't be sent, so that peers lose the loads too.
+    names = [f"{n:03}".rjust(200, "é") for n in range(200)]
+    front, relay = _ledger("f"), _ledger("relay")
+    for name in names:
+        front.count(200, name)
+    sending = metering.UsageSending(WINDOW_S, domain=False)
+    for step in range(3):
+        usage = sending.next_usage(front, 1001.0 + step * 0.45)
+        state = peers.PeerState(front="f", boot=1, sequence=step, domain="a", loads={})
+        data = peers.encode(attrs.evolve(state, usage=usage))
+        check.assertLess(len(data), 40_000)
+        relay.receive(("f", 1), "a", usage.windows[0])
+    check.assertTrue(relay.is_whole(200))
+    check.assertEqual(relay.total(200), dict.fromkeys(names, 1))
+
+
 def test_a_sum_with_lost_rows_is_known_not_to_be_whole():
     # Guards against a report without the counts of a datagram that was lost.
     relay, holder = _ledger("relay"), _ledger("h", "b")
