--- a/src/turmericward/metering/_usage_sending.py
+++ b/src/turmericward/metering/_usage_sending.py
@@ -9,8 +9,8 @@
 MIN_INTERVAL_S = 0.4
 # The sum of a domain is sent when most of its fronts have told their last counts.
 DOMAIN_DELAY_S = 0.5
-# Bytes of rows in one message, which shares a datagram with loads; more rows are sent in
-# several. About 2,000 rows with names of 9 bytes.
+# Bytes of rows in one message, which shares a datagram with loads; the rest is sent
+# in the next ones. About 2,000 rows with names of 9 bytes.
 MAX_ROW_BYTES = 32 * 1024
 # At most, for a row's count and the length of its name.
 ROW_OVERHEAD_BYTES = 7
