--- a/src/turmericward/capacity/_duty.py
+++ b/src/turmericward/capacity/_duty.py
@@ -83,7 +83,7 @@
         if view is None:
             # No orders by an old view: the counts in it may have changed.
             for service in self._services.values():
-                service.lost_sight()
+                service.forget_view()
             return
         self._looked_at = now
         replicas = sum(len(service.replicas) for service in view.services)
--- a/src/turmericward/capacity/_service.py
+++ b/src/turmericward/capacity/_service.py
@@ -86,7 +86,7 @@
             live=live,
         )
 
-    def lost_sight(self) -> None:
+    def forget_view(self) -> None:
         """Stops orders until the next `observe`."""
         self._view = None
 
--- a/src/turmericward/dispatching/_standing_lease.py
+++ b/src/turmericward/dispatching/_standing_lease.py
@@ -10,10 +10,10 @@
 from turmericward import authority, positions, runtime, telemetry
 from turmericward.adapters import errors
 
-# A call or order that was begun before has ended, or isn't sent any more.
+# A call or order that began longer ago has ended or won't be sent any more: longer than
+# `CALL_TIMEOUT_S` of the duties and the time-out of role orders.
 LONGEST_CALL_S = 1.6
-
-# How long a front waits before it takes part.
+# How long a front has to be enabled before it takes part.
 SETTLING_S = 1.5
 
 
@@ -131,7 +131,7 @@
         """Records that a call or order is sent, which delays a resignation."""
         self._sent_at = self._clock()
 
-    def tend(self) -> None:
+    def acquire_or_renew(self) -> None:
         """Acquires the lease if it is free, and renews it when that is due.
 
         Raises:
@@ -268,13 +268,13 @@
         self._enabled_since: float | None = None
 
     def run_once(self) -> None:
-        """Tends or gives up the lease once."""
+        """Acquires, renews or gives up the lease once."""
         try:
             if not self._enabled():
                 self._enabled_since = None
                 self._lease.resign()
             elif self._takes_part():
-                self._lease.tend()
+                self._lease.acquire_or_renew()
         except (errors.AdapterError, authority.AuthorityError) as exc:
             logging.log_every_n_seconds(logging.WARNING, "lease: %s", 10, exc)
         held = self._lease.authority() is not None
--- a/src/turmericward/httpd/_gate.py
+++ b/src/turmericward/httpd/_gate.py
@@ -101,7 +101,9 @@
     @property
     def step_s(self) -> float:
         """Time until the next step, if no client sends anything."""
-        busy = self._waiting or self._served or self.account.excess
+        busy = (
+            self._waiting or self._served or self.account.wanted or self.account.excess
+        )
         return STEP_S if busy else math.inf
 
     def admits(self, channel, request) -> bool:
--- a/src/turmericward/sharing/_service.py
+++ b/src/turmericward/sharing/_service.py
@@ -44,8 +44,9 @@
         self._level = NO_LEVEL
         # The peers' part of the demands, as of the last update.
         self._peer_work = _work.NO_WORK
-        # Of all fronts, as of the last update.
+        # Until when the peers are told of workspaces.
         self._named_until = float("-inf")
+        # Of all fronts, as of the last update.
         self._offered = 0.0
         self._count = 0
         self.accounts = _accounts.Accounts()
--- a/tests/duty_world.py
+++ b/tests/duty_world.py
@@ -162,7 +162,7 @@
             if self.stops:
                 self.lease.resign()
             else:
-                self.lease.tend()
+                self.lease.acquire_or_renew()
         except errors.AdapterError:
             pass
         held = self.lease.authority() is not None
