--- a/src/turmericward/dispatching/_standing_lease.py
+++ b/src/turmericward/dispatching/_standing_lease.py
@@ -230,8 +230,9 @@
                 return False
             claim = self._lease.resign(self._eras.current)
             if claim is not None and not self._must_confirm:
-                self._log.append(claim)
-                telemetry.log_event("lease", state="released")
+                released = self._log.append(claim) is not None
+                state = "released" if released else "lost"
+                telemetry.log_event("lease", state=state)
             return True
 
 
