--- a/review/kit2/engine.py
+++ b/review/kit2/engine.py
@@ -75,7 +75,7 @@
         self.events = 6
         self.gap_s = 0.02
         self.events_before_silence = 2
-        self.silence_s = (1.02, 1.3)
+        self.silence_s = (1.02, 1.17)
         self.read_s = 0.2
         # Time, id and what was done, of each request.
         self.log: list[tuple[float, str, str]] = []
