Connections keep how they have ended, whoever learnt of it

Cause: the system reports a reset once. The look of the second attempt at the first connection (a peek) took the error and dropped it; the read that followed saw 0 bytes, an end in order.

Change: adapters/_connection.py owns how a connection has ended; looks, writes, reads and shutdowns go through its socket. A read gives an end only if it was in order. A look counts the bytes that wait and uses up no error. The same socket serves the store, the log, stewards, reports and engines; with it an aborted request is no longer answered by a part of an answer without a length (same class, found on the way).

Tests of the wait pass sockets instead of descriptors now; no assertion changed.

--- /dev/null
+++ b/src/turmericward/adapters/_connection.py
@@ -0,0 +1,106 @@
+"""Connections to targets that keep how they have ended.
+
+Load pattern handled: targets whose connections are reset while another call looks at
+them. The system reports a reset once, to whichever call comes first: a look, a write, a
+read. Every later read sees an end in order, which an answer without a length takes for
+its own.
+"""
+
+import enum
+import errno
+import fcntl
+import http.client
+import socket
+import struct
+import termios
+
+# Errors of a call that say nothing of the connection; None is that of a timeout.
+_NOT_ENDED = frozenset({None, errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR})
+
+
+class Ending(enum.Enum):
+    """How a connection has ended."""
+
+    OPEN = "open"
+    IN_ORDER = "in_order"
+    RESET = "reset"
+    CLOSED_HERE = "closed_here"
+
+
+class ObservedSocket(socket.socket):
+    """A socket whose reads tell an end in order from every other one.
+
+    `ending` is kept until the socket is closed, whoever learnt it.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        """Takes over the descriptor of a connected socket."""
+        timeout_s = sock.gettimeout()
+        super().__init__(sock.family, sock.type, sock.proto, fileno=sock.detach())
+        self.settimeout(timeout_s)
+        self.ending = Ending.OPEN
+
+    def recv_into(self, buffer, nbytes: int = 0, flags: int = 0) -> int:
+        """Reads into a buffer; returns 0 only at an end in order.
+
+        Raises:
+            ConnectionError: the connection has ended otherwise, now or earlier.
+            OSError: as for other sockets.
+        """
+        count = self._observed(super().recv_into, buffer, nbytes, flags)
+        if not count and len(buffer):
+            self._check_end()
+        return count
+
+    def send(self, data, flags: int = 0) -> int:
+        """Writes as for other sockets."""
+        return self._observed(super().send, data, flags)
+
+    def sendall(self, data, flags: int = 0) -> None:
+        """Writes all as for other sockets."""
+        self._observed(super().sendall, data, flags)
+
+    def shutdown(self, how: int) -> None:
+        """Ends one side or both; reads after the end of the reading side fail."""
+        if how != socket.SHUT_WR and self.ending is Ending.OPEN:
+            self.ending = Ending.CLOSED_HERE
+        super().shutdown(how)
+
+    def has_bytes(self) -> bool:
+        """Returns whether bytes can be read; uses up no error."""
+        try:
+            return _count(self, termios.FIONREAD) > 0
+        except OSError:
+            return False
+
+    def _observed(self, operation, *args):
+        try:
+            return operation(*args)
+        except OSError as exc:
+            if exc.errno not in _NOT_ENDED:
+                self.ending = Ending.RESET
+            raise
+
+    def _check_end(self) -> None:
+        if self.ending is Ending.OPEN:
+            self.ending = Ending.IN_ORDER
+        if self.ending is Ending.RESET:
+            raise ConnectionResetError("connection was reset")
+        if self.ending is Ending.CLOSED_HERE:
+            raise ConnectionAbortedError("connection was closed here")
+
+
+def _count(sock: socket.socket, request: int) -> int:
+    return struct.unpack("i", fcntl.ioctl(sock, request, struct.pack("i", 0)))[0]
+
+
+class HTTPConnection(http.client.HTTPConnection):
+    """An HTTP connection on an observed socket, which doesn't reconnect by itself."""
+
+    # An automatic reconnect could send a request twice.
+    auto_open = 0
+
+    def connect(self) -> None:
+        """Connects; see `http.client`."""
+        super().connect()
+        self.sock = ObservedSocket(self.sock)
--- a/src/turmericward/adapters/_guard.py
+++ b/src/turmericward/adapters/_guard.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from turmericward import runtime
-from turmericward.adapters import _pending, errors
+from turmericward.adapters import _connection, _pending, errors
 
 CANCEL_POLL_S = 0.2
 # How long bytes are still read after the end of a wait: they may have come before it,
@@ -53,8 +53,8 @@
         self.until = until
         self._received = False
 
-    def wait(self, fileno: int) -> None:
-        """Waits until the descriptor is readable.
+    def wait(self, sock: _connection.ObservedSocket) -> None:
+        """Waits until the socket is readable.
 
         Raises:
             TimeoutError: it was not readable by `until`.
@@ -63,9 +63,10 @@
         """
         # Unlike select, poll has no limit on the number of a descriptor.
         poll = select.poll()
+        fileno = sock.fileno()
         poll.register(fileno, select.POLLIN)
         for rival in self._rivals():
-            poll.register(rival.fileno, select.POLLIN)
+            poll.register(rival, select.POLLIN)
         while True:
             now = runtime.now()
             self._check_cancelled(now)
@@ -79,7 +80,7 @@
             elif not remaining_s:
                 trickles = self._received or fileno in ready
                 self.until = self._on_late(
-                    _pending.PendingConnection(fileno, trickles=trickles)
+                    _pending.PendingConnection(sock, trickles=trickles)
                 )
                 self._stop_watching_closed_rival(poll)
 
@@ -134,33 +135,36 @@
 
     def _check_rivals(self, poll: select.poll, ready: dict[int, int]) -> None:
         for rival in self._rivals():
-            if rival.fileno not in ready:
+            if rival.fileno() not in ready:
                 continue
             if rival.has_bytes():
                 raise errors.RivalAnsweredError("the other attempt goes on")
             # Its connection has ended: it is read when this attempt has failed.
             rival.watched = False
             rival.lost = True
-            poll.unregister(rival.fileno)
+            poll.unregister(rival)
 
     def _stop_watching_closed_rival(self, poll: select.poll) -> None:
         if self._rival is not None and not self._rival.watched:
             with contextlib.suppress(KeyError):
-                poll.unregister(self._rival.fileno)
+                poll.unregister(self._rival)
 
 
 class GuardedReader(io.RawIOBase):
     """Reads from a raw socket reader, waiting under the guard before each read."""
 
-    def __init__(self, raw: io.RawIOBase, guard: Guard) -> None:
+    def __init__(
+        self, raw: io.RawIOBase, sock: _connection.ObservedSocket, guard: Guard
+    ) -> None:
         self._raw = raw
+        self._sock = sock
         self._guard = guard
 
     def readable(self) -> bool:
         return True
 
     def readinto(self, buffer) -> int | None:
-        self._guard.wait(self._raw.fileno())
+        self._guard.wait(self._sock)
         return self._raw.readinto(buffer)
 
     def close(self) -> None:
--- a/src/turmericward/adapters/_pending.py
+++ b/src/turmericward/adapters/_pending.py
@@ -10,19 +10,23 @@
 
 import attrs
 
+from turmericward.adapters import _connection
+
 
 class PendingConnection:
     """A connection on which an answer is awaited, as seen from another attempt."""
 
-    def __init__(self, fileno: int, *, trickles: bool = False) -> None:
+    def __init__(
+        self, sock: _connection.ObservedSocket, *, trickles: bool = False
+    ) -> None:
         """Refers to an open connection without owning it.
 
         Args:
-            fileno: its descriptor.
+            sock: its socket.
             trickles: whether bytes have come that were no progress, so that further
                 ones are no sign of it.
         """
-        self.fileno = fileno
+        self._sock = sock
         self.watched = not trickles
         self.closed = False
         # Whether its target has ended it.
@@ -38,29 +42,20 @@
                 yield conn
             conn = conn.earlier
 
+    def fileno(self) -> int:
+        """Returns the connection's descriptor."""
+        return self._sock.fileno()
+
     def has_bytes(self) -> bool:
         """Returns whether bytes can be read, rather than the connection's end."""
-        try:
-            with _borrowed(self.fileno) as sock:
-                return bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-        except OSError:
-            return False
+        return self._sock.has_bytes()
 
     def close(self) -> None:
-        """Ends the connection; its owner still has to close the descriptor."""
+        """Ends the connection; its owner still has to close the socket."""
         self.closed = True
         self.watched = False
-        with contextlib.suppress(OSError), _borrowed(self.fileno) as sock:
-            sock.shutdown(socket.SHUT_RDWR)
-
-
-@contextlib.contextmanager
-def _borrowed(fileno: int):
-    sock = socket.socket(fileno=fileno)
-    try:
-        yield sock
-    finally:
-        sock.detach()
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
 
 
 def give_up(_: PendingConnection) -> float:
--- a/src/turmericward/adapters/_persistent_connection.py
+++ b/src/turmericward/adapters/_persistent_connection.py
@@ -13,6 +13,7 @@
 from turmericward.adapters import (
     _address,
     _body_memory,
+    _connection,
     _guard,
     _request,
     _response,
@@ -159,9 +160,7 @@
                 if self._connect_timeout_s is None
                 else self._connect_timeout_s
             )
-            conn = http.client.HTTPConnection(host, port, timeout=wait_s)
-            # An automatic reconnect by http.client could send a request twice.
-            conn.auto_open = 0
+            conn = _connection.HTTPConnection(host, port, timeout=wait_s)
             conn.connect()
             self._conn = conn
         if self._aborted:
--- a/src/turmericward/adapters/_request.py
+++ b/src/turmericward/adapters/_request.py
@@ -10,7 +10,14 @@
 import attrs
 
 from turmericward import runtime
-from turmericward.adapters import _address, _body_memory, _guard, _response, errors
+from turmericward.adapters import (
+    _address,
+    _body_memory,
+    _connection,
+    _guard,
+    _response,
+    errors,
+)
 from turmericward.authority import Authority
 
 CONNECT_TIMEOUT_S = 1.0
@@ -82,7 +89,7 @@
     *,
     connect_timeout_s: float = CONNECT_TIMEOUT_S,
     guard: _guard.Guard | None = None,
-) -> http.client.HTTPConnection:
+) -> _connection.HTTPConnection:
     """Opens a connection that does not reconnect automatically.
 
     Args:
@@ -100,8 +107,7 @@
     except ValueError as exc:
         raise errors.NotSentError(f"{address}: {exc}") from exc
     wait_s = max(MIN_CONNECT_TIMEOUT_S, min(timeout_s, connect_timeout_s))
-    conn = http.client.HTTPConnection(host, port, timeout=wait_s)
-    conn.auto_open = 0
+    conn = _connection.HTTPConnection(host, port, timeout=wait_s)
     guard = guard or _guard.Guard(runtime.now() + timeout_s)
     conn.response_class = functools.partial(_response.GuardedResponse, guard=guard)
     try:
--- a/src/turmericward/adapters/_response.py
+++ b/src/turmericward/adapters/_response.py
@@ -3,7 +3,7 @@
 import http.client
 import io
 
-from turmericward.adapters import _guard, _head
+from turmericward.adapters import _connection, _guard, _head
 
 # http.client itself doesn't limit the number of interim (1xx) responses.
 MAX_INTERIM_HEADS = 8
@@ -76,7 +76,10 @@
 class GuardedResponse(WholeResponse):
     """A response whose reads wait under a guard."""
 
-    def __init__(self, *args, guard: _guard.Guard, **kwargs) -> None:
+    def __init__(
+        self, sock: _connection.ObservedSocket, *args, guard: _guard.Guard, **kwargs
+    ) -> None:
         """Creates the response on the socket of a connection."""
-        super().__init__(*args, **kwargs)
-        self.fp = io.BufferedReader(_guard.GuardedReader(self.fp.detach(), guard))
+        super().__init__(sock, *args, **kwargs)
+        reader = _guard.GuardedReader(self.fp.detach(), sock, guard)
+        self.fp = io.BufferedReader(reader)
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -240,5 +240,5 @@
         guard = _guard.Guard(runtime.now() + 60.0, lambda: True)
         with check.assertRaises(errors.CancelledError):
             for _ in range(100):
-                guard.wait(ours.fileno())
+                guard.wait(ours)
                 ours.recv(1)
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -21,7 +21,7 @@
     runtime,
     telemetry,
 )
-from turmericward.adapters import _guard, _pending, _request, errors
+from turmericward.adapters import _connection, _guard, _pending, _request, errors
 from turmericward.delivery import _late_attempt, _placements
 
 check = fixtures.check
@@ -745,12 +745,18 @@
 # The wait itself.
 
 
+def _connected() -> tuple[_connection.ObservedSocket, socket.socket]:
+    """Returns both ends of a connection, ours first."""
+    ours, theirs = socket.socketpair()
+    return _connection.ObservedSocket(ours), theirs
+
+
 def _new_guard(until_s: float, **changes) -> _guard.Guard:
     return _guard.Guard(runtime.now() + until_s, lambda: False, **changes)
 
 
 def test_a_wait_that_is_over_goes_on_with_the_connection_open():
-    ours, theirs = socket.socketpair()
+    ours, theirs = _connected()
     with ours, theirs:
         lates = []
 
@@ -761,25 +767,25 @@
         guard = _new_guard(0.05, on_late=on_late)
         timer = threading.Timer(0.25, theirs.sendall, [b"x"])
         timer.start()
-        guard.wait(ours.fileno())
+        guard.wait(ours)
         timer.join()
         check.assertGreaterEqual(len(lates), 2)
         check.assertTrue(all(lates))
 
 
 def test_bytes_that_came_while_this_process_was_paused_are_not_late():
-    ours, theirs = socket.socketpair()
+    ours, theirs = _connected()
     with ours, theirs:
         lates = []
         guard = _new_guard(-2.0, on_late=lates.append)
         theirs.sendall(b"x")
-        guard.wait(ours.fileno())
+        guard.wait(ours)
         check.assertEqual(lates, [])
 
 
 def test_bytes_without_end_kept_a_wait_from_being_over():
     """Guards against a bound on time that holds only while nothing comes."""
-    ours, theirs = socket.socketpair()
+    ours, theirs = _connected()
     with ours, theirs:
         guard = _new_guard(0.2)
         began = time.monotonic()
@@ -788,27 +794,27 @@
             while time.monotonic() - began < 5.0:
                 with contextlib.suppress(BlockingIOError):
                     theirs.send(b"x" * 1024)
-                guard.wait(ours.fileno())
+                guard.wait(ours)
                 ours.recv(1024)
         check.assertLess(time.monotonic() - began, 0.2 + 2 * _guard.LATE_READ_S)
 
 
 def test_a_wait_that_is_set_anew_after_its_end_stays_over():
-    ours, theirs = socket.socketpair()
+    ours, theirs = _connected()
     with ours, theirs:
         guard = _new_guard(0.0)
         theirs.sendall(b"x")
-        guard.wait(ours.fileno())
+        guard.wait(ours)
         time.sleep(2 * _guard.LATE_READ_S)
         guard.wait_until(runtime.now() - 0.01)
         with check.assertRaises(TimeoutError):
-            guard.wait(ours.fileno())
+            guard.wait(ours)
         guard.wait_until(runtime.now() + 1.0)
-        guard.wait(ours.fileno())
+        guard.wait(ours)
 
 
 def test_bytes_that_were_no_progress_do_not_speak_for_a_target():
-    ours, theirs = socket.socketpair()
+    ours, theirs = _connected()
     with ours, theirs:
         seen = []
 
@@ -818,52 +824,52 @@
 
         guard = _new_guard(0.05, on_late=on_late)
         theirs.sendall(b"x")
-        guard.wait(ours.fileno())
+        guard.wait(ours)
         ours.recv(1)
         with check.assertRaises(TimeoutError):
-            guard.wait(ours.fileno())
+            guard.wait(ours)
         guard.wait_until(runtime.now())
         with check.assertRaises(TimeoutError):
-            guard.wait(ours.fileno())
+            guard.wait(ours)
         check.assertEqual(seen, [False, True])
 
 
 def test_a_second_wait_ends_as_soon_as_the_first_target_goes_on():
-    first, first_target = socket.socketpair()
-    second, second_target = socket.socketpair()
+    first, first_target = _connected()
+    second, second_target = _connected()
     with first, first_target, second, second_target:
-        rival = _pending.PendingConnection(first.fileno())
+        rival = _pending.PendingConnection(first)
         guard = _new_guard(5.0, rival=rival)
         second_target.sendall(b"x")
-        guard.wait(second.fileno())
+        guard.wait(second)
         second.recv(1)
         first_target.sendall(b"x")
         with check.assertRaises(errors.RivalAnsweredError):
-            guard.wait(second.fileno())
+            guard.wait(second)
 
 
 def test_a_first_connection_that_ends_does_not_end_the_second_wait():
     for ended_by in ("target", "us"):
-        first, first_target = socket.socketpair()
-        second, second_target = socket.socketpair()
+        first, first_target = _connected()
+        second, second_target = _connected()
         with first, first_target, second, second_target:
-            rival = _pending.PendingConnection(first.fileno())
+            rival = _pending.PendingConnection(first)
             guard = _new_guard(0.1, rival=rival)
             if ended_by == "us":
                 rival.close()
             else:
                 first_target.close()
             with check.assertRaises(TimeoutError):
-                guard.wait(second.fileno())
+                guard.wait(second)
             check.assertEqual(rival.lost, ended_by == "target")
             second_target.sendall(b"x")
-            guard.wait(second.fileno())
+            guard.wait(second)
 
 
 def test_closing_a_pending_connection_ends_it_for_its_target():
-    ours, theirs = socket.socketpair()
+    ours, theirs = _connected()
     with ours, theirs:
-        _pending.PendingConnection(ours.fileno()).close()
+        _pending.PendingConnection(ours).close()
         theirs.settimeout(1.0)
         check.assertEqual(theirs.recv(1), b"")
         check.assertGreaterEqual(ours.fileno(), 0)
