A reset behind an end in order is heard before an answer is judged

Cause: the system gives a reader the end in order also if a reset has come behind it, and nobody asked for the reset.

Ruled out: failed writes (they are lost answers, nothing is read after them).

Change: at the end of a body the connection is asked whether a reset has come (poll's error flag) and whether the target's system has taken all of the request. An unframed response keeps its connection until the answer is judged; the delivery asks once more after it has asked whether the target still listens.

--- a/src/turmericward/adapters/_connection.py
+++ b/src/turmericward/adapters/_connection.py
@@ -10,6 +10,7 @@
 import errno
 import fcntl
 import http.client
+import select
 import socket
 import struct
 import termios
@@ -81,13 +82,33 @@
                 self.ending = Ending.RESET
             raise
 
+    def ended_in_order(self) -> bool:
+        """Returns whether the peer has ended the connection and not reset it since."""
+        if self.ending is Ending.IN_ORDER and self.fileno() >= 0 and self._is_reset():
+            self.ending = Ending.RESET
+        return self.ending is Ending.IN_ORDER
+
     def _check_end(self) -> None:
         if self.ending is Ending.OPEN:
             self.ending = Ending.IN_ORDER
-        if self.ending is Ending.RESET:
-            raise ConnectionResetError("connection was reset")
+        if self.ended_in_order():
+            return
         if self.ending is Ending.CLOSED_HERE:
             raise ConnectionAbortedError("connection was closed here")
+        raise ConnectionResetError("connection was reset, or ended too early")
+
+    def _is_reset(self) -> bool:
+        """Returns whether an end in order was followed by a reset, or will be.
+
+        A peer that has ended its side before its system had all that was sent resets
+        the connection when the rest arrives.
+        """
+        poll = select.poll()
+        poll.register(self, 0)
+        if any(event & select.POLLERR for _, event in poll.poll(0)):
+            return True
+        # For sockets, this request is SIOCOUTQ.
+        return _count(self, termios.TIOCOUTQ) > 0
 
 
 def _count(sock: socket.socket, request: int) -> int:
--- a/src/turmericward/adapters/_request.py
+++ b/src/turmericward/adapters/_request.py
@@ -289,7 +289,8 @@
             `deadline`.
     """
     chunks = _read_chunks(conn, resp, address, deadline)
-    return join_body(chunks, f"{address}: response", max_bytes)
+    with contextlib.closing(resp):
+        return join_body(chunks, f"{address}: response", max_bytes)
 
 
 def _read_chunks(conn, resp, address: str, deadline: float) -> Iterator[bytes]:
--- a/src/turmericward/adapters/_response.py
+++ b/src/turmericward/adapters/_response.py
@@ -81,5 +81,23 @@
     ) -> None:
         """Creates the response on the socket of a connection."""
         super().__init__(sock, *args, **kwargs)
+        self._sock = sock
+        self._kept = True
         reader = _guard.GuardedReader(self.fp.detach(), sock, guard)
         self.fp = io.BufferedReader(reader)
+
+    def ended_in_order(self) -> bool:
+        """Returns whether its target has ended the connection, not by a reset.
+
+        Of an unframed response, this is asked until `close`: a reset may follow.
+        """
+        return self._sock.ended_in_order()
+
+    def _close_conn(self) -> None:
+        if not (self._kept and self.unframed):
+            super()._close_conn()
+
+    def close(self) -> None:
+        """Closes the response, and its connection if that isn't used further."""
+        self._kept = False
+        super().close()
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -238,8 +238,9 @@
     def _buffered_reply(self, answer: routing.Answer) -> routing.Reply | None:
         try:
             body = answer.read()
-            if self._parts.is_cut_off(answer, self._open.placement.target):
-                raise errors.ConnectionLostError("answer ended with its target")
+            cut_off_by = self._parts.cut_off_by(answer, self._open.placement.target)
+            if cut_off_by:
+                raise errors.ConnectionLostError(f"answer cut off: {cut_off_by}")
         except errors.CancelledError:
             self._early_end.end_call(_stop.CallPhase.RUNNING)
         except errors.AdapterError as exc:
--- a/src/turmericward/delivery/_parts.py
+++ b/src/turmericward/delivery/_parts.py
@@ -33,9 +33,14 @@
         """Returns the failure to report if no further attempt is made."""
         return self.progress.failure(deadline_passed=self.call.remaining_s() <= 0)
 
-    def is_cut_off(self, answer: routing.Answer, target: fleet.Target) -> bool:
-        """Returns whether an answer that seems complete ended with its target.
+    def cut_off_by(self, answer: routing.Answer, target: fleet.Target) -> str:
+        """Returns what cut off an answer that seems complete, empty if nothing did.
 
         The end of an unframed one looks the same.
         """
-        return answer.unframed and self.ctx.transport.has_ended(target)
+        if not answer.unframed:
+            return ""
+        if self.ctx.transport.has_ended(target):
+            return "its target has ended"
+        # Asked last: a reset may follow the end.
+        return "" if answer.ended_in_order() else "its connection was reset"
--- a/src/turmericward/delivery/_stream.py
+++ b/src/turmericward/delivery/_stream.py
@@ -58,8 +58,8 @@
     def events_received(self, count: int) -> None:
         """Records the arrival of a batch of events."""
 
-    def is_cut_off(self, attempt: StreamAttempt) -> bool:
-        """Returns whether an attempt that seems complete ended with its target."""
+    def cut_off_by(self, attempt: StreamAttempt) -> str:
+        """Returns what cut off an attempt that seems complete, empty if nothing."""
 
     def forbid_resuming(self) -> None:
         """Records that no other attempt can go on with the stream."""
@@ -143,8 +143,9 @@
                 self._await_next()
         if self._parser.incomplete:
             raise errors.ConnectionLostError("stream ended in the middle of an event")
-        if self._owner.is_cut_off(self._attempt):
-            raise errors.ConnectionLostError("stream ended with its target")
+        cut_off_by = self._owner.cut_off_by(self._attempt)
+        if cut_off_by:
+            raise errors.ConnectionLostError(f"stream cut off: {cut_off_by}")
         self._end_run()
 
     def _await_next(self) -> None:
--- a/src/turmericward/delivery/_stream_delivery.py
+++ b/src/turmericward/delivery/_stream_delivery.py
@@ -87,12 +87,12 @@
         """Records the outcome of the stream."""
         self._record_reply(outcome, 200)
 
-    def is_cut_off(self, attempt: _stream.StreamAttempt) -> bool:
-        """Returns whether an attempt that seems complete ended with its target.
+    def cut_off_by(self, attempt: _stream.StreamAttempt) -> str:
+        """Returns what cut off an attempt that seems complete, empty if nothing.
 
         If it was complete, a resumed stream has no further events.
         """
-        return self._parts.is_cut_off(attempt.answer, attempt.placement.target)
+        return self._parts.cut_off_by(attempt.answer, attempt.placement.target)
 
     def forbid_resuming(self) -> None:
         """Records that no other attempt can go on with the stream."""
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -184,6 +184,7 @@
         close=functools.partial(_close, conn, resp),
         not_run=not_run,
         unframed=resp.unframed,
+        ended_in_order=resp.ended_in_order,
         genuine=_genuine(resp),
     )
 
--- a/src/turmericward/routing/_calls.py
+++ b/src/turmericward/routing/_calls.py
@@ -139,7 +139,8 @@
     `not_run` holds if the target reports that it didn't run the call and never will;
     `genuine` if the target itself sent the answer, to this call; `numbered` if the ids
     of its events are consecutive numbers; `unframed` if its body ends with the
-    connection, so that its end doesn't show whether it is whole.
+    connection, so that its end doesn't show whether it is whole; `ended_in_order`
+    returns whether that end still isn't known to be a reset, until `close`.
     """
 
     status: int
@@ -151,6 +152,7 @@
     genuine: bool = True
     numbered: bool = False
     unframed: bool = False
+    ended_in_order: Callable[[], bool] = lambda: True
 
     def read(self) -> bytes:
         """Returns the complete body.
--- a/tests/test_connection_endings.py
+++ b/tests/test_connection_endings.py
@@ -186,3 +186,41 @@
             time.sleep(0.1)
             client.abort()
             check.assertIsInstance(answer.exception(5.0), ConnectionError)
+
+
+def _read_end(sock: socket.socket) -> object:
+    return _outcome(lambda: sock.recv_into(bytearray(8)))
+
+
+def test_a_reset_after_an_end_in_order_was_not_heard():
+    """Guards against an end that is judged before the reset behind it has come."""
+
+    def end_and_reset(theirs: socket.socket) -> None:
+        theirs.shutdown(socket.SHUT_WR)
+        reset(theirs)
+
+    with _ended(end_and_reset) as sock:
+        check.assertEqual(_read_end(sock), ConnectionResetError)
+        check.assertFalse(sock.ended_in_order())
+    ours, theirs = _connected()
+    with ours:
+        theirs.shutdown(socket.SHUT_WR)
+        check.assertEqual(_read_end(ours), 0)
+        check.assertTrue(ours.ended_in_order())
+        reset(theirs)
+        time.sleep(0.02)
+        check.assertFalse(ours.ended_in_order())
+        check.assertEqual(_read_end(ours), ConnectionResetError)
+
+
+def test_an_end_before_all_of_a_request_had_arrived_was_an_end_in_order():
+    """Guards against a target that ends its answer while it is still written to."""
+    ours, theirs = _connected()
+    with ours, theirs:
+        ours.settimeout(0.05)
+        with contextlib.suppress(TimeoutError):
+            while True:
+                ours.sendall(bytes(1 << 20))
+        theirs.shutdown(socket.SHUT_WR)
+        time.sleep(0.02)
+        check.assertEqual(_read_end(ours), ConnectionResetError)
