An entry believes an unframed answer only if its target still listens

What callers could have seen (MIXED): a part of a plain service's answer, or of a completion, as a whole one, when its process was killed.

Change: adapters/_request.read_answer asks for both, after the body and before the connection is closed. Machine-to-machine reads (reports, listings) are as before: their JSON is checked.

--- a/src/turmericward/adapters/_request.py
+++ b/src/turmericward/adapters/_request.py
@@ -293,6 +293,32 @@
         return join_body(chunks, f"{address}: response", max_bytes)
 
 
+def read_answer(
+    conn: http.client.HTTPConnection,
+    resp: _response.GuardedResponse,
+    address: str,
+    deadline: float,
+) -> bytes:
+    """Reads the body of an answer for a client; see `read_whole`.
+
+    The connections of a process that is killed end in order, so that an unframed body
+    is believed only if its target still listens.
+
+    Raises:
+        ConnectionLostError: the target has ended with its answer.
+        AnswerLostError: as for `read_whole`.
+    """
+    with contextlib.closing(resp):
+        body = join_body(
+            _read_chunks(conn, resp, address, deadline), f"{address}: response"
+        )
+        if resp.unframed and (
+            refuses_connections(address, CONNECT_TIMEOUT_S) or not resp.ended_in_order()
+        ):
+            raise errors.ConnectionLostError(f"{address}: answer was cut off")
+        return body
+
+
 def _read_chunks(conn, resp, address: str, deadline: float) -> Iterator[bytes]:
     try:
         while True:
--- a/src/turmericward/adapters/engine.py
+++ b/src/turmericward/adapters/engine.py
@@ -232,7 +232,7 @@
         return resp
 
     def _read_response(self, conn, resp, deadline: float) -> Response:
-        body = _request.read_whole(conn, resp, self._address, deadline)
+        body = _request.read_answer(conn, resp, self._address, deadline)
         return Response(
             status=resp.status,
             content_type=resp.getheader("Content-Type", "application/json"),
--- a/src/turmericward/adapters/service.py
+++ b/src/turmericward/adapters/service.py
@@ -85,6 +85,6 @@
         _request.send(conn, address, req, check)
         resp = _request.read_response_head(conn, address)
         _request.check_request_id(resp, request_id, required=False)
-        body = _request.read_whole(conn, resp, address, deadline)
+        body = _request.read_answer(conn, resp, address, deadline)
         headers = end_to_end_headers(resp.getheaders())
         return Response(status=resp.status, headers=headers, body=body)
--- a/tests/test_answer_readers.py
+++ b/tests/test_answer_readers.py
@@ -310,6 +310,27 @@
         check.assertTrue(_is_error(outcome), name)
 
 
+class _EndingServer(_Server):
+    """Ends with its response, as a process that is killed: its listener too."""
+
+    def _answer(self, conn, responses) -> None:
+        super()._answer(conn, responses)
+        # Also ends the accepting of connections that wait.
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+
+def test_an_unframed_response_of_a_killed_process_looked_whole_to_an_entry():
+    """Guards against the end of a process that is taken for the end of its answer."""
+    for name in ("service", "completion"):
+        reader = READERS[name]
+        with (
+            _EndingServer((_unframed(reader),)) as address,
+            check.assertRaises(errors.ConnectionLostError, msg=name),
+        ):
+            reader.read(address)
+
+
 def test_responses_to_other_requests_are_not_believed_whatever_they_say():
     refusal = {"Turmericward-Not-Executed": "1", "Content-Length": "0"}
     believed = []
