A number outside of 100 to 599 is no status

Cause: the grammar of heads took any three digits whose first isn't 0.

Change: adapters/_head.py takes 100 to 599 (RFC 9110, 15); anything else is a malformed head, so a lost answer.

Tests: test_a_status_outside_the_grammar_was_passed_on_as_an_answer (a real front) and test_a_number_that_is_no_status_makes_no_response; both failed without the change.

--- a/src/turmericward/adapters/_head.py
+++ b/src/turmericward/adapters/_head.py
@@ -21,7 +21,7 @@
 
 _TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 _TEXT = rb"[\t -~\x80-\xff]"
-_STATUS_LINE = re.compile(rb"HTTP/1\.([0-9]) ([1-9][0-9]{2})(?: (%b*))?" % _TEXT)
+_STATUS_LINE = re.compile(rb"HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: (%b*))?" % _TEXT)
 _FIELD_LINE = re.compile(rb"(%b):(%b*)" % (_TOKEN, _TEXT))
 _LENGTH = re.compile(r"[0-9]{1,19}", re.ASCII)
 _QUOTED = rb'"(?:[^"\\\x00-\x08\x0a-\x1f\x7f]|\\%b)*"' % _TEXT
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -20,6 +20,19 @@
 PAUSES_S = (0.0, 0.05, 0.3)
 CALLERS = 12
 PART = "part of an answer"
+NO_STATUSES = (
+    "000",
+    "0",
+    "00",
+    "099",
+    "20",
+    "2000",
+    "+200",
+    "-20",
+    "600",
+    "700",
+    "999",
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -35,6 +48,8 @@
     taken_bytes: int
     pause_s: float
     ends_first: bool
+    # Other statuses come with a whole answer and its length.
+    status: str = "200"
 
 
 def _scripts() -> list[_Script]:
@@ -114,15 +129,16 @@
         if line.lower().startswith(b"turmericward-attempt-id")
     ]
     body = f"id: 1\ndata: {PART}\n\n" if script.path in ("/ask/", "/once/") else PART
+    framing = "" if script.status == "200" else f"Content-Length: {len(body)}\r\n"
     return (
-        b"HTTP/1.1 200 OK\r\nTurmericward-Server-Stamp: s\r\nContent-Type: "
-        b"text/event-stream\r\nTurmericward-Attempt-Id: %s\r\n\r\n%s"
-        % (call_id, body.encode())
-    )
+        f"HTTP/1.1 {script.status} X\r\nTurmericward-Server-Stamp: s\r\n{framing}"
+        "Content-Type: text/event-stream\r\nTurmericward-Attempt-Id: "
+        f"{call_id.decode()}\r\n\r\n{body}"
+    ).encode()
 
 
-def _is_whole(platform, number: int, script: _Script) -> bool:
-    """Returns whether a caller takes the part for a whole answer."""
+def _call(platform, number: int, script: _Script) -> tuple[int, bytes]:
+    """Returns status and body that a caller gets, 0 for none that is whole."""
     headers = PROMPT if script.path in ("/ask/", "/once/") else {}
     body = b"x" * script.body_bytes
     try:
@@ -130,13 +146,12 @@
             "POST", f"{script.path}{number}", f"c{number}", headers, body
         )
     except (OSError, http.client.HTTPException):
-        return False
-    return status == 200 and PART.encode() in answer
+        return 0, b""
+    return status, answer
 
 
-def test_a_part_of_an_early_answer_whose_connection_was_reset_looked_whole():
-    """Guards against a reset after an end in order that nobody hears."""
-    scripts = _scripts()
+def _play(scripts: list[_Script]) -> list[tuple[int, bytes]]:
+    """Returns what the callers of a front get whose targets play these scripts."""
     with (
         platform_fixtures.platform(("p1", "m1")) as platform,
         _Target(scripts) as target,
@@ -145,11 +160,34 @@
             platform.announce(name, address=target.address, born=2000)
         time.sleep(0.5)
         with futures.ThreadPoolExecutor(CALLERS) as executor:
-            whole = list(
-                executor.map(
-                    lambda item: _is_whole(platform, *item), enumerate(scripts)
-                )
+            replies = executor.map(
+                lambda item: _call(platform, *item), enumerate(scripts)
             )
+            replies = list(replies)
     check.assertEqual(target.answered, set(scripts))
-    played = zip(scripts, whole, strict=True)
-    check.assertEqual([script for script, is_whole in played if is_whole], [])
+    return replies
+
+
+def test_a_part_of_an_early_answer_whose_connection_was_reset_looked_whole():
+    """Guards against a reset after an end in order that nobody hears."""
+    scripts = _scripts()
+    played = zip(scripts, _play(scripts), strict=True)
+    broken = [script for script, reply in played if PART.encode() in reply[1]]
+    check.assertEqual(broken, [])
+
+
+def test_a_status_outside_the_grammar_was_passed_on_as_an_answer():
+    """Guards against a number that is no status (RFC 9110, 15)."""
+    scripts = [
+        _Script(
+            path=path,
+            body_bytes=10,
+            taken_bytes=10,
+            pause_s=0.05,
+            ends_first=False,
+            status=status,
+        )
+        for path, status in itertools.product(PATHS, NO_STATUSES)
+    ]
+    replies = {status for status, _ in _play(scripts)}
+    check.assertEqual(replies, {502})
--- a/tests/test_response_heads.py
+++ b/tests/test_response_heads.py
@@ -156,6 +156,18 @@
         check.assertEqual(_read(changed + body), expected, name)
 
 
+def test_a_number_that_is_no_status_makes_no_response():
+    """Guards against numbers outside of 100 to 599 (RFC 9110, 15)."""
+    for number in (*range(100), *range(600, 1000)):
+        for name, (head, body) in MESSAGES.items():
+            changed = head.replace(b"200", b"%03d" % number)
+            check.assertIsNone(_read(changed + body), (number, name))
+    for number in range(200, 600):
+        if number not in _head.BODILESS_STATUSES:
+            changed = SIZED.replace(b"200", b"%d" % number)
+            check.assertEqual(_read(changed + BODY), (number, BODY))
+
+
 def test_parts_of_a_head_are_bounded():
     many = b"X: y\r\n" * (_head.MAX_LINES + 1)
     long = b"X: %b\r\n" % (b"y" * _head.MAX_HEAD_BYTES)
