An answer whose target was replaced meanwhile was cut off

Cause: such an end is believed if the target's address listens; the engine's next incarnation listened there, and nothing tied it to the one that had begun the answer.

Ruled out: a reset (the engine's system closed in order).

Change: the delivery asks the dispatcher whether the target is known to be replaced: a later incarnation of its name, or a target that started later at its address.

Tests: test_an_answer_looked_whole_though_its_target_was_replaced_at_its_address fails without the change in delivery/_parts.py; that leaving targets and older announcements conclude nothing is tested beside it.

--- a/src/turmericward/delivery/_asking.py
+++ b/src/turmericward/delivery/_asking.py
@@ -59,6 +59,16 @@
         return True
 
 
+def is_replaced(
+    dispatch: _context.Dispatcher, target: fleet.Target, timeout_s: float
+) -> bool:
+    """Returns whether a target is known to have ended; not if there is no answer."""
+    try:
+        return dispatch.ask(dispatching.IsReplaced(target=target)).result(timeout_s)
+    except (TimeoutError, runtime.TaskStoppedError):
+        return False
+
+
 def _await(fut: futures.Future, until: float, must_end: Callable[[], bool]):
     while True:
         remaining_s = until - runtime.now()
--- a/src/turmericward/delivery/_parts.py
+++ b/src/turmericward/delivery/_parts.py
@@ -4,6 +4,7 @@
 
 from turmericward import fleet, routing
 from turmericward.delivery import (
+    _asking,
     _context,
     _early_end,
     _open_placement,
@@ -11,6 +12,9 @@
     _record,
 )
 
+# How long the dispatcher may take to answer.
+CHECK_TIMEOUT_S = 0.3
+
 
 @attrs.frozen(kw_only=True)
 class CallParts:
@@ -42,5 +46,8 @@
             return ""
         if self.ctx.transport.has_ended(target):
             return "its target has ended"
+        # Who listens there now may not be who began the answer.
+        if _asking.is_replaced(self.ctx.dispatch, target, CHECK_TIMEOUT_S):
+            return "its target was replaced"
         # Asked last: a reset may follow the end.
         return "" if answer.ended_in_order() else "its connection was reset"
--- a/src/turmericward/dispatching/_crash_guard.py
+++ b/src/turmericward/dispatching/_crash_guard.py
@@ -104,6 +104,10 @@
             self._record_crash(lost.found, incarnation, lost.at)
         return self._log_changes()
 
+    def is_replaced(self, target: fleet.Target) -> bool:
+        """Returns whether another one has been announced at a target's address."""
+        return self._lost.is_replaced(target)
+
     def _record_crash(
         self, found: _evidence.Found, incarnation: requests.Incarnation, at: float
     ) -> None:
--- a/src/turmericward/dispatching/_dispatch_task.py
+++ b/src/turmericward/dispatching/_dispatch_task.py
@@ -320,6 +320,12 @@
         same = known is not None and known.started_ms == message.target.started_ms
         return same and not known.leaving
 
+    @handle.register
+    def _(self, message: _messages.IsReplaced) -> bool:
+        known = self._directory.get(message.target.name)
+        restarted = known is not None and known.started_ms > message.target.started_ms
+        return restarted or self._crashes.is_replaced(message.target)
+
     @handle.register
     def _(self, message: _messages.GetStatus) -> _messages.Status:
         now = runtime.now()
--- a/src/turmericward/dispatching/_lost_connections.py
+++ b/src/turmericward/dispatching/_lost_connections.py
@@ -46,6 +46,12 @@
         self._calls.append(call)
         return False
 
+    def is_replaced(self, target: fleet.Target) -> bool:
+        """Returns whether one that started later was announced at its address."""
+        announced, _ = self._announced.get(target.address, (target, 0.0))
+        # Announcements of targets that have ended may still be read for a while.
+        return announced.started_ms > target.started_ms
+
     def pop_ended(self, announced: fleet.Target, now: float) -> list[LostCall]:
         """Returns the calls that an earlier incarnation at an address has lost.
 
--- a/src/turmericward/dispatching/_messages.py
+++ b/src/turmericward/dispatching/_messages.py
@@ -264,6 +264,16 @@
     target: fleet.Target
 
 
+@attrs.frozen(kw_only=True)
+class IsReplaced:
+    """Asks whether a target is known to have ended, as another one has begun since.
+
+    That is a later incarnation of its name, or any other target at its address.
+    """
+
+    target: fleet.Target
+
+
 @attrs.frozen(kw_only=True)
 class FirstOutput:
     """The first token or the end of a prefill, `took_s` after the call was sent.
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -372,6 +372,69 @@
         check.assertNotEqual(reply.body, b"a par")
 
 
+def _run_replaced(
+    replaced_by: fleet.Target, kind: str, *, resumable: bool
+) -> tuple[routing.Reply, int]:
+    """Returns a reply, and the attempts; the first target is replaced meanwhile."""
+    target = test_dispatch._target("e0")
+    others = [test_dispatch._target(f"e{n}") for n in (1, 2)]
+    task = test_dispatch._task(
+        retries=dispatching.RetryBounds(share=0.0, slack=test_dispatch.slack_for(2.7))
+    )
+    task.handle(dispatching.PutTargets(targets=(target,)))
+
+    def first():
+        yield b"id: 1\ndata: x\n\n"
+        changed = dispatching.PutTargets(targets=(replaced_by, *others))
+        task.handle(changed)
+
+    streams = [first(), iter([b"id: 2\ndata: x\n\n"])]
+    transport = _Transport(sends=["unframed"], streams=streams)
+    ctx = delivery.Context(
+        dispatch=_Dispatcher(task),
+        transport=transport,
+        metrics=telemetry.Metrics(None, ""),
+    )
+    call = test_dispatch._call(8.0)
+    route = attrs.evolve(
+        call.route, kind=routing.CallKind[kind], resumable=resumable, max_attempts=2
+    )
+    prompt = test_dispatch.PROMPT if kind == "STREAM" else None
+    call = attrs.evolve(call, route=route, prompt=prompt)
+    reply = delivery.Delivery(ctx, call, "model").run()
+    if kind == "STREAM":
+        reply = attrs.evolve(reply, body=list(reply.body))
+    return reply, len(transport.sent)
+
+
+def test_an_answer_looked_whole_though_its_target_was_replaced_at_its_address():
+    """Guards against a listener that is taken for the one that began the answer."""
+    target = test_dispatch._target("e0")
+    replacements = {
+        "same name": attrs.evolve(target, started_ms=5),
+        "same name, elsewhere": attrs.evolve(target, started_ms=5, address="x:1"),
+        "same address": attrs.evolve(target, name="e9", service="other", started_ms=5),
+    }
+    for name, replaced_by in replacements.items():
+        reply, sent = _run_replaced(replaced_by, "STREAM", resumable=True)
+        ids = [int(event.id) for batch in reply.body for event in batch]
+        check.assertEqual((ids, sent), ([1, 2], 2), name)
+        with check.assertRaises(delivery.StreamBrokenError, msg=name):
+            _run_replaced(replaced_by, "STREAM", resumable=False)
+        reply, sent = _run_replaced(replaced_by, "IDEMPOTENT", resumable=False)
+        check.assertEqual((reply.status, sent), (200, 2), name)
+        reply, sent = _run_replaced(replaced_by, "NON_IDEMPOTENT", resumable=False)
+        check.assertEqual((reply.status, sent), (502, 1), name)
+
+
+def test_an_answer_stays_whole_whatever_its_target_announces_of_itself():
+    target = test_dispatch._target("e0")
+    before = attrs.evolve(target, name="e9", started_ms=-5)
+    for announced in (attrs.evolve(target, leaving=True), target, before):
+        reply, sent = _run_replaced(announced, "NON_IDEMPOTENT", resumable=False)
+        check.assertEqual((reply.status, sent), (200, 1))
+
+
 def test_stream_broken_before_its_first_event_returns_502():
     transport = _Transport(streams=[iter(_Stream([], False))])
     reply, _ = _run(transport, max_attempts=1, resumable=False)
--- a/tests/test_response_heads.py
+++ b/tests/test_response_heads.py
@@ -72,7 +72,7 @@
 
     RFC 9112, 6.3: the fields Transfer-Encoding and Content-Length alone declare where
     a body ends, and without them it ends with the connection: another name, or another
-    digit of the length, makes another body. RFC 9110, 15: three digits are a status,
+    digit of the length, makes another body. RFC 9110, 15: 100 to 599 are statuses,
     known or not.
     """
     places = {head.index(b"200") + offset for offset in range(3)}
