Lingering connections yield to new ones, and probes have their own room

Cause: lingering connections count against the limit of connections for up to 30 s, and at the limit no listener accepts anything, the probes' neither.

Change: with fewer than 1/32 of the connections free, the oldest lingering ones are closed until 1/16 is free (httpd/_room.py); probes may have 64 connections beside the limit. Weighed in the postmortem: no fixed number, as all idle connections linger in a stop.

Tests: test_refused_clients_that_send_on_held_all_connections and test_a_probe_was_not_answered_while_all_connections_were_held fail with the server as before.

--- a/src/turmericward/httpd/_linger.py
+++ b/src/turmericward/httpd/_linger.py
@@ -56,7 +56,7 @@
         super().__init__(sock, map_)
         self.connected = True
         self._registry = registry
-        self._started_at = self._progress_at = runtime.now()
+        self.started_at = self._progress_at = runtime.now()
         self._unacknowledged = unacknowledged(sock)
         registry.add(self)
 
@@ -81,7 +81,7 @@
             self.close()
             return
         now = runtime.now()
-        if now - self._started_at < MAX_LINGER_S:
+        if now - self.started_at < MAX_LINGER_S:
             self._progress_at = now
 
     def handle_expt(self) -> None:
--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -16,6 +16,7 @@
     _gate,
     _heads,
     _idle,
+    _room,
     _shutdown,
     _stopping,
     _waiting,
@@ -28,6 +29,8 @@
 MAX_HEADER_BYTES = 256 * 1024
 LISTEN_BACKLOG = 1024
 PROBE_THREADS = 1
+# Connections of all probes, which are accepted beside the others.
+PROBE_CONNECTIONS = 64
 # waitress accepts one connection in a turn of the event loop: behind a thousand others,
 # a call would wait for a thousand turns.
 ACCEPTS_PER_TURN = 32
@@ -93,6 +96,7 @@
         )
         self._servers: list = []
         self._monitor = _idle.IdleMonitor()
+        self._room = _room.Room(limits.connections)
         self._server = self._listen(app, address, limits.threads)
         self._refuser = _waiting.Refuser(
             self._server.task_dispatcher, limits.queue_s, self._drain
@@ -101,6 +105,8 @@
 
     def _listen(self, app, address: tuple[str, int], threads: int):
         host, port = address
+        # Probes have no part in the limits.
+        main = not self._servers
         server = waitress.server.create_server(
             app,
             map=self._map,
@@ -109,7 +115,8 @@
             threads=threads,
             _dispatcher=_workers.GrowingDispatcher(threads),
             backlog=LISTEN_BACKLOG,
-            connection_limit=self._limits.connections,
+            connection_limit=self._limits.connections
+            + (0 if main else PROBE_CONNECTIONS),
             max_request_header_size=self._client_limits.max_header_bytes,
             max_request_body_size=self._client_limits.max_body_bytes,
             recv_bytes=_gate.RECV_BYTES,
@@ -122,8 +129,6 @@
         )
         server.channel_class = _channel.Channel
         server.handle_accept = functools.partial(_accept, server, server.handle_accept)
-        # Probes have no part in the limit.
-        main = not self._servers
         account = (self._limits.account if main else None) or memory.Account()
         server.gate = _gate.Gate(account)
         server.lingering = set()
@@ -205,10 +210,17 @@
         )
         wasyncore.poll2(step_s, self._map)
         self._close_expired()
+        self._make_room()
         self._refuser.step()
         for gate in gates:
             gate.step()
 
+    def _make_room(self) -> None:
+        missing = self._room.missing(len(self._map))
+        if missing:
+            lingering = [conn for server in self._servers for conn in server.lingering]
+            _room.close_oldest(lingering, missing)
+
     def _begin_after(self, stop: threading.Event, on_stop) -> None:
         earlier = latest = runtime.now()
         while not stop.wait(SIGNAL_POLL_S):
--- a/tests/test_httpd_linger.py
+++ b/tests/test_httpd_linger.py
@@ -1,13 +1,15 @@
 """Lingering close: the client reads the last response, whatever it still sends."""
 
+import contextlib
 import socket
+import threading
 import time
 from unittest import mock
 
 from standins import launch
 from tests import fixtures, httpd_fixtures
 from turmericward import runtime
-from turmericward.httpd import _linger
+from turmericward.httpd import _linger, _room
 
 check = fixtures.check
 TOO_LARGE = httpd_fixtures.MAX_BODY_BYTES * 100
@@ -133,6 +135,85 @@
     pair.client.close()
 
 
+CONNECTIONS = 32
+CROWD = 3 * CONNECTIONS
+
+
+@contextlib.contextmanager
+def _refused_crowd(server):
+    """Clients whose bodies are refused, and who send on until the end."""
+    over = threading.Event()
+    with contextlib.ExitStack() as stack:
+        stack.callback(over.set)
+        conns = []
+        for _ in range(CROWD):
+            conn = stack.enter_context(server.connect())
+            conn.sendall(httpd_fixtures.head("/crowd", TOO_LARGE) + b"x")
+            conn.setblocking(False)
+            conns.append(conn)
+
+        def send_on() -> None:
+            while not over.wait(0.1):
+                for conn in conns:
+                    with contextlib.suppress(OSError):
+                        conn.send(b"x")
+
+        threading.Thread(target=send_on, daemon=True).start()
+        yield conns
+
+
+def test_refused_clients_that_send_on_held_all_connections():
+    """Guards against lingering closes for which nobody else is accepted."""
+    with (
+        httpd_fixtures.running(connections=CONNECTIONS) as server,
+        _refused_crowd(server),
+    ):
+        for number in range(5):
+            with server.connect() as conn:
+                conn.settimeout(1.0)
+                check.assertEqual(httpd_fixtures.call(conn, f"/{number}")[0], 200)
+
+
+def test_a_probe_was_not_answered_while_all_connections_were_held():
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        address = free.getsockname()
+    probe = httpd_fixtures.App()
+    with (
+        httpd_fixtures.running(
+            connections=CONNECTIONS, probes=[(probe, address)]
+        ) as server,
+        contextlib.ExitStack() as stack,
+    ):
+        for _ in range(CROWD):
+            stack.enter_context(server.connect())
+        time.sleep(0.2)
+        for _ in range(3):
+            with socket.create_connection(address, 1.0) as conn:
+                check.assertEqual(httpd_fixtures.call(conn, "/ready")[0], 200)
+
+
+def test_connections_that_nobody_needs_linger_on():
+    with (
+        httpd_fixtures.running(connections=3 * CROWD) as server,
+        _refused_crowd(server) as conns,
+    ):
+        time.sleep(0.5)
+        statuses = []
+        for conn in conns:
+            conn.setblocking(True)
+            statuses.append(httpd_fixtures.read(conn)[0])
+        check.assertEqual(statuses, [413] * CROWD)
+
+
+def test_the_oldest_of_the_lingering_connections_are_closed_first():
+    conns = [mock.Mock(started_at=n) for n in (5.0, 1.0, 3.0, 4.0, 2.0)]
+    room = _room.Room(64)
+    check.assertEqual([room.missing(n) for n in (0, 62, 63, 64, 66)], [0, 0, 3, 4, 6])
+    _room.close_oldest(conns, 3)
+    check.assertEqual([conn.close.call_count for conn in conns], [0, 1, 1, 0, 1])
+
+
 def test_slow_reader_keeps_its_socket_while_it_makes_progress():
     pair = _Pair()
     pair.near.setblocking(False)
