--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -38,11 +38,11 @@
 
     At most two are open at a time. The first is ended as soon as the second has the
     head of a usable answer, of a plain call the whole; that of a stream or a prompt
-    also when the second has worked for `MAX_OVERLAP_S`, if the retry budget allows a
-    third. Otherwise the first answer counts; if neither comes, the first attempt is
-    ended when a third one is allowed. While the process stops, a stream that its client
-    has in part is kept at the first unless the second answers within `MAX_OVERLAP_S`.
-    As long as the first attempt is open, a failure of the second is none of the call.
+    also when the second has worked for `MAX_OVERLAP_S`. Of a plain call the first
+    answer counts; if neither comes, the first attempt is ended when a third one is
+    allowed. While the process stops, a stream that its client has in part is kept at
+    the first unless the second answers within `MAX_OVERLAP_S`. As long as the first
+    attempt is open, a failure of the second is none of the call.
     """
 
     def __init__(
@@ -209,7 +209,7 @@
     def _overlap_s(self, second: requests.Placement) -> float:
         """Returns how long the second attempt is waited for beside the first."""
         parts = self._parts
-        if self._keeps_first or not self._keeps_both(second):
+        if self._keeps_first or not self._keeps_both:
             return MAX_OVERLAP_S
         return _timeouts.first_byte_timeout_s(
             parts.call,
@@ -226,9 +226,10 @@
         # A stream whose other attempt fails may get no further one before the end.
         return self.began and self._parts.early_end.stops
 
-    def _keeps_both(self, second: requests.Placement) -> bool:
-        """Returns whether the first goes on until the second answers."""
-        return self._parts.call.first_answer_counts or second.last_retry
+    @property
+    def _keeps_both(self) -> bool:
+        """Whether the first goes on until the second answers."""
+        return self._parts.call.first_answer_counts
 
     def _on_late_second(
         self,
@@ -242,7 +243,7 @@
             raise TimeoutError("no bytes before the deadline")
         if self._keeps_first:
             raise _NotAwaitedError("the process stops")
-        if self._keeps_both(second.placement):
+        if self._keeps_both:
             return self._on_late_both(pending, second, pending_second)
         self._replace_first(pending, second)
         return self._first_byte_until(second)
--- a/src/turmericward/dispatching/_placing.py
+++ b/src/turmericward/dispatching/_placing.py
@@ -78,8 +78,7 @@
         if not message.retry or chosen.is_err():
             return chosen
         self._retries[chosen.unwrap().id] = message.service
-        last = not budget.has_retry
-        return chosen.map(lambda granted: attrs.evolve(granted, last_retry=last))
+        return chosen
 
     def ended(self, placement: requests.Placement, ending: requests.Ending) -> None:
         """Gives back the retry of a placement whose target wasn't reached."""
--- a/src/turmericward/requests/_in_flight.py
+++ b/src/turmericward/requests/_in_flight.py
@@ -76,8 +76,7 @@
     its rate. `queue_s` is the part of `expected_s` that other calls cause;
     `share_ranks` are those by which it goes behind calls of workspaces within their
     share. `deferred` calls queue behind those that can still meet their soft deadline.
-    With `prefill_only` another target decodes. A `last_retry` leaves no whole one in
-    the retry budget.
+    With `prefill_only` another target decodes.
     """
 
     id: int
@@ -94,7 +93,6 @@
     share_ranks: int = 0
     deferred: bool = False
     prefill_only: bool = False
-    last_retry: bool = False
 
     def is_overdue(self, now: float) -> bool:
         """Returns whether its first output is so late that the call counts as lost."""
