The soak's replicas break off answers without a length, and its link passes resets on

Change: fault break_off (all replicas of a service: a part, a silence, a reset; a reset of what goes on elsewhere; or status 700), the injection believes_every_end, and a link on which a reset on one side is a reset on the other.

Tests: test_a_link_made_an_end_in_order_of_a_reset fails with the link as before.

Left out: an end in order with a reset behind it. In the soak's one process the reset can come later than anyone waits; tests/test_early_answers.py has it.

--- a/soak/_injections.py
+++ b/soak/_injections.py
@@ -5,6 +5,7 @@
 
 import random
 import signal
+import socket
 import sys
 import threading
 import time
@@ -13,7 +14,7 @@
 import attrs
 
 from turmericward import routing, runtime
-from turmericward.adapters import errors
+from turmericward.adapters import _connection, errors
 from turmericward.delivery import _progress
 from turmericward.dispatching import _crash_guard
 from turmericward.platform import _program, _records, _transport
@@ -126,6 +127,22 @@
     )
 
 
+@_injection
+def believes_every_end():
+    """A front whose looks use up resets, and that takes every end for one in order."""
+
+    def has_bytes(self) -> bool:
+        try:
+            return bool(self.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
+    observed = _connection.ObservedSocket
+    mock.patch.object(observed, "recv_into", socket.socket.recv_into).start()
+    mock.patch.object(observed, "ended_in_order", lambda self: True).start()
+    return mock.patch.object(observed, "has_bytes", has_bytes)
+
+
 @_injection
 def admits_by_estimate():
     """A front that takes late calls of a stop by how long earlier ones took."""
--- a/soak/_replica_faults.py
+++ b/soak/_replica_faults.py
@@ -6,6 +6,7 @@
 import attrs
 
 from soak import _deadly, _evidence, _faults, _fleet, _scene
+from standins import platform_replica
 
 SILENCE_MIN_S, SILENCE_MAX_S = 0.3, 4.0
 SILENCE_GAP_MAX_S = 2.0
@@ -25,6 +26,7 @@
     "cut",
     "hang",
 )
+BREAKS = (platform_replica.LATE_RESET, platform_replica.NO_STATUS)
 
 
 @contextlib.contextmanager
@@ -133,6 +135,29 @@
     )
 
 
+@_scene.fault(_scene.UNPLANNED)
+def break_off(scene: _scene.Scene) -> None:
+    """Replicas of a service give parts of answers, or numbers that are no status."""
+    fault = scene.rng.choice(BREAKS)
+    service = scene.rng.choice((_fleet.PLAIN, _fleet.MODEL))
+    names = [name for name, (of, _) in _fleet.REPLICAS.items() if of == service]
+    replicas = scene.fleet.replicas
+
+    def set_fault(names: list[str], value: str) -> None:
+        for name in names:
+            replicas[name].fault = value
+
+    with _free_replicas(scene, names) as free, contextlib.ExitStack() as stack:
+        if not free:
+            return
+        scene.evidence.count_fault(scene.name)
+        for name in free:
+            stack.enter_context(scene.disrupted(name))
+        set_fault(free, fault)
+        time.sleep(scene.span())
+        set_fault(free, "")
+
+
 @_scene.fault(_scene.UNPLANNED)
 def cut_replica(scene: _scene.Scene) -> None:
     """The connections to a replica are closed, or their bytes held back."""
--- a/soak/_scene.py
+++ b/soak/_scene.py
@@ -1,5 +1,6 @@
 """What faults work on, and the registry that they enter themselves in."""
 
+import contextlib
 import random
 import threading
 import time
@@ -50,10 +51,16 @@
 
     def trouble(self, subject: str, set_in, heal) -> None:
         """Sets trouble in for a while, recorded as a disruption of `subject`."""
+        with self.disrupted(subject):
+            set_in()
+            time.sleep(self.span())
+            heal()
+
+    @contextlib.contextmanager
+    def disrupted(self, subject: str):
+        """Records a disruption of `subject` meanwhile."""
         disruption = self.evidence.disrupt(self.name, subject, time.monotonic())
-        set_in()
-        time.sleep(self.span())
-        heal()
+        yield
         disruption.ended = time.monotonic()
 
     def stop(self, front: _fleet.Front, extra=()) -> None:
--- a/standins/link.py
+++ b/standins/link.py
@@ -1,12 +1,14 @@
 """TCP proxy that simulates a network partition.
 
-`POST /_faults` on the control address sets `mode`: `pass`, `refuse` (new and
-open connections are closed), `hang` (bytes are delayed, not lost) or `down` (nothing
-listens, as after the end of the target).
+A reset on one side becomes a reset on the other. `POST /_faults` on the control
+address sets `mode`: `pass`, `refuse` (new and open connections are closed), `hang`
+(bytes are delayed, not lost) or `down` (nothing listens, as after the end of the
+target).
 """
 
 import contextlib
 import socket
+import struct
 import threading
 
 import click
@@ -76,8 +78,7 @@
             threading.Thread(target=self._forward, args=(conn,), daemon=True).start()
 
     def _forward(self, conn: socket.socket) -> None:
-        with self._changed:
-            self._changed.wait_for(lambda: self._mode != "hang")
+        self._wait_while_hung()
         if self._mode in CUT:
             conn.close()
             return
@@ -106,14 +107,31 @@
                 self._shut_down(*socks)
 
     def _copy(self, source: socket.socket, sink: socket.socket) -> None:
-        with contextlib.suppress(OSError):
+        try:
             while data := source.recv(CHUNK_BYTES):
-                with self._changed:
-                    self._changed.wait_for(lambda: self._mode != "hang")
+                self._wait_while_hung()
                 sink.sendall(data)
+        except OSError:
+            # The system reports a reset to one of both threads only.
+            self._wait_while_hung()
+            for sock in (source, sink):
+                _reset_at_close(sock)
+            return
         with contextlib.suppress(OSError):
             sink.shutdown(socket.SHUT_WR)
 
+    def _wait_while_hung(self) -> None:
+        with self._changed:
+            self._changed.wait_for(lambda: self._mode != "hang")
+
+
+def _reset_at_close(sock: socket.socket) -> None:
+    """Ends the reading of a connection, which is reset when it is closed."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        # Sends nothing.
+        sock.shutdown(socket.SHUT_RD)
+
 
 @click.command()
 @_http.listen_option
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -24,6 +24,14 @@
 EVENTS_PER_STREAM = 4
 HANG_S = 30.0
 SIGNATURE = "signed"
+# Fault of answers without a length, of which a part is sent: after a silence the
+# connection is reset.
+LATE_RESET = "late reset"
+NO_STATUS = "no status"
+# Longer than a caller waits for the next event before it asks another replica.
+SILENCE_S = 2.15
+# What another replica takes until it breaks off a stream that goes on there.
+RESUMED_S = 0.25
 
 
 @attrs.frozen(kw_only=True)
@@ -283,7 +291,11 @@
         if self.fault == "reset":
             self._reset(req)
             return
-        self._send_headers(req, call_id, 500 if self.fault == "error" else 200)
+        if self.fault == LATE_RESET:
+            self._break_off(req, call_id, body[:5])
+            return
+        status = {"error": 500, NO_STATUS: 700}.get(self.fault, 200)
+        self._send_headers(req, call_id, status)
         if self.fault != "unframed":
             req.send_header("Content-Length", str(len(body)))
         req.end_headers()
@@ -297,8 +309,27 @@
         if self.fault == "unframed":
             req.close_connection = True
 
-    def _stream(self, req, call_id: str) -> None:
+    def _break_off(self, req, call_id: str, part: bytes) -> None:
         self._send_headers(req, call_id)
+        req.end_headers()
+        req.wfile.write(part)
+        req.wfile.flush()
+        self._disconnected(req, SILENCE_S)
+        self._reset(req)
+
+    def _break_off_stream(self, req, call_id: str) -> None:
+        after = int(req.headers.get("Last-Event-Id", 0))
+        if after:
+            self._disconnected(req, RESUMED_S)
+            self._reset(req)
+            return
+        self._break_off(req, call_id, event(call_id, 1) + event(call_id, 2))
+
+    def _stream(self, req, call_id: str) -> None:
+        if self.fault == LATE_RESET:
+            self._break_off_stream(req, call_id)
+            return
+        self._send_headers(req, call_id, 700 if self.fault == NO_STATUS else 200)
         req.send_header("Content-Type", "text/event-stream")
         req.send_header("Transfer-Encoding", "chunked")
         req.end_headers()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,7 @@
 
 from soak import _injections, _run
 from standins import caller, launch, link, loopback
-from tests import fixtures, test_late_connections
+from tests import fixtures, test_connection_endings, test_late_connections
 
 check = fixtures.check
 SEED = 1
@@ -28,6 +28,9 @@
     "faults": "^(silence|deadly_request)$",
     "retry_slack": 30,
 }
+# With this seed replicas give parts of answers without a length, in two ways.
+BROKEN_OFF_SEED = 53
+BROKEN_OFF = {"fronts": 1, "seconds": 1.0, "clients": 16, "faults": "^break_off$"}
 # With this seed, drafts get five times as long while all fronts of a domain stop.
 SHIFTED_SEED = 5684
 SHIFTED = {
@@ -102,6 +105,28 @@
     return False
 
 
+def test_a_link_made_an_end_in_order_of_a_reset():
+    """Guards against a stand-in that hides resets from the fronts behind it."""
+    (port,) = loopback.free_ports(1)
+    script = (b"part", 0.2, test_connection_endings.RESET)
+    # The first connection only shows that the link listens.
+    with test_connection_endings._Target((0.0,), script) as target:
+        proxy = link.Link(target.address)
+        listening = threading.Thread(
+            target=proxy.listen, args=(f"127.0.0.1:{port}",), daemon=True
+        )
+        listening.start()
+        address = ("127.0.0.1", port)
+        launch.wait_until(lambda: _connects(address), what="link listens")
+        with socket.create_connection(address, MAX_CLOSE_S) as conn:
+            conn.sendall(b"GET / HTTP/1.1\r\n\r\n")
+            check.assertEqual(conn.recv(8), b"part")
+            with check.assertRaises(ConnectionResetError):
+                conn.recv(8)
+        proxy.close()
+        listening.join(MAX_CLOSE_S)
+
+
 def test_clients_ended_when_the_soak_had_more_descriptors_than_select_takes():
     with (
         test_late_connections._Target((30.0,)) as target,
@@ -134,6 +159,16 @@
     _check_found(program, LOST, deadly, seed=TROUBLED_SEED, **TROUBLED)
 
 
+def test_answers_that_are_broken_off_break_no_promise():
+    check.assertEqual(_findings(_run.PROGRAM, seed=BROKEN_OFF_SEED, **BROKEN_OFF), [])
+
+
+def test_a_front_that_believes_every_end_of_a_connection_is_found():
+    program = _injections.program("believes_every_end")
+    whole = "answers_are_the_calls_own_and_whole"
+    _check_found(program, whole, seed=BROKEN_OFF_SEED, **BROKEN_OFF)
+
+
 def test_streams_that_got_longer_while_fronts_stop_break_no_promise():
     check.assertEqual(_findings(_run.PROGRAM, seed=SHIFTED_SEED, **SHIFTED), [])
 
