--- a/tests/loading.py
+++ b/tests/loading.py
@@ -6,7 +6,7 @@
 import unittest
 
 ROOT = pathlib.Path(__file__).parent
-LONG_MODULES = ("tests.test_scenarios",)
+LONG_MODULES = ("tests.test_scenarios", "tests.test_soak")
 
 
 class FunctionTest(unittest.FunctionTestCase):
