--- a/tests/test_connection_endings.py
+++ b/tests/test_connection_endings.py
@@ -11,6 +11,7 @@
 
 from tests import fixtures, test_late_connections
 from turmericward.adapters import _connection, _pending, _persistent_connection
+from turmericward.httpd import _linger
 
 check = fixtures.check
 HEAD, REFUSAL = test_late_connections.HEAD, test_late_connections.REFUSAL
@@ -22,12 +23,6 @@
 LIBC = ctypes.PyDLL(None)
 
 
-def reset(conn: socket.socket) -> None:
-    """Closes a connection by a reset."""
-    conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
-    conn.close()
-
-
 def end_and_reset(conn: socket.socket) -> None:
     """Ends a connection in order and resets it, with no other thread in between."""
     conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
@@ -47,7 +42,7 @@
             # The connection is ended by the reset, not in order.
             copy = conn.dup()
             super()._play(conn, script[:-1])
-            reset(copy)
+            _linger.reset(copy)
 
 
 RESET = "reset"
@@ -119,7 +114,7 @@
 def test_a_reset_was_an_end_in_order_to_all_but_the_first_who_learnt_it():
     """Guards against an error that the system reports once and nobody keeps."""
     for name, take in TAKERS.items():
-        with _ended(reset) as sock:
+        with _ended(_linger.reset) as sock:
             _outcome(lambda take=take, sock=sock: take(sock))
             for _ in range(2):
                 read = _outcome(lambda sock=sock: sock.recv_into(bytearray(8)))
@@ -131,7 +126,7 @@
     def reset_after_some(theirs: socket.socket) -> None:
         theirs.sendall(b"some")
         time.sleep(0.02)
-        reset(theirs)
+        _linger.reset(theirs)
 
     with _ended(reset_after_some) as sock, sock.makefile("rb") as file:
         check.assertEqual(_outcome(lambda: file.read(8)), ConnectionResetError)
@@ -149,7 +144,7 @@
 
 
 def test_bytes_before_an_end_are_read_whatever_the_end_is():
-    for end in (reset, socket.socket.close):
+    for end in (_linger.reset, socket.socket.close):
 
         def write_and_end(theirs: socket.socket, end=end) -> None:
             theirs.sendall(b"some")
@@ -162,7 +157,7 @@
             check.assertEqual(sock.recv_into(buffer), 4)
             check.assertFalse(sock.has_bytes())
             last = _outcome(lambda sock=sock: sock.recv_into(bytearray(8)))
-            check.assertEqual(last, ConnectionResetError if end is reset else 0)
+            check.assertEqual(last, ConnectionResetError if end is _linger.reset else 0)
 
 
 def test_a_wait_that_timed_out_is_no_end():
@@ -215,7 +210,7 @@
         theirs.shutdown(socket.SHUT_WR)
         check.assertEqual(_read_end(ours), 0)
         check.assertTrue(ours.ended_in_order())
-        reset(theirs)
+        _linger.reset(theirs)
         time.sleep(0.02)
         check.assertFalse(ours.ended_in_order())
         check.assertEqual(_read_end(ours), ConnectionResetError)
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -11,6 +11,7 @@
 import attrs
 
 from tests import fixtures, platform_fixtures, test_connection_endings
+from turmericward.httpd import _linger
 
 check = fixtures.check
 PROMPT = platform_fixtures.PROMPT
@@ -113,7 +114,7 @@
             if script.ends_first:
                 conn.shutdown(socket.SHUT_WR)
             time.sleep(script.pause_s)
-            test_connection_endings.reset(conn)
+            _linger.reset(conn)
 
 
 def _read_head(conn: socket.socket) -> bytes:
