Review case 12: show it with one disruption too

A replica that is cut off crashes behind the cut and is back when it heals; the end of its half answer is then read and believed.

--- a/review/kit3/replica.py
+++ b/review/kit3/replica.py
@@ -2,7 +2,8 @@
 
 A request's query says what its work is: `work_ms` before a plain answer, `events` and
 `gap_ms` of a stream, `unframed` for an answer that ends with its channel and `pause_ms`
-in the middle of it. A grey replica fails a share of its requests after their work.
+in the middle of it. `size` is that of a plain answer.
+A grey replica fails a share of its requests after their work.
 """
 
 import argparse
@@ -20,9 +21,10 @@
 MAX_HEAD_BYTES = 65536
 
 
-def plain_body(call_id: str) -> bytes:
-    """Returns the whole body of the answer to a plain request."""
-    return b"".join(b"%s-%02d\n" % (call_id.encode(), n) for n in range(2 * PIECES))
+def plain_body(call_id: str, size: int = 0) -> bytes:
+    """Returns the whole body of the answer to a plain request, of `size` bytes if set."""
+    lines = b"".join(b"%s-%02d\n" % (call_id.encode(), n) for n in range(2 * PIECES))
+    return lines if not size else (lines * (size // len(lines) + 1))[:size]
 
 
 def event(call_id: str, number: int) -> bytes:
@@ -113,7 +115,7 @@
         if req.number("unframed"):
             return self._unframed(conn, req)
         self.note("done", req, status=200)
-        return self._send(conn, req, 200, plain_body(req.id))
+        return self._send(conn, req, 200, plain_body(req.id, req.number("size")))
 
     def _fails(self) -> bool:
         with self._lock:
--- a/review/kit3/scene.py
+++ b/review/kit3/scene.py
@@ -21,6 +21,7 @@
 import time
 import tomllib
 
+from review.kit3 import link
 from standins import _http, platform_store
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -174,6 +175,8 @@
         self._born: dict[str, int] = {}
         self._sequence = 0
         self.addresses: dict[str, str] = {}
+        self.links: dict[str, link.Link] = {}
+        self._own_addresses: dict[str, str] = {}
         self.replicas: dict[str, subprocess.Popen] = {}
         self.fronts: list[Front] = []
 
@@ -210,7 +213,10 @@
         threading.Thread(target=server.serve_forever, args=(0.05,), daemon=True).start()
         self._stack.callback(server.shutdown)
         for name in self._services:
+            own = self._own_addresses[name] = f"127.0.0.1:{free_port('127.0.0.1')}"
             self.addresses[name] = f"127.0.0.1:{free_port('127.0.0.1')}"
+            self.links[name] = link.Link(self.addresses[name], own)
+            self._stack.callback(self.links[name].close)
             self.start_replica(name)
         self._configure()
         threading.Thread(target=self._beat, daemon=True).start()
@@ -249,10 +255,15 @@
             listed_after_s: how long after that the store has its entry.
         """
         command = [sys.executable, "-m", "review.kit3.replica", "--name", name]
-        command += ["--address", self.addresses[name], "--record", str(self.record)]
+        command += [
+            "--address",
+            self._own_addresses[name],
+            "--record",
+            str(self.record),
+        ]
         command += self._options.get(name, [])
         self.replicas[name] = subprocess.Popen(command, cwd=ROOT)
-        host, _, port = self.addresses[name].rpartition(":")
+        host, _, port = self._own_addresses[name].rpartition(":")
         until = time.monotonic() + READY_TIMEOUT_S
         while True:
             with (
