--- a/review/kit3/replica.py
+++ b/review/kit3/replica.py
@@ -22,7 +22,7 @@
 
 
 def plain_body(call_id: str, size: int = 0) -> bytes:
-    """Returns the whole body of the answer to a plain request, of `size` bytes if set."""
+    """Returns the whole body of a plain answer, of `size` bytes if that is set."""
     lines = b"".join(b"%s-%02d\n" % (call_id.encode(), n) for n in range(2 * PIECES))
     return lines if not size else (lines * (size // len(lines) + 1))[:size]
 
