--- a/review/kit3/scene.py
+++ b/review/kit3/scene.py
@@ -47,6 +47,10 @@
 }
 
 
+# Engines of the manifest's services.
+ENGINE = {"slots": 64, "kv_capacity_tokens": 391_935}
+
+
 class NotRunError(Exception):
     """Raised when a case couldn't be set up."""
 
@@ -236,7 +240,10 @@
             time.sleep(0.1)
 
     def _configure(self) -> None:
-        services = [{"name": name} for name in sorted(set(self._services.values()))]
+        services = [
+            {"name": name} | ({"engine": ENGINE} if name == "engine" else {})
+            for name in sorted(set(self._services.values()))
+        ]
         limits = {
             "max_header_bytes": 16384,
             "max_body_bytes": 4194304,
@@ -410,6 +417,16 @@
         thread.join()
 
 
+def memory_mb(pid: int) -> float:
+    """Returns the memory that a process uses, 0 if it has ended."""
+    try:
+        text = pathlib.Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return 0.0
+    match = re.search(r"VmRSS:\s+(\d+) kB", text)
+    return int(match[1]) / 1024 if match else 0.0
+
+
 def raise_descriptor_limit() -> None:
     """Lets this process open as many descriptors as its hard limit allows."""
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
