--- a/review/kit3/scene.py
+++ b/review/kit3/scene.py
@@ -100,9 +100,14 @@
     """One front as a process."""
 
     def __init__(
-        self, name: str, domain: str, directory: pathlib.Path, store: str
+        self,
+        name: str,
+        domain: str,
+        directory: pathlib.Path,
+        store: str,
+        peers_port: int,
     ) -> None:
-        """Writes its settings; starts nothing."""
+        """Writes its settings; starts nothing. All fronts have one port for peers."""
         self.host = f"127.{random.randint(2, 250)}.{random.randint(1, 250)}.7"
         self.front = f"{self.host}:{free_port(self.host)}"
         self.ready = f"{self.host}:{free_port(self.host)}"
@@ -115,7 +120,7 @@
             "Ip": self.host,
             "Listen.Front": self.front,
             "Listen.Ready": self.ready,
-            "InternalPorts.0": free_port(self.host),
+            "InternalPorts.0": peers_port,
             "Platform.address": store,
         }
         self.settings.write_text(render_settings(fields))
@@ -224,8 +229,11 @@
             self.start_replica(name)
         self._configure()
         threading.Thread(target=self._beat, daemon=True).start()
+        peers_port = free_port("127.0.0.1")
         for number, domain in enumerate(self._domains):
-            front = Front(f"front-{domain}-{number}", domain, self.directory, address)
+            front = Front(
+                f"front-{domain}-{number}", domain, self.directory, address, peers_port
+            )
             front.start()
             self.fronts.append(front)
         for front in self.fronts:
