--- a/review/kit3/scene.py
+++ b/review/kit3/scene.py
@@ -20,6 +20,7 @@
 import threading
 import time
 import tomllib
+import traceback
 
 from review.kit3 import link
 from standins import _http, platform_store
@@ -435,9 +436,15 @@
     return int(match[1]) / 1024 if match else 0.0
 
 
-def raise_descriptor_limit() -> None:
-    """Lets this process open as many descriptors as its hard limit allows."""
+def raise_descriptor_limit(needed: int) -> None:
+    """Lets this process open as many descriptors as its hard limit allows.
+
+    Raises:
+        NotRunError: that is less than `needed`.
+    """
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if hard != resource.RLIM_INFINITY and hard < needed:
+        raise NotRunError(f"{hard} descriptors are allowed, {needed} are needed")
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
 
 
@@ -462,6 +469,11 @@
             write(f"not run: {exc}")
             print(f"not run: {exc}")
             return 2
+        except Exception:
+            text = traceback.format_exc()
+            write(f"not run: {text}")
+            print(text)
+            return 2
         for line in broken:
             write(f"BROKEN {line}")
             print(f"BROKEN {line}")
