--- a/review/11/check.py
+++ b/review/11/check.py
@@ -8,7 +8,7 @@
 from review.kit3 import scene
 
 ROUTES = [scene.route("act", "non_idempotent", "plain")]
-REPLICAS = {f"i-{n}": "plain" for n in range(1, 8)}
+REPLICAS = {f"i-{n}": "plain" for n in range(1, 9)}
 GREY = "i-3"
 GREY_SHARE = 0.4
 STATUS = 503
--- a/review/kit3/scene.py
+++ b/review/kit3/scene.py
@@ -30,6 +30,8 @@
 READY_TIMEOUT_S = 30.0
 DEADLINE_MS = 10_000
 HEARTBEAT_S = 1.2
+# After so many without a word, the entry of a replica is removed.
+SILENT_HEARTBEATS = 3
 STORE_ANSWER_S = 0.004
 # Bounds and limits of a front of the small deployments.
 FIELDS = {
@@ -183,6 +185,8 @@
         self._options = options or {}
         self._stopping = threading.Event()
         self._born: dict[str, int] = {}
+        # When each listed replica wrote last.
+        self._written: dict[str, float] = {}
         self._sequence = 0
         self.addresses: dict[str, str] = {}
         self.links: dict[str, link.Link] = {}
@@ -311,6 +315,7 @@
     def announce(self, name: str, **changes) -> None:
         """Writes a replica's entry to the store."""
         self._sequence += 1
+        self._written[name] = time.monotonic()
         entry = {
             "service": self._services[name],
             "address": self.addresses[name],
@@ -334,6 +339,14 @@
                     return
                 if name in self._born:
                     self.announce(name)
+                self._remove_silent()
+
+    def _remove_silent(self) -> None:
+        """Removes the entries of replicas that have been silent for too long."""
+        oldest = time.monotonic() - SILENT_HEARTBEATS * HEARTBEAT_S
+        for name in [n for n, at in self._written.items() if at < oldest]:
+            del self._written[name]
+            self.store.put("keyed.servers", name, b"")
 
     def ran(self) -> list[dict]:
         """Returns what the replicas have written down."""
@@ -350,6 +363,8 @@
         self.headers: dict[str, str] = {}
         self.body = b""
         self.error = ""
+        # Whether its channel was opened and the whole request written.
+        self.sent = False
         self.sent_at = time.time()
         self.ended_at = 0.0
 
@@ -378,6 +393,7 @@
     try:
         body = b"q" if method == "POST" else None
         conn.request(method, target, body, fields | (headers or {}))
+        answer.sent = True
         resp = conn.getresponse()
         answer.status, answer.headers = resp.status, dict(resp.getheaders())
         answer.body = resp.read()
