A target's 408, 429 or 503 isn't this system's promise that a call hasn't run

Cause: a status was taken for a promise that the one who sent it can't make. A target's 5xx was the final reply of calls that aren't repeated, its 408 and 429 counted as answers; whether the target states that it didn't run the call was only asked to decide on a repeat. Evidence: the call's log lines (placed, began after 33 ms, reply answered 503) beside the replica's record of the same id as done; with 429 the log had no attempt line at all.

Ruled out: a second run by the front (one arrival for each id), a refusal of the front's own (the reply bore the replica's stamp), another call's answer.

Change: routing.Outcome (served, not run, failed, foreign), decided once at the adapters' boundary from the status and the target's own statement. Delivery, second attempts, streams and prefills ask it and compare no numbers. An unproved 408, 429 or 503 is a failure: repeated where the call may be, else 502 or 504 without the target's headers and body. attempt lines have the target's status; counter delivery.unproved_refusals. The soak's replicas say so too (disclaim).

--- a/soak/_injections.py
+++ b/soak/_injections.py
@@ -151,6 +151,16 @@
     )
 
 
+@_injection
+def believes_every_status():
+    """A front that passes statuses on that say a call hasn't run, whoever says so."""
+
+    def keep(self, reply: routing.Reply) -> None:
+        self.fallback = reply
+
+    return mock.patch.object(_progress.Progress, "record_failure_reply", keep)
+
+
 def _impatient(chunks):
     waiting_since = time.monotonic()
     for chunk in chunks:
--- a/soak/_replica_faults.py
+++ b/soak/_replica_faults.py
@@ -27,6 +27,7 @@
     "hang",
 )
 BREAKS = (platform_replica.LATE_RESET, platform_replica.NO_STATUS)
+DISCLAIMERS = tuple(platform_replica.DISCLAIMERS)
 
 
 @contextlib.contextmanager
@@ -139,7 +140,18 @@
 def break_off(scene: _scene.Scene) -> None:
     """Replicas of a service give parts of answers, or numbers that are no status."""
     fault = scene.rng.choice(BREAKS)
-    service = scene.rng.choice((_fleet.PLAIN, _fleet.MODEL))
+    _spoil_service(scene, fault, scene.rng.choice((_fleet.PLAIN, _fleet.MODEL)))
+
+
+@_scene.fault(_scene.UNPLANNED)
+def disclaim(scene: _scene.Scene) -> None:
+    """Replicas of a service do their work and then say that they are busy."""
+    services = (_fleet.PLAIN, _fleet.MODEL, _fleet.STAGED)
+    _spoil_service(scene, scene.rng.choice(DISCLAIMERS), scene.rng.choice(services))
+
+
+def _spoil_service(scene: _scene.Scene, fault: str, service: str) -> None:
+    """Gives all replicas of a service a fault for a while."""
     names = [name for name, (of, _) in _fleet.REPLICAS.items() if of == service]
     replicas = scene.fleet.replicas
 
--- a/src/turmericward/adapters/errors.py
+++ b/src/turmericward/adapters/errors.py
@@ -2,7 +2,15 @@
 
 
 class AdapterError(Exception):
-    """Base class of the errors of this package; not raised directly."""
+    """Base class of the errors of this package; not raised directly.
+
+    `status` is the HTTP status that the target answered with, None without one.
+    """
+
+    def __init__(self, *args: object, status: int | None = None) -> None:
+        """Creates the error with its message."""
+        super().__init__(*args)
+        self.status = status
 
 
 class LogUnavailableError(AdapterError):
@@ -50,6 +58,10 @@
     """Raised if the target states that it has not and will not run the request."""
 
 
+class TargetFailedError(AdapterError):
+    """Raised if the target answered with a failure; it may have run the request."""
+
+
 class AnswerLostError(AdapterError):
     """Raised if the request was sent, but no complete response was received."""
 
--- a/src/turmericward/delivery/_attempt_ends.py
+++ b/src/turmericward/delivery/_attempt_ends.py
@@ -4,7 +4,7 @@
 
 from turmericward import requests
 from turmericward.adapters import errors
-from turmericward.delivery import _open_placement, _parts
+from turmericward.delivery import _open_placement, _parts, _record
 
 
 @attrs.frozen(kw_only=True)
@@ -84,9 +84,13 @@
         self, attempt: _open_placement.OpenPlacement, exc: errors.AdapterError
     ) -> _End:
         end = self._end_of(exc, attempt.placement)
-        detail = repr(exc) if end.outcome == "failed" else str(exc)
+        detail = repr(exc) if end.outcome == _record.FAILED else str(exc)
         self._parts.record.log_failed_attempt(
-            attempt.placement, end.outcome, detail, target_ended=end.target_ended
+            attempt.placement,
+            end.outcome,
+            detail,
+            status=getattr(exc, "status", None),
+            target_ended=end.target_ended,
         )
         attempt.end(
             end.ending, connection_lost=isinstance(exc, errors.ConnectionLostError)
@@ -102,8 +106,8 @@
             return _End(outcome="refused", ending=requests.Ending.REFUSED)
         if self._has_target_ended(exc, placement):
             ending = requests.Ending.CRASHED
-            return _End(outcome="failed", ending=ending, target_ended=True)
-        return _End(outcome="failed", ending=requests.Ending.FAILED)
+            return _End(outcome=_record.FAILED, ending=ending, target_ended=True)
+        return _End(outcome=_record.FAILED, ending=requests.Ending.FAILED)
 
     def _has_target_ended(self, exc: Exception, placement: requests.Placement) -> bool:
         """Returns whether the attempt failed since the target's process ended."""
--- a/src/turmericward/delivery/_delivery.py
+++ b/src/turmericward/delivery/_delivery.py
@@ -7,6 +7,7 @@
 from turmericward import requests, routing
 from turmericward.adapters import errors
 from turmericward.delivery import (
+    _answer_errors,
     _attempt_ends,
     _context,
     _early_end,
@@ -165,10 +166,10 @@
             self._kv_source = ""
             self._ends.failed(exc)
             return None
-        if answer.not_run:
+        if answer.outcome is routing.Outcome.NOT_RUN:
             answer.close()
             self._release_kv_source()
-            self._ends.not_executed(errors.NotExecutedError(f"status {answer.status}"))
+            self._ends.not_executed(_answer_errors.error_of(answer))
             return None
         self._kv_source = ""
         return answer
@@ -223,13 +224,9 @@
     # Replies.
 
     def _reply(self, answer: routing.Answer) -> routing.Reply | None:
-        if not answer.genuine:
+        if answer.outcome is routing.Outcome.FOREIGN:
             answer.close()
-            self._ends.failed(
-                errors.ForeignAnswerError(
-                    f"status {answer.status} was not sent by the target"
-                )
-            )
+            self._ends.failed(_answer_errors.error_of(answer))
             return None
         if self._call.route.kind is routing.CallKind.STREAM and answer.status == 200:
             return self._streamed_reply(answer)
@@ -251,9 +248,9 @@
         self._open.record_first_output()
         self._late.output_received()
         reply = routing.Reply(status=answer.status, headers=answer.headers, body=body)
-        if answer.status >= 500:
-            self._progress.fallback = reply
-            self._ends.failed(errors.AnswerLostError(f"status {answer.status}"))
+        if answer.outcome is routing.Outcome.FAILED:
+            self._progress.record_failure_reply(reply)
+            self._ends.failed(_answer_errors.error_of(answer))
             return None
         self._early_end.record_answered(self._call)
         answered = answer.status < http.HTTPStatus.BAD_REQUEST
--- a/src/turmericward/delivery/_late_attempt.py
+++ b/src/turmericward/delivery/_late_attempt.py
@@ -12,6 +12,7 @@
 from turmericward import dispatching, requests, routing, runtime
 from turmericward.adapters import _pending, errors
 from turmericward.delivery import (
+    _answer_errors,
     _asking,
     _attempt_ends,
     _open_placement,
@@ -283,15 +284,15 @@
         if not pending.closed:
             if not self._is_usable(answer):
                 answer.close()
-                self._ends.second(second, _superseded.refusal_of(answer))
+                self._ends.second(second, _answer_errors.error_of(answer))
                 return
             self._replace_first(pending, second)
         raise _superseded.SupersededError(answer=answer)
 
     def _is_usable(self, answer: routing.Answer) -> bool:
         if self.began:
-            return not answer.not_run and _stream.continues_stream(answer)
-        return answer.genuine and not answer.not_run and answer.status < 500
+            return _stream.continues_stream(answer)
+        return answer.outcome is routing.Outcome.SERVED
 
     def _replace_first(
         self,
--- a/src/turmericward/delivery/_progress.py
+++ b/src/turmericward/delivery/_progress.py
@@ -134,6 +134,15 @@
         if self._crashes >= MAX_CRASHES:
             self._stop("crashes")
 
+    def record_failure_reply(self, reply: routing.Reply) -> None:
+        """Records a target's failure, the call's reply if no attempt does better.
+
+        Its status may say to the client that the call hasn't run, which the target
+        doesn't state; such a reply isn't passed on.
+        """
+        if reply.status not in routing.NOT_RUN_STATUSES:
+            self.fallback = reply
+
     def forbid_repeats(self) -> None:
         """Records that no other attempt can give the rest of what the client has."""
         self._repeats_forbidden = True
--- a/src/turmericward/delivery/_record.py
+++ b/src/turmericward/delivery/_record.py
@@ -8,6 +8,8 @@
 
 # Bounds the length of a log line.
 MAX_LOGGED_SEGMENTS = 8
+# Outcome of an attempt in which the call may have run.
+FAILED = "failed"
 
 
 class CallRecord:
@@ -130,19 +132,30 @@
         )
 
     def log_failed_attempt(
-        self, placement, outcome: str, detail: str, *, target_ended: bool = False
+        self,
+        placement,
+        outcome: str,
+        detail: str,
+        *,
+        status: int | None = None,
+        target_ended: bool = False,
     ) -> None:
         """Logs a failed or refused attempt; `target_ended` if its process ended.
 
-        `silent_s` is the time since the target last had an answer or event to give,
+        `status` is the target's own, None if it gave no answer to the call. One that
+        says to clients that the call hasn't run is counted if the target doesn't state
+        so. `silent_s` is the time since the target last had an answer or event to give,
         `wait_s` how long it was meant to be waited for.
         """
+        if outcome == FAILED and status in routing.NOT_RUN_STATUSES:
+            self._metrics.count("delivery.unproved_refusals")
         telemetry.log_event(
             "attempt",
             request_id=self._call.id,
             target=placement.target.name,
             outcome=outcome,
             detail=detail,
+            status=status,
             target_ended=target_ended,
             began=self._first_event_at is not None,
             content=routing.fingerprint_hex(self.fingerprint),
--- a/src/turmericward/delivery/_stream.py
+++ b/src/turmericward/delivery/_stream.py
@@ -20,7 +20,7 @@
     """Returns whether an answer can go on with a stream that another target began."""
     types = [value for name, value in answer.headers if name.lower() == "content-type"]
     return (
-        answer.genuine
+        answer.outcome is routing.Outcome.SERVED
         and answer.status == http.HTTPStatus.OK
         and all(value.startswith(EVENT_STREAM) for value in types)
     )
--- a/src/turmericward/delivery/_stream_delivery.py
+++ b/src/turmericward/delivery/_stream_delivery.py
@@ -5,8 +5,8 @@
 import attrs
 
 from turmericward import requests, routing
-from turmericward.adapters import errors
 from turmericward.delivery import (
+    _answer_errors,
     _early_end,
     _late_attempt,
     _parts,
@@ -143,9 +143,7 @@
                 continue
             if not _stream.continues_stream(answer):
                 answer.close()
-                self._attempts.record_failure(
-                    errors.AnswerLostError(f"status {answer.status}, no stream")
-                )
+                self._attempts.record_failure(_answer_errors.error_of(answer))
                 continue
             return _stream.StreamAttempt(
                 answer=answer, placement=self._parts.open.hand_over()
--- a/src/turmericward/delivery/_superseded.py
+++ b/src/turmericward/delivery/_superseded.py
@@ -38,14 +38,3 @@
 def superseded_by(exc: errors.AdapterError) -> errors.AdapterError:
     """Returns the error for the first attempt when the second has replaced it."""
     return exc if isinstance(exc, SupersededError) else SupersededError(failure=exc)
-
-
-def refusal_of(answer: routing.Answer) -> errors.AdapterError:
-    """Returns the error for an answer that can't replace the first attempt."""
-    if answer.not_run:
-        return errors.NotExecutedError(f"status {answer.status}")
-    if not answer.genuine:
-        return errors.ForeignAnswerError(
-            f"status {answer.status} was not sent by the target"
-        )
-    return errors.AnswerLostError(f"status {answer.status}")
--- a/src/turmericward/entry/_transport.py
+++ b/src/turmericward/entry/_transport.py
@@ -69,7 +69,9 @@
         headers=(("Content-Type", resp.content_type),),
         chunks=iter((resp.body,)),
         close=lambda: None,
-        not_run=resp.status in engine.NOT_STARTED_STATUSES,
+        outcome=routing.outcome_of(
+            resp.status, refused=resp.status in engine.NOT_STARTED_STATUSES
+        ),
     )
 
 
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -18,8 +18,8 @@
 MAX_PREFILL_BYTES = 1024 * 1024
 # It becomes a part of a header and of a path.
 _HANDLE = re.compile(r"[!-~]{1,512}", re.ASCII)
-# Statuses that guarantee, without a header, that the call didn't run.
-NOT_RUN_STATUSES = frozenset({421})
+# Statuses by which a replica states, without a header, that the call didn't run.
+REFUSAL_STATUSES = frozenset({421})
 
 
 def _end_to_end_headers(headers) -> tuple[tuple[str, str], ...]:
@@ -109,10 +109,14 @@
         """Requests a prefill; see `delivery.Transport`."""
         answer = self.send(target, call, dispatch)
         try:
-            if answer.not_run:
-                raise errors.NotExecutedError(f"prefill has status {answer.status}")
-            if answer.status != 200:
-                raise errors.AnswerLostError(f"prefill has status {answer.status}")
+            if answer.outcome is routing.Outcome.NOT_RUN:
+                raise errors.NotExecutedError(
+                    f"prefill has status {answer.status}", status=answer.status
+                )
+            if answer.status != http.HTTPStatus.OK:
+                raise errors.TargetFailedError(
+                    f"prefill has status {answer.status}", status=answer.status
+                )
             return f"{target.address}/{_handle(answer.read())}"
         finally:
             answer.close()
@@ -174,18 +178,14 @@
 
 
 def _answer(conn, resp, target) -> routing.Answer:
-    not_run = (
-        resp.status in NOT_RUN_STATUSES or resp.getheader(_headers.NOT_RUN) is not None
-    )
     return routing.Answer(
         status=resp.status,
         headers=_end_to_end_headers(resp.getheaders()),
         chunks=_chunks(resp, target.address),
         close=functools.partial(_close, conn, resp),
-        not_run=not_run,
+        outcome=_outcome(resp),
         unframed=resp.unframed,
         ended_in_order=resp.ended_in_order,
-        genuine=_genuine(resp),
     )
 
 
@@ -202,6 +202,13 @@
         )
 
 
+def _outcome(resp: http.client.HTTPResponse) -> routing.Outcome:
+    refused = (
+        resp.status in REFUSAL_STATUSES or resp.getheader(_headers.NOT_RUN) is not None
+    )
+    return routing.outcome_of(resp.status, refused=refused, genuine=_genuine(resp))
+
+
 def _genuine(resp: http.client.HTTPResponse) -> bool:
     """Returns whether the response comes unmodified from the replica."""
     if resp.getheader("Content-Encoding") is not None:
--- a/src/turmericward/routing/__init__.py
+++ b/src/turmericward/routing/__init__.py
@@ -18,6 +18,7 @@
     UnknownKeyError,
 )
 from turmericward.routing._fingerprint import fingerprint, fingerprint_hex
+from turmericward.routing._outcomes import NOT_RUN_STATUSES, Outcome, outcome_of
 from turmericward.routing._routes import RoutingTable, Scaling, ServiceTraits
 from turmericward.routing._workspaces import Workspace, Workspaces, key_digest
 
@@ -28,8 +29,10 @@
     "Destination",
     "Dispatch",
     "Failure",
+    "NOT_RUN_STATUSES",
     "NoRouteError",
     "NotConfiguredError",
+    "Outcome",
     "Reply",
     "Route",
     "RoutingError",
@@ -43,4 +46,5 @@
     "fingerprint_hex",
     "fingerprint",
     "key_digest",
+    "outcome_of",
 ]
--- a/src/turmericward/routing/_calls.py
+++ b/src/turmericward/routing/_calls.py
@@ -7,7 +7,7 @@
 
 from turmericward import requests, runtime
 from turmericward.adapters import _pending, _request
-from turmericward.routing import _workspaces
+from turmericward.routing import _outcomes, _workspaces
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -136,11 +136,10 @@
 
     `wait_until` sets until when `chunks` waits for data, in monotonic seconds, before
     it calls `Dispatch.on_late`; a transport may ignore it and wait on.
-    `not_run` holds if the target reports that it didn't run the call and never will;
-    `genuine` if the target itself sent the answer, to this call; `numbered` if the ids
-    of its events are consecutive numbers; `unframed` if its body ends with the
-    connection, so that its end doesn't show whether it is whole; `ended_in_order`
-    returns whether that end still isn't known to be a reset, until `close`.
+    `outcome` is what it says of the call; `numbered` holds if the ids of its events are
+    consecutive numbers; `unframed` if its body ends with the connection, so that its
+    end doesn't show whether it is whole; `ended_in_order` returns whether that end
+    still isn't known to be a reset, until `close`.
     """
 
     status: int
@@ -148,8 +147,7 @@
     chunks: Iterator[bytes]
     close: Callable[[], None]
     wait_until: Callable[[float], None] = lambda until: None
-    not_run: bool = False
-    genuine: bool = True
+    outcome: _outcomes.Outcome = _outcomes.Outcome.SERVED
     numbered: bool = False
     unframed: bool = False
     ended_in_order: Callable[[], bool] = lambda: True
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -28,6 +28,9 @@
 # connection is reset.
 LATE_RESET = "late reset"
 NO_STATUS = "no status"
+# Faults of replicas that do the work of a call and then answer with one of the statuses
+# that say to clients that it hasn't run, without stating so themselves.
+DISCLAIMERS = {"says 408": 408, "says 429": 429, "says 503": 503}
 # Longer than a caller waits for the next event before it asks another replica.
 SILENCE_S = 2.15
 # What another replica takes until it breaks off a stream that goes on there.
@@ -194,7 +197,8 @@
         elif req.headers.get("Turmericward-Serving-Stage") == "prefill":
             with self._batched():
                 self._disconnected(req, self._prompt_s(req))
-            req.answer(200, {"handle": "h1", "tokens": 1, "version": 1})
+            status = DISCLAIMERS.get(self.fault, 200)
+            req.answer(status, {"handle": "h1", "tokens": 1, "version": 1})
         elif self._is_deadly(req):
             self.crash()
         else:
@@ -294,7 +298,8 @@
         if self.fault == LATE_RESET:
             self._break_off(req, call_id, body[:5])
             return
-        status = {"error": 500, NO_STATUS: 700}.get(self.fault, 200)
+        statuses = {"error": 500, NO_STATUS: 700} | DISCLAIMERS
+        status = statuses.get(self.fault, 200)
         self._send_headers(req, call_id, status)
         if self.fault != "unframed":
             req.send_header("Content-Length", str(len(body)))
@@ -309,6 +314,12 @@
         if self.fault == "unframed":
             req.close_connection = True
 
+    def _disclaim(self, req, call_id: str) -> None:
+        self._disconnected(req, self._prompt_s(req))
+        self._send_headers(req, call_id, DISCLAIMERS[self.fault])
+        req.send_header("Content-Length", "0")
+        req.end_headers()
+
     def _break_off(self, req, call_id: str, part: bytes) -> None:
         self._send_headers(req, call_id)
         req.end_headers()
@@ -329,6 +340,9 @@
         if self.fault == LATE_RESET:
             self._break_off_stream(req, call_id)
             return
+        if self.fault in DISCLAIMERS:
+            self._disclaim(req, call_id)
+            return
         self._send_headers(req, call_id, 700 if self.fault == NO_STATUS else 200)
         req.send_header("Content-Type", "text/event-stream")
         req.send_header("Transfer-Encoding", "chunked")
--- a/tests/test_answer_readers.py
+++ b/tests/test_answer_readers.py
@@ -103,7 +103,7 @@
     transport = _transport.ReplicaTransport(_notice_reader())
     dispatch = routing.Dispatch(timeout_s=2.0, priority=1)
     answer = transport.send(_target(address), _call(), dispatch)
-    if answer.not_run:
+    if answer.outcome is routing.Outcome.NOT_RUN:
         raise errors.NotExecutedError(f"status {answer.status}")
     return answer.read()
 
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -24,12 +24,18 @@
 
 check = fixtures.check
 NO_FAULT = "none"
+# Statuses that say to clients that a call hasn't run; no target states so here.
+UNPROVED = ("408", "429", "503")
+STATUSES = {"refused": 503, "error": 500} | {name: int(name) for name in UNPROVED}
 FAULTS = {
     "not sent": errors.NotSentError("no connection"),
     "lost": errors.AnswerLostError("reset"),
     "closed": errors.ConnectionLostError("closed by the target"),
     "cancelled": errors.CancelledError("client left"),
 }
+PREFILL_FAULTS = FAULTS | {
+    name: errors.TargetFailedError(f"prefill has status {name}") for name in UNPROVED
+}
 
 
 class _Dispatcher:
@@ -75,7 +81,7 @@
         if fault == "refused":
             raise errors.NotExecutedError("full")
         if fault != NO_FAULT:
-            raise FAULTS[fault]
+            raise PREFILL_FAULTS[fault]
         return f"{target.name}/kv{len(self.prefilled)}"
 
     def send(self, target, call, dispatch) -> routing.Answer:
@@ -84,13 +90,15 @@
         if fault in FAULTS:
             raise FAULTS[fault]
         chunks = next(self._streams, None) or iter([b"id: 1\ndata: x\n\n"])
+        status = STATUSES.get(fault, 200)
         return routing.Answer(
-            status={"refused": 503, "error": 500}.get(fault, 200),
+            status=status,
             headers=self._headers.get(fault, ()),
             chunks=chunks,
             close=lambda: None,
-            not_run=fault == "refused",
-            genuine=fault != "foreign",
+            outcome=routing.outcome_of(
+                status, refused=fault == "refused", genuine=fault != "foreign"
+            ),
             numbered=self._numbered,
             unframed=fault == "unframed",
         )
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -59,13 +59,17 @@
         for _ in self._run(self._steps):
             break
         headers = (("Content-Type", "text/plain"),) if self._kind == "text" else ()
+        status = test_delivery.STATUSES.get(self._kind, 200)
         return routing.Answer(
-            status={"refused": 503, "error": 500}.get(self._kind, 200),
+            status=status,
             headers=headers,
             chunks=self._chunks(),
             close=self.pending.close,
-            not_run=self._kind == "refused",
-            genuine=self._kind != "foreign",
+            outcome=routing.outcome_of(
+                status,
+                refused=self._kind == "refused",
+                genuine=self._kind != "foreign",
+            ),
             numbered=True,
         )
 
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -25,6 +25,8 @@
     ("encoded", "GET", "/read/x", {502}, 2),
     ("foreign refusal", "GET", "/read/x", {502}, 2),
     ("full", "GET", "/read/x", {503}, 0),
+    *((fault, "GET", "/read/x", {502}, 2) for fault in platform_replica.DISCLAIMERS),
+    *((fault, "POST", "/write/x", {502}, 1) for fault in platform_replica.DISCLAIMERS),
     ("", "POST", "/write/x", {200}, 1),
     ("extra", "POST", "/write/x", {200}, 1),
     ("unframed", "POST", "/write/x", {200}, 1),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,6 +31,9 @@
 # With this seed replicas give parts of answers without a length, in two ways.
 BROKEN_OFF_SEED = 53
 BROKEN_OFF = {"fronts": 1, "seconds": 1.0, "clients": 16, "faults": "^break_off$"}
+# With this seed engines that have streamed or read a prompt say that they are busy.
+DISCLAIMED_SEED = 5
+DISCLAIMED = {"fronts": 1, "seconds": 3.0, "clients": 24, "faults": "^disclaim$"}
 # With this seed, drafts get five times as long while all fronts of a domain stop.
 SHIFTED_SEED = 5684
 SHIFTED = {
@@ -169,6 +172,17 @@
     _check_found(program, whole, seed=BROKEN_OFF_SEED, **BROKEN_OFF)
 
 
+def test_statuses_that_replicas_may_not_promise_break_no_promise():
+    check.assertEqual(_findings(_run.PROGRAM, seed=DISCLAIMED_SEED, **DISCLAIMED), [])
+
+
+def test_a_front_that_believes_every_status_of_a_replica_is_found():
+    """Guards against a soak that doesn't see what ran under a promise."""
+    program = _injections.program("believes_every_status")
+    refused = "refused_calls_never_run"
+    _check_found(program, refused, seed=DISCLAIMED_SEED, **DISCLAIMED)
+
+
 def test_streams_that_got_longer_while_fronts_stop_break_no_promise():
     check.assertEqual(_findings(_run.PROGRAM, seed=SHIFTED_SEED, **SHIFTED), [])
 
