The end of an answer isn't believed if it may have been sent long before

Cause: the end of such an answer was believed if its target listened when the end was read and wasn't known to be replaced. Both say what holds now, not when the end was sent.

Ruled out: a reset that was used up (one connection, ended in order); a look at the listener that comes too early.

Change: connections note silences. Log line doubtful_end, counter delivery.doubtful_ends. The soak's link holds ends up too, and its replicas restart behind a cut.

Open: restarts within a second, a store that is down meanwhile, the product's own entry.

--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -313,9 +313,13 @@
     def crash_replica(self, name: str) -> None:
         """Ends a replica with its connections; further ones are refused."""
         self.links[name].set_mode("down")
-        self._servers.pop(name).crash()
+        self.end_replica(name)
         self.remove(name)
 
+    def end_replica(self, name: str) -> None:
+        """Ends a replica with its connections, whose link and entry stay."""
+        self._servers.pop(name).crash()
+
     def silence(self, names: list[str], length_s: float) -> None:
         """Lets sound replicas neither read nor write for a time."""
         with contextlib.ExitStack() as stack:
@@ -330,10 +334,14 @@
 
     def restart_replica(self, name: str) -> None:
         """Starts a replica that had ended, as a new incarnation."""
-        self._serve(name, self._addresses[name], self.replicas[name])
+        self.begin_replica(name)
         self.links[name].set_mode("pass")
         self.announce(name)
 
+    def begin_replica(self, name: str) -> None:
+        """Starts a replica that had ended, without its announcement."""
+        self._serve(name, self._addresses[name], self.replicas[name])
+
     def stop_front(self, front: Front, extra=()) -> None:
         """Stops a front as planned; `extra` are pairs of a delay and an action."""
         began = time.monotonic()
--- a/soak/_injections.py
+++ b/soak/_injections.py
@@ -161,6 +161,13 @@
     return mock.patch.object(_progress.Progress, "record_failure_reply", keep)
 
 
+@_injection
+def believes_late_ends():
+    """A front that takes whoever listens for the one that ended an answer."""
+    observed = _connection.ObservedSocket
+    return mock.patch.object(observed, "ended_promptly", lambda self: True)
+
+
 def _impatient(chunks):
     waiting_since = time.monotonic()
     for chunk in chunks:
--- a/soak/_replica_faults.py
+++ b/soak/_replica_faults.py
@@ -28,6 +28,11 @@
 )
 BREAKS = (platform_replica.LATE_RESET, platform_replica.NO_STATUS)
 DISCLAIMERS = tuple(platform_replica.DISCLAIMERS)
+# How long a replica answers in halves before it is cut off, how long it is down then,
+# and how far the list of replicas is behind.
+HALVES_MIN_S = 1.0
+DOWN_MIN_S, DOWN_MAX_S = 1.5, 4.0
+LIST_LAG_MAX_S = 2.0
 
 
 @contextlib.contextmanager
@@ -143,6 +148,36 @@
     _spoil_service(scene, fault, scene.rng.choice((_fleet.PLAIN, _fleet.MODEL)))
 
 
+@_scene.fault(_scene.UNPLANNED)
+def restart_behind_cut(scene: _scene.Scene) -> None:
+    """A replica crashes in its answers behind a cut, and is back when that heals.
+
+    The list of replicas has its new incarnation some time later.
+    """
+    names = [name for name, (of, _) in _fleet.REPLICAS.items() if of == _fleet.PLAIN]
+    with _free_replicas(scene, [scene.rng.choice(names)]) as free:
+        if not free:
+            return
+        (name,) = free
+        scene.evidence.count_fault(scene.name)
+        with scene.disrupted(name):
+            _restart_behind_cut(scene, name)
+
+
+def _restart_behind_cut(scene: _scene.Scene, name: str) -> None:
+    fleet, replica = scene.fleet, scene.fleet.replicas[name]
+    replica.fault = platform_replica.HALVES
+    time.sleep(scene.rng.uniform(HALVES_MIN_S, platform_replica.HALVES_PAUSE_S))
+    fleet.links[name].set_mode("hang")
+    fleet.end_replica(name)
+    replica.fault = ""
+    time.sleep(scene.rng.uniform(DOWN_MIN_S, DOWN_MAX_S))
+    fleet.begin_replica(name)
+    fleet.links[name].set_mode("pass")
+    time.sleep(scene.rng.uniform(0, LIST_LAG_MAX_S))
+    fleet.announce(name)
+
+
 @_scene.fault(_scene.UNPLANNED)
 def disclaim(scene: _scene.Scene) -> None:
     """Replicas of a service do their work and then say that they are busy."""
--- a/src/turmericward/adapters/_connection.py
+++ b/src/turmericward/adapters/_connection.py
@@ -3,18 +3,26 @@
 Load pattern handled: targets whose connections are reset while another call looks at
 them. The system reports a reset once, to whichever call comes first: a look, a write, a
 read. Every later read sees an end in order, which an answer without a length takes for
-its own.
+its own. Also targets that crash while their bytes are held up, or this process stands
+still: their end is read long after it was sent, and another process listens by then.
 """
 
 import enum
 import errno
 import fcntl
 import http.client
+import math
 import select
 import socket
 import struct
 import termios
 
+from turmericward import runtime
+
+# A target that crashes doesn't listen again within this time.
+MIN_RESTART_S = 1.0
+# What was held up on the way is read within this time once it passes.
+BACKLOG_S = 0.5
 # Errors of a call that say nothing of the connection; None is that of a timeout.
 _NOT_ENDED = frozenset({None, errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR})
 
@@ -40,6 +48,10 @@
         super().__init__(sock.family, sock.type, sock.proto, fileno=sock.detach())
         self.settimeout(timeout_s)
         self.ending = Ending.OPEN
+        # When bytes were last read or written, and when the last silence was over in
+        # which the peer may have restarted.
+        self._active_at = runtime.now()
+        self._silent_until = -math.inf
 
     def recv_into(self, buffer, nbytes: int = 0, flags: int = 0) -> int:
         """Reads into a buffer; returns 0 only at an end in order.
@@ -76,11 +88,26 @@
 
     def _observed(self, operation, *args):
         try:
-            return operation(*args)
+            value = operation(*args)
         except OSError as exc:
             if exc.errno not in _NOT_ENDED:
                 self.ending = Ending.RESET
             raise
+        self._record_activity(runtime.now())
+        return value
+
+    def _record_activity(self, now: float) -> None:
+        if now - self._active_at >= MIN_RESTART_S:
+            self._silent_until = now
+        self._active_at = now
+
+    def ended_promptly(self) -> bool:
+        """Returns whether the last bytes, or the end, were read as they were sent.
+
+        If not, they came right after a silence, which may have been one of this
+        process. Their sender may have ended, and its successor listen, long before.
+        """
+        return self._active_at - self._silent_until >= BACKLOG_S
 
     def ended_in_order(self) -> bool:
         """Returns whether the peer has ended the connection and not reset it since."""
--- a/src/turmericward/adapters/_response.py
+++ b/src/turmericward/adapters/_response.py
@@ -93,6 +93,10 @@
         """
         return self._sock.ended_in_order()
 
+    def ended_promptly(self) -> bool:
+        """Returns whether the end was read as it was sent, as far as can be told."""
+        return self._sock.ended_promptly()
+
     def _close_conn(self) -> None:
         if not (self._kept and self.unframed):
             super()._close_conn()
--- a/src/turmericward/delivery/_record.py
+++ b/src/turmericward/delivery/_record.py
@@ -3,7 +3,7 @@
 import collections
 import functools
 
-from turmericward import requests, routing, runtime, telemetry
+from turmericward import fleet, requests, routing, runtime, telemetry
 from turmericward.delivery import _stop
 
 # Bounds the length of a log line.
@@ -166,6 +166,24 @@
             left_s=round(self._call.remaining_s(), 3),
         )
 
+    def log_doubtful_end(self, target: fleet.Target, wait_s: float) -> None:
+        """Logs and counts an answer whose end may be that of its target.
+
+        Args:
+            target: the target.
+            wait_s: how long the announcement of its successor is waited for.
+        """
+        self._metrics.count("delivery.doubtful_ends")
+        telemetry.log_event(
+            "doubtful_end",
+            request_id=self._call.id,
+            target=target.name,
+            started_ms=target.started_ms,
+            wait_s=wait_s,
+            after_s=self._elapsed_s(),
+            left_s=round(self._call.remaining_s(), 3),
+        )
+
     def log_admission(
         self,
         admission: _stop.Admission,
--- a/src/turmericward/platform/_transport.py
+++ b/src/turmericward/platform/_transport.py
@@ -186,6 +186,7 @@
         outcome=_outcome(resp),
         unframed=resp.unframed,
         ended_in_order=resp.ended_in_order,
+        ended_promptly=resp.ended_promptly,
     )
 
 
--- a/src/turmericward/routing/_calls.py
+++ b/src/turmericward/routing/_calls.py
@@ -139,7 +139,8 @@
     `outcome` is what it says of the call; `numbered` holds if the ids of its events are
     consecutive numbers; `unframed` if its body ends with the connection, so that its
     end doesn't show whether it is whole; `ended_in_order` returns whether that end
-    still isn't known to be a reset, until `close`.
+    still isn't known to be a reset, until `close`; `ended_promptly` returns whether it
+    was read as it was sent, so that the target that listens then has sent it.
     """
 
     status: int
@@ -151,6 +152,7 @@
     numbered: bool = False
     unframed: bool = False
     ended_in_order: Callable[[], bool] = lambda: True
+    ended_promptly: Callable[[], bool] = lambda: True
 
     def read(self) -> bytes:
         """Returns the complete body.
--- a/standins/link.py
+++ b/standins/link.py
@@ -2,8 +2,8 @@
 
 A reset on one side becomes a reset on the other. `POST /_faults` on the control
 address sets `mode`: `pass`, `refuse` (new and open connections are closed), `hang`
-(bytes are delayed, not lost) or `down` (nothing listens, as after the end of the
-target).
+(bytes and ends are delayed, not lost) or `down` (nothing listens, as after the end of
+the target).
 """
 
 import contextlib
@@ -117,6 +117,7 @@
             for sock in (source, sink):
                 _reset_at_close(sock)
             return
+        self._wait_while_hung()
         with contextlib.suppress(OSError):
             sink.shutdown(socket.SHUT_WR)
 
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -28,6 +28,9 @@
 # connection is reset.
 LATE_RESET = "late reset"
 NO_STATUS = "no status"
+# Fault of plain answers without a length, which come in halves.
+HALVES = "halves"
+HALVES_PAUSE_S = 2.0
 # Faults of replicas that do the work of a call and then answer with one of the statuses
 # that say to clients that it hasn't run, without stating so themselves.
 DISCLAIMERS = {"says 408": 408, "says 429": 429, "says 503": 503}
@@ -298,6 +301,9 @@
         if self.fault == LATE_RESET:
             self._break_off(req, call_id, body[:5])
             return
+        if self.fault == HALVES:
+            self._respond_in_halves(req, call_id, body)
+            return
         statuses = {"error": 500, NO_STATUS: 700} | DISCLAIMERS
         status = statuses.get(self.fault, 200)
         self._send_headers(req, call_id, status)
@@ -320,6 +326,15 @@
         req.send_header("Content-Length", "0")
         req.end_headers()
 
+    def _respond_in_halves(self, req, call_id: str, body: bytes) -> None:
+        self._send_headers(req, call_id)
+        req.end_headers()
+        req.wfile.write(body[:5])
+        req.wfile.flush()
+        if not self._disconnected(req, HALVES_PAUSE_S):
+            req.wfile.write(body[5:])
+        req.close_connection = True
+
     def _break_off(self, req, call_id: str, part: bytes) -> None:
         self._send_headers(req, call_id)
         req.end_headers()
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -24,6 +24,8 @@
 
 check = fixtures.check
 NO_FAULT = "none"
+# Fault of an answer without a length whose end was read long after it was sent.
+HELD_UP = "held up"
 # Statuses that say to clients that a call hasn't run; no target states so here.
 UNPROVED = ("408", "429", "503")
 STATUSES = {"refused": 503, "error": 500} | {name: int(name) for name in UNPROVED}
@@ -100,7 +102,8 @@
                 status, refused=fault == "refused", genuine=fault != "foreign"
             ),
             numbered=self._numbered,
-            unframed=fault == "unframed",
+            unframed=fault in ("unframed", HELD_UP),
+            ended_promptly=lambda: fault != HELD_UP,
         )
 
     def has_ended(self, target) -> bool:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -34,6 +34,14 @@
 # With this seed engines that have streamed or read a prompt say that they are busy.
 DISCLAIMED_SEED = 5
 DISCLAIMED = {"fronts": 1, "seconds": 3.0, "clients": 24, "faults": "^disclaim$"}
+# With this seed two replicas crash in their answers behind a cut, and are soon back.
+CUT_OFF_SEED = 2
+CUT_OFF = {
+    "fronts": 1,
+    "seconds": 2.0,
+    "clients": 24,
+    "faults": "^restart_behind_cut$",
+}
 # With this seed, drafts get five times as long while all fronts of a domain stop.
 SHIFTED_SEED = 5684
 SHIFTED = {
@@ -183,6 +191,17 @@
     _check_found(program, refused, seed=DISCLAIMED_SEED, **DISCLAIMED)
 
 
+def test_replicas_that_restart_behind_a_cut_break_no_promise():
+    check.assertEqual(_findings(_run.PROGRAM, seed=CUT_OFF_SEED, **CUT_OFF), [])
+
+
+def test_a_front_that_takes_late_ends_for_those_of_whoever_listens_is_found():
+    """Guards against a soak whose replicas are never back before their answers end."""
+    program = _injections.program("believes_late_ends")
+    whole = "answers_are_the_calls_own_and_whole"
+    _check_found(program, whole, seed=CUT_OFF_SEED, **CUT_OFF)
+
+
 def test_streams_that_got_longer_while_fronts_stop_break_no_promise():
     check.assertEqual(_findings(_run.PROGRAM, seed=SHIFTED_SEED, **SHIFTED), [])
 
