What a front knows of caches is bounded by its entries, not by tokens alone

Evidence: 165,000 segments take 69 MB of traced memory with nothing else in the process.

Ruled out: heads and bodies (in the account), the log (bounded), quarantines (kept after crashes only, bounded).

Change: all engines' entries together are bounded, also those that peers report; engines with the most forget their least recently used ones down to a common level. A prompt is kept as at most 128 segments, the last with the rest's tokens; engines get the client's header unchanged.

--- a/src/turmericward/platform/_ingress.py
+++ b/src/turmericward/platform/_ingress.py
@@ -230,7 +230,7 @@
     if raw is None or counts is None:
         return None
     try:
-        segments = tuple(_segment(text) for text in raw.split(","))
+        segments = requests.bounded_segments(map(_segment, raw.split(",")))
         output_tokens = _output_tokens(counts.split(",")[1])
     except (ValueError, IndexError) as exc:
         raise BadRequestError(f"prompt {raw!r} of {counts!r} tokens: {exc}") from exc
--- a/src/turmericward/requests/__init__.py
+++ b/src/turmericward/requests/__init__.py
@@ -20,6 +20,7 @@
     MAX_TOKENS,
     Prompt,
     PromptSegment,
+    bounded_segments,
     segment_number,
 )
 from turmericward.requests._quarantine import (
@@ -69,6 +70,7 @@
     "Suspect",
     "TargetLoad",
     "Transfer",
+    "bounded_segments",
     "demand_of",
     "segment_number",
     "sum_loads",
--- a/src/turmericward/requests/_cache_index.py
+++ b/src/turmericward/requests/_cache_index.py
@@ -1,4 +1,8 @@
-"""Estimates what each engine's KV cache holds, from local calls and peers' entries."""
+"""Estimates what each engine's KV cache holds, from local calls and peers' entries.
+
+Load pattern handled: prompts of many small segments that nobody shares. An engine's
+tokens are room for any number of those, the memory of this process isn't.
+"""
 
 import collections
 import functools
@@ -11,6 +15,10 @@
 
 # Prefilling fewer tokens is faster than looking for a cached copy of them.
 SHORT_PROMPT_TOKENS = 2_048
+# Entries of all engines together, of about 600 bytes each.
+MAX_ENTRIES = 32_768
+# Share of them that is left when some have to be forgotten.
+KEPT_SHARE = 7 / 8
 
 
 @attrs.frozen(kw_only=True)
@@ -32,8 +40,17 @@
 class CacheIndex:
     """Models of the engines' KV caches, and entries not yet sent to the peers."""
 
-    def __init__(self) -> None:
-        """Starts without engines."""
+    def __init__(self, max_entries: int = MAX_ENTRIES) -> None:
+        """Starts without engines.
+
+        Args:
+            max_entries: of all engines together; beyond it, the engines with the most
+                entries forget those that were used least recently.
+        """
+        self._max_entries = max_entries
+        # Entries of all engines, and how many were applied since they were counted.
+        self._counted = 0
+        self._applied = 0
         self._caches: dict[int, _kv_cache.KvCacheModel] = {}
         self._services: dict[int, str] = {}
         self._capacity_tokens: dict[str, float] = {}
@@ -78,6 +95,19 @@
             cache.record(entry.segment, entry.tokens, ready=entry.ready)
         if entry.ready and entry.own_tokens:
             cache.record_unshared(entry.own_tokens)
+        # An entry of a peer adds two at the most.
+        self._applied += 2
+        if self._counted + self._applied > self._max_entries:
+            self._bound_entries()
+
+    def _bound_entries(self) -> None:
+        counts = {target: len(cache) for target, cache in self._caches.items()}
+        if sum(counts.values()) > KEPT_SHARE * self._max_entries:
+            level = _level(counts.values(), int(KEPT_SHARE * self._max_entries))
+            for target, count in counts.items():
+                if count > level:
+                    self._caches[target].forget_all_but(level)
+        self._counted, self._applied = sum(map(len, self._caches.values())), 0
 
     def _cache(self, target: int) -> _kv_cache.KvCacheModel:
         if target not in self._caches:
@@ -160,3 +190,15 @@
             if cache is None
             else cache.prefix_tokens(prompt.shared_segments, ready=ready)
         )
+
+
+def _level(counts: Iterable[int], total: int) -> int:
+    """Returns the largest level at which counts that are cut to it fit into a total."""
+    left = total
+    ordered = sorted(counts)
+    for index, count in enumerate(ordered):
+        share = left // (len(ordered) - index)
+        if count > share:
+            return share
+        left -= count
+    return ordered[-1] if ordered else 0
--- a/src/turmericward/requests/_kv_cache.py
+++ b/src/turmericward/requests/_kv_cache.py
@@ -51,10 +51,25 @@
 
     def _evict(self) -> None:
         while self._used > self._limit and self._entries:
-            key, (tokens, _) = self._entries.popitem(last=False)
-            self._used -= tokens
-            if isinstance(key, int):
-                self._on_evict(key)
+            self._evict_oldest()
+
+    def _evict_oldest(self) -> None:
+        key, (tokens, _) = self._entries.popitem(last=False)
+        self._used -= tokens
+        if isinstance(key, int):
+            self._on_evict(key)
+
+    def __len__(self) -> int:
+        """Returns the number of entries."""
+        return len(self._entries)
+
+    def forget_all_but(self, count: int) -> None:
+        """Forgets the least recently used entries beyond a number of them.
+
+        The engine still holds them, so that less is known of it than is cached there.
+        """
+        while len(self._entries) > count:
+            self._evict_oldest()
 
     def clear(self) -> None:
         """Evicts all segments and sets the size to 0."""
--- a/src/turmericward/requests/_prompts.py
+++ b/src/turmericward/requests/_prompts.py
@@ -2,9 +2,13 @@
 
 import functools
 import hashlib
+from collections.abc import Iterable
 
 import attrs
 
+# Prompts with more segments are kept as this many. The last one then stands for the
+# rest of the prompt, which isn't looked for in caches.
+MAX_SEGMENTS = 128
 # More tokens in a segment or an answer than any model takes; sums of them still fit
 # the fields of the messages between fronts.
 MAX_TOKENS = 1 << 24
@@ -18,6 +22,17 @@
     tokens: int
 
 
+def bounded_segments(segments: Iterable[PromptSegment]) -> tuple[PromptSegment, ...]:
+    """Returns at most `MAX_SEGMENTS` segments with the same tokens in all."""
+    kept = tuple(segments)
+    if len(kept) <= MAX_SEGMENTS:
+        return kept
+    shared, rest = kept[: MAX_SEGMENTS - 1], kept[MAX_SEGMENTS - 1 :]
+    tokens = min(MAX_TOKENS, sum(segment.tokens for segment in rest))
+    digest = hashlib.blake2b(",".join(s.id for s in rest).encode(), digest_size=8)
+    return (*shared, PromptSegment(id=digest.hexdigest(), tokens=tokens))
+
+
 def segment_number(model: str, segment_id: str) -> int:
     """Returns the number that identifies a model's segment between fronts."""
     digest = hashlib.blake2b(f"{model}/{segment_id}".encode(), digest_size=8).digest()
