Connections that nobody uses give way when few are free

Cause: connections were closed for their own idle time or for memory; when they ran out themselves, only lingering ones made room.

Ruled out: memory, the event loop (readiness was answered all the while).

Change: with fewer than 1/32 free, lingering connections go first, then those without a byte for a second or more, the longest idle first, until 1/16 is free; an incomplete request gets 408 (not run). Requests at work, unread bytes, requests that wait for memory and senders that move are kept. A front without a free connection for a second isn't ready.

--- a/src/turmericward/httpd/_channel.py
+++ b/src/turmericward/httpd/_channel.py
@@ -8,7 +8,15 @@
 from waitress import channel, utilities
 
 from turmericward import memory, runtime
-from turmericward.httpd import _idle, _linger, _outbuf, _parser, _shutdown, _tasks
+from turmericward.httpd import (
+    _gate,
+    _idle,
+    _linger,
+    _outbuf,
+    _parser,
+    _shutdown,
+    _tasks,
+)
 
 # How long a client may read nothing while its response waits to be sent.
 MAX_STALL_S = 10.0
@@ -344,6 +352,18 @@
         self.handle_close()
         return True
 
+    def give_way(self) -> bool:
+        """Ends a connection without progress for others; returns whether it did.
+
+        An incomplete request is refused. As for `close_idle`, bytes may be unread.
+        """
+        if self.has_unread():
+            return False
+        if self.request is None:
+            self.handle_close()
+            return True
+        return self.refuse(_gate.IdleRefusal("It made no progress and was not run."))
+
     def handle_close(self) -> None:
         """Ends the connection for requests and lets its socket linger."""
         sock = self._detach()
--- a/src/turmericward/httpd/_gate.py
+++ b/src/turmericward/httpd/_gate.py
@@ -163,6 +163,10 @@
         # Time of the first read.
         self._turn_at: float | None = None
 
+    def is_waiting(self, channel) -> bool:
+        """Returns whether a connection isn't read since it waits for memory."""
+        return channel in self._waiting
+
     def end_wait(self, channel) -> None:
         """Records that a connection doesn't wait for memory."""
         self._waiting.pop(channel, None)
--- a/src/turmericward/httpd/_server.py
+++ b/src/turmericward/httpd/_server.py
@@ -206,7 +206,10 @@
         for gate in gates:
             gate.begin_turn()
         step_s = min(
-            self._stopper.step_s, self._refuser.step_s, *(g.step_s for g in gates)
+            self._stopper.step_s,
+            self._refuser.step_s,
+            self._room.step_s,
+            *(g.step_s for g in gates),
         )
         wasyncore.poll2(step_s, self._map)
         self._close_expired()
@@ -216,10 +219,27 @@
             gate.step()
 
     def _make_room(self) -> None:
+        now = runtime.now()
         missing = self._room.missing(len(self._map))
         if missing:
             lingering = [conn for server in self._servers for conn in server.lingering]
-            _room.close_oldest(lingering, missing)
+            missing -= _room.close_oldest(lingering, missing)
+        if missing > 0 and self._room.is_scan_due(now):
+            self._close_idle(missing, now)
+        self._room.observe(len(self._map), now)
+
+    def _close_idle(self, missing: int, now: float) -> None:
+        channels = list(self._server.active_channels.values())
+        # Those that end anyway.
+        missing -= sum(channel.close_when_flushed for channel in channels)
+        gate = self._server.gate
+        states = [c.idle_state() for c in channels if not gate.is_waiting(c)]
+        _room.close_idle(filter(None, states), missing, now)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether all connections have been in use for some time."""
+        return self._room.is_full(runtime.now())
 
     def _begin_after(self, stop: threading.Event, on_stop) -> None:
         earlier = latest = runtime.now()
--- a/src/turmericward/platform/_ingress.py
+++ b/src/turmericward/platform/_ingress.py
@@ -254,16 +254,32 @@
 
 
 class Readiness:
-    """Readiness check: ready once a configuration is in force, until the drain."""
+    """Readiness check: ready once a configuration is in force, until the drain.
 
-    def __init__(self, dispatch: dispatching.DispatchTask, draining) -> None:
-        """Creates the application; `draining` is a `threading.Event`."""
+    It isn't ready either while no connection is free for a new client.
+    """
+
+    def __init__(
+        self,
+        dispatch: dispatching.DispatchTask,
+        draining,
+        is_full: Callable[[], bool] = lambda: False,
+    ) -> None:
+        """Creates the application.
+
+        Args:
+            dispatch: has the configuration.
+            draining: a `threading.Event`.
+            is_full: returns whether all connections are in use.
+        """
         self._dispatch = dispatch
         self._draining = draining
+        self._is_full = is_full
 
     def __call__(self, environ, start_response):
         """Responds with status 200 if the front is ready, else 503."""
         ready = self._dispatch.table is not None and not self._draining.is_set()
+        ready = ready and not self._is_full()
         status = "200 OK" if ready else "503 Service Unavailable"
         start_response(status, [("Content-Length", "0")])
         return [b""]
--- a/src/turmericward/platform/_program.py
+++ b/src/turmericward/platform/_program.py
@@ -176,7 +176,9 @@
         )
         self._server = httpd.Server(ingress, address, limits, self._drain)
         self._server.set_head_check(ingress.identification.check_head)
-        readiness = _ingress.Readiness(self._dispatch, self._draining)
+        readiness = _ingress.Readiness(
+            self._dispatch, self._draining, lambda: self._server.is_full
+        )
         self._server.add_probe(readiness, _address.split(cfg.listen.ready))
         metrics_address = (cfg.instance.address, cfg.listen.metrics)
         pages = _ingress.OperatorPages(metrics, self._dispatch)
