One way to ask what the system holds of a connection; a pause after an end counts

And of the doubtful ends: a process that stands still between the read of an end and the look for its target doubts the end, too.

Conclusion: no change of behaviour but for that pause.

--- a/src/turmericward/adapters/_connection.py
+++ b/src/turmericward/adapters/_connection.py
@@ -9,13 +9,10 @@
 
 import enum
 import errno
-import fcntl
 import http.client
 import math
 import select
 import socket
-import struct
-import termios
 
 from turmericward import runtime
 
@@ -82,7 +79,7 @@
     def has_bytes(self) -> bool:
         """Returns whether bytes can be read; uses up no error."""
         try:
-            return _count(self, termios.FIONREAD) > 0
+            return runtime.unread_bytes(self) > 0
         except OSError:
             return False
 
@@ -105,9 +102,11 @@
         """Returns whether the last bytes, or the end, were read as they were sent.
 
         If not, they came right after a silence, which may have been one of this
-        process. Their sender may have ended, and its successor listen, long before.
+        process, or it has stood still since. Their sender may have ended, and its
+        successor listen, long before.
         """
-        return self._active_at - self._silent_until >= BACKLOG_S
+        is_recent = runtime.now() - self._active_at < MIN_RESTART_S
+        return is_recent and self._active_at - self._silent_until >= BACKLOG_S
 
     def ended_in_order(self) -> bool:
         """Returns whether the peer has ended the connection and not reset it since."""
@@ -134,12 +133,7 @@
         poll.register(self, 0)
         if any(event & select.POLLERR for _, event in poll.poll(0)):
             return True
-        # For sockets, this request is SIOCOUTQ.
-        return _count(self, termios.TIOCOUTQ) > 0
-
-
-def _count(sock: socket.socket, request: int) -> int:
-    return struct.unpack("i", fcntl.ioctl(sock, request, struct.pack("i", 0)))[0]
+        return runtime.unacknowledged_bytes(self) > 0
 
 
 class HTTPConnection(http.client.HTTPConnection):
--- a/src/turmericward/adapters/_response.py
+++ b/src/turmericward/adapters/_response.py
@@ -82,6 +82,8 @@
         """Creates the response on the socket of a connection."""
         super().__init__(sock, *args, **kwargs)
         self._sock = sock
+        # Until `close`, the connection of an unframed body is kept after its end: it
+        # still tells whether a reset follows.
         self._kept = True
         reader = _guard.GuardedReader(self.fp.detach(), sock, guard)
         self.fp = io.BufferedReader(reader)
--- a/src/turmericward/delivery/_asking.py
+++ b/src/turmericward/delivery/_asking.py
@@ -53,20 +53,25 @@
     dispatch: _context.Dispatcher, target: fleet.Target, timeout_s: float
 ) -> bool:
     """Returns whether a target may still get a call; so if there is no answer."""
-    try:
-        return dispatch.ask(dispatching.IsUsable(target=target)).result(timeout_s)
-    except (TimeoutError, runtime.TaskStoppedError):
-        return True
+    message = dispatching.IsUsable(target=target)
+    return _answer_or(True, dispatch, message, timeout_s)
 
 
 def is_replaced(
     dispatch: _context.Dispatcher, target: fleet.Target, timeout_s: float
 ) -> bool:
     """Returns whether a target is known to have ended; not if there is no answer."""
+    message = dispatching.IsReplaced(target=target)
+    return _answer_or(False, dispatch, message, timeout_s)
+
+
+def _answer_or(
+    default: bool, dispatch: _context.Dispatcher, message: object, timeout_s: float
+) -> bool:
     try:
-        return dispatch.ask(dispatching.IsReplaced(target=target)).result(timeout_s)
+        return dispatch.ask(message).result(timeout_s)
     except (TimeoutError, runtime.TaskStoppedError):
-        return False
+        return default
 
 
 def _await(fut: futures.Future, until: float, must_end: Callable[[], bool]):
--- a/src/turmericward/delivery/_attempt_ends.py
+++ b/src/turmericward/delivery/_attempt_ends.py
@@ -89,7 +89,7 @@
             attempt.placement,
             end.outcome,
             detail,
-            status=getattr(exc, "status", None),
+            status=exc.status,
             target_ended=end.target_ended,
         )
         attempt.end(
--- a/src/turmericward/httpd/_linger.py
+++ b/src/turmericward/httpd/_linger.py
@@ -1,9 +1,7 @@
 """Lingering close of connections (RFC 9112, 9.6)."""
 
-import fcntl
 import socket
 import struct
-import termios
 
 from waitress import wasyncore
 
@@ -27,13 +25,11 @@
 
 
 def unacknowledged(sock: socket.socket) -> int:
-    """Returns the bytes written that the client hasn't acknowledged, 1 for the end."""
+    """Returns the bytes that the client hasn't acknowledged, 0 if it is closed."""
     try:
-        # For sockets, this request is SIOCOUTQ.
-        raw = fcntl.ioctl(sock, termios.TIOCOUTQ, struct.pack("i", 0))
+        return runtime.unacknowledged_bytes(sock)
     except OSError:
         return 0
-    return struct.unpack("i", raw)[0]
 
 
 def reset(sock: socket.socket) -> None:
--- a/src/turmericward/runtime/__init__.py
+++ b/src/turmericward/runtime/__init__.py
@@ -5,6 +5,7 @@
 from turmericward.runtime._errors import RuntimeFaultError, TaskStoppedError
 from turmericward.runtime._group import Group
 from turmericward.runtime._ids import new_id, sha256_hex
+from turmericward.runtime._sockets import unacknowledged_bytes, unread_bytes
 from turmericward.runtime._task import MAX_FAILURES_IN_A_ROW, Loop, Task
 from turmericward.runtime._waiters import Waiters
 
@@ -20,4 +21,6 @@
     "new_id",
     "now",
     "sha256_hex",
+    "unacknowledged_bytes",
+    "unread_bytes",
 ]
--- a/tests/test_doubtful_ends.py
+++ b/tests/test_doubtful_ends.py
@@ -10,6 +10,7 @@
     test_connection_endings,
     test_delivery,
     test_dispatch,
+    test_late_attempts,
     test_late_connections,
 )
 from turmericward import delivery, dispatching, routing, runtime, telemetry
@@ -90,24 +91,10 @@
             cancelled=lambda: clock.elapsed_s >= left_after_s,
         )
         reply = delivery.Delivery(ctx, call, "model").run()
-        received = _received(reply)
+        received = test_late_attempts._received(reply)
     return received, len(transport.sent), clock.elapsed_s
 
 
-def _received(reply: routing.Reply):
-    if reply.failure is not None:
-        return reply.status
-    if isinstance(reply.body, bytes):
-        return reply.body
-    received = []
-    try:
-        for batch in reply.body:
-            received += [event.number for event in batch]
-    except delivery.StreamBrokenError as exc:
-        received.append(exc.failure.status)
-    return received
-
-
 HALF, REST = b"id: 1\ndata: x\n\n", b"id: 2\ndata: x\n\n"
 
 
@@ -147,8 +134,11 @@
         check.assertLess(took_s, 0.7)
 
 
-def _read_at(*steps: tuple[float, bytes]) -> bool:
-    """Reads bytes, or the end, at these times; returns whether that was promptly."""
+def _read_at(*steps: tuple[float, bytes], asked_after_s: float = 0.0) -> bool:
+    """Reads bytes, or the end, at these times; returns whether that was promptly.
+
+    It is asked some time after the last read.
+    """
     ours, theirs = test_connection_endings._connected()
     clock = _Clock()
     with ours, theirs, mock.patch.object(runtime, "now", clock.now):
@@ -162,6 +152,7 @@
             else:
                 theirs.close()
             sock.recv_into(bytearray(100))
+        clock.sleep(asked_after_s)
         return sock.ended_promptly()
 
 
@@ -181,6 +172,13 @@
         check.assertEqual(_read_at(*steps), promptly, name)
 
 
+def test_an_end_is_not_believed_after_a_pause_between_its_read_and_the_question():
+    """Guards against a listener that is looked for after this process stood still."""
+    steps = [(0.1, b"x"), (0.2, END)]
+    check.assertTrue(_read_at(*steps, asked_after_s=0.4))
+    check.assertFalse(_read_at(*steps, asked_after_s=4.0))
+
+
 def test_answers_of_targets_tell_whether_their_end_was_read_promptly():
     head = test_late_connections.HEAD
     pause_s = _connection.MIN_RESTART_S + 0.1
