The test of a lowered idle limit has a clock of its own

Change: the test moves the server's clock and lets its event loop turn before each call; the assertions are the same. It no longer sends calls beside each other: what it guards against (a limit that closes at the first look) is a matter of times.

--- a/tests/test_httpd.py
+++ b/tests/test_httpd.py
@@ -1,18 +1,20 @@
 """Client limits of the HTTP server: idle connections, headers, bodies."""
 
+import contextlib
 import http.client
 import socket
 import threading
 import time
-from concurrent import futures
 from unittest import mock
 
 from tests import fixtures, httpd_fixtures
-from turmericward import httpd
+from turmericward import httpd, runtime
 from turmericward.httpd import _channel, _idle
 
 check = fixtures.check
 IDLE_TIMEOUT_S = 5.0
+# Real time in which an event loop turns whose clock stands still.
+LOOP_TURN_S = 0.05
 HEADER_TIMEOUT_S = 2.0
 
 
@@ -145,9 +147,8 @@
         check.fail("the idle connection is still open")
 
 
-def _call_at(conn: socket.socket, path: str, at: float) -> int | None:
+def _call_kept(conn: socket.socket, path: str) -> int | None:
     """Sends a request on a kept connection; returns None if it was closed."""
-    time.sleep(max(0.0, at - time.monotonic()))
     try:
         return httpd_fixtures.call(conn, path)[0]
     except (OSError, http.client.HTTPException):
@@ -155,22 +156,26 @@
 
 
 def test_requests_on_kept_connections_were_lost_when_the_idle_limit_was_lowered():
+    """Guards against a limit that closes connections before their clients know it."""
     count, interval_s, lowered_s = 30, 0.1, 0.8
+    clock = _Clock()
     with (
+        mock.patch.object(runtime, "now", clock.now),
         httpd_fixtures.running() as server,
-        futures.ThreadPoolExecutor(count) as executor,
+        _stopped_at_the_end(server, clock),
+        server.connect() as driver,
     ):
         server.server.set_client_limits(_limits())
         conns = [server.connect_idle() for _ in range(count)]
-        # All are idle for longer than the limit that follows.
-        time.sleep(2 * lowered_s)
-        began = time.monotonic()
+        # All are idle for longer than the limit that follows, and a check is due.
+        clock.advance(2 * lowered_s)
+        began = clock.now()
         server.server.set_client_limits(_limits(idle_timeout_s=lowered_s))
-        offsets = [number * interval_s for number in range(count)]
-        statuses = executor.map(
-            lambda conn, s: _call_at(conn, f"/{s:.1f}", began + s), conns, offsets
-        )
-        for offset, status in zip(offsets, statuses, strict=True):
+        for number, conn in enumerate(conns):
+            offset = number * interval_s
+            clock.advance(began + offset - clock.now())
+            _let_loop_turn(driver)
+            status = _call_kept(conn, f"/{offset:.1f}")
             if offset < lowered_s:
                 check.assertEqual(status, 200, offset)
             if status is None:
@@ -179,6 +184,39 @@
         check.assertIsNone(status)
 
 
+class _Clock:
+    """A clock that the test moves."""
+
+    def __init__(self) -> None:
+        self._now = runtime.now()
+
+    def now(self) -> float:
+        return self._now
+
+    def advance(self, length_s: float) -> None:
+        self._now += length_s
+
+
+@contextlib.contextmanager
+def _stopped_at_the_end(server: httpd_fixtures.Running, clock: _Clock):
+    """Stops a server at the end, whose stop takes time on its clock."""
+    try:
+        yield
+    finally:
+        server.begin()
+        while not server.is_over(LOOP_TURN_S):
+            clock.advance(httpd_fixtures.LAG_S)
+
+
+def _let_loop_turn(driver: socket.socket) -> None:
+    """Returns when the event loop has checked all connections at the present time.
+
+    It does so after it has read the first of the requests, and before the second.
+    """
+    for _ in range(2):
+        check.assertEqual(httpd_fixtures.call(driver, "/turn")[0], 200)
+
+
 def test_connection_with_an_incomplete_header_is_closed():
     with (
         _RunningServer(_limits(header_timeout_s=0.5)) as server,
