--- a/soak/_evidence.py
+++ b/soak/_evidence.py
@@ -63,6 +63,25 @@
     ended: float
 
 
+@attrs.frozen(kw_only=True)
+class MemoryPeak:
+    """The most memory that a front's process has held until a time, in MB."""
+
+    front: str
+    mb: float
+
+
+@attrs.frozen(kw_only=True)
+class Crowded:
+    """Calls of ordinary clients beside a crowd that holds a front's connections.
+
+    `answered` has an item for each call.
+    """
+
+    front: str
+    answered: list[bool] = attrs.field(factory=list)
+
+
 @attrs.define(kw_only=True)
 class DeadlyRequest:
     """A request that crashed replicas, and the fronts that its sendings went to."""
@@ -87,6 +106,8 @@
     leaving: list[Leaving] = attrs.field(factory=list)
     silences: list[Silence] = attrs.field(factory=list)
     deadly: list[DeadlyRequest] = attrs.field(factory=list)
+    crowded: list[Crowded] = attrs.field(factory=list)
+    memory_peaks: list[MemoryPeak] = attrs.field(factory=list)
     # Fronts that ended by themselves.
     exits: list[str] = attrs.field(factory=list)
     # Fault injected, and how often.
--- a/soak/_fleet_promises.py
+++ b/soak/_fleet_promises.py
@@ -13,6 +13,8 @@
 CRASHES_COUNTED = 3
 SETTLED_S = 3.0
 MAX_LATE_ARRIVALS = 3
+# Memory of the smallest instances.
+MEMORY_MB = 160
 
 
 @_findings.promise
@@ -41,6 +43,39 @@
     return _findings.result(evidence.leaving, find)
 
 
+@_findings.promise
+def fronts_stay_within_their_memory(evidence) -> _findings.Result:
+    """No front holds more memory than the smallest instances have, whoever calls it."""
+
+    def find(peak):
+        if peak.mb <= MEMORY_MB:
+            return None
+        return _findings.Finding(
+            promise="fronts_stay_within_their_memory",
+            front=peak.front,
+            detail=f"{peak.mb:.0f} MB",
+        )
+
+    return _findings.result(evidence.memory_peaks, find)
+
+
+@_findings.promise
+def ordinary_clients_are_answered_beside_a_crowd(evidence) -> _findings.Result:
+    """At least half of the calls beside a crowd have an answer in time."""
+
+    def find(crowded):
+        answered, asked = sum(crowded.answered), len(crowded.answered)
+        if 2 * answered >= asked:
+            return None
+        return _findings.Finding(
+            promise="ordinary_clients_are_answered_beside_a_crowd",
+            front=crowded.front,
+            detail=f"{answered} of {asked} were answered",
+        )
+
+    return _findings.result(evidence.crowded, find)
+
+
 @_findings.promise
 def deadly_requests_reach_few_replicas(evidence) -> _findings.Result:
     """Soon after its third crash, a request reaches replicas three times at most."""
--- a/soak/_injections.py
+++ b/soak/_injections.py
@@ -17,7 +17,9 @@
 from turmericward.adapters import _connection, errors
 from turmericward.delivery import _progress
 from turmericward.dispatching import _crash_guard
+from turmericward.httpd import _room
 from turmericward.platform import _program, _records, _transport
+from turmericward.requests import _cache_index, _prompts
 
 SHARE = 0.05
 PATIENCE_S = 1.0
@@ -168,6 +170,20 @@
     return mock.patch.object(observed, "ended_promptly", lambda self: True)
 
 
+@_injection
+def bounds_caches_by_tokens():
+    """A front that keeps all segments of prompts that engines have tokens for."""
+    mock.patch.object(_prompts, "MAX_SEGMENTS", sys.maxsize).start()
+    unbounded = mock.Mock()
+    return mock.patch.object(_cache_index.CacheIndex, "_bound_entries", unbounded)
+
+
+@_injection
+def keeps_idle_connections():
+    """A front that closes no connection for a new one, unless it lingers."""
+    return mock.patch.object(_room, "close_idle", lambda states, count, now: [])
+
+
 def _impatient(chunks):
     waiting_since = time.monotonic()
     for chunk in chunks:
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -14,6 +14,7 @@
 
 from soak import (
     _budget_promises,
+    _crowds,
     _evidence,
     _excuses,
     _faults,
@@ -39,7 +40,7 @@
 FAULT_TIMEOUT_S = 90.0
 MAX_LOG_LINES = 12
 # Modules that register faults.
-FAULTS = (_faults, _replica_faults)
+FAULTS = (_crowds, _faults, _replica_faults)
 DEFAULT_PROFILE = "small"
 PROGRAM = ("turmericward.platform",)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -42,6 +42,15 @@
     "clients": 24,
     "faults": "^restart_behind_cut$",
 }
+# With this seed clients of one front send prompts of many segments, and others hold
+# the connections of another one.
+CROWDED_SEED = 9
+CROWDED = {
+    "fronts": 2,
+    "seconds": 4.0,
+    "clients": 4,
+    "faults": "^(many_segments|hold_connections)$",
+}
 # With this seed, drafts get five times as long while all fronts of a domain stop.
 SHIFTED_SEED = 5684
 SHIFTED = {
@@ -202,6 +211,18 @@
     _check_found(program, whole, seed=CUT_OFF_SEED, **CUT_OFF)
 
 
+def test_crowds_that_cost_memory_or_connections_break_no_promise():
+    check.assertEqual(_findings(_run.PROGRAM, seed=CROWDED_SEED, **CROWDED), [])
+
+
+def test_a_front_without_a_bound_on_segments_or_idle_connections_is_found():
+    """Guards against a soak whose clients cost a front no more than usual ones."""
+    program = _injections.program("bounds_caches_by_tokens", "keeps_idle_connections")
+    memory = "fronts_stay_within_their_memory"
+    answered = "ordinary_clients_are_answered_beside_a_crowd"
+    _check_found(program, memory, answered, seed=CROWDED_SEED, **CROWDED)
+
+
 def test_streams_that_got_longer_while_fronts_stop_break_no_promise():
     check.assertEqual(_findings(_run.PROGRAM, seed=SHIFTED_SEED, **SHIFTED), [])
 
