A crowd of the soak sends a fixed number of prompts

Cause: many_segments sent prompts for 5 s.

Change: 15 prompts of each of six clients, however long they take (60 s at most).

--- a/soak/_crowds.py
+++ b/soak/_crowds.py
@@ -15,6 +15,9 @@
 LENGTH_S = 5.0
 TIMEOUT_S = 5.0
 RETRY_S = 0.1
+# Of each client; the time is for a front that doesn't answer.
+PROMPTS = 15
+MAX_SENDING_S = 60.0
 # As many segments as make a long prompt, with a token each.
 SEGMENTS = 2_500
 OWN_TOKENS = 250
@@ -36,9 +39,8 @@
         return
     try:
         scene.evidence.count_fault(scene.name)
-        until = time.monotonic() + LENGTH_S
         rngs = [random.Random(scene.rng.random()) for _ in range(CLIENTS)]
-        threads = [_scene.start(_send_prompts, front, rng, until) for rng in rngs]
+        threads = [_scene.start(_send_prompts, front, rng) for rng in rngs]
         for thread in threads:
             thread.join()
         scene.evidence.memory_peaks.append(
@@ -112,8 +114,11 @@
         time.sleep(RETRY_S)
 
 
-def _send_prompts(front: _fleet.Front, rng: random.Random, until: float) -> None:
-    while time.monotonic() < until:
+def _send_prompts(front: _fleet.Front, rng: random.Random) -> None:
+    until = time.monotonic() + MAX_SENDING_S
+    for _ in range(PROMPTS):
+        if time.monotonic() >= until:
+            return
         conn = http.client.HTTPConnection(front.address, timeout=TIMEOUT_S)
         try:
             conn.request("POST", "/ask/x?events=2", b"q", _headers(rng))
--- a/src/turmericward/adapters/engine.py
+++ b/src/turmericward/adapters/engine.py
@@ -11,7 +11,7 @@
 
 READ_BYTES = 65536
 MAX_EVENT_NUMBER = 2**53
-# An engine has to answer so only what it hasn't started: docs/api.md.
+# Engines answer so only requests that they haven't started (docs/api.md).
 NOT_STARTED_STATUSES = frozenset({429, 503})
 Watch = _pending.Watch
 
--- a/src/turmericward/httpd/_channel.py
+++ b/src/turmericward/httpd/_channel.py
@@ -353,9 +353,9 @@
         return True
 
     def give_way(self) -> bool:
-        """Ends a connection without progress for others; returns whether it did.
+        """Ends a connection without progress, to make room; returns whether it did.
 
-        An incomplete request is refused. As for `close_idle`, bytes may be unread.
+        An incomplete request is refused. With unread bytes the connection is kept.
         """
         if self.has_unread():
             return False
