--- a/tests/test_httpd.py
+++ b/tests/test_httpd.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+from concurrent import futures
 from unittest import mock
 
 from tests import fixtures, httpd_fixtures
@@ -155,7 +156,38 @@
         return None
 
 
+def _call_at(conn: socket.socket, path: str, at: float) -> int | None:
+    """Sends a request on a kept connection; returns None if it was closed."""
+    time.sleep(max(0.0, at - time.monotonic()))
+    return _call_kept(conn, path)
+
+
 def test_requests_on_kept_connections_were_lost_when_the_idle_limit_was_lowered():
+    count, interval_s, lowered_s = 30, 0.1, 0.8
+    with (
+        httpd_fixtures.running() as server,
+        futures.ThreadPoolExecutor(count) as executor,
+    ):
+        server.server.set_client_limits(_limits())
+        conns = [server.connect_idle() for _ in range(count)]
+        # All are idle for longer than the limit that follows.
+        time.sleep(2 * lowered_s)
+        began = time.monotonic()
+        server.server.set_client_limits(_limits(idle_timeout_s=lowered_s))
+        offsets = [number * interval_s for number in range(count)]
+        statuses = executor.map(
+            lambda conn, s: _call_at(conn, f"/{s:.1f}", began + s), conns, offsets
+        )
+        for offset, status in zip(offsets, statuses, strict=True):
+            if offset < lowered_s:
+                check.assertEqual(status, 200, offset)
+            if status is None:
+                check.assertNotIn(f"/{offset:.1f}", server.app.paths)
+        # The limit is in force for the last ones.
+        check.assertIsNone(status)
+
+
+def test_a_lowered_idle_limit_closed_connections_at_the_first_look():
     """Guards against a limit that closes connections before their clients know it."""
     count, interval_s, lowered_s = 30, 0.1, 0.8
     clock = _Clock()
